--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,338 @@
+package admission
+
+import (
+	"sort"
+	"time"
+
+	"aspenyard.example/result"
+)
+
+// Config holds the bounds of one endpoint's queue.
+type Config struct {
+	// MaxRunning bounds the work started at once; the engine's batch size.
+	MaxRunning int
+	// MemoryTokens is the engine's KV cache in tokens; 0 for a plain service.
+	MemoryTokens int
+	// PrefillRate is tokens a second of prefill; 0 for a plain service.
+	PrefillRate int
+	// DecodeRate is the output tokens a second of one sequence in a full batch;
+	// default 40. Lower refuses more work as too late for its deadline.
+	DecodeRate int
+	// MaxLongRunning bounds the prompts over LongTokens that run at once; default
+	// 2. More keeps memory from short prompts; fewer makes long ones queue.
+	MaxLongRunning int
+	// Patience is how long work of each class may wait before it goes ahead of
+	// newer work of more urgent classes; defaults 0s, 1s, 10s.
+	Patience [classCount]time.Duration
+	// MaxWait refuses work whose estimated wait exceeds it, by class; defaults
+	// 10s, 30s, 5m. Shorter refuses earlier and keeps the admitted work faster.
+	MaxWait [classCount]time.Duration
+	// ShortReserve is the share of memory that long prompts may not take;
+	// default 0.2.
+	ShortReserve float64
+}
+
+// WithDefaults fills the fields left at zero.
+func (c Config) WithDefaults() Config {
+	if c.MaxRunning == 0 {
+		c.MaxRunning = 1
+	}
+	if c.DecodeRate == 0 {
+		c.DecodeRate = 40
+	}
+	if c.MaxLongRunning == 0 {
+		c.MaxLongRunning = 2
+	}
+	if c.Patience == [classCount]time.Duration{} {
+		c.Patience = [classCount]time.Duration{0, time.Second, 10 * time.Second}
+	}
+	if c.MaxWait == [classCount]time.Duration{} {
+		c.MaxWait = [classCount]time.Duration{10 * time.Second, 30 * time.Second, 5 * time.Minute}
+	}
+	if c.ShortReserve == 0 {
+		c.ShortReserve = 0.2
+	}
+	return c
+}
+
+// MaxPromptTokens is the largest prompt with its output that one endpoint takes
+// alone, in tokens: its memory less the short prompts' reserve.
+func (c Config) MaxPromptTokens() int {
+	return int(float64(c.MemoryTokens) * (1 - c.ShortReserve))
+}
+
+// Job is work that asks to start.
+type Job struct {
+	// ID is the reservation's number.
+	ID      uint64
+	Account string
+	Class   Class
+	// PromptTokens and OutputTokens size the job; both are held as memory.
+	PromptTokens, OutputTokens int
+	Deadline                   time.Time
+
+	arrived time.Time
+	target  time.Time
+	armed   bool
+	running bool
+	filled  bool // prefill done
+}
+
+func (j *Job) memory() int  { return j.PromptTokens + j.OutputTokens }
+func (j *Job) long() bool   { return Band(j.PromptTokens) == bandCount-1 }
+func (j *Job) level() Level { return LevelOf(j.Class, j.PromptTokens) }
+
+// Verdict answers an offer.
+type Verdict struct {
+	Accepted bool
+	// Wait is the estimated time until the work starts.
+	Wait time.Duration
+	// Code and RetryAfter are set when Accepted is false.
+	Code       result.Code
+	RetryAfter time.Duration
+}
+
+// Queue orders one endpoint's work. Not safe for concurrent use: it belongs to
+// the control loop.
+type Queue struct {
+	config Config
+	// slots is what the power grant allows of MaxRunning.
+	slots    int
+	jobs     map[uint64]*Job
+	waiting  []*Job // by target
+	running  int
+	longs    int
+	held     int
+	backlog  Backlog
+	accounts map[string]*account
+	closed   bool
+}
+
+// account is what fair queueing remembers of a client account.
+type account struct {
+	// next is when the account's next job counts as arrived: each job moves it
+	// on by its cost times the accounts that share the endpoint, so that one
+	// account's flood queues behind itself.
+	next time.Time
+	jobs int
+}
+
+// NewQueue makes an empty queue.
+func NewQueue(config Config) *Queue {
+	config = config.WithDefaults()
+	return &Queue{config: config, slots: config.MaxRunning, jobs: map[uint64]*Job{}, accounts: map[string]*account{}}
+}
+
+// SetSlots bounds the work started at once to what the power grant allows.
+// Running work is not stopped.
+func (q *Queue) SetSlots(slots int) {
+	q.slots = max(0, min(slots, q.config.MaxRunning))
+}
+
+// Close refuses all further offers: the endpoint is leaving.
+func (q *Queue) Close() { q.closed = true }
+
+// minRetryAfter keeps refused callers from asking again at once.
+const minRetryAfter = 200 * time.Millisecond
+
+// Offer accepts a job into the queue or refuses it with a code and with when
+// to come back. An accepted job waits for Arm.
+func (q *Queue) Offer(now time.Time, job Job) Verdict {
+	if refusal := q.judge(now, &job); refusal != nil {
+		return *refusal
+	}
+	job.arrived = now
+	job.target = q.targetOf(now, &job)
+	stored := &job
+	q.jobs[job.ID] = stored
+	q.insert(stored)
+	q.backlog[job.level()] += job.PromptTokens
+	return Verdict{Accepted: true, Wait: q.wait(job.level())}
+}
+
+func (q *Queue) judge(now time.Time, job *Job) *Verdict {
+	if q.closed {
+		return &Verdict{Code: result.Leaving, RetryAfter: minRetryAfter}
+	}
+	if q.config.MemoryTokens > 0 && job.memory() > q.config.MaxPromptTokens() {
+		return &Verdict{Code: result.PromptTooLong}
+	}
+	if q.slots == 0 && q.running == 0 {
+		return &Verdict{Code: result.NoPower, RetryAfter: time.Second}
+	}
+	wait := q.wait(job.level())
+	if limit := q.config.MaxWait[job.Class]; wait > limit {
+		return &Verdict{Code: result.Overloaded, RetryAfter: max(minRetryAfter, wait-limit)}
+	}
+	if late := now.Add(wait + q.duration(job)).Sub(job.Deadline); late > 0 {
+		return &Verdict{Code: result.DeadlineUnmeetable, RetryAfter: max(minRetryAfter, min(late, wait))}
+	}
+	return nil
+}
+
+// wait estimates the time until new work of a level starts its prefill.
+func (q *Queue) wait(level Level) time.Duration {
+	if q.config.PrefillRate == 0 {
+		return 0
+	}
+	return seconds(float64(q.backlog.Before(level)) / float64(q.config.PrefillRate))
+}
+
+// duration estimates how long a job takes once it starts.
+func (q *Queue) duration(job *Job) time.Duration {
+	if q.config.PrefillRate == 0 {
+		return 0
+	}
+	prefill := float64(job.PromptTokens) / float64(q.config.PrefillRate)
+	return seconds(prefill + float64(job.OutputTokens)/float64(q.config.DecodeRate))
+}
+
+// targetOf gives the time by which a job should start: the earliest goes first,
+// so that every job's turn comes as it ages.
+func (q *Queue) targetOf(now time.Time, job *Job) time.Time {
+	a := q.accounts[job.Account]
+	if a == nil {
+		a = &account{next: now}
+		q.accounts[job.Account] = a
+	}
+	a.jobs++
+	start := a.next
+	if start.Before(now) {
+		start = now
+	}
+	cost := time.Duration(0)
+	if q.config.PrefillRate > 0 {
+		cost = seconds(float64(job.memory()) / float64(q.config.PrefillRate))
+	}
+	a.next = start.Add(cost * time.Duration(len(q.accounts)))
+	return start.Add(q.config.Patience[job.Class] + cost)
+}
+
+func (q *Queue) insert(job *Job) {
+	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].target.After(job.target) })
+	q.waiting = append(q.waiting, nil)
+	copy(q.waiting[at+1:], q.waiting[at:])
+	q.waiting[at] = job
+}
+
+// Arm tells that a job's order has arrived, so that it may start.
+func (q *Queue) Arm(id uint64) {
+	if job := q.jobs[id]; job != nil {
+		job.armed = true
+	}
+}
+
+// Next takes the next job that may start now; false when none may. Jobs whose
+// order has not come are passed over. While the job whose turn it is does not
+// fit the free memory, only short prompts go past it: else a flow of middling
+// ones would take each piece of memory as it is freed, and the job never fits.
+func (q *Queue) Next() (uint64, bool) {
+	if q.running >= q.slots {
+		return 0, false
+	}
+	blocked := false
+	for i, job := range q.waiting {
+		if !job.armed {
+			continue
+		}
+		if blocked && Band(job.PromptTokens) > 0 {
+			continue
+		}
+		if !q.fits(job) {
+			blocked = true
+			continue
+		}
+		q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+		job.running = true
+		q.running++
+		q.held += job.memory()
+		if job.long() {
+			q.longs++
+		}
+		return job.ID, true
+	}
+	return 0, false
+}
+
+func (q *Queue) fits(job *Job) bool {
+	if q.config.MemoryTokens == 0 {
+		return true
+	}
+	if job.long() {
+		return q.longs < q.config.MaxLongRunning && q.held+job.memory() <= q.config.MaxPromptTokens()
+	}
+	return q.held+job.memory() <= q.config.MemoryTokens
+}
+
+// Prefilled tells that a running job's prefill is done.
+func (q *Queue) Prefilled(id uint64) {
+	if job := q.jobs[id]; job != nil && !job.filled {
+		job.filled = true
+		q.backlog[job.level()] -= job.PromptTokens
+	}
+}
+
+// Remove ends a job, running or waiting.
+func (q *Queue) Remove(id uint64) {
+	job := q.jobs[id]
+	if job == nil {
+		return
+	}
+	q.Prefilled(id)
+	delete(q.jobs, id)
+	if job.running {
+		q.running--
+		q.held -= job.memory()
+		if job.long() {
+			q.longs--
+		}
+	} else {
+		q.drop(job)
+	}
+	a := q.accounts[job.Account]
+	a.jobs--
+	if a.jobs == 0 {
+		delete(q.accounts, job.Account)
+	}
+}
+
+func (q *Queue) drop(job *Job) {
+	for i, other := range q.waiting {
+		if other == job {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Waiting lists the jobs not yet started, in their order.
+func (q *Queue) Waiting() []uint64 {
+	ids := make([]uint64, 0, len(q.waiting))
+	for _, job := range q.waiting {
+		ids = append(ids, job.ID)
+	}
+	return ids
+}
+
+// Report is a queue's load.
+type Report struct {
+	Running, Queued, FreeMemory int
+	Backlog                     Backlog
+}
+
+// Report tells the queue's load.
+func (q *Queue) Report() Report {
+	return Report{
+		Running: q.running, Queued: len(q.waiting),
+		FreeMemory: q.config.MemoryTokens - q.held, Backlog: q.backlog,
+	}
+}
+
+// Want is how many slots the present work could use.
+func (q *Queue) Want() int {
+	return min(q.config.MaxRunning, q.running+len(q.waiting))
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/agent/control.go
@@ -0,0 +1,295 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/attempt"
+	"aspenyard.example/catalogue"
+	"aspenyard.example/membership"
+	"aspenyard.example/power"
+	"aspenyard.example/result"
+	"aspenyard.example/wire"
+)
+
+// outcomeRetention is how long an attempt's outcome is kept for those who ask
+// again: longer than any entry's deadline.
+const outcomeRetention = time.Hour
+
+// order is one reservation's work while it is open.
+type order struct {
+	reservation attempt.Reservation
+	class       admission.Class
+	repeatable  bool
+	// verdict gets nil when the work may start, or why it never will.
+	verdict chan *result.Error
+	// cancel ends running work, with the reason as its cause; nil before.
+	cancel context.CancelCauseFunc
+	// stopping is set once the order was shed and until its place is free.
+	stopping bool
+}
+
+// control is the agent's state on the control thread.
+type control struct {
+	agent     *Agent
+	started   time.Time
+	table     *attempt.Table
+	queue     *admission.Queue
+	limit     *power.Limit
+	orders    map[uint64]*order
+	leaving   bool
+	down      bool
+	catalogue *catalogue.View
+	ready     bool
+	shown     shown
+}
+
+// shown holds what other threads may read.
+type shown struct {
+	running, queued, attempts, limitWatts atomic.Int64
+}
+
+func newControl(a *Agent) *control {
+	slots := int(a.status.MaxRunning)
+	if a.settings.Kind == "service" {
+		slots = int(a.settings.ServiceSlots)
+	}
+	queue := admission.NewQueue(admission.Config{
+		MaxRunning: slots, MemoryTokens: int(a.status.MemoryTokens), PrefillRate: int(a.status.PrefillRate),
+	})
+	return &control{
+		agent: a, started: time.Now(), queue: queue,
+		table:  attempt.NewTable(a.incarnation, a.settings.ReservationLease.D(), outcomeRetention),
+		limit:  power.NewLimit(a.incarnation, a.status.FloorWatts, a.status.MaxWatts, slots),
+		orders: map[uint64]*order{},
+	}
+}
+
+// reserve takes a job into the queue, or refuses it.
+func (c *control) reserve(now time.Time, request *wire.ReserveRequest) (attempt.Reservation, admission.Verdict) {
+	if c.down {
+		return attempt.Reservation{}, admission.Verdict{Code: result.NoEndpoint, RetryAfter: time.Second}
+	}
+	reservation := c.table.Reserve(now)
+	class := admission.Class(min(request.Class, uint32(admission.Bulk)))
+	verdict := c.queue.Offer(now, admission.Job{
+		ID: reservation.Number, Account: request.Account, Class: class,
+		PromptTokens: int(request.PromptTokens), OutputTokens: int(request.OutputTokens),
+		Deadline: now.Add(time.Duration(request.RemainingMs) * time.Millisecond),
+	})
+	if !verdict.Accepted {
+		c.table.Abandon(reservation)
+		return reservation, verdict
+	}
+	c.orders[reservation.Number] = &order{
+		reservation: reservation, class: class, repeatable: request.Repeatable, verdict: make(chan *result.Error, 1),
+	}
+	return reservation, verdict
+}
+
+// claim takes the order of a reservation in; nil when it may never start.
+func (c *control) claim(now time.Time, reservation attempt.Reservation) *order {
+	if !c.table.Claim(now, reservation) {
+		return nil
+	}
+	o := c.orders[reservation.Number]
+	c.queue.Arm(reservation.Number)
+	c.pump()
+	return o
+}
+
+// pump starts whatever may start.
+func (c *control) pump() {
+	for {
+		id, found := c.queue.Next()
+		if !found {
+			return
+		}
+		o := c.orders[id]
+		if c.table.Start(o.reservation) {
+			o.verdict <- nil
+			continue
+		}
+		c.close(o)
+	}
+}
+
+// close frees what an order held.
+func (c *control) close(o *order) {
+	delete(c.orders, o.reservation.Number)
+	c.queue.Remove(o.reservation.Number)
+	c.table.Abandon(o.reservation)
+	c.pump()
+}
+
+// withdraw cancels a reservation that has not started, or tells its state.
+func (c *control) withdraw(now time.Time, reservation attempt.Reservation, peek bool) (attempt.State, attempt.Outcome) {
+	if peek {
+		return c.table.Peek(now, reservation)
+	}
+	state, outcome := c.table.Withdraw(reservation)
+	if state == attempt.DidNotRun {
+		if o := c.orders[reservation.Number]; o != nil && reservation.Incarnation == c.agent.incarnation {
+			c.turnAway(o, result.Refuse(result.Withdrawn, 0, "withdrawn"))
+		}
+	}
+	return state, outcome
+}
+
+// turnAway ends an order that has not started.
+func (c *control) turnAway(o *order, why *result.Error) {
+	select {
+	case o.verdict <- why:
+	default:
+	}
+	c.close(o)
+}
+
+// leave refuses new work and sends queued work away; running work ends.
+func (c *control) leave() {
+	c.leaving = true
+	c.queue.Close()
+	c.sendAway(result.Refuse(result.Leaving, 0, "the endpoint is leaving"))
+}
+
+func (c *control) sendAway(why *result.Error) {
+	for _, id := range c.queue.Waiting() {
+		o := c.orders[id]
+		c.table.Withdraw(o.reservation)
+		c.turnAway(o, why)
+	}
+}
+
+// setDown follows the endpoint's health. When it stops answering, all orders end
+// at once: their callers are served elsewhere rather than at their deadlines.
+func (c *control) setDown(down bool) {
+	if c.down == down {
+		return
+	}
+	c.down = down
+	if !down {
+		return
+	}
+	c.sendAway(result.Refuse(result.NoEndpoint, time.Second, "the endpoint does not answer"))
+	for _, o := range c.orders {
+		if o.cancel != nil && o.repeatable {
+			o.cancel(result.Fail(result.EndpointFailed, result.RanYes, "the endpoint does not answer"))
+		}
+	}
+}
+
+// grant applies a power grant and sheds work that does not fit it, the least
+// urgent and latest first.
+func (c *control) grant(request *wire.GrantRequest) *wire.GrantResponse {
+	applied := c.limit.Apply(request.Incarnation, request.Revision, request.Watts)
+	c.followLimit()
+	if applied {
+		c.shed()
+	}
+	return &wire.GrantResponse{Applied: applied, LimitWatts: c.limit.Keeping(c.queue.Report().Running), Revision: c.limit.Revision()}
+}
+
+func (c *control) followLimit() {
+	c.queue.SetSlots(c.limit.Slots())
+	c.pump()
+}
+
+func (c *control) shed() {
+	excess := c.queue.Report().Running - c.limit.Slots()
+	var running []*order
+	for _, o := range c.orders {
+		if o.stopping {
+			excess--
+		} else if o.cancel != nil && o.repeatable {
+			running = append(running, o)
+		}
+	}
+	if excess <= 0 {
+		return
+	}
+	slices.SortFunc(running, func(a, b *order) int {
+		if a.class != b.class {
+			return int(b.class) - int(a.class)
+		}
+		return int(b.reservation.Number) - int(a.reservation.Number)
+	})
+	for _, o := range running[:min(excess, len(running))] {
+		o.stopping = true
+		o.cancel(result.Fail(result.NoPower, result.RanYes, "stopped to keep the site within its power cap"))
+	}
+}
+
+// Fill implements membership.Delegate.
+func (c *control) Fill(now time.Time, h *wire.Heartbeat) {
+	a := c.agent
+	h.Endpoint, h.EngineAddr, h.OperatorsAddr = a.settings.Name, a.settings.Endpoint, a.settings.OperatorsListen
+	h.Models, h.Services = a.status.Models, a.settings.Services
+	if c.down {
+		h.Models, h.Services = nil, nil
+	}
+	h.Load = c.load(now)
+	if a.settings.Kind == "engine" {
+		report := c.queue.Report()
+		h.Power = &wire.Power{
+			FloorWatts: a.status.FloorWatts, MaxWatts: a.status.MaxWatts, WantWatts: c.limit.Draw(c.queue.Want()),
+			LimitWatts: c.limit.Keeping(report.Running), GrantRevision: c.limit.Revision(),
+		}
+	}
+	a.catalogue.Fill(h)
+}
+
+func (c *control) load(now time.Time) *wire.Load {
+	report := c.queue.Report()
+	load := &wire.Load{
+		Running: uint32(report.Running), Queued: uint32(report.Queued),
+		FreeMemoryTokens: uint64(max(0, report.FreeMemory)), MemoryTokens: c.agent.status.MemoryTokens,
+		PrefillTokensPerSecond: c.agent.status.PrefillRate, MaxRunning: c.agent.status.MaxRunning,
+		TakenMs: now.Sub(c.started).Milliseconds(),
+	}
+	for _, tokens := range report.Backlog {
+		load.BacklogTokens = append(load.BacklogTokens, uint64(tokens))
+	}
+	return load
+}
+
+// Heard implements membership.Delegate.
+func (c *control) Heard(_ time.Time, h *wire.Heartbeat) {
+	c.agent.catalogue.Heard(h)
+}
+
+// Tick implements membership.Delegate.
+func (c *control) Tick(now time.Time, _ *membership.View) {
+	for _, lapsed := range c.table.Sweep(now) {
+		if o := c.orders[lapsed.Number]; o != nil {
+			c.close(o)
+		}
+	}
+	if c.agent.loop.Leaving() && !c.leaving {
+		c.leave()
+	}
+	c.followCatalogue()
+	if c.limit.Revision() > 0 {
+		// Work that was just starting when a grant was lowered is shed now.
+		c.shed()
+	}
+	report := c.queue.Report()
+	c.shown.running.Store(int64(report.Running))
+	c.shown.queued.Store(int64(report.Queued))
+	c.shown.attempts.Store(int64(c.table.Len()))
+	c.shown.limitWatts.Store(int64(c.limit.Keeping(report.Running)))
+}
+
+// followCatalogue learns whether this data centre's site has a power cap. Until
+// the catalogue is known, it is taken to have one, and nothing starts.
+func (c *control) followCatalogue() {
+	view, ready := c.agent.catalogue.View(), c.agent.catalogue.Ready()
+	if view == c.catalogue && ready == c.ready {
+		return
+	}
+	c.catalogue, c.ready = view, ready
+	c.limit.SetCapped(!ready || view.SiteOf(c.agent.settings.DataCentre) != nil)
+	c.followLimit()
+}
--- /dev/null
+++ b/agent/rpc.go
@@ -0,0 +1,318 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/attempt"
+	"aspenyard.example/engine"
+	"aspenyard.example/result"
+	"aspenyard.example/wire"
+)
+
+// Reserve implements wireconnect.AgentHandler.
+func (a *Agent) Reserve(ctx context.Context, request *connect.Request[wire.ReserveRequest]) (*connect.Response[wire.ReserveResponse], error) {
+	var response *wire.ReserveResponse
+	err := a.loop.Do(ctx, func() {
+		now := time.Now()
+		reservation, verdict := a.control.reserve(now, request.Msg)
+		response = &wire.ReserveResponse{
+			Accepted: verdict.Accepted, EstimatedStartMs: verdict.Wait.Milliseconds(),
+			Code: int32(verdict.Code), RetryAfterMs: verdict.RetryAfter.Milliseconds(), Load: a.control.load(now),
+			Reservation: &wire.Reservation{Incarnation: reservation.Incarnation, Number: reservation.Number},
+		}
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Withdraw implements wireconnect.AgentHandler.
+func (a *Agent) Withdraw(ctx context.Context, request *connect.Request[wire.WithdrawRequest]) (*connect.Response[wire.WithdrawResponse], error) {
+	response := &wire.WithdrawResponse{}
+	err := a.loop.Do(ctx, func() {
+		state, outcome := a.control.withdraw(time.Now(), fromWire(request.Msg.Reservation), request.Msg.Peek)
+		response.State = stateToWire(state)
+		response.End, _ = outcome.(*wire.End)
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Grant implements wireconnect.AgentHandler.
+func (a *Agent) Grant(ctx context.Context, request *connect.Request[wire.GrantRequest]) (*connect.Response[wire.GrantResponse], error) {
+	var response *wire.GrantResponse
+	err := a.loop.Do(ctx, func() { response = a.control.grant(request.Msg) })
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(response), nil
+}
+
+func fromWire(r *wire.Reservation) attempt.Reservation {
+	return attempt.Reservation{Incarnation: r.GetIncarnation(), Number: r.GetNumber()}
+}
+
+func stateToWire(state attempt.State) wire.AttemptState {
+	switch state {
+	case attempt.DidNotRun:
+		return wire.AttemptState_ATTEMPT_STATE_DID_NOT_RUN
+	case attempt.Reserved:
+		return wire.AttemptState_ATTEMPT_STATE_RESERVED
+	case attempt.Running:
+		return wire.AttemptState_ATTEMPT_STATE_RUNNING
+	case attempt.Finished:
+		return wire.AttemptState_ATTEMPT_STATE_FINISHED
+	}
+	return wire.AttemptState_ATTEMPT_STATE_FORGOTTEN
+}
+
+// runStream is what Run writes to.
+type runStream interface {
+	Send(*wire.RunEvent) error
+}
+
+// Run implements wireconnect.AgentHandler.
+func (a *Agent) Run(ctx context.Context, request *connect.Request[wire.RunRequest], stream *connect.ServerStream[wire.RunEvent]) error {
+	a.work.Add(1)
+	defer a.work.Done()
+	deadline := time.Now().Add(time.Duration(request.Msg.RemainingMs) * time.Millisecond)
+	ctx, cancel := context.WithDeadlineCause(ctx, deadline, result.Fail(result.DeadlineExceeded, result.RanYes, "the deadline passed"))
+	defer cancel()
+	o, refusal := a.await(ctx, fromWire(request.Msg.Reservation))
+	if refusal != nil {
+		return stream.Send(endEvent(refused(refusal)))
+	}
+	started := &wire.Started{Reservation: request.Msg.Reservation}
+	if err := stream.Send(&wire.RunEvent{Event: &wire.RunEvent_Started{Started: started}}); err != nil {
+		a.log.Debug("entry gone at start", zap.Error(err))
+	}
+	end := a.carryOut(ctx, o, request.Msg, stream)
+	_ = a.loop.Do(context.Background(), func() { a.control.table.Finish(time.Now(), o.reservation, end) })
+	a.log.Info("attempt ended", zap.String("request", request.Msg.RequestId), zap.Uint32("attempt", request.Msg.Attempt),
+		zap.Uint64("reservation", o.reservation.Number), zap.Int32("code", end.Code), zap.String("ran", end.Ran))
+	err := stream.Send(endEvent(end))
+	if request.Msg.ServiceKind == "" && (end.Code != int32(result.OK) || request.Msg.Hold) {
+		a.free(sequenceID(o.reservation))
+	}
+	_ = a.loop.Do(context.Background(), func() { a.control.close(o) })
+	return err
+}
+
+func refused(e *result.Error) *wire.End {
+	return &wire.End{Code: int32(e.Code), Ran: string(e.Ran), Detail: e.Detail, RetryAfterMs: e.RetryAfter.Milliseconds()}
+}
+
+func endEvent(end *wire.End) *wire.RunEvent {
+	return &wire.RunEvent{Event: &wire.RunEvent_End{End: end}}
+}
+
+// await queues the order until it may start. An error means that it never will.
+func (a *Agent) await(ctx context.Context, reservation attempt.Reservation) (*order, *result.Error) {
+	var o *order
+	if ctx.Err() != nil {
+		// The order came too late, as after a pause of its sender.
+		_ = a.loop.Do(context.Background(), func() { a.control.withdraw(time.Now(), reservation, false) })
+		return nil, result.Refuse(result.DeadlineExceeded, 0, "the deadline had passed when the order came")
+	}
+	err := a.loop.Do(context.Background(), func() { o = a.control.claim(time.Now(), reservation) })
+	if err != nil || o == nil {
+		return nil, result.Refuse(result.NoReservation, 0, "reservation %d of %d is not open", reservation.Number, reservation.Incarnation)
+	}
+	select {
+	case verdict := <-o.verdict:
+		return o, verdict
+	case <-ctx.Done():
+	}
+	// The caller is gone or late. Unless the work started just now, it never will.
+	state := attempt.Running
+	_ = a.loop.Do(context.Background(), func() { state, _ = a.control.withdraw(time.Now(), reservation, false) })
+	if state == attempt.DidNotRun {
+		return nil, result.Refuse(result.DeadlineExceeded, 0, "the deadline passed in the queue")
+	}
+	return o, <-o.verdict
+}
+
+// carryOut runs started work to its end.
+func (a *Agent) carryOut(ctx context.Context, o *order, request *wire.RunRequest, stream runStream) *wire.End {
+	if request.ServiceKind != "" {
+		return a.callService(o, request)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	_ = a.loop.Do(context.Background(), func() { o.cancel = cancel })
+	g := &generation{agent: a, order: o, request: request, stream: stream, digest: xxhash.New()}
+	return g.run(ctx)
+}
+
+// freeRetry is the wait between tries to cancel at the engine.
+const freeRetry = 200 * time.Millisecond
+
+// free cancels a sequence and returns only when the engine has let go of it. The
+// order stays counted until then, in memory and in watts, because the engine may
+// still be working on it.
+func (a *Agent) free(id string) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		err := a.engine.Cancel(ctx, id)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(freeRetry)
+	}
+}
+
+// serviceGrace is how much longer than the caller's deadline a service's call
+// may take: it has started, and its outcome is worth knowing.
+const serviceGrace = time.Minute
+
+// callService carries out one call. It goes on when the caller is gone: the call
+// may not be repeated, so its outcome must be there for whoever asks.
+func (a *Agent) callService(o *order, request *wire.RunRequest) *wire.End {
+	wait := time.Duration(request.RemainingMs)*time.Millisecond + serviceGrace
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	reply, err := a.engine.Call(ctx, request.ServiceKind, request.RequestId, request.ServiceBody)
+	switch {
+	case errors.Is(err, engine.ErrNotSent):
+		return refused(result.Refuse(result.NoEndpoint, time.Second, "the service cannot be reached"))
+	case errors.Is(err, engine.ErrRefused):
+		return refused(result.Refuse(result.NoEndpoint, time.Second, "the service refused the order: %v", err))
+	case err != nil:
+		return refused(result.Fail(result.OutcomeUnknown, result.RanUnknown, "the service's answer was lost: %v", err))
+	}
+	end := &wire.End{Code: int32(result.OK), Ran: string(result.RanYes), ServiceStatus: int32(reply.Status), ServiceBody: reply.Body}
+	if reply.Status >= 400 {
+		end.Code = int32(result.ServiceFailed)
+		end.Detail = "the service answered with an error status"
+	}
+	return end
+}
+
+// generation is one sequence on its way from the engine to the entry.
+type generation struct {
+	agent   *Agent
+	order   *order
+	request *wire.RunRequest
+	stream  runStream
+	digest  *xxhash.Digest
+	tokens  uint64 // sent in this attempt
+	filled  bool
+}
+
+// maxResumes bounds how often one sequence is resumed at the engine.
+const maxResumes = 3
+
+func (g *generation) run(ctx context.Context) *wire.End {
+	source, err := g.start(ctx)
+	for resumes := 0; ; resumes++ {
+		if err == nil {
+			err = g.forward(ctx, source)
+			source.Close()
+		}
+		if err == nil {
+			return g.end()
+		}
+		if ctx.Err() != nil {
+			return refused(whyEnded(ctx))
+		}
+		if errors.Is(err, engine.ErrRefused) || errors.Is(err, engine.ErrNotSent) {
+			return refused(result.Refuse(result.NoEndpoint, time.Second, "%v", err))
+		}
+		if resumes == maxResumes {
+			return refused(result.Fail(result.EndpointFailed, result.RanYes, "%v", err))
+		}
+		source, err = g.agent.engine.Resume(ctx, sequenceID(g.order.reservation), g.request.DeliveredTokens+g.tokens)
+		if err != nil {
+			return refused(result.Fail(result.EndpointFailed, result.RanYes, "%v", err))
+		}
+	}
+}
+
+// whyEnded gives the reason for which running work was stopped.
+func whyEnded(ctx context.Context) *result.Error {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, context.Canceled) {
+		return result.Fail(result.Cancelled, result.RanYes, "the entry closed the stream")
+	}
+	return result.From(cause)
+}
+
+func (g *generation) start(ctx context.Context) (*engine.Stream, error) {
+	r := g.request
+	level := admission.LevelOf(g.order.class, len(r.Prompt)/bytesPerToken)
+	imports := make([]engine.Import, 0, len(r.Imports))
+	for _, i := range r.Imports {
+		imports = append(imports, engine.Import{Engine: i.EngineAddr, Sequence: i.Sequence, Tokens: i.Tokens})
+	}
+	return g.agent.engine.Start(ctx, engine.Request{
+		RequestID: sequenceID(g.order.reservation), Model: r.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens, Priority: int(level),
+		Delivered: r.Delivered, DeliveredTokens: r.DeliveredTokens, Hold: r.Hold, Imports: imports,
+	})
+}
+
+// bytesPerToken estimates a text's tokens.
+const bytesPerToken = 4
+
+// forward passes tokens on until the engine's end marker, io.EOF, which gives nil.
+func (g *generation) forward(ctx context.Context, source *engine.Stream) error {
+	for {
+		token, err := source.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		g.prefilled()
+		if token.Held {
+			return g.hold(ctx)
+		}
+		if token.Offset != g.request.DeliveredTokens+g.tokens {
+			return errors.Wrapf(engine.ErrBroken, "token %d came in place of %d", token.Offset, g.request.DeliveredTokens+g.tokens)
+		}
+		chunk := &wire.Chunk{Offset: token.Offset, Tokens: 1, Text: token.Text}
+		if err := g.stream.Send(&wire.RunEvent{Event: &wire.RunEvent_Chunk{Chunk: chunk}}); err != nil {
+			return errors.Wrap(err, "entry gone")
+		}
+		g.tokens++
+		_, _ = g.digest.WriteString(token.Text)
+	}
+}
+
+func (g *generation) prefilled() {
+	if g.filled {
+		return
+	}
+	g.filled = true
+	g.agent.loop.Post(func() { g.agent.control.queue.Prefilled(g.order.reservation.Number) })
+}
+
+// hold reports a finished prefill and keeps its memory until the entry closes
+// the stream.
+func (g *generation) hold(ctx context.Context) error {
+	held := &wire.Held{Import: &wire.Import{
+		EngineAddr: g.agent.settings.Endpoint, Sequence: sequenceID(g.order.reservation),
+		Tokens: uint64(len(g.request.Prompt) / bytesPerToken),
+	}}
+	if err := g.stream.Send(&wire.RunEvent{Event: &wire.RunEvent_Held{Held: held}}); err != nil {
+		return errors.Wrap(err, "entry gone")
+	}
+	<-ctx.Done()
+	return errors.WithStack(ctx.Err())
+}
+
+func (g *generation) end() *wire.End {
+	return &wire.End{Code: int32(result.OK), Ran: string(result.RanYes), Tokens: g.tokens, Checksum: g.digest.Sum64()}
+}
--- /dev/null
+++ b/bench/fleet.go
@@ -0,0 +1,420 @@
+// Package bench holds the experiments: a small fleet in one process for the demo
+// and for measuring the path, and the load on the real routing and admission
+// code before small stand-in engines.
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/agent"
+	"aspenyard.example/catalogue"
+	"aspenyard.example/entry"
+	"aspenyard.example/membership"
+	"aspenyard.example/node"
+	"aspenyard.example/platform"
+	"aspenyard.example/settings"
+	standinengine "aspenyard.example/standin/engine"
+	standinplatform "aspenyard.example/standin/platform"
+	standinservice "aspenyard.example/standin/service"
+)
+
+// FleetConfig sizes a fleet.
+type FleetConfig struct {
+	Entries, Engines, Services int
+	// TimeScale is how much faster than real the engines run.
+	TimeScale float64
+	// Engine sizes each engine.
+	Engine standinengine.Config
+}
+
+// Fleet is a whole system in this process, on free loopback ports: stand-ins,
+// agents and entries.
+type Fleet struct {
+	// Callers, Operators and Engines are addresses.
+	Callers, Operators, Engines []string
+	client                      *http.Client
+}
+
+// Names and keys of the fleet's catalogue.
+const (
+	fleetModel    = "demo-model"
+	fleetKey      = "demo.secret"
+	fleetOperator = "demo-operator.secret"
+	fleetService  = "filing"
+	dataCentre    = "dc1"
+)
+
+// KindFor names the fleet's kind of work for a prompt length: crew lookups,
+// replies, and audits of whole files.
+func KindFor(tokens int) string {
+	switch {
+	case tokens <= 4_000:
+		return "line-plan"
+	case tokens <= 100_000:
+		return "excuse-draft"
+	}
+	return "season-audit"
+}
+
+// StartFleet starts a fleet that runs until ctx ends, and waits until it serves.
+func StartFleet(ctx context.Context, config FleetConfig, log *zap.Logger) (*Fleet, error) {
+	f := &Fleet{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	store, err := f.startPlatform(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	for i := range config.Engines {
+		if err := f.startEngine(ctx, config, store, i, log); err != nil {
+			return nil, err
+		}
+	}
+	for i := range config.Services {
+		if err := f.startService(ctx, store, i, log); err != nil {
+			return nil, err
+		}
+	}
+	for i := range config.Entries {
+		if err := f.startEntry(ctx, store, i, log); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.awaitReady(ctx, config.Engines+config.Services)
+}
+
+// serve runs a handler on a free loopback port.
+func serve(ctx context.Context, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	go func() { _ = node.ServeHTTP(ctx, listener, handler) }()
+	return listener.Addr().String(), nil
+}
+
+// FreeAddr finds a loopback port that is free for TCP and UDP.
+func FreeAddr() (string, error) {
+	for range 100 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", errors.WithStack(err)
+		}
+		addr := listener.Addr().String()
+		packets, err := net.ListenPacket("udp", addr)
+		_ = listener.Close()
+		if err == nil {
+			_ = packets.Close()
+			return addr, nil
+		}
+	}
+	return "", errors.New("no port is free for both TCP and UDP")
+}
+
+// startPlatform starts the store with the catalogue already in it.
+func (f *Fleet) startPlatform(ctx context.Context, _ FleetConfig) (string, error) {
+	addr, err := serve(ctx, standinplatform.New(standinplatform.Settings{}).Handler())
+	if err != nil {
+		return "", err
+	}
+	store := platform.NewClient(addr, time.Second)
+	for i, record := range FleetRecords() {
+		edit := catalogue.Edit{Record: record, ID: fmt.Sprintf("initial-%d", i), By: "demo", At: time.Now()}
+		if _, err := catalogue.Apply(ctx, store, edit, 0); err != nil {
+			return "", err
+		}
+	}
+	return addr, nil
+}
+
+// FleetRecords is the catalogue that a fleet starts with.
+func FleetRecords() []*catalogue.Record {
+	work := func(id, class string) *catalogue.Record {
+		return &catalogue.Record{Type: catalogue.TypeWork, ID: id, Owner: "demo", Work: &catalogue.Work{
+			Class: class, Model: fleetModel, Repeatable: true,
+			Objective: &catalogue.Objective{FirstToken: settings.Duration(time.Second), Share: 0.95},
+		}}
+	}
+	return []*catalogue.Record{
+		work("line-plan", "urgent"), work("excuse-draft", "normal"), work("season-audit", "bulk"),
+		{Type: catalogue.TypeWork, ID: "excuse-filing", Owner: "demo", Work: &catalogue.Work{Class: "urgent", Service: fleetService}},
+		{Type: catalogue.TypeAccount, ID: "demo", Owner: "demo", Account: &catalogue.Account{KeySHA256: catalogue.HashKey(fleetKey)}},
+		{Type: catalogue.TypeOperator, ID: "demo-operator", Owner: "demo", Operator: &catalogue.Operator{KeySHA256: catalogue.HashKey(fleetOperator)}},
+	}
+}
+
+func (f *Fleet) startEngine(ctx context.Context, config FleetConfig, store string, i int, log *zap.Logger) error {
+	server := standinengine.New(standinengine.Settings{Config: config.Engine, Models: []string{fleetModel}, TimeScale: config.TimeScale})
+	go server.Run(ctx)
+	addr, err := serve(ctx, server.Handler())
+	if err != nil {
+		return err
+	}
+	f.Engines = append(f.Engines, addr)
+	return startAgent(ctx, store, fmt.Sprintf("engine-%d", i), addr, "engine", log)
+}
+
+func (f *Fleet) startService(ctx context.Context, store string, i int, log *zap.Logger) error {
+	addr, err := serve(ctx, standinservice.New(standinservice.Settings{}).Handler())
+	if err != nil {
+		return err
+	}
+	return startAgent(ctx, store, fmt.Sprintf("service-%d", i), addr, "service", log)
+}
+
+func nodeSettings(store, name string) (settings.Node, error) {
+	listen, err := FreeAddr()
+	if err != nil {
+		return settings.Node{}, err
+	}
+	operators, err := FreeAddr()
+	return settings.Node{Name: name, DataCentre: dataCentre, Listen: listen, OperatorsListen: operators, Platform: store}, err
+}
+
+func startAgent(ctx context.Context, store, name, endpoint, kind string, log *zap.Logger) error {
+	base, err := nodeSettings(store, name)
+	if err != nil {
+		return err
+	}
+	if err := listVM(ctx, store, standinplatform.VM{Name: name, Role: membership.RoleAgent, DataCentre: dataCentre, Addr: base.Listen}); err != nil {
+		return err
+	}
+	s := settings.Agent{Node: base, Endpoint: endpoint, Kind: kind}
+	if kind == "service" {
+		s.Services = []string{fleetService}
+	}
+	if err := s.Check().Err(); err != nil {
+		return err
+	}
+	go func() { _ = agent.New(s, log).Serve(ctx, nil) }()
+	return nil
+}
+
+func (f *Fleet) startEntry(ctx context.Context, store string, i int, log *zap.Logger) error {
+	base, err := nodeSettings(store, fmt.Sprintf("entry-%d", i))
+	if err != nil {
+		return err
+	}
+	callers, err := FreeAddr()
+	if err != nil {
+		return err
+	}
+	if err := listVM(ctx, store, standinplatform.VM{Name: base.Name, Role: membership.RoleEntry, DataCentre: dataCentre, Addr: base.Listen}); err != nil {
+		return err
+	}
+	s := settings.Entry{Node: base, CallersListen: callers}
+	if err := s.Check().Err(); err != nil {
+		return err
+	}
+	e, err := entry.New(s, log)
+	if err != nil {
+		return err
+	}
+	go func() { _ = e.Serve(ctx, nil) }()
+	f.Callers = append(f.Callers, callers)
+	f.Operators = append(f.Operators, base.OperatorsListen)
+	return nil
+}
+
+// listVM adds a VM to the platform's list.
+func listVM(ctx context.Context, store string, vm standinplatform.VM) error {
+	vms, err := platform.NewClient(store, time.Second).VMs(ctx)
+	if err != nil {
+		return err
+	}
+	list := []standinplatform.VM{vm}
+	for _, old := range vms {
+		list = append(list, standinplatform.VM{Name: old.Name, Role: old.Role, DataCentre: old.DataCentre, Addr: old.Addr})
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	response, err := http.Post("http://"+store+"/control/vms", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(response.Body.Close())
+}
+
+const (
+	readyPoll = 20 * time.Millisecond
+	readyWait = 30 * time.Second
+)
+
+// awaitReady waits until every entry has the catalogue and hears all agents.
+func (f *Fleet) awaitReady(ctx context.Context, agents int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	for i := range f.Callers {
+		for f.liveAgents(ctx, i) < agents || f.get(ctx, "http://"+f.Callers[i]+"/readyz", nil) != nil {
+			select {
+			case <-ctx.Done():
+				return errors.Errorf("entry %d was not ready within %s", i, readyWait)
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) liveAgents(ctx context.Context, i int) int {
+	var status struct {
+		Members []struct{ Role, State string } `json:"members"`
+	}
+	if f.get(ctx, "http://"+f.Operators[i]+"/v1/status", &status) != nil {
+		return 0
+	}
+	live := 0
+	for _, m := range status.Members {
+		if m.Role == membership.RoleAgent && m.State == "live" {
+			live++
+		}
+	}
+	return live
+}
+
+func (f *Fleet) get(ctx context.Context, url string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+fleetOperator)
+	response, err := f.client.Do(request)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("%s: HTTP status %d", url, response.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.WithStack(json.NewDecoder(response.Body).Decode(into))
+}
+
+// HeldTokens sums the engines' held memory once it is zero, or after a wait; the
+// error names the engines that still hold some.
+func (f *Fleet) HeldTokens(ctx context.Context) (int, error) {
+	deadline := time.Now().Add(readyWait)
+	for {
+		held, err := f.heldNow(ctx)
+		if err == nil || time.Now().After(deadline) {
+			return held, err
+		}
+		time.Sleep(readyPoll)
+	}
+}
+
+func (f *Fleet) heldNow(ctx context.Context) (int, error) {
+	held := 0
+	var holders []string
+	for _, addr := range f.Engines {
+		var record standinengine.Record
+		if err := f.get(ctx, "http://"+addr+"/record", &record); err != nil {
+			return 0, err
+		}
+		held += record.HeldTokens
+		if record.HeldTokens > 0 {
+			holders = append(holders, fmt.Sprintf("%s: %d", addr, record.HeldTokens))
+		}
+	}
+	if held > 0 {
+		return held, errors.New(strings.Join(holders, ", "))
+	}
+	return 0, nil
+}
+
+// Completion is one request to a fleet.
+type Completion struct {
+	Entry     int
+	Kind      string
+	Prompt    string
+	MaxTokens int
+	Deadline  time.Duration
+}
+
+// Answer is what came back.
+type Answer struct {
+	Text       string
+	FirstToken time.Duration
+	Took       time.Duration
+}
+
+// Complete sends a streamed completion and reads it to its end. An answer
+// without its end marker is an error.
+func (f *Fleet) Complete(ctx context.Context, c Completion) (Answer, error) {
+	body, err := json.Marshal(map[string]any{"model": c.Kind, "prompt": c.Prompt, "max_tokens": c.MaxTokens, "stream": true})
+	if err != nil {
+		return Answer{}, errors.WithStack(err)
+	}
+	header := http.Header{"Authorization": {"Bearer " + fleetKey}, "X-Request-Deadline": {c.Deadline.String()}}
+	return Stream(ctx, f.client, "http://"+f.Callers[c.Entry%len(f.Callers)]+"/v1/completions", header, body)
+}
+
+// Stream posts a completion and reads its server-sent events.
+func Stream(ctx context.Context, client *http.Client, url string, header http.Header, body []byte) (Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, errors.WithStack(err)
+	}
+	request.Header = header
+	started := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		return Answer{}, errors.WithStack(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 1024))
+		return Answer{}, errors.Errorf("HTTP status %d: %s", response.StatusCode, bytes.TrimSpace(text))
+	}
+	return readEvents(response.Body, started)
+}
+
+func readEvents(body io.Reader, started time.Time) (Answer, error) {
+	var answer Answer
+	var text strings.Builder
+	reader := bufio.NewReader(body)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return answer, errors.New("the stream ended without its end marker")
+		}
+		data, found := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			answer.Text, answer.Took = text.String(), time.Since(started)
+			return answer, nil
+		}
+		var event struct {
+			Error   *struct{ Message string }
+			Choices []struct{ Text string }
+		}
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			return answer, errors.WithStack(err)
+		}
+		if event.Error != nil {
+			return answer, errors.New(event.Error.Message)
+		}
+		if answer.FirstToken == 0 {
+			answer.FirstToken = time.Since(started)
+		}
+		for _, choice := range event.Choices {
+			text.WriteString(choice.Text)
+		}
+	}
+}
--- /dev/null
+++ b/catalogue/history.go
@@ -0,0 +1,54 @@
+package catalogue
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"aspenyard.example/platform"
+)
+
+// historyLength is how many values of a record are kept.
+const historyLength = 20
+
+func historyKey(key string) string { return "catalogue/history/" + key }
+
+// Remember adds an accepted edit to the record's history. The history is a help
+// to operators and not an authority: it may miss an edit whose node died.
+func Remember(ctx context.Context, store platform.Store, record *Record) error {
+	change := func(data []byte) ([]byte, bool, error) {
+		records, err := decodeHistory(data)
+		if err != nil {
+			return nil, false, err
+		}
+		records = append(records, record)
+		if len(records) > historyLength {
+			records = records[len(records)-historyLength:]
+		}
+		next, err := json.Marshal(records)
+		return next, false, errors.WithStack(err)
+	}
+	mine := func(data []byte) bool {
+		records, err := decodeHistory(data)
+		return err == nil && len(records) > 0 && records[len(records)-1].EditID == record.EditID
+	}
+	return platform.Swap(ctx, store, historyKey(record.Key()), change, mine)
+}
+
+// History reads a record's former values, oldest first.
+func History(ctx context.Context, store platform.Store, t Type, id string) ([]*Record, error) {
+	value, err := store.Get(ctx, historyKey(Key(t, id)))
+	if err != nil {
+		return nil, err
+	}
+	return decodeHistory(value.Data)
+}
+
+func decodeHistory(data []byte) ([]*Record, error) {
+	var records []*Record
+	if len(data) == 0 {
+		return nil, nil
+	}
+	return records, errors.Wrap(json.Unmarshal(data, &records), "catalogue history")
+}
--- /dev/null
+++ b/cli/check.go
@@ -0,0 +1,90 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"aspenyard.example/catalogue"
+	"aspenyard.example/settings"
+)
+
+type checkCommand struct {
+	Files []string `arg:"positional,required" placeholder:"FILE" help:"settings of an entry, an agent or a stand-in, or a catalogue file"`
+}
+
+func (c *checkCommand) run(t terminal) int {
+	code := exitOK
+	for _, path := range c.Files {
+		kind, err := checkFile(path)
+		if err != nil {
+			fmt.Fprintf(t.out, "%s: %v\n", path, err)
+			code = exitFailed
+			continue
+		}
+		fmt.Fprintf(t.out, "%s: ok (%s)\n", path, kind)
+	}
+	return code
+}
+
+// catalogueFile is several records in one file.
+type catalogueFile struct {
+	Records []json.RawMessage `json:"records"`
+}
+
+// checkFile tells what a file is by a field that only its kind has, and checks it.
+func checkFile(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return "", errors.Wrap(err, "not a JSON object")
+	}
+	switch {
+	case fields["callers_listen"] != nil:
+		return "settings of an entry", settings.Decode(data, &settings.Entry{})
+	case fields["endpoint"] != nil:
+		return "settings of an agent", settings.Decode(data, &settings.Agent{})
+	case fields["records"] != nil:
+		return "catalogue file", checkRecords(data)
+	case fields["standin"] != nil:
+		return "settings of a stand-in", settings.Decode(data, &standinSettings{})
+	case fields["type"] != nil:
+		_, err := catalogue.DecodeRecord(data)
+		return "catalogue record", err
+	}
+	return "", errors.New("neither settings (callers_listen, endpoint or standin) nor a catalogue (records or type)")
+}
+
+func checkRecords(data []byte) error {
+	_, err := decodeRecords(data)
+	return err
+}
+
+func decodeRecords(data []byte) ([]*catalogue.Record, error) {
+	var file catalogueFile
+	if err := json.Unmarshal(data, &file); err != nil {
+		return nil, errors.Wrap(err, "catalogue file")
+	}
+	var records []*catalogue.Record
+	var faults settings.Faults
+	for i, raw := range file.Records {
+		record, err := catalogue.DecodeRecord(raw)
+		var found settings.Faults
+		switch {
+		case errors.As(err, &found):
+			for _, fault := range found {
+				fault.Field = fmt.Sprintf("records[%d].%s", i, fault.Field)
+				faults = append(faults, fault)
+			}
+		case err != nil:
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, faults.Err()
+}
--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,172 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+
+	"aspenyard.example/bench"
+	standin "aspenyard.example/standin/engine"
+)
+
+type demoCommand struct {
+	JSON     bool    `arg:"--json" help:"print the table as JSON"`
+	Requests int     `arg:"--requests" default:"60" help:"short and middling requests to send"`
+	Scale    float64 `arg:"--time-scale" default:"10" help:"how much faster than real the engines run"`
+	Verbose  bool    `arg:"--verbose" help:"show the nodes' logs"`
+}
+
+// demoLength is one row of the demo's load.
+type demoLength struct {
+	tokens int
+	share  float64 // of the requests
+}
+
+// demoLengths mixes the lengths of both users' workloads; one request of each of
+// the last two is always sent.
+var demoLengths = []demoLength{{1_000, 0.5}, {4_000, 0.3}, {16_000, 0.18}, {100_000, 0.02}, {1_000_000, 0}}
+
+// demoRow is one line of the result.
+type demoRow struct {
+	PromptTokens int   `json:"prompt_tokens"`
+	Requests     int   `json:"requests"`
+	Whole        int   `json:"whole"`
+	P50MS        int64 `json:"first_token_p50_ms"`
+	P95MS        int64 `json:"first_token_p95_ms"`
+	MaxMS        int64 `json:"first_token_max_ms"`
+}
+
+const (
+	demoOutputTokens = 32
+	demoStagger      = 20 * time.Millisecond
+	demoDeadline     = 5 * time.Minute
+)
+
+func (c *demoCommand) run(t terminal) int {
+	log := zap.NewNop()
+	if c.Verbose {
+		log, _ = zap.NewDevelopment()
+	}
+	ctx, ch, cancel := signals()
+	defer cancel()
+	go func() {
+		<-ch
+		cancel()
+	}()
+	fmt.Fprintln(t.err, "starting a platform, 5 engines, a plain service, 6 agents and 2 entries in this process ...")
+	fleet, err := bench.StartFleet(ctx, bench.FleetConfig{Entries: 2, Engines: 5, Services: 1, TimeScale: c.Scale}, log)
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	results := c.load(ctx, t, fleet)
+	rows, whole := tabulate(results)
+	held, leftovers := fleet.HeldTokens(ctx)
+	if c.JSON {
+		_ = json.NewEncoder(t.out).Encode(map[string]any{"rows": rows, "whole": whole, "held_tokens": held})
+	} else {
+		printDemo(t, rows)
+	}
+	switch {
+	case !whole:
+		return t.failf("not every answer came back whole")
+	case leftovers != nil:
+		return t.failf("memory is still held: %v", leftovers)
+	}
+	fmt.Fprintln(t.err, "every answer was whole, as the engines' own text has it, and no memory is held")
+	return exitOK
+}
+
+type demoResult struct {
+	tokens     int
+	firstToken time.Duration
+	whole      bool
+	detail     string
+}
+
+// load sends the mix and returns what came back.
+func (c *demoCommand) load(ctx context.Context, t terminal, fleet *bench.Fleet) []demoResult {
+	var lengths []int
+	for _, l := range demoLengths {
+		for range max(1, int(l.share*float64(c.Requests))) {
+			lengths = append(lengths, l.tokens)
+		}
+	}
+	sort.Sort(sort.Reverse(sort.IntSlice(lengths)))
+	results := make([]demoResult, len(lengths))
+	var sending sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	for i, tokens := range lengths {
+		sending.Go(func() {
+			results[i] = demoOne(ctx, fleet, i, tokens)
+			mu.Lock()
+			defer mu.Unlock()
+			done++
+			fmt.Fprintf(t.err, "\r%d of %d answers", done, len(lengths))
+			if !results[i].whole {
+				fmt.Fprintf(t.err, "; request %d (%d tokens): %s\n", i, tokens, results[i].detail)
+			}
+		})
+		time.Sleep(demoStagger)
+	}
+	sending.Wait()
+	fmt.Fprintln(t.err)
+	return results
+}
+
+func demoOne(ctx context.Context, fleet *bench.Fleet, i, tokens int) demoResult {
+	prompt := bench.Prompt(uint64(i), tokens)
+	answer, err := fleet.Complete(ctx, bench.Completion{
+		Entry: i, Kind: bench.KindFor(tokens), Prompt: prompt, MaxTokens: demoOutputTokens, Deadline: demoDeadline,
+	})
+	r := demoResult{tokens: tokens, firstToken: answer.FirstToken}
+	switch {
+	case err != nil:
+		r.detail = err.Error()
+	case answer.Text != standin.Answer(prompt, demoOutputTokens):
+		r.detail = "the answer differs from the engine's text"
+	default:
+		r.whole = true
+	}
+	return r
+}
+
+func tabulate(results []demoResult) ([]demoRow, bool) {
+	whole := true
+	var rows []demoRow
+	for _, l := range demoLengths {
+		histogram := hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+		row := demoRow{PromptTokens: l.tokens}
+		for _, r := range results {
+			if r.tokens != l.tokens {
+				continue
+			}
+			row.Requests++
+			if !r.whole {
+				whole = false
+				continue
+			}
+			row.Whole++
+			_ = histogram.RecordValue(r.firstToken.Microseconds())
+		}
+		ms := func(quantile float64) int64 { return histogram.ValueAtQuantile(quantile) / 1000 }
+		row.P50MS, row.P95MS, row.MaxMS = ms(50), ms(95), histogram.Max()/1000
+		rows = append(rows, row)
+	}
+	return rows, whole
+}
+
+func printDemo(t terminal, rows []demoRow) {
+	fmt.Fprintf(t.out, "%14s %9s %6s   %s\n", "prompt tokens", "requests", "whole", "time to first token: p50, p95, max (ms)")
+	fmt.Fprintln(t.out, strings.Repeat("-", 74))
+	for _, row := range rows {
+		fmt.Fprintf(t.out, "%14d %9d %6d   %8d %8d %8d\n", row.PromptTokens, row.Requests, row.Whole, row.P50MS, row.P95MS, row.MaxMS)
+	}
+}
--- /dev/null
+++ b/cli/node.go
@@ -0,0 +1,40 @@
+package cli
+
+import (
+	"aspenyard.example/agent"
+	"aspenyard.example/entry"
+	"aspenyard.example/membership"
+	"aspenyard.example/node"
+	"aspenyard.example/settings"
+)
+
+func (c *nodeCommand) runEntry(t terminal) int {
+	var s settings.Entry
+	if err := settings.Load(c.Settings, &s); err != nil {
+		return t.failf("%v", err)
+	}
+	log := node.NewLog(s.Name, membership.RoleEntry)
+	e, err := entry.New(s, log)
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	ctx, ch, cancel := signals()
+	defer cancel()
+	if err := e.Serve(ctx, ch); err != nil {
+		return t.failf("%v", err)
+	}
+	return exitOK
+}
+
+func (c *nodeCommand) runAgent(t terminal) int {
+	var s settings.Agent
+	if err := settings.Load(c.Settings, &s); err != nil {
+		return t.failf("%v", err)
+	}
+	ctx, ch, cancel := signals()
+	defer cancel()
+	if err := agent.New(s, node.NewLog(s.Name, membership.RoleAgent)).Serve(ctx, ch); err != nil {
+		return t.failf("%v", err)
+	}
+	return exitOK
+}
--- /dev/null
+++ b/entry/api.go
@@ -0,0 +1,306 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"aspenyard.example/attempt"
+	"aspenyard.example/catalogue"
+	"aspenyard.example/result"
+)
+
+// callersHandler serves the callers' interface.
+func (e *Entry) callersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.counted(e.completions))
+	mux.HandleFunc("POST /v1/chat/completions", e.counted(e.chat))
+	mux.HandleFunc("POST /v1/services/{kind}", e.counted(e.service))
+	mux.HandleFunc("GET /v1/models", e.counted(e.models))
+	mux.HandleFunc("GET /v1/requests", e.counted(e.statusByKey))
+	mux.HandleFunc("GET /v1/requests/{id}", e.counted(e.statusByID))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := e.ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// counted counts the requests in progress, for a graceful shutdown.
+func (e *Entry) counted(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.active.Add(1)
+		defer e.active.Add(-1)
+		next(w, r)
+	}
+}
+
+// completionBody is the body of a completion, in the shape that users of
+// language-model APIs know. Fields that the system has no use for are accepted
+// and passed over, so that ordinary client libraries work unchanged.
+type completionBody struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []chatMessage   `json:"messages"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+const (
+	defaultMaxTokens = 256
+	largestMaxTokens = 1_000_000
+)
+
+// read decodes a caller's body within the limit.
+func (e *Entry) read(w http.ResponseWriter, r *http.Request) ([]byte, *result.Error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.BodyLimit)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, result.Refuse(result.BodyTooLarge, 0, "the body is over %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, result.Refuse(result.BadBody, 0, "the body could not be read")
+	}
+	return data, nil
+}
+
+func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
+	e.complete(w, r, completionShape{}, func(body *completionBody) (string, *result.Error) {
+		var prompt string
+		if json.Unmarshal(body.Prompt, &prompt) != nil || prompt == "" {
+			return "", result.Refuse(result.BadField, 0, "prompt: a non-empty string")
+		}
+		return prompt, nil
+	})
+}
+
+func (e *Entry) chat(w http.ResponseWriter, r *http.Request) {
+	e.complete(w, r, chatShape{}, func(body *completionBody) (string, *result.Error) {
+		if len(body.Messages) == 0 {
+			return "", result.Refuse(result.BadField, 0, "messages: at least one")
+		}
+		var prompt strings.Builder
+		for _, message := range body.Messages {
+			var content string
+			if json.Unmarshal(message.Content, &content) != nil {
+				return "", result.Refuse(result.BadField, 0, "messages: content must be a string")
+			}
+			prompt.WriteString(message.Role + ": " + content + "\n")
+		}
+		return prompt.String(), nil
+	})
+}
+
+// complete serves both kinds of completion.
+func (e *Entry) complete(w http.ResponseWriter, r *http.Request, shape shape, promptOf func(*completionBody) (string, *result.Error)) {
+	data, refusal := e.read(w, r)
+	var body completionBody
+	if refusal == nil && json.Unmarshal(data, &body) != nil {
+		refusal = result.Refuse(result.BadBody, 0, "the body is not the JSON of a completion")
+	}
+	c, opened := e.open(r, body.Model, result.UnknownModel)
+	if opened != nil && (refusal == nil || opened.Code == result.NoKey || opened.Code == result.WrongKey) {
+		refusal = opened
+	}
+	if refusal == nil && c.kind.Work.Model == "" {
+		refusal = result.Refuse(result.UnknownModel, 0, "%q is a plain service's kind of work; use /v1/services/%s", body.Model, body.Model)
+	}
+	var prompt string
+	if refusal == nil {
+		prompt, refusal = promptOf(&body)
+	}
+	maxTokens := 0
+	if refusal == nil {
+		maxTokens, refusal = size(c, &body, prompt)
+	}
+	if refusal == nil {
+		refusal = e.admit(c)
+	}
+	if refusal != nil {
+		e.refuse(w, c, refusal)
+		return
+	}
+	defer e.limiter.Done(c.account.ID)
+	out := newResponse(w, c, shape, body.Stream)
+	failure := e.newGeneration(c, prompt, maxTokens, out).generate(r.Context())
+	e.ended(c, failure)
+	out.finish(failure)
+}
+
+// size checks the lengths that a request asks for.
+func size(c *call, body *completionBody, prompt string) (int, *result.Error) {
+	maxTokens := defaultMaxTokens
+	if body.MaxTokens != nil {
+		maxTokens = *body.MaxTokens
+	}
+	if body.MaxCompletionTokens != nil {
+		maxTokens = *body.MaxCompletionTokens
+	}
+	if maxTokens < 1 || maxTokens > largestMaxTokens {
+		return 0, result.Refuse(result.BadField, 0, "max_tokens: %d; allowed: 1 to %d", maxTokens, largestMaxTokens)
+	}
+	work := c.kind.Work
+	if work.MaxOutputTokens > 0 && maxTokens > work.MaxOutputTokens {
+		return 0, result.Refuse(result.BadField, 0, "max_tokens: %d; this kind of work allows %d", maxTokens, work.MaxOutputTokens)
+	}
+	c.promptTokens, c.outputTokens = countTokens(prompt), maxTokens
+	if work.MaxPromptTokens > 0 && c.promptTokens > work.MaxPromptTokens {
+		return 0, result.Refuse(result.PromptTooLong, 0, "%d tokens; this kind of work allows %d", c.promptTokens, work.MaxPromptTokens)
+	}
+	return maxTokens, nil
+}
+
+// service serves calls to plain services.
+func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
+	kind := r.PathValue("kind")
+	c, refusal := e.open(r, kind, result.UnknownKind)
+	var body []byte
+	if refusal == nil {
+		body, refusal = e.read(w, r)
+	}
+	if refusal == nil && c.kind.Work.Service == "" {
+		refusal = result.Refuse(result.UnknownKind, 0, "%q is a model's kind of work; use /v1/completions", kind)
+	}
+	if refusal == nil && !json.Valid(body) {
+		refusal = result.Refuse(result.BadBody, 0, "the body is not JSON")
+	}
+	if refusal == nil && !c.kind.Work.Repeatable && c.key == "" {
+		refusal = result.Refuse(result.KeyRequired, 0, "%q may not be repeated: send %s", kind, headerKey)
+	}
+	if refusal == nil {
+		refusal = e.admit(c)
+	}
+	if refusal != nil {
+		e.refuse(w, c, refusal)
+		return
+	}
+	defer e.limiter.Done(c.account.ID)
+	var answer reply
+	var failure *result.Error
+	if c.kind.Work.Repeatable {
+		answer, failure = e.callRepeatable(r.Context(), c, body)
+	} else {
+		answer, failure = e.newOnce(c, body).do(r.Context())
+	}
+	e.ended(c, failure)
+	if failure != nil {
+		writeError(w, c, failure)
+		return
+	}
+	code := result.OK
+	if answer.replayed {
+		code = result.Replayed
+	}
+	writeHeaders(w, c, code, result.RanYes)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(answer.status)
+	_, _ = w.Write(answer.body)
+}
+
+func (e *Entry) models(w http.ResponseWriter, r *http.Request) {
+	c := &call{id: newID(), started: time.Now()}
+	view := e.catalogue.View()
+	if _, refusal := authenticate(r, view); refusal != nil {
+		writeError(w, c, refusal)
+		return
+	}
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	models := []model{}
+	for _, record := range view.List(catalogue.TypeWork) {
+		if record.Work.Model != "" {
+			models = append(models, model{record.ID, "model", record.EditedAt.Unix(), record.Owner})
+		}
+	}
+	writeHeaders(w, c, result.OK, result.RanYes)
+	writeJSON(w, http.StatusOK, map[string]any{"object": "list", "data": models})
+}
+
+// requestStatus answers a status lookup.
+type requestStatus struct {
+	RequestID string      `json:"request_id"`
+	State     string      `json:"state"`
+	Code      result.Code `json:"code,omitempty"`
+	Ran       result.Ran  `json:"ran"`
+}
+
+func (e *Entry) statusByID(w http.ResponseWriter, r *http.Request) {
+	c := &call{id: newID(), started: time.Now()}
+	account, refusal := authenticate(r, e.catalogue.View())
+	if refusal != nil {
+		writeError(w, c, refusal)
+		return
+	}
+	found, ok := e.recent.find(r.PathValue("id"), account.ID)
+	if !ok {
+		writeError(w, c, result.Fail(result.UnknownRequest, result.RanUnknown, "this entry has no request %q; look it up by key", r.PathValue("id")))
+		return
+	}
+	writeHeaders(w, c, result.OK, result.RanYes)
+	writeJSON(w, http.StatusOK, requestStatus{RequestID: found.id, State: "ended", Code: found.code, Ran: found.ran})
+}
+
+// statusByKey tells what became of a request that may not be repeated.
+func (e *Entry) statusByKey(w http.ResponseWriter, r *http.Request) {
+	c := &call{id: newID(), started: time.Now(), key: r.URL.Query().Get("key")}
+	c.deadline = c.started.Add(e.settings.DefaultDeadline.D())
+	var refusal *result.Error
+	if c.account, refusal = authenticate(r, e.catalogue.View()); refusal != nil {
+		writeError(w, c, refusal)
+		return
+	}
+	o := &once{entry: e, call: c, key: attempt.ClaimKey(c.account.ID, c.key)}
+	status, failure := o.status(r.Context())
+	if failure != nil {
+		writeError(w, c, failure)
+		return
+	}
+	writeHeaders(w, c, result.OK, result.RanYes)
+	writeJSON(w, http.StatusOK, status)
+}
+
+// status reads a claim and, where it is open, asks its agent.
+func (o *once) status(ctx context.Context) (*requestStatus, *result.Error) {
+	claim, failure := o.read(ctx)
+	if failure != nil {
+		return nil, failure
+	}
+	if claim == nil {
+		return nil, result.Refuse(result.UnknownRequest, 0, "no request with this key is on record")
+	}
+	status := &requestStatus{RequestID: claim.RequestID, State: string(claim.State), Ran: result.RanUnknown}
+	switch claim.State {
+	case attempt.ClaimDone:
+		status.Code, status.Ran = result.Code(claim.Outcome.Code), result.RanYes
+	case attempt.ClaimNotRun:
+		status.Ran = result.RanNo
+	case attempt.ClaimClaimed:
+		_, failure, settled := o.settle(ctx, claim)
+		switch {
+		case settled:
+			status.State, status.Ran = string(attempt.ClaimNotRun), result.RanNo
+		case failure == nil:
+			status.State, status.Code, status.Ran = string(attempt.ClaimDone), result.OK, result.RanYes
+		default:
+			status.Code, status.Ran = failure.Code, failure.Ran
+		}
+	}
+	return status, nil
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/catalogue"
+	"aspenyard.example/result"
+)
+
+// Headers of the callers' interface.
+const (
+	headerDeadline   = "X-Request-Deadline"
+	headerRequestID  = "X-Request-Id"
+	headerResultCode = "X-Result-Code"
+	headerRan        = "X-Ran"
+	headerKey        = "Idempotency-Key"
+	headerFirst      = "X-First-Attempt"
+)
+
+// call is one caller's request on its way through the entry.
+type call struct {
+	id      string
+	account *catalogue.Record
+	kind    *catalogue.Record
+	// key is the caller's idempotency key, "" for none.
+	key string
+	// first is set when the caller vouches that the key was never used before.
+	first    bool
+	deadline time.Time
+	started  time.Time
+	// firstToken is when the first output token was passed on; zero: never.
+	firstToken   time.Time
+	promptTokens int
+	outputTokens int
+	attempts     uint32
+}
+
+func (c *call) class() admission.Class { return c.kind.Work.ClassOf() }
+
+func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
+
+func newID() string {
+	var id [12]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+const maxIdempotencyKey = 256
+
+// open recognises the caller and the kind of work and fixes the deadline.
+func (e *Entry) open(r *http.Request, kind string, unknown result.Code) (*call, *result.Error) {
+	c := &call{id: newID(), started: time.Now(), key: r.Header.Get(headerKey), first: r.Header.Get(headerFirst) == "true"}
+	if !e.catalogue.Ready() {
+		return c, result.Refuse(result.NotReady, time.Second, "this entry has no catalogue yet")
+	}
+	view := e.catalogue.View()
+	var refusal *result.Error
+	if c.account, refusal = authenticate(r, view); refusal != nil {
+		return c, refusal
+	}
+	if len(c.key) > maxIdempotencyKey {
+		return c, result.Refuse(result.BadField, 0, "%s: over %d characters", headerKey, maxIdempotencyKey)
+	}
+	c.kind = view.Get(catalogue.TypeWork, kind)
+	if c.kind == nil {
+		return c, result.Refuse(unknown, 0, "no kind of work %q", kind)
+	}
+	limit := e.settings.DefaultDeadline.D()
+	if c.kind.Work.Deadline > 0 {
+		limit = c.kind.Work.Deadline.D()
+	}
+	if text := r.Header.Get(headerDeadline); text != "" {
+		asked, err := time.ParseDuration(text)
+		if err != nil || asked <= 0 || asked > e.settings.DeadlineLimit.D() {
+			return c, result.Refuse(result.BadDeadline, 0, "%s: %q; allowed: a duration with its unit, up to %s", headerDeadline, text, e.settings.DeadlineLimit.D())
+		}
+		limit = asked
+	}
+	c.deadline = c.started.Add(limit)
+	return c, nil
+}
+
+func authenticate(r *http.Request, view *catalogue.View) (*catalogue.Record, *result.Error) {
+	key := bearer(r)
+	if key == "" {
+		return nil, result.Refuse(result.NoKey, 0, "no Authorization header with a bearer key")
+	}
+	account := view.AccountByKey(key)
+	if account == nil {
+		return nil, result.Refuse(result.WrongKey, 0, "no client account has this key")
+	}
+	return account, nil
+}
+
+func bearer(r *http.Request) string {
+	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// admit counts the call against its account's limits. After success the caller
+// ends it with limiter.Done.
+func (e *Entry) admit(c *call) *result.Error {
+	limits := c.account.Account.Limits
+	return e.limiter.Admit(time.Now(), c.account.ID, admission.Limits{
+		RequestsPerSecond: limits.RequestsPerSecond, TokensPerSecond: limits.TokensPerSecond, Concurrent: limits.Concurrent,
+	}, e.share(c.account.ID), c.promptTokens+c.outputTokens)
+}
+
+// share is this entry's part of an account's limits: an equal part for each live
+// entry, so that the sum over the entries never exceeds the whole.
+func (e *Entry) share(string) float64 {
+	return 1 / float64(e.control.entries.Load())
+}
+
+// ended logs the call and counts it.
+func (e *Entry) ended(c *call, failure *result.Error) {
+	code, ran := result.OK, result.RanYes
+	if failure != nil {
+		code, ran = failure.Code, failure.Ran
+	}
+	account, kind := "", ""
+	if c.account != nil {
+		account = c.account.ID
+	}
+	if c.kind != nil {
+		kind = c.kind.ID
+	}
+	fields := []zap.Field{
+		zap.String("request", c.id), zap.String("account", account), zap.String("kind", kind), zap.Int("code", int(code)),
+		zap.String("ran", string(ran)), zap.Uint32("attempts", c.attempts), zap.Duration("took", time.Since(c.started)),
+		zap.Int("prompt_tokens", c.promptTokens),
+	}
+	if failure != nil {
+		fields = append(fields, zap.String("detail", failure.Detail))
+	}
+	e.log.Info("request ended", fields...)
+	e.measure(c, code)
+	e.recent.note(c, code, ran)
+}
+
+// timeout gives a context that ends at the call's deadline.
+func (c *call) timeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(ctx, c.deadline)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,181 @@
+// Package entry is the process behind the platform's balancer. It takes callers'
+// HTTP, decides which endpoint a request goes to, streams the answer and resumes
+// it elsewhere when an endpoint fails. It also takes the operators' edits.
+//
+// Entries keep nothing: what they know is a hint, the agents decide whether work
+// starts, and the platform's store holds what must last.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/membership"
+	"aspenyard.example/node"
+	"aspenyard.example/platform"
+	"aspenyard.example/routing"
+	"aspenyard.example/settings"
+	"aspenyard.example/wire/wireconnect"
+)
+
+// Entry is one entry's process.
+type Entry struct {
+	settings  settings.Entry
+	log       *zap.Logger
+	metrics   *metrics.Set
+	store     platform.Store
+	list      platform.VMList
+	clients   *node.Clients
+	catalogue *node.Catalogue
+	loop      *membership.Loop
+	control   *control
+	policy    *routing.Policy
+	limiter   *admission.Limiter
+	budgets   map[admission.Class]*admission.Budget
+	inFlight  *inFlight
+	recent    *recent
+	keepers   *keeper
+	active    atomic.Int64
+	draining  atomic.Bool
+}
+
+// New makes an entry; Serve starts it.
+func New(s settings.Entry, log *zap.Logger) (*Entry, error) {
+	client := platform.NewClient(s.Platform, s.StoreTimeout.D())
+	clients := node.NewClients()
+	e := &Entry{
+		settings: s, log: log, metrics: metrics.NewSet(), store: client, list: client,
+		clients: clients, catalogue: node.NewCatalogue(clients, log), limiter: admission.NewLimiter(),
+		budgets: map[admission.Class]*admission.Budget{}, inFlight: newInFlight(), recent: newRecent(),
+	}
+	for _, class := range []admission.Class{admission.Urgent, admission.Normal, admission.Bulk} {
+		e.budgets[class] = admission.NewBudget()
+	}
+	policy, err := routing.New(s.Policy, globalRand{}, e.inFlight)
+	if err != nil {
+		return nil, err
+	}
+	e.policy = policy
+	e.control = newControl(e)
+	e.loop = membership.NewLoop(membership.Config{
+		Node: s.Name, Role: membership.RoleEntry, DataCentre: s.DataCentre, Listen: s.Listen, Advertise: s.Advertise,
+		Incarnation: uint64(time.Now().UnixMilli()), Interval: s.HeartbeatInterval.D(), SuspectAfter: s.SuspectAfter.D(),
+		Seeds: s.Seeds,
+	}, e.control)
+	e.catalogue.Attach(e.loop)
+	e.keepers = newKeeper(e)
+	return e, nil
+}
+
+// globalRand is the process-wide generator, safe for concurrent use.
+type globalRand struct{}
+
+func (globalRand) IntN(n int) int { return rand.IntN(n) }
+
+// Serve works until a signal arrives or ctx ends. The first signal drains: the
+// balancer is told by readiness, running requests end, within drain_timeout. A
+// second signal, or ctx's end, stops at once.
+func (e *Entry) Serve(ctx context.Context, signals <-chan os.Signal) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	listeners := make([]net.Listener, 0, 3)
+	for _, addr := range []string{e.settings.Listen, e.settings.OperatorsListen, e.settings.CallersListen} {
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		listeners = append(listeners, listener)
+	}
+	e.expose()
+	failures := make(chan error, 4)
+	go func() { failures <- e.loop.Run(ctx) }()
+	go func() { failures <- node.Serve(ctx, listeners[0], e.peerHandler()) }()
+	go func() { failures <- node.ServeHTTP(ctx, listeners[1], e.operatorsHandler()) }()
+	callers := e.callersServer()
+	go func() {
+		err := callers.Serve(netutil.LimitListener(listeners[2], int(e.settings.ConnectionLimit)))
+		if !errors.Is(err, http.ErrServerClosed) {
+			failures <- errors.Wrap(err, "serve callers")
+		}
+	}()
+	go e.loop.FollowList(ctx, e.list, e.settings.ListInterval.D())
+	go e.followStore(ctx)
+	go e.keepers.run(ctx)
+	e.log.Info("entry serving", zap.String("callers", e.settings.CallersListen))
+	defer func() { _ = callers.Close() }()
+	select {
+	case err := <-failures:
+		return err
+	case <-ctx.Done():
+		return nil
+	case <-signals:
+		e.drain(callers, signals)
+		return nil
+	}
+}
+
+func (e *Entry) callersServer() *http.Server {
+	return &http.Server{
+		Handler: e.callersHandler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
+		MaxHeaderBytes: 64 << 10,
+	}
+}
+
+func (e *Entry) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewPeerHandler(e.catalogue, node.HandlerOptions()))
+	return mux
+}
+
+// balancerNotice is how long a draining entry still takes connections, so that
+// the balancer has seen its readiness before the port closes.
+const balancerNotice = time.Second
+
+// drain ends gracefully.
+func (e *Entry) drain(callers *http.Server, signals <-chan os.Signal) {
+	e.log.Info("draining", zap.Int64("active", e.active.Load()), zap.Duration("at_most", e.settings.DrainTimeout.D()))
+	e.draining.Store(true)
+	e.loop.Leave()
+	callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout.D())
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			e.log.Warn("second signal: stopping with requests unfinished")
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	select {
+	case <-time.After(balancerNotice):
+	case <-ctx.Done():
+	}
+	if err := callers.Shutdown(ctx); err != nil {
+		e.log.Warn("stopped with requests unfinished", zap.Int64("active", e.active.Load()), zap.Error(err))
+		return
+	}
+	e.log.Info("drained")
+}
+
+// ready tells the balancer whether to send callers here.
+func (e *Entry) ready() error {
+	if e.draining.Load() {
+		return errors.New("draining")
+	}
+	if !e.catalogue.Ready() {
+		return errors.New("no catalogue yet")
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/generate.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"aspenyard.example/result"
+	"aspenyard.example/routing"
+	"aspenyard.example/wire"
+)
+
+// sink takes a generation's output on its way to the caller.
+type sink interface {
+	// token passes one piece of text on; an error means that the caller is gone.
+	token(text string) error
+}
+
+const (
+	// maxRefusals is how many endpoints are asked before a refusal is passed on.
+	maxRefusals = 3
+	// noEndpointRetry is when to come back when no endpoint is there: about the
+	// time in which a new one is heard of.
+	noEndpointRetry = 2 * time.Second
+)
+
+// generation is one repeatable request to a model, through as many attempts as
+// it takes. Each attempt goes on from the tokens that the caller already has.
+type generation struct {
+	entry     *Entry
+	call      *call
+	prompt    string
+	maxTokens int
+	sink      sink
+	routing   routing.Request
+
+	delivered strings.Builder
+	tokens    uint64
+	ran       result.Ran
+	refusals  int
+	refusal   *result.Error // the one with the shortest wait
+}
+
+func (e *Entry) newGeneration(c *call, prompt string, maxTokens int, out sink) *generation {
+	return &generation{
+		entry: e, call: c, prompt: prompt, maxTokens: maxTokens, sink: out, ran: result.RanNo,
+		routing: routing.Request{
+			Model: c.kind.Work.Model, Class: c.class(), PromptTokens: c.promptTokens, OutputTokens: maxTokens,
+			Prefix: routing.PrefixHashes(prompt, bytesPerToken), DataCentre: e.settings.DataCentre, Tried: map[string]bool{},
+		},
+	}
+}
+
+// bytesPerToken estimates the tokens of a text.
+const bytesPerToken = 4
+
+func countTokens(text string) int { return (len(text) + bytesPerToken - 1) / bytesPerToken }
+
+// generate carries a request out within its deadline.
+func (g *generation) generate(ctx context.Context) *result.Error {
+	ctx, cancel := g.call.timeout(ctx)
+	defer cancel()
+	for {
+		failure := g.attempt(ctx)
+		if failure == nil {
+			g.entry.budgets[g.call.class()].Success()
+			return nil
+		}
+		if ctx.Err() != nil {
+			return g.giveUp(g.timedOut(ctx))
+		}
+		if final := g.consider(failure); final != nil {
+			return g.giveUp(final)
+		}
+	}
+}
+
+// attempt makes one try, on one endpoint or on several for a long prompt.
+func (g *generation) attempt(ctx context.Context) *result.Error {
+	g.call.attempts++
+	endpoints := *g.entry.control.endpoints.Load()
+	endpoint := g.entry.policy.Route(time.Now(), &g.routing, endpoints)
+	if endpoint != nil {
+		return g.single(ctx, endpoint)
+	}
+	members, refusal := planSpan(&g.routing, endpoints)
+	if refusal != nil {
+		return refusal
+	}
+	return g.span(ctx, members)
+}
+
+// consider decides whether a failed attempt is followed by another: nil for yes,
+// or the final error. Refusals are cheap and bounded by number; failures of
+// admitted work are bounded by the class's retry budget, so that a dead data
+// centre does not multiply the load on the others.
+func (g *generation) consider(failure *result.Error) *result.Error {
+	if failure.Ran == result.RanNo {
+		g.refusals++
+		if g.refusal == nil || failure.RetryAfter < g.refusal.RetryAfter {
+			g.refusal = failure
+		}
+		if failure.Code == result.PromptTooLong || failure.Code == result.NoEndpoint && len(g.routing.Tried) == 0 {
+			return failure
+		}
+		if g.refusals >= maxRefusals || g.exhausted() {
+			return g.refusal
+		}
+		return nil
+	}
+	g.ran = worse(g.ran, failure.Ran)
+	if failure.Code == result.Cancelled || failure.Code == result.DeadlineExceeded {
+		return failure
+	}
+	if !g.entry.budgets[g.call.class()].Take() {
+		failure.Code, failure.RetryAfter = result.RetryBudget, noEndpointRetry
+		return failure
+	}
+	return nil
+}
+
+// exhausted tells whether every endpoint that could serve has been tried.
+func (g *generation) exhausted() bool {
+	endpoints := *g.entry.control.endpoints.Load()
+	for i := range endpoints {
+		if (routing.Serves{}).Keep(&g.routing, &endpoints[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// worse keeps what may be said of a run over several attempts: once one may have
+// run, "no" is no longer true.
+func worse(a, b result.Ran) result.Ran {
+	if a == result.RanYes || b == result.RanYes {
+		return result.RanYes
+	}
+	if a == result.RanUnknown || b == result.RanUnknown {
+		return result.RanUnknown
+	}
+	return result.RanNo
+}
+
+func (g *generation) timedOut(ctx context.Context) *result.Error {
+	if ctx.Err() == context.Canceled {
+		return result.Fail(result.Cancelled, g.ran, "the caller went away")
+	}
+	return result.Fail(result.DeadlineExceeded, g.ran, "the deadline passed")
+}
+
+func (g *generation) giveUp(failure *result.Error) *result.Error {
+	final := *failure
+	final.Ran = worse(g.ran, failure.Ran)
+	return &final
+}
+
+// single runs the request on one endpoint.
+func (g *generation) single(ctx context.Context, endpoint *routing.Endpoint) *result.Error {
+	reservation, refusal := g.entry.reserve(ctx, g.call, endpoint, &g.routing)
+	if refusal != nil {
+		g.routing.Tried[endpoint.Name] = true
+		return refusal
+	}
+	failure := g.stream(ctx, endpoint, g.request(reservation))
+	if failure != nil {
+		g.routing.Tried[endpoint.Name] = true
+	}
+	return failure
+}
+
+func (g *generation) request(reservation *wire.Reservation) *wire.RunRequest {
+	return &wire.RunRequest{
+		Reservation: reservation, RequestId: g.call.id, Attempt: g.call.attempts, Model: g.routing.Model,
+		RemainingMs: g.call.remaining().Milliseconds(), Prompt: g.prompt, MaxTokens: uint64(g.maxTokens),
+		Delivered: g.delivered.String(), DeliveredTokens: g.tokens,
+	}
+}
+
+// stream sends an order and passes its output on to the end.
+func (g *generation) stream(ctx context.Context, endpoint *routing.Endpoint, request *wire.RunRequest) *result.Error {
+	// Ending the context cancels the work at the agent, whatever the reason for
+	// which this attempt is over.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g.entry.inFlight.add(endpoint.Name, 1)
+	defer g.entry.inFlight.add(endpoint.Name, -1)
+	run, err := g.entry.order(ctx, endpoint.Addr, request)
+	if err != nil {
+		return g.broken(endpoint, request.Reservation, err)
+	}
+	defer run.close()
+	for {
+		event, err := run.next()
+		if err != nil {
+			return g.broken(endpoint, request.Reservation, err)
+		}
+		switch body := event.Event.(type) {
+		case *wire.RunEvent_Chunk:
+			if err := g.pass(body.Chunk); err != nil {
+				return result.Fail(result.Cancelled, result.RanYes, "the caller went away")
+			}
+		case *wire.RunEvent_End:
+			return endError(body.End)
+		}
+	}
+}
+
+func (g *generation) pass(chunk *wire.Chunk) error {
+	if g.tokens == 0 {
+		g.call.firstToken = time.Now()
+	}
+	if err := g.sink.token(chunk.Text); err != nil {
+		return err
+	}
+	g.delivered.WriteString(chunk.Text)
+	g.tokens += uint64(chunk.Tokens)
+	return nil
+}
+
+// broken says what is known after a stream broke. The agent is asked once: if
+// the order had not started, it never will, and its place is free.
+func (g *generation) broken(endpoint *routing.Endpoint, reservation *wire.Reservation, err error) *result.Error {
+	failure := result.From(err)
+	if failure.Code == result.Internal {
+		failure = result.Fail(result.EndpointFailed, result.RanUnknown, "%s: %v", endpoint.Name, err)
+	}
+	if failure.Ran != result.RanUnknown || g.call.remaining() <= 0 {
+		return failure
+	}
+	state, err := g.entry.withdraw(context.Background(), endpoint.Addr, reservation, false)
+	if err == nil && state.State == wire.AttemptState_ATTEMPT_STATE_DID_NOT_RUN {
+		return result.Refuse(result.NoEndpoint, noEndpointRetry, "%s lost the order before it started", endpoint.Name)
+	}
+	return failure
+}
--- /dev/null
+++ b/entry/keeper.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"aspenyard.example/catalogue"
+	"aspenyard.example/membership"
+	"aspenyard.example/platform"
+	"aspenyard.example/power"
+	"aspenyard.example/wire"
+)
+
+// storeValue shortens the store's type.
+type storeValue = platform.Value
+
+const (
+	// keeperInterval is the time between looks at a site's power.
+	keeperInterval = 300 * time.Millisecond
+	grantTimeout   = time.Second
+)
+
+// keeper keeps the power ledgers of the sites for which this entry ranks first.
+// Two keepers at once are harmless: the ledger is written by compare-and-swap,
+// and the agents refuse grants older than what they have.
+type keeper struct {
+	entry   *Entry
+	missing map[string]time.Time // endpoints in a ledger that nobody has heard of
+	mu      sync.Mutex
+	ledgers map[string]*power.Ledger // as last read, for operators
+}
+
+func newKeeper(e *Entry) *keeper {
+	return &keeper{entry: e, missing: map[string]time.Time{}, ledgers: map[string]*power.Ledger{}}
+}
+
+func ledgerKey(site string) string { return "power/" + site }
+
+func (k *keeper) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		failed := false
+		for _, site := range k.entry.catalogue.View().List(catalogue.TypeSite) {
+			if k.hasDuty(site) && !k.keep(ctx, site) {
+				failed = true
+			}
+		}
+		if failed {
+			failures = min(failures+1, 4)
+		} else {
+			failures = 0
+		}
+		pause := keeperInterval << failures
+		wait(ctx, pause/2+rand.N(pause))
+	}
+}
+
+func (k *keeper) hasDuty(site *catalogue.Record) bool {
+	members := k.entry.loop.View()
+	mine := false
+	var others []*membership.Member
+	for _, dataCentre := range site.Site.DataCentres {
+		mine = mine || dataCentre == k.entry.settings.DataCentre
+		others = append(others, members.Entries(dataCentre)...)
+	}
+	return mine && !k.entry.draining.Load() && rank(ledgerKey(site.ID), k.entry.settings.Name, others) == 0
+}
+
+// keep does one round for a site; false when the store could not be used, which
+// leaves all grants as they are.
+func (k *keeper) keep(ctx context.Context, site *catalogue.Record) bool {
+	value, err := k.entry.store.Get(ctx, ledgerKey(site.ID))
+	if err != nil {
+		return false
+	}
+	current, err := power.Decode(value.Data)
+	if err != nil {
+		k.entry.log.Error("the store holds a power ledger that cannot be read", zap.String("site", site.ID), zap.Error(err))
+		return false
+	}
+	reports := k.reports(site, current)
+	if next := power.Plan(current, site.Site.PowerCapWatts, reports); next != nil {
+		data, err := next.Encode()
+		if err != nil {
+			return false
+		}
+		if err := k.entry.store.CompareAndSwap(ctx, ledgerKey(site.ID), data, value.Revision); err != nil {
+			// Also when the write may have happened: the next round reads it back,
+			// and only what was read or is known to be written is ever sent.
+			return false
+		}
+		current = next
+	}
+	k.mu.Lock()
+	k.ledgers[site.ID] = current
+	k.mu.Unlock()
+	k.send(ctx, current, reports)
+	return true
+}
+
+// reports gathers what the agents of a site last said, and marks what is silent
+// or gone.
+func (k *keeper) reports(site *catalogue.Record, ledger *power.Ledger) []power.Report {
+	now := time.Now()
+	members := k.entry.loop.View()
+	inSite := map[string]bool{}
+	for _, dataCentre := range site.Site.DataCentres {
+		inSite[dataCentre] = true
+	}
+	var reports []power.Report
+	known := map[string]bool{}
+	for name, m := range members.Members {
+		if m.Last == nil || m.Last.Power == nil || !inSite[m.DataCentre()] {
+			continue
+		}
+		known[name] = true
+		p := m.Last.Power
+		reports = append(reports, power.Report{
+			Endpoint: name, Incarnation: m.Last.Incarnation, Floor: p.FloorWatts, Max: p.MaxWatts, Want: p.WantWatts,
+			Limit: p.LimitWatts, Revision: p.GrantRevision, Silent: m.Suspect, Gone: m.Suspect && k.gone(now, name, members),
+		})
+	}
+	for name := range ledger.Grants {
+		if !known[name] {
+			reports = append(reports, power.Report{Endpoint: name, Silent: true, Gone: k.gone(now, name, members)})
+		}
+	}
+	return reports
+}
+
+// gone tells whether a VM has been off the platform's list, as read by this
+// entry, for longer than the list's lag. Before that, a silent endpoint may
+// still draw its watts.
+func (k *keeper) gone(now time.Time, name string, members *membership.View) bool {
+	m := members.Members[name]
+	if members.ListRead.IsZero() || (m != nil && m.Listed) {
+		delete(k.missing, name)
+		return false
+	}
+	since, found := k.missing[name]
+	if !found {
+		k.missing[name] = members.ListRead
+		return false
+	}
+	return members.ListRead.Sub(since) > k.entry.settings.ListLag.D()
+}
+
+// send tells the agents of grants that they do not have yet.
+func (k *keeper) send(ctx context.Context, ledger *power.Ledger, reports []power.Report) {
+	members := k.entry.loop.View()
+	var sending sync.WaitGroup
+	for _, report := range reports {
+		grant := ledger.Grants[report.Endpoint]
+		m := members.Members[report.Endpoint]
+		if grant == nil || m == nil || report.Silent || grant.Incarnation != report.Incarnation || report.Revision >= grant.Revision {
+			continue
+		}
+		sending.Go(func() { k.sendOne(ctx, m.Addr(), report.Endpoint, grant) })
+	}
+	sending.Wait()
+}
+
+func (k *keeper) sendOne(ctx context.Context, addr, endpoint string, grant *power.Grant) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	request := &wire.GrantRequest{Endpoint: endpoint, Incarnation: grant.Incarnation, Revision: grant.Revision, Watts: grant.Watts}
+	if _, err := k.entry.clients.Agent(addr).Grant(ctx, connect.NewRequest(request)); err != nil {
+		k.entry.log.Debug("grant not delivered", zap.String("endpoint", endpoint), zap.Error(err))
+	}
+}
+
+// ledger gives a site's ledger as this entry last had it, or nil.
+func (k *keeper) ledger(site string) *power.Ledger {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ledgers[site]
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/node"
+	"aspenyard.example/result"
+)
+
+// bandNames name the prompt-length bands in metrics and reports.
+var bandNames = []string{"up_to_4k", "up_to_16k", "up_to_100k", "above_100k"}
+
+func (e *Entry) expose() {
+	node.LoopMetrics(e.metrics, e.loop)
+	e.metrics.NewGauge("aspenyard_entry_active_requests", func() float64 { return float64(e.active.Load()) })
+	e.metrics.NewGauge("aspenyard_entry_endpoints", func() float64 { return float64(len(*e.control.endpoints.Load())) })
+	for class, budget := range e.budgets {
+		e.metrics.NewGauge(fmt.Sprintf(`aspenyard_entry_retries_total{class="%d"}`, class), func() float64 {
+			spent, _ := budget.Counts()
+			return float64(spent)
+		})
+		e.metrics.NewGauge(fmt.Sprintf(`aspenyard_entry_retries_denied_total{class="%d"}`, class), func() float64 {
+			_, denied := budget.Counts()
+			return float64(denied)
+		})
+	}
+}
+
+// measure counts an ended call, and for a kind of work with an objective whether
+// it was good.
+func (e *Entry) measure(c *call, code result.Code) {
+	e.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_entry_requests_total{code="%d"}`, code)).Inc()
+	if c.kind == nil {
+		return
+	}
+	labels := fmt.Sprintf(`kind=%q,class=%q,band=%q`, c.kind.ID, c.kind.Work.Class, bandNames[admission.Band(c.promptTokens)])
+	if !c.firstToken.IsZero() {
+		e.metrics.GetOrCreatePrometheusHistogramExt("aspenyard_entry_first_token_seconds{"+labels+"}", firstTokenBuckets).Update(c.firstToken.Sub(c.started).Seconds())
+	}
+	objective := c.kind.Work.Objective
+	if objective == nil || code != result.OK && code < firstSystemCode || code == result.Cancelled {
+		return
+	}
+	outcome := "bad"
+	if code == result.OK && c.good(objective.FirstToken.D()) {
+		outcome = "good"
+	}
+	e.metrics.GetOrCreateCounter(fmt.Sprintf("aspenyard_entry_objective_total{%s,outcome=%q}", labels, outcome)).Inc()
+}
+
+// firstSystemCode is the lowest code that is not the caller's own fault.
+const firstSystemCode = result.RateLimited
+
+// good tells whether the first token, or a service's whole answer, came in time.
+func (c *call) good(limit time.Duration) bool {
+	if c.firstToken.IsZero() {
+		return time.Since(c.started) <= limit
+	}
+	return c.firstToken.Sub(c.started) <= limit
+}
+
+// firstTokenBuckets bound the histogram of times to first token, in seconds. They
+// are the same on every node, so that histograms merge.
+var firstTokenBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 25, 50, 100, 250, 500}
--- /dev/null
+++ b/entry/operators.go
@@ -0,0 +1,276 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/catalogue"
+	"aspenyard.example/membership"
+	"aspenyard.example/node"
+	"aspenyard.example/result"
+	"aspenyard.example/settings"
+	"aspenyard.example/wire"
+)
+
+// operatorsHandler serves operators' work, metrics and health.
+func (e *Entry) operatorsHandler() http.Handler {
+	mux := node.OperatorsMux(e.metrics, e.ready)
+	mux.HandleFunc("GET /v1/status", e.operator(e.status))
+	mux.HandleFunc("GET /v1/catalogue/{type}", e.operator(e.listRecords))
+	mux.HandleFunc("GET /v1/catalogue/{type}/{id}", e.operator(e.getRecord))
+	mux.HandleFunc("GET /v1/catalogue/{type}/{id}/history", e.operator(e.getHistory))
+	mux.HandleFunc("GET /v1/catalogue/{type}/{id}/spread", e.operator(e.getSpread))
+	mux.HandleFunc("PUT /v1/catalogue/{type}/{id}", e.operator(e.putRecord))
+	mux.HandleFunc("DELETE /v1/catalogue/{type}/{id}", e.operator(e.deleteRecord))
+	return mux
+}
+
+type operatorHandler func(w http.ResponseWriter, r *http.Request, c *call, operator string)
+
+// operator admits operators only. While the catalogue names none, the bootstrap
+// key of the settings counts.
+func (e *Entry) operator(next operatorHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := &call{id: newID(), started: time.Now()}
+		key := bearer(r)
+		view := e.catalogue.View()
+		if key == "" {
+			writeError(w, c, result.Refuse(result.NoKey, 0, "no Authorization header with a bearer key"))
+			return
+		}
+		if record := view.OperatorByKey(key); record != nil {
+			next(w, r, c, record.ID)
+			return
+		}
+		bootstrap := e.settings.BootstrapOperatorSHA256
+		if bootstrap != "" && len(view.List(catalogue.TypeOperator)) == 0 && catalogue.HashMatches(bootstrap, key) {
+			next(w, r, c, "bootstrap")
+			return
+		}
+		writeError(w, c, result.Refuse(result.NotOperator, 0, "the key is not an operator's"))
+	}
+}
+
+func (e *Entry) listRecords(w http.ResponseWriter, r *http.Request, _ *call, _ string) {
+	records := e.catalogue.View().List(catalogue.Type(r.PathValue("type")))
+	sort.Slice(records, func(i, j int) bool { return records[i].ID < records[j].ID })
+	writeJSON(w, http.StatusOK, map[string]any{"records": records})
+}
+
+func (e *Entry) getRecord(w http.ResponseWriter, r *http.Request, c *call, _ string) {
+	record := e.catalogue.View().Get(catalogue.Type(r.PathValue("type")), r.PathValue("id"))
+	if record == nil {
+		writeError(w, c, result.Refuse(result.UnknownEntry, 0, "no %s %q", r.PathValue("type"), r.PathValue("id")))
+		return
+	}
+	writeJSON(w, http.StatusOK, record)
+}
+
+func (e *Entry) getHistory(w http.ResponseWriter, r *http.Request, c *call, _ string) {
+	records, err := catalogue.History(r.Context(), e.store, catalogue.Type(r.PathValue("type")), r.PathValue("id"))
+	if err != nil {
+		writeError(w, c, result.Refuse(result.StoreUnavailable, storeRetry, "the history cannot be read"))
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"records": records})
+}
+
+func (e *Entry) putRecord(w http.ResponseWriter, r *http.Request, c *call, operator string) {
+	data, refusal := e.read(w, r)
+	if refusal != nil {
+		writeError(w, c, refusal)
+		return
+	}
+	record, err := catalogue.DecodeRecord(data)
+	if err != nil {
+		writeError(w, c, result.Refuse(result.BadCatalogue, 0, "%v", err))
+		return
+	}
+	if string(record.Type) != r.PathValue("type") || record.ID != r.PathValue("id") {
+		writeError(w, c, result.Refuse(result.BadCatalogue, 0, "type and id differ from the path's"))
+		return
+	}
+	e.edit(w, r, c, operator, record)
+}
+
+func (e *Entry) deleteRecord(w http.ResponseWriter, r *http.Request, c *call, operator string) {
+	record := &catalogue.Record{Type: catalogue.Type(r.PathValue("type")), ID: r.PathValue("id"), Owner: operator, Deleted: true}
+	if faults := record.Check(); len(faults) > 0 {
+		writeError(w, c, result.Refuse(result.BadCatalogue, 0, "%v", settings.Faults(faults)))
+		return
+	}
+	e.edit(w, r, c, operator, record)
+}
+
+// editAnswer tells of an edit: the record in force and, after a lost race, that
+// it is another's.
+type editAnswer struct {
+	Record   *catalogue.Record `json:"record"`
+	Conflict bool              `json:"conflict,omitempty"`
+	Error    *errorDetail      `json:"error,omitempty"`
+}
+
+func (e *Entry) edit(w http.ResponseWriter, r *http.Request, c *call, operator string, record *catalogue.Record) {
+	expect, err := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
+	if r.Header.Get("If-Match") != "" && err != nil {
+		writeError(w, c, result.Refuse(result.BadField, 0, "If-Match: a revision"))
+		return
+	}
+	page := catalogue.PageOf(record.Key())
+	edit := catalogue.Edit{Record: record, Expect: expect, ID: c.id, By: operator, At: time.Now().UTC()}
+	outcome, err := catalogue.Apply(r.Context(), e.store, edit, e.catalogue.View().Revisions()[page])
+	switch {
+	case errors.Is(err, catalogue.ErrConflict):
+		failure := result.Refuse(result.EditConflict, 0, "%v", err)
+		detail := bodyOf(c, failure).Error
+		writeHeaders(w, c, failure.Code, failure.Ran)
+		writeJSON(w, http.StatusConflict, editAnswer{Record: outcome.Current, Conflict: true, Error: &detail})
+		return
+	case err != nil:
+		ran := result.RanUnknown
+		if errors.Is(err, catalogue.ErrOldStore) {
+			ran = result.RanNo
+		}
+		writeError(w, c, &result.Error{Code: result.StoreUnavailable, Ran: ran, RetryAfter: storeRetry, Detail: err.Error()})
+		return
+	}
+	e.catalogue.Offer(outcome.Number, outcome.Page)
+	if err := catalogue.Remember(r.Context(), e.store, outcome.Current); err != nil {
+		e.log.Warn("history not written", zap.String("record", record.Key()), zap.Error(err))
+	}
+	e.log.Info("catalogue edited", zap.String("record", record.Key()), zap.Uint64("revision", outcome.Current.Revision), zap.String("operator", operator))
+	writeHeaders(w, c, result.OK, result.RanYes)
+	writeJSON(w, http.StatusOK, editAnswer{Record: outcome.Current})
+}
+
+// nodeSpread tells whether a node has an edit.
+type nodeSpread struct {
+	Node     string `json:"node"`
+	Revision uint64 `json:"revision"`
+	InForce  bool   `json:"in_force"`
+	Silent   bool   `json:"silent,omitempty"`
+}
+
+const (
+	spreadTimeout = time.Second
+	// spreadParallel bounds the nodes asked at once.
+	spreadParallel = 64
+)
+
+// getSpread asks every known node for its revision of a record's page.
+func (e *Entry) getSpread(w http.ResponseWriter, r *http.Request, c *call, _ string) {
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		writeError(w, c, result.Refuse(result.BadField, 0, "revision: a number"))
+		return
+	}
+	page := catalogue.PageOf(catalogue.Key(catalogue.Type(r.PathValue("type")), r.PathValue("id")))
+	own := e.catalogue.View().Revisions()[page]
+	spread := []nodeSpread{{Node: e.settings.Name, Revision: own, InForce: own >= revision}}
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	slots := make(chan struct{}, spreadParallel)
+	for name, m := range e.loop.View().Members {
+		asking.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			n := e.askRevision(r.Context(), name, m, page, revision)
+			mu.Lock()
+			defer mu.Unlock()
+			spread = append(spread, n)
+		})
+	}
+	asking.Wait()
+	sort.Slice(spread, func(i, j int) bool { return spread[i].Node < spread[j].Node })
+	writeJSON(w, http.StatusOK, map[string]any{"nodes": spread})
+}
+
+func (e *Entry) askRevision(ctx context.Context, name string, m *membership.Member, page int, revision uint64) nodeSpread {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	response, err := e.clients.Peer(m.Addr()).Revisions(ctx, connect.NewRequest(&wire.RevisionsRequest{}))
+	if err != nil || page >= len(response.Msg.Revisions) {
+		return nodeSpread{Node: name, Silent: true}
+	}
+	has := response.Msg.Revisions[page]
+	return nodeSpread{Node: name, Revision: has, InForce: has >= revision}
+}
+
+// memberStatus is one node in the operators' status.
+type memberStatus struct {
+	Node       string `json:"node"`
+	Role       string `json:"role"`
+	DataCentre string `json:"data_centre"`
+	Addr       string `json:"addr"`
+	Operators  string `json:"operators,omitempty"`
+	State      string `json:"state"`
+	Running    uint32 `json:"running"`
+	Queued     uint32 `json:"queued"`
+	LimitWatts uint64 `json:"limit_watts,omitempty"`
+}
+
+// siteStatus is one site's power in the operators' status.
+type siteStatus struct {
+	Site string `json:"site"`
+	// CapWatts is asked for; InForceWatts is what the site keeps to now.
+	CapWatts     uint64 `json:"cap_watts"`
+	InForceWatts uint64 `json:"cap_in_force_watts"`
+	CountedWatts uint64 `json:"counted_watts"`
+	// Known is false when another entry keeps this site's ledger.
+	Known bool `json:"known"`
+}
+
+func (e *Entry) status(w http.ResponseWriter, _ *http.Request, _ *call, _ string) {
+	members := e.loop.View().Members
+	list := make([]memberStatus, 0, len(members))
+	for name, m := range members {
+		list = append(list, describe(name, m))
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Node < list[j].Node })
+	sum, hash := e.catalogue.View().Digest()
+	writeJSON(w, http.StatusOK, map[string]any{
+		"node": e.settings.Name, "catalogue_revision": sum, "catalogue_hash": strconv.FormatUint(hash, 16),
+		"reader": e.control.reader.Load(), "members": list, "sites": e.sites(), "active_requests": e.active.Load(),
+	})
+}
+
+func describe(name string, m *membership.Member) memberStatus {
+	status := memberStatus{Node: name, Role: m.Role(), DataCentre: m.DataCentre(), Addr: m.Addr(), State: "live"}
+	switch {
+	case m.Leaving:
+		status.State = "leaving"
+	case m.Last == nil:
+		status.State = "listed only"
+	case m.Suspect:
+		status.State = "suspect"
+	}
+	if m.Last != nil {
+		status.Operators = m.Last.OperatorsAddr
+		status.Running, status.Queued = m.Last.Load.GetRunning(), m.Last.Load.GetQueued()
+		status.LimitWatts = m.Last.Power.GetLimitWatts()
+	}
+	return status
+}
+
+func (e *Entry) sites() []siteStatus {
+	var sites []siteStatus
+	for _, record := range e.catalogue.View().List(catalogue.TypeSite) {
+		status := siteStatus{Site: record.ID, CapWatts: record.Site.PowerCapWatts}
+		if ledger := e.keepers.ledger(record.ID); ledger != nil {
+			status.Known = true
+			status.CountedWatts = ledger.Counted()
+			status.InForceWatts = ledger.CapInForce()
+		}
+		sites = append(sites, status)
+	}
+	return sites
+}
--- /dev/null
+++ b/entry/span.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"aspenyard.example/result"
+	"aspenyard.example/routing"
+	"aspenyard.example/wire"
+)
+
+// planSpan chooses the endpoints that hold a prompt together when none can
+// alone, in the order in which they are taken.
+//
+// All spans take their endpoints in the order of the names. Two spans that each
+// hold what the other waits for, each until its deadline, cannot happen: the one
+// that holds the later name does not wait for an earlier one.
+func planSpan(r *routing.Request, endpoints []routing.Endpoint) ([]*routing.Endpoint, *result.Error) {
+	need := r.PromptTokens + r.OutputTokens
+	total, serving := 0, 0
+	var usable []*routing.Endpoint
+	for i := range endpoints {
+		e := &endpoints[i]
+		untried := *r
+		untried.Tried = nil
+		if !(routing.Serves{}).Keep(&untried, e) || e.MemoryTokens == 0 {
+			continue
+		}
+		serving++
+		total += routing.MaxPromptTokens(e)
+		if !r.Tried[e.Name] {
+			usable = append(usable, e)
+		}
+	}
+	if serving > 0 && total < need {
+		return nil, result.Refuse(result.PromptTooLong, 0, "%d tokens of memory are needed, all endpoints together offer %d", need, total)
+	}
+	if !fitsOne(r, endpoints) || serving == 0 {
+		if members := cheapest(r, usable, need); members != nil && serving > 0 {
+			return members, nil
+		}
+	}
+	return nil, result.Refuse(result.NoEndpoint, noEndpointRetry, "no live endpoint serves %q", r.Model)
+}
+
+// fitsOne tells whether some endpoint could hold the request alone, tried or not.
+func fitsOne(r *routing.Request, endpoints []routing.Endpoint) bool {
+	for i := range endpoints {
+		e := &endpoints[i]
+		if e.MemoryTokens > 0 && (routing.Memory{}).Keep(r, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// cheapest takes the least busy endpoints until they hold the need, sorted by name.
+func cheapest(r *routing.Request, usable []*routing.Endpoint, need int) []*routing.Endpoint {
+	level := r.Level()
+	sort.SliceStable(usable, func(i, j int) bool {
+		return usable[i].Backlog.Before(level) < usable[j].Backlog.Before(level)
+	})
+	held := 0
+	for n, e := range usable {
+		held += routing.MaxPromptTokens(e)
+		if held >= need {
+			members := append([]*routing.Endpoint(nil), usable[:n+1]...)
+			sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+			return members
+		}
+	}
+	return nil
+}
+
+// span runs the request over several endpoints: each but the last prefills and
+// holds its part of the prompt, the last imports their KV cache and generates.
+// Whatever ends the attempt ends its context, and with it every part's hold.
+func (g *generation) span(ctx context.Context, members []*routing.Endpoint) *result.Error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var imports []*wire.Import
+	offset := 0
+	for i, member := range members[:len(members)-1] {
+		size := min(routing.MaxPromptTokens(member), g.routing.PromptTokens-offset-(len(members)-1-i))
+		part := g.prompt[offset*bytesPerToken : (offset+size)*bytesPerToken]
+		held, failure := g.hold(ctx, cancel, member, part, imports)
+		if failure != nil {
+			g.routing.Tried[member.Name] = true
+			return failure
+		}
+		imports = append(imports, held)
+		offset += size
+	}
+	return g.lead(ctx, members[len(members)-1], imports, offset)
+}
+
+// hold prefills one part and returns where its KV cache is held until ctx ends.
+func (g *generation) hold(ctx context.Context, cancel context.CancelFunc, member *routing.Endpoint, part string, imports []*wire.Import) (*wire.Import, *result.Error) {
+	r := g.routing
+	r.PromptTokens, r.OutputTokens, r.SpanPart = countTokens(part), 0, true
+	reservation, refusal := g.entry.reserve(ctx, g.call, member, &r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	run, err := g.entry.order(ctx, member.Addr, &wire.RunRequest{
+		Reservation: reservation, RequestId: g.call.id, Attempt: g.call.attempts, Model: g.routing.Model,
+		RemainingMs: g.call.remaining().Milliseconds(), Prompt: part, Hold: true, Imports: imports,
+	})
+	if err != nil {
+		return nil, g.broken(member, reservation, err)
+	}
+	event, err := run.next()
+	if err != nil {
+		run.close()
+		return nil, g.broken(member, reservation, err)
+	}
+	if held := event.GetHeld(); held != nil {
+		go watchHold(run, cancel)
+		return held.Import, nil
+	}
+	run.close()
+	if failure := endError(event.GetEnd()); failure != nil {
+		return nil, failure
+	}
+	return nil, result.Fail(result.EndpointFailed, result.RanYes, "%s did not hold its part", member.Name)
+}
+
+// watchHold follows a held part. Its KV cache stays as long as the stream, which
+// ends with the span's context. A member that fails ends the whole span, whose
+// lead would otherwise decode from a cache that is gone.
+func watchHold(run *run, cancel context.CancelFunc) {
+	defer run.close()
+	defer cancel()
+	for {
+		event, err := run.next()
+		if err != nil || event.GetEnd() != nil {
+			return
+		}
+	}
+}
+
+// lead generates the answer on the last member.
+func (g *generation) lead(ctx context.Context, member *routing.Endpoint, imports []*wire.Import, held int) *result.Error {
+	r := g.routing
+	r.PromptTokens, r.SpanPart = g.routing.PromptTokens-held, true
+	reservation, refusal := g.entry.reserve(ctx, g.call, member, &r)
+	if refusal != nil {
+		g.routing.Tried[member.Name] = true
+		return refusal
+	}
+	request := g.request(reservation)
+	request.Imports = imports
+	request.RemainingMs = time.Until(g.call.deadline).Milliseconds()
+	failure := g.stream(ctx, member, request)
+	if failure != nil {
+		g.routing.Tried[member.Name] = true
+	}
+	return failure
+}
--- /dev/null
+++ b/entry/store.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"aspenyard.example/catalogue"
+)
+
+const (
+	// watchWait is how long a watch waits at the store before it is renewed.
+	watchWait = 30 * time.Second
+	// dutyPoll is how often an entry without the reader's duty looks for it.
+	dutyPoll = 200 * time.Millisecond
+	// minStoreBackoff and maxStoreBackoff bound the wait after a failed read: it
+	// doubles, with jitter, so that the store's return is not met by all readers
+	// at once.
+	minStoreBackoff = 200 * time.Millisecond
+	maxStoreBackoff = 5 * time.Second
+)
+
+// followStore watches the catalogue's pages while this entry has the reader's
+// duty. An entry that holds it wrongly costs the store a few watches.
+func (e *Entry) followStore(ctx context.Context) {
+	var missing atomic.Int64
+	missing.Store(catalogue.PageCount)
+	for page := range catalogue.PageCount {
+		go e.followPage(ctx, page, &missing)
+	}
+}
+
+func (e *Entry) followPage(ctx context.Context, page int, missing *atomic.Int64) {
+	revision, read := uint64(0), false
+	backoff := minStoreBackoff
+	for ctx.Err() == nil {
+		if !e.control.reader.Load() && (read || e.catalogue.Ready()) {
+			wait(ctx, dutyPoll)
+			continue
+		}
+		next, err := e.readPage(ctx, page, revision, read)
+		if err != nil {
+			wait(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, maxStoreBackoff)
+			continue
+		}
+		backoff = minStoreBackoff
+		revision = next
+		if !read {
+			read = true
+			if missing.Add(-1) == 0 {
+				e.catalogue.SetReady()
+			}
+		}
+	}
+}
+
+// readPage reads a page at once the first time and watches it after that.
+func (e *Entry) readPage(ctx context.Context, number int, revision uint64, watch bool) (uint64, error) {
+	key := catalogue.PageKey(number)
+	get := func() (value storeValue, err error) {
+		if !watch {
+			return e.store.Get(ctx, key)
+		}
+		return e.store.Watch(ctx, key, revision, watchWait)
+	}
+	value, err := get()
+	if err != nil {
+		return 0, err
+	}
+	page, err := catalogue.DecodePage(value.Data)
+	if err != nil {
+		e.log.Error("the store holds a page that cannot be read", zap.Int("page", number), zap.Error(err))
+		return 0, err
+	}
+	if value.Revision != revision {
+		e.catalogue.Offer(number, page)
+	}
+	return value.Revision, nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/membership/loop.go
@@ -0,0 +1,265 @@
+package membership
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"aspenyard.example/platform"
+	"aspenyard.example/wire"
+)
+
+// ErrStopped is returned by Do once the loop has stopped.
+var ErrStopped = errors.New("membership: control loop stopped")
+
+// Stats counts the loop's traffic.
+type Stats struct {
+	SentBytes, ReceivedBytes, SentDatagrams, ReceivedDatagrams atomic.Uint64
+}
+
+// Loop is a node's control thread: one gnet event loop over UDP.
+type Loop struct {
+	gnet.BuiltinEventEngine
+
+	// Stats is safe to read from any thread.
+	Stats Stats
+
+	config   Config
+	delegate Delegate
+	state    *state
+	view     atomic.Pointer[View]
+	events   atomic.Pointer[gnet.EventLoop]
+	engine   gnet.Engine
+	sender   net.PacketConn
+	stopped  chan struct{}
+	stopOnce sync.Once
+	booted   chan struct{}
+	left     atomic.Bool
+}
+
+// NewLoop makes a loop; Run starts it.
+func NewLoop(config Config, delegate Delegate) *Loop {
+	config.setDefaults()
+	l := &Loop{
+		config: config, delegate: delegate, state: newState(config),
+		stopped: make(chan struct{}), booted: make(chan struct{}),
+	}
+	l.view.Store(&View{Members: map[string]*Member{}})
+	return l
+}
+
+// View is the latest published view; safe from any thread.
+func (l *Loop) View() *View { return l.view.Load() }
+
+// Leaving tells whether this node is known to be leaving; safe from any thread.
+func (l *Loop) Leaving() bool { return l.left.Load() }
+
+// Run serves until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	go func() {
+		<-ctx.Done()
+		l.stop()
+	}()
+	err := gnet.Run(l, "udp://"+l.config.Listen, gnet.WithTicker(true), gnet.WithMulticore(false), gnet.WithNumEventLoop(1), gnet.WithLogger(silentLogger{}))
+	l.stop()
+	return errors.Wrap(err, "control loop")
+}
+
+func (l *Loop) stop() {
+	l.stopOnce.Do(func() {
+		close(l.stopped)
+		select {
+		case <-l.booted:
+			_ = l.engine.Stop(context.Background())
+		default:
+		}
+	})
+}
+
+// OnBoot implements gnet.EventHandler: it takes a second handle of the socket,
+// to send from the address that is listened on.
+func (l *Loop) OnBoot(engine gnet.Engine) gnet.Action {
+	l.engine = engine
+	fd, err := engine.Dup()
+	if err != nil {
+		return gnet.Shutdown
+	}
+	file := os.NewFile(uintptr(fd), "heartbeats")
+	l.sender, err = net.FilePacketConn(file)
+	_ = file.Close()
+	if err != nil {
+		return gnet.Shutdown
+	}
+	close(l.booted)
+	return gnet.None
+}
+
+// OnTick implements gnet.EventHandler. gnet calls it beside the event loop, so
+// the work is passed on to it.
+func (l *Loop) OnTick() (time.Duration, gnet.Action) {
+	if l.events.Load() == nil {
+		// The event loop's handle comes with its first datagram: send it one.
+		l.send(l.config.Listen, nil)
+		return l.config.Tick, gnet.None
+	}
+	l.Post(l.tick)
+	return l.config.Tick, gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (l *Loop) OnTraffic(c gnet.Conn) gnet.Action {
+	if l.events.Load() == nil {
+		events := c.EventLoop()
+		l.events.Store(&events)
+	}
+	data, err := c.Next(-1)
+	if err != nil || len(data) == 0 {
+		return gnet.None
+	}
+	l.Stats.ReceivedBytes.Add(uint64(len(data) + headerBytes))
+	l.Stats.ReceivedDatagrams.Add(1)
+	var h wire.Heartbeat
+	if proto.Unmarshal(data, &h) != nil {
+		return gnet.None
+	}
+	l.heard(time.Now(), &h)
+	return gnet.None
+}
+
+// headerBytes is what IPv4 and UDP add to a datagram.
+const headerBytes = 28
+
+func (l *Loop) heard(now time.Time, h *wire.Heartbeat) {
+	if !l.state.heard(now, h) {
+		return
+	}
+	l.delegate.Heard(now, h)
+	if !h.Reply && l.config.Role == RoleEntry && h.Role == RoleAgent {
+		l.beat(now, []string{h.Addr}, true)
+	}
+}
+
+func (l *Loop) tick() {
+	now := time.Now()
+	l.state.tick(now)
+	l.left.Store(l.state.leaving)
+	if !now.Before(l.state.nextBeat) {
+		l.state.nextBeat = now.Add(l.state.interval)
+		l.beat(now, l.state.targets(), false)
+	}
+	if l.state.dirty {
+		l.state.dirty = false
+		l.view.Store(l.state.view())
+	}
+	l.delegate.Tick(now, l.View())
+}
+
+// beat sends one heartbeat to each address.
+func (l *Loop) beat(now time.Time, targets []string, reply bool) {
+	if len(targets) == 0 {
+		return
+	}
+	l.state.sequence++
+	h := &wire.Heartbeat{
+		Node: l.config.Node, Role: l.config.Role, DataCentre: l.config.DataCentre, Addr: l.config.Advertise,
+		Incarnation: l.config.Incarnation, Sequence: l.state.sequence, Leaving: l.state.leaving, Reply: reply,
+		AdvisedIntervalMs: l.state.advisedInterval(), LeavingNodes: l.state.listLeaving(),
+	}
+	l.delegate.Fill(now, h)
+	data, err := proto.Marshal(h)
+	if err != nil {
+		return
+	}
+	for _, target := range targets {
+		l.send(target, data)
+	}
+}
+
+func (l *Loop) send(target string, data []byte) {
+	addr, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		return
+	}
+	// A datagram that cannot be sent is the same as one that is lost.
+	if _, err := l.sender.WriteTo(data, addr); err == nil {
+		l.Stats.SentBytes.Add(uint64(len(data) + headerBytes))
+		l.Stats.SentDatagrams.Add(1)
+	}
+}
+
+// Leave marks this node as leaving and tells the entries at once.
+func (l *Loop) Leave() {
+	l.left.Store(true)
+	l.Post(func() {
+		l.state.leaving = true
+		l.beat(time.Now(), l.state.targets(), false)
+	})
+}
+
+// SetList takes in the platform's list.
+func (l *Loop) SetList(vms []platform.VM) {
+	l.Post(func() { l.state.listed(time.Now(), vms) })
+}
+
+// Post runs f on the control thread, some time later. It is dropped once the
+// loop has stopped.
+func (l *Loop) Post(f func()) {
+	events := l.events.Load()
+	if events == nil {
+		go func() {
+			if l.awaitEvents() {
+				l.Post(f)
+			}
+		}()
+		return
+	}
+	_ = (*events).Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		f()
+		return nil
+	}))
+}
+
+func (l *Loop) awaitEvents() bool {
+	for l.events.Load() == nil {
+		select {
+		case <-l.stopped:
+			return false
+		case <-time.After(l.config.Tick):
+		}
+	}
+	return true
+}
+
+// Do runs f on the control thread and waits for it. Errors: the context's, or
+// ErrStopped; f may still run after the context's end.
+func (l *Loop) Do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	l.Post(func() {
+		f()
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	case <-l.stopped:
+		return ErrStopped
+	}
+}
+
+// silentLogger keeps gnet from writing lines that are not JSON.
+type silentLogger struct{}
+
+func (silentLogger) Debugf(string, ...any) {}
+func (silentLogger) Infof(string, ...any)  {}
+func (silentLogger) Warnf(string, ...any)  {}
+func (silentLogger) Errorf(string, ...any) {}
+func (silentLogger) Fatalf(string, ...any) {}
--- /dev/null
+++ b/membership/state.go
@@ -0,0 +1,282 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"aspenyard.example/platform"
+	"aspenyard.example/wire"
+)
+
+// Member is one node in a view.
+type Member struct {
+	// Last is the latest heartbeat accepted; nil when only the list knows it.
+	Last *wire.Heartbeat
+	// VM is the platform's line; Listed tells whether there is one.
+	VM     platform.VM
+	Listed bool
+	// Suspect: silent for too long. Leaving: by its own word or the list's.
+	Suspect, Leaving bool
+	// Heard is when Last arrived, moved on by this observer's own pauses.
+	Heard time.Time
+	// Unlisted is when the list was first read without this node; zero: listed.
+	Unlisted time.Time
+}
+
+// Addr is the node's address.
+func (m *Member) Addr() string {
+	if m.Last != nil {
+		return m.Last.Addr
+	}
+	return m.VM.Addr
+}
+
+// Name is the node's name.
+func (m *Member) Name() string {
+	if m.Last != nil {
+		return m.Last.Node
+	}
+	return m.VM.Name
+}
+
+// Role is the node's role.
+func (m *Member) Role() string {
+	if m.Last != nil {
+		return m.Last.Role
+	}
+	return m.VM.Role
+}
+
+// DataCentre is where the node stands.
+func (m *Member) DataCentre() string {
+	if m.Last != nil {
+		return m.Last.DataCentre
+	}
+	return m.VM.DataCentre
+}
+
+// Alive tells whether the node was heard of lately and is not leaving.
+func (m *Member) Alive() bool {
+	return m.Last != nil && !m.Suspect && !m.Leaving
+}
+
+// View is an immutable state of the membership.
+type View struct {
+	// Members by name, this node excluded.
+	Members map[string]*Member
+	// ListRead is when the platform's list was last read; zero: never.
+	ListRead time.Time
+}
+
+// Entries lists the live entries of a data centre ("" for all), this node
+// excluded, by name.
+func (v *View) Entries(dataCentre string) []*Member {
+	var entries []*Member
+	for _, m := range v.Members {
+		if m.Role() == RoleEntry && m.Alive() && (dataCentre == "" || m.DataCentre() == dataCentre) {
+			entries = append(entries, m)
+		}
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Name() < entries[j].Name() })
+	return entries
+}
+
+// state is the membership itself. It belongs to the control thread.
+type state struct {
+	config   Config
+	members  map[string]*Member
+	listRead time.Time
+	leaving  bool // this node, by any source
+	lastTick time.Time
+	nextBeat time.Time
+	sequence uint64
+	interval time.Duration
+	dirty    bool
+}
+
+func newState(config Config) *state {
+	return &state{config: config, members: map[string]*Member{}, interval: config.Interval}
+}
+
+// heard accepts a heartbeat unless it is older than what is known.
+func (s *state) heard(now time.Time, h *wire.Heartbeat) bool {
+	if h.Node == s.config.Node || h.Node == "" {
+		return false
+	}
+	member := s.members[h.Node]
+	if member == nil {
+		member = &Member{}
+		s.members[h.Node] = member
+	}
+	if last := member.Last; last != nil {
+		// A delayed datagram of an earlier life, or one overtaken on its way, must
+		// not bring back an old state such as "not leaving".
+		if h.Incarnation < last.Incarnation || (h.Incarnation == last.Incarnation && h.Sequence <= last.Sequence) {
+			return false
+		}
+	}
+	leaving := h.Leaving || (member.Listed && member.VM.Leaving)
+	if member.Last != nil && member.Last.Incarnation == h.Incarnation {
+		// One life never stops leaving; another source may have said so first.
+		leaving = leaving || member.Leaving
+	}
+	member.Last, member.Heard = h, now
+	member.Suspect, member.Leaving = false, leaving
+	s.dirty = true
+	for _, name := range h.LeavingNodes {
+		s.markLeaving(name)
+	}
+	if h.Role == RoleEntry && s.config.Role == RoleAgent && h.AdvisedIntervalMs > 0 {
+		s.interval = max(s.config.Interval, time.Duration(h.AdvisedIntervalMs)*time.Millisecond)
+	}
+	return true
+}
+
+// markLeaving believes another node's word that the platform's list has a node
+// as leaving.
+func (s *state) markLeaving(name string) {
+	if name == s.config.Node {
+		s.leaving = true
+		return
+	}
+	if member := s.members[name]; member != nil && !member.Leaving {
+		member.Leaving = true
+		s.dirty = true
+	}
+}
+
+// listed takes in the platform's list.
+func (s *state) listed(now time.Time, vms []platform.VM) {
+	s.listRead = now
+	s.dirty = true
+	seen := map[string]bool{}
+	for _, vm := range vms {
+		seen[vm.Name] = true
+		if vm.Name == s.config.Node {
+			s.leaving = s.leaving || vm.Leaving
+			continue
+		}
+		member := s.members[vm.Name]
+		if member == nil {
+			member = &Member{}
+			s.members[vm.Name] = member
+		}
+		member.VM, member.Listed, member.Unlisted = vm, true, time.Time{}
+		member.Leaving = member.Leaving || vm.Leaving
+	}
+	for name, member := range s.members {
+		if seen[name] {
+			continue
+		}
+		member.Listed = false
+		if member.Unlisted.IsZero() {
+			member.Unlisted = now
+		}
+	}
+}
+
+// tick runs the failure detector.
+//
+// When this process was itself paused, all others look silent afterwards. The
+// gap between two ticks shows the pause, and every member's last heartbeat is
+// moved on by it, so that nobody is suspected for this node's own absence.
+func (s *state) tick(now time.Time) {
+	if !s.lastTick.IsZero() {
+		if pause := now.Sub(s.lastTick) - s.config.Tick; pause > s.config.Tick {
+			for _, member := range s.members {
+				member.Heard = member.Heard.Add(pause)
+			}
+		}
+	}
+	s.lastTick = now
+	limit := s.suspectAfter()
+	for name, member := range s.members {
+		silent := now.Sub(member.Heard)
+		if member.Last != nil && !member.Suspect && silent > limit {
+			member.Suspect = true
+			s.dirty = true
+		}
+		if !member.Listed && silent > s.config.ForgetAfter {
+			delete(s.members, name)
+			s.dirty = true
+		}
+	}
+}
+
+// suspectAfter stretches with the interval that a large fleet needs.
+func (s *state) suspectAfter() time.Duration {
+	advised := time.Duration(s.advisedInterval()) * time.Millisecond
+	return max(s.config.SuspectAfter, missedBeforeSuspect*advised)
+}
+
+// advisedInterval is what this entry asks of its agents, in milliseconds, so
+// that their heartbeats stay within its bytes a second.
+func (s *state) advisedInterval() int64 {
+	if s.config.Role != RoleEntry {
+		return 0
+	}
+	agents := 0
+	for _, member := range s.members {
+		if member.Role() == RoleAgent {
+			agents++
+		}
+	}
+	needed := time.Duration(agents*heartbeatBytes) * time.Second / time.Duration(s.config.BytesPerSecond)
+	return max(s.config.Interval, needed).Milliseconds()
+}
+
+// targets lists the addresses of this round of heartbeats. Everyone reports to
+// the entries; agents are answered and need no round of their own.
+func (s *state) targets() []string {
+	var targets []string
+	known := map[string]bool{}
+	add := func(addr string) {
+		if addr != "" && !known[addr] && addr != s.config.Advertise {
+			known[addr] = true
+			targets = append(targets, addr)
+		}
+	}
+	for _, member := range s.members {
+		if member.Role() != RoleEntry {
+			continue
+		}
+		near := member.DataCentre() == s.config.DataCentre
+		if s.config.Role == RoleAgent || near || rand.IntN(farEvery) == 0 {
+			add(member.Addr())
+		}
+	}
+	if len(targets) == 0 {
+		for _, seed := range s.config.Seeds {
+			add(seed)
+		}
+	}
+	return targets
+}
+
+// farEvery: entries of other data centres are told in one of this many rounds.
+const farEvery = 3
+
+// listLeaving names the nodes that the platform's list has as leaving and that
+// may not know it yet.
+func (s *state) listLeaving() []string {
+	var names []string
+	for name, member := range s.members {
+		if member.Listed && member.VM.Leaving && len(names) < maxLeavingNames {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// maxLeavingNames keeps a heartbeat within one datagram.
+const maxLeavingNames = 16
+
+func (s *state) view() *View {
+	view := &View{Members: make(map[string]*Member, len(s.members)), ListRead: s.listRead}
+	for name, member := range s.members {
+		shown := *member
+		view.Members[name] = &shown
+	}
+	return view
+}
--- /dev/null
+++ b/node/catalogue.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"aspenyard.example/catalogue"
+	"aspenyard.example/membership"
+	"aspenyard.example/wire"
+)
+
+// Catalogue spreads the catalogue between nodes. Each heartbeat carries a digest
+// of its sender's page revisions; a node that hears of something it lacks pulls
+// the difference.
+type Catalogue struct {
+	loop    *membership.Loop
+	clients *Clients
+	log     *zap.Logger
+	replica *catalogue.Replica // control thread only
+	view    atomic.Pointer[catalogue.View]
+	pulling bool // control thread only
+	ready   atomic.Bool
+	pulled  atomic.Uint64
+}
+
+// NewCatalogue makes an empty catalogue; Attach gives it its loop.
+func NewCatalogue(clients *Clients, log *zap.Logger) *Catalogue {
+	c := &Catalogue{clients: clients, log: log, replica: catalogue.NewReplica()}
+	c.view.Store(c.replica.View())
+	return c
+}
+
+// Attach sets the control loop, before it runs.
+func (c *Catalogue) Attach(loop *membership.Loop) { c.loop = loop }
+
+// View is the present catalogue; safe from any thread.
+func (c *Catalogue) View() *catalogue.View { return c.view.Load() }
+
+// Ready tells whether the catalogue came from the store or from a ready peer.
+func (c *Catalogue) Ready() bool { return c.ready.Load() }
+
+// SetReady is called once the store's pages have all been read.
+func (c *Catalogue) SetReady() { c.ready.Store(true) }
+
+// PulledBytes counts what came from peers.
+func (c *Catalogue) PulledBytes() uint64 { return c.pulled.Load() }
+
+// Fill adds the digest to a heartbeat; control thread.
+func (c *Catalogue) Fill(h *wire.Heartbeat) {
+	h.CatalogueRevision, h.CatalogueHash = c.replica.View().Digest()
+}
+
+// Heard compares a peer's digest and pulls if the peer may have something newer;
+// control thread. The sum alone is not enough: two nodes may each lack an edit
+// that the other has.
+func (c *Catalogue) Heard(h *wire.Heartbeat) {
+	sum, hash := c.replica.View().Digest()
+	if hash == h.CatalogueHash && sum == h.CatalogueRevision {
+		if h.Role == membership.RoleEntry && sum > 0 {
+			c.ready.Store(true)
+		}
+		return
+	}
+	if c.pulling || h.CatalogueRevision == 0 {
+		return
+	}
+	c.pulling = true
+	go c.pull(h.Addr, c.replica.View().Revisions())
+}
+
+// pullTimeout bounds one pull.
+const pullTimeout = 5 * time.Second
+
+func (c *Catalogue) pull(addr string, revisions []uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	response, err := c.clients.Peer(addr).Pull(ctx, connect.NewRequest(&wire.PullRequest{Revisions: revisions}))
+	if err != nil {
+		c.log.Debug("catalogue pull failed", zap.String("peer", addr), zap.Error(err))
+	}
+	c.loop.Post(func() {
+		c.pulling = false
+		if err != nil {
+			return
+		}
+		for _, change := range response.Msg.Changes {
+			c.apply(fromWire(change))
+		}
+	})
+}
+
+func fromWire(change *wire.PageChange) catalogue.Change {
+	out := catalogue.Change{Page: int(change.Page), Revision: change.Revision}
+	for _, data := range change.Entries {
+		var record catalogue.Record
+		if json.Unmarshal(data, &record) == nil {
+			out.Records = append(out.Records, &record)
+		}
+	}
+	return out
+}
+
+func (c *Catalogue) apply(change catalogue.Change) {
+	if c.replica.Apply(change) {
+		c.view.Store(c.replica.View())
+	}
+}
+
+// Offer takes in a page as the store holds it; any thread.
+func (c *Catalogue) Offer(number int, page catalogue.Page) {
+	c.loop.Post(func() {
+		before := c.replica.Refused
+		if c.replica.ApplyPage(number, page) {
+			c.view.Store(c.replica.View())
+		}
+		if c.replica.Refused > before {
+			c.log.Warn("refused an old catalogue page from the store", zap.Int("page", number), zap.Uint64("revision", page.Revision))
+		}
+	})
+}
+
+// Pull implements wireconnect.PeerHandler.
+func (c *Catalogue) Pull(_ context.Context, request *connect.Request[wire.PullRequest]) (*connect.Response[wire.PullResponse], error) {
+	response := &wire.PullResponse{}
+	for _, change := range c.View().ChangesSince(request.Msg.Revisions) {
+		out := &wire.PageChange{Page: uint32(change.Page), Revision: change.Revision}
+		for _, record := range change.Records {
+			data, err := json.Marshal(record)
+			if err != nil {
+				return nil, connect.NewError(connect.CodeInternal, err)
+			}
+			out.Entries = append(out.Entries, data)
+		}
+		response.Changes = append(response.Changes, out)
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Revisions implements wireconnect.PeerHandler.
+func (c *Catalogue) Revisions(context.Context, *connect.Request[wire.RevisionsRequest]) (*connect.Response[wire.RevisionsResponse], error) {
+	return connect.NewResponse(&wire.RevisionsResponse{Revisions: c.View().Revisions()}), nil
+}
--- /dev/null
+++ b/node/operators.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"aspenyard.example/membership"
+)
+
+// NewLog makes the process's log: JSON lines on standard error, each with the
+// node's name and role.
+func NewLog(name, role string) *zap.Logger {
+	config := zap.NewProductionConfig()
+	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.Sampling = nil
+	log, err := config.Build()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "log:", err)
+		return zap.NewNop()
+	}
+	return log.With(zap.String("node", name), zap.String("role", role))
+}
+
+// ServeHTTP serves plain HTTP on the listener until ctx ends, then closes all
+// connections.
+func ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeaderBytes}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve HTTP")
+	}
+	return nil
+}
+
+const maxHeaderBytes = 64 << 10
+
+// OperatorsMux serves metrics, liveness and readiness. ready returns nil once
+// the balancer may send work.
+func OperatorsMux(set *metrics.Set, ready func() error) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	return mux
+}
+
+// LoopMetrics exposes the control loop's traffic.
+func LoopMetrics(set *metrics.Set, loop *membership.Loop) {
+	set.NewGauge("aspenyard_control_sent_bytes_total", func() float64 { return float64(loop.Stats.SentBytes.Load()) })
+	set.NewGauge("aspenyard_control_received_bytes_total", func() float64 { return float64(loop.Stats.ReceivedBytes.Load()) })
+	set.NewGauge("aspenyard_control_members", func() float64 { return float64(len(loop.View().Members)) })
+}
--- /dev/null
+++ b/result/result_test.go
@@ -0,0 +1,42 @@
+package result
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestTableIsAscendingAndComplete(t *testing.T) {
+	is := is.New(t)
+	last := Code(0)
+	names := map[string]bool{}
+	for _, info := range Table() {
+		is.True(info.Code > last)         // codes ascend
+		is.True(!names[info.Name])        // names are unique
+		is.True(info.Meaning != "")       // each has a meaning
+		is.True(info.Action != "")        // each has an action
+		is.True(info.HTTPStatus >= 200)   // each has a status
+		is.Equal(Lookup(info.Code), info) // lookup finds it
+		last = info.Code
+		names[info.Name] = true
+	}
+}
+
+func TestDocsHoldTheTable(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/RESULT-CODES.md")
+	is.NoErr(err)
+	is.Equal(string(page), Markdown()) // run: aspenyard version --codes > docs/RESULT-CODES.md
+}
+
+func TestFromClaimsNothingOfUnknownErrors(t *testing.T) {
+	is := is.New(t)
+	is.Equal(From(errors.New("x")).Ran, RanUnknown)
+	wrapped := fmt.Errorf("outer: %w", Refuse(Overloaded, 0, "full"))
+	is.Equal(From(wrapped).Code, Overloaded)
+	is.Equal(From(wrapped).Ran, RanNo)
+	is.True(From(nil) == nil)
+}
--- /dev/null
+++ b/routing/filter_serves.go
@@ -0,0 +1,18 @@
+package routing
+
+import "slices"
+
+// Serves keeps live endpoints that have the model or service, and drops those
+// that are suspect, leaving, or have failed this request before.
+type Serves struct{}
+
+// Keep implements Filter.
+func (Serves) Keep(r *Request, e *Endpoint) bool {
+	if e.Suspect || e.Leaving || r.Tried[e.Name] {
+		return false
+	}
+	if r.Service != "" {
+		return slices.Contains(e.Services, r.Service)
+	}
+	return slices.Contains(e.Models, r.Model)
+}
--- /dev/null
+++ b/routing/policies.go
@@ -0,0 +1,91 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Names of the policies: the project's own and the baselines kept for comparison.
+const (
+	PolicyAspenyard        = "aspenyard"
+	PolicyRandom           = "random"
+	PolicyRoundRobin       = "round-robin"
+	PolicyLeastOutstanding = "least-outstanding"
+	PolicyTwoChoices       = "two-choices"
+)
+
+// PolicyNames lists all policies, the project's own last.
+func PolicyNames() []string {
+	return []string{PolicyRandom, PolicyRoundRobin, PolicyLeastOutstanding, PolicyTwoChoices, PolicyAspenyard}
+}
+
+const (
+	// dispatchMemory outlasts the lag of load reports.
+	dispatchMemory = 10 * time.Second
+	// prefixMemory bounds the prefix index: 64 bytes a beginning.
+	prefixMemory = 16_384
+	// pickSlack is how much worse than the best a pick may be, in seconds.
+	pickSlack = 0.002
+	// dataCentreTrip is the round trip between data centres, in seconds.
+	dataCentreTrip = 0.002
+)
+
+// Outstanding counts an entry's own requests in flight by endpoint.
+type Outstanding interface {
+	// Count is the number in flight at an endpoint.
+	Count(endpoint string) int
+}
+
+// New makes a policy by name. outstanding is needed by least-outstanding only.
+func New(name string, random Rand, outstanding Outstanding) (*Policy, error) {
+	basic := []Filter{Serves{}, Memory{}}
+	switch name {
+	case PolicyRandom:
+		return &Policy{Name: name, Filters: basic, Picker: Random{random}}, nil
+	case PolicyRoundRobin:
+		return &Policy{Name: name, Filters: basic, Picker: &RoundRobin{}}, nil
+	case PolicyLeastOutstanding:
+		return &Policy{Name: name, Filters: basic, Scorers: []Scorer{InFlight{outstanding}}, Picker: Lowest{Rand: random}}, nil
+	case PolicyTwoChoices:
+		return &Policy{Name: name, Filters: basic, Scorers: []Scorer{ReportedLoad{}}, Picker: TwoChoices{random}}, nil
+	case PolicyAspenyard:
+		return aspenyard(random), nil
+	}
+	return nil, errors.Errorf("no policy %q; there are %v", name, PolicyNames())
+}
+
+func aspenyard(random Rand) *Policy {
+	sent := NewDispatches(dispatchMemory)
+	prefixes := NewPrefixIndex(prefixMemory)
+	return &Policy{
+		Name:       PolicyAspenyard,
+		Filters:    []Filter{Serves{}, Memory{}},
+		Scorers:    []Scorer{QueueDelay{sent}, Crowding{sent}, PrefixAffinity{prefixes}, Distance{dataCentreTrip}},
+		Picker:     Lowest{Slack: pickSlack, Rand: random},
+		Priorities: true,
+		Admission:  true,
+		Note: func(now time.Time, r *Request, e *Endpoint) {
+			sent.Note(now, r, e.Name)
+			prefixes.Note(r, e.Name)
+		},
+	}
+}
+
+// InFlight costs an endpoint by this entry's own requests there.
+type InFlight struct {
+	Outstanding Outstanding
+}
+
+// Cost implements Scorer; its unit is requests.
+func (s InFlight) Cost(_ *Request, e *Endpoint) float64 {
+	return float64(s.Outstanding.Count(e.Name))
+}
+
+// ReportedLoad costs an endpoint by the load it last reported.
+type ReportedLoad struct{}
+
+// Cost implements Scorer; its unit is requests.
+func (ReportedLoad) Cost(_ *Request, e *Endpoint) float64 {
+	return float64(e.Running + e.Queued)
+}
--- /dev/null
+++ b/routing/scorer_prefix.go
@@ -0,0 +1,113 @@
+package routing
+
+import (
+	"container/list"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// prefixLengths are the beginnings of a prompt that are hashed, in tokens.
+var prefixLengths = []int{1 << 10, 1 << 11, 1 << 12, 1 << 13, 1 << 14, 1 << 15, 1 << 16, 1 << 17, 1 << 18, 1 << 19}
+
+// PrefixHashes hashes the beginnings of a prompt at lengths that double from
+// 1,024 tokens, so that a few numbers tell how much two prompts share.
+func PrefixHashes(prompt string, bytesPerToken int) []uint64 {
+	var hashes []uint64
+	digest := xxhash.New()
+	done := 0
+	for _, tokens := range prefixLengths {
+		end := tokens * bytesPerToken
+		if end > len(prompt) {
+			break
+		}
+		_, _ = digest.WriteString(prompt[done:end])
+		done = end
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
+}
+
+// PrefixIndex remembers which endpoints this entry sent which beginnings to. The
+// engines' own cache events come late and with gaps, and an entry's own choices
+// tell nearly the same; a wrong memory costs a little time only.
+type PrefixIndex struct {
+	mu      sync.Mutex
+	size    int
+	entries map[uint64]*list.Element
+	recent  *list.List
+}
+
+type prefixEntry struct {
+	hash      uint64
+	endpoints [prefixHolders]string
+}
+
+// prefixHolders is how many endpoints are remembered for one beginning.
+const prefixHolders = 3
+
+// NewPrefixIndex makes an index of at most size beginnings.
+func NewPrefixIndex(size int) *PrefixIndex {
+	return &PrefixIndex{size: size, entries: map[uint64]*list.Element{}, recent: list.New()}
+}
+
+// Note remembers that the prompt went to an endpoint.
+func (x *PrefixIndex) Note(r *Request, endpoint string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, hash := range r.Prefix {
+		x.note(hash, endpoint)
+	}
+}
+
+func (x *PrefixIndex) note(hash uint64, endpoint string) {
+	element := x.entries[hash]
+	if element == nil {
+		element = x.recent.PushFront(&prefixEntry{hash: hash})
+		x.entries[hash] = element
+		if x.recent.Len() > x.size {
+			oldest := x.recent.Remove(x.recent.Back()).(*prefixEntry)
+			delete(x.entries, oldest.hash)
+		}
+	}
+	x.recent.MoveToFront(element)
+	entry := element.Value.(*prefixEntry)
+	for i, name := range entry.endpoints {
+		if name == endpoint || i == prefixHolders-1 {
+			copy(entry.endpoints[1:i+1], entry.endpoints[:i])
+			entry.endpoints[0] = endpoint
+			return
+		}
+	}
+}
+
+// Cached estimates how many tokens of the prompt an endpoint has cached.
+func (x *PrefixIndex) Cached(r *Request, endpoint string) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i := len(r.Prefix) - 1; i >= 0; i-- {
+		element := x.entries[r.Prefix[i]]
+		if element == nil {
+			continue
+		}
+		for _, name := range element.Value.(*prefixEntry).endpoints {
+			if name == endpoint {
+				return prefixLengths[i]
+			}
+		}
+	}
+	return 0
+}
+
+// PrefixAffinity credits the prefill that an endpoint's prefix cache saves.
+type PrefixAffinity struct {
+	Index *PrefixIndex
+}
+
+// Cost implements Scorer.
+func (s PrefixAffinity) Cost(r *Request, e *Endpoint) float64 {
+	if len(r.Prefix) == 0 {
+		return 0
+	}
+	return -float64(s.Index.Cached(r, e.Name)) / rate(e)
+}
--- /dev/null
+++ b/routing/scorer_queue.go
@@ -0,0 +1,60 @@
+package routing
+
+import "math"
+
+// QueueDelay is the time that the endpoint's backlog ahead of the request takes,
+// corrected by what this entry has sent there since the report.
+//
+// Reports lag. Without the correction every request that arrives between two
+// reports goes to the endpoint that was idle at the first, which by then is the
+// busiest.
+type QueueDelay struct {
+	Sent *Dispatches
+}
+
+// unknownRate stands for an endpoint that has not told its prefill rate.
+const unknownRate = 10_000
+
+// Cost implements Scorer.
+func (s QueueDelay) Cost(r *Request, e *Endpoint) float64 {
+	tokens := e.Backlog.Before(r.Level())
+	if s.Sent != nil {
+		tokens += s.Sent.Since(e.Name, e.Reported).Before(r.Level())
+	}
+	return float64(tokens) / rate(e)
+}
+
+func rate(e *Endpoint) float64 {
+	if e.PrefillRate == 0 {
+		return unknownRate
+	}
+	return float64(e.PrefillRate)
+}
+
+// Crowding is the expected wait for a place in the batch and for memory.
+type Crowding struct {
+	Sent *Dispatches
+}
+
+// slotTurnover is how long a full batch takes to free a place, in seconds.
+const slotTurnover = 0.25
+
+// Cost implements Scorer.
+func (s Crowding) Cost(r *Request, e *Endpoint) float64 {
+	running := e.Running + e.Queued
+	memory := e.FreeMemory
+	if s.Sent != nil {
+		count, tokens := s.Sent.CountSince(e.Name, e.Reported)
+		running += count
+		memory -= tokens
+	}
+	cost := 0.0
+	if over := running + 1 - e.MaxRunning; over > 0 {
+		cost += slotTurnover * float64(over)
+	}
+	if e.MemoryTokens > 0 {
+		missing := r.PromptTokens + r.OutputTokens - memory
+		cost += math.Max(0, float64(missing)) / rate(e)
+	}
+	return cost
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,227 @@
+// Package settings reads and checks the JSON settings of a process. A file is
+// checked wholly at start: every fault is reported with its field, its value
+// and what is allowed, so that an operator mends them in one go.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Fault is one thing wrong in a file.
+type Fault struct {
+	// Field is the path of the field, such as "seeds[1]"; empty: the whole file.
+	Field string
+	// Value is what the file has, as JSON.
+	Value string
+	// Allowed says what the field takes.
+	Allowed string
+}
+
+// String gives the fault on one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("field %q: value %s: allowed: %s", f.Field, f.Value, f.Allowed)
+}
+
+// Faults is an error made of all faults of one file.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, fault := range f {
+		lines = append(lines, fault.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Add notes a fault.
+func (f *Faults) Add(field string, value any, allowed string) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		text = []byte(fmt.Sprint(value))
+	}
+	*f = append(*f, Fault{Field: field, Value: string(text), Allowed: allowed})
+}
+
+// Err gives nil when there are no faults.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
+
+// Duration is a time.Duration written with its unit, such as "250ms".
+type Duration time.Duration
+
+// D gives the standard type.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// MarshalJSON writes the duration with its unit.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON takes a string with a unit; a bare number is refused because
+// its unit would be a guess.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return Faults{{Value: string(data), Allowed: `a duration with its unit, such as "250ms"`}}
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return Faults{{Value: string(data), Allowed: `a duration with its unit, such as "250ms"`}}
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Size is a number of bytes written with its unit, such as "8MB" (10^6) or "1MiB".
+type Size int64
+
+var sizeUnits = []struct {
+	suffix string
+	bytes  int64
+}{
+	{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30},
+	{"KB", 1_000}, {"MB", 1_000_000}, {"GB", 1_000_000_000}, {"B", 1},
+}
+
+// MarshalJSON writes the size in bytes.
+func (s Size) MarshalJSON() ([]byte, error) {
+	return json.Marshal(fmt.Sprintf("%dB", int64(s)))
+}
+
+// UnmarshalJSON takes a whole number followed by a unit.
+func (s *Size) UnmarshalJSON(data []byte) error {
+	fault := Faults{{Value: string(data), Allowed: `a size with its unit, such as "8MB"`}}
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fault
+	}
+	for _, unit := range sizeUnits {
+		number, found := strings.CutSuffix(text, unit.suffix)
+		if !found {
+			continue
+		}
+		var n int64
+		if _, err := fmt.Sscanf(number, "%d", &n); err != nil || fmt.Sprint(n) != number || n < 0 {
+			return fault
+		}
+		*s = Size(n * unit.bytes)
+		return nil
+	}
+	return fault
+}
+
+// Checker is a settings type that can check its own fields.
+type Checker interface {
+	// Check returns every fault of the fields.
+	Check() Faults
+}
+
+// Load reads a file into into, refusing unknown fields, and checks it.
+func Load(path string, into Checker) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	return errors.Wrapf(Decode(data, into), "settings %s", path)
+}
+
+// Decode is Load for bytes already read.
+func Decode(data []byte, into Checker) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return decodeFault(err, data)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return Faults{{Value: "text after the JSON value", Allowed: "one JSON object"}}
+	}
+	return into.Check().Err()
+}
+
+func decodeFault(err error, data []byte) error {
+	var typeError *json.UnmarshalTypeError
+	if errors.As(err, &typeError) {
+		field := typeError.Field[strings.LastIndex(typeError.Field, ".")+1:]
+		return Faults{{Field: field, Value: typeError.Value, Allowed: typeError.Type.String()}}
+	}
+	if field, found := strings.CutPrefix(err.Error(), "json: unknown field "); found {
+		return Faults{{Field: strings.Trim(field, `"`), Value: "unknown", Allowed: "only the fields of docs/SETTINGS.md"}}
+	}
+	var faults Faults
+	if errors.As(err, &faults) {
+		faults[0].Field = fieldOf(faults[0].Value, data)
+		return faults
+	}
+	return Faults{{Value: err.Error(), Allowed: "one JSON object"}}
+}
+
+// fieldOf finds the top-level field that has the value: the JSON package does
+// not tell a type's own decoder which field it is decoding.
+func fieldOf(value string, data []byte) string {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(data, &fields) != nil {
+		return ""
+	}
+	for name, raw := range fields {
+		if string(raw) == value {
+			return name
+		}
+	}
+	return ""
+}
+
+// CheckAddr notes a fault unless addr is an IP number and a port.
+func (f *Faults) CheckAddr(field, addr string) {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		f.Add(field, addr, "an IP number and port, such as 127.0.0.1:9000")
+	}
+}
+
+// CheckRange notes a fault unless low <= value <= high.
+func (f *Faults) CheckRange(field string, value, low, high time.Duration) {
+	if value < low || value > high {
+		f.Add(field, Duration(value), fmt.Sprintf("%s to %s", low, high))
+	}
+}
+
+// CheckInt notes a fault unless low <= value <= high.
+func (f *Faults) CheckInt(field string, value, low, high int64) {
+	if value < low || value > high {
+		f.Add(field, value, fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+// CheckName notes a fault unless name is a non-empty word of at most 64
+// characters out of a-z, 0-9, '-', '_' and '.'.
+func (f *Faults) CheckName(field, name string) {
+	if !ValidName(name) {
+		f.Add(field, name, "1 to 64 characters out of a-z 0-9 - _ .")
+	}
+}
+
+// ValidName tells whether CheckName would take name.
+func ValidName(name string) bool {
+	if name == "" || len(name) > 64 {
+		return false
+	}
+	for _, r := range name {
+		if !strings.ContainsRune("abcdefghijklmnopqrstuvwxyz0123456789-_.", r) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/standin/engine/server.go
@@ -0,0 +1,595 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Settings of the stand-in engine's process.
+type Settings struct {
+	Config
+	// Models it serves.
+	Models []string
+	// TimeScale divides all durations: 10 runs ten times as fast; default 1.
+	TimeScale float64
+	// ChecksFencing refuses orders with an older fencing number.
+	ChecksFencing bool
+	// LoadLag is how old the reported load is.
+	LoadLag time.Duration
+	// EventGap drops every n-th cache event; 0: none.
+	EventGap int
+}
+
+// Faults is the stand-in's present misbehaviour.
+type Faults struct {
+	// BreakAfterTokens cuts each stream once, after that many tokens.
+	BreakAfterTokens int `json:"break_after_tokens"`
+	// RefuseAll answers every completion with 503.
+	RefuseAll bool `json:"refuse_all"`
+}
+
+// WattsAt is the draw from a moment on.
+type WattsAt struct {
+	UnixNano int64 `json:"unix_nano"`
+	Watts    int   `json:"watts"`
+}
+
+// Run is one sequence in the engine's own record.
+type Run struct {
+	ID           string `json:"id"`
+	PromptTokens int    `json:"prompt_tokens"`
+	Finished     bool   `json:"finished"`
+	Cancelled    bool   `json:"cancelled"`
+}
+
+// Record is what truly happened.
+type Record struct {
+	Runs       []Run     `json:"runs"`
+	HeldTokens int       `json:"held_tokens"`
+	PeakTokens int       `json:"peak_tokens"`
+	Watts      []WattsAt `json:"watts"`
+	Orders     []string  `json:"orders"`
+	Refused    int       `json:"refused_orders"`
+	// CachedTokens counts prompt tokens served from the prefix cache.
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// CompletionRequest is the engine's request, in the shape of the completions API
+// with the engine's own fields beside.
+type CompletionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	RequestID string `json:"request_id"`
+	Priority  int    `json:"priority"`
+	// Delivered is the text already produced elsewhere for this prompt.
+	Delivered       string `json:"delivered,omitempty"`
+	DeliveredTokens int    `json:"delivered_tokens,omitempty"`
+	// Hold asks for prefill only.
+	Hold bool `json:"hold,omitempty"`
+	// Imports are the KV caches of the prompt's earlier parts, held elsewhere.
+	Imports []Import `json:"imports,omitempty"`
+}
+
+// Import names a held sequence on another engine.
+type Import struct {
+	Engine   string `json:"engine"`
+	Sequence string `json:"sequence"`
+	Tokens   int    `json:"tokens"`
+}
+
+// Chunk is one server-sent event of a completion.
+type Chunk struct {
+	ID      string   `json:"id"`
+	Choices []Choice `json:"choices"`
+	// Offset counts the output tokens before this chunk.
+	Offset int `json:"offset"`
+	// Held is set when a hold request's prefill is done.
+	Held bool `json:"held,omitempty"`
+}
+
+// Choice is the text of a chunk.
+type Choice struct {
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type stream struct {
+	tokens    []string
+	offset    int // tokens delivered before this engine began
+	held      bool
+	finished  bool
+	cancelled bool
+	broken    bool // the fault BreakAfterTokens has struck
+	changed   chan struct{}
+	hash      uint64
+	prompt    int
+	run       int
+}
+
+// Server is the stand-in.
+type Server struct {
+	settings Settings
+
+	mu      sync.Mutex
+	model   *Model
+	streams map[string]*stream
+	record  Record
+	fence   uint64
+	faults  Faults
+	wake    chan struct{}
+	loads   []timedLoad
+	events  []CacheEvent
+	seen    int
+	client  *http.Client
+}
+
+type timedLoad struct {
+	at   time.Time
+	load Load
+}
+
+// New makes an idle engine.
+func New(settings Settings) *Server {
+	if settings.TimeScale == 0 {
+		settings.TimeScale = 1
+	}
+	s := &Server{
+		settings: settings, model: NewModel(settings.Config), streams: map[string]*stream{},
+		wake: make(chan struct{}, 1), client: &http.Client{Timeout: 10 * time.Second},
+	}
+	s.noteWatts()
+	return s
+}
+
+// Run steps the engine until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		busy := s.model.Busy()
+		s.mu.Unlock()
+		if !busy {
+			select {
+			case <-s.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		s.mu.Lock()
+		duration, events := s.model.Step()
+		s.mu.Unlock()
+		time.Sleep(time.Duration(float64(duration) / s.settings.TimeScale))
+		s.mu.Lock()
+		s.publish(events)
+		s.noteWatts()
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) publish(events []Event) {
+	for _, event := range events {
+		st := s.streams[event.ID]
+		if st == nil {
+			continue
+		}
+		if event.Prefilled {
+			st.held = true
+		} else {
+			st.tokens = append(st.tokens, TokenText(st.hash, st.offset+event.Token-1))
+		}
+		if event.Finished {
+			st.finished = true
+			s.record.Runs[st.run].Finished = true
+		}
+		close(st.changed)
+		st.changed = make(chan struct{})
+	}
+	s.noteEvents()
+	s.loads = append(s.loads, timedLoad{time.Now(), s.model.Load()})
+	if len(s.loads) > 1024 {
+		s.loads = append([]timedLoad(nil), s.loads[512:]...)
+	}
+}
+
+func (s *Server) noteEvents() {
+	for _, event := range s.model.TakeCacheEvents() {
+		s.seen++
+		if s.settings.EventGap > 0 && s.seen%s.settings.EventGap == 0 {
+			continue
+		}
+		s.events = append(s.events, event)
+	}
+	if len(s.events) > maxEvents {
+		s.events = append([]CacheEvent(nil), s.events[len(s.events)-maxEvents:]...)
+	}
+}
+
+const maxEvents = 4096
+
+func (s *Server) noteWatts() {
+	watts := s.model.Watts()
+	if n := len(s.record.Watts); n > 0 && s.record.Watts[n-1].Watts == watts {
+		return
+	}
+	s.record.Watts = append(s.record.Watts, WattsAt{time.Now().UnixNano(), watts})
+}
+
+// Handler serves the engine's paths, and /control and /record for tests.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", s.complete)
+	mux.HandleFunc("GET /v1/models", s.models)
+	mux.HandleFunc("GET /v1/sequences", s.list)
+	mux.HandleFunc("DELETE /v1/sequences/{id}", s.cancel)
+	mux.HandleFunc("GET /v1/sequences/{id}/stream", s.resume)
+	mux.HandleFunc("GET /v1/sequences/{id}/kv", s.export)
+	mux.HandleFunc("GET /v1/events", s.cacheEvents)
+	mux.HandleFunc("GET /v1/load", s.load)
+	mux.HandleFunc("POST /v1/orders", s.order)
+	mux.HandleFunc("GET /v1/status", s.status)
+	mux.HandleFunc("POST /control/faults", s.setFaults)
+	mux.HandleFunc("GET /record", s.showRecord)
+	return mux
+}
+
+// fenced refuses an order whose fencing number is older than one seen before.
+func (s *Server) fenced(w http.ResponseWriter, r *http.Request) bool {
+	number, _ := strconv.ParseUint(r.Header.Get("X-Fencing-Number"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.settings.ChecksFencing && number < s.fence {
+		s.record.Refused++
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return true
+	}
+	s.fence = max(s.fence, number)
+	return false
+}
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
+	var request CompletionRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if s.fenced(w, r) {
+		return
+	}
+	imported, err := s.importKV(request.Imports)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusFailedDependency)
+		return
+	}
+	st, err := s.submit(request, imported)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	if !request.Stream {
+		// A whole answer, as a plain client of the engine asks for it.
+		s.collect(w, r, request.RequestID, st)
+		return
+	}
+	s.send(w, r, request.RequestID, st, 0)
+}
+
+// importKV checks that each part is still held where the request says.
+func (s *Server) importKV(imports []Import) (int, error) {
+	tokens := 0
+	for _, part := range imports {
+		response, err := s.client.Get("http://" + part.Engine + "/v1/sequences/" + part.Sequence + "/kv")
+		if err != nil {
+			return 0, fmt.Errorf("import from %s: %w", part.Engine, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return 0, fmt.Errorf("import from %s: sequence %s is not held", part.Engine, part.Sequence)
+		}
+		tokens += part.Tokens
+	}
+	return tokens, nil
+}
+
+func (s *Server) submit(request CompletionRequest, imported int) (*stream, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.RefuseAll {
+		return nil, fmt.Errorf("refusing, as told by a test")
+	}
+	hash := xxhash.Sum64String(request.Prompt)
+	if request.Delivered != Answer(request.Prompt, request.DeliveredTokens) {
+		return nil, fmt.Errorf("delivered text is not the start of this prompt's answer")
+	}
+	tokens := CountTokens(request.Prompt)
+	sequence := &Sequence{
+		ID: request.RequestID, Priority: request.Priority,
+		PromptTokens: max(1, tokens-imported+request.DeliveredTokens),
+		MaxTokens:    max(1, request.MaxTokens-request.DeliveredTokens), Hold: request.Hold,
+	}
+	if request.Hold {
+		// A held part is a slice of the prompt: what it imports comes before it.
+		sequence.PromptTokens, sequence.MaxTokens = max(1, tokens), 0
+	}
+	if len(request.Imports) == 0 && !request.Hold {
+		sequence.Blocks = BlockHashes(request.Prompt, BytesPerToken)
+	}
+	if err := s.model.Submit(sequence); err != nil {
+		return nil, err
+	}
+	st := &stream{changed: make(chan struct{}), hash: hash, offset: request.DeliveredTokens, run: len(s.record.Runs), prompt: tokens}
+	s.streams[request.RequestID] = st
+	s.record.Runs = append(s.record.Runs, Run{ID: request.RequestID, PromptTokens: tokens})
+	s.record.PeakTokens = max(s.record.PeakTokens, s.model.Held())
+	s.noteWatts()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return st, nil
+}
+
+// next waits for tokens beyond from and returns them with the stream's state.
+func (s *Server) next(ctx context.Context, st *stream, from int) (tokens []string, held, finished, cancelled bool) {
+	for {
+		s.mu.Lock()
+		tokens, held, finished, cancelled = st.tokens[from:], st.held, st.finished, st.cancelled
+		changed := st.changed
+		s.mu.Unlock()
+		if len(tokens) > 0 || held || finished || cancelled {
+			return tokens, held, finished, cancelled
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, false, false, true
+		}
+	}
+}
+
+// send streams a sequence from an offset. A sequence is released once its end
+// was written; when the reader goes away it stays, to be resumed or cancelled.
+func (s *Server) send(w http.ResponseWriter, r *http.Request, id string, st *stream, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	_ = flush.Flush()
+	heldSent := false
+	for {
+		tokens, held, finished, cancelled := s.next(r.Context(), st, from)
+		for i, text := range tokens {
+			if s.breakHere(st, from+1) {
+				panic(http.ErrAbortHandler)
+			}
+			last := finished && i == len(tokens)-1
+			if writeChunk(w, Chunk{ID: id, Offset: st.offset + from, Choices: []Choice{choice(text, last)}}) != nil {
+				return
+			}
+			from++
+		}
+		if held && !heldSent {
+			heldSent = true
+			if writeChunk(w, Chunk{ID: id, Held: true}) != nil {
+				return
+			}
+		}
+		_ = flush.Flush()
+		if finished {
+			if _, err := io.WriteString(w, "data: [DONE]\n\n"); err != nil || flush.Flush() != nil {
+				return
+			}
+			s.release(id, false)
+			return
+		}
+		if cancelled {
+			return
+		}
+		if heldSent {
+			s.awaitRelease(r.Context(), st)
+			return
+		}
+	}
+}
+
+func (s *Server) awaitRelease(ctx context.Context, st *stream) {
+	s.mu.Lock()
+	changed := st.changed
+	s.mu.Unlock()
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) breakHere(st *stream, token int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.BreakAfterTokens == 0 || st.broken || token <= s.faults.BreakAfterTokens {
+		return false
+	}
+	st.broken = true
+	return true
+}
+
+func choice(text string, last bool) Choice {
+	if !last {
+		return Choice{Text: text}
+	}
+	reason := "length"
+	return Choice{Text: text, FinishReason: &reason}
+}
+
+func writeChunk(w io.Writer, chunk Chunk) error {
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "data: %s\n\n", data)
+	return err
+}
+
+func (s *Server) collect(w http.ResponseWriter, r *http.Request, id string, st *stream) {
+	var text strings.Builder
+	for from := 0; ; {
+		tokens, _, finished, cancelled := s.next(r.Context(), st, from)
+		if cancelled {
+			return
+		}
+		for _, token := range tokens {
+			text.WriteString(token)
+		}
+		from += len(tokens)
+		if finished {
+			break
+		}
+	}
+	s.release(id, false)
+	_ = json.NewEncoder(w).Encode(Chunk{ID: id, Choices: []Choice{choice(text.String(), true)}})
+}
+
+func (s *Server) release(id string, cancelled bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.streams[id]
+	if st == nil || !s.model.Release(id) {
+		return false
+	}
+	delete(s.streams, id)
+	if cancelled {
+		st.cancelled = true
+		s.record.Runs[st.run].Cancelled = true
+		close(st.changed)
+		st.changed = make(chan struct{})
+	}
+	s.noteWatts()
+	return true
+}
+
+func (s *Server) models(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(map[string]any{"models": s.settings.Models})
+}
+
+func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.model.States())
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	if s.fenced(w, r) {
+		return
+	}
+	if !s.release(r.PathValue("id"), true) {
+		http.Error(w, "no such sequence", http.StatusNotFound)
+	}
+}
+
+func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	s.mu.Lock()
+	st := s.streams[id]
+	s.mu.Unlock()
+	if st == nil {
+		http.Error(w, "no such sequence", http.StatusNotFound)
+		return
+	}
+	offset, _ := strconv.Atoi(r.URL.Query().Get("offset"))
+	s.send(w, r, id, st, max(0, offset-st.offset))
+}
+
+func (s *Server) export(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.streams[r.PathValue("id")]
+	if st == nil || !st.held {
+		http.Error(w, "no such held sequence", http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(map[string]int{"tokens": st.prompt})
+}
+
+func (s *Server) cacheEvents(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.events)
+}
+
+// load answers with the load as it was LoadLag ago.
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	shown := s.model.Load()
+	if s.settings.LoadLag > 0 {
+		shown = Load{FreeTokens: s.settings.WithDefaults().MemoryTokens}
+		for _, old := range s.loads {
+			if time.Since(old.at) >= s.settings.LoadLag {
+				shown = old.load
+			}
+		}
+	}
+	_ = json.NewEncoder(w).Encode(shown)
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	text, _ := io.ReadAll(io.LimitReader(r.Body, 1<<16))
+	if s.fenced(w, r) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Orders = append(s.record.Orders, string(text))
+}
+
+// Status is what an agent asks at its start.
+type Status struct {
+	Models        []string `json:"models"`
+	MemoryTokens  int      `json:"memory_tokens"`
+	MaxRunning    int      `json:"max_running"`
+	PrefillRate   int      `json:"prefill_tokens_per_second"`
+	FloorWatts    int      `json:"floor_watts"`
+	MaxWatts      int      `json:"max_watts"`
+	FencingNumber uint64   `json:"fencing_number"`
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.model.Config()
+	_ = json.NewEncoder(w).Encode(Status{
+		Models: s.settings.Models, MemoryTokens: c.MemoryTokens, MaxRunning: c.MaxRunning,
+		PrefillRate: int(float64(c.PrefillRate()) * s.settings.TimeScale),
+		FloorWatts:  c.FloorWatts, MaxWatts: c.MaxWatts, FencingNumber: s.fence,
+	})
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+func (s *Server) showRecord(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record := s.record
+	record.HeldTokens = s.model.Held()
+	for _, state := range s.model.States() {
+		record.CachedTokens += state.Cached
+	}
+	_ = json.NewEncoder(w).Encode(record)
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,356 @@
+// Package platform is a stand-in for the platform's service: a key-value store
+// with compare-and-swap, sessions as leases and blocking watches, its call count
+// and rate limits, and a lagging list of VMs. Faults are asked for on its
+// control paths. The HTTP shapes are those of Consul's published v1 API.
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Settings of the stand-in.
+type Settings struct {
+	// ReadsPerSecond and WritesPerSecond are the rates above which calls are
+	// answered with 429; 0: no limit.
+	ReadsPerSecond, WritesPerSecond int
+	// ListLag delays every change of the VM list.
+	ListLag time.Duration
+}
+
+// VM is a line of the list.
+type VM struct {
+	Name, Role, DataCentre, Addr, State string
+}
+
+// Faults is the stand-in's present misbehaviour.
+type Faults struct {
+	// Down refuses every call with 503.
+	Down bool `json:"down"`
+	// Delay is added to each call, in milliseconds.
+	DelayMS int `json:"delay_ms"`
+	// LoseAnswers drops the connection after this many further writes took effect.
+	LoseAnswers int `json:"lose_answers"`
+	// LosePrefix limits LoseAnswers to keys with this prefix.
+	LosePrefix string `json:"lose_prefix"`
+	// StalePrefix makes reads of keys with this prefix give the first value ever written.
+	StalePrefix string `json:"stale_prefix"`
+	// ListLagMS replaces the list's lag, in milliseconds, when positive.
+	ListLagMS int `json:"list_lag_ms"`
+}
+
+type pair struct {
+	Key         string
+	Value       []byte
+	ModifyIndex uint64
+	first       []byte
+}
+
+// Record is what truly happened, by the stand-in's own count.
+type Record struct {
+	Reads, Writes, Watches, Refused int
+	// PeakReads and PeakWrites are the highest counts in one second.
+	PeakReads, PeakWrites int
+	// Calls holds the calls of each second since the start.
+	Calls []int
+}
+
+// Server is the stand-in.
+type Server struct {
+	settings Settings
+	started  time.Time
+
+	mu       sync.Mutex
+	changed  chan struct{}
+	index    uint64
+	pairs    map[string]*pair
+	vms      []VM
+	visible  []VM
+	sessions map[string]time.Time
+	faults   Faults
+	record   Record
+	second   int64
+	reads    int
+	writes   int
+}
+
+// New makes a stand-in.
+func New(settings Settings) *Server {
+	return &Server{
+		settings: settings, started: time.Now(), changed: make(chan struct{}),
+		pairs: map[string]*pair{}, sessions: map[string]time.Time{},
+	}
+}
+
+// Handler serves the platform's paths, and /control and /record for tests.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv/", s.guard(s.get))
+	mux.HandleFunc("PUT /v1/kv/", s.guard(s.put))
+	mux.HandleFunc("DELETE /v1/kv/", s.guard(s.remove))
+	mux.HandleFunc("PUT /v1/session/create", s.guard(s.createSession))
+	mux.HandleFunc("PUT /v1/session/renew/", s.guard(s.renewSession))
+	mux.HandleFunc("GET /v1/catalog/nodes", s.guard(s.list))
+	mux.HandleFunc("POST /control/faults", s.setFaults)
+	mux.HandleFunc("POST /control/vms", s.setVMs)
+	mux.HandleFunc("GET /record", s.showRecord)
+	mux.HandleFunc("GET /record/keys", s.showKeys)
+	return mux
+}
+
+// SetVMs replaces the list; readers see it after the lag.
+func (s *Server) SetVMs(vms []VM) {
+	s.mu.Lock()
+	s.vms = vms
+	lag := s.settings.ListLag
+	if s.faults.ListLagMS > 0 {
+		lag = time.Duration(s.faults.ListLagMS) * time.Millisecond
+	}
+	s.mu.Unlock()
+	time.AfterFunc(lag, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.visible = vms
+	})
+}
+
+// guard counts the call and applies the faults and rate limits.
+func (s *Server) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		faults := s.faults
+		allowed := s.count(r.Method == http.MethodGet)
+		s.mu.Unlock()
+		if faults.DelayMS > 0 {
+			time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+		}
+		if faults.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if !allowed {
+			http.Error(w, "rate limit", http.StatusTooManyRequests)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) count(read bool) bool {
+	second := int64(time.Since(s.started) / time.Second)
+	for int64(len(s.record.Calls)) <= second {
+		s.record.Calls = append(s.record.Calls, 0)
+	}
+	s.record.Calls[second]++
+	if second != s.second {
+		s.second, s.reads, s.writes = second, 0, 0
+	}
+	if read {
+		s.reads++
+		s.record.Reads++
+		s.record.PeakReads = max(s.record.PeakReads, s.reads)
+		return s.within(s.reads, s.settings.ReadsPerSecond)
+	}
+	s.writes++
+	s.record.Writes++
+	s.record.PeakWrites = max(s.record.PeakWrites, s.writes)
+	return s.within(s.writes, s.settings.WritesPerSecond)
+}
+
+func (s *Server) within(calls, limit int) bool {
+	if limit > 0 && calls > limit {
+		s.record.Refused++
+		return false
+	}
+	return true
+}
+
+func key(r *http.Request) string {
+	return strings.TrimPrefix(r.URL.Path, "/v1/kv/")
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	name := key(r)
+	after, watching := uint64(0), r.URL.Query().Has("index")
+	if watching {
+		after, _ = strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
+	}
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	deadline := time.After(wait)
+	for {
+		s.mu.Lock()
+		found, changed := s.pairs[name], s.changed
+		revision := uint64(0)
+		var body []byte
+		if found != nil {
+			revision = found.ModifyIndex
+			shown := *found
+			if s.faults.StalePrefix != "" && strings.HasPrefix(name, s.faults.StalePrefix) {
+				shown.Value = found.first
+			}
+			body, _ = json.Marshal([]pair{shown})
+		}
+		if watching {
+			s.record.Watches++
+		}
+		s.mu.Unlock()
+		if !watching || revision != after {
+			answer(w, body)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			answer(w, body)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, body []byte) {
+	if body == nil {
+		http.Error(w, "", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
+	if err != nil {
+		http.Error(w, "value over a megabyte", http.StatusRequestEntityTooLarge)
+		return
+	}
+	name := key(r)
+	s.mu.Lock()
+	ok := s.swap(name, data, r.URL.Query().Get("cas"), r.URL.Query().Get("acquire"))
+	lose := ok && s.faults.LoseAnswers > 0 && strings.HasPrefix(name, s.faults.LosePrefix)
+	if lose {
+		s.faults.LoseAnswers--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler) // drops the connection without an answer
+	}
+	fmt.Fprint(w, ok)
+}
+
+// swap writes the value if the revision matches and the session, if named, lives.
+func (s *Server) swap(name string, data []byte, cas, session string) bool {
+	current := s.pairs[name]
+	if cas != "" {
+		want, _ := strconv.ParseUint(cas, 10, 64)
+		if (current == nil) != (want == 0) || (current != nil && current.ModifyIndex != want) {
+			return false
+		}
+	}
+	if session != "" && time.Now().After(s.sessions[session]) {
+		return false
+	}
+	s.index++
+	next := &pair{Key: name, Value: data, ModifyIndex: s.index, first: data}
+	if current != nil {
+		next.first = current.first
+	}
+	s.pairs[name] = next
+	s.wake()
+	return true
+}
+
+func (s *Server) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index++
+	delete(s.pairs, key(r))
+	s.wake()
+	fmt.Fprint(w, true)
+}
+
+func (s *Server) createSession(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index++
+	id := fmt.Sprintf("session-%d", s.index)
+	s.sessions[id] = time.Now().Add(sessionTTL)
+	_ = json.NewEncoder(w).Encode(map[string]string{"ID": id})
+}
+
+func (s *Server) renewSession(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := strings.TrimPrefix(r.URL.Path, "/v1/session/renew/")
+	if time.Now().After(s.sessions[id]) {
+		http.Error(w, "session lapsed", http.StatusNotFound)
+		return
+	}
+	s.sessions[id] = time.Now().Add(sessionTTL)
+	fmt.Fprint(w, "[]")
+}
+
+const sessionTTL = 10 * time.Second
+
+func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+	type node struct {
+		Node, Address, Datacenter string
+		Meta                      map[string]string
+	}
+	s.mu.Lock()
+	nodes := make([]node, 0, len(s.visible))
+	for _, vm := range s.visible {
+		nodes = append(nodes, node{vm.Name, vm.Addr, vm.DataCentre, map[string]string{"role": vm.Role, "state": vm.State}})
+	}
+	s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(nodes)
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+func (s *Server) setVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []VM
+	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetVMs(vms)
+}
+
+func (s *Server) showRecord(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.record)
+}
+
+func (s *Server) showKeys(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keys := map[string]string{}
+	for name, p := range s.pairs {
+		if strings.HasPrefix(name, r.URL.Query().Get("prefix")) {
+			keys[name] = string(p.Value)
+		}
+	}
+	_ = json.NewEncoder(w).Encode(keys)
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,146 @@
+// Package service is a stand-in for a plain service beside the model engines:
+// it carries out calls that may not be repeated and keeps its own record of
+// every run, to be compared with what callers were told.
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Settings of the stand-in.
+type Settings struct {
+	// ChecksFencing refuses calls with an older fencing number.
+	ChecksFencing bool
+}
+
+// Faults is the stand-in's present misbehaviour.
+type Faults struct {
+	// BeforeMS and AfterMS delay a call before and after its run.
+	BeforeMS int `json:"before_ms"`
+	AfterMS  int `json:"after_ms"`
+	// DropBefore and DropAfter cut the connection of further calls, that many
+	// times, before or after the run.
+	DropBefore int `json:"drop_before"`
+	DropAfter  int `json:"drop_after"`
+	// FailWith answers with this HTTP status after the run.
+	FailWith int `json:"fail_with"`
+}
+
+// Run is one call carried out.
+type Run struct {
+	Key      string `json:"key"`
+	Kind     string `json:"kind"`
+	Fencing  uint64 `json:"fencing"`
+	UnixNano int64  `json:"unix_nano"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	settings Settings
+
+	mu     sync.Mutex
+	faults Faults
+	runs   []Run
+	fence  uint64
+	arrive int
+}
+
+// New makes a stand-in.
+func New(settings Settings) *Server { return &Server{settings: settings} }
+
+// Handler serves calls, and /control and /record for tests.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /call/{kind}", s.call)
+	mux.HandleFunc("GET /v1/status", s.status)
+	mux.HandleFunc("POST /control/faults", s.setFaults)
+	mux.HandleFunc("GET /record", s.record)
+	return mux
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.arrive++
+	faults := s.faults
+	if faults.DropBefore > 0 {
+		s.faults.DropBefore--
+	}
+	s.mu.Unlock()
+	time.Sleep(time.Duration(faults.BeforeMS) * time.Millisecond)
+	if faults.DropBefore > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	run, number, ok := s.run(r)
+	if !ok {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	time.Sleep(time.Duration(faults.AfterMS) * time.Millisecond)
+	if s.dropAfter() {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.FailWith != 0 {
+		http.Error(w, "failing, as told by a test", faults.FailWith)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Request-Key", run.Key)
+	_ = json.NewEncoder(w).Encode(map[string]any{"key": run.Key, "run": number, "kind": run.Kind, "bytes": len(body)})
+}
+
+func (s *Server) run(r *http.Request) (Run, int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fencing, _ := strconv.ParseUint(r.Header.Get("X-Fencing-Number"), 10, 64)
+	if s.settings.ChecksFencing && fencing < s.fence {
+		return Run{}, 0, false
+	}
+	s.fence = max(s.fence, fencing)
+	run := Run{Key: r.Header.Get("X-Request-Key"), Kind: r.PathValue("kind"), Fencing: fencing, UnixNano: time.Now().UnixNano()}
+	s.runs = append(s.runs, run)
+	return run, len(s.runs), true
+}
+
+func (s *Server) dropAfter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.DropAfter == 0 {
+		return false
+	}
+	s.faults.DropAfter--
+	return true
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintf(w, `{"fencing_number":%d}`, s.fence)
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// record shows the runs and how many calls arrived, run or not.
+func (s *Server) record(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"runs": s.runs, "arrived": s.arrive})
+}
