Scenarios for truth and at most once, over separate processes

Cause: the claims of calls that may not be repeated were unproved. Eight scripts kill, freeze, cut and replace entries, agents, the service and the store, and judge by the service's own record.

Found and mended on the way: - A claim cost two reads of the store: the swap read again what the entry had just read. It now starts from the value in hand: one read and one write to claim. - Ports taken from the kernel's range for outgoing connections failed to bind now and then; they are picked below it. - A 'did not run' held for one try and not for its key: another entry, paused between its read and its claim, could still run the key. The refusing entry now seals the key with a claim that says 'not run', and the other's compare-and-swap fails.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -10,9 +10,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -103,14 +105,30 @@
 	return listener.Addr().String(), nil
 }
 
-// FreeAddr finds a loopback port that is free for TCP and UDP.
+// Ports are picked below the range from which the kernel takes the ports of
+// outgoing connections: one of those would make a port that was free a moment
+// ago fail to bind.
+const (
+	lowestPort = 10_000
+	portCount  = 20_000
+)
+
+// taken remembers the ports that this process has given out.
+var taken sync.Map
+
+// FreeAddr finds a loopback port that is free for TCP and UDP and that it has
+// not given out before.
 func FreeAddr() (string, error) {
-	for range 100 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		port := lowestPort + rand.IntN(portCount)
+		if _, given := taken.LoadOrStore(port, true); given {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", addr)
 		if err != nil {
-			return "", errors.WithStack(err)
+			continue
 		}
-		addr := listener.Addr().String()
 		packets, err := net.ListenPacket("udp", addr)
 		_ = listener.Close()
 		if err == nil {
--- a/catalogue/edit.go
+++ b/catalogue/edit.go
@@ -78,7 +78,7 @@
 		result.Page, result.Current = page, page.Records[key]
 		return true
 	}
-	err := platform.Swap(ctx, store, PageKey(result.Number), change, mine)
+	err := platform.Swap(ctx, store, PageKey(result.Number), nil, change, mine)
 	return result, err
 }
 
--- a/catalogue/history.go
+++ b/catalogue/history.go
@@ -33,7 +33,7 @@
 		records, err := decodeHistory(data)
 		return err == nil && len(records) > 0 && records[len(records)-1].EditID == record.EditID
 	}
-	return platform.Swap(ctx, store, historyKey(record.Key()), change, mine)
+	return platform.Swap(ctx, store, historyKey(record.Key()), nil, change, mine)
 }
 
 // History reads a record's former values, oldest first.
--- a/entry/once.go
+++ b/entry/once.go
@@ -39,9 +39,10 @@
 	digest  string
 	key     string
 	routing routing.Request
-	// found is the claim last read from the store, nil for none; mine is this
-	// entry's own, once written.
+	// found is the claim last read from the store, nil for none, and value what
+	// it was read from; mine is this entry's own, once written.
 	found, mine *attempt.Claim
+	value       platform.Value
 }
 
 // reply is what a plain service answered.
@@ -80,7 +81,7 @@
 		return failure
 	}
 	seal := &attempt.Claim{Digest: o.digest, Attempt: newID(), RequestID: o.call.id, State: attempt.ClaimNotRun}
-	if o.write(context.WithoutCancel(ctx), o.found, seal, true) == nil {
+	if o.writeFrom(context.WithoutCancel(ctx), &o.value, o.found, seal, true) == nil {
 		return failure
 	}
 	unsealed := *failure
@@ -138,6 +139,7 @@
 	if err != nil {
 		return nil, result.Fail(result.Internal, result.RanUnknown, "the claim cannot be read")
 	}
+	o.value = value
 	return claim, nil
 }
 
@@ -222,7 +224,7 @@
 
 // claim writes this entry's claim. Only nil allows the order to be sent.
 func (o *once) claim(ctx context.Context, old, claim *attempt.Claim) *result.Error {
-	err := o.write(ctx, old, claim, true)
+	err := o.writeFrom(ctx, &o.value, old, claim, true)
 	switch {
 	case err == nil:
 		return nil
@@ -239,6 +241,11 @@
 // reading back. Errors: platform.ErrConflict when another claim stands there,
 // platform.ErrUnavailable when the store cannot tell.
 func (o *once) write(ctx context.Context, old, next *attempt.Claim, confirmed bool) error {
+	return o.writeFrom(ctx, nil, old, next, confirmed)
+}
+
+// writeFrom is write for a value that has just been read.
+func (o *once) writeFrom(ctx context.Context, known *platform.Value, old, next *attempt.Claim, confirmed bool) error {
 	change := func(data []byte) ([]byte, bool, error) {
 		current, err := attempt.DecodeClaim(data)
 		if err != nil {
@@ -254,7 +261,7 @@
 		current, err := attempt.DecodeClaim(data)
 		return err == nil && current != nil && current.Attempt == next.Attempt && current.State == next.State
 	}
-	return platform.Swap(ctx, o.entry.store, o.key, change, mine)
+	return platform.Swap(ctx, o.entry.store, o.key, known, change, mine)
 }
 
 func sameClaim(a, b *attempt.Claim) bool {
--- /dev/null
+++ b/scenarios/calls_test.go
@@ -0,0 +1,445 @@
+package scenarios
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"aspenyard.example/bench"
+	standin "aspenyard.example/standin/engine"
+	"aspenyard.example/standin/service"
+)
+
+// callRecord is one call and what its caller was told.
+type callRecord struct {
+	id, kind, key string
+	deadline      time.Duration
+	began         time.Time
+	took          time.Duration
+	done          chan struct{}
+
+	status     int
+	code       int
+	ran        string
+	retryAfter string
+	requestID  string
+	body       string
+	text       string // of a generation
+	expected   string
+	ended      bool // the answer's end marker came
+	transport  error
+}
+
+func isService(kind string) bool { return kind == "excuse-filing" || kind == "tide-check" }
+
+// call ENTRY KIND [key=K] [deadline=D] [tokens=N] [out=N] [stream=no] [hangup=N] [first=yes] [as=ID]
+// makes a call. With as, the script goes on; else it waits for the answer, whose
+// id is then "last". With until=CODE it asks again, as the answers' Retry-After
+// says, until that code comes.
+func call(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	if opts["until"] == "" {
+		callOnce(ts, plain, opts)
+		return
+	}
+	await(ts, "call", func() string {
+		c := callOnce(ts, plain, opts)
+		if problem := c.check("code", opts["until"]); problem != "" {
+			time.Sleep(time.Duration(number(c.retryAfter)) * time.Second / 4)
+			return problem
+		}
+		return ""
+	})
+}
+
+func callOnce(ts *testscript.TestScript, plain []string, opts map[string]string) *callRecord {
+	w := of(ts)
+	p := w.proc(ts, plain[0])
+	c := &callRecord{id: opts["as"], kind: plain[1], key: opts["key"], done: make(chan struct{}), deadline: 20 * time.Second, began: time.Now()}
+	if c.id == "" {
+		c.id = "last"
+	}
+	if opts["deadline"] != "" {
+		var err error
+		c.deadline, err = time.ParseDuration(opts["deadline"])
+		ts.Check(err)
+	}
+	request, err := c.request(p, opts)
+	ts.Check(err)
+	w.mu.Lock()
+	w.calls[c.id] = c
+	w.order = append(w.order, c.id)
+	w.calls[fmt.Sprintf("%s#%d", c.id, len(w.order))] = c
+	w.mu.Unlock()
+	go func() {
+		defer close(c.done)
+		started := time.Now()
+		c.send(w.client, request, number(opts["hangup"]))
+		c.took = time.Since(started)
+	}()
+	if opts["as"] == "" {
+		<-c.done
+	}
+	return c
+}
+
+func (c *callRecord) request(p *process, opts map[string]string) (*http.Request, error) {
+	path := "/v1/services/" + c.kind
+	body := []byte(`{"summons":"` + opts["body"] + `"}`)
+	if !isService(c.kind) {
+		path = "/v1/completions"
+		tokens, out := 1000, 16
+		if opts["tokens"] != "" {
+			tokens = number(opts["tokens"])
+		}
+		if opts["out"] != "" {
+			out = number(opts["out"])
+		}
+		prompt := bench.Prompt(uint64(len(c.id)*1000+tokens), tokens) + c.id
+		c.expected = standin.Answer(prompt, out)
+		var err error
+		body, err = json.Marshal(map[string]any{"model": c.kind, "prompt": prompt, "max_tokens": out, "stream": opts["stream"] != "no"})
+		if err != nil {
+			return nil, err
+		}
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.addrs["callers"]+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+accountKey)
+	request.Header.Set("X-Request-Deadline", c.deadline.String())
+	if c.key != "" {
+		request.Header.Set("Idempotency-Key", c.key)
+	}
+	if opts["first"] == "yes" {
+		request.Header.Set("X-First-Attempt", "true")
+	}
+	return request, nil
+}
+
+func (c *callRecord) send(client *http.Client, request *http.Request, hangup int) {
+	response, err := client.Do(request)
+	if err != nil {
+		c.transport = err
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	c.status = response.StatusCode
+	c.code, _ = strconv.Atoi(response.Header.Get("X-Result-Code"))
+	c.ran, c.retryAfter, c.requestID = response.Header.Get("X-Ran"), response.Header.Get("Retry-After"), response.Header.Get("X-Request-Id")
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		c.readStream(response.Body, hangup)
+		return
+	}
+	data, err := io.ReadAll(response.Body)
+	c.body, c.transport, c.ended = string(data), err, err == nil
+	var whole struct {
+		Choices []struct{ Text string }
+	}
+	if json.Unmarshal(data, &whole) == nil && len(whole.Choices) > 0 {
+		c.text = whole.Choices[0].Text
+	}
+}
+
+func (c *callRecord) readStream(body io.Reader, hangup int) {
+	reader := bufio.NewReader(body)
+	for events := 0; hangup == 0 || events < hangup; {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			c.transport = err
+			return
+		}
+		data, found := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !found {
+			continue
+		}
+		events++
+		if data == "[DONE]" {
+			c.ended = true
+			return
+		}
+		c.event(data)
+	}
+}
+
+func (c *callRecord) event(data string) {
+	var event struct {
+		Error *struct {
+			Code int
+			Ran  string
+		}
+		Choices []struct{ Text string }
+	}
+	if json.Unmarshal([]byte(data), &event) != nil {
+		return
+	}
+	if event.Error != nil {
+		c.code, c.ran = event.Error.Code, event.Error.Ran
+	}
+	for _, choice := range event.Choices {
+		c.text += choice.Text
+	}
+}
+
+func (w *world) find(ts *testscript.TestScript, id string) *callRecord {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.calls[id]
+	if c == nil {
+		ts.Fatalf("no call %q", id)
+	}
+	return c
+}
+
+// started ID waits until the first text of a streamed call has come.
+func started(ts *testscript.TestScript, _ bool, args []string) {
+	// Text is written by the call's own goroutine; the engines' records tell the
+	// same without sharing memory.
+	w := of(ts)
+	await(ts, "started", func() string {
+		for _, name := range args {
+			var record standin.Record
+			if err := w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record); err != nil {
+				return err.Error()
+			}
+			for _, run := range record.Runs {
+				if !run.Finished && !run.Cancelled {
+					return ""
+				}
+			}
+		}
+		return fmt.Sprintf("nothing runs on %v", args)
+	})
+}
+
+// finish ID... waits for the answers of calls made with as.
+func finish(ts *testscript.TestScript, _ bool, args []string) {
+	for _, id := range args {
+		c := of(ts).find(ts, id)
+		select {
+		case <-c.done:
+		case <-time.After(c.deadline + generous):
+			ts.Fatalf("call %s has no answer", id)
+		}
+	}
+}
+
+// expect ID [code=N|N] [ran=WORD|WORD] [whole=yes] [in-time=yes] [retry=yes] [took-under=D]
+// checks what a caller was told.
+func expect(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	finish(ts, false, plain)
+	for _, id := range plain {
+		c := of(ts).find(ts, id)
+		for key, want := range opts {
+			if problem := c.check(key, want); problem != "" {
+				ts.Fatalf("call %s: %s (status %d, code %d, ran %q, took %s, transport %v, body %.300s)",
+					id, problem, c.status, c.code, c.ran, c.took, c.transport, c.body)
+			}
+		}
+	}
+}
+
+// late is how much later than its deadline an answer may be on a busy machine.
+const late = 5 * time.Second
+
+func (c *callRecord) check(key, want string) string {
+	got := ""
+	switch key {
+	case "code":
+		got = strconv.Itoa(c.code)
+	case "ran":
+		got = c.ran
+	case "whole":
+		got = yes(c.ended && c.text == c.expected)
+	case "in-time":
+		got = yes(c.took < c.deadline+late)
+	case "retry":
+		got = yes(c.retryAfter != "")
+	case "took-under":
+		limit, err := time.ParseDuration(want)
+		if err == nil && c.took < limit {
+			got = want
+		}
+	case "transport":
+		got = yes(c.transport != nil)
+	default:
+		return "no check " + key
+	}
+	for _, one := range strings.Split(want, "|") {
+		if got == one {
+			return ""
+		}
+	}
+	return fmt.Sprintf("%s is %q, not %q", key, got, want)
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+type serviceRecord struct {
+	Runs    []service.Run `json:"runs"`
+	Arrived int           `json:"arrived"`
+}
+
+func (w *world) serviceRecord(p *process) (serviceRecord, error) {
+	var record serviceRecord
+	return record, w.get("http://"+p.addrs["listen"]+"/record", &record)
+}
+
+// runs SERVICE key=K count=N waits until a service's record has N runs of a key;
+// arrived=N waits for N calls to have arrived, run or not.
+func runs(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	p := w.proc(ts, plain[0])
+	await(ts, "runs "+opts["key"], func() string {
+		record, err := w.serviceRecord(p)
+		if err != nil {
+			return err.Error()
+		}
+		if opts["arrived"] != "" {
+			if record.Arrived < number(opts["arrived"]) {
+				return fmt.Sprintf("%d arrived", record.Arrived)
+			}
+			return ""
+		}
+		count := 0
+		for _, run := range record.Runs {
+			if run.Key == "crew/"+opts["key"] {
+				count++
+			}
+		}
+		if count != number(opts["count"]) {
+			return fmt.Sprintf("%d runs of %s", count, opts["key"])
+		}
+		return ""
+	})
+}
+
+// lookup ENTRY KEY ran=WORD [state=WORD] asks for the status of a key.
+func lookup(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	p := w.proc(ts, plain[0])
+	request, err := http.NewRequest(http.MethodGet, "http://"+p.addrs["callers"]+"/v1/requests?key="+plain[1], nil)
+	ts.Check(err)
+	request.Header.Set("Authorization", "Bearer "+accountKey)
+	response, err := w.client.Do(request)
+	ts.Check(err)
+	defer func() { _ = response.Body.Close() }()
+	var status struct{ State, Ran string }
+	ts.Check(json.NewDecoder(response.Body).Decode(&status))
+	if status.Ran != opts["ran"] || (opts["state"] != "" && status.State != opts["state"]) {
+		ts.Fatalf("status of %s: state %q, ran %q", plain[1], status.State, status.Ran)
+	}
+}
+
+// held NAME... waits until engines hold no memory.
+func held(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	for _, name := range args {
+		p := w.proc(ts, name)
+		await(ts, "held "+name, func() string {
+			var record standin.Record
+			if err := w.get("http://"+p.addrs["listen"]+"/record", &record); err != nil {
+				return err.Error()
+			}
+			if record.HeldTokens != 0 {
+				return fmt.Sprintf("%d tokens are held", record.HeldTokens)
+			}
+			return ""
+		})
+	}
+}
+
+// audit compares, when all calls have ended, what the callers were told with the
+// services' records: no key ran more than once; each run was asked for by a call
+// that began before it and was not told "no"; each key that a caller was told
+// "yes" of did run. No text differs from the engines'.
+func audit(ts *testscript.TestScript, _ bool, _ []string) {
+	w := of(ts)
+	ran := map[string][]service.Run{}
+	for _, p := range w.procs {
+		if p.role != "service" {
+			continue
+		}
+		record, err := w.serviceRecord(p)
+		ts.Check(err)
+		for _, run := range record.Runs {
+			key := strings.TrimPrefix(run.Key, "crew/")
+			ran[key] = append(ran[key], run)
+		}
+	}
+	byKey := map[string][]*callRecord{}
+	unknown, total := 0, 0
+	for id, c := range w.calls {
+		if !strings.Contains(id, "#") {
+			continue
+		}
+		finish(ts, false, []string{id})
+		total++
+		if c.ran == "unknown" || c.ran == "" {
+			unknown++
+		}
+		if problem := c.auditText(); problem != "" {
+			ts.Fatalf("call %s (code %d, ran %q): %s", id, c.code, c.ran, problem)
+		}
+		if c.kind == "excuse-filing" && c.key != "" {
+			byKey[c.key] = append(byKey[c.key], c)
+		}
+	}
+	for key, calls := range byKey {
+		if problem := auditKey(calls, ran[key]); problem != "" {
+			ts.Fatalf("key %s: %s", key, problem)
+		}
+	}
+	ts.Logf("audit: %d calls, %d of them with an unknown run", total, unknown)
+}
+
+func auditKey(calls []*callRecord, runs []service.Run) string {
+	if len(runs) > 1 {
+		return fmt.Sprintf("ran %d times", len(runs))
+	}
+	for _, c := range calls {
+		if c.ran == "yes" && len(runs) == 0 {
+			return "a caller was told that it ran, and it did not"
+		}
+	}
+	for _, run := range runs {
+		asked := false
+		for _, c := range calls {
+			asked = asked || (c.ran != "no" && c.began.UnixNano() < run.UnixNano)
+		}
+		if !asked {
+			return "it ran, and every caller who had asked by then was told that it did not"
+		}
+	}
+	return ""
+}
+
+func (c *callRecord) auditText() string {
+	if isService(c.kind) {
+		return ""
+	}
+	if !strings.HasPrefix(c.expected, c.text) {
+		return "got text that is not its own answer's"
+	}
+	if c.ended && c.status == http.StatusOK && c.text != c.expected {
+		return "an incomplete answer was presented as complete"
+	}
+	return ""
+}
--- /dev/null
+++ b/scenarios/commands_test.go
@@ -0,0 +1,460 @@
+package scenarios
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"aspenyard.example/attempt"
+	"aspenyard.example/catalogue"
+)
+
+type command = func(ts *testscript.TestScript, neg bool, args []string)
+
+var commands = map[string]command{
+	"start": start, "restart": restart, "crash": crash, "freeze": freeze, "thaw": thaw, "term": term, "gone": gone,
+	"cut": cut, "heal": heal, "delay": delay, "reset": reset, "platform": platformFault, "fault": fault, "list": list,
+	"seed": seed, "ready": ready, "call": call, "finish": finish, "expect": expect, "runs": runs, "held": held,
+	"audit": audit, "lookup": lookup, "member": member, "cap": setCap, "watts": watts, "started": started,
+	"edit": edit, "sees": sees, "calls": storeCalls, "claim": claim, "metric": metric,
+}
+
+// start KIND NAME [key=value...] starts a process on free ports.
+func start(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	plain, opts := options(args)
+	kind, name := plain[0], plain[len(plain)-1]
+	p := &process{name: name, role: kind}
+	var err error
+	switch kind {
+	case "platform", "engine", "service":
+		err = w.prepareStandin(p, opts)
+	case "agent":
+		err = w.prepareAgent(p, opts)
+	case "entry":
+		err = w.prepareEntry(p, opts)
+	default:
+		ts.Fatalf("start: no kind %q", kind)
+	}
+	ts.Check(err)
+	ts.Check(w.launch(p))
+	w.procs[name] = p
+	if kind == "platform" {
+		await(ts, "start platform", func() string { return problem(w.publishVMs()) })
+	}
+}
+
+func problem(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+func number(text string) int {
+	n, _ := strconv.Atoi(text)
+	return n
+}
+
+func (w *world) prepareStandin(p *process, opts map[string]string) error {
+	addrs, err := pick("listen")
+	if err != nil {
+		return err
+	}
+	p.addrs = addrs
+	body := map[string]any{"standin": p.role, "listen": addrs["listen"]}
+	if p.role == "engine" {
+		scale := 10.0
+		if opts["scale"] != "" {
+			scale, _ = strconv.ParseFloat(opts["scale"], 64)
+		}
+		body["models"], body["time_scale"] = []string{"model-a"}, scale
+	}
+	for option, field := range map[string]string{
+		"reads": "reads_per_second", "writes": "writes_per_second", "memory": "memory_tokens", "running": "max_running",
+		"floor": "floor_watts", "max": "max_watts", "gap": "event_gap",
+	} {
+		if opts[option] != "" {
+			body[field] = number(opts[option])
+		}
+	}
+	if opts["fencing"] == "yes" {
+		body["checks_fencing"] = true
+	}
+	if opts["lag"] != "" {
+		body["list_lag"] = opts["lag"]
+	}
+	path, err := w.settings(p.name, body)
+	p.args = []string{"standin", p.role, "--settings", path}
+	return err
+}
+
+func (w *world) node(p *process, opts map[string]string) (map[string]any, error) {
+	addrs, err := pick("listen", "operators", "callers", "link")
+	if err != nil {
+		return nil, err
+	}
+	p.addrs = addrs
+	dc := opts["dc"]
+	if dc == "" {
+		dc = "dc1"
+	}
+	body := map[string]any{
+		"name": p.name, "data_centre": dc, "listen": addrs["listen"], "operators_listen": addrs["operators"],
+		"platform": w.procs["platform"].addrs["listen"], "heartbeat_interval": "100ms", "suspect_after": "1500ms",
+		"list_interval": "200ms", "list_lag": "3s",
+	}
+	addr := addrs["listen"]
+	if opts["link"] == "yes" {
+		addr = addrs["link"]
+		body["advertise"] = addr
+		if p.link, err = newLink(addr, addrs["listen"]); err != nil {
+			return nil, err
+		}
+	}
+	if opts["drain"] != "" {
+		body["drain_timeout"] = opts["drain"]
+	}
+	if opts["lease"] != "" {
+		body["reservation_lease"] = opts["lease"]
+	}
+	w.vms = append(w.vms, vm{Name: p.name, Role: p.role, DataCentre: dc, Addr: addr, State: "live"})
+	return body, w.publishVMs()
+}
+
+func (w *world) publishVMs() error {
+	return w.post("http://"+w.procs["platform"].addrs["listen"]+"/control/vms", w.vms)
+}
+
+func (w *world) prepareAgent(p *process, opts map[string]string) error {
+	body, err := w.node(p, opts)
+	if err != nil {
+		return err
+	}
+	beside := w.procs[opts["beside"]]
+	if beside == nil {
+		return fmt.Errorf("agent %s: beside= names no process", p.name)
+	}
+	body["endpoint"], body["kind"] = beside.addrs["listen"], beside.role
+	if beside.role == "service" {
+		body["services"] = []string{"filing"}
+	}
+	path, err := w.settings(p.name, body)
+	p.args = []string{"agent", "--settings", path}
+	return err
+}
+
+func (w *world) prepareEntry(p *process, opts map[string]string) error {
+	body, err := w.node(p, opts)
+	if err != nil {
+		return err
+	}
+	body["callers_listen"], body["bootstrap_operator_sha256"] = p.addrs["callers"], operatorHash()
+	path, err := w.settings(p.name, body)
+	p.args = []string{"entry", "--settings", path}
+	return err
+}
+
+// restart NAME... starts a process again on its old addresses, as a replaced VM.
+func restart(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	for _, name := range args {
+		p := w.proc(ts, name)
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.ended
+		ts.Check(w.launch(p))
+	}
+}
+
+func signalAll(ts *testscript.TestScript, args []string, s syscall.Signal) {
+	for _, name := range args {
+		of(ts).proc(ts, name).signal(s)
+	}
+}
+
+// crash NAME... ends processes at once, by SIGKILL.
+func crash(ts *testscript.TestScript, _ bool, args []string) {
+	signalAll(ts, args, syscall.SIGKILL)
+	for _, name := range args {
+		<-of(ts).proc(ts, name).ended
+	}
+}
+
+// freeze NAME... stops processes without closing anything; thaw NAME... lets
+// them go on.
+func freeze(ts *testscript.TestScript, _ bool, args []string) {
+	signalAll(ts, args, syscall.SIGSTOP)
+}
+
+func thaw(ts *testscript.TestScript, _ bool, args []string) { signalAll(ts, args, syscall.SIGCONT) }
+
+// term NAME... asks processes to shut down gracefully.
+func term(ts *testscript.TestScript, _ bool, args []string) { signalAll(ts, args, syscall.SIGTERM) }
+
+// gone NAME [exit=CODE] waits for a process's end.
+func gone(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	p := of(ts).proc(ts, plain[0])
+	select {
+	case <-p.ended:
+	case <-time.After(generous):
+		ts.Fatalf("%s has not ended", p.name)
+	}
+	if want := opts["exit"]; want != "" && strconv.Itoa(p.cmd.ProcessState.ExitCode()) != want {
+		ts.Fatalf("%s ended with %v, not %s", p.name, p.cmd.ProcessState, want)
+	}
+}
+
+func linkOf(ts *testscript.TestScript, name string) *link {
+	l := of(ts).proc(ts, name).link
+	if l == nil {
+		ts.Fatalf("%s was not started with link=yes", name)
+	}
+	return l
+}
+
+// cut NAME stops all that goes to and from a process on its way; heal NAME
+// delivers it.
+func cut(ts *testscript.TestScript, _ bool, args []string) { linkOf(ts, args[0]).setCut(true) }
+
+func heal(ts *testscript.TestScript, _ bool, args []string) { linkOf(ts, args[0]).setCut(false) }
+
+// delay NAME DURATION holds back each piece on its way.
+func delay(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	linkOf(ts, args[0]).setDelay(d)
+}
+
+// reset NAME breaks the connections of a process.
+func reset(ts *testscript.TestScript, _ bool, args []string) { linkOf(ts, args[0]).reset() }
+
+// platform up|down|slow MS|lose-answer N PREFIX|lose-answer-and-down PREFIX|stale PREFIX sets the store's fault.
+func platformFault(ts *testscript.TestScript, _ bool, args []string) {
+	faults := map[string]any{}
+	switch args[0] {
+	case "up":
+	case "down":
+		faults["down"] = true
+	case "slow":
+		faults["delay_ms"] = number(args[1])
+	case "lose-answer":
+		faults["lose_answers"], faults["lose_prefix"] = number(args[1]), args[2]
+	case "lose-answer-and-down":
+		faults["lose_answers"], faults["lose_prefix"], faults["down_after_lose"] = 1, args[1], true
+	case "stale":
+		faults["stale_prefix"] = args[1]
+	default:
+		ts.Fatalf("platform: no fault %q", args[0])
+	}
+	w := of(ts)
+	ts.Check(w.post("http://"+w.proc(ts, "platform").addrs["listen"]+"/control/faults", faults))
+}
+
+// fault NAME [key=value...] sets the faults of an engine or a service, by the
+// names of its control path; without any, it works again.
+func fault(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	body := map[string]any{}
+	for key, value := range opts {
+		switch value {
+		case "yes":
+			body[strings.ReplaceAll(key, "-", "_")] = true
+		default:
+			body[strings.ReplaceAll(key, "-", "_")] = number(value)
+		}
+	}
+	w := of(ts)
+	ts.Check(w.post("http://"+w.proc(ts, plain[0]).addrs["listen"]+"/control/faults", body))
+}
+
+// list NAME live|leaving|dropped changes the platform's list.
+func list(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	for i := range w.vms {
+		if w.vms[i].Name == args[0] {
+			w.vms[i].State = args[1]
+		}
+	}
+	if args[1] == "dropped" {
+		w.vms = slices.DeleteFunc(w.vms, func(v vm) bool { return v.Name == args[0] })
+	}
+	ts.Check(w.publishVMs())
+}
+
+func records(cap int) []*catalogue.Record {
+	work := func(id string, work catalogue.Work) *catalogue.Record {
+		return &catalogue.Record{Type: catalogue.TypeWork, ID: id, Owner: "ops", Work: &work}
+	}
+	all := []*catalogue.Record{
+		{Type: catalogue.TypeAccount, ID: "crew", Owner: "ops", Account: &catalogue.Account{KeySHA256: catalogue.HashKey(accountKey)}},
+		work("line-plan", catalogue.Work{Class: "urgent", Model: "model-a", Repeatable: true}),
+		work("excuse-draft", catalogue.Work{Class: "normal", Model: "model-a", Repeatable: true}),
+		work("season-audit", catalogue.Work{Class: "bulk", Model: "model-a", Repeatable: true}),
+		work("excuse-filing", catalogue.Work{Class: "urgent", Service: "filing"}),
+		work("tide-check", catalogue.Work{Class: "normal", Service: "filing", Repeatable: true}),
+	}
+	if cap > 0 {
+		all = append(all, &catalogue.Record{Type: catalogue.TypeSite, ID: "port", Owner: "ops", Site: &catalogue.Site{
+			PowerCapWatts: uint64(cap), DataCentres: []string{"dc1", "dc2", "dc3"},
+		}})
+	}
+	return all
+}
+
+// seed ENTRY [cap=WATTS] writes the scenarios' catalogue through an entry.
+func seed(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	for _, record := range records(number(opts["cap"])) {
+		await(ts, "seed", func() string {
+			if status, body := w.put(w.proc(ts, plain[0]), record, 0); status != http.StatusOK {
+				return fmt.Sprintf("%s: %d %s", record.Key(), status, body)
+			}
+			return ""
+		})
+	}
+}
+
+func (w *world) put(p *process, record *catalogue.Record, expect uint64) (int, []byte) {
+	data, err := json.Marshal(record)
+	if err != nil {
+		return 0, nil
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+p.addrs["operators"]+"/v1/catalogue/"+record.Key(), bytes.NewReader(data))
+	if err != nil {
+		return 0, nil
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	request.Header.Set("If-Match", strconv.FormatUint(expect, 10))
+	response, err := w.client.Do(request)
+	if err != nil {
+		return 0, []byte(err.Error())
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer bytes.Buffer
+	_, _ = answer.ReadFrom(response.Body)
+	return response.StatusCode, answer.Bytes()
+}
+
+type entryStatus struct {
+	Reader  bool `json:"reader"`
+	Members []struct {
+		Node, Role, State string
+		LimitWatts        int `json:"limit_watts"`
+	} `json:"members"`
+	Sites []struct {
+		CapWatts     int  `json:"cap_watts"`
+		InForceWatts int  `json:"cap_in_force_watts"`
+		CountedWatts int  `json:"counted_watts"`
+		Known        bool `json:"known"`
+	} `json:"sites"`
+}
+
+func (w *world) status(p *process) (entryStatus, error) {
+	var status entryStatus
+	return status, w.get("http://"+p.addrs["operators"]+"/v1/status", &status)
+}
+
+// ready ENTRY agents=N waits until an entry has the catalogue and hears N agents.
+func ready(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	p := w.proc(ts, plain[0])
+	await(ts, "ready "+p.name, func() string {
+		status, err := w.status(p)
+		if err != nil {
+			return err.Error()
+		}
+		live := 0
+		for _, m := range status.Members {
+			if m.Role == "agent" && m.State == "live" {
+				live++
+			}
+		}
+		if live < number(opts["agents"]) {
+			return fmt.Sprintf("%d agents live", live)
+		}
+		var record catalogue.Record
+		if err := w.get("http://"+p.addrs["operators"]+"/v1/catalogue/account/crew", &record); err != nil {
+			return err.Error()
+		}
+		return ""
+	})
+}
+
+// member ENTRY NODE STATE waits until an entry has a node in a state.
+func member(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	p := w.proc(ts, args[0])
+	await(ts, "member "+args[1], func() string {
+		status, err := w.status(p)
+		if err != nil {
+			return err.Error()
+		}
+		for _, m := range status.Members {
+			if m.Node == args[1] {
+				if m.State == args[2] {
+					return ""
+				}
+				return "is " + m.State
+			}
+		}
+		return "not known"
+	})
+}
+
+// claim KEY STATE waits until the platform's store has a key's claim in a state.
+func claim(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	name := attempt.ClaimKey("crew", args[0])
+	await(ts, "claim "+args[0], func() string {
+		var keys map[string]string
+		if err := w.get("http://"+w.proc(ts, "platform").addrs["listen"]+"/record/keys?prefix="+name, &keys); err != nil {
+			return err.Error()
+		}
+		found, err := attempt.DecodeClaim([]byte(keys[name]))
+		if err != nil || found == nil {
+			return "no claim"
+		}
+		if string(found.State) != args[1] {
+			return "is " + string(found.State)
+		}
+		return ""
+	})
+}
+
+// metric NAME METRIC MIN waits until a process shows a metric of at least MIN.
+func metric(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	p := w.proc(ts, args[0])
+	least, err := strconv.ParseFloat(args[2], 64)
+	ts.Check(err)
+	await(ts, "metric "+args[1], func() string {
+		client := &http.Client{Timeout: 3 * time.Second}
+		response, err := client.Get("http://" + p.addrs["operators"] + "/metrics")
+		if err != nil {
+			return err.Error()
+		}
+		defer func() { _ = response.Body.Close() }()
+		var text bytes.Buffer
+		_, _ = text.ReadFrom(response.Body)
+		for _, line := range strings.Split(text.String(), "\n") {
+			name, value, _ := strings.Cut(line, " ")
+			got, err := strconv.ParseFloat(value, 64)
+			if name == args[1] && err == nil && got >= least {
+				return ""
+			}
+		}
+		return "not yet"
+	})
+}
--- /dev/null
+++ b/scenarios/power_test.go
@@ -0,0 +1,194 @@
+package scenarios
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"aspenyard.example/catalogue"
+	standin "aspenyard.example/standin/engine"
+)
+
+// wattsWatch notes, while a script runs, since when which cap has been in force.
+type wattsWatch struct {
+	changes []capChange
+}
+
+type capChange struct {
+	unixNano int64
+	watts    int
+}
+
+// cap ENTRY WATTS [in-force=yes] edits the site's cap; with in-force it waits
+// until some entry reports the new cap as in force, which counts from then on.
+func setCap(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	p := w.proc(ts, plain[0])
+	var record catalogue.Record
+	ts.Check(w.get("http://"+p.addrs["operators"]+"/v1/catalogue/site/port", &record))
+	revision := record.Revision
+	record.Site.PowerCapWatts, record.Revision = uint64(number(plain[1])), 0
+	if status, body := w.put(p, &record, revision); status != http.StatusOK {
+		ts.Fatalf("cap: %d %s", status, body)
+	}
+	if opts["in-force"] != "yes" {
+		return
+	}
+	await(ts, "cap in force", func() string {
+		seen := "no entry keeps the ledger"
+		for _, other := range w.procs {
+			if other.role != "entry" {
+				continue
+			}
+			status, err := w.status(other)
+			if err != nil || len(status.Sites) == 0 || !status.Sites[0].Known || status.Sites[0].CapWatts != number(plain[1]) {
+				continue
+			}
+			seen = fmt.Sprintf("%+v", status.Sites[0])
+			if status.Sites[0].InForceWatts <= number(plain[1]) {
+				return ""
+			}
+		}
+		return seen
+	})
+	if w.watcher == nil {
+		w.watcher = &wattsWatch{}
+	}
+	w.watcher.changes = append(w.watcher.changes, capChange{time.Now().UnixNano(), number(plain[1])})
+}
+
+// watts cap=WATTS [over=WATTS] sums the engines' own records of their draw over
+// time: at no instant may the sum exceed the cap, or after "cap ... in-force=yes"
+// that one. With over, the sum must have exceeded that value at some instant, so
+// that the check cannot pass on an idle site.
+func watts(ts *testscript.TestScript, _ bool, args []string) {
+	_, opts := options(args)
+	w := of(ts)
+	var steps []wattsStep
+	for name, p := range w.procs {
+		if p.role != "engine" {
+			continue
+		}
+		var record standin.Record
+		ts.Check(w.get("http://"+p.addrs["listen"]+"/record", &record))
+		for _, at := range record.Watts {
+			steps = append(steps, wattsStep{at.UnixNano, name, at.Watts})
+		}
+	}
+	limit := number(opts["cap"])
+	var changes []capChange
+	if w.watcher != nil {
+		changes = w.watcher.changes
+	}
+	peak := peakOver(steps, func(at int64) int { return capAt(limit, changes, at) }, func(at int64, sum, cap int) {
+		ts.Fatalf("the engines drew %d W together under a cap of %d W, %s ago", sum, cap, time.Since(time.Unix(0, at)))
+	})
+	ts.Logf("watts: peak %d of %d", peak, limit)
+	if peak <= number(opts["over"]) {
+		ts.Fatalf("the engines never drew more than %d W", peak)
+	}
+}
+
+type wattsStep struct {
+	at     int64
+	engine string
+	watts  int
+}
+
+func capAt(limit int, changes []capChange, at int64) int {
+	for _, change := range changes {
+		if at >= change.unixNano {
+			limit = change.watts
+		}
+	}
+	return limit
+}
+
+// peakOver walks the steps in time and returns the highest sum.
+func peakOver(steps []wattsStep, cap func(at int64) int, exceeded func(at int64, sum, cap int)) int {
+	sort.Slice(steps, func(i, j int) bool { return steps[i].at < steps[j].at })
+	draw := map[string]int{}
+	sum, peak := 0, 0
+	for _, step := range steps {
+		sum += step.watts - draw[step.engine]
+		draw[step.engine] = step.watts
+		peak = max(peak, sum)
+		if limit := cap(step.at); sum > limit {
+			exceeded(step.at, sum, limit)
+		}
+	}
+	return peak
+}
+
+// edit ENTRY ID MAXTOKENS [expect=REVISION] [status=CODE] edits the kind of work
+// ID, so that its revision is seen to spread.
+func edit(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	p := w.proc(ts, plain[0])
+	record := &catalogue.Record{Type: catalogue.TypeWork, ID: plain[1], Owner: "ops", Work: &catalogue.Work{
+		Class: "bulk", Model: "model-a", Repeatable: true, MaxOutputTokens: number(plain[2]),
+	}}
+	expect := uint64(number(opts["expect"]))
+	if opts["expect"] == "" {
+		var current catalogue.Record
+		if w.get("http://"+p.addrs["operators"]+"/v1/catalogue/work/"+plain[1], &current) == nil {
+			expect = current.Revision
+		}
+	}
+	want := http.StatusOK
+	if opts["status"] != "" {
+		want = number(opts["status"])
+	}
+	if status, body := w.put(p, record, expect); status != want {
+		ts.Fatalf("edit: %d %s", status, bytes.TrimSpace(body))
+	}
+}
+
+// sees NODE... ID MAXTOKENS waits until nodes have the edit; entries are asked
+// for the record, agents for its page through an entry's spread.
+func sees(ts *testscript.TestScript, neg bool, args []string) {
+	w := of(ts)
+	plain, _ := options(args)
+	id, want := plain[len(plain)-2], number(plain[len(plain)-1])
+	for _, name := range plain[:len(plain)-2] {
+		p := w.proc(ts, name)
+		check := func() string {
+			var record catalogue.Record
+			if err := w.get("http://"+p.addrs["operators"]+"/v1/catalogue/work/"+id, &record); err != nil {
+				return err.Error()
+			}
+			if record.Work.MaxOutputTokens != want {
+				return fmt.Sprintf("%s has %d", name, record.Work.MaxOutputTokens)
+			}
+			return ""
+		}
+		if neg {
+			if check() == "" {
+				ts.Fatalf("%s already has %d", name, want)
+			}
+			continue
+		}
+		await(ts, "sees", check)
+	}
+}
+
+// calls reads=N writes=N checks the platform's own count of calls: no second had
+// more than these.
+func storeCalls(ts *testscript.TestScript, _ bool, args []string) {
+	_, opts := options(args)
+	w := of(ts)
+	var record struct{ PeakReads, PeakWrites, Refused, Reads, Writes int }
+	ts.Check(w.get("http://"+w.proc(ts, "platform").addrs["listen"]+"/record", &record))
+	encoded, _ := json.Marshal(record)
+	ts.Logf("the platform's count: %s", encoded)
+	if record.PeakReads > number(opts["reads"]) || record.PeakWrites > number(opts["writes"]) {
+		ts.Fatalf("the platform was called too often: %s", encoded)
+	}
+}
--- /dev/null
+++ b/scenarios/scenarios_test.go
@@ -0,0 +1,42 @@
+package scenarios
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"aspenyard.example/cli"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"aspenyard": func() { os.Exit(cli.Main()) },
+	})
+}
+
+// parallelScripts bounds the scripts at once, and with them the processes.
+const parallelScripts = 3
+
+var slots = make(chan struct{}, parallelScripts)
+
+func TestScenarios(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(scripts) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, script := range scripts {
+		name := filepath.Base(script[:len(script)-len(".txtar")])
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			testscript.Run(t, testscript.Params{
+				Files: []string{script},
+				Setup: setup,
+				Cmds:  commands,
+			})
+		})
+	}
+}
--- /dev/null
+++ b/scenarios/world_test.go
@@ -0,0 +1,222 @@
+package scenarios
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"aspenyard.example/bench"
+	"aspenyard.example/catalogue"
+)
+
+// generous bounds every wait on a condition: a slow machine must not fail a
+// scenario, and a broken system fails it by this time.
+const generous = 60 * time.Second
+
+const poll = 20 * time.Millisecond
+
+// world is one script's processes and calls.
+type world struct {
+	dir     string
+	binary  string
+	mu      sync.Mutex
+	procs   map[string]*process
+	calls   map[string]*callRecord
+	order   []string
+	vms     []vm
+	client  *http.Client
+	watcher *wattsWatch
+}
+
+// process is one running or ended process of the script.
+type process struct {
+	name, role string
+	args       []string
+	addrs      map[string]string
+	cmd        *exec.Cmd
+	ended      chan struct{}
+	link       *link
+	restarts   int
+}
+
+type vm struct{ Name, Role, DataCentre, Addr, State string }
+
+type worldKey struct{}
+
+func setup(env *testscript.Env) error {
+	binary := ""
+	for _, dir := range filepath.SplitList(env.Getenv("PATH")) {
+		if _, err := os.Stat(filepath.Join(dir, "aspenyard")); err == nil {
+			binary = filepath.Join(dir, "aspenyard")
+			break
+		}
+	}
+	if binary == "" {
+		return fmt.Errorf("no aspenyard on the script's PATH")
+	}
+	w := &world{
+		dir: env.WorkDir, binary: binary, procs: map[string]*process{}, calls: map[string]*callRecord{},
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	env.Values[worldKey{}] = w
+	env.Defer(w.stop)
+	return nil
+}
+
+func of(ts *testscript.TestScript) *world { return ts.Value(worldKey{}).(*world) }
+
+// stop ends the processes that this script started, by their pids.
+func (w *world) stop() {
+	for _, p := range w.procs {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.ended
+		if p.link != nil {
+			p.link.close()
+		}
+	}
+}
+
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.ended:
+	default:
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// launch starts or restarts a process; its standard error goes to NAME.log.
+func (w *world) launch(p *process) error {
+	log, err := os.OpenFile(filepath.Join(w.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	p.cmd = exec.Command(w.binary, p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	p.ended = make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		_ = cmd.Wait()
+		close(ended)
+	}(p.cmd, p.ended)
+	return nil
+}
+
+func (w *world) settings(name string, body any) (string, error) {
+	data, err := json.MarshalIndent(body, "", "  ")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(w.dir, name+".json")
+	return path, os.WriteFile(path, data, 0o644)
+}
+
+// addrs picks free addresses for a process's ports, once for its name.
+func pick(ports ...string) (map[string]string, error) {
+	addrs := map[string]string{}
+	for _, port := range ports {
+		addr, err := bench.FreeAddr()
+		if err != nil {
+			return nil, err
+		}
+		addrs[port] = addr
+	}
+	return addrs, nil
+}
+
+// options splits key=value words off a command's arguments.
+func options(args []string) (plain []string, opts map[string]string) {
+	opts = map[string]string{}
+	for _, arg := range args {
+		if key, value, found := strings.Cut(arg, "="); found {
+			opts[key] = value
+		} else {
+			plain = append(plain, arg)
+		}
+	}
+	return plain, opts
+}
+
+func (w *world) proc(ts *testscript.TestScript, name string) *process {
+	p := w.procs[name]
+	if p == nil {
+		ts.Fatalf("no process %q", name)
+	}
+	return p
+}
+
+// await polls until check gives "", and fails the script with what it last gave.
+func await(ts *testscript.TestScript, what string, check func() string) {
+	deadline := time.Now().Add(generous)
+	for {
+		problem := check()
+		if problem == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s: %s", what, problem)
+		}
+		time.Sleep(poll)
+	}
+}
+
+func (w *world) get(url string, into any) error {
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorKey)
+	client := &http.Client{Timeout: 3 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("HTTP status %d: %s", response.StatusCode, data)
+	}
+	return json.Unmarshal(data, into)
+}
+
+func (w *world) post(url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Timeout: 3 * time.Second}
+	response, err := client.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("HTTP status %d", response.StatusCode)
+	}
+	return nil
+}
+
+// Keys of the scenarios' catalogue.
+const (
+	operatorKey = "ops.secret"
+	accountKey  = "crew.secret"
+)
+
+func operatorHash() string { return catalogue.HashKey(operatorKey) }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -39,6 +39,8 @@
 	LoseAnswers int `json:"lose_answers"`
 	// LosePrefix limits LoseAnswers to keys with this prefix.
 	LosePrefix string `json:"lose_prefix"`
+	// DownAfterLose takes the store down as soon as an answer was lost.
+	DownAfterLose bool `json:"down_after_lose"`
 	// StalePrefix makes reads of keys with this prefix give the first value ever written.
 	StalePrefix string `json:"stale_prefix"`
 	// ListLagMS replaces the list's lag, in milliseconds, when positive.
@@ -236,6 +238,7 @@
 	lose := ok && s.faults.LoseAnswers > 0 && strings.HasPrefix(name, s.faults.LosePrefix)
 	if lose {
 		s.faults.LoseAnswers--
+		s.faults.Down = s.faults.Down || s.faults.DownAfterLose
 	}
 	s.mu.Unlock()
 	if lose {
