Control cost per heartbeat and per power plan no longer grows with the fleet

Cause: each heartbeat received was answered with two lists that were made by a walk over all members, and each grant considered by the power plan summed the ledger again. Seen in the new 'bench capacity', at sizes beyond today's.

Change: the lists are made once a tick; the plan keeps a running sum. Nodes report to 8 entries of their own data centre and 2 of each other one, by rendezvous hash. An endpoint that fails a reservation is passed over for 2 s unless heard of again, since heartbeats of a large fleet are seconds apart.

--- /dev/null
+++ b/bench/capacity.go
@@ -0,0 +1,390 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/attempt"
+	"aspenyard.example/catalogue"
+	"aspenyard.example/entry"
+	"aspenyard.example/membership"
+	"aspenyard.example/platform"
+	"aspenyard.example/power"
+	"aspenyard.example/routing"
+	"aspenyard.example/settings"
+	"aspenyard.example/wire"
+)
+
+// Slope is one measured cost.
+type Slope struct {
+	// Name says of what; Size at which size.
+	Name string `json:"name"`
+	Size string `json:"size"`
+	// Microseconds of one thread, Bytes on the wire or in the store, HeapBytes kept.
+	Microseconds float64 `json:"microseconds,omitempty"`
+	Bytes        int     `json:"bytes,omitempty"`
+	HeapBytes    int     `json:"heap_bytes,omitempty"`
+	Note         string  `json:"note,omitempty"`
+}
+
+// measureTime is how long each operation is repeated.
+const measureTime = 200 * time.Millisecond
+
+// repeat gives the time of one call of f, in microseconds.
+func repeat(f func()) float64 {
+	calls := 0
+	start := time.Now()
+	for time.Since(start) < measureTime {
+		f()
+		calls++
+	}
+	return float64(time.Since(start).Nanoseconds()) / 1000 / float64(calls)
+}
+
+// heap gives the live heap's growth by what build returns.
+func heap(build func() any) int {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return int(after.HeapAlloc) - int(before.HeapAlloc)
+}
+
+// Capacity measures the slopes that docs/CAPACITY.md is made of.
+func Capacity() ([]Slope, error) {
+	var slopes []Slope
+	for _, measure := range []func() ([]Slope, error){
+		heartbeatSlopes, routingSlopes, catalogueSlopes, powerSlopes, agentSlopes, limiterSlopes, claimSlopes,
+	} {
+		measured, err := measure()
+		if err != nil {
+			return nil, err
+		}
+		slopes = append(slopes, measured...)
+	}
+	return slopes, nil
+}
+
+// AgentHeartbeat is what agent i of a fleet sends, in a typical state.
+func AgentHeartbeat(i int, sequence uint64) *wire.Heartbeat {
+	return &wire.Heartbeat{
+		Node: fmt.Sprintf("worker-%05d", i), Role: membership.RoleAgent, DataCentre: "bogota-1", Addr: fmt.Sprintf("10.0.%d.%d:7400", i/250, i%250),
+		Incarnation: 1_780_000_000_000, Sequence: sequence, Models: []string{"model-a", "model-b"}, Endpoint: fmt.Sprintf("worker-%05d", i),
+		EngineAddr: "10.0.0.1:8000", OperatorsAddr: "10.0.0.1:7401", CatalogueRevision: 40_000, CatalogueHash: rand.Uint64(),
+		Load: &wire.Load{
+			Running: 12, Queued: 3, BacklogTokens: []uint64{4000, 0, 9000, 0, 0, 0, 120000, 0, 0, 0, 0, 0}, TakenMs: 123_456_789,
+			FreeMemoryTokens: 210_000, MemoryTokens: 400_000, PrefillTokensPerSecond: 20_000, MaxRunning: 32,
+		},
+		Power: &wire.Power{FloorWatts: 1000, LimitWatts: 4200, WantWatts: 3900, MaxWatts: 5000, GrantRevision: 81_234},
+	}
+}
+
+// fleetSizes are the endpoints per data centre at which slopes are taken.
+var fleetSizes = []int{100, 400, 1600}
+
+func heartbeatSlopes() ([]Slope, error) {
+	var slopes []Slope
+	one, err := proto.Marshal(AgentHeartbeat(1, 1))
+	if err != nil {
+		return nil, err
+	}
+	const headers = 28
+	slopes = append(slopes, Slope{Name: "agent's heartbeat on the wire", Size: "1", Bytes: len(one) + headers, Note: "with UDP and IP headers"})
+	for _, size := range fleetSizes {
+		loop, err := idleEntry()
+		if err != nil {
+			return nil, err
+		}
+		sequence := uint64(0)
+		round := func() {
+			sequence++
+			now := time.Now()
+			for i := range size {
+				data, _ := proto.Marshal(AgentHeartbeat(i, sequence))
+				loop.Receive(now, data)
+			}
+		}
+		encoding := repeat(func() {
+			for i := range size {
+				_, _ = proto.Marshal(AgentHeartbeat(i, sequence))
+			}
+		})
+		received := (repeat(round) - encoding) / float64(size)
+		kept := heap(func() any { round(); loop.Step(time.Now()); return loop })
+		tick := repeat(func() {
+			sequence++
+			data, _ := proto.Marshal(AgentHeartbeat(0, sequence))
+			loop.Receive(time.Now(), data)
+			loop.Step(time.Now())
+		})
+		slopes = append(slopes,
+			Slope{Name: "heartbeat received and answered by an entry", Size: fmt.Sprint(size, " agents"), Microseconds: received},
+			Slope{Name: "tick of an entry: detector, view, routing snapshot", Size: fmt.Sprint(size, " agents"), Microseconds: tick - received, HeapBytes: kept / size, Note: "heap per agent"},
+		)
+	}
+	return slopes, nil
+}
+
+// idleEntry makes an entry's control loop that does not run.
+func idleEntry() (*membership.Loop, error) {
+	s := settings.Entry{
+		Node:          settings.Node{Name: "entry-0", DataCentre: "bogota-1", Listen: "127.0.0.1:1", OperatorsListen: "127.0.0.1:2", Platform: "127.0.0.1:3"},
+		CallersListen: "127.0.0.1:4",
+	}
+	if err := s.Check().Err(); err != nil {
+		return nil, err
+	}
+	e, err := entry.New(s, zap.NewNop())
+	if err != nil {
+		return nil, err
+	}
+	return e.Loop(), nil
+}
+
+func benchEndpoints(n int) []routing.Endpoint {
+	endpoints := make([]routing.Endpoint, n)
+	for i := range endpoints {
+		endpoints[i] = routing.Endpoint{
+			Name: fmt.Sprintf("worker-%05d", i), DataCentre: "bogota-1", Models: []string{"model-a", "model-b"},
+			MemoryTokens: 400_000, PrefillRate: 20_000, MaxRunning: 32, FreeMemory: 200_000, Running: i % 32, Reported: time.Now(),
+		}
+	}
+	return endpoints
+}
+
+func routingSlopes() ([]Slope, error) {
+	var slopes []Slope
+	for _, size := range fleetSizes {
+		policy, err := routing.New(routing.PolicyAspenyard, rand.New(rand.NewPCG(1, 1)), nil)
+		if err != nil {
+			return nil, err
+		}
+		endpoints := benchEndpoints(size)
+		prompts := [][]uint64{routing.PrefixHashes(Prompt(1, 4000), 4), routing.PrefixHashes(Prompt(2, 4000), 4)}
+		i := 0
+		cost := repeat(func() {
+			i++
+			policy.Route(time.Now(), &routing.Request{
+				Model: "model-a", PromptTokens: 4000, OutputTokens: 200, Prefix: prompts[i%2], DataCentre: "bogota-1",
+			}, endpoints)
+		})
+		slopes = append(slopes, Slope{Name: "routing one request", Size: fmt.Sprint(size, " endpoints"), Microseconds: cost})
+	}
+	prompt := Prompt(3, 100_000)
+	slopes = append(slopes, Slope{Name: "hashing a prompt's beginnings", Size: "100,000 tokens", Microseconds: repeat(func() { routing.PrefixHashes(prompt, 4) })})
+	return slopes, nil
+}
+
+func accountRecord(i int) *catalogue.Record {
+	return &catalogue.Record{
+		Type: catalogue.TypeAccount, ID: fmt.Sprintf("account-%05d", i), Owner: "citara-ops", EditID: "0123456789abcdef01234567",
+		EditedBy: "ops-desk", EditedAt: time.Unix(1_780_000_000, 0).UTC(), Revision: uint64(i + 1),
+		Account: &catalogue.Account{KeySHA256: catalogue.HashKey(fmt.Sprint(i)), Limits: catalogue.Limits{RequestsPerSecond: 20, TokensPerSecond: 40_000, Concurrent: 50}},
+	}
+}
+
+func catalogueSlopes() ([]Slope, error) {
+	var slopes []Slope
+	for _, accounts := range []int{480, 4_800, 48_000} {
+		replica := catalogue.NewReplica()
+		kept := heap(func() any { fillReplica(replica, accounts); return replica })
+		record := accountRecord(7)
+		page := catalogue.PageOf(record.Key())
+		revision := replica.View().Revisions()[page]
+		apply := repeat(func() {
+			revision++
+			next := *record
+			next.Revision = revision
+			replica.Apply(catalogue.Change{Page: page, Revision: revision, Records: []*catalogue.Record{&next}})
+		})
+		store := newMemoryStore()
+		seedStore(store, replica.View(), page)
+		editing := repeat(func() {
+			current := replicaRecord(store, page, record.Key())
+			_, _ = catalogue.Apply(context.Background(), store, catalogue.Edit{Record: accountRecord(7), Expect: current, ID: fmt.Sprint(rand.Uint64())}, 0)
+		})
+		size := fmt.Sprint(accounts, " accounts")
+		slopes = append(slopes,
+			Slope{Name: "catalogue replica", Size: size, HeapBytes: kept},
+			Slope{Name: "one edit applied to a replica", Size: size, Microseconds: apply},
+			Slope{Name: "one edit made by an entry (decode, change, encode a page)", Size: size, Microseconds: editing, Bytes: len(store.values[catalogue.PageKey(page)].Data), Note: "bytes of the page"},
+		)
+	}
+	encoded, err := json.Marshal(accountRecord(7))
+	slopes = append(slopes, Slope{Name: "one record pulled by a node", Size: "1", Bytes: len(encoded)})
+	view := catalogue.NewReplica()
+	fillReplica(view, 48_000)
+	slopes = append(slopes, Slope{Name: "recognising a client account by its key", Size: "48000 accounts", Microseconds: repeat(func() { view.View().AccountByKey("account-00007.secret") })})
+	return slopes, err
+}
+
+func fillReplica(replica *catalogue.Replica, accounts int) {
+	var changes [catalogue.PageCount]catalogue.Change
+	for i := range accounts {
+		record := accountRecord(i)
+		page := catalogue.PageOf(record.Key())
+		changes[page].Page, changes[page].Revision = page, uint64(accounts)
+		changes[page].Records = append(changes[page].Records, record)
+	}
+	for _, change := range changes {
+		replica.Apply(change)
+	}
+}
+
+func seedStore(store *memoryStore, view *catalogue.View, number int) {
+	page := catalogue.Page{Records: map[string]*catalogue.Record{}}
+	for _, change := range view.ChangesSince(nil) {
+		if change.Page == number {
+			page.Revision = change.Revision
+			for _, record := range change.Records {
+				page.Records[record.Key()] = record
+			}
+		}
+	}
+	data, _ := json.Marshal(page)
+	_ = store.CompareAndSwap(context.Background(), catalogue.PageKey(number), data, 0)
+}
+
+func replicaRecord(store *memoryStore, page int, key string) uint64 {
+	value, _ := store.Get(context.Background(), catalogue.PageKey(page))
+	decoded, err := catalogue.DecodePage(value.Data)
+	if err != nil || decoded.Records[key] == nil {
+		return 0
+	}
+	return decoded.Records[key].Revision
+}
+
+func powerSlopes() ([]Slope, error) {
+	var slopes []Slope
+	for _, endpoints := range []int{25, 400, 1_200} {
+		ledger, err := power.Decode(nil)
+		if err != nil {
+			return nil, err
+		}
+		reports := make([]power.Report, endpoints)
+		for i := range reports {
+			reports[i] = power.Report{Endpoint: fmt.Sprintf("worker-%05d", i), Incarnation: 1, Floor: 1000, Max: 5000, Want: 3000, Limit: 1000}
+		}
+		random := rand.New(rand.NewPCG(1, 2))
+		cost := repeat(func() {
+			reports[random.IntN(endpoints)].Want = uint64(1000 + random.IntN(4000))
+			if next := power.Plan(ledger, uint64(3000*endpoints), reports); next != nil {
+				ledger = next
+			}
+		})
+		data, err := ledger.Encode()
+		if err != nil {
+			return nil, err
+		}
+		slopes = append(slopes, Slope{Name: "planning a site's power ledger", Size: fmt.Sprint(endpoints, " endpoints"), Microseconds: cost, Bytes: len(data), Note: "bytes of the ledger"})
+	}
+	return slopes, nil
+}
+
+func agentSlopes() ([]Slope, error) {
+	table := attempt.NewTable(1, time.Second, time.Hour)
+	queue := admission.NewQueue(admission.Config{MaxRunning: 1 << 20, MemoryTokens: 1 << 30, PrefillRate: 20_000, MaxWait: [3]time.Duration{time.Hour, time.Hour, time.Hour}})
+	now := time.Now()
+	cost := repeat(func() {
+		r := table.Reserve(now)
+		queue.Offer(now, admission.Job{ID: r.Number, Account: "a", PromptTokens: 1000, OutputTokens: 100, Deadline: now.Add(time.Hour)})
+		table.Claim(now, r)
+		queue.Arm(r.Number)
+		id, _ := queue.Next()
+		table.Start(r)
+		queue.Prefilled(id)
+		table.Finish(now, r, nil)
+		queue.Remove(id)
+	})
+	kept := heap(func() any {
+		full := attempt.NewTable(1, time.Second, time.Hour)
+		for range 10_000 {
+			r := full.Reserve(now)
+			full.Claim(now, r)
+			full.Start(r)
+			full.Finish(now, r, &wire.End{Code: 1000, Ran: "yes"})
+		}
+		return full
+	})
+	return []Slope{
+		{Name: "one request through an agent's table and queue", Size: "1", Microseconds: cost},
+		{Name: "outcome kept by an agent", Size: "1", HeapBytes: kept / 10_000, Note: "kept for an hour"},
+	}, nil
+}
+
+func limiterSlopes() ([]Slope, error) {
+	limiter := admission.NewLimiter()
+	limits := admission.Limits{RequestsPerSecond: 1e9, TokensPerSecond: 1e12, Concurrent: 1 << 30}
+	names := make([]string, 48_000)
+	for i := range names {
+		names[i] = fmt.Sprintf("account-%05d", i)
+	}
+	kept := heap(func() any {
+		for _, name := range names {
+			limiter.Admit(time.Now(), name, limits, 1, 1000)
+		}
+		return limiter
+	})
+	i := 0
+	cost := repeat(func() {
+		i++
+		limiter.Admit(time.Now(), names[i%len(names)], limits, 1, 1000)
+		limiter.Done(names[i%len(names)])
+	})
+	return []Slope{{Name: "one request through the limits", Size: "48000 accounts", Microseconds: cost, HeapBytes: kept / len(names), Note: "heap per active account"}}, nil
+}
+
+func claimSlopes() ([]Slope, error) {
+	claim := &attempt.Claim{
+		Digest: attempt.Digest("excuse-filing", []byte("x")), Attempt: "0123456789abcdef01234567", RequestID: "0123456789abcdef01234567",
+		State: attempt.ClaimDone, Endpoint: "worker-00001", Addr: "10.0.0.1:7400", Reservation: attempt.Reservation{Incarnation: 1_780_000_000_000, Number: 123_456},
+		Outcome: &attempt.ClaimOutcome{Code: 1000, ServiceStatus: 200, Body: make([]byte, 300)},
+	}
+	data, err := claim.Encode()
+	return []Slope{{Name: "claim with its outcome in the store", Size: "300-byte reply", Bytes: len(data), Note: "2 reads and 2 writes of the store a call"}}, err
+}
+
+// memoryStore is a store in this process, without faults.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision uint64
+	values   map[string]platform.Value
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{values: map[string]platform.Value{}} }
+
+// Get implements platform.Store.
+func (s *memoryStore) Get(_ context.Context, key string) (platform.Value, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key], nil
+}
+
+// CompareAndSwap implements platform.Store.
+func (s *memoryStore) CompareAndSwap(_ context.Context, key string, data []byte, revision uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values[key].Revision != revision {
+		return platform.ErrConflict
+	}
+	s.revision++
+	s.values[key] = platform.Value{Key: key, Data: data, Revision: s.revision}
+	return nil
+}
+
+// Watch implements platform.Store.
+func (s *memoryStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (platform.Value, error) {
+	return s.Get(ctx, key)
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,14 +19,17 @@
 // reserve asks an endpoint's agent for a place. Its errors all mean that nothing
 // ran: no order was sent.
 func (e *Entry) reserve(ctx context.Context, c *call, endpoint *routing.Endpoint, r *routing.Request) (*wire.Reservation, *result.Error) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	limited, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	response, err := e.clients.Agent(endpoint.Addr).Reserve(ctx, connect.NewRequest(&wire.ReserveRequest{
+	response, err := e.clients.Agent(endpoint.Addr).Reserve(limited, connect.NewRequest(&wire.ReserveRequest{
 		RequestId: c.id, Attempt: c.attempts, Account: c.account.ID, Kind: c.kind.ID, Class: uint32(r.Class),
 		PromptTokens: uint64(r.PromptTokens), OutputTokens: uint64(r.OutputTokens),
 		RemainingMs: c.remaining().Milliseconds(), Repeatable: c.kind.Work.Repeatable, SpanPart: r.SpanPart,
 	}))
 	if err != nil {
+		if ctx.Err() == nil {
+			e.control.noteFailure(endpoint.Name)
+		}
 		return nil, result.Refuse(result.NoEndpoint, time.Second, "%s did not answer a reservation", endpoint.Name)
 	}
 	answer := response.Msg
--- a/entry/control.go
+++ b/entry/control.go
@@ -21,6 +21,9 @@
 	loads map[string]reported
 	view  *membership.View
 	dirty bool
+	// failed holds endpoints that failed a request here, and until when they are
+	// passed over.
+	failed map[string]time.Time
 
 	endpoints atomic.Pointer[[]routing.Endpoint]
 	reader    atomic.Bool
@@ -37,7 +40,7 @@
 }
 
 func newControl(e *Entry) *control {
-	c := &control{entry: e, loads: map[string]reported{}}
+	c := &control{entry: e, loads: map[string]reported{}, failed: map[string]time.Time{}}
 	c.endpoints.Store(&[]routing.Endpoint{})
 	c.entries.Store(1)
 	return c
@@ -53,6 +56,7 @@
 func (c *control) Heard(now time.Time, h *wire.Heartbeat) {
 	c.entry.catalogue.Heard(h)
 	if h.Role == membership.RoleAgent {
+		delete(c.failed, h.Node)
 		c.noteLoad(now, h.Node, h.Incarnation, h.Load)
 	}
 }
@@ -74,13 +78,32 @@
 	c.entry.loop.Post(func() { c.noteLoad(time.Now(), endpoint, incarnation, load) })
 }
 
+// failedFor is how long an endpoint that failed a request is passed over unless
+// it is heard of again. Heartbeats of a large fleet are seconds apart; requests
+// show a dead endpoint sooner.
+const failedFor = 2 * time.Second
+
+// noteFailure passes an endpoint over for a while; any thread.
+func (c *control) noteFailure(endpoint string) {
+	c.entry.loop.Post(func() {
+		c.failed[endpoint] = time.Now().Add(failedFor)
+		c.dirty = true
+	})
+}
+
 // Tick implements membership.Delegate.
-func (c *control) Tick(_ time.Time, members *membership.View) {
+func (c *control) Tick(now time.Time, members *membership.View) {
+	for name, until := range c.failed {
+		if now.After(until) {
+			delete(c.failed, name)
+			c.dirty = true
+		}
+	}
 	if members != c.view {
 		c.view = members
 		c.dirty = true
 		c.rankDuties(members)
-		c.entries.Store(int64(len(members.Entries("")) + 1))
+		c.entries.Store(int64(members.EntryCount() + 1))
 	}
 	if c.dirty {
 		c.dirty = false
@@ -109,7 +132,7 @@
 	h := m.Last
 	endpoint := routing.Endpoint{
 		Name: name, Addr: h.Addr, DataCentre: h.DataCentre, EngineAddr: h.EngineAddr, Incarnation: h.Incarnation,
-		Models: h.Models, Services: h.Services, Suspect: m.Suspect, Leaving: m.Leaving,
+		Models: h.Models, Services: h.Services, Suspect: m.Suspect || !c.failed[name].IsZero(), Leaving: m.Leaving,
 	}
 	known := c.loads[name]
 	if known.load == nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,6 +78,9 @@
 	return e, nil
 }
 
+// Loop is the entry's control loop, for the benches.
+func (e *Entry) Loop() *membership.Loop { return e.loop }
+
 // globalRand is the process-wide generator, safe for concurrent use.
 type globalRand struct{}
 
--- a/membership/config.go
+++ b/membership/config.go
@@ -55,7 +55,7 @@
 	defaultForgetAfter    = time.Minute
 	// heartbeatBytes is an agent's heartbeat with its UDP and IP headers, as
 	// measured by the capacity bench.
-	heartbeatBytes = 180
+	heartbeatBytes = 223
 	// missedBeforeSuspect is how many heartbeats in a row may be lost.
 	missedBeforeSuspect = 4
 )
--- a/membership/loop.go
+++ b/membership/loop.go
@@ -109,7 +109,7 @@
 		l.send(l.config.Listen, nil)
 		return l.config.Tick, gnet.None
 	}
-	l.Post(l.tick)
+	l.Post(func() { l.Step(time.Now()) })
 	return l.config.Tick, gnet.None
 }
 
@@ -123,14 +123,19 @@
 	if err != nil || len(data) == 0 {
 		return gnet.None
 	}
+	l.Receive(time.Now(), data)
+	return gnet.None
+}
+
+// Receive takes in one datagram. Control thread; the benches call it on a loop
+// that does not run.
+func (l *Loop) Receive(now time.Time, data []byte) {
 	l.Stats.ReceivedBytes.Add(uint64(len(data) + headerBytes))
 	l.Stats.ReceivedDatagrams.Add(1)
 	var h wire.Heartbeat
-	if proto.Unmarshal(data, &h) != nil {
-		return gnet.None
+	if proto.Unmarshal(data, &h) == nil {
+		l.heard(now, &h)
 	}
-	l.heard(time.Now(), &h)
-	return gnet.None
 }
 
 // headerBytes is what IPv4 and UDP add to a datagram.
@@ -146,8 +151,9 @@
 	}
 }
 
-func (l *Loop) tick() {
-	now := time.Now()
+// Step runs the timers and publishes the view. Control thread; the benches call
+// it on a loop that does not run.
+func (l *Loop) Step(now time.Time) {
 	l.state.tick(now)
 	l.left.Store(l.state.leaving)
 	if !now.Before(l.state.nextBeat) {
@@ -170,7 +176,7 @@
 	h := &wire.Heartbeat{
 		Node: l.config.Node, Role: l.config.Role, DataCentre: l.config.DataCentre, Addr: l.config.Advertise,
 		Incarnation: l.config.Incarnation, Sequence: l.state.sequence, Leaving: l.state.leaving, Reply: reply,
-		AdvisedIntervalMs: l.state.advisedInterval(), LeavingNodes: l.state.listLeaving(),
+		AdvisedIntervalMs: l.state.advised.Milliseconds(), LeavingNodes: l.state.leavingNames,
 	}
 	l.delegate.Fill(now, h)
 	data, err := proto.Marshal(h)
@@ -184,7 +190,7 @@
 
 func (l *Loop) send(target string, data []byte) {
 	addr, err := net.ResolveUDPAddr("udp", target)
-	if err != nil {
+	if err != nil || l.sender == nil {
 		return
 	}
 	// A datagram that cannot be sent is the same as one that is lost.
--- a/membership/state.go
+++ b/membership/state.go
@@ -1,10 +1,11 @@
 package membership
 
 import (
-	"math/rand/v2"
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"aspenyard.example/platform"
 	"aspenyard.example/wire"
 )
@@ -82,6 +83,18 @@
 	return entries
 }
 
+// EntryCount counts the entries that may be serving, this node excluded: those
+// that are heard of and those that the platform lists.
+func (v *View) EntryCount() int {
+	count := 0
+	for _, m := range v.Members {
+		if m.Role() == RoleEntry && !m.Leaving && (m.Listed || m.Alive()) {
+			count++
+		}
+	}
+	return count
+}
+
 // state is the membership itself. It belongs to the control thread.
 type state struct {
 	config   Config
@@ -93,6 +106,11 @@
 	sequence uint64
 	interval time.Duration
 	dirty    bool
+	// advised and leavingNames are made anew at each tick: every heartbeat
+	// received is answered with them, so that making them then would cost each
+	// answer a walk over all members.
+	advised      time.Duration
+	leavingNames []string
 }
 
 func newState(config Config) *state {
@@ -190,6 +208,8 @@
 		}
 	}
 	s.lastTick = now
+	s.advised = s.advisedInterval()
+	s.leavingNames = s.listLeaving()
 	limit := s.suspectAfter()
 	for name, member := range s.members {
 		silent := now.Sub(member.Heard)
@@ -206,13 +226,12 @@
 
 // suspectAfter stretches with the interval that a large fleet needs.
 func (s *state) suspectAfter() time.Duration {
-	advised := time.Duration(s.advisedInterval()) * time.Millisecond
-	return max(s.config.SuspectAfter, missedBeforeSuspect*advised)
+	return max(s.config.SuspectAfter, missedBeforeSuspect*s.advised)
 }
 
-// advisedInterval is what this entry asks of its agents, in milliseconds, so
-// that their heartbeats stay within its bytes a second.
-func (s *state) advisedInterval() int64 {
+// advisedInterval is what this entry asks of its agents, so that their heartbeats
+// stay within its bytes a second.
+func (s *state) advisedInterval() time.Duration {
 	if s.config.Role != RoleEntry {
 		return 0
 	}
@@ -223,39 +242,54 @@
 		}
 	}
 	needed := time.Duration(agents*heartbeatBytes) * time.Second / time.Duration(s.config.BytesPerSecond)
-	return max(s.config.Interval, needed).Milliseconds()
+	return max(s.config.Interval, needed)
 }
 
-// targets lists the addresses of this round of heartbeats. Everyone reports to
-// the entries; agents are answered and need no round of their own.
+// targets lists the addresses of this round of heartbeats: some entries of this
+// data centre and a few of each other one. Everyone reports to entries; agents
+// are answered and need no round of their own.
+//
+// Which entries is decided by a rendezvous hash, so that each node keeps to its
+// own few, each entry hears of an even share, and the traffic of a node does not
+// grow with the fleet.
 func (s *state) targets() []string {
-	var targets []string
-	known := map[string]bool{}
-	add := func(addr string) {
-		if addr != "" && !known[addr] && addr != s.config.Advertise {
-			known[addr] = true
-			targets = append(targets, addr)
+	byDataCentre := map[string][]*Member{}
+	for _, member := range s.members {
+		if member.Role() == RoleEntry && member.Addr() != "" {
+			byDataCentre[member.DataCentre()] = append(byDataCentre[member.DataCentre()], member)
 		}
 	}
-	for _, member := range s.members {
-		if member.Role() != RoleEntry {
-			continue
+	var targets []string
+	for dataCentre, entries := range byDataCentre {
+		count := farEntries
+		if dataCentre == s.config.DataCentre {
+			count = nearEntries
 		}
-		near := member.DataCentre() == s.config.DataCentre
-		if s.config.Role == RoleAgent || near || rand.IntN(farEvery) == 0 {
-			add(member.Addr())
+		for _, member := range s.nearest(entries, count) {
+			targets = append(targets, member.Addr())
 		}
 	}
 	if len(targets) == 0 {
-		for _, seed := range s.config.Seeds {
-			add(seed)
-		}
+		return s.config.Seeds
 	}
 	return targets
 }
 
-// farEvery: entries of other data centres are told in one of this many rounds.
-const farEvery = 3
+// nearEntries and farEntries bound the entries that a node reports to, in its own
+// data centre and in each other. More of them know more endpoints each, and
+// receive more heartbeats.
+const (
+	nearEntries = 8
+	farEntries  = 2
+)
+
+// nearest takes the members that the rendezvous hash ranks first for this node.
+func (s *state) nearest(members []*Member, count int) []*Member {
+	sort.Slice(members, func(i, j int) bool {
+		return xxhash.Sum64String(s.config.Node+"\x00"+members[i].Name()) > xxhash.Sum64String(s.config.Node+"\x00"+members[j].Name())
+	})
+	return members[:min(count, len(members))]
+}
 
 // listLeaving names the nodes that the platform's list has as leaving and that
 // may not know it yet.
--- a/power/ledger.go
+++ b/power/ledger.go
@@ -108,12 +108,8 @@
 		changed = next.settle(report) || changed
 	}
 	targets := next.targets(reports)
-	for _, report := range reports {
-		changed = next.decrease(report, targets[report.Endpoint]) || changed
-	}
-	for _, report := range reports {
-		changed = next.increase(report, targets[report.Endpoint]) || changed
-	}
+	changed = next.decreaseAll(reports, targets) || changed
+	changed = next.increaseAll(reports, targets) || changed
 	if !changed {
 		return nil
 	}
@@ -219,47 +215,55 @@
 	return left
 }
 
-func (l *Ledger) decrease(report Report, target uint64) bool {
-	grant := l.Grants[report.Endpoint]
-	if grant == nil || report.Silent || target >= grant.Watts {
-		return false
-	}
-	needed := l.Counted() > l.CapWatts || l.starving(report.Endpoint)
-	if grant.Watts-target < minChangeWatts && !needed {
-		return false
+// decreaseAll lowers grants to their targets. What is lowered stays counted.
+func (l *Ledger) decreaseAll(reports []Report, targets map[string]uint64) bool {
+	needed := l.Counted() > l.CapWatts || l.starving()
+	changed := false
+	for _, report := range reports {
+		grant, target := l.Grants[report.Endpoint], targets[report.Endpoint]
+		if grant == nil || report.Silent || target >= grant.Watts {
+			continue
+		}
+		if grant.Watts-target < minChangeWatts && !needed {
+			continue
+		}
+		grant.Watts, grant.Revision = target, l.Revision
+		changed = true
 	}
-	grant.Watts, grant.Revision = target, l.Revision
-	return true
+	return changed
 }
 
-// starving tells whether another endpoint has no more than its floor: then even
-// a small decrease is worth a write.
-func (l *Ledger) starving(except string) bool {
-	for name, grant := range l.Grants {
-		if name != except && grant.Watts <= grant.Floor {
+// starving tells whether an endpoint has no more than its floor: then even a
+// small decrease elsewhere is worth a write.
+func (l *Ledger) starving() bool {
+	for _, grant := range l.Grants {
+		if grant.Watts <= grant.Floor {
 			return true
 		}
 	}
 	return false
 }
 
-// increase raises a grant as far as the watts not counted elsewhere allow. A
-// grant with an unconfirmed decrease is not raised: what it may draw is unclear.
-func (l *Ledger) increase(report Report, target uint64) bool {
-	grant := l.Grants[report.Endpoint]
-	if grant == nil || report.Silent || target <= grant.Watts || grant.Counted > grant.Watts {
-		return false
-	}
+// increaseAll raises grants towards their targets, as far as the watts not
+// counted elsewhere allow. A grant with an unconfirmed decrease is not raised:
+// what its endpoint may draw is unclear.
+func (l *Ledger) increaseAll(reports []Report, targets map[string]uint64) bool {
 	counted := l.Counted()
-	if counted >= l.CapWatts {
-		return false
-	}
-	raise := min(target-grant.Watts, l.CapWatts-counted)
-	if raise < minChangeWatts && grant.Watts > grant.Floor {
-		return false
+	changed := false
+	for _, report := range reports {
+		grant, target := l.Grants[report.Endpoint], targets[report.Endpoint]
+		if grant == nil || report.Silent || target <= grant.Watts || grant.Counted > grant.Watts || counted >= l.CapWatts {
+			continue
+		}
+		raise := min(target-grant.Watts, l.CapWatts-counted)
+		if raise < minChangeWatts && grant.Watts > grant.Floor {
+			continue
+		}
+		grant.Watts += raise
+		grant.Counted = grant.Watts
+		grant.Revision = l.Revision
+		counted += raise
+		changed = true
 	}
-	grant.Watts += raise
-	grant.Counted = grant.Watts
-	grant.Revision = l.Revision
-	return true
+	return changed
 }
