--- a/attempt/claim.go
+++ b/attempt/claim.go
@@ -118,7 +118,7 @@
 // run. confirmed is set when the agent said that old's order did not run.
 func MayReplace(old, next *Claim, confirmed bool) bool {
 	if old == nil {
-		return next.State == ClaimClaimed || next.State == ClaimNotRun
+		return next.State == ClaimClaimed
 	}
 	if old.Digest != next.Digest {
 		return false
@@ -128,7 +128,7 @@
 	case ClaimDone:
 		return false
 	case ClaimNotRun:
-		return !same && (next.State == ClaimClaimed || next.State == ClaimNotRun)
+		return !same && next.State == ClaimClaimed
 	case ClaimUnknown:
 		return next.State == ClaimDone && same
 	}
@@ -136,7 +136,7 @@
 	case ClaimClaimed:
 		return !same && confirmed
 	case ClaimNotRun:
-		return confirmed
+		return same && confirmed
 	case ClaimUnknown:
 		return same
 	case ClaimDone:
--- a/entry/once.go
+++ b/entry/once.go
@@ -39,10 +39,10 @@
 	digest  string
 	key     string
 	routing routing.Request
-	// found is the claim last read from the store, nil for none, and value what
-	// it was read from; mine is this entry's own, once written.
-	found, mine *attempt.Claim
-	value       platform.Value
+	// value is what the store last gave for the key; mine is this entry's claim,
+	// once written.
+	value platform.Value
+	mine  *attempt.Claim
 }
 
 // reply is what a plain service answered.
@@ -65,38 +65,12 @@
 func (o *once) do(ctx context.Context) (reply, *result.Error) {
 	ctx, cancel := o.call.timeout(ctx)
 	defer cancel()
-	answer, failure := o.try(ctx)
-	if failure != nil && failure.Ran == result.RanNo && failure.Code != result.KeyReused && !o.call.first {
-		failure = o.sealed(ctx, failure)
-	}
-	return answer, failure
-}
-
-// sealed makes a "did not run" hold for the key and not for this try alone. The
-// same key may be under way in another entry that has read the store and was
-// then paused: it would claim the key and run after the caller was told "no". A
-// new claim that says "not run" makes the other's compare-and-swap fail.
-func (o *once) sealed(ctx context.Context, failure *result.Error) *result.Error {
-	if o.mine != nil && o.mine.State == attempt.ClaimNotRun {
-		return failure
-	}
-	seal := &attempt.Claim{Digest: o.digest, Attempt: newID(), RequestID: o.call.id, State: attempt.ClaimNotRun}
-	if o.writeFrom(context.WithoutCancel(ctx), &o.value, o.found, seal, true) == nil {
-		return failure
-	}
-	unsealed := *failure
-	unsealed.Ran = result.RanUnknown
-	return &unsealed
-}
-
-func (o *once) try(ctx context.Context) (reply, *result.Error) {
 	var last *result.Error
 	for tries := 0; tries < maxRefusals; tries++ {
 		claim, failure := o.read(ctx)
 		if failure != nil {
 			return reply{}, failure
 		}
-		o.found = claim
 		switch attempt.Judge(claim, o.digest) {
 		case attempt.Mismatch:
 			return reply{}, result.Refuse(result.KeyReused, 0, "the key was used for another request")
