bench policy: routing and admission under open-loop load, against four baselines

Cause: the policy was unmeasured. The bench runs the real routing and admission code before the stand-in engine's own model in virtual time, with late reports, several entries, bursts, shared prefixes, classes and large accounts.

Not in it: prompts over several engines (the entry's span), the network.

--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -50,8 +50,8 @@
 	return float64(time.Since(start).Nanoseconds()) / 1000 / float64(calls)
 }
 
-// heap gives the live heap's growth by what build returns.
-func heap(build func() any) int {
+// heapGrowth gives the live heap's growth by what build returns.
+func heapGrowth(build func() any) int {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -122,7 +122,7 @@
 			}
 		})
 		received := (repeat(round) - encoding) / float64(size)
-		kept := heap(func() any { round(); loop.Step(time.Now()); return loop })
+		kept := heapGrowth(func() any { round(); loop.Step(time.Now()); return loop })
 		tick := repeat(func() {
 			sequence++
 			data, _ := proto.Marshal(AgentHeartbeat(0, sequence))
@@ -199,7 +199,7 @@
 	var slopes []Slope
 	for _, accounts := range []int{480, 4_800, 48_000} {
 		replica := catalogue.NewReplica()
-		kept := heap(func() any { fillReplica(replica, accounts); return replica })
+		kept := heapGrowth(func() any { fillReplica(replica, accounts); return replica })
 		record := accountRecord(7)
 		page := catalogue.PageOf(record.Key())
 		revision := replica.View().Revisions()[page]
@@ -308,7 +308,7 @@
 		table.Finish(now, r, nil)
 		queue.Remove(id)
 	})
-	kept := heap(func() any {
+	kept := heapGrowth(func() any {
 		full := attempt.NewTable(1, time.Second, time.Hour)
 		for range 10_000 {
 			r := full.Reserve(now)
@@ -331,7 +331,7 @@
 	for i := range names {
 		names[i] = fmt.Sprintf("account-%05d", i)
 	}
-	kept := heap(func() any {
+	kept := heapGrowth(func() any {
 		for _, name := range names {
 			limiter.Admit(time.Now(), name, limits, 1, 1000)
 		}
--- /dev/null
+++ b/bench/plot.go
@@ -0,0 +1,44 @@
+package bench
+
+import (
+	"sort"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+)
+
+// PlotPolicies draws the short requests' p95 time to first token over the load,
+// one line a policy, as SVG or PNG by the file's ending.
+func PlotPolicies(results []PolicyResult, path string) error {
+	p := plot.New()
+	p.Title.Text = "Short prompts (up to 4k tokens) with long ones present"
+	p.X.Label.Text = "offered work over capacity"
+	p.Y.Label.Text = "time to first token, p95 (ms)"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	lines := map[string]plotter.XYs{}
+	for _, r := range results {
+		lines[r.Policy] = append(lines[r.Policy], plotter.XY{X: r.Load, Y: max(1, r.FirstToken[0].P95)})
+	}
+	names := make([]string, 0, len(lines))
+	for name := range lines {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var drawn []any
+	for _, name := range names {
+		drawn = append(drawn, name, lines[name])
+	}
+	if err := plotutil.AddLinePoints(p, drawn...); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(p.Save(plotWidth, plotHeight, path))
+}
--- /dev/null
+++ b/bench/run.go
@@ -0,0 +1,408 @@
+package bench
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/result"
+	"aspenyard.example/routing"
+	standin "aspenyard.example/standin/engine"
+)
+
+// Conditions of a run, beside its workload.
+type Conditions struct {
+	// Entries share the arrivals; each has its own view.
+	Entries int
+	// ReportEvery and ReportLag time the load reports.
+	ReportEvery, ReportLag time.Duration
+	// KillShare of the engines dies half way through.
+	KillShare float64
+	// ObeyShare of the refused requests come back once, when they were told to.
+	ObeyShare float64
+}
+
+// outcome is what became of one request.
+type outcome struct {
+	job job
+	// first is the time to first token; ended the time to the end.
+	first, ended time.Duration
+	done         bool
+	refused      bool
+	retryAfter   time.Duration
+	retries      int
+	late         bool // its deadline passed before its end
+}
+
+// machine runs the real routing and admission code before model engines in
+// virtual time.
+type machine struct {
+	workload   Workload
+	conditions Conditions
+	now        time.Duration
+	epoch      time.Time
+	events     eventHeap
+	entries    []*benchEntry
+	engines    []*benchEngine
+	flights    map[string]*flight
+	outcomes   []*outcome
+	random     *rand.Rand
+	budgets    map[admission.Class]*admission.Budget
+	// cached and prompts count prompt tokens served from the prefix cache and all.
+	cached, prompts int
+	scheduled       int
+	numbered        uint64
+}
+
+// benchEntry is one entry's knowledge.
+type benchEntry struct {
+	policy *routing.Policy
+	view   []routing.Endpoint
+	sent   map[string]int
+}
+
+// Count implements routing.Outstanding.
+func (e *benchEntry) Count(endpoint string) int { return e.sent[endpoint] }
+
+// benchEngine is one engine with its agent's queue.
+type benchEngine struct {
+	index    int
+	name     string
+	model    *standin.Model
+	queue    *admission.Queue
+	stepping bool
+	dead     bool
+	jobs     map[uint64]*flight
+}
+
+// flight is one request on its way.
+type flight struct {
+	outcome *outcome
+	entry   *benchEntry
+	engine  *benchEngine
+	id      string
+	number  uint64
+	tried   map[string]bool
+	tokens  int
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+func (m *machine) after(d time.Duration, run func()) {
+	m.scheduled++
+	heap.Push(&m.events, event{at: m.now + d, order: m.scheduled, run: run})
+}
+
+func (m *machine) clock() time.Time { return m.epoch.Add(m.now) }
+
+// simulate runs the jobs under a policy and returns what became of each.
+func simulate(policy string, jobs []job, w Workload, c Conditions) (*machine, error) {
+	m := &machine{
+		workload: w, conditions: c, epoch: time.Unix(1_780_000_000, 0), flights: map[string]*flight{},
+		random: rand.New(rand.NewPCG(w.Seed, 11)), budgets: map[admission.Class]*admission.Budget{},
+	}
+	for class := admission.Urgent; class <= admission.Bulk; class++ {
+		m.budgets[class] = admission.NewBudget()
+	}
+	for i := range w.Engines {
+		m.engines = append(m.engines, newBenchEngine(i, w.Engine))
+	}
+	for range c.Entries {
+		e := &benchEntry{sent: map[string]int{}}
+		var err error
+		if e.policy, err = routing.New(policy, m.random, e); err != nil {
+			return nil, err
+		}
+		m.entries = append(m.entries, e)
+		e.view = make([]routing.Endpoint, len(m.engines))
+		for i, engine := range m.engines {
+			e.view[i] = engine.describe(e.policy, m.clock())
+		}
+	}
+	for i := range jobs {
+		j := jobs[i]
+		heap.Push(&m.events, event{at: j.at, order: i - len(jobs), run: func() { m.arrive(j) }})
+	}
+	m.after(0, m.report)
+	if c.KillShare > 0 {
+		m.after(w.Length/2, m.killSome)
+	}
+	end := w.Length + drainTime
+	for len(m.events) > 0 && m.events[0].at <= end {
+		next := heap.Pop(&m.events).(event)
+		m.now = next.at
+		next.run()
+	}
+	return m, nil
+}
+
+// drainTime is how long after the last arrival a run goes on.
+const drainTime = 3 * time.Minute
+
+func newBenchEngine(i int, config standin.Config) *benchEngine {
+	config = config.WithDefaults()
+	return &benchEngine{
+		index: i, name: string(rune('a'+i/26)) + string(rune('a'+i%26)), model: standin.NewModel(config), jobs: map[uint64]*flight{},
+		queue: admission.NewQueue(admission.Config{
+			MaxRunning: config.MaxRunning, MemoryTokens: config.MemoryTokens, PrefillRate: config.PrefillRate(),
+		}),
+	}
+}
+
+const benchModel = "model"
+
+// describe is the endpoint as its report has it: the agent's for the policy that
+// uses the agents' queue, else the engine's own.
+func (e *benchEngine) describe(policy *routing.Policy, at time.Time) routing.Endpoint {
+	c := e.model.Config()
+	endpoint := routing.Endpoint{
+		Name: e.name, DataCentre: "dc", Models: []string{benchModel}, MemoryTokens: c.MemoryTokens,
+		PrefillRate: c.PrefillRate(), MaxRunning: c.MaxRunning, Reported: at, Suspect: e.dead,
+	}
+	if policy.Admission {
+		report := e.queue.Report()
+		endpoint.Running, endpoint.Queued, endpoint.FreeMemory, endpoint.Backlog = report.Running, report.Queued, report.FreeMemory, report.Backlog
+		return endpoint
+	}
+	load := e.model.Load()
+	endpoint.Running, endpoint.Queued, endpoint.FreeMemory = load.Running, load.Waiting, load.FreeTokens
+	endpoint.Backlog[0] = load.BacklogTokens
+	return endpoint
+}
+
+// report takes every engine's load now and shows it to the entries after the lag.
+func (m *machine) report() {
+	for _, entry := range m.entries {
+		for i, engine := range m.engines {
+			shown := engine.describe(entry.policy, m.clock())
+			m.after(m.conditions.ReportLag, func() {
+				if !entry.view[i].Reported.After(shown.Reported) {
+					entry.view[i] = shown
+				}
+			})
+		}
+	}
+	m.after(m.conditions.ReportEvery, m.report)
+}
+
+func (m *machine) arrive(j job) {
+	f := &flight{outcome: &outcome{job: j}, entry: m.entries[j.id%len(m.entries)], tried: map[string]bool{}}
+	m.outcomes = append(m.outcomes, f.outcome)
+	m.dispatch(f)
+	m.after(j.allowed, func() { m.expire(f) })
+}
+
+const benchRefusals = 3
+
+// dispatch routes a request, as an entry does.
+func (m *machine) dispatch(f *flight) {
+	j := f.outcome.job
+	request := routing.Request{
+		Model: benchModel, Class: j.class, PromptTokens: j.prompt, OutputTokens: j.output, Prefix: j.beginnings(),
+		DataCentre: "dc", Tried: f.tried,
+	}
+	var refusal admission.Verdict
+	for range benchRefusals {
+		picked := f.entry.policy.Route(m.clock(), &request, f.entry.view)
+		if picked == nil {
+			break
+		}
+		engine := m.find(picked.Name)
+		if engine.dead {
+			f.tried[engine.name] = true
+			continue
+		}
+		verdict := m.offer(f, engine)
+		if verdict.Accepted {
+			return
+		}
+		f.tried[engine.name] = true
+		if refusal.Code == 0 || verdict.RetryAfter < refusal.RetryAfter {
+			refusal = verdict
+		}
+	}
+	m.refuse(f, refusal)
+}
+
+func (m *machine) find(name string) *benchEngine {
+	for _, engine := range m.engines {
+		if engine.name == name {
+			return engine
+		}
+	}
+	return nil
+}
+
+func (m *machine) refuse(f *flight, verdict admission.Verdict) {
+	f.outcome.refused = true
+	f.outcome.retryAfter = verdict.RetryAfter
+	j := f.outcome.job
+	if j.retried || verdict.Code == result.PromptTooLong || m.random.Float64() >= m.conditions.ObeyShare {
+		return
+	}
+	j.retried = true
+	m.after(verdict.RetryAfter, func() { m.arrive(j) })
+}
+
+// offer hands a request to an engine: through the agent's queue, or straight.
+func (m *machine) offer(f *flight, engine *benchEngine) admission.Verdict {
+	j := f.outcome.job
+	m.numbered++
+	f.engine, f.number = engine, m.numbered
+	f.id = engine.name + "-" + time.Duration(m.numbered).String()
+	if !f.entry.policy.Admission {
+		engine.jobs[f.number] = f
+		f.entry.sent[engine.name]++
+		m.submit(f, 0)
+		return admission.Verdict{Accepted: true}
+	}
+	verdict := engine.queue.Offer(m.clock(), admission.Job{
+		ID: f.number, Account: j.account, Class: j.class, PromptTokens: j.prompt, OutputTokens: j.output,
+		Deadline: m.epoch.Add(j.at + j.allowed),
+	})
+	f.entry.view[engine.index] = engine.describe(f.entry.policy, m.clock())
+	if !verdict.Accepted {
+		return verdict
+	}
+	engine.jobs[f.number] = f
+	f.entry.sent[engine.name]++
+	engine.queue.Arm(f.number)
+	m.pump(engine)
+	return verdict
+}
+
+func (m *machine) pump(engine *benchEngine) {
+	for {
+		number, found := engine.queue.Next()
+		if !found {
+			return
+		}
+		f := engine.jobs[number]
+		m.submit(f, int(admission.LevelOf(f.outcome.job.class, f.outcome.job.prompt)))
+	}
+}
+
+func (m *machine) submit(f *flight, priority int) {
+	j := f.outcome.job
+	m.flights[f.id] = f
+	sequence := &standin.Sequence{ID: f.id, Priority: priority, PromptTokens: j.prompt, MaxTokens: j.output, Blocks: j.blocks()}
+	if f.engine.model.Submit(sequence) != nil {
+		m.end(f)
+		m.refuse(f, admission.Verdict{Code: result.PromptTooLong})
+		return
+	}
+	m.step(f.engine)
+}
+
+// step runs an engine's batch steps, one after the other, while it has work.
+func (m *machine) step(engine *benchEngine) {
+	if engine.stepping || engine.dead || !engine.model.Busy() {
+		return
+	}
+	engine.stepping = true
+	duration, events := engine.model.Step()
+	m.after(duration, func() {
+		engine.stepping = false
+		if engine.dead {
+			return
+		}
+		for _, e := range events {
+			m.token(e)
+		}
+		m.step(engine)
+	})
+}
+
+func (m *machine) token(e standin.Event) {
+	f := m.flights[e.ID]
+	if f == nil {
+		return
+	}
+	f.tokens++
+	if f.tokens == 1 && f.outcome.first == 0 {
+		f.outcome.first = m.now - f.outcome.job.at
+		f.engine.queue.Prefilled(f.number)
+		m.prompts += f.outcome.job.prompt
+		for _, state := range f.engine.model.States() {
+			if state.ID == f.id {
+				m.cached += state.Cached
+			}
+		}
+	}
+	if e.Finished {
+		f.outcome.done = true
+		f.outcome.ended = m.now - f.outcome.job.at
+		m.budgets[f.outcome.job.class].Success()
+		m.end(f)
+	}
+}
+
+// end frees what a request holds.
+func (m *machine) end(f *flight) {
+	engine := f.engine
+	if engine == nil || engine.jobs[f.number] == nil {
+		return
+	}
+	delete(engine.jobs, f.number)
+	delete(m.flights, f.id)
+	f.entry.sent[engine.name]--
+	engine.model.Release(f.id)
+	engine.queue.Remove(f.number)
+	if f.entry.policy.Admission {
+		m.pump(engine)
+	}
+	m.step(engine)
+}
+
+func (m *machine) expire(f *flight) {
+	if f.outcome.done || f.outcome.refused {
+		return
+	}
+	f.outcome.late = true
+	m.end(f)
+}
+
+// killSome ends a share of the engines; their requests go on elsewhere as far as
+// the retry budget allows.
+func (m *machine) killSome() {
+	count := int(m.conditions.KillShare * float64(len(m.engines)))
+	for _, engine := range m.engines[:count] {
+		engine.dead = true
+		for _, f := range engine.jobs {
+			delete(m.flights, f.id)
+			f.entry.sent[engine.name]--
+			f.tried[engine.name] = true
+			if !m.budgets[f.outcome.job.class].Take() {
+				f.outcome.refused, f.outcome.retryAfter = true, time.Second
+				continue
+			}
+			f.outcome.retries++
+			f.tokens = 0
+			m.dispatch(f)
+		}
+		engine.jobs = map[uint64]*flight{}
+	}
+}
--- /dev/null
+++ b/bench/workload.go
@@ -0,0 +1,215 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"aspenyard.example/admission"
+	standin "aspenyard.example/standin/engine"
+)
+
+// Workload describes the requests of one experiment.
+type Workload struct {
+	Seed uint64
+	// Engines is the number of engines that Load is relative to.
+	Engines int
+	// Load is the offered work over the engines' capacity.
+	Load float64
+	// LongShare is the part of requests above 100,000 tokens; 0.02 is one in 50.
+	LongShare float64
+	// Burst is how much higher the rate is in a burst, which takes a tenth of the
+	// time; 1: no bursts.
+	Burst float64
+	// Length is the virtual time over which requests arrive.
+	Length time.Duration
+	Engine standin.Config
+}
+
+// job is one request of a workload.
+type job struct {
+	id      int
+	at      time.Duration
+	class   admission.Class
+	account string
+	prompt  int
+	output  int
+	// prefix names the text that the first shared tokens have in common with
+	// other requests.
+	prefix, shared int
+	allowed        time.Duration
+	retried        bool
+}
+
+// The mix of lengths, in tokens, besides the long ones: most prompts are short.
+var lengthBands = []struct {
+	share     float64
+	low, high int
+}{
+	{0.72, 1_000, 4_000}, {0.20, 4_000, 16_000}, {0.08, 16_000, 100_000},
+}
+
+// longLow and longHigh bound the long prompts. Prompts that need several
+// engines are left out here: the span of a prompt is the entry's work, which the
+// demo and the scenarios show.
+const (
+	longLow, longHigh = 100_001, 300_000
+	accounts          = 10
+	largeAccounts     = 2
+	largeShare        = 0.35 // of the requests, for each large account
+	prefixPool        = 40
+	sharedChance      = 0.5
+	burstTime         = 0.1
+	burstPeriod       = 20 * time.Second
+)
+
+// deadlines by class: how long a caller waits for the whole answer.
+var deadlines = map[admission.Class]time.Duration{
+	admission.Urgent: 15 * time.Second, admission.Normal: 90 * time.Second, admission.Bulk: 10 * time.Minute,
+}
+
+// jobs draws the requests of a workload, in order of arrival. The arrivals do not
+// wait for answers, so that a late system does not slow its own load.
+func (w Workload) jobs() []job {
+	random := rand.New(rand.NewPCG(w.Seed, 7))
+	rate := w.Load * float64(w.Engines) / w.meanCost()
+	var jobs []job
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / (rate * w.intensity(at)) * float64(time.Second))
+		if at > w.Length {
+			return jobs
+		}
+		jobs = append(jobs, w.draw(random, len(jobs), at))
+	}
+}
+
+// intensity is the rate at a time over the mean rate.
+func (w Workload) intensity(at time.Duration) float64 {
+	burst := max(1, w.Burst)
+	quiet := (1 - burstTime*burst) / (1 - burstTime)
+	if quiet <= 0 {
+		quiet = 0.05
+	}
+	if float64(at%burstPeriod) < burstTime*float64(burstPeriod) {
+		return burst
+	}
+	return quiet
+}
+
+// meanCost is the engine time of a mean request, in seconds.
+func (w Workload) meanCost() float64 {
+	random := rand.New(rand.NewPCG(99, 99))
+	sum := 0.0
+	const samples = 20_000
+	for i := range samples {
+		sum += w.cost(w.draw(random, i, 0))
+	}
+	return sum / samples
+}
+
+func (w Workload) cost(j job) float64 {
+	c := w.Engine.WithDefaults()
+	return float64(j.prompt)/float64(c.PrefillRate()) + float64(j.output)*c.DecodeTime.Seconds()
+}
+
+func logUniform(random *rand.Rand, low, high int) int {
+	return int(float64(low) * math.Pow(float64(high)/float64(low), random.Float64()))
+}
+
+func (w Workload) draw(random *rand.Rand, id int, at time.Duration) job {
+	j := job{id: id, at: at, output: 32 + random.IntN(200), account: drawAccount(random)}
+	if random.Float64() < w.LongShare {
+		j.prompt = logUniform(random, longLow, longHigh)
+	} else {
+		pick := random.Float64()
+		for _, band := range lengthBands {
+			if pick -= band.share; pick < 0 {
+				j.prompt = logUniform(random, band.low, band.high)
+				break
+			}
+		}
+		if j.prompt == 0 {
+			j.prompt = lengthBands[0].low
+		}
+	}
+	j.class = drawClass(random, j.prompt)
+	j.allowed = deadlines[j.class]
+	if random.Float64() < sharedChance {
+		j.prefix = 1 + random.IntN(prefixPool)
+		j.shared = min(j.prompt, 1024<<random.IntN(3))
+	}
+	return j
+}
+
+func drawAccount(random *rand.Rand) string {
+	pick := random.Float64()
+	for i := range largeAccounts {
+		if pick -= largeShare; pick < 0 {
+			return "large-" + strconv.Itoa(i)
+		}
+	}
+	return "small-" + strconv.Itoa(random.IntN(accounts-largeAccounts))
+}
+
+// drawClass gives the class: the shorter, the more urgent.
+func drawClass(random *rand.Rand, prompt int) admission.Class {
+	urgent := []float64{0.7, 0.3, 0.05, 0}[admission.Band(prompt)]
+	bulk := []float64{0.05, 0.1, 0.3, 0.5}[admission.Band(prompt)]
+	switch pick := random.Float64(); {
+	case pick < urgent:
+		return admission.Urgent
+	case pick > 1-bulk:
+		return admission.Bulk
+	}
+	return admission.Normal
+}
+
+// blocks gives the prefix-cache blocks of the request's prompt.
+func (j *job) blocks() []uint64 {
+	blocks := make([]uint64, j.prompt/standin.BlockTokens)
+	for i := range blocks {
+		blocks[i] = j.hash((i + 1) * standin.BlockTokens)
+	}
+	return blocks
+}
+
+// beginnings gives the hashes that routing knows a prompt by.
+func (j *job) beginnings() []uint64 {
+	var hashes []uint64
+	for tokens := 1024; tokens <= j.prompt; tokens *= 2 {
+		hashes = append(hashes, j.hash(tokens))
+	}
+	return hashes
+}
+
+// hash is the same for two requests exactly when their first tokens are.
+func (j *job) hash(tokens int) uint64 {
+	if tokens <= j.shared {
+		return xxhash.Sum64String("shared " + strconv.Itoa(j.prefix) + " " + strconv.Itoa(tokens))
+	}
+	return xxhash.Sum64String("own " + strconv.Itoa(j.id) + " " + strconv.Itoa(tokens))
+}
+
+// withoutLong drops the long prompts and keeps all other arrivals as they are.
+func withoutLong(jobs []job) []job {
+	var kept []job
+	for _, j := range jobs {
+		if j.prompt < longLow {
+			kept = append(kept, j)
+		}
+	}
+	return kept
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	sort.Float64s(sorted)
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"runtime"
 	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"aspenyard.example/bench"
 )
@@ -13,15 +16,100 @@
 	JSON bool `arg:"--json" help:"print JSON"`
 }
 
+type benchPolicy struct {
+	Seed      uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds     int           `arg:"--seeds" default:"5" help:"how many seeds, counted up from the first"`
+	Engines   int           `arg:"--engines" default:"12" help:"engines"`
+	Entries   int           `arg:"--entries" default:"3" help:"entries, each with its own view"`
+	Load      []float64     `arg:"--load" help:"offered work over capacity; several allowed [default: 0.5 0.8 0.95 1.3]"`
+	LongShare float64       `arg:"--long-share" default:"0.02" help:"part of prompts above 100,000 tokens"`
+	Burst     float64       `arg:"--burst" default:"2" help:"rate in a burst over the mean; 1 for none"`
+	Policy    string        `arg:"--policy" default:"all" help:"name of a policy, or all"`
+	Profile   string        `arg:"--profile" help:"citara (25 engines) or keelung (15 engines)"`
+	Lag       time.Duration `arg:"--lag" default:"2s" help:"age of the load reports"`
+	Length    time.Duration `arg:"--length" default:"5m" help:"virtual time of arrivals"`
+	Kill      float64       `arg:"--kill" help:"share of the engines that die half way"`
+	Obey      float64       `arg:"--obey" default:"0.2" help:"share of the refused that come back as told"`
+	JSON      bool          `arg:"--json" help:"print JSON"`
+	Plot      string        `arg:"--plot" placeholder:"FILE" help:"write an SVG or PNG plot"`
+}
+
 type benchCommand struct {
+	Policy   *benchPolicy   `arg:"subcommand:policy" help:"measure routing and admission under load, in virtual time"`
 	Capacity *benchCapacity `arg:"subcommand:capacity" help:"measure the slopes that docs/CAPACITY.md is made of"`
 }
 
 func (c *benchCommand) run(t terminal) int {
-	if c.Capacity != nil {
+	switch {
+	case c.Capacity != nil:
 		return c.Capacity.run(t)
+	case c.Policy != nil:
+		return c.Policy.run(t)
+	}
+	return t.failf("bench: one of policy, capacity")
+}
+
+func (c *benchPolicy) run(t terminal) int {
+	switch c.Profile {
+	case "":
+	case "citara":
+		c.Engines, c.Entries = 25, 3
+	case "keelung":
+		c.Engines, c.Entries = 15, 3
+	default:
+		return t.failf("bench policy: no profile %q; there are citara and keelung", c.Profile)
+	}
+	if len(c.Load) == 0 {
+		c.Load = []float64{0.5, 0.8, 0.95, 1.3}
+	}
+	names := bench.PolicyNames()
+	if c.Policy != "all" {
+		names = strings.Split(c.Policy, ",")
+	}
+	results, err := c.measure(names)
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	if c.Plot != "" {
+		if err := bench.PlotPolicies(results, c.Plot); err != nil {
+			return t.failf("%v", err)
+		}
+	}
+	if c.JSON {
+		_ = json.NewEncoder(t.out).Encode(results)
+		return exitOK
+	}
+	fmt.Fprintf(t.out, "%d engines, %d entries, seeds %d to %d, reports %s old, %.0f%% long, burst %g, %s of arrivals; means over seeds\n",
+		c.Engines, c.Entries, c.Seed, c.Seed+uint64(c.Seeds)-1, c.Lag, 100*c.LongShare, c.Burst, c.Length)
+	fmt.Fprint(t.out, bench.PolicyTable(results))
+	return exitOK
+}
+
+// measure runs every policy at every load, the seeds of each in parallel.
+func (c *benchPolicy) measure(names []string) ([]bench.PolicyResult, error) {
+	var means []bench.PolicyResult
+	for _, load := range c.Load {
+		for _, name := range names {
+			results := make([]bench.PolicyResult, c.Seeds)
+			var group errgroup.Group
+			for i := range c.Seeds {
+				group.Go(func() error {
+					var err error
+					results[i], err = bench.RunPolicy(name, bench.Workload{
+						Seed: c.Seed + uint64(i), Engines: c.Engines, Load: load, LongShare: c.LongShare, Burst: c.Burst, Length: c.Length,
+					}, bench.Conditions{
+						Entries: c.Entries, ReportEvery: 500 * time.Millisecond, ReportLag: c.Lag, KillShare: c.Kill, ObeyShare: c.Obey,
+					})
+					return err
+				})
+			}
+			if err := group.Wait(); err != nil {
+				return nil, err
+			}
+			means = append(means, bench.Mean(results))
+		}
 	}
-	return t.failf("bench: one of capacity")
+	return means, nil
 }
 
 func (c *benchCapacity) run(t terminal) int {
