Admission: estimates allow for what comes first; started work is bounded by its turn

(1) The estimate took the whole prefill rate, though work of more urgent levels keeps coming and goes first. (2) Long prompts were started and then waited inside the engine behind shorter ones, where they took batch places and memory from urgent work.

Change: (1) the rate left for a level is the prefill rate less the averaged inflow of the levels before it. (2) At most four started jobs of a level or before it may wait for prefill.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -21,6 +21,11 @@
 	// MaxLongRunning bounds the prompts over LongTokens that run at once; default
 	// 2. More keeps memory from short prompts; fewer makes long ones queue.
 	MaxLongRunning int
+	// MaxFilling bounds the jobs that are started and not yet prefilled; default 4.
+	// More lets the engine's own order decide and takes batch places and memory
+	// from short prompts; fewer may leave the engine without prefill to do. A job
+	// that would go first at the engine is not bounded.
+	MaxFilling int
 	// Patience is how long work of each class may wait before it goes ahead of
 	// newer work of more urgent classes; defaults 0s, 1s, 10s.
 	Patience [classCount]time.Duration
@@ -43,6 +48,9 @@
 	if c.MaxLongRunning == 0 {
 		c.MaxLongRunning = 2
 	}
+	if c.MaxFilling == 0 {
+		c.MaxFilling = 4
+	}
 	if c.Patience == [classCount]time.Duration{} {
 		c.Patience = [classCount]time.Duration{0, time.Second, 10 * time.Second}
 	}
@@ -103,7 +111,9 @@
 	running  int
 	longs    int
 	held     int
+	filling  map[uint64]*Job // started and not yet prefilled
 	backlog  Backlog
+	inflow   inflow
 	accounts map[string]*account
 	closed   bool
 }
@@ -120,7 +130,7 @@
 // NewQueue makes an empty queue.
 func NewQueue(config Config) *Queue {
 	config = config.WithDefaults()
-	return &Queue{config: config, slots: config.MaxRunning, jobs: map[uint64]*Job{}, accounts: map[string]*account{}}
+	return &Queue{config: config, slots: config.MaxRunning, jobs: map[uint64]*Job{}, filling: map[uint64]*Job{}, accounts: map[string]*account{}}
 }
 
 // SetSlots bounds the work started at once to what the power grant allows.
@@ -147,7 +157,8 @@
 	q.jobs[job.ID] = stored
 	q.insert(stored)
 	q.backlog[job.level()] += job.PromptTokens
-	return Verdict{Accepted: true, Wait: q.wait(job.level())}
+	q.inflow.add(now, job.level(), job.PromptTokens)
+	return Verdict{Accepted: true, Wait: q.wait(now, job.level())}
 }
 
 func (q *Queue) judge(now time.Time, job *Job) *Verdict {
@@ -160,33 +171,45 @@
 	if q.slots == 0 && q.running == 0 {
 		return &Verdict{Code: result.NoPower, RetryAfter: time.Second}
 	}
-	wait := q.wait(job.level())
+	wait := q.wait(now, job.level())
 	if limit := q.config.MaxWait[job.Class]; wait > limit {
 		return &Verdict{Code: result.Overloaded, RetryAfter: max(minRetryAfter, wait-limit)}
 	}
-	if late := now.Add(wait + q.duration(job)).Sub(job.Deadline); late > 0 {
+	if late := now.Add(wait + q.duration(now, job)).Sub(job.Deadline); late > 0 {
 		return &Verdict{Code: result.DeadlineUnmeetable, RetryAfter: max(minRetryAfter, min(late, wait))}
 	}
 	return nil
 }
 
-// wait estimates the time until new work of a level starts its prefill.
-func (q *Queue) wait(level Level) time.Duration {
+// wait estimates the time until new work of a level starts its prefill: the
+// backlog that goes before it, at the rate that the work which will come
+// meanwhile and go before it too leaves over.
+func (q *Queue) wait(now time.Time, level Level) time.Duration {
 	if q.config.PrefillRate == 0 {
 		return 0
 	}
-	return seconds(float64(q.backlog.Before(level)) / float64(q.config.PrefillRate))
+	return seconds(float64(q.backlog.Before(level)) / q.rate(now, level))
 }
 
 // duration estimates how long a job takes once it starts.
-func (q *Queue) duration(job *Job) time.Duration {
+func (q *Queue) duration(now time.Time, job *Job) time.Duration {
 	if q.config.PrefillRate == 0 {
 		return 0
 	}
-	prefill := float64(job.PromptTokens) / float64(q.config.PrefillRate)
+	prefill := float64(job.PromptTokens) / q.rate(now, job.level())
 	return seconds(prefill + float64(job.OutputTokens)/float64(q.config.DecodeRate))
 }
 
+// minRateShare is the least part of the prefill rate that a level is reckoned to
+// get: below it, an estimate would only say "never".
+const minRateShare = 0.05
+
+// rate is the prefill rate, in tokens a second, that is left for a level.
+func (q *Queue) rate(now time.Time, level Level) float64 {
+	full := float64(q.config.PrefillRate)
+	return max(full*minRateShare, full-q.inflow.before(now, level))
+}
+
 // targetOf gives the time by which a job should start: the earliest goes first,
 // so that every job's turn comes as it ages.
 func (q *Queue) targetOf(now time.Time, job *Job) time.Time {
@@ -238,6 +261,9 @@
 		if blocked && Band(job.PromptTokens) > 0 {
 			continue
 		}
+		if !q.goesFirst(job) {
+			continue
+		}
 		if !q.fits(job) {
 			blocked = true
 			continue
@@ -246,6 +272,7 @@
 		job.running = true
 		q.running++
 		q.held += job.memory()
+		q.filling[job.ID] = job
 		if job.long() {
 			q.longs++
 		}
@@ -254,6 +281,21 @@
 	return 0, false
 }
 
+// goesFirst tells whether the engine would come to a job's prefill soon. Work
+// started earlier than that only takes places and memory while it waits.
+func (q *Queue) goesFirst(job *Job) bool {
+	if q.config.PrefillRate == 0 {
+		return true
+	}
+	filling := 0
+	for _, other := range q.filling {
+		if other.level() <= job.level() {
+			filling++
+		}
+	}
+	return filling < q.config.MaxFilling
+}
+
 func (q *Queue) fits(job *Job) bool {
 	if q.config.MemoryTokens == 0 {
 		return true
@@ -268,6 +310,7 @@
 func (q *Queue) Prefilled(id uint64) {
 	if job := q.jobs[id]; job != nil && !job.filled {
 		job.filled = true
+		delete(q.filling, id)
 		q.backlog[job.level()] -= job.PromptTokens
 	}
 }
