--- a/admission/level.go
+++ b/admission/level.go
@@ -49,9 +49,9 @@
 // shorter one of the next class, because a short prompt costs a long one a few
 // milliseconds, and a long one costs a short one seconds.
 var levelOrder = [classCount][bandCount]Level{
-	Urgent: {0, 2, 5, 5},
-	Normal: {1, 3, 6, 6},
-	Bulk:   {4, 7, 8, 8},
+	Urgent: {0, 2, 5, 8},
+	Normal: {1, 3, 6, 9},
+	Bulk:   {4, 7, 10, 11},
 }
 
 // LevelOf gives the level of a request.
