Admission: urgent work is not held back for a long prompt that waits for memory

While a long prompt whose turn had come waited for memory, all but short prompts were held back, urgent ones too.

Ruled out: the estimates.

Change: urgent work goes past, like short work.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -247,8 +247,9 @@
 
 // Next takes the next job that may start now; false when none may. Jobs whose
 // order has not come are passed over. While the job whose turn it is does not
-// fit the free memory, only short prompts go past it: else a flow of middling
-// ones would take each piece of memory as it is freed, and the job never fits.
+// fit the free memory, only short and urgent prompts go past it: else a flow of
+// middling ones would take each piece of memory as it is freed, and the job never
+// fits.
 func (q *Queue) Next() (uint64, bool) {
 	if q.running >= q.slots {
 		return 0, false
@@ -258,7 +259,7 @@
 		if !job.armed {
 			continue
 		}
-		if blocked && Band(job.PromptTokens) > 0 {
+		if blocked && Band(job.PromptTokens) > 0 && job.Class != Urgent {
 			continue
 		}
 		if !q.goesFirst(job) {
