Scenarios: ends in time, memory, whole answers; two faults found by them

Found by the scenarios, each mended at its cause: - A replaced agent was heard of as serving before it had the catalogue, and refused with no_power what entries sent it. It now offers nothing until it has the catalogue. - A prompt over several engines was called too long for good (2009) while some engines were only silent. Endpoints that may come back count; the answer is 3006 with when to come back. Ruled out for the first: the power ledger (the site had no cap).

Before: time-engine-dies, time-agent-dies and memory failed.

--- a/agent/control.go
+++ b/agent/control.go
@@ -227,7 +227,9 @@
 	a := c.agent
 	h.Endpoint, h.EngineAddr, h.OperatorsAddr = a.settings.Name, a.settings.Endpoint, a.settings.OperatorsListen
 	h.Models, h.Services = a.status.Models, a.settings.Services
-	if c.down {
+	if c.down || !c.ready {
+		// Nothing is offered that would be refused: without the catalogue this agent
+		// does not know whether its site has a power cap.
 		h.Models, h.Services = nil, nil
 	}
 	h.Load = c.load(now)
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -253,6 +253,9 @@
 	case m.Suspect:
 		status.State = "suspect"
 	}
+	if status.State == "live" && m.Role() == membership.RoleAgent && len(m.Last.Models)+len(m.Last.Services) == 0 {
+		status.State = "not serving"
+	}
 	if m.Last != nil {
 		status.Operators = m.Last.OperatorsAddr
 		status.Running, status.Queued = m.Last.Load.GetRunning(), m.Last.Load.GetQueued()
--- a/entry/span.go
+++ b/entry/span.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -18,30 +19,34 @@
 // that holds the later name does not wait for an earlier one.
 func planSpan(r *routing.Request, endpoints []routing.Endpoint) ([]*routing.Endpoint, *result.Error) {
 	need := r.PromptTokens + r.OutputTokens
-	total, serving := 0, 0
+	total := 0
 	var usable []*routing.Endpoint
 	for i := range endpoints {
 		e := &endpoints[i]
-		untried := *r
-		untried.Tried = nil
-		if !(routing.Serves{}).Keep(&untried, e) || e.MemoryTokens == 0 {
+		if e.MemoryTokens == 0 || !mayServe(r, e) {
 			continue
 		}
-		serving++
 		total += routing.MaxPromptTokens(e)
-		if !r.Tried[e.Name] {
+		if (routing.Serves{}).Keep(r, e) {
 			usable = append(usable, e)
 		}
 	}
-	if serving > 0 && total < need {
+	if total > 0 && total < need {
 		return nil, result.Refuse(result.PromptTooLong, 0, "%d tokens of memory are needed, all endpoints together offer %d", need, total)
 	}
-	if !fitsOne(r, endpoints) || serving == 0 {
-		if members := cheapest(r, usable, need); members != nil && serving > 0 {
+	if !fitsOne(r, endpoints) {
+		if members := cheapest(r, usable, need); members != nil {
 			return members, nil
 		}
 	}
-	return nil, result.Refuse(result.NoEndpoint, noEndpointRetry, "no live endpoint serves %q", r.Model)
+	return nil, result.Refuse(result.NoEndpoint, noEndpointRetry, "no live endpoints serve %d tokens of %q", need, r.Model)
+}
+
+// mayServe tells whether an endpoint serves the model, or might when it is back:
+// one that is silent, or whose engine does not answer just now, offers nothing.
+// A prompt is only called too long if it would not fit with all of them.
+func mayServe(r *routing.Request, e *routing.Endpoint) bool {
+	return len(e.Models) == 0 || slices.Contains(e.Models, r.Model)
 }
 
 // fitsOne tells whether some endpoint could hold the request alone, tried or not.
--- a/scenarios/calls_test.go
+++ b/scenarios/calls_test.go
@@ -52,6 +52,7 @@
 	}
 	await(ts, "call", func() string {
 		c := callOnce(ts, plain, opts)
+		<-c.done
 		if problem := c.check("code", opts["until"]); problem != "" {
 			time.Sleep(time.Duration(number(c.retryAfter)) * time.Second / 4)
 			return problem
@@ -200,13 +201,11 @@
 	return c
 }
 
-// started ID waits until the first text of a streamed call has come.
+// started ENGINE|ENGINE... waits until one of the engines has a run in progress.
 func started(ts *testscript.TestScript, _ bool, args []string) {
-	// Text is written by the call's own goroutine; the engines' records tell the
-	// same without sharing memory.
 	w := of(ts)
 	await(ts, "started", func() string {
-		for _, name := range args {
+		for _, name := range strings.Split(args[0], "|") {
 			var record standin.Record
 			if err := w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record); err != nil {
 				return err.Error()
@@ -233,6 +232,38 @@
 	}
 }
 
+// repeat N COMMAND... runs a command N times; the as of a call gets a number.
+func repeat(ts *testscript.TestScript, neg bool, args []string) {
+	for i := range number(args[0]) {
+		numbered := append([]string(nil), args[2:]...)
+		for j, arg := range numbered {
+			if strings.HasPrefix(arg, "as=") {
+				numbered[j] = fmt.Sprintf("%s-%d", arg, i)
+			}
+		}
+		commands[args[1]](ts, neg, numbered)
+	}
+}
+
+// finish-all waits for the answers of all calls made so far.
+func finishAll(ts *testscript.TestScript, _ bool, _ []string) {
+	finish(ts, false, of(ts).order)
+}
+
+// whole least=N checks that at least N calls of generations got a whole answer.
+func whole(ts *testscript.TestScript, _ bool, args []string) {
+	_, opts := options(args)
+	count := 0
+	for id, c := range of(ts).calls {
+		if strings.Contains(id, "#") && !isService(c.kind) && c.ended && c.text == c.expected {
+			count++
+		}
+	}
+	if count < number(opts["least"]) {
+		ts.Fatalf("%d answers were whole", count)
+	}
+}
+
 // expect ID [code=N|N] [ran=WORD|WORD] [whole=yes] [in-time=yes] [retry=yes] [took-under=D]
 // checks what a caller was told.
 func expect(ts *testscript.TestScript, _ bool, args []string) {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -19,12 +19,17 @@
 
 type command = func(ts *testscript.TestScript, neg bool, args []string)
 
-var commands = map[string]command{
-	"start": start, "restart": restart, "crash": crash, "freeze": freeze, "thaw": thaw, "term": term, "gone": gone,
-	"cut": cut, "heal": heal, "delay": delay, "reset": reset, "platform": platformFault, "fault": fault, "list": list,
-	"seed": seed, "ready": ready, "call": call, "finish": finish, "expect": expect, "runs": runs, "held": held,
-	"audit": audit, "lookup": lookup, "member": member, "cap": setCap, "watts": watts, "started": started,
-	"edit": edit, "sees": sees, "calls": storeCalls, "claim": claim, "metric": metric,
+var commands map[string]command
+
+func init() {
+	commands = map[string]command{
+		"start": start, "restart": restart, "crash": crash, "freeze": freeze, "thaw": thaw, "term": term, "gone": gone,
+		"cut": cut, "heal": heal, "delay": delay, "reset": reset, "platform": platformFault, "fault": fault, "list": list,
+		"seed": seed, "ready": ready, "call": call, "finish": finish, "expect": expect, "runs": runs, "held": held,
+		"audit": audit, "lookup": lookup, "member": member, "cap": setCap, "watts": watts, "started": started,
+		"edit": edit, "sees": sees, "calls": storeCalls, "claim": claim, "metric": metric,
+		"repeat": repeat, "finish-all": finishAll, "whole": whole,
+	}
 }
 
 // start KIND NAME [key=value...] starts a process on free ports.
