Client accounts' limits: half in equal parts, half lent where the traffic is

Cause: equal parts leave most of a limit unused when an account's traffic arrives at few entries: 0.50 of it with 2 entries, 0.875 with 8, 0.97 with 32.

Change: an account's home, by rendezvous among the live entries, lends half of the limits for 2 s at a time; what is lent stays counted until its lease has ended; a new home waits for as long.

--- /dev/null
+++ b/admission/lending_test.go
@@ -0,0 +1,72 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestLoanFollowsTheTraffic(t *testing.T) {
+	is := is.New(t)
+	lender := NewLender(testStart)
+	now := testStart.Add(LendingLease)
+	is.Equal(lender.Borrow(testStart, "a", "n1", 10), 0.0) // a new home waits
+	is.Equal(lender.Borrow(now, "a", "n1", 10), 0.5)       // all the traffic is there
+	is.Equal(lender.Borrow(now, "a", "n2", 10), 0.0)       // lent to n1 for now
+	is.Equal(lender.Borrow(now, "a", "n1", 10), 0.25)      // lowered, still counted as 0.5
+	is.Equal(lender.Borrow(now, "a", "n2", 10), 0.0)
+	later := now.Add(LendingLease + time.Millisecond)
+	lender.Borrow(now.Add(LendingLease/2), "a", "n1", 10)
+	is.Equal(lender.Borrow(later, "a", "n2", 10), 0.25)
+}
+
+// lentCopy is what a borrower holds.
+type lentCopy struct {
+	share   float64
+	expires time.Time
+}
+
+// TestLoansNeverExceedTheWhole drives borrowers whose answers are lost or late,
+// restarts of the home, and passing time. The shares in use, as the borrowers
+// reckon them, never sum to more than the lent half.
+func TestLoansNeverExceedTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := testStart
+		lender := NewLender(now)
+		held := map[string]lentCopy{}
+		entry := func(t *rapid.T) string { return fmt.Sprint("n", rapid.IntRange(0, 4).Draw(t, "entry")) }
+		pass := func(ms int) { now = now.Add(time.Duration(ms) * time.Millisecond) }
+		t.Repeat(map[string]func(*rapid.T){
+			"borrow": func(t *rapid.T) {
+				name, asked := entry(t), now
+				pass(rapid.IntRange(0, 800).Draw(t, "delay there"))
+				share := lender.Borrow(now, "a", name, float64(rapid.IntRange(0, 100).Draw(t, "demand")))
+				pass(rapid.IntRange(0, 800).Draw(t, "delay back"))
+				if !rapid.Bool().Draw(t, "answer lost") {
+					held[name] = lentCopy{share, asked.Add(LendingLease)}
+				}
+			},
+			"pass":  func(t *rapid.T) { pass(rapid.IntRange(1, 3000).Draw(t, "ms")) },
+			"sweep": func(*rapid.T) { lender.Sweep(now) },
+			"new home": func(t *rapid.T) {
+				if rapid.IntRange(0, 4).Draw(t, "chance") == 0 {
+					lender = NewLender(now)
+				}
+			},
+			"": func(t *rapid.T) {
+				sum := 0.0
+				for _, copy := range held {
+					if !now.After(copy.expires) {
+						sum += copy.share
+					}
+				}
+				if sum > 1-OwnPart+1e-9 {
+					t.Fatalf("%.3f is lent", sum)
+				}
+			},
+		})
+	})
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -161,7 +161,7 @@
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewAgentHandler(a, node.HandlerOptions()))
-	mux.Handle(wireconnect.NewPeerHandler(a.catalogue, node.HandlerOptions()))
+	mux.Handle(wireconnect.NewPeerHandler(node.Peer{Catalogue: a.catalogue}, node.HandlerOptions()))
 	return mux
 }
 
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -34,7 +34,14 @@
 	Plot      string        `arg:"--plot" placeholder:"FILE" help:"write an SVG or PNG plot"`
 }
 
+type benchLimits struct {
+	Seed    uint64 `arg:"--seed" default:"1" help:"seed of the arrivals"`
+	Entries []int  `arg:"--entries" help:"numbers of entries [default: 2 8 32]"`
+	JSON    bool   `arg:"--json" help:"print JSON"`
+}
+
 type benchCommand struct {
+	Limits   *benchLimits   `arg:"subcommand:limits" help:"measure client accounts' limits over several entries"`
 	Policy   *benchPolicy   `arg:"subcommand:policy" help:"measure routing and admission under load, in virtual time"`
 	Capacity *benchCapacity `arg:"subcommand:capacity" help:"measure the slopes that docs/CAPACITY.md is made of"`
 }
@@ -46,7 +53,26 @@
 	case c.Policy != nil:
 		return c.Policy.run(t)
 	}
-	return t.failf("bench: one of policy, capacity")
+	if c.Limits != nil {
+		return c.Limits.run(t)
+	}
+	return t.failf("bench: one of policy, limits, capacity")
+}
+
+func (c *benchLimits) run(t terminal) int {
+	if len(c.Entries) == 0 {
+		c.Entries = []int{2, 8, 32}
+	}
+	results := bench.Limits(c.Seed, c.Entries)
+	if c.JSON {
+		_ = json.NewEncoder(t.out).Encode(results)
+		return exitOK
+	}
+	fmt.Fprintf(t.out, "%8s  %-10s %10s %8s %22s\n", "entries", "traffic", "overshoot", "unused", "unused by equal parts")
+	for _, r := range results {
+		fmt.Fprintf(t.out, "%8d  %-10s %10.3f %8.3f %22.3f\n", r.Entries, r.Case, r.Overshoot, r.Unused, r.EqualUnused)
+	}
+	return exitOK
 }
 
 func (c *benchPolicy) run(t terminal) int {
--- a/entry/call.go
+++ b/entry/call.go
@@ -114,13 +114,7 @@
 	limits := c.account.Account.Limits
 	return e.limiter.Admit(time.Now(), c.account.ID, admission.Limits{
 		RequestsPerSecond: limits.RequestsPerSecond, TokensPerSecond: limits.TokensPerSecond, Concurrent: limits.Concurrent,
-	}, e.share(c.account.ID), c.promptTokens+c.outputTokens)
-}
-
-// share is this entry's part of an account's limits: an equal part for each live
-// entry, so that the sum over the entries never exceeds the whole.
-func (e *Entry) share(string) float64 {
-	return 1 / float64(e.control.entries.Load())
+	}, e.lending.share(c.account.ID), c.promptTokens+c.outputTokens)
 }
 
 // ended logs the call and counts it.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,7 @@
 	inFlight  *inFlight
 	recent    *recent
 	keepers   *keeper
+	lending   *lending
 	active    atomic.Int64
 	draining  atomic.Bool
 }
@@ -75,6 +76,7 @@
 	}, e.control)
 	e.catalogue.Attach(e.loop)
 	e.keepers = newKeeper(e)
+	e.lending = newLending(e)
 	return e, nil
 }
 
@@ -115,6 +117,7 @@
 	go e.loop.FollowList(ctx, e.list, e.settings.ListInterval.D())
 	go e.followStore(ctx)
 	go e.keepers.run(ctx)
+	go e.lending.run(ctx)
 	e.log.Info("entry serving", zap.String("callers", e.settings.CallersListen))
 	defer func() { _ = callers.Close() }()
 	select {
@@ -137,7 +140,7 @@
 
 func (e *Entry) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewPeerHandler(e.catalogue, node.HandlerOptions()))
+	mux.Handle(wireconnect.NewPeerHandler(node.Peer{Catalogue: e.catalogue, Lend: e.lending.lend}, node.HandlerOptions()))
 	return mux
 }
 
--- /dev/null
+++ b/entry/lending.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/catalogue"
+	"aspenyard.example/membership"
+	"aspenyard.example/wire"
+)
+
+const (
+	// borrowTimeout bounds a question to a home; it ends before the next is due.
+	borrowTimeout = 400 * time.Millisecond
+	// idleAccount is how long an account's use is remembered.
+	idleAccount = time.Minute
+	permille    = 1000
+)
+
+// lending is both sides of the lending of client accounts' limits: this entry
+// lends as the home of some accounts and borrows for those whose traffic it has.
+type lending struct {
+	entry *Entry
+	mu    sync.Mutex
+	// lender and shares are guarded by mu: lend runs on RPC threads, share on
+	// callers' threads.
+	lender *admission.Lender
+	shares *admission.Shares
+}
+
+func newLending(e *Entry) *lending {
+	return &lending{entry: e, lender: admission.NewLender(time.Now()), shares: admission.NewShares()}
+}
+
+// share is this entry's part of an account's limits, 0 to 1.
+func (l *lending) share(account string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shares.Of(time.Now(), account, int(l.entry.control.entries.Load()))
+}
+
+// lend answers another entry, or this one, that asks this one as a home.
+func (l *lending) lend(request *wire.BorrowRequest) (*wire.BorrowResponse, error) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	response := &wire.BorrowResponse{}
+	for _, asked := range request.Accounts {
+		share := l.lender.Borrow(now, asked.Account, request.Entry, float64(asked.Demand)/permille)
+		response.Accounts = append(response.Accounts, &wire.AccountShare{Account: asked.Account, Permille: uint32(share * permille)})
+	}
+	return response, nil
+}
+
+// run borrows until ctx ends.
+func (l *lending) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, admission.BorrowInterval)
+		l.borrow(ctx)
+	}
+}
+
+// borrow asks the home of each limited account with traffic here for a share.
+func (l *lending) borrow(ctx context.Context) {
+	now := time.Now()
+	l.mu.Lock()
+	l.lender.Sweep(now)
+	l.mu.Unlock()
+	homes := l.homes()
+	requests := map[string]*wire.BorrowRequest{}
+	view := l.entry.catalogue.View()
+	for account, arrived := range l.entry.limiter.Demand(now, idleAccount) {
+		record := view.Get(catalogue.TypeAccount, account)
+		if record == nil || record.Account.Limits == (catalogue.Limits{}) {
+			continue
+		}
+		home := homeOf(account, l.entry.settings.Name, homes)
+		if requests[home] == nil {
+			requests[home] = &wire.BorrowRequest{Entry: l.entry.settings.Name}
+		}
+		demand := uint64(arrived / admission.BorrowInterval.Seconds() * permille)
+		requests[home].Accounts = append(requests[home].Accounts, &wire.AccountShare{Account: account, Demand: demand})
+	}
+	for home, request := range requests {
+		go l.ask(ctx, now, homes[home], request)
+	}
+}
+
+// homes lists the entries that may be homes, by name; this one has no address.
+func (l *lending) homes() map[string]string {
+	homes := map[string]string{l.entry.settings.Name: ""}
+	for name, m := range l.entry.loop.View().Members {
+		if m.Role() == membership.RoleEntry && m.Alive() {
+			homes[name] = m.Addr()
+		}
+	}
+	return homes
+}
+
+func homeOf(account, self string, homes map[string]string) string {
+	home, best := self, weight("limits/"+account, self)
+	for name := range homes {
+		if w := weight("limits/"+account, name); w > best || (w == best && name < home) {
+			home, best = name, w
+		}
+	}
+	return home
+}
+
+// ask borrows from one home. Without an answer the shares lent before run out, and
+// the entry is left with its own part.
+func (l *lending) ask(ctx context.Context, asked time.Time, addr string, request *wire.BorrowRequest) {
+	var response *wire.BorrowResponse
+	if addr == "" {
+		response, _ = l.lend(request)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+		defer cancel()
+		answer, err := l.entry.clients.Peer(addr).Borrow(ctx, connect.NewRequest(request))
+		if err != nil {
+			l.entry.log.Debug("nothing borrowed", zap.String("home", addr), zap.Error(err))
+			return
+		}
+		response = answer.Msg
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, lent := range response.Accounts {
+		l.shares.Lent(asked, lent.Account, float64(lent.Permille)/permille)
+	}
+}
--- a/node/catalogue.go
+++ b/node/catalogue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"aspenyard.example/catalogue"
@@ -145,3 +146,21 @@
 func (c *Catalogue) Revisions(context.Context, *connect.Request[wire.RevisionsRequest]) (*connect.Response[wire.RevisionsResponse], error) {
 	return connect.NewResponse(&wire.RevisionsResponse{Revisions: c.View().Revisions()}), nil
 }
+
+// Peer serves what nodes ask of each other. Lend is set by entries only.
+type Peer struct {
+	*Catalogue
+	Lend func(*wire.BorrowRequest) (*wire.BorrowResponse, error)
+}
+
+// Borrow implements wireconnect.PeerHandler.
+func (p Peer) Borrow(_ context.Context, request *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error) {
+	if p.Lend == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("an agent lends nothing"))
+	}
+	response, err := p.Lend(request.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(response), nil
+}
--- /dev/null
+++ b/scenarios/client_test.go
@@ -0,0 +1,62 @@
+package scenarios
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	openai "github.com/sashabaranov/go-openai"
+
+	standin "aspenyard.example/standin/engine"
+)
+
+// client ENTRY KIND talks to an entry by an ordinary client library for such
+// interfaces: the list of models, a completion, a streamed chat, and an error.
+func client(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	config := openai.DefaultConfig(accountKey)
+	config.BaseURL = "http://" + w.proc(ts, args[0]).addrs["callers"] + "/v1"
+	c := openai.NewClientWithConfig(config)
+	ctx, cancel := context.WithTimeout(context.Background(), generous)
+	defer cancel()
+	models, err := c.ListModels(ctx)
+	ts.Check(err)
+	if len(models.Models) == 0 {
+		ts.Fatalf("the library lists no models")
+	}
+	whole, err := c.CreateCompletion(ctx, openai.CompletionRequest{Model: args[1], Prompt: "tie a bowline", MaxTokens: 8})
+	ts.Check(err)
+	if want := standin.Answer("tie a bowline", 8); whole.Choices[0].Text != want {
+		ts.Fatalf("the library got %q, not %q", whole.Choices[0].Text, want)
+	}
+	chatByLibrary(ctx, ts, c, args[1])
+	_, err = c.CreateCompletion(ctx, openai.CompletionRequest{Model: "none", Prompt: "x", MaxTokens: 1})
+	var failure *openai.APIError
+	if !errors.As(err, &failure) || failure.HTTPStatusCode != 404 || failure.Type != "unknown_model" {
+		ts.Fatalf("the library got the error %v", err)
+	}
+}
+
+func chatByLibrary(ctx context.Context, ts *testscript.TestScript, c *openai.Client, model string) {
+	stream, err := c.CreateChatCompletionStream(ctx, openai.ChatCompletionRequest{
+		Model: model, MaxTokens: 8, Messages: []openai.ChatCompletionMessage{{Role: "user", Content: "tie a bowline"}},
+	})
+	ts.Check(err)
+	defer func() { _ = stream.Close() }()
+	var text strings.Builder
+	started := time.Now()
+	for {
+		event, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		ts.Check(err)
+		text.WriteString(event.Choices[0].Delta.Content)
+	}
+	if want := standin.Answer("user: tie a bowline\n", 8); text.String() != want {
+		ts.Fatalf("the library's stream gave %q, not %q, after %s", text.String(), want, time.Since(started))
+	}
+}
--- a/wire/wireconnect/wire.connect.go
+++ b/wire/wireconnect/wire.connect.go
@@ -50,6 +50,8 @@
 	PeerPullProcedure = "/aspenyard.wire.v1.Peer/Pull"
 	// PeerRevisionsProcedure is the fully-qualified name of the Peer's Revisions RPC.
 	PeerRevisionsProcedure = "/aspenyard.wire.v1.Peer/Revisions"
+	// PeerBorrowProcedure is the fully-qualified name of the Peer's Borrow RPC.
+	PeerBorrowProcedure = "/aspenyard.wire.v1.Peer/Borrow"
 )
 
 // AgentClient is a client for the aspenyard.wire.v1.Agent service.
@@ -216,6 +218,8 @@
 	Pull(context.Context, *connect.Request[wire.PullRequest]) (*connect.Response[wire.PullResponse], error)
 	// Revisions returns this node's revision of each catalogue page.
 	Revisions(context.Context, *connect.Request[wire.RevisionsRequest]) (*connect.Response[wire.RevisionsResponse], error)
+	// Borrow asks this entry, as the home of some client accounts, for shares.
+	Borrow(context.Context, *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error)
 }
 
 // NewPeerClient constructs a client for the aspenyard.wire.v1.Peer service. By default, it uses the
@@ -241,6 +245,12 @@
 			connect.WithSchema(peerMethods.ByName("Revisions")),
 			connect.WithClientOptions(opts...),
 		),
+		borrow: connect.NewClient[wire.BorrowRequest, wire.BorrowResponse](
+			httpClient,
+			baseURL+PeerBorrowProcedure,
+			connect.WithSchema(peerMethods.ByName("Borrow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -248,6 +258,7 @@
 type peerClient struct {
 	pull      *connect.Client[wire.PullRequest, wire.PullResponse]
 	revisions *connect.Client[wire.RevisionsRequest, wire.RevisionsResponse]
+	borrow    *connect.Client[wire.BorrowRequest, wire.BorrowResponse]
 }
 
 // Pull calls aspenyard.wire.v1.Peer.Pull.
@@ -260,12 +271,19 @@
 	return c.revisions.CallUnary(ctx, req)
 }
 
+// Borrow calls aspenyard.wire.v1.Peer.Borrow.
+func (c *peerClient) Borrow(ctx context.Context, req *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error) {
+	return c.borrow.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the aspenyard.wire.v1.Peer service.
 type PeerHandler interface {
 	// Pull returns the catalogue entries newer than the caller's page revisions.
 	Pull(context.Context, *connect.Request[wire.PullRequest]) (*connect.Response[wire.PullResponse], error)
 	// Revisions returns this node's revision of each catalogue page.
 	Revisions(context.Context, *connect.Request[wire.RevisionsRequest]) (*connect.Response[wire.RevisionsResponse], error)
+	// Borrow asks this entry, as the home of some client accounts, for shares.
+	Borrow(context.Context, *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -287,12 +305,20 @@
 		connect.WithSchema(peerMethods.ByName("Revisions")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerBorrowHandler := connect.NewUnaryHandler(
+		PeerBorrowProcedure,
+		svc.Borrow,
+		connect.WithSchema(peerMethods.ByName("Borrow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/aspenyard.wire.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerPullProcedure:
 			peerPullHandler.ServeHTTP(w, r)
 		case PeerRevisionsProcedure:
 			peerRevisionsHandler.ServeHTTP(w, r)
+		case PeerBorrowProcedure:
+			peerBorrowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -309,3 +335,7 @@
 func (UnimplementedPeerHandler) Revisions(context.Context, *connect.Request[wire.RevisionsRequest]) (*connect.Response[wire.RevisionsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("aspenyard.wire.v1.Peer.Revisions is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Borrow(context.Context, *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("aspenyard.wire.v1.Peer.Borrow is not implemented"))
+}
