--- a/admission/lending.go
+++ b/admission/lending.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// A client account's limits hold over all entries. Half of them is shared out in
-// equal parts that every entry always has; the other half is lent, for a short
-// time, to the entries where the account's traffic appears. The account's home, an
+// A client account's limits hold over all entries. A small part of them is shared
+// out equally and is every entry's own; the rest is lent, for a short time, to the
+// entries where the account's traffic appears. The account's home, an
 // entry that all derive from its name, is the one that lends.
 //
 // The parts never sum to more than the whole: what is lent stays counted until
@@ -13,12 +13,16 @@
 // last. Without a home, an entry is left with its own part.
 const (
 	// OwnPart of the limits is shared equally among the entries.
-	OwnPart = 0.5
+	OwnPart = 0.2
 	// LendingLease is how long a loan lasts. Longer survives more lost answers;
 	// shorter follows moving traffic sooner.
 	LendingLease = 2 * time.Second
 	// BorrowInterval is the time between a borrower's requests.
 	BorrowInterval = 500 * time.Millisecond
+	// demandWeight is the weight of the newest demand in its average: a share that
+	// follows each chance fluctuation is lowered and raised all the time, and what
+	// is lowered stays counted for a lease.
+	demandWeight = 0.2
 )
 
 // Lender is the home's side. It belongs to one thread.
@@ -54,10 +58,10 @@
 	expire(now, loans)
 	own := loans[entry]
 	if own == nil {
-		own = &loan{}
+		own = &loan{demand: demand}
 		loans[entry] = own
 	}
-	own.demand = demand
+	own.demand += demandWeight * (demand - own.demand)
 	free, total := 1-OwnPart, 0.0
 	for name, other := range loans {
 		total += other.demand
@@ -67,7 +71,7 @@
 	}
 	target := 0.0
 	if total > 0 {
-		target = (1 - OwnPart) * demand / total
+		target = (1 - OwnPart) * own.demand / total
 	}
 	own.grant(now, max(0, min(target, free)))
 	return own.share
--- a/admission/lending_test.go
+++ b/admission/lending_test.go
@@ -13,14 +13,15 @@
 	is := is.New(t)
 	lender := NewLender(testStart)
 	now := testStart.Add(LendingLease)
-	is.Equal(lender.Borrow(testStart, "a", "n1", 10), 0.0) // a new home waits
-	is.Equal(lender.Borrow(now, "a", "n1", 10), 0.5)       // all the traffic is there
-	is.Equal(lender.Borrow(now, "a", "n2", 10), 0.0)       // lent to n1 for now
-	is.Equal(lender.Borrow(now, "a", "n1", 10), 0.25)      // lowered, still counted as 0.5
+	lendable := 1 - OwnPart
+	is.Equal(lender.Borrow(testStart, "a", "n1", 10), 0.0)  // a new home waits
+	is.Equal(lender.Borrow(now, "a", "n1", 10), lendable)   // all the traffic is there
+	is.Equal(lender.Borrow(now, "a", "n2", 10), 0.0)        // it is lent to n1 for now
+	is.Equal(lender.Borrow(now, "a", "n1", 10), lendable/2) // lowered, still counted whole
 	is.Equal(lender.Borrow(now, "a", "n2", 10), 0.0)
 	later := now.Add(LendingLease + time.Millisecond)
 	lender.Borrow(now.Add(LendingLease/2), "a", "n1", 10)
-	is.Equal(lender.Borrow(later, "a", "n2", 10), 0.25)
+	is.Equal(lender.Borrow(later, "a", "n2", 10), lendable/2)
 }
 
 // lentCopy is what a borrower holds.
