--- /dev/null
+++ b/bench/power.go
@@ -0,0 +1,144 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"aspenyard.example/power"
+)
+
+// PowerResult is how much of a site's cap was used.
+type PowerResult struct {
+	Case string `json:"case"`
+	// Idle is the part of the cap, above the floors, that waiting work could have
+	// used and did not; EqualIdle the same with a static equal split.
+	Idle      float64 `json:"idle"`
+	EqualIdle float64 `json:"equal_idle"`
+	// Writes is the ledger's writes a round; Exceeded counts rounds above the cap.
+	Writes   float64 `json:"writes_per_round"`
+	Exceeded int     `json:"exceeded"`
+}
+
+// powerCases are how the work is spread over the endpoints.
+var powerCases = []string{"even", "half idle", "one in five busy", "moving", "bursts"}
+
+const (
+	powerEndpoints = 25
+	powerRounds    = 2000
+	powerSlots     = 32
+	powerFloor     = 1000
+	powerMax       = 5000
+	powerCap       = 75_000
+	moveRounds     = 50
+)
+
+// benchWorker is an endpoint whose work follows its demand, within its grant.
+type benchWorker struct {
+	limit *power.Limit
+	want  int
+}
+
+func (w *benchWorker) running() int { return min(w.want, w.limit.Slots()) }
+
+func (w *benchWorker) report(name string) power.Report {
+	return power.Report{
+		Endpoint: name, Incarnation: 1, Floor: powerFloor, Max: powerMax, Want: w.limit.Draw(w.want),
+		Limit: w.limit.Keeping(w.running()), Revision: w.limit.Revision(),
+	}
+}
+
+// Power runs the real ledger over rounds of changing demand. Each round is a
+// keeper's: reports, plan, grants; what agents confirm is seen in the next.
+func Power(seed uint64) ([]PowerResult, error) {
+	var results []PowerResult
+	for _, name := range powerCases {
+		result, err := runPower(seed, name)
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+func runPower(seed uint64, name string) (PowerResult, error) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	ledger, err := power.Decode(nil)
+	if err != nil {
+		return PowerResult{}, err
+	}
+	workers := make([]*benchWorker, powerEndpoints)
+	for i := range workers {
+		workers[i] = &benchWorker{limit: power.NewLimit(1, powerFloor, powerMax, powerSlots)}
+		workers[i].limit.SetCapped(true)
+	}
+	result := PowerResult{Case: name}
+	usable, used, equalUsed, writes := 0.0, 0.0, 0.0, 0
+	for round := range powerRounds {
+		for i, w := range workers {
+			w.want = wanted(random, name, round, i, w.want)
+		}
+		reports := make([]power.Report, 0, len(workers))
+		for i, w := range workers {
+			reports = append(reports, w.report(fmt.Sprint("worker-", i)))
+		}
+		if next := power.Plan(ledger, powerCap, reports); next != nil {
+			ledger = next
+			writes++
+		}
+		for i, w := range workers {
+			grant := ledger.Grants[fmt.Sprint("worker-", i)]
+			w.limit.Apply(grant.Incarnation, grant.Revision, grant.Watts)
+		}
+		could, did, equal, draw := account(workers)
+		usable, used, equalUsed = usable+could, used+did, equalUsed+equal
+		if draw > powerCap {
+			result.Exceeded++
+		}
+	}
+	result.Idle, result.EqualIdle = 1-used/usable, 1-equalUsed/usable
+	result.Writes = float64(writes) / powerRounds
+	return result, nil
+}
+
+// account sums, in watts above the floors, what the work could use of the cap, what
+// it used, and what it would have used with equal parts; and the whole draw.
+func account(workers []*benchWorker) (could, did, equal float64, draw uint64) {
+	const perSlot = (powerMax - powerFloor) / powerSlots
+	const equalSlots = (powerCap/powerEndpoints - powerFloor) / perSlot
+	wanted := 0
+	for _, w := range workers {
+		wanted += w.want
+		did += float64(w.running() * perSlot)
+		equal += float64(min(w.want, equalSlots) * perSlot)
+		draw += w.limit.Draw(w.running())
+	}
+	could = min(float64(wanted*perSlot), powerCap-powerEndpoints*powerFloor)
+	return could, did, equal, draw
+}
+
+// wanted is an endpoint's demand in a round, in batch places.
+func wanted(random *rand.Rand, name string, round, i, before int) int {
+	switch name {
+	case "half idle":
+		if i%2 == 0 {
+			return 1
+		}
+	case "one in five busy":
+		if i%5 != 0 {
+			return 2
+		}
+	case "moving":
+		if (round/moveRounds+i)%3 == 0 {
+			return 2
+		}
+	case "bursts":
+		if random.IntN(10) != 0 {
+			return before
+		}
+		return random.IntN(powerSlots + 1)
+	case "even":
+		return 20 + random.IntN(8)
+	}
+	return powerSlots
+}
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -40,7 +40,13 @@
 	JSON    bool   `arg:"--json" help:"print JSON"`
 }
 
+type benchPower struct {
+	Seed uint64 `arg:"--seed" default:"1" help:"seed of the demand"`
+	JSON bool   `arg:"--json" help:"print JSON"`
+}
+
 type benchCommand struct {
+	Power    *benchPower    `arg:"subcommand:power" help:"measure how much of a site's cap the ledger lets work use"`
 	Limits   *benchLimits   `arg:"subcommand:limits" help:"measure client accounts' limits over several entries"`
 	Policy   *benchPolicy   `arg:"subcommand:policy" help:"measure routing and admission under load, in virtual time"`
 	Capacity *benchCapacity `arg:"subcommand:capacity" help:"measure the slopes that docs/CAPACITY.md is made of"`
@@ -56,7 +62,26 @@
 	if c.Limits != nil {
 		return c.Limits.run(t)
 	}
-	return t.failf("bench: one of policy, limits, capacity")
+	if c.Power != nil {
+		return c.Power.run(t)
+	}
+	return t.failf("bench: one of policy, limits, power, capacity")
+}
+
+func (c *benchPower) run(t terminal) int {
+	results, err := bench.Power(c.Seed)
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	if c.JSON {
+		_ = json.NewEncoder(t.out).Encode(results)
+		return exitOK
+	}
+	fmt.Fprintf(t.out, "%-18s %8s %20s %15s %9s\n", "demand", "idle", "idle by equal split", "writes a round", "exceeded")
+	for _, r := range results {
+		fmt.Fprintf(t.out, "%-18s %8.3f %20.3f %15.3f %9d\n", r.Case, r.Idle, r.EqualIdle, r.Writes, r.Exceeded)
+	}
+	return exitOK
 }
 
 func (c *benchLimits) run(t terminal) int {
