report burn; a deadline that passes at the agent says that the work ran

The RPC's deadline, which the library carries to the agent, could end a moment before the agent's own, whose cause tells that the work ran; the bare deadline became an internal error with an unknown run. Ruled out: a lost 'started' (the agent's log showed code 5001 for the attempt). Change: the bare deadline means the same.

report burn: good and bad events by minute in each entry, merged over the entries, as text, JSON and a page with a plot; nodes that could not be read are named.

--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -243,8 +243,12 @@
 // whyEnded gives the reason for which running work was stopped.
 func whyEnded(ctx context.Context) *result.Error {
 	cause := context.Cause(ctx)
-	if errors.Is(cause, context.Canceled) {
+	switch {
+	case errors.Is(cause, context.Canceled):
 		return result.Fail(result.Cancelled, result.RanYes, "the entry closed the stream")
+	case errors.Is(cause, context.DeadlineExceeded):
+		// The RPC's own deadline ended a moment before the one kept here.
+		return result.Fail(result.DeadlineExceeded, result.RanYes, "the deadline passed")
 	}
 	return result.From(cause)
 }
--- /dev/null
+++ b/burn/burn.go
@@ -0,0 +1,204 @@
+// Package burn reports how fast the kinds of work use up the error budgets of
+// their service-level objectives, from the entries' metrics.
+//
+// An objective says which share of requests has its first token in time; the rest
+// is the error budget. A burn of 1 uses the budget exactly; a burn of 6 over a
+// short window means that something is wrong now.
+package burn
+
+import (
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// The windows of a report, as the entries' metrics name them.
+const (
+	ShortWindow = "5m"
+	LongWindow  = "60m"
+)
+
+// Names of the entries' metrics.
+const (
+	eventsMetric     = "aspenyard_entry_objective_events"
+	firstTokenMetric = "aspenyard_entry_first_token_seconds"
+)
+
+// Objective of one kind of work, as the catalogue has it.
+type Objective struct {
+	Kind string
+	// FirstTokenSeconds is the limit and Share the part that should keep to it.
+	FirstTokenSeconds, Share float64
+}
+
+// Row is one kind of work, class and band of prompt lengths.
+type Row struct {
+	Kind  string `json:"kind"`
+	Class string `json:"class"`
+	Band  string `json:"band"`
+	// Good and Bad count events in the short and the long window.
+	ShortGood float64 `json:"short_good"`
+	ShortBad  float64 `json:"short_bad"`
+	LongGood  float64 `json:"long_good"`
+	LongBad   float64 `json:"long_bad"`
+	// ShortBurn and LongBurn are the error budget's burn in each window.
+	ShortBurn float64 `json:"short_burn"`
+	LongBurn  float64 `json:"long_burn"`
+	// P95Seconds is the p95 time to first token since the nodes' starts, as their
+	// merged histograms have it: the upper bound of its bucket.
+	P95Seconds float64 `json:"p95_first_token_seconds"`
+}
+
+// Report on the whole system.
+type Report struct {
+	Rows []Row `json:"rows"`
+	// Nodes that were read, and Unreachable ones, whose events are missing here.
+	Nodes       []string `json:"nodes"`
+	Unreachable []string `json:"unreachable"`
+}
+
+// series identifies a row.
+type series struct{ kind, class, band string }
+
+// Collector merges the metrics of many nodes.
+type Collector struct {
+	objectives map[string]Objective
+	rows       map[series]*Row
+	buckets    map[series]map[float64]float64 // events up to a bound
+	report     Report
+}
+
+// NewCollector makes an empty collector for these objectives.
+func NewCollector(objectives []Objective) *Collector {
+	c := &Collector{objectives: map[string]Objective{}, rows: map[series]*Row{}, buckets: map[series]map[float64]float64{}}
+	for _, o := range objectives {
+		c.objectives[o.Kind] = o
+	}
+	return c
+}
+
+// Missing notes a node that could not be reached.
+func (c *Collector) Missing(node string) { c.report.Unreachable = append(c.report.Unreachable, node) }
+
+// Add takes in one node's metrics in the text format.
+func (c *Collector) Add(node string, text io.Reader) error {
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(text)
+	if err != nil {
+		return errors.Wrapf(err, "metrics of %s", node)
+	}
+	c.report.Nodes = append(c.report.Nodes, node)
+	for _, metric := range families[eventsMetric].GetMetric() {
+		c.addEvents(metric)
+	}
+	for _, metric := range families[firstTokenMetric+"_bucket"].GetMetric() {
+		c.addBucket(metric)
+	}
+	return nil
+}
+
+func labelsOf(metric *dto.Metric) map[string]string {
+	labels := map[string]string{}
+	for _, pair := range metric.GetLabel() {
+		labels[pair.GetName()] = pair.GetValue()
+	}
+	return labels
+}
+
+func valueOf(metric *dto.Metric) float64 {
+	return metric.GetUntyped().GetValue() + metric.GetGauge().GetValue() + metric.GetCounter().GetValue()
+}
+
+func (c *Collector) row(labels map[string]string) *Row {
+	key := series{labels["kind"], labels["class"], labels["band"]}
+	row := c.rows[key]
+	if row == nil {
+		row = &Row{Kind: key.kind, Class: key.class, Band: key.band}
+		c.rows[key] = row
+	}
+	return row
+}
+
+func (c *Collector) addEvents(metric *dto.Metric) {
+	labels := labelsOf(metric)
+	row, value := c.row(labels), valueOf(metric)
+	switch labels["window"] + " " + labels["outcome"] {
+	case ShortWindow + " good":
+		row.ShortGood += value
+	case ShortWindow + " bad":
+		row.ShortBad += value
+	case LongWindow + " good":
+		row.LongGood += value
+	case LongWindow + " bad":
+		row.LongBad += value
+	}
+}
+
+func (c *Collector) addBucket(metric *dto.Metric) {
+	labels := labelsOf(metric)
+	limit, err := strconv.ParseFloat(labels["le"], 64)
+	if err != nil {
+		return
+	}
+	key := series{labels["kind"], labels["class"], labels["band"]}
+	if c.buckets[key] == nil {
+		c.buckets[key] = map[float64]float64{}
+	}
+	c.buckets[key][limit] += valueOf(metric)
+}
+
+// Report gives the rows of kinds with an objective, the fastest burn first.
+func (c *Collector) Report() Report {
+	report := c.report
+	for key, row := range c.rows {
+		objective, found := c.objectives[key.kind]
+		if !found {
+			continue
+		}
+		row.ShortBurn = burnOf(row.ShortGood, row.ShortBad, objective.Share)
+		row.LongBurn = burnOf(row.LongGood, row.LongBad, objective.Share)
+		row.P95Seconds = quantile(c.buckets[key], 0.95)
+		report.Rows = append(report.Rows, *row)
+	}
+	sort.Slice(report.Rows, func(i, j int) bool {
+		a, b := report.Rows[i], report.Rows[j]
+		if a.ShortBurn != b.ShortBurn {
+			return a.ShortBurn > b.ShortBurn
+		}
+		return strings.Join([]string{a.Kind, a.Class, a.Band}, " ") < strings.Join([]string{b.Kind, b.Class, b.Band}, " ")
+	})
+	sort.Strings(report.Nodes)
+	sort.Strings(report.Unreachable)
+	return report
+}
+
+// burnOf is the bad share over the share that the objective allows.
+func burnOf(good, bad, share float64) float64 {
+	if good+bad == 0 {
+		return 0
+	}
+	return bad / (good + bad) / (1 - share)
+}
+
+// quantile gives the bound of the first bucket that holds the quantile.
+func quantile(buckets map[float64]float64, q float64) float64 {
+	bounds := make([]float64, 0, len(buckets))
+	total := 0.0
+	for bound, count := range buckets {
+		bounds = append(bounds, bound)
+		total = max(total, count)
+	}
+	sort.Float64s(bounds)
+	for _, bound := range bounds {
+		if buckets[bound] >= q*total && total > 0 {
+			return bound
+		}
+	}
+	return 0
+}
--- a/cli/report.go
+++ b/cli/report.go
@@ -1,5 +1,115 @@
 package cli
 
-type reportCommand struct{}
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
 
-func (c *reportCommand) run(t terminal) int { return t.failf("not built yet") }
+	"github.com/pkg/errors"
+
+	"aspenyard.example/burn"
+	"aspenyard.example/catalogue"
+)
+
+type reportBurn struct {
+	JSON bool   `arg:"--json" help:"print JSON"`
+	HTML string `arg:"--html" placeholder:"FILE" help:"write a self-contained page with plots"`
+	operatorAccess
+}
+
+type reportCommand struct {
+	Burn *reportBurn `arg:"subcommand:burn" help:"how fast the kinds of work use up their error budgets"`
+}
+
+func (c *reportCommand) run(t terminal) int {
+	if c.Burn == nil {
+		return t.failf("report: burn")
+	}
+	return c.Burn.run(t)
+}
+
+// scrapeTimeout bounds the reading of one node.
+const scrapeTimeout = 3 * time.Second
+
+func (c *reportBurn) run(t terminal) int {
+	report, err := c.collect()
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	if c.HTML != "" {
+		data, err := report.HTML()
+		if err == nil {
+			err = os.WriteFile(c.HTML, data, 0o644)
+		}
+		if err != nil {
+			return t.failf("%v", err)
+		}
+	}
+	if c.JSON {
+		_ = json.NewEncoder(t.out).Encode(report)
+		return exitOK
+	}
+	fmt.Fprint(t.out, report.Text())
+	return exitOK
+}
+
+// collect asks the entry for the objectives and the other entries, and reads the
+// metrics of them all.
+func (c *reportBurn) collect() (burn.Report, error) {
+	var records struct {
+		Records []*catalogue.Record `json:"records"`
+	}
+	var status struct {
+		Node    string `json:"node"`
+		Members []struct {
+			Node, Role, Operators string
+		} `json:"members"`
+	}
+	if err := c.getJSON("/v1/catalogue/work", &records); err != nil {
+		return burn.Report{}, err
+	}
+	if err := c.getJSON("/v1/status", &status); err != nil {
+		return burn.Report{}, err
+	}
+	var objectives []burn.Objective
+	for _, record := range records.Records {
+		if o := record.Work.Objective; o != nil {
+			objectives = append(objectives, burn.Objective{Kind: record.ID, FirstTokenSeconds: o.FirstToken.D().Seconds(), Share: o.Share})
+		}
+	}
+	collector := burn.NewCollector(objectives)
+	scrape(collector, status.Node, c.Entry)
+	for _, m := range status.Members {
+		if m.Role == "entry" {
+			scrape(collector, m.Node, m.Operators)
+		}
+	}
+	return collector.Report(), nil
+}
+
+func (a *operatorAccess) getJSON(path string, into any) error {
+	status, data, err := a.call(http.MethodGet, path, nil, 0)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return errors.Errorf("%s: %s", path, bytes.TrimSpace(data))
+	}
+	return errors.WithStack(json.Unmarshal(data, into))
+}
+
+func scrape(collector *burn.Collector, name, addr string) {
+	client := &http.Client{Timeout: scrapeTimeout}
+	response, err := client.Get("http://" + addr + "/metrics")
+	if err != nil {
+		collector.Missing(name)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if collector.Add(name, response.Body) != nil {
+		collector.Missing(name)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,10 +45,12 @@
 	budgets   map[admission.Class]*admission.Budget
 	inFlight  *inFlight
 	recent    *recent
-	keepers   *keeper
-	lending   *lending
-	active    atomic.Int64
-	draining  atomic.Bool
+	// objectives counts good and bad events for the report on service-level burn.
+	objectives *windows
+	keepers    *keeper
+	lending    *lending
+	active     atomic.Int64
+	draining   atomic.Bool
 }
 
 // New makes an entry; Serve starts it.
@@ -58,7 +60,7 @@
 	e := &Entry{
 		settings: s, log: log, metrics: metrics.NewSet(), store: client, list: client,
 		clients: clients, catalogue: node.NewCatalogue(clients, log), limiter: admission.NewLimiter(),
-		budgets: map[admission.Class]*admission.Budget{}, inFlight: newInFlight(), recent: newRecent(),
+		budgets: map[admission.Class]*admission.Budget{}, inFlight: newInFlight(), recent: newRecent(), objectives: newWindows(),
 	}
 	for _, class := range []admission.Class{admission.Urgent, admission.Normal, admission.Bulk} {
 		e.budgets[class] = admission.NewBudget()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -49,11 +49,7 @@
 	if objective == nil || code != result.OK && code < firstSystemCode || code == result.Cancelled {
 		return
 	}
-	outcome := "bad"
-	if code == result.OK && c.good(objective.FirstToken.D()) {
-		outcome = "good"
-	}
-	e.metrics.GetOrCreateCounter(fmt.Sprintf("aspenyard_entry_objective_total{%s,outcome=%q}", labels, outcome)).Inc()
+	e.judge(labels, code == result.OK && c.good(objective.FirstToken.D()))
 }
 
 // firstSystemCode is the lowest code that is not the caller's own fault.
--- a/node/operators.go
+++ b/node/operators.go
@@ -27,7 +27,10 @@
 		fmt.Fprintln(os.Stderr, "log:", err)
 		return zap.NewNop()
 	}
-	return log.With(zap.String("node", name), zap.String("role", role))
+	log = log.With(zap.String("node", name), zap.String("role", role))
+	// Libraries that write to the standard logger are to write JSON lines too.
+	zap.RedirectStdLog(log)
+	return log
 }
 
 // ServeHTTP serves plain HTTP on the listener until ctx ends, then closes all
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,6 +17,7 @@
 
 	"aspenyard.example/attempt"
 	"aspenyard.example/catalogue"
+	"aspenyard.example/settings"
 	standin "aspenyard.example/standin/engine"
 )
 
@@ -30,7 +32,7 @@
 		"seed": seed, "ready": ready, "call": call, "finish": finish, "expect": expect, "runs": runs, "held": held,
 		"audit": audit, "lookup": lookup, "member": member, "cap": setCap, "watts": watts, "started": started,
 		"edit": edit, "sees": sees, "calls": storeCalls, "claim": claim, "metric": metric,
-		"client": client, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
+		"client": client, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
 	}
 }
 
@@ -304,7 +306,10 @@
 	}
 	all := []*catalogue.Record{
 		{Type: catalogue.TypeAccount, ID: "crew", Owner: "ops", Account: &catalogue.Account{KeySHA256: catalogue.HashKey(accountKey)}},
-		work("line-plan", catalogue.Work{Class: "urgent", Model: "model-a", Repeatable: true}),
+		work("line-plan", catalogue.Work{
+			Class: "urgent", Model: "model-a", Repeatable: true,
+			Objective: &catalogue.Objective{FirstToken: settings.Duration(generous), Share: 0.95},
+		}),
 		work("excuse-draft", catalogue.Work{Class: "normal", Model: "model-a", Repeatable: true}),
 		work("season-audit", catalogue.Work{Class: "bulk", Model: "model-a", Repeatable: true}),
 		work("excuse-filing", catalogue.Work{Class: "urgent", Service: "filing"}),
@@ -440,12 +445,18 @@
 	})
 }
 
-// metric NAME METRIC MIN waits until a process shows a metric of at least MIN.
+// metric NAME METRIC MIN [MAX] waits until a process shows a metric of at least
+// MIN and at most MAX.
 func metric(ts *testscript.TestScript, _ bool, args []string) {
 	w := of(ts)
 	p := w.proc(ts, args[0])
 	least, err := strconv.ParseFloat(args[2], 64)
 	ts.Check(err)
+	most := math.Inf(1)
+	if len(args) > 3 {
+		most, err = strconv.ParseFloat(args[3], 64)
+		ts.Check(err)
+	}
 	await(ts, "metric "+args[1], func() string {
 		client := &http.Client{Timeout: 3 * time.Second}
 		response, err := client.Get("http://" + p.addrs["operators"] + "/metrics")
@@ -458,7 +469,7 @@
 		for _, line := range strings.Split(text.String(), "\n") {
 			name, value, _ := strings.Cut(line, " ")
 			got, err := strconv.ParseFloat(value, 64)
-			if name == args[1] && err == nil && got >= least {
+			if name == args[1] && err == nil && got >= least && got <= most {
 				return ""
 			}
 		}
@@ -544,3 +555,22 @@
 		ts.Fatalf("race: the edits got %v", statuses)
 	}
 }
+
+// operate ENTRY ARGUMENTS... runs an operator's command of the binary against an
+// entry; its output is then there for stdout and stderr. "! operate" wants it to
+// fail. An argument @TYPE/ID stands for that record's present revision.
+func operate(ts *testscript.TestScript, neg bool, args []string) {
+	p := of(ts).proc(ts, args[0])
+	for i, arg := range args {
+		if key, found := strings.CutPrefix(arg, "@"); found {
+			var record catalogue.Record
+			ts.Check(of(ts).get("http://"+p.addrs["operators"]+"/v1/catalogue/"+key, &record))
+			args[i] = strconv.FormatUint(record.Revision, 10)
+		}
+	}
+	full := append(append([]string(nil), args[1:]...), "--entry", p.addrs["operators"], "--key", operatorKey)
+	err := ts.Exec("aspenyard", full...)
+	if (err != nil) != neg {
+		ts.Fatalf("aspenyard %s: %v", strings.Join(args[1:], " "), err)
+	}
+}
