Scenarios with more teeth, docs, and the cost of the path

Cause: four mutations survived the scenarios (run on a scratch copy): 'a decrease counted at once' in power-load, since even load moves no grants; 'nothing shed', since the work ended by itself; 'the ledger forgotten while the store is down', since the agents refused the old revision; 'old pages accepted', since the stale store kept the new revision with the old value, which no replica of a store does. Change: power-moves and power-moves-store-down move grants; power-cap-lowered looks for the cancelled runs in the engines' records; the stand-in's stale store gives the old revision too.

--- /dev/null
+++ b/bench/path.go
@@ -0,0 +1,131 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	standin "aspenyard.example/standin/engine"
+)
+
+// PathResult is what the way through entry and agent costs.
+type PathResult struct {
+	Pairs int `json:"pairs"`
+	// The times to first token of the engine called directly and through entry and
+	// agent, alternating in one run, and the difference of the pairs, in microseconds.
+	DirectP50  int64 `json:"direct_p50_us"`
+	ThroughP50 int64 `json:"through_p50_us"`
+	AddedP50   int64 `json:"added_p50_us"`
+	AddedP95   int64 `json:"added_p95_us"`
+	// RequestsPerSecond and TokensPerSecond are of this whole process (entry,
+	// agent, engine stand-in and caller) on one processor: a lower bound for the
+	// entry alone.
+	RequestsPerSecond float64 `json:"requests_per_second_one_core"`
+	TokensPerSecond   float64 `json:"tokens_per_second_one_core"`
+}
+
+// quickEngine takes next to no time, so that what is measured is the path.
+var quickEngine = standin.Config{StepTime: time.Microsecond, PrefillTime: time.Nanosecond, DecodeTime: time.Nanosecond, MaxRunning: 256}
+
+const (
+	pathTokens   = 1000
+	pathOutput   = 8
+	pathCallers  = 16
+	pathDeadline = time.Minute
+	streamOutput = 2000
+)
+
+// Path measures over this many pairs, and the rates for the time given.
+func Path(ctx context.Context, pairs int, rateTime time.Duration) (PathResult, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	fleet, err := StartFleet(ctx, FleetConfig{Entries: 1, Engines: 1, TimeScale: 1, Engine: quickEngine}, zap.NewNop())
+	if err != nil {
+		return PathResult{}, err
+	}
+	result := PathResult{Pairs: pairs}
+	if err := fleet.pairs(ctx, &result); err != nil {
+		return result, err
+	}
+	before := runtime.GOMAXPROCS(1)
+	defer runtime.GOMAXPROCS(before)
+	requests, _, err := fleet.rate(ctx, rateTime, pathOutput)
+	if err != nil {
+		return result, err
+	}
+	result.RequestsPerSecond = requests
+	_, tokens, err := fleet.rate(ctx, rateTime, streamOutput)
+	result.TokensPerSecond = tokens
+	return result, err
+}
+
+func (f *Fleet) pairs(ctx context.Context, result *PathResult) error {
+	newHistogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3) }
+	direct, through, added := newHistogram(), newHistogram(), newHistogram()
+	for i := range result.Pairs {
+		prompt := Prompt(uint64(i), pathTokens)
+		one, err := f.direct(ctx, i, prompt)
+		if err != nil {
+			return err
+		}
+		two, err := f.Complete(ctx, Completion{Kind: "line-plan", Prompt: prompt, MaxTokens: pathOutput, Deadline: pathDeadline})
+		if err != nil {
+			return err
+		}
+		_ = direct.RecordValue(one.FirstToken.Microseconds())
+		_ = through.RecordValue(two.FirstToken.Microseconds())
+		_ = added.RecordValue(max(0, (two.FirstToken - one.FirstToken).Microseconds()))
+	}
+	result.DirectP50, result.ThroughP50 = direct.ValueAtQuantile(50), through.ValueAtQuantile(50)
+	result.AddedP50, result.AddedP95 = added.ValueAtQuantile(50), added.ValueAtQuantile(95)
+	return nil
+}
+
+// direct asks the engine itself.
+func (f *Fleet) direct(ctx context.Context, i int, prompt string) (Answer, error) {
+	body, err := json.Marshal(standin.CompletionRequest{
+		RequestID: fmt.Sprint("direct-", i), Model: fleetModel, Prompt: prompt, MaxTokens: pathOutput, Stream: true,
+	})
+	if err != nil {
+		return Answer{}, errors.WithStack(err)
+	}
+	// A fencing number above any agent's, so that the engine takes the order.
+	header := http.Header{"X-Fencing-Number": {"9000000000000000000"}}
+	return Stream(ctx, f.client, "http://"+f.Engines[0]+"/v1/completions", header, body)
+}
+
+// rate gives requests and tokens a second with a few callers at once.
+func (f *Fleet) rate(ctx context.Context, length time.Duration, output int) (requests, tokens float64, err error) {
+	prompt := Prompt(1, pathTokens)
+	var mu sync.Mutex
+	var calling sync.WaitGroup
+	count := 0
+	start := time.Now()
+	for range pathCallers {
+		calling.Go(func() {
+			for time.Since(start) < length {
+				_, failure := f.Complete(ctx, Completion{Kind: "line-plan", Prompt: prompt, MaxTokens: output, Deadline: 10 * pathDeadline})
+				mu.Lock()
+				count++
+				if failure != nil {
+					err = failure
+				}
+				mu.Unlock()
+				if failure != nil {
+					return
+				}
+			}
+		})
+	}
+	calling.Wait()
+	requests = float64(count) / time.Since(start).Seconds()
+	return requests, requests * float64(output), err
+}
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"runtime"
@@ -45,7 +46,14 @@
 	JSON bool   `arg:"--json" help:"print JSON"`
 }
 
+type benchPath struct {
+	Pairs int           `arg:"--pairs" default:"300" help:"pairs of calls, direct and through entry and agent"`
+	Rate  time.Duration `arg:"--rate" default:"4s" help:"time over which each rate is taken"`
+	JSON  bool          `arg:"--json" help:"print JSON"`
+}
+
 type benchCommand struct {
+	Path     *benchPath     `arg:"subcommand:path" help:"measure what the way through entry and agent costs"`
 	Power    *benchPower    `arg:"subcommand:power" help:"measure how much of a site's cap the ledger lets work use"`
 	Limits   *benchLimits   `arg:"subcommand:limits" help:"measure client accounts' limits over several entries"`
 	Policy   *benchPolicy   `arg:"subcommand:policy" help:"measure routing and admission under load, in virtual time"`
@@ -58,14 +66,30 @@
 		return c.Capacity.run(t)
 	case c.Policy != nil:
 		return c.Policy.run(t)
-	}
-	if c.Limits != nil {
+	case c.Limits != nil:
 		return c.Limits.run(t)
-	}
-	if c.Power != nil {
+	case c.Power != nil:
 		return c.Power.run(t)
+	case c.Path != nil:
+		return c.Path.run(t)
 	}
-	return t.failf("bench: one of policy, limits, power, capacity")
+	return t.failf("bench: one of policy, limits, power, path, capacity")
+}
+
+func (c *benchPath) run(t terminal) int {
+	result, err := bench.Path(context.Background(), c.Pairs, c.Rate)
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	if c.JSON {
+		_ = json.NewEncoder(t.out).Encode(result)
+		return exitOK
+	}
+	fmt.Fprintf(t.out, "%d pairs: first token p50 %d µs direct, %d µs through entry and agent; added p50 %d µs, p95 %d µs\n",
+		result.Pairs, result.DirectP50, result.ThroughP50, result.AddedP50, result.AddedP95)
+	fmt.Fprintf(t.out, "whole path on one processor, engine stand-in and caller included: %.0f requests/s of 8 tokens, %.0f tokens/s\n",
+		result.RequestsPerSecond, result.TokensPerSecond)
+	return exitOK
 }
 
 func (c *benchPower) run(t terminal) int {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -32,7 +32,7 @@
 		"seed": seed, "ready": ready, "call": call, "finish": finish, "expect": expect, "runs": runs, "held": held,
 		"audit": audit, "lookup": lookup, "member": member, "cap": setCap, "watts": watts, "started": started,
 		"edit": edit, "sees": sees, "calls": storeCalls, "claim": claim, "metric": metric,
-		"client": client, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
+		"client": client, "cancelled": cancelled, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
 	}
 }
 
@@ -129,6 +129,9 @@
 		addr = p.link.addr()
 		body["advertise"] = addr
 	}
+	if seed := w.procs[opts["seeds"]]; seed != nil {
+		body["seeds"] = []string{seed.addrs["listen"]}
+	}
 	if opts["drain"] != "" {
 		body["drain_timeout"] = opts["drain"]
 	}
@@ -499,6 +502,25 @@
 	}
 }
 
+// cancelled ENGINE... least=N checks that the engines' records have at least N runs
+// that were cancelled.
+func cancelled(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w, count := of(ts), 0
+	for _, name := range plain {
+		var record standin.Record
+		ts.Check(w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record))
+		for _, run := range record.Runs {
+			if run.Cancelled {
+				count++
+			}
+		}
+	}
+	if count < number(opts["least"]) {
+		ts.Fatalf("%d runs were cancelled", count)
+	}
+}
+
 func (w *world) engineRuns(ts *testscript.TestScript, name string) int {
 	var record standin.Record
 	ts.Check(w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record))
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -41,7 +41,8 @@
 	LosePrefix string `json:"lose_prefix"`
 	// DownAfterLose takes the store down as soon as an answer was lost.
 	DownAfterLose bool `json:"down_after_lose"`
-	// StalePrefix makes reads of keys with this prefix give the first value ever written.
+	// StalePrefix makes reads of keys with this prefix give the first value ever
+	// written, with its revision, as a replica that lags would.
 	StalePrefix string `json:"stale_prefix"`
 	// ListLagMS replaces the list's lag, in milliseconds, when positive.
 	ListLagMS int `json:"list_lag_ms"`
@@ -51,7 +52,9 @@
 	Key         string
 	Value       []byte
 	ModifyIndex uint64
-	first       []byte
+	// first is the first value ever written, and firstIndex its revision.
+	first      []byte
+	firstIndex uint64
 }
 
 // Record is what truly happened, by the stand-in's own count.
@@ -194,7 +197,8 @@
 			revision = found.ModifyIndex
 			shown := *found
 			if s.faults.StalePrefix != "" && strings.HasPrefix(name, s.faults.StalePrefix) {
-				shown.Value = found.first
+				shown.Value, shown.ModifyIndex = found.first, found.firstIndex
+				revision = found.firstIndex
 			}
 			body, _ = json.Marshal([]pair{shown})
 		}
@@ -260,9 +264,9 @@
 		return false
 	}
 	s.index++
-	next := &pair{Key: name, Value: data, ModifyIndex: s.index, first: data}
+	next := &pair{Key: name, Value: data, ModifyIndex: s.index, first: data, firstIndex: s.index}
 	if current != nil {
-		next.first = current.first
+		next.first, next.firstIndex = current.first, current.firstIndex
 	}
 	s.pairs[name] = next
 	s.wake()
