A new endpoint asks for watts; a store that went back is not watched in a loop

Causes: - power-moves kept passing with 'a decrease counted at once', since the new endpoint never got a grant at all: it asked for no watts as it had no work, and had no work as it refused all for want of power. The other endpoint could use the whole cap. Work refused for want of power now counts as wanted. power-newcomer: failed without the change (the first endpoint's work ended before the second had any), passes with it. - A watch of a store that answers with an older revision returns at once: the reader asked again without a wait. It is now a failed read, with the wait of one. - The stand-in's outage did not end waiting watches, so the waits between failed reads were never exercised; it does now. memory: the engines are stalled while the entry is frozen, so that their work cannot end by itself.

--- a/agent/control.go
+++ b/agent/control.go
@@ -44,7 +44,11 @@
 	down      bool
 	catalogue *catalogue.View
 	ready     bool
-	shown     shown
+	// turnedAway counts the refusals for want of power in this period and the one
+	// before; periodEnd is when this one ends.
+	turnedAway, turnedAwayBefore int
+	periodEnd                    time.Time
+	shown                        shown
 }
 
 // shown holds what other threads may read.
@@ -82,6 +86,9 @@
 	})
 	if !verdict.Accepted {
 		c.table.Abandon(reservation)
+		if verdict.Code == result.NoPower {
+			c.turnedAway++
+		}
 		return reservation, verdict
 	}
 	c.orders[reservation.Number] = &order{
@@ -242,13 +249,23 @@
 	if a.settings.Kind == "engine" {
 		report := c.queue.Report()
 		h.Power = &wire.Power{
-			FloorWatts: a.status.FloorWatts, MaxWatts: a.status.MaxWatts, WantWatts: c.limit.Draw(c.queue.Want()),
+			FloorWatts: a.status.FloorWatts, MaxWatts: a.status.MaxWatts, WantWatts: c.limit.Draw(c.want()),
 			LimitWatts: c.limit.Keeping(report.Running), GrantRevision: c.limit.Revision(),
 		}
 	}
 	a.catalogue.Fill(h)
 }
 
+// wantPeriod is the time over which refusals for want of power are counted.
+const wantPeriod = 2 * time.Second
+
+// want is how many batch places the present work could use. Work that was refused
+// for want of power counts: an endpoint without a grant has no other work, and
+// would never ask for one while the others use up the cap.
+func (c *control) want() int {
+	return c.queue.Want() + max(c.turnedAway, c.turnedAwayBefore)
+}
+
 func (c *control) load(now time.Time) *wire.Load {
 	report := c.queue.Report()
 	load := &wire.Load{
@@ -282,6 +299,9 @@
 		c.leaving = false
 		c.queue.SetClosed(false)
 	}
+	if now.After(c.periodEnd) {
+		c.turnedAway, c.turnedAwayBefore, c.periodEnd = 0, c.turnedAway, now.Add(wantPeriod)
+	}
 	c.followCatalogue()
 	if c.limit.Revision() > 0 {
 		// Work that was just starting when a grant was lowered is shed now.
--- a/entry/store.go
+++ b/entry/store.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"aspenyard.example/catalogue"
@@ -79,6 +80,10 @@
 	if value.Revision != revision {
 		e.catalogue.Offer(number, page)
 	}
+	if value.Revision < revision {
+		// A watch of a store that lags returns at once, again and again.
+		return revision, errors.Errorf("%s went back from revision %d to %d", key, revision, value.Revision)
+	}
 	return value.Revision, nil
 }
 
--- a/scenarios/catalogue_test.go
+++ b/scenarios/catalogue_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -68,6 +69,25 @@
 	}
 }
 
+// keeps NODE... ID MAXTOKENS DURATION checks all through a time that entries have
+// the edit: none goes back, not even for a moment.
+func keeps(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	n := len(args)
+	id, want := args[n-3], number(args[n-2])
+	span, err := time.ParseDuration(args[n-1])
+	ts.Check(err)
+	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(poll / 4) {
+		for _, name := range args[:n-3] {
+			var record catalogue.Record
+			err := w.get("http://"+w.proc(ts, name).addrs["operators"]+"/v1/catalogue/work/"+id, &record)
+			if err == nil && record.Work.MaxOutputTokens != want {
+				ts.Fatalf("%s went back to %d", name, record.Work.MaxOutputTokens)
+			}
+		}
+	}
+}
+
 // calls reads=N writes=N checks the platform's own count of calls: no second had
 // more than these.
 func storeCalls(ts *testscript.TestScript, _ bool, args []string) {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -32,7 +32,7 @@
 		"seed": seed, "ready": ready, "call": call, "finish": finish, "expect": expect, "runs": runs, "held": held,
 		"audit": audit, "lookup": lookup, "member": member, "cap": setCap, "watts": watts, "started": started,
 		"edit": edit, "sees": sees, "calls": storeCalls, "claim": claim, "metric": metric,
-		"client": client, "cancelled": cancelled, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
+		"client": client, "keeps": keeps, "served": served, "cancelled": cancelled, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
 	}
 }
 
@@ -521,6 +521,24 @@
 	}
 }
 
+// served ENGINE calls for short work through the first entry until the engine's
+// record has a finished run.
+func served(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	entry := w.proc(ts, "n1")
+	await(ts, "served", func() string {
+		var record standin.Record
+		ts.Check(w.get("http://"+w.proc(ts, args[0]).addrs["listen"]+"/record", &record))
+		for _, run := range record.Runs {
+			if run.Finished {
+				return ""
+			}
+		}
+		callOnce(ts, []string{entry.name, "line-plan"}, map[string]string{"as": "served", "deadline": "10s"})
+		return "no run has finished"
+	})
+}
+
 func (w *world) engineRuns(ts *testscript.TestScript, name string) int {
 	var record standin.Record
 	ts.Check(w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record))
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -205,7 +205,12 @@
 		if watching {
 			s.record.Watches++
 		}
+		down := s.faults.Down
 		s.mu.Unlock()
+		if down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
 		if !watching || revision != after {
 			answer(w, body)
 			return
@@ -333,6 +338,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = faults
+	s.wake() // an outage ends the waiting watches too
 }
 
 func (s *Server) setVMs(w http.ResponseWriter, r *http.Request) {
