--- a/scenarios/calls_test.go
+++ b/scenarios/calls_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,9 @@
 	began         time.Time
 	took          time.Duration
 	done          chan struct{}
+	// first is closed once the first event of a streamed answer has come.
+	first     chan struct{}
+	firstOnce sync.Once
 
 	status     int
 	code       int
@@ -65,7 +69,7 @@
 func callOnce(ts *testscript.TestScript, plain []string, opts map[string]string) *callRecord {
 	w := of(ts)
 	p := w.proc(ts, plain[0])
-	c := &callRecord{id: opts["as"], kind: plain[1], key: opts["key"], done: make(chan struct{}), deadline: 20 * time.Second, began: time.Now()}
+	c := &callRecord{id: opts["as"], kind: plain[1], key: opts["key"], done: make(chan struct{}), first: make(chan struct{}), deadline: 20 * time.Second, began: time.Now()}
 	if c.id == "" {
 		c.id = "last"
 	}
@@ -170,6 +174,7 @@
 			return
 		}
 		c.event(data)
+		c.firstOnce.Do(func() { close(c.first) })
 	}
 }
 
@@ -233,6 +238,20 @@
 	}
 }
 
+// streaming ID... waits until the first text of streamed calls has come.
+func streaming(ts *testscript.TestScript, _ bool, args []string) {
+	for _, id := range args {
+		c := of(ts).find(ts, id)
+		select {
+		case <-c.first:
+		case <-c.done:
+			ts.Fatalf("call %s ended without a text (code %d)", id, c.code)
+		case <-time.After(generous):
+			ts.Fatalf("call %s has no text", id)
+		}
+	}
+}
+
 // repeat N COMMAND... runs a command N times; the as of a call gets a number.
 func repeat(ts *testscript.TestScript, neg bool, args []string) {
 	for i := range number(args[0]) {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -32,7 +32,7 @@
 		"seed": seed, "ready": ready, "call": call, "finish": finish, "expect": expect, "runs": runs, "held": held,
 		"audit": audit, "lookup": lookup, "member": member, "cap": setCap, "watts": watts, "started": started,
 		"edit": edit, "sees": sees, "calls": storeCalls, "claim": claim, "metric": metric,
-		"client": client, "keeps": keeps, "served": served, "cancelled": cancelled, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
+		"client": client, "streaming": streaming, "keeps": keeps, "served": served, "cancelled": cancelled, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
 	}
 }
 
