--- /dev/null
+++ b/bench/idle.go
@@ -0,0 +1,77 @@
+package bench
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// IdleResult is what one process spends over a time.
+type IdleResult struct {
+	Addr string `json:"addr"`
+	// CorePercent is processor time in percent of a core.
+	CorePercent float64 `json:"core_percent"`
+	// ResidentBytes and AnonymousBytes are memory now: all, and what is not files.
+	ResidentBytes  float64 `json:"resident_bytes"`
+	AnonymousBytes float64 `json:"anonymous_bytes"`
+	// SentPerSecond and ReceivedPerSecond are the control loop's bytes.
+	SentPerSecond     float64 `json:"control_sent_bytes_per_second"`
+	ReceivedPerSecond float64 `json:"control_received_bytes_per_second"`
+}
+
+// Idle reads the metrics of running processes twice, by their operators' addresses.
+func Idle(addrs []string, length time.Duration) ([]IdleResult, error) {
+	before := make([]map[string]float64, len(addrs))
+	for i, addr := range addrs {
+		var err error
+		if before[i], err = scrape(addr); err != nil {
+			return nil, err
+		}
+	}
+	start := time.Now()
+	time.Sleep(length)
+	var results []IdleResult
+	for i, addr := range addrs {
+		after, err := scrape(addr)
+		if err != nil {
+			return nil, err
+		}
+		rate := func(name string) float64 { return (after[name] - before[i][name]) / time.Since(start).Seconds() }
+		results = append(results, IdleResult{
+			Addr: addr, CorePercent: 100 * rate("process_cpu_seconds_total"),
+			ResidentBytes: after["process_resident_memory_bytes"], AnonymousBytes: after["process_resident_memory_anon_bytes"],
+			SentPerSecond: rate("aspenyard_control_sent_bytes_total"), ReceivedPerSecond: rate("aspenyard_control_received_bytes_total"),
+		})
+	}
+	return results, nil
+}
+
+// scrape reads the metrics without labels of one process.
+func scrape(addr string) (map[string]float64, error) {
+	client := &http.Client{Timeout: 5 * time.Second}
+	response, err := client.Get("http://" + addr + "/metrics")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(response.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, addr)
+	}
+	values := map[string]float64{}
+	for name, family := range families {
+		if metrics := family.GetMetric(); len(metrics) == 1 {
+			values[name] = value(metrics[0])
+		}
+	}
+	return values, nil
+}
+
+func value(metric *dto.Metric) float64 {
+	return metric.GetUntyped().GetValue() + metric.GetGauge().GetValue() + metric.GetCounter().GetValue()
+}
--- a/catalogue/replica_test.go
+++ b/catalogue/replica_test.go
@@ -265,6 +265,16 @@
 	}
 }
 
+func TestNegativeLimitsAreRefused(t *testing.T) {
+	for _, limits := range []string{`"requests_per_second":-1`, `"tokens_per_second":-0.5`, `"concurrent":-3`} {
+		is := is.New(t)
+		field := strings.Trim(strings.Split(limits, ":")[0], `"`)
+		_, err := DecodeRecord([]byte(`{"type":"account","id":"a","owner":"o","account":{"key_sha256":"` + HashKey("k") + `","limits":{` + limits + `}}}`))
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), "account.limits."+field))
+	}
+}
+
 func FuzzDecodeRecord(f *testing.F) {
 	f.Add([]byte(goodWork))
 	f.Add([]byte(`{"type":"site","id":"port","owner":"ops","site":{"power_cap_watts":1,"data_centres":["d"]}}`))
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -52,7 +52,14 @@
 	JSON  bool          `arg:"--json" help:"print JSON"`
 }
 
+type benchIdle struct {
+	Addrs []string      `arg:"positional,required" placeholder:"IP:PORT" help:"operators' addresses of running processes"`
+	For   time.Duration `arg:"--for" default:"20s" help:"time between the two readings"`
+	JSON  bool          `arg:"--json" help:"print JSON"`
+}
+
 type benchCommand struct {
+	Idle     *benchIdle     `arg:"subcommand:idle" help:"processor time, memory and control bytes of running processes"`
 	Path     *benchPath     `arg:"subcommand:path" help:"measure what the way through entry and agent costs"`
 	Power    *benchPower    `arg:"subcommand:power" help:"measure how much of a site's cap the ledger lets work use"`
 	Limits   *benchLimits   `arg:"subcommand:limits" help:"measure client accounts' limits over several entries"`
@@ -72,8 +79,26 @@
 		return c.Power.run(t)
 	case c.Path != nil:
 		return c.Path.run(t)
+	case c.Idle != nil:
+		return c.Idle.run(t)
+	}
+	return t.failf("bench: one of policy, limits, power, path, idle, capacity")
+}
+
+func (c *benchIdle) run(t terminal) int {
+	results, err := bench.Idle(c.Addrs, c.For)
+	if err != nil {
+		return t.failf("%v", err)
 	}
-	return t.failf("bench: one of policy, limits, power, path, capacity")
+	if c.JSON {
+		_ = json.NewEncoder(t.out).Encode(results)
+		return exitOK
+	}
+	fmt.Fprintf(t.out, "%-22s %9s %12s %12s %12s %14s\n", "process", "% core", "resident MB", "of it anon", "sent B/s", "received B/s")
+	for _, r := range results {
+		fmt.Fprintf(t.out, "%-22s %9.2f %12.1f %12.1f %12.0f %14.0f\n", r.Addr, r.CorePercent, r.ResidentBytes/1e6, r.AnonymousBytes/1e6, r.SentPerSecond, r.ReceivedPerSecond)
+	}
+	return exitOK
 }
 
 func (c *benchPath) run(t terminal) int {
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -39,6 +39,7 @@
 	MaxWatts      int               `json:"max_watts,omitempty"`
 	TimeScale     float64           `json:"time_scale,omitempty"`
 	LoadLag       settings.Duration `json:"load_lag,omitempty"`
+	EventLag      settings.Duration `json:"event_lag,omitempty"`
 	EventGap      int               `json:"event_gap,omitempty"`
 	ChecksFencing bool              `json:"checks_fencing,omitempty"`
 }
@@ -96,7 +97,7 @@
 			MemoryTokens: s.MemoryTokens, MaxRunning: s.MaxRunning, ChunkTokens: s.ChunkTokens,
 			FloorWatts: s.FloorWatts, MaxWatts: s.MaxWatts,
 		},
-		Models: s.Models, TimeScale: s.TimeScale, ChecksFencing: s.ChecksFencing, LoadLag: s.LoadLag.D(), EventGap: s.EventGap,
+		Models: s.Models, TimeScale: s.TimeScale, ChecksFencing: s.ChecksFencing, LoadLag: s.LoadLag.D(), EventLag: s.EventLag.D(), EventGap: s.EventGap,
 	})
 	go server.Run(ctx)
 	return server.Handler()
--- a/scenarios/client_test.go
+++ b/scenarios/client_test.go
@@ -42,7 +42,7 @@
 
 func chatByLibrary(ctx context.Context, ts *testscript.TestScript, c *openai.Client, model string) {
 	stream, err := c.CreateChatCompletionStream(ctx, openai.ChatCompletionRequest{
-		Model: model, MaxTokens: 8, Messages: []openai.ChatCompletionMessage{{Role: "user", Content: "tie a bowline"}},
+		Model: model, MaxCompletionTokens: 8, Messages: []openai.ChatCompletionMessage{{Role: "user", Content: "tie a bowline"}},
 	})
 	ts.Check(err)
 	defer func() { _ = stream.Close() }()
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -32,7 +32,7 @@
 		"seed": seed, "ready": ready, "call": call, "finish": finish, "expect": expect, "runs": runs, "held": held,
 		"audit": audit, "lookup": lookup, "member": member, "cap": setCap, "watts": watts, "started": started,
 		"edit": edit, "sees": sees, "calls": storeCalls, "claim": claim, "metric": metric,
-		"client": client, "streaming": streaming, "keeps": keeps, "served": served, "cancelled": cancelled, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
+		"client": client, "grew": grew, "streaming": streaming, "keeps": keeps, "served": served, "cancelled": cancelled, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
 	}
 }
 
@@ -539,6 +539,18 @@
 	})
 }
 
+// grew ENGINE most=N checks that an engine's record has at most N runs more than at
+// its mark.
+func grew(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	added := w.engineRuns(ts, plain[0]) - w.marks[plain[0]]
+	ts.Logf("grew: %s by %d runs", plain[0], added)
+	if added > number(opts["most"]) {
+		ts.Fatalf("%s has %d runs more", plain[0], added)
+	}
+}
+
 func (w *world) engineRuns(ts *testscript.TestScript, name string) int {
 	var record standin.Record
 	ts.Check(w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record))
@@ -552,6 +564,8 @@
 	w := of(ts)
 	base := "http://" + w.proc(ts, plain[0]).addrs["operators"] + "/v1/catalogue/work/" + plain[1]
 	except := strings.Split(opts["except"], ",")
+	began := time.Now()
+	defer func() { ts.Logf("spread: seen after %s", time.Since(began).Round(time.Millisecond)) }()
 	await(ts, "spread", func() string {
 		var record catalogue.Record
 		if err := w.get(base, &record); err != nil {
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -48,7 +48,6 @@
 	cmd        *exec.Cmd
 	ended      chan struct{}
 	link       *link
-	restarts   int
 }
 
 type vm struct{ Name, Role, DataCentre, Addr, State string }
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -25,6 +25,8 @@
 	ChecksFencing bool
 	// LoadLag is how old the reported load is.
 	LoadLag time.Duration
+	// EventLag is how late a cache event is shown.
+	EventLag time.Duration
 	// EventGap drops every n-th cache event; 0: none.
 	EventGap int
 }
@@ -131,11 +133,16 @@
 	faults  Faults
 	wake    chan struct{}
 	loads   []timedLoad
-	events  []CacheEvent
+	events  []timedEvent
 	seen    int
 	client  *http.Client
 }
 
+type timedEvent struct {
+	at    time.Time
+	event CacheEvent
+}
+
 type timedLoad struct {
 	at   time.Time
 	load Load
@@ -216,10 +223,10 @@
 		if s.settings.EventGap > 0 && s.seen%s.settings.EventGap == 0 {
 			continue
 		}
-		s.events = append(s.events, event)
+		s.events = append(s.events, timedEvent{time.Now(), event})
 	}
 	if len(s.events) > maxEvents {
-		s.events = append([]CacheEvent(nil), s.events[len(s.events)-maxEvents:]...)
+		s.events = append([]timedEvent(nil), s.events[len(s.events)-maxEvents:]...)
 	}
 }
 
@@ -530,7 +537,13 @@
 func (s *Server) cacheEvents(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(s.events)
+	shown := []CacheEvent{}
+	for _, e := range s.events {
+		if time.Since(e.at) >= s.settings.EventLag {
+			shown = append(shown, e.event)
+		}
+	}
+	_ = json.NewEncoder(w).Encode(shown)
 }
 
 // load answers with the load as it was LoadLag ago.
