--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -32,7 +32,7 @@
 		"seed": seed, "ready": ready, "call": call, "finish": finish, "expect": expect, "runs": runs, "held": held,
 		"audit": audit, "lookup": lookup, "member": member, "cap": setCap, "watts": watts, "started": started,
 		"edit": edit, "sees": sees, "calls": storeCalls, "claim": claim, "metric": metric,
-		"client": client, "grew": grew, "streaming": streaming, "keeps": keeps, "served": served, "cancelled": cancelled, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
+		"client": client, "total": total, "streaming": streaming, "keeps": keeps, "served": served, "cancelled": cancelled, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
 	}
 }
 
@@ -539,15 +539,16 @@
 	})
 }
 
-// grew ENGINE most=N checks that an engine's record has at most N runs more than at
-// its mark.
-func grew(ts *testscript.TestScript, _ bool, args []string) {
+// total ENGINE... most=N checks that engines' records have at most N runs together.
+func total(ts *testscript.TestScript, _ bool, args []string) {
 	plain, opts := options(args)
-	w := of(ts)
-	added := w.engineRuns(ts, plain[0]) - w.marks[plain[0]]
-	ts.Logf("grew: %s by %d runs", plain[0], added)
-	if added > number(opts["most"]) {
-		ts.Fatalf("%s has %d runs more", plain[0], added)
+	sum := 0
+	for _, name := range plain {
+		sum += of(ts).engineRuns(ts, name)
+	}
+	ts.Logf("total: %d runs", sum)
+	if sum > number(opts["most"]) {
+		ts.Fatalf("%d runs on %v", sum, plain)
 	}
 }
 
