Parts of a long prompt keep characters whole; one count of tokens

Cause, found by reading: a prompt over several engines was cut into parts by bytes. Within a character of two bytes or more a part is not valid text, and the message that carries it is refused. Change: parts end before a character begins. The test failed with the check taken out and passes with it. The estimate of four bytes a token stood in two packages and is in admission now.

--- a/admission/level.go
+++ b/admission/level.go
@@ -78,3 +78,12 @@
 func (b *Backlog) Total() int {
 	return b.Before(Levels - 1)
 }
+
+// BytesPerToken is how entries and agents estimate the tokens of a text. They have
+// no tokenizer: a wrong estimate costs a refusal or a wait, never an answer.
+const BytesPerToken = 4
+
+// CountTokens estimates the tokens of a text, rounded up.
+func CountTokens(text string) int {
+	return (len(text) + BytesPerToken - 1) / BytesPerToken
+}
--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -256,7 +256,7 @@
 
 func (g *generation) start(ctx context.Context) (*engine.Stream, error) {
 	r := g.request
-	level := admission.LevelOf(g.order.class, len(r.Prompt)/bytesPerToken)
+	level := admission.LevelOf(g.order.class, admission.CountTokens(r.Prompt))
 	imports := make([]engine.Import, 0, len(r.Imports))
 	for _, i := range r.Imports {
 		imports = append(imports, engine.Import{Engine: i.EngineAddr, Sequence: i.Sequence, Tokens: i.Tokens})
@@ -267,9 +267,6 @@
 	})
 }
 
-// bytesPerToken estimates a text's tokens.
-const bytesPerToken = 4
-
 // maxChunkTokens bounds the tokens of one chunk.
 const maxChunkTokens = 64
 
@@ -344,7 +341,7 @@
 func (g *generation) hold(ctx context.Context) error {
 	held := &wire.Held{Import: &wire.Import{
 		EngineAddr: g.agent.settings.Endpoint, Sequence: sequenceID(g.order.reservation),
-		Tokens: uint64(len(g.request.Prompt) / bytesPerToken),
+		Tokens: uint64(admission.CountTokens(g.request.Prompt)),
 	}}
 	if err := g.stream.Send(&wire.RunEvent{Event: &wire.RunEvent_Held{Held: held}}); err != nil {
 		return errors.Wrap(err, "entry gone")
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/result"
 	"aspenyard.example/routing"
 	"aspenyard.example/wire"
@@ -47,15 +48,12 @@
 		entry: e, call: c, prompt: prompt, maxTokens: maxTokens, sink: out, ran: result.RanNo,
 		routing: routing.Request{
 			Model: c.kind.Work.Model, Class: c.class(), PromptTokens: c.promptTokens, OutputTokens: maxTokens,
-			Prefix: routing.PrefixHashes(prompt, bytesPerToken), DataCentre: e.settings.DataCentre, Tried: map[string]bool{},
+			Prefix: routing.PrefixHashes(prompt, admission.BytesPerToken), DataCentre: e.settings.DataCentre, Tried: map[string]bool{},
 		},
 	}
 }
 
-// bytesPerToken estimates the tokens of a text.
-const bytesPerToken = 4
-
-func countTokens(text string) int { return (len(text) + bytesPerToken - 1) / bytesPerToken }
+func countTokens(text string) int { return admission.CountTokens(text) }
 
 // generate carries a request out within its deadline.
 func (g *generation) generate(ctx context.Context) *result.Error {
--- a/entry/span.go
+++ b/entry/span.go
@@ -5,7 +5,9 @@
 	"slices"
 	"sort"
 	"time"
+	"unicode/utf8"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/result"
 	"aspenyard.example/routing"
 	"aspenyard.example/wire"
@@ -85,19 +87,32 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var imports []*wire.Import
-	offset := 0
+	rest := g.prompt
 	for i, member := range members[:len(members)-1] {
-		size := min(routing.MaxPromptTokens(member), g.routing.PromptTokens-offset-(len(members)-1-i))
-		part := g.prompt[offset*bytesPerToken : (offset+size)*bytesPerToken]
+		after := len(members) - 1 - i
+		size := min(routing.MaxPromptTokens(member), countTokens(rest)-after)
+		var part string
+		part, rest = cut(rest, size*admission.BytesPerToken)
 		held, failure := g.hold(ctx, cancel, member, part, imports)
 		if failure != nil {
 			g.routing.Tried[member.Name] = true
 			return failure
 		}
 		imports = append(imports, held)
-		offset += size
 	}
-	return g.lead(ctx, members[len(members)-1], imports, offset)
+	return g.lead(ctx, members[len(members)-1], imports, countTokens(rest))
+}
+
+// cut splits a text at or just before a number of bytes, never within a character:
+// half a character is not valid text and would not come through a message whole.
+func cut(text string, size int) (before, after string) {
+	if size >= len(text) {
+		return text, ""
+	}
+	for size > 0 && !utf8.RuneStart(text[size]) {
+		size--
+	}
+	return text[:size], text[size:]
 }
 
 // hold prefills one part and returns where its KV cache is held until ctx ends.
@@ -145,10 +160,10 @@
 	}
 }
 
-// lead generates the answer on the last member.
-func (g *generation) lead(ctx context.Context, member *routing.Endpoint, imports []*wire.Import, held int) *result.Error {
+// lead generates the answer on the last member, which prefills the last tokens.
+func (g *generation) lead(ctx context.Context, member *routing.Endpoint, imports []*wire.Import, tokens int) *result.Error {
 	r := g.routing
-	r.PromptTokens, r.SpanPart = g.routing.PromptTokens-held, true
+	r.PromptTokens, r.SpanPart = tokens, true
 	reservation, refusal := g.entry.reserve(ctx, g.call, member, &r)
 	if refusal != nil {
 		g.routing.Tried[member.Name] = true
--- /dev/null
+++ b/entry/span_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	"github.com/matryer/is"
+
+	"aspenyard.example/result"
+	"aspenyard.example/routing"
+)
+
+// Symptom: a long prompt in another script than Latin is refused or garbled.
+// Sequence: its bytes are cut into parts within a character. Cause: cutting by the
+// number of bytes alone.
+func TestPartsKeepCharactersWhole(t *testing.T) {
+	is := is.New(t)
+	text := strings.Repeat("繫纜樁 ", 100)
+	rest, joined := text, ""
+	for rest != "" {
+		var part string
+		part, rest = cut(rest, 40)
+		is.True(utf8.ValidString(part))
+		is.True(len(part) <= 40 && part != "")
+		joined += part
+	}
+	is.Equal(joined, text)
+}
+
+func engineAt(name string, memory int) routing.Endpoint {
+	return routing.Endpoint{Name: name, Models: []string{"m"}, MemoryTokens: memory}
+}
+
+func TestSpanTakesEndpointsInOneOrder(t *testing.T) {
+	is := is.New(t)
+	endpoints := []routing.Endpoint{engineAt("c", 400_000), engineAt("a", 400_000), engineAt("b", 400_000), engineAt("d", 400_000)}
+	endpoints[1].Backlog[0] = 1000 // a is busy and not needed
+	members, refusal := planSpan(&routing.Request{Model: "m", PromptTokens: 900_000, Tried: map[string]bool{}}, endpoints)
+	is.True(refusal == nil)
+	names := ""
+	for _, m := range members {
+		names += m.Name
+	}
+	is.Equal(names, "bcd")
+}
+
+func TestSpanRefusals(t *testing.T) {
+	is := is.New(t)
+	endpoints := []routing.Endpoint{engineAt("a", 400_000), engineAt("b", 400_000)}
+	request := &routing.Request{Model: "m", PromptTokens: 900_000, Tried: map[string]bool{}}
+	_, refusal := planSpan(request, endpoints)
+	is.Equal(refusal.Code, result.PromptTooLong)
+	silent := engineAt("c", 400_000)
+	silent.Suspect = true
+	_, refusal = planSpan(request, append(endpoints, silent))
+	is.Equal(refusal.Code, result.NoEndpoint) // it may come back
+	is.True(refusal.RetryAfter > 0)
+}
