Another node's word of the list counts only where one's own reading is old

An entry that had read the list a moment earlier passed the old word on. A node's own reading of less than three seconds now counts more.

--- a/membership/state.go
+++ b/membership/state.go
@@ -168,8 +168,15 @@
 	return !rumoured.IsZero() && now.Sub(rumoured) < rumourLife
 }
 
+// freshList is how recent this node's own reading of the list must be to count
+// more than another node's word about it, which may come from an older reading.
+const freshList = 3 * time.Second
+
 // rumour notes another node's word that the list has a node as leaving.
 func (s *state) rumour(now time.Time, name string) {
+	if !s.listRead.IsZero() && now.Sub(s.listRead) < freshList {
+		return
+	}
 	if name == s.config.Node {
 		s.rumoured = now
 		return
--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -107,6 +107,23 @@
 	is.True(!s.leaving(testStart.Add(2 * rumourLife)))
 }
 
+// Symptom: a replaced VM refuses work for seconds after the list is right. Sequence:
+// this node reads the corrected list; another, which has not yet, passes on the old
+// word. Cause: taking another's word over one's own newer reading.
+func TestOwnFreshListCountsMoreThanAnothersWord(t *testing.T) {
+	is := is.New(t)
+	s := testState(RoleAgent)
+	s.listed(testStart, []platform.VM{{Name: "self"}})
+	word := beat("entry", 1, 1)
+	word.Role, word.LeavingNodes = RoleEntry, []string{"self"}
+	s.heard(testStart.Add(time.Second), word)
+	is.True(!s.leaving(testStart.Add(time.Second)))
+	word = beat("entry", 1, 2)
+	word.Role, word.LeavingNodes = RoleEntry, []string{"self"}
+	s.heard(testStart.Add(time.Minute), word) // one's own reading is old by now
+	is.True(s.leaving(testStart.Add(time.Minute)))
+}
+
 func TestUnlistedSinceIsKept(t *testing.T) {
 	is := is.New(t)
 	s := testState(RoleEntry)
