A refusal's code is not used for work that had started; retry_budget is 4006

Cause, found by reading: a stream that broke after its first tokens and found no further endpoint ended with 3006, of the class 'refused', and ran 'yes'. retry_budget stood among the refusals too. Change: such an answer is 4003 endpoint_failed; retry_budget moves to 4006 (nothing was released).

--- a/entry/generate.go
+++ b/entry/generate.go
@@ -148,9 +148,14 @@
 	return result.Fail(result.DeadlineExceeded, g.ran, "the deadline passed")
 }
 
+// giveUp makes the final error. A refusal's code says that nothing ran: it is not
+// used for a request of which an earlier attempt may have.
 func (g *generation) giveUp(failure *result.Error) *result.Error {
 	final := *failure
 	final.Ran = worse(g.ran, failure.Ran)
+	if final.Ran != result.RanNo && final.Code.Refusal() {
+		final.Code = result.EndpointFailed
+	}
 	return &final
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -30,6 +30,9 @@
 		case ctx.Err() != nil:
 			return reply{}, result.Fail(result.DeadlineExceeded, ran, "the deadline passed")
 		case failure.Code == result.ServiceFailed, refusals >= maxRefusals, len(request.Tried) == 0:
+			if ran != result.RanNo && failure.Code.Refusal() {
+				failure.Code = result.EndpointFailed
+			}
 			return answer, failure
 		case ran != result.RanNo && !e.budgets[c.class()].Take():
 			failure.Code, failure.RetryAfter = result.RetryBudget, noEndpointRetry
--- a/result/result.go
+++ b/result/result.go
@@ -15,7 +15,8 @@
 type Code int
 
 // The codes. 1xxx: done; 2xxx: the request is at fault; 3xxx: refused before
-// anything ran; 4xxx: failed after admission; 5xxx: a fault of the system.
+// anything ran; 4xxx: failed after admission; 5xxx: a fault of the system. 3009
+// was given up before the first release.
 const (
 	OK       Code = 1000
 	Replayed Code = 1001
@@ -46,7 +47,6 @@
 	NoEndpoint         Code = 3006
 	Leaving            Code = 3007
 	StoreUnavailable   Code = 3008
-	RetryBudget        Code = 3009
 	InProgress         Code = 3010
 	Withdrawn          Code = 3011
 	NoReservation      Code = 3012
@@ -58,6 +58,7 @@
 	EndpointFailed   Code = 4003
 	Cancelled        Code = 4004
 	ServiceFailed    Code = 4005
+	RetryBudget      Code = 4006
 
 	Internal Code = 5001
 )
@@ -110,6 +111,10 @@
 	return &Error{Code: code, Ran: ran, Detail: fmt.Sprintf(format, args...)}
 }
 
+// Refusal tells whether a code says that the request was refused before anything
+// of it ran.
+func (c Code) Refusal() bool { return c >= RateLimited && c < DeadlineExceeded }
+
 // From finds the *Error in a chain; any other error becomes Internal with an
 // unknown run, because nothing may be claimed about it.
 func From(err error) *Error {
--- a/result/result_test.go
+++ b/result/result_test.go
@@ -25,6 +25,15 @@
 	}
 }
 
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	is.True(Overloaded.Refusal())
+	is.True(NotReady.Refusal())
+	is.True(!OK.Refusal())
+	is.True(!UnknownModel.Refusal())
+	is.True(!RetryBudget.Refusal())
+}
+
 func TestDocsHoldTheTable(t *testing.T) {
 	is := is.New(t)
 	page, err := os.ReadFile("../docs/RESULT-CODES.md")
--- a/result/table.go
+++ b/result/table.go
@@ -37,7 +37,6 @@
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, "No live endpoint serves this.", "Ask again after Retry-After; see the alarm."},
 	{Leaving, "leaving", http.StatusServiceUnavailable, "The process is shutting down.", "Ask again at once through the balancer."},
 	{StoreUnavailable, "store_unavailable", http.StatusServiceUnavailable, "The platform's store cannot be reached, which this request needs.", "Ask again after Retry-After."},
-	{RetryBudget, "retry_budget", http.StatusServiceUnavailable, "The request failed and the retry budget is spent.", "Ask again after Retry-After."},
 	{InProgress, "in_progress", http.StatusConflict, "A request with the same idempotency key is still running.", "Ask again after Retry-After."},
 	{Withdrawn, "withdrawn", http.StatusServiceUnavailable, "The reservation was withdrawn before it started.", "Ask again."},
 	{NoReservation, "no_reservation", http.StatusServiceUnavailable, "The order names no live reservation of this agent.", "Ask again."},
@@ -49,6 +48,7 @@
 	{EndpointFailed, "endpoint_failed", http.StatusBadGateway, "The endpoint failed after the work had started.", "Ask again; see ran."},
 	{Cancelled, "cancelled", 499, "The caller went away.", "None."},
 	{ServiceFailed, "service_failed", http.StatusBadGateway, "The plain service answered with an error.", "See the detail; the service ran the call."},
+	{RetryBudget, "retry_budget", http.StatusServiceUnavailable, "The work failed after it had started, and the retry budget of its class is spent.", "Ask again after Retry-After."},
 
 	{Internal, "internal", http.StatusInternalServerError, "A fault in aspenyard.", "Report it with the request id."},
 }
@@ -59,7 +59,9 @@
 	b.WriteString("# Result codes\n\n")
 	b.WriteString("Every answer carries its code in `X-Result-Code` and, when it is an error, in the body\n")
 	b.WriteString("with `ran` (`no`, `yes` or `unknown`). 1xxx: done; 2xxx: the request is at fault; 3xxx:\n")
-	b.WriteString("refused, nothing ran; 4xxx: failed after admission; 5xxx: a fault of the system.\n\n")
+	b.WriteString("refused, this request ran nowhere; 4xxx: failed after admission; 5xxx: a fault of the\n")
+	b.WriteString("system. With 3008 and 3010, `ran` speaks of the idempotency key: an earlier request with it\n")
+	b.WriteString("may have run, and `unknown` is said where that cannot be told.\n\n")
 	b.WriteString("| Code | Name | HTTP | Meaning | What to do |\n|---|---|---|---|---|\n")
 	for _, info := range table {
 		fmt.Fprintf(&b, "| %d | `%s` | %d | %s | %s |\n", info.Code, info.Name, info.HTTPStatus, info.Meaning, info.Action)
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -411,6 +411,10 @@
 func member(ts *testscript.TestScript, _ bool, args []string) {
 	w := of(ts)
 	p := w.proc(ts, args[0])
+	began := time.Now()
+	defer func() {
+		ts.Logf("member: %s has %s as %s after %s", args[0], args[1], args[2], time.Since(began).Round(time.Millisecond))
+	}()
 	await(ts, "member "+args[1], func() string {
 		status, err := w.status(p)
 		if err != nil {
