--- a/agent/agent.go
+++ b/agent/agent.go
@@ -72,7 +72,7 @@
 	go func() {
 		failures <- node.ServeHTTP(ctx, operators, node.OperatorsMux(a.metrics, a.ready))
 	}()
-	if !a.meetEndpoint(ctx, signals) {
+	if !a.awaitEndpoint(ctx, signals) {
 		return nil
 	}
 	a.build()
@@ -95,10 +95,10 @@
 	}
 }
 
-// meetEndpoint waits for the endpoint, takes a fencing number above any it has
+// awaitEndpoint waits for the endpoint, takes a fencing number above any it has
 // seen, and cancels what a predecessor left there. Until then this agent is not
 // heard of, so no work can be counted on memory that is still taken.
-func (a *Agent) meetEndpoint(ctx context.Context, signals <-chan os.Signal) bool {
+func (a *Agent) awaitEndpoint(ctx context.Context, signals <-chan os.Signal) bool {
 	for {
 		err := a.takeOver(ctx)
 		if err == nil {
@@ -167,10 +167,10 @@
 
 func (a *Agent) expose() {
 	node.LoopMetrics(a.metrics, a.loop)
-	a.metrics.NewGauge("aspenyard_agent_running", func() float64 { return float64(a.control.shown.running.Load()) })
-	a.metrics.NewGauge("aspenyard_agent_queued", func() float64 { return float64(a.control.shown.queued.Load()) })
-	a.metrics.NewGauge("aspenyard_agent_attempts", func() float64 { return float64(a.control.shown.attempts.Load()) })
-	a.metrics.NewGauge("aspenyard_agent_power_limit_watts", func() float64 { return float64(a.control.shown.limitWatts.Load()) })
+	a.metrics.NewGauge("aspenyard_agent_running", func() float64 { return float64(a.control.stats.running.Load()) })
+	a.metrics.NewGauge("aspenyard_agent_queued", func() float64 { return float64(a.control.stats.queued.Load()) })
+	a.metrics.NewGauge("aspenyard_agent_attempts", func() float64 { return float64(a.control.stats.attempts.Load()) })
+	a.metrics.NewGauge("aspenyard_agent_power_limit_watts", func() float64 { return float64(a.control.stats.limitWatts.Load()) })
 }
 
 // ready tells the platform whether the endpoint takes work.
--- a/agent/control.go
+++ b/agent/control.go
@@ -44,15 +44,15 @@
 	down      bool
 	catalogue *catalogue.View
 	ready     bool
-	// turnedAway counts the refusals for want of power in this period and the one
+	// powerRefusals counts the refusals for want of power in this period and the one
 	// before; periodEnd is when this one ends.
-	turnedAway, turnedAwayBefore int
-	periodEnd                    time.Time
-	shown                        shown
+	powerRefusals, powerRefusalsBefore int
+	periodEnd                          time.Time
+	stats                              stats
 }
 
-// shown holds what other threads may read.
-type shown struct {
+// stats holds what other threads may read.
+type stats struct {
 	running, queued, attempts, limitWatts atomic.Int64
 }
 
@@ -87,7 +87,7 @@
 	if !verdict.Accepted {
 		c.table.Abandon(reservation)
 		if verdict.Code == result.NoPower {
-			c.turnedAway++
+			c.powerRefusals++
 		}
 		return reservation, verdict
 	}
@@ -146,14 +146,14 @@
 	state, outcome := c.table.Withdraw(reservation)
 	if state == attempt.DidNotRun {
 		if o := c.orders[reservation.Number]; o != nil && reservation.Incarnation == c.agent.incarnation {
-			c.turnAway(o, result.Refuse(result.Withdrawn, 0, "withdrawn"))
+			c.refuse(o, result.Refuse(result.Withdrawn, 0, "withdrawn"))
 		}
 	}
 	return state, outcome
 }
 
-// turnAway ends an order that has not started.
-func (c *control) turnAway(o *order, why *result.Error) {
+// refuse ends an order that has not started.
+func (c *control) refuse(o *order, why *result.Error) {
 	select {
 	case o.verdict <- why:
 	default:
@@ -165,14 +165,14 @@
 func (c *control) leave() {
 	c.leaving = true
 	c.queue.SetClosed(true)
-	c.sendAway(result.Refuse(result.Leaving, 0, "the endpoint is leaving"))
+	c.refuseQueued(result.Refuse(result.Leaving, 0, "the endpoint is leaving"))
 }
 
-func (c *control) sendAway(why *result.Error) {
+func (c *control) refuseQueued(why *result.Error) {
 	for _, id := range c.queue.Waiting() {
 		o := c.orders[id]
 		c.table.Withdraw(o.reservation)
-		c.turnAway(o, why)
+		c.refuse(o, why)
 	}
 }
 
@@ -186,7 +186,7 @@
 	if !down {
 		return
 	}
-	c.sendAway(result.Refuse(result.NoEndpoint, time.Second, "the endpoint does not answer"))
+	c.refuseQueued(result.Refuse(result.NoEndpoint, time.Second, "the endpoint does not answer"))
 	for _, o := range c.orders {
 		if o.cancel != nil && o.repeatable {
 			o.cancel(result.Fail(result.EndpointFailed, result.RanYes, "the endpoint does not answer"))
@@ -263,7 +263,7 @@
 // for want of power counts: an endpoint without a grant has no other work, and
 // would never ask for one while the others use up the cap.
 func (c *control) want() int {
-	return c.queue.Want() + max(c.turnedAway, c.turnedAwayBefore)
+	return c.queue.Want() + max(c.powerRefusals, c.powerRefusalsBefore)
 }
 
 func (c *control) load(now time.Time) *wire.Load {
@@ -300,7 +300,7 @@
 		c.queue.SetClosed(false)
 	}
 	if now.After(c.periodEnd) {
-		c.turnedAway, c.turnedAwayBefore, c.periodEnd = 0, c.turnedAway, now.Add(wantPeriod)
+		c.powerRefusals, c.powerRefusalsBefore, c.periodEnd = 0, c.powerRefusals, now.Add(wantPeriod)
 	}
 	c.followCatalogue()
 	if c.limit.Revision() > 0 {
@@ -308,10 +308,10 @@
 		c.shed()
 	}
 	report := c.queue.Report()
-	c.shown.running.Store(int64(report.Running))
-	c.shown.queued.Store(int64(report.Queued))
-	c.shown.attempts.Store(int64(c.table.Len()))
-	c.shown.limitWatts.Store(int64(c.limit.Keeping(report.Running)))
+	c.stats.running.Store(int64(report.Running))
+	c.stats.queued.Store(int64(report.Queued))
+	c.stats.attempts.Store(int64(c.table.Len()))
+	c.stats.limitWatts.Store(int64(c.limit.Keeping(report.Running)))
 }
 
 // followCatalogue learns whether this data centre's site has a power cap. Until
--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -98,7 +98,7 @@
 	if err := stream.Send(&wire.RunEvent{Event: &wire.RunEvent_Started{Started: started}}); err != nil {
 		a.log.Debug("entry gone at start", zap.Error(err))
 	}
-	end := a.carryOut(ctx, o, request.Msg, stream)
+	end := a.execute(ctx, o, request.Msg, stream)
 	_ = a.loop.Do(context.Background(), func() { a.control.table.Finish(time.Now(), o.reservation, end) })
 	a.log.Info("attempt ended", zap.String("request", request.Msg.RequestId), zap.Uint32("attempt", request.Msg.Attempt),
 		zap.Uint64("reservation", o.reservation.Number), zap.Int32("code", end.Code), zap.String("ran", end.Ran))
@@ -144,8 +144,8 @@
 	return o, <-o.verdict
 }
 
-// carryOut runs started work to its end.
-func (a *Agent) carryOut(ctx context.Context, o *order, request *wire.RunRequest, stream runStream) *wire.End {
+// execute runs started work to its end.
+func (a *Agent) execute(ctx context.Context, o *order, request *wire.RunRequest, stream runStream) *wire.End {
 	if request.ServiceKind != "" {
 		return a.callService(o, request)
 	}
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -84,7 +84,7 @@
 // shortFirst is a quantile, or with a negative one the mean, of the short
 // requests' times to first token, in milliseconds. A request that never had one
 // counts with its whole time allowed.
-func shortFirst(m *machine, q float64) float64 {
+func shortFirst(m *experiment, q float64) float64 {
 	var times []float64
 	sum := 0.0
 	for _, o := range m.outcomes {
@@ -104,7 +104,7 @@
 	return quantile(times, q)
 }
 
-func (m *machine) summary() PolicyResult {
+func (m *experiment) summary() PolicyResult {
 	r := PolicyResult{Goodput: map[string]float64{}, Requests: len(m.outcomes), Reused: ratio(float64(m.cached), float64(m.prompts))}
 	offered, good := map[string]int{}, map[string]int{}
 	byAccount := map[string][2]int{}
@@ -158,7 +158,7 @@
 	return ratio(small, large)
 }
 
-func (m *machine) bands() []BandResult {
+func (m *experiment) bands() []BandResult {
 	var results []BandResult
 	for band, name := range Bands {
 		histogram := hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
--- a/bench/run.go
+++ b/bench/run.go
@@ -35,9 +35,9 @@
 	late         bool // its deadline passed before its end
 }
 
-// machine runs the real routing and admission code before model engines in
+// experiment runs the real routing and admission code before model engines in
 // virtual time.
-type machine struct {
+type experiment struct {
 	workload   Workload
 	conditions Conditions
 	now        time.Duration
@@ -45,7 +45,7 @@
 	events     eventHeap
 	entries    []*benchEntry
 	engines    []*benchEngine
-	flights    map[string]*flight
+	pending    map[string]*pendingRequest
 	outcomes   []*outcome
 	random     *rand.Rand
 	budgets    map[admission.Class]*admission.Budget
@@ -73,11 +73,11 @@
 	queue    *admission.Queue
 	stepping bool
 	dead     bool
-	jobs     map[uint64]*flight
+	jobs     map[uint64]*pendingRequest
 }
 
-// flight is one request on its way.
-type flight struct {
+// pendingRequest is one request on its way.
+type pendingRequest struct {
 	outcome *outcome
 	entry   *benchEntry
 	engine  *benchEngine
@@ -111,17 +111,17 @@
 	return last
 }
 
-func (m *machine) after(d time.Duration, run func()) {
+func (m *experiment) after(d time.Duration, run func()) {
 	m.scheduled++
 	heap.Push(&m.events, event{at: m.now + d, order: m.scheduled, run: run})
 }
 
-func (m *machine) clock() time.Time { return m.epoch.Add(m.now) }
+func (m *experiment) clock() time.Time { return m.epoch.Add(m.now) }
 
 // simulate runs the jobs under a policy and returns what became of each.
-func simulate(policy string, jobs []job, w Workload, c Conditions) (*machine, error) {
-	m := &machine{
-		workload: w, conditions: c, epoch: time.Unix(1_780_000_000, 0), flights: map[string]*flight{},
+func simulate(policy string, jobs []job, w Workload, c Conditions) (*experiment, error) {
+	m := &experiment{
+		workload: w, conditions: c, epoch: time.Unix(1_780_000_000, 0), pending: map[string]*pendingRequest{},
 		random: rand.New(rand.NewPCG(w.Seed, 11)), budgets: map[admission.Class]*admission.Budget{},
 	}
 	for class := admission.Urgent; class <= admission.Bulk; class++ {
@@ -165,7 +165,7 @@
 func newBenchEngine(i int, config standin.Config) *benchEngine {
 	config = config.WithDefaults()
 	return &benchEngine{
-		index: i, name: string(rune('a'+i/26)) + string(rune('a'+i%26)), model: standin.NewModel(config), jobs: map[uint64]*flight{},
+		index: i, name: string(rune('a'+i/26)) + string(rune('a'+i%26)), model: standin.NewModel(config), jobs: map[uint64]*pendingRequest{},
 		queue: admission.NewQueue(admission.Config{
 			MaxRunning: config.MaxRunning, MemoryTokens: config.MemoryTokens, PrefillRate: config.PrefillRate(),
 		}),
@@ -194,7 +194,7 @@
 }
 
 // report takes every engine's load now and shows it to the entries after the lag.
-func (m *machine) report() {
+func (m *experiment) report() {
 	for _, entry := range m.entries {
 		for i, engine := range m.engines {
 			shown := engine.describe(entry.policy, m.clock())
@@ -208,8 +208,8 @@
 	m.after(m.conditions.ReportEvery, m.report)
 }
 
-func (m *machine) arrive(j job) {
-	f := &flight{outcome: &outcome{job: j}, entry: m.entries[j.id%len(m.entries)], tried: map[string]bool{}}
+func (m *experiment) arrive(j job) {
+	f := &pendingRequest{outcome: &outcome{job: j}, entry: m.entries[j.id%len(m.entries)], tried: map[string]bool{}}
 	m.outcomes = append(m.outcomes, f.outcome)
 	m.dispatch(f)
 	m.after(j.allowed, func() { m.expire(f) })
@@ -218,7 +218,7 @@
 const benchRefusals = 3
 
 // dispatch routes a request, as an entry does.
-func (m *machine) dispatch(f *flight) {
+func (m *experiment) dispatch(f *pendingRequest) {
 	j := f.outcome.job
 	request := routing.Request{
 		Model: benchModel, Class: j.class, PromptTokens: j.prompt, OutputTokens: j.output, Prefix: j.beginnings(),
@@ -247,7 +247,7 @@
 	m.refuse(f, refusal)
 }
 
-func (m *machine) find(name string) *benchEngine {
+func (m *experiment) find(name string) *benchEngine {
 	for _, engine := range m.engines {
 		if engine.name == name {
 			return engine
@@ -256,7 +256,7 @@
 	return nil
 }
 
-func (m *machine) refuse(f *flight, verdict admission.Verdict) {
+func (m *experiment) refuse(f *pendingRequest, verdict admission.Verdict) {
 	f.outcome.refused = true
 	f.outcome.retryAfter = verdict.RetryAfter
 	j := f.outcome.job
@@ -268,7 +268,7 @@
 }
 
 // offer hands a request to an engine: through the agent's queue, or straight.
-func (m *machine) offer(f *flight, engine *benchEngine) admission.Verdict {
+func (m *experiment) offer(f *pendingRequest, engine *benchEngine) admission.Verdict {
 	j := f.outcome.job
 	m.numbered++
 	f.engine, f.number = engine, m.numbered
@@ -294,7 +294,7 @@
 	return verdict
 }
 
-func (m *machine) pump(engine *benchEngine) {
+func (m *experiment) pump(engine *benchEngine) {
 	for {
 		number, found := engine.queue.Next()
 		if !found {
@@ -305,9 +305,9 @@
 	}
 }
 
-func (m *machine) submit(f *flight, priority int) {
+func (m *experiment) submit(f *pendingRequest, priority int) {
 	j := f.outcome.job
-	m.flights[f.id] = f
+	m.pending[f.id] = f
 	sequence := &standin.Sequence{ID: f.id, Priority: priority, PromptTokens: j.prompt, MaxTokens: j.output, Blocks: j.blocks()}
 	if f.engine.model.Submit(sequence) != nil {
 		m.end(f)
@@ -318,7 +318,7 @@
 }
 
 // step runs an engine's batch steps, one after the other, while it has work.
-func (m *machine) step(engine *benchEngine) {
+func (m *experiment) step(engine *benchEngine) {
 	if engine.stepping || engine.dead || !engine.model.Busy() {
 		return
 	}
@@ -336,8 +336,8 @@
 	})
 }
 
-func (m *machine) token(e standin.Event) {
-	f := m.flights[e.ID]
+func (m *experiment) token(e standin.Event) {
+	f := m.pending[e.ID]
 	if f == nil {
 		return
 	}
@@ -364,13 +364,13 @@
 }
 
 // end frees what a request holds.
-func (m *machine) end(f *flight) {
+func (m *experiment) end(f *pendingRequest) {
 	engine := f.engine
 	if engine == nil || engine.jobs[f.number] == nil {
 		return
 	}
 	delete(engine.jobs, f.number)
-	delete(m.flights, f.id)
+	delete(m.pending, f.id)
 	f.entry.sent[engine.name]--
 	engine.model.Release(f.id)
 	engine.queue.Remove(f.number)
@@ -380,7 +380,7 @@
 	m.step(engine)
 }
 
-func (m *machine) expire(f *flight) {
+func (m *experiment) expire(f *pendingRequest) {
 	if f.outcome.done || f.outcome.refused {
 		return
 	}
@@ -390,12 +390,12 @@
 
 // killSome ends a share of the engines; their requests go on elsewhere as far as
 // the retry budget allows.
-func (m *machine) killSome() {
+func (m *experiment) killSome() {
 	count := int(m.conditions.KillShare * float64(len(m.engines)))
 	for _, engine := range m.engines[:count] {
 		engine.dead = true
 		for _, f := range engine.jobs {
-			delete(m.flights, f.id)
+			delete(m.pending, f.id)
 			f.entry.sent[engine.name]--
 			f.tried[engine.name] = true
 			if !m.budgets[f.outcome.job.class].Take() {
@@ -406,6 +406,6 @@
 			f.tokens = 0
 			m.dispatch(f)
 		}
-		engine.jobs = map[uint64]*flight{}
+		engine.jobs = map[uint64]*pendingRequest{}
 	}
 }
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -11,14 +11,10 @@
 
 	"aspenyard.example/catalogue"
 	"aspenyard.example/membership"
-	"aspenyard.example/platform"
 	"aspenyard.example/power"
 	"aspenyard.example/wire"
 )
 
-// storeValue shortens the store's type.
-type storeValue = platform.Value
-
 const (
 	// keeperInterval is the time between looks at a site's power.
 	keeperInterval = 300 * time.Millisecond
--- a/entry/store.go
+++ b/entry/store.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/catalogue"
+	"aspenyard.example/platform"
 )
 
 const (
@@ -62,13 +63,13 @@
 // readPage reads a page at once the first time and watches it after that.
 func (e *Entry) readPage(ctx context.Context, number int, revision uint64, watch bool) (uint64, error) {
 	key := catalogue.PageKey(number)
-	get := func() (value storeValue, err error) {
-		if !watch {
-			return e.store.Get(ctx, key)
-		}
-		return e.store.Watch(ctx, key, revision, watchWait)
+	var value platform.Value
+	var err error
+	if watch {
+		value, err = e.store.Watch(ctx, key, revision, watchWait)
+	} else {
+		value, err = e.store.Get(ctx, key)
 	}
-	value, err := get()
 	if err != nil {
 		return 0, err
 	}
