Nothing starts while an agent's queue is emptied

Cause, found by reading: when the endpoint stops answering or leaves, queued orders are refused one by one, and each that goes lets the queue start the next if it fits. That one was then closed like a queued one while it ran: its memory and watts were no longer counted, and a drain did not wait for it. Ruled out by the same reading: an order refused twice (its verdict channel holds one). Change: nothing starts while the endpoint is down or leaving; only what the table says did not run is refused. The test failed with the change taken out ('refused, not started') and passes with it.

--- a/agent/control.go
+++ b/agent/control.go
@@ -108,9 +108,10 @@
 	return o
 }
 
-// pump starts whatever may start.
+// pump starts whatever may start. While the queue is being emptied nothing may:
+// each order that goes could let the next one start.
 func (c *control) pump() {
-	for {
+	for !c.down && !c.leaving {
 		id, found := c.queue.Next()
 		if !found {
 			return
@@ -171,8 +172,9 @@
 func (c *control) refuseQueued(why *result.Error) {
 	for _, id := range c.queue.Waiting() {
 		o := c.orders[id]
-		c.table.Withdraw(o.reservation)
-		c.refuse(o, why)
+		if state, _ := c.table.Withdraw(o.reservation); state == attempt.DidNotRun {
+			c.refuse(o, why)
+		}
 	}
 }
 
@@ -184,6 +186,7 @@
 	}
 	c.down = down
 	if !down {
+		c.pump()
 		return
 	}
 	c.refuseQueued(result.Refuse(result.NoEndpoint, time.Second, "the endpoint does not answer"))
@@ -287,17 +290,14 @@
 
 // Tick implements membership.Delegate.
 func (c *control) Tick(now time.Time, _ *membership.View) {
-	for _, lapsed := range c.table.Sweep(now) {
-		if o := c.orders[lapsed.Number]; o != nil {
-			c.close(o)
-		}
-	}
+	c.expire(now)
 	switch leaving := c.agent.loop.Leaving(); {
 	case leaving && !c.leaving:
 		c.leave()
 	case !leaving && c.leaving:
 		c.leaving = false
 		c.queue.SetClosed(false)
+		c.pump()
 	}
 	if now.After(c.periodEnd) {
 		c.powerRefusals, c.powerRefusalsBefore, c.periodEnd = 0, c.powerRefusals, now.Add(wantPeriod)
@@ -314,6 +314,15 @@
 	c.stats.limitWatts.Store(int64(c.limit.Keeping(report.Running)))
 }
 
+// expire frees the places of reservations whose order never came.
+func (c *control) expire(now time.Time) {
+	for _, lapsed := range c.table.Sweep(now) {
+		if o := c.orders[lapsed.Number]; o != nil {
+			c.close(o)
+		}
+	}
+}
+
 // followCatalogue learns whether this data centre's site has a power cap. Until
 // the catalogue is known, it is taken to have one, and nothing starts.
 func (c *control) followCatalogue() {
