Outcomes are recorded also after the caller was answered or hung up

Cause, found by reading: an entry waited for the outcome of a call that may not be repeated only as long as its caller did. Later the outcome was known to the agent alone, and when that was replaced the key was unknown for good, though it had ended well. Ruled out: recording by the agent itself (it has no way to the claim's revision, and the store's rates are for entries).

--- a/entry/once.go
+++ b/entry/once.go
@@ -61,9 +61,11 @@
 	}
 }
 
-// do carries the request out, or gives the outcome that its key already has.
+// do carries the request out, or gives the outcome that its key already has. It
+// goes on when the caller hangs up: the call may have been sent, and its outcome
+// must be on record for the caller who asks again.
 func (o *once) do(ctx context.Context) (reply, *result.Error) {
-	ctx, cancel := o.call.timeout(ctx)
+	ctx, cancel := o.call.timeout(context.WithoutCancel(ctx))
 	defer cancel()
 	var last *result.Error
 	for tries := 0; tries < maxRefusals; tries++ {
@@ -287,9 +289,23 @@
 		}
 		wait(ctx, settleInterval)
 	}
+	go o.settleLate(claim)
 	return reply{}, &result.Error{
 		Code: result.OutcomeUnknown, Ran: result.RanUnknown, RetryAfter: progressRetry,
-		Detail: "the order was sent and its endpoint does not answer; ask again with the same key",
+		Detail: "the order was sent and its outcome did not come in time; ask again with the same key",
+	}
+}
+
+// settleLate goes on asking after the caller was answered, so that an outcome that
+// the agent alone knows is on record before the agent is replaced.
+func (o *once) settleLate(claim *attempt.Claim) {
+	ctx, cancel := context.WithTimeout(context.Background(), lateRecordTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		wait(ctx, progressRetry)
+		if _, failure, _ := o.settle(ctx, claim); failure == nil || failure.Code != result.InProgress && failure.RetryAfter == 0 {
+			return
+		}
 	}
 }
 
--- a/scenarios/calls_test.go
+++ b/scenarios/calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -45,7 +46,7 @@
 
 func isService(kind string) bool { return kind == "excuse-filing" || kind == "tide-check" }
 
-// call ENTRY KIND [key=K] [deadline=D] [tokens=N] [out=N] [stream=no] [hangup=N] [first=yes] [as=ID]
+// call ENTRY KIND [key=K] [deadline=D] [tokens=N] [out=N] [stream=no] [hangup=N] [giveup=D] [first=yes] [as=ID]
 // makes a call. With as, the script goes on; else it waits for the answer, whose
 // id is then "last". With until=CODE it asks again, as the answers' Retry-After
 // says, until that code comes.
@@ -80,6 +81,13 @@
 	}
 	request, err := c.request(p, opts)
 	ts.Check(err)
+	if opts["giveup"] != "" {
+		patience, err := time.ParseDuration(opts["giveup"])
+		ts.Check(err)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		request = request.WithContext(ctx)
+	}
 	w.mu.Lock()
 	w.calls[c.id] = c
 	w.order = append(w.order, c.id)
