Smaller files and functions in the scenarios, the callers' interface and the agent

No change of behaviour: the words of the scenarios stand by what they are about, a plain service's request is opened apart from being served, and an agent's chunk is made in three short functions.

--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -210,6 +210,9 @@
 	digest  *xxhash.Digest
 	tokens  uint64 // sent in this attempt
 	filled  bool
+	// text and collected are the chunk in the making.
+	text      strings.Builder
+	collected uint32
 }
 
 // maxResumes bounds how often one sequence is resumed at the engine.
@@ -274,52 +277,58 @@
 // Tokens that have arrived together travel together: nobody waits for more, and
 // under load a message carries several.
 func (g *generation) forward(ctx context.Context, source *engine.Stream) error {
-	var chunk wire.Chunk
-	var text strings.Builder
-	flush := func() error {
-		if chunk.Tokens == 0 {
-			return nil
-		}
-		sent := &wire.Chunk{Offset: chunk.Offset, Tokens: chunk.Tokens, Text: text.String()}
-		chunk.Tokens = 0
-		text.Reset()
-		return g.send(sent)
-	}
 	for {
 		token, err := source.Next()
 		if err != nil {
-			if failure := flush(); failure != nil {
-				return failure
-			}
-			if errors.Is(err, io.EOF) {
-				return nil
-			}
-			return err
+			return g.ended(err)
 		}
 		g.prefilled()
 		if token.Held {
 			return g.hold(ctx)
 		}
-		expected := g.request.DeliveredTokens + g.tokens + uint64(chunk.Tokens)
-		if token.Offset != expected {
-			return errors.Wrapf(engine.ErrBroken, "token %d came in place of %d", token.Offset, expected)
-		}
-		if chunk.Tokens == 0 {
-			chunk.Offset = token.Offset
+		if err := g.collect(token); err != nil {
+			return err
 		}
-		chunk.Tokens++
-		text.WriteString(token.Text)
-		if chunk.Tokens < maxChunkTokens && source.Buffered() {
+		if g.collected < maxChunkTokens && source.Buffered() {
 			continue
 		}
-		if err := flush(); err != nil {
+		if err := g.flush(); err != nil {
 			return err
 		}
 	}
 }
 
-// send passes one chunk to the entry.
-func (g *generation) send(chunk *wire.Chunk) error {
+// ended passes on what was collected before the source ended.
+func (g *generation) ended(err error) error {
+	if failure := g.flush(); failure != nil {
+		return failure
+	}
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+// collect adds a token to the chunk in the making. A token out of its turn shows
+// that the stream lost or doubled some.
+func (g *generation) collect(token engine.Token) error {
+	expected := g.request.DeliveredTokens + g.tokens + uint64(g.collected)
+	if token.Offset != expected {
+		return errors.Wrapf(engine.ErrBroken, "token %d came in place of %d", token.Offset, expected)
+	}
+	g.collected++
+	g.text.WriteString(token.Text)
+	return nil
+}
+
+// flush passes the chunk in the making to the entry.
+func (g *generation) flush() error {
+	if g.collected == 0 {
+		return nil
+	}
+	chunk := &wire.Chunk{Offset: g.request.DeliveredTokens + g.tokens, Tokens: g.collected, Text: g.text.String()}
+	g.collected = 0
+	g.text.Reset()
 	if err := g.stream.Send(&wire.RunEvent{Event: &wire.RunEvent_Chunk{Chunk: chunk}}); err != nil {
 		return errors.Wrap(err, "entry gone")
 	}
--- a/entry/api.go
+++ b/entry/api.go
@@ -165,21 +165,7 @@
 
 // service serves calls to plain services.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
-	kind := r.PathValue("kind")
-	c, refusal := e.open(r, kind, result.UnknownKind)
-	var body []byte
-	if refusal == nil {
-		body, refusal = e.read(w, r)
-	}
-	if refusal == nil && c.kind.Work.Service == "" {
-		refusal = result.Refuse(result.UnknownKind, 0, "%q is a model's kind of work; use /v1/completions", kind)
-	}
-	if refusal == nil && !json.Valid(body) {
-		refusal = result.Refuse(result.BadBody, 0, "the body is not JSON")
-	}
-	if refusal == nil && !c.kind.Work.Repeatable && c.key == "" {
-		refusal = result.Refuse(result.KeyRequired, 0, "%q may not be repeated: send %s", kind, headerKey)
-	}
+	c, body, refusal := e.openService(w, r)
 	if refusal == nil {
 		refusal = e.admit(c)
 	}
@@ -210,6 +196,27 @@
 	_, _ = w.Write(answer.body)
 }
 
+// openService recognises the caller of a plain service and checks the request.
+func (e *Entry) openService(w http.ResponseWriter, r *http.Request) (*call, []byte, *result.Error) {
+	kind := r.PathValue("kind")
+	c, refusal := e.open(r, kind, result.UnknownKind)
+	if refusal != nil {
+		return c, nil, refusal
+	}
+	body, refusal := e.read(w, r)
+	switch {
+	case refusal != nil:
+		return c, nil, refusal
+	case c.kind.Work.Service == "":
+		return c, nil, result.Refuse(result.UnknownKind, 0, "%q is a model's kind of work; use /v1/completions", kind)
+	case !json.Valid(body):
+		return c, nil, result.Refuse(result.BadBody, 0, "the body is not JSON")
+	case !c.kind.Work.Repeatable && c.key == "":
+		return c, nil, result.Refuse(result.KeyRequired, 0, "%q may not be repeated: send %s", kind, headerKey)
+	}
+	return c, body, nil
+}
+
 func (e *Entry) models(w http.ResponseWriter, r *http.Request) {
 	c := &call{id: newID(), started: time.Now()}
 	view := e.catalogue.View()
--- /dev/null
+++ b/scenarios/audit_test.go
@@ -0,0 +1,167 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	standin "aspenyard.example/standin/engine"
+	"aspenyard.example/standin/service"
+)
+
+type serviceRecord struct {
+	Runs    []service.Run `json:"runs"`
+	Arrived int           `json:"arrived"`
+}
+
+func (w *world) serviceRecord(p *process) (serviceRecord, error) {
+	var record serviceRecord
+	return record, w.get("http://"+p.addrs["listen"]+"/record", &record)
+}
+
+// runs SERVICE key=K count=N waits until a service's record has N runs of a key;
+// arrived=N waits for N calls to have arrived, run or not.
+func runs(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	p := w.proc(ts, plain[0])
+	await(ts, "runs "+opts["key"], func() string {
+		record, err := w.serviceRecord(p)
+		if err != nil {
+			return err.Error()
+		}
+		if opts["arrived"] != "" {
+			if record.Arrived < number(opts["arrived"]) {
+				return fmt.Sprintf("%d arrived", record.Arrived)
+			}
+			return ""
+		}
+		count := 0
+		for _, run := range record.Runs {
+			if run.Key == "crew/"+opts["key"] {
+				count++
+			}
+		}
+		if count != number(opts["count"]) {
+			return fmt.Sprintf("%d runs of %s", count, opts["key"])
+		}
+		return ""
+	})
+}
+
+// lookup ENTRY KEY ran=WORD [state=WORD] asks for the status of a key.
+func lookup(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	p := w.proc(ts, plain[0])
+	request, err := http.NewRequest(http.MethodGet, "http://"+p.addrs["callers"]+"/v1/requests?key="+plain[1], nil)
+	ts.Check(err)
+	request.Header.Set("Authorization", "Bearer "+accountKey)
+	response, err := w.client.Do(request)
+	ts.Check(err)
+	defer func() { _ = response.Body.Close() }()
+	var status struct{ State, Ran string }
+	ts.Check(json.NewDecoder(response.Body).Decode(&status))
+	if status.Ran != opts["ran"] || (opts["state"] != "" && status.State != opts["state"]) {
+		ts.Fatalf("status of %s: state %q, ran %q", plain[1], status.State, status.Ran)
+	}
+}
+
+// held NAME... waits until engines hold no memory.
+func held(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	for _, name := range args {
+		p := w.proc(ts, name)
+		await(ts, "held "+name, func() string {
+			var record standin.Record
+			if err := w.get("http://"+p.addrs["listen"]+"/record", &record); err != nil {
+				return err.Error()
+			}
+			if record.HeldTokens != 0 {
+				return fmt.Sprintf("%d tokens are held", record.HeldTokens)
+			}
+			return ""
+		})
+	}
+}
+
+// audit compares, when all calls have ended, what the callers were told with the
+// services' records: no key ran more than once; each run was asked for by a call
+// that began before it and was not told "no"; each key that a caller was told
+// "yes" of did run. No text differs from the engines'.
+func audit(ts *testscript.TestScript, _ bool, _ []string) {
+	w := of(ts)
+	ran := map[string][]service.Run{}
+	for _, p := range w.procs {
+		if p.role != "service" {
+			continue
+		}
+		record, err := w.serviceRecord(p)
+		ts.Check(err)
+		for _, run := range record.Runs {
+			key := strings.TrimPrefix(run.Key, "crew/")
+			ran[key] = append(ran[key], run)
+		}
+	}
+	byKey := map[string][]*callRecord{}
+	unknown, total := 0, 0
+	for id, c := range w.calls {
+		if !strings.Contains(id, "#") {
+			continue
+		}
+		finish(ts, false, []string{id})
+		total++
+		if c.ran == "unknown" || c.ran == "" {
+			unknown++
+		}
+		if problem := c.auditText(); problem != "" {
+			ts.Fatalf("call %s (code %d, ran %q): %s", id, c.code, c.ran, problem)
+		}
+		if c.kind == "excuse-filing" && c.key != "" {
+			byKey[c.key] = append(byKey[c.key], c)
+		}
+	}
+	for key, calls := range byKey {
+		if problem := auditKey(calls, ran[key]); problem != "" {
+			ts.Fatalf("key %s: %s", key, problem)
+		}
+	}
+	ts.Logf("audit: %d calls, %d of them with an unknown run", total, unknown)
+}
+
+func auditKey(calls []*callRecord, runs []service.Run) string {
+	if len(runs) > 1 {
+		return fmt.Sprintf("ran %d times", len(runs))
+	}
+	for _, c := range calls {
+		if c.ran == "yes" && len(runs) == 0 {
+			return "a caller was told that it ran, and it did not"
+		}
+	}
+	for _, run := range runs {
+		asked := false
+		for _, c := range calls {
+			asked = asked || (c.ran != "no" && c.began.UnixNano() < run.UnixNano)
+		}
+		if !asked {
+			return "it ran, and every caller who had asked by then was told that it did not"
+		}
+	}
+	return ""
+}
+
+func (c *callRecord) auditText() string {
+	if isService(c.kind) {
+		return ""
+	}
+	if !strings.HasPrefix(c.expected, c.text) {
+		return "got text that is not its own answer's"
+	}
+	if c.ended && c.status == http.StatusOK && c.text != c.expected {
+		return "an incomplete answer was presented as complete"
+	}
+	return ""
+}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -4,35 +4,42 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"aspenyard.example/attempt"
 	"aspenyard.example/catalogue"
 	"aspenyard.example/settings"
-	standin "aspenyard.example/standin/engine"
 )
 
+// command is one word of the scenarios; README.md lists them.
 type command = func(ts *testscript.TestScript, neg bool, args []string)
 
 var commands map[string]command
 
+// The map is made here and not where it is declared, because repeat looks words up
+// in it.
 func init() {
 	commands = map[string]command{
+		// Processes and what happens to them.
 		"start": start, "restart": restart, "crash": crash, "freeze": freeze, "thaw": thaw, "term": term, "gone": gone,
-		"cut": cut, "heal": heal, "delay": delay, "reset": reset, "platform": platformFault, "fault": fault, "list": list,
-		"seed": seed, "ready": ready, "call": call, "finish": finish, "expect": expect, "runs": runs, "held": held,
-		"audit": audit, "lookup": lookup, "member": member, "cap": setCap, "watts": watts, "started": started,
-		"edit": edit, "sees": sees, "calls": storeCalls, "claim": claim, "metric": metric,
-		"client": client, "total": total, "streaming": streaming, "keeps": keeps, "served": served, "cancelled": cancelled, "operate": operate, "granted": granted, "outage": outage, "mark": mark, "unchanged": unchanged, "spread": spread, "race": race, "repeat": repeat, "finish-all": finishAll, "whole": whole,
+		"cut": cut, "heal": heal, "delay": delay, "reset": reset,
+		"platform": platformFault, "fault": fault, "list": list, "outage": outage,
+		// The catalogue and operators' work.
+		"seed": seed, "edit": edit, "race": race, "sees": sees, "keeps": keeps, "spread": spread, "cap": setCap, "operate": operate,
+		// Conditions to wait for.
+		"ready": ready, "member": member, "metric": metric, "claim": claim, "granted": granted, "started": started, "streaming": streaming,
+		// Calls and what their callers were told.
+		"call": call, "repeat": repeat, "finish": finish, "finish-all": finishAll, "expect": expect, "whole": whole,
+		"lookup": lookup, "client": client, "served": served,
+		// The stand-ins' records.
+		"runs": runs, "held": held, "watts": watts, "calls": storeCalls, "mark": mark, "unchanged": unchanged,
+		"total": total, "cancelled": cancelled, "audit": audit,
 	}
 }
 
@@ -379,257 +386,3 @@
 	var status entryStatus
 	return status, w.get("http://"+p.addrs["operators"]+"/v1/status", &status)
 }
-
-// ready ENTRY agents=N waits until an entry has the catalogue and hears N agents.
-func ready(ts *testscript.TestScript, _ bool, args []string) {
-	plain, opts := options(args)
-	w := of(ts)
-	p := w.proc(ts, plain[0])
-	await(ts, "ready "+p.name, func() string {
-		status, err := w.status(p)
-		if err != nil {
-			return err.Error()
-		}
-		live := 0
-		for _, m := range status.Members {
-			if m.Role == "agent" && m.State == "live" {
-				live++
-			}
-		}
-		if live < number(opts["agents"]) {
-			return fmt.Sprintf("%d agents live", live)
-		}
-		var record catalogue.Record
-		if err := w.get("http://"+p.addrs["operators"]+"/v1/catalogue/account/crew", &record); err != nil {
-			return err.Error()
-		}
-		return ""
-	})
-}
-
-// member ENTRY NODE STATE waits until an entry has a node in a state.
-func member(ts *testscript.TestScript, _ bool, args []string) {
-	w := of(ts)
-	p := w.proc(ts, args[0])
-	began := time.Now()
-	defer func() {
-		ts.Logf("member: %s has %s as %s after %s", args[0], args[1], args[2], time.Since(began).Round(time.Millisecond))
-	}()
-	await(ts, "member "+args[1], func() string {
-		status, err := w.status(p)
-		if err != nil {
-			return err.Error()
-		}
-		for _, m := range status.Members {
-			if m.Node == args[1] {
-				if m.State == args[2] {
-					return ""
-				}
-				return "is " + m.State
-			}
-		}
-		return "not known"
-	})
-}
-
-// claim KEY STATE waits until the platform's store has a key's claim in a state.
-func claim(ts *testscript.TestScript, _ bool, args []string) {
-	w := of(ts)
-	name := attempt.ClaimKey("crew", args[0])
-	await(ts, "claim "+args[0], func() string {
-		var keys map[string]string
-		if err := w.get("http://"+w.proc(ts, "platform").addrs["listen"]+"/record/keys?prefix="+name, &keys); err != nil {
-			return err.Error()
-		}
-		found, err := attempt.DecodeClaim([]byte(keys[name]))
-		if err != nil || found == nil {
-			return "no claim"
-		}
-		if string(found.State) != args[1] {
-			return "is " + string(found.State)
-		}
-		return ""
-	})
-}
-
-// metric NAME METRIC MIN [MAX] waits until a process shows a metric of at least
-// MIN and at most MAX.
-func metric(ts *testscript.TestScript, _ bool, args []string) {
-	w := of(ts)
-	p := w.proc(ts, args[0])
-	least, err := strconv.ParseFloat(args[2], 64)
-	ts.Check(err)
-	most := math.Inf(1)
-	if len(args) > 3 {
-		most, err = strconv.ParseFloat(args[3], 64)
-		ts.Check(err)
-	}
-	await(ts, "metric "+args[1], func() string {
-		client := &http.Client{Timeout: 3 * time.Second}
-		response, err := client.Get("http://" + p.addrs["operators"] + "/metrics")
-		if err != nil {
-			return err.Error()
-		}
-		defer func() { _ = response.Body.Close() }()
-		var text bytes.Buffer
-		_, _ = text.ReadFrom(response.Body)
-		for _, line := range strings.Split(text.String(), "\n") {
-			name, value, _ := strings.Cut(line, " ")
-			got, err := strconv.ParseFloat(value, 64)
-			if name == args[1] && err == nil && got >= least && got <= most {
-				return ""
-			}
-		}
-		return "not yet"
-	})
-}
-
-// outage DURATION lets an outage, or the time after it, last: what is looked for
-// is what happens in that time, so there is no condition to wait for.
-func outage(ts *testscript.TestScript, _ bool, args []string) {
-	d, err := time.ParseDuration(args[0])
-	ts.Check(err)
-	time.Sleep(d)
-}
-
-// mark ENGINE notes how many runs an engine's record has; unchanged ENGINE checks
-// that it has no more.
-func mark(ts *testscript.TestScript, _ bool, args []string) {
-	w := of(ts)
-	w.marks[args[0]] = w.engineRuns(ts, args[0])
-}
-
-func unchanged(ts *testscript.TestScript, _ bool, args []string) {
-	w := of(ts)
-	if now := w.engineRuns(ts, args[0]); now != w.marks[args[0]] {
-		ts.Fatalf("%s had %d runs and has %d", args[0], w.marks[args[0]], now)
-	}
-}
-
-// cancelled ENGINE... least=N checks that the engines' records have at least N runs
-// that were cancelled.
-func cancelled(ts *testscript.TestScript, _ bool, args []string) {
-	plain, opts := options(args)
-	w, count := of(ts), 0
-	for _, name := range plain {
-		var record standin.Record
-		ts.Check(w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record))
-		for _, run := range record.Runs {
-			if run.Cancelled {
-				count++
-			}
-		}
-	}
-	if count < number(opts["least"]) {
-		ts.Fatalf("%d runs were cancelled", count)
-	}
-}
-
-// served ENGINE calls for short work through the first entry until the engine's
-// record has a finished run.
-func served(ts *testscript.TestScript, _ bool, args []string) {
-	w := of(ts)
-	entry := w.proc(ts, "n1")
-	await(ts, "served", func() string {
-		var record standin.Record
-		ts.Check(w.get("http://"+w.proc(ts, args[0]).addrs["listen"]+"/record", &record))
-		for _, run := range record.Runs {
-			if run.Finished {
-				return ""
-			}
-		}
-		callOnce(ts, []string{entry.name, "line-plan"}, map[string]string{"as": "served", "deadline": "10s"})
-		return "no run has finished"
-	})
-}
-
-// total ENGINE... most=N checks that engines' records have at most N runs together.
-func total(ts *testscript.TestScript, _ bool, args []string) {
-	plain, opts := options(args)
-	sum := 0
-	for _, name := range plain {
-		sum += of(ts).engineRuns(ts, name)
-	}
-	ts.Logf("total: %d runs", sum)
-	if sum > number(opts["most"]) {
-		ts.Fatalf("%d runs on %v", sum, plain)
-	}
-}
-
-func (w *world) engineRuns(ts *testscript.TestScript, name string) int {
-	var record standin.Record
-	ts.Check(w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record))
-	return len(record.Runs)
-}
-
-// spread ENTRY ID [except=NODE,...] waits until all nodes that an entry knows have
-// the record at the entry's revision.
-func spread(ts *testscript.TestScript, _ bool, args []string) {
-	plain, opts := options(args)
-	w := of(ts)
-	base := "http://" + w.proc(ts, plain[0]).addrs["operators"] + "/v1/catalogue/work/" + plain[1]
-	except := strings.Split(opts["except"], ",")
-	began := time.Now()
-	defer func() { ts.Logf("spread: seen after %s", time.Since(began).Round(time.Millisecond)) }()
-	await(ts, "spread", func() string {
-		var record catalogue.Record
-		if err := w.get(base, &record); err != nil {
-			return err.Error()
-		}
-		var answer struct {
-			Nodes []struct {
-				Node    string
-				InForce bool `json:"in_force"`
-			}
-		}
-		if err := w.get(fmt.Sprintf("%s/spread?revision=%d", base, record.Revision), &answer); err != nil {
-			return err.Error()
-		}
-		for _, n := range answer.Nodes {
-			if !n.InForce && !slices.Contains(except, n.Node) {
-				return n.Node + " lags"
-			}
-		}
-		return ""
-	})
-}
-
-// race ENTRY ENTRY ID A B has two operators edit one record from the same revision
-// through two entries at once: exactly one edit is accepted, and stays.
-func race(ts *testscript.TestScript, _ bool, args []string) {
-	w := of(ts)
-	var current catalogue.Record
-	ts.Check(w.get("http://"+w.proc(ts, args[0]).addrs["operators"]+"/v1/catalogue/work/"+args[2], &current))
-	statuses := make([]int, 2)
-	var editing sync.WaitGroup
-	for i := range 2 {
-		editing.Go(func() {
-			record := workRecord(args[2], number(args[3+i]))
-			statuses[i], _ = w.put(w.proc(ts, args[i]), record, current.Revision)
-		})
-	}
-	editing.Wait()
-	slices.Sort(statuses)
-	if !slices.Equal(statuses, []int{http.StatusOK, http.StatusConflict}) {
-		ts.Fatalf("race: the edits got %v", statuses)
-	}
-}
-
-// operate ENTRY ARGUMENTS... runs an operator's command of the binary against an
-// entry; its output is then there for stdout and stderr. "! operate" wants it to
-// fail. An argument @TYPE/ID stands for that record's present revision.
-func operate(ts *testscript.TestScript, neg bool, args []string) {
-	p := of(ts).proc(ts, args[0])
-	for i, arg := range args {
-		if key, found := strings.CutPrefix(arg, "@"); found {
-			var record catalogue.Record
-			ts.Check(of(ts).get("http://"+p.addrs["operators"]+"/v1/catalogue/"+key, &record))
-			args[i] = strconv.FormatUint(record.Revision, 10)
-		}
-	}
-	full := append(append([]string(nil), args[1:]...), "--entry", p.addrs["operators"], "--key", operatorKey)
-	err := ts.Exec("aspenyard", full...)
-	if (err != nil) != neg {
-		ts.Fatalf("aspenyard %s: %v", strings.Join(args[1:], " "), err)
-	}
-}
