--- a/scenarios/audit_test.go
+++ b/scenarios/audit_test.go
@@ -12,13 +12,8 @@
 	"aspenyard.example/standin/service"
 )
 
-type serviceRecord struct {
-	Runs    []service.Run `json:"runs"`
-	Arrived int           `json:"arrived"`
-}
-
-func (w *world) serviceRecord(p *process) (serviceRecord, error) {
-	var record serviceRecord
+func (w *world) serviceRecord(p *process) (service.Record, error) {
+	var record service.Record
 	return record, w.get("http://"+p.addrs["listen"]+"/record", &record)
 }
 
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"aspenyard.example/standin/control"
 )
 
 // Settings of the stand-in engine's process.
@@ -244,8 +246,8 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", s.complete)
-	mux.HandleFunc("GET /v1/models", s.models)
-	mux.HandleFunc("GET /v1/sequences", s.list)
+	mux.HandleFunc("GET /v1/models", control.Show(&s.mu, func() any { return map[string]any{"models": s.settings.Models} }))
+	mux.HandleFunc("GET /v1/sequences", control.Show(&s.mu, func() []State { return s.model.States() }))
 	mux.HandleFunc("DELETE /v1/sequences/{id}", s.cancel)
 	mux.HandleFunc("GET /v1/sequences/{id}/stream", s.resume)
 	mux.HandleFunc("GET /v1/sequences/{id}/kv", s.export)
@@ -253,8 +255,8 @@
 	mux.HandleFunc("GET /v1/load", s.load)
 	mux.HandleFunc("POST /v1/orders", s.order)
 	mux.HandleFunc("GET /v1/status", s.status)
-	mux.HandleFunc("POST /control/faults", s.setFaults)
-	mux.HandleFunc("GET /record", s.showRecord)
+	mux.HandleFunc("POST /control/faults", control.Set(&s.mu, func(f Faults) { s.faults = f }))
+	mux.HandleFunc("GET /record", control.Show(&s.mu, s.shown))
 	return mux
 }
 
@@ -491,16 +493,6 @@
 	return true
 }
 
-func (s *Server) models(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(map[string]any{"models": s.settings.Models})
-}
-
-func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(s.model.States())
-}
-
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
 	if s.fenced(w, r) {
 		return
@@ -594,24 +586,12 @@
 	})
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = faults
-}
-
-func (s *Server) showRecord(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// shown is the record with what is held now.
+func (s *Server) shown() Record {
 	record := s.record
 	record.HeldTokens = s.model.Held()
 	for _, state := range s.model.States() {
 		record.CachedTokens += state.Cached
 	}
-	_ = json.NewEncoder(w).Encode(record)
+	return record
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"aspenyard.example/standin/control"
 )
 
 // Settings of the stand-in.
@@ -102,9 +104,9 @@
 	mux.HandleFunc("PUT /v1/session/create", s.guard(s.createSession))
 	mux.HandleFunc("PUT /v1/session/renew/", s.guard(s.renewSession))
 	mux.HandleFunc("GET /v1/catalog/nodes", s.guard(s.list))
-	mux.HandleFunc("POST /control/faults", s.setFaults)
+	mux.HandleFunc("POST /control/faults", control.Set(&s.mu, s.applyFaults))
 	mux.HandleFunc("POST /control/vms", s.setVMs)
-	mux.HandleFunc("GET /record", s.showRecord)
+	mux.HandleFunc("GET /record", control.Show(&s.mu, func() Record { return s.record }))
 	mux.HandleFunc("GET /record/keys", s.showKeys)
 	return mux
 }
@@ -329,16 +331,10 @@
 	_ = json.NewEncoder(w).Encode(nodes)
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// applyFaults sets the faults; an outage ends the waiting watches too.
+func (s *Server) applyFaults(faults Faults) {
 	s.faults = faults
-	s.wake() // an outage ends the waiting watches too
+	s.wake()
 }
 
 func (s *Server) setVMs(w http.ResponseWriter, r *http.Request) {
@@ -350,12 +346,6 @@
 	s.SetVMs(vms)
 }
 
-func (s *Server) showRecord(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(s.record)
-}
-
 func (s *Server) showKeys(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -5,12 +5,13 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
+
+	"aspenyard.example/standin/control"
 )
 
 // Settings of the stand-in.
@@ -40,6 +41,12 @@
 	UnixNano int64  `json:"unix_nano"`
 }
 
+// Record is what truly happened: the runs, and how many calls arrived, run or not.
+type Record struct {
+	Runs    []Run `json:"runs"`
+	Arrived int   `json:"arrived"`
+}
+
 // Server is the stand-in.
 type Server struct {
 	settings Settings
@@ -58,9 +65,9 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /call/{kind}", s.call)
-	mux.HandleFunc("GET /v1/status", s.status)
-	mux.HandleFunc("POST /control/faults", s.setFaults)
-	mux.HandleFunc("GET /record", s.record)
+	mux.HandleFunc("GET /v1/status", control.Show(&s.mu, func() any { return map[string]uint64{"fencing_number": s.fence} }))
+	mux.HandleFunc("POST /control/faults", control.Set(&s.mu, func(f Faults) { s.faults = f }))
+	mux.HandleFunc("GET /record", control.Show(&s.mu, func() Record { return Record{Runs: s.runs, Arrived: s.arrive} }))
 	return mux
 }
 
@@ -120,27 +127,3 @@
 	s.faults.DropAfter--
 	return true
 }
-
-func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	fmt.Fprintf(w, `{"fencing_number":%d}`, s.fence)
-}
-
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = faults
-}
-
-// record shows the runs and how many calls arrived, run or not.
-func (s *Server) record(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{"runs": s.runs, "arrived": s.arrive})
-}
