--- a/scenarios/catalogue_test.go
+++ b/scenarios/catalogue_test.go
@@ -88,6 +88,34 @@
 	}
 }
 
+// limit ENTRY concurrent=N edits the account's limit and waits until all entries
+// have it.
+func limit(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	account := func(p *process) (record catalogue.Record, err error) {
+		return record, w.get("http://"+p.addrs["operators"]+"/v1/catalogue/account/crew", &record)
+	}
+	record, err := account(w.proc(ts, plain[0]))
+	ts.Check(err)
+	revision := record.Revision
+	record.Account.Limits.Concurrent, record.Revision = number(opts["concurrent"]), 0
+	if status, body := w.put(w.proc(ts, plain[0]), &record, revision); status != http.StatusOK {
+		ts.Fatalf("limit: %d %s", status, body)
+	}
+	await(ts, "limit", func() string {
+		for name, p := range w.procs {
+			if p.role != "entry" {
+				continue
+			}
+			if has, err := account(p); err != nil || has.Account.Limits.Concurrent != number(opts["concurrent"]) {
+				return name + " lags"
+			}
+		}
+		return ""
+	})
+}
+
 // calls reads=N writes=N checks the platform's own count of calls: no second had
 // more than these.
 func storeCalls(ts *testscript.TestScript, _ bool, args []string) {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -31,7 +31,7 @@
 		"cut": cut, "heal": heal, "delay": delay, "reset": reset,
 		"platform": platformFault, "fault": fault, "list": list, "outage": outage,
 		// The catalogue and operators' work.
-		"seed": seed, "edit": edit, "race": race, "sees": sees, "keeps": keeps, "spread": spread, "cap": setCap, "operate": operate,
+		"seed": seed, "edit": edit, "race": race, "sees": sees, "keeps": keeps, "spread": spread, "cap": setCap, "limit": limit, "operate": operate,
 		// Conditions to wait for.
 		"ready": ready, "member": member, "metric": metric, "claim": claim, "granted": granted, "started": started, "streaming": streaming,
 		// Calls and what their callers were told.
