The stand-in's list shows its last change last

Each change of the VM list is shown by a timer of its own after the lag; two changes within a moment could be shown in the wrong order, and an entry was missing from the list for good. Ruled out: the entries (n2 answered, with no agent that knew it). Change: a change older than the one shown is passed over. The new test failed without it (it had waited in vain for the last list) and passes with it.

--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -73,18 +73,19 @@
 	settings Settings
 	started  time.Time
 
-	mu       sync.Mutex
-	changed  chan struct{}
-	index    uint64
-	pairs    map[string]*pair
-	vms      []VM
-	visible  []VM
-	sessions map[string]time.Time
-	faults   Faults
-	record   Record
-	second   int64
-	reads    int
-	writes   int
+	mu      sync.Mutex
+	changed chan struct{}
+	index   uint64
+	pairs   map[string]*pair
+	visible []VM
+	// listed counts the lists set, and shownVersion is that of the visible one.
+	listed, shownVersion int
+	sessions             map[string]time.Time
+	faults               Faults
+	record               Record
+	second               int64
+	reads                int
+	writes               int
 }
 
 // New makes a stand-in.
@@ -114,7 +115,8 @@
 // SetVMs replaces the list; readers see it after the lag.
 func (s *Server) SetVMs(vms []VM) {
 	s.mu.Lock()
-	s.vms = vms
+	s.listed++
+	version := s.listed
 	lag := s.settings.ListLag
 	if s.faults.ListLagMS > 0 {
 		lag = time.Duration(s.faults.ListLagMS) * time.Millisecond
@@ -123,7 +125,10 @@
 	time.AfterFunc(lag, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.visible = vms
+		// Two timers of nearly the same time may fire in either order.
+		if version > s.shownVersion {
+			s.visible, s.shownVersion = vms, version
+		}
 	})
 }
 
