An operator reads an accepted edit back through the same entry

The entry answered an edit before its own replica had taken it in, so a reading just after showed the old revision; the script's wait for the spread of that revision was met at once. Ruled out: the store (the page held revision 3) and the spread (it was not waited for).

--- a/entry/operators.go
+++ b/entry/operators.go
@@ -143,7 +143,9 @@
 		writeError(w, c, &result.Error{Code: result.StoreUnavailable, Ran: ran, RetryAfter: storeRetry, Detail: err.Error()})
 		return
 	}
-	e.catalogue.Offer(outcome.Number, outcome.Page)
+	if err := e.catalogue.OfferNow(r.Context(), outcome.Number, outcome.Page); err != nil {
+		e.log.Warn("edit not in force here yet", zap.String("record", record.Key()), zap.Error(err))
+	}
 	if err := catalogue.Remember(r.Context(), e.store, outcome.Current); err != nil {
 		e.log.Warn("history not written", zap.String("record", record.Key()), zap.Error(err))
 	}
--- a/node/catalogue.go
+++ b/node/catalogue.go
@@ -112,17 +112,25 @@
 	}
 }
 
-// Offer takes in a page as the store holds it; any thread.
+// Offer takes in a page as the store holds it, some time later; any thread.
 func (c *Catalogue) Offer(number int, page catalogue.Page) {
-	c.loop.Post(func() {
-		before := c.replica.Refused
-		if c.replica.ApplyPage(number, page) {
-			c.view.Store(c.replica.View())
-		}
-		if c.replica.Refused > before {
-			c.log.Warn("refused an old catalogue page from the store", zap.Int("page", number), zap.Uint64("revision", page.Revision))
-		}
-	})
+	c.loop.Post(func() { c.offer(number, page) })
+}
+
+// OfferNow is Offer that returns once the page is in force here, so that an
+// operator who was told of an edit also reads it.
+func (c *Catalogue) OfferNow(ctx context.Context, number int, page catalogue.Page) error {
+	return c.loop.Do(ctx, func() { c.offer(number, page) })
+}
+
+func (c *Catalogue) offer(number int, page catalogue.Page) {
+	before := c.replica.Refused
+	if c.replica.ApplyPage(number, page) {
+		c.view.Store(c.replica.View())
+	}
+	if c.replica.Refused > before {
+		c.log.Warn("refused an old catalogue page from the store", zap.Int("page", number), zap.Uint64("revision", page.Revision))
+	}
 }
 
 // Pull implements wireconnect.PeerHandler.
