One wait that ends with its context, one reading of a metric's number

Cause: reading the whole change again: the same wait stood in membership, agent and entry under three names, and the burn report and the idle bench read a metric's value each in its own copy. Ruled out: folding the TestMain of four modules into one, which would make the pure modules depend on a module for their tests alone. Change: membership.Sleep and burn.Value serve all. No behaviour, check or test changed.

--- a/agent/health.go
+++ b/agent/health.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/attempt"
+	"aspenyard.example/membership"
 )
 
 const (
@@ -47,14 +48,7 @@
 			a.log.Warn("endpoint health changed", zap.Bool("down", down), zap.Error(err))
 		}
 		a.loop.Post(func() { a.control.setDown(down) })
-		pause(ctx, probeInterval)
-	}
-}
-
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
+		membership.Sleep(ctx, probeInterval)
 	}
 }
 
@@ -83,7 +77,7 @@
 	}
 	suspects := map[string]bool{}
 	for ctx.Err() == nil {
-		pause(ctx, sweepInterval)
+		membership.Sleep(ctx, sweepInterval)
 		suspects = a.sweepOnce(ctx, suspects)
 	}
 }
--- a/bench/idle.go
+++ b/bench/idle.go
@@ -5,9 +5,10 @@
 	"time"
 
 	"github.com/pkg/errors"
-	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
+
+	"aspenyard.example/burn"
 )
 
 // IdleResult is what one process spends over a time.
@@ -66,12 +67,8 @@
 	values := map[string]float64{}
 	for name, family := range families {
 		if metrics := family.GetMetric(); len(metrics) == 1 {
-			values[name] = value(metrics[0])
+			values[name] = burn.Value(metrics[0])
 		}
 	}
 	return values, nil
 }
-
-func value(metric *dto.Metric) float64 {
-	return metric.GetUntyped().GetValue() + metric.GetGauge().GetValue() + metric.GetCounter().GetValue()
-}
--- a/burn/burn.go
+++ b/burn/burn.go
@@ -111,7 +111,8 @@
 	return labels
 }
 
-func valueOf(metric *dto.Metric) float64 {
+// Value is the number of a metric of any simple kind.
+func Value(metric *dto.Metric) float64 {
 	return metric.GetUntyped().GetValue() + metric.GetGauge().GetValue() + metric.GetCounter().GetValue()
 }
 
@@ -127,7 +128,7 @@
 
 func (c *Collector) addEvents(metric *dto.Metric) {
 	labels := labelsOf(metric)
-	row, value := c.row(labels), valueOf(metric)
+	row, value := c.row(labels), Value(metric)
 	switch labels["window"] + " " + labels["outcome"] {
 	case ShortWindow + " good":
 		row.ShortGood += value
@@ -150,7 +151,7 @@
 	if c.buckets[key] == nil {
 		c.buckets[key] = map[float64]float64{}
 	}
-	c.buckets[key][limit] += valueOf(metric)
+	c.buckets[key][limit] += Value(metric)
 }
 
 // Report gives the rows of kinds with an objective, the fastest burn first.
--- a/entry/keeper.go
+++ b/entry/keeper.go
@@ -52,7 +52,7 @@
 			failures = 0
 		}
 		pause := keeperInterval << failures
-		wait(ctx, pause/2+rand.N(pause))
+		membership.Sleep(ctx, pause/2+rand.N(pause))
 	}
 }
 
--- a/entry/lending.go
+++ b/entry/lending.go
@@ -60,7 +60,7 @@
 // run borrows until ctx ends.
 func (l *lending) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait(ctx, admission.BorrowInterval)
+		membership.Sleep(ctx, admission.BorrowInterval)
 		l.borrow(ctx)
 	}
 }
--- a/entry/once.go
+++ b/entry/once.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/attempt"
+	"aspenyard.example/membership"
 	"aspenyard.example/platform"
 	"aspenyard.example/result"
 	"aspenyard.example/routing"
@@ -273,7 +274,7 @@
 			if o.unreachable(claim) {
 				break
 			}
-			wait(ctx, settleInterval)
+			membership.Sleep(ctx, settleInterval)
 			continue
 		}
 		switch response.State {
@@ -287,7 +288,7 @@
 			_ = o.write(ctx, claim, &unknown, false)
 			return reply{}, result.Fail(result.OutcomeUnknown, result.RanUnknown, "the agent that had the order was replaced")
 		}
-		wait(ctx, settleInterval)
+		membership.Sleep(ctx, settleInterval)
 	}
 	go o.settleLate(claim)
 	return reply{}, &result.Error{
@@ -302,7 +303,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lateRecordTime)
 	defer cancel()
 	for ctx.Err() == nil {
-		wait(ctx, progressRetry)
+		membership.Sleep(ctx, progressRetry)
 		if _, failure, _ := o.settle(ctx, claim); failure == nil || failure.Code != result.InProgress && failure.RetryAfter == 0 {
 			return
 		}
--- a/entry/store.go
+++ b/entry/store.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/catalogue"
+	"aspenyard.example/membership"
 	"aspenyard.example/platform"
 )
 
@@ -40,12 +41,12 @@
 	backoff := minStoreBackoff
 	for ctx.Err() == nil {
 		if !e.control.reader.Load() && (read || e.catalogue.Ready()) {
-			wait(ctx, dutyPoll)
+			membership.Sleep(ctx, dutyPoll)
 			continue
 		}
 		next, err := e.readPage(ctx, page, revision, read)
 		if err != nil {
-			wait(ctx, backoff/2+rand.N(backoff))
+			membership.Sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxStoreBackoff)
 			continue
 		}
@@ -87,10 +88,3 @@
 	}
 	return value.Revision, nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/membership/list.go
+++ b/membership/list.go
@@ -25,7 +25,7 @@
 			factor = min(2*factor, maxListBackoff)
 		}
 		wait := time.Duration(factor) * l.listInterval(interval)
-		sleep(ctx, wait/2+rand.N(wait))
+		Sleep(ctx, wait/2+rand.N(wait))
 	}
 }
 
@@ -39,7 +39,8 @@
 	return max(configured, fleet*time.Second/listReadsPerSecond)
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
+// Sleep waits, or returns when ctx ends.
+func Sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
