--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -38,7 +38,7 @@
 		"call": call, "repeat": repeat, "finish": finish, "finish-all": finishAll, "expect": expect, "whole": whole,
 		"lookup": lookup, "client": client, "served": served,
 		// The stand-ins' records.
-		"runs": runs, "held": held, "watts": watts, "calls": storeCalls, "mark": mark, "unchanged": unchanged,
+		"runs": runs, "held": held, "watts": watts, "drawing": drawing, "calls": storeCalls, "mark": mark, "unchanged": unchanged,
 		"total": total, "cancelled": cancelled, "audit": audit,
 	}
 }
--- a/scenarios/power_test.go
+++ b/scenarios/power_test.go
@@ -93,6 +93,29 @@
 	}
 }
 
+// drawing ENGINE... over=WATTS waits until the engines' own present draw together
+// is more than that.
+func drawing(ts *testscript.TestScript, _ bool, args []string) {
+	plain, opts := options(args)
+	w := of(ts)
+	await(ts, "drawing", func() string {
+		sum := 0
+		for _, name := range plain {
+			var record standin.Record
+			if err := w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record); err != nil {
+				return err.Error()
+			}
+			if n := len(record.Watts); n > 0 {
+				sum += record.Watts[n-1].Watts
+			}
+		}
+		if sum > number(opts["over"]) {
+			return ""
+		}
+		return fmt.Sprintf("%d W", sum)
+	})
+}
+
 type wattsStep struct {
 	at     int64
 	engine string
