Refused callers get an appointment: Retry-After is kept by the agent that gave it

The refusals are nearly all normal prompts above 100,000 tokens. An agent admits whoever comes while its estimated wait is under the limit; in a lasting overload the wait hovers at the limit, and the one who comes back has no better chance than anyone else. Bounded per endpoint and per account.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -72,7 +72,10 @@
 // Job is work that asks to start.
 type Job struct {
 	// ID is the reservation's number.
-	ID      uint64
+	ID uint64
+	// Key is the same whenever this request comes back to this endpoint; 0: a
+	// refusal makes no appointment, and none is known.
+	Key     uint64
 	Account string
 	Class   Class
 	// PromptTokens and OutputTokens size the job; both are held as memory.
@@ -98,6 +101,9 @@
 	// Code and RetryAfter are set when Accepted is false.
 	Code       result.Code
 	RetryAfter time.Duration
+	// Appointment is set when the job will go before later ones if it comes back
+	// here after RetryAfter.
+	Appointment bool
 }
 
 // Queue orders one endpoint's work. Not safe for concurrent use: it belongs to
@@ -115,6 +121,7 @@
 	backlog  Backlog
 	inflow   inflow
 	accounts map[string]*account
+	refused  appointments
 	closed   bool
 }
 
@@ -130,7 +137,7 @@
 // NewQueue makes an empty queue.
 func NewQueue(config Config) *Queue {
 	config = config.WithDefaults()
-	return &Queue{config: config, slots: config.MaxRunning, jobs: map[uint64]*Job{}, filling: map[uint64]*Job{}, accounts: map[string]*account{}}
+	return &Queue{config: config, slots: config.MaxRunning, jobs: map[uint64]*Job{}, filling: map[uint64]*Job{}, accounts: map[string]*account{}, refused: newAppointments()}
 }
 
 // SetSlots bounds the work started at once to what the power grant allows.
@@ -151,6 +158,7 @@
 	if refusal := q.judge(now, &job); refusal != nil {
 		return *refusal
 	}
+	q.refused.accept(&job)
 	job.arrived = now
 	job.target = q.targetOf(now, &job)
 	stored := &job
@@ -171,16 +179,34 @@
 	if q.slots == 0 && q.running == 0 {
 		return &Verdict{Code: result.NoPower, RetryAfter: time.Second}
 	}
-	wait := q.wait(now, job.level())
-	if limit := q.config.MaxWait[job.Class]; wait > limit {
-		return &Verdict{Code: result.Overloaded, RetryAfter: max(minRetryAfter, wait-limit)}
+	wait := q.wait(now, job.level()) + q.waitRefused(now, job)
+	open := q.refused.open(now, job)
+	if over := wait - part(open, q.config.MaxWait[job.Class]); over > 0 {
+		return q.comeBack(now, job, result.Overloaded, over)
 	}
-	if late := now.Add(wait + q.duration(now, job)).Sub(job.Deadline); late > 0 {
-		return &Verdict{Code: result.DeadlineUnmeetable, RetryAfter: max(minRetryAfter, min(late, wait))}
+	spare := job.Deadline.Sub(now) - q.duration(now, job)
+	if over := wait - part(open, max(0, spare)); over > 0 || spare < 0 {
+		return q.comeBack(now, job, result.DeadlineUnmeetable, over)
 	}
 	return nil
 }
 
+// comeBack refuses a job whose wait is over what it may be, and says when it no
+// longer will be.
+func (q *Queue) comeBack(now time.Time, job *Job, code result.Code, over time.Duration) *Verdict {
+	after, held := q.refused.make(now, job, max(minRetryAfter, part(retryMargin, over)))
+	return &Verdict{Code: code, RetryAfter: after, Appointment: held}
+}
+
+// waitRefused estimates how long the work takes that was told to come back before
+// a job.
+func (q *Queue) waitRefused(now time.Time, job *Job) time.Duration {
+	if q.config.PrefillRate == 0 {
+		return 0
+	}
+	return seconds(float64(q.refused.ahead(now, job)) / q.rate(now, job.level()))
+}
+
 // wait estimates the time until new work of a level starts its prefill: the
 // backlog that goes before it, at the rate that the work which will come
 // meanwhile and go before it too leaves over.
@@ -377,6 +403,10 @@
 	return min(q.config.MaxRunning, q.running+len(q.waiting))
 }
 
+func part(share float64, of time.Duration) time.Duration {
+	return time.Duration(share * float64(of))
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/agent/control.go
+++ b/agent/control.go
@@ -80,7 +80,7 @@
 	reservation := c.table.Reserve(now)
 	class := admission.Class(min(request.Class, uint32(admission.Bulk)))
 	verdict := c.queue.Offer(now, admission.Job{
-		ID: reservation.Number, Account: request.Account, Class: class,
+		ID: reservation.Number, Key: request.Key, Account: request.Account, Class: class,
 		PromptTokens: int(request.PromptTokens), OutputTokens: int(request.OutputTokens),
 		Deadline: now.Add(time.Duration(request.RemainingMs) * time.Millisecond),
 	})
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -187,6 +187,9 @@
 	return hashes
 }
 
+// key is the same when a refused request comes back.
+func (j *job) key() uint64 { return xxhash.Sum64String(strconv.Itoa(j.id)) }
+
 // hash is the same for two requests exactly when their first tokens are.
 func (j *job) hash(tokens int) uint64 {
 	if tokens <= j.shared {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -25,7 +25,7 @@
 	response, err := e.clients.Agent(endpoint.Addr).Reserve(limited, connect.NewRequest(&wire.ReserveRequest{
 		RequestId: c.id, Attempt: c.attempts, Account: c.account.ID, Kind: c.kind.ID, Class: uint32(r.Class),
 		PromptTokens: uint64(r.PromptTokens), OutputTokens: uint64(r.OutputTokens),
-		RemainingMs: c.remaining().Milliseconds(), Repeatable: c.kind.Work.Repeatable, SpanPart: r.SpanPart,
+		RemainingMs: c.remaining().Milliseconds(), Repeatable: c.kind.Work.Repeatable, SpanPart: r.SpanPart, Key: r.Key,
 	}))
 	if err != nil {
 		if ctx.Err() == nil {
@@ -37,7 +37,9 @@
 	e.control.answered(endpoint.Name, answer.Reservation.GetIncarnation(), answer.Load)
 	if !answer.Accepted {
 		wait := time.Duration(answer.RetryAfterMs) * time.Millisecond
-		return nil, result.Refuse(result.Code(answer.Code), wait, "refused by %s", endpoint.Name)
+		refusal := result.Refuse(result.Code(answer.Code), wait, "refused by %s", endpoint.Name)
+		refusal.Appointment = answer.Appointment
+		return nil, refusal
 	}
 	return answer.Reservation, nil
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -47,6 +47,8 @@
 	DataCentre string
 	// Tried holds the names of endpoints that failed this request already.
 	Tried map[string]bool
+	// Key is the same whenever a refused request comes back, at any entry.
+	Key uint64
 	// SpanPart is set for a part of a prompt that no endpoint holds alone.
 	SpanPart bool
 }
