Routing: a short prompt is weighed against four endpoints drawn at random

Change: after the filters a prompt up to 4,000 tokens draws four endpoints and takes the best of these; longer ones still weigh all. Seen to fail first: TestManyEntriesDoNotCrowdTheIdleEndpoint with no draw.

--- a/bench/run.go
+++ b/bench/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"aspenyard.example/admission"
@@ -402,7 +404,8 @@
 	count := int(m.conditions.KillShare * float64(len(m.engines)))
 	for _, engine := range m.engines[:count] {
 		engine.dead = true
-		for _, f := range engine.jobs {
+		for _, number := range slices.Sorted(maps.Keys(engine.jobs)) {
+			f := engine.jobs[number]
 			delete(m.pending, f.id)
 			f.entry.sent[engine.name]--
 			f.tried[engine.name] = true
--- a/routing/policies.go
+++ b/routing/policies.go
@@ -64,6 +64,7 @@
 	return &Policy{
 		Name:       PolicyAspenyard,
 		Filters:    []Filter{Serves{}, Memory{}},
+		Sample:     Sample{Count: sampleCount, MaxTokens: sampleMaxTokens, Rand: random},
 		Scorers:    []Scorer{QueueDelay{sent}, Crowding{sent}, Interference{sent, interferenceWeight}, PrefixAffinity{prefixes}, Distance{dataCentreTrip}},
 		Picker:     Lowest{Slack: pickSlack, Rand: random},
 		Priorities: true,
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -87,6 +87,8 @@
 type Policy struct {
 	Name    string
 	Filters []Filter
+	// Sample draws the endpoints that are scored; its zero value takes all.
+	Sample  Sample
 	Scorers []Scorer
 	Picker  Picker
 	// Note, when set, is told of every choice.
@@ -99,16 +101,20 @@
 
 // Route picks an endpoint for the request, or nil when none is kept.
 func (p *Policy) Route(now time.Time, r *Request, endpoints []Endpoint) *Endpoint {
-	scored := make([]Scored, 0, len(endpoints))
+	kept := make([]*Endpoint, 0, len(endpoints))
 	for i := range endpoints {
-		e := &endpoints[i]
-		if p.keep(r, e) {
-			scored = append(scored, Scored{Endpoint: e, Cost: p.cost(r, e)})
+		if e := &endpoints[i]; p.keep(r, e) {
+			kept = append(kept, e)
 		}
 	}
-	if len(scored) == 0 {
+	if len(kept) == 0 {
 		return nil
 	}
+	drawn := p.Sample.draw(r, kept)
+	scored := make([]Scored, 0, len(drawn))
+	for _, e := range drawn {
+		scored = append(scored, Scored{Endpoint: e, Cost: p.cost(r, e)})
+	}
 	picked := p.Picker.Pick(r, scored)
 	if p.Note != nil {
 		p.Note(now, r, picked)
--- /dev/null
+++ b/routing/sample_test.go
@@ -0,0 +1,41 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Symptom: short prompts wait longer the more entries there are. Sequence: a report
+// shows one endpoint idle; each of 16 entries has one short prompt to send before
+// the next report. Cause: each took the best of all endpoints, the same one.
+func TestManyEntriesDoNotCrowdTheIdleEndpoint(t *testing.T) {
+	is := is.New(t)
+	counts := map[string]int{}
+	const entries, count = 16, 12
+	for seed := range uint64(entries) {
+		policy, err := New(PolicyAspenyard, rand.New(rand.NewPCG(seed, 1)), nil)
+		is.NoErr(err)
+		endpoints := make([]Endpoint, count)
+		for i := range endpoints {
+			endpoints[i] = endpoint(fmt.Sprint(i))
+			endpoints[i].Backlog[0] = 1000 * i
+		}
+		counts[policy.Route(testNow, request(3000), endpoints).Name]++
+	}
+	is.True(counts["0"] < entries/2) // each draws it one time in three
+}
+
+func TestALongPromptGetsTheBestOfAll(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		endpoints := make([]Endpoint, 12)
+		for i := range endpoints {
+			endpoints[i] = endpoint(fmt.Sprint(i))
+			endpoints[i].Backlog[0] = 1000 * (i + 1)
+		}
+		is.Equal(newPolicy(t).Route(testNow, request(50_000), endpoints).Name, "0")
+	}
+}
