bench refusals: how quickly callers are refused

Cause: the policy bench runs in virtual time and cannot say how long a refusal takes; the aim is milliseconds. A call that is not refused with its code and a Retry-After fails the bench.

--- /dev/null
+++ b/bench/refusals.go
@@ -0,0 +1,90 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/result"
+)
+
+// RefusalResult is how quickly callers are refused, for one prompt length.
+type RefusalResult struct {
+	PromptTokens int `json:"prompt_tokens"`
+	Count        int `json:"count"`
+	// From the caller's call to the whole answer, in microseconds.
+	P50 int64 `json:"p50_us"`
+	P95 int64 `json:"p95_us"`
+	Max int64 `json:"max_us"`
+}
+
+const (
+	refusalEngines = 4
+	// refusalOutput takes about 50 s, longer than refusalDeadline: every endpoint
+	// refuses, so that a caller waits for as many agents as an entry ever asks.
+	refusalOutput   = 2000
+	refusalDeadline = 10 * time.Second
+)
+
+// Refusals measures refusals, one after the other, for each prompt length.
+func Refusals(ctx context.Context, count int, lengths []int) ([]RefusalResult, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	fleet, err := StartFleet(ctx, FleetConfig{Entries: 1, Engines: refusalEngines, TimeScale: 1, Engine: quickEngine}, zap.NewNop())
+	if err != nil {
+		return nil, err
+	}
+	var results []RefusalResult
+	for _, tokens := range lengths {
+		histogram := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+		for i := range count {
+			took, err := fleet.refusal(ctx, Prompt(uint64(i), tokens))
+			if err != nil {
+				return nil, err
+			}
+			_ = histogram.RecordValue(took.Microseconds())
+		}
+		results = append(results, RefusalResult{
+			PromptTokens: tokens, Count: count,
+			P50: histogram.ValueAtQuantile(50), P95: histogram.ValueAtQuantile(95), Max: histogram.Max(),
+		})
+	}
+	return results, nil
+}
+
+// refusal makes a call that must be refused and returns how long that took.
+func (f *Fleet) refusal(ctx context.Context, prompt string) (time.Duration, error) {
+	body, err := json.Marshal(map[string]any{"model": "excuse-draft", "prompt": prompt, "max_tokens": refusalOutput, "stream": true})
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Callers[0]+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	request.Header = http.Header{"Authorization": {"Bearer " + fleetKey}, "X-Request-Deadline": {refusalDeadline.String()}}
+	began := time.Now()
+	response, err := f.client.Do(request)
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	var answer bytes.Buffer
+	_, err = answer.ReadFrom(response.Body)
+	took := time.Since(began)
+	_ = response.Body.Close()
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	code := response.Header.Get("X-Result-Code")
+	if code != strconv.Itoa(int(result.DeadlineUnmeetable)) || response.Header.Get("Retry-After") == "" {
+		return 0, errors.Errorf("the call was not refused as it must be: code %s, Retry-After %q: %.200s", code, response.Header.Get("Retry-After"), answer.String())
+	}
+	return took, nil
+}
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -52,6 +52,12 @@
 	JSON  bool          `arg:"--json" help:"print JSON"`
 }
 
+type benchRefusals struct {
+	Count  int   `arg:"--count" default:"200" help:"refused calls of each length"`
+	Tokens []int `arg:"--tokens" help:"prompt lengths [default: 1000 100000]"`
+	JSON   bool  `arg:"--json" help:"print JSON"`
+}
+
 type benchIdle struct {
 	Addrs []string      `arg:"positional,required" placeholder:"IP:PORT" help:"operators' addresses of running processes"`
 	For   time.Duration `arg:"--for" default:"20s" help:"time between the two readings"`
@@ -61,6 +67,7 @@
 type benchCommand struct {
 	Idle     *benchIdle     `arg:"subcommand:idle" help:"processor time, memory and control bytes of running processes"`
 	Path     *benchPath     `arg:"subcommand:path" help:"measure what the way through entry and agent costs"`
+	Refusals *benchRefusals `arg:"subcommand:refusals" help:"measure how quickly callers are refused"`
 	Power    *benchPower    `arg:"subcommand:power" help:"measure how much of a site's cap the ledger lets work use"`
 	Limits   *benchLimits   `arg:"subcommand:limits" help:"measure client accounts' limits over several entries"`
 	Policy   *benchPolicy   `arg:"subcommand:policy" help:"measure routing and admission under load, in virtual time"`
@@ -79,10 +86,12 @@
 		return c.Power.run(t)
 	case c.Path != nil:
 		return c.Path.run(t)
+	case c.Refusals != nil:
+		return c.Refusals.run(t)
 	case c.Idle != nil:
 		return c.Idle.run(t)
 	}
-	return t.failf("bench: one of policy, limits, power, path, idle, capacity")
+	return t.failf("bench: one of policy, limits, power, path, refusals, idle, capacity")
 }
 
 func (c *benchIdle) run(t terminal) int {
@@ -117,6 +126,24 @@
 	return exitOK
 }
 
+func (c *benchRefusals) run(t terminal) int {
+	if len(c.Tokens) == 0 {
+		c.Tokens = []int{1_000, 100_000}
+	}
+	results, err := bench.Refusals(context.Background(), c.Count, c.Tokens)
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	if c.JSON {
+		_ = json.NewEncoder(t.out).Encode(results)
+		return exitOK
+	}
+	for _, r := range results {
+		fmt.Fprintf(t.out, "%d prompts of %d tokens refused: p50 %d µs, p95 %d µs, max %d µs\n", r.Count, r.PromptTokens, r.P50, r.P95, r.Max)
+	}
+	return exitOK
+}
+
 func (c *benchPower) run(t terminal) int {
 	results, err := bench.Power(c.Seed)
 	if err != nil {
