A span whose first part was prefilled has run, whatever its lead says

The audits could not see it, as they compared 'no' with the services' records alone. Ruled out: the agents' answers, which were true of themselves. Engines note the beginning of each prompt in their records, and every audit fails if an engine has a run of a prompt of which all callers were told 'no'. Before: span-lead-refuses failed twice, by the answer ('no') and by the new audit ('call c#1 was told that it did not run, and e1 ran its prompt'). After: it passes, and all scripts pass the stricter audit. Not mended: a span finds out only at its end that its output cannot be in time, so the first parts' prefill is lost.

--- a/entry/span.go
+++ b/entry/span.go
@@ -96,11 +96,21 @@
 		held, failure := g.hold(ctx, cancel, member, part, imports)
 		if failure != nil {
 			g.routing.Tried[member.Name] = true
-			return failure
+			return afterParts(failure, len(imports))
 		}
 		imports = append(imports, held)
 	}
-	return g.lead(ctx, members[len(members)-1], imports, countTokens(rest))
+	return afterParts(g.lead(ctx, members[len(members)-1], imports, countTokens(rest)), len(imports))
+}
+
+// afterParts says of a failed span whose first parts were prefilled that it ran: a
+// later member's refusal speaks of that member alone.
+func afterParts(failure *result.Error, parts int) *result.Error {
+	if failure == nil || parts == 0 {
+		return failure
+	}
+	failure.Ran = result.RanYes
+	return failure
 }
 
 // cut splits a text at or just before a number of bytes, never within a character:
--- a/scenarios/audit_test.go
+++ b/scenarios/audit_test.go
@@ -86,7 +86,8 @@
 // audit compares, when all calls have ended, what the callers were told with the
 // services' records: no key ran more than once; each run was asked for by a call
 // that began before it and was not told "no"; each key that a caller was told
-// "yes" of did run. No text differs from the engines'.
+// "yes" of did run. No text differs from the engines', and no engine has a run of
+// a prompt of which all calls were told "no".
 func audit(ts *testscript.TestScript, _ bool, _ []string) {
 	w := of(ts)
 	ran := map[string][]service.Run{}
@@ -127,9 +128,37 @@
 			ts.Fatalf("key %s: %s", key, problem)
 		}
 	}
+	w.auditEngines(ts)
 	ts.Logf("audit: %d calls, %d told unknown, %d without an answer", total, unknown, silent)
 }
 
+// auditEngines checks "did not run" against the engines' records.
+func (w *world) auditEngines(ts *testscript.TestScript) {
+	toldNo := map[uint64]string{}
+	for id, c := range w.calls {
+		if strings.Contains(id, "#") && c.beginning != 0 && c.ran == "no" {
+			toldNo[c.beginning] = id
+		}
+	}
+	for id, c := range w.calls {
+		if strings.Contains(id, "#") && c.ran != "no" {
+			delete(toldNo, c.beginning)
+		}
+	}
+	for name, p := range w.procs {
+		if p.role != "engine" {
+			continue
+		}
+		var record standin.Record
+		ts.Check(w.get("http://"+p.addrs["listen"]+"/record", &record))
+		for _, run := range record.Runs {
+			if id, found := toldNo[run.Beginning]; found {
+				ts.Fatalf("call %s was told that it did not run, and %s ran its prompt (%d tokens)", id, name, run.PromptTokens)
+			}
+		}
+	}
+}
+
 func auditKey(calls []*callRecord, runs []service.Run) string {
 	if len(runs) > 1 {
 		return fmt.Sprintf("ran %d times", len(runs))
--- a/scenarios/calls_test.go
+++ b/scenarios/calls_test.go
@@ -40,7 +40,8 @@
 	body       string
 	text       string // of a generation
 	expected   string
-	ended      bool // the answer's end marker came
+	beginning  uint64 // of a generation's prompt
+	ended      bool   // the answer's end marker came
 	transport  error
 }
 
@@ -130,7 +131,7 @@
 			out = number(opts["out"])
 		}
 		prompt := bench.Prompt(xxhash.Sum64String(c.id), tokens) + c.id
-		c.expected = standin.Answer(prompt, out)
+		c.expected, c.beginning = standin.Answer(prompt, out), standin.Beginning(prompt)
 		var err error
 		body, err = json.Marshal(map[string]any{"model": c.kind, "prompt": prompt, "max_tokens": out, "stream": opts["stream"] != "no"})
 		if err != nil {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -55,6 +55,16 @@
 	PromptTokens int    `json:"prompt_tokens"`
 	Finished     bool   `json:"finished"`
 	Cancelled    bool   `json:"cancelled"`
+	// Beginning is Beginning of the prompt, by which a caller's request is found.
+	Beginning uint64 `json:"beginning"`
+}
+
+// beginningBytes are enough to tell prompts apart, and fewer than any span's part.
+const beginningBytes = 256
+
+// Beginning hashes the first bytes of a prompt.
+func Beginning(prompt string) uint64 {
+	return xxhash.Sum64String(prompt[:min(len(prompt), beginningBytes)])
 }
 
 // Record is what truly happened.
@@ -347,7 +357,7 @@
 	}
 	st := &stream{changed: make(chan struct{}), hash: hash, offset: request.DeliveredTokens, run: len(s.record.Runs), prompt: tokens}
 	s.streams[request.RequestID] = st
-	s.record.Runs = append(s.record.Runs, Run{ID: request.RequestID, PromptTokens: tokens})
+	s.record.Runs = append(s.record.Runs, Run{ID: request.RequestID, PromptTokens: tokens, Beginning: Beginning(request.Prompt)})
 	s.record.PeakTokens = max(s.record.PeakTokens, s.model.Held())
 	s.noteWatts()
 	select {
