--- a/admission/queue.go
+++ b/admission/queue.go
@@ -398,24 +398,6 @@
 	}
 }
 
-// AheadOf is the trial's oracle: prefill before a waiting job; false when running.
-func (q *Queue) AheadOf(id uint64) (int, bool) {
-	job := q.jobs[id]
-	if job == nil || job.running {
-		return 0, false
-	}
-	sum := 0
-	for _, other := range q.jobs {
-		if other == job || other.filled {
-			continue
-		}
-		if other.level() < job.level() || other.running || other.level() == job.level() && other.target.Before(job.target) {
-			sum += other.PromptTokens
-		}
-	}
-	return sum, true
-}
-
 // Want is how many slots the present work could use.
 func (q *Queue) Want() int {
 	return min(q.config.MaxRunning, q.running+len(q.waiting))
--- a/bench/run.go
+++ b/bench/run.go
@@ -4,9 +4,7 @@
 	"container/heap"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"time"
 
 	"aspenyard.example/admission"
@@ -151,9 +149,6 @@
 		heap.Push(&m.events, event{at: j.at, order: i - len(jobs), run: func() { m.arrive(j) }})
 	}
 	m.after(0, m.report)
-	if os.Getenv("MV") != "" {
-		m.after(time.Second, m.rebalance)
-	}
 	if c.KillShare > 0 {
 		m.after(w.Length/2, m.killSome)
 	}
@@ -259,56 +254,6 @@
 	m.refuse(f, refusal)
 }
 
-// Moves counts the moves of the trial.
-var Moves int
-
-func (m *experiment) rebalance() {
-	gain, _ := strconv.ParseFloat(os.Getenv("MV"), 64)
-	for _, engine := range m.engines {
-		if engine.dead || !m.entries[0].policy.Admission {
-			continue
-		}
-		for _, number := range engine.queue.Waiting() {
-			f := engine.jobs[number]
-			if f == nil || f.outcome.job.prompt < 16000 || m.now-f.outcome.job.at < 2*time.Second {
-				continue
-			}
-			ahead, ok := engine.queue.AheadOf(number)
-			if !ok {
-				continue
-			}
-			level := admission.LevelOf(f.outcome.job.class, f.outcome.job.prompt)
-			var best *benchEngine
-			least := 0
-			for _, other := range m.engines {
-				if other == engine || other.dead {
-					continue
-				}
-				r := other.queue.Report()
-				if t := r.Backlog.Before(level); best == nil || t < least {
-					best, least = other, t
-				}
-			}
-			if float64(ahead-least)/float64(engine.model.Config().PrefillRate()) < gain {
-				continue
-			}
-			old, oldNumber := engine, number
-			oldID := f.id
-			verdict := m.offer(f, best, 0)
-			if !verdict.Accepted {
-				f.engine, f.number, f.id = old, oldNumber, oldID
-				continue
-			}
-			Moves++
-			delete(old.jobs, oldNumber)
-			f.entry.sent[old.name]--
-			old.queue.Remove(oldNumber)
-			m.pump(old)
-		}
-	}
-	m.after(time.Second, m.rebalance)
-}
-
 func (m *experiment) find(name string) *benchEngine {
 	for _, engine := range m.engines {
 		if engine.name == name {
