--- a/bench/workload.go
+++ b/bench/workload.go
@@ -27,7 +27,9 @@
 	Burst float64
 	// Length is the virtual time over which requests arrive.
 	Length time.Duration
-	Engine standin.Config
+	// Longest is the longest prompt in tokens; 0: DefaultLongest.
+	Longest int
+	Engine  standin.Config
 }
 
 // job is one request of a workload.
@@ -53,18 +55,27 @@
 	{0.72, 1_000, 4_000}, {0.20, 4_000, 16_000}, {0.08, 16_000, 100_000},
 }
 
-// longLow and longHigh bound the long prompts. Prompts that need several
-// engines are left out here: the span of a prompt is the entry's work, which the
-// demo and the scenarios show.
+// Bounds of the longest prompt, in tokens.
 const (
-	longLow, longHigh = 100_001, 300_000
-	accounts          = 10
-	largeAccounts     = 2
-	largeShare        = 0.35 // of the requests, for each large account
-	prefixPool        = 40
-	sharedChance      = 0.5
-	burstTime         = 0.1
-	burstPeriod       = 20 * time.Second
+	LeastLongest = 110_000
+	MostLongest  = 1_000_000
+	// DefaultLongest is what an engine of the default size holds alone, with room
+	// to spare.
+	DefaultLongest = 300_000
+)
+
+// Prompts that need several engines are left out here: the span of a prompt is the
+// entry's work, which the demo and the scenarios show. For longer prompts the
+// engines have to be larger.
+const (
+	longLow       = 100_001
+	accounts      = 10
+	largeAccounts = 2
+	largeShare    = 0.35 // of the requests, for each large account
+	prefixPool    = 40
+	sharedChance  = 0.5
+	burstTime     = 0.1
+	burstPeriod   = 20 * time.Second
 )
 
 // deadlines by class: how long a caller waits for the whole answer.
@@ -117,6 +128,25 @@
 	return float64(j.prompt)/float64(c.PrefillRate()) + float64(j.output)*c.DecodeTime.Seconds()
 }
 
+// memoryShare is an engine's memory over the longest prompt, as in the default size.
+const memoryShare = 4.0 / 3
+
+// EngineFor sizes the engines so that one holds the longest prompt; the default
+// size if that is enough.
+func EngineFor(longest int) standin.Config {
+	if longest <= DefaultLongest {
+		return standin.Config{}
+	}
+	return standin.Config{MemoryTokens: int(memoryShare * float64(longest))}
+}
+
+func (w Workload) longest() int {
+	if w.Longest == 0 {
+		return DefaultLongest
+	}
+	return w.Longest
+}
+
 func logUniform(random *rand.Rand, low, high int) int {
 	return int(float64(low) * math.Pow(float64(high)/float64(low), random.Float64()))
 }
@@ -124,7 +154,7 @@
 func (w Workload) draw(random *rand.Rand, id int, at time.Duration) job {
 	j := job{id: id, at: at, output: 32 + random.IntN(200), account: drawAccount(random)}
 	if random.Float64() < w.LongShare {
-		j.prompt = logUniform(random, longLow, longHigh)
+		j.prompt = logUniform(random, longLow, w.longest())
 	} else {
 		pick := random.Float64()
 		for _, band := range lengthBands {
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -24,6 +24,7 @@
 	Entries   int           `arg:"--entries" default:"3" help:"entries, each with its own view"`
 	Load      []float64     `arg:"--load" help:"offered work over capacity; several allowed [default: 0.5 0.8 0.95 1.3]"`
 	LongShare float64       `arg:"--long-share" default:"0.02" help:"part of prompts above 100,000 tokens"`
+	Longest   int           `arg:"--longest" default:"300000" help:"longest prompt in tokens; the engines are sized to hold it"`
 	Burst     float64       `arg:"--burst" default:"2" help:"rate in a burst over the mean; 1 for none"`
 	Policy    string        `arg:"--policy" default:"all" help:"name of a policy, or all"`
 	Profile   string        `arg:"--profile" help:"citara (25 engines) or keelung (15 engines)"`
@@ -186,6 +187,9 @@
 	default:
 		return t.failf("bench policy: no profile %q; there are citara and keelung", c.Profile)
 	}
+	if c.Longest < bench.LeastLongest || c.Longest > bench.MostLongest {
+		return t.failf("bench policy: --longest %d is not from %d to %d", c.Longest, bench.LeastLongest, bench.MostLongest)
+	}
 	if len(c.Load) == 0 {
 		c.Load = []float64{0.5, 0.8, 0.95, 1.3}
 	}
@@ -224,6 +228,7 @@
 					var err error
 					results[i], err = bench.RunPolicy(name, bench.Workload{
 						Seed: c.Seed + uint64(i), Engines: c.Engines, Load: load, LongShare: c.LongShare, Burst: c.Burst, Length: c.Length,
+						Longest: c.Longest, Engine: bench.EngineFor(c.Longest),
 					}, bench.Conditions{
 						Entries: c.Entries, ReportEvery: 500 * time.Millisecond, ReportLag: c.Lag, KillShare: c.Kill, ObeyShare: c.Obey,
 					})
