The home of a refused request is asked once

Cause: found by reading. Once all others had refused, every further attempt picked the home, tried or not: a home that accepted and then failed would have been asked again until the retry budget was gone. Change: the home is asked once, after which the ordinary policy picks among those not tried, and the next refusal is final. Seen to fail first: TestTheHomeIsAskedOnce with the flag left set.

--- a/entry/generate.go
+++ b/entry/generate.go
@@ -44,7 +44,8 @@
 	ran       result.Ran
 	refusals  int
 	refusal   *result.Error // the deferral, or the one with the shortest wait
-	askHome   bool          // the last endpoint to ask is the request's home
+	askHome   bool          // the request's home is asked next
+	homeAsked bool          // it was: nobody is asked after it
 }
 
 func (e *Entry) newGeneration(c *call, prompt string, maxTokens int, out sink) *generation {
@@ -96,7 +97,9 @@
 // pick chooses one endpoint; nil when none holds the request alone. The home comes
 // last, with the key by which it knows a request that it told to come back.
 func (g *generation) pick(endpoints []routing.Endpoint) *routing.Endpoint {
+	g.routing.Key = 0
 	if g.askHome {
+		g.askHome, g.homeAsked = false, true
 		g.routing.Key = g.key()
 		if home := routing.Home(&g.routing, endpoints); home != nil {
 			return home
@@ -144,7 +147,7 @@
 	switch {
 	case failure.Code == result.PromptTooLong, failure.Code == result.NoEndpoint && len(g.routing.Tried) == 0:
 		return failure
-	case g.askHome:
+	case g.homeAsked:
 		return g.refusal
 	case g.refusals < maxRefusals-1 && !g.exhausted():
 		return nil
--- /dev/null
+++ b/entry/generate_test.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"aspenyard.example/catalogue"
+	"aspenyard.example/result"
+	"aspenyard.example/routing"
+)
+
+// testGeneration is a request of 1,000 tokens before these endpoints.
+func testGeneration(t *testing.T, names ...string) *generation {
+	t.Helper()
+	policy, err := routing.New(routing.PolicyAspenyard, rand.New(rand.NewPCG(1, 1)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	endpoints := make([]routing.Endpoint, 0, len(names))
+	for _, name := range names {
+		endpoints = append(endpoints, routing.Endpoint{Name: name, Models: []string{"m"}, MemoryTokens: 400_000, PrefillRate: 20_000})
+	}
+	e := &Entry{policy: policy, control: &control{}}
+	e.control.endpoints.Store(&endpoints)
+	return &generation{
+		entry: e, call: &call{account: &catalogue.Record{ID: "crew"}, kind: &catalogue.Record{ID: "line-plan"}}, prompt: "text",
+		routing: routing.Request{Model: "m", PromptTokens: 1000, Tried: map[string]bool{}},
+	}
+}
+
+// refuseNext lets the endpoint whose turn it is refuse, and returns its name and the
+// final answer, nil for another turn.
+func (g *generation) refuseNext(wait time.Duration) (string, *result.Error) {
+	endpoint := g.pick(*g.entry.control.endpoints.Load())
+	g.routing.Tried[endpoint.Name] = true
+	refusal := result.Refuse(result.Overloaded, wait, "full")
+	refusal.Deferral = g.routing.Key != 0
+	return endpoint.Name, g.refused(refusal)
+}
+
+func TestTheHomeIsAskedLastAndItsWaitIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	g := testGeneration(t, "a", "b", "c", "d")
+	for range maxRefusals - 1 {
+		_, final := g.refuseNext(time.Second)
+		is.True(final == nil)
+	}
+	home, final := g.refuseNext(time.Minute)
+	is.Equal(final.RetryAfter, time.Minute)
+	other := testGeneration(t, "d", "c", "b", "a")
+	other.askHome = true
+	again, _ := other.refuseNext(time.Second)
+	is.Equal(again, home)
+}
+
+// Symptom: an engine that has just failed a request gets it again until the retry
+// budget is gone. Sequence: all refuse, the home accepts and then fails. Cause: the
+// home was picked whatever had been tried.
+func TestTheHomeIsAskedOnce(t *testing.T) {
+	is := is.New(t)
+	g := testGeneration(t, "a", "b")
+	g.refuseNext(time.Second)
+	g.refuseNext(time.Second)
+	endpoints := *g.entry.control.endpoints.Load()
+	home := g.pick(endpoints)
+	is.True(home != nil)
+	is.True(g.pick(endpoints) == nil) // both were tried
+	is.Equal(g.routing.Key, uint64(0))
+}
