bench policy: the home that is asked last is no dispatch of the policy

Cause: found by reading. When the bench asked a request's home, it first let the policy choose too, whose choice was noted as a dispatch that never went out; the entry does not do so. Change: one function picks, as in the entry.

--- a/bench/run.go
+++ b/bench/run.go
@@ -228,12 +228,7 @@
 	}
 	var refusal admission.Verdict
 	for asked := range benchRefusals {
-		request.Key = 0
-		picked := f.entry.policy.Route(m.clock(), &request, f.entry.view)
-		if asked == benchRefusals-1 {
-			request.Key = j.key()
-			picked = routing.Home(&request, f.entry.view)
-		}
+		picked := m.pick(f, &request, asked == benchRefusals-1)
 		if picked == nil {
 			break
 		}
@@ -254,6 +249,15 @@
 	m.refuse(f, refusal)
 }
 
+// pick chooses the next endpoint to ask; the last is the request's home.
+func (m *experiment) pick(f *pendingRequest, request *routing.Request, last bool) *routing.Endpoint {
+	if !last {
+		return f.entry.policy.Route(m.clock(), request, f.entry.view)
+	}
+	request.Key = f.outcome.job.key()
+	return routing.Home(request, f.entry.view)
+}
+
 func (m *experiment) find(name string) *benchEngine {
 	for _, engine := range m.engines {
 		if engine.name == name {
