--- a/admission/queue.go
+++ b/admission/queue.go
@@ -168,7 +168,7 @@
 	q.insert(stored)
 	q.backlog[job.level()] += job.PromptTokens
 	q.inflow.add(now, job.level(), job.PromptTokens)
-	return Verdict{Accepted: true, Wait: q.wait(now, job.level())}
+	return Verdict{Accepted: true, Wait: q.wait(now, job.level(), 0)}
 }
 
 // judge refuses a job that may not wait or would end too late; nil accepts it. One
@@ -183,7 +183,7 @@
 	if q.slots == 0 && q.running == 0 {
 		return &Verdict{Code: result.NoPower, RetryAfter: time.Second}
 	}
-	wait := q.wait(now, job.level()) + q.waitRefused(now, job)
+	wait := q.wait(now, job.level(), q.deferred.ahead(now, job))
 	open := q.deferred.open(now, job)
 	if over := wait - part(open, q.config.MaxWait[job.Class]); over > 0 {
 		return q.comeBack(now, job, result.Overloaded, over)
@@ -205,23 +205,15 @@
 	return &Verdict{Code: code, RetryAfter: after, Deferral: held}
 }
 
-// waitRefused estimates how long the work takes that was told to come back before
-// a job.
-func (q *Queue) waitRefused(now time.Time, job *Job) time.Duration {
-	if q.config.PrefillRate == 0 {
-		return 0
-	}
-	return seconds(float64(q.deferred.ahead(now, job)) / q.rate(now, job.level()))
-}
-
 // wait estimates the time until new work of a level starts its prefill: the
 // backlog that goes before it, at the rate that the work which will come
-// meanwhile and go before it too leaves over.
-func (q *Queue) wait(now time.Time, level Level) time.Duration {
+// meanwhile and go before it too leaves over. ahead is prefill in tokens that goes
+// before it too and is not in the queue.
+func (q *Queue) wait(now time.Time, level Level, ahead int) time.Duration {
 	if q.config.PrefillRate == 0 {
 		return 0
 	}
-	return seconds(float64(q.backlog.Before(level)) / q.rate(now, level))
+	return seconds(float64(q.backlog.Before(level)+ahead) / q.rate(now, level))
 }
 
 // duration estimates how long a job takes once it starts.
--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -172,7 +172,7 @@
 			return nil, err
 		}
 		endpoints := benchEndpoints(size)
-		prompts := [][]uint64{routing.PrefixHashes(Prompt(1, 4000), 4), routing.PrefixHashes(Prompt(2, 4000), 4)}
+		prompts := [][]uint64{routing.PrefixHashes(Prompt(1, 4000), admission.BytesPerToken), routing.PrefixHashes(Prompt(2, 4000), admission.BytesPerToken)}
 		i := 0
 		cost := repeat(func() {
 			i++
@@ -183,7 +183,7 @@
 		slopes = append(slopes, Slope{Name: "routing one request", Size: fmt.Sprint(size, " endpoints"), Microseconds: cost})
 	}
 	prompt := Prompt(3, 100_000)
-	slopes = append(slopes, Slope{Name: "hashing a prompt's beginnings", Size: "100,000 tokens", Microseconds: repeat(func() { routing.PrefixHashes(prompt, 4) })})
+	slopes = append(slopes, Slope{Name: "hashing a prompt's beginnings", Size: "100,000 tokens", Microseconds: repeat(func() { routing.PrefixHashes(prompt, admission.BytesPerToken) })})
 	return slopes, nil
 }
 
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"runtime"
 	"strings"
@@ -101,8 +100,7 @@
 		return t.failf("%v", err)
 	}
 	if c.JSON {
-		_ = json.NewEncoder(t.out).Encode(results)
-		return exitOK
+		return t.json(results)
 	}
 	fmt.Fprintf(t.out, "%-22s %9s %12s %12s %12s %14s\n", "process", "% core", "resident MB", "of it anon", "sent B/s", "received B/s")
 	for _, r := range results {
@@ -117,8 +115,7 @@
 		return t.failf("%v", err)
 	}
 	if c.JSON {
-		_ = json.NewEncoder(t.out).Encode(result)
-		return exitOK
+		return t.json(result)
 	}
 	fmt.Fprintf(t.out, "%d pairs: first token p50 %d µs direct, %d µs through entry and agent; added p50 %d µs, p95 %d µs\n",
 		result.Pairs, result.DirectP50, result.ThroughP50, result.AddedP50, result.AddedP95)
@@ -136,8 +133,7 @@
 		return t.failf("%v", err)
 	}
 	if c.JSON {
-		_ = json.NewEncoder(t.out).Encode(results)
-		return exitOK
+		return t.json(results)
 	}
 	for _, r := range results {
 		fmt.Fprintf(t.out, "%d prompts of %d tokens refused: p50 %d µs, p95 %d µs, max %d µs\n", r.Count, r.PromptTokens, r.P50, r.P95, r.Max)
@@ -151,8 +147,7 @@
 		return t.failf("%v", err)
 	}
 	if c.JSON {
-		_ = json.NewEncoder(t.out).Encode(results)
-		return exitOK
+		return t.json(results)
 	}
 	fmt.Fprintf(t.out, "%-18s %8s %20s %15s %9s\n", "demand", "idle", "idle by equal split", "writes a round", "exceeded")
 	for _, r := range results {
@@ -167,8 +162,7 @@
 	}
 	results := bench.Limits(c.Seed, c.Entries)
 	if c.JSON {
-		_ = json.NewEncoder(t.out).Encode(results)
-		return exitOK
+		return t.json(results)
 	}
 	fmt.Fprintf(t.out, "%8s  %-10s %10s %8s %22s\n", "entries", "traffic", "overshoot", "unused", "unused by equal parts")
 	for _, r := range results {
@@ -207,8 +201,7 @@
 		}
 	}
 	if c.JSON {
-		_ = json.NewEncoder(t.out).Encode(results)
-		return exitOK
+		return t.json(results)
 	}
 	fmt.Fprintf(t.out, "%d engines, %d entries, seeds %d to %d, reports %s old, %.0f%% long, burst %g, %s of arrivals; means over seeds\n",
 		c.Engines, c.Entries, c.Seed, c.Seed+uint64(c.Seeds)-1, c.Lag, 100*c.LongShare, c.Burst, c.Length)
@@ -250,8 +243,7 @@
 		return t.failf("%v", err)
 	}
 	if c.JSON {
-		_ = json.NewEncoder(t.out).Encode(slopes)
-		return exitOK
+		return t.json(slopes)
 	}
 	fmt.Fprintf(t.out, "%s, %d processors\n", runtime.Version(), runtime.NumCPU())
 	fmt.Fprintf(t.out, "%-58s %-18s %12s %10s %12s\n", "what", "size", "µs", "bytes", "heap bytes")
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -68,6 +69,12 @@
 	return exitFailed
 }
 
+// json prints a command's result for programs.
+func (t terminal) json(value any) int {
+	_ = json.NewEncoder(t.out).Encode(value)
+	return exitOK
+}
+
 // Main runs the command line of this process and returns its exit code.
 func Main() int {
 	return run(os.Args[1:], terminal{out: os.Stdout, err: os.Stderr})
--- a/cli/report.go
+++ b/cli/report.go
@@ -49,8 +49,7 @@
 		}
 	}
 	if c.JSON {
-		_ = json.NewEncoder(t.out).Encode(report)
-		return exitOK
+		return t.json(report)
 	}
 	fmt.Fprint(t.out, report.Text())
 	return exitOK
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -58,8 +58,6 @@
 	}
 }
 
-func countTokens(text string) int { return admission.CountTokens(text) }
-
 // generate carries a request out within its deadline.
 func (g *generation) generate(ctx context.Context) *result.Error {
 	ctx, cancel := g.call.timeout(ctx)
--- a/entry/lending.go
+++ b/entry/lending.go
@@ -45,7 +45,7 @@
 }
 
 // lend answers another entry, or this one, that asks this one as a home.
-func (l *lending) lend(request *wire.BorrowRequest) (*wire.BorrowResponse, error) {
+func (l *lending) lend(request *wire.BorrowRequest) *wire.BorrowResponse {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -54,7 +54,7 @@
 		share := l.lender.Borrow(now, asked.Account, request.Entry, float64(asked.Demand)/permille)
 		response.Accounts = append(response.Accounts, &wire.AccountShare{Account: asked.Account, Permille: uint32(share * permille)})
 	}
-	return response, nil
+	return response
 }
 
 // run borrows until ctx ends.
@@ -117,7 +117,7 @@
 func (l *lending) ask(ctx context.Context, asked time.Time, addr string, request *wire.BorrowRequest) {
 	var response *wire.BorrowResponse
 	if addr == "" {
-		response, _ = l.lend(request)
+		response = l.lend(request)
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 		defer cancel()
--- a/node/catalogue.go
+++ b/node/catalogue.go
@@ -158,7 +158,7 @@
 // Peer serves what nodes ask of each other. Lend is set by entries only.
 type Peer struct {
 	*Catalogue
-	Lend func(*wire.BorrowRequest) (*wire.BorrowResponse, error)
+	Lend func(*wire.BorrowRequest) *wire.BorrowResponse
 }
 
 // Borrow implements wireconnect.PeerHandler.
@@ -166,9 +166,5 @@
 	if p.Lend == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("an agent lends nothing"))
 	}
-	response, err := p.Lend(request.Msg)
-	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
-	}
-	return connect.NewResponse(response), nil
+	return connect.NewResponse(p.Lend(request.Msg)), nil
 }
--- a/scenarios/audit_test.go
+++ b/scenarios/audit_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	standin "aspenyard.example/standin/engine"
 	"aspenyard.example/standin/service"
 )
 
@@ -71,8 +70,8 @@
 	for _, name := range args {
 		p := w.proc(ts, name)
 		await(ts, "held "+name, func() string {
-			var record standin.Record
-			if err := w.get("http://"+p.addrs["listen"]+"/record", &record); err != nil {
+			record, err := w.engineRecord(p)
+			if err != nil {
 				return err.Error()
 			}
 			if record.HeldTokens != 0 {
@@ -104,11 +103,8 @@
 	}
 	byKey := map[string][]*callRecord{}
 	unknown, silent, total := 0, 0, 0
-	for id, c := range w.calls {
-		if !strings.Contains(id, "#") {
-			continue
-		}
-		finish(ts, false, []string{id})
+	finishAll(ts, false, nil)
+	for _, c := range w.made {
 		total++
 		switch c.ran {
 		case "unknown":
@@ -117,7 +113,7 @@
 			silent++
 		}
 		if problem := c.auditText(); problem != "" {
-			ts.Fatalf("call %s (code %d, ran %q): %s", id, c.code, c.ran, problem)
+			ts.Fatalf("call %s (code %d, ran %q): %s", c.id, c.code, c.ran, problem)
 		}
 		if c.kind == "excuse-filing" && c.key != "" {
 			byKey[c.key] = append(byKey[c.key], c)
@@ -135,13 +131,13 @@
 // auditEngines checks "did not run" against the engines' records.
 func (w *world) auditEngines(ts *testscript.TestScript) {
 	toldNo := map[uint64]string{}
-	for id, c := range w.calls {
-		if strings.Contains(id, "#") && c.beginning != 0 && c.ran == "no" {
-			toldNo[c.beginning] = id
+	for _, c := range w.made {
+		if c.beginning != 0 && c.ran == "no" {
+			toldNo[c.beginning] = c.id
 		}
 	}
-	for id, c := range w.calls {
-		if strings.Contains(id, "#") && c.ran != "no" {
+	for _, c := range w.made {
+		if c.ran != "no" {
 			delete(toldNo, c.beginning)
 		}
 	}
@@ -149,8 +145,8 @@
 		if p.role != "engine" {
 			continue
 		}
-		var record standin.Record
-		ts.Check(w.get("http://"+p.addrs["listen"]+"/record", &record))
+		record, err := w.engineRecord(p)
+		ts.Check(err)
 		for _, run := range record.Runs {
 			if id, found := toldNo[run.Beginning]; found {
 				ts.Fatalf("call %s was told that it did not run, and %s ran its prompt (%d tokens)", id, name, run.PromptTokens)
--- a/scenarios/calls_test.go
+++ b/scenarios/calls_test.go
@@ -91,8 +91,7 @@
 	}
 	w.mu.Lock()
 	w.calls[c.id] = c
-	w.order = append(w.order, c.id)
-	w.calls[fmt.Sprintf("%s#%d", c.id, len(w.order))] = c
+	w.made = append(w.made, c)
 	w.mu.Unlock()
 	go func() {
 		defer close(c.done)
@@ -233,8 +232,8 @@
 	w := of(ts)
 	await(ts, "started", func() string {
 		for _, name := range strings.Split(args[0], "|") {
-			var record standin.Record
-			if err := w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record); err != nil {
+			record, err := w.engineRecord(w.proc(ts, name))
+			if err != nil {
 				return err.Error()
 			}
 			for _, run := range record.Runs {
@@ -250,12 +249,15 @@
 // finish ID... waits for the answers of calls made with as.
 func finish(ts *testscript.TestScript, _ bool, args []string) {
 	for _, id := range args {
-		c := of(ts).find(ts, id)
-		select {
-		case <-c.done:
-		case <-time.After(c.deadline + generous):
-			ts.Fatalf("call %s has no answer", id)
-		}
+		of(ts).find(ts, id).await(ts)
+	}
+}
+
+func (c *callRecord) await(ts *testscript.TestScript) {
+	select {
+	case <-c.done:
+	case <-time.After(c.deadline + generous):
+		ts.Fatalf("call %s has no answer", c.id)
 	}
 }
 
@@ -288,15 +290,17 @@
 
 // finish-all waits for the answers of all calls made so far.
 func finishAll(ts *testscript.TestScript, _ bool, _ []string) {
-	finish(ts, false, of(ts).order)
+	for _, c := range of(ts).made {
+		c.await(ts)
+	}
 }
 
 // whole least=N checks that at least N calls of generations got a whole answer.
 func whole(ts *testscript.TestScript, _ bool, args []string) {
 	_, opts := options(args)
 	count := 0
-	for id, c := range of(ts).calls {
-		if strings.Contains(id, "#") && !isService(c.kind) && c.ended && c.text == c.expected {
+	for _, c := range of(ts).made {
+		if !isService(c.kind) && c.ended && c.text == c.expected {
 			count++
 		}
 	}
--- a/scenarios/power_test.go
+++ b/scenarios/power_test.go
@@ -9,7 +9,6 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"aspenyard.example/catalogue"
-	standin "aspenyard.example/standin/engine"
 )
 
 // wattsWatch notes, while a script runs, since when which cap has been in force.
@@ -73,8 +72,8 @@
 		if p.role != "engine" {
 			continue
 		}
-		var record standin.Record
-		ts.Check(w.get("http://"+p.addrs["listen"]+"/record", &record))
+		record, err := w.engineRecord(p)
+		ts.Check(err)
 		for _, at := range record.Watts {
 			steps = append(steps, wattsStep{at.UnixNano, name, at.Watts})
 		}
@@ -101,8 +100,8 @@
 	await(ts, "drawing", func() string {
 		sum := 0
 		for _, name := range plain {
-			var record standin.Record
-			if err := w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record); err != nil {
+			record, err := w.engineRecord(w.proc(ts, name))
+			if err != nil {
 				return err.Error()
 			}
 			if n := len(record.Watts); n > 0 {
--- a/scenarios/records_test.go
+++ b/scenarios/records_test.go
@@ -26,8 +26,8 @@
 	plain, opts := options(args)
 	w, count := of(ts), 0
 	for _, name := range plain {
-		var record standin.Record
-		ts.Check(w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record))
+		record, err := w.engineRecord(w.proc(ts, name))
+		ts.Check(err)
 		for _, run := range record.Runs {
 			if run.Cancelled {
 				count++
@@ -45,8 +45,8 @@
 	w := of(ts)
 	entry := w.proc(ts, "n1")
 	await(ts, "served", func() string {
-		var record standin.Record
-		ts.Check(w.get("http://"+w.proc(ts, args[0]).addrs["listen"]+"/record", &record))
+		record, err := w.engineRecord(w.proc(ts, args[0]))
+		ts.Check(err)
 		for _, run := range record.Runs {
 			if run.Finished {
 				return ""
@@ -71,7 +71,13 @@
 }
 
 func (w *world) engineRuns(ts *testscript.TestScript, name string) int {
-	var record standin.Record
-	ts.Check(w.get("http://"+w.proc(ts, name).addrs["listen"]+"/record", &record))
+	record, err := w.engineRecord(w.proc(ts, name))
+	ts.Check(err)
 	return len(record.Runs)
 }
+
+// engineRecord reads what an engine truly did.
+func (w *world) engineRecord(p *process) (standin.Record, error) {
+	var record standin.Record
+	return record, w.get("http://"+p.addrs["listen"]+"/record", &record)
+}
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -32,8 +32,8 @@
 	binary  string
 	mu      sync.Mutex
 	procs   map[string]*process
-	calls   map[string]*callRecord
-	order   []string
+	calls   map[string]*callRecord // the last of each id
+	made    []*callRecord          // all
 	vms     []vm
 	client  *http.Client
 	watcher *wattsWatch
