Whom a refused request asks next is decided once, for entry and bench

Cause: found by reading. The bench, which says that it runs the real routing and admission code, had the entry's course of refusals written again: how many are asked, when the home comes, what counts as busy. The two had drifted apart before (the home counted as a dispatch), and the bench alone asked the home of a policy without admission after engines had died. Change: routing.Asking holds the course; entry/generate.go and bench/run.go both call it; result.Code.Busy names the two codes. TestTheHomeIsAskedLast... reaches the home by two refusals in place of a set flag; its assertions stand. Seen to fail: TestTheHomeIsAskedOnce with the flag left set in Asking. Left as they are: three rendezvous hashes (heartbeat targets, account homes, request homes), as one for all would move the homes; the burn page's colours repeat its two thresholds.

--- a/bench/run.go
+++ b/bench/run.go
@@ -217,8 +217,6 @@
 	m.after(j.allowed, func() { m.expire(f) })
 }
 
-const benchRefusals = 3
-
 // dispatch routes a request, as an entry does.
 func (m *experiment) dispatch(f *pendingRequest) {
 	j := f.outcome.job
@@ -227,17 +225,17 @@
 		DataCentre: "dc", Tried: f.tried,
 	}
 	var refusal admission.Verdict
-	for asked := range benchRefusals {
-		picked := m.pick(f, &request, asked == benchRefusals-1)
+	var asking routing.Asking
+	for again := true; again; {
+		picked := asking.Pick(m.clock(), f.entry.policy, &request, j.key, f.entry.view)
 		if picked == nil {
 			break
 		}
 		engine := m.find(picked.Name)
-		if engine.dead {
-			f.tried[engine.name] = true
-			continue
+		verdict := admission.Verdict{Code: result.NoEndpoint, RetryAfter: time.Second}
+		if !engine.dead {
+			verdict = m.offer(f, engine, request.Key)
 		}
-		verdict := m.offer(f, engine, request.Key)
 		if verdict.Accepted {
 			return
 		}
@@ -245,19 +243,11 @@
 		if refusal.Code == 0 || verdict.Deferral || verdict.RetryAfter < refusal.RetryAfter {
 			refusal = verdict
 		}
+		again = asking.Again(&request, f.entry.view, refusal.Code.Busy())
 	}
 	m.refuse(f, refusal)
 }
 
-// pick chooses the next endpoint to ask; the last is the request's home.
-func (m *experiment) pick(f *pendingRequest, request *routing.Request, last bool) *routing.Endpoint {
-	if !last {
-		return f.entry.policy.Route(m.clock(), request, f.entry.view)
-	}
-	request.Key = f.outcome.job.key()
-	return routing.Home(request, f.entry.view)
-}
-
 func (m *experiment) find(name string) *benchEngine {
 	for _, engine := range m.engines {
 		if engine.name == name {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -21,9 +21,6 @@
 }
 
 const (
-	// maxRefusals is how many times endpoints are asked before a refusal is passed
-	// on; the last time it is the request's home, see routing.Home.
-	maxRefusals = 3
 	// noEndpointRetry is when to come back when no endpoint is there: about the
 	// time in which a new one is heard of.
 	noEndpointRetry = 2 * time.Second
@@ -42,10 +39,8 @@
 	delivered strings.Builder
 	tokens    uint64
 	ran       result.Ran
-	refusals  int
+	asking    routing.Asking
 	refusal   *result.Error // the deferral, or the one with the shortest wait
-	askHome   bool          // the request's home is asked next
-	homeAsked bool          // it was: nobody is asked after it
 }
 
 func (e *Entry) newGeneration(c *call, prompt string, maxTokens int, out sink) *generation {
@@ -82,7 +77,7 @@
 func (g *generation) attempt(ctx context.Context) *result.Error {
 	g.call.attempts++
 	endpoints := *g.entry.control.endpoints.Load()
-	if endpoint := g.pick(endpoints); endpoint != nil {
+	if endpoint := g.asking.Pick(time.Now(), g.entry.policy, &g.routing, g.key, endpoints); endpoint != nil {
 		return g.single(ctx, endpoint)
 	}
 	members, refusal := planSpan(&g.routing, endpoints)
@@ -92,21 +87,6 @@
 	return g.span(ctx, members)
 }
 
-// pick chooses one endpoint; nil when none holds the request alone. The home comes
-// last, with the key by which it knows a request that it told to come back.
-func (g *generation) pick(endpoints []routing.Endpoint) *routing.Endpoint {
-	g.routing.Key = 0
-	if g.askHome {
-		g.askHome, g.homeAsked = false, true
-		g.routing.Key = g.key()
-		if home := routing.Home(&g.routing, endpoints); home != nil {
-			return home
-		}
-		g.routing.Key = 0
-	}
-	return g.entry.policy.Route(time.Now(), &g.routing, endpoints)
-}
-
 // key is the same for every request of an account for the same work, so that a
 // caller needs nothing but Retry-After to be known again.
 func (g *generation) key() uint64 {
@@ -138,24 +118,16 @@
 
 // refused decides whether a refused request asks another endpoint: nil for yes.
 func (g *generation) refused(failure *result.Error) *result.Error {
-	g.refusals++
 	if g.better(failure) {
 		g.refusal = failure
 	}
-	switch {
-	case failure.Code == result.PromptTooLong, failure.Code == result.NoEndpoint && len(g.routing.Tried) == 0:
+	if failure.Code == result.PromptTooLong || failure.Code == result.NoEndpoint && len(g.routing.Tried) == 0 {
 		return failure
-	case g.homeAsked:
-		return g.refusal
-	case g.refusals < maxRefusals-1 && !g.exhausted():
-		return nil
-	case g.refusal.Code == result.Overloaded || g.refusal.Code == result.DeadlineUnmeetable:
-		g.askHome = true
+	}
+	if g.asking.Again(&g.routing, *g.entry.control.endpoints.Load(), g.refusal.Code.Busy()) {
 		return nil
-	case g.refusals >= maxRefusals || g.exhausted():
-		return g.refusal
 	}
-	return nil
+	return g.refusal
 }
 
 // better tells whether a refusal is of more use to the caller than the one kept.
@@ -166,17 +138,6 @@
 	return !g.refusal.Deferral && failure.RetryAfter < g.refusal.RetryAfter
 }
 
-// exhausted tells whether every endpoint that could serve has been tried.
-func (g *generation) exhausted() bool {
-	endpoints := *g.entry.control.endpoints.Load()
-	for i := range endpoints {
-		if (routing.Serves{}).Keep(&g.routing, &endpoints[i]) {
-			return false
-		}
-	}
-	return true
-}
-
 // worse keeps what may be said of a run over several attempts: once one may have
 // run, "no" is no longer true.
 func worse(a, b result.Ran) result.Ran {
--- a/entry/generate_test.go
+++ b/entry/generate_test.go
@@ -12,6 +12,8 @@
 	"aspenyard.example/routing"
 )
 
+var testTime = time.Unix(1_780_000_000, 0)
+
 // testGeneration is a request of 1,000 tokens before these endpoints.
 func testGeneration(t *testing.T, names ...string) *generation {
 	t.Helper()
@@ -31,10 +33,15 @@
 	}
 }
 
+// next is the endpoint that an attempt would ask.
+func (g *generation) next() *routing.Endpoint {
+	return g.asking.Pick(testTime, g.entry.policy, &g.routing, g.key, *g.entry.control.endpoints.Load())
+}
+
 // refuseNext lets the endpoint whose turn it is refuse, and returns its name and the
 // final answer, nil for another turn.
 func (g *generation) refuseNext(wait time.Duration) (string, *result.Error) {
-	endpoint := g.pick(*g.entry.control.endpoints.Load())
+	endpoint := g.next()
 	g.routing.Tried[endpoint.Name] = true
 	refusal := result.Refuse(result.Overloaded, wait, "full")
 	refusal.Deferral = g.routing.Key != 0
@@ -44,14 +51,16 @@
 func TestTheHomeIsAskedLastAndItsWaitIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	g := testGeneration(t, "a", "b", "c", "d")
-	for range maxRefusals - 1 {
+	for range routing.MaxAsked - 1 {
 		_, final := g.refuseNext(time.Second)
 		is.True(final == nil)
 	}
 	home, final := g.refuseNext(time.Minute)
 	is.Equal(final.RetryAfter, time.Minute)
 	other := testGeneration(t, "d", "c", "b", "a")
-	other.askHome = true
+	for range routing.MaxAsked - 1 {
+		other.refuseNext(time.Second)
+	}
 	again, _ := other.refuseNext(time.Second)
 	is.Equal(again, home)
 }
@@ -64,9 +73,8 @@
 	g := testGeneration(t, "a", "b")
 	g.refuseNext(time.Second)
 	g.refuseNext(time.Second)
-	endpoints := *g.entry.control.endpoints.Load()
-	home := g.pick(endpoints)
+	home := g.next()
 	is.True(home != nil)
-	is.True(g.pick(endpoints) == nil) // both were tried
+	is.True(g.next() == nil) // both were tried
 	is.Equal(g.routing.Key, uint64(0))
 }
--- a/result/result.go
+++ b/result/result.go
@@ -118,6 +118,10 @@
 // of it ran.
 func (c Code) Refusal() bool { return c >= RateLimited && c < DeadlineExceeded }
 
+// Busy tells whether a code says that an endpoint has too much work, so that
+// coming back later may help.
+func (c Code) Busy() bool { return c == Overloaded || c == DeadlineUnmeetable }
+
 // From finds the *Error in a chain; any other error becomes Internal with an
 // unknown run, because nothing may be claimed about it.
 func From(err error) *Error {
