The narrow interfaces to the infrastructure move to infra, the Consul-shaped client beside them

Cause: platform/ is to hold the adapter to the users' platform alone. Change: platform -> infra (interfaces, Swap) and infra/consul (client); standin/platform -> standin/consul.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,9 +16,9 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/engine"
+	"aspenyard.example/infra/consul"
 	"aspenyard.example/membership"
 	"aspenyard.example/node"
-	"aspenyard.example/platform"
 	"aspenyard.example/settings"
 	"aspenyard.example/wire/wireconnect"
 )
@@ -79,7 +79,7 @@
 	a.expose()
 	go func() { failures <- a.loop.Run(ctx) }()
 	go func() { failures <- node.Serve(ctx, listener, a.handler()) }()
-	store := platform.NewClient(a.settings.Platform, a.settings.StoreTimeout.D())
+	store := consul.NewClient(a.settings.Platform, a.settings.StoreTimeout.D())
 	go a.loop.FollowList(ctx, store, a.settings.ListInterval.D())
 	go a.probe(ctx)
 	go a.sweep(ctx)
--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -16,8 +16,8 @@
 	"aspenyard.example/attempt"
 	"aspenyard.example/catalogue"
 	"aspenyard.example/entry"
+	"aspenyard.example/infra"
 	"aspenyard.example/membership"
-	"aspenyard.example/platform"
 	"aspenyard.example/power"
 	"aspenyard.example/routing"
 	"aspenyard.example/settings"
@@ -360,31 +360,31 @@
 type memoryStore struct {
 	mu       sync.Mutex
 	revision uint64
-	values   map[string]platform.Value
+	values   map[string]infra.Value
 }
 
-func newMemoryStore() *memoryStore { return &memoryStore{values: map[string]platform.Value{}} }
+func newMemoryStore() *memoryStore { return &memoryStore{values: map[string]infra.Value{}} }
 
-// Get implements platform.Store.
-func (s *memoryStore) Get(_ context.Context, key string) (platform.Value, error) {
+// Get implements infra.Store.
+func (s *memoryStore) Get(_ context.Context, key string) (infra.Value, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.values[key], nil
 }
 
-// CompareAndSwap implements platform.Store.
+// CompareAndSwap implements infra.Store.
 func (s *memoryStore) CompareAndSwap(_ context.Context, key string, data []byte, revision uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.values[key].Revision != revision {
-		return platform.ErrConflict
+		return infra.ErrConflict
 	}
 	s.revision++
-	s.values[key] = platform.Value{Key: key, Data: data, Revision: s.revision}
+	s.values[key] = infra.Value{Key: key, Data: data, Revision: s.revision}
 	return nil
 }
 
-// Watch implements platform.Store.
-func (s *memoryStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (platform.Value, error) {
+// Watch implements infra.Store.
+func (s *memoryStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (infra.Value, error) {
 	return s.Get(ctx, key)
 }
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -23,12 +23,12 @@
 	"aspenyard.example/agent"
 	"aspenyard.example/catalogue"
 	"aspenyard.example/entry"
+	"aspenyard.example/infra/consul"
 	"aspenyard.example/membership"
 	"aspenyard.example/node"
-	"aspenyard.example/platform"
 	"aspenyard.example/settings"
+	standinconsul "aspenyard.example/standin/consul"
 	standinengine "aspenyard.example/standin/engine"
-	standinplatform "aspenyard.example/standin/platform"
 	standinservice "aspenyard.example/standin/service"
 )
 
@@ -141,11 +141,11 @@
 
 // startPlatform starts the store with the catalogue already in it.
 func (f *Fleet) startPlatform(ctx context.Context, _ FleetConfig) (string, error) {
-	addr, err := serve(ctx, standinplatform.New(standinplatform.Settings{}).Handler())
+	addr, err := serve(ctx, standinconsul.New(standinconsul.Settings{}).Handler())
 	if err != nil {
 		return "", err
 	}
-	store := platform.NewClient(addr, time.Second)
+	store := consul.NewClient(addr, time.Second)
 	for i, record := range FleetRecords() {
 		edit := catalogue.Edit{Record: record, ID: fmt.Sprintf("initial-%d", i), By: "demo", At: time.Now()}
 		if _, err := catalogue.Apply(ctx, store, edit, 0); err != nil {
@@ -204,7 +204,7 @@
 	if err != nil {
 		return err
 	}
-	if err := listVM(ctx, store, standinplatform.VM{Name: name, Role: membership.RoleAgent, DataCentre: dataCentre, Addr: base.Listen}); err != nil {
+	if err := listVM(ctx, store, standinconsul.VM{Name: name, Role: membership.RoleAgent, DataCentre: dataCentre, Addr: base.Listen}); err != nil {
 		return err
 	}
 	s := settings.Agent{Node: base, Endpoint: endpoint, Kind: kind}
@@ -227,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	if err := listVM(ctx, store, standinplatform.VM{Name: base.Name, Role: membership.RoleEntry, DataCentre: dataCentre, Addr: base.Listen}); err != nil {
+	if err := listVM(ctx, store, standinconsul.VM{Name: base.Name, Role: membership.RoleEntry, DataCentre: dataCentre, Addr: base.Listen}); err != nil {
 		return err
 	}
 	s := settings.Entry{Node: base, CallersListen: callers}
@@ -245,14 +245,14 @@
 }
 
 // listVM adds a VM to the platform's list.
-func listVM(ctx context.Context, store string, vm standinplatform.VM) error {
-	vms, err := platform.NewClient(store, time.Second).VMs(ctx)
+func listVM(ctx context.Context, store string, vm standinconsul.VM) error {
+	vms, err := consul.NewClient(store, time.Second).VMs(ctx)
 	if err != nil {
 		return err
 	}
-	list := []standinplatform.VM{vm}
+	list := []standinconsul.VM{vm}
 	for _, old := range vms {
-		list = append(list, standinplatform.VM{Name: old.Name, Role: old.Role, DataCentre: old.DataCentre, Addr: old.Addr})
+		list = append(list, standinconsul.VM{Name: old.Name, Role: old.Role, DataCentre: old.DataCentre, Addr: old.Addr})
 	}
 	body, err := json.Marshal(list)
 	if err != nil {
--- a/catalogue/edit.go
+++ b/catalogue/edit.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"aspenyard.example/platform"
+	"aspenyard.example/infra"
 )
 
 // ErrConflict is returned when a record has changed since the editor read it.
@@ -49,9 +49,9 @@
 
 // Apply writes an edit to the store. known is the revision of the page that the
 // editing node already has. Errors: ErrConflict with Result.Current, ErrOldStore,
-// platform.ErrUnavailable, platform.ErrUnclear when the store was lost before the
+// infra.ErrUnavailable, infra.ErrUnclear when the store was lost before the
 // outcome could be read back.
-func Apply(ctx context.Context, store platform.Store, edit Edit, known uint64) (Result, error) {
+func Apply(ctx context.Context, store infra.Store, edit Edit, known uint64) (Result, error) {
 	key := edit.Record.Key()
 	result := Result{Number: PageOf(key)}
 	change := func(data []byte) ([]byte, bool, error) {
@@ -78,7 +78,7 @@
 		result.Page, result.Current = page, page.Records[key]
 		return true
 	}
-	err := platform.Swap(ctx, store, PageKey(result.Number), nil, change, mine)
+	err := infra.Swap(ctx, store, PageKey(result.Number), nil, change, mine)
 	return result, err
 }
 
--- a/catalogue/history.go
+++ b/catalogue/history.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"aspenyard.example/platform"
+	"aspenyard.example/infra"
 )
 
 // historyLength is how many values of a record are kept.
@@ -16,7 +16,7 @@
 
 // Remember adds an accepted edit to the record's history. The history is a help
 // to operators and not an authority: it may miss an edit whose node died.
-func Remember(ctx context.Context, store platform.Store, record *Record) error {
+func Remember(ctx context.Context, store infra.Store, record *Record) error {
 	change := func(data []byte) ([]byte, bool, error) {
 		records, err := decodeHistory(data)
 		if err != nil {
@@ -33,11 +33,11 @@
 		records, err := decodeHistory(data)
 		return err == nil && len(records) > 0 && records[len(records)-1].EditID == record.EditID
 	}
-	return platform.Swap(ctx, store, historyKey(record.Key()), nil, change, mine)
+	return infra.Swap(ctx, store, historyKey(record.Key()), nil, change, mine)
 }
 
 // History reads a record's former values, oldest first.
-func History(ctx context.Context, store platform.Store, t Type, id string) ([]*Record, error) {
+func History(ctx context.Context, store infra.Store, t Type, id string) ([]*Record, error) {
 	value, err := store.Get(ctx, historyKey(Key(t, id)))
 	if err != nil {
 		return nil, err
--- a/catalogue/replica_test.go
+++ b/catalogue/replica_test.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
-	"aspenyard.example/platform"
+	"aspenyard.example/infra"
 )
 
 func workRecord(id string, tokens int) *Record {
@@ -20,7 +20,7 @@
 
 // fakeStore is the platform's store with the faults that matter to an edit.
 type fakeStore struct {
-	values map[string]platform.Value
+	values map[string]infra.Value
 	clock  uint64
 	// lose counts the writes whose answer is lost after they took effect.
 	lose int
@@ -29,11 +29,11 @@
 	down bool
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{values: map[string]platform.Value{}} }
+func newFakeStore() *fakeStore { return &fakeStore{values: map[string]infra.Value{}} }
 
-func (s *fakeStore) Get(_ context.Context, key string) (platform.Value, error) {
+func (s *fakeStore) Get(_ context.Context, key string) (infra.Value, error) {
 	if s.down {
-		return platform.Value{}, platform.ErrUnavailable
+		return infra.Value{}, infra.ErrUnavailable
 	}
 	return s.values[key], nil
 }
@@ -44,18 +44,18 @@
 		race()
 	}
 	if s.values[key].Revision != revision {
-		return platform.ErrConflict
+		return infra.ErrConflict
 	}
 	s.clock++
-	s.values[key] = platform.Value{Key: key, Data: data, Revision: s.clock}
+	s.values[key] = infra.Value{Key: key, Data: data, Revision: s.clock}
 	if s.lose > 0 {
 		s.lose--
-		return platform.ErrUnclear
+		return infra.ErrUnclear
 	}
 	return nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (platform.Value, error) {
+func (s *fakeStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (infra.Value, error) {
 	return s.Get(ctx, key)
 }
 
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -9,8 +9,8 @@
 
 	"aspenyard.example/node"
 	"aspenyard.example/settings"
+	"aspenyard.example/standin/consul"
 	"aspenyard.example/standin/engine"
-	"aspenyard.example/standin/platform"
 	"aspenyard.example/standin/service"
 )
 
@@ -29,7 +29,7 @@
 	ReadsPerSecond  int               `json:"reads_per_second,omitempty"`
 	WritesPerSecond int               `json:"writes_per_second,omitempty"`
 	ListLag         settings.Duration `json:"list_lag,omitempty"`
-	VMs             []platform.VM     `json:"vms,omitempty"`
+	VMs             []consul.VM       `json:"vms,omitempty"`
 
 	Models        []string          `json:"models,omitempty"`
 	MemoryTokens  int               `json:"memory_tokens,omitempty"`
@@ -86,7 +86,7 @@
 func (s *standinSettings) handler(ctx context.Context) http.Handler {
 	switch s.Standin {
 	case "platform":
-		server := platform.New(platform.Settings{ReadsPerSecond: s.ReadsPerSecond, WritesPerSecond: s.WritesPerSecond, ListLag: s.ListLag.D()})
+		server := consul.New(consul.Settings{ReadsPerSecond: s.ReadsPerSecond, WritesPerSecond: s.WritesPerSecond, ListLag: s.ListLag.D()})
 		server.SetVMs(s.VMs)
 		return server.Handler()
 	case "service":
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,9 +21,10 @@
 	"golang.org/x/net/netutil"
 
 	"aspenyard.example/admission"
+	"aspenyard.example/infra"
+	"aspenyard.example/infra/consul"
 	"aspenyard.example/membership"
 	"aspenyard.example/node"
-	"aspenyard.example/platform"
 	"aspenyard.example/routing"
 	"aspenyard.example/settings"
 	"aspenyard.example/wire/wireconnect"
@@ -34,8 +35,8 @@
 	settings  settings.Entry
 	log       *zap.Logger
 	metrics   *metrics.Set
-	store     platform.Store
-	list      platform.VMList
+	store     infra.Store
+	list      infra.VMList
 	clients   *node.Clients
 	catalogue *node.Catalogue
 	loop      *membership.Loop
@@ -55,7 +56,7 @@
 
 // New makes an entry; Serve starts it.
 func New(s settings.Entry, log *zap.Logger) (*Entry, error) {
-	client := platform.NewClient(s.Platform, s.StoreTimeout.D())
+	client := consul.NewClient(s.Platform, s.StoreTimeout.D())
 	clients := node.NewClients()
 	e := &Entry{
 		settings: s, log: log, metrics: metrics.NewSet(), store: client, list: client,
--- a/entry/once.go
+++ b/entry/once.go
@@ -8,8 +8,8 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/attempt"
+	"aspenyard.example/infra"
 	"aspenyard.example/membership"
-	"aspenyard.example/platform"
 	"aspenyard.example/result"
 	"aspenyard.example/routing"
 	"aspenyard.example/wire"
@@ -42,7 +42,7 @@
 	routing routing.Request
 	// value is what the store last gave for the key; mine is this entry's claim,
 	// once written.
-	value platform.Value
+	value infra.Value
 	mine  *attempt.Claim
 }
 
@@ -205,7 +205,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		return &result.Error{
 			Code: result.InProgress, Ran: result.RanUnknown, RetryAfter: progressRetry,
 			Detail: "another request with this key has just been taken",
@@ -215,21 +215,21 @@
 }
 
 // write replaces a claim by compare-and-swap; an unclear answer is settled by
-// reading back. Errors: platform.ErrConflict when another claim stands there,
-// platform.ErrUnavailable when the store cannot tell.
+// reading back. Errors: infra.ErrConflict when another claim stands there,
+// infra.ErrUnavailable when the store cannot tell.
 func (o *once) write(ctx context.Context, old, next *attempt.Claim, confirmed bool) error {
 	return o.writeFrom(ctx, nil, old, next, confirmed)
 }
 
 // writeFrom is write for a value that has just been read.
-func (o *once) writeFrom(ctx context.Context, known *platform.Value, old, next *attempt.Claim, confirmed bool) error {
+func (o *once) writeFrom(ctx context.Context, known *infra.Value, old, next *attempt.Claim, confirmed bool) error {
 	change := func(data []byte) ([]byte, bool, error) {
 		current, err := attempt.DecodeClaim(data)
 		if err != nil {
 			return nil, false, err
 		}
 		if !sameClaim(current, old) || !attempt.MayReplace(current, next, confirmed) {
-			return nil, false, platform.ErrConflict
+			return nil, false, infra.ErrConflict
 		}
 		encoded, err := next.Encode()
 		return encoded, false, err
@@ -238,7 +238,7 @@
 		current, err := attempt.DecodeClaim(data)
 		return err == nil && current != nil && current.Attempt == next.Attempt && current.State == next.State
 	}
-	return platform.Swap(ctx, o.entry.store, o.key, known, change, mine)
+	return infra.Swap(ctx, o.entry.store, o.key, known, change, mine)
 }
 
 func sameClaim(a, b *attempt.Claim) bool {
@@ -341,13 +341,13 @@
 func (o *once) record(ctx context.Context, claim, done *attempt.Claim) {
 	ctx = context.WithoutCancel(ctx)
 	err := o.write(ctx, claim, done, false)
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, infra.ErrConflict) {
 		return
 	}
 	o.entry.log.Warn("outcome not recorded yet", zap.String("request", o.call.id), zap.Error(err))
 	go func() {
 		for until := time.Now().Add(lateRecordTime); time.Now().Before(until); time.Sleep(storeRetry) {
-			if err := o.write(ctx, claim, done, false); err == nil || errors.Is(err, platform.ErrConflict) {
+			if err := o.write(ctx, claim, done, false); err == nil || errors.Is(err, infra.ErrConflict) {
 				return
 			}
 		}
--- a/entry/store.go
+++ b/entry/store.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/catalogue"
+	"aspenyard.example/infra"
 	"aspenyard.example/membership"
-	"aspenyard.example/platform"
 )
 
 const (
@@ -64,7 +64,7 @@
 // readPage reads a page at once the first time and watches it after that.
 func (e *Entry) readPage(ctx context.Context, number int, revision uint64, watch bool) (uint64, error) {
 	key := catalogue.PageKey(number)
-	var value platform.Value
+	var value infra.Value
 	var err error
 	if watch {
 		value, err = e.store.Watch(ctx, key, revision, watchWait)
--- a/platform/client.go
+++ b/infra/consul/client.go
@@ -1,4 +1,6 @@
-package platform
+// Package consul is a client of a platform whose key-value and catalog paths have
+// the shape of Consul's published v1 API. It implements infra.Store and infra.VMList.
+package consul
 
 import (
 	"context"
@@ -13,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"aspenyard.example/infra"
 )
 
 // Client speaks the platform's HTTP interface, whose key-value and catalog
@@ -43,38 +47,38 @@
 }
 
 // Get implements Store.
-func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+func (c *Client) Get(ctx context.Context, key string) (infra.Value, error) {
 	return c.read(ctx, key, nil, c.timeout)
 }
 
 // Watch implements Store by a blocking query.
-func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (infra.Value, error) {
 	query := url.Values{"index": {strconv.FormatUint(after, 10)}, "wait": {wait.String()}}
 	return c.read(ctx, key, query, c.timeout+wait)
 }
 
-func (c *Client) read(ctx context.Context, key string, query url.Values, timeout time.Duration) (Value, error) {
+func (c *Client) read(ctx context.Context, key string, query url.Values, timeout time.Duration) (infra.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	status, body, err := c.call(ctx, http.MethodGet, "/v1/kv/"+key, query, nil)
 	if err != nil {
-		return Value{}, errors.Wrapf(ErrUnavailable, "get %s: %v", key, err)
+		return infra.Value{}, errors.Wrapf(infra.ErrUnavailable, "get %s: %v", key, err)
 	}
 	if status == http.StatusNotFound {
-		return Value{Key: key}, nil
+		return infra.Value{Key: key}, nil
 	}
 	if status != http.StatusOK {
-		return Value{}, errors.Wrapf(ErrUnavailable, "get %s: HTTP status %d", key, status)
+		return infra.Value{}, errors.Wrapf(infra.ErrUnavailable, "get %s: HTTP status %d", key, status)
 	}
 	var pairs []kvPair
 	if err := json.Unmarshal(body, &pairs); err != nil || len(pairs) != 1 {
-		return Value{}, errors.Wrapf(ErrUnavailable, "get %s: unexpected body", key)
+		return infra.Value{}, errors.Wrapf(infra.ErrUnavailable, "get %s: unexpected body", key)
 	}
-	return Value{Key: key, Data: pairs[0].Value, Revision: pairs[0].ModifyIndex}, nil
+	return infra.Value{Key: key, Data: pairs[0].Value, Revision: pairs[0].ModifyIndex}, nil
 }
 
 // CompareAndSwap implements Store. Once a connection was obtained, some byte of
-// the call may have left this process, and a failure is reported as ErrUnclear:
+// the call may have left this process, and a failure is reported as infra.ErrUnclear:
 // the store may have applied the change before its answer was lost.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, data []byte, revision uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -85,15 +89,15 @@
 	status, body, err := c.call(ctx, http.MethodPut, "/v1/kv/"+key, query, data)
 	switch {
 	case err != nil && sent:
-		return errors.Wrapf(ErrUnclear, "put %s: %v", key, err)
+		return errors.Wrapf(infra.ErrUnclear, "put %s: %v", key, err)
 	case err != nil:
-		return errors.Wrapf(ErrUnavailable, "put %s: %v", key, err)
+		return errors.Wrapf(infra.ErrUnavailable, "put %s: %v", key, err)
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
-		return errors.Wrapf(ErrUnavailable, "put %s: HTTP status %d", key, status)
+		return errors.Wrapf(infra.ErrUnavailable, "put %s: HTTP status %d", key, status)
 	case status != http.StatusOK:
-		return errors.Wrapf(ErrUnclear, "put %s: HTTP status %d", key, status)
+		return errors.Wrapf(infra.ErrUnclear, "put %s: HTTP status %d", key, status)
 	case strings.TrimSpace(string(body)) != "true":
-		return errors.Wrapf(ErrConflict, "put %s at revision %d", key, revision)
+		return errors.Wrapf(infra.ErrConflict, "put %s at revision %d", key, revision)
 	}
 	return nil
 }
@@ -106,23 +110,23 @@
 }
 
 // VMs implements VMList.
-func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+func (c *Client) VMs(ctx context.Context) ([]infra.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	status, body, err := c.call(ctx, http.MethodGet, "/v1/catalog/nodes", nil, nil)
 	if err != nil {
-		return nil, errors.Wrapf(ErrUnavailable, "list VMs: %v", err)
+		return nil, errors.Wrapf(infra.ErrUnavailable, "list VMs: %v", err)
 	}
 	if status != http.StatusOK {
-		return nil, errors.Wrapf(ErrUnavailable, "list VMs: HTTP status %d", status)
+		return nil, errors.Wrapf(infra.ErrUnavailable, "list VMs: HTTP status %d", status)
 	}
 	var nodes []catalogNode
 	if err := json.Unmarshal(body, &nodes); err != nil {
-		return nil, errors.Wrap(ErrUnavailable, "list VMs: unexpected body")
+		return nil, errors.Wrap(infra.ErrUnavailable, "list VMs: unexpected body")
 	}
-	vms := make([]VM, 0, len(nodes))
+	vms := make([]infra.VM, 0, len(nodes))
 	for _, node := range nodes {
-		vms = append(vms, VM{
+		vms = append(vms, infra.VM{
 			Name: node.Node, Addr: node.Address, DataCentre: node.Datacenter,
 			Role: node.Meta["role"], Leaving: node.Meta["state"] == "leaving",
 		})
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,10 +1,10 @@
-// Package platform is the system's view of what the platform provides: a small
+// Package infra is the system's view of what the platform provides: a small
 // key-value store with compare-and-swap and watches, and a lagging list of VMs.
 //
 // The store is the only authority for what must last. It can be down, slow, or
 // lose an answer after the change took effect, so every write that can not be
 // confirmed is reported as unclear and never as failed.
-package platform
+package infra
 
 import (
 	"context"
@@ -14,14 +14,14 @@
 )
 
 // ErrConflict is returned when a compare-and-swap found another revision.
-var ErrConflict = errors.New("platform: revision conflict")
+var ErrConflict = errors.New("infra: revision conflict")
 
 // ErrUnavailable is returned when the store certainly did not apply the call.
-var ErrUnavailable = errors.New("platform: store unavailable")
+var ErrUnavailable = errors.New("infra: store unavailable")
 
 // ErrUnclear is returned when a write may or may not have taken effect. The
 // caller settles it by reading the key back.
-var ErrUnclear = errors.New("platform: outcome of write unclear")
+var ErrUnclear = errors.New("infra: outcome of write unclear")
 
 // Value is a stored value and its revision. Revision 0 means: no such key.
 type Value struct {
--- a/membership/loop.go
+++ b/membership/loop.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"aspenyard.example/platform"
+	"aspenyard.example/infra"
 	"aspenyard.example/wire"
 )
 
@@ -210,7 +210,7 @@
 }
 
 // SetList takes in the platform's list.
-func (l *Loop) SetList(vms []platform.VM) {
+func (l *Loop) SetList(vms []infra.VM) {
 	l.Post(func() { l.state.listed(time.Now(), vms) })
 }
 
--- a/membership/state.go
+++ b/membership/state.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"aspenyard.example/platform"
+	"aspenyard.example/infra"
 	"aspenyard.example/wire"
 )
 
@@ -15,7 +15,7 @@
 	// Last is the latest heartbeat accepted; nil when only the list knows it.
 	Last *wire.Heartbeat
 	// VM is the platform's line; Listed tells whether there is one.
-	VM     platform.VM
+	VM     infra.VM
 	Listed bool
 	// Suspect: silent for too long. Leaving: by its own word or the list's.
 	Suspect, Leaving bool
@@ -194,7 +194,7 @@
 }
 
 // listed takes in the platform's list.
-func (s *state) listed(now time.Time, vms []platform.VM) {
+func (s *state) listed(now time.Time, vms []infra.VM) {
 	s.listRead = now
 	s.dirty = true
 	seen := map[string]bool{}
--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
-	"aspenyard.example/platform"
+	"aspenyard.example/infra"
 	"aspenyard.example/wire"
 )
 
@@ -84,13 +84,13 @@
 func TestCorrectedListEndsLeaving(t *testing.T) {
 	is := is.New(t)
 	s := testState(RoleEntry)
-	vm := platform.VM{Name: "a", Role: RoleAgent, Leaving: true}
-	s.listed(testStart, []platform.VM{vm, {Name: "self", Leaving: true}})
+	vm := infra.VM{Name: "a", Role: RoleAgent, Leaving: true}
+	s.listed(testStart, []infra.VM{vm, {Name: "self", Leaving: true}})
 	s.heard(testStart, beat("a", 2, 1))
 	is.True(s.members["a"].Leaving)
 	is.True(s.leaving(testStart))
 	vm.Leaving = false
-	s.listed(testStart, []platform.VM{vm, {Name: "self"}})
+	s.listed(testStart, []infra.VM{vm, {Name: "self"}})
 	is.True(!s.members["a"].Leaving)
 	is.True(!s.leaving(testStart))
 }
@@ -113,7 +113,7 @@
 func TestOwnFreshListCountsMoreThanAnothersWord(t *testing.T) {
 	is := is.New(t)
 	s := testState(RoleAgent)
-	s.listed(testStart, []platform.VM{{Name: "self"}})
+	s.listed(testStart, []infra.VM{{Name: "self"}})
 	word := beat("entry", 1, 1)
 	word.Role, word.LeavingNodes = RoleEntry, []string{"self"}
 	s.heard(testStart.Add(time.Second), word)
@@ -128,7 +128,7 @@
 	is := is.New(t)
 	s := testState(RoleEntry)
 	s.heard(testStart, beat("a", 1, 1))
-	s.listed(testStart, []platform.VM{{Name: "a"}})
+	s.listed(testStart, []infra.VM{{Name: "a"}})
 	is.True(s.members["a"].Unlisted.IsZero())
 	s.listed(testStart.Add(time.Second), nil)
 	s.listed(testStart.Add(2*time.Second), nil)
@@ -139,10 +139,10 @@
 	is := is.New(t)
 	s := testState(RoleAgent)
 	is.Equal(s.targets(), []string{"127.0.0.1:9"})
-	var vms []platform.VM
+	var vms []infra.VM
 	for i := range 30 {
 		for _, dc := range []string{"dc1", "dc2"} {
-			vms = append(vms, platform.VM{Name: fmt.Sprint(dc, i), Role: RoleEntry, DataCentre: dc, Addr: fmt.Sprint("10.0.0.1:", i)})
+			vms = append(vms, infra.VM{Name: fmt.Sprint(dc, i), Role: RoleEntry, DataCentre: dc, Addr: fmt.Sprint("10.0.0.1:", i)})
 		}
 	}
 	s.listed(testStart, vms)
--- a/standin/platform/platform.go
+++ b/standin/consul/consul.go
@@ -1,8 +1,8 @@
-// Package platform is a stand-in for the platform's service: a key-value store
+// Package consul is a stand-in for a Consul-shaped platform: a key-value store
 // with compare-and-swap, sessions as leases and blocking watches, its call count
 // and rate limits, and a lagging list of VMs. Faults are asked for on its
 // control paths. The HTTP shapes are those of Consul's published v1 API.
-package platform
+package consul
 
 import (
 	"encoding/json"
--- a/standin/platform/platform_test.go
+++ b/standin/consul/consul_test.go
@@ -1,4 +1,4 @@
-package platform
+package consul
 
 import (
 	"fmt"
