--- /dev/null
+++ b/attempt/course.go
@@ -0,0 +1,95 @@
+package attempt
+
+// SendOutcome is what became of sending a request to one endpoint.
+type SendOutcome int
+
+// The outcomes, from "certainly did not run" to "has run".
+const (
+	// NotSent: no connection stood, so no byte of the request left.
+	NotSent SendOutcome = iota
+	// NotExecuted: the endpoint said that it did not run the request.
+	NotExecuted
+	// Broken: there is no whole answer; the request may have run.
+	Broken
+	// Failed: the endpoint answered whole that it failed; the request has run.
+	Failed
+)
+
+// String gives the outcome's name in logs and metrics.
+func (o SendOutcome) String() string {
+	return [...]string{"not_sent", "not_executed", "broken", "failed"}[o]
+}
+
+// Next is what to do after an outcome.
+type Next int
+
+// What to do next.
+const (
+	// SendAgain to another endpoint.
+	SendAgain Next = iota
+	// Refuse: the request has not run and will not; the caller may come back.
+	Refuse
+	// Fail: the request may have run; nothing may be promised.
+	Fail
+	// PassOn the endpoint's own failure.
+	PassOn
+)
+
+// Course is the way of one request from endpoint to endpoint. It decides whether the
+// request may be sent again and what its caller may be told. Only what certainly did
+// not run, or may run again, is ever sent twice; only what certainly did not run is
+// refused.
+type Course struct {
+	// Repeatable requests may run more than once.
+	Repeatable bool
+	// MaxArrivals is how many endpoints the request may reach.
+	MaxArrivals int
+	arrivals    int
+	unsent      int
+	mayHaveRun  bool
+}
+
+// maxUnsent bounds how many endpoints are tried that no connection reaches.
+const maxUnsent = 4
+
+// Arrivals is how many endpoints the request has reached.
+func (c *Course) Arrivals() int { return c.arrivals }
+
+// MayHaveRun tells whether the request may have run.
+func (c *Course) MayHaveRun() bool { return c.mayHaveRun }
+
+// After decides what follows an outcome. budget is asked, and spent, only when the
+// request would reach another endpoint.
+func (c *Course) After(o SendOutcome, budget func() bool) Next {
+	switch o {
+	case NotSent:
+		c.unsent++
+	case NotExecuted:
+		c.arrivals++
+	default:
+		c.arrivals++
+		c.mayHaveRun = true
+	}
+	if c.mayAgain() && (c.arrivals == 0 || budget()) {
+		return SendAgain
+	}
+	switch {
+	case o == Failed:
+		return PassOn
+	case c.mayHaveRun:
+		return Fail
+	}
+	return Refuse
+}
+
+func (c *Course) mayAgain() bool {
+	if c.mayHaveRun && !c.Repeatable {
+		return false
+	}
+	return c.arrivals < c.MaxArrivals && c.unsent < maxUnsent
+}
+
+// String gives the step's name in logs.
+func (n Next) String() string {
+	return [...]string{"send_again", "refuse", "fail", "pass_on"}[n]
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -38,6 +38,7 @@
 
 type arguments struct {
 	Entry     *nodeCommand      `arg:"subcommand:entry" help:"serve callers behind the platform's balancer"`
+	Gateway   *nodeCommand      `arg:"subcommand:gateway" help:"serve callers by calling the endpoints directly"`
 	Agent     *nodeCommand      `arg:"subcommand:agent" help:"stand beside one endpoint"`
 	Check     *checkCommand     `arg:"subcommand:check" help:"check settings and catalogue files"`
 	Catalogue *catalogueCommand `arg:"subcommand:catalogue" help:"read and edit the catalogue through any entry"`
@@ -105,6 +106,8 @@
 	switch {
 	case a.Entry != nil:
 		return a.Entry.runEntry(t)
+	case a.Gateway != nil:
+		return a.Gateway.runGateway(t)
 	case a.Agent != nil:
 		return a.Agent.runAgent(t)
 	case a.Check != nil:
--- /dev/null
+++ b/cli/gateway.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"aspenyard.example/eventlog"
+	"aspenyard.example/gateway"
+	"aspenyard.example/platform"
+	"aspenyard.example/settings"
+)
+
+// roleGateway is the role's name in logs.
+const roleGateway = "gateway"
+
+// logClose bounds the wait for the last lines of the log.
+const logClose = 200 * time.Millisecond
+
+func (c *nodeCommand) loadGateway() (settings.Gateway, error) {
+	var s settings.Gateway
+	err := settings.Load(c.Settings, &s)
+	return s, err
+}
+
+func (c *nodeCommand) runGateway(t terminal) int {
+	ctx, ch, cancel := signals()
+	defer cancel()
+	signal.Notify(ch, syscall.SIGHUP)
+	s, err := c.loadGateway()
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	writer := eventlog.NewWriter(os.Stdout)
+	defer func() {
+		timeout := make(chan struct{})
+		time.AfterFunc(logClose, func() { close(timeout) })
+		writer.Close(timeout)
+	}()
+	store := platform.NewStore(s.Store, s.StoreTimeout.D(), gateway.Dialer(s.StoreTimeout.D()))
+	g := gateway.New(gateway.Config{Settings: s, Dialect: platform.Wire{}, Source: store, Log: eventlog.New(writer, s.Name, roleGateway), LogWriter: writer})
+	if err := g.Serve(ctx, ch, c.loadGateway); err != nil {
+		return t.failf("%v", err)
+	}
+	return exitOK
+}
--- /dev/null
+++ b/directory/config.go
@@ -0,0 +1,195 @@
+// Package directory holds what a node believes of its deployment: the routes,
+// services and client accounts of the newest configuration, and the endpoints that
+// registered themselves. It is pure: readings and changes come in as values, and
+// traffic threads read the immutable snapshots that it makes.
+package directory
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// RouteKind tells what may be repeated.
+type RouteKind int
+
+// The kinds of route.
+const (
+	// NonIdempotent requests may run at most once.
+	NonIdempotent RouteKind = iota
+	// Idempotent requests may run any number of times.
+	Idempotent
+	// Streaming requests are answered with a series of events. They may run at most
+	// once unless the route is resumable.
+	Streaming
+)
+
+// String gives the kind's name in logs and metrics.
+func (k RouteKind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	default:
+		return "non_idempotent"
+	}
+}
+
+// Route says where requests of one host and path prefix go.
+type Route struct {
+	Name, Host, Prefix string
+	Kind               RouteKind
+	// Timeout is the longest that a caller is kept waiting for a whole answer.
+	Timeout time.Duration
+	// Target is the latency within which an answer is on time, for streams that of
+	// the first event.
+	Target time.Duration
+	// TargetGap is the longest pause between events of a stream that is on time.
+	TargetGap time.Duration
+	// Priority ranks requests; 0 goes first.
+	Priority int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another endpoint after their last event.
+	Resumable bool
+	// MaxAttempts is how many endpoints one request may be sent to.
+	MaxAttempts int
+	// Services share the route's requests by weight.
+	Services []WeightedService
+}
+
+// Repeatable tells whether a request may run a second time after it may have run.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// WeightedService is a service's part of a route.
+type WeightedService struct {
+	Service string
+	Weight  int
+}
+
+// Pick chooses a service by weight; draw is uniform in [0, 1). Empty when the route
+// has none.
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, s := range r.Services {
+		total += s.Weight
+	}
+	left := int(draw * float64(total))
+	for _, s := range r.Services {
+		if left < s.Weight {
+			return s.Service
+		}
+		left -= s.Weight
+	}
+	return ""
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	// Priority goes before the route's where HasPriority is set.
+	Priority    int
+	HasPriority bool
+}
+
+// Service is a kind of endpoint.
+type Service struct {
+	Name string
+	// HealthPath answers whether an endpoint considers itself healthy.
+	HealthPath string
+	// MaxConnections is how many connections an endpoint takes from all callers.
+	MaxConnections int
+	// Engine is set for language-model services.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is how many requests an engine works on at once.
+	Slots int
+	// MemoryTokens is the size of the KV cache.
+	MemoryTokens int
+	// Stride is how many decode steps a pass makes while requests are decoding; one
+	// event of a stream holds that many tokens.
+	Stride int
+	// Chunk is the largest number of prompt tokens prefilled in one step.
+	Chunk int
+	// Step is the time of one decode step, and StepPerRequest what each decoding
+	// request adds; StepPerContext is added for each 1,000 tokens of context.
+	Step, StepPerRequest, StepPerContext time.Duration
+	// PrefillPerSecond is the prefill rate in tokens a second.
+	PrefillPerSecond float64
+	// PairsPerMillion is the time for a million pairs of a prompt token and an
+	// earlier one.
+	PairsPerMillion time.Duration
+	// ReportLag is how old an engine's published load may be.
+	ReportLag time.Duration
+}
+
+// Limits bound what callers may send and how long they may take.
+type Limits struct {
+	HeaderBytes, BodyBytes     int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Config is one version of the configuration, immutable once made.
+type Config struct {
+	// Version rises with every edit, in uneven steps.
+	Version  uint64
+	Limits   Limits
+	Services map[string]*Service
+	routes   map[string][]*Route // by host, longest prefix first
+	accounts map[string]*Account // by key; nil: the deployment has no accounts
+}
+
+// NewConfig indexes a configuration. accounts maps keys to accounts; nil where the
+// deployment has none.
+func NewConfig(version uint64, limits Limits, services []*Service, routes []*Route, accounts map[string]*Account) *Config {
+	c := &Config{Version: version, Limits: limits, Services: map[string]*Service{}, routes: map[string][]*Route{}, accounts: accounts}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.routes[host] = append(c.routes[host], r)
+	}
+	for _, list := range c.routes {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	return c
+}
+
+// Route finds the route with the longest prefix of path at a host; nil for none.
+func (c *Config) Route(host, path string) *Route {
+	host = strings.ToLower(host)
+	list, found := c.routes[host]
+	if !found {
+		if name, _, cut := strings.Cut(host, ":"); cut {
+			list = c.routes[name]
+		}
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// RouteCount is the number of routes.
+func (c *Config) RouteCount() int {
+	n := 0
+	for _, list := range c.routes {
+		n += len(list)
+	}
+	return n
+}
+
+// HasAccounts tells whether requests need a key.
+func (c *Config) HasAccounts() bool { return c.accounts != nil }
+
+// Account finds the account that holds a key; nil for none.
+func (c *Config) Account(key string) *Account { return c.accounts[key] }
--- /dev/null
+++ b/directory/replica.go
@@ -0,0 +1,249 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Endpoint is one life of an endpoint as it registered itself.
+type Endpoint struct {
+	// ID names this life; a restart has another.
+	ID string
+	// Service, Addr (IP number and port) and DataCentre tell what it is and where.
+	Service, Addr, DataCentre string
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Leaving endpoints take no new requests.
+	Leaving bool
+	// Revision is the store's revision of the registration.
+	Revision uint64
+}
+
+// Reading is a whole linearizable reading of the store.
+type Reading struct {
+	// At is the store's revision when the reading began: following goes on from it.
+	At uint64
+	// Config is the newest configuration; nil when there is none yet.
+	Config *Config
+	// ConfigRevision is the store's revision of Config.
+	ConfigRevision uint64
+	Endpoints      []Endpoint
+	// Faults lists what could not be decoded.
+	Faults []Fault
+}
+
+// Fault is an item of the store that could not be decoded.
+type Fault struct {
+	Key      string
+	Revision uint64
+	Err      error
+}
+
+// Change is one change of the store: a new configuration, a registration, or the
+// end of one.
+type Change struct {
+	Revision uint64
+	Config   *Config
+	Endpoint *Endpoint
+	// Gone is the ID of an endpoint whose registration ended.
+	Gone string
+}
+
+// Changes is what happened after a revision.
+type Changes struct {
+	// At is the revision to go on from.
+	At      uint64
+	Changes []Change
+	Faults  []Fault
+}
+
+// Listed is an endpoint with what the replica believes of it.
+type Listed struct {
+	Endpoint
+	// Missing is when its registration was first seen gone; zero: it is listed.
+	Missing time.Time
+}
+
+// lapseGrace is how long an endpoint whose registration ended shortly after an
+// outage of the store is kept as a last resort. Registrations lapse while their
+// owners cannot renew them; those that are alive are back within two seconds.
+const lapseGrace = 1500 * time.Millisecond
+
+// lapseWindow is how long after an outage a registration's end may be such a lapse.
+const lapseWindow = 4 * time.Second
+
+// Replica is the owner's copy of the store's state. It only moves forward: an older
+// configuration never replaces a newer one and an endpoint that was leaving never
+// takes requests again in the same life, whatever a reading or change says. Without
+// that, a reading that is behind would bring back a revoked key or route, or send
+// requests to an endpoint that is about to stop; one would see refusals or runs that
+// only an older version explains. Not safe for concurrent use.
+type Replica struct {
+	at             uint64
+	config         *Config
+	configRevision uint64
+	endpoints      map[string]*Listed
+	// gone remembers ended lives, so that an old registration does not return.
+	gone map[string]uint64
+	// outageEnd is when the store last answered after an outage.
+	outageEnd time.Time
+	whole     bool
+}
+
+// NewReplica makes a replica that knows nothing.
+func NewReplica() *Replica {
+	return &Replica{endpoints: map[string]*Listed{}, gone: map[string]uint64{}}
+}
+
+// At is the revision up to which changes are known.
+func (r *Replica) At() uint64 { return r.at }
+
+// Whole tells whether one whole reading was taken in and has a configuration.
+func (r *Replica) Whole() bool { return r.whole && r.config != nil }
+
+// NoteOutageEnd marks that the store answers again after it did not.
+func (r *Replica) NoteOutageEnd(now time.Time) { r.outageEnd = now }
+
+// TakeReading takes a whole reading in: what it does not list is gone.
+func (r *Replica) TakeReading(now time.Time, reading *Reading) {
+	if reading.At < r.at {
+		return
+	}
+	r.at = reading.At
+	if reading.Config != nil {
+		r.takeConfig(reading.Config, reading.ConfigRevision)
+	}
+	listed := map[string]bool{}
+	for i := range reading.Endpoints {
+		listed[reading.Endpoints[i].ID] = true
+		r.takeEndpoint(&reading.Endpoints[i])
+	}
+	for id, e := range r.endpoints {
+		if !listed[id] && e.Revision <= reading.At {
+			r.takeGone(now, id, reading.At)
+		}
+	}
+	r.whole = true
+}
+
+// TakeChanges takes in what followed the last reading or changes.
+func (r *Replica) TakeChanges(now time.Time, changes *Changes) {
+	for i := range changes.Changes {
+		change := &changes.Changes[i]
+		switch {
+		case change.Config != nil:
+			r.takeConfig(change.Config, change.Revision)
+		case change.Endpoint != nil:
+			r.takeEndpoint(change.Endpoint)
+		case change.Gone != "":
+			r.takeGone(now, change.Gone, change.Revision)
+		}
+	}
+	r.at = max(r.at, changes.At)
+}
+
+func (r *Replica) takeConfig(config *Config, revision uint64) {
+	if r.config != nil && (revision <= r.configRevision || config.Version <= r.config.Version) {
+		return
+	}
+	r.config, r.configRevision = config, revision
+}
+
+func (r *Replica) takeEndpoint(e *Endpoint) {
+	if e.Revision <= r.gone[e.ID] {
+		return
+	}
+	known := r.endpoints[e.ID]
+	if known == nil {
+		r.endpoints[e.ID] = &Listed{Endpoint: *e}
+		return
+	}
+	if e.Revision < known.Revision {
+		return
+	}
+	leaving := known.Leaving
+	known.Endpoint = *e
+	known.Leaving = known.Leaving || leaving
+	known.Missing = time.Time{}
+}
+
+// takeGone ends a registration. One that ends soon after an outage of the store may
+// have lapsed only, and is kept as missing for lapseGrace.
+func (r *Replica) takeGone(now time.Time, id string, revision uint64) {
+	known := r.endpoints[id]
+	if known == nil || revision < known.Revision {
+		return
+	}
+	r.gone[id] = max(r.gone[id], revision)
+	if known.Leaving || r.outageEnd.IsZero() || now.Sub(r.outageEnd) > lapseWindow {
+		delete(r.endpoints, id)
+		return
+	}
+	if known.Missing.IsZero() {
+		known.Missing = now
+	}
+}
+
+// maxGone bounds the memory of ended lives; the oldest revisions go first.
+const maxGone = 20_000
+
+// Expire drops endpoints that have been missing for longer than the grace. It tells
+// whether anything changed.
+func (r *Replica) Expire(now time.Time) bool {
+	changed := false
+	for id, e := range r.endpoints {
+		if !e.Missing.IsZero() && now.Sub(e.Missing) > lapseGrace {
+			delete(r.endpoints, id)
+			changed = true
+		}
+	}
+	if len(r.gone) > maxGone {
+		clear(r.gone)
+	}
+	return changed
+}
+
+// Snapshot is an immutable copy for traffic threads.
+type Snapshot struct {
+	// Config is nil until the node knows one.
+	Config *Config
+	// At is the store's revision that the snapshot reflects.
+	At uint64
+	// services lists the endpoints of each service, leaving ones left out, sorted
+	// by ID.
+	services map[string][]*Listed
+	byID     map[string]*Listed
+}
+
+// Empty is a snapshot that knows nothing.
+func Empty() *Snapshot { return &Snapshot{} }
+
+// Endpoints lists the endpoints of a service that may be sent requests.
+func (s *Snapshot) Endpoints(service string) []*Listed { return s.services[service] }
+
+// Endpoint finds an endpoint that may be sent requests; nil for none.
+func (s *Snapshot) Endpoint(id string) *Listed { return s.byID[id] }
+
+// Len is the number of endpoints that may be sent requests.
+func (s *Snapshot) Len() int { return len(s.byID) }
+
+// Snapshot makes an immutable copy.
+func (r *Replica) Snapshot() *Snapshot {
+	s := &Snapshot{At: r.at, services: map[string][]*Listed{}, byID: map[string]*Listed{}}
+	if r.whole {
+		s.Config = r.config
+	}
+	for id, e := range r.endpoints {
+		if e.Leaving {
+			continue
+		}
+		listed := *e
+		s.services[e.Service] = append(s.services[e.Service], &listed)
+		s.byID[id] = &listed
+	}
+	for _, list := range s.services {
+		slices.SortFunc(list, func(a, b *Listed) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return s
+}
--- /dev/null
+++ b/gateway/callers.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds of callers' connections until a configuration is known, and of the HTTP
+// server itself; the configuration's own limits are applied below them.
+const (
+	firstHeaderTimeout = 5 * time.Second
+	firstIdleTimeout   = 30 * time.Second
+	// maxHeaderBytes is what the server reads of a request's head at most.
+	maxHeaderBytes = 256 << 10
+	// tcpUserTimeout is how long sent data may stay unacknowledged, and with
+	// keepAlive how long a silent peer is noticed after.
+	tcpUserTimeout = 3 * time.Second
+)
+
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+
+// callers is the server on the callers' port.
+type callers struct {
+	gateway *Gateway
+	server  *http.Server
+	mu      sync.Mutex
+	open    map[*callerConn]struct{}
+}
+
+func newCallers(g *Gateway) *callers {
+	c := &callers{gateway: g, open: map[*callerConn]struct{}{}}
+	c.server = &http.Server{
+		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes,
+		// Non-zero, so that the server sets deadlines; callerConn replaces them by
+		// those of the configuration in force.
+		ReadHeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout,
+		ConnState: c.connState,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+		ErrorLog: discardLog,
+	}
+	return c
+}
+
+type connKey struct{}
+
+// serve takes connections until close.
+func (c *callers) serve(listener net.Listener) error {
+	err := c.server.Serve(callerListener{Listener: listener, callers: c})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve callers")
+}
+
+// endKeepAlive makes every further answer close its connection.
+func (c *callers) endKeepAlive() { c.server.SetKeepAlivesEnabled(false) }
+
+// close closes all connections.
+func (c *callers) close() { _ = c.server.Close() }
+
+// closeIdle closes connections on which no request is under way.
+func (c *callers) closeIdle() {
+	c.mu.Lock()
+	var idle []*callerConn
+	for conn := range c.open {
+		if conn.state.Load() == int32(http.StateIdle) {
+			idle = append(idle, conn)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close()
+	}
+}
+
+func (c *callers) connState(conn net.Conn, state http.ConnState) {
+	caller, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	caller.state.Store(int32(state))
+	if state == http.StateActive {
+		caller.partial.Store(false)
+	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		c.mu.Lock()
+		delete(c.open, caller)
+		c.mu.Unlock()
+	}
+}
+
+// callerListener wraps accepted connections.
+type callerListener struct {
+	net.Listener
+	callers *callers
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	setTCP(conn)
+	caller := &callerConn{Conn: conn, callers: l.callers}
+	l.callers.mu.Lock()
+	l.callers.open[caller] = struct{}{}
+	l.callers.mu.Unlock()
+	return caller, nil
+}
+
+// callerConn replaces the server's fixed timeouts by those of the configuration in
+// force: the server reads its fields without a lock, so they cannot change while it
+// runs. It also answers a caller that is too slow with its request's head, which the
+// server would leave without an answer.
+type callerConn struct {
+	net.Conn
+	callers *callers
+	state   atomic.Int32
+	// partial is set while a part of a request's head has been read.
+	partial atomic.Bool
+	late    atomic.Bool
+	// head is what was read of the present request's head, with whatever followed it;
+	// only the server's own goroutine for this connection reads and writes it.
+	head []byte
+}
+
+// sawLength tells whether the present request's head, as it was sent, gives a length.
+func (c *callerConn) sawLength() bool {
+	head, _, _ := bytes.Cut(c.head, []byte("\r\n\r\n"))
+	return bytes.Contains(bytes.ToLower(head), []byte("\ncontent-length:"))
+}
+
+// SetReadDeadline implements net.Conn. The server sets a deadline for two things:
+// the wait for the next request, in the state idle, and the reading of a head.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() || time.Until(t) <= 0 {
+		return c.Conn.SetReadDeadline(t)
+	}
+	config := c.callers.gateway.snapshot.Load().Config
+	state := http.ConnState(c.state.Load())
+	if config == nil || state == http.StateActive {
+		return c.Conn.SetReadDeadline(t)
+	}
+	limit := config.Limits.HeaderTimeout
+	if state == http.StateIdle && !c.partial.Load() {
+		limit = config.Limits.IdleTimeout
+	}
+	if limit > 0 {
+		t = time.Now().Add(limit)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if http.ConnState(c.state.Load()) == http.StateActive {
+		return n, err
+	}
+	switch {
+	case n > 0:
+		if !c.partial.Swap(true) {
+			c.head = c.head[:0]
+		}
+		if len(c.head) < maxHeaderBytes {
+			c.head = append(c.head, p[:n]...)
+		}
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.partial.Load():
+		c.late.Store(true)
+	}
+	return n, err
+}
+
+// tooSlow answers a request whose head did not come in time.
+const tooSlow = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if c.late.CompareAndSwap(true, false) {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = c.Conn.Write([]byte(tooSlow))
+	}
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/directory"
+)
+
+const (
+	// followWait is how long one call waits for a change. A connection that went
+	// silent is noticed after it, plus the store's timeout; longer waits cost the
+	// store fewer calls.
+	followWait = 3 * time.Second
+	// retryFirst and retryMost bound the wait after a failed call; it doubles. The
+	// first is short, as a call is often cut just when the store dropped history and
+	// the state must be read anew.
+	retryFirst = 40 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// expireInterval is how often lapsed registrations are looked for.
+	expireInterval = 250 * time.Millisecond
+)
+
+// globalRand is the process-wide generator, safe for concurrent use.
+type globalRand struct{}
+
+func (globalRand) IntN(n int) int { return rand.IntN(n) }
+
+func (globalRand) Float64() float64 { return rand.Float64() }
+
+// follower is the control thread: it alone owns the replica, and publishes
+// snapshots for the threads that serve callers.
+type follower struct {
+	gateway *Gateway
+	replica *directory.Replica
+	// stale is set when the state must be read as a whole.
+	stale   bool
+	outage  time.Time // since when the store gives no answer; zero: it does
+	backoff time.Duration
+}
+
+// taken is what one call to the store brought.
+type taken struct {
+	reading *directory.Reading
+	changes *directory.Changes
+	err     error
+}
+
+func (g *Gateway) follow(ctx context.Context) {
+	f := &follower{gateway: g, replica: directory.NewReplica(), stale: true, backoff: retryFirst}
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	answers := make(chan taken, 1)
+	go f.call(ctx, f.stale, f.replica.At(), answers)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if f.replica.Expire(now) {
+				f.publish()
+			}
+		case answer := <-answers:
+			pause := f.take(answer)
+			go func(stale bool, at uint64) {
+				select {
+				case <-time.After(pause):
+					f.call(ctx, stale, at, answers)
+				case <-ctx.Done():
+				}
+			}(f.stale, f.replica.At())
+		}
+	}
+}
+
+// call makes one call to the store; it touches nothing of the follower's state.
+func (f *follower) call(ctx context.Context, stale bool, at uint64, answers chan<- taken) {
+	var answer taken
+	begun := time.Now()
+	if stale {
+		answer.reading, answer.err = f.gateway.source.Read(ctx)
+	} else {
+		answer.changes, answer.err = f.gateway.source.Follow(ctx, at, followWait)
+	}
+	f.gateway.observeStore(stale, time.Since(begun), answer.err)
+	select {
+	case answers <- answer:
+	case <-ctx.Done():
+	}
+}
+
+// take takes an answer in and tells how long to pause before the next call.
+func (f *follower) take(answer taken) time.Duration {
+	log, now := f.gateway.log, time.Now()
+	switch {
+	case errors.Is(answer.err, directory.ErrHistoryGone):
+		f.stale = true
+		log.Info("store_history_gone", zap.Uint64("at", f.replica.At()))
+		return 0
+	case answer.err != nil:
+		if f.outage.IsZero() {
+			f.outage = now
+			log.Warn("store_lost", zap.Error(answer.err), zap.Uint64("at", f.replica.At()))
+		}
+		pause := f.backoff/2 + time.Duration(rand.Int64N(int64(f.backoff)))
+		f.backoff = min(2*f.backoff, retryMost)
+		return pause
+	}
+	if !f.outage.IsZero() {
+		log.Info("store_regained", zap.Duration("outage_ms", now.Sub(f.outage)))
+		f.outage = time.Time{}
+		f.replica.NoteOutageEnd(now)
+	}
+	f.backoff = retryFirst
+	before := f.gateway.snapshot.Load().Config
+	switch {
+	case answer.reading != nil:
+		f.replica.TakeReading(now, answer.reading)
+		f.stale = false
+		f.logFaults(answer.reading.Faults)
+	default:
+		f.replica.TakeChanges(now, answer.changes)
+		f.logFaults(answer.changes.Faults)
+		f.logChanges(answer.changes)
+	}
+	f.publish()
+	if config := f.gateway.snapshot.Load().Config; config != before {
+		log.Info("config_in_force", zap.Uint64("version", config.Version), zap.Int("routes", config.RouteCount()), zap.Uint64("at", f.replica.At()))
+	}
+	return 0
+}
+
+func (f *follower) logFaults(faults []directory.Fault) {
+	for _, fault := range faults {
+		f.gateway.log.Error("store_item_refused", zap.String("key", fault.Key), zap.Uint64("revision", fault.Revision), zap.Error(fault.Err))
+	}
+}
+
+func (f *follower) logChanges(changes *directory.Changes) {
+	for i := range changes.Changes {
+		switch change := &changes.Changes[i]; {
+		case change.Gone != "":
+			f.gateway.log.Info("endpoint_gone", zap.String("endpoint", change.Gone), zap.Uint64("revision", change.Revision))
+		case change.Endpoint != nil && change.Endpoint.Leaving:
+			f.gateway.log.Info("endpoint_leaving", zap.String("endpoint", change.Endpoint.ID), zap.Uint64("revision", change.Revision))
+		case change.Endpoint != nil:
+			f.gateway.log.Info("endpoint_listed", zap.String("endpoint", change.Endpoint.ID), zap.String("service", change.Endpoint.Service), zap.Uint64("revision", change.Revision))
+		}
+	}
+}
+
+func (f *follower) publish() {
+	snapshot := f.replica.Snapshot()
+	f.gateway.snapshot.Store(snapshot)
+	known := func(id string) bool { return snapshot.Endpoint(id) != nil }
+	f.gateway.pool.prune(known)
+	f.gateway.ledger.Prune(known)
+}
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/attempt"
+	"aspenyard.example/directory"
+	"aspenyard.example/result"
+	"aspenyard.example/routing/direct"
+)
+
+// forwarding is the way of a call from endpoint to endpoint.
+type forwarding struct {
+	*call
+	course  attempt.Course
+	request direct.Request
+	// relay is set for streams; it outlives a single endpoint.
+	relay *relay
+	// failure is the last endpoint's whole answer that says it failed.
+	failure *whole
+}
+
+// forward sends the call to endpoints until one has answered it.
+func (c *call) forward() *result.Error {
+	ctx, cancel := c.timeout()
+	defer cancel()
+	f := &forwarding{call: c}
+	f.course = attempt.Course{Repeatable: c.route.Repeatable(), MaxArrivals: c.route.MaxAttempts}
+	f.request = direct.Request{
+		Service: c.service, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens,
+		DataCentre: c.gateway.settings.DataCentre, Tried: map[string]bool{},
+	}
+	if c.route.Kind == directory.Streaming {
+		f.relay = &relay{call: c, last: c.LastEvent}
+	}
+	for {
+		plan := c.place(&f.request)
+		if plan == nil {
+			return f.noEndpoint()
+		}
+		outcome, err := f.send(ctx, plan)
+		if err == nil {
+			return nil
+		}
+		next := f.course.After(outcome, func() bool { return c.gateway.retries.Take(time.Now(), c.service.Name) })
+		c.story.Add("attempt_failed", zap.String("endpoint", plan.Endpoint.ID), zap.String("outcome", outcome.String()),
+			zap.Int("arrivals", f.course.Arrivals()), zap.String("next", next.String()), zap.Error(err))
+		c.gateway.countAttempt(c.service.Name, outcome)
+		if ctx.Err() != nil {
+			return f.ended(ctx)
+		}
+		if next != attempt.SendAgain {
+			return f.give(next, err)
+		}
+	}
+}
+
+// place picks where the call goes, over the newest snapshot.
+func (c *call) place(r *direct.Request) *direct.Plan {
+	snapshot := c.gateway.snapshot.Load()
+	plan := c.gateway.policy.Place(time.Now(), r, snapshot.Endpoints(c.service.Name))
+	if plan == nil {
+		return nil
+	}
+	c.endpoint = plan.Endpoint.ID
+	c.story.Add("placed", zap.String("endpoint", plan.Endpoint.ID), zap.String("service", c.service.Name), zap.Uint64("at", snapshot.At),
+		zap.Int("candidates", plan.Candidates), zap.Duration("cost_ms", plan.Cost), zap.Duration("prefill_ms", plan.Prefill), zap.Int("helpers", len(plan.Helpers)))
+	return plan
+}
+
+// send sends the call to one endpoint and passes its answer on.
+func (f *forwarding) send(ctx context.Context, plan *direct.Plan) (attempt.SendOutcome, error) {
+	f.request.Tried[plan.Endpoint.ID] = true
+	charge := f.gateway.ledger.Begin(plan)
+	defer charge.End()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reply, failed := f.gateway.exchange(ctx, plan.Endpoint, f.outgoing(plan), !f.route.Repeatable())
+	if failed != nil {
+		return failed.outcome, failed
+	}
+	if reply.answer.HasLoad {
+		f.gateway.ledger.Tell(time.Now(), plan.Endpoint.ID, reply.answer.Running, reply.answer.Waiting)
+	}
+	if outcome, err := judge(reply); err != nil {
+		reply.abandonOrFinish()
+		return outcome, err
+	}
+	if f.relay != nil && reply.status == http.StatusOK {
+		return f.relay.pass(reply, charge)
+	}
+	return f.passWhole(reply)
+}
+
+// outgoing makes the request for an endpoint.
+func (f *forwarding) outgoing(plan *direct.Plan) *outgoing {
+	d := &Dispatch{EndpointID: plan.Endpoint.ID, Remaining: time.Until(f.deadline)}
+	if f.account != nil {
+		d.Account = f.account.Name
+	}
+	for _, helper := range plan.Helpers {
+		d.Helpers = append(d.Helpers, helper.Addr)
+	}
+	if f.service.Engine != nil {
+		d.Priority, d.HasPriority = direct.Level(f.PromptTokens, f.priority()), true
+	}
+	if f.relay != nil {
+		d.LastEvent = f.relay.last
+	}
+	header := forwardable(f.in.Header)
+	f.gateway.dialect.Forward(header, d)
+	return &outgoing{id: f.ID, method: f.in.Method, target: f.in.RequestURI, host: f.in.Host, header: header, body: f.body}
+}
+
+// priority is the account's rank, or else the route's.
+func (c *call) priority() int {
+	if c.account != nil && c.account.HasPriority {
+		return c.account.Priority
+	}
+	return c.route.Priority
+}
+
+// Errors of answers whose head is enough to tell that they are of no use.
+var (
+	errNotExecuted = errors.New("the endpoint did not run the request")
+	errUnsigned    = errors.New("a success without the endpoint's signature")
+	errEncoded     = errors.New("the body is encoded, which nobody asked for")
+	errBareRefusal = errors.New("a refusal without the word that the request did not run")
+)
+
+// judge tells by an answer's head whether it is one to pass on.
+func judge(r *reply) (attempt.SendOutcome, error) {
+	switch {
+	case r.answer.NotExecuted:
+		return attempt.NotExecuted, errors.Wrapf(errNotExecuted, "status %d", r.status)
+	case r.status >= 200 && r.status < 300 && !r.answer.Signed:
+		return attempt.Broken, errUnsigned
+	case r.header.Get("Content-Encoding") != "":
+		return attempt.Broken, errEncoded
+	case promisesNotRun(r.status):
+		return attempt.Broken, errors.Wrapf(errBareRefusal, "status %d", r.status)
+	}
+	return 0, nil
+}
+
+// promisesNotRun tells whether callers take a status as the word that the request
+// has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// ended tells why a call whose context ended has failed.
+func (f *forwarding) ended(ctx context.Context) *result.Error {
+	ran := result.RanNo
+	if f.course.MayHaveRun() {
+		ran = result.RanUnknown
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result.Fail(result.DeadlineExceeded, ran, "the deadline passed")
+	}
+	return result.Fail(result.Cancelled, ran, "the caller went away")
+}
+
+// noEndpoint ends a call for which no endpoint is left.
+func (f *forwarding) noEndpoint() *result.Error {
+	switch {
+	case f.failure != nil:
+		return f.failure.write(f.call)
+	case f.course.MayHaveRun():
+		return result.Fail(result.EndpointFailed, result.RanUnknown, "the endpoint failed and no other is left")
+	}
+	return result.Refuse(result.NoEndpoint, noEndpointRetry, "no endpoint of service %q", f.service.Name)
+}
+
+// give ends a call that is not sent again.
+func (f *forwarding) give(next attempt.Next, err error) *result.Error {
+	switch next {
+	case attempt.PassOn:
+		return f.failure.write(f.call)
+	case attempt.Fail:
+		return result.Fail(result.EndpointFailed, result.RanUnknown, "%v", err)
+	}
+	return result.Refuse(result.Overloaded, overloadedRetry, "%v", err)
+}
+
+// overloadedRetry is when a caller may come back whom endpoints were too busy for:
+// by then a batch of short work has ended.
+const overloadedRetry = 300 * time.Millisecond
+
+// hopByHop are headers that concern one connection only.
+var hopByHop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
+
+// forwardable copies the headers that are passed on.
+func forwardable(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h.Values("Connection") {
+		for _, name := range splitList(list) {
+			out.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,179 @@
+// Package gateway is the entry's process where endpoints are called directly over
+// HTTP, without an agent beside them. It takes callers' requests, decides which
+// endpoint runs each, relays the answer and resumes streams elsewhere when an
+// endpoint fails.
+//
+// A gateway keeps nothing: what it believes of routes, accounts and endpoints comes
+// from the platform's store, what it believes of their load from its own requests,
+// and an endpoint's own word decides what has run.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/directory"
+	"aspenyard.example/eventlog"
+	"aspenyard.example/routing/direct"
+	"aspenyard.example/settings"
+)
+
+// Gateway is one process.
+type Gateway struct {
+	settings settings.Gateway
+	dialect  Dialect
+	source   directory.Source
+	log      *zap.Logger
+	stories  *eventlog.Stories
+	metrics  *metrics.Set
+	snapshot atomic.Pointer[directory.Snapshot]
+	ledger   *direct.Ledger
+	policy   *direct.Policy
+	retries  *admission.RetryWindow
+	pool     *pool
+	callers  *callers
+	active   atomic.Int64
+	stopping atomic.Int64 // when the drain began, in nanoseconds since start; 0: serving
+	started  time.Time
+}
+
+// Config is what a gateway is made of.
+type Config struct {
+	Settings settings.Gateway
+	Dialect  Dialect
+	Source   directory.Source
+	Log      *zap.Logger
+	// LogWriter counts dropped lines; may be nil.
+	LogWriter *eventlog.Writer
+}
+
+// New makes a gateway; Serve starts it.
+func New(c Config) *Gateway {
+	ledger := direct.NewLedger()
+	g := &Gateway{
+		settings: c.Settings, dialect: c.Dialect, source: c.Source, log: c.Log, stories: eventlog.NewStories(c.Log),
+		metrics: metrics.NewSet(), ledger: ledger, policy: direct.NewPolicy(ledger, globalRand{}), pool: newPool(), started: time.Now(),
+	}
+	g.retries = admission.NewRetryWindow(time.Now(), admission.RetryLimits{
+		Ratio: c.Settings.RetryRatio, Allowance: float64(c.Settings.RetryAllowance), Window: c.Settings.RetryWindow.D(),
+	})
+	g.snapshot.Store(directory.Empty())
+	g.callers = newCallers(g)
+	g.expose(c.LogWriter)
+	return g
+}
+
+// memoryShare is the part of the process's memory at which the runtime collects
+// garbage more eagerly; the rest is for stacks, buffers of the kernel and the binary.
+const memoryShare = 0.6
+
+// Serve works until a signal ends it or ctx does. SIGHUP reads the settings again,
+// by reload; any other signal drains, a second one stops at once.
+func (g *Gateway) Serve(ctx context.Context, signals <-chan os.Signal, reload func() (settings.Gateway, error)) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	debug.SetMemoryLimit(int64(float64(g.settings.MemoryLimit) * memoryShare))
+	failures := make(chan error, 3)
+	if err := g.listen(ctx, failures); err != nil {
+		return err
+	}
+	go g.follow(ctx)
+	g.log.Info("start", zap.String("callers", g.settings.CallersListen), zap.String("store", g.settings.Store))
+	for {
+		select {
+		case err := <-failures:
+			return err
+		case <-ctx.Done():
+			g.callers.close()
+			return nil
+		case signal := <-signals:
+			if signal == syscall.SIGHUP {
+				g.reload(reload)
+				continue
+			}
+			g.drain(signals)
+			return nil
+		}
+	}
+}
+
+// listen opens the ports and serves them in the background.
+func (g *Gateway) listen(ctx context.Context, failures chan<- error) error {
+	type port struct {
+		addr    string
+		handler http.Handler
+	}
+	ports := []port{{g.settings.ReadinessListen, g.readinessHandler()}}
+	if g.settings.MetricsListen != "" {
+		ports = append(ports, port{g.settings.MetricsListen, g.metricsHandler()})
+	}
+	for _, p := range ports {
+		listener, err := net.Listen("tcp", p.addr)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		server := &http.Server{Handler: p.handler, ReadHeaderTimeout: operatorsHeaderTimeout}
+		context.AfterFunc(ctx, func() { _ = server.Close() })
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failures <- errors.Wrapf(err, "serve %s", p.addr)
+			}
+		}()
+	}
+	listener, err := net.Listen("tcp", g.settings.CallersListen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	go func() {
+		if err := g.callers.serve(listener); err != nil {
+			failures <- err
+		}
+	}()
+	return nil
+}
+
+// operatorsHeaderTimeout bounds how long the balancer or a scraper takes to send a
+// request's head.
+const operatorsHeaderTimeout = 5 * time.Second
+
+func (g *Gateway) reload(load func() (settings.Gateway, error)) {
+	next, err := load()
+	if err != nil {
+		g.log.Error("reload refused", zap.Error(err))
+		return
+	}
+	g.retries.SetLimits(admission.RetryLimits{
+		Ratio: next.RetryRatio, Allowance: float64(next.RetryAllowance), Window: next.RetryWindow.D(),
+	})
+	g.log.Info("reload", zap.Float64("retry_ratio", next.RetryRatio), zap.Int64("retry_allowance", next.RetryAllowance))
+}
+
+// ready tells the balancer whether to send callers here.
+func (g *Gateway) ready() error {
+	switch {
+	case g.stopping.Load() != 0:
+		return errors.New("draining")
+	case g.snapshot.Load().Config == nil:
+		return errors.New("no configuration yet")
+	}
+	return nil
+}
+
+func (g *Gateway) readinessHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := g.ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+}
--- /dev/null
+++ b/gateway/handler.go
@@ -0,0 +1,276 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/directory"
+	"aspenyard.example/eventlog"
+	"aspenyard.example/result"
+)
+
+// call is one caller's request on its way through the gateway.
+type call struct {
+	Request
+	gateway  *Gateway
+	started  time.Time
+	deadline time.Time
+	snapshot *directory.Snapshot
+	config   *directory.Config
+	route    *directory.Route
+	service  *directory.Service
+	account  *directory.Account
+	body     []byte
+	out      http.ResponseWriter
+	in       *http.Request
+	story    *eventlog.Story
+	// firstAnswer is when the answer's head or first event was passed on; gap is the
+	// longest pause between events.
+	firstAnswer time.Time
+	gap         time.Duration
+	events      int
+	// endpoint is the last that the request was sent to.
+	endpoint string
+}
+
+// serveCaller serves one request from a caller.
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	c := &call{gateway: g, started: time.Now(), Request: g.dialect.ReadRequest(r.Header), out: w, in: r}
+	c.story = g.stories.Begin(c.ID)
+	c.snapshot = g.snapshot.Load()
+	c.config = c.snapshot.Config
+	failure := c.open()
+	if failure == nil {
+		failure = c.forward()
+	}
+	c.end(failure)
+}
+
+// open finds out who asks for what and reads the body. Nothing has run when it fails.
+func (c *call) open() *result.Error {
+	if c.config == nil {
+		return result.Refuse(result.NotReady, notReadyRetry, "no configuration yet")
+	}
+	if !c.gateway.accepting() {
+		return result.Refuse(result.Leaving, leavingRetry, "the process is shutting down")
+	}
+	if failure := c.checkHead(); failure != nil {
+		return failure
+	}
+	if failure := c.identify(); failure != nil {
+		return failure
+	}
+	if failure := c.readBody(); failure != nil {
+		return failure
+	}
+	c.service = c.config.Services[c.route.Pick(globalRand{}.Float64())]
+	if c.service == nil {
+		return result.Refuse(result.NoEndpoint, noEndpointRetry, "route %q has no service", c.route.Name)
+	}
+	c.gateway.retries.Request(c.started, c.service.Name)
+	return nil
+}
+
+const (
+	notReadyRetry   = 500 * time.Millisecond
+	leavingRetry    = 50 * time.Millisecond
+	noEndpointRetry = time.Second
+)
+
+// checkHead refuses a head that is malformed or over the configuration's limit.
+func (c *call) checkHead() *result.Error {
+	if !strings.HasPrefix(c.in.RequestURI, "/") || strings.ContainsAny(c.in.RequestURI, " \t") {
+		return result.Refuse(result.BadRequest, 0, "the request target is not a path")
+	}
+	if len(c.in.TransferEncoding) > 0 && ambiguous(c.in) {
+		return result.Refuse(result.BadRequest, 0, "both a length and an encoding of the body")
+	}
+	if limit := c.config.Limits.HeaderBytes; limit > 0 && headBytes(c.in) > limit {
+		return result.Refuse(result.HeaderTooLarge, 0, "the head is over %d bytes", limit)
+	}
+	return nil
+}
+
+// ambiguous tells whether the head gave two lengths of the body. The server has then
+// taken the encoding and dropped the length; another reader might do the reverse, and
+// a second request could be hidden in the difference.
+func ambiguous(r *http.Request) bool {
+	conn, ok := r.Context().Value(connKey{}).(*callerConn)
+	return ok && conn.sawLength()
+}
+
+// headBytes is the size of a request's head as it was sent, to a few bytes.
+func headBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\n ") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// identify finds the route and the account and fixes the deadline.
+func (c *call) identify() *result.Error {
+	path, _, _ := strings.Cut(c.in.RequestURI, "?")
+	c.route = c.config.Route(c.in.Host, path)
+	if c.route == nil {
+		return result.Refuse(result.UnknownKind, 0, "no route for host %q and path %q", c.in.Host, path)
+	}
+	c.account = c.config.Account(c.Key)
+	if c.config.HasAccounts() && !c.route.Public && c.account == nil {
+		code := result.WrongKey
+		if c.Key == "" {
+			code = result.NoKey
+		}
+		return result.Refuse(code, 0, "route %q needs the key of a client account", c.route.Name)
+	}
+	if c.ID == "" {
+		return result.Refuse(result.BadRequest, 0, "no request id")
+	}
+	limit := c.route.Timeout
+	if c.Deadline > 0 && (limit == 0 || c.Deadline < limit) {
+		limit = c.Deadline
+	}
+	if limit <= 0 {
+		limit = defaultDeadline
+	}
+	c.deadline = c.started.Add(limit)
+	return nil
+}
+
+// defaultDeadline is used where neither the caller nor the route gives one.
+const defaultDeadline = 30 * time.Second
+
+// readBody reads the whole body before anything is sent on: a request that breaks
+// off on its way here then certainly has not run.
+func (c *call) readBody() *result.Error {
+	if c.in.Body == nil || c.in.Body == http.NoBody {
+		return nil
+	}
+	limit := int64(c.config.Limits.BodyBytes)
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if c.in.ContentLength > limit {
+		return result.Refuse(result.BodyTooLarge, 0, "the body has %d bytes, %d are allowed", c.in.ContentLength, limit)
+	}
+	control := http.NewResponseController(c.out)
+	_ = control.SetReadDeadline(c.deadline)
+	reader := http.MaxBytesReader(c.out, c.in.Body, limit)
+	body, err := readAll(reader, c.in.ContentLength)
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	var timeout net.Error
+	switch {
+	case err == nil:
+		c.body = body
+		return nil
+	case errors.As(err, &tooLarge):
+		return result.Refuse(result.BodyTooLarge, 0, "the body is over %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout():
+		return result.Refuse(result.SlowCaller, 0, "the body did not come in time")
+	case c.in.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
+		return result.Refuse(result.Cancelled, 0, "the caller went away while sending the body")
+	}
+	return result.Refuse(result.BadRequest, 0, "the body could not be read: %v", err)
+}
+
+const defaultBodyBytes = 16 << 20
+
+// readAll reads a body of a known or (negative) unknown length.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+// refuse answers a request that has not run, or that failed without an answer from
+// an endpoint.
+func (c *call) refuse(failure *result.Error) {
+	status := result.Lookup(failure.Code).HTTPStatus
+	h := c.out.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if failure.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	if failure.Code == result.SlowCaller || failure.Code == result.BodyTooLarge || failure.Code == result.BadRequest || failure.Code == result.Leaving {
+		h.Set("Connection", "close")
+	}
+	c.out.WriteHeader(status)
+	_, _ = io.WriteString(c.out, failure.Error()+"\n")
+}
+
+// end answers a request that failed, counts it and logs its story.
+func (c *call) end(failure *result.Error) {
+	took := time.Since(c.started)
+	code, started := result.OK, !c.firstAnswer.IsZero()
+	if failure != nil {
+		code = failure.Code
+	}
+	c.gateway.measure(c, code, took)
+	fields := []zap.Field{
+		zap.Int("code", int(code)), zap.Duration("took_ms", took), zap.Uint64("config", c.version()),
+		zap.String("route", c.routeName()), zap.String("endpoint", c.endpoint), zap.Int("prompt_tokens", c.PromptTokens),
+	}
+	if started {
+		fields = append(fields, zap.Duration("first_ms", c.firstAnswer.Sub(c.started)), zap.Duration("gap_ms", c.gap), zap.Int("events", c.events))
+	}
+	if failure != nil {
+		fields = append(fields, zap.String("ran", string(failure.Ran)), zap.String("detail", failure.Detail), zap.Duration("retry_after_ms", failure.RetryAfter))
+	}
+	c.story.Add("request_ended", fields...)
+	c.story.End(failure != nil || c.late(took))
+	switch {
+	case failure == nil:
+	case started || c.in.Context().Err() != nil:
+		// The answer has begun and must not look whole, or nobody reads it.
+		panic(http.ErrAbortHandler)
+	default:
+		c.refuse(failure)
+	}
+}
+
+// late tells whether an answer missed its route's targets.
+func (c *call) late(took time.Duration) bool {
+	if c.route == nil || c.route.Target == 0 {
+		return false
+	}
+	if c.route.Kind == directory.Streaming {
+		return c.firstAnswer.Sub(c.started) > c.route.Target || c.route.TargetGap > 0 && c.gap > c.route.TargetGap
+	}
+	return took > c.route.Target
+}
+
+func (c *call) version() uint64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
+func (c *call) routeName() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Name
+}
+
+// timeout gives a context that ends at the call's deadline or when the caller leaves.
+func (c *call) timeout() (context.Context, context.CancelFunc) {
+	return context.WithDeadline(c.in.Context(), c.deadline)
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"aspenyard.example/attempt"
+	"aspenyard.example/directory"
+	"aspenyard.example/eventlog"
+	"aspenyard.example/result"
+)
+
+func (g *Gateway) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		g.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+}
+
+// expose registers the gauges.
+func (g *Gateway) expose(writer *eventlog.Writer) {
+	g.metrics.NewGauge("aspenyard_gateway_active_requests", func() float64 { return float64(g.active.Load()) })
+	g.metrics.NewGauge("aspenyard_gateway_endpoints", func() float64 { return float64(g.snapshot.Load().Len()) })
+	g.metrics.NewGauge("aspenyard_gateway_config_version", func() float64 {
+		if config := g.snapshot.Load().Config; config != nil {
+			return float64(config.Version)
+		}
+		return 0
+	})
+	g.metrics.NewGauge("aspenyard_gateway_stories_skipped_total", func() float64 { return float64(g.stories.Skipped()) })
+	if writer != nil {
+		g.metrics.NewGauge("aspenyard_gateway_log_lines_dropped_total", func() float64 { return float64(writer.Dropped()) })
+	}
+}
+
+// latencyBuckets bound the histograms of waits, in seconds.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2, 3, 5, 10, 20}
+
+// classOf names a call's class by its kind and, for engines, the prompt's length. The
+// names are few whatever callers send.
+func (c *call) classOf() string {
+	switch {
+	case c.route == nil:
+		return "none"
+	case c.route.Kind != directory.Streaming:
+		return c.route.Kind.String()
+	case c.PromptTokens > 100_000:
+		return "streaming_above_100k"
+	case c.PromptTokens > 24_000:
+		return "streaming_up_to_100k"
+	}
+	return "streaming_up_to_24k"
+}
+
+// measure counts an ended call.
+func (g *Gateway) measure(c *call, code result.Code, took time.Duration) {
+	class := c.classOf()
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_requests_total{class=%q,code="%d",outcome=%q}`, class, code, result.Lookup(code).Name)).Inc()
+	g.metrics.GetOrCreatePrometheusHistogramExt(fmt.Sprintf(`aspenyard_gateway_request_seconds{class=%q}`, class), latencyBuckets).Update(took.Seconds())
+	if c.firstAnswer.IsZero() {
+		return
+	}
+	g.metrics.GetOrCreatePrometheusHistogramExt(fmt.Sprintf(`aspenyard_gateway_first_event_seconds{class=%q}`, class), latencyBuckets).Update(c.firstAnswer.Sub(c.started).Seconds())
+	if c.events > 1 {
+		g.metrics.GetOrCreatePrometheusHistogramExt(fmt.Sprintf(`aspenyard_gateway_longest_pause_seconds{class=%q}`, class), latencyBuckets).Update(c.gap.Seconds())
+	}
+}
+
+// countAttempt counts a failed attempt.
+func (g *Gateway) countAttempt(service string, outcome attempt.SendOutcome) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_attempts_failed_total{service=%q,outcome=%q}`, service, outcome)).Inc()
+}
+
+func (g *Gateway) countConnection(reused bool) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_endpoint_connections_total{reused="%t"}`, reused)).Inc()
+}
+
+// observeStore measures a call to the store.
+func (g *Gateway) observeStore(whole bool, took time.Duration, err error) {
+	call, outcome := "follow", "ok"
+	if whole {
+		call = "read"
+	}
+	if err != nil {
+		outcome = "failed"
+	}
+	g.metrics.GetOrCreatePrometheusHistogramExt(fmt.Sprintf(`aspenyard_gateway_store_seconds{call=%q,outcome=%q}`, call, outcome), latencyBuckets).Update(took.Seconds())
+}
--- a/result/result.go
+++ b/result/result.go
@@ -38,6 +38,9 @@
 	NotOperator      Code = 2015
 	UnknownEntry     Code = 2016
 	MethodNotAllowed Code = 2017
+	BadRequest       Code = 2018
+	HeaderTooLarge   Code = 2019
+	SlowCaller       Code = 2020
 
 	RateLimited        Code = 3001
 	TooManyConcurrent  Code = 3002
--- a/result/table.go
+++ b/result/table.go
@@ -28,6 +28,9 @@
 	{NotOperator, "not_operator", http.StatusForbidden, "The key is not an operator's.", "Use an operator's key."},
 	{UnknownEntry, "unknown_entry", http.StatusNotFound, "The catalogue has no such entry.", "Check its type and id."},
 	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, "The path does not take this method.", "Use the method in the Allow header."},
+	{BadRequest, "bad_request", http.StatusBadRequest, "The request's head or framing is malformed.", "Correct the request."},
+	{HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, "The request's head is longer than the configuration allows.", "Send less."},
+	{SlowCaller, "slow_caller", http.StatusRequestTimeout, "The request did not come whole in time; it did not run.", "Send it again."},
 
 	{RateLimited, "rate_limited", http.StatusTooManyRequests, "The client account is over its requests per second.", "Ask again after Retry-After."},
 	{TooManyConcurrent, "too_many_concurrent", http.StatusTooManyRequests, "The client account has too many requests at once.", "Ask again when one has ended."},
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,72 @@
+package settings
+
+import "time"
+
+// Gateway is the settings of an entry that calls its endpoints directly.
+type Gateway struct {
+	// Name identifies the VM, DataCentre where it stands. No defaults.
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	// CallersListen is where the balancer sends callers; ReadinessListen is where it
+	// asks whether to; MetricsListen serves metrics and is optional.
+	CallersListen   string `json:"callers_listen"`
+	ReadinessListen string `json:"readiness_listen"`
+	MetricsListen   string `json:"metrics_listen,omitempty"`
+	// Store is the address of the platform's metadata store.
+	Store string `json:"store"`
+	// StoreTimeout bounds one call to the store; default 1s.
+	StoreTimeout Duration `json:"store_timeout,omitempty"`
+	// DrainTimeout is how long a graceful shutdown may take until the process is
+	// killed; default 10s.
+	DrainTimeout Duration `json:"drain_timeout,omitempty"`
+	// RetryRatio, RetryAllowance and RetryWindow bound what all entries together send
+	// again to the endpoints of a service: in any window at most the ratio of the
+	// service's requests plus the allowance. Defaults 0.1, 10 and 10s. A larger
+	// budget saves more requests from single failures and adds more load when
+	// everything fails at once.
+	RetryRatio     float64  `json:"retry_ratio,omitempty"`
+	RetryAllowance int64    `json:"retry_allowance,omitempty"`
+	RetryWindow    Duration `json:"retry_window,omitempty"`
+	// MemoryLimit is the process's memory; default 256MB. The runtime collects
+	// garbage more eagerly as it comes near.
+	MemoryLimit Size `json:"memory_limit,omitempty"`
+}
+
+// SetDefaults fills the fields that may be left out.
+func (g *Gateway) SetDefaults() {
+	setDuration(&g.StoreTimeout, time.Second)
+	setDuration(&g.DrainTimeout, 10*time.Second)
+	setDuration(&g.RetryWindow, 10*time.Second)
+	if g.RetryRatio == 0 {
+		g.RetryRatio = 0.1
+	}
+	if g.RetryAllowance == 0 {
+		g.RetryAllowance = 10
+	}
+	if g.MemoryLimit == 0 {
+		g.MemoryLimit = 256_000_000
+	}
+}
+
+// Check returns every fault of the fields.
+func (g *Gateway) Check() Faults {
+	g.SetDefaults()
+	var faults Faults
+	faults.CheckName("name", g.Name)
+	faults.CheckName("data_centre", g.DataCentre)
+	faults.CheckAddr("callers_listen", g.CallersListen)
+	faults.CheckAddr("readiness_listen", g.ReadinessListen)
+	if g.MetricsListen != "" {
+		faults.CheckAddr("metrics_listen", g.MetricsListen)
+	}
+	faults.CheckAddr("store", g.Store)
+	faults.CheckRange("store_timeout", g.StoreTimeout.D(), 10*time.Millisecond, time.Minute)
+	faults.CheckRange("drain_timeout", g.DrainTimeout.D(), 100*time.Millisecond, 24*time.Hour)
+	faults.CheckRange("retry_window", g.RetryWindow.D(), 100*time.Millisecond, time.Hour)
+	if g.RetryRatio < 0 || g.RetryRatio > 1 {
+		faults.Add("retry_ratio", g.RetryRatio, "0 to 1")
+	}
+	faults.CheckInt("retry_allowance", g.RetryAllowance, 0, 1_000_000)
+	faults.CheckInt("memory_limit", int64(g.MemoryLimit), 32_000_000, 1<<40)
+	return faults
+}
