Gateway: pings find a silent store, probes tell a dead endpoint from a busy one, draining takes what can still end

(3) refusals while all entries of a data centre were stopped in turn. Ruled out: shorter waits of the watch (three times the store's calls).

--- a/attempt/course.go
+++ b/attempt/course.go
@@ -58,6 +58,10 @@
 // MayHaveRun tells whether the request may have run.
 func (c *Course) MayHaveRun() bool { return c.mayHaveRun }
 
+// CanRepeat tells whether the request, once sent to the next endpoint, could still go
+// on at another if that one broke off.
+func (c *Course) CanRepeat() bool { return c.Repeatable && c.arrivals+1 < c.MaxArrivals }
+
 // After decides what follows an outcome. budget is asked, and spent, only when the
 // request would reach another endpoint.
 func (c *Course) After(o SendOutcome, budget func() bool) Next {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"aspenyard.example/routing/direct"
 )
 
 const (
@@ -50,12 +52,35 @@
 	}
 }
 
-// accepting tells whether a new request can still end before the process stops.
-func (g *Gateway) accepting() bool {
+// accepting tells whether a new request that takes need can still end before the
+// process stops. When all nodes of a data centre are stopped in turn, the balancer
+// goes on sending to those that drain: short work is still served then.
+func (g *Gateway) accepting(need time.Duration) bool {
 	at := g.stopping.Load()
 	if at == 0 {
 		return true
 	}
+	limit := g.settings.DrainTimeout.D()
 	since := time.Since(g.started) - time.Duration(at)
-	return since < time.Duration(float64(g.settings.DrainTimeout.D())*acceptShare)
+	return since < time.Duration(float64(limit)*acceptShare) || since+need < limit-stopMargin
+}
+
+const (
+	// passEstimate is how long an engine under load takes for one event of a stream:
+	// its decode steps and the prompts that it prefills between them.
+	passEstimate = 150 * time.Millisecond
+	// firstEstimate is the wait for the first event beside the prefill.
+	firstEstimate = time.Second
+	// plainEstimate bounds the work of a plain service.
+	plainEstimate = 1500 * time.Millisecond
+)
+
+// need estimates how long a call takes, rather too long than too short.
+func (c *call) need() time.Duration {
+	engine := c.service.Engine
+	if engine == nil || engine.Stride <= 0 {
+		return min(c.route.Timeout, plainEstimate)
+	}
+	events := c.OutputTokens/engine.Stride + 1
+	return min(c.route.Timeout, firstEstimate+2*direct.Prefill(engine, c.PromptTokens)+time.Duration(events)*passEstimate)
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,6 +41,28 @@
 	written <-chan error
 	keep    time.Duration
 	stop    func() bool
+	// watchdog is nil where the request could not go on elsewhere.
+	watchdog *watchdog
+}
+
+// hear notes that the endpoint gave a sign of life.
+func (r *reply) hear() {
+	if r.watchdog != nil {
+		r.watchdog.hear()
+	}
+}
+
+// release ends what looks after the exchange; it tells whether its context still
+// stood, so that nothing has disturbed the connection.
+func (r *reply) release() bool {
+	if r.watchdog != nil {
+		r.watchdog.stop()
+		if r.watchdog.dark.Load() {
+			r.stop()
+			return false
+		}
+	}
+	return r.stop()
 }
 
 // maxCrossed is how many answers to other requests are passed over on a connection
@@ -53,14 +75,23 @@
 // exchange sends a request to an endpoint and reads the head of its answer. ctx
 // bounds the whole exchange, the body included: its end closes the connection, so
 // that the endpoint drops the work.
-func (g *Gateway) exchange(ctx context.Context, e *directory.Listed, out *outgoing, once bool) (*reply, *sendError) {
+//
+// silence is after which time without a byte the endpoint is probed; 0: never, for
+// requests that could not go on elsewhere.
+func (g *Gateway) exchange(ctx context.Context, e *directory.Listed, out *outgoing, once bool, silence time.Duration) (*reply, *sendError) {
 	conn, err := g.pool.get(ctx, e, once)
 	if err != nil {
+		if ctx.Err() == nil {
+			g.markDark(e, err.Error())
+		}
 		return nil, &sendError{attempt.NotSent, err}
 	}
 	g.countConnection(conn.reused)
 	r := &reply{endpoint: e, pool: g.pool, conn: conn}
 	r.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if silence > 0 {
+		r.watchdog = g.watch(ctx, r, silence)
+	}
 	r.written = out.send(conn)
 	if err := r.readHead(g.dialect, out); err != nil {
 		r.abandon()
@@ -77,6 +108,7 @@
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
+		r.hear()
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -116,7 +148,7 @@
 
 // abandon closes the connection; the endpoint drops what it does for the request.
 func (r *reply) abandon() {
-	r.stop()
+	r.release()
 	_ = r.conn.Close()
 }
 
@@ -130,7 +162,7 @@
 		whole = err == nil
 	default:
 	}
-	if !r.stop() || !whole || r.unframed || r.keep <= 0 || r.conn.reader.Buffered() > 0 {
+	if !r.release() || !whole || r.unframed || r.keep <= 0 || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -12,15 +12,18 @@
 )
 
 const (
-	// followWait is how long one call waits for a change. A connection that went
-	// silent is noticed after it, plus the store's timeout; longer waits cost the
-	// store fewer calls.
-	followWait = 3 * time.Second
+	// followWait is how long one call waits for a change; longer waits cost the store
+	// fewer calls. That the store is silent, or the connection, is noticed by pings.
+	followWait = 10 * time.Second
+	// pingInterval and pingTimeout find a store or connection that went silent in
+	// 1.7 s at most. A ping costs a tenth of a call.
+	pingInterval = time.Second
+	pingTimeout  = 700 * time.Millisecond
 	// retryFirst and retryMost bound the wait after a failed call; it doubles. The
 	// first is short, as a call is often cut just when the store dropped history and
 	// the state must be read anew.
 	retryFirst = 40 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
 	// expireInterval is how often lapsed registrations are looked for.
 	expireInterval = 250 * time.Millisecond
 )
@@ -41,6 +44,8 @@
 	stale   bool
 	outage  time.Time // since when the store gives no answer; zero: it does
 	backoff time.Duration
+	// cancel ends the call under way.
+	cancel context.CancelFunc
 }
 
 // taken is what one call to the store brought.
@@ -54,43 +59,81 @@
 	f := &follower{gateway: g, replica: directory.NewReplica(), stale: true, backoff: retryFirst}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
-	answers := make(chan taken, 1)
-	go f.call(ctx, f.stale, f.replica.At(), answers)
+	answers, silent := make(chan taken, 1), make(chan error, 1)
+	go g.ping(ctx, silent)
+	f.call(ctx, 0, answers)
 	for {
 		select {
 		case <-ctx.Done():
+			f.cancel()
 			return
 		case now := <-ticker.C:
 			if f.replica.Expire(now) {
 				f.publish()
 			}
+		case err := <-silent:
+			if f.outage.IsZero() {
+				g.log.Warn("store_silent", zap.Error(err))
+				g.source.Reset()
+				f.cancel()
+			}
 		case answer := <-answers:
-			pause := f.take(answer)
-			go func(stale bool, at uint64) {
-				select {
-				case <-time.After(pause):
-					f.call(ctx, stale, at, answers)
-				case <-ctx.Done():
-				}
-			}(f.stale, f.replica.At())
+			f.cancel()
+			f.call(ctx, f.take(answer), answers)
 		}
 	}
 }
 
-// call makes one call to the store; it touches nothing of the follower's state.
-func (f *follower) call(ctx context.Context, stale bool, at uint64, answers chan<- taken) {
-	var answer taken
-	begun := time.Now()
-	if stale {
-		answer.reading, answer.err = f.gateway.source.Read(ctx)
-	} else {
-		answer.changes, answer.err = f.gateway.source.Follow(ctx, at, followWait)
+// ping asks the store for a sign of life and tells of each time that there is none.
+// A waiting call cannot tell a store without news from one that is silent: the node
+// would go on with an old configuration for as long as the call may wait.
+func (g *Gateway) ping(ctx context.Context, silent chan<- error) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		bounded, cancel := context.WithTimeout(ctx, pingTimeout)
+		err := g.source.Ping(bounded)
+		cancel()
+		if err == nil {
+			continue
+		}
+		select {
+		case silent <- err:
+		case <-ctx.Done():
+			return
+		}
 	}
-	f.gateway.observeStore(stale, time.Since(begun), answer.err)
-	select {
-	case answers <- answer:
-	case <-ctx.Done():
+}
+
+// call makes one call to the store, after a pause, beside the control thread; it
+// touches nothing of the follower's state. During an outage it does not wait for
+// changes, so that the store's return is seen at once.
+func (f *follower) call(ctx context.Context, pause time.Duration, answers chan<- taken) {
+	ctx, f.cancel = context.WithCancel(ctx)
+	stale, at, wait, gateway := f.stale, f.replica.At(), followWait, f.gateway
+	if !f.outage.IsZero() {
+		wait = 0
 	}
+	go func() {
+		var answer taken
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		begun := time.Now()
+		if stale {
+			answer.reading, answer.err = gateway.source.Read(ctx)
+		} else {
+			answer.changes, answer.err = gateway.source.Follow(ctx, at, wait)
+		}
+		gateway.observeStore(stale, time.Since(begun), answer.err)
+		answers <- answer
+	}()
 }
 
 // take takes an answer in and tells how long to pause before the next call.
@@ -158,5 +201,6 @@
 	f.gateway.snapshot.Store(snapshot)
 	known := func(id string) bool { return snapshot.Endpoint(id) != nil }
 	f.gateway.pool.prune(known)
+	f.gateway.prober.prune(known)
 	f.gateway.ledger.Prune(known)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -80,7 +80,7 @@
 	defer charge.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	reply, failed := f.gateway.exchange(ctx, plan.Endpoint, f.outgoing(plan), !f.route.Repeatable())
+	reply, failed := f.gateway.exchange(ctx, plan.Endpoint, f.outgoing(plan), !f.route.Repeatable(), f.silence())
 	if failed != nil {
 		return failed.outcome, failed
 	}
@@ -91,12 +91,39 @@
 		reply.abandonOrFinish()
 		return outcome, err
 	}
+	if f.begun() && reply.status != http.StatusOK {
+		reply.abandonOrFinish()
+		return attempt.Broken, errors.Errorf("status %d where a stream was to go on", reply.status)
+	}
 	if f.relay != nil && reply.status == http.StatusOK {
 		return f.relay.pass(reply, charge)
 	}
 	return f.passWhole(reply)
 }
 
+// begun tells whether a part of a stream has been passed on.
+func (f *forwarding) begun() bool { return f.relay != nil && f.relay.begun }
+
+// Silence of an endpoint after which it is probed.
+const (
+	silenceLeast = 200 * time.Millisecond
+	silenceMost  = 1200 * time.Millisecond
+)
+
+// silence is after which time without a byte the endpoint is probed: a little before
+// the answer is late. 0 for a request that could not go on elsewhere, which waits for
+// whatever still comes.
+func (f *forwarding) silence() time.Duration {
+	if !f.course.CanRepeat() {
+		return 0
+	}
+	wait := f.route.Target
+	if f.route.Kind == directory.Streaming {
+		wait = 2 * f.route.TargetGap
+	}
+	return min(max(wait, silenceLeast), silenceMost)
+}
+
 // outgoing makes the request for an endpoint.
 func (f *forwarding) outgoing(plan *direct.Plan) *outgoing {
 	d := &Dispatch{EndpointID: plan.Endpoint.ID, Remaining: time.Until(f.deadline)}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	retries  *admission.RetryWindow
 	pool     *pool
 	callers  *callers
+	prober   *prober
 	active   atomic.Int64
 	stopping atomic.Int64 // when the drain began, in nanoseconds since start; 0: serving
 	started  time.Time
@@ -70,6 +71,7 @@
 	})
 	g.snapshot.Store(directory.Empty())
 	g.callers = newCallers(g)
+	g.prober = newProber(g)
 	g.expose(c.LogWriter)
 	return g
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -62,9 +62,6 @@
 	if c.config == nil {
 		return result.Refuse(result.NotReady, notReadyRetry, "no configuration yet")
 	}
-	if !c.gateway.accepting() {
-		return result.Refuse(result.Leaving, leavingRetry, "the process is shutting down")
-	}
 	if failure := c.checkHead(); failure != nil {
 		return failure
 	}
@@ -78,6 +75,9 @@
 	if c.service == nil {
 		return result.Refuse(result.NoEndpoint, noEndpointRetry, "route %q has no service", c.route.Name)
 	}
+	if !c.gateway.accepting(c.need()) {
+		return result.Refuse(result.Leaving, leavingRetry, "the process is shutting down")
+	}
 	c.gateway.retries.Request(c.started, c.service.Name)
 	return nil
 }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -63,6 +63,11 @@
 		}
 		_ = conn.Close()
 	}
+	return p.open(ctx, e)
+}
+
+// open opens a connection.
+func (p *pool) open(ctx context.Context, e *directory.Listed) (*endpointConn, error) {
 	conn, err := p.dial(ctx, "tcp", e.Addr)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/gateway/probe.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"aspenyard.example/directory"
+)
+
+const (
+	// probeTimeout is how long an endpoint may take to accept a connection; it takes
+	// milliseconds while the endpoint lives, however busy it is.
+	probeTimeout = 250 * time.Millisecond
+	// probeValid is how long a probe's result holds for other requests.
+	probeValid = 300 * time.Millisecond
+	// darkInterval is the pause between probes of an endpoint that is dark.
+	darkInterval = 300 * time.Millisecond
+)
+
+// prober finds out whether a silent endpoint is dead or only busy. Waiting tells
+// nothing: an engine that prefills a long prompt is silent for a second too, and work
+// that leaves it is prefilled twice. An endpoint that accepts a connection lives.
+type prober struct {
+	gateway *Gateway
+	mu      sync.Mutex
+	results map[string]*probe
+}
+
+type probe struct {
+	done  chan struct{}
+	at    time.Time
+	alive bool
+}
+
+func newProber(g *Gateway) *prober {
+	return &prober{gateway: g, results: map[string]*probe{}}
+}
+
+// alive tells whether the endpoint accepts connections; a recent probe's result is
+// used again, and one at a time is under way.
+func (p *prober) alive(ctx context.Context, e *directory.Listed) bool {
+	p.mu.Lock()
+	current := p.results[e.ID]
+	if current == nil || !current.at.IsZero() && time.Since(current.at) > probeValid {
+		current = &probe{done: make(chan struct{})}
+		p.results[e.ID] = current
+		go p.run(e, current)
+	}
+	p.mu.Unlock()
+	select {
+	case <-current.done:
+		return current.alive
+	case <-ctx.Done():
+		return true
+	}
+}
+
+func (p *prober) run(e *directory.Listed, result *probe) {
+	alive := p.dial(e)
+	p.mu.Lock()
+	result.alive, result.at = alive, time.Now()
+	p.mu.Unlock()
+	close(result.done)
+	if !alive {
+		p.gateway.markDark(e, "does not accept connections")
+	}
+}
+
+// dial opens a connection and leaves it to the next request.
+func (p *prober) dial(e *directory.Listed) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	conn, err := p.gateway.pool.open(ctx, e)
+	if err != nil {
+		return false
+	}
+	p.gateway.pool.put(e.ID, conn, idleMost)
+	return true
+}
+
+// prune forgets endpoints that are not known any more.
+func (p *prober) prune(known func(id string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.results {
+		if !known(id) {
+			delete(p.results, id)
+		}
+	}
+}
+
+// markDark keeps requests from an endpoint until it accepts connections again.
+func (g *Gateway) markDark(e *directory.Listed, why string) {
+	if !g.ledger.SetDark(e.ID, true) {
+		return
+	}
+	g.log.Warn("endpoint_dark", zap.String("endpoint", e.ID), zap.String("reason", why))
+	go func() {
+		begun := time.Now()
+		for g.snapshot.Load().Endpoint(e.ID) != nil {
+			time.Sleep(darkInterval)
+			if g.prober.dial(e) {
+				g.ledger.SetDark(e.ID, false)
+				g.log.Info("endpoint_back", zap.String("endpoint", e.ID), zap.Duration("dark_ms", time.Since(begun)))
+				return
+			}
+		}
+	}()
+}
+
+// watchdog looks after one exchange: when the endpoint has been silent for a while
+// it is probed, and if it is dead the exchange is ended, so that the request can go
+// on elsewhere while its caller still waits.
+type watchdog struct {
+	gateway *Gateway
+	reply   *reply
+	ctx     context.Context
+	silence time.Duration
+	heard   atomic.Int64 // nanoseconds since the gateway's start
+	dark    atomic.Bool
+	timer   *time.Timer
+}
+
+// watch starts a watchdog over an exchange.
+func (g *Gateway) watch(ctx context.Context, r *reply, silence time.Duration) *watchdog {
+	w := &watchdog{gateway: g, reply: r, ctx: ctx, silence: silence}
+	w.hear()
+	w.timer = time.AfterFunc(silence, w.check)
+	return w
+}
+
+// hear notes a sign of life.
+func (w *watchdog) hear() { w.heard.Store(int64(time.Since(w.gateway.started))) }
+
+// stop ends the watch.
+func (w *watchdog) stop() { w.timer.Stop() }
+
+func (w *watchdog) check() {
+	if w.ctx.Err() != nil {
+		return
+	}
+	silent := time.Since(w.gateway.started) - time.Duration(w.heard.Load())
+	if silent < w.silence {
+		w.timer.Reset(w.silence - silent)
+		return
+	}
+	if w.gateway.prober.alive(w.ctx, w.reply.endpoint) {
+		w.timer.Reset(w.silence)
+		return
+	}
+	w.dark.Store(true)
+	_ = w.reply.conn.SetDeadline(time.Unix(1, 0))
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -85,16 +85,6 @@
 
 const maxDiscard = 16 << 10
 
-// Limits of a stream's silence between events.
-const (
-	// stallGaps is after how many of the route's longest pauses a stream is taken to
-	// have broken; callers leave after eight.
-	stallGaps = 4
-	// stallLeast and stallDefault bound it, and replace it where the route has none.
-	stallLeast   = time.Second
-	stallDefault = 4 * time.Second
-)
-
 // relay passes the events of a stream on. Only whole events are passed on, so that
 // after a break in the midst of one the stream can go on elsewhere.
 type relay struct {
@@ -107,7 +97,6 @@
 }
 
 var (
-	errStalled   = errors.New("no event in time")
 	errTornEvent = errors.New("the stream ended in the midst of an event")
 	errCaller    = errors.New("the caller takes no more")
 )
@@ -115,14 +104,9 @@
 // pass relays one endpoint's stream to its end.
 func (s *relay) pass(r *reply, charge *direct.Charge) (attempt.SendOutcome, error) {
 	reader := bufio.NewReaderSize(r.body, readBuffer)
-	stall := s.stallLimit()
 	for {
-		if s.begun {
-			_ = r.conn.SetReadDeadline(time.Now().Add(stall))
-		}
 		event, id, err := readEvent(reader)
 		if err == io.EOF {
-			_ = r.conn.SetReadDeadline(time.Time{})
 			r.finish()
 			if !s.begun {
 				s.begin(r)
@@ -133,6 +117,7 @@
 			r.abandon()
 			return attempt.Broken, errors.Wrapf(err, "after event %q", s.last)
 		}
+		r.hear()
 		charge.Prefilled()
 		if s.begun && !s.follows(id) {
 			continue
@@ -144,13 +129,6 @@
 	}
 }
 
-func (s *relay) stallLimit() time.Duration {
-	if s.route.TargetGap <= 0 {
-		return stallDefault
-	}
-	return max(stallGaps*s.route.TargetGap, stallLeast)
-}
-
 // follows tells whether an event comes after what the caller has: an endpoint at
 // which a stream goes on may begin with events that the caller has already.
 func (s *relay) follows(id string) bool {
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -17,6 +17,8 @@
 	// running and waiting are the endpoint's own word of all callers' requests.
 	running, waiting int
 	told             time.Time
+	// dark is set while the endpoint accepts no connections.
+	dark bool
 }
 
 // NewLedger makes an empty ledger.
@@ -84,6 +86,16 @@
 	known.running, known.waiting, known.told = running, waiting, now
 }
 
+// SetDark notes whether an endpoint accepts connections; it tells whether that is new.
+func (l *Ledger) SetDark(endpoint string, dark bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.load(endpoint)
+	changed := known.dark != dark
+	known.dark = dark
+	return changed
+}
+
 func (l *Ledger) load(endpoint string) *load {
 	known := l.loads[endpoint]
 	if known == nil {
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -58,12 +58,12 @@
 
 // Place picks where a request goes; nil when no endpoint may be sent it.
 func (p *Policy) Place(now time.Time, r *Request, endpoints []*directory.Listed) *Plan {
-	kept := eligible(r, endpoints)
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	kept := p.eligible(r, endpoints)
 	if len(kept) == 0 {
 		return nil
 	}
-	p.ledger.mu.Lock()
-	defer p.ledger.mu.Unlock()
 	scored := p.score(now, r, kept)
 	best := pick(p.rand, scored)
 	plan := &Plan{Endpoint: best.endpoint, Cost: best.cost, Candidates: len(kept)}
@@ -71,24 +71,25 @@
 	return plan
 }
 
-// eligible drops endpoints that were tried, and those whose registration has lapsed
-// as long as there are others.
-func eligible(r *Request, endpoints []*directory.Listed) []*directory.Listed {
-	kept := make([]*directory.Listed, 0, len(endpoints))
+// eligible drops endpoints that were tried, and, as long as there are others, those
+// that accept no connections or whose registration has lapsed.
+func (p *Policy) eligible(r *Request, endpoints []*directory.Listed) []*directory.Listed {
+	untried := make([]*directory.Listed, 0, len(endpoints))
+	var doubtful []*directory.Listed
 	for _, e := range endpoints {
-		if e.Missing.IsZero() && !r.Tried[e.ID] {
-			kept = append(kept, e)
+		known := p.ledger.loads[e.ID]
+		switch {
+		case r.Tried[e.ID]:
+		case !e.Missing.IsZero() || known != nil && known.dark:
+			doubtful = append(doubtful, e)
+		default:
+			untried = append(untried, e)
 		}
 	}
-	if len(kept) > 0 {
-		return kept
-	}
-	for _, e := range endpoints {
-		if !r.Tried[e.ID] {
-			kept = append(kept, e)
-		}
+	if len(untried) > 0 {
+		return untried
 	}
-	return kept
+	return doubtful
 }
 
 type scored struct {
