Gateway: the watch waits one second and pings go

Ruled out: a stale ping that tells the revision (it may be seconds behind just then). Change: waits of 1 s; during an outage calls do not wait; idle connections are dropped after a failure.

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -38,7 +38,7 @@
 		time.AfterFunc(logClose, func() { close(timeout) })
 		writer.Close(timeout)
 	}()
-	store := platform.NewStore(s.Store, s.StoreTimeout.D(), gateway.Dialer(s.StoreTimeout.D()))
+	store := platform.NewStore(s.Store, gateway.Dialer(s.StoreTimeout.D()))
 	g := gateway.New(gateway.Config{Settings: s, Dialect: platform.Wire{}, Source: store, Log: eventlog.New(writer, s.Name, roleGateway), LogWriter: writer})
 	if err := g.Serve(ctx, ch, c.loadGateway); err != nil {
 		return t.failf("%v", err)
--- a/directory/source.go
+++ b/directory/source.go
@@ -21,8 +21,6 @@
 	// Follow returns as soon as something happened after a revision, or after wait
 	// with nothing. Errors: ErrHistoryGone, ErrUnavailable.
 	Follow(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
-	// Ping makes the cheapest call there is, to see whether the store answers.
-	Ping(ctx context.Context) error
 	// Reset drops idle connections, of which some may have gone silent.
 	Reset()
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -12,13 +12,14 @@
 )
 
 const (
-	// followWait is how long one call waits for a change; longer waits cost the store
-	// fewer calls. That the store is silent, or the connection, is noticed by pings.
-	followWait = 10 * time.Second
-	// pingInterval and pingTimeout find a store or connection that went silent in
-	// 1.7 s at most. A ping costs a tenth of a call.
-	pingInterval = time.Second
-	pingTimeout  = 700 * time.Millisecond
+	// followWait is how long one call waits for a change. A store that drops its
+	// history leaves waiting calls without an answer until they end, and changes made
+	// meanwhile must be in force within 2 s on the users' sites; longer waits cost the
+	// store fewer calls (0.003 of the worth of a day at 1 s).
+	followWait = time.Second
+	// slowFactor bounds how much longer than the store's timeout a call may take while
+	// calls fail, so that a store that is merely slow is not given up for ever.
+	slowFactor = 2
 	// retryFirst and retryMost bound the wait after a failed call; it doubles. The
 	// first is short, as a call is often cut just when the store dropped history and
 	// the state must be read anew.
@@ -44,8 +45,8 @@
 	stale   bool
 	outage  time.Time // since when the store gives no answer; zero: it does
 	backoff time.Duration
-	// cancel ends the call under way.
-	cancel context.CancelFunc
+	// timeout bounds the next call.
+	timeout time.Duration
 }
 
 // taken is what one call to the store brought.
@@ -56,75 +57,42 @@
 }
 
 func (g *Gateway) follow(ctx context.Context) {
-	f := &follower{gateway: g, replica: directory.NewReplica(), stale: true, backoff: retryFirst}
+	f := &follower{gateway: g, replica: directory.NewReplica(), stale: true, backoff: retryFirst, timeout: g.settings.StoreTimeout.D()}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
-	answers, silent := make(chan taken, 1), make(chan error, 1)
-	go g.ping(ctx, silent)
+	answers := make(chan taken, 1)
 	f.call(ctx, 0, answers)
 	for {
 		select {
 		case <-ctx.Done():
-			f.cancel()
 			return
 		case now := <-ticker.C:
 			if f.replica.Expire(now) {
 				f.publish()
 			}
-		case err := <-silent:
-			if f.outage.IsZero() {
-				g.log.Warn("store_silent", zap.Error(err))
-				g.source.Reset()
-				f.cancel()
-			}
 		case answer := <-answers:
-			f.cancel()
 			f.call(ctx, f.take(answer), answers)
 		}
 	}
 }
 
-// ping asks the store for a sign of life and tells of each time that there is none.
-// A waiting call cannot tell a store without news from one that is silent: the node
-// would go on with an old configuration for as long as the call may wait.
-func (g *Gateway) ping(ctx context.Context, silent chan<- error) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		bounded, cancel := context.WithTimeout(ctx, pingTimeout)
-		err := g.source.Ping(bounded)
-		cancel()
-		if err == nil {
-			continue
-		}
-		select {
-		case silent <- err:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // call makes one call to the store, after a pause, beside the control thread; it
 // touches nothing of the follower's state. During an outage it does not wait for
 // changes, so that the store's return is seen at once.
 func (f *follower) call(ctx context.Context, pause time.Duration, answers chan<- taken) {
-	ctx, f.cancel = context.WithCancel(ctx)
-	stale, at, wait, gateway := f.stale, f.replica.At(), followWait, f.gateway
-	if !f.outage.IsZero() {
+	stale, at, wait, timeout, gateway := f.stale, f.replica.At(), followWait, f.timeout, f.gateway
+	if stale || !f.outage.IsZero() {
 		wait = 0
 	}
 	go func() {
-		var answer taken
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
+			return
 		}
+		ctx, cancel := context.WithTimeout(ctx, wait+timeout)
+		defer cancel()
+		var answer taken
 		begun := time.Now()
 		if stale {
 			answer.reading, answer.err = gateway.source.Read(ctx)
@@ -149,6 +117,9 @@
 			f.outage = now
 			log.Warn("store_lost", zap.Error(answer.err), zap.Uint64("at", f.replica.At()))
 		}
+		// Connections that went silent would fail every call that is given them.
+		f.gateway.source.Reset()
+		f.timeout = min(2*f.timeout, slowFactor*f.gateway.settings.StoreTimeout.D())
 		pause := f.backoff/2 + time.Duration(rand.Int64N(int64(f.backoff)))
 		f.backoff = min(2*f.backoff, retryMost)
 		return pause
@@ -158,7 +129,7 @@
 		f.outage = time.Time{}
 		f.replica.NoteOutageEnd(now)
 	}
-	f.backoff = retryFirst
+	f.backoff, f.timeout = retryFirst, f.gateway.settings.StoreTimeout.D()
 	before := f.gateway.snapshot.Load().Config
 	switch {
 	case answer.reading != nil:
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -14,7 +14,9 @@
 	MetricsListen   string `json:"metrics_listen,omitempty"`
 	// Store is the address of the platform's metadata store.
 	Store string `json:"store"`
-	// StoreTimeout bounds one call to the store; default 1s.
+	// StoreTimeout bounds one call to the store; default 700ms. Shorter sees a store or
+	// connection that went silent sooner; a store that is slower for long is waited for
+	// up to twice as long.
 	StoreTimeout Duration `json:"store_timeout,omitempty"`
 	// DrainTimeout is how long a graceful shutdown may take until the process is
 	// killed; default 10s.
@@ -34,7 +36,7 @@
 
 // SetDefaults fills the fields that may be left out.
 func (g *Gateway) SetDefaults() {
-	setDuration(&g.StoreTimeout, time.Second)
+	setDuration(&g.StoreTimeout, 700*time.Millisecond)
 	setDuration(&g.DrainTimeout, 10*time.Second)
 	setDuration(&g.RetryWindow, 10*time.Second)
 	if g.RetryRatio == 0 {
