Placing: long prompts are prefilled in parts on several engines, and engines are divided by demand

Cause: docket briefs and season audits (4 s of prefill on one engine) were late, and held up everyone who decoded on the same engine. Change: parts of 60 ms on at most 17 engines; short prompts have the engines at the beginning of the list, long ones those at its end; the boundary follows the prefill asked for in 3 s against the short streams that are open.

--- /dev/null
+++ b/routing/direct/demand.go
@@ -0,0 +1,70 @@
+package direct
+
+import (
+	"time"
+
+	"aspenyard.example/directory"
+)
+
+// Demand is how much of the engines' time one entry's requests ask for, by whether
+// their prefill is long. Engines are divided between the two kinds by it.
+type demand struct {
+	// longs holds the prefill that was asked for by long prompts in the last
+	// demandWindow.
+	longs []asked
+	sum   time.Duration
+}
+
+type asked struct {
+	at      time.Time
+	prefill time.Duration
+}
+
+const (
+	// demandWindow is how far back demand is counted: the users' mix changes threefold
+	// within ten seconds, and a second or two of it tells which way.
+	demandWindow = 3 * time.Second
+	// longPrefill is from which prefill on a prompt counts as long: read at once, it
+	// would hold up everyone who decodes on the engine for longer than the shortest
+	// pause that callers of the users' sites allow.
+	longPrefill = 200 * time.Millisecond
+)
+
+// isLong tells whether a prompt's prefill is long.
+func isLong(prefill time.Duration) bool { return prefill > longPrefill }
+
+func (d *demand) add(now time.Time, prefill time.Duration) {
+	d.expire(now)
+	d.longs = append(d.longs, asked{now, prefill})
+	d.sum += prefill
+}
+
+func (d *demand) expire(now time.Time) {
+	for len(d.longs) > 0 && now.Sub(d.longs[0].at) > demandWindow {
+		d.sum -= d.longs[0].prefill
+		d.longs = d.longs[1:]
+	}
+}
+
+const (
+	// fullUse is the part of an engine's time that long prompts may take.
+	fullUse = 0.85
+	// openUse is the part of an engine's slots that short requests should take: more
+	// of them meet in one pass and lengthen it.
+	openUse = 0.5
+	// leastLong and leastShort are the parts of the engines that each kind always has.
+	leastLong, leastShort = 0.26, 0.1
+)
+
+// shortShare is the part of a service's engines that short prompts have to
+// themselves. open is how many short requests this entry has under way. Entries see
+// about the same mix, so they divide the engines alike without a word to each other.
+func (d *demand) shortShare(now time.Time, engine *directory.Engine, open int) float64 {
+	d.expire(now)
+	long := d.sum.Seconds() / demandWindow.Seconds() / fullUse
+	short := float64(open) / (float64(max(engine.Slots, 1)) * openUse)
+	if long+short == 0 {
+		return 1 - leastLong
+	}
+	return min(max(short/(long+short), leastShort), 1-leastLong)
+}
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -9,11 +9,17 @@
 type Ledger struct {
 	mu    sync.Mutex
 	loads map[string]*load
+	// demands and shorts are by service: what its long prompts ask for, and how many
+	// requests with short ones are open.
+	demands map[string]*demand
+	shorts  map[string]int
 }
 
 type load struct {
 	open    int
 	prefill time.Duration
+	// memory is the KV cache of one's own requests, in tokens.
+	memory int
 	// running and waiting are the endpoint's own word of all callers' requests.
 	running, waiting int
 	told             time.Time
@@ -22,7 +28,9 @@
 }
 
 // NewLedger makes an empty ledger.
-func NewLedger() *Ledger { return &Ledger{loads: map[string]*load{}} }
+func NewLedger() *Ledger {
+	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}}
+}
 
 // Charge is what one request weighs on its endpoints, until it ends. Safe for use by
 // one goroutine.
@@ -30,6 +38,9 @@
 	ledger *Ledger
 	parts  []part
 	open   string
+	memory int
+	// service is set for a request with a short prompt.
+	service string
 }
 
 type part struct {
@@ -39,10 +50,15 @@
 
 // Begin charges a plan.
 func (l *Ledger) Begin(p *Plan) *Charge {
-	c := &Charge{ledger: l, open: p.Endpoint.ID}
+	c := &Charge{ledger: l, open: p.Endpoint.ID, memory: p.Memory}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load(c.open).open++
+	l.load(c.open).memory += c.memory
+	if !p.Long {
+		c.service = p.Endpoint.Service
+		l.shorts[c.service]++
+	}
 	c.parts = append(c.parts, part{c.open, p.Prefill})
 	for _, h := range p.Helpers {
 		c.parts = append(c.parts, part{h.ID, p.Prefill})
@@ -73,8 +89,12 @@
 	c.Prefilled()
 	c.ledger.mu.Lock()
 	defer c.ledger.mu.Unlock()
+	if c.service != "" {
+		c.ledger.shorts[c.service]--
+	}
 	if known := c.ledger.loads[c.open]; known != nil && known.open > 0 {
 		known.open--
+		known.memory -= c.memory
 	}
 }
 
@@ -105,6 +125,15 @@
 	return known
 }
 
+func (l *Ledger) demand(service string) *demand {
+	known := l.demands[service]
+	if known == nil {
+		known = &demand{}
+		l.demands[service] = known
+	}
+	return known
+}
+
 // Prune forgets endpoints that are not known any more.
 func (l *Ledger) Prune(known func(id string) bool) {
 	l.mu.Lock()
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"aspenyard.example/directory"
@@ -25,6 +27,10 @@
 	Helpers []*directory.Listed
 	// Prefill is the estimated time of each part.
 	Prefill time.Duration
+	// Long is set when the whole prompt's prefill is long.
+	Long bool
+	// Memory is the KV cache that the endpoint needs, in tokens.
+	Memory int
 	// Cost is the estimate by which the endpoint was picked.
 	Cost time.Duration
 	// Candidates is how many endpoints it was picked from.
@@ -54,6 +60,18 @@
 	openCost = 20 * time.Millisecond
 	// distanceCost is the way to another data centre and back.
 	distanceCost = 2 * time.Millisecond
+	// foreignCost is what an engine of the other kind costs a short prompt: a part of a
+	// long one that is prefilled there makes it late.
+	foreignCost = 60 * time.Millisecond
+	// partTarget is the prefill of one part of a prompt: short beside the pause that
+	// those who decode on the same engine allow.
+	partTarget = 60 * time.Millisecond
+	// maxParts is on how many engines a prompt is prefilled: the one that it is sent to
+	// and the helpers that it may name.
+	maxParts = 17
+	// memoryCost is what a full KV cache of one's own requests costs: an engine that
+	// runs out of memory starts its newest request anew.
+	memoryCost = 300 * time.Millisecond
 )
 
 // Place picks where a request goes; nil when no endpoint may be sent it.
@@ -64,13 +82,70 @@
 	if len(kept) == 0 {
 		return nil
 	}
-	scored := p.score(now, r, kept)
-	best := pick(p.rand, scored)
-	plan := &Plan{Endpoint: best.endpoint, Cost: best.cost, Candidates: len(kept)}
-	plan.Prefill = Prefill(r.Service.Engine, r.PromptTokens)
+	if r.Service.Engine == nil {
+		return p.placePlain(r, kept)
+	}
+	return p.placeEngine(now, r, kept)
+}
+
+// placePlain picks the endpoint of a plain service with the least to do.
+func (p *Policy) placePlain(r *Request, kept []*directory.Listed) *Plan {
+	best := pick(p.rand, p.score(r, kept, nil))
+	return &Plan{Endpoint: best.endpoint, Cost: best.cost, Candidates: len(kept)}
+}
+
+// placeEngine picks an engine, and helpers where the prompt is prefilled in parts.
+// Endpoints come in the same order at every entry: short prompts have the engines at
+// its beginning, long ones those at its end, and the boundary follows the demand.
+func (p *Policy) placeEngine(now time.Time, r *Request, kept []*directory.Listed) *Plan {
+	engine := r.Service.Engine
+	prefill := Prefill(engine, r.PromptTokens)
+	demand := p.ledger.demand(r.Service.Name)
+	plan := &Plan{Long: isLong(prefill), Memory: r.PromptTokens + r.OutputTokens, Candidates: len(kept)}
+	if plan.Long {
+		demand.add(now, prefill)
+	}
+	boundary := int(demand.shortShare(now, engine, p.ledger.shorts[r.Service.Name])*float64(len(kept)) + 0.5)
+	var list []scored
+	if plan.Long {
+		list = p.score(r, kept[min(boundary, len(kept)-1):], engine)
+	} else {
+		list = p.score(r, kept, engine)
+		for i := boundary; i < len(list); i++ {
+			list[i].cost += foreignCost
+		}
+	}
+	parts := max(1, min(int((prefill+partTarget-1)/partTarget), maxParts, len(list)))
+	if !plan.Long && prefill < longPrefill/2 {
+		parts = 1
+	}
+	plan.Prefill = prefill / time.Duration(parts)
+	p.choose(plan, list, parts, engine)
 	return plan
 }
 
+// choose takes the engines with the least cost; the one that the request is sent to
+// is that, of them, whose memory is least used.
+func (p *Policy) choose(plan *Plan, list []scored, parts int, engine *directory.Engine) {
+	for i := range list { // random among equals
+		j := i + p.rand.IntN(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
+	first := 0
+	for i := 1; i < parts; i++ {
+		if list[i].memory < list[first].memory {
+			first = i
+		}
+	}
+	plan.Endpoint, plan.Cost = list[first].endpoint, list[first].cost
+	for i := range parts {
+		if i != first {
+			plan.Helpers = append(plan.Helpers, list[i].endpoint)
+		}
+	}
+}
+
 // eligible drops endpoints that were tried, and, as long as there are others, those
 // that accept no connections or whose registration has lapsed.
 func (p *Policy) eligible(r *Request, endpoints []*directory.Listed) []*directory.Listed {
@@ -95,19 +170,25 @@
 type scored struct {
 	endpoint *directory.Listed
 	cost     time.Duration
+	memory   int
 }
 
-func (p *Policy) score(_ time.Time, r *Request, kept []*directory.Listed) []scored {
+// score estimates what each endpoint would cost the request.
+func (p *Policy) score(r *Request, kept []*directory.Listed, engine *directory.Engine) []scored {
 	list := make([]scored, 0, len(kept))
 	for _, e := range kept {
-		cost := time.Duration(0)
+		s := scored{endpoint: e}
 		if known := p.ledger.loads[e.ID]; known != nil {
-			cost = known.prefill + time.Duration(known.open)*openCost
+			s.cost = known.prefill + time.Duration(known.open)*openCost
+			s.memory = known.memory
+			if engine != nil && engine.MemoryTokens > 0 {
+				s.cost += time.Duration(float64(memoryCost) * float64(known.memory) / float64(engine.MemoryTokens))
+			}
 		}
 		if e.DataCentre != r.DataCentre {
-			cost += distanceCost
+			s.cost += distanceCost
 		}
-		list = append(list, scored{e, cost})
+		list = append(list, s)
 	}
 	return list
 }
