--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -24,10 +24,9 @@
 	// demandWindow is how far back demand is counted: the users' mix changes threefold
 	// within ten seconds, and a second or two of it tells which way.
 	demandWindow = 3 * time.Second
-	// longPrefill is from which prefill on a prompt counts as long: read at once, it
-	// would hold up everyone who decodes on the engine for longer than the shortest
-	// pause that callers of the users' sites allow.
-	longPrefill = 200 * time.Millisecond
+	// longPrefill is from which prefill on a prompt counts as long: even in as many parts
+	// as there may be, each would be longer than partTarget.
+	longPrefill = maxParts * partTarget
 )
 
 // isLong tells whether a prompt's prefill is long.
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -116,7 +116,7 @@
 		}
 	}
 	parts := max(1, min(int((prefill+partTarget-1)/partTarget), maxParts, len(list)))
-	if !plan.Long && prefill < longPrefill/2 {
+	if !plan.Long && prefill < 2*partTarget {
 		parts = 1
 	}
 	plan.Prefill = prefill / time.Duration(parts)
