--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -20,9 +20,10 @@
 	prefill time.Duration
 	// memory is the KV cache of one's own requests, in tokens.
 	memory int
-	// running and waiting are the endpoint's own word of all callers' requests.
-	running, waiting int
-	told             time.Time
+	// toldOpen is the endpoint's own word of all callers' requests, told when ownOpen of
+	// them were this entry's.
+	toldOpen, ownOpen int
+	told              time.Time
 	// dark is set while the endpoint accepts no connections.
 	dark bool
 }
@@ -103,7 +104,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.load(endpoint)
-	known.running, known.waiting, known.told = running, waiting, now
+	known.toldOpen, known.ownOpen, known.told = running+waiting, known.open, now
+}
+
+// toldValid is how long an endpoint's word of its load is used; requests last for
+// seconds.
+const toldValid = 3 * time.Second
+
+// total estimates how many requests of all callers are open: the endpoint's last word,
+// corrected by what this entry has begun and ended since.
+func (l *load) total(now time.Time) int {
+	if l.told.IsZero() || now.Sub(l.told) > toldValid {
+		return l.open
+	}
+	return max(l.toldOpen+l.open-l.ownOpen, l.open)
 }
 
 // SetDark notes whether an endpoint accepts connections; it tells whether that is new.
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -55,9 +55,12 @@
 }
 
 const (
-	// openCost is what each of one's own open requests at an engine adds to the
-	// estimated delay: it decodes there and lengthens every pass.
-	openCost = 20 * time.Millisecond
+	// openCost is what each open request at an endpoint adds to the estimated delay: it
+	// decodes there and lengthens every pass, or others like it follow.
+	openCost = 5 * time.Millisecond
+	// slotCost is what each request adds that is open beyond the endpoint's slots: one
+	// of them must end first.
+	slotCost = 150 * time.Millisecond
 	// distanceCost is the way to another data centre and back.
 	distanceCost = 2 * time.Millisecond
 	// foreignCost is what an engine of the other kind costs a short prompt: a part of a
@@ -83,14 +86,14 @@
 		return nil
 	}
 	if r.Service.Engine == nil {
-		return p.placePlain(r, kept)
+		return p.placePlain(now, r, kept)
 	}
 	return p.placeEngine(now, r, kept)
 }
 
 // placePlain picks the endpoint of a plain service with the least to do.
-func (p *Policy) placePlain(r *Request, kept []*directory.Listed) *Plan {
-	best := pick(p.rand, p.score(r, kept, nil))
+func (p *Policy) placePlain(now time.Time, r *Request, kept []*directory.Listed) *Plan {
+	best := pick(p.rand, p.score(now, r, kept, nil))
 	return &Plan{Endpoint: best.endpoint, Cost: best.cost, Candidates: len(kept)}
 }
 
@@ -108,9 +111,9 @@
 	boundary := int(demand.shortShare(now, engine, p.ledger.shorts[r.Service.Name])*float64(len(kept)) + 0.5)
 	var list []scored
 	if plan.Long {
-		list = p.score(r, kept[min(boundary, len(kept)-1):], engine)
+		list = p.score(now, r, kept[min(boundary, len(kept)-1):], engine)
 	} else {
-		list = p.score(r, kept, engine)
+		list = p.score(now, r, kept, engine)
 		for i := boundary; i < len(list); i++ {
 			list[i].cost += foreignCost
 		}
@@ -174,12 +177,13 @@
 }
 
 // score estimates what each endpoint would cost the request.
-func (p *Policy) score(r *Request, kept []*directory.Listed, engine *directory.Engine) []scored {
+func (p *Policy) score(now time.Time, r *Request, kept []*directory.Listed, engine *directory.Engine) []scored {
 	list := make([]scored, 0, len(kept))
 	for _, e := range kept {
 		s := scored{endpoint: e}
 		if known := p.ledger.loads[e.ID]; known != nil {
-			s.cost = known.prefill + time.Duration(known.open)*openCost
+			total := known.total(now)
+			s.cost = known.prefill + time.Duration(total)*openCost + time.Duration(max(total+1-e.Slots, 0))*slotCost
 			s.memory = known.memory
 			if engine != nil && engine.MemoryTokens > 0 {
 				s.cost += time.Duration(float64(memoryCost) * float64(known.memory) / float64(engine.MemoryTokens))
