--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -88,3 +88,7 @@
 func milliseconds(d time.Duration, enc zapcore.PrimitiveArrayEncoder) {
 	enc.AppendFloat64(float64(d.Microseconds()) / 1000)
 }
+
+// Error is the field for an error: its text alone, without the stack that some errors
+// carry.
+func Error(err error) zap.Field { return zap.String("error", err.Error()) }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"aspenyard.example/eventlog"
+
 	"context"
 	"math/rand/v2"
 	"time"
@@ -115,7 +117,7 @@
 	case answer.err != nil:
 		if f.outage.IsZero() {
 			f.outage = now
-			log.Warn("store_lost", zap.Error(answer.err), zap.Uint64("at", f.replica.At()))
+			log.Warn("store_lost", eventlog.Error(answer.err), zap.Uint64("at", f.replica.At()))
 		}
 		// Connections that went silent would fail every call that is given them.
 		f.gateway.source.Reset()
@@ -150,7 +152,7 @@
 
 func (f *follower) logFaults(faults []directory.Fault) {
 	for _, fault := range faults {
-		f.gateway.log.Error("store_item_refused", zap.String("key", fault.Key), zap.Uint64("revision", fault.Revision), zap.Error(fault.Err))
+		f.gateway.log.Error("store_item_refused", zap.String("key", fault.Key), zap.Uint64("revision", fault.Revision), eventlog.Error(fault.Err))
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"aspenyard.example/eventlog"
+
 	"context"
 	"net/http"
 	"time"
@@ -49,7 +51,7 @@
 		}
 		next := f.course.After(outcome, func() bool { return c.gateway.retries.Take(time.Now(), c.service.Name) })
 		c.story.Add("attempt_failed", zap.String("endpoint", plan.Endpoint.ID), zap.String("outcome", outcome.String()),
-			zap.Int("arrivals", f.course.Arrivals()), zap.String("next", next.String()), zap.Error(err))
+			zap.Int("arrivals", f.course.Arrivals()), zap.String("next", next.String()), eventlog.Error(err))
 		c.gateway.countAttempt(c.service.Name, outcome)
 		if ctx.Err() != nil {
 			return f.ended(ctx)
@@ -80,7 +82,16 @@
 	defer charge.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	reply, failed := f.gateway.exchange(ctx, plan.Endpoint, f.outgoing(plan), !f.route.Repeatable(), f.silence())
+	var helpers []string
+	if plan.HelperMemory > 0 {
+		held, err := f.gateway.reserve(ctx, f.call, plan, f.course.Arrivals())
+		if err != nil {
+			return attempt.NotSent, err
+		}
+		defer held.release()
+		helpers = held.helpers
+	}
+	reply, failed := f.gateway.exchange(ctx, plan.Endpoint, f.outgoing(plan, helpers), !f.route.Repeatable(), f.silence())
 	if failed != nil {
 		return failed.outcome, failed
 	}
@@ -125,13 +136,15 @@
 }
 
 // outgoing makes the request for an endpoint.
-func (f *forwarding) outgoing(plan *direct.Plan) *outgoing {
-	d := &Dispatch{EndpointID: plan.Endpoint.ID, Remaining: time.Until(f.deadline)}
+func (f *forwarding) outgoing(plan *direct.Plan, helpers []string) *outgoing {
+	d := &Dispatch{Helpers: helpers, EndpointID: plan.Endpoint.ID, Remaining: time.Until(f.deadline)}
 	if f.account != nil {
 		d.Account = f.account.Name
 	}
-	for _, helper := range plan.Helpers {
-		d.Helpers = append(d.Helpers, helper.Addr)
+	if plan.HelperMemory == 0 {
+		for _, helper := range plan.Helpers {
+			d.Helpers = append(d.Helpers, helper.Addr)
+		}
 	}
 	if f.service.Engine != nil {
 		d.Priority, d.HasPriority = direct.Level(f.PromptTokens, f.priority()), true
@@ -205,6 +218,9 @@
 	case f.course.MayHaveRun():
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "the endpoint failed and no other is left")
 	}
+	if len(f.gateway.snapshot.Load().Endpoints(f.service.Name)) > 0 {
+		return result.Refuse(result.Overloaded, crowdedRetry, "no endpoint of service %q has room for %d tokens now", f.service.Name, f.PromptTokens)
+	}
 	return result.Refuse(result.NoEndpoint, noEndpointRetry, "no endpoint of service %q", f.service.Name)
 }
 
@@ -219,6 +235,10 @@
 	return result.Refuse(result.Overloaded, overloadedRetry, "%v", err)
 }
 
+// crowdedRetry is when a caller may come back with a prompt that engines in use cannot
+// take: the users' mix changes within seconds.
+const crowdedRetry = 3 * time.Second
+
 // overloadedRetry is when a caller may come back whom endpoints were too busy for:
 // by then a batch of short work has ended.
 const overloadedRetry = 300 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,7 @@
 	settings settings.Gateway
 	dialect  Dialect
 	source   directory.Source
+	reserver Reserver
 	log      *zap.Logger
 	stories  *eventlog.Stories
 	metrics  *metrics.Set
@@ -54,6 +55,7 @@
 	Settings settings.Gateway
 	Dialect  Dialect
 	Source   directory.Source
+	Reserver Reserver
 	Log      *zap.Logger
 	// LogWriter counts dropped lines; may be nil.
 	LogWriter *eventlog.Writer
@@ -63,7 +65,7 @@
 func New(c Config) *Gateway {
 	ledger := direct.NewLedger()
 	g := &Gateway{
-		settings: c.Settings, dialect: c.Dialect, source: c.Source, log: c.Log, stories: eventlog.NewStories(c.Log),
+		settings: c.Settings, dialect: c.Dialect, source: c.Source, reserver: c.Reserver, log: c.Log, stories: eventlog.NewStories(c.Log),
 		metrics: metrics.NewSet(), ledger: ledger, policy: direct.NewPolicy(ledger, globalRand{}), pool: newPool(), started: time.Now(),
 	}
 	g.retries = admission.NewRetryWindow(time.Now(), admission.RetryLimits{
@@ -152,7 +154,7 @@
 func (g *Gateway) reload(load func() (settings.Gateway, error)) {
 	next, err := load()
 	if err != nil {
-		g.log.Error("reload refused", zap.Error(err))
+		g.log.Error("reload refused", eventlog.Error(err))
 		return
 	}
 	g.retries.SetLimits(admission.RetryLimits{
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"aspenyard.example/eventlog"
+
 	"bufio"
 	"bytes"
 	"io"
@@ -9,7 +11,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
 	"aspenyard.example/attempt"
 	"aspenyard.example/result"
@@ -58,7 +59,7 @@
 	copyHead(c.out.Header(), a.header)
 	c.out.WriteHeader(a.status)
 	if _, err := c.out.Write(a.body); err != nil {
-		c.story.Add("caller_lost", zap.Error(err))
+		c.story.Add("caller_lost", eventlog.Error(err))
 	}
 	return nil
 }
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -51,7 +51,7 @@
 
 // Begin charges a plan.
 func (l *Ledger) Begin(p *Plan) *Charge {
-	c := &Charge{ledger: l, open: p.Endpoint.ID, memory: p.Memory}
+	c := &Charge{ledger: l, open: p.Endpoint.ID, memory: p.FirstMemory}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load(c.open).open++
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -29,8 +30,10 @@
 	Prefill time.Duration
 	// Long is set when the whole prompt's prefill is long.
 	Long bool
-	// Memory is the KV cache that the endpoint needs, in tokens.
-	Memory int
+	// Memory is the KV cache that the request needs, in tokens. Of it, FirstMemory may
+	// be at the endpoint; where that is less, HelperMemory is to be reserved at each
+	// helper.
+	Memory, FirstMemory, HelperMemory int
 	// Cost is the estimate by which the endpoint was picked.
 	Cost time.Duration
 	// Candidates is how many endpoints it was picked from.
@@ -77,7 +80,7 @@
 	memoryCost = 300 * time.Millisecond
 )
 
-// Place picks where a request goes; nil when no endpoint may be sent it.
+// Place picks where a request goes; nil when no endpoint may be sent it now.
 func (p *Policy) Place(now time.Time, r *Request, endpoints []*directory.Listed) *Plan {
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
@@ -122,14 +125,81 @@
 	if !plan.Long && prefill < 2*partTarget {
 		parts = 1
 	}
+	if plan.Memory > aloneMemory(engine) {
+		list, parts = p.spread(now, r, kept, list)
+	}
 	plan.Prefill = prefill / time.Duration(parts)
-	p.choose(plan, list, parts, engine)
+	p.choose(plan, list, parts)
+	plan.divideMemory(engine)
+	if plan.Prefill > longestPart && p.open(now, plan) > quietOpen {
+		return nil
+	}
 	return plan
 }
 
+const (
+	// longestPart is the prefill of a part that may be placed on engines in use. A
+	// longer one stops everyone who decodes on up to 17 engines for longer than callers
+	// of the users' sites allow (1 s between events of the most patient): on a played
+	// day each such prompt made about ten others late, of the same worth together as
+	// three of it, and callers who gave up and came back doubled the load.
+	longestPart = time.Second
+	// quietOpen is how many requests may be open on all engines of a plan whose parts
+	// are longer.
+	quietOpen = 4
+)
+
+// open estimates how many requests are open on a plan's engines.
+func (p *Policy) open(now time.Time, plan *Plan) int {
+	open := 0
+	for _, e := range append([]*directory.Listed{plan.Endpoint}, plan.Helpers...) {
+		if known := p.ledger.loads[e.ID]; known != nil {
+			open += known.total(now)
+		}
+	}
+	return open
+}
+
+const (
+	// aloneShare is the part of an engine's memory that one request may need; the rest
+	// is for those that decode there.
+	aloneShare = 0.85
+	// firstShare is the part of its memory that the first engine of a request gives
+	// that needs more than one engine's.
+	firstShare = 0.3
+	// reserveSpare lets a quarter of the helpers refuse.
+	reserveSpare = 1.34
+)
+
+// aloneMemory is the largest need of memory, in tokens, that one engine takes.
+func aloneMemory(engine *directory.Engine) int {
+	if engine.MemoryTokens == 0 {
+		return math.MaxInt
+	}
+	return int(aloneShare * float64(engine.MemoryTokens))
+}
+
+// spread takes all engines for a request that needs more memory than one has.
+func (p *Policy) spread(now time.Time, r *Request, kept []*directory.Listed, list []scored) ([]scored, int) {
+	if len(list) < maxParts {
+		list = p.score(now, r, kept, r.Service.Engine)
+	}
+	return list, min(maxParts, len(list))
+}
+
+// divideMemory sets what each engine of a plan has to hold.
+func (plan *Plan) divideMemory(engine *directory.Engine) {
+	plan.FirstMemory = plan.Memory
+	if plan.Memory <= aloneMemory(engine) || len(plan.Helpers) == 0 {
+		return
+	}
+	plan.FirstMemory = int(firstShare * float64(engine.MemoryTokens))
+	plan.HelperMemory = int(reserveSpare * float64(plan.Memory-plan.FirstMemory) / float64(len(plan.Helpers)))
+}
+
 // choose takes the engines with the least cost; the one that the request is sent to
 // is that, of them, whose memory is least used.
-func (p *Policy) choose(plan *Plan, list []scored, parts int, engine *directory.Engine) {
+func (p *Policy) choose(plan *Plan, list []scored, parts int) {
 	for i := range list { // random among equals
 		j := i + p.rand.IntN(len(list)-i)
 		list[i], list[j] = list[j], list[i]
