Long prompts of an entry are prefilled two at a time

Cause: after all entries were killed a dozen long prompts came back at once; engines prefill their parts before any short prompt, whose callers leave after two seconds.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -5,6 +5,7 @@
 
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,8 @@
 	relay *relay
 	// failure is the last endpoint's whole answer that says it failed.
 	failure *whole
+	// prefilled is called when the prompt has been read; nil where nobody waits for it.
+	prefilled func()
 }
 
 // forward sends the call to endpoints until one has answered it.
@@ -40,6 +43,11 @@
 	if c.route.Kind == directory.Streaming {
 		f.relay = &relay{call: c, last: c.LastEvent}
 	}
+	leave, failure := f.waitTurn(ctx)
+	if failure != nil {
+		return failure
+	}
+	defer leave()
 	for {
 		plan := c.place(&f.request)
 		if plan == nil {
@@ -62,6 +70,30 @@
 	}
 }
 
+// longReads is how many long prompts of this entry are prefilled at once. Engines
+// prefill the parts of long prompts before anything else: when all callers come back
+// at once after an outage, a dozen long prompts at a time would keep short ones from
+// being read for three seconds, and their callers leave after two.
+const longReads = 2
+
+// waitTurn holds a long prompt until it may be prefilled. The order is by arrival, and
+// a longer prompt lets those pass that come while it could not have been read itself.
+func (f *forwarding) waitTurn(ctx context.Context) (func(), *result.Error) {
+	engine := f.service.Engine
+	if engine == nil || !direct.IsLong(engine, f.PromptTokens) {
+		return func() {}, nil
+	}
+	gate := f.gateway.longGate
+	order := f.started.Add(direct.Prefill(engine, f.PromptTokens))
+	if err := gate.Enter(ctx, order); err != nil {
+		return nil, f.ended(ctx)
+	}
+	f.story.Add("turn", zap.Duration("waited_ms", time.Since(f.started)), zap.Int("waiting", gate.Waiting()))
+	var once sync.Once
+	f.prefilled = func() { once.Do(gate.Leave) }
+	return f.prefilled, nil
+}
+
 // place picks where the call goes, over the newest snapshot.
 func (c *call) place(r *direct.Request) *direct.Plan {
 	snapshot := c.gateway.snapshot.Load()
@@ -107,7 +139,12 @@
 		return attempt.Broken, errors.Errorf("status %d where a stream was to go on", reply.status)
 	}
 	if f.relay != nil && reply.status == http.StatusOK {
-		return f.relay.pass(reply, charge)
+		return f.relay.pass(reply, func() {
+			charge.Prefilled()
+			if f.prefilled != nil {
+				f.prefilled()
+			}
+		})
 	}
 	return f.passWhole(reply)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,7 @@
 	pool     *pool
 	callers  *callers
 	prober   *prober
+	longGate *admission.Gate
 	active   atomic.Int64
 	stopping atomic.Int64 // when the drain began, in nanoseconds since start; 0: serving
 	started  time.Time
@@ -74,6 +75,7 @@
 	g.snapshot.Store(directory.Empty())
 	g.callers = newCallers(g)
 	g.prober = newProber(g)
+	g.longGate = admission.NewGate(longReads)
 	g.expose(c.LogWriter)
 	return g
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -14,7 +14,6 @@
 
 	"aspenyard.example/attempt"
 	"aspenyard.example/result"
-	"aspenyard.example/routing/direct"
 )
 
 // whole is an answer that was read to its end.
@@ -102,8 +101,9 @@
 	errCaller    = errors.New("the caller takes no more")
 )
 
-// pass relays one endpoint's stream to its end.
-func (s *relay) pass(r *reply, charge *direct.Charge) (attempt.SendOutcome, error) {
+// pass relays one endpoint's stream to its end. prefilled is called with each event, the
+// first of which shows that the prompt has been read.
+func (s *relay) pass(r *reply, prefilled func()) (attempt.SendOutcome, error) {
 	reader := bufio.NewReaderSize(r.body, readBuffer)
 	for {
 		event, id, err := readEvent(reader)
@@ -119,7 +119,7 @@
 			return attempt.Broken, errors.Wrapf(err, "after event %q", s.last)
 		}
 		r.hear()
-		charge.Prefilled()
+		prefilled()
 		if s.begun && !s.follows(id) {
 			continue
 		}
--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -67,3 +67,7 @@
 	}
 	return min(max(short/(long+short), leastShort), 1-leastLong)
 }
+
+// IsLong tells whether a prompt is long for an engine: even in as many parts as there
+// may be, its prefill would hold up others.
+func IsLong(e *directory.Engine, tokens int) bool { return isLong(Prefill(e, tokens)) }
