--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -83,10 +83,6 @@
 	if engine == nil || !direct.IsLong(engine, f.PromptTokens) {
 		return func() {}, nil
 	}
-	f.gateway.policy.Expect(f.started, f.service, f.PromptTokens)
-	if err := f.waitForCalm(ctx); err != nil {
-		return nil, f.ended(ctx)
-	}
 	gate := f.gateway.longGate
 	order := f.started.Add(direct.Prefill(engine, f.PromptTokens))
 	if err := gate.Enter(ctx, order); err != nil {
@@ -98,35 +94,6 @@
 	return f.prefilled, nil
 }
 
-const (
-	// calmPoll is how often a waiting long prompt looks at the engines.
-	calmPoll = 25 * time.Millisecond
-	// readShare is the part of a long prompt's target that is left for its prefill.
-	readShare = 0.4
-)
-
-// waitForCalm holds a long prompt while short ones decode on the engines that it would
-// be prefilled on, as long as it can still be on time. When the mix turns to long
-// prompts, the short ones that are under way end within two seconds, and new ones are
-// placed elsewhere already; prefilled at once, one long prompt makes dozens late.
-func (f *forwarding) waitForCalm(ctx context.Context) error {
-	latest := f.started.Add(time.Duration(float64(f.route.Target) * (1 - readShare)))
-	ticker := time.NewTicker(calmPoll)
-	defer ticker.Stop()
-	for time.Now().Before(latest) {
-		endpoints := f.gateway.snapshot.Load().Endpoints(f.service.Name)
-		if !f.gateway.policy.Disturbed(time.Now(), f.service, endpoints) {
-			return nil
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
 // place picks where the call goes, over the newest snapshot.
 func (c *call) place(r *direct.Request) *direct.Plan {
 	snapshot := c.gateway.snapshot.Load()
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -18,8 +18,6 @@
 type load struct {
 	open    int
 	prefill time.Duration
-	// shorts is how many of the open requests have a short prompt.
-	shorts int
 	// memory is the KV cache of one's own requests, in tokens.
 	memory int
 	// toldOpen is the endpoint's own word of all callers' requests, told when ownOpen of
@@ -61,7 +59,6 @@
 	if !p.Long {
 		c.service = p.Endpoint.Service
 		l.shorts[c.service]++
-		l.load(c.open).shorts++
 	}
 	c.parts = append(c.parts, part{c.open, p.Prefill})
 	for _, h := range p.Helpers {
@@ -99,9 +96,6 @@
 	if known := c.ledger.loads[c.open]; known != nil && known.open > 0 {
 		known.open--
 		known.memory -= c.memory
-		if c.service != "" {
-			known.shorts--
-		}
 	}
 }
 
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -106,8 +106,12 @@
 func (p *Policy) placeEngine(now time.Time, r *Request, kept []*directory.Listed) *Plan {
 	engine := r.Service.Engine
 	prefill := Prefill(engine, r.PromptTokens)
+	demand := p.ledger.demand(r.Service.Name)
 	plan := &Plan{Long: isLong(prefill), Memory: r.PromptTokens + r.OutputTokens, Candidates: len(kept)}
-	boundary := p.boundary(now, r.Service, len(kept))
+	if plan.Long {
+		demand.add(now, prefill)
+	}
+	boundary := int(demand.shortShare(now, engine, p.ledger.shorts[r.Service.Name])*float64(len(kept)) + 0.5)
 	var list []scored
 	if plan.Long {
 		list = p.score(now, r, kept[min(boundary, len(kept)-1):], engine)
@@ -193,38 +197,6 @@
 	plan.HelperMemory = int(reserveSpare * float64(plan.Memory-plan.FirstMemory) / float64(len(plan.Helpers)))
 }
 
-// boundary is how many of a service's engines short prompts have to themselves.
-func (p *Policy) boundary(now time.Time, service *directory.Service, engines int) int {
-	share := p.ledger.demand(service.Name).shortShare(now, service.Engine, p.ledger.shorts[service.Name])
-	return int(share*float64(engines) + 0.5)
-}
-
-// Expect notes that a long prompt has come, which moves the boundary at once.
-func (p *Policy) Expect(now time.Time, service *directory.Service, promptTokens int) {
-	p.ledger.mu.Lock()
-	defer p.ledger.mu.Unlock()
-	p.ledger.demand(service.Name).add(now, Prefill(service.Engine, promptTokens))
-}
-
-// Disturbed tells whether a long prompt that was prefilled now would hold up many of
-// this entry's short ones: those that still decode on the engines for long prompts.
-func (p *Policy) Disturbed(now time.Time, service *directory.Service, endpoints []*directory.Listed) bool {
-	p.ledger.mu.Lock()
-	defer p.ledger.mu.Unlock()
-	boundary := p.boundary(now, service, len(endpoints))
-	shorts := 0
-	for _, e := range endpoints[min(boundary, len(endpoints)):] {
-		if known := p.ledger.loads[e.ID]; known != nil {
-			shorts += known.shorts
-		}
-	}
-	return shorts > (len(endpoints)-boundary)/disturbShare
-}
-
-// disturbShare is how many engines for long prompts there are to one short request of
-// this entry's that is not worth waiting for.
-const disturbShare = 4
-
 // choose takes the engines with the least cost; the one that the request is sent to
 // is that, of them, whose memory is least used.
 func (p *Policy) choose(plan *Plan, list []scored, parts int) {
