Entries register in the store and tell each other what their requests ask of the engines

Change: nodes/NAME under a lease; heartbeats of membership's control loop (gnet) carry a demand per service, five a second; the retry budget's allowance is divided by the number of entries.

--- /dev/null
+++ b/directory/registry.go
@@ -0,0 +1,35 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrLapsed is returned when a registration's lease has ended.
+var ErrLapsed = errors.New("directory: the lease has ended")
+
+// Node is one of the system's own processes.
+type Node struct {
+	// Name is unique; Addr is where other nodes reach it.
+	Name, Addr, DataCentre string
+}
+
+// Registration is a node's entry in the store.
+type Registration struct {
+	// Lease keeps the entry there; Revision is that of the write, which rises with
+	// each life of the node.
+	Lease, Revision uint64
+}
+
+// Registry is where nodes make themselves known to each other.
+type Registry interface {
+	// Register writes the node's entry under a lease of ttl. After an error it may be
+	// there, and ends with the lease.
+	Register(ctx context.Context, n Node, ttl time.Duration) (Registration, error)
+	// Renew renews the lease. Errors: ErrLapsed, ErrUnavailable.
+	Renew(ctx context.Context, lease uint64) error
+	// Deregister ends the lease, and with it the entry.
+	Deregister(ctx context.Context, lease uint64) error
+}
--- a/directory/replica.go
+++ b/directory/replica.go
@@ -29,6 +29,8 @@
 	// ConfigRevision is the store's revision of Config.
 	ConfigRevision uint64
 	Endpoints      []Endpoint
+	// Nodes are the system's own processes.
+	Nodes []Node
 	// Faults lists what could not be decoded.
 	Faults []Fault
 }
@@ -48,6 +50,10 @@
 	Endpoint *Endpoint
 	// Gone is the ID of an endpoint whose registration ended.
 	Gone string
+	// Node is a node that registered itself; NodeGone the name of one whose
+	// registration ended.
+	Node     *Node
+	NodeGone string
 }
 
 // Changes is what happened after a revision.
@@ -84,6 +90,7 @@
 	config         *Config
 	configRevision uint64
 	endpoints      map[string]*Listed
+	nodes          map[string]Node
 	// gone remembers ended lives, so that an old registration does not return.
 	gone map[string]uint64
 	// outageEnd is when the store last answered after an outage.
@@ -93,7 +100,7 @@
 
 // NewReplica makes a replica that knows nothing.
 func NewReplica() *Replica {
-	return &Replica{endpoints: map[string]*Listed{}, gone: map[string]uint64{}}
+	return &Replica{endpoints: map[string]*Listed{}, nodes: map[string]Node{}, gone: map[string]uint64{}}
 }
 
 // At is the revision up to which changes are known.
@@ -124,6 +131,10 @@
 			r.takeGone(now, id, reading.At)
 		}
 	}
+	clear(r.nodes)
+	for _, n := range reading.Nodes {
+		r.nodes[n.Name] = n
+	}
 	r.whole = true
 }
 
@@ -138,6 +149,10 @@
 			r.takeEndpoint(change.Endpoint)
 		case change.Gone != "":
 			r.takeGone(now, change.Gone, change.Revision)
+		case change.Node != nil:
+			r.nodes[change.Node.Name] = *change.Node
+		case change.NodeGone != "":
+			delete(r.nodes, change.NodeGone)
 		}
 	}
 	r.at = max(r.at, changes.At)
@@ -214,6 +229,8 @@
 	// by ID.
 	services map[string][]*Listed
 	byID     map[string]*Listed
+	// Nodes are the system's own registered processes, sorted by name.
+	Nodes []Node
 }
 
 // Empty is a snapshot that knows nothing.
@@ -242,6 +259,10 @@
 		s.services[e.Service] = append(s.services[e.Service], &listed)
 		s.byID[id] = &listed
 	}
+	for _, n := range r.nodes {
+		s.Nodes = append(s.Nodes, n)
+	}
+	slices.SortFunc(s.Nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
 	for _, list := range s.services {
 		slices.SortFunc(list, func(a, b *Listed) int { return cmp.Compare(a.ID, b.ID) })
 	}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -28,6 +28,7 @@
 	begun := time.Now()
 	g.stopping.Store(int64(begun.Sub(g.started)))
 	g.callers.endKeepAlive()
+	g.peers.leave()
 	g.log.Info("drain", zap.Int64("active", g.active.Load()), zap.Duration("limit_ms", limit))
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -176,4 +176,5 @@
 	f.gateway.pool.prune(known)
 	f.gateway.prober.prune(known)
 	f.gateway.ledger.Prune(known)
+	f.gateway.peers.list(snapshot)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"aspenyard.example/admission"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/membership"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/settings"
 )
@@ -46,6 +47,9 @@
 	callers  *callers
 	prober   *prober
 	longGate *admission.Gate
+	registry directory.Registry
+	peers    *peers
+	peerLoop atomic.Pointer[membership.Loop]
 	active   atomic.Int64
 	stopping atomic.Int64 // when the drain began, in nanoseconds since start; 0: serving
 	started  time.Time
@@ -57,6 +61,7 @@
 	Dialect  Dialect
 	Source   directory.Source
 	Reserver Reserver
+	Registry directory.Registry
 	Log      *zap.Logger
 	// LogWriter counts dropped lines; may be nil.
 	LogWriter *eventlog.Writer
@@ -66,7 +71,7 @@
 func New(c Config) *Gateway {
 	ledger := direct.NewLedger()
 	g := &Gateway{
-		settings: c.Settings, dialect: c.Dialect, source: c.Source, reserver: c.Reserver, log: c.Log, stories: eventlog.NewStories(c.Log),
+		settings: c.Settings, dialect: c.Dialect, source: c.Source, reserver: c.Reserver, registry: c.Registry, log: c.Log, stories: eventlog.NewStories(c.Log),
 		metrics: metrics.NewSet(), ledger: ledger, policy: direct.NewPolicy(ledger, globalRand{}), pool: newPool(), started: time.Now(),
 	}
 	g.retries = admission.NewRetryWindow(time.Now(), admission.RetryLimits{
@@ -75,6 +80,7 @@
 	g.snapshot.Store(directory.Empty())
 	g.callers = newCallers(g)
 	g.prober = newProber(g)
+	g.peers = &peers{gateway: g}
 	g.longGate = admission.NewGate(longReads)
 	g.expose(c.LogWriter)
 	return g
@@ -95,6 +101,9 @@
 		return err
 	}
 	go g.follow(ctx)
+	if g.settings.PeersListen != "" {
+		go g.peers.run(ctx)
+	}
 	g.log.Info("start", zap.String("callers", g.settings.CallersListen), zap.String("store", g.settings.Store))
 	for {
 		select {
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/directory"
+	"aspenyard.example/eventlog"
+	"aspenyard.example/infra"
+	"aspenyard.example/membership"
+	"aspenyard.example/routing/direct"
+	"aspenyard.example/wire"
+)
+
+const (
+	// registerTTL is how long a node that died stays registered; registerInterval lets
+	// two renewals be lost.
+	registerTTL      = 12 * time.Second
+	registerInterval = 4 * time.Second
+	registerTimeout  = time.Second
+	// peerInterval is the time between two heartbeats to other entries. They carry
+	// what this entry's requests ask of the engines, and shorter follows a change of
+	// the mix sooner; 150 bytes each.
+	peerInterval = 200 * time.Millisecond
+	// peerSuspect is the silence after which another entry counts as gone.
+	peerSuspect = time.Second
+	// peerBytes lets heartbeats take 4 KB/s at a receiving entry.
+	peerBytes = 4000
+)
+
+// peers is what this entry has to do with the others: it registers in the store, so
+// that they find it, and tells them what its requests ask of the engines. A view
+// without the others' word is less exact and nothing else: entries whose share of the
+// traffic is small would each divide the engines differently.
+type peers struct {
+	gateway *Gateway
+}
+
+// run registers this node and keeps it registered until ctx ends.
+func (p *peers) run(ctx context.Context) {
+	g := p.gateway
+	node := directory.Node{Name: g.settings.Name, Addr: g.settings.PeersListen, DataCentre: g.settings.DataCentre}
+	var current directory.Registration
+	for ctx.Err() == nil {
+		bounded, cancel := context.WithTimeout(ctx, registerTimeout)
+		var err error
+		if current.Lease == 0 {
+			if current, err = g.registry.Register(bounded, node, registerTTL); err == nil {
+				g.log.Info("registered", zap.Uint64("lease", current.Lease), zap.Uint64("revision", current.Revision))
+				p.start(ctx, current.Revision)
+			}
+		} else {
+			err = g.registry.Renew(bounded, current.Lease)
+		}
+		cancel()
+		if errors.Is(err, directory.ErrLapsed) {
+			current = directory.Registration{}
+			continue
+		}
+		if err != nil {
+			g.log.Warn("not_registered", eventlog.Error(err))
+		}
+		membership.Sleep(ctx, registerInterval)
+	}
+}
+
+// leave tells the other entries that this one drains.
+func (p *peers) leave() {
+	if loop := p.gateway.peerLoop.Load(); loop != nil {
+		loop.Leave()
+	}
+}
+
+// start runs the heartbeats once the node has its first registration, whose revision
+// is its incarnation: it rises with each life whatever the time of day does.
+func (p *peers) start(ctx context.Context, incarnation uint64) {
+	g := p.gateway
+	if g.peerLoop.Load() != nil {
+		return
+	}
+	loop := membership.NewLoop(membership.Config{
+		Node: g.settings.Name, Role: membership.RoleEntry, DataCentre: g.settings.DataCentre,
+		Listen: g.settings.PeersListen, Advertise: g.settings.PeersListen, Incarnation: incarnation,
+		Interval: peerInterval, SuspectAfter: peerSuspect, BytesPerSecond: peerBytes, ForgetAfter: registerTTL,
+	}, p)
+	g.peerLoop.Store(loop)
+	go func() {
+		if err := loop.Run(ctx); err != nil {
+			g.log.Error("heartbeats_stopped", eventlog.Error(err))
+		}
+	}()
+	p.list(g.snapshot.Load())
+}
+
+// list tells the control loop which entries are registered.
+func (p *peers) list(snapshot *directory.Snapshot) {
+	loop := p.gateway.peerLoop.Load()
+	if loop == nil {
+		return
+	}
+	vms := make([]infra.VM, 0, len(snapshot.Nodes))
+	for _, n := range snapshot.Nodes {
+		vms = append(vms, infra.VM{Name: n.Name, Role: membership.RoleEntry, DataCentre: n.DataCentre, Addr: n.Addr})
+	}
+	loop.SetList(vms)
+}
+
+// Fill implements membership.Delegate.
+func (p *peers) Fill(now time.Time, h *wire.Heartbeat) {
+	for _, d := range p.gateway.ledger.Demands(now) {
+		h.Demands = append(h.Demands, &wire.Demand{Service: d.Service, LongPrefillMs: uint32(d.LongPrefill.Milliseconds()), OpenShort: uint32(max(d.OpenShort, 0))})
+	}
+}
+
+// Heard implements membership.Delegate.
+func (p *peers) Heard(now time.Time, h *wire.Heartbeat) {
+	demands := make([]direct.Demand, 0, len(h.Demands))
+	for _, d := range h.Demands {
+		demands = append(demands, direct.Demand{Service: d.Service, LongPrefill: time.Duration(d.LongPrefillMs) * time.Millisecond, OpenShort: int(d.OpenShort)})
+	}
+	p.gateway.ledger.TellPeer(now, h.Node, demands)
+}
+
+// Tick implements membership.Delegate.
+func (p *peers) Tick(_ time.Time, members *membership.View) {
+	p.gateway.retries.SetEntries(members.EntryCount() + 1)
+}
--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -55,13 +55,19 @@
 	leastLong, leastShort = 0.26, 0.1
 )
 
-// shortShare is the part of a service's engines that short prompts have to
-// themselves. open is how many short requests this entry has under way. Entries see
-// about the same mix, so they divide the engines alike without a word to each other.
-func (d *demand) shortShare(now time.Time, engine *directory.Engine, open int) float64 {
-	d.expire(now)
-	long := d.sum.Seconds() / demandWindow.Seconds() / fullUse
-	short := float64(open) / (float64(max(engine.Slots, 1)) * openUse)
+// Demand is what the requests of one entry, or of several, ask of a service's engines.
+type Demand struct {
+	Service string
+	// LongPrefill is the prefill of the long prompts that came in demandWindow, and
+	// OpenShort how many requests with short ones are under way.
+	LongPrefill time.Duration
+	OpenShort   int
+}
+
+// shortShare is the part of a service's engines that short prompts have to themselves.
+func shortShare(d Demand, engine *directory.Engine) float64 {
+	long := d.LongPrefill.Seconds() / demandWindow.Seconds() / fullUse
+	short := float64(d.OpenShort) / (float64(max(engine.Slots, 1)) * openUse)
 	if long+short == 0 {
 		return 1 - leastLong
 	}
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -13,6 +13,59 @@
 	// requests with short ones are open.
 	demands map[string]*demand
 	shorts  map[string]int
+	// peers holds what other entries last told, by their names.
+	peers map[string]peerDemand
+}
+
+type peerDemand struct {
+	at      time.Time
+	demands []Demand
+}
+
+// peerValid is how long another entry's word is used; several times the interval at
+// which entries tell each other.
+const peerValid = time.Second
+
+// TellPeer notes what another entry's requests ask of the engines.
+func (l *Ledger) TellPeer(now time.Time, name string, demands []Demand) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peers[name] = peerDemand{now, demands}
+}
+
+// Demands gives what this entry's own requests ask, by service.
+func (l *Ledger) Demands(now time.Time) []Demand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]Demand, 0, len(l.shorts))
+	for service := range l.shorts {
+		list = append(list, l.own(now, service))
+	}
+	return list
+}
+
+func (l *Ledger) own(now time.Time, service string) Demand {
+	d := l.demand(service)
+	d.expire(now)
+	return Demand{Service: service, LongPrefill: d.sum, OpenShort: l.shorts[service]}
+}
+
+// total sums a service's demand over this entry and those heard of lately.
+func (l *Ledger) total(now time.Time, service string) Demand {
+	sum := l.own(now, service)
+	for name, peer := range l.peers {
+		if now.Sub(peer.at) > peerValid {
+			delete(l.peers, name)
+			continue
+		}
+		for _, d := range peer.demands {
+			if d.Service == service {
+				sum.LongPrefill += d.LongPrefill
+				sum.OpenShort += d.OpenShort
+			}
+		}
+	}
+	return sum
 }
 
 type load struct {
@@ -30,7 +83,7 @@
 
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}}
+	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]peerDemand{}}
 }
 
 // Charge is what one request weighs on its endpoints, until it ends. Safe for use by
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -106,12 +106,11 @@
 func (p *Policy) placeEngine(now time.Time, r *Request, kept []*directory.Listed) *Plan {
 	engine := r.Service.Engine
 	prefill := Prefill(engine, r.PromptTokens)
-	demand := p.ledger.demand(r.Service.Name)
 	plan := &Plan{Long: isLong(prefill), Memory: r.PromptTokens + r.OutputTokens, Candidates: len(kept)}
 	if plan.Long {
-		demand.add(now, prefill)
+		p.ledger.demand(r.Service.Name).add(now, prefill)
 	}
-	boundary := int(demand.shortShare(now, engine, p.ledger.shorts[r.Service.Name])*float64(len(kept)) + 0.5)
+	boundary := int(shortShare(p.ledger.total(now, r.Service.Name), engine)*float64(len(kept)) + 0.5)
 	var list []scored
 	if plan.Long {
 		list = p.score(now, r, kept[min(boundary, len(kept)-1):], engine)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -12,6 +12,9 @@
 	CallersListen   string `json:"callers_listen"`
 	ReadinessListen string `json:"readiness_listen"`
 	MetricsListen   string `json:"metrics_listen,omitempty"`
+	// PeersListen is where other entries' heartbeats come, over UDP; optional. Without
+	// it this entry divides the engines by its own requests alone.
+	PeersListen string `json:"peers_listen,omitempty"`
 	// Store is the address of the platform's metadata store.
 	Store string `json:"store"`
 	// StoreTimeout bounds one call to the store; default 700ms. Shorter sees a store or
@@ -61,6 +64,9 @@
 	if g.MetricsListen != "" {
 		faults.CheckAddr("metrics_listen", g.MetricsListen)
 	}
+	if g.PeersListen != "" {
+		faults.CheckAddr("peers_listen", g.PeersListen)
+	}
 	faults.CheckAddr("store", g.Store)
 	faults.CheckRange("store_timeout", g.StoreTimeout.D(), 10*time.Millisecond, time.Minute)
 	faults.CheckRange("drain_timeout", g.DrainTimeout.D(), 100*time.Millisecond, 24*time.Hour)
