--- a/attempt/course.go
+++ b/attempt/course.go
@@ -9,6 +9,9 @@
 	NotSent SendOutcome = iota
 	// NotExecuted: the endpoint said that it did not run the request.
 	NotExecuted
+	// HelperFailed: the endpoint said that it did not run the request because another
+	// endpoint that was to help did not. It may be sent to the same endpoint again.
+	HelperFailed
 	// Broken: there is no whole answer; the request may have run.
 	Broken
 	// Failed: the endpoint answered whole that it failed; the request has run.
@@ -17,7 +20,7 @@
 
 // String gives the outcome's name in logs and metrics.
 func (o SendOutcome) String() string {
-	return [...]string{"not_sent", "not_executed", "broken", "failed"}[o]
+	return [...]string{"not_sent", "not_executed", "helper_failed", "broken", "failed"}[o]
 }
 
 // Next is what to do after an outcome.
@@ -46,12 +49,16 @@
 	MaxArrivals int
 	arrivals    int
 	unsent      int
+	helpers     int
 	mayHaveRun  bool
 }
 
 // maxUnsent bounds how many endpoints are tried that no connection reaches.
 const maxUnsent = 4
 
+// maxHelpers bounds how often a request is sent again because a helper failed.
+const maxHelpers = 3
+
 // Arrivals is how many endpoints the request has reached.
 func (c *Course) Arrivals() int { return c.arrivals }
 
@@ -70,11 +77,13 @@
 		c.unsent++
 	case NotExecuted:
 		c.arrivals++
+	case HelperFailed:
+		c.helpers++
 	default:
 		c.arrivals++
 		c.mayHaveRun = true
 	}
-	if c.mayAgain() && (c.arrivals == 0 || budget()) {
+	if c.mayAgain() && (c.arrivals+c.helpers == 0 || budget()) {
 		return SendAgain
 	}
 	switch {
@@ -90,7 +99,7 @@
 	if c.mayHaveRun && !c.Repeatable {
 		return false
 	}
-	return c.arrivals < c.MaxArrivals && c.unsent < maxUnsent
+	return c.arrivals < c.MaxArrivals && c.unsent < maxUnsent && c.helpers <= maxHelpers
 }
 
 // String gives the step's name in logs.
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -46,6 +46,8 @@
 	Signed bool
 	// NotExecuted is the endpoint's word that the request did not run.
 	NotExecuted bool
+	// AtFault names the endpoint because of which it did not run, where that is told.
+	AtFault string
 	// Running and Waiting are the endpoint's requests, where HasLoad is set.
 	Running, Waiting int
 	HasLoad          bool
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -138,6 +138,9 @@
 	}
 	if outcome, err := judge(reply); err != nil {
 		reply.abandonOrFinish()
+		if outcome == attempt.NotExecuted {
+			outcome = f.blame(plan, reply)
+		}
 		return outcome, err
 	}
 	if f.begun() && reply.status != http.StatusOK {
@@ -150,6 +153,35 @@
 	return f.passWhole(reply)
 }
 
+const (
+	// shunBusy is how long an endpoint that refused work is passed over: some of its
+	// requests have ended by then.
+	shunBusy = 400 * time.Millisecond
+	// shunGone is how long one is passed over that is leaving or is not the one that was
+	// meant: by then the list tells.
+	shunGone = 2 * time.Second
+)
+
+// blame finds which endpoint a request did not run because of, and passes it over
+// for a while. A prompt that is prefilled on many engines needs every one of them: a
+// single engine that is leaving, and that a node which cannot reach the store still
+// has on its list, would make each long prompt fail.
+func (f *forwarding) blame(plan *direct.Plan, r *reply) attempt.SendOutcome {
+	for _, helper := range plan.Helpers {
+		if helper.Addr == r.answer.AtFault && helper.ID != plan.Endpoint.ID {
+			f.gateway.ledger.Shun(helper.ID, time.Now().Add(shunGone))
+			delete(f.request.Tried, plan.Endpoint.ID)
+			return attempt.HelperFailed
+		}
+	}
+	wait := shunBusy
+	if r.status == http.StatusMisdirectedRequest {
+		wait = shunGone
+	}
+	f.gateway.ledger.Shun(plan.Endpoint.ID, time.Now().Add(wait))
+	return attempt.NotExecuted
+}
+
 // begun tells whether a part of a stream has been passed on.
 func (f *forwarding) begun() bool { return f.relay != nil && f.relay.begun }
 
@@ -215,7 +247,7 @@
 func judge(r *reply) (attempt.SendOutcome, error) {
 	switch {
 	case r.answer.NotExecuted:
-		return attempt.NotExecuted, errors.Wrapf(errNotExecuted, "status %d", r.status)
+		return attempt.NotExecuted, errors.Wrapf(errNotExecuted, "status %d, at fault %q", r.status, r.answer.AtFault)
 	case r.status >= 200 && r.status < 300 && !r.answer.Signed:
 		return attempt.Broken, errUnsigned
 	case r.header.Get("Content-Encoding") != "":
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -82,8 +82,13 @@
 	told              time.Time
 	// dark is set while the endpoint accepts no connections.
 	dark bool
+	// shunned is until when the endpoint is passed over because it refused work.
+	shunned time.Time
 }
 
+// doubtful tells whether other endpoints are to be preferred.
+func (l *load) doubtful(now time.Time) bool { return l.dark || now.Before(l.shunned) }
+
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]peerDemand{}, reading: map[string]time.Duration{}}
@@ -192,6 +197,13 @@
 	return changed
 }
 
+// Shun passes an endpoint over until a time, as long as there are others.
+func (l *Ledger) Shun(endpoint string, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.load(endpoint).shunned = until
+}
+
 func (l *Ledger) load(endpoint string) *load {
 	known := l.loads[endpoint]
 	if known == nil {
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -84,7 +84,7 @@
 func (p *Policy) Place(now time.Time, r *Request, endpoints []*directory.Listed) *Plan {
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
-	kept := p.eligible(r, endpoints)
+	kept := p.eligible(now, r, endpoints)
 	if len(kept) == 0 {
 		return nil
 	}
@@ -243,15 +243,15 @@
 }
 
 // eligible drops endpoints that were tried, and, as long as there are others, those
-// that accept no connections or whose registration has lapsed.
-func (p *Policy) eligible(r *Request, endpoints []*directory.Listed) []*directory.Listed {
+// that accept no connections, refused work lately or whose registration has lapsed.
+func (p *Policy) eligible(now time.Time, r *Request, endpoints []*directory.Listed) []*directory.Listed {
 	untried := make([]*directory.Listed, 0, len(endpoints))
 	var doubtful []*directory.Listed
 	for _, e := range endpoints {
 		known := p.ledger.loads[e.ID]
 		switch {
 		case r.Tried[e.ID]:
-		case !e.Missing.IsZero() || known != nil && known.dark:
+		case !e.Missing.IsZero() || known != nil && known.doubtful(now):
 			doubtful = append(doubtful, e)
 		default:
 			untried = append(untried, e)
