--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -106,7 +106,7 @@
 	}
 	c.endpoint = plan.Endpoint.ID
 	c.story.Add("placed", zap.String("endpoint", plan.Endpoint.ID), zap.String("service", c.service.Name), zap.Uint64("at", snapshot.At),
-		zap.Int("candidates", plan.Candidates), zap.Duration("cost_ms", plan.Cost), zap.Duration("prefill_ms", plan.Prefill), zap.Int("helpers", len(plan.Helpers)))
+		zap.Int("candidates", plan.Candidates), zap.Duration("cost_ms", plan.Cost), zap.Duration("prefill_ms", plan.Prefill), zap.Strings("helpers", plan.HelperIDs()))
 	return plan
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -37,6 +37,7 @@
 	// longest pause between events.
 	firstAnswer time.Time
 	gap         time.Duration
+	gapAt       time.Time // when it ended
 	events      int
 	// endpoint is the last that the request was sent to.
 	endpoint string
@@ -228,7 +229,7 @@
 		zap.String("route", c.routeName()), zap.String("endpoint", c.endpoint), zap.Int("prompt_tokens", c.PromptTokens),
 	}
 	if started {
-		fields = append(fields, zap.Duration("first_ms", c.firstAnswer.Sub(c.started)), zap.Duration("gap_ms", c.gap), zap.Int("events", c.events))
+		fields = append(fields, zap.Duration("first_ms", c.firstAnswer.Sub(c.started)), zap.Duration("gap_ms", c.gap), zap.Duration("gap_end_ms", c.gapEnd()), zap.Int("events", c.events))
 	}
 	if failure != nil {
 		fields = append(fields, zap.String("ran", string(failure.Ran)), zap.String("detail", failure.Detail), zap.Duration("retry_after_ms", failure.RetryAfter))
@@ -256,6 +257,14 @@
 	return took > c.route.Target
 }
 
+// gapEnd is when the longest pause ended, from the start of the call.
+func (c *call) gapEnd() time.Duration {
+	if c.gapAt.IsZero() {
+		return 0
+	}
+	return c.gapAt.Sub(c.started)
+}
+
 func (c *call) version() uint64 {
 	if c.config == nil {
 		return 0
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -158,7 +158,9 @@
 		s.begin(r)
 		s.firstAnswer = now
 	} else if s.events > 0 {
-		s.gap = max(s.gap, now.Sub(s.lastAt))
+		if gap := now.Sub(s.lastAt); gap > s.gap {
+			s.gap, s.gapAt = gap, now
+		}
 	}
 	_ = s.control.SetWriteDeadline(now.Add(callerStall))
 	if _, err := s.out.Write(event); err != nil {
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -40,6 +40,15 @@
 	Candidates int
 }
 
+// HelperIDs names the helpers.
+func (plan *Plan) HelperIDs() []string {
+	ids := make([]string, 0, len(plan.Helpers))
+	for _, e := range plan.Helpers {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
 // Rand is the randomness that placing needs.
 type Rand interface {
 	// IntN returns a number in [0, n).
