--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -17,8 +17,11 @@
 	// followWait is how long one call waits for a change. A store that drops its
 	// history leaves waiting calls without an answer until they end, and changes made
 	// meanwhile must be in force within 2 s on the users' sites; longer waits cost the
-	// store fewer calls (0.003 of the worth of a day at 1 s).
-	followWait = time.Second
+	// store fewer calls.
+	followWait = 1300 * time.Millisecond
+	// gather is the pause after a change: what follows within it, as when many endpoints
+	// register one after the other, comes with one call.
+	gather = 200 * time.Millisecond
 	// slowFactor bounds how much longer than the store's timeout a call may take while
 	// calls fail, so that a store that is merely slow is not given up for ever.
 	slowFactor = 2
@@ -133,12 +136,14 @@
 	}
 	f.backoff, f.timeout = retryFirst, f.gateway.settings.StoreTimeout.D()
 	before := f.gateway.snapshot.Load().Config
+	pause := time.Duration(0)
 	switch {
 	case answer.reading != nil:
 		f.replica.TakeReading(now, answer.reading)
 		f.stale = false
 		f.logFaults(answer.reading.Faults)
 	default:
+		pause = gatherPause(answer.changes)
 		f.replica.TakeChanges(now, answer.changes)
 		f.logFaults(answer.changes.Faults)
 		f.logChanges(answer.changes)
@@ -147,7 +152,14 @@
 	if config := f.gateway.snapshot.Load().Config; config != before {
 		log.Info("config_in_force", zap.Uint64("version", config.Version), zap.Int("routes", config.RouteCount()), zap.Uint64("at", f.replica.At()))
 	}
-	return 0
+	return pause
+}
+
+func gatherPause(changes *directory.Changes) time.Duration {
+	if len(changes.Changes) == 0 {
+		return 0
+	}
+	return gather
 }
 
 func (f *follower) logFaults(faults []directory.Fault) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -70,6 +70,10 @@
 // the time in which one of them is prefilled.
 const crowdedPoll = 20 * time.Millisecond
 
+// waitShare is the part of its target for which a long prompt is held: one that waits
+// longer is late in any case, and is better read late than given up.
+const waitShare = 1
+
 // waitTurn holds a long prompt while the engines have enough of them to prefill.
 // Engines prefill the parts of long prompts before anything else: when all callers
 // come back at once after an outage, a dozen long prompts at a time would keep short
@@ -87,7 +91,8 @@
 		return f.ended(ctx)
 	}
 	defer g.longGate.Leave()
-	for g.policy.Crowded(time.Now(), f.service, len(g.snapshot.Load().Endpoints(f.service.Name))) {
+	latest := f.started.Add(time.Duration(waitShare * float64(f.route.Target)))
+	for time.Now().Before(latest) && g.policy.Crowded(time.Now(), f.service, len(g.snapshot.Load().Endpoints(f.service.Name))) {
 		membership.Sleep(ctx, crowdedPoll)
 		if ctx.Err() != nil {
 			return f.ended(ctx)
