--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -31,7 +31,7 @@
 	retryFirst = 40 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
 	// expireInterval is how often lapsed registrations are looked for.
-	expireInterval = 250 * time.Millisecond
+	expireInterval = 500 * time.Millisecond
 )
 
 // globalRand is the process-wide generator, safe for concurrent use.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -24,7 +24,7 @@
 	// peerInterval is the time between two heartbeats to other entries. They carry
 	// what this entry's requests ask of the engines, and shorter follows a change of
 	// the mix sooner; 150 bytes each.
-	peerInterval = 200 * time.Millisecond
+	peerInterval = 250 * time.Millisecond
 	// peerSuspect is the silence after which another entry counts as gone.
 	peerSuspect = time.Second
 	// peerBytes lets heartbeats take 4 KB/s at a receiving entry.
@@ -93,7 +93,7 @@
 	loop := membership.NewLoop(membership.Config{
 		Node: g.settings.Name, Role: membership.RoleEntry, DataCentre: g.settings.DataCentre,
 		Listen: g.settings.PeersListen, Advertise: g.settings.PeersListen, Incarnation: incarnation,
-		Interval: peerInterval, SuspectAfter: peerSuspect, BytesPerSecond: peerBytes, ForgetAfter: registerTTL,
+		Tick: peerInterval, Interval: peerInterval, SuspectAfter: peerSuspect, BytesPerSecond: peerBytes, ForgetAfter: registerTTL,
 	}, p)
 	g.peerLoop.Store(loop)
 	go func() {
