--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -98,8 +98,7 @@
 			return f.ended(ctx)
 		}
 	}
-	f.request.Late = !time.Now().Before(latest)
-	f.story.Add("turn", zap.Bool("late", f.request.Late), zap.Duration("waited_ms", time.Since(f.started)), zap.Int("waiting", g.longGate.Waiting()))
+	f.story.Add("turn", zap.Duration("waited_ms", time.Since(f.started)), zap.Int("waiting", g.longGate.Waiting()))
 	return nil
 }
 
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -17,8 +17,6 @@
 	PromptTokens, OutputTokens int
 	// DataCentre is the entry's own.
 	DataCentre string
-	// Late is set when the request cannot be on time any more.
-	Late bool
 	// Tried holds the IDs of endpoints that it was sent to already.
 	Tried map[string]bool
 }
@@ -83,9 +81,6 @@
 	// partTarget is the prefill of one part of a prompt: short beside the pause that
 	// those who decode on the same engine allow.
 	partTarget = 60 * time.Millisecond
-	// latePart is the prefill of one part of a long prompt that is late already: a few
-	// engines for longer make fewer others late than many for a shorter time.
-	latePart = 800 * time.Millisecond
 	// maxParts is on how many engines a prompt is prefilled: the one that it is sent to
 	// and the helpers that it may name.
 	maxParts = 17
@@ -131,11 +126,7 @@
 			list[i].cost += foreignCost
 		}
 	}
-	target := partTarget
-	if plan.Long && r.Late {
-		target = latePart
-	}
-	parts := max(1, min(int((prefill+target-1)/target), maxParts, len(list)))
+	parts := max(1, min(int((prefill+partTarget-1)/partTarget), maxParts, len(list)))
 	if !plan.Long && prefill < 2*partTarget {
 		parts = 1
 	}
