Long prompts that would be late are refused at once, by the backlog that all entries tell

Change: heartbeats carry what is held back; a prompt expected after one and a half of its target is refused with when to come back.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -70,9 +70,17 @@
 // the time in which one of them is prefilled.
 const crowdedPoll = 20 * time.Millisecond
 
-// waitShare is the part of its target for which a long prompt is held: one that waits
-// longer is late in any case, and is better read late than given up.
-const waitShare = 1
+const (
+	// waitShare is the part of its target for which a long prompt is held: one that waits
+	// longer is late in any case.
+	waitShare = 1
+	// lateShare is the part of its target by which a long prompt must be expected to be
+	// read, or it is refused at once: engines that are busy with prompts that are late
+	// make the next ones late too, and everyone who decodes there.
+	lateShare = 1.5
+	// comeBackLeast bounds from below when a refused long prompt may come back.
+	comeBackLeast = 500 * time.Millisecond
+)
 
 // waitTurn holds a long prompt while the engines have enough of them to prefill.
 // Engines prefill the parts of long prompts before anything else: when all callers
@@ -86,19 +94,25 @@
 		return nil
 	}
 	g := f.gateway
-	g.policy.Expect(f.started, f.service, f.PromptTokens)
-	if err := g.longGate.Enter(ctx, f.started.Add(direct.Prefill(engine, f.PromptTokens))); err != nil {
-		return f.ended(ctx)
-	}
-	defer g.longGate.Leave()
-	latest := f.started.Add(time.Duration(waitShare * float64(f.route.Target)))
-	for time.Now().Before(latest) && g.policy.Crowded(time.Now(), f.service, len(g.snapshot.Load().Endpoints(f.service.Name))) {
-		membership.Sleep(ctx, crowdedPoll)
-		if ctx.Err() != nil {
-			return f.ended(ctx)
+	engines := len(g.snapshot.Load().Endpoints(f.service.Name))
+	expected := g.policy.Expect(f.started, f.service, engines, f.PromptTokens)
+	if limit := time.Duration(lateShare * float64(f.route.Target)); limit > 0 && expected > limit {
+		f.story.Add("no_turn", zap.Duration("expected_ms", expected), zap.Duration("limit_ms", limit))
+		return result.Refuse(result.Overloaded, max(expected-limit, comeBackLeast), "its first token is expected after %v", expected)
+	}
+	defer g.policy.Hold(f.service, f.PromptTokens)()
+	waiting, cancel := context.WithDeadline(ctx, f.started.Add(time.Duration(waitShare*float64(f.route.Target))))
+	defer cancel()
+	if err := g.longGate.Enter(waiting, f.started.Add(direct.Prefill(engine, f.PromptTokens))); err == nil {
+		for waiting.Err() == nil && g.policy.Crowded(time.Now(), f.service, engines) {
+			membership.Sleep(waiting, crowdedPoll)
 		}
+		g.longGate.Leave()
+	}
+	if ctx.Err() != nil {
+		return f.ended(ctx)
 	}
-	f.story.Add("turn", zap.Duration("waited_ms", time.Since(f.started)), zap.Int("waiting", g.longGate.Waiting()))
+	f.story.Add("turn", zap.Duration("expected_ms", expected), zap.Duration("waited_ms", time.Since(f.started)), zap.Int("waiting", g.longGate.Waiting()))
 	return nil
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -120,7 +120,10 @@
 // Fill implements membership.Delegate.
 func (p *peers) Fill(now time.Time, h *wire.Heartbeat) {
 	for _, d := range p.gateway.ledger.Demands(now) {
-		h.Demands = append(h.Demands, &wire.Demand{Service: d.Service, LongPrefillMs: uint32(d.LongPrefill.Milliseconds()), OpenShort: uint32(max(d.OpenShort, 0)), ReadingMs: uint32(max(d.Reading.Milliseconds(), 0))})
+		h.Demands = append(h.Demands, &wire.Demand{
+			Service: d.Service, LongPrefillMs: uint32(d.LongPrefill.Milliseconds()), OpenShort: uint32(max(d.OpenShort, 0)),
+			ReadingMs: uint32(max(d.Reading.Milliseconds(), 0)), WaitingMs: uint32(max(d.Waiting.Milliseconds(), 0)),
+		})
 	}
 }
 
@@ -128,7 +131,10 @@
 func (p *peers) Heard(now time.Time, h *wire.Heartbeat) {
 	demands := make([]direct.Demand, 0, len(h.Demands))
 	for _, d := range h.Demands {
-		demands = append(demands, direct.Demand{Service: d.Service, LongPrefill: time.Duration(d.LongPrefillMs) * time.Millisecond, OpenShort: int(d.OpenShort), Reading: time.Duration(d.ReadingMs) * time.Millisecond})
+		demands = append(demands, direct.Demand{
+			Service: d.Service, LongPrefill: milliseconds(d.LongPrefillMs), OpenShort: int(d.OpenShort),
+			Reading: milliseconds(d.ReadingMs), Waiting: milliseconds(d.WaitingMs),
+		})
 	}
 	p.gateway.ledger.TellPeer(now, h.Node, demands)
 }
@@ -137,3 +143,5 @@
 func (p *peers) Tick(_ time.Time, members *membership.View) {
 	p.gateway.retries.SetEntries(members.EntryCount() + 1)
 }
+
+func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -62,8 +62,9 @@
 	// OpenShort how many requests with short ones are under way.
 	LongPrefill time.Duration
 	OpenShort   int
-	// Reading is the prefill of long prompts that was sent to engines and is not done.
-	Reading time.Duration
+	// Reading is the prefill of long prompts that was sent to engines and is not done,
+	// Waiting that of those that are held back.
+	Reading, Waiting time.Duration
 }
 
 // shortShare is the part of a service's engines that short prompts have to themselves.
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -13,8 +13,9 @@
 	// requests with short ones are open.
 	demands map[string]*demand
 	shorts  map[string]int
-	// reading is the prefill of long prompts under way, by service.
-	reading map[string]time.Duration
+	// reading is the prefill of long prompts under way, waiting that of those that are
+	// held back, by service.
+	reading, waiting map[string]time.Duration
 	// peers holds what other entries last told, by their names.
 	peers map[string]peerDemand
 }
@@ -49,7 +50,7 @@
 func (l *Ledger) own(now time.Time, service string) Demand {
 	d := l.demand(service)
 	d.expire(now)
-	return Demand{Service: service, LongPrefill: d.sum, OpenShort: l.shorts[service], Reading: l.reading[service]}
+	return Demand{Service: service, LongPrefill: d.sum, OpenShort: l.shorts[service], Reading: l.reading[service], Waiting: l.waiting[service]}
 }
 
 // total sums a service's demand over this entry and those heard of lately.
@@ -65,6 +66,7 @@
 				sum.LongPrefill += d.LongPrefill
 				sum.OpenShort += d.OpenShort
 				sum.Reading += d.Reading
+				sum.Waiting += d.Waiting
 			}
 		}
 	}
@@ -91,7 +93,7 @@
 
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]peerDemand{}, reading: map[string]time.Duration{}}
+	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]peerDemand{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}}
 }
 
 // Charge is what one request weighs on its endpoints, until it ends. Safe for use by
@@ -213,6 +215,12 @@
 	return known
 }
 
+func (l *Ledger) hold(service string, prefill time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting[service] += prefill
+}
+
 func (l *Ledger) demand(service string) *demand {
 	known := l.demands[service]
 	if known == nil {
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -207,13 +207,6 @@
 	return int(shortShare(p.ledger.total(now, service.Name), service.Engine)*float64(engines) + 0.5)
 }
 
-// Expect notes that a long prompt has come, which moves the boundary at once.
-func (p *Policy) Expect(now time.Time, service *directory.Service, promptTokens int) {
-	p.ledger.mu.Lock()
-	defer p.ledger.mu.Unlock()
-	p.ledger.demand(service.Name).add(now, Prefill(service.Engine, promptTokens))
-}
-
 // readingLimit is how much prefill of long prompts may be under way for each engine
 // that takes them. Engines prefill all parts that they have before the next event of
 // those who decode there, and the most patient of those allow a second. Of 400, 600 to
@@ -229,6 +222,27 @@
 	return p.ledger.total(now, service.Name).Reading > time.Duration(free)*readingLimit
 }
 
+// Expect notes that a long prompt has come, which moves the boundary at once, and
+// estimates when its first token would come: after the long prompts that all entries
+// have sent and hold back, at the rate of the engines for long prompts.
+func (p *Policy) Expect(now time.Time, service *directory.Service, engines, promptTokens int) time.Duration {
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	prefill := Prefill(service.Engine, promptTokens)
+	p.ledger.demand(service.Name).add(now, prefill)
+	free := max(engines-p.boundary(now, service, engines), 1)
+	total := p.ledger.total(now, service.Name)
+	wait := (total.Reading + total.Waiting).Seconds() / (float64(free) * fullUse)
+	return time.Duration(wait*float64(time.Second)) + prefill/time.Duration(min(free, maxParts))
+}
+
+// Hold notes that a long prompt waits; the function that it returns ends that.
+func (p *Policy) Hold(service *directory.Service, promptTokens int) func() {
+	prefill := Prefill(service.Engine, promptTokens)
+	p.ledger.hold(service.Name, prefill)
+	return func() { p.ledger.hold(service.Name, -prefill) }
+}
+
 // choose takes the engines with the least cost; the one that the request is sent to
 // is that, of them, whose memory is least used.
 func (p *Policy) choose(plan *Plan, list []scored, parts int) {
