--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -119,6 +119,10 @@
 
 // Fill implements membership.Delegate.
 func (p *peers) Fill(now time.Time, h *wire.Heartbeat) {
+	for _, o := range p.gateway.ledger.Opens() {
+		h.OpenEndpoints = append(h.OpenEndpoints, uint32(o.Endpoint))
+		h.OpenCounts = append(h.OpenCounts, uint32(o.Count))
+	}
 	for _, d := range p.gateway.ledger.Demands(now) {
 		h.Demands = append(h.Demands, &wire.Demand{
 			Service: d.Service, LongPrefillMs: uint32(d.LongPrefill.Milliseconds()), OpenShort: uint32(max(d.OpenShort, 0)),
@@ -136,12 +140,18 @@
 			Reading: milliseconds(d.ReadingMs), Waiting: milliseconds(d.WaitingMs),
 		})
 	}
-	p.gateway.ledger.TellPeer(now, h.Node, demands)
+	open := make([]direct.Open, 0, len(h.OpenEndpoints))
+	for i := range min(len(h.OpenEndpoints), len(h.OpenCounts)) {
+		open = append(open, direct.Open{Endpoint: direct.EndpointHash(h.OpenEndpoints[i]), Count: int(h.OpenCounts[i])})
+	}
+	p.gateway.ledger.TellPeer(now, h.Node, demands, open)
 }
 
 // Tick implements membership.Delegate.
 func (p *peers) Tick(_ time.Time, members *membership.View) {
-	p.gateway.retries.SetEntries(members.EntryCount() + 1)
+	entries := members.EntryCount() + 1
+	p.gateway.retries.SetEntries(entries)
+	p.gateway.ledger.SetEntries(entries)
 }
 
 func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Ledger holds what this entry has given each endpoint to do. Safe for concurrent use.
@@ -16,24 +18,86 @@
 	// reading is the prefill of long prompts under way, waiting that of those that are
 	// held back, by service.
 	reading, waiting map[string]time.Duration
+	// entries is how many entries there are, foreign the sum of what peers tell of each
+	// endpoint.
+	entries int
+	foreign map[EndpointHash]int
 	// peers holds what other entries last told, by their names.
-	peers map[string]peerDemand
+	peers map[string]peer
 }
 
-type peerDemand struct {
+// peer is what another entry last told.
+type peer struct {
 	at      time.Time
 	demands []Demand
+	open    []Open
+}
+
+// Open is how many requests an entry has open at an endpoint.
+type Open struct {
+	Endpoint EndpointHash
+	Count    int
 }
 
+// EndpointHash names an endpoint in messages between entries. Two endpoints with one
+// hash would each seem to have the other's load, which costs a little time.
+type EndpointHash uint32
+
+// HashEndpoint gives the hash of an endpoint's ID.
+func HashEndpoint(id string) EndpointHash { return EndpointHash(xxhash.Sum64String(id)) }
+
 // peerValid is how long another entry's word is used; several times the interval at
 // which entries tell each other.
 const peerValid = time.Second
 
 // TellPeer notes what another entry's requests ask of the engines.
-func (l *Ledger) TellPeer(now time.Time, name string, demands []Demand) {
+func (l *Ledger) TellPeer(now time.Time, name string, demands []Demand, open []Open) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peers[name] = peerDemand{now, demands}
+	l.forget(name)
+	l.peers[name] = peer{now, demands, open}
+	for _, o := range open {
+		l.foreign[o.Endpoint] += o.Count
+	}
+}
+
+// forget takes another entry's word back.
+func (l *Ledger) forget(name string) {
+	for _, o := range l.peers[name].open {
+		if l.foreign[o.Endpoint] -= o.Count; l.foreign[o.Endpoint] == 0 {
+			delete(l.foreign, o.Endpoint)
+		}
+	}
+	delete(l.peers, name)
+}
+
+// Opens gives how many requests this entry has open at each endpoint.
+func (l *Ledger) Opens() []Open {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]Open, 0, len(l.loads))
+	for id, known := range l.loads {
+		if known.open > 0 {
+			list = append(list, Open{HashEndpoint(id), known.open})
+		}
+	}
+	return list
+}
+
+// SetEntries tells how many entries there are; not all of them need to be heard of.
+func (l *Ledger) SetEntries(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = n
+}
+
+// foreignOpen estimates how many requests of other entries are open at an endpoint:
+// what those heard of tell, for as many as there are.
+func (l *Ledger) foreignOpen(id string) float64 {
+	if len(l.peers) == 0 {
+		return 0
+	}
+	return float64(l.foreign[HashEndpoint(id)]) * float64(max(l.entries-1, len(l.peers))) / float64(len(l.peers))
 }
 
 // Demands gives what this entry's own requests ask, by service.
@@ -58,7 +122,7 @@
 	sum := l.own(now, service)
 	for name, peer := range l.peers {
 		if now.Sub(peer.at) > peerValid {
-			delete(l.peers, name)
+			l.forget(name)
 			continue
 		}
 		for _, d := range peer.demands {
@@ -93,7 +157,7 @@
 
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]peerDemand{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}}
+	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]peer{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}, foreign: map[EndpointHash]int{}}
 }
 
 // Charge is what one request weighs on its endpoints, until it ends. Safe for use by
@@ -180,13 +244,18 @@
 // seconds.
 const toldValid = 3 * time.Second
 
-// total estimates how many requests of all callers are open: the endpoint's last word,
-// corrected by what this entry has begun and ended since.
-func (l *load) total(now time.Time) int {
-	if l.told.IsZero() || now.Sub(l.told) > toldValid {
-		return l.open
+// open estimates how many requests of all callers are open at an endpoint: the
+// endpoint's last word, corrected by what this entry has begun and ended since, or
+// what the other entries tell, whichever is more.
+func (l *Ledger) open(now time.Time, id string) int {
+	own, told := 0, 0
+	if known := l.loads[id]; known != nil {
+		own = known.open
+		if !known.told.IsZero() && now.Sub(known.told) <= toldValid {
+			told = known.toldOpen + known.open - known.ownOpen
+		}
 	}
-	return max(l.toldOpen+l.open-l.ownOpen, l.open)
+	return max(told, own+int(l.foreignOpen(id)+0.5))
 }
 
 // SetDark notes whether an endpoint accepts connections; it tells whether that is new.
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -158,9 +158,7 @@
 func (p *Policy) open(now time.Time, plan *Plan) int {
 	open := 0
 	for _, e := range append([]*directory.Listed{plan.Endpoint}, plan.Helpers...) {
-		if known := p.ledger.loads[e.ID]; known != nil {
-			open += known.total(now)
-		}
+		open += p.ledger.open(now, e.ID)
 	}
 	return open
 }
@@ -297,9 +295,10 @@
 	list := make([]scored, 0, len(kept))
 	for _, e := range kept {
 		s := scored{endpoint: e}
+		open := p.ledger.open(now, e.ID)
+		s.cost = time.Duration(open)*openCost + time.Duration(max(open+1-e.Slots, 0))*slotCost
 		if known := p.ledger.loads[e.ID]; known != nil {
-			total := known.total(now)
-			s.cost = known.prefill + time.Duration(total)*openCost + time.Duration(max(total+1-e.Slots, 0))*slotCost
+			s.cost += known.prefill
 			s.memory = known.memory
 			if engine != nil && engine.MemoryTokens > 0 {
 				s.cost += time.Duration(float64(memoryCost) * float64(known.memory) / float64(engine.MemoryTokens))
