--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -126,9 +126,6 @@
 			list[i].cost += foreignCost
 		}
 	}
-	if !plan.Long {
-		list = p.sample(list)
-	}
 	parts := max(1, min(int((prefill+partTarget-1)/partTarget), maxParts, len(list)))
 	if !plan.Long && prefill < 2*partTarget {
 		parts = 1
@@ -177,28 +174,6 @@
 	reserveSpare = 1.34
 )
 
-const (
-	// sampleLeast is how many engines a short prompt is weighed against at least, and
-	// sampleEngines how many engines there are to one more, times the entries.
-	sampleLeast   = 8
-	sampleEngines = 2
-)
-
-// sample leaves some engines, drawn at random, for a short prompt to be weighed
-// against. What entries tell each other is a quarter of a second old: if each weighed
-// all engines, they would all send to the few that were idle then.
-func (p *Policy) sample(list []scored) []scored {
-	count := max(sampleLeast, sampleEngines*len(list)/max(p.ledger.entries, 1))
-	if count >= len(list) {
-		return list
-	}
-	for i := range count {
-		j := i + p.rand.IntN(len(list)-i)
-		list[i], list[j] = list[j], list[i]
-	}
-	return list[:count]
-}
-
 // aloneMemory is the largest need of memory, in tokens, that one engine takes.
 func aloneMemory(engine *directory.Engine) int {
 	if engine.MemoryTokens == 0 {
