Entries tell each other their prefill by endpoint

Cause: which engines had parts of others' long prompts to read was not seen; short and long prompts met there.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -122,6 +122,7 @@
 	for _, o := range p.gateway.ledger.Opens() {
 		h.OpenEndpoints = append(h.OpenEndpoints, uint32(o.Endpoint))
 		h.OpenCounts = append(h.OpenCounts, uint32(o.Count))
+		h.ReadingMs = append(h.ReadingMs, uint32(max(o.Reading.Milliseconds(), 0)))
 	}
 	for _, d := range p.gateway.ledger.Demands(now) {
 		h.Demands = append(h.Demands, &wire.Demand{
@@ -141,8 +142,8 @@
 		})
 	}
 	open := make([]direct.Open, 0, len(h.OpenEndpoints))
-	for i := range min(len(h.OpenEndpoints), len(h.OpenCounts)) {
-		open = append(open, direct.Open{Endpoint: direct.EndpointHash(h.OpenEndpoints[i]), Count: int(h.OpenCounts[i])})
+	for i := range min(len(h.OpenEndpoints), len(h.OpenCounts), len(h.ReadingMs)) {
+		open = append(open, direct.Open{Endpoint: direct.EndpointHash(h.OpenEndpoints[i]), Count: int(h.OpenCounts[i]), Reading: milliseconds(h.ReadingMs[i])})
 	}
 	p.gateway.ledger.TellPeer(now, h.Node, demands, open)
 }
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -21,7 +21,7 @@
 	// entries is how many entries there are, foreign the sum of what peers tell of each
 	// endpoint.
 	entries int
-	foreign map[EndpointHash]int
+	foreign map[EndpointHash]Open
 	// peers holds what other entries last told, by their names.
 	peers map[string]peer
 }
@@ -33,10 +33,12 @@
 	open    []Open
 }
 
-// Open is how many requests an entry has open at an endpoint.
+// Open is what an entry has given an endpoint to do: how many requests are open there,
+// and the prefill that is not done.
 type Open struct {
 	Endpoint EndpointHash
 	Count    int
+	Reading  time.Duration
 }
 
 // EndpointHash names an endpoint in messages between entries. Two endpoints with one
@@ -57,28 +59,34 @@
 	l.forget(name)
 	l.peers[name] = peer{now, demands, open}
 	for _, o := range open {
-		l.foreign[o.Endpoint] += o.Count
+		sum := l.foreign[o.Endpoint]
+		sum.Count += o.Count
+		sum.Reading += o.Reading
+		l.foreign[o.Endpoint] = sum
 	}
 }
 
 // forget takes another entry's word back.
 func (l *Ledger) forget(name string) {
 	for _, o := range l.peers[name].open {
-		if l.foreign[o.Endpoint] -= o.Count; l.foreign[o.Endpoint] == 0 {
+		sum := l.foreign[o.Endpoint]
+		sum.Count -= o.Count
+		sum.Reading -= o.Reading
+		if l.foreign[o.Endpoint] = sum; sum.Count == 0 && sum.Reading == 0 {
 			delete(l.foreign, o.Endpoint)
 		}
 	}
 	delete(l.peers, name)
 }
 
-// Opens gives how many requests this entry has open at each endpoint.
+// Opens gives what this entry has given each endpoint to do.
 func (l *Ledger) Opens() []Open {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list := make([]Open, 0, len(l.loads))
 	for id, known := range l.loads {
-		if known.open > 0 {
-			list = append(list, Open{HashEndpoint(id), known.open})
+		if known.open > 0 || known.prefill > 0 {
+			list = append(list, Open{HashEndpoint(id), known.open, known.prefill})
 		}
 	}
 	return list
@@ -91,13 +99,15 @@
 	l.entries = n
 }
 
-// foreignOpen estimates how many requests of other entries are open at an endpoint:
-// what those heard of tell, for as many as there are.
-func (l *Ledger) foreignOpen(id string) float64 {
+// foreignOpen estimates what other entries have given an endpoint to do: what those
+// heard of tell, for as many as there are.
+func (l *Ledger) foreignOpen(id string) (open float64, reading time.Duration) {
 	if len(l.peers) == 0 {
-		return 0
+		return 0, 0
 	}
-	return float64(l.foreign[HashEndpoint(id)]) * float64(max(l.entries-1, len(l.peers))) / float64(len(l.peers))
+	sum := l.foreign[HashEndpoint(id)]
+	scale := float64(max(l.entries-1, len(l.peers))) / float64(len(l.peers))
+	return float64(sum.Count) * scale, time.Duration(float64(sum.Reading) * scale)
 }
 
 // Demands gives what this entry's own requests ask, by service.
@@ -157,7 +167,7 @@
 
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]peer{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}, foreign: map[EndpointHash]int{}}
+	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]peer{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}, foreign: map[EndpointHash]Open{}}
 }
 
 // Charge is what one request weighs on its endpoints, until it ends. Safe for use by
@@ -244,18 +254,20 @@
 // seconds.
 const toldValid = 3 * time.Second
 
-// open estimates how many requests of all callers are open at an endpoint: the
-// endpoint's last word, corrected by what this entry has begun and ended since, or
-// what the other entries tell, whichever is more.
-func (l *Ledger) open(now time.Time, id string) int {
+// busy estimates what all entries have given an endpoint to do. How many requests are
+// open is the endpoint's last word, corrected by what this entry has begun and ended
+// since, or what the other entries tell, whichever is more.
+func (l *Ledger) busy(now time.Time, id string) (open int, reading time.Duration) {
 	own, told := 0, 0
+	foreign, reading := l.foreignOpen(id)
 	if known := l.loads[id]; known != nil {
 		own = known.open
+		reading += known.prefill
 		if !known.told.IsZero() && now.Sub(known.told) <= toldValid {
 			told = known.toldOpen + known.open - known.ownOpen
 		}
 	}
-	return max(told, own+int(l.foreignOpen(id)+0.5))
+	return max(told, own+int(foreign+0.5)), reading
 }
 
 // SetDark notes whether an endpoint accepts connections; it tells whether that is new.
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -158,7 +158,8 @@
 func (p *Policy) open(now time.Time, plan *Plan) int {
 	open := 0
 	for _, e := range append([]*directory.Listed{plan.Endpoint}, plan.Helpers...) {
-		open += p.ledger.open(now, e.ID)
+		there, _ := p.ledger.busy(now, e.ID)
+		open += there
 	}
 	return open
 }
@@ -295,10 +296,9 @@
 	list := make([]scored, 0, len(kept))
 	for _, e := range kept {
 		s := scored{endpoint: e}
-		open := p.ledger.open(now, e.ID)
-		s.cost = time.Duration(open)*openCost + time.Duration(max(open+1-e.Slots, 0))*slotCost
+		open, reading := p.ledger.busy(now, e.ID)
+		s.cost = reading + time.Duration(open)*openCost + time.Duration(max(open+1-e.Slots, 0))*slotCost
 		if known := p.ledger.loads[e.ID]; known != nil {
-			s.cost += known.prefill
 			s.memory = known.memory
 			if engine != nil && engine.MemoryTokens > 0 {
 				s.cost += time.Duration(float64(memoryCost) * float64(known.memory) / float64(engine.MemoryTokens))
