A stand-in of the users' platform and the gateway's tests on it

Change: standin/platform (store with watches, leases, lost answers, dropped history; workers with slots, faults, reservations) and tests of answers, state, callers and memory. Found by them: a slow body was answered by closing the connection, as a failed read ends the request's context; now 408. A service that only routes name is served.

--- a/directory/config.go
+++ b/directory/config.go
@@ -140,7 +140,7 @@
 	// Version rises with every edit, in uneven steps.
 	Version  uint64
 	Limits   Limits
-	Services map[string]*Service
+	services map[string]*Service
 	routes   map[string][]*Route // by host, longest prefix first
 	accounts map[string]*Account // by key; nil: the deployment has no accounts
 }
@@ -148,9 +148,9 @@
 // NewConfig indexes a configuration. accounts maps keys to accounts; nil where the
 // deployment has none.
 func NewConfig(version uint64, limits Limits, services []*Service, routes []*Route, accounts map[string]*Account) *Config {
-	c := &Config{Version: version, Limits: limits, Services: map[string]*Service{}, routes: map[string][]*Route{}, accounts: accounts}
+	c := &Config{Version: version, Limits: limits, services: map[string]*Service{}, routes: map[string][]*Route{}, accounts: accounts}
 	for _, s := range services {
-		c.Services[s.Name] = s
+		c.services[s.Name] = s
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
@@ -179,6 +179,14 @@
 	return nil
 }
 
+// Service describes a service; one that is only named by routes is taken for plain.
+func (c *Config) Service(name string) *Service {
+	if s := c.services[name]; s != nil {
+		return s
+	}
+	return &Service{Name: name}
+}
+
 // RouteCount is the number of routes.
 func (c *Config) RouteCount() int {
 	n := 0
--- /dev/null
+++ b/gateway/answers_test.go
@@ -0,0 +1,299 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	standin "aspenyard.example/standin/platform"
+)
+
+func TestAnAnswerIsPassedOnAsItWasGiven(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain()).start()
+	r := s.request(http.MethodPost, "/once/a?x=1%20y", "q1", "hello")
+	r.Header.Set("X-Aspenyard-Tenant", "forged")
+	r.Header.Set("X-Aspenyard-Request-Priority", "0")
+	r.Header.Set("X-Aspenyard-Helpers", "127.0.0.1:1")
+	r.Header.Set("X-Own", "kept")
+	got := s.do(r)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body, standin.PlainAnswer("q1"))
+	is.Equal(got.header.Get("X-Aspenyard-Server-Stamp"), "s1")
+	run := s.workers[0].Runs()[0]
+	is.Equal(run.Target, "/once/a?x=1%20y")
+	is.Equal(run.Body, "hello")
+	is.Equal(run.Account, "acme") // the holder of the key, not what the caller claims
+	is.Equal(run.Priority, "")
+	is.Equal(run.Helpers, "")
+	is.True(run.DeadlineMS > 0 && run.DeadlineMS <= 15000)
+}
+
+func TestAStreamIsPassedOnWhole(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, streaming(20)).start()
+	got := s.post("/stream/a", "q1")
+	is.NoErr(got.err)
+	is.Equal(got.body, standin.StreamText("q1", 20))
+}
+
+// Symptom: a call that must not be repeated ran twice. Sequence: the endpoint runs it
+// and breaks off, or answers nonsense; the node sends it to another endpoint. Cause,
+// were it there: taking a lost answer for a request that was not sent.
+func TestACallThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.FaultReset, standin.FaultCut, standin.FaultGarbage, standin.FaultUnsigned, standin.FaultError, standin.FaultBareRefusal} {
+		t.Run(string(fault), func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, plain(), plain()).start()
+			for _, w := range s.workers {
+				w.Always(fault)
+			}
+			got := s.post("/once/a", "q1")
+			is.Equal(s.runs("q1"), 1)
+			is.True(got.status == http.StatusBadGateway || got.status == http.StatusInternalServerError)
+			is.True(got.status != http.StatusInternalServerError || fault == standin.FaultError) // only the endpoint's own word
+		})
+	}
+}
+
+// Symptom: a caller that was told "not run" files again, and it ran. Sequence: an
+// endpoint answers 503 without saying that the request did not run. Cause, were it
+// there: passing every 503 on.
+func TestARefusalIsPassedOnOnlyWithTheWordThatItDidNotRun(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain()).start()
+	s.workers[0].Next(standin.FaultBareRefusal, standin.FaultShed)
+	is.Equal(s.post("/once/a", "q1").status, http.StatusBadGateway)
+	refused := s.post("/once/a", "q2")
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	is.True(refused.header.Get("Retry-After") != "")
+	is.Equal(refused.header.Get("X-Aspenyard-Server-Stamp"), "")
+	is.Equal(s.runs("q2"), 0)
+}
+
+func TestWhatDidNotRunIsSentToAnother(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain(), plain()).start()
+	s.workers[0].Always(standin.FaultShed)
+	for i := range 10 {
+		id := fmt.Sprint("q", i)
+		got := s.post("/once/a", id)
+		is.Equal(got.body, standin.PlainAnswer(id))
+		is.Equal(s.runs(id), 1)
+	}
+}
+
+func TestWhatMayBeRepeatedIsSentAgain(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.FaultReset, standin.FaultCut, standin.FaultGarbage, standin.FaultUnsigned, standin.FaultError, standin.FaultBareRefusal} {
+		t.Run(string(fault), func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, plain(), plain()).start()
+			s.workers[0].Always(fault)
+			for i := range 6 {
+				id := fmt.Sprint("q", i)
+				is.Equal(s.post("/again/a", id).body, standin.PlainAnswer(id))
+			}
+		})
+	}
+}
+
+// Symptom: a caller gets the answer to another request. Sequence: an endpoint answers a
+// request twice; the second answer stands on the kept connection when the next request
+// is written. Cause, were it there: taking the first bytes for the answer.
+func TestASecondAnswerBelongsToNobody(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain()).start()
+	s.workers[0].Always(standin.FaultExtra)
+	for i := range 20 {
+		id := fmt.Sprint("q", i)
+		got := s.post("/once/a", id)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(got.body, standin.PlainAnswer(id))
+		is.Equal(s.runs(id), 1)
+	}
+}
+
+func TestAnAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain(), streaming(5)).start()
+	s.workers[0].Always(standin.FaultUnframed)
+	s.workers[1].Always(standin.FaultUnframed)
+	s.workers[1].Service = "app2"
+	s.store.Put("servers/"+s.workers[1].ID, s.workers[1].Registration("ready"))
+	other := route("stream2", "/stream2/", "streaming")
+	other["service"] = "app2"
+	s.routes = append(s.routes, other)
+	s.configure()
+	s.until("the new route", func() bool { return s.post("/stream2/a", "q2").status == http.StatusOK })
+	is.Equal(s.post("/once/a", "q1").body, standin.PlainAnswer("q1"))
+	is.Equal(s.post("/stream2/a", "q3").body, standin.StreamText("q3", 5))
+}
+
+// Symptom: a body's rest is taken for the next request, or the node and the endpoint
+// wait for each other. Sequence: an endpoint refuses before it has read a long body and
+// reads on; the node reuses the connection. Cause, were it there: taking an answer for
+// the end of one's own writing.
+func TestAnEarlyAnswerToALongBody(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain(), plain()).start()
+	for _, w := range s.workers {
+		w.Next(standin.FaultEarly, standin.FaultEarly)
+	}
+	body := strings.Repeat("x", 90_000)
+	for i := range 8 {
+		got := s.do(s.request(http.MethodPost, "/once/a", fmt.Sprint("q", i), body))
+		is.NoErr(got.err)
+		is.True(got.status == http.StatusOK || got.status == http.StatusServiceUnavailable)
+	}
+	for _, w := range s.workers {
+		for _, run := range w.Runs() {
+			is.Equal(run.Body, body)
+		}
+	}
+}
+
+// Symptom: a stream with a piece missing, twice, or cut in its midst. Sequence: an
+// endpoint breaks off in the midst of an event. Cause, were it there: passing bytes on
+// and not events, or starting anew.
+func TestAStreamGoesOnElsewhereAfterItsLastEvent(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, streaming(12), streaming(12)).start()
+	s.workers[0].Always(standin.FaultCut)
+	for i := range 8 {
+		id := fmt.Sprint("q", i)
+		got := s.post("/stream/a", id)
+		is.NoErr(got.err)
+		is.Equal(got.body, standin.StreamText(id, 12))
+	}
+}
+
+// Symptom: half a stream looks whole. Sequence: every endpoint breaks off. Cause, were
+// it there: ending the answer as if it were complete.
+func TestAStreamThatCannotGoOnDoesNotLookWhole(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, streaming(12), streaming(12)).start()
+	for _, w := range s.workers {
+		w.Always(standin.FaultCut)
+	}
+	got := s.post("/stream/a", "q1")
+	is.True(got.err != nil) // the connection broke off
+	is.True(strings.HasPrefix(standin.StreamText("q1", 12), got.body))
+}
+
+// Symptom: streams are cut while their engine is busy. Sequence: an engine prefills a
+// long prompt and sends no event for longer than the route's longest pause, several
+// times. Cause: taking silence for a break; with a limit of one second on silence this
+// test got half a stream.
+func TestAStreamOfABusyEndpointIsNotCut(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, streaming(4))
+	s.routes[2]["target_gap_ms"] = 20
+	s.start()
+	s.workers[0].Always(standin.FaultSlow)
+	got := s.post("/stream/a", "q1")
+	is.NoErr(got.err)
+	is.Equal(got.body, standin.StreamText("q1", 4))
+	is.Equal(s.runs("q1"), 1)
+}
+
+// Symptom: a request waits until its deadline. Sequence: an endpoint takes it, falls
+// silent and accepts no connections. Cause, were it there: waiting for an endpoint that
+// is dead.
+func TestASilentEndpointThatAcceptsNothingIsLeft(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain(), plain())
+	for _, r := range s.routes {
+		r["target_latency_ms"] = 50
+	}
+	s.start()
+	dead := s.workers[0]
+	dead.Always(standin.FaultHang)
+	dead.Refuse()
+	for i := range 6 {
+		id := fmt.Sprint("q", i)
+		is.Equal(s.post("/again/a", id).body, standin.PlainAnswer(id))
+	}
+}
+
+// Symptom: endpoints work for callers that have left. Sequence: a caller closes its
+// connection while its request runs. Cause, were it there: not watching the caller.
+func TestTheEndpointStopsWhenTheCallerLeaves(t *testing.T) {
+	for _, path := range []string{"/once/a", "/again/a", "/stream/a"} {
+		t.Run(path, func(t *testing.T) {
+			s := newSite(t, plain()).start()
+			s.workers[0].Always(standin.FaultHang)
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() {
+				s.until("it runs", func() bool { return s.workers[0].Working() == 1 })
+				cancel()
+			}()
+			got := s.do(s.request(http.MethodPost, path, "q1", "x").WithContext(ctx))
+			if got.err == nil {
+				t.Fatal("an answer after the caller left")
+			}
+			s.until("the endpoint is idle", func() bool { return s.workers[0].Working() == 0 })
+		})
+	}
+}
+
+// Symptom: a request is sent to an endpoint that another process has taken the address
+// of. Sequence: an endpoint ends, its address is used again; the list is behind.
+func TestAnotherEndpointAtTheAddressDoesNotRunIt(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain(), plain()).start()
+	s.store.Put("servers/i-old", s.workers[0].Registration("ready")) // a life that is over
+	s.store.Delete("servers/" + s.workers[0].ID)
+	s.until("the list", func() bool { return strings.Contains(s.log.String(), "i-old") })
+	for i := range 6 {
+		id := fmt.Sprint("q", i)
+		got := s.post("/once/a", id)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(s.runs(id), 1)
+	}
+}
+
+// Symptom: a failing service gets several times its load. Sequence: all endpoints
+// break off under many requests. Cause, were it there: repeating without a budget.
+func TestRepeatsKeepTheBudget(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain(), plain()).start()
+	for _, w := range s.workers {
+		w.Always(standin.FaultReset)
+	}
+	const requests = 400
+	for i := range requests {
+		s.post("/again/a", fmt.Sprint("q", i))
+	}
+	arrivals := len(s.workers[0].Runs()) + len(s.workers[1].Runs())
+	is.True(arrivals > requests)
+	is.True(arrivals <= requests+requests/5+104)
+}
+
+func TestARequestReachesNoMoreEndpointsThanItMay(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain(), plain(), plain(), plain()).start()
+	for _, w := range s.workers {
+		w.Always(standin.FaultReset)
+	}
+	got := s.post("/again/a", "q1")
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(s.runs("q1"), 2)
+}
+
+func TestADeadlineThatPassesIsAnsweredAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain())
+	for _, r := range s.routes {
+		r["timeout_ms"] = 100
+	}
+	s.start()
+	s.workers[0].Always(standin.FaultHang)
+	got := s.post("/once/a", "q1")
+	is.Equal(got.status, http.StatusGatewayTimeout) // long before the caller's 15 s
+	is.True(s.workers[0].Runs()[0].DeadlineMS <= 100)
+	s.until("the endpoint is idle", func() bool { return s.workers[0].Working() == 0 })
+}
--- /dev/null
+++ b/gateway/callers_test.go
@@ -0,0 +1,136 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// raw sends bytes on a connection of its own and gives the status of the answer, 0 for
+// none.
+func (s *site) raw(text string) int {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.gateway.CallersAddr())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(conn, text); err != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// head is a request's head, without the empty line.
+func head(method, target, id string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Aspenyard-Attempt-Id: %s\r\nAuthorization: Bearer %s\r\n", method, target, host, id, key)
+}
+
+// Symptom: an endpoint runs a request that no caller sent. Sequence: a caller sends a
+// head that two readers understand differently.
+func TestMalformedRequestsReachNoEndpoint(t *testing.T) {
+	s := newSite(t, plain()).start()
+	cases := []struct {
+		name, text string
+		want       int
+	}{
+		{"a length and an encoding", head("POST", "/once/a", "q1") + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /once/b HTTP/1.1\r\nHost: x\r\n\r\n", http.StatusBadRequest},
+		{"two lengths", head("POST", "/once/a", "q2") + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello", http.StatusBadRequest},
+		{"an unknown encoding", head("POST", "/once/a", "q3") + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", http.StatusNotImplemented},
+		{"a space in a name", head("POST", "/once/a", "q4") + "Content-Length : 0\r\n\r\n", http.StatusBadRequest},
+		{"a bad chunk", head("POST", "/once/a", "q5") + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n", http.StatusBadRequest},
+		{"no host", "GET /again/a HTTP/1.1\r\nX-Aspenyard-Attempt-Id: q6\r\n\r\n", http.StatusBadRequest},
+		{"no path", head("GET", "http://front.example/again/a", "q7") + "\r\n", http.StatusBadRequest},
+		{"no id", fmt.Sprintf("GET /again/a HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n\r\n", host, key), http.StatusBadRequest},
+		{"not HTTP", "hello\r\n\r\n", http.StatusBadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(s.raw(c.text), c.want)
+			is.Equal(len(s.workers[0].Runs()), 0)
+		})
+	}
+}
+
+func TestAChunkedBodyIsPassedOnWhole(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain()).start()
+	is.Equal(s.raw(head("POST", "/once/a", "q1")+"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"), http.StatusOK)
+	is.Equal(s.workers[0].Runs()[0].Body, "hello world")
+}
+
+func TestLimitsOfTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain()).start()
+	r := s.request(http.MethodPost, "/once/a", "q1", "")
+	r.Header.Set("X-Long", strings.Repeat("x", 9000))
+	is.Equal(s.do(r).status, http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(s.do(s.request(http.MethodPost, "/once/a", "q2", strings.Repeat("x", 100_001))).status, http.StatusRequestEntityTooLarge)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 60_000, strings.Repeat("x", 60_000))
+	is.Equal(s.raw(head("POST", "/once/a", "q3")+"Transfer-Encoding: chunked\r\n\r\n"+chunk+chunk+"0\r\n\r\n"), http.StatusRequestEntityTooLarge)
+	is.Equal(s.do(s.request(http.MethodPost, "/once/a", "q4", strings.Repeat("x", 100_000))).status, http.StatusOK)
+	is.Equal(len(s.workers[0].Runs()), 1)
+}
+
+// Symptom: callers that send a few bytes and wait hold connections for good. They are
+// told that their request did not run.
+func TestSlowCallersAreAnswered(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain())
+	s.limits["header_timeout_ms"] = 100
+	for _, r := range s.routes {
+		r["timeout_ms"] = 150
+	}
+	s.start()
+	is.Equal(s.raw(head("POST", "/once/a", "q1")), http.StatusRequestTimeout)                                  // no end of the head
+	is.Equal(s.raw(head("POST", "/once/a", "q2")+"Content-Length: 10\r\n\r\nhell"), http.StatusRequestTimeout) // no end of the body
+	is.Equal(s.raw(head("GET", "/again/a", "q3")+"\r\n"+head("GET", "/again/b", "q4")+"\r\n"), http.StatusOK)  // pipelined
+	is.Equal(s.runs("q1")+s.runs("q2"), 0)
+}
+
+// Symptom: a caller's request meets a connection that is being closed. Sequence: the
+// idle timeout of the configuration rises; the node still closes by the old one.
+func TestTheIdleTimeoutFollowsTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain())
+	s.limits["idle_timeout_ms"] = 60_000
+	s.start()
+	conn, err := net.Dial("tcp", s.gateway.CallersAddr())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	ask := func(id string) error {
+		_ = conn.SetDeadline(time.Now().Add(patience))
+		if _, err := io.WriteString(conn, head("GET", "/again/a", id)+"\r\n"); err != nil {
+			return err
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return err
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		return nil
+	}
+	is.NoErr(ask("q1"))
+	s.limits["idle_timeout_ms"] = 50
+	s.configure()
+	s.until("the limit is in force", func() bool { return strings.Contains(s.log.String(), `"version":6`) })
+	is.NoErr(ask("q2")) // still by the old limit, which was longer
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, err = reader.ReadByte()
+	is.Equal(err, io.EOF) // closed by the new limit
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,23 @@
 	active   atomic.Int64
 	stopping atomic.Int64 // when the drain began, in nanoseconds since start; 0: serving
 	started  time.Time
+
+	// The addresses that are listened on, once they are.
+	callersAddr, readinessAddr, metricsAddr atomic.Value
+}
+
+// CallersAddr is where callers are served; empty until Serve listens.
+func (g *Gateway) CallersAddr() string { return loadAddr(&g.callersAddr) }
+
+// ReadinessAddr is where the balancer asks; empty until Serve listens.
+func (g *Gateway) ReadinessAddr() string { return loadAddr(&g.readinessAddr) }
+
+// MetricsAddr is where metrics are served; empty until Serve listens.
+func (g *Gateway) MetricsAddr() string { return loadAddr(&g.metricsAddr) }
+
+func loadAddr(v *atomic.Value) string {
+	addr, _ := v.Load().(string)
+	return addr
 }
 
 // Config is what a gateway is made of.
@@ -128,16 +145,18 @@
 	type port struct {
 		addr    string
 		handler http.Handler
+		bound   *atomic.Value
 	}
-	ports := []port{{g.settings.ReadinessListen, g.readinessHandler()}}
+	ports := []port{{g.settings.ReadinessListen, g.readinessHandler(), &g.readinessAddr}}
 	if g.settings.MetricsListen != "" {
-		ports = append(ports, port{g.settings.MetricsListen, g.metricsHandler()})
+		ports = append(ports, port{g.settings.MetricsListen, g.metricsHandler(), &g.metricsAddr})
 	}
 	for _, p := range ports {
 		listener, err := net.Listen("tcp", p.addr)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
+		p.bound.Store(listener.Addr().String())
 		server := &http.Server{Handler: p.handler, ReadHeaderTimeout: operatorsHeaderTimeout}
 		context.AfterFunc(ctx, func() { _ = server.Close() })
 		go func() {
@@ -150,6 +169,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	g.callersAddr.Store(listener.Addr().String())
 	go func() {
 		if err := g.callers.serve(listener); err != nil {
 			failures <- err
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -72,10 +72,11 @@
 	if failure := c.readBody(); failure != nil {
 		return failure
 	}
-	c.service = c.config.Services[c.route.Pick(globalRand{}.Float64())]
-	if c.service == nil {
+	name := c.route.Pick(globalRand{}.Float64())
+	if name == "" {
 		return result.Refuse(result.NoEndpoint, noEndpointRetry, "route %q has no service", c.route.Name)
 	}
+	c.service = c.config.Service(name)
 	if !c.gateway.accepting(c.need()) {
 		return result.Refuse(result.Leaving, leavingRetry, "the process is shutting down")
 	}
@@ -238,7 +239,7 @@
 	c.story.End(failure != nil || c.late(took))
 	switch {
 	case failure == nil:
-	case started || c.in.Context().Err() != nil:
+	case started || failure.Code == result.Cancelled:
 		// The answer has begun and must not look whole, or nobody reads it.
 		panic(http.ErrAbortHandler)
 	default:
--- /dev/null
+++ b/gateway/memory_test.go
@@ -0,0 +1,153 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	standin "aspenyard.example/standin/platform"
+)
+
+// models prepares a site with engines and a route to them.
+func models(t *testing.T, engines int) *site {
+	t.Helper()
+	var workers []*standin.Worker
+	for i := range engines {
+		w := streaming(5)
+		w.ID, w.Service = fmt.Sprintf("e-%02d", i), "model"
+		workers = append(workers, w)
+	}
+	s := newSite(t, workers...)
+	r := route("model", "/model/", "streaming")
+	r["service"] = "model"
+	s.routes = append(s.routes, r)
+	return s.start()
+}
+
+// prompt sends a prompt of so many tokens.
+func (s *site) prompt(id string, tokens int) answer {
+	r := s.request(http.MethodPost, "/model/a", id, "x")
+	r.Header.Set("X-Aspenyard-Model", "m")
+	r.Header.Set("X-Aspenyard-Token-Usage", fmt.Sprintf("%d,400", tokens))
+	return s.do(r)
+}
+
+// ran finds the run of a request.
+func (s *site) ran(id string) *standin.Run {
+	for _, w := range s.workers {
+		for _, run := range w.Runs() {
+			if run.ID == id && run.Ran {
+				return &run
+			}
+		}
+	}
+	return nil
+}
+
+// held counts the reservations that engines hold.
+func (s *site) held() int {
+	n := 0
+	for _, w := range s.workers {
+		held, _, _ := w.Reserved()
+		n += len(held)
+	}
+	return n
+}
+
+func TestPromptsArePrefilledInPartsByTheirLength(t *testing.T) {
+	is := is.New(t)
+	s := models(t, 20)
+	for id, want := range map[string]int{"short": 0, "medium": 7, "long": 15} {
+		tokens := map[string]int{"short": 3000, "medium": 45_000, "long": 150_000}[id]
+		is.Equal(s.prompt(id, tokens).body, standin.StreamText(id, 5))
+		helpers := 0
+		if run := s.ran(id); run.Helpers != "" {
+			helpers = len(strings.Split(run.Helpers, ","))
+		}
+		is.True(helpers >= want-1 && helpers <= want+1)
+		is.True(s.ran(id).Priority != "")
+	}
+	is.Equal(s.held(), 0)
+}
+
+// Symptom: every prompt that is prefilled on many engines is refused. Sequence: one
+// engine is leaving and a node that cannot reach the store still has it on its list.
+func TestAHelperThatFailedIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	s := models(t, 12)
+	gone := s.workers[3]
+	for _, w := range s.workers {
+		w.BlameHelper(gone.Addr())
+	}
+	s.until("a request that it would help", func() bool {
+		for _, w := range s.workers {
+			w.Always(standin.FaultHelper)
+		}
+		first := make(chan answer, 1)
+		go func() { first <- s.prompt("q1", 100_000) }()
+		s.until("it was refused", func() bool {
+			for _, w := range s.workers {
+				for _, run := range w.Runs() {
+					if run.ID == "q1" {
+						return true
+					}
+				}
+			}
+			return false
+		})
+		for _, w := range s.workers {
+			w.Always("")
+		}
+		<-first
+		return true
+	})
+	is.Equal(s.prompt("q2", 100_000).body, standin.StreamText("q2", 5))
+	is.True(!strings.Contains(s.ran("q2").Helpers, gone.Addr())) // passed over now
+}
+
+func TestMemoryIsReservedForAPromptOverOneEngine(t *testing.T) {
+	is := is.New(t)
+	s := models(t, 17)
+	got := s.prompt("q1", 500_000)
+	is.Equal(got.body, standin.StreamText("q1", 5))
+	run := s.ran("q1")
+	is.Equal(len(strings.Split(run.Helpers, ",")), 16)
+	is.True(strings.Contains(run.Helpers, "/q1-")) // each with its reservation
+	s.until("all is released", func() bool { return s.held() == 0 })
+}
+
+// Symptom: memory stays reserved that nobody uses. Sequence: a reservation is refused,
+// or its answer is lost; the request ends without having run, or its caller leaves.
+func TestReservedMemoryIsGivenBackOnEveryWayOut(t *testing.T) {
+	cases := map[string]func(s *site){
+		"refused": func(s *site) {
+			for _, w := range s.workers {
+				w.Always(standin.FaultShed)
+			}
+		},
+		"some refused": func(s *site) { s.each(standin.FaultShed, 12) },
+		"answers lost": func(s *site) { s.each(standin.FaultReset, 8) },
+		"breaks off":   func(s *site) {},
+	}
+	for name, prepare := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := models(t, 17)
+			prepare(s)
+			got := s.prompt("q1", 500_000)
+			if name == "refused" && got.status != http.StatusServiceUnavailable {
+				t.Fatal(got.status)
+			}
+			s.until("all is released", func() bool { return s.held() == 0 })
+		})
+	}
+}
+
+// each queues a fault at the first workers.
+func (s *site) each(fault standin.Fault, workers int) {
+	for _, w := range s.workers[:workers] {
+		w.Next(fault)
+	}
+}
--- /dev/null
+++ b/gateway/state_test.go
@@ -0,0 +1,234 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	standin "aspenyard.example/standin/platform"
+)
+
+func TestNothingIsServedWithoutAConfiguration(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain())
+	s.boot()
+	s.until("the port answers", func() bool { return s.ready() == http.StatusServiceUnavailable })
+	got := s.post("/once/a", "q1")
+	is.Equal(got.status, http.StatusServiceUnavailable) // not 404: it does not know
+	is.True(got.header.Get("Retry-After") != "")
+	s.configure()
+	s.until("ready", func() bool { return s.ready() == http.StatusOK })
+	is.Equal(s.post("/once/a", "q2").status, http.StatusOK)
+}
+
+func TestWhoMayAskForWhat(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain())
+	open := route("open", "/open/", "idempotent")
+	open["public"] = true
+	s.routes = append(s.routes, open)
+	s.start()
+	is.Equal(s.post("/nowhere/a", "q1").status, http.StatusNotFound)
+	r := s.request(http.MethodPost, "/once/a", "q2", "")
+	r.Header.Set("Authorization", "Bearer wrong")
+	is.Equal(s.do(r).status, http.StatusUnauthorized)
+	r = s.request(http.MethodPost, "/once/a", "q3", "")
+	r.Header.Del("Authorization")
+	is.Equal(s.do(r).status, http.StatusUnauthorized)
+	r = s.request(http.MethodPost, "/open/a", "q4", "")
+	r.Header.Del("Authorization")
+	is.Equal(s.do(r).status, http.StatusOK)
+	r = s.request(http.MethodPost, "/once/a", "q5", "")
+	r.Host = "other.example"
+	is.Equal(s.do(r).status, http.StatusNotFound)
+	is.Equal(s.runs("q1")+s.runs("q2")+s.runs("q3")+s.runs("q5"), 0)
+	is.Equal(s.workers[0].Runs()[0].Account, "") // nobody's
+}
+
+func TestTheLongestPrefixWins(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain(), &standin.Worker{ID: "i-x", Service: "other"})
+	deep := route("deep", "/once/deep/", "idempotent")
+	deep["service"] = "other"
+	s.routes = append(s.routes, deep)
+	s.start()
+	is.Equal(s.post("/once/deep/a", "q1").status, http.StatusOK)
+	is.Equal(len(s.workers[1].Runs()), 1)
+	is.Equal(s.post("/once/a", "q2").status, http.StatusOK)
+	is.Equal(len(s.workers[0].Runs()), 1)
+}
+
+func TestARevokedKeyIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain()).start()
+	is.Equal(s.post("/once/a", "q1").status, http.StatusOK)
+	s.keys = []string{"key-2"}
+	s.configure()
+	n := 1
+	s.until("the key is refused", func() bool { n++; return s.post("/once/a", fmt.Sprint("q", n)).status == http.StatusUnauthorized })
+}
+
+// Symptom: a node works by an old configuration for seconds after an outage of the
+// store. Sequence: the store is silent, the configuration changes, the store is back.
+// Cause: a waiting call that is lost was noticed only after its wait.
+func TestAChangeDuringAnOutageIsInForceAfterIt(t *testing.T) {
+	for name, faults := range map[string]standin.StoreFaults{
+		"silent": {Silent: true}, "busy": {Refuse: http.StatusServiceUnavailable}, "many": {Refuse: http.StatusTooManyRequests},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, plain()).start()
+			s.store.SetFaults(faults)
+			s.until("the outage is seen", func() bool { return strings.Contains(s.log.String(), "store_lost") })
+			is.Equal(s.post("/once/a", "q1").status, http.StatusOK) // what is known stays in force
+			s.routes = append(s.routes, route("new", "/new/", "idempotent"))
+			s.configure()
+			s.store.SetFaults(standin.StoreFaults{})
+			s.until("the route", func() bool { return s.post("/new/a", "q2").status == http.StatusOK })
+			s.until("the store is back", func() bool { return strings.Contains(s.log.String(), "store_regained") })
+		})
+	}
+}
+
+// Symptom: a node misses a change for good, or for as long as a watch may wait.
+// Sequence: watches hear nothing while the configuration changes, then the store drops
+// its history. Cause: watches of ten seconds, which end without an answer.
+func TestAChangeWhoseHistoryIsGoneIsReadAnew(t *testing.T) {
+	s := newSite(t, plain(), plain()).start()
+	s.store.SetFaults(standin.StoreFaults{Deaf: true})
+	s.routes = append(s.routes, route("new", "/new/", "idempotent"))
+	s.configure()
+	s.store.Delete("servers/" + s.workers[0].ID)
+	s.store.DropHistory()
+	s.store.SetFaults(standin.StoreFaults{})
+	s.until("the route", func() bool { return s.post("/new/a", "q2").status == http.StatusOK })
+	before := len(s.workers[0].Runs())
+	for i := range 10 {
+		s.post("/once/a", fmt.Sprint("r", i))
+	}
+	if len(s.workers[0].Runs()) != before {
+		t.Fatal("an endpoint that left in the gap was sent requests")
+	}
+}
+
+// Symptom: requests reach an endpoint that is about to stop. Sequence: it registers as
+// draining, or its registration ends without that.
+func TestAnEndpointThatLeavesGetsNothingNew(t *testing.T) {
+	for _, how := range []string{"draining", "gone"} {
+		t.Run(how, func(t *testing.T) {
+			s := newSite(t, plain(), plain()).start()
+			leaving := s.workers[0]
+			event := "endpoint_leaving"
+			if how == "draining" {
+				s.store.Put("servers/"+leaving.ID, leaving.Registration("draining"))
+			} else {
+				s.store.Delete("servers/" + leaving.ID)
+				event = "endpoint_gone"
+			}
+			s.until("it is known", func() bool { return strings.Contains(s.log.String(), event) })
+			before := len(leaving.Runs())
+			for i := range 20 {
+				s.post("/once/a", fmt.Sprint("q", i))
+			}
+			if n := len(leaving.Runs()) - before; n > 0 {
+				t.Fatalf("%d requests reached it", n)
+			}
+		})
+	}
+}
+
+// Symptom: a node stops serving after one bad edit. Sequence: the store holds a
+// configuration that cannot be decoded.
+func TestAConfigurationThatCannotBeDecodedIsLoggedAndLeft(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain()).start()
+	s.store.Put("op/config", []byte(`{"version":99,"routes":[{"name":"r","prefix":"/x/","route_kind":"sideways"}]}`))
+	s.store.Put("servers/i-bad", []byte(`{"service":"app","address":"nowhere"}`))
+	s.until("it is logged", func() bool { return strings.Contains(s.log.String(), "i-bad") })
+	log := s.log.String()
+	is.True(strings.Contains(log, "store_item_refused"))
+	is.True(strings.Contains(log, "version 99"))
+	is.True(strings.Contains(log, "sideways"))
+	is.Equal(s.post("/once/a", "q1").status, http.StatusOK)
+	s.version = 100
+	s.configure()
+	s.until("the next one is in force", func() bool { return strings.Contains(s.log.String(), `"version":103`) })
+}
+
+// Symptom: a request is cut by a stop. Sequence: SIGTERM while a stream runs and while
+// callers go on using open connections.
+func TestAStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	worker := streaming(30)
+	worker.Pace = 40 * time.Millisecond
+	s := newSite(t, worker).start()
+	results := make(chan answer, 1)
+	go func() { results <- s.post("/stream/a", "q1") }()
+	s.until("it runs", func() bool { return worker.Working() == 1 })
+	s.terminate()
+	s.until("not ready", func() bool { return s.ready() == http.StatusServiceUnavailable })
+	late := s.post("/stream/b", "q2") // the balancer has not seen it yet
+	is.Equal(late.status, http.StatusOK)
+	is.Equal(late.body, standin.StreamText("q2", 30))
+	first := <-results
+	is.NoErr(first.err)
+	is.Equal(first.body, standin.StreamText("q1", 30))
+	select {
+	case err := <-s.ended:
+		is.NoErr(err)
+	case <-time.After(patience):
+		t.Fatal("the process does not end")
+	}
+}
+
+func TestAStopAnswersLateCallersAtOnce(t *testing.T) {
+	is := is.New(t)
+	worker := plain()
+	s := newSite(t, worker).start()
+	worker.Always(standin.FaultHang)
+	go s.post("/once/a", "q1") // holds the process
+	s.until("it runs", func() bool { return worker.Working() == 1 })
+	s.terminate()
+	s.until("it refuses", func() bool {
+		r := s.request(http.MethodPost, "/stream/late", "q2", "")
+		r.Header.Set("X-Aspenyard-Deadline-Ms", "20")
+		got := s.do(r)
+		return got.err != nil || got.status == http.StatusServiceUnavailable
+	})
+	is.Equal(s.runs("q3"), 0)
+}
+
+// Symptom: requests are cut by a change of the settings file. Sequence: SIGHUP while
+// requests run.
+func TestAReloadCutsNothing(t *testing.T) {
+	is := is.New(t)
+	worker := streaming(20)
+	worker.Pace = 20 * time.Millisecond
+	s := newSite(t, worker).start()
+	results := make(chan answer, 1)
+	go func() { results <- s.post("/stream/a", "q1") }()
+	s.until("it runs", func() bool { return worker.Working() == 1 })
+	s.hangUp()
+	s.until("it is logged", func() bool { return strings.Contains(s.log.String(), `"event":"reload"`) })
+	got := <-results
+	is.NoErr(got.err)
+	is.Equal(got.body, standin.StreamText("q1", 20))
+	is.Equal(s.ready(), http.StatusOK)
+}
+
+func TestMetricsTellOutcomesAndAges(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain()).start()
+	s.post("/once/a", "q1")
+	s.post("/nowhere/a", "q2")
+	s.until("counted", func() bool {
+		return s.metric(`aspenyard_gateway_requests_total{class="non_idempotent",code="1000"`) == 1 && s.metric(`aspenyard_gateway_requests_total{class="none",code="2002"`) == 1
+	})
+	is.Equal(s.metric("aspenyard_gateway_config_version"), 3.0)
+	is.Equal(s.metric("aspenyard_gateway_endpoints "), 1.0)
+	is.True(s.metric(`aspenyard_gateway_store_seconds_count{call="read"`) >= 1)
+}
