--- /dev/null
+++ b/directory/replica_test.go
@@ -0,0 +1,115 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func config(version uint64) *Config { return NewConfig(version, Limits{}, nil, nil, nil) }
+
+func endpoint(id string, revision uint64, leaving bool) Endpoint {
+	return Endpoint{ID: id, Service: "s", Addr: "127.0.0.1:1", Revision: revision, Leaving: leaving}
+}
+
+// Symptom: a revoked key works again, or an endpoint that is stopping gets requests.
+// Sequence: readings that are behind, late answers, changes told twice, in any order.
+// Cause, were it there: believing the last answer more than the newest.
+func TestAReplicaOnlyMovesForward(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewReplica()
+		now := time.Now()
+		version, left := uint64(0), map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			revision := rapid.Uint64Range(1, 40).Draw(t, "revision")
+			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id")
+			leaving := rapid.Bool().Draw(t, "leaving")
+			edited := rapid.Uint64Range(1, 10).Draw(t, "version")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				r.TakeReading(now, &Reading{At: revision, Config: config(edited), ConfigRevision: revision, Endpoints: []Endpoint{endpoint(id, revision, leaving)}})
+			case 1:
+				e := endpoint(id, revision, leaving)
+				r.TakeChanges(now, &Changes{At: revision, Changes: []Change{{Revision: revision, Endpoint: &e}}})
+			case 2:
+				r.TakeChanges(now, &Changes{At: revision, Changes: []Change{{Revision: revision, Config: config(edited)}}})
+			case 3:
+				r.TakeChanges(now, &Changes{At: revision, Changes: []Change{{Revision: revision, Gone: id}}})
+			}
+			s := r.Snapshot()
+			if s.Config != nil {
+				if s.Config.Version < version {
+					t.Fatalf("version %d after %d", s.Config.Version, version)
+				}
+				version = s.Config.Version
+			}
+			for id := range left {
+				if known := r.endpoints[id]; known != nil && s.Endpoint(id) != nil {
+					t.Fatalf("%s takes requests again", id)
+				}
+			}
+			for id, e := range r.endpoints {
+				if e.Leaving {
+					left[id] = true
+				}
+			}
+			for id := range left {
+				if r.endpoints[id] == nil {
+					delete(left, id) // gone; what comes under this ID now is not in question
+				}
+			}
+		}
+	})
+}
+
+// Symptom: nothing is served after an outage of the store. Sequence: all registrations
+// lapse while endpoints cannot renew them, and are back within two seconds.
+func TestLapsedEndpointsAreKeptForAWhileAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	r := NewReplica()
+	now := time.Now()
+	e := endpoint("a", 1, false)
+	r.TakeReading(now, &Reading{At: 1, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{e}})
+	r.NoteOutageEnd(now)
+	r.TakeChanges(now, &Changes{At: 2, Changes: []Change{{Revision: 2, Gone: "a"}}})
+	is.True(!r.Snapshot().Endpoint("a").Missing.IsZero()) // a last resort
+	is.True(!r.Expire(now.Add(time.Second)))
+	is.True(r.Expire(now.Add(2 * time.Second)))
+	is.True(r.Snapshot().Endpoint("a") == nil)
+	back := endpoint("a", 5, false)
+	r.TakeChanges(now, &Changes{At: 5, Changes: []Change{{Revision: 5, Endpoint: &back}}})
+	is.True(r.Snapshot().Endpoint("a").Missing.IsZero())
+}
+
+func TestAnEndpointThatIsGoneIsGoneAtOnceWithoutAnOutage(t *testing.T) {
+	is := is.New(t)
+	r := NewReplica()
+	now := time.Now()
+	r.TakeReading(now, &Reading{At: 1, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{endpoint("a", 1, false), endpoint("b", 1, false)}})
+	r.TakeReading(now, &Reading{At: 3, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{endpoint("b", 1, false)}})
+	is.True(r.Snapshot().Endpoint("a") == nil)
+	is.Equal(r.Snapshot().Len(), 1)
+	is.Equal(len(r.Snapshot().Endpoints("s")), 1)
+}
+
+func TestNothingIsBelievedBeforeAWholeReading(t *testing.T) {
+	is := is.New(t)
+	r := NewReplica()
+	r.TakeChanges(time.Now(), &Changes{At: 2, Changes: []Change{{Revision: 2, Config: config(2)}}})
+	is.True(r.Snapshot().Config == nil)
+	is.True(!r.Whole())
+}
+
+func TestRoutesAreSplitByWeight(t *testing.T) {
+	is := is.New(t)
+	route := Route{Services: []WeightedService{{"a", 90}, {"b", 10}, {"c", 0}}}
+	is.Equal(route.Pick(0), "a")
+	is.Equal(route.Pick(0.899), "a")
+	is.Equal(route.Pick(0.901), "b")
+	is.Equal(route.Pick(0.9999), "b")
+	is.Equal((&Route{}).Pick(0.5), "")
+	is.Equal((&Route{Services: []WeightedService{{"a", 0}}}).Pick(0.5), "")
+}
--- /dev/null
+++ b/eventlog/eventlog_test.go
@@ -0,0 +1,77 @@
+package eventlog
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+// stuck is a writer that nobody reads.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// Symptom: the process stops answering. Sequence: nobody reads its standard output, and
+// the pipe is full. Cause, were it there: logging waits for the writer.
+func TestALogThatNobodyReadsHoldsNothingUp(t *testing.T) {
+	is := is.New(t)
+	out := stuck{make(chan struct{})}
+	w := NewWriter(out)
+	log := New(w, "n", "r")
+	for range 3 * bufferedLines {
+		log.Info("e")
+	}
+	is.True(w.Dropped() >= bufferedLines)
+	close(out.release)
+}
+
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+// All lines of a request are written or none, and always those of one that failed.
+func TestStoriesAreWholeOrLeftOut(t *testing.T) {
+	is := is.New(t)
+	var out buffer
+	w := NewWriter(&out)
+	stories := NewStories(New(w, "n", "r"))
+	const requests = 10 * storyBurst
+	for i := range requests {
+		s := stories.Begin("good")
+		s.Add("placed", zap.Int("n", i))
+		s.Add("request_ended")
+		s.End(false)
+	}
+	for range requests {
+		s := stories.Begin("bad")
+		s.Add("placed")
+		s.Add("request_ended")
+		s.End(true)
+	}
+	wait := make(chan struct{})
+	timer := time.AfterFunc(30*time.Second, func() { close(wait) })
+	defer timer.Stop()
+	w.Close(wait)
+	text := out.b.String()
+	good, bad := strings.Count(text, `"request":"good"`), strings.Count(text, `"request":"bad"`)
+	is.Equal(bad, 2*requests)
+	is.True(good >= 2*storyBurst && good < 2*requests)
+	is.Equal(good%2, 0)
+	is.Equal(strings.Count(text, `"event":"placed"`), strings.Count(text, `"event":"request_ended"`))
+	is.True(stories.Skipped() > 0)
+}
--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -171,6 +171,19 @@
 	}
 }
 
+// The same where the stream has no length and its connection ends properly.
+func TestATornEventIsNotTheEnd(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, streaming(12), streaming(12)).start()
+	s.workers[0].Always(standin.FaultTorn)
+	for i := range 8 {
+		id := fmt.Sprint("q", i)
+		got := s.post("/stream/a", id)
+		is.NoErr(got.err)
+		is.Equal(got.body, standin.StreamText(id, 12))
+	}
+}
+
 // Symptom: half a stream looks whole. Sequence: every endpoint breaks off. Cause, were
 // it there: ending the answer as if it were complete.
 func TestAStreamThatCannotGoOnDoesNotLookWhole(t *testing.T) {
@@ -209,12 +222,19 @@
 	for _, r := range s.routes {
 		r["target_latency_ms"] = 50
 	}
+	dead, other := s.workers[0], s.workers[1]
+	s.store.Delete("servers/" + other.ID)
 	s.start()
-	dead := s.workers[0]
 	dead.Always(standin.FaultHang)
+	result := make(chan answer, 1)
+	go func() { result <- s.post("/again/a", "q1") }()
+	s.until("it runs", func() bool { return dead.Working() == 1 })
+	s.store.Put("servers/"+other.ID, other.Registration("ready"))
+	s.until("the other is listed", func() bool { return s.metric("aspenyard_gateway_endpoints ") == 2 })
 	dead.Refuse()
+	is.Equal((<-result).body, standin.PlainAnswer("q1"))
 	for i := range 6 {
-		id := fmt.Sprint("q", i)
+		id := fmt.Sprint("r", i)
 		is.Equal(s.post("/again/a", id).body, standin.PlainAnswer(id))
 	}
 }
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -100,6 +100,8 @@
 func TestAChangeWhoseHistoryIsGoneIsReadAnew(t *testing.T) {
 	s := newSite(t, plain(), plain()).start()
 	s.store.SetFaults(standin.StoreFaults{Deaf: true})
+	calls := s.store.Calls("/-/kv-watch")
+	s.until("a watch that hears nothing", func() bool { return s.store.Calls("/-/kv-watch") > calls })
 	s.routes = append(s.routes, route("new", "/new/", "idempotent"))
 	s.configure()
 	s.store.Delete("servers/" + s.workers[0].ID)
--- /dev/null
+++ b/routing/direct/direct_test.go
@@ -0,0 +1,222 @@
+package direct
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"aspenyard.example/directory"
+)
+
+var testNow = time.Now()
+
+// siteEngine is the engine of the users' sites.
+func siteEngine() *directory.Engine {
+	return &directory.Engine{Slots: 16, MemoryTokens: 405_000, Stride: 34, Chunk: 2048, PrefillPerSecond: 154_000, PairsPerMillion: 162 * time.Microsecond}
+}
+
+func endpoints(n int) []*directory.Listed {
+	list := make([]*directory.Listed, n)
+	for i := range list {
+		list[i] = &directory.Listed{Endpoint: directory.Endpoint{ID: fmt.Sprintf("e-%02d", i), Service: "m", Addr: fmt.Sprintf("127.0.0.1:%d", 1000+i), Slots: 16}}
+	}
+	return list
+}
+
+func service() *directory.Service { return &directory.Service{Name: "m", Engine: siteEngine()} }
+
+func policy(seed uint64) *Policy { return NewPolicy(NewLedger(), rand.New(rand.NewPCG(seed, 1))) }
+
+func prompt(tokens int) *Request {
+	return &Request{Service: service(), PromptTokens: tokens, OutputTokens: 1000, Tried: map[string]bool{}}
+}
+
+// The model against what engines were seen to take: a pause between events is the 45 ms
+// of a pass and the prefill in it (571, 789 and 820 ms of parts; pauses of 617, 834 and
+// 866 ms).
+func TestPrefillIsAsSeen(t *testing.T) {
+	is := is.New(t)
+	near := func(got time.Duration, want float64) bool {
+		return got.Seconds() > want*0.99 && got.Seconds() < want*1.01
+	}
+	is.True(near(Prefill(siteEngine(), 4960), 0.0342))
+	is.True(near(Prefill(siteEngine(), 182_000), 3.865))
+	is.True(near(Prefill(siteEngine(), 276_614)/14, 0.571))
+	is.True(near(Prefill(siteEngine(), 376_818)/17, 0.820))
+	is.Equal(Prefill(nil, 1000), time.Duration(0))
+}
+
+// Symptom: short streams are late by a pause. Sequence: long prompts come beside many
+// short ones. Cause: their parts are prefilled where short ones decode.
+func TestShortAndLongPromptsKeepApart(t *testing.T) {
+	is := is.New(t)
+	p := policy(1)
+	list := endpoints(20)
+	for range 40 {
+		p.ledger.Begin(p.Place(testNow, prompt(3000), list))
+	}
+	together := 0
+	for i := range 6 {
+		p.Expect(testNow, service(), len(list), 150_000)
+		long := p.Place(testNow.Add(time.Duration(i)*time.Millisecond), prompt(150_000), list)
+		is.True(long.Long)
+		for _, e := range append(long.Helpers, long.Endpoint) {
+			if short := p.ledger.loads[e.ID]; short != nil && short.open > 0 {
+				together++
+			}
+		}
+		p.ledger.Begin(long).Prefilled()
+	}
+	before := map[string]int{}
+	for id, l := range p.ledger.loads {
+		before[id] = l.open
+	}
+	for range 20 {
+		p.ledger.Begin(p.Place(testNow, prompt(3000), list))
+	}
+	onLong := 0
+	for _, e := range list[10:] {
+		onLong += p.ledger.loads[e.ID].open - before[e.ID]
+	}
+	is.True(onLong <= 4) // of 20 that came after the long ones
+}
+
+// The boundary follows the mix: with long prompts alone short ones keep a tenth of the
+// engines, with short ones alone long ones keep a quarter.
+func TestTheBoundaryFollowsTheDemand(t *testing.T) {
+	is := is.New(t)
+	e := siteEngine()
+	is.Equal(shortShare(Demand{}, e), 1-leastLong)
+	is.Equal(shortShare(Demand{LongPrefill: time.Minute}, e), leastShort)
+	is.Equal(shortShare(Demand{OpenShort: 100}, e), 1-leastLong)
+	half := shortShare(Demand{OpenShort: 80, LongPrefill: time.Duration(10 * 3 * fullUse * float64(time.Second))}, e)
+	is.True(half > 0.45 && half < 0.55)
+}
+
+// Symptom: entries divide the engines differently. Sequence: each sees a few long
+// prompts of its own. Cause: no word of the others'.
+func TestOtherEntriesDemandCounts(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.TellPeer(testNow, "b", []Demand{{Service: "m", LongPrefill: 9 * time.Second, OpenShort: 4, Reading: time.Second, Waiting: 2 * time.Second}}, nil)
+	l.TellPeer(testNow, "c", []Demand{{Service: "m", LongPrefill: time.Second}, {Service: "other", OpenShort: 50}}, nil)
+	sum := l.total(testNow, "m")
+	is.Equal(sum.LongPrefill, 10*time.Second)
+	is.Equal(sum.OpenShort, 4)
+	is.Equal(sum.Reading+sum.Waiting, 3*time.Second)
+	is.Equal(l.total(testNow.Add(2*peerValid), "m").LongPrefill, time.Duration(0)) // silent entries are forgotten
+	is.Equal(len(l.foreign), 0)
+}
+
+func TestAnEndpointThatOthersUseIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	p := policy(3)
+	list := endpoints(4)
+	var open []Open
+	for _, e := range list[:3] {
+		open = append(open, Open{Endpoint: HashEndpoint(e.ID), Count: 8})
+	}
+	p.ledger.SetEntries(3)
+	p.ledger.TellPeer(testNow, "b", nil, open) // one of two others is heard of
+	for range 20 {
+		is.Equal(p.Place(testNow, prompt(1000), list).Endpoint.ID, list[3].ID)
+	}
+	there, _ := p.ledger.busy(testNow, list[0].ID)
+	is.Equal(there, 16)
+}
+
+func TestPlacingKeepsOffEndpointsThatCannotServe(t *testing.T) {
+	is := is.New(t)
+	list := endpoints(5)
+	list[0].Missing = testNow
+	p := policy(4)
+	p.ledger.SetDark(list[1].ID, true)
+	p.ledger.Shun(list[2].ID, testNow.Add(time.Second))
+	r := prompt(1000)
+	r.Tried[list[3].ID] = true
+	for range 20 {
+		is.Equal(p.Place(testNow, r, list).Endpoint.ID, list[4].ID)
+	}
+	r.Tried[list[4].ID] = true
+	is.True(p.Place(testNow, r, list) != nil) // a doubtful one is better than none
+	for _, e := range list {
+		r.Tried[e.ID] = true
+	}
+	is.True(p.Place(testNow, r, list) == nil)
+	is.True(p.Place(testNow.Add(2*time.Second), prompt(1000), nil) == nil)
+}
+
+func TestAPromptOverOneEnginesMemoryIsSpread(t *testing.T) {
+	is := is.New(t)
+	p := policy(5)
+	plan := p.Place(testNow, prompt(500_000), endpoints(23))
+	is.Equal(len(plan.Helpers), 16)
+	is.True(plan.FirstMemory+16*plan.HelperMemory >= plan.Memory)
+	is.True(plan.FirstMemory <= aloneMemory(siteEngine()))
+	p.ledger.TellPeer(testNow, "b", nil, opens(endpoints(23), 2))
+	is.True(p.Place(testNow, prompt(500_000), endpoints(23)) == nil) // engines in use
+}
+
+func opens(list []*directory.Listed, count int) []Open {
+	var open []Open
+	for _, e := range list {
+		open = append(open, Open{Endpoint: HashEndpoint(e.ID), Count: count})
+	}
+	return open
+}
+
+// Whatever is placed and ended in whatever order, a ledger ends empty.
+func TestALedgerEndsEmpty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := policy(rapid.Uint64().Draw(t, "seed"))
+		list := endpoints(rapid.IntRange(1, 25).Draw(t, "engines"))
+		var open []*Charge
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			if len(open) > 0 && rapid.Bool().Draw(t, "end") {
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				if rapid.Bool().Draw(t, "prefilled") {
+					open[i].Prefilled()
+				}
+				open[i].End()
+				open = append(open[:i], open[i+1:]...)
+				continue
+			}
+			plan := p.Place(testNow, prompt(rapid.IntRange(1, 900_000).Draw(t, "tokens")), list)
+			if plan == nil {
+				continue
+			}
+			seen := map[string]bool{plan.Endpoint.ID: true}
+			for _, h := range plan.Helpers {
+				if seen[h.ID] {
+					t.Fatal("an engine twice in a plan")
+				}
+				seen[h.ID] = true
+			}
+			open = append(open, p.ledger.Begin(plan))
+		}
+		for _, c := range open {
+			c.End()
+		}
+		for id, l := range p.ledger.loads {
+			if l.open != 0 || l.prefill != 0 || l.memory != 0 {
+				t.Fatalf("%s: %+v", id, *l)
+			}
+		}
+		if p.ledger.shorts["m"] != 0 || p.ledger.reading["m"] != 0 {
+			t.Fatal("something is left")
+		}
+	})
+}
+
+func TestShorterPromptsHaveAHigherPriority(t *testing.T) {
+	is := is.New(t)
+	is.True(Level(1000, 1) < Level(20_000, 1))
+	is.True(Level(20_000, 1) < Level(80_000, 1))
+	is.True(Level(80_000, 1) < Level(200_000, 1))
+	is.True(Level(1000, 1) < Level(1000, 2))
+	is.True(Level(900_000, 9) <= lowestLevel)
+}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -234,9 +234,11 @@
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	ms, _ := strconv.Atoi(query.Get("wait_ms"))
 	timeout := time.After(time.Duration(ms) * time.Millisecond)
+	deaf := false // once deaf, a waiting watch stays so until it ends
 	for {
 		s.mu.Lock()
-		gone, deaf, at, changed := after < s.compacted, s.faults.Deaf, s.revision, s.changed
+		deaf = deaf || s.faults.Deaf
+		gone, at, changed := after < s.compacted, s.revision, s.changed
 		events := []event{}
 		for _, e := range s.events {
 			if e.Revision > after && strings.HasPrefix(e.Key, query.Get("prefix")) {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -28,6 +28,8 @@
 	FaultReset Fault = "reset"
 	// FaultCut breaks off in the midst of the second event, or of a plain body.
 	FaultCut Fault = "cut"
+	// FaultTorn gives a stream without length that ends in the midst of its second event.
+	FaultTorn Fault = "torn"
 	// FaultExtra answers and sends a second answer to the same request a moment later.
 	FaultExtra Fault = "extra"
 	// FaultUnframed gives no length: the answer ends with the connection.
@@ -327,7 +329,7 @@
 	case FaultError, FaultReset, FaultHang, FaultGarbage, FaultBareRefusal:
 		return w.plain(conn, head, run, fault)
 	}
-	chunked := fault != FaultUnframed
+	chunked := fault != FaultUnframed && fault != FaultTorn
 	framing := "Transfer-Encoding: chunked\r\n"
 	if !chunked {
 		framing = "Connection: close\r\n"
@@ -336,7 +338,8 @@
 	first, _ := strconv.Atoi(run.LastEvent)
 	for n := first + 1; n <= w.Events; n++ {
 		text := EventText(run.ID, n)
-		if fault == FaultCut && n == first+2 {
+		breaks := (fault == FaultCut || fault == FaultTorn) && n == first+2
+		if breaks {
 			text = text[:len(text)/2]
 		}
 		if chunked {
@@ -345,7 +348,7 @@
 		if _, err := io.WriteString(conn, text); err != nil {
 			return false
 		}
-		if fault == FaultCut && n == first+2 {
+		if breaks {
 			return false
 		}
 		pause := w.Pace
