Log table, explain, settings that name every fault, the gateway's added time

- aspenyard explain ID FILE... tells a request's story from logs of several processes.
- Settings and catalogue files name every unknown field and fault at once; a catalogue file with an added field is refused.
- bench path measures the gateway on the stand-in.

--- /dev/null
+++ b/bench/gatewaypath.go
@@ -0,0 +1,131 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/gateway"
+	"aspenyard.example/platform"
+	"aspenyard.example/settings"
+	standinplatform "aspenyard.example/standin/platform"
+)
+
+// GatewayPathResult is what the way through a gateway costs.
+type GatewayPathResult struct {
+	Pairs int `json:"pairs"`
+	// The times to the first event of the worker called directly and through the
+	// gateway, alternating in one run, and the difference of the pairs, in microseconds.
+	DirectP50  int64 `json:"direct_p50_us"`
+	ThroughP50 int64 `json:"through_p50_us"`
+	AddedP50   int64 `json:"added_p50_us"`
+	AddedP95   int64 `json:"added_p95_us"`
+}
+
+const (
+	gatewayEvents = 8
+	gatewayBody   = 1200
+	// gatewayStart bounds the wait for the gateway's first configuration.
+	gatewayStart = 10 * time.Second
+)
+
+// GatewayPath measures over this many pairs, with a gateway, the stand-in of the
+// platform's store and one worker in this process.
+func GatewayPath(ctx context.Context, pairs int) (GatewayPathResult, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	result := GatewayPathResult{Pairs: pairs}
+	worker := &standinplatform.Worker{ID: "w1", Service: "model", Events: gatewayEvents}
+	if err := worker.Start(); err != nil {
+		return result, errors.WithStack(err)
+	}
+	defer worker.Stop()
+	g, err := startGateway(ctx, worker)
+	if err != nil {
+		return result, err
+	}
+	client := &http.Client{Transport: &http.Transport{}}
+	newHistogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3) }
+	direct, through, added := newHistogram(), newHistogram(), newHistogram()
+	body := strings.Repeat("x", gatewayBody)
+	for i := range pairs {
+		one, err := firstEvent(ctx, client, standinplatform.DirectRequest(worker, fmt.Sprint("d", i), body))
+		if err != nil {
+			return result, err
+		}
+		two, err := firstEvent(ctx, client, standinplatform.CallerRequest(g.CallersAddr(), fmt.Sprint("g", i), body))
+		if err != nil {
+			return result, err
+		}
+		_ = direct.RecordValue(one.Microseconds())
+		_ = through.RecordValue(two.Microseconds())
+		_ = added.RecordValue(max(0, (two - one).Microseconds()))
+	}
+	result.DirectP50, result.ThroughP50 = direct.ValueAtQuantile(50), through.ValueAtQuantile(50)
+	result.AddedP50, result.AddedP95 = added.ValueAtQuantile(50), added.ValueAtQuantile(95)
+	return result, nil
+}
+
+// startGateway runs a gateway until ctx ends and waits until it is ready.
+func startGateway(ctx context.Context, worker *standinplatform.Worker) (*gateway.Gateway, error) {
+	store := standinplatform.NewStore()
+	store.Put("op/config", standinplatform.SmallConfig(1, worker.Service))
+	store.Put("servers/"+worker.ID, worker.Registration("ready"))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	server := &http.Server{Handler: store.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	s := settings.Gateway{Name: "g1", DataCentre: "dc1", CallersListen: "127.0.0.1:0", ReadinessListen: "127.0.0.1:0", Store: listener.Addr().String()}
+	if err := s.Check().Err(); err != nil {
+		return nil, err
+	}
+	dial := gateway.Dialer(time.Second)
+	g := gateway.New(gateway.Config{Settings: s, Dialect: platform.Wire{}, Source: platform.NewStore(s.Store, dial), Reserver: platform.NewOrders(dial), Log: zap.NewNop()})
+	failed := make(chan error, 1)
+	go func() { failed <- g.Serve(ctx, make(chan os.Signal), nil) }()
+	for deadline := time.Now().Add(gatewayStart); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		select {
+		case err := <-failed:
+			return nil, err
+		default:
+		}
+		if g.Ready() {
+			return g, nil
+		}
+	}
+	return nil, errors.New("the gateway is not ready")
+}
+
+// firstEvent makes a request and gives the time to its first event; the rest is read.
+func firstEvent(ctx context.Context, client *http.Client, r *http.Request) (time.Duration, error) {
+	start := time.Now()
+	response, err := client.Do(r.WithContext(ctx))
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var one [1]byte
+	if _, err := io.ReadFull(response.Body, one[:]); err != nil {
+		return 0, errors.WithStack(err)
+	}
+	took := time.Since(start)
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0, errors.WithStack(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return 0, errors.Errorf("status %d", response.StatusCode)
+	}
+	return took, nil
+}
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -66,7 +66,7 @@
 
 type benchCommand struct {
 	Idle     *benchIdle     `arg:"subcommand:idle" help:"processor time, memory and control bytes of running processes"`
-	Path     *benchPath     `arg:"subcommand:path" help:"measure what the way through entry and agent costs"`
+	Path     *benchPath     `arg:"subcommand:path" help:"measure what the way through entry and agent, and through a gateway, costs"`
 	Refusals *benchRefusals `arg:"subcommand:refusals" help:"measure how quickly callers are refused"`
 	Power    *benchPower    `arg:"subcommand:power" help:"measure how much of a site's cap the ledger lets work use"`
 	Limits   *benchLimits   `arg:"subcommand:limits" help:"measure client accounts' limits over several entries"`
@@ -114,11 +114,17 @@
 	if err != nil {
 		return t.failf("%v", err)
 	}
+	direct, err := bench.GatewayPath(context.Background(), c.Pairs)
+	if err != nil {
+		return t.failf("%v", err)
+	}
 	if c.JSON {
-		return t.json(result)
+		return t.json(map[string]any{"entry_and_agent": result, "gateway": direct})
 	}
 	fmt.Fprintf(t.out, "%d pairs: first token p50 %d µs direct, %d µs through entry and agent; added p50 %d µs, p95 %d µs\n",
 		result.Pairs, result.DirectP50, result.ThroughP50, result.AddedP50, result.AddedP95)
+	fmt.Fprintf(t.out, "gateway, %d pairs: first event p50 %d µs direct, %d µs through it; added p50 %d µs, p95 %d µs\n",
+		direct.Pairs, direct.DirectP50, direct.ThroughP50, direct.AddedP50, direct.AddedP95)
 	fmt.Fprintf(t.out, "whole path on one processor, engine stand-in and caller included: %.0f requests/s of 8 tokens, %.0f tokens/s\n",
 		result.RequestsPerSecond, result.TokensPerSecond)
 	return exitOK
--- a/cli/check.go
+++ b/cli/check.go
@@ -34,6 +34,9 @@
 	Records []json.RawMessage `json:"records"`
 }
 
+// Check implements settings.Checker; the records are checked one by one.
+func (*catalogueFile) Check() settings.Faults { return nil }
+
 // checkFile tells what a file is by a field that only its kind has, and checks it.
 func checkFile(path string) (string, error) {
 	data, err := os.ReadFile(path)
@@ -45,6 +48,8 @@
 		return "", errors.Wrap(err, "not a JSON object")
 	}
 	switch {
+	case fields["readiness_listen"] != nil:
+		return "settings of a gateway", settings.Decode(data, &settings.Gateway{})
 	case fields["callers_listen"] != nil:
 		return "settings of an entry", settings.Decode(data, &settings.Entry{})
 	case fields["endpoint"] != nil:
@@ -67,7 +72,7 @@
 
 func decodeRecords(data []byte) ([]*catalogue.Record, error) {
 	var file catalogueFile
-	if err := json.Unmarshal(data, &file); err != nil {
+	if err := settings.Decode(data, &file); err != nil {
 		return nil, errors.Wrap(err, "catalogue file")
 	}
 	var records []*catalogue.Record
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -14,6 +14,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"aspenyard.example/gateway"
 	"aspenyard.example/result"
 )
 
@@ -34,6 +35,7 @@
 
 type versionCommand struct {
 	Codes bool `arg:"--codes" help:"print the table of result codes as docs/RESULT-CODES.md has it"`
+	Logs  bool `arg:"--logs" help:"print the table of log lines as docs/LOGS.md has it"`
 }
 
 type arguments struct {
@@ -43,6 +45,7 @@
 	Check     *checkCommand     `arg:"subcommand:check" help:"check settings and catalogue files"`
 	Catalogue *catalogueCommand `arg:"subcommand:catalogue" help:"read and edit the catalogue through any entry"`
 	Status    *statusCommand    `arg:"subcommand:status" help:"show what an entry knows of the system"`
+	Explain   *explainCommand   `arg:"subcommand:explain" help:"tell a request's story from the gateways' logs"`
 	Report    *reportCommand    `arg:"subcommand:report" help:"reports from the nodes' metrics"`
 	Bench     *benchCommand     `arg:"subcommand:bench" help:"measure policies, limits and the control plane"`
 	Standin   *standinCommand   `arg:"subcommand:standin" help:"run a stand-in of an outside system"`
@@ -116,6 +119,8 @@
 		return a.Catalogue.run(t)
 	case a.Status != nil:
 		return a.Status.run(t)
+	case a.Explain != nil:
+		return a.Explain.run(t)
 	case a.Report != nil:
 		return a.Report.run(t)
 	case a.Bench != nil:
@@ -134,6 +139,10 @@
 		fmt.Fprint(t.out, result.Markdown())
 		return exitOK
 	}
+	if v.Logs {
+		fmt.Fprint(t.out, gateway.EventsMarkdown())
+		return exitOK
+	}
 	revision := "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
 		for _, setting := range info.Settings {
--- /dev/null
+++ b/cli/explain_test.go
@@ -0,0 +1,68 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const storyLog = `  1.2 edge-1 {"level":"info","time":"2026-04-12T21:25:27.5Z","event":"attempt_failed","node":"g1","endpoint":"i-1","outcome":"broken","arrivals":1,"next":"fail","error":"read answer: EOF","request":"q1"}
+{"level":"info","time":"2026-04-12T21:25:27.4Z","event":"placed","node":"g1","endpoint":"i-1","service":"s","at":29,"candidates":23,"cost_ms":22,"prefill_ms":22.1,"helpers":["i-2","i-3"],"request":"q1"}
+not a line
+{"level":"info","time":"2026-04-12T21:25:27.6Z","event":"request_ended","node":"g1","code":4003,"took_ms":200.5,"config":8,"route":"r","endpoint":"i-1","prompt_tokens":3279,"ran":"unknown","detail":"EOF","retry_after_ms":0,"request":"q1"}
+{"level":"info","time":"2026-04-12T21:25:27.6Z","event":"placed","node":"g1","request":"q2"}
+`
+
+func explain(t *testing.T, request, text string) (code int, out, err string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var o, e bytes.Buffer
+	code = run([]string{"explain", request, path}, terminal{out: &o, err: &e})
+	return code, o.String(), e.String()
+}
+
+func TestAStoryIsToldInOrder(t *testing.T) {
+	is := is.New(t)
+	code, out, _ := explain(t, "q1", storyLog)
+	is.Equal(code, exitOK)
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	is.Equal(len(lines), 3)
+	is.True(strings.Contains(lines[0], "placed at i-1 of s, out of 23 by the list at revision 29"))
+	is.True(strings.Contains(lines[0], "on each of 3 engines"))
+	is.True(strings.Contains(lines[1], "i-1: broken (read answer: EOF); then: fail"))
+	is.True(strings.Contains(lines[2], "endpoint_failed (4003), HTTP 502; ran: unknown"))
+}
+
+func TestWhatCannotBeExplainedIsSaid(t *testing.T) {
+	is := is.New(t)
+	code, _, err := explain(t, "nobody", storyLog)
+	is.Equal(code, exitFailed)
+	is.True(strings.Contains(err, `no line of request "nobody"`))
+	code, _, err = explain(t, "q1", "hello\n")
+	is.Equal(code, exitFailed)
+	is.True(strings.Contains(err, "no log lines"))
+	var o, e bytes.Buffer
+	is.Equal(run([]string{"explain", "q1", "/nowhere"}, terminal{out: &o, err: &e}), exitFailed)
+	is.Equal(run([]string{"explain"}, terminal{out: &o, err: &e}), exitUsage)
+}
+
+// Unknown fields at the top of a catalogue file are refused, as in records.
+func TestACatalogueFileWithAnAddedFieldIsRefused(t *testing.T) {
+	is := is.New(t)
+	for _, name := range []string{"citara", "keelung"} {
+		data, err := os.ReadFile("../examples/" + name + "/catalogue.json")
+		is.NoErr(err)
+		path := filepath.Join(t.TempDir(), "catalogue.json")
+		is.NoErr(os.WriteFile(path, []byte(strings.Replace(string(data), "{", `{"added": 1,`, 1)), 0o600))
+		var o, e bytes.Buffer
+		is.Equal(run([]string{"check", path}, terminal{out: &o, err: &e}), exitFailed)
+		is.True(strings.Contains(o.String(), `"added"`))
+	}
+}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -36,7 +36,7 @@
 	for {
 		select {
 		case <-signals:
-			g.log.Warn("stop", zap.String("reason", "second signal"), zap.Int64("active", g.active.Load()))
+			g.log.Warn("stop_at_once", zap.Int64("active", g.active.Load()))
 			return
 		case <-ticker.C:
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,7 +185,7 @@
 func (g *Gateway) reload(load func() (settings.Gateway, error)) {
 	next, err := load()
 	if err != nil {
-		g.log.Error("reload refused", eventlog.Error(err))
+		g.log.Error("reload_refused", eventlog.Error(err))
 		return
 	}
 	g.retries.SetLimits(admission.RetryLimits{
@@ -205,6 +205,9 @@
 	return nil
 }
 
+// Ready tells whether callers are to be sent here.
+func (g *Gateway) Ready() bool { return g.CallersAddr() != "" && g.ready() == nil }
+
 func (g *Gateway) readinessHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if err := g.ready(); err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,9 +7,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
+	"maps"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -139,49 +141,66 @@
 	return errors.Wrapf(Decode(data, into), "settings %s", path)
 }
 
-// Decode is Load for bytes already read.
+// Decode is Load for bytes already read. It names every fault at once: fields that are
+// unknown, that have the wrong type, and those that Check finds.
 func Decode(data []byte, into Checker) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return decodeFault(err, data)
+	var given map[string]json.RawMessage
+	if err := json.Unmarshal(data, &given); err != nil || given == nil {
+		return Faults{{Value: "the file", Allowed: "one JSON object"}}
+	}
+	fields := map[string]reflect.Value{}
+	collectFields(reflect.ValueOf(into).Elem(), fields)
+	var faults Faults
+	faulty := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(given)) {
+		field, known := fields[name]
+		if !known {
+			faults = append(faults, Fault{Field: name, Value: "unknown", Allowed: "only the fields of docs/SETTINGS.md"})
+			continue
+		}
+		if fault := decodeField(name, given[name], field); fault != nil {
+			faults, faulty[name] = append(faults, *fault), true
+		}
 	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return Faults{{Value: "text after the JSON value", Allowed: "one JSON object"}}
+	for _, fault := range into.Check() {
+		if !faulty[fault.Field] {
+			faults = append(faults, fault)
+		}
 	}
-	return into.Check().Err()
+	return faults.Err()
 }
 
-func decodeFault(err error, data []byte) error {
-	var typeError *json.UnmarshalTypeError
-	if errors.As(err, &typeError) {
-		field := typeError.Field[strings.LastIndex(typeError.Field, ".")+1:]
-		return Faults{{Field: field, Value: typeError.Value, Allowed: typeError.Type.String()}}
-	}
-	if field, found := strings.CutPrefix(err.Error(), "json: unknown field "); found {
-		return Faults{{Field: strings.Trim(field, `"`), Value: "unknown", Allowed: "only the fields of docs/SETTINGS.md"}}
-	}
-	var faults Faults
-	if errors.As(err, &faults) {
-		faults[0].Field = fieldOf(faults[0].Value, data)
-		return faults
+// collectFields finds the settable fields by their JSON names, those of embedded
+// structs included.
+func collectFields(v reflect.Value, fields map[string]reflect.Value) {
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		switch {
+		case field.Anonymous && name == "":
+			collectFields(v.Field(i), fields)
+		case field.IsExported() && name != "" && name != "-":
+			fields[name] = v.Field(i)
+		}
 	}
-	return Faults{{Value: err.Error(), Allowed: "one JSON object"}}
 }
 
-// fieldOf finds the top-level field that has the value: the JSON package does
-// not tell a type's own decoder which field it is decoding.
-func fieldOf(value string, data []byte) string {
-	var fields map[string]json.RawMessage
-	if json.Unmarshal(data, &fields) != nil {
-		return ""
+func decodeField(name string, raw json.RawMessage, field reflect.Value) *Fault {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(field.Addr().Interface())
+	if err == nil {
+		return nil
 	}
-	for name, raw := range fields {
-		if string(raw) == value {
-			return name
-		}
+	fault := &Fault{Field: name, Value: string(raw), Allowed: field.Type().String()}
+	var found Faults
+	if errors.As(err, &found) {
+		fault.Allowed = found[0].Allowed
 	}
-	return ""
+	if inner, unknown := strings.CutPrefix(err.Error(), "json: unknown field "); unknown {
+		fault.Field, fault.Value, fault.Allowed = name+"."+strings.Trim(inner, `"`), "unknown", "only the fields of docs/SETTINGS.md"
+	}
+	return fault
 }
 
 // CheckAddr notes a fault unless addr is an IP number and a port.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -42,6 +42,17 @@
 	}
 }
 
+// An operator mends a file in one go: every fault is named, whatever its kind.
+func TestAllFaultsAreNamedAtOnce(t *testing.T) {
+	is := is.New(t)
+	var g Gateway
+	err := Decode([]byte(`{"name":"g","data_centre":7,"colour":1,"callers_listen":"here","retry_ratio":3,"drain_timeout":"8 moons","shade":2}`), &g)
+	for _, field := range []string{"data_centre", "colour", "shade", "callers_listen", "readiness_listen", "store", "retry_ratio", "drain_timeout"} {
+		is.True(strings.Contains(err.Error(), `"`+field+`"`)) // each is named
+	}
+	is.Equal(len(strings.Split(err.Error(), "\n")), 8)
+}
+
 func TestSizes(t *testing.T) {
 	is := is.New(t)
 	var size Size
--- /dev/null
+++ b/standin/engine/calls.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+func (s *Server) export(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.streams[r.PathValue("id")]
+	if st == nil || !st.held {
+		http.Error(w, "no such held sequence", http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(map[string]int{"tokens": st.prompt})
+}
+
+func (s *Server) cacheEvents(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	shown := []CacheEvent{}
+	for _, e := range s.events {
+		if time.Since(e.at) >= s.settings.EventLag {
+			shown = append(shown, e.event)
+		}
+	}
+	_ = json.NewEncoder(w).Encode(shown)
+}
+
+// load answers with the load as it was LoadLag ago.
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	shown := s.model.Load()
+	if s.settings.LoadLag > 0 {
+		shown = Load{FreeTokens: s.settings.WithDefaults().MemoryTokens}
+		for _, old := range s.loads {
+			if time.Since(old.at) >= s.settings.LoadLag {
+				shown = old.load
+			}
+		}
+	}
+	_ = json.NewEncoder(w).Encode(shown)
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	text, _ := io.ReadAll(io.LimitReader(r.Body, 1<<16))
+	if s.fenced(w, r) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.Orders = append(s.record.Orders, string(text))
+}
+
+// Status is what an agent asks at its start.
+type Status struct {
+	Models        []string `json:"models"`
+	MemoryTokens  int      `json:"memory_tokens"`
+	MaxRunning    int      `json:"max_running"`
+	PrefillRate   int      `json:"prefill_tokens_per_second"`
+	FloorWatts    int      `json:"floor_watts"`
+	MaxWatts      int      `json:"max_watts"`
+	FencingNumber uint64   `json:"fencing_number"`
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.model.Config()
+	_ = json.NewEncoder(w).Encode(Status{
+		Models: s.settings.Models, MemoryTokens: c.MemoryTokens, MaxRunning: c.MaxRunning,
+		PrefillRate: int(float64(c.PrefillRate()) * s.settings.TimeScale),
+		FloorWatts:  c.FloorWatts, MaxWatts: c.MaxWatts, FencingNumber: s.fence,
+	})
+}
+
+// shown is the record with what is held now.
+func (s *Server) shown() Record {
+	record := s.record
+	record.HeldTokens = s.model.Held()
+	for _, state := range s.model.States() {
+		record.CachedTokens += state.Cached
+	}
+	return record
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	if s.fenced(w, r) {
+		return
+	}
+	if !s.release(r.PathValue("id"), true) {
+		http.Error(w, "no such sequence", http.StatusNotFound)
+	}
+}
+
+func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	s.mu.Lock()
+	st := s.streams[id]
+	s.mu.Unlock()
+	if st == nil {
+		http.Error(w, "no such sequence", http.StatusNotFound)
+		return
+	}
+	offset, _ := strconv.Atoi(r.URL.Query().Get("offset"))
+	s.send(w, r, id, st, max(0, offset-st.offset))
+}
