--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -148,7 +148,7 @@
 	// of the users' sites allow (1 s between events of the most patient): on a played
 	// day each such prompt made about ten others late, of the same worth together as
 	// three of it, and callers who gave up and came back doubled the load.
-	longestPart = time.Second
+	longestPart = 700 * time.Millisecond
 	// quietOpen is how many requests may be open on all engines of a plan whose parts
 	// are longer.
 	quietOpen = 4
