--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -77,7 +77,7 @@
 	// lateShare is the part of its target by which a long prompt must be expected to be
 	// read, or it is refused at once: engines that are busy with prompts that are late
 	// make the next ones late too, and everyone who decodes there.
-	lateShare = 1.5
+	lateShare = 1
 	// comeBackLeast bounds from below when a refused long prompt may come back.
 	comeBackLeast = 500 * time.Millisecond
 )
--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -52,7 +52,7 @@
 	// of them meet in one pass and lengthen it.
 	openUse = 0.5
 	// leastLong and leastShort are the parts of the engines that each kind always has.
-	leastLong, leastShort = 0.26, 0.1
+	leastLong, leastShort = 0.35, 0.1
 )
 
 // Demand is what the requests of one entry, or of several, ask of a service's engines.
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -86,7 +86,7 @@
 }
 
 // The boundary follows the mix: with long prompts alone short ones keep a tenth of the
-// engines, with short ones alone long ones keep a quarter.
+// engines, with short ones alone long ones keep a third.
 func TestTheBoundaryFollowsTheDemand(t *testing.T) {
 	is := is.New(t)
 	e := siteEngine()
