How long a call to the store may wait follows from the bounds of the site

Change: settings config_within and leaving_within; a call waits for the shorter less the store's timeout, changes are gathered for an eighth.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -14,14 +14,10 @@
 )
 
 const (
-	// followWait is how long one call waits for a change. A store that drops its
-	// history leaves waiting calls without an answer until they end, and changes made
-	// meanwhile must be in force within 2 s on the users' sites; longer waits cost the
-	// store fewer calls.
-	followWait = 1300 * time.Millisecond
-	// gather is the pause after a change: what follows within it, as when many endpoints
-	// register one after the other, comes with one call.
-	gather = 200 * time.Millisecond
+	// gatherShare is the part of the time that a change may take for which more changes
+	// are gathered after one: when many endpoints register one after the other, they
+	// come with a few calls.
+	gatherShare = 8
 	// slowFactor bounds how much longer than the store's timeout a call may take while
 	// calls fail, so that a store that is merely slow is not given up for ever.
 	slowFactor = 2
@@ -34,6 +30,18 @@
 	expireInterval = 500 * time.Millisecond
 )
 
+// changesWithin is how soon a change of the store must be in force here.
+func (g *Gateway) changesWithin() time.Duration {
+	return min(g.settings.ConfigWithin.D(), g.settings.LeavingWithin.D())
+}
+
+// followWait is how long one call waits for a change. A store that drops its history
+// leaves waiting calls without an answer until they end, and so does a connection that
+// goes silent; with the store's timeout on top a change is still in force in time.
+func (g *Gateway) followWait() time.Duration {
+	return g.changesWithin() - g.settings.StoreTimeout.D()
+}
+
 // globalRand is the process-wide generator, safe for concurrent use.
 type globalRand struct{}
 
@@ -85,7 +93,7 @@
 // touches nothing of the follower's state. During an outage it does not wait for
 // changes, so that the store's return is seen at once.
 func (f *follower) call(ctx context.Context, pause time.Duration, answers chan<- taken) {
-	stale, at, wait, timeout, gateway := f.stale, f.replica.At(), followWait, f.timeout, f.gateway
+	stale, at, wait, timeout, gateway := f.stale, f.replica.At(), f.gateway.followWait(), f.timeout, f.gateway
 	if stale || !f.outage.IsZero() {
 		wait = 0
 	}
@@ -143,7 +151,7 @@
 		f.stale = false
 		f.logFaults(answer.reading.Faults)
 	default:
-		pause = gatherPause(answer.changes)
+		pause = f.gatherPause(answer.changes)
 		f.replica.TakeChanges(now, answer.changes)
 		f.logFaults(answer.changes.Faults)
 		f.logChanges(answer.changes)
@@ -155,11 +163,11 @@
 	return pause
 }
 
-func gatherPause(changes *directory.Changes) time.Duration {
+func (f *follower) gatherPause(changes *directory.Changes) time.Duration {
 	if len(changes.Changes) == 0 {
 		return 0
 	}
-	return gather
+	return f.gateway.changesWithin() / gatherShare
 }
 
 func (f *follower) logFaults(faults []directory.Fault) {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -21,6 +21,12 @@
 	// connection that went silent sooner; a store that is slower for long is waited for
 	// up to twice as long.
 	StoreTimeout Duration `json:"store_timeout,omitempty"`
+	// ConfigWithin and LeavingWithin are how soon after the store has it a configuration
+	// must be in force, and an endpoint that leaves get nothing new; default 2s. The
+	// shorter of them decides how long a call may wait for changes: longer ones cost the
+	// store fewer calls.
+	ConfigWithin  Duration `json:"config_within,omitempty"`
+	LeavingWithin Duration `json:"leaving_within,omitempty"`
 	// DrainTimeout is how long a graceful shutdown may take until the process is
 	// killed; default 10s.
 	DrainTimeout Duration `json:"drain_timeout,omitempty"`
@@ -40,6 +46,8 @@
 // SetDefaults fills the fields that may be left out.
 func (g *Gateway) SetDefaults() {
 	setDuration(&g.StoreTimeout, 700*time.Millisecond)
+	setDuration(&g.ConfigWithin, 2*time.Second)
+	setDuration(&g.LeavingWithin, 2*time.Second)
 	setDuration(&g.DrainTimeout, 10*time.Second)
 	setDuration(&g.RetryWindow, 10*time.Second)
 	if g.RetryRatio == 0 {
@@ -69,6 +77,8 @@
 	}
 	faults.CheckAddr("store", g.Store)
 	faults.CheckRange("store_timeout", g.StoreTimeout.D(), 10*time.Millisecond, time.Minute)
+	faults.CheckRange("config_within", g.ConfigWithin.D(), 2*g.StoreTimeout.D(), time.Hour)
+	faults.CheckRange("leaving_within", g.LeavingWithin.D(), 2*g.StoreTimeout.D(), time.Hour)
 	faults.CheckRange("drain_timeout", g.DrainTimeout.D(), 100*time.Millisecond, 24*time.Hour)
 	faults.CheckRange("retry_window", g.RetryWindow.D(), 100*time.Millisecond, time.Hour)
 	if g.RetryRatio < 0 || g.RetryRatio > 1 {
