--- a/cli/explain.go
+++ b/cli/explain.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -34,13 +35,20 @@
 const maxLogLine = 1 << 20
 
 func (c *explainCommand) run(t terminal) int {
-	var lines []logLine
+	var lines, placed []logLine
 	for _, path := range c.Files {
-		found, err := readLog(path, c.Request)
+		all, err := readLog(path)
 		if err != nil {
 			return t.failf("%v", err)
 		}
-		lines = append(lines, found...)
+		for _, l := range all {
+			switch {
+			case l.Request == c.Request:
+				lines = append(lines, l)
+			case l.Event == "placed":
+				placed = append(placed, l)
+			}
+		}
 	}
 	if len(lines) == 0 {
 		return t.failf("no line of request %q; requests that ended well are logged 20 a second and node, and lines are dropped when nobody reads them", c.Request)
@@ -49,12 +57,64 @@
 	for i := range lines {
 		fmt.Fprintln(t.out, lines[i].tell(lines[0].Time))
 	}
+	for _, line := range pause(lines, placed) {
+		fmt.Fprintln(t.out, line)
+	}
 	return exitOK
 }
 
-// readLog reads a request's lines. Text before a line's opening brace, as collectors of
+const (
+	// pauseTold is from which length on a stream's longest pause is looked into.
+	pauseTold = 200 * time.Millisecond
+	// pauseBefore is how long before a pause the prompts were placed that are told.
+	pauseBefore = time.Second
+	// pauseMost is how many of them are told, those with the longest prefill.
+	pauseMost = 5
+)
+
+// pause tells which other prompts were to be prefilled on a stream's engine about the
+// time of its longest pause: an engine prefills before it gives the next event.
+func pause(story, placed []logLine) []string {
+	end := &story[len(story)-1]
+	gap, _ := end.fields["gap_ms"].(float64)
+	if length := milliseconds(gap); end.Event != "request_ended" || length < pauseTold {
+		return nil
+	}
+	took, _ := end.fields["took_ms"].(float64)
+	until, _ := end.fields["gap_end_ms"].(float64)
+	to := end.Time.Add(milliseconds(until) - milliseconds(took))
+	from := to.Add(-milliseconds(gap))
+	var there []logLine
+	for _, l := range placed {
+		if l.at(end.get("endpoint")) && l.Time.After(from.Add(-pauseBefore)) && l.Time.Before(to) {
+			there = append(there, l)
+		}
+	}
+	slices.SortStableFunc(there, func(a, b logLine) int { return cmp.Compare(b.number("prefill_ms"), a.number("prefill_ms")) })
+	lines := []string{fmt.Sprintf("placed at %s from 1 s before that pause to its end, by the logs given: %d", end.get("endpoint"), len(there))}
+	for _, l := range there[:min(len(there), pauseMost)] {
+		lines = append(lines, fmt.Sprintf("    request %s by %s, %s before the pause's end: prefill %s%s", l.Request, l.Node, to.Sub(l.Time).Round(time.Millisecond), l.ms("prefill_ms"), l.helpers()))
+	}
+	return lines
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func (l *logLine) number(name string) float64 {
+	n, _ := l.fields[name].(float64)
+	return n
+}
+
+// at tells whether a placed request is prefilled at an endpoint, as the first or as a
+// helper.
+func (l *logLine) at(endpoint string) bool {
+	helpers, _ := l.fields["helpers"].([]any)
+	return l.get("endpoint") == endpoint || slices.Contains(helpers, any(endpoint))
+}
+
+// readLog reads the lines that belong to requests. Text before a line's opening brace, as collectors of
 // logs put there, is passed over; a file without any JSON line is an error.
-func readLog(path, request string) ([]logLine, error) {
+func readLog(path string) ([]logLine, error) {
 	var in io.Reader = os.Stdin
 	if path != "-" {
 		file, err := os.Open(path)
@@ -65,7 +125,7 @@
 		in = file
 	}
 	var lines []logLine
-	any := false
+	known := false
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLogLine)
 	for scanner.Scan() {
@@ -78,8 +138,8 @@
 		if json.Unmarshal(data, &l) != nil || l.Event == "" {
 			continue
 		}
-		any = true
-		if l.Request != request {
+		known = true
+		if l.Request == "" {
 			continue
 		}
 		if err := json.Unmarshal(data, &l.fields); err != nil {
@@ -90,7 +150,7 @@
 	if err := scanner.Err(); err != nil {
 		return nil, errors.Wrapf(err, "read %s", path)
 	}
-	if !any {
+	if !known {
 		return nil, errors.Errorf("%s: no log lines of a gateway (JSON with an event)", path)
 	}
 	return lines, nil
@@ -107,6 +167,8 @@
 		return fmt.Sprintf("long prompt: its turn after %s (first token expected after %s; %s others still wait)", l.ms("waited_ms"), l.ms("expected_ms"), l.get("waiting"))
 	case "no_turn":
 		return fmt.Sprintf("long prompt: its first token is expected after %s, at most %s is accepted", l.ms("expected_ms"), l.ms("limit_ms"))
+	case "no_room":
+		return fmt.Sprintf("no room: %s of prefill on each of %s engines, on which %s requests are open", l.ms("prefill_ms"), l.get("engines"), l.get("open"))
 	case "placed":
 		return fmt.Sprintf("placed at %s of %s, out of %s by the list at revision %s; estimated delay %s, prefill %s%s", l.get("endpoint"), l.get("service"), l.get("candidates"), l.get("at"), l.ms("cost_ms"), l.ms("prefill_ms"), l.helpers())
 	case "memory_reserved":
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -49,6 +49,9 @@
 		if plan == nil {
 			return f.noEndpoint()
 		}
+		if plan.Crowded {
+			return f.noRoom(plan)
+		}
 		outcome, err := f.send(ctx, plan)
 		if err == nil {
 			return nil
@@ -120,8 +123,8 @@
 func (c *call) place(r *direct.Request) *direct.Plan {
 	snapshot := c.gateway.snapshot.Load()
 	plan := c.gateway.policy.Place(time.Now(), r, snapshot.Endpoints(c.service.Name))
-	if plan == nil {
-		return nil
+	if plan == nil || plan.Crowded {
+		return plan
 	}
 	c.endpoint = plan.Endpoint.ID
 	c.story.Add("placed", zap.String("endpoint", plan.Endpoint.ID), zap.String("service", c.service.Name), zap.Uint64("at", snapshot.At),
@@ -307,12 +310,18 @@
 	case f.course.MayHaveRun():
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "the endpoint failed and no other is left")
 	}
-	if len(f.gateway.snapshot.Load().Endpoints(f.service.Name)) > 0 {
-		return result.Refuse(result.Overloaded, crowdedRetry, "no endpoint of service %q has room for %d tokens now", f.service.Name, f.PromptTokens)
-	}
 	return result.Refuse(result.NoEndpoint, noEndpointRetry, "no endpoint of service %q", f.service.Name)
 }
 
+// noRoom ends a call whose prompt would hold up others for too long.
+func (f *forwarding) noRoom(plan *direct.Plan) *result.Error {
+	f.story.Add("no_room", zap.Duration("prefill_ms", plan.Prefill), zap.Int("engines", 1+len(plan.Helpers)), zap.Int("open", plan.Open))
+	if f.course.MayHaveRun() {
+		return result.Fail(result.EndpointFailed, result.RanUnknown, "the endpoint failed and no other has room")
+	}
+	return result.Refuse(result.Overloaded, crowdedRetry, "no room for %d tokens on engines in use", f.PromptTokens)
+}
+
 // give ends a call that is not sent again.
 func (f *forwarding) give(next attempt.Next, err error) *result.Error {
 	switch next {
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -158,7 +158,7 @@
 	is.True(plan.FirstMemory+16*plan.HelperMemory >= plan.Memory)
 	is.True(plan.FirstMemory <= aloneMemory(siteEngine()))
 	p.ledger.TellPeer(testNow, "b", nil, opens(endpoints(23), 2))
-	is.True(p.Place(testNow, prompt(500_000), endpoints(23)) == nil) // engines in use
+	is.True(p.Place(testNow, prompt(500_000), endpoints(23)).Crowded) // engines in use
 }
 
 func opens(list []*directory.Listed, count int) []Open {
@@ -186,7 +186,7 @@
 				continue
 			}
 			plan := p.Place(testNow, prompt(rapid.IntRange(1, 900_000).Draw(t, "tokens")), list)
-			if plan == nil {
+			if plan.Crowded {
 				continue
 			}
 			seen := map[string]bool{plan.Endpoint.ID: true}
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -34,6 +34,10 @@
 	// be at the endpoint; where that is less, HelperMemory is to be reserved at each
 	// helper.
 	Memory, FirstMemory, HelperMemory int
+	// Crowded is set when the request must not be sent now: its parts would hold up the
+	// Open requests on the engines for too long.
+	Crowded bool
+	Open    int
 	// Cost is the estimate by which the endpoint was picked.
 	Cost time.Duration
 	// Candidates is how many endpoints it was picked from.
@@ -89,7 +93,7 @@
 	memoryCost = 300 * time.Millisecond
 )
 
-// Place picks where a request goes; nil when no endpoint may be sent it now.
+// Place picks where a request goes; nil when no endpoint may be sent it.
 func (p *Policy) Place(now time.Time, r *Request, endpoints []*directory.Listed) *Plan {
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
@@ -136,9 +140,8 @@
 	plan.Prefill = prefill / time.Duration(parts)
 	p.choose(plan, list, parts)
 	plan.divideMemory(engine)
-	if plan.Prefill > longestPart && p.open(now, plan) > quietOpen {
-		return nil
-	}
+	plan.Open = p.open(now, plan)
+	plan.Crowded = plan.Prefill > longestPart && plan.Open > quietOpen
 	return plan
 }
 
