--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -66,3 +66,20 @@
 		is.True(strings.Contains(o.String(), `"added"`))
 	}
 }
+
+func TestDaysAreReported(t *testing.T) {
+	is := is.New(t)
+	entry := `{"cmd":"score","at":["2026-12-02T20:59:46Z"],"site":"s","head":"0123456789","why":"a|b","score":0.5,"argv":["--no-cpu"],
+"days":[{"G":0.6,"name":"quiet-1","gate":true,"rules":{},"by_class":[0.9,null],"prices":[["calls",3,0.01],["none",0,0]]},{"G":0.4,"name":"scale-1","rules":{"LOST":1}}]}`
+	dir := t.TempDir()
+	path := filepath.Join(dir, "e.json")
+	is.NoErr(os.WriteFile(path, []byte(entry), 0o600))
+	var o, e bytes.Buffer
+	is.Equal(run([]string{"report", "days", "--out", dir, path}, terminal{out: &o, err: &e}), exitOK)
+	page, err := os.ReadFile(filepath.Join(dir, "days.md"))
+	is.NoErr(err)
+	is.True(strings.Contains(string(page), "| 1 | 01234567 | 0.500 | 0.500 | scale-1 0.400 | 0.900 | 0.005 | not charged | a/b |"))
+	_, err = os.Stat(filepath.Join(dir, "s-worth.svg"))
+	is.NoErr(err)
+	is.Equal(run([]string{"report", "days", "--out", dir, filepath.Join(dir, "days.md")}, terminal{out: &o, err: &e}), exitFailed)
+}
--- a/cli/report.go
+++ b/cli/report.go
@@ -10,8 +10,10 @@
 
 	"github.com/pkg/errors"
 
+	"aspenyard.example/bench/days"
 	"aspenyard.example/burn"
 	"aspenyard.example/catalogue"
+	"aspenyard.example/platform/journal"
 )
 
 type reportBurn struct {
@@ -20,15 +22,46 @@
 	operatorAccess
 }
 
+type reportDays struct {
+	Out   string   `arg:"--out,required" placeholder:"DIR" help:"where the page and its plots are written"`
+	Files []string `arg:"positional,required" placeholder:"FILE" help:"entries of the journal of played days"`
+}
+
 type reportCommand struct {
 	Burn *reportBurn `arg:"subcommand:burn" help:"how fast the kinds of work use up their error budgets"`
+	Days *reportDays `arg:"subcommand:days" help:"a page with plots of the scores of played days"`
+}
+
+func (c *reportDays) run(t terminal) int {
+	var scores []*days.Score
+	for _, path := range c.Files {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return t.failf("%v", err)
+		}
+		score, err := journal.Decode(data)
+		if err != nil {
+			return t.failf("%s: %v", path, err)
+		}
+		if score != nil {
+			scores = append(scores, score)
+		}
+	}
+	if err := days.Write(c.Out, scores); err != nil {
+		return t.failf("%v", err)
+	}
+	fmt.Fprintf(t.out, "%s: %d scores\n", c.Out, len(scores))
+	return exitOK
 }
 
 func (c *reportCommand) run(t terminal) int {
-	if c.Burn == nil {
-		return t.failf("report: burn")
+	switch {
+	case c.Burn != nil:
+		return c.Burn.run(t)
+	case c.Days != nil:
+		return c.Days.run(t)
 	}
-	return c.Burn.run(t)
+	return t.failf("report: burn or days")
 }
 
 // scrapeTimeout bounds the reading of one node.
