--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -51,9 +51,7 @@
 		if plan.Crowded {
 			return f.noRoom(plan)
 		}
-		begun, before := time.Now(), f.firstAnswer
 		outcome, err := f.send(ctx, plan)
-		f.note(ctx, plan, begun, before, outcome, err)
 		if err == nil {
 			return nil
 		}
@@ -70,23 +68,6 @@
 	}
 }
 
-// note records how the endpoint did. What ended with the caller or the deadline tells
-// nothing of it, nor does a refusal.
-func (f *forwarding) note(ctx context.Context, plan *direct.Plan, begun, before time.Time, outcome attempt.SendOutcome, err error) {
-	now, delay := time.Now(), time.Duration(0)
-	switch {
-	case err != nil && (ctx.Err() != nil || outcome < attempt.Broken):
-		return
-	case err == nil && f.firstAnswer != before:
-		delay = f.firstAnswer.Sub(begun) - plan.Cost - plan.Prefill - usualDelay
-	}
-	f.gateway.ledger.Note(now, plan.Endpoint.ID, err != nil, delay)
-}
-
-// usualDelay is what an answer may take beyond the estimate: two passes of an engine, or
-// the work of a plain service.
-const usualDelay = 150 * time.Millisecond
-
 // place picks where the call goes, over the newest snapshot.
 func (c *call) place(r *direct.Request) *direct.Plan {
 	snapshot := c.gateway.snapshot.Load()
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -156,7 +156,6 @@
 	// them were this entry's.
 	toldOpen, ownOpen int
 	told              time.Time
-	health            health
 	// dark is set while the endpoint accepts no connections.
 	dark bool
 	// shunned is until when the endpoint is passed over because it refused work.
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -20,7 +20,6 @@
 		open, reading := p.ledger.busy(now, e.ID)
 		s.cost = reading + time.Duration(open)*openCost + time.Duration(max(open+1-e.Slots, 0))*slotCost
 		if known := p.ledger.loads[e.ID]; known != nil {
-			s.cost += known.health.cost(now)
 			s.memory = known.memory
 			if engine != nil && engine.MemoryTokens > 0 {
 				s.cost += time.Duration(float64(memoryCost) * float64(known.memory) / float64(engine.MemoryTokens))
