--- a/directory/replica.go
+++ b/directory/replica.go
@@ -200,7 +200,8 @@
 	}
 }
 
-// maxGone bounds the memory of ended lives; the oldest revisions go first.
+// maxGone bounds the memory of ended lives. Beyond it all are forgotten: a reading that
+// is older than the last is refused as a whole, which alone keeps old lives away.
 const maxGone = 20_000
 
 // Expire drops endpoints that have been missing for longer than the grace. It tells
