--- a/cli/demo.go
+++ b/cli/demo.go
@@ -20,6 +20,7 @@
 	JSON     bool    `arg:"--json" help:"print the table as JSON"`
 	Requests int     `arg:"--requests" default:"60" help:"short and middling requests to send"`
 	Scale    float64 `arg:"--time-scale" default:"10" help:"how much faster than real the engines run"`
+	Gateway  bool    `arg:"--gateway" help:"run a gateway before the stand-in of the users' platform"`
 	Verbose  bool    `arg:"--verbose" help:"show the nodes' logs"`
 }
 
@@ -60,6 +61,9 @@
 		<-ch
 		cancel()
 	}()
+	if c.Gateway {
+		return c.runGateway(ctx, t)
+	}
 	fmt.Fprintln(t.err, "starting a platform, 5 engines, a plain service, 6 agents and 2 entries in this process ...")
 	fleet, err := bench.StartFleet(ctx, bench.FleetConfig{Entries: 2, Engines: 5, Services: 1, TimeScale: c.Scale}, log)
 	if err != nil {
@@ -83,6 +87,24 @@
 	return exitOK
 }
 
+// runGateway demonstrates a gateway on the stand-in of the users' platform.
+func (c *demoCommand) runGateway(ctx context.Context, t terminal) int {
+	fmt.Fprintln(t.err, "starting a store, 5 workers that now and then break off, and a gateway in this process ...")
+	result, err := bench.GatewayDemo(ctx, c.Requests)
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	if c.JSON {
+		_ = json.NewEncoder(t.out).Encode(result)
+	} else {
+		fmt.Fprintf(t.out, "%d streams through the gateway, %d answers cut by workers, %d streams whole\n", result.Requests, result.Cut, result.Whole)
+	}
+	if result.Whole != result.Requests {
+		return t.failf("not every answer came back whole")
+	}
+	return exitOK
+}
+
 type demoResult struct {
 	tokens     int
 	firstToken time.Duration
--- /dev/null
+++ b/gateway/follow_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"aspenyard.example/directory"
+	"aspenyard.example/settings"
+)
+
+// recorder is a source that records how long its calls may take.
+type recorder struct {
+	mu    sync.Mutex
+	fail  bool
+	calls []recordedCall
+	at    uint64
+}
+
+type recordedCall struct {
+	whole bool
+	// wait is how long the call asks the store to wait, bound when it is given up.
+	wait, bound time.Duration
+	failed      bool
+}
+
+func (r *recorder) note(ctx context.Context, call recordedCall) error {
+	deadline, _ := ctx.Deadline()
+	call.bound = time.Until(deadline)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	call.failed = r.fail
+	r.calls = append(r.calls, call)
+	if r.fail {
+		return directory.ErrUnavailable
+	}
+	return nil
+}
+
+func (r *recorder) Read(ctx context.Context) (*directory.Reading, error) {
+	if err := r.note(ctx, recordedCall{whole: true}); err != nil {
+		return nil, err
+	}
+	return &directory.Reading{At: 1, Config: directory.NewConfig(1, directory.Limits{}, nil, nil, nil), ConfigRevision: 1}, nil
+}
+
+func (r *recorder) Follow(ctx context.Context, after uint64, wait time.Duration) (*directory.Changes, error) {
+	if err := r.note(ctx, recordedCall{wait: wait}); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Millisecond)
+	return &directory.Changes{At: after}, nil
+}
+
+func (r *recorder) Reset() {}
+
+// Symptom: a change is in force seconds too late. Sequence: the store goes silent, or
+// drops its history, just as a call begins to wait; or it is back while a call that
+// cannot be answered still waits. Cause: waits of 10 s, and of 3 s and a timeout of 1 s;
+// with them this test fails.
+func TestCallsToTheStoreLeaveTimeForTheChange(t *testing.T) {
+	is := is.New(t)
+	source := &recorder{}
+	s := settings.Gateway{Name: "g", DataCentre: "d", CallersListen: "127.0.0.1:0", ReadinessListen: "127.0.0.1:0", Store: "127.0.0.1:1"}
+	is.NoErr(s.Check().Err())
+	g := New(Config{Settings: s, Source: source, Log: zap.NewNop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		g.follow(ctx)
+		close(ended)
+	}()
+	enough := func(n int) {
+		for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
+			source.mu.Lock()
+			got := len(source.calls)
+			source.mu.Unlock()
+			if got >= n || time.Now().After(deadline) {
+				return
+			}
+		}
+	}
+	set := func(fail bool) {
+		source.mu.Lock()
+		source.fail = fail
+		source.mu.Unlock()
+	}
+	enough(10)
+	set(true)
+	enough(14)
+	set(false)
+	enough(20)
+	cancel()
+	<-ended
+	source.mu.Lock()
+	defer source.mu.Unlock()
+	is.True(source.calls[0].whole) // nothing is believed before a whole reading
+	outage := false
+	for _, call := range source.calls {
+		is.True(call.bound <= s.ConfigWithin.D())
+		if outage {
+			is.Equal(call.wait, time.Duration(0)) // the store's return is to be seen at once
+		}
+		outage = call.failed
+	}
+}
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -145,6 +145,39 @@
 	}
 }
 
+// Symptom: a prompt is sent without the memory that it needs, and cut off. Sequence: the
+// engines' memory is taken by others' reservations.
+func TestAPromptWithoutMemoryIsRefusedAndHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	s := models(t, 17)
+	for _, w := range s.workers {
+		w.MemoryTokens = 1000
+	}
+	got := s.prompt("q1", 500_000)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(s.runs("q1"), 0)
+	s.until("all is released", func() bool { return s.held() == 0 })
+}
+
+func TestAFullEndpointIsLeftForAnother(t *testing.T) {
+	is := is.New(t)
+	full, other := plain(), plain()
+	full.Slots = 1
+	s := newSite(t, full, other)
+	s.store.Delete("servers/" + other.ID)
+	s.start()
+	full.Next(standin.FaultHang)
+	go s.post("/once/a", "h1")
+	s.until("one is busy", func() bool { return full.Working() == 1 })
+	s.store.Put("servers/"+other.ID, other.Registration("ready"))
+	s.until("the other is listed", func() bool { return s.metric("aspenyard_gateway_endpoints ") == 2 })
+	for i := range 6 {
+		id := fmt.Sprint("q", i)
+		is.Equal(s.post("/once/a", id).body, standin.PlainAnswer(id))
+		is.Equal(s.runs(id), 1)
+	}
+}
+
 // each queues a fault at the first workers.
 func (s *site) each(fault standin.Fault, workers int) {
 	for _, w := range s.workers[:workers] {
