--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -159,6 +159,33 @@
 	s.until("all is released", func() bool { return s.held() == 0 })
 }
 
+// Symptom: a prompt waits for half a second and is refused then. Sequence: engines are in
+// use, and its parts would stop everyone there for over 0.7 s, which is known when it
+// comes. Cause: looking for room only when its turn had come.
+func TestAPromptWithoutRoomIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := models(t, 17)
+	for i := range 6 {
+		for _, w := range s.workers {
+			w.Always(standin.FaultHang)
+		}
+		go s.prompt(fmt.Sprint("h", i), 1000)
+	}
+	s.until("engines are in use", func() bool {
+		working := 0
+		for _, w := range s.workers {
+			working += w.Working()
+		}
+		return working == 6
+	})
+	got := s.prompt("big", 500_000)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	is.Equal(s.runs("big"), 0)
+	is.True(strings.Contains(s.log.String(), `"event":"no_room"`))
+	is.True(!strings.Contains(s.log.String(), `"event":"turn"`)) // it did not wait
+}
+
 func TestAFullEndpointIsLeftForAnother(t *testing.T) {
 	is := is.New(t)
 	full, other := plain(), plain()
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -45,6 +45,9 @@
 		f.story.Add("no_turn", zap.Duration("expected_ms", expected), zap.Duration("limit_ms", limit))
 		return result.Refuse(result.Overloaded, max(expected-limit, comeBackLeast), "its first token is expected after %v", expected)
 	}
+	if plan := g.policy.Place(f.started, &f.request, g.snapshot.Load().Endpoints(f.service.Name)); plan != nil && plan.Crowded {
+		return f.noRoom(plan) // known now: waiting would only delay the refusal
+	}
 	defer g.policy.Hold(f.service, f.PromptTokens)()
 	waiting, cancel := context.WithDeadline(ctx, f.started.Add(time.Duration(waitShare*float64(f.route.Target))))
 	defer cancel()
