--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -18,7 +18,6 @@
 	mu    sync.Mutex
 	fail  bool
 	calls []recordedCall
-	at    uint64
 }
 
 type recordedCall struct {
