Names: the field's terms in place of metaphors

semaphore (gate), retrier (course), request log (story), unreachable (dark), avoid (shun), peer load (foreign), classify (judge), queue (turn); log events queue_left, queue_refused, capacity_refused, endpoint_unreachable, endpoint_reachable.

--- a/admission/gate_test.go
+++ b/admission/semaphore_test.go
@@ -10,51 +10,51 @@
 	"github.com/matryer/is"
 )
 
-func TestAGateLetsInByOrder(t *testing.T) {
+func TestASemaphoreAdmitsInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := NewGate(1)
+		g := NewSemaphore(1)
 		start := time.Now()
-		is.NoErr(g.Enter(t.Context(), start))
+		is.NoErr(g.Acquire(t.Context(), start))
 		var mu sync.Mutex
 		var got []int
 		var wait sync.WaitGroup
 		for _, after := range []int{3, 1, 2} {
 			wait.Go(func() {
-				is.NoErr(g.Enter(t.Context(), start.Add(time.Duration(after)*time.Second)))
+				is.NoErr(g.Acquire(t.Context(), start.Add(time.Duration(after)*time.Second)))
 				mu.Lock()
 				got = append(got, after)
 				mu.Unlock()
-				g.Leave()
+				g.Release()
 			})
 		}
 		synctest.Wait()
 		is.Equal(g.Waiting(), 3)
-		g.Leave()
+		g.Release()
 		wait.Wait()
 		is.Equal(got, []int{1, 2, 3})
 	})
 }
 
-// Symptom: a gate that nothing passes any more. Sequence: the turn comes just as the
-// one that waits gives up. Cause, were it there: the turn is lost with it.
-func TestATurnIsNotLost(t *testing.T) {
+// Symptom: nothing is admitted any more. Sequence: the permit comes just as the
+// one that waits gives up. Cause, were it there: the permit is lost with it.
+func TestAPermitIsNotLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		for range 200 {
-			g := NewGate(1)
-			is.NoErr(g.Enter(t.Context(), time.Now()))
+			g := NewSemaphore(1)
+			is.NoErr(g.Acquire(t.Context(), time.Now()))
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error)
-			go func() { done <- g.Enter(ctx, time.Now()) }()
+			go func() { done <- g.Acquire(ctx, time.Now()) }()
 			synctest.Wait()
 			cancel()
-			g.Leave()
+			g.Release()
 			if <-done == nil {
-				g.Leave()
+				g.Release()
 			}
 			synctest.Wait()
-			is.NoErr(g.Enter(t.Context(), time.Now())) // it would wait for ever
+			is.NoErr(g.Acquire(t.Context(), time.Now())) // it would wait for ever
 		}
 	})
 }
--- a/attempt/course.go
+++ b/attempt/retrier.go
@@ -38,11 +38,11 @@
 	PassOn
 )
 
-// Course is the way of one request from endpoint to endpoint. It decides whether the
+// Retrier follows one request from endpoint to endpoint. It decides whether the
 // request may be sent again and what its caller may be told. Only what certainly did
 // not run, or may run again, is ever sent twice; only what certainly did not run is
 // refused.
-type Course struct {
+type Retrier struct {
 	// Repeatable requests may run more than once.
 	Repeatable bool
 	// MaxArrivals is how many endpoints the request may reach.
@@ -60,46 +60,46 @@
 const maxHelpers = 3
 
 // Arrivals is how many endpoints the request has reached.
-func (c *Course) Arrivals() int { return c.arrivals }
+func (r *Retrier) Arrivals() int { return r.arrivals }
 
 // MayHaveRun tells whether the request may have run.
-func (c *Course) MayHaveRun() bool { return c.mayHaveRun }
+func (r *Retrier) MayHaveRun() bool { return r.mayHaveRun }
 
 // CanRepeat tells whether the request, once sent to the next endpoint, could still go
 // on at another if that one broke off.
-func (c *Course) CanRepeat() bool { return c.Repeatable && c.arrivals+1 < c.MaxArrivals }
+func (r *Retrier) CanRepeat() bool { return r.Repeatable && r.arrivals+1 < r.MaxArrivals }
 
 // After decides what follows an outcome. budget is asked, and spent, only when the
 // request would reach another endpoint.
-func (c *Course) After(o SendOutcome, budget func() bool) Next {
+func (r *Retrier) After(o SendOutcome, budget func() bool) Next {
 	switch o {
 	case NotSent:
-		c.unsent++
+		r.unsent++
 	case NotExecuted:
-		c.arrivals++
+		r.arrivals++
 	case HelperFailed:
-		c.helpers++
+		r.helpers++
 	default:
-		c.arrivals++
-		c.mayHaveRun = true
+		r.arrivals++
+		r.mayHaveRun = true
 	}
-	if c.mayAgain() && (c.arrivals+c.helpers == 0 || budget()) {
+	if r.mayAgain() && (r.arrivals+r.helpers == 0 || budget()) {
 		return SendAgain
 	}
 	switch {
 	case o == Failed:
 		return PassOn
-	case c.mayHaveRun:
+	case r.mayHaveRun:
 		return Fail
 	}
 	return Refuse
 }
 
-func (c *Course) mayAgain() bool {
-	if c.mayHaveRun && !c.Repeatable {
+func (r *Retrier) mayAgain() bool {
+	if r.mayHaveRun && !r.Repeatable {
 		return false
 	}
-	return c.arrivals < c.MaxArrivals && c.unsent < maxUnsent && c.helpers <= maxHelpers
+	return r.arrivals < r.MaxArrivals && r.unsent < maxUnsent && r.helpers <= maxHelpers
 }
 
 // String gives the step's name in logs.
--- a/attempt/course_test.go
+++ b/attempt/retrier_test.go
@@ -9,9 +9,9 @@
 
 // A request runs at most once unless it may be repeated, reaches no more endpoints than
 // it may, and is refused only while it certainly has not run; whatever endpoints do.
-func TestACourseKeepsItsPromises(t *testing.T) {
+func TestARetrierKeepsItsPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := Course{Repeatable: rapid.Bool().Draw(t, "repeatable"), MaxArrivals: rapid.IntRange(1, 4).Draw(t, "arrivals")}
+		c := Retrier{Repeatable: rapid.Bool().Draw(t, "repeatable"), MaxArrivals: rapid.IntRange(1, 4).Draw(t, "arrivals")}
 		reached, ran, sends := 0, false, 0
 		for {
 			sends++
@@ -54,9 +54,9 @@
 func TestTheBudgetIsAskedOnlyForARepeat(t *testing.T) {
 	is := is.New(t)
 	never := func() bool { t.Fatal("asked"); return false }
-	c := Course{Repeatable: true, MaxArrivals: 2}
+	c := Retrier{Repeatable: true, MaxArrivals: 2}
 	is.Equal(c.After(NotSent, never), SendAgain) // no endpoint has seen it
 	is.Equal(c.After(Broken, func() bool { return false }), Fail)
-	once := Course{MaxArrivals: 2}
+	once := Retrier{MaxArrivals: 2}
 	is.Equal(once.After(Broken, never), Fail) // it must not run again, budget or not
 }
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -163,11 +163,11 @@
 
 func (l *logLine) words() string {
 	switch l.Event {
-	case "turn":
+	case "queue_left":
 		return fmt.Sprintf("long prompt: its turn after %s (first token expected after %s; %s others still wait)", l.ms("waited_ms"), l.ms("expected_ms"), l.get("waiting"))
-	case "no_turn":
+	case "queue_refused":
 		return fmt.Sprintf("long prompt: its first token is expected after %s, at most %s is accepted", l.ms("expected_ms"), l.ms("limit_ms"))
-	case "no_room":
+	case "capacity_refused":
 		return fmt.Sprintf("no room: %s of prefill on each of %s engines, on which %s requests are open", l.ms("prefill_ms"), l.get("engines"), l.get("open"))
 	case "placed":
 		return fmt.Sprintf("placed at %s of %s, out of %s by the list at revision %s; estimated delay %s, prefill %s%s", l.get("endpoint"), l.get("service"), l.get("candidates"), l.get("at"), l.ms("cost_ms"), l.ms("prefill_ms"), l.helpers())
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -45,20 +45,20 @@
 }
 
 // All lines of a request are written or none, and always those of one that failed.
-func TestStoriesAreWholeOrLeftOut(t *testing.T) {
+func TestRequestLogsAreWholeOrLeftOut(t *testing.T) {
 	is := is.New(t)
 	var out buffer
 	w := NewWriter(&out)
-	stories := NewStories(New(w, "n", "r"))
-	const requests = 10 * storyBurst
+	logs := NewRequestLogs(New(w, "n", "r"))
+	const requests = 10 * requestBurst
 	for i := range requests {
-		s := stories.Begin("good")
+		s := logs.Begin("good")
 		s.Add("placed", zap.Int("n", i))
 		s.Add("request_ended")
 		s.End(false)
 	}
 	for range requests {
-		s := stories.Begin("bad")
+		s := logs.Begin("bad")
 		s.Add("placed")
 		s.Add("request_ended")
 		s.End(true)
@@ -70,8 +70,8 @@
 	text := out.b.String()
 	good, bad := strings.Count(text, `"request":"good"`), strings.Count(text, `"request":"bad"`)
 	is.Equal(bad, 2*requests)
-	is.True(good >= 2*storyBurst && good < 2*requests)
+	is.True(good >= 2*requestBurst && good < 2*requests)
 	is.Equal(good%2, 0)
 	is.Equal(strings.Count(text, `"event":"placed"`), strings.Count(text, `"event":"request_ended"`))
-	is.True(stories.Skipped() > 0)
+	is.True(logs.Skipped() > 0)
 }
--- a/gateway/judge.go
+++ b/gateway/classify.go
@@ -16,8 +16,8 @@
 	errBareRefusal = errors.New("a refusal without the word that the request did not run")
 )
 
-// judge tells by an answer's head whether it is one to pass on.
-func judge(r *reply) (attempt.SendOutcome, error) {
+// classify tells by an answer's head whether it is one to pass on.
+func classify(r *reply) (attempt.SendOutcome, error) {
 	switch {
 	case r.answer.NotExecuted:
 		return attempt.NotExecuted, errors.Wrapf(errNotExecuted, "status %d, at fault %q", r.status, r.answer.AtFault)
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -14,7 +14,7 @@
 )
 
 // emitted finds the events that the package's code writes: their names and levels by
-// the calls of a log or a story, and the names of all fields.
+// the calls of a log, and the names of all fields.
 func emitted(t *testing.T) (levels map[string]string, fields map[string]bool) {
 	t.Helper()
 	levels, fields = map[string]string{}, map[string]bool{}
@@ -63,11 +63,11 @@
 	return levels, fields
 }
 
-// isLog tells whether an expression is a log or a story.
+// isLog tells whether an expression is a log.
 func isLog(x ast.Expr) bool {
 	switch x := x.(type) {
 	case *ast.SelectorExpr:
-		return x.Sel.Name == "log" || x.Sel.Name == "story"
+		return x.Sel.Name == "log"
 	case *ast.Ident:
 		return x.Name == "log"
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -57,7 +57,7 @@
 func (r *reply) release() bool {
 	if r.watchdog != nil {
 		r.watchdog.stop()
-		if r.watchdog.dark.Load() {
+		if r.watchdog.unreachable.Load() {
 			r.stop()
 			return false
 		}
@@ -82,7 +82,7 @@
 	conn, err := g.pool.get(ctx, e, once)
 	if err != nil {
 		if ctx.Err() == nil {
-			g.markDark(e, err.Error())
+			g.markUnreachable(e, err.Error())
 		}
 		return nil, &sendError{attempt.NotSent, err}
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -19,7 +19,7 @@
 // forwarding is the way of a call from endpoint to endpoint.
 type forwarding struct {
 	*call
-	course  attempt.Course
+	retrier attempt.Retrier
 	request direct.Request
 	// relay is set for streams; it outlives a single endpoint.
 	relay *relay
@@ -32,7 +32,7 @@
 	ctx, cancel := c.timeout()
 	defer cancel()
 	f := &forwarding{call: c}
-	f.course = attempt.Course{Repeatable: c.route.Repeatable(), MaxArrivals: c.route.MaxAttempts}
+	f.retrier = attempt.Retrier{Repeatable: c.route.Repeatable(), MaxArrivals: c.route.MaxAttempts}
 	f.request = direct.Request{
 		Service: c.service, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens,
 		DataCentre: c.gateway.settings.DataCentre, Tried: map[string]bool{},
@@ -40,7 +40,7 @@
 	if c.route.Kind == directory.Streaming {
 		f.relay = &relay{call: c, last: c.LastEvent}
 	}
-	if failure := f.waitTurn(ctx); failure != nil {
+	if failure := f.waitInQueue(ctx); failure != nil {
 		return failure
 	}
 	for {
@@ -49,15 +49,15 @@
 			return f.noEndpoint()
 		}
 		if plan.Crowded {
-			return f.noRoom(plan)
+			return f.refuseCapacity(plan)
 		}
 		outcome, err := f.send(ctx, plan)
 		if err == nil {
 			return nil
 		}
-		next := f.course.After(outcome, func() bool { return c.gateway.retries.Take(time.Now(), c.service.Name) })
-		c.story.Add("attempt_failed", zap.String("endpoint", plan.Endpoint.ID), zap.String("outcome", outcome.String()),
-			zap.Int("arrivals", f.course.Arrivals()), zap.String("next", next.String()), eventlog.Error(err))
+		next := f.retrier.After(outcome, func() bool { return c.gateway.retries.Take(time.Now(), c.service.Name) })
+		c.log.Add("attempt_failed", zap.String("endpoint", plan.Endpoint.ID), zap.String("outcome", outcome.String()),
+			zap.Int("arrivals", f.retrier.Arrivals()), zap.String("next", next.String()), eventlog.Error(err))
 		c.gateway.countAttempt(c.service.Name, outcome)
 		if ctx.Err() != nil {
 			return f.ended(ctx)
@@ -76,7 +76,7 @@
 		return plan
 	}
 	c.endpoint = plan.Endpoint.ID
-	c.story.Add("placed", zap.String("endpoint", plan.Endpoint.ID), zap.String("service", c.service.Name), zap.Uint64("at", snapshot.At),
+	c.log.Add("placed", zap.String("endpoint", plan.Endpoint.ID), zap.String("service", c.service.Name), zap.Uint64("at", snapshot.At),
 		zap.Int("candidates", plan.Candidates), zap.Duration("cost_ms", plan.Cost), zap.Duration("prefill_ms", plan.Prefill), zap.Strings("helpers", plan.HelperIDs()))
 	return plan
 }
@@ -93,7 +93,7 @@
 	defer cancel()
 	var helpers []string
 	if plan.HelperMemory > 0 {
-		held, err := f.gateway.reserve(ctx, f.call, plan, f.course.Arrivals())
+		held, err := f.gateway.reserve(ctx, f.call, plan, f.retrier.Arrivals())
 		if err != nil {
 			return attempt.NotSent, err
 		}
@@ -107,7 +107,7 @@
 	if reply.answer.HasLoad {
 		f.gateway.ledger.Tell(time.Now(), plan.Endpoint.ID, reply.answer.Running, reply.answer.Waiting)
 	}
-	if outcome, err := judge(reply); err != nil {
+	if outcome, err := classify(reply); err != nil {
 		reply.abandonOrFinish()
 		if outcome == attempt.NotExecuted {
 			outcome = f.blame(plan, reply)
@@ -125,12 +125,12 @@
 }
 
 const (
-	// shunBusy is how long an endpoint that refused work is passed over: some of its
+	// avoidBusy is how long an endpoint that refused work is passed over: some of its
 	// requests have ended by then.
-	shunBusy = 400 * time.Millisecond
-	// shunGone is how long one is passed over that is leaving or is not the one that was
+	avoidBusy = 400 * time.Millisecond
+	// avoidGone is how long one is passed over that is leaving or is not the one that was
 	// meant: by then the list tells.
-	shunGone = 2 * time.Second
+	avoidGone = 2 * time.Second
 )
 
 // blame finds which endpoint a request did not run because of, and passes it over
@@ -140,16 +140,16 @@
 func (f *forwarding) blame(plan *direct.Plan, r *reply) attempt.SendOutcome {
 	for _, helper := range plan.Helpers {
 		if helper.Addr == r.answer.AtFault && helper.ID != plan.Endpoint.ID {
-			f.gateway.ledger.Shun(helper.ID, time.Now().Add(shunGone))
+			f.gateway.ledger.Avoid(helper.ID, time.Now().Add(avoidGone))
 			delete(f.request.Tried, plan.Endpoint.ID)
 			return attempt.HelperFailed
 		}
 	}
-	wait := shunBusy
+	wait := avoidBusy
 	if r.status == http.StatusMisdirectedRequest {
-		wait = shunGone
+		wait = avoidGone
 	}
-	f.gateway.ledger.Shun(plan.Endpoint.ID, time.Now().Add(wait))
+	f.gateway.ledger.Avoid(plan.Endpoint.ID, time.Now().Add(wait))
 	return attempt.NotExecuted
 }
 
@@ -166,7 +166,7 @@
 // the answer is late. 0 for a request that could not go on elsewhere, which waits for
 // whatever still comes.
 func (f *forwarding) silence() time.Duration {
-	if !f.course.CanRepeat() {
+	if !f.retrier.CanRepeat() {
 		return 0
 	}
 	wait := f.route.Target
@@ -209,7 +209,7 @@
 // ended tells why a call whose context ended has failed.
 func (f *forwarding) ended(ctx context.Context) *result.Error {
 	ran := result.RanNo
-	if f.course.MayHaveRun() {
+	if f.retrier.MayHaveRun() {
 		ran = result.RanUnknown
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -223,16 +223,16 @@
 	switch {
 	case f.failure != nil:
 		return f.failure.write(f.call)
-	case f.course.MayHaveRun():
+	case f.retrier.MayHaveRun():
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "the endpoint failed and no other is left")
 	}
 	return result.Refuse(result.NoEndpoint, noEndpointRetry, "no endpoint of service %q", f.service.Name)
 }
 
-// noRoom ends a call whose prompt would hold up others for too long.
-func (f *forwarding) noRoom(plan *direct.Plan) *result.Error {
-	f.story.Add("no_room", zap.Duration("prefill_ms", plan.Prefill), zap.Int("engines", 1+len(plan.Helpers)), zap.Int("open", plan.Open))
-	if f.course.MayHaveRun() {
+// refuseCapacity ends a call whose prompt would hold up others for too long.
+func (f *forwarding) refuseCapacity(plan *direct.Plan) *result.Error {
+	f.log.Add("capacity_refused", zap.Duration("prefill_ms", plan.Prefill), zap.Int("engines", 1+len(plan.Helpers)), zap.Int("open", plan.Open))
+	if f.retrier.MayHaveRun() {
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "the endpoint failed and no other has room")
 	}
 	return result.Refuse(result.Overloaded, crowdedRetry, "no room for %d tokens on engines in use", f.PromptTokens)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,27 +32,27 @@
 
 // Gateway is one process.
 type Gateway struct {
-	settings settings.Gateway
-	dialect  Dialect
-	source   directory.Source
-	reserver Reserver
-	log      *zap.Logger
-	stories  *eventlog.Stories
-	metrics  *metrics.Set
-	snapshot atomic.Pointer[directory.Snapshot]
-	ledger   *direct.Ledger
-	policy   *direct.Policy
-	retries  *admission.RetryWindow
-	pool     *pool
-	callers  *callers
-	prober   *prober
-	longGate *admission.Gate
-	registry directory.Registry
-	peers    *peers
-	peerLoop atomic.Pointer[membership.Loop]
-	active   atomic.Int64
-	stopping atomic.Int64 // when the drain began, in nanoseconds since start; 0: serving
-	started  time.Time
+	settings    settings.Gateway
+	dialect     Dialect
+	source      directory.Source
+	reserver    Reserver
+	log         *zap.Logger
+	requestLogs *eventlog.RequestLogs
+	metrics     *metrics.Set
+	snapshot    atomic.Pointer[directory.Snapshot]
+	ledger      *direct.Ledger
+	policy      *direct.Policy
+	retries     *admission.RetryWindow
+	pool        *pool
+	callers     *callers
+	prober      *prober
+	longQueue   *admission.Semaphore
+	registry    directory.Registry
+	peers       *peers
+	peerLoop    atomic.Pointer[membership.Loop]
+	active      atomic.Int64
+	stopping    atomic.Int64 // when the drain began, in nanoseconds since start; 0: serving
+	started     time.Time
 
 	// The addresses that are listened on, once they are.
 	callersAddr, readinessAddr, metricsAddr atomic.Value
@@ -88,7 +88,7 @@
 func New(c Config) *Gateway {
 	ledger := direct.NewLedger()
 	g := &Gateway{
-		settings: c.Settings, dialect: c.Dialect, source: c.Source, reserver: c.Reserver, registry: c.Registry, log: c.Log, stories: eventlog.NewStories(c.Log),
+		settings: c.Settings, dialect: c.Dialect, source: c.Source, reserver: c.Reserver, registry: c.Registry, log: c.Log, requestLogs: eventlog.NewRequestLogs(c.Log),
 		metrics: metrics.NewSet(), ledger: ledger, policy: direct.NewPolicy(ledger, globalRand{}), pool: newPool(), started: time.Now(),
 	}
 	g.retries = admission.NewRetryWindow(time.Now(), admission.RetryLimits{
@@ -98,7 +98,7 @@
 	g.callers = newCallers(g)
 	g.prober = newProber(g)
 	g.peers = &peers{gateway: g}
-	g.longGate = admission.NewGate(1)
+	g.longQueue = admission.NewSemaphore(1)
 	g.expose(c.LogWriter)
 	return g
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -32,7 +32,7 @@
 	body     []byte
 	out      http.ResponseWriter
 	in       *http.Request
-	story    *eventlog.Story
+	log      *eventlog.RequestLog
 	// firstAnswer is when the answer's head or first event was passed on; gap is the
 	// longest pause between events.
 	firstAnswer time.Time
@@ -48,7 +48,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	c := &call{gateway: g, started: time.Now(), Request: g.dialect.ReadRequest(r.Header), out: w, in: r}
-	c.story = g.stories.Begin(c.ID)
+	c.log = g.requestLogs.Begin(c.ID)
 	c.snapshot = g.snapshot.Load()
 	c.config = c.snapshot.Config
 	failure := c.open()
@@ -217,7 +217,7 @@
 	_, _ = io.WriteString(c.out, failure.Error()+"\n")
 }
 
-// end answers a request that failed, counts it and logs its story.
+// end answers a request that failed, counts it and logs it.
 func (c *call) end(failure *result.Error) {
 	took := time.Since(c.started)
 	code, started := result.OK, !c.firstAnswer.IsZero()
@@ -235,8 +235,8 @@
 	if failure != nil {
 		fields = append(fields, zap.String("ran", string(failure.Ran)), zap.String("detail", failure.Detail), zap.Duration("retry_after_ms", failure.RetryAfter))
 	}
-	c.story.Add("request_ended", fields...)
-	c.story.End(failure != nil || c.late(took))
+	c.log.Add("request_ended", fields...)
+	c.log.End(failure != nil || c.late(took))
 	switch {
 	case failure == nil:
 	case started || failure.Code == result.Cancelled:
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -182,8 +182,8 @@
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	is.True(got.header.Get("Retry-After") != "")
 	is.Equal(s.runs("big"), 0)
-	is.True(strings.Contains(s.log.String(), `"event":"no_room"`))
-	is.True(!strings.Contains(s.log.String(), `"event":"turn"`)) // it did not wait
+	is.True(strings.Contains(s.log.String(), `"event":"capacity_refused"`))
+	is.True(!strings.Contains(s.log.String(), `"event":"queue_left"`)) // it did not wait
 }
 
 func TestAFullEndpointIsLeftForAnother(t *testing.T) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -30,7 +30,7 @@
 		}
 		return 0
 	})
-	g.metrics.NewGauge("aspenyard_gateway_stories_skipped_total", func() float64 { return float64(g.stories.Skipped()) })
+	g.metrics.NewGauge("aspenyard_gateway_request_logs_skipped_total", func() float64 { return float64(g.requestLogs.Skipped()) })
 	if writer != nil {
 		g.metrics.NewGauge("aspenyard_gateway_log_lines_dropped_total", func() float64 { return float64(writer.Dropped()) })
 	}
--- a/gateway/net_linux.go
+++ b/gateway/net_linux.go
@@ -45,10 +45,10 @@
 	}
 }
 
-// quiet tells whether an idle connection is still open and has nothing to read: a
+// stillOpen tells whether an idle connection is still open and has nothing to read: a
 // peer that closed it, or sent an answer nobody asked for, makes it useless, and a
 // request written to it may or may not have run.
-func quiet(conn net.Conn) bool {
+func stillOpen(conn net.Conn) bool {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return false
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -58,7 +58,7 @@
 		if conn == nil {
 			break
 		}
-		if quiet(conn.Conn) {
+		if stillOpen(conn.Conn) {
 			return conn, nil
 		}
 		_ = conn.Close()
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -17,8 +17,8 @@
 	probeTimeout = 250 * time.Millisecond
 	// probeValid is how long a probe's result holds for other requests.
 	probeValid = 300 * time.Millisecond
-	// darkInterval is the pause between probes of an endpoint that is dark.
-	darkInterval = 300 * time.Millisecond
+	// unreachableInterval is the pause between probes of an endpoint that is unreachable.
+	unreachableInterval = 300 * time.Millisecond
 )
 
 // prober finds out whether a silent endpoint is dead or only busy. Waiting tells
@@ -66,7 +66,7 @@
 	p.mu.Unlock()
 	close(result.done)
 	if !alive {
-		p.gateway.markDark(e, "does not accept connections")
+		p.gateway.markUnreachable(e, "does not accept connections")
 	}
 }
 
@@ -93,19 +93,19 @@
 	}
 }
 
-// markDark keeps requests from an endpoint until it accepts connections again.
-func (g *Gateway) markDark(e *directory.Listed, why string) {
-	if !g.ledger.SetDark(e.ID, true) {
+// markUnreachable keeps requests from an endpoint until it accepts connections again.
+func (g *Gateway) markUnreachable(e *directory.Listed, why string) {
+	if !g.ledger.SetUnreachable(e.ID, true) {
 		return
 	}
-	g.log.Warn("endpoint_dark", zap.String("endpoint", e.ID), zap.String("reason", why))
+	g.log.Warn("endpoint_unreachable", zap.String("endpoint", e.ID), zap.String("reason", why))
 	go func() {
 		begun := time.Now()
 		for g.snapshot.Load().Endpoint(e.ID) != nil {
-			time.Sleep(darkInterval)
+			time.Sleep(unreachableInterval)
 			if g.prober.dial(e) {
-				g.ledger.SetDark(e.ID, false)
-				g.log.Info("endpoint_back", zap.String("endpoint", e.ID), zap.Duration("dark_ms", time.Since(begun)))
+				g.ledger.SetUnreachable(e.ID, false)
+				g.log.Info("endpoint_reachable", zap.String("endpoint", e.ID), zap.Duration("unreachable_ms", time.Since(begun)))
 				return
 			}
 		}
@@ -116,13 +116,13 @@
 // it is probed, and if it is dead the exchange is ended, so that the request can go
 // on elsewhere while its caller still waits.
 type watchdog struct {
-	gateway *Gateway
-	reply   *reply
-	ctx     context.Context
-	silence time.Duration
-	heard   atomic.Int64 // nanoseconds since the gateway's start
-	dark    atomic.Bool
-	timer   *time.Timer
+	gateway     *Gateway
+	reply       *reply
+	ctx         context.Context
+	silence     time.Duration
+	heard       atomic.Int64 // nanoseconds since the gateway's start
+	unreachable atomic.Bool
+	timer       *time.Timer
 }
 
 // watch starts a watchdog over an exchange.
@@ -152,6 +152,6 @@
 		w.timer.Reset(w.silence)
 		return
 	}
-	w.dark.Store(true)
+	w.unreachable.Store(true)
 	_ = w.reply.conn.SetDeadline(time.Unix(1, 0))
 }
--- a/gateway/turn.go
+++ b/gateway/queue.go
@@ -27,13 +27,13 @@
 	comeBackLeast = 500 * time.Millisecond
 )
 
-// waitTurn holds a long prompt while the engines have enough of them to prefill.
+// waitInQueue holds a long prompt while the engines have enough of them to prefill.
 // Engines prefill the parts of long prompts before anything else: when all callers
 // come back at once after an outage, a dozen long prompts at a time would keep short
 // ones from being read for three seconds, and their callers leave after two. The order
 // is by arrival, and a longer prompt lets those pass that come while it could not have
 // been read itself.
-func (f *forwarding) waitTurn(ctx context.Context) *result.Error {
+func (f *forwarding) waitInQueue(ctx context.Context) *result.Error {
 	engine := f.service.Engine
 	if engine == nil || !direct.IsLong(engine, f.PromptTokens) {
 		return nil
@@ -42,24 +42,24 @@
 	engines := len(g.snapshot.Load().Endpoints(f.service.Name))
 	expected := g.policy.Expect(f.started, f.service, engines, f.PromptTokens)
 	if limit := time.Duration(lateShare * float64(f.route.Target)); limit > 0 && expected > limit {
-		f.story.Add("no_turn", zap.Duration("expected_ms", expected), zap.Duration("limit_ms", limit))
+		f.log.Add("queue_refused", zap.Duration("expected_ms", expected), zap.Duration("limit_ms", limit))
 		return result.Refuse(result.Overloaded, max(expected-limit, comeBackLeast), "its first token is expected after %v", expected)
 	}
 	if plan := g.policy.Place(f.started, &f.request, g.snapshot.Load().Endpoints(f.service.Name)); plan != nil && plan.Crowded {
-		return f.noRoom(plan) // known now: waiting would only delay the refusal
+		return f.refuseCapacity(plan) // known now: waiting would only delay the refusal
 	}
 	defer g.policy.Hold(f.service, f.PromptTokens)()
 	waiting, cancel := context.WithDeadline(ctx, f.started.Add(time.Duration(waitShare*float64(f.route.Target))))
 	defer cancel()
-	if err := g.longGate.Enter(waiting, f.started.Add(direct.Prefill(engine, f.PromptTokens))); err == nil {
+	if err := g.longQueue.Acquire(waiting, f.started.Add(direct.Prefill(engine, f.PromptTokens))); err == nil {
 		for waiting.Err() == nil && g.policy.Crowded(time.Now(), f.service, engines) {
 			membership.Sleep(waiting, crowdedPoll)
 		}
-		g.longGate.Leave()
+		g.longQueue.Release()
 	}
 	if ctx.Err() != nil {
 		return f.ended(ctx)
 	}
-	f.story.Add("turn", zap.Duration("expected_ms", expected), zap.Duration("waited_ms", time.Since(f.started)), zap.Int("waiting", g.longGate.Waiting()))
+	f.log.Add("queue_left", zap.Duration("expected_ms", expected), zap.Duration("waited_ms", time.Since(f.started)), zap.Int("waiting", g.longQueue.Waiting()))
 	return nil
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -58,7 +58,7 @@
 	copyHead(c.out.Header(), a.header)
 	c.out.WriteHeader(a.status)
 	if _, err := c.out.Write(a.body); err != nil {
-		c.story.Add("caller_lost", eventlog.Error(err))
+		c.log.Add("caller_lost", eventlog.Error(err))
 	}
 	return nil
 }
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -93,7 +93,7 @@
 		}
 		refused++
 	}
-	c.story.Add("memory_reserved", zap.Int("helpers", len(r.helpers)), zap.Int("refused", refused), zap.Int("tokens", free), zap.Int("needed", plan.Memory-plan.FirstMemory))
+	c.log.Add("memory_reserved", zap.Int("helpers", len(r.helpers)), zap.Int("refused", refused), zap.Int("tokens", free), zap.Int("needed", plan.Memory-plan.FirstMemory))
 	if free < plan.Memory-plan.FirstMemory {
 		r.release()
 		return nil, errors.Wrapf(ErrNoMemory, "%d of %d helpers", len(r.helpers), len(plan.Helpers))
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -109,7 +109,7 @@
 	is.Equal(sum.OpenShort, 4)
 	is.Equal(sum.Reading+sum.Waiting, 3*time.Second)
 	is.Equal(l.total(testNow.Add(2*peerValid), "m").LongPrefill, time.Duration(0)) // silent entries are forgotten
-	is.Equal(len(l.foreign), 0)
+	is.Equal(len(l.peerLoads), 0)
 }
 
 func TestAnEndpointThatOthersUseIsPassedOver(t *testing.T) {
@@ -134,8 +134,8 @@
 	list := endpoints(5)
 	list[0].Missing = testNow
 	p := policy(4)
-	p.ledger.SetDark(list[1].ID, true)
-	p.ledger.Shun(list[2].ID, testNow.Add(time.Second))
+	p.ledger.SetUnreachable(list[1].ID, true)
+	p.ledger.Avoid(list[2].ID, testNow.Add(time.Second))
 	r := prompt(1000)
 	r.Tried[list[3].ID] = true
 	for range 20 {
@@ -185,7 +185,7 @@
 	is.True(plan.Prefill <= longestPart)
 	is.True(len(plan.Helpers) >= 8)
 	for _, e := range append(plan.Helpers, plan.Endpoint) {
-		is.True(p.ledger.foreign[HashEndpoint(e.ID)].Count == 0) // those with the least open
+		is.True(p.ledger.peerLoads[HashEndpoint(e.ID)].Count == 0) // those with the least open
 	}
 	p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", OpenShort: 100, LongPrefill: 17 * time.Second}}, opens(list, 9))
 	is.True(p.Place(testNow, prompt(250_000), list).Crowded)
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -18,10 +18,10 @@
 	// reading is the prefill of long prompts under way, waiting that of those that are
 	// held back, by service.
 	reading, waiting map[string]time.Duration
-	// entries is how many entries there are, foreign the sum of what peers tell of each
+	// entries is how many entries there are, peerLoads the sum of what peers tell of each
 	// endpoint.
-	entries int
-	foreign map[EndpointHash]Open
+	entries   int
+	peerLoads map[EndpointHash]Open
 	// peers holds what other entries last told, by their names.
 	peers map[string]peer
 }
@@ -59,21 +59,21 @@
 	l.forget(name)
 	l.peers[name] = peer{now, demands, open}
 	for _, o := range open {
-		sum := l.foreign[o.Endpoint]
+		sum := l.peerLoads[o.Endpoint]
 		sum.Count += o.Count
 		sum.Reading += o.Reading
-		l.foreign[o.Endpoint] = sum
+		l.peerLoads[o.Endpoint] = sum
 	}
 }
 
 // forget takes another entry's word back.
 func (l *Ledger) forget(name string) {
 	for _, o := range l.peers[name].open {
-		sum := l.foreign[o.Endpoint]
+		sum := l.peerLoads[o.Endpoint]
 		sum.Count -= o.Count
 		sum.Reading -= o.Reading
-		if l.foreign[o.Endpoint] = sum; sum.Count == 0 && sum.Reading == 0 {
-			delete(l.foreign, o.Endpoint)
+		if l.peerLoads[o.Endpoint] = sum; sum.Count == 0 && sum.Reading == 0 {
+			delete(l.peerLoads, o.Endpoint)
 		}
 	}
 	delete(l.peers, name)
@@ -99,13 +99,13 @@
 	l.entries = n
 }
 
-// foreignOpen estimates what other entries have given an endpoint to do: what those
+// peerLoad estimates what other entries have given an endpoint to do: what those
 // heard of tell, for as many as there are.
-func (l *Ledger) foreignOpen(id string) (open float64, reading time.Duration) {
+func (l *Ledger) peerLoad(id string) (open float64, reading time.Duration) {
 	if len(l.peers) == 0 {
 		return 0, 0
 	}
-	sum := l.foreign[HashEndpoint(id)]
+	sum := l.peerLoads[HashEndpoint(id)]
 	scale := float64(max(l.entries-1, len(l.peers))) / float64(len(l.peers))
 	return float64(sum.Count) * scale, time.Duration(float64(sum.Reading) * scale)
 }
@@ -156,18 +156,18 @@
 	// them were this entry's.
 	toldOpen, ownOpen int
 	told              time.Time
-	// dark is set while the endpoint accepts no connections.
-	dark bool
-	// shunned is until when the endpoint is passed over because it refused work.
-	shunned time.Time
+	// unreachable is set while the endpoint accepts no connections.
+	unreachable bool
+	// avoidUntil is until when the endpoint is passed over because it refused work.
+	avoidUntil time.Time
 }
 
 // doubtful tells whether other endpoints are to be preferred.
-func (l *load) doubtful(now time.Time) bool { return l.dark || now.Before(l.shunned) }
+func (l *load) doubtful(now time.Time) bool { return l.unreachable || now.Before(l.avoidUntil) }
 
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]peer{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}, foreign: map[EndpointHash]Open{}}
+	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]peer{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}, peerLoads: map[EndpointHash]Open{}}
 }
 
 // Charge is what one request weighs on its endpoints, until it ends. Safe for use by
@@ -259,7 +259,7 @@
 // since, or what the other entries tell, whichever is more.
 func (l *Ledger) busy(now time.Time, id string) (open int, reading time.Duration) {
 	own, told := 0, 0
-	foreign, reading := l.foreignOpen(id)
+	peerOpen, reading := l.peerLoad(id)
 	if known := l.loads[id]; known != nil {
 		own = known.open
 		reading += known.prefill
@@ -267,24 +267,24 @@
 			told = known.toldOpen + known.open - known.ownOpen
 		}
 	}
-	return max(told, own+int(foreign+0.5)), reading
+	return max(told, own+int(peerOpen+0.5)), reading
 }
 
-// SetDark notes whether an endpoint accepts connections; it tells whether that is new.
-func (l *Ledger) SetDark(endpoint string, dark bool) bool {
+// SetUnreachable notes whether an endpoint accepts connections; it tells whether that is new.
+func (l *Ledger) SetUnreachable(endpoint string, unreachable bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.load(endpoint)
-	changed := known.dark != dark
-	known.dark = dark
+	changed := known.unreachable != unreachable
+	known.unreachable = unreachable
 	return changed
 }
 
-// Shun passes an endpoint over until a time, as long as there are others.
-func (l *Ledger) Shun(endpoint string, until time.Time) {
+// Avoid passes an endpoint over until a time, as long as there are others.
+func (l *Ledger) Avoid(endpoint string, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.load(endpoint).shunned = until
+	l.load(endpoint).avoidUntil = until
 }
 
 func (l *Ledger) load(endpoint string) *load {
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -78,9 +78,9 @@
 	slotCost = 150 * time.Millisecond
 	// distanceCost is the way to another data centre and back.
 	distanceCost = 2 * time.Millisecond
-	// foreignCost is what an engine of the other kind costs a short prompt: a part of a
+	// otherPoolCost is what an engine of the other kind costs a short prompt: a part of a
 	// long one that is prefilled there makes it late.
-	foreignCost = 60 * time.Millisecond
+	otherPoolCost = 60 * time.Millisecond
 	// partTarget is the prefill of one part of a prompt: short beside the pause that
 	// those who decode on the same engine allow.
 	partTarget = 60 * time.Millisecond
@@ -125,7 +125,7 @@
 		list = p.score(now, r, kept[min(boundary, len(kept)-1):], engine)
 	} else {
 		list = p.score(now, r, kept, engine)
-		chargeForeign(list[min(boundary, len(list)):])
+		chargeOtherPool(list[min(boundary, len(list)):])
 	}
 	parts := max(1, min(int((prefill+partTarget-1)/partTarget), maxParts, len(list)))
 	if !plan.Long && prefill < 2*partTarget {
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -33,9 +33,9 @@
 	return list
 }
 
-// chargeForeign makes engines for long prompts dearer for short ones.
-func chargeForeign(list []scored) {
+// chargeOtherPool makes engines for long prompts dearer for short ones.
+func chargeOtherPool(list []scored) {
 	for i := range list {
-		list[i].cost += foreignCost
+		list[i].cost += otherPoolCost
 	}
 }
