--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -260,6 +262,24 @@
 	}
 }
 
+// Symptom: a stream runs a second time for nobody. Sequence: a caller stops reading and
+// leaves its connection open; the node gives it up. Cause, were it there: taking that for a
+// break of the endpoint, and going on at another.
+func TestAStreamThatItsCallerDoesNotReadIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	const events = 2_000_000 // more than all buffers on the way hold
+	s := newSite(t, &standin.Worker{Events: events}, &standin.Worker{Events: events}).start()
+	conn, err := net.Dial("tcp", s.gateway.CallersAddr())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, head("GET", "/stream/a", "q1")+"\r\n")
+	is.NoErr(err)
+	s.until("it runs", func() bool { return s.runs("q1") == 1 })
+	s.until("it is given up", func() bool { return strings.Contains(s.log.String(), `"event":"request_ended"`) })
+	s.until("the endpoints are idle", func() bool { return s.workers[0].Working()+s.workers[1].Working() == 0 })
+	is.Equal(s.runs("q1"), 1)
+}
+
 // Symptom: a request is sent to an endpoint that another process has taken the address
 // of. Sequence: an endpoint ends, its address is used again; the list is behind.
 func TestAnotherEndpointAtTheAddressDoesNotRunIt(t *testing.T) {
