Each try to reserve memory has reservations of its own

Cause, found by reading: a try that was refused released its reservations beside the next try, which used the same names at the same engines; a late release would have ended the new one. Test: TestEachTryHasReservationsOfItsOwn, failed first.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -23,6 +23,8 @@
 	request direct.Request
 	// relay is set for streams; it outlives a single endpoint.
 	relay *relay
+	// reserving counts the tries to reserve memory; each has reservations of its own.
+	reserving int
 	// failure is the last endpoint's whole answer that says it failed.
 	failure *whole
 }
@@ -93,7 +95,8 @@
 	defer cancel()
 	var helpers []string
 	if plan.HelperMemory > 0 {
-		held, err := f.gateway.reserve(ctx, f.call, plan, f.retrier.Arrivals())
+		f.reserving++
+		held, err := f.gateway.reserve(ctx, f.call, plan, f.reserving)
 		if err != nil {
 			return attempt.NotSent, err
 		}
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -159,6 +159,19 @@
 	s.until("all is released", func() bool { return s.held() == 0 })
 }
 
+// Symptom: a prompt is refused by its helpers, or cut off, though its memory was reserved.
+// Sequence: at the first try some helpers have no memory and the others are released; the
+// second try reserves at them while a release is still on its way. Cause: one name for
+// the reservations of both tries.
+func TestEachTryHasReservationsOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	s := models(t, 17)
+	s.each(standin.FaultShed, 12)
+	is.Equal(s.prompt("q1", 500_000).status, http.StatusOK)
+	is.True(strings.Contains(s.ran("q1").Helpers, "/q1-2-"))
+	is.True(!strings.Contains(s.ran("q1").Helpers, "/q1-1-"))
+}
+
 // Symptom: a prompt waits for half a second and is refused then. Sequence: engines are in
 // use, and its parts would stop everyone there for over 0.7 s, which is known when it
 // comes. Cause: looking for room only when its turn had come.
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -62,13 +62,13 @@
 
 // reserve sets memory aside at a plan's helpers. It fails, holding nothing, unless
 // all of the prompt that the first engine cannot hold has a place.
-func (g *Gateway) reserve(ctx context.Context, c *call, plan *direct.Plan, attempt int) (*reservations, error) {
+func (g *Gateway) reserve(ctx context.Context, c *call, plan *direct.Plan, try int) (*reservations, error) {
 	r := &reservations{gateway: g}
 	results := make([]error, len(plan.Helpers))
 	tickets := make([]Reservation, len(plan.Helpers))
 	var wait sync.WaitGroup
 	for i, helper := range plan.Helpers {
-		tickets[i] = g.reservation(c, helper, plan.HelperMemory, attempt)
+		tickets[i] = g.reservation(c, helper, plan.HelperMemory, try)
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
@@ -105,8 +105,8 @@
 	return r, nil
 }
 
-func (g *Gateway) reservation(c *call, helper *directory.Listed, tokens, attempt int) Reservation {
-	id := c.ID + "-" + strconv.Itoa(attempt) + "-" + helper.ID
+func (g *Gateway) reservation(c *call, helper *directory.Listed, tokens, try int) Reservation {
+	id := c.ID + "-" + strconv.Itoa(try) + "-" + helper.ID
 	return Reservation{ID: id, EndpointID: helper.ID, Addr: helper.Addr, Tokens: tokens}
 }
 
