--- a/gateway/events.go
+++ b/gateway/events.go
@@ -41,6 +41,7 @@
 	{"endpoint_reachable", "info", "It accepts connections again.", []Field{{"endpoint", "its ID"}, {"unreachable_ms", "since endpoint_unreachable"}}},
 	{"registered", "info", "This node is registered in the store.", []Field{{"lease", "the lease"}, {"revision", "this life's incarnation"}}},
 	{"not_registered", "warn", "Registering or renewing failed; other entries may not hear of this one.", []Field{{"error", "what the call met"}}},
+	{"not_deregistered", "warn", "The registration could not be ended at the stop; its lease ends it.", []Field{{"error", "what the call met"}}},
 	{"heartbeats_stopped", "error", "The control loop ended; engines are divided by own requests alone.", []Field{{"error", "why"}}},
 	{"memory_not_renewed", "warn", "A reservation of KV cache could not be renewed; the request may be cut off.", []Field{{"reservation", "its ID"}, {"error", "what the order met"}}},
 	{"memory_not_released", "warn", "A reservation could not be given back; it ends by itself in 3 s.", []Field{{"reservation", "its ID"}, {"error", "what the order met"}}},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,6 +135,7 @@
 				continue
 			}
 			g.drain(signals)
+			g.peers.deregister()
 			return nil
 		}
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,8 @@
 	registerTTL      = 12 * time.Second
 	registerInterval = 4 * time.Second
 	registerTimeout  = time.Second
+	// deregisterTimeout is less than what a drain leaves until the process is killed.
+	deregisterTimeout = 150 * time.Millisecond
 	// peerInterval is the time between two heartbeats to other entries. They carry
 	// what this entry's requests ask of the engines, and shorter follows a change of
 	// the mix sooner; 150 bytes each.
@@ -37,6 +40,8 @@
 // traffic is small would each divide the engines differently.
 type peers struct {
 	gateway *Gateway
+	// lease is that of the registration; 0: not registered.
+	lease atomic.Uint64
 }
 
 // run registers this node and keeps it registered until ctx ends.
@@ -49,6 +54,7 @@
 		var err error
 		if current.Lease == 0 {
 			if current, err = g.registry.Register(bounded, node, registerTTL); err == nil {
+				p.lease.Store(current.Lease)
 				g.log.Info("registered", zap.Uint64("lease", current.Lease), zap.Uint64("revision", current.Revision))
 				p.start(ctx, current.Revision)
 			}
@@ -74,6 +80,20 @@
 	}
 }
 
+// deregister ends the registration, so that the others do not count this entry for as
+// long as its lease lasts. A failure changes nothing else: the lease ends by itself.
+func (p *peers) deregister() {
+	lease := p.lease.Load()
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	defer cancel()
+	if err := p.gateway.registry.Deregister(ctx, lease); err != nil {
+		p.gateway.log.Warn("not_deregistered", eventlog.Error(err))
+	}
+}
+
 // announce tells the other entries at once of what has changed: a long prompt that one
 // entry sends is prefilled for longer than heartbeats are apart, and the others hold
 // theirs back.
--- /dev/null
+++ b/gateway/peers_test.go
@@ -0,0 +1,50 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"aspenyard.example/directory"
+	"aspenyard.example/gateway"
+	"aspenyard.example/platform"
+	standin "aspenyard.example/standin/platform"
+)
+
+// A node's registration is seen by the others, ends with its lease, and is made anew
+// when the lease has lapsed, whatever answers were lost on the way.
+func TestNodesRegisterInTheStore(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewStore()
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), gateway.Dialer(time.Second))
+	ctx := context.Background()
+	node := directory.Node{Name: "g1", Addr: "127.0.0.1:7340", DataCentre: "dc1"}
+	store.SetFaults(standin.StoreFaults{LoseAnswers: 2})
+	_, err := client.Register(ctx, node, time.Minute)
+	is.True(err != nil) // the lease was made, and its answer lost
+	_, err = client.Register(ctx, node, time.Minute)
+	is.True(err != nil)
+	registration, err := client.Register(ctx, node, time.Minute)
+	is.NoErr(err)
+	is.True(registration.Revision > 0)
+	reading, err := client.Read(ctx)
+	is.NoErr(err)
+	is.Equal(reading.Nodes, []directory.Node{node})
+	is.NoErr(client.Renew(ctx, registration.Lease))
+	store.EndLeases()
+	err = client.Renew(ctx, registration.Lease)
+	is.True(strings.Contains(err.Error(), directory.ErrLapsed.Error()))
+	changes, err := client.Follow(ctx, reading.At, 0)
+	is.NoErr(err)
+	is.Equal(changes.Changes[len(changes.Changes)-1].NodeGone, "g1")
+	again, err := client.Register(ctx, node, time.Minute)
+	is.NoErr(err)
+	is.NoErr(client.Deregister(ctx, again.Lease))
+	is.True(store.Get("nodes/g1") == nil)
+}
