--- a/bench/days/days.go
+++ b/bench/days/days.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -173,17 +174,18 @@
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "measurement", y
 	p.Legend.Top, p.Legend.Left = true, true
-	names := make([]string, 0, len(lines))
-	for name := range lines {
-		names = append(names, name)
+	if err := AddLines(p, lines); err != nil {
+		return err
 	}
-	slices.Sort(names)
+	return errors.WithStack(p.Save(plotWidth, plotHeight, path))
+}
+
+// AddLines draws lines with points, in the order of their names, so that the same data
+// always gives the same plot.
+func AddLines(p *plot.Plot, lines map[string]plotter.XYs) error {
 	var drawn []any
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(lines)) {
 		drawn = append(drawn, name, lines[name])
 	}
-	if err := plotutil.AddLinePoints(p, drawn...); err != nil {
-		return errors.WithStack(err)
-	}
-	return errors.WithStack(p.Save(plotWidth, plotHeight, path))
+	return errors.WithStack(plotutil.AddLinePoints(p, drawn...))
 }
--- a/bench/plot.go
+++ b/bench/plot.go
@@ -1,13 +1,12 @@
 package bench
 
 import (
-	"sort"
-
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+
+	"aspenyard.example/bench/days"
 )
 
 const (
@@ -28,17 +27,8 @@
 	for _, r := range results {
 		lines[r.Policy] = append(lines[r.Policy], plotter.XY{X: r.Load, Y: max(1, r.FirstToken[0].P95)})
 	}
-	names := make([]string, 0, len(lines))
-	for name := range lines {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	var drawn []any
-	for _, name := range names {
-		drawn = append(drawn, name, lines[name])
-	}
-	if err := plotutil.AddLinePoints(p, drawn...); err != nil {
-		return errors.WithStack(err)
+	if err := days.AddLines(p, lines); err != nil {
+		return err
 	}
 	return errors.WithStack(p.Save(plotWidth, plotHeight, path))
 }
--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -161,28 +161,20 @@
 // Symptom: a stream with a piece missing, twice, or cut in its midst. Sequence: an
 // endpoint breaks off in the midst of an event. Cause, were it there: passing bytes on
 // and not events, or starting anew.
-func TestAStreamGoesOnElsewhereAfterItsLastEvent(t *testing.T) {
-	is := is.New(t)
-	s := newSite(t, streaming(12), streaming(12)).start()
-	s.workers[0].Always(standin.FaultCut)
-	for i := range 8 {
-		id := fmt.Sprint("q", i)
-		got := s.post("/stream/a", id)
-		is.NoErr(got.err)
-		is.Equal(got.body, standin.StreamText(id, 12))
-	}
-}
-
 // The same where the stream has no length and its connection ends properly.
-func TestATornEventIsNotTheEnd(t *testing.T) {
-	is := is.New(t)
-	s := newSite(t, streaming(12), streaming(12)).start()
-	s.workers[0].Always(standin.FaultTorn)
-	for i := range 8 {
-		id := fmt.Sprint("q", i)
-		got := s.post("/stream/a", id)
-		is.NoErr(got.err)
-		is.Equal(got.body, standin.StreamText(id, 12))
+func TestAStreamGoesOnElsewhereAfterItsLastEvent(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.FaultCut, standin.FaultTorn} {
+		t.Run(string(fault), func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, streaming(12), streaming(12)).start()
+			s.workers[0].Always(fault)
+			for i := range 8 {
+				id := fmt.Sprint("q", i)
+				got := s.post("/stream/a", id)
+				is.NoErr(got.err)
+				is.Equal(got.body, standin.StreamText(id, 12))
+			}
+		})
 	}
 }
 
