--- a/routing/direct/backlog.go
+++ b/routing/direct/backlog.go
@@ -9,7 +9,7 @@
 // readingLimit is how much prefill of long prompts may be under way for each engine
 // that takes them. Engines prefill all parts that they have before the next event of
 // those who decode there, and the most patient of those allow a second. Of 400, 700 and
-// 1,200 ms and no limit, 700 served most and 400 next (docs/POLICY.md).
+// 1,200 ms and no limit, 700 and 400 served most; this lies between (docs/POLICY.md).
 const readingLimit = 600 * time.Millisecond
 
 // Crowded tells whether the engines for long prompts have enough to prefill, so that
