--- a/cli/explain.go
+++ b/cli/explain.go
@@ -74,16 +74,14 @@
 
 // pause tells which other prompts were to be prefilled on a stream's engine about the
 // time of its longest pause: an engine prefills before it gives the next event.
-func pause(story, placed []logLine) []string {
-	end := &story[len(story)-1]
-	gap, _ := end.fields["gap_ms"].(float64)
-	if length := milliseconds(gap); end.Event != "request_ended" || length < pauseTold {
+func pause(lines, placed []logLine) []string {
+	end := &lines[len(lines)-1]
+	length := end.duration("gap_ms")
+	if end.Event != "request_ended" || length < pauseTold {
 		return nil
 	}
-	took, _ := end.fields["took_ms"].(float64)
-	until, _ := end.fields["gap_end_ms"].(float64)
-	to := end.Time.Add(milliseconds(until) - milliseconds(took))
-	from := to.Add(-milliseconds(gap))
+	to := end.Time.Add(end.duration("gap_end_ms") - end.duration("took_ms"))
+	from := to.Add(-length)
 	var there []logLine
 	for _, l := range placed {
 		if l.at(end.get("endpoint")) && l.Time.After(from.Add(-pauseBefore)) && l.Time.Before(to) {
@@ -91,20 +89,23 @@
 		}
 	}
 	slices.SortStableFunc(there, func(a, b logLine) int { return cmp.Compare(b.number("prefill_ms"), a.number("prefill_ms")) })
-	lines := []string{fmt.Sprintf("placed at %s from 1 s before that pause to its end, by the logs given: %d", end.get("endpoint"), len(there))}
+	told := []string{fmt.Sprintf("placed at %s from 1 s before that pause to its end, by the logs given: %d", end.get("endpoint"), len(there))}
 	for _, l := range there[:min(len(there), pauseMost)] {
-		lines = append(lines, fmt.Sprintf("    request %s by %s, %s before the pause's end: prefill %s%s", l.Request, l.Node, to.Sub(l.Time).Round(time.Millisecond), l.ms("prefill_ms"), l.helpers()))
+		told = append(told, fmt.Sprintf("    request %s by %s, %s before the pause's end: prefill %s%s", l.Request, l.Node, to.Sub(l.Time).Round(time.Millisecond), l.ms("prefill_ms"), l.helpers()))
 	}
-	return lines
+	return told
 }
 
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
 func (l *logLine) number(name string) float64 {
 	n, _ := l.fields[name].(float64)
 	return n
 }
 
+// duration reads a field that holds milliseconds.
+func (l *logLine) duration(name string) time.Duration {
+	return time.Duration(l.number(name) * float64(time.Millisecond))
+}
+
 // at tells whether a placed request is prefilled at an endpoint, as the first or as a
 // helper.
 func (l *logLine) at(endpoint string) bool {
@@ -112,8 +113,9 @@
 	return l.get("endpoint") == endpoint || slices.Contains(helpers, any(endpoint))
 }
 
-// readLog reads the lines that belong to requests. Text before a line's opening brace, as collectors of
-// logs put there, is passed over; a file without any JSON line is an error.
+// readLog reads the lines that belong to requests. Text before a line's opening brace,
+// as collectors of logs put there, is passed over; a file without any JSON line is an
+// error.
 func readLog(path string) ([]logLine, error) {
 	var in io.Reader = os.Stdin
 	if path != "-" {
@@ -156,7 +158,7 @@
 	return lines, nil
 }
 
-// tell puts a line into words; times are from the story's first line.
+// tell puts a line into words; times are from start.
 func (l *logLine) tell(start time.Time) string {
 	return fmt.Sprintf("%10.1f ms  %s  %s", float64(l.Time.Sub(start).Microseconds())/1000, l.Node, l.words())
 }
@@ -193,7 +195,7 @@
 
 func (l *logLine) ending() string {
 	var b strings.Builder
-	code, _ := l.fields["code"].(float64)
+	code := l.number("code")
 	info := result.Lookup(result.Code(code))
 	fmt.Fprintf(&b, "ended after %s: %s (%d), HTTP %d", l.ms("took_ms"), info.Name, int(code), info.HTTPStatus)
 	if ran := l.get("ran"); ran != "" {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"aspenyard.example/eventlog"
-
 	"context"
 	"math/rand/v2"
 	"time"
@@ -11,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/directory"
+	"aspenyard.example/eventlog"
 )
 
 const (
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"aspenyard.example/eventlog"
-
 	"context"
 	"net/http"
 	"time"
@@ -12,6 +10,7 @@
 
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
+	"aspenyard.example/eventlog"
 	"aspenyard.example/result"
 	"aspenyard.example/routing/direct"
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,9 +91,7 @@
 		settings: c.Settings, dialect: c.Dialect, source: c.Source, reserver: c.Reserver, registry: c.Registry, log: c.Log, requestLogs: eventlog.NewRequestLogs(c.Log),
 		metrics: metrics.NewSet(), ledger: ledger, policy: direct.NewPolicy(ledger, globalRand{}), pool: newPool(), started: time.Now(),
 	}
-	g.retries = admission.NewRetryWindow(time.Now(), admission.RetryLimits{
-		Ratio: c.Settings.RetryRatio, Allowance: float64(c.Settings.RetryAllowance), Window: c.Settings.RetryWindow.D(),
-	})
+	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.Empty())
 	g.callers = newCallers(g)
 	g.prober = newProber(g)
@@ -183,15 +181,17 @@
 // request's head.
 const operatorsHeaderTimeout = 5 * time.Second
 
+func retryLimits(s settings.Gateway) admission.RetryLimits {
+	return admission.RetryLimits{Ratio: s.RetryRatio, Allowance: float64(s.RetryAllowance), Window: s.RetryWindow.D()}
+}
+
 func (g *Gateway) reload(load func() (settings.Gateway, error)) {
 	next, err := load()
 	if err != nil {
 		g.log.Error("reload_refused", eventlog.Error(err))
 		return
 	}
-	g.retries.SetLimits(admission.RetryLimits{
-		Ratio: next.RetryRatio, Allowance: float64(next.RetryAllowance), Window: next.RetryWindow.D(),
-	})
+	g.retries.SetLimits(retryLimits(next))
 	g.log.Info("reload", zap.Float64("retry_ratio", next.RetryRatio), zap.Int64("retry_allowance", next.RetryAllowance))
 }
 
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -39,13 +39,14 @@
 		return nil
 	}
 	g := f.gateway
-	engines := len(g.snapshot.Load().Endpoints(f.service.Name))
+	endpoints := g.snapshot.Load().Endpoints(f.service.Name)
+	engines := len(endpoints)
 	expected := g.policy.Expect(f.started, f.service, engines, f.PromptTokens)
 	if limit := time.Duration(lateShare * float64(f.route.Target)); limit > 0 && expected > limit {
 		f.log.Add("queue_refused", zap.Duration("expected_ms", expected), zap.Duration("limit_ms", limit))
 		return result.Refuse(result.Overloaded, max(expected-limit, comeBackLeast), "its first token is expected after %v", expected)
 	}
-	if plan := g.policy.Place(f.started, &f.request, g.snapshot.Load().Endpoints(f.service.Name)); plan != nil && plan.Crowded {
+	if plan := g.policy.Place(f.started, &f.request, endpoints); plan != nil && plan.Crowded {
 		return f.refuseCapacity(plan) // known now: waiting would only delay the refusal
 	}
 	defer g.policy.Hold(f.service, f.PromptTokens)()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"aspenyard.example/eventlog"
-
 	"bufio"
 	"bytes"
 	"io"
@@ -13,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"aspenyard.example/attempt"
+	"aspenyard.example/eventlog"
 	"aspenyard.example/result"
 )
 
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"aspenyard.example/eventlog"
-
 	"context"
 	"strconv"
 	"sync"
@@ -12,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/directory"
+	"aspenyard.example/eventlog"
 	"aspenyard.example/routing/direct"
 )
 
--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -6,7 +6,7 @@
 	"aspenyard.example/directory"
 )
 
-// Demand is how much of the engines' time one entry's requests ask for, by whether
+// demand is how much of the engines' time one entry's requests ask for, by whether
 // their prefill is long. Engines are divided between the two kinds by it.
 type demand struct {
 	// longs holds the prefill that was asked for by long prompts in the last
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -120,9 +120,10 @@
 	prefill := Prefill(engine, r.PromptTokens)
 	plan := &Plan{Long: isLong(prefill), Memory: r.PromptTokens + r.OutputTokens, Candidates: len(kept)}
 	boundary := p.boundary(now, r.Service, len(kept))
+	others := kept[:min(boundary, len(kept)-1)]
 	var list []scored
 	if plan.Long {
-		list = p.score(now, r, kept[min(boundary, len(kept)-1):], engine)
+		list = p.score(now, r, kept[len(others):], engine)
 	} else {
 		list = p.score(now, r, kept, engine)
 		chargeOtherPool(list[min(boundary, len(list)):])
@@ -135,7 +136,7 @@
 	case plan.Memory > aloneMemory(engine):
 		list, parts = p.spread(now, r, kept, list)
 	case plan.Long && prefill/time.Duration(parts) > longestPart:
-		list, parts = p.widen(now, r, kept[:min(boundary, len(kept)-1)], list, prefill)
+		list, parts = p.widen(now, r, others, list, prefill)
 	}
 	plan.Prefill = prefill / time.Duration(parts)
 	p.choose(plan, list, parts)
