An endpoint's life is its ID and its birth; entries of other writers name no endpoint

The replica took an id for one life: leaving stayed for ever, and loads, avoidance, connections and reservations were kept by id. An entry with a field missing, an unknown state or a wrong type was used all the same. Change: directory.Life{ID, Born} is the key of everything remembered of an endpoint and of the hash in heartbeats; an earlier birth is old news, a life that left stays left. Reservations are not renewed at the next life. A registration is decoded whole or names no endpoint, logged once. The stand-in and the soak play restarts under an id (at once, late, draining, old entry written late) and foreign entries.

--- a/directory/replica.go
+++ b/directory/replica.go
@@ -3,13 +3,33 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 )
 
+// Life names one life of an endpoint: an endpoint may start again under the ID that it
+// had, and then knows and holds nothing of before. Whatever is remembered of an endpoint
+// (its load, its connections, that it refused work, the memory reserved there) is
+// remembered by its life, so that nothing of it is believed of the next one.
+type Life struct {
+	// ID is what requests and orders name the endpoint by.
+	ID string
+	// Born is when this life began, in Unix milliseconds by the endpoint's own clock. 0:
+	// its registration does not say, and ID alone tells lives apart.
+	Born int64
+}
+
+// String gives the life's name in logs and hashes.
+func (l Life) String() string {
+	if l.Born == 0 {
+		return l.ID
+	}
+	return l.ID + "/" + strconv.FormatInt(l.Born, 10)
+}
+
 // Endpoint is one life of an endpoint as it registered itself.
 type Endpoint struct {
-	// ID names this life; a restart has another.
-	ID string
+	Life
 	// Service, Addr (IP number and port) and DataCentre tell what it is and where.
 	Service, Addr, DataCentre string
 	// Slots is how many requests it works on at once.
@@ -29,6 +49,8 @@
 	// ConfigRevision is the store's revision of Config.
 	ConfigRevision uint64
 	Endpoints      []Endpoint
+	// Refused are the IDs of endpoints whose registrations cannot be used.
+	Refused []string
 	// Nodes are the system's own processes.
 	Nodes []Node
 	// Faults lists what could not be decoded.
@@ -42,14 +64,17 @@
 	Err      error
 }
 
-// Change is one change of the store: a new configuration, a registration, or the
-// end of one.
+// Change is one change of the store: a new configuration, a registration, one that
+// names no endpoint to use, or the end of one.
 type Change struct {
 	Revision uint64
 	Config   *Config
 	Endpoint *Endpoint
 	// Gone is the ID of an endpoint whose registration ended.
 	Gone string
+	// Refused is the ID of an endpoint whose registration cannot be used; it was written
+	// by something else, or the endpoint is of a kind that this node does not know.
+	Refused string
 	// Node is a node that registered itself; NodeGone the name of one whose
 	// registration ended.
 	Node     *Node
@@ -91,16 +116,26 @@
 	configRevision uint64
 	endpoints      map[string]*Listed
 	nodes          map[string]Node
-	// gone remembers ended lives, so that an old registration does not return.
-	gone map[string]uint64
+	// ended remembers, by ID, the last life whose registration ended, so that an old
+	// registration does not return.
+	ended map[string]ending
 	// outageEnd is when the store last answered after an outage.
 	outageEnd time.Time
 	whole     bool
 }
 
+// ending is how the registration of an endpoint's life ended.
+type ending struct {
+	born     int64
+	revision uint64
+	leaving  bool
+	// refused is set when it was replaced by one that cannot be used.
+	refused bool
+}
+
 // NewReplica makes a replica that knows nothing.
 func NewReplica() *Replica {
-	return &Replica{endpoints: map[string]*Listed{}, nodes: map[string]Node{}, gone: map[string]uint64{}}
+	return &Replica{endpoints: map[string]*Listed{}, nodes: map[string]Node{}, ended: map[string]ending{}}
 }
 
 // At is the revision up to which changes are known.
@@ -126,6 +161,9 @@
 		listed[reading.Endpoints[i].ID] = true
 		r.takeEndpoint(&reading.Endpoints[i])
 	}
+	for _, id := range reading.Refused {
+		r.takeRefused(id, reading.At)
+	}
 	for id, e := range r.endpoints {
 		if !listed[id] && e.Revision <= reading.At {
 			r.takeGone(now, id, reading.At)
@@ -149,6 +187,8 @@
 			r.takeEndpoint(change.Endpoint)
 		case change.Gone != "":
 			r.takeGone(now, change.Gone, change.Revision)
+		case change.Refused != "":
+			r.takeRefused(change.Refused, change.Revision)
 		case change.Node != nil:
 			r.nodes[change.Node.Name] = *change.Node
 		case change.NodeGone != "":
@@ -165,16 +205,25 @@
 	r.config, r.configRevision = config, revision
 }
 
+// takeEndpoint takes a registration in, unless it is old news: of a life before the one
+// that is known, or written before what is known.
 func (r *Replica) takeEndpoint(e *Endpoint) {
-	if e.Revision <= r.gone[e.ID] {
-		return
-	}
 	known := r.endpoints[e.ID]
 	if known == nil {
-		r.endpoints[e.ID] = &Listed{Endpoint: *e}
+		r.takeUnlisted(e)
 		return
 	}
-	if e.Revision < known.Revision {
+	switch {
+	case e.Revision < known.Revision:
+		return
+	case e.Born == 0 && known.Born != 0:
+		// Endpoints that say when they were born always do: this is another's writing.
+		r.takeRefused(e.ID, e.Revision)
+		return
+	case e.Born < known.Born:
+		return
+	case e.Born > known.Born:
+		r.endpoints[e.ID] = &Listed{Endpoint: *e}
 		return
 	}
 	leaving := known.Leaving
@@ -183,6 +232,21 @@
 	known.Missing = time.Time{}
 }
 
+// takeUnlisted takes in a registration of an endpoint that is not listed. A life that was
+// leaving when its registration ended is leaving still; where lives are not told apart by
+// their birth, what registers after that is taken for another one.
+func (r *Replica) takeUnlisted(e *Endpoint) {
+	listed := &Listed{Endpoint: *e}
+	if last, found := r.ended[e.ID]; found {
+		if e.Revision <= last.revision || e.Born < last.born {
+			return
+		}
+		sameLife := e.Born == last.born && (e.Born != 0 || last.refused)
+		listed.Leaving = listed.Leaving || last.leaving && sameLife
+	}
+	r.endpoints[e.ID] = listed
+}
+
 // takeGone ends a registration. One that ends soon after an outage of the store may
 // have lapsed only, and is kept as missing for lapseGrace.
 func (r *Replica) takeGone(now time.Time, id string, revision uint64) {
@@ -190,7 +254,7 @@
 	if known == nil || revision < known.Revision {
 		return
 	}
-	r.gone[id] = max(r.gone[id], revision)
+	r.noteEnd(known, revision)
 	if known.Leaving || r.outageEnd.IsZero() || now.Sub(r.outageEnd) > lapseWindow {
 		delete(r.endpoints, id)
 		return
@@ -200,9 +264,27 @@
 	}
 }
 
-// maxGone bounds the memory of ended lives. Beyond it all are forgotten: a reading that
+// takeRefused drops an endpoint whose registration was replaced by one that names no
+// endpoint to use. It is listed again when it next writes its own.
+func (r *Replica) takeRefused(id string, revision uint64) {
+	known := r.endpoints[id]
+	if known == nil || revision < known.Revision {
+		return
+	}
+	r.noteEnd(known, revision)
+	last := r.ended[id]
+	last.refused = true
+	r.ended[id] = last
+	delete(r.endpoints, id)
+}
+
+func (r *Replica) noteEnd(e *Listed, revision uint64) {
+	r.ended[e.ID] = ending{born: e.Born, revision: max(r.ended[e.ID].revision, revision), leaving: e.Leaving}
+}
+
+// maxEnded bounds the memory of ended lives. Beyond it all are forgotten: a reading that
 // is older than the last is refused as a whole, which alone keeps old lives away.
-const maxGone = 20_000
+const maxEnded = 20_000
 
 // Expire drops endpoints that have been missing for longer than the grace. It tells
 // whether anything changed.
@@ -214,8 +296,8 @@
 			changed = true
 		}
 	}
-	if len(r.gone) > maxGone {
-		clear(r.gone)
+	if len(r.ended) > maxEnded {
+		clear(r.ended)
 	}
 	return changed
 }
@@ -240,8 +322,16 @@
 // Endpoints lists the endpoints of a service that may be sent requests.
 func (s *Snapshot) Endpoints(service string) []*Listed { return s.services[service] }
 
-// Endpoint finds an endpoint that may be sent requests; nil for none.
-func (s *Snapshot) Endpoint(id string) *Listed { return s.byID[id] }
+// Endpoint finds a life of an endpoint that may be sent requests; nil for none.
+func (s *Snapshot) Endpoint(life Life) *Listed {
+	if e := s.byID[life.ID]; e != nil && e.Life == life {
+		return e
+	}
+	return nil
+}
+
+// Present finds the present life of an endpoint that may be sent requests; nil for none.
+func (s *Snapshot) Present(id string) *Listed { return s.byID[id] }
 
 // Len is the number of endpoints that may be sent requests.
 func (s *Snapshot) Len() int { return len(s.byID) }
--- a/directory/replica_test.go
+++ b/directory/replica_test.go
@@ -11,7 +11,7 @@
 func config(version uint64) *Config { return NewConfig(version, Limits{}, nil, nil, nil) }
 
 func endpoint(id string, revision uint64, leaving bool) Endpoint {
-	return Endpoint{ID: id, Service: "s", Addr: "127.0.0.1:1", Revision: revision, Leaving: leaving}
+	return Endpoint{Life: Life{ID: id}, Service: "s", Addr: "127.0.0.1:1", Revision: revision, Leaving: leaving}
 }
 
 // Symptom: a revoked key works again, or an endpoint that is stopping gets requests.
@@ -47,7 +47,7 @@
 				version = s.Config.Version
 			}
 			for id := range left {
-				if known := r.endpoints[id]; known != nil && s.Endpoint(id) != nil {
+				if known := r.endpoints[id]; known != nil && s.Present(id) != nil {
 					t.Fatalf("%s takes requests again", id)
 				}
 			}
@@ -75,13 +75,13 @@
 	r.TakeReading(now, &Reading{At: 1, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{e}})
 	r.NoteOutageEnd(now)
 	r.TakeChanges(now, &Changes{At: 2, Changes: []Change{{Revision: 2, Gone: "a"}}})
-	is.True(!r.Snapshot().Endpoint("a").Missing.IsZero()) // a last resort
+	is.True(!r.Snapshot().Present("a").Missing.IsZero()) // a last resort
 	is.True(!r.Expire(now.Add(time.Second)))
 	is.True(r.Expire(now.Add(2 * time.Second)))
-	is.True(r.Snapshot().Endpoint("a") == nil)
+	is.True(r.Snapshot().Present("a") == nil)
 	back := endpoint("a", 5, false)
 	r.TakeChanges(now, &Changes{At: 5, Changes: []Change{{Revision: 5, Endpoint: &back}}})
-	is.True(r.Snapshot().Endpoint("a").Missing.IsZero())
+	is.True(r.Snapshot().Present("a").Missing.IsZero())
 }
 
 func TestAnEndpointThatIsGoneIsGoneAtOnceWithoutAnOutage(t *testing.T) {
@@ -90,7 +90,7 @@
 	now := time.Now()
 	r.TakeReading(now, &Reading{At: 1, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{endpoint("a", 1, false), endpoint("b", 1, false)}})
 	r.TakeReading(now, &Reading{At: 3, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{endpoint("b", 1, false)}})
-	is.True(r.Snapshot().Endpoint("a") == nil)
+	is.True(r.Snapshot().Present("a") == nil)
 	is.Equal(r.Snapshot().Len(), 1)
 	is.Equal(len(r.Snapshot().Endpoints("s")), 1)
 }
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -22,7 +22,8 @@
 
 // Dispatch is what an endpoint is told besides the caller's request.
 type Dispatch struct {
-	// EndpointID is the life of the endpoint that is meant; any other refuses.
+	// EndpointID names the endpoint that is meant; one with another ID refuses. It does not
+	// tell lives apart: whichever has the ID runs the request.
 	EndpointID string
 	// Account names the client account; empty where no key was needed.
 	Account string
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -166,7 +166,7 @@
 		_ = r.conn.Close()
 		return
 	}
-	r.pool.put(r.endpoint.ID, r.conn, r.keep)
+	r.pool.put(r.endpoint.Life, r.conn, r.keep)
 }
 
 // outgoing is a request as it is written to endpoints.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -65,6 +65,9 @@
 	backoff time.Duration
 	// timeout bounds the next call.
 	timeout time.Duration
+	// refused holds the revision at which each item was last found undecodable, so that
+	// one that stays is logged once and not with each whole reading.
+	refused map[string]uint64
 }
 
 // taken is what one call to the store brought.
@@ -75,7 +78,7 @@
 }
 
 func (g *Gateway) follow(ctx context.Context) {
-	f := &follower{gateway: g, replica: directory.NewReplica(), stale: true, backoff: retryFirst, timeout: g.settings.StoreTimeout.D()}
+	f := &follower{gateway: g, replica: directory.NewReplica(), stale: true, backoff: retryFirst, timeout: g.settings.StoreTimeout.D(), refused: map[string]uint64{}}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	answers := make(chan taken, 1)
@@ -177,8 +180,18 @@
 	return f.gateway.changesWithin() / gatherShare
 }
 
+// maxRefused bounds what is kept of undecodable items; beyond it they are logged anew.
+const maxRefused = 10_000
+
 func (f *follower) logFaults(faults []directory.Fault) {
 	for _, fault := range faults {
+		if f.refused[fault.Key] == fault.Revision {
+			continue
+		}
+		if len(f.refused) >= maxRefused {
+			clear(f.refused)
+		}
+		f.refused[fault.Key] = fault.Revision
 		f.gateway.log.Error("store_item_refused", zap.String("key", fault.Key), zap.Uint64("revision", fault.Revision), eventlog.Error(fault.Err))
 	}
 }
@@ -191,7 +204,7 @@
 		case change.Endpoint != nil && change.Endpoint.Leaving:
 			f.gateway.log.Info("endpoint_leaving", zap.String("endpoint", change.Endpoint.ID), zap.Uint64("revision", change.Revision))
 		case change.Endpoint != nil:
-			f.gateway.log.Info("endpoint_listed", zap.String("endpoint", change.Endpoint.ID), zap.String("service", change.Endpoint.Service), zap.Uint64("revision", change.Revision))
+			f.gateway.log.Info("endpoint_listed", zap.String("endpoint", change.Endpoint.ID), zap.Int64("born", change.Endpoint.Born), zap.String("service", change.Endpoint.Service), zap.Uint64("revision", change.Revision))
 		}
 	}
 }
@@ -199,7 +212,7 @@
 func (f *follower) publish() {
 	snapshot := f.replica.Snapshot()
 	f.gateway.snapshot.Store(snapshot)
-	known := func(id string) bool { return snapshot.Endpoint(id) != nil }
+	known := func(life directory.Life) bool { return snapshot.Endpoint(life) != nil }
 	f.gateway.pool.prune(known)
 	f.gateway.prober.prune(known)
 	f.gateway.ledger.Prune(known)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -36,7 +36,7 @@
 	f.retrier = attempt.Retrier{Repeatable: c.route.Repeatable(), MaxArrivals: c.route.MaxAttempts}
 	f.request = direct.Request{
 		Service: c.service, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens,
-		DataCentre: c.gateway.settings.DataCentre, Tried: map[string]bool{},
+		DataCentre: c.gateway.settings.DataCentre, Tried: map[directory.Life]bool{},
 	}
 	if c.route.Kind == directory.Streaming {
 		f.relay = &relay{call: c, last: c.LastEvent}
@@ -84,7 +84,7 @@
 
 // send sends the call to one endpoint and passes its answer on.
 func (f *forwarding) send(ctx context.Context, plan *direct.Plan) (attempt.SendOutcome, error) {
-	f.request.Tried[plan.Endpoint.ID] = true
+	f.request.Tried[plan.Endpoint.Life] = true
 	charge := f.gateway.ledger.Begin(plan)
 	defer charge.End()
 	if plan.Long {
@@ -115,7 +115,7 @@
 		return failed.outcome, failed
 	}
 	if reply.answer.HasLoad {
-		f.gateway.ledger.Tell(time.Now(), plan.Endpoint.ID, reply.answer.Running, reply.answer.Waiting)
+		f.gateway.ledger.Tell(time.Now(), plan.Endpoint.Life, reply.answer.Running, reply.answer.Waiting)
 	}
 	if outcome, err := classify(reply); err != nil {
 		reply.abandonOrFinish()
@@ -149,9 +149,9 @@
 // has on its list, would make each long prompt fail.
 func (f *forwarding) blame(plan *direct.Plan, r *reply) attempt.SendOutcome {
 	for _, helper := range plan.Helpers {
-		if helper.Addr == r.answer.AtFault && helper.ID != plan.Endpoint.ID {
-			f.gateway.ledger.Avoid(helper.ID, time.Now().Add(avoidGone))
-			delete(f.request.Tried, plan.Endpoint.ID)
+		if helper.Addr == r.answer.AtFault && helper.Life != plan.Endpoint.Life {
+			f.gateway.ledger.Avoid(helper.Life, time.Now().Add(avoidGone))
+			delete(f.request.Tried, plan.Endpoint.Life)
 			return attempt.HelperFailed
 		}
 	}
@@ -159,7 +159,7 @@
 	if r.status == http.StatusMisdirectedRequest {
 		wait = avoidGone
 	}
-	f.gateway.ledger.Avoid(plan.Endpoint.ID, time.Now().Add(wait))
+	f.gateway.ledger.Avoid(plan.Endpoint.Life, time.Now().Add(wait))
 	return attempt.NotExecuted
 }
 
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -43,18 +43,18 @@
 type pool struct {
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	mu   sync.Mutex
-	idle map[string][]*endpointConn
+	idle map[directory.Life][]*endpointConn
 }
 
 func newPool() *pool {
-	return &pool{dial: Dialer(dialTimeout), idle: map[string][]*endpointConn{}}
+	return &pool{dial: Dialer(dialTimeout), idle: map[directory.Life][]*endpointConn{}}
 }
 
 // get gives a connection: an idle one, the most recent first, or a new one. once is
 // set for requests that must not run twice.
 func (p *pool) get(ctx context.Context, e *directory.Listed, once bool) (*endpointConn, error) {
 	for {
-		conn := p.pop(e.ID, once)
+		conn := p.pop(e.Life, once)
 		if conn == nil {
 			break
 		}
@@ -75,10 +75,10 @@
 	return &endpointConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
 }
 
-func (p *pool) pop(id string, once bool) *endpointConn {
+func (p *pool) pop(life directory.Life, once bool) *endpointConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[id]
+	list := p.idle[life]
 	now := time.Now()
 	for len(list) > 0 {
 		conn := list[len(list)-1]
@@ -86,7 +86,7 @@
 			return nil
 		}
 		list = list[:len(list)-1]
-		p.idle[id] = list
+		p.idle[life] = list
 		if now.Before(conn.until) {
 			return conn
 		}
@@ -96,29 +96,29 @@
 }
 
 // put keeps a connection for another request.
-func (p *pool) put(id string, conn *endpointConn, keep time.Duration) {
+func (p *pool) put(life directory.Life, conn *endpointConn, keep time.Duration) {
 	conn.since, conn.reused = time.Now(), true
 	conn.until = conn.since.Add(min(keep, idleMost))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if list := p.idle[id]; len(list) < maxIdle {
-		p.idle[id] = append(list, conn)
+	if list := p.idle[life]; len(list) < maxIdle {
+		p.idle[life] = append(list, conn)
 		return
 	}
 	_ = conn.Close()
 }
 
 // prune closes the connections of endpoints that are no longer known.
-func (p *pool) prune(known func(id string) bool) {
+func (p *pool) prune(known func(life directory.Life) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, list := range p.idle {
-		if known(id) {
+	for life, list := range p.idle {
+		if known(life) {
 			continue
 		}
 		for _, conn := range list {
 			_ = conn.Close()
 		}
-		delete(p.idle, id)
+		delete(p.idle, life)
 	}
 }
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -27,7 +27,7 @@
 type prober struct {
 	gateway *Gateway
 	mu      sync.Mutex
-	results map[string]*probe
+	results map[directory.Life]*probe
 }
 
 type probe struct {
@@ -37,17 +37,17 @@
 }
 
 func newProber(g *Gateway) *prober {
-	return &prober{gateway: g, results: map[string]*probe{}}
+	return &prober{gateway: g, results: map[directory.Life]*probe{}}
 }
 
 // alive tells whether the endpoint accepts connections; a recent probe's result is
 // used again, and one at a time is under way.
 func (p *prober) alive(ctx context.Context, e *directory.Listed) bool {
 	p.mu.Lock()
-	current := p.results[e.ID]
+	current := p.results[e.Life]
 	if current == nil || !current.at.IsZero() && time.Since(current.at) > probeValid {
 		current = &probe{done: make(chan struct{})}
-		p.results[e.ID] = current
+		p.results[e.Life] = current
 		go p.run(e, current)
 	}
 	p.mu.Unlock()
@@ -78,33 +78,33 @@
 	if err != nil {
 		return false
 	}
-	p.gateway.pool.put(e.ID, conn, idleMost)
+	p.gateway.pool.put(e.Life, conn, idleMost)
 	return true
 }
 
 // prune forgets endpoints that are not known any more.
-func (p *prober) prune(known func(id string) bool) {
+func (p *prober) prune(known func(life directory.Life) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id := range p.results {
-		if !known(id) {
-			delete(p.results, id)
+	for life := range p.results {
+		if !known(life) {
+			delete(p.results, life)
 		}
 	}
 }
 
 // markUnreachable keeps requests from an endpoint until it accepts connections again.
 func (g *Gateway) markUnreachable(e *directory.Listed, why string) {
-	if !g.ledger.SetUnreachable(e.ID, true) {
+	if !g.ledger.SetUnreachable(e.Life, true) {
 		return
 	}
 	g.log.Warn("endpoint_unreachable", zap.String("endpoint", e.ID), zap.String("reason", why))
 	go func() {
 		begun := time.Now()
-		for g.snapshot.Load().Endpoint(e.ID) != nil {
+		for g.snapshot.Load().Endpoint(e.Life) != nil {
 			time.Sleep(unreachableInterval)
 			if g.prober.dial(e) {
-				g.ledger.SetUnreachable(e.ID, false)
+				g.ledger.SetUnreachable(e.Life, false)
 				g.log.Info("endpoint_reachable", zap.String("endpoint", e.ID), zap.Duration("unreachable_ms", time.Since(begun)))
 				return
 			}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -18,8 +18,9 @@
 type Reservation struct {
 	// ID is never used twice.
 	ID string
-	// EndpointID and Addr name the engine.
-	EndpointID, Addr string
+	// Endpoint and Addr name the engine, and the life of it that has the memory.
+	Endpoint directory.Life
+	Addr     string
 	// Tokens is the size.
 	Tokens int
 }
@@ -133,7 +134,7 @@
 
 func (g *Gateway) reservation(c *call, helper *directory.Listed, tokens, try int) Reservation {
 	id := c.ID + "-" + strconv.Itoa(try) + "-" + helper.ID
-	return Reservation{ID: id, EndpointID: helper.ID, Addr: helper.Addr, Tokens: tokens}
+	return Reservation{ID: id, Endpoint: helper.Life, Addr: helper.Addr, Tokens: tokens}
 }
 
 // renew keeps the memory until release, or until a hold has ended without a renewal: a
@@ -157,12 +158,22 @@
 		renewed = time.Now()
 		var wait sync.WaitGroup
 		for _, t := range r.held {
-			wait.Go(func() { r.renewOne(t) })
+			if !r.gateway.restarted(t.Endpoint) {
+				wait.Go(func() { r.renewOne(t) })
+			}
 		}
 		wait.Wait()
 	}
 }
 
+// restarted tells whether an endpoint has begun another life under the ID of this one. It
+// does not hold what this one held, and an order meant for this one, which names the ID
+// alone, would be carried out there: memory would be set aside that no request uses.
+func (g *Gateway) restarted(life directory.Life) bool {
+	present := g.snapshot.Load().Present(life.ID)
+	return present != nil && present.Life != life
+}
+
 // renewOne renews a reservation. The end of the request does not cut the call short: an
 // order that is given up when it is half way may be carried out after the release.
 func (r *reservations) renewOne(t *ticket) {
@@ -205,7 +216,7 @@
 		if try > 0 {
 			time.Sleep(pause)
 		}
-		if try >= releaseTries && r.gateway.snapshot.Load().Endpoint(t.EndpointID) == nil {
+		if try >= releaseTries && r.gateway.snapshot.Load().Present(t.Endpoint.ID) == nil {
 			return // an engine that has gone took its memory along
 		}
 		if err = r.sendRelease(t); err == nil && !t.doubtful {
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -22,7 +22,7 @@
 func endpoints(n int) []*directory.Listed {
 	list := make([]*directory.Listed, n)
 	for i := range list {
-		list[i] = &directory.Listed{Endpoint: directory.Endpoint{ID: fmt.Sprintf("e-%02d", i), Service: "m", Addr: fmt.Sprintf("127.0.0.1:%d", 1000+i), Slots: 16}}
+		list[i] = &directory.Listed{Endpoint: directory.Endpoint{Life: directory.Life{ID: fmt.Sprintf("e-%02d", i)}, Service: "m", Addr: fmt.Sprintf("127.0.0.1:%d", 1000+i), Slots: 16}}
 	}
 	return list
 }
@@ -32,7 +32,7 @@
 func policy(seed uint64) *Policy { return NewPolicy(NewLedger(), rand.New(rand.NewPCG(seed, 1))) }
 
 func prompt(tokens int) *Request {
-	return &Request{Service: service(), PromptTokens: tokens, OutputTokens: 1000, Tried: map[string]bool{}}
+	return &Request{Service: service(), PromptTokens: tokens, OutputTokens: 1000, Tried: map[directory.Life]bool{}}
 }
 
 // The model against what engines were seen to take: a pause between events is the 45 ms
@@ -65,13 +65,13 @@
 		long := p.Place(testNow.Add(time.Duration(i)*time.Millisecond), prompt(150_000), list)
 		is.True(long.Long)
 		for _, e := range append(long.Helpers, long.Endpoint) {
-			if short := p.ledger.loads[e.ID]; short != nil && short.open > 0 {
+			if short := p.ledger.loads[e.Life]; short != nil && short.open > 0 {
 				together++
 			}
 		}
 		p.ledger.Begin(long).Prefilled()
 	}
-	before := map[string]int{}
+	before := map[directory.Life]int{}
 	for id, l := range p.ledger.loads {
 		before[id] = l.open
 	}
@@ -80,7 +80,7 @@
 	}
 	onLong := 0
 	for _, e := range list[10:] {
-		onLong += p.ledger.loads[e.ID].open - before[e.ID]
+		onLong += p.ledger.loads[e.Life].open - before[e.Life]
 	}
 	is.True(onLong <= 4) // of 20 that came after the long ones
 }
@@ -118,14 +118,14 @@
 	list := endpoints(4)
 	var open []Open
 	for _, e := range list[:3] {
-		open = append(open, Open{Endpoint: HashEndpoint(e.ID), Count: 8})
+		open = append(open, Open{Endpoint: HashEndpoint(e.Life), Count: 8})
 	}
 	p.ledger.SetEntries(3)
 	p.ledger.TellPeer(testNow, "b", nil, open) // one of two others is heard of
 	for range 20 {
 		is.Equal(p.Place(testNow, prompt(1000), list).Endpoint.ID, list[3].ID)
 	}
-	there, _ := p.ledger.busy(testNow, list[0].ID)
+	there, _ := p.ledger.busy(testNow, list[0].Life)
 	is.Equal(there, 16)
 }
 
@@ -168,7 +168,7 @@
 			p.ledger.SetEntries(entries)
 			var open []Open
 			for n, e := range list {
-				open = append(open, Open{Endpoint: HashEndpoint(e.ID), Count: 1, Reading: time.Duration(n) * time.Millisecond})
+				open = append(open, Open{Endpoint: HashEndpoint(e.Life), Count: 1, Reading: time.Duration(n) * time.Millisecond})
 			}
 			p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", OpenShort: 400}}, open)
 			placed[p.Place(testNow, prompt(3000), list).Endpoint.ID]++
@@ -191,7 +191,7 @@
 	p.ledger.SetEntries(2)
 	var open []Open
 	for i, e := range list {
-		o := Open{Endpoint: HashEndpoint(e.ID), Reading: 40 * time.Millisecond}
+		o := Open{Endpoint: HashEndpoint(e.Life), Reading: 40 * time.Millisecond}
 		if i%2 == 0 {
 			o.Count, o.Reading = 1, 0
 		}
@@ -201,7 +201,7 @@
 	plan := p.Place(testNow, prompt(250_000), list)
 	used := 0
 	for _, e := range append(plan.Helpers, plan.Endpoint) {
-		there, _ := p.ledger.busy(testNow, e.ID)
+		there, _ := p.ledger.busy(testNow, e.Life)
 		used += there
 	}
 	is.Equal(used, 0)
@@ -212,17 +212,17 @@
 	list := endpoints(5)
 	list[0].Missing = testNow
 	p := policy(4)
-	p.ledger.SetUnreachable(list[1].ID, true)
-	p.ledger.Avoid(list[2].ID, testNow.Add(time.Second))
+	p.ledger.SetUnreachable(list[1].Life, true)
+	p.ledger.Avoid(list[2].Life, testNow.Add(time.Second))
 	r := prompt(1000)
-	r.Tried[list[3].ID] = true
+	r.Tried[list[3].Life] = true
 	for range 20 {
 		is.Equal(p.Place(testNow, r, list).Endpoint.ID, list[4].ID)
 	}
-	r.Tried[list[4].ID] = true
+	r.Tried[list[4].Life] = true
 	is.True(p.Place(testNow, r, list) != nil) // a doubtful one is better than none
 	for _, e := range list {
-		r.Tried[e.ID] = true
+		r.Tried[e.Life] = true
 	}
 	is.True(p.Place(testNow, r, list) == nil)
 	is.True(p.Place(testNow.Add(2*time.Second), prompt(1000), nil) == nil)
@@ -242,7 +242,7 @@
 func opens(list []*directory.Listed, count int) []Open {
 	var open []Open
 	for _, e := range list {
-		open = append(open, Open{Endpoint: HashEndpoint(e.ID), Count: count})
+		open = append(open, Open{Endpoint: HashEndpoint(e.Life), Count: count})
 	}
 	return open
 }
@@ -263,7 +263,7 @@
 	is.True(plan.Prefill <= longestPart)
 	is.True(len(plan.Helpers) >= 8)
 	for _, e := range append(plan.Helpers, plan.Endpoint) {
-		is.True(p.ledger.peerLoads[HashEndpoint(e.ID)].Count == 0) // those with the least open
+		is.True(p.ledger.peerLoads[HashEndpoint(e.Life)].Count == 0) // those with the least open
 	}
 	p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", OpenShort: 100, LongPrefill: 17 * time.Second}}, opens(list, 9))
 	is.True(p.Place(testNow, prompt(250_000), list).Crowded)
--- a/routing/direct/filter.go
+++ b/routing/direct/filter.go
@@ -12,9 +12,9 @@
 	untried := make([]*directory.Listed, 0, len(endpoints))
 	var doubtful []*directory.Listed
 	for _, e := range endpoints {
-		known := p.ledger.loads[e.ID]
+		known := p.ledger.loads[e.Life]
 		switch {
-		case r.Tried[e.ID]:
+		case r.Tried[e.Life]:
 		case !e.Missing.IsZero() || known != nil && known.doubtful(now):
 			doubtful = append(doubtful, e)
 		default:
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"aspenyard.example/directory"
 )
 
 // Ledger holds what this entry has given each endpoint to do. Safe for concurrent use.
 type Ledger struct {
 	mu    sync.Mutex
-	loads map[string]*load
+	loads map[directory.Life]*load
 	// demands and shorts are by service: what its long prompts ask for, and how many
 	// requests with short ones are open.
 	demands map[string]*demand
@@ -34,21 +36,25 @@
 	Reading  time.Duration
 }
 
-// EndpointHash names an endpoint in messages between entries. Two endpoints with one
-// hash would each seem to have the other's load, which costs a little time.
+// EndpointHash names a life of an endpoint in messages between entries: what an entry
+// that has not heard of a restart tells of the life before is not taken for load on the
+// new one. Two endpoints with one hash would each seem to have the other's load, which
+// costs a little time.
 type EndpointHash uint32
 
-// HashEndpoint gives the hash of an endpoint's ID.
-func HashEndpoint(id string) EndpointHash { return EndpointHash(xxhash.Sum64String(id)) }
+// HashEndpoint gives the hash of an endpoint's life.
+func HashEndpoint(life directory.Life) EndpointHash {
+	return EndpointHash(xxhash.Sum64String(life.String()))
+}
 
 // Opens gives what this entry has given each endpoint to do.
 func (l *Ledger) Opens() []Open {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list := make([]Open, 0, len(l.loads))
-	for id, known := range l.loads {
+	for life, known := range l.loads {
 		if known.open > 0 || known.prefill > 0 {
-			list = append(list, Open{HashEndpoint(id), known.open, known.prefill})
+			list = append(list, Open{HashEndpoint(life), known.open, known.prefill})
 		}
 	}
 	return list
@@ -111,7 +117,7 @@
 
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{loads: map[string]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]*peer{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}, peerLoads: map[EndpointHash]Open{}}
+	return &Ledger{loads: map[directory.Life]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]*peer{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}, peerLoads: map[EndpointHash]Open{}}
 }
 
 // Charge is what one request weighs on its endpoints, until it ends. Safe for use by
@@ -119,7 +125,7 @@
 type Charge struct {
 	ledger *Ledger
 	parts  []part
-	open   string
+	open   directory.Life
 	memory int
 	// service is what the request is for, and long tells whether its prompt is.
 	service string
@@ -127,13 +133,13 @@
 }
 
 type part struct {
-	endpoint string
+	endpoint directory.Life
 	prefill  time.Duration
 }
 
 // Begin charges a plan.
 func (l *Ledger) Begin(p *Plan) *Charge {
-	c := &Charge{ledger: l, open: p.Endpoint.ID, memory: p.FirstMemory, service: p.Endpoint.Service, long: p.Long}
+	c := &Charge{ledger: l, open: p.Endpoint.Life, memory: p.FirstMemory, service: p.Endpoint.Service, long: p.Long}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load(c.open).open++
@@ -143,7 +149,7 @@
 	}
 	c.parts = append(c.parts, part{c.open, p.Prefill})
 	for _, h := range p.Helpers {
-		c.parts = append(c.parts, part{h.ID, p.Prefill})
+		c.parts = append(c.parts, part{h.Life, p.Prefill})
 	}
 	for _, p := range c.parts {
 		l.load(p.endpoint).prefill += p.prefill
@@ -187,7 +193,7 @@
 }
 
 // Tell notes an endpoint's own word of its load.
-func (l *Ledger) Tell(now time.Time, endpoint string, running, waiting int) {
+func (l *Ledger) Tell(now time.Time, endpoint directory.Life, running, waiting int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.load(endpoint)
@@ -201,10 +207,10 @@
 // busy estimates what all entries have given an endpoint to do. How many requests are
 // open is the endpoint's last word, corrected by what this entry has begun and ended
 // since, or what the other entries tell, whichever is more.
-func (l *Ledger) busy(now time.Time, id string) (open int, reading time.Duration) {
+func (l *Ledger) busy(now time.Time, life directory.Life) (open int, reading time.Duration) {
 	own, told := 0, 0
-	peerOpen, reading := l.peerLoad(id)
-	if known := l.loads[id]; known != nil {
+	peerOpen, reading := l.peerLoad(life)
+	if known := l.loads[life]; known != nil {
 		own = known.open
 		reading += known.prefill
 		if !known.told.IsZero() && now.Sub(known.told) <= toldValid {
@@ -215,7 +221,7 @@
 }
 
 // SetUnreachable notes whether an endpoint accepts connections; it tells whether that is new.
-func (l *Ledger) SetUnreachable(endpoint string, unreachable bool) bool {
+func (l *Ledger) SetUnreachable(endpoint directory.Life, unreachable bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.load(endpoint)
@@ -225,13 +231,13 @@
 }
 
 // Avoid passes an endpoint over until a time, as long as there are others.
-func (l *Ledger) Avoid(endpoint string, until time.Time) {
+func (l *Ledger) Avoid(endpoint directory.Life, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load(endpoint).avoidUntil = until
 }
 
-func (l *Ledger) load(endpoint string) *load {
+func (l *Ledger) load(endpoint directory.Life) *load {
 	known := l.loads[endpoint]
 	if known == nil {
 		known = &load{}
@@ -255,13 +261,13 @@
 	return known
 }
 
-// Prune forgets endpoints that are not known any more.
-func (l *Ledger) Prune(known func(id string) bool) {
+// Prune forgets endpoints that are not known any more, ended lives among them.
+func (l *Ledger) Prune(known func(life directory.Life) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id := range l.loads {
-		if !known(id) {
-			delete(l.loads, id)
+	for life := range l.loads {
+		if !known(life) {
+			delete(l.loads, life)
 		}
 	}
 }
--- a/routing/direct/peers.go
+++ b/routing/direct/peers.go
@@ -1,6 +1,10 @@
 package direct
 
-import "time"
+import (
+	"time"
+
+	"aspenyard.example/directory"
+)
 
 // peer is what another entry last told.
 type peer struct {
@@ -82,11 +86,11 @@
 
 // peerLoad estimates what other entries have given an endpoint to do: what those
 // heard of tell, for as many as there are.
-func (l *Ledger) peerLoad(id string) (open float64, reading time.Duration) {
+func (l *Ledger) peerLoad(life directory.Life) (open float64, reading time.Duration) {
 	if len(l.peers) == 0 {
 		return 0, 0
 	}
-	sum := l.peerLoads[HashEndpoint(id)]
+	sum := l.peerLoads[HashEndpoint(life)]
 	scale := float64(max(l.entries-1, len(l.peers))) / float64(len(l.peers))
 	return float64(sum.Count) * scale, time.Duration(float64(sum.Reading) * scale)
 }
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -16,8 +16,8 @@
 	PromptTokens, OutputTokens int
 	// DataCentre is the entry's own.
 	DataCentre string
-	// Tried holds the IDs of endpoints that it was sent to already.
-	Tried map[string]bool
+	// Tried holds the endpoints that it was sent to already.
+	Tried map[directory.Life]bool
 }
 
 // Plan says where a request goes.
@@ -178,7 +178,7 @@
 	slices.SortStableFunc(more, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
 	open := 0
 	for _, s := range more[:extra] {
-		there, _ := p.ledger.busy(now, s.endpoint.ID)
+		there, _ := p.ledger.busy(now, s.endpoint.Life)
 		open += there
 	}
 	if open > widenOpen {
@@ -191,7 +191,7 @@
 func (p *Policy) open(now time.Time, plan *Plan) int {
 	open := 0
 	for _, e := range append([]*directory.Listed{plan.Endpoint}, plan.Helpers...) {
-		there, _ := p.ledger.busy(now, e.ID)
+		there, _ := p.ledger.busy(now, e.Life)
 		open += there
 	}
 	return open
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -32,9 +32,9 @@
 	openCost := openCostFor(engine, r.PromptTokens)
 	for _, e := range kept {
 		s := scored{endpoint: e}
-		open, reading := p.ledger.busy(now, e.ID)
+		open, reading := p.ledger.busy(now, e.Life)
 		s.cost = reading + time.Duration(open)*openCost + time.Duration(max(open+1-e.Slots, 0))*slotCost
-		if known := p.ledger.loads[e.ID]; known != nil {
+		if known := p.ledger.loads[e.Life]; known != nil {
 			s.memory = known.memory
 			if engine != nil && engine.MemoryTokens > 0 {
 				s.cost += time.Duration(float64(memoryCost) * float64(known.memory) / float64(engine.MemoryTokens))
--- a/soak/cmd/aspenyard-soak/main.go
+++ b/soak/cmd/aspenyard-soak/main.go
@@ -28,6 +28,7 @@
 	Gateways int           `arg:"--gateways" default:"8" help:"how many gateway processes, 1 to 300"`
 	Engines  int           `arg:"--engines" default:"8" help:"how many model endpoints"`
 	Kinds    []string      `arg:"--kinds" placeholder:"KIND" help:"only these kinds of faults"`
+	First    int           `arg:"--first-kinds" placeholder:"N" help:"only the first N kinds of faults, as a kept seed says"`
 	Callers  int           `arg:"--callers" help:"how many callers; 3 a gateway if left out"`
 	Untimed  bool          `arg:"--untimed" help:"check no promise that has a bound in time, for busy machines"`
 	Keep     bool          `arg:"--keep" help:"keep the logs of runs that broke no promise, too"`
@@ -44,7 +45,14 @@
 		os.Exit(cli.Main())
 	}
 	var a args
-	arg.MustParse(&a)
+	parser := arg.MustParse(&a)
+	if a.First != 0 {
+		kinds, err := soak.FirstKinds(a.First)
+		if err != nil {
+			parser.Fail(err.Error())
+		}
+		a.Kinds = kinds
+	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	broken := 0
--- a/soak/endpoints.go
+++ b/soak/endpoints.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strconv"
 	"time"
 
 	"aspenyard.example/standin/platform"
@@ -29,16 +30,15 @@
 	}
 	p.busy = true
 	p.mu.Unlock()
-	ended := w.record.disturb(Disturbance{Kind: f.Kind, Endpoint: worker.ID})
+	ended := w.record.disturb(Disturbance{Kind: f.Kind, Endpoint: worker.Life()})
 	end(w, p, worker)
 	ended()
 	time.Sleep(reuseAfter)
-	w.begin(p, service)
+	w.begin(p, w.newWorker(service))
 }
 
-// begin starts a new life at a post.
-func (w *world) begin(p *post, service string) {
-	next := w.newWorker(service)
+// begin starts an endpoint at a post.
+func (w *world) begin(p *post, next *platform.Worker) {
 	for next.StartAt(p.addr) != nil {
 		if w.stopped.Err() != nil {
 			return
@@ -46,7 +46,7 @@
 		time.Sleep(bindInterval)
 	}
 	p.mu.Lock()
-	p.worker, p.service, p.leaving, p.busy = next, service, false, false
+	p.worker, p.service, p.leaving, p.busy = next, next.Service, false, false
 	p.mu.Unlock()
 	w.register(p)
 }
@@ -100,7 +100,7 @@
 // that it serves on is over.
 func (w *world) depart(p *post, worker *platform.Worker) {
 	w.record.mu.Lock()
-	w.record.Departures = append(w.record.Departures, Departure{worker.ID, time.Now()})
+	w.record.Departures = append(w.record.Departures, Departure{worker.Life(), time.Now()})
 	w.record.mu.Unlock()
 	time.Sleep(leavingWithin + lingering)
 	p.mu.Lock()
@@ -133,3 +133,62 @@
 	defer p.mu.Unlock()
 	return p.service
 }
+
+// restart ends an endpoint and starts it again under the ID and at the address that it
+// had, at once or after a while, at times after it has said that it leaves. At times a
+// registration of the life before is written once more after that.
+func restart(w *world, f *Fault) {
+	p := w.posts[f.Post]
+	p.mu.Lock()
+	worker := p.worker
+	if p.busy || worker == nil {
+		p.mu.Unlock()
+		return
+	}
+	p.busy = true
+	p.leaving = f.Way == wayDraining
+	p.mu.Unlock()
+	defer w.record.disturb(Disturbance{Kind: f.Kind, Endpoint: worker.Life()})()
+	if f.Way == wayDraining {
+		w.register(p)
+		w.depart(p, worker)
+	}
+	old := worker.RegistrationAt(p.link.Addr(), "draining")
+	p.mu.Lock()
+	p.worker = nil
+	p.mu.Unlock()
+	worker.Stop()
+	p.link.Reset()
+	time.Sleep(f.Delay)
+	w.begin(p, w.newLife(worker.ID, worker.Service))
+	if f.Way == wayOldEntry {
+		time.Sleep(f.Delay)
+		w.store.Put("servers/"+worker.ID, old)
+		time.Sleep(heartbeatInterval)
+		w.register(p)
+	}
+}
+
+// What else happens as an endpoint starts again: a Fault's Way.
+const (
+	wayDraining = 2
+	wayOldEntry = 3
+)
+
+// foreignEntries are registrations that something else wrote: they name no endpoint.
+var foreignEntries = []string{
+	`{}`, `{"service":"model"}`, `[1,2]`, "\x00\xff", `{"service":"app","address":"127.0.0.1:9","zone":"dc1","version":"v1","slots":"many","state":"ready","cold_left_ms":0,"seq_no":1}`,
+	`{"service":"app","address":"127.0.0.1:9","zone":"dc1","version":"v1","slots":16,"state":"resting","cold_left_ms":0,"seq_no":1}`,
+	`{"service":"app","address":"127.0.0.1:9","zone":"dc1","version":"v1","slots":16,"state":"ready","cold_left_ms":0,"seq_no":1,"born":"today"}`,
+}
+
+// writeForeign writes registrations that cannot be used, beside the endpoints' own, and
+// removes them after a while.
+func writeForeign(w *world, f *Fault) {
+	for i, entry := range foreignEntries {
+		key := "servers/other-" + strconv.Itoa(i)
+		w.store.Put(key, []byte(entry))
+		defer w.store.Delete(key)
+	}
+	time.Sleep(f.For)
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -25,7 +25,8 @@
 	kindEndpointLink = "endpoint-link"
 )
 
-// kindTable lists every kind of fault, with how often it comes.
+// kindTable lists every kind of fault, with how often it comes. New ones go at its end:
+// with the first ones alone, a seed then gives the schedule that it gave before.
 var kindTable []kind
 
 func init() {
@@ -56,6 +57,8 @@
 		{"endpoint-leaves", 3, func(w *world, f *Fault) { w.replace(f, leave, w.posts[f.Post].serviceNow()) }},
 		{"endpoint-leaves-unannounced", 1, func(w *world, f *Fault) { w.replace(f, leaveUnannounced, w.posts[f.Post].serviceNow()) }},
 		{"addresses-change-owners", 1, changeOwners},
+		{"endpoint-restarts", 3, restart},
+		{"foreign-entries", 1, writeForeign},
 	}
 }
 
@@ -202,7 +205,7 @@
 	if worker == nil {
 		return
 	}
-	defer w.record.disturb(Disturbance{Kind: f.Kind, Endpoint: worker.ID})()
+	defer w.record.disturb(Disturbance{Kind: f.Kind, Endpoint: worker.Life()})()
 	disturbLink(p.link, f)
 }
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"aspenyard.example/standin/platform"
 )
 
@@ -53,6 +55,19 @@
 	return names
 }
 
+// FirstKinds lists the first n kinds of faults, which are those that there were when a
+// seed was kept; all for 0. Error: there are fewer.
+func FirstKinds(n int) ([]string, error) {
+	names := KindNames()
+	if n < 0 || n > len(names) {
+		return nil, errors.Errorf("%d kinds of faults asked for, there are %d", n, len(names))
+	}
+	if n == 0 {
+		return nil, nil
+	}
+	return names[:n], nil
+}
+
 // unknownKind gives the first of some names that is no kind of fault; empty for none.
 func unknownKind(names []string) string {
 	for _, name := range names {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,13 +32,15 @@
 	shortGateways = 4
 )
 
-func runSeed(t *testing.T, seed uint64, gateways int, length time.Duration) *Report {
+func runSeed(t *testing.T, seed uint64, gateways int, length time.Duration, firstKinds int) *Report {
 	t.Helper()
 	is := is.New(t)
 	self, err := os.Executable()
 	is.NoErr(err)
+	kinds, err := FirstKinds(firstKinds)
+	is.NoErr(err)
 	report, err := Run(context.Background(), Config{
-		Seed: seed, Length: length, Gateways: gateways, Dir: t.TempDir(), Command: []string{self, asProduct, "gateway", "--settings"},
+		Seed: seed, Length: length, Gateways: gateways, Kinds: kinds, Dir: t.TempDir(), Command: []string{self, asProduct, "gateway", "--settings"},
 	})
 	is.NoErr(err)
 	return report
@@ -49,7 +51,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			report := runSeed(t, seed, shortGateways, shortLength)
+			report := runSeed(t, seed, shortGateways, shortLength, 0)
 			is.True(report.Whole > 0)
 			for _, v := range report.Violations {
 				t.Errorf("%s: %s", v.Rule, v.Detail)
@@ -72,9 +74,9 @@
 			continue
 		}
 		var seed uint64
-		var gateways int
+		var gateways, kinds int
 		var length string
-		if _, err := fmt.Sscan(line, &seed, &gateways, &length); err != nil {
+		if _, err := fmt.Sscan(line, &seed, &gateways, &length, &kinds); err != nil {
 			t.Fatalf("%q: %v", line, err)
 		}
 		lasting, err := time.ParseDuration(length)
@@ -83,7 +85,7 @@
 		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			for _, v := range runSeed(t, seed, gateways, lasting).Violations {
+			for _, v := range runSeed(t, seed, gateways, lasting, kinds).Violations {
 				t.Errorf("%s: %s", v.Rule, v.Detail)
 			}
 		})
--- a/soak/world.go
+++ b/soak/world.go
@@ -175,12 +175,19 @@
 	plainWork    = 10 * time.Millisecond
 )
 
-// newWorker makes the next life of an endpoint.
-func (w *world) newWorker(service string) *platform.Worker {
+// newWorker makes an endpoint under an ID of its own.
+func (w *world) newWorker(service string) *platform.Worker { return w.newLife("", service) }
+
+// newLife makes the next life of an endpoint, under the ID that it had or, where that is
+// empty, under a new one.
+func (w *world) newLife(id, service string) *platform.Worker {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lives++
-	worker := &platform.Worker{ID: fmt.Sprintf("i-%04d", w.lives), Service: service, Work: plainWork}
+	if id == "" {
+		id = fmt.Sprintf("i-%04d", w.lives)
+	}
+	worker := &platform.Worker{ID: id, Born: time.Now().UnixMilli(), Service: service, Work: plainWork}
 	if service == serviceModel {
 		worker.Events, worker.Pace, worker.Work, worker.Slots, worker.MemoryTokens = streamEvents, eventPace, 0, 16, memoryTokens
 	}
@@ -321,7 +328,7 @@
 			}
 			held, _, _ := worker.Reserved()
 			for ticket := range held {
-				w.record.seeHold(worker.ID, ticket, now)
+				w.record.seeHold(worker.Life(), ticket, now)
 			}
 		}
 		sleep(w.stopped, sampleInterval)
@@ -335,7 +342,7 @@
 	w.record.Arrivals = nil
 	for _, worker := range w.workers {
 		for _, run := range worker.Runs() {
-			w.record.Arrivals = append(w.record.Arrivals, Arrival{Run: run, Endpoint: worker.ID, Service: worker.Service})
+			w.record.Arrivals = append(w.record.Arrivals, Arrival{Run: run, Endpoint: worker.Life(), Service: worker.Service})
 		}
 	}
 }
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -83,8 +83,11 @@
 
 // Worker is a model worker or plain application.
 type Worker struct {
-	// ID names its present life, Service what it serves.
+	// ID names it, Service is what it serves.
 	ID, Service string
+	// Born is when this life began, in Unix milliseconds; 0: its registration does not say,
+	// as on older platforms.
+	Born int64
 	// Events is how many events a stream has; 0: answers are plain.
 	Events int
 	// Pace is the time between events, Work that which a plain answer takes.
@@ -155,12 +158,24 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seq++
-	data, _ := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": w.Service, "address": addr, "zone": "dc1", "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq_no": w.seq,
-	})
+	}
+	if w.Born != 0 {
+		fields["born"] = w.Born
+	}
+	data, _ := json.Marshal(fields)
 	return data
 }
 
+// Life names this life of the worker, in records.
+func (w *Worker) Life() string {
+	if w.Born == 0 {
+		return w.ID
+	}
+	return w.ID + "/" + strconv.FormatInt(w.Born, 10)
+}
+
 // Next queues faults for the coming requests, one each.
 func (w *Worker) Next(faults ...Fault) {
 	w.mu.Lock()
