--- a/catalogue/record.go
+++ b/catalogue/record.go
@@ -241,23 +241,30 @@
 func (a *Account) check() settings.Faults {
 	var faults settings.Faults
 	checkHash(&faults, "account.key_sha256", a.KeySHA256)
-	if a.Limits.RequestsPerSecond < 0 {
-		faults.Add("account.limits.requests_per_second", a.Limits.RequestsPerSecond, "0 or more")
-	}
-	if a.Limits.TokensPerSecond < 0 {
-		faults.Add("account.limits.tokens_per_second", a.Limits.TokensPerSecond, "0 or more")
-	}
-	if a.Limits.Concurrent < 0 {
-		faults.Add("account.limits.concurrent", a.Limits.Concurrent, "0 or more")
-	}
+	checkRate(&faults, "account.limits.requests_per_second", a.Limits.RequestsPerSecond)
+	checkRate(&faults, "account.limits.tokens_per_second", a.Limits.TokensPerSecond)
+	faults.CheckInt("account.limits.concurrent", int64(a.Limits.Concurrent), 0, maxConcurrent)
 	return faults
 }
 
+// Bounds of an account's limits and a site's power: far above the largest deployment
+// that is planned for, so that only a slip of the hand is refused.
+const (
+	maxRate       = 1_000_000_000
+	maxConcurrent = 10_000_000
+	maxWatts      = 1_000_000_000
+)
+
+// checkRate checks a limit of so many a second; 0: no limit.
+func checkRate(faults *settings.Faults, field string, rate float64) {
+	if rate < 0 || rate > maxRate {
+		faults.Add(field, rate, "0 to 1000000000")
+	}
+}
+
 func (s *Site) check() settings.Faults {
 	var faults settings.Faults
-	if s.PowerCapWatts == 0 {
-		faults.Add("site.power_cap_watts", s.PowerCapWatts, "1 or more")
-	}
+	faults.CheckInt("site.power_cap_watts", int64(s.PowerCapWatts), 1, maxWatts)
 	if len(s.DataCentres) == 0 {
 		faults.Add("site.data_centres", s.DataCentres, "at least one")
 	}
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"time"
 
 	"aspenyard.example/node"
 	"aspenyard.example/settings"
@@ -51,12 +52,38 @@
 		faults.Add("standin", s.Standin, "platform, engine or service")
 	}
 	faults.CheckAddr("listen", s.Listen)
-	if s.TimeScale < 0 {
-		faults.Add("time_scale", s.TimeScale, "0 or more")
-	}
+	s.checkNumbers(&faults)
 	return faults
 }
 
+// Bounds of a stand-in's numbers: what the users' largest deployments have, with room.
+const (
+	maxStandinRate     = 1_000_000
+	maxStandinTokens   = 1_000_000_000
+	maxStandinRequests = 100_000
+	maxStandinWatts    = 1_000_000
+	maxStandinScale    = 1000
+	maxStandinLag      = time.Hour
+)
+
+// checkNumbers bounds every number; 0 leaves the stand-in's default.
+func (s *standinSettings) checkNumbers(faults *settings.Faults) {
+	faults.CheckInt("reads_per_second", int64(s.ReadsPerSecond), 0, maxStandinRate)
+	faults.CheckInt("writes_per_second", int64(s.WritesPerSecond), 0, maxStandinRate)
+	faults.CheckRange("list_lag", s.ListLag.D(), 0, maxStandinLag)
+	faults.CheckInt("memory_tokens", int64(s.MemoryTokens), 0, maxStandinTokens)
+	faults.CheckInt("max_running", int64(s.MaxRunning), 0, maxStandinRequests)
+	faults.CheckInt("chunk_tokens", int64(s.ChunkTokens), 0, maxStandinTokens)
+	faults.CheckInt("floor_watts", int64(s.FloorWatts), 0, maxStandinWatts)
+	faults.CheckInt("max_watts", int64(s.MaxWatts), 0, maxStandinWatts)
+	if s.TimeScale < 0 || s.TimeScale > maxStandinScale {
+		faults.Add("time_scale", s.TimeScale, "0 to 1000")
+	}
+	faults.CheckRange("load_lag", s.LoadLag.D(), 0, maxStandinLag)
+	faults.CheckRange("event_lag", s.EventLag.D(), 0, maxStandinLag)
+	faults.CheckInt("event_gap", int64(s.EventGap), 0, maxStandinRequests)
+}
+
 func (c *standinCommand) run(t terminal) int {
 	var s standinSettings
 	if err := settings.Load(c.Settings, &s); err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"net/netip"
 	"os"
 	"reflect"
@@ -117,7 +118,7 @@
 			continue
 		}
 		var n int64
-		if _, err := fmt.Sscanf(number, "%d", &n); err != nil || fmt.Sprint(n) != number || n < 0 {
+		if _, err := fmt.Sscanf(number, "%d", &n); err != nil || fmt.Sprint(n) != number || n < 0 || n > math.MaxInt64/unit.bytes {
 			return fault
 		}
 		*s = Size(n * unit.bytes)
