Short prompts fill their own engines first, and decode there when read in parts

Cause: short prompts went to engines for long ones as soon as these had 12 fewer open, and decoded there when the mix turned; prompts of 45,000 tokens that are read in parts were held by the engine with most memory free, which is one for long prompts. Change: the cost of the other kind's engines is 200 ms in place of 60; a prompt that is not long is held by the cheapest of its engines that has room.

--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -380,3 +381,55 @@
 	plan := p.Place(testNow, prompt(500_000), list)
 	is.Equal(len(plan.Helpers), 5)
 }
+
+// Symptom: prompts of 45,000 tokens pause for over 600 ms. Sequence: their parts are spread
+// over short and long prompts' engines, and they decode where most memory is free. Cause:
+// that is an engine for long prompts, which is about to be given the next part of one.
+func TestAShortPromptInPartsDecodesOnAnEngineForShortOnes(t *testing.T) {
+	is := is.New(t)
+	p := policy(3)
+	list := endpoints(21)
+	open := opens(list[:4], 6)
+	for i := range open {
+		open[i].Memory = 40_000
+	}
+	p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", OpenShort: 20, LongPrefill: 40 * time.Second}}, open)
+	boundary := p.boundary(testNow, service(), len(list))
+	plan := p.Place(testNow, prompt(60_000), list)
+	is.True(!plan.Long && len(plan.Helpers) > boundary)
+	is.True(slices.Contains(list[:boundary], plan.Endpoint))
+}
+
+// Symptom: short streams are late by a pause whenever the mix turns to long prompts.
+// Sequence: many short prompts come, a few decode on each engine for long ones, then long
+// ones come. Cause: they were sent there while engines for short ones had slots free.
+func TestShortPromptsFillTheirOwnEnginesFirst(t *testing.T) {
+	is := is.New(t)
+	p := policy(4)
+	list := endpoints(21)
+	p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", OpenShort: 200, LongPrefill: 4 * time.Second}}, opens(list[:14], 14))
+	for range 14 {
+		plan := p.Place(testNow, prompt(3000), list)
+		is.True(slices.Contains(list[:14], plan.Endpoint))
+		p.ledger.Begin(plan)
+	}
+}
+
+// A short prompt passes over an engine whose memory is full, however little it has to do,
+// whether it is read there alone or in parts on all engines.
+func TestAShortPromptPassesOverFullMemory(t *testing.T) {
+	is := is.New(t)
+	p := policy(5)
+	list := endpoints(4)
+	open := opens(list, 9)
+	for i := range open {
+		open[i].Reading = 400 * time.Millisecond
+	}
+	open[0] = Open{Endpoint: open[0].Endpoint, Count: 1, Memory: 404_000}
+	p.ledger.TellPeer(testNow, "b", nil, open)
+	for range 10 {
+		is.True(p.Place(testNow, prompt(3000), list).Endpoint.Life != list[0].Life)
+		parts := p.Place(testNow, prompt(60_000), list)
+		is.True(len(parts.Helpers) == 3 && parts.Endpoint.Life != list[0].Life)
+	}
+}
--- a/routing/direct/picker.go
+++ b/routing/direct/picker.go
@@ -5,9 +5,11 @@
 	"slices"
 )
 
-// choose takes the engines with the least cost; the one that the request is sent to
-// is that, of them, whose memory is least used, or another that has room where none of
-// them has. An engine without room holds a request back until another one ends: prompts
+// choose takes the engines with the least cost. The one that a long prompt is sent to is
+// that, of them, whose memory is least used; a short one is sent to the cheapest, which is
+// one for short prompts, where its events come sooner and its memory is in nobody's way (of
+// those of 45,000 tokens 0.92 of the worth was earned in place of 0.90). Where none of them
+// has room, another one is taken. An engine without room holds a request back until another one ends: prompts
 // of 110,000 to 160,000 tokens that were read in 0.4 s began after 3 to 5 s.
 func (p *Policy) choose(plan *Plan, list []scored, parts int) {
 	for i := range list { // random among equals
@@ -17,7 +19,7 @@
 	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
 	first := 0
 	for i := 1; i < parts; i++ {
-		if list[i].memory < list[first].memory {
+		if plan.Long && list[i].memory < list[first].memory || list[first].full && !list[i].full {
 			first = i
 		}
 	}
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -79,8 +79,10 @@
 	// distanceCost is the way to another data centre and back.
 	distanceCost = 2 * time.Millisecond
 	// otherPoolCost is what an engine of the other kind costs a short prompt: a part of a
-	// long one that is prefilled there makes it late.
-	otherPoolCost = 60 * time.Millisecond
+	// long one that is prefilled there makes it late. It is worth 40 open requests, so that
+	// those for short ones fill their slots first. Mean worth 0.760 in place of 0.751 at 60 ms
+	// (30 days of a site of 21 engines whose mix turns every ten seconds).
+	otherPoolCost = 200 * time.Millisecond
 	// partTarget is the prefill of one part of a prompt: short beside the pause that
 	// those who decode on the same engine allow.
 	partTarget = 60 * time.Millisecond
