report losses: what late, refused and failed requests were lost to, from logs

Ruled out: the metrics alone, which do not tell which prompts fell into a pause; a sketch outside of the project, whose kinds were fixed lengths. Logs tell in which way a request was late and whether it goes on with a stream.

--- /dev/null
+++ b/bench/losses/losses.go
@@ -0,0 +1,314 @@
+// Package losses sorts the requests of gateways' logs that were late, refused or failed by
+// what they were lost to. It exists because a mean tells that callers are served badly and
+// not where to look: a policy is changed for the cause that loses most.
+package losses
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Late tells in which way a served request was late.
+type Late string
+
+// The ways of being late.
+const (
+	OnTime    Late = ""
+	LateFirst Late = "first"
+	LatePause Late = "pause"
+	LateBoth  Late = "both"
+)
+
+// Request is one request as its gateway logged it.
+type Request struct {
+	ID, Node, Route string
+	// Began is when it came, Ended when its answer had ended.
+	Began, Ended time.Time
+	// PromptTokens is 0 for requests of plain services.
+	PromptTokens int
+	// Code is the result code; Refused is set where it has not run and the caller may come
+	// back, NotOwed where the caller has no claim to an answer (unknown key or route, or it
+	// left).
+	Code             int
+	Refused, NotOwed bool
+	Late             Late
+	// First is the time to the first event. PauseFrom and PauseTo bound the longest pause.
+	First              time.Duration
+	PauseFrom, PauseTo time.Time
+	// Endpoint is where it was sent last.
+	Endpoint string
+	// Waited is how long a long prompt was held back.
+	Waited time.Duration
+	// Resumed requests go on with a stream that broke off.
+	Resumed bool
+}
+
+// Part is a part of a prompt that an endpoint was given to prefill.
+type Part struct {
+	Request  string
+	Endpoint string
+	// From is when it was sent, To when its prompt's first token came.
+	From, To time.Time
+	Prefill  time.Duration
+	Route    string
+}
+
+// Records are what the logs of all gateways of a deployment tell.
+type Records struct {
+	Requests []Request
+	Parts    []Part
+	// Starts are when processes started.
+	Starts []time.Time
+}
+
+// Cause is what a request was lost to.
+type Cause string
+
+// The causes.
+const (
+	CauseRefused   Cause = "refused"
+	CauseNotReady  Cause = "no configuration yet"
+	CauseFailed    Cause = "failed at its endpoint"
+	CauseDeadline  Cause = "deadline passed"
+	CauseRestart   Cause = "in the seconds after a start"
+	CauseResumed   Cause = "went on after a break"
+	CauseWaited    Cause = "first event: held back"
+	CauseBlocked   Cause = "first event: not begun"
+	CauseFirst     Cause = "first event: read too late"
+	CauseAnswer    Cause = "answer of a plain service"
+	causePausePart       = "pause: parts of "
+	causePauseNone Cause = "pause: no prefill known"
+)
+
+const (
+	// afterStart is for how long requests are put down to a start: connections that found
+	// nobody are opened anew within a second, and what came together is served in another.
+	afterStart = 2 * time.Second
+	// blockedFactor is how many times as long as its own part and those before it a prompt
+	// takes that an engine did not begin at once.
+	blockedFactor = 3
+	// heldShare is the part of the time to the first event that counts as held back.
+	heldShare = 0.5
+)
+
+// Loss is the requests of one route that were lost to one cause.
+type Loss struct {
+	Route string
+	Cause Cause
+	Count int
+	// Share is their part of what the route is owed, weighed by size.
+	Share float64
+}
+
+// RouteTotal is what a route was asked for.
+type RouteTotal struct {
+	Route string
+	// Asked leaves out what is not owed; MeanTokens is the mean prompt.
+	Asked      int
+	MeanTokens int
+	OnTime     int
+}
+
+// Account is where a deployment's worth was lost.
+type Account struct {
+	// Start is when the first request came.
+	Start  time.Time
+	Routes []RouteTotal
+	// Losses are sorted by route and share, the largest first.
+	Losses []Loss
+	// Seconds holds, by cause, what was lost of the requests that began in each second.
+	Seconds map[Cause][]float64
+}
+
+// lateWorth is what a late answer is worth beside one on time; the users' sheets have a
+// quarter to a third.
+const lateWorth = 0.25
+
+// New makes the account.
+func New(r *Records) *Account {
+	a := &Account{Seconds: map[Cause][]float64{}}
+	totals := routeTotals(r.Requests)
+	for i := range r.Requests {
+		if !r.Requests[i].NotOwed && (a.Start.IsZero() || r.Requests[i].Began.Before(a.Start)) {
+			a.Start = r.Requests[i].Began
+		}
+	}
+	byEndpoint := map[string][]Part{}
+	for _, p := range r.Parts {
+		byEndpoint[p.Endpoint] = append(byEndpoint[p.Endpoint], p)
+	}
+	type key struct {
+		route string
+		cause Cause
+	}
+	sums := map[key]*Loss{}
+	weights := map[string]float64{}
+	for i := range r.Requests {
+		q := &r.Requests[i]
+		if q.NotOwed {
+			continue
+		}
+		weight := size(q, totals[q.Route])
+		weights[q.Route] += weight
+		cause, lost := judge(q, r.Starts, byEndpoint[q.Endpoint])
+		if lost == 0 {
+			continue
+		}
+		k := key{q.Route, cause}
+		if sums[k] == nil {
+			sums[k] = &Loss{Route: q.Route, Cause: cause}
+		}
+		sums[k].Count++
+		sums[k].Share += weight * lost
+		a.addSecond(cause, q.Began, weight*lost)
+	}
+	for _, loss := range sums {
+		loss.Share /= weights[loss.Route]
+		a.Losses = append(a.Losses, *loss)
+	}
+	slices.SortFunc(a.Losses, func(x, y Loss) int {
+		return cmp.Or(cmp.Compare(x.Route, y.Route), cmp.Compare(y.Share, x.Share), cmp.Compare(x.Cause, y.Cause))
+	})
+	for _, t := range totals {
+		a.Routes = append(a.Routes, *t)
+	}
+	slices.SortFunc(a.Routes, func(x, y RouteTotal) int { return cmp.Compare(x.Route, y.Route) })
+	return a
+}
+
+func (a *Account) addSecond(cause Cause, began time.Time, lost float64) {
+	second := int(began.Sub(a.Start).Seconds())
+	for len(a.Seconds[cause]) <= second {
+		a.Seconds[cause] = append(a.Seconds[cause], 0)
+	}
+	a.Seconds[cause][second] += lost
+}
+
+func routeTotals(requests []Request) map[string]*RouteTotal {
+	totals := map[string]*RouteTotal{}
+	tokens := map[string]int{}
+	for i := range requests {
+		q := &requests[i]
+		if q.NotOwed {
+			continue
+		}
+		if totals[q.Route] == nil {
+			totals[q.Route] = &RouteTotal{Route: q.Route}
+		}
+		t := totals[q.Route]
+		t.Asked++
+		tokens[q.Route] += q.PromptTokens
+		t.MeanTokens = tokens[q.Route] / t.Asked
+		if served(q) && q.Late == OnTime {
+			t.OnTime++
+		}
+	}
+	return totals
+}
+
+// Weights of a generation by its size, as the users' sheets have them: a part is the same
+// for all, the rest grows with the prompt.
+const (
+	fixedWeight = 0.3
+	sizeWeight  = 0.7
+	mostWeight  = 4
+)
+
+func size(q *Request, t *RouteTotal) float64 {
+	if t.MeanTokens == 0 {
+		return 1
+	}
+	return min(fixedWeight+sizeWeight*float64(q.PromptTokens)/float64(t.MeanTokens), mostWeight)
+}
+
+func served(q *Request) bool { return q.Code == codeOK }
+
+// codeOK is the result code of what was served; result.OK, which this package, like the
+// logs it reads, knows as a number.
+const codeOK = 1000
+
+// Result codes that are told apart.
+const (
+	codeNotReady = 3014
+	codeDeadline = 4001
+)
+
+// judge gives what a request was lost to, and which part of its worth; 0: nothing.
+func judge(q *Request, starts []time.Time, there []Part) (Cause, float64) {
+	switch {
+	case served(q) && q.Late == OnTime:
+		return "", 0
+	case !served(q):
+		return failure(q), 1
+	case afterAStart(q, starts):
+		return CauseRestart, 1 - lateWorth
+	case q.Resumed:
+		return CauseResumed, 1 - lateWorth
+	case q.PromptTokens == 0:
+		return CauseAnswer, 1 - lateWorth
+	case q.Late == LateFirst || q.Late == LateBoth:
+		return lateFirst(q, there), 1 - lateWorth
+	}
+	return latePause(q, there), 1 - lateWorth
+}
+
+func failure(q *Request) Cause {
+	switch {
+	case q.Code == codeNotReady:
+		return CauseNotReady
+	case q.Refused:
+		return CauseRefused
+	case q.Code == codeDeadline:
+		return CauseDeadline
+	}
+	return CauseFailed
+}
+
+func afterAStart(q *Request, starts []time.Time) bool {
+	return slices.ContainsFunc(starts, func(s time.Time) bool {
+		return !q.Began.Before(s) && q.Began.Sub(s) < afterStart
+	})
+}
+
+// lateFirst tells why a first event was late: the prompt was held back, an engine did not
+// begin it, or there was too much to read.
+func lateFirst(q *Request, there []Part) Cause {
+	if q.Waited > time.Duration(heldShare*float64(q.First)) {
+		return CauseWaited
+	}
+	ahead, own := time.Duration(0), time.Duration(0)
+	sent := q.Began.Add(q.Waited)
+	for _, p := range there {
+		switch {
+		case p.Request == q.ID:
+			own = p.Prefill
+		case p.From.Before(q.Began.Add(q.First)) && p.To.After(sent):
+			ahead += p.Prefill
+		}
+	}
+	if q.First-q.Waited > blockedFactor*(ahead+own) {
+		return CauseBlocked
+	}
+	return CauseFirst
+}
+
+// latePause names the route whose parts were most of what was prefilled in a pause.
+func latePause(q *Request, there []Part) Cause {
+	sums := map[string]time.Duration{}
+	for _, p := range there {
+		if p.Request != q.ID && p.From.Before(q.PauseTo) && p.To.After(q.PauseFrom) {
+			sums[p.Route] += p.Prefill
+		}
+	}
+	most := ""
+	for route, sum := range sums {
+		if most == "" || sum > sums[most] || sum == sums[most] && route < most {
+			most = route
+		}
+	}
+	if most == "" {
+		return causePauseNone
+	}
+	return Cause(causePausePart + most)
+}
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -43,7 +43,7 @@
 		}
 		for _, l := range all {
 			switch {
-			case l.Request == c.Request:
+			case l.Request == c.Request && c.Request != "":
 				lines = append(lines, l)
 			case l.Event == "placed":
 				placed = append(placed, l)
@@ -109,11 +109,23 @@
 // at tells whether a placed request is prefilled at an endpoint, as the first or as a
 // helper.
 func (l *logLine) at(endpoint string) bool {
+	return slices.Contains(l.endpoints(), endpoint)
+}
+
+// endpoints are those that a placed request is prefilled at, the one that it was sent to
+// first.
+func (l *logLine) endpoints() []string {
+	list := []string{l.get("endpoint")}
 	helpers, _ := l.fields["helpers"].([]any)
-	return l.get("endpoint") == endpoint || slices.Contains(helpers, any(endpoint))
+	for _, helper := range helpers {
+		if name, ok := helper.(string); ok {
+			list = append(list, name)
+		}
+	}
+	return list
 }
 
-// readLog reads the lines that belong to requests. Text before a line's opening brace,
+// readLog reads the lines of a log. Text before a line's opening brace,
 // as collectors of logs put there, is passed over; a file without any JSON line is an
 // error.
 func readLog(path string) ([]logLine, error) {
@@ -141,9 +153,6 @@
 			continue
 		}
 		known = true
-		if l.Request == "" {
-			continue
-		}
 		if err := json.Unmarshal(data, &l.fields); err != nil {
 			return nil, errors.Wrapf(err, "%s", path)
 		}
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -83,3 +83,30 @@
 	is.NoErr(err)
 	is.Equal(run([]string{"report", "days", "--out", dir, filepath.Join(dir, "days.md")}, terminal{out: &o, err: &e}), exitFailed)
 }
+
+const lossLog = `{"level":"info","time":"2026-04-12T21:25:20Z","event":"start","node":"g1"}
+{"level":"info","time":"2026-04-12T21:25:27.4Z","event":"placed","node":"g1","endpoint":"i-1","service":"s","prefill_ms":300,"helpers":["i-2"],"request":"long1"}
+{"level":"info","time":"2026-04-12T21:25:27.9Z","event":"request_ended","node":"g1","code":1000,"took_ms":500,"route":"long","endpoint":"i-1","prompt_tokens":150000,"late":"no","first_ms":400,"gap_ms":50,"gap_end_ms":450,"request":"long1"}
+{"level":"info","time":"2026-04-12T21:25:27Z","event":"placed","node":"g1","endpoint":"i-2","service":"s","prefill_ms":20,"helpers":[],"request":"q1"}
+{"level":"info","time":"2026-04-12T21:25:28Z","event":"request_ended","node":"g1","code":1000,"took_ms":1000,"route":"short","endpoint":"i-2","prompt_tokens":5000,"late":"pause","first_ms":100,"gap_ms":350,"gap_end_ms":800,"request":"q1"}
+{"level":"info","time":"2026-04-12T21:25:29Z","event":"request_ended","node":"g1","code":3004,"took_ms":1,"route":"short","endpoint":"","prompt_tokens":5000,"ran":"no","request":"q2"}
+`
+
+func TestLossesAreReportedFromLogs(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	log, played := filepath.Join(dir, "log"), filepath.Join(dir, "played.json")
+	is.NoErr(os.WriteFile(log, []byte(lossLog), 0o600))
+	is.NoErr(os.WriteFile(played, []byte(`{"G":0.75,"classes":[{"name":"short","n":2,"worth":0.5}],"prices":[["orders",3,0.01]]}`), 0o600))
+	var o, e bytes.Buffer
+	is.Equal(run([]string{"report", "losses", "--out", dir, "--name", "day", "--played", played, log}, terminal{out: &o, err: &e}), exitOK)
+	page, err := os.ReadFile(filepath.Join(dir, "day.md"))
+	is.NoErr(err)
+	for _, text := range []string{"Worth 0.750", "pause: parts of long | 1 |", "refused | 1 |", "| long | 1 | 150000 | 1 | nothing"} {
+		is.True(strings.Contains(string(page), text))
+	}
+	is.NoErr(os.WriteFile(played, []byte(`{}`), 0o600))
+	is.Equal(run([]string{"report", "losses", "--out", dir, "--played", played, log}, terminal{out: &o, err: &e}), exitFailed)
+	is.True(strings.Contains(e.String(), "no worth"))
+	is.Equal(run([]string{"report", "losses", "--out", dir, "/nowhere"}, terminal{out: &o, err: &e}), exitFailed)
+}
--- /dev/null
+++ b/cli/losses.go
@@ -0,0 +1,137 @@
+package cli
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"aspenyard.example/bench/days"
+	"aspenyard.example/bench/losses"
+	"aspenyard.example/platform/journal"
+	"aspenyard.example/result"
+)
+
+type reportLosses struct {
+	Out    string   `arg:"--out,required" placeholder:"DIR" help:"where the page and its plot are written"`
+	Name   string   `arg:"--name" default:"losses" help:"name of the page, without ending"`
+	Played string   `arg:"--played" placeholder:"FILE" help:"the users' report of the same played day"`
+	Files  []string `arg:"positional,required" placeholder:"LOG" help:"logs of all gateways, JSON lines; - for standard input"`
+}
+
+func (c *reportLosses) run(t terminal) int {
+	played, err := c.played()
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	var lines []logLine
+	for _, path := range c.Files {
+		all, err := readLog(path)
+		if err != nil {
+			return t.failf("%v", err)
+		}
+		lines = append(lines, all...)
+	}
+	records := lossRecords(lines)
+	if err := losses.New(records).Write(c.Out, c.Name, played); err != nil {
+		return t.failf("%v", err)
+	}
+	fmt.Fprintf(t.out, "%s/%s.md: %d requests\n", c.Out, c.Name, len(records.Requests))
+	return exitOK
+}
+
+// played reads the users' report; nil where none is named.
+func (c *reportLosses) played() (*days.Played, error) {
+	if c.Played == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(c.Played)
+	if err != nil {
+		return nil, err
+	}
+	return journal.DecodeReport(data)
+}
+
+// lossRecords sorts log lines into requests, the parts that they gave to endpoints, and
+// starts of processes.
+func lossRecords(lines []logLine) *losses.Records {
+	records := &losses.Records{}
+	placed := map[string]*logLine{}
+	waited := map[string]time.Duration{}
+	for i := range lines {
+		l := &lines[i]
+		switch l.Event {
+		case "start":
+			records.Starts = append(records.Starts, l.Time)
+		case "placed":
+			if before := placed[l.key()]; before == nil || before.Time.Before(l.Time) {
+				placed[l.key()] = l
+			}
+		case "queue_left":
+			waited[l.key()] = l.duration("waited_ms")
+		}
+	}
+	for i := range lines {
+		if l := &lines[i]; l.Event == "request_ended" {
+			request := lossRequest(l, waited[l.key()])
+			records.Requests = append(records.Requests, request)
+			if sent := placed[l.key()]; sent != nil {
+				records.Parts = append(records.Parts, lossParts(sent, &request)...)
+			}
+		}
+	}
+	return records
+}
+
+// key names one request at one gateway: a caller that comes back may use its ID again.
+func (l *logLine) key() string { return l.Node + " " + l.Request }
+
+func lossRequest(l *logLine, waited time.Duration) losses.Request {
+	code := result.Code(l.number("code"))
+	began := l.Time.Add(-l.duration("took_ms"))
+	status := result.Lookup(code).HTTPStatus
+	q := losses.Request{
+		ID: l.Request, Node: l.Node, Route: l.get("route"), Began: began, Ended: l.Time, PromptTokens: int(l.number("prompt_tokens")),
+		Code: int(code), Refused: status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests, NotOwed: notOwed(code), Late: late(l.get("late")),
+		First: l.duration("first_ms"), Endpoint: l.get("endpoint"), Waited: waited, Resumed: l.get("resumed") == "true",
+	}
+	q.PauseTo = began.Add(l.duration("gap_end_ms"))
+	q.PauseFrom = q.PauseTo.Add(-l.duration("gap_ms"))
+	return q
+}
+
+// notOwed tells whether a caller had no claim to an answer, or took none.
+func notOwed(code result.Code) bool {
+	switch code {
+	case result.WrongKey, result.NoKey, result.UnknownKind, result.BadRequest, result.Cancelled:
+		return true
+	}
+	return false
+}
+
+// late reads a log's word; plain answers have one way of being late.
+func late(word string) losses.Late {
+	switch word {
+	case "answer", "first":
+		return losses.LateFirst
+	case "pause":
+		return losses.LatePause
+	case "both":
+		return losses.LateBoth
+	}
+	return losses.OnTime
+}
+
+// lossParts are the parts of a prompt, from when they were sent until its first token came
+// or, where none did, its end.
+func lossParts(sent *logLine, q *losses.Request) []losses.Part {
+	to := q.Ended
+	if q.First > 0 {
+		to = q.Began.Add(q.First)
+	}
+	var parts []losses.Part
+	for _, endpoint := range sent.endpoints() {
+		parts = append(parts, losses.Part{Request: q.ID, Endpoint: endpoint, From: sent.Time, To: to, Prefill: sent.duration("prefill_ms"), Route: q.Route})
+	}
+	return parts
+}
--- a/cli/report.go
+++ b/cli/report.go
@@ -31,8 +31,9 @@
 }
 
 type reportCommand struct {
-	Burn *reportBurn `arg:"subcommand:burn" help:"how fast the kinds of work use up their error budgets"`
-	Days *reportDays `arg:"subcommand:days" help:"a page with plots of the scores of played days"`
+	Burn   *reportBurn   `arg:"subcommand:burn" help:"how fast the kinds of work use up their error budgets"`
+	Days   *reportDays   `arg:"subcommand:days" help:"a page with plots of the scores of played days"`
+	Losses *reportLosses `arg:"subcommand:losses" help:"what the late, refused and failed requests of gateways' logs were lost to, with a plot"`
 }
 
 func (c *reportDays) run(t terminal) int {
@@ -63,8 +64,10 @@
 		return c.Burn.run(t)
 	case c.Days != nil:
 		return c.Days.run(t)
+	case c.Losses != nil:
+		return c.Losses.run(t)
 	}
-	return t.failf("report: burn or days")
+	return t.failf("report: burn, days or losses")
 }
 
 // scrapeTimeout bounds the reading of one node.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -245,13 +245,13 @@
 		zap.String("route", c.routeName()), zap.String("endpoint", c.endpoint), zap.Int("prompt_tokens", c.PromptTokens),
 	}
 	if started {
-		fields = append(fields, zap.Duration("first_ms", c.firstAnswer.Sub(c.started)), zap.Duration("gap_ms", c.gap), zap.Duration("gap_end_ms", c.gapEnd()), zap.Int("events", c.events))
+		fields = append(fields, zap.String("late", string(c.lateness(took))), zap.Bool("resumed", c.LastEvent != ""), zap.Duration("first_ms", c.firstAnswer.Sub(c.started)), zap.Duration("gap_ms", c.gap), zap.Duration("gap_end_ms", c.gapEnd()), zap.Int("events", c.events))
 	}
 	if failure != nil {
 		fields = append(fields, zap.String("ran", string(failure.Ran)), zap.String("detail", failure.Detail), zap.Duration("retry_after_ms", failure.RetryAfter))
 	}
 	c.log.Add("request_ended", fields...)
-	c.log.End(failure != nil || c.late(took))
+	c.log.End(failure != nil || c.lateness(took) != onTime)
 	switch {
 	case failure == nil:
 	case started || failure.Code == result.Cancelled:
@@ -262,15 +262,40 @@
 	}
 }
 
-// late tells whether an answer missed its route's targets.
-func (c *call) late(took time.Duration) bool {
+// lateness is in which way an answer missed its route's targets.
+type lateness string
+
+// The ways of being late.
+const (
+	onTime     lateness = "no"
+	lateAnswer lateness = "answer"
+	lateFirst  lateness = "first"
+	latePause  lateness = "pause"
+	lateBoth   lateness = "both"
+)
+
+// lateness tells in which way an answer missed its route's targets.
+func (c *call) lateness(took time.Duration) lateness {
 	if c.route == nil || c.route.Target == 0 {
-		return false
+		return onTime
 	}
-	if c.route.Kind == directory.Streaming {
-		return c.firstAnswer.Sub(c.started) > c.route.Target || c.route.TargetGap > 0 && c.gap > c.route.TargetGap
+	if c.route.Kind != directory.Streaming {
+		if took > c.route.Target {
+			return lateAnswer
+		}
+		return onTime
 	}
-	return took > c.route.Target
+	first := c.firstAnswer.Sub(c.started) > c.route.Target
+	pause := c.route.TargetGap > 0 && c.gap > c.route.TargetGap
+	switch {
+	case first && pause:
+		return lateBoth
+	case first:
+		return lateFirst
+	case pause:
+		return latePause
+	}
+	return onTime
 }
 
 // gapEnd is when the longest pause ended, from the start of the call.
