The test of slow engines names the engine by the run that it looks at

Cause: seen beside busy processes, twice in the whole package and twice of six alone: the test took whichever engine was at work for the one that streams, and that could still be the one of the request before, whose answer had just ended; the engine made slow then had no stream. Ruled out: the gateway (log of a failing run: the engine that streamed was asked and told its pace, 1). Change: the engine is found by the id of the run. The check is as strict.

--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -35,7 +35,7 @@
 	var slow *standin.Worker
 	s.until("one streams", func() bool {
 		for _, w := range s.workers {
-			if w.Working() == 1 {
+			if runs := w.Runs(); len(runs) > 0 && runs[len(runs)-1].ID == "h0" {
 				slow = w
 			}
 		}
