How long parts may be follows from the pauses that the routes allow

Cause: the bounds of parts (60 and 700 ms) were those of the users' first sites, whose callers allow 250 ms to 1 s between events; a site with other limits was served by the same milliseconds. Ruled out: bounds by the prompt's own route, which says nothing of those who decode where it is read. Change: a service knows the shortest and the longest pause that its routes allow; a part is 0.24 of the first (60 ms of 250) and, on engines in use, at most 0.7 of the second (700 ms of 1 s). Placing of short and of long prompts are functions of their own; slow engines are left out where a prompt is widened.

--- a/directory/config.go
+++ b/directory/config.go
@@ -104,6 +104,20 @@
 	MaxConnections int
 	// Engine is set for language-model services.
 	Engine *Engine
+	// ShortestGap and LongestGap are the least and the most that the routes to the service
+	// allow between two events of a stream; 0 where none says.
+	ShortestGap, LongestGap time.Duration
+}
+
+// allowGap takes in the longest pause that a route allows.
+func (s *Service) allowGap(gap time.Duration) {
+	if gap <= 0 {
+		return
+	}
+	if s.ShortestGap == 0 || gap < s.ShortestGap {
+		s.ShortestGap = gap
+	}
+	s.LongestGap = max(s.LongestGap, gap)
 }
 
 // Engine describes the model engines of a service.
@@ -155,6 +169,11 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.routes[host] = append(c.routes[host], r)
+		for _, part := range r.Services {
+			if s := c.services[part.Service]; s != nil {
+				s.allowGap(r.TargetGap)
+			}
+		}
 	}
 	for _, list := range c.routes {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
--- a/directory/replica_test.go
+++ b/directory/replica_test.go
@@ -113,3 +113,17 @@
 	is.Equal((&Route{}).Pick(0.5), "")
 	is.Equal((&Route{Services: []WeightedService{{"a", 0}}}).Pick(0.5), "")
 }
+
+func TestAServiceKnowsThePausesThatItsRoutesAllow(t *testing.T) {
+	is := is.New(t)
+	routes := []*Route{
+		{Name: "a", TargetGap: 600 * time.Millisecond, Services: []WeightedService{{"m", 1}}},
+		{Name: "b", TargetGap: 250 * time.Millisecond, Services: []WeightedService{{"m", 1}, {"n", 1}}},
+		{Name: "c", Services: []WeightedService{{"m", 1}, {"unlisted", 1}}},
+	}
+	c := NewConfig(1, Limits{}, []*Service{{Name: "m"}, {Name: "n"}}, routes, nil)
+	is.Equal(c.Service("m").ShortestGap, 250*time.Millisecond)
+	is.Equal(c.Service("m").LongestGap, 600*time.Millisecond)
+	is.Equal(c.Service("n").LongestGap, 250*time.Millisecond)
+	is.Equal(c.Service("unlisted").ShortestGap, time.Duration(0))
+}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -35,7 +35,7 @@
 // been read itself.
 func (f *forwarding) waitInQueue(ctx context.Context) *result.Error {
 	engine := f.service.Engine
-	if engine == nil || !direct.IsLong(engine, f.PromptTokens) {
+	if engine == nil || !direct.IsLong(f.service, f.PromptTokens) {
 		return nil
 	}
 	g := f.gateway
--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -24,14 +24,8 @@
 	// demandWindow is how far back demand is counted: the users' mix changes threefold
 	// within ten seconds, and a second or two of it tells which way.
 	demandWindow = 3 * time.Second
-	// longPrefill is from which prefill on a prompt counts as long: even in as many parts
-	// as there may be, each would be longer than partTarget.
-	longPrefill = maxParts * partTarget
 )
 
-// isLong tells whether a prompt's prefill is long.
-func isLong(prefill time.Duration) bool { return prefill > longPrefill }
-
 func (d *demand) add(now time.Time, prefill time.Duration) {
 	d.expire(now)
 	d.longs = append(d.longs, asked{now, prefill})
@@ -76,7 +70,3 @@
 	}
 	return min(max(short/(long+short), leastShort), 1-leastLong)
 }
-
-// IsLong tells whether a prompt is long for an engine: even in as many parts as there
-// may be, its prefill would hold up others.
-func IsLong(e *directory.Engine, tokens int) bool { return isLong(Prefill(e, tokens)) }
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -262,7 +262,7 @@
 	p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", OpenShort: 100, LongPrefill: 17 * time.Second}}, opens(list[:4], 9))
 	plan := p.Place(testNow, prompt(250_000), list)
 	is.True(!plan.Crowded)
-	is.True(plan.Prefill <= longestPart)
+	is.True(plan.Prefill <= longestPart(service()))
 	is.True(len(plan.Helpers) >= 8)
 	for _, e := range append(plan.Helpers, plan.Endpoint) {
 		is.True(p.ledger.peerLoads[HashEndpoint(e.Life)].Count == 0) // those with the least open
@@ -434,3 +434,23 @@
 		is.True(len(parts.Helpers) == 3 && parts.Endpoint.Life != list[0].Life)
 	}
 }
+
+// Symptom: a site whose callers allow other pauses is served with parts that are too long
+// or too short for them. Cause: bounds in milliseconds that were those of one site.
+func TestPartsFollowThePausesThatRoutesAllow(t *testing.T) {
+	is := is.New(t)
+	s := service()
+	is.Equal(partTarget(s), 60*time.Millisecond)
+	is.Equal(longestPart(s), 700*time.Millisecond)
+	s.ShortestGap, s.LongestGap = 500*time.Millisecond, 2*time.Second
+	is.Equal(partTarget(s), 120*time.Millisecond)
+	is.Equal(longestPart(s), 1400*time.Millisecond)
+	r := prompt(60_000)
+	narrow := atRest(r)
+	r.Service = s
+	is.True(len(atRest(r).Helpers) < len(narrow.Helpers))
+	is.True(IsLong(service(), 100_000) && !IsLong(s, 100_000))
+}
+
+// atRest places a request at rest.
+func atRest(r *Request) *Plan { return policy(1).Place(testNow, r, endpoints(20)) }
--- a/routing/direct/pace_test.go
+++ b/routing/direct/pace_test.go
@@ -9,8 +9,8 @@
 	"aspenyard.example/directory"
 )
 
-// partsOf names the engines of a plan.
-func partsOf(plan *Plan) map[directory.Life]bool {
+// enginesOf names the engines of a plan.
+func enginesOf(plan *Plan) map[directory.Life]bool {
 	list := map[directory.Life]bool{plan.Endpoint.Life: true}
 	for _, h := range plan.Helpers {
 		list[h.Life] = true
@@ -28,11 +28,11 @@
 	p.ledger.SetPace(testNow, list[19].Life, 3)
 	p.ledger.TellSlows(testNow, []Slow{{HashEndpoint(list[18].Life), 2}}) // another entry's word
 	for _, tokens := range []int{60_000, 150_000, 300_000} {
-		parts := partsOf(p.Place(testNow, prompt(tokens), list))
+		parts := enginesOf(p.Place(testNow, prompt(tokens), list))
 		is.True(!parts[list[19].Life] && !parts[list[18].Life])
 	}
 	later := testNow.Add(paceValid + time.Second)
-	is.True(partsOf(p.Place(later, prompt(300_000), list))[list[19].Life]) // nobody told of it again
+	is.True(enginesOf(p.Place(later, prompt(300_000), list))[list[19].Life]) // nobody told of it again
 	for _, e := range list {
 		p.ledger.SetPace(testNow, e.Life, 2)
 	}
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -85,9 +85,6 @@
 	// those for short ones fill their slots first. Mean worth 0.760 in place of 0.751 at 60 ms
 	// (30 days of a site of 21 engines whose mix turns every ten seconds).
 	otherPoolCost = 200 * time.Millisecond
-	// partTarget is the prefill of one part of a prompt: short beside the pause that
-	// those who decode on the same engine allow.
-	partTarget = 60 * time.Millisecond
 	// maxParts is on how many engines a prompt is prefilled: the one that it is sent to
 	// and the helpers that it may name.
 	maxParts = 17
@@ -117,54 +114,66 @@
 }
 
 // placeEngine picks an engine, and helpers where the prompt is prefilled in parts.
-// Endpoints come in the same order at every entry: short prompts have the engines at
-// its beginning, long ones those at its end, and the boundary follows the demand.
 func (p *Policy) placeEngine(now time.Time, r *Request, kept []*directory.Listed) *Plan {
 	engine := r.Service.Engine
 	prefill := Prefill(engine, r.PromptTokens)
-	plan := &Plan{Long: isLong(prefill), Memory: r.PromptTokens + r.OutputTokens, Candidates: len(kept)}
-	boundary := p.boundary(now, r.Service, len(kept))
-	others := kept[:min(boundary, len(kept)-1)]
+	plan := &Plan{Long: isLong(r.Service, prefill), Memory: r.PromptTokens + r.OutputTokens, Candidates: len(kept)}
 	var list []scored
+	var parts int
 	if plan.Long {
-		list = p.score(now, r, kept[len(others):], engine)
+		list, parts = p.longEngines(now, r, kept, prefill)
 	} else {
-		list = p.score(now, r, kept, engine)
-		own, rest := list[:min(boundary, len(list))], list[min(boundary, len(list)):]
-		chargeOtherPool(rest)
-		if prefill < 2*partTarget {
-			list = p.draw(own, rest)
-		}
-	}
-	if plan.Long || prefill >= 2*partTarget {
-		list = steady(list)
-	}
-	parts := max(1, min(int((prefill+partTarget-1)/partTarget), maxParts, len(list)))
-	if !plan.Long && prefill < 2*partTarget {
-		parts = 1
-	}
-	switch {
-	case len(list) < holders(engine, plan.Memory):
-		list = p.score(now, r, kept, engine)
-		parts = min(maxParts, len(list))
-	case plan.Long && prefill/time.Duration(parts) > longestPart:
-		list, parts = p.widen(now, r, others, list, prefill)
+		list, parts = p.shortEngines(now, r, kept, prefill)
 	}
 	plan.Prefill = prefill / time.Duration(parts)
 	p.choose(plan, list, parts)
 	plan.Expected = p.slowest(now, plan) + plan.Prefill + 2*PassTime(engine)
 	p.divideMemory(plan, engine)
 	plan.Open = p.open(now, plan)
-	plan.Crowded = plan.Prefill > longestPart && plan.Open > quietOpen
+	plan.Crowded = plan.Prefill > longestPart(r.Service) && plan.Open > quietOpen
 	return plan
 }
 
+// shortEngines gives the engines that a prompt which is not long may be sent to, and in how
+// many parts. Endpoints come in the same order at every entry: short prompts have the
+// engines at its beginning, long ones those at its end, and the boundary follows the demand.
+func (p *Policy) shortEngines(now time.Time, r *Request, kept []*directory.Listed, prefill time.Duration) ([]scored, int) {
+	target := partTarget(r.Service)
+	list := p.score(now, r, kept, r.Service.Engine)
+	boundary := min(p.boundary(now, r.Service, len(kept)), len(list))
+	own, rest := list[:boundary], list[boundary:]
+	chargeOtherPool(rest)
+	if prefill < 2*target {
+		return p.draw(own, rest), 1
+	}
+	list = steady(list)
+	return list, partsOf(prefill, target, len(list))
+}
+
+// longEngines gives the engines that a long prompt may be prefilled on, and in how many
+// parts: those at the end of the list, and others where these are too few.
+func (p *Policy) longEngines(now time.Time, r *Request, kept []*directory.Listed, prefill time.Duration) ([]scored, int) {
+	engine := r.Service.Engine
+	boundary := min(p.boundary(now, r.Service, len(kept)), len(kept)-1)
+	others := kept[:boundary]
+	list := steady(p.score(now, r, kept[boundary:], engine))
+	if len(list) < holders(engine, r.PromptTokens+r.OutputTokens) {
+		list = p.score(now, r, kept, engine)
+		return list, min(maxParts, len(list))
+	}
+	parts := partsOf(prefill, partTarget(r.Service), len(list))
+	if prefill/time.Duration(parts) > longestPart(r.Service) {
+		return p.widen(now, r, others, list, prefill)
+	}
+	return list, parts
+}
+
+// partsOf is in how many parts a prompt is prefilled on so many engines.
+func partsOf(prefill, target time.Duration, engines int) int {
+	return max(1, min(int((prefill+target-1)/target), maxParts, engines))
+}
+
 const (
-	// longestPart is the prefill of a part that may be placed on engines in use. A
-	// longer one stops everyone who decodes on up to 17 engines for nearly as long as
-	// the most patient callers of the users' sites allow between events, 1 s. Of 0.5,
-	// 0.7, 1 and 1.7 s, 0.7 s served most (docs/POLICY.md).
-	longestPart = 700 * time.Millisecond
 	// quietOpen is how many requests may be open on all engines of a plan whose parts
 	// are longer.
 	quietOpen = 4
@@ -179,12 +188,13 @@
 // too much is open there.
 func (p *Policy) widen(now time.Time, r *Request, others []*directory.Listed, list []scored, prefill time.Duration) ([]scored, int) {
 	parts := min(maxParts, len(list))
-	needed := min(int((prefill+longestPart-1)/longestPart), maxParts, len(list)+len(others))
+	longest := longestPart(r.Service)
+	more := steady(p.score(now, r, others, r.Service.Engine))
+	needed := min(int((prefill+longest-1)/longest), maxParts, len(list)+len(more))
 	extra := needed - len(list)
 	if extra <= 0 {
 		return list, parts
 	}
-	more := p.score(now, r, others, r.Service.Engine)
 	slices.SortStableFunc(more, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
 	open := 0
 	for _, s := range more[:extra] {
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -24,8 +24,8 @@
 const longOpenCost = 50 * time.Millisecond
 
 // openCostFor is what each open request adds to an engine's cost for a prompt.
-func openCostFor(engine *directory.Engine, tokens int) time.Duration {
-	if isLong(Prefill(engine, tokens)) {
+func openCostFor(s *directory.Service, tokens int) time.Duration {
+	if IsLong(s, tokens) {
 		return longOpenCost
 	}
 	return openCost
@@ -34,7 +34,7 @@
 // score estimates what each endpoint would cost the request.
 func (p *Policy) score(now time.Time, r *Request, kept []*directory.Listed, engine *directory.Engine) []scored {
 	list := make([]scored, 0, len(kept))
-	openCost := openCostFor(engine, r.PromptTokens)
+	openCost := openCostFor(r.Service, r.PromptTokens)
 	for _, e := range kept {
 		s := scored{endpoint: e}
 		open, reading := p.ledger.busy(now, e.Life)
