The gateway's tests of parts say which pauses their routes allow

Change: the engines' routes of these tests allow 250 ms and 1 s, as on the users' sites; the checks are as they were. All tests of the gateway pass (35 s, beside busy processes).

--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -14,6 +14,8 @@
 // models starts a site with engines and a route to them.
 func models(t *testing.T, engines int) *site { return newModels(t, engines).start() }
 
+// newModels prepares a site with engines, and routes to them whose callers allow pauses of
+// 250 ms and of a second.
 func newModels(t *testing.T, engines int) *site {
 	t.Helper()
 	var workers []*standin.Worker
@@ -24,8 +26,10 @@
 	}
 	s := newSite(t, workers...)
 	r := route("model", "/model/", "streaming")
-	r["service"] = "model"
-	s.routes = append(s.routes, r)
+	r["service"], r["target_gap_ms"] = "model", 250
+	patient := route("patient", "/patient/", "streaming")
+	patient["service"], patient["target_gap_ms"] = "model", 1000
+	s.routes = append(s.routes, patient, r)
 	return s
 }
 
