A slow engine is asked once a second, however often it is suspected

Cause: found by reading: suspicion went on while an engine that was found slow was asked each second, and each began another series of questions, so that a slow engine was asked more and more often. Ruled out: a longer interval, which would find engines later. Change: one series of questions an engine at a time. Test seen to fail without: more questions than seconds.

--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -38,11 +38,18 @@
 type paces struct {
 	gateway *Gateway
 	mu      sync.Mutex
-	asked   map[directory.Life]time.Time
+	asked   map[directory.Life]*question
+}
+
+// question is when an endpoint was last asked. It is asking while the endpoint is slow and
+// asked again and again: suspicion goes on meanwhile, and each would add another series.
+type question struct {
+	at     time.Time
+	asking bool
 }
 
 func newPaces(g *Gateway) *paces {
-	return &paces{gateway: g, asked: map[directory.Life]time.Time{}}
+	return &paces{gateway: g, asked: map[directory.Life]*question{}}
 }
 
 // suspect asks endpoints that were not asked lately.
@@ -54,11 +61,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range endpoints {
-		if now.Sub(p.asked[e.Life]) < paceInterval {
+		last := p.asked[e.Life]
+		if last != nil && (last.asking || now.Sub(last.at) < paceInterval) {
 			continue
 		}
-		p.asked[e.Life] = now
-		go p.ask(e)
+		current := &question{at: now, asking: true}
+		p.asked[e.Life] = current
+		go func() {
+			p.ask(e)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			current.asking, current.at = false, time.Now()
+		}()
 	}
 }
 
--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -56,6 +56,24 @@
 	s.until("it has recovered", func() bool { return strings.Contains(s.log.String(), `"endpoint":"`+slow.ID+`","pace":1`) })
 }
 
+// Symptom: the longer an engine is slow the more often it is asked. Sequence: callers see it
+// pause again and again while it is asked each second. Cause: each pause began another
+// series of questions.
+func TestASlowEngineIsAskedOnceASecond(t *testing.T) {
+	is := is.New(t)
+	s := models(t, 1)
+	worker := s.workers[0]
+	worker.SetPace(5)
+	worker.Pace = 400 * time.Millisecond
+	begun := time.Now()
+	for i := range 3 {
+		is.Equal(s.prompt(fmt.Sprint("q", i), 1000).body, standin.StreamText(fmt.Sprint("q", i), 5))
+	}
+	most := int(time.Since(begun)/time.Second) + 2
+	is.True(worker.Reports() >= 2)
+	is.True(worker.Reports() <= most)
+}
+
 // An engine that does not say how slow it is stays in use.
 func TestAnEngineThatDoesNotSayHowSlowItIsIsUsed(t *testing.T) {
 	is := is.New(t)
--- a/routing/direct/picker.go
+++ b/routing/direct/picker.go
@@ -9,8 +9,9 @@
 // that, of them, whose memory is least used; a short one is sent to the cheapest, which is
 // one for short prompts, where its events come sooner and its memory is in nobody's way (of
 // those of 45,000 tokens 0.92 of the worth was earned in place of 0.90). Where none of them
-// has room, another one is taken. An engine without room holds a request back until another one ends: prompts
-// of 110,000 to 160,000 tokens that were read in 0.4 s began after 3 to 5 s.
+// has room, another one is taken: an engine without room holds a request back until another
+// one ends, and prompts of 110,000 to 160,000 tokens that were read in 0.4 s began after 3
+// to 5 s.
 func (p *Policy) choose(plan *Plan, list []scored, parts int) {
 	for i := range list { // random among equals
 		j := i + p.rand.IntN(len(list)-i)
