A drain does not close a connection on which a request is being read

The fault of that time was a stop in turn. closeIdle looked at a connection's state and closed it in a second step; a request that was read in between was passed on and its caller cut. The end of the process had the same gap (active 0, then close). Change: a connection is free, taken from the first byte of a request until its end, or ended; whoever closes and whoever reads change that in one step. What comes after the end is not read and runs nowhere. The process ends when nothing is being read either, at most at its limit.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -33,6 +33,8 @@
 	server  *http.Server
 	mu      sync.Mutex
 	open    map[*callerConn]struct{}
+	// ending is set when connections that are opened now are not read any more.
+	ending bool
 }
 
 func newCallers(g *Gateway) *callers {
@@ -73,7 +75,7 @@
 	c.mu.Lock()
 	var idle []*callerConn
 	for conn := range c.open {
-		if conn.state.Load() == int32(http.StateIdle) {
+		if conn.state.Load() == int32(http.StateIdle) && conn.end() {
 			idle = append(idle, conn)
 		}
 	}
@@ -83,14 +85,31 @@
 	}
 }
 
+// endAll lets no request be read any more where none has been, and tells whether that is
+// so on every connection. Without it a request that is read as the process ends is passed
+// on and its caller gets no answer.
+func (c *callers) endAll() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	all := true
+	for conn := range c.open {
+		all = conn.end() && all
+	}
+	return all
+}
+
 func (c *callers) connState(conn net.Conn, state http.ConnState) {
 	caller, ok := conn.(*callerConn)
 	if !ok {
 		return
 	}
 	caller.state.Store(int32(state))
-	if state == http.StateActive {
+	switch state {
+	case http.StateActive:
 		caller.partial.Store(false)
+	case http.StateIdle:
+		caller.use.CompareAndSwap(connTaken, connFree)
 	}
 	if state == http.StateClosed || state == http.StateHijacked {
 		c.mu.Lock()
@@ -114,8 +133,11 @@
 	setTCP(conn)
 	caller := &callerConn{Conn: conn, callers: l.callers}
 	l.callers.mu.Lock()
+	defer l.callers.mu.Unlock()
 	l.callers.open[caller] = struct{}{}
-	l.callers.mu.Unlock()
+	if l.callers.ending {
+		caller.use.Store(connEnded)
+	}
 	return caller, nil
 }
 
@@ -127,6 +149,10 @@
 	net.Conn
 	callers *callers
 	state   atomic.Int32
+	// use is connFree until a byte of the next request is read, connTaken until that has
+	// ended, and connEnded when none is read any more. It is changed in one step: whoever
+	// closes an idle connection and a request that comes at that moment do not both have it.
+	use atomic.Int32
 	// partial is set while a part of a request's head has been read.
 	partial atomic.Bool
 	late    atomic.Bool
@@ -135,6 +161,23 @@
 	head []byte
 }
 
+// What a connection is used for.
+const (
+	connFree int32 = iota
+	connTaken
+	connEnded
+)
+
+// end lets no request be read any more; false while one is under way.
+func (c *callerConn) end() bool {
+	return c.use.CompareAndSwap(connFree, connEnded) || c.use.Load() == connEnded
+}
+
+// take tells whether what was read may be taken for a request.
+func (c *callerConn) take() bool {
+	return c.use.CompareAndSwap(connFree, connTaken) || c.use.Load() == connTaken
+}
+
 // sawLength tells whether the present request's head, as it was sent, gives a length.
 func (c *callerConn) sawLength() bool {
 	head, _, _ := bytes.Cut(c.head, []byte("\r\n\r\n"))
@@ -169,6 +212,8 @@
 		return n, err
 	}
 	switch {
+	case n > 0 && !c.take():
+		return 0, net.ErrClosed // it crossed the end of the connection, and runs nowhere
 	case n > 0:
 		if !c.partial.Swap(true) {
 			c.head = c.head[:0]
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -52,7 +52,8 @@
 			continue
 		}
 		g.callers.closeIdle()
-		if active := g.active.Load(); active+g.releasing.Load() == 0 || since > limit-stopMargin {
+		active := g.active.Load()
+		if active+g.releasing.Load() == 0 && g.callers.endAll() || since > limit-stopMargin {
 			g.log.Info("stop", zap.String("reason", "drained"), zap.Int64("active", active), zap.Duration("took_ms", since))
 			g.callers.close()
 			return
