--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -253,19 +253,13 @@
 // release that came before the order it was to undo was the last one.
 func TestMemoryOfALateOrderIsGivenBack(t *testing.T) {
 	s := models(t, 20)
-	late := s.workers[:10]
+	late := s.workers // whichever of them hold memory
 	for _, w := range late {
-		w.Next(standin.FaultLate)
+		w.NextOrder(standin.FaultLate)
 	}
 	s.prompt("q1", 500_000)
-	s.until("late reservations are held", func() bool {
-		held := 0
-		for _, w := range late {
-			tickets, _, _ := w.Reserved()
-			held += len(tickets)
-		}
-		return held > 0
-	})
+	s.until("what came in time is released", func() bool { return s.held() == 0 })
+	s.until("late reservations are held", func() bool { return s.held() > 0 })
 	freed := 0
 	for _, w := range s.workers {
 		freed += w.Freed()
