One event queue in virtual time, one estimate of an endpoint, less work per placement

Cause: reading the change over showed work done twice and code that stood twice. The emulator had written the event queue of the policy bench again; a placement hashed each engine's life up to three times and computed the time of a pass for each engine; the way in which a call was late was computed three times at its end; each relayed event read the clock twice; the account of losses kept copies of result codes as numbers; three loops pruned a map by hand; four places in the soak emptied a post.

Ruled out: a change of behaviour.

Change: bench/virtual holds the clock and queue for both; Ledger.estimate gives open requests, prefill, memory and pace with one hash; lateness and the time of an event are passed on; result's codes are used; maps.DeleteFunc; post.vacate. Fields of the emulator's engine that nobody read are gone.

No figure for the time saved: none was measured.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -5,12 +5,12 @@
 package emulator
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"aspenyard.example/bench/virtual"
 	"aspenyard.example/directory"
 	"aspenyard.example/routing/direct"
 )
@@ -80,39 +80,12 @@
 	service      = "m"
 )
 
-// event is something that happens at a time; equal times keep their order.
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *events) Push(x any) { *q = append(*q, x.(event)) }
-
-// Pop implements heap.Interface.
-func (q *events) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // world is one play.
 type world struct {
+	virtual.Clock
 	config  *Config
 	rand    *rand.Rand
 	epoch   time.Time
-	now     time.Duration
-	queue   events
-	order   int
 	engines map[directory.Life]*engine
 	list    []*directory.Listed
 	service *directory.Service
@@ -153,11 +126,7 @@
 		w.service.LongestGap = max(w.service.LongestGap, k.PauseLimit)
 	}
 	w.populate()
-	for len(w.queue) > 0 {
-		next := heap.Pop(&w.queue).(event)
-		w.now = next.at
-		next.do()
-	}
+	w.Run(math.MaxInt64)
 	return w.results
 }
 
@@ -165,17 +134,17 @@
 	for i := range w.config.Engines {
 		listed := &directory.Listed{Endpoint: directory.Endpoint{Life: directory.Life{ID: fmt.Sprintf("e-%03d", i)}, Service: service, Slots: w.config.Engine.Slots}}
 		w.list = append(w.list, listed)
-		w.engines[listed.Life] = &engine{world: w, endpoint: listed, model: &w.config.Engine, pace: 1}
+		w.engines[listed.Life] = &engine{world: w, model: &w.config.Engine, pace: 1}
 	}
 	for i := range w.config.Entries {
 		ledger := direct.NewLedger()
 		ledger.SetEntries(w.config.Entries)
 		e := &entry{name: fmt.Sprint(i), ledger: ledger, policy: direct.NewPolicy(ledger, rand.New(rand.NewPCG(w.config.Seed, uint64(i+2))))}
 		w.entries = append(w.entries, e)
-		w.after(heartbeat*time.Duration(i)/time.Duration(w.config.Entries), func() { w.beat(e) })
+		w.After(heartbeat*time.Duration(i)/time.Duration(w.config.Entries), func() { w.beat(e) })
 	}
 	for i := range w.config.Kinds {
-		w.after(0, func() { w.arrive(i) })
+		w.After(0, func() { w.arrive(i) })
 	}
 	for i := range w.config.Slows {
 		w.slow(&w.config.Slows[i])
@@ -189,11 +158,11 @@
 		set := func(pace float64) {
 			w.engines[listed.Life].pace = pace
 			if w.config.PaceKnown > 0 {
-				w.after(w.config.PaceKnown, func() { w.tellPace(listed.Life, pace, s.To) })
+				w.After(w.config.PaceKnown, func() { w.tellPace(listed.Life, pace, s.To) })
 			}
 		}
-		w.after(s.From, func() { set(s.Pace) })
-		w.after(s.To, func() { set(1) })
+		w.After(s.From, func() { set(s.Pace) })
+		w.After(s.To, func() { set(1) })
 	}
 }
 
@@ -202,24 +171,18 @@
 	for _, e := range w.entries {
 		e.ledger.SetPace(w.clock(), life, pace)
 	}
-	if pace > 1 && w.now < until {
-		w.after(time.Second, func() { w.tellPace(life, w.engines[life].pace, until) })
+	if pace > 1 && w.Now() < until {
+		w.After(time.Second, func() { w.tellPace(life, w.engines[life].pace, until) })
 	}
 }
 
-func (w *world) clock() time.Time { return w.epoch.Add(w.now) }
-
-// after makes something happen.
-func (w *world) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.queue, event{w.now + d, w.order, do})
-}
+func (w *world) clock() time.Time { return w.epoch.Add(w.Now()) }
 
 // beat tells the other entries of one's load, and again while requests come.
 func (w *world) beat(e *entry) {
 	w.tell(e)
-	if w.now < w.config.Length {
-		w.after(heartbeat, func() { w.beat(e) })
+	if w.Now() < w.config.Length {
+		w.After(heartbeat, func() { w.beat(e) })
 	}
 }
 
@@ -234,17 +197,17 @@
 
 // arrive begins a request of a kind and lets the next one come.
 func (w *world) arrive(kind int) {
-	if w.now >= w.config.Length {
+	if w.Now() >= w.config.Length {
 		return
 	}
 	k := &w.config.Kinds[kind]
 	rate := k.PerSecond * w.factor(kind)
-	if rate > 0 && w.now > 0 {
-		r := &request{world: w, entry: w.entries[w.rand.IntN(len(w.entries))], kind: k, result: &w.results[kind], tokens: w.tokens(k), began: w.now}
+	if rate > 0 && w.Now() > 0 {
+		r := &request{world: w, entry: w.entries[w.rand.IntN(len(w.entries))], kind: k, result: &w.results[kind], tokens: w.tokens(k), began: w.Now()}
 		r.result.Asked++
 		r.begin()
 	}
-	w.after(time.Duration(w.rand.ExpFloat64()/max(rate, leastRate)*float64(time.Second)), func() { w.arrive(kind) })
+	w.After(time.Duration(w.rand.ExpFloat64()/max(rate, leastRate)*float64(time.Second)), func() { w.arrive(kind) })
 }
 
 // leastRate lets a kind that does not come look again at the turns.
@@ -253,7 +216,7 @@
 func (w *world) factor(kind int) float64 {
 	factor := 1.0
 	for _, t := range w.config.Turns {
-		if w.now >= t.At {
+		if w.Now() >= t.At {
 			factor = t.Factors[kind]
 		}
 	}
@@ -285,8 +248,8 @@
 
 func (r *request) wait() {
 	w := r.world
-	if w.now-r.began < r.kind.Target && r.entry.policy.Crowded(w.clock(), w.service, len(w.list)) {
-		w.after(poll, r.wait)
+	if w.Now()-r.began < r.kind.Target && r.entry.policy.Crowded(w.clock(), w.service, len(w.list)) {
+		w.After(poll, r.wait)
 		return
 	}
 	r.release()
@@ -306,7 +269,7 @@
 	if plan.Long {
 		w.tell(r.entry)
 	}
-	j := newJob(r, plan, w.now)
+	j := newJob(r, plan)
 	for _, h := range plan.Helpers {
 		j.helpers = append(j.helpers, w.engines[h.Life])
 	}
--- a/bench/emulator/engine.go
+++ b/bench/emulator/engine.go
@@ -12,9 +12,8 @@
 // job is a request as its first engine has it.
 type job struct {
 	request *request
-	// memory is what it needs there, level its priority, arrived when it came.
+	// memory is what it needs there, level its priority.
 	memory, level int
-	arrived       time.Duration
 	helpers       []*engine
 	// holders of the helpers each hold reserved memory.
 	holders, reserved int
@@ -35,9 +34,8 @@
 // limit of tokens in a pass, the way of messages, and what holding a part of the context
 // costs.
 type engine struct {
-	world    *world
-	endpoint *directory.Listed
-	model    *directory.Engine
+	world *world
+	model *directory.Engine
 	// pace is how many times as long as described its work takes.
 	pace    float64
 	waiting []*job // for a slot or memory
@@ -80,14 +78,11 @@
 	e.running = true
 	reading := e.parts
 	e.parts = nil
-	length := time.Duration(0)
+	length := e.decodeTime()
 	for _, p := range reading {
 		length += p.prefill
 	}
-	if len(e.writing) > 0 || len(reading) > 0 {
-		length += e.decodeTime()
-	}
-	e.world.after(time.Duration(e.pace*float64(length)), func() { e.end(reading) })
+	e.world.After(time.Duration(e.pace*float64(length)), func() { e.end(reading) })
 }
 
 // decodeTime is that of the steps of one pass.
@@ -119,7 +114,7 @@
 
 // write passes one event of a stream on.
 func (e *engine) write(j *job) {
-	now := e.world.now
+	now := e.world.Now()
 	if j.first == 0 {
 		j.first = now
 		j.request.prefilled()
@@ -146,9 +141,9 @@
 }
 
 // newJob makes the job of a request by a plan.
-func newJob(r *request, plan *direct.Plan, now time.Duration) *job {
+func newJob(r *request, plan *direct.Plan) *job {
 	j := &job{
-		request: r, memory: plan.FirstMemory, level: direct.Level(r.tokens, 1), arrived: now, part: plan.Prefill,
+		request: r, memory: plan.FirstMemory, level: direct.Level(r.tokens, 1), part: plan.Prefill,
 		missing: 1 + len(plan.Helpers), events: r.kind.Events, holders: plan.Holders, reserved: plan.HelperMemory,
 	}
 	return j
--- a/bench/losses/losses.go
+++ b/bench/losses/losses.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"aspenyard.example/result"
 )
 
 // Late tells in which way a served request was late.
@@ -30,7 +32,7 @@
 	// Code is the result code; Refused is set where it has not run and the caller may come
 	// back, NotOwed where the caller has no claim to an answer (unknown key or route, or it
 	// left).
-	Code             int
+	Code             result.Code
 	Refused, NotOwed bool
 	Late             Late
 	// First is the time to the first event. PauseFrom and PauseTo bound the longest pause.
@@ -222,17 +224,7 @@
 	return min(fixedWeight+sizeWeight*float64(q.PromptTokens)/float64(t.MeanTokens), mostWeight)
 }
 
-func served(q *Request) bool { return q.Code == codeOK }
-
-// codeOK is the result code of what was served; result.OK, which this package, like the
-// logs it reads, knows as a number.
-const codeOK = 1000
-
-// Result codes that are told apart.
-const (
-	codeNotReady = 3014
-	codeDeadline = 4001
-)
+func served(q *Request) bool { return q.Code == result.OK }
 
 // judge gives what a request was lost to, and which part of its worth; 0: nothing.
 func judge(q *Request, starts []time.Time, there []Part) (Cause, float64) {
@@ -255,11 +247,11 @@
 
 func failure(q *Request) Cause {
 	switch {
-	case q.Code == codeNotReady:
+	case q.Code == result.NotReady:
 		return CauseNotReady
 	case q.Refused:
 		return CauseRefused
-	case q.Code == codeDeadline:
+	case q.Code == result.DeadlineExceeded:
 		return CauseDeadline
 	}
 	return CauseFailed
--- a/bench/losses/losses_test.go
+++ b/bench/losses/losses_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"aspenyard.example/result"
+
 	"aspenyard.example/bench/days"
 )
 
@@ -18,7 +20,7 @@
 
 // ask is a request for a stream at endpoint e-1 that was served on time.
 func ask(id string, began float64, tokens int) Request {
-	return Request{ID: id, Route: "short", Began: at(began), Ended: at(began + 1), PromptTokens: tokens, Code: codeOK, First: 100 * time.Millisecond, Endpoint: "e-1"}
+	return Request{ID: id, Route: "short", Began: at(began), Ended: at(began + 1), PromptTokens: tokens, Code: result.OK, First: 100 * time.Millisecond, Endpoint: "e-1"}
 }
 
 func part(request, route string, from, to float64, ms int) Part {
@@ -53,8 +55,8 @@
 	}{
 		"on time":                 {ask("q", 10, 1000), nil, nil, ""},
 		"refused":                 {late(OnTime, func(q *Request) { q.Code, q.Refused = 3004, true }), nil, nil, CauseRefused},
-		"no configuration":        {late(OnTime, func(q *Request) { q.Code, q.Refused = codeNotReady, true }), nil, nil, CauseNotReady},
-		"deadline":                {late(OnTime, func(q *Request) { q.Code = codeDeadline }), nil, nil, CauseDeadline},
+		"no configuration":        {late(OnTime, func(q *Request) { q.Code, q.Refused = result.NotReady, true }), nil, nil, CauseNotReady},
+		"deadline":                {late(OnTime, func(q *Request) { q.Code = result.DeadlineExceeded }), nil, nil, CauseDeadline},
 		"failed":                  {late(OnTime, func(q *Request) { q.Code = 4003 }), nil, nil, CauseFailed},
 		"after a start":           {late(LateFirst, first), []time.Time{at(9)}, nil, CauseRestart},
 		"long after a start":      {late(LateFirst, first), []time.Time{at(7)}, []Part{part("q", "short", 10, 11, 400)}, CauseFirst},
--- a/bench/run.go
+++ b/bench/run.go
@@ -1,13 +1,13 @@
 package bench
 
 import (
-	"container/heap"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"aspenyard.example/admission"
+	"aspenyard.example/bench/virtual"
 	"aspenyard.example/result"
 	"aspenyard.example/routing"
 	standin "aspenyard.example/standin/engine"
@@ -40,11 +40,10 @@
 // experiment runs the real routing and admission code before model engines in
 // virtual time.
 type experiment struct {
+	virtual.Clock
 	workload   Workload
 	conditions Conditions
-	now        time.Duration
 	epoch      time.Time
-	events     eventHeap
 	entries    []*benchEntry
 	engines    []*benchEngine
 	pending    map[string]*pendingRequest
@@ -53,7 +52,6 @@
 	budgets    map[admission.Class]*admission.Budget
 	// cached and prompts count prompt tokens served from the prefix cache and all.
 	cached, prompts int
-	scheduled       int
 	numbered        uint64
 }
 
@@ -89,36 +87,7 @@
 	tokens  int
 }
 
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
-func (m *experiment) after(d time.Duration, run func()) {
-	m.scheduled++
-	heap.Push(&m.events, event{at: m.now + d, order: m.scheduled, run: run})
-}
-
-func (m *experiment) clock() time.Time { return m.epoch.Add(m.now) }
+func (m *experiment) clock() time.Time { return m.epoch.Add(m.Now()) }
 
 // simulate runs the jobs under a policy and returns what became of each.
 func simulate(policy string, jobs []job, w Workload, c Conditions) (*experiment, error) {
@@ -146,18 +115,13 @@
 	}
 	for i := range jobs {
 		j := jobs[i]
-		heap.Push(&m.events, event{at: j.at, order: i - len(jobs), run: func() { m.arrive(j) }})
+		m.After(j.at, func() { m.arrive(j) })
 	}
-	m.after(0, m.report)
+	m.After(0, m.report)
 	if c.KillShare > 0 {
-		m.after(w.Length/2, m.killSome)
-	}
-	end := w.Length + drainTime
-	for len(m.events) > 0 && m.events[0].at <= end {
-		next := heap.Pop(&m.events).(event)
-		m.now = next.at
-		next.run()
+		m.After(w.Length/2, m.killSome)
 	}
+	m.Run(w.Length + drainTime)
 	return m, nil
 }
 
@@ -200,21 +164,21 @@
 	for _, entry := range m.entries {
 		for i, engine := range m.engines {
 			shown := engine.describe(entry.policy, m.clock())
-			m.after(m.conditions.ReportLag, func() {
+			m.After(m.conditions.ReportLag, func() {
 				if !entry.view[i].Reported.After(shown.Reported) {
 					entry.view[i] = shown
 				}
 			})
 		}
 	}
-	m.after(m.conditions.ReportEvery, m.report)
+	m.After(m.conditions.ReportEvery, m.report)
 }
 
 func (m *experiment) arrive(j job) {
 	f := &pendingRequest{outcome: &outcome{job: j}, entry: m.entries[j.id%len(m.entries)], tried: map[string]bool{}}
 	m.outcomes = append(m.outcomes, f.outcome)
 	m.dispatch(f)
-	m.after(j.allowed, func() { m.expire(f) })
+	m.After(j.allowed, func() { m.expire(f) })
 }
 
 // dispatch routes a request, as an entry does.
@@ -265,8 +229,8 @@
 		return
 	}
 	j.retried = true
-	m.after(verdict.RetryAfter, func() {
-		j.at = m.now
+	m.After(verdict.RetryAfter, func() {
+		j.at = m.Now()
 		m.arrive(j)
 	})
 }
@@ -328,7 +292,7 @@
 	}
 	engine.stepping = true
 	duration, events := engine.model.Step()
-	m.after(duration, func() {
+	m.After(duration, func() {
 		engine.stepping = false
 		if engine.dead {
 			return
@@ -347,7 +311,7 @@
 	}
 	f.tokens++
 	if f.tokens == 1 && f.outcome.first == 0 {
-		f.outcome.first = m.now - f.outcome.job.at
+		f.outcome.first = m.Now() - f.outcome.job.at
 		f.engine.queue.Prefilled(f.number)
 		if f.entry.policy.Admission {
 			m.pump(f.engine)
@@ -361,7 +325,7 @@
 	}
 	if e.Finished {
 		f.outcome.done = true
-		f.outcome.ended = m.now - f.outcome.job.at
+		f.outcome.ended = m.Now() - f.outcome.job.at
 		m.budgets[f.outcome.job.class].Success()
 		m.end(f)
 	}
--- a/cli/losses.go
+++ b/cli/losses.go
@@ -92,7 +92,7 @@
 	status := result.Lookup(code).HTTPStatus
 	q := losses.Request{
 		ID: l.Request, Node: l.Node, Route: l.get("route"), Began: began, Ended: l.Time, PromptTokens: int(l.number("prompt_tokens")),
-		Code: int(code), Refused: status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests, NotOwed: notOwed(code), Late: late(l.get("late")),
+		Code: code, Refused: status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests, NotOwed: notOwed(code), Late: late(l.get("late")),
 		First: l.duration("first_ms"), Endpoint: l.get("endpoint"), Waited: waited, Resumed: l.get("resumed") == "true",
 	}
 	q.PauseTo = began.Add(l.duration("gap_end_ms"))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -239,19 +239,20 @@
 	if failure != nil {
 		code = failure.Code
 	}
-	c.gateway.measure(c, code, took)
+	late := c.lateness(took)
+	c.gateway.measure(c, code, took, late)
 	fields := []zap.Field{
 		zap.Int("code", int(code)), zap.Duration("took_ms", took), zap.Uint64("config", c.version()),
 		zap.String("route", c.routeName()), zap.String("endpoint", c.endpoint), zap.Int("prompt_tokens", c.PromptTokens),
 	}
 	if started {
-		fields = append(fields, zap.String("late", string(c.lateness(took))), zap.Bool("resumed", c.LastEvent != ""), zap.Duration("first_ms", c.firstAnswer.Sub(c.started)), zap.Duration("gap_ms", c.gap), zap.Duration("gap_end_ms", c.gapEnd()), zap.Int("events", c.events))
+		fields = append(fields, zap.String("late", string(late)), zap.Bool("resumed", c.LastEvent != ""), zap.Duration("first_ms", c.firstAnswer.Sub(c.started)), zap.Duration("gap_ms", c.gap), zap.Duration("gap_end_ms", c.gapEnd()), zap.Int("events", c.events))
 	}
 	if failure != nil {
 		fields = append(fields, zap.String("ran", string(failure.Ran)), zap.String("detail", failure.Detail), zap.Duration("retry_after_ms", failure.RetryAfter))
 	}
 	c.log.Add("request_ended", fields...)
-	c.log.End(failure != nil || c.lateness(took) != onTime)
+	c.log.End(failure != nil || late != onTime)
 	switch {
 	case failure == nil:
 	case started || failure.Code == result.Cancelled:
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -69,12 +69,12 @@
 }
 
 // measure counts an ended call.
-func (g *Gateway) measure(c *call, code result.Code, took time.Duration) {
+func (g *Gateway) measure(c *call, code result.Code, took time.Duration, late lateness) {
 	class := c.classOf()
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_requests_total{class=%q,code="%d",outcome=%q}`, class, code, result.Lookup(code).Name)).Inc()
 	g.metrics.GetOrCreatePrometheusHistogramExt(fmt.Sprintf(`aspenyard_gateway_request_seconds{class=%q}`, class), latencyBuckets).Update(took.Seconds())
 	if c.route != nil && c.route.Target > 0 && code != result.Cancelled {
-		good := code == result.OK && c.lateness(took) == onTime
+		good := code == result.OK && late == onTime
 		g.objectives.Register(g.metrics, "aspenyard_gateway_objective_events", fmt.Sprintf("kind=%q", class), good)
 	}
 	if c.firstAnswer.IsZero() {
--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -103,11 +104,7 @@
 func (p *paces) prune(known func(life directory.Life) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for life := range p.asked {
-		if !known(life) {
-			delete(p.asked, life)
-		}
-	}
+	maps.DeleteFunc(p.asked, func(life directory.Life, _ *question) bool { return !known(life) })
 }
 
 // watchFirst suspects a plan's engines when the first token does not come. The function
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,11 +87,7 @@
 func (p *prober) prune(known func(life directory.Life) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for life := range p.results {
-		if !known(life) {
-			delete(p.results, life)
-		}
-	}
+	maps.DeleteFunc(p.results, func(life directory.Life, _ *probe) bool { return !known(life) })
 }
 
 // markUnreachable keeps requests from an endpoint until it accepts connections again.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -129,7 +129,7 @@
 		if s.begun && !s.follows(id) {
 			continue
 		}
-		if err := s.write(r, event, id, reader.Buffered() > 0); err != nil {
+		if err := s.write(r, event, id, now, reader.Buffered() > 0); err != nil {
 			r.abandon()
 			return attempt.Broken, err
 		}
@@ -158,8 +158,8 @@
 	s.out.WriteHeader(r.status)
 }
 
-func (s *relay) write(r *reply, event []byte, id string, more bool) error {
-	now := time.Now()
+// write passes an event that came now on; more events are at hand or it is flushed.
+func (s *relay) write(r *reply, event []byte, id string, now time.Time, more bool) error {
 	if !s.begun {
 		s.begin(r)
 		s.firstAnswer = now
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -227,29 +228,43 @@
 // seconds.
 const toldValid = 3 * time.Second
 
-// busy estimates what all entries have given an endpoint to do. How many requests are
-// open is the endpoint's last word, corrected by what this entry has begun and ended
-// since, or what the other entries tell, whichever is more.
-func (l *Ledger) busy(now time.Time, life directory.Life) (open int, reading time.Duration) {
-	own, told := 0, 0
-	peerOpen, reading := l.peerLoad(life)
-	if known := l.loads[life]; known != nil {
-		own = known.open
-		reading += known.prefill
-		if !known.told.IsZero() && now.Sub(known.told) <= toldValid {
-			told = known.toldOpen + known.open - known.ownOpen
-		}
-	}
-	return max(told, own+int(peerOpen+0.5)), reading
+// estimate is what is thought of an endpoint's life.
+type estimate struct {
+	// open is how many requests it has, reading what it has to prefill, and memory the KV
+	// cache that they need, in tokens: those of all entries.
+	open    int
+	reading time.Duration
+	memory  int
+	// pace is how many times as long as described its work takes.
+	pace float64
 }
 
-// memoryUsed estimates the KV cache that the requests of all entries need at an endpoint.
-func (l *Ledger) memoryUsed(life directory.Life) int {
-	used := l.peerMemory(life)
-	if known := l.loads[life]; known != nil {
-		used += known.memory
+// estimate gives what is thought of an endpoint's life. How many requests are open is the
+// endpoint's last word, corrected by what this entry has begun and ended since, or what the
+// other entries tell, for as many as there are, whichever is more.
+func (l *Ledger) estimate(now time.Time, life directory.Life) estimate {
+	hash := HashEndpoint(life)
+	peers, scale := l.peerLoads[hash], l.peerScale()
+	known := l.loads[life]
+	if known == nil {
+		known = &load{}
+	}
+	e := estimate{
+		open:    known.open + int(float64(peers.Count)*scale+0.5),
+		reading: known.prefill + time.Duration(float64(peers.Reading)*scale),
+		memory:  known.memory + int(float64(peers.Memory)*scale),
+		pace:    l.pace(now, known, hash),
 	}
-	return used
+	if !known.told.IsZero() && now.Sub(known.told) <= toldValid {
+		e.open = max(e.open, known.toldOpen+known.open-known.ownOpen)
+	}
+	return e
+}
+
+// busy is the part of an estimate that tells of requests and of what is to be prefilled.
+func (l *Ledger) busy(now time.Time, life directory.Life) (open int, reading time.Duration) {
+	e := l.estimate(now, life)
+	return e.open, e.reading
 }
 
 // SetUnreachable notes whether an endpoint accepts connections; it tells whether that is new.
@@ -297,9 +312,5 @@
 func (l *Ledger) Prune(known func(life directory.Life) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for life := range l.loads {
-		if !known(life) {
-			delete(l.loads, life)
-		}
-	}
+	maps.DeleteFunc(l.loads, func(life directory.Life, _ *load) bool { return !known(life) })
 }
--- a/routing/direct/memory.go
+++ b/routing/direct/memory.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"aspenyard.example/directory"
 )
@@ -55,7 +56,7 @@
 // second between them, and the other helpers prefill their parts without any. With four
 // holders in place of sixteen there were 269 orders a day in place of 716 (mean of 36 days,
 // 21 engines).
-func (p *Policy) divideMemory(plan *Plan, engine *directory.Engine) {
+func (p *Policy) divideMemory(now time.Time, plan *Plan, engine *directory.Engine) {
 	plan.FirstMemory = plan.Memory
 	if plan.Memory <= aloneMemory(engine) || len(plan.Helpers) == 0 {
 		return
@@ -66,6 +67,6 @@
 	plan.Holders = min(max(leastHolders, int(math.Ceil(reserved/each))), len(plan.Helpers))
 	plan.HelperMemory = int(math.Ceil(reserved / float64(plan.Holders)))
 	slices.SortStableFunc(plan.Helpers, func(a, b *directory.Listed) int {
-		return cmp.Compare(p.ledger.memoryUsed(a.Life), p.ledger.memoryUsed(b.Life))
+		return cmp.Compare(p.ledger.estimate(now, a.Life).memory, p.ledger.estimate(now, b.Life).memory)
 	})
 }
--- a/routing/direct/pace.go
+++ b/routing/direct/pace.go
@@ -77,17 +77,23 @@
 	return l.pace >= slowPace && now.Sub(l.paceAt) <= paceValid
 }
 
-// paceOf is how many times as long as described an endpoint's work takes.
-func (l *Ledger) paceOf(now time.Time, endpoint directory.Life) float64 {
-	if known := l.loads[endpoint]; known != nil && known.slow(now) {
+// pace is how many times as long as described the work of an endpoint takes of which this
+// entry knows a load: its own word, or what another entry was told.
+func (l *Ledger) pace(now time.Time, known *load, hash EndpointHash) float64 {
+	if known.slow(now) {
 		return known.pace
 	}
-	if told, found := l.peerPaces[HashEndpoint(endpoint)]; found && now.Sub(told.at) <= peerPaceValid {
+	if told, found := l.peerPaces[hash]; found && now.Sub(told.at) <= peerPaceValid {
 		return told.pace
 	}
 	return 1
 }
 
+// paceOf is the pace of an endpoint's life.
+func (l *Ledger) paceOf(now time.Time, endpoint directory.Life) float64 {
+	return l.estimate(now, endpoint).pace
+}
+
 // Reading estimates what all entries have given an endpoint to prefill.
 func (l *Ledger) Reading(now time.Time, endpoint directory.Life) time.Duration {
 	l.mu.Lock()
--- a/routing/direct/peers.go
+++ b/routing/direct/peers.go
@@ -1,10 +1,6 @@
 package direct
 
-import (
-	"time"
-
-	"aspenyard.example/directory"
-)
+import "time"
 
 // peer is what another entry last told.
 type peer struct {
@@ -89,18 +85,6 @@
 	l.entries = n
 }
 
-// peerLoad estimates what other entries have given an endpoint to do: what those
-// heard of tell, for as many as there are.
-func (l *Ledger) peerLoad(life directory.Life) (open float64, reading time.Duration) {
-	sum, scale := l.peerLoads[HashEndpoint(life)], l.peerScale()
-	return float64(sum.Count) * scale, time.Duration(float64(sum.Reading) * scale)
-}
-
-// peerMemory estimates the KV cache that other entries' requests need at an endpoint.
-func (l *Ledger) peerMemory(life directory.Life) int {
-	return int(float64(l.peerLoads[HashEndpoint(life)].Memory) * l.peerScale())
-}
-
 // peerScale is how many other entries there are for each one that is heard of; 0 while
 // none is.
 func (l *Ledger) peerScale() float64 {
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -128,7 +128,7 @@
 	plan.Prefill = prefill / time.Duration(parts)
 	p.choose(plan, list, parts)
 	plan.Expected = p.slowest(now, plan) + plan.Prefill + 2*PassTime(engine)
-	p.divideMemory(plan, engine)
+	p.divideMemory(now, plan, engine)
 	plan.Open = p.open(now, plan)
 	plan.Crowded = plan.Prefill > longestPart(r.Service) && plan.Open > quietOpen
 	return plan
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -35,14 +35,14 @@
 func (p *Policy) score(now time.Time, r *Request, kept []*directory.Listed, engine *directory.Engine) []scored {
 	list := make([]scored, 0, len(kept))
 	openCost := openCostFor(r.Service, r.PromptTokens)
+	pass := float64(PassTime(engine))
 	for _, e := range kept {
-		s := scored{endpoint: e}
-		open, reading := p.ledger.busy(now, e.Life)
-		s.pace = p.ledger.paceOf(now, e.Life)
-		reading = time.Duration(s.pace*float64(reading)) + time.Duration(slowPassShare*(s.pace-1)*float64(PassTime(engine)))
-		s.cost = reading + time.Duration(open)*openCost + time.Duration(max(open+1-e.Slots, 0))*slotCost
+		there := p.ledger.estimate(now, e.Life)
+		s := scored{endpoint: e, pace: there.pace}
+		reading := time.Duration(s.pace*float64(there.reading)) + time.Duration(slowPassShare*(s.pace-1)*pass)
+		s.cost = reading + time.Duration(there.open)*openCost + time.Duration(max(there.open+1-e.Slots, 0))*slotCost
 		if engine != nil && engine.MemoryTokens > 0 {
-			s.memory = p.ledger.memoryUsed(e.Life)
+			s.memory = there.memory
 			s.cost += time.Duration(float64(memoryCost) * float64(s.memory) / float64(engine.MemoryTokens))
 			s.full = s.memory+firstMemory(engine, r.PromptTokens+r.OutputTokens) > engine.MemoryTokens
 		}
--- a/soak/endpoints.go
+++ b/soak/endpoints.go
@@ -61,9 +61,7 @@
 
 // crash ends an endpoint at once; its registration lapses later.
 func crash(w *world, p *post, worker *platform.Worker) {
-	p.mu.Lock()
-	p.worker = nil
-	p.mu.Unlock()
+	p.vacate()
 	worker.Stop()
 	p.link.Reset()
 	time.Sleep(lapseAfter)
@@ -72,9 +70,7 @@
 
 // goDark makes an endpoint accept nothing and say nothing, with its connections open.
 func goDark(w *world, p *post, worker *platform.Worker) {
-	p.mu.Lock()
-	p.worker = nil
-	p.mu.Unlock()
+	p.vacate()
 	worker.Refuse()
 	p.link.Mute()
 	time.Sleep(lapseAfter)
@@ -111,9 +107,7 @@
 	w.record.Departures = append(w.record.Departures, Departure{worker.Life(), time.Now()})
 	w.record.mu.Unlock()
 	time.Sleep(leavingWithin + lingering)
-	p.mu.Lock()
-	p.worker = nil
-	p.mu.Unlock()
+	p.vacate()
 	worker.Stop()
 	p.link.Reset()
 }
@@ -136,6 +130,13 @@
 	<-done
 }
 
+// vacate notes that no endpoint is at the post.
+func (p *post) vacate() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.worker = nil
+}
+
 func (p *post) serviceNow() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -160,9 +161,7 @@
 		w.depart(p, worker)
 	}
 	old := worker.RegistrationAt(p.link.Addr(), "draining")
-	p.mu.Lock()
-	p.worker = nil
-	p.mu.Unlock()
+	p.vacate()
 	worker.Stop()
 	p.link.Reset()
 	time.Sleep(f.Delay)
