Memory is reserved for prompts of over half of an engine's memory

Cause: on the new customer's grown site a prompt of 110,000 to 167,000 tokens was sent to one engine of 197,200 without a reservation. Change: reservations from half of an engine's memory on, not from 0.85 of it. Two unit tests named sizes by the old share and now name them by the new one, as strictly.

--- a/bench/emulator/emulator_test.go
+++ b/bench/emulator/emulator_test.go
@@ -106,16 +106,21 @@
 	return c
 }
 
-// Symptom: while the largest prompts are prefilled, shorter ones of the long kind wait at their
-// entries until they are late. Cause: all began under the same limit, whatever they take of
-// it; and the limit was too low for what many engines have on the way (0.664 of long ones and
-// 0.435 of short ones on time).
-func TestTheLargestPromptsDoNotMakeShorterOnesLate(t *testing.T) {
+// Symptom: after the mix has turned to short prompts most of these are late by their first
+// event, and long ones wait at their entries for as long as their target is, while engines
+// are idle half of the time. Sequence: prompts of over half of an engine's memory are sent
+// to engines on which two like them decode; the largest ones begin before shorter ones. Causes,
+// each seen with its change taken out: such prompts were not reserved for, so that they
+// waited at their first engine and all parts that they had elsewhere counted as prefill under
+// way for three to six seconds (0.649 of short ones on time, 0.911 of medium ones); all began
+// under the same limit, whatever they take of it (0.780 of long ones). With neither: 0.435,
+// 0.858 and 0.664.
+func TestPromptsAsLargeAsAnEnginesMemoryDoNotHoldOthersUp(t *testing.T) {
 	is := is.New(t)
 	short, medium, long := play(t, wide)
-	is.True(short.Share() > 0.6)
-	is.True(medium.Share() > 0.89)
-	is.True(long.Share() > 0.76)
+	is.True(short.Share() > 0.66)
+	is.True(medium.Share() > 0.92)
+	is.True(long.Share() > 0.79)
 }
 
 // slowing is a load at a steady mix, in which a seventh or a fifth of the engines are slow
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -334,14 +334,14 @@
 	p.ledger.SetEntries(2)
 	var open []Open
 	for i, e := range list {
-		o := Open{Endpoint: HashEndpoint(e.Life), Count: 1, Memory: 200_000}
+		o := Open{Endpoint: HashEndpoint(e.Life), Count: 1, Memory: 210_000}
 		if i == 11 {
-			o.Reading, o.Memory = 200*time.Millisecond, 0 // room, and the most to do
+			o.Reading, o.Memory = 200*time.Millisecond, 20_000 // room, and the most to do
 		}
 		open = append(open, o)
 	}
 	p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", LongPrefill: 9 * time.Second}}, open)
-	plan := p.Place(testNow, prompt(250_000), list)
+	plan := p.Place(testNow, prompt(200_000), list)
 	is.Equal(plan.Endpoint.Life, list[11].Life)
 	p.ledger.Begin(plan)
 	is.True(p.Place(testNow, prompt(190_000), list).Endpoint.Life != list[11].Life) // its own is counted too
@@ -373,7 +373,8 @@
 func TestAPromptHasAsManyEnginesAsItsMemoryNeeds(t *testing.T) {
 	is := is.New(t)
 	e := siteEngine()
-	is.Equal(holders(e, 300_000), 1)
+	is.Equal(holders(e, 200_000), 1)
+	is.Equal(holders(e, 300_000), 2)
 	is.Equal(holders(e, 400_000), 3)
 	is.Equal(holders(e, 900_000), 5)
 	p := policy(2)
--- a/routing/direct/memory.go
+++ b/routing/direct/memory.go
@@ -10,9 +10,13 @@
 )
 
 const (
-	// aloneShare is the part of an engine's memory that one request may need; the rest
-	// is for those that decode there.
-	aloneShare = 0.85
+	// aloneShare is the part of an engine's memory that one request may need; what needs more
+	// is reserved at several engines. A request over half of it finds no engine with room
+	// while two like it decode on each, and waits at its first one; all parts that it has
+	// elsewhere count meanwhile as prefill under way, and hold others back. Of 6 days with 69
+	// engines, where 0.8 of the long prompts need over half of the memory, mean worth was
+	// 0.704 with 0.5 and 0.661 with 0.85; with 21 and 23 engines it made no difference.
+	aloneShare = 0.5
 	// firstShare is the part of its memory that the first engine of a request gives
 	// that needs more than one engine's.
 	firstShare = 0.3
