Parts of short prompts are prefilled on the engines for long ones

Change: a short prompt in parts is held by the cheapest engine for short ones; its other parts go to engines for long ones first. The tests' bounds are raised to 0.82 and 0.715 and fail before, as the new unit test does.

--- a/bench/emulator/emulator_test.go
+++ b/bench/emulator/emulator_test.go
@@ -70,11 +70,11 @@
 // out: entries that do not know what memory others use (0.75 of long prompts on time), short
 // prompts on engines for long ones (0.75 of short ones), no waiting for engines with enough
 // to prefill (0.76 of short ones), no refusal of what would hold up others (0.73 of long
-// ones).
+// ones), parts of medium ones on engines for short ones (0.809 of short ones).
 func TestKindsOfPromptsKeepApartAsTheMixTurns(t *testing.T) {
 	is := is.New(t)
 	short, medium, long := play(t, turning)
-	is.True(short.Share() > 0.775)
+	is.True(short.Share() > 0.82)
 	is.True(medium.Share() > 0.92)
 	is.True(long.Share() > 0.78)
 }
@@ -120,7 +120,7 @@
 func TestPromptsAsLargeAsAnEnginesMemoryDoNotHoldOthersUp(t *testing.T) {
 	is := is.New(t)
 	short, medium, long := play(t, wide)
-	is.True(short.Share() > 0.66)
+	is.True(short.Share() > 0.715)
 	is.True(medium.Share() > 0.92)
 	is.True(long.Share() > 0.79)
 	is.True(10*long.LargestServed > 2*long.Largest) // the longest tenth is not starved
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -402,6 +402,24 @@
 	is.True(slices.Contains(list[:boundary], plan.Endpoint))
 }
 
+// Symptom: short streams pause for over 250 ms while no long prompt's part is near. Sequence:
+// prompts of 30,000 to 90,000 tokens come eight times a second; three or four of their parts
+// of 55 ms meet in one pass. Cause: all their parts went to engines for short prompts, though
+// those for long ones have decoders that allow a second.
+func TestPartsOfShortPromptsKeepOffEnginesForShortOnes(t *testing.T) {
+	is := is.New(t)
+	p := policy(3)
+	list := endpoints(21)
+	p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", OpenShort: 60, LongPrefill: 20 * time.Second}}, opens(list[:8], 6))
+	boundary := p.boundary(testNow, service(), len(list))
+	plan := p.Place(testNow, prompt(60_000), list)
+	is.True(!plan.Long && len(plan.Helpers) > 0 && len(plan.Helpers) <= len(list)-boundary)
+	is.True(slices.Contains(list[:boundary], plan.Endpoint))
+	for _, h := range plan.Helpers {
+		is.True(!slices.Contains(list[:boundary], h))
+	}
+}
+
 // Symptom: short streams are late by a pause whenever the mix turns to long prompts.
 // Sequence: many short prompts come, a few decode on each engine for long ones, then long
 // ones come. Cause: they were sent there while engines for short ones had slots free.
--- a/routing/direct/picker.go
+++ b/routing/direct/picker.go
@@ -6,9 +6,10 @@
 )
 
 // choose takes the engines with the least cost. The one that a long prompt is sent to is
-// that, of them, whose memory is least used; a short one is sent to the cheapest, which is
-// one for short prompts, where its events come sooner and its memory is in nobody's way (of
-// those of 45,000 tokens 0.92 of the worth was earned in place of 0.90). Where none of them
+// that, of them, whose memory is least used; a short one is sent to the engine for short
+// prompts that is preferred, where its events come sooner and its memory is in nobody's way
+// (of those of 45,000 tokens 0.92 of the worth was earned in place of 0.90), and its other
+// parts to engines for long ones. Where none of them
 // has room, another one is taken: an engine without room holds a request back until another
 // one ends, and prompts of 110,000 to 160,000 tokens that were read in 0.4 s began after 3
 // to 5 s.
@@ -17,7 +18,7 @@
 		j := i + p.rand.IntN(len(list)-i)
 		list[i], list[j] = list[j], list[i]
 	}
-	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
+	slices.SortStableFunc(list, byPreference)
 	first := 0
 	for i := 1; i < parts; i++ {
 		if plan.Long && list[i].memory < list[first].memory || list[first].full && !list[i].full {
@@ -35,6 +36,17 @@
 	}
 }
 
+// byPreference orders engines for the parts of a prompt.
+func byPreference(a, b scored) int {
+	if a.preferred != b.preferred {
+		if a.preferred {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.cost, b.cost)
+}
+
 // withRoom brings the cheapest engine that has room among the first of a list, in place
 // of the last of them, and gives its index; first where none has.
 func withRoom(list []scored, parts, first int) int {
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -80,8 +80,9 @@
 	slotCost = 150 * time.Millisecond
 	// distanceCost is the way to another data centre and back.
 	distanceCost = 2 * time.Millisecond
-	// otherPoolCost is what an engine of the other kind costs a short prompt: a part of a
-	// long one that is prefilled there makes it late. It is worth 40 open requests, so that
+	// otherPoolCost is what an engine of the other kind costs a short prompt, which a part of
+	// a long one that is prefilled there makes late; and what one of its own kind costs a part
+	// of a short prompt, which makes those late that decode there. It is worth 40 open requests, so that
 	// those for short ones fill their slots first. Mean worth 0.760 in place of 0.751 at 60 ms
 	// (30 days of a site of 21 engines whose mix turns every ten seconds).
 	otherPoolCost = 200 * time.Millisecond
@@ -137,15 +138,21 @@
 // shortEngines gives the engines that a prompt which is not long may be sent to, and in how
 // many parts. Endpoints come in the same order at every entry: short prompts have the
 // engines at its beginning, long ones those at its end, and the boundary follows the demand.
+// One in parts is held by an engine for short ones and prefilled on those for long ones: on
+// its own kind's three or four such parts met in one pass, over the pause that short streams
+// allow. Mean worth +0.006 ± 0.003 over 48 pairs of days on four sites; in the emulator 0.840
+// and 0.730 of short ones were on time in place of 0.809 and 0.703.
 func (p *Policy) shortEngines(now time.Time, r *Request, kept []*directory.Listed, prefill time.Duration) ([]scored, int) {
 	target := partTarget(r.Service)
 	list := p.score(now, r, kept, r.Service.Engine)
 	boundary := min(p.boundary(now, r.Service, len(kept)), len(list))
 	own, rest := list[:boundary], list[boundary:]
-	chargeOtherPool(rest)
 	if prefill < 2*target {
+		chargeOtherPool(rest)
 		return p.draw(own, rest), 1
 	}
+	preferHolder(own)
+	chargeOtherPool(own)
 	list = steady(list)
 	return list, partsOf(prefill, target, len(list))
 }
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -13,6 +13,8 @@
 	// what the request's first engine must hold.
 	memory int
 	full   bool
+	// preferred is set for the engine that is to hold the request.
+	preferred bool
 	// pace is how many times as long as described the engine's work takes.
 	pace float64
 }
@@ -54,9 +56,26 @@
 	return list
 }
 
-// chargeOtherPool makes engines for long prompts dearer for short ones.
+// chargeOtherPool makes engines dearer that had better be left to other prompts.
 func chargeOtherPool(list []scored) {
 	for i := range list {
 		list[i].cost += otherPoolCost
 	}
 }
+
+// preferHolder marks the cheapest of some engines that are not slow and have room: it is to
+// hold a prompt whose other parts are prefilled elsewhere.
+func preferHolder(list []scored) {
+	best := -1
+	for i, s := range list {
+		if s.full || s.pace >= slowPace {
+			continue
+		}
+		if best < 0 || s.cost < list[best].cost {
+			best = i
+		}
+	}
+	if best >= 0 {
+		list[best].preferred = true
+	}
+}
