The test of a prompt without room waits for its log line

The answer, its Retry-After and that nothing ran were right; the log's lines are written by a goroutine of their own, and the test read the log as soon as it had the answer. Ruled out: a refusal of another kind (nothing long is on the way in the test, so the expected wait is a constant); a line written late by the handler (a delay of 30 ms before it ends the log changes nothing). Change: the test waits for the line; the check that the prompt did not wait in the queue follows it, as its line would come before. Conclusion: a fault of the test, mended; the product is as it was.

--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -217,7 +217,8 @@
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	is.True(got.header.Get("Retry-After") != "")
 	is.Equal(s.runs("big"), 0)
-	is.True(strings.Contains(s.log.String(), `"event":"capacity_refused"`))
+	// a request's lines are written together once it has ended, beside the answer
+	s.until("the refusal is logged", func() bool { return strings.Contains(s.log.String(), `"event":"capacity_refused"`) })
 	is.True(!strings.Contains(s.log.String(), `"event":"queue_left"`)) // it did not wait
 }
 
