A stop does not close a connection on which a request's head is being read

The server's SetKeepAlivesEnabled(false), called at SIGTERM, also closes at once every connection that it takes for idle, and it takes a connection for idle until a request's whole head has been read. Change: a stop sets Connection: close on every further answer and closes nothing; what stays idle is closed by closeIdle when the drain no longer accepts, as before.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -35,12 +35,14 @@
 	open    map[*callerConn]struct{}
 	// ending is set when connections that are opened now are not read any more.
 	ending bool
+	// lastAnswers is set when every further answer ends its connection.
+	lastAnswers atomic.Bool
 }
 
-func newCallers(g *Gateway) *callers {
+func newCallers(g *Gateway, handler http.Handler) *callers {
 	c := &callers{gateway: g, open: map[*callerConn]struct{}{}}
 	c.server = &http.Server{
-		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes,
+		Handler: c.withLastAnswers(handler), MaxHeaderBytes: maxHeaderBytes,
 		// Non-zero, so that the server sets deadlines; callerConn replaces them by
 		// those of the configuration in force.
 		ReadHeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout,
@@ -64,8 +66,20 @@
 	return errors.Wrap(err, "serve callers")
 }
 
-// endKeepAlive makes every further answer close its connection.
-func (c *callers) endKeepAlive() { c.server.SetKeepAlivesEnabled(false) }
+// endKeepAlive makes every further answer close its connection. The server's own
+// SetKeepAlivesEnabled also closes at once what it takes for idle: a request whose head is
+// being read at that moment is then passed on, and its caller's connection ends without an
+// answer.
+func (c *callers) endKeepAlive() { c.lastAnswers.Store(true) }
+
+func (c *callers) withLastAnswers(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.lastAnswers.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
 
 // close closes all connections.
 func (c *callers) close() { _ = c.server.Close() }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,7 +103,7 @@
 	}
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.Empty())
-	g.callers = newCallers(g)
+	g.callers = newCallers(g, http.HandlerFunc(g.serveCaller))
 	g.prober = newProber(g)
 	g.pacer, g.paces = c.Pacer, newPaces(g)
 	g.peers = &peers{gateway: g, told: map[direct.EndpointHash]direct.Open{}}
