The retry budget holds as entries are started again and as they leave

A life that starts knew nothing of what the one before had spent and took a whole part again; an entry that leaves still repeats what it has while the others already share the allowance among fewer; and the present part of the window has only begun, so that ten parts of ten cover 9 to 10 s. Entries that are stopped gracefully at once and come back one by one see fewer than there are, and may together exceed the limit by a twentieth.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -233,9 +233,8 @@
 
 // Tick implements membership.Delegate.
 func (p *peers) Tick(_ time.Time, members *membership.View) {
-	entries := members.EntryCount() + 1
-	p.gateway.retries.SetEntries(entries)
-	p.gateway.ledger.SetEntries(entries)
+	p.gateway.retries.SetEntries(time.Now(), members.SharingCount()+1)
+	p.gateway.ledger.SetEntries(members.EntryCount() + 1)
 }
 
 // percent is by how much a pace is multiplied to be told.
--- a/membership/state.go
+++ b/membership/state.go
@@ -97,6 +97,18 @@
 	return count
 }
 
+// SharingCount counts the entries among which a limit is shared, this node excluded: those
+// of EntryCount and those that are leaving, which still serve what they have.
+func (v *View) SharingCount() int {
+	count := 0
+	for _, m := range v.Members {
+		if m.Role() == RoleEntry && (m.Listed || m.Last != nil && !m.Suspect) {
+			count++
+		}
+	}
+	return count
+}
+
 // state is the membership itself. It belongs to the control thread.
 type state struct {
 	config   Config
