aspenyard experiment: sites, loads and policies compared in virtual time

Nothing could say how far the product's policy is from baselines, or from one that knows all at once, or where it loses. Change: bench/experiment reads a checked JSON file of sites (written or drawn), faults, policies and mechanisms taken out, plays them on all cores with progress, pairs them by site and seed, and writes a table, JSON lines and a page with a plot; an interrupt keeps what was played. aspenyard check knows such files; three examples; docs/EXPERIMENTS.md. Tests: repeatable, paired, every wrong field named, stopped runs, the product over each baseline on twelve random sites.

--- /dev/null
+++ b/bench/experiment/file.go
@@ -0,0 +1,274 @@
+// Package experiment plays sites, loads, faults and policies in virtual time and compares what
+// callers get. It exists so that a policy can be tried on many sites and seeds within a
+// minute, and is not tuned to the few that are played in full.
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"aspenyard.example/bench/emulator"
+	"aspenyard.example/directory"
+	"aspenyard.example/settings"
+)
+
+// File is an experiment as it is written: each site is played with each seed under each
+// policy.
+type File struct {
+	// Name heads the page.
+	Name string `json:"name"`
+	// Seeds is how many plays of each site are made under each policy, 1 to 1,000.
+	Seeds int `json:"seeds"`
+	// Sites are written out; Random are drawn.
+	Sites  []Site       `json:"sites"`
+	Random *RandomSites `json:"random_sites"`
+	// Policies are compared with the first of them.
+	Policies []Policy `json:"policies"`
+}
+
+// Site is a site and its load.
+type Site struct {
+	Name    string `json:"name"`
+	Entries int    `json:"entries"`
+	Engines int    `json:"engines"`
+	Engine  Engine `json:"engine"`
+	Kinds   []Kind `json:"kinds"`
+	// Length is for how long requests come.
+	Length settings.Duration `json:"length"`
+	Turns  []Turn            `json:"turns"`
+	// Slow engines are known to the entries after PaceKnown; 0: never.
+	Slow      []Slow            `json:"slow"`
+	PaceKnown settings.Duration `json:"pace_known"`
+	// HeartbeatLoss is the part of the entries' words to each other that is lost.
+	HeartbeatLoss float64 `json:"heartbeat_loss"`
+	// Skew is how many times as much the busiest entry gets as the idlest; 1 if left out.
+	Skew float64 `json:"skew"`
+}
+
+// Engine describes a model engine.
+type Engine struct {
+	Slots        int `json:"slots"`
+	MemoryTokens int `json:"memory_tokens"`
+	// Stride is how many steps a pass of requests that decode has. Step, StepPerRequest and
+	// StepPerThousand are the time of one, in microseconds: its own, for each request, and
+	// for each thousand tokens of context.
+	Stride          int     `json:"stride"`
+	Step            float64 `json:"step_us"`
+	StepPerRequest  float64 `json:"step_per_request_us"`
+	StepPerThousand float64 `json:"step_per_thousand_us"`
+	// PrefillPerSecond is in tokens; PairsPerMillion is the time for a million pairs of
+	// tokens, in microseconds.
+	PrefillPerSecond float64 `json:"prefill_per_second"`
+	PairsPerMillion  float64 `json:"pairs_per_million_us"`
+}
+
+// Kind is a kind of request.
+type Kind struct {
+	Name string `json:"name"`
+	// Tokens is the mean prompt, Spread its standard deviation over the mean, MostTokens the
+	// longest.
+	Tokens     float64 `json:"tokens"`
+	Spread     float64 `json:"spread"`
+	MostTokens int     `json:"most_tokens"`
+	Events     int     `json:"events"`
+	PerSecond  float64 `json:"per_second"`
+	// Target is the time to the first event, PauseLimit that between events.
+	Target     settings.Duration `json:"target"`
+	PauseLimit settings.Duration `json:"pause_limit"`
+	// Worth is what an answer in time earns, 1 if left out; a late one earns a quarter.
+	Worth float64 `json:"worth"`
+}
+
+// Turn changes how many requests of each kind come.
+type Turn struct {
+	At settings.Duration `json:"at"`
+	// Factors multiply per_second, by kind.
+	Factors []float64 `json:"factors"`
+}
+
+// Slow makes engines slow for a time.
+type Slow struct {
+	From    settings.Duration `json:"from"`
+	To      settings.Duration `json:"to"`
+	Engines int               `json:"engines"`
+	// Pace is how many times as long their work takes.
+	Pace float64 `json:"pace"`
+}
+
+// Policy is one way of placing requests.
+type Policy struct {
+	Name   string          `json:"name"`
+	Policy emulator.Policy `json:"policy"`
+	// Without are mechanisms of the product's policy that are taken out.
+	Without []emulator.Mechanism `json:"without"`
+	// OneView plays as if all entries were one, which knows at once what all have sent: a
+	// bound for what entries can gain by telling each other more.
+	OneView bool `json:"one_view"`
+	// Heartbeat is the time between two words of an entry to the others; 100ms if left out.
+	Heartbeat settings.Duration `json:"heartbeat"`
+}
+
+// Limits of what a file may ask for: an experiment of the largest takes some hours.
+const (
+	mostSeeds   = 1000
+	mostEntries = 1000
+	mostEngines = 10_000
+	mostRate    = 100_000
+	mostTokens  = 10_000_000
+	mostEvents  = 10_000
+	mostSites   = 10_000
+	longestPlay = time.Hour
+)
+
+// Decode reads a file. Error: settings.Faults, which name every field that is wrong.
+func Decode(data []byte) (*File, error) {
+	f := &File{}
+	if err := settings.Decode(data, f); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Check implements settings.Checker.
+func (f *File) Check() settings.Faults {
+	var faults settings.Faults
+	if f.Name == "" {
+		faults.Add("name", f.Name, "a text")
+	}
+	faults.CheckInt("seeds", int64(f.Seeds), 1, mostSeeds)
+	if len(f.Sites) == 0 && f.Random == nil {
+		faults.Add("sites", len(f.Sites), "one site or more, or random_sites")
+	}
+	names := map[string]bool{}
+	for i := range f.Sites {
+		field := fmt.Sprintf("sites[%d]", i)
+		f.Sites[i].check(field, &faults)
+		checkUnique(&faults, field+".name", f.Sites[i].Name, names)
+	}
+	if f.Random != nil {
+		f.Random.check("random_sites", &faults)
+	}
+	if len(f.Policies) == 0 {
+		faults.Add("policies", 0, "one policy or more")
+	}
+	names = map[string]bool{}
+	for i := range f.Policies {
+		field := fmt.Sprintf("policies[%d]", i)
+		f.Policies[i].check(field, &faults)
+		checkUnique(&faults, field+".name", f.Policies[i].Name, names)
+	}
+	return faults
+}
+
+func checkUnique(faults *settings.Faults, field, name string, seen map[string]bool) {
+	if name == "" || seen[name] {
+		faults.Add(field, name, "a text that no other has")
+	}
+	seen[name] = true
+}
+
+func (s *Site) check(field string, faults *settings.Faults) {
+	faults.CheckInt(field+".entries", int64(s.Entries), 1, mostEntries)
+	faults.CheckInt(field+".engines", int64(s.Engines), 1, mostEngines)
+	faults.CheckRange(field+".length", s.Length.D(), time.Second, longestPlay)
+	faults.CheckRange(field+".pace_known", s.PaceKnown.D(), 0, longestPlay)
+	checkNumber(faults, field+".heartbeat_loss", s.HeartbeatLoss, 0, 1)
+	checkNumber(faults, field+".skew", s.Skew, 0, 1000)
+	s.Engine.check(field+".engine", faults)
+	if len(s.Kinds) == 0 {
+		faults.Add(field+".kinds", 0, "one kind or more")
+	}
+	for i := range s.Kinds {
+		s.Kinds[i].check(fmt.Sprintf("%s.kinds[%d]", field, i), faults)
+	}
+	for i, t := range s.Turns {
+		at := fmt.Sprintf("%s.turns[%d]", field, i)
+		faults.CheckRange(at+".at", t.At.D(), 0, longestPlay)
+		if len(t.Factors) != len(s.Kinds) || slices.ContainsFunc(t.Factors, func(x float64) bool { return !(x >= 0 && x <= mostRate) }) {
+			faults.Add(at+".factors", t.Factors, "a number from 0 for each kind")
+		}
+	}
+	for i, slow := range s.Slow {
+		at := fmt.Sprintf("%s.slow[%d]", field, i)
+		faults.CheckRange(at+".from", slow.From.D(), 0, longestPlay)
+		faults.CheckRange(at+".to", slow.To.D(), slow.From.D(), longestPlay)
+		faults.CheckInt(at+".engines", int64(slow.Engines), 1, int64(max((s.Engines+1)/2, 1)))
+		checkNumber(faults, at+".pace", slow.Pace, 1, 1000)
+	}
+}
+
+func (e *Engine) check(field string, faults *settings.Faults) {
+	faults.CheckInt(field+".slots", int64(e.Slots), 1, 10_000)
+	faults.CheckInt(field+".memory_tokens", int64(e.MemoryTokens), 1, 1e9)
+	faults.CheckInt(field+".stride", int64(e.Stride), 1, 10_000)
+	checkNumber(faults, field+".step_us", e.Step, 1, 1e6)
+	checkNumber(faults, field+".step_per_request_us", e.StepPerRequest, 0, 1e6)
+	checkNumber(faults, field+".step_per_thousand_us", e.StepPerThousand, 0, 1e6)
+	checkNumber(faults, field+".prefill_per_second", e.PrefillPerSecond, 1, 1e9)
+	checkNumber(faults, field+".pairs_per_million_us", e.PairsPerMillion, 0, 1e6)
+}
+
+func (k *Kind) check(field string, faults *settings.Faults) {
+	if k.Name == "" {
+		faults.Add(field+".name", k.Name, "a text")
+	}
+	checkNumber(faults, field+".tokens", k.Tokens, 1, mostTokens)
+	checkNumber(faults, field+".spread", k.Spread, 0, 10)
+	faults.CheckInt(field+".most_tokens", int64(k.MostTokens), 1, mostTokens)
+	faults.CheckInt(field+".events", int64(k.Events), 1, mostEvents)
+	checkNumber(faults, field+".per_second", k.PerSecond, 0, mostRate)
+	faults.CheckRange(field+".target", k.Target.D(), time.Millisecond, longestPlay)
+	faults.CheckRange(field+".pause_limit", k.PauseLimit.D(), time.Millisecond, longestPlay)
+	checkNumber(faults, field+".worth", k.Worth, 0, 1e6)
+}
+
+func (p *Policy) check(field string, faults *settings.Faults) {
+	if p.Policy != "" && !slices.Contains(emulator.Policies(), p.Policy) {
+		faults.Add(field+".policy", p.Policy, fmt.Sprintf("one of %v", emulator.Policies()))
+	}
+	for _, m := range p.Without {
+		if !slices.Contains(emulator.Mechanisms(), m) {
+			faults.Add(field+".without", m, fmt.Sprintf("some of %v", emulator.Mechanisms()))
+		}
+	}
+	faults.CheckRange(field+".heartbeat", p.Heartbeat.D(), 0, time.Minute)
+}
+
+// checkNumber notes a fault unless low <= value <= high.
+func checkNumber(faults *settings.Faults, field string, value, low, high float64) {
+	if !(value >= low && value <= high) {
+		faults.Add(field, value, fmt.Sprintf("%g to %g", low, high))
+	}
+}
+
+// config is the play of a site under a policy.
+func (s *Site) config(p *Policy, seed uint64) *emulator.Config {
+	c := &emulator.Config{
+		Seed: seed, Entries: s.Entries, Engines: s.Engines, Engine: s.Engine.model(), Length: s.Length.D(), PaceKnown: s.PaceKnown.D(),
+		Policy: p.Policy, Without: p.Without, Heartbeat: p.Heartbeat.D(), HeartbeatLoss: s.HeartbeatLoss, Skew: s.Skew,
+	}
+	if p.OneView {
+		c.Entries = 1
+	}
+	for _, k := range s.Kinds {
+		c.Kinds = append(c.Kinds, emulator.Kind{
+			Name: k.Name, Tokens: k.Tokens, Spread: k.Spread, MostTokens: k.MostTokens, Events: k.Events, PerSecond: k.PerSecond, Target: k.Target.D(), PauseLimit: k.PauseLimit.D(),
+		})
+	}
+	for _, t := range s.Turns {
+		c.Turns = append(c.Turns, emulator.Turn{At: t.At.D(), Factors: t.Factors})
+	}
+	for _, slow := range s.Slow {
+		c.Slows = append(c.Slows, emulator.Slow{From: slow.From.D(), To: slow.To.D(), Engines: slow.Engines, Pace: slow.Pace})
+	}
+	return c
+}
+
+func (e *Engine) model() directory.Engine {
+	us := func(x float64) time.Duration { return time.Duration(x * float64(time.Microsecond)) }
+	return directory.Engine{
+		Slots: e.Slots, MemoryTokens: e.MemoryTokens, Stride: e.Stride, Step: us(e.Step), StepPerRequest: us(e.StepPerRequest), StepPerContext: us(e.StepPerThousand),
+		PrefillPerSecond: e.PrefillPerSecond, PairsPerMillion: us(e.PairsPerMillion),
+	}
+}
--- /dev/null
+++ b/bench/experiment/summary.go
@@ -0,0 +1,172 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Summary compares policies over the plays of an experiment.
+type Summary struct {
+	file  *File
+	plays map[string]map[playKey]*Play // by policy
+	count int
+}
+
+// playKey names what plays under several policies have in common.
+type playKey struct {
+	site string
+	seed uint64
+}
+
+// NewSummary makes an empty summary.
+func NewSummary(f *File) *Summary {
+	return &Summary{file: f, plays: map[string]map[playKey]*Play{}}
+}
+
+// Add takes a play in.
+func (s *Summary) Add(p *Play) {
+	if s.plays[p.Policy] == nil {
+		s.plays[p.Policy] = map[playKey]*Play{}
+	}
+	s.plays[p.Policy][playKey{p.Site, p.Seed}] = p
+	s.count++
+}
+
+// Row is one policy on one site, or on all random ones.
+type Row struct {
+	Site, Policy string
+	Plays        int
+	Worth        float64
+	// Difference is to the first policy over Pairs of plays, Error its standard error; Lost
+	// is in how many of the pairs the first policy did better.
+	Difference, Error float64
+	Pairs, Lost       int
+	// Shares are the parts of each kind's requests that were on time.
+	Shares []Share
+}
+
+// Share is how many of a kind's requests were on time.
+type Share struct {
+	Kind   string
+	OnTime float64
+}
+
+// randomName stands for all random sites in a table.
+const randomName = "random sites"
+
+// Rows gives a row for each site and policy; random sites are one.
+func (s *Summary) Rows() []Row {
+	var rows []Row
+	for i := range s.file.Sites {
+		name := s.file.Sites[i].Name
+		rows = append(rows, s.rows(name, func(k playKey) bool { return k.site == name })...)
+	}
+	if s.file.Random != nil {
+		written := map[string]bool{}
+		for i := range s.file.Sites {
+			written[s.file.Sites[i].Name] = true
+		}
+		rows = append(rows, s.rows(randomName, func(k playKey) bool { return !written[k.site] })...)
+	}
+	return rows
+}
+
+func (s *Summary) rows(site string, among func(k playKey) bool) []Row {
+	var rows []Row
+	base := s.plays[s.file.Policies[0].Name]
+	for i := range s.file.Policies {
+		row := Row{Site: site, Policy: s.file.Policies[i].Name}
+		var differences []float64
+		asked, onTime := map[string]int{}, map[string]int{}
+		var kinds []string
+		for key, p := range s.plays[row.Policy] {
+			if !among(key) {
+				continue
+			}
+			row.Plays++
+			row.Worth += p.Worth
+			for _, k := range p.Kinds {
+				if !slices.Contains(kinds, k.Kind) {
+					kinds = append(kinds, k.Kind)
+				}
+				asked[k.Kind] += k.Asked
+				onTime[k.Kind] += k.OnTime
+			}
+			if before := base[key]; before != nil {
+				differences = append(differences, p.Worth-before.Worth)
+			}
+		}
+		if row.Plays == 0 {
+			continue
+		}
+		row.Worth /= float64(row.Plays)
+		row.compare(differences)
+		for _, kind := range kinds {
+			row.Shares = append(row.Shares, Share{kind, float64(onTime[kind]) / float64(max(asked[kind], 1))})
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// compare sets the mean of paired differences and its standard error.
+func (r *Row) compare(differences []float64) {
+	n := float64(len(differences))
+	if n == 0 {
+		return
+	}
+	slices.Sort(differences) // sums do not hang on the order of a map
+	sum, squares := 0.0, 0.0
+	for _, d := range differences {
+		sum += d
+		if d < 0 {
+			r.Lost++
+		}
+	}
+	r.Pairs, r.Difference = len(differences), sum/n
+	for _, d := range differences {
+		squares += (d - r.Difference) * (d - r.Difference)
+	}
+	if n > 1 {
+		r.Error = math.Sqrt(squares / (n - 1) / n)
+	}
+}
+
+// Beaten lists the random sites on which another policy earns more than the first by more
+// than twice the error, worst first.
+func (s *Summary) Beaten() []Row {
+	if s.file.Random == nil {
+		return nil
+	}
+	var list []Row
+	for _, site := range s.file.Random.draw() {
+		for _, row := range s.rows(site.Name, func(k playKey) bool { return k.site == site.Name }) {
+			if row.Difference > 2*row.Error && row.Difference > 0 {
+				list = append(list, row)
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Row) int { return cmp.Compare(b.Difference, a.Difference) })
+	return list
+}
+
+// Table writes rows as a table in Markdown.
+func Table(rows []Row) string {
+	var b strings.Builder
+	b.WriteString("| Site | Policy | Plays | Worth | Difference | Worse in | On time |\n|---|---|---|---|---|---|---|\n")
+	for _, r := range rows {
+		difference := "–"
+		if r.Pairs > 0 && (r.Difference != 0 || r.Error != 0) {
+			difference = fmt.Sprintf("%+.3f ± %.3f", r.Difference, r.Error)
+		}
+		var shares []string
+		for _, s := range r.Shares {
+			shares = append(shares, fmt.Sprintf("%s %.3f", s.Kind, s.OnTime))
+		}
+		fmt.Fprintf(&b, "| %s | %s | %d | %.3f | %s | %d of %d | %s |\n", r.Site, r.Policy, r.Plays, r.Worth, difference, r.Lost, r.Pairs, strings.Join(shares, ", "))
+	}
+	return b.String()
+}
--- a/cli/check.go
+++ b/cli/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"aspenyard.example/bench/experiment"
 	"aspenyard.example/catalogue"
 	"aspenyard.example/settings"
 )
@@ -54,6 +55,8 @@
 		return "settings of an entry", settings.Decode(data, &settings.Entry{})
 	case fields["endpoint"] != nil:
 		return "settings of an agent", settings.Decode(data, &settings.Agent{})
+	case fields["policies"] != nil:
+		return "experiment", settings.Decode(data, &experiment.File{})
 	case fields["records"] != nil:
 		return "catalogue file", checkRecords(data)
 	case fields["standin"] != nil:
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -39,18 +39,19 @@
 }
 
 type arguments struct {
-	Entry     *nodeCommand      `arg:"subcommand:entry" help:"serve callers behind the platform's balancer"`
-	Gateway   *nodeCommand      `arg:"subcommand:gateway" help:"serve callers by calling the endpoints directly"`
-	Agent     *nodeCommand      `arg:"subcommand:agent" help:"stand beside one endpoint"`
-	Check     *checkCommand     `arg:"subcommand:check" help:"check settings and catalogue files"`
-	Catalogue *catalogueCommand `arg:"subcommand:catalogue" help:"read and edit the catalogue through any entry"`
-	Status    *statusCommand    `arg:"subcommand:status" help:"show what an entry knows of the system"`
-	Explain   *explainCommand   `arg:"subcommand:explain" help:"tell a request's story from the gateways' logs"`
-	Report    *reportCommand    `arg:"subcommand:report" help:"reports from the nodes' metrics"`
-	Bench     *benchCommand     `arg:"subcommand:bench" help:"measure policies, limits and the control plane"`
-	Standin   *standinCommand   `arg:"subcommand:standin" help:"run a stand-in of an outside system"`
-	Demo      *demoCommand      `arg:"subcommand:demo" help:"run everything in one process with a small load"`
-	Version   *versionCommand   `arg:"subcommand:version" help:"print the version"`
+	Entry      *nodeCommand       `arg:"subcommand:entry" help:"serve callers behind the platform's balancer"`
+	Gateway    *nodeCommand       `arg:"subcommand:gateway" help:"serve callers by calling the endpoints directly"`
+	Agent      *nodeCommand       `arg:"subcommand:agent" help:"stand beside one endpoint"`
+	Check      *checkCommand      `arg:"subcommand:check" help:"check settings and catalogue files"`
+	Catalogue  *catalogueCommand  `arg:"subcommand:catalogue" help:"read and edit the catalogue through any entry"`
+	Status     *statusCommand     `arg:"subcommand:status" help:"show what an entry knows of the system"`
+	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell a request's story from the gateways' logs"`
+	Report     *reportCommand     `arg:"subcommand:report" help:"reports from the nodes' metrics"`
+	Experiment *experimentCommand `arg:"subcommand:experiment" help:"play sites, loads and policies in virtual time and compare them"`
+	Bench      *benchCommand      `arg:"subcommand:bench" help:"measure policies, limits and the control plane"`
+	Standin    *standinCommand    `arg:"subcommand:standin" help:"run a stand-in of an outside system"`
+	Demo       *demoCommand       `arg:"subcommand:demo" help:"run everything in one process with a small load"`
+	Version    *versionCommand    `arg:"subcommand:version" help:"print the version"`
 }
 
 // Description implements arg.Described.
@@ -123,6 +124,8 @@
 		return a.Explain.run(t)
 	case a.Report != nil:
 		return a.Report.run(t)
+	case a.Experiment != nil:
+		return a.Experiment.run(t)
 	case a.Bench != nil:
 		return a.Bench.run(t)
 	case a.Standin != nil:
--- /dev/null
+++ b/cli/experiment.go
@@ -0,0 +1,106 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"aspenyard.example/bench/experiment"
+)
+
+type experimentCommand struct {
+	File  string `arg:"positional,required" placeholder:"FILE" help:"sites, loads and policies, JSON (examples/experiments)"`
+	Out   string `arg:"--out" placeholder:"DIR" help:"where the plays (JSON lines) and a page with a plot are written, named as FILE"`
+	Quiet bool   `arg:"--quiet" help:"show no progress"`
+}
+
+func (c *experimentCommand) run(t terminal) int {
+	ctx, interrupts, cancel := signals()
+	defer cancel()
+	go func() {
+		<-interrupts
+		cancel()
+	}()
+	return c.play(ctx, t)
+}
+
+// play runs the experiment until it is done or ctx ends; what was played by then is written.
+func (c *experimentCommand) play(ctx context.Context, t terminal) int {
+	file, err := c.read()
+	if err != nil {
+		return t.failf("%s: %v", c.File, err)
+	}
+	lines, err := c.create()
+	if err != nil {
+		return t.failf("%v", err)
+	}
+	summary := experiment.NewSummary(file)
+	var failed error
+	played := 0
+	stopped := file.Run(ctx, func(p *experiment.Play, of int) {
+		summary.Add(p)
+		if lines != nil && failed == nil {
+			failed = json.NewEncoder(lines).Encode(p)
+		}
+		played++
+		if !c.Quiet {
+			fmt.Fprintf(t.err, "\r%d of %d plays", played, of)
+		}
+	})
+	if !c.Quiet {
+		fmt.Fprintln(t.err)
+	}
+	if lines != nil {
+		if err := lines.Close(); failed == nil {
+			failed = err
+		}
+	}
+	if failed != nil {
+		return t.failf("plays not written: %v", failed)
+	}
+	return c.report(t, summary, stopped)
+}
+
+func (c *experimentCommand) report(t terminal, summary *experiment.Summary, stopped error) int {
+	fmt.Fprint(t.out, experiment.Table(summary.Rows()))
+	if c.Out != "" {
+		if err := summary.WritePage(c.Out, c.name()); err != nil {
+			return t.failf("%v", err)
+		}
+	}
+	if stopped != nil {
+		return t.failf("stopped before the end: %v", stopped)
+	}
+	return exitOK
+}
+
+func (c *experimentCommand) read() (*experiment.File, error) {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return experiment.Decode(data)
+}
+
+// name is that of the file, without its ending.
+func (c *experimentCommand) name() string {
+	base := filepath.Base(c.File)
+	return strings.TrimSuffix(base, filepath.Ext(base))
+}
+
+// create makes the file of plays; nil where none is asked for.
+func (c *experimentCommand) create() (*os.File, error) {
+	if c.Out == "" {
+		return nil, nil
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	f, err := os.Create(filepath.Join(c.Out, c.name()+".jsonl"))
+	return f, errors.WithStack(err)
+}
