--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -121,6 +121,7 @@
 	is := is.New(t)
 	s := newSite(t, plain())
 	s.limits["idle_timeout_ms"] = 60_000
+	s.limits["header_timeout_ms"] = 60_000 // or the connection might end by that limit
 	s.start()
 	conn, err := net.Dial("tcp", s.gateway.CallersAddr())
 	is.NoErr(err)
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -206,9 +206,9 @@
 }
 
 // newStopping starts a site, a stream of over a second, and then a stop.
-func newStopping(t *testing.T) (*site, <-chan answer) {
+func newStopping(t *testing.T, pace time.Duration) (*site, <-chan answer) {
 	worker := streaming(30)
-	worker.Pace = 40 * time.Millisecond
+	worker.Pace = pace
 	s := newSite(t, worker).start()
 	results := make(chan answer, 1)
 	go func() { results <- s.post("/stream/a", "q1") }()
@@ -222,7 +222,7 @@
 // callers go on using open connections.
 func TestAStopCutsNothing(t *testing.T) {
 	is := is.New(t)
-	s, results := newStopping(t)
+	s, results := newStopping(t, 40*time.Millisecond)
 	late := s.post("/stream/b", "q2") // the balancer has not seen it yet
 	is.Equal(late.status, http.StatusOK)
 	is.Equal(late.body, standin.StreamText("q2", 30))
@@ -237,12 +237,24 @@
 	}
 }
 
+// Symptom, were it there: streams end when the node no longer takes requests, long before it
+// is killed. Sequence: SIGTERM while a stream runs that lasts longer than the part of the
+// drain in which requests are taken.
+func TestADrainWaitsForAStreamThatLastsLonger(t *testing.T) {
+	is := is.New(t)
+	s, results := newStopping(t, 80*time.Millisecond) // 2.4 s; requests are taken for 1.8 s of 5 s
+	got := <-results
+	is.NoErr(got.err)
+	is.Equal(got.body, standin.StreamText("q1", 30))
+	is.NoErr(<-s.ended)
+}
+
 // Symptom: a stop cuts requests at once. Sequence: during a drain come a change of the
 // settings file and the signal to stop once more. Cause: any signal in a drain was taken
 // for a wish to end at once.
 func TestMoreSignalsInADrainCutNothing(t *testing.T) {
 	is := is.New(t)
-	s, results := newStopping(t)
+	s, results := newStopping(t, 40*time.Millisecond)
 	s.hangUp()
 	s.terminate()
 	select {
