What scoring knew of an engine is not asked again; one copy of three formulas

Cause: found when reading the change. Placing asked the ledger twice more for each engine of a plan (a hash of its life and the peers' sums) for what scoring had just estimated under the same lock: up to 34 estimates for a long prompt, two for every short one. The emulator repeated how a service's pauses follow from its routes, the time of a pass, and, in a baseline, its list of engines. paceOf and busy were used by tests alone then. Ruled out: another order or choice: the estimates are of one moment under one lock. Change: scored keeps open and reading; choose gives what is before the plan, and sets Open; Service.AllowGap, direct.DecodeTime and world.ordered serve both places. Tests read the same values from the estimate.

--- a/bench/emulator/baselines.go
+++ b/bench/emulator/baselines.go
@@ -38,12 +38,18 @@
 
 func (w *world) any() *engine { return w.engines[w.list[w.rand.IntN(len(w.list))].Life] }
 
-// all gives the engines in a random order, so that equal ones are not taken in turn.
-func (w *world) all() []*engine {
+// ordered gives the engines in the order of their list.
+func (w *world) ordered() []*engine {
 	list := make([]*engine, 0, len(w.list))
 	for _, listed := range w.list {
 		list = append(list, w.engines[listed.Life])
 	}
+	return list
+}
+
+// all gives the engines in a random order, so that equal ones are not taken in turn.
+func (w *world) all() []*engine {
+	list := w.ordered()
 	w.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list
 }
@@ -56,14 +62,10 @@
 // split gives an engine of the half for prompts that are not long, or of the other half one
 // and its helpers.
 func (e *entry) split(r *request) (*engine, []*engine) {
-	w := r.world
-	list := make([]*engine, 0, len(w.list))
-	for _, listed := range w.list {
-		list = append(list, w.engines[listed.Life])
-	}
+	list := r.world.ordered()
 	half := max(len(list)/2, 1)
 	short, long := list[:half], list[half:]
-	if len(long) == 0 || !direct.IsLong(w.service, r.tokens) {
+	if len(long) == 0 || !direct.IsLong(r.world.service, r.tokens) {
 		return e.least(short), nil
 	}
 	slices.SortStableFunc(long, func(a, b *engine) int { return cmp.Compare(e.outstanding[a], e.outstanding[b]) })
--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -185,10 +185,7 @@
 	w.service = &directory.Service{Name: service, Engine: &c.Engine}
 	for _, k := range c.Kinds {
 		w.results = append(w.results, Result{Kind: k.Name})
-		if w.service.ShortestGap == 0 || k.PauseLimit < w.service.ShortestGap {
-			w.service.ShortestGap = k.PauseLimit
-		}
-		w.service.LongestGap = max(w.service.LongestGap, k.PauseLimit)
+		w.service.AllowGap(k.PauseLimit)
 	}
 	w.populate()
 	w.Run(math.MaxInt64)
--- a/bench/emulator/engine.go
+++ b/bench/emulator/engine.go
@@ -80,19 +80,13 @@
 	e.running = true
 	reading := e.parts
 	e.parts = nil
-	length := e.decodeTime()
+	length := direct.DecodeTime(e.model, len(e.writing), e.held)
 	for _, p := range reading {
 		length += p.prefill
 	}
 	e.world.After(time.Duration(e.pace*float64(length)), func() { e.end(reading) })
 }
 
-// decodeTime is that of the steps of one pass.
-func (e *engine) decodeTime() time.Duration {
-	step := e.model.Step + time.Duration(len(e.writing))*e.model.StepPerRequest + time.Duration(e.held/1000)*e.model.StepPerContext
-	return time.Duration(e.model.Stride) * step
-}
-
 // end ends a pass: parts are prefilled, and everyone who decodes writes an event.
 func (e *engine) end(reading []part) {
 	e.running = false
--- a/directory/config.go
+++ b/directory/config.go
@@ -109,8 +109,8 @@
 	ShortestGap, LongestGap time.Duration
 }
 
-// allowGap takes in the longest pause that a route allows.
-func (s *Service) allowGap(gap time.Duration) {
+// AllowGap takes in the longest pause that a route to the service allows; 0: it says none.
+func (s *Service) AllowGap(gap time.Duration) {
 	if gap <= 0 {
 		return
 	}
@@ -171,7 +171,7 @@
 		c.routes[host] = append(c.routes[host], r)
 		for _, part := range r.Services {
 			if s := c.services[part.Service]; s != nil {
-				s.allowGap(r.TargetGap)
+				s.AllowGap(r.TargetGap)
 			}
 		}
 	}
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -126,7 +126,7 @@
 	for range 20 {
 		is.Equal(p.Place(testNow, prompt(1000), list).Endpoint.ID, list[3].ID)
 	}
-	there, _ := p.ledger.busy(testNow, list[0].Life)
+	there := p.ledger.estimate(testNow, list[0].Life).open
 	is.Equal(there, 16)
 }
 
@@ -202,7 +202,7 @@
 	plan := p.Place(testNow, prompt(250_000), list)
 	used := 0
 	for _, e := range append(plan.Helpers, plan.Endpoint) {
-		there, _ := p.ledger.busy(testNow, e.Life)
+		there := p.ledger.estimate(testNow, e.Life).open
 		used += there
 	}
 	is.Equal(used, 0)
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -262,12 +262,6 @@
 	return e
 }
 
-// busy is the part of an estimate that tells of requests and of what is to be prefilled.
-func (l *Ledger) busy(now time.Time, life directory.Life) (open int, reading time.Duration) {
-	e := l.estimate(now, life)
-	return e.open, e.reading
-}
-
 // SetUnreachable notes whether an endpoint accepts connections; it tells whether that is new.
 func (l *Ledger) SetUnreachable(endpoint directory.Life, unreachable bool) bool {
 	l.mu.Lock()
--- a/routing/direct/pace.go
+++ b/routing/direct/pace.go
@@ -89,17 +89,11 @@
 	return 1
 }
 
-// paceOf is the pace of an endpoint's life.
-func (l *Ledger) paceOf(now time.Time, endpoint directory.Life) float64 {
-	return l.estimate(now, endpoint).pace
-}
-
 // Reading estimates what all entries have given an endpoint to prefill.
 func (l *Ledger) Reading(now time.Time, endpoint directory.Life) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, reading := l.busy(now, endpoint)
-	return reading
+	return l.estimate(now, endpoint).reading
 }
 
 // PassTime is the time of a pass on an engine that is full and prefills nothing: the
@@ -108,7 +102,13 @@
 	if e == nil {
 		return 0
 	}
-	step := e.Step + time.Duration(e.Slots)*e.StepPerRequest + time.Duration(e.MemoryTokens/thousand)*e.StepPerContext
+	return DecodeTime(e, e.Slots, e.MemoryTokens)
+}
+
+// DecodeTime is that of the steps of one pass in which so many requests decode, with so many
+// tokens of context.
+func DecodeTime(e *directory.Engine, requests, tokens int) time.Duration {
+	step := e.Step + time.Duration(requests)*e.StepPerRequest + time.Duration(tokens/thousand)*e.StepPerContext
 	return time.Duration(e.Stride) * step
 }
 
--- a/routing/direct/picker.go
+++ b/routing/direct/picker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // choose takes the engines with the least cost. The one that a long prompt is sent to is
@@ -13,8 +14,9 @@
 // has room, another one is taken: an engine without room holds a request back until another
 // one ends, and prompts of 110,000 to 160,000 tokens that were read in 0.4 s began after 3
 // to 5 s. The helpers of a request that needs more memory than alone come in the order of
-// what is free there, as the first of them are to hold it.
-func (p *Policy) choose(plan *Plan, list []scored, parts, alone int) {
+// what is free there, as the first of them are to hold it. It gives the most that any of
+// the engines has to prefill before.
+func (p *Policy) choose(plan *Plan, list []scored, parts, alone int) (before time.Duration) {
 	for i := range list { // random among equals
 		j := i + p.rand.IntN(len(list)-i)
 		list[i], list[j] = list[j], list[i]
@@ -37,6 +39,11 @@
 	for _, s := range helpers {
 		plan.Helpers = append(plan.Helpers, s.endpoint)
 	}
+	for _, s := range list[:parts] {
+		plan.Open += s.open
+		before = max(before, s.reading)
+	}
+	return before
 }
 
 // byPreference orders engines for the parts of a prompt.
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -127,10 +127,9 @@
 		list, parts = p.shortEngines(now, r, kept, prefill)
 	}
 	plan.Prefill = prefill / time.Duration(parts)
-	p.choose(plan, list, parts, aloneMemory(engine))
-	plan.Expected = p.slowest(now, plan) + plan.Prefill + 2*PassTime(engine)
+	before := p.choose(plan, list, parts, aloneMemory(engine))
+	plan.Expected = before + plan.Prefill + 2*PassTime(engine)
 	plan.divideMemory(engine)
-	plan.Open = p.open(now, plan)
 	plan.Crowded = plan.Prefill > longestPart(r.Service) && plan.Open > quietOpen
 	return plan
 }
@@ -216,8 +215,7 @@
 	slices.SortStableFunc(more, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
 	open := 0
 	for _, s := range more[:extra] {
-		there, _ := p.ledger.busy(now, s.endpoint.Life)
-		open += there
+		open += s.open
 	}
 	if open > widenOpen {
 		return list, parts
@@ -225,26 +223,6 @@
 	return append(list, more[:extra]...), needed
 }
 
-// slowest is the most that any engine of a plan has to prefill before it.
-func (p *Policy) slowest(now time.Time, plan *Plan) time.Duration {
-	_, most := p.ledger.busy(now, plan.Endpoint.Life)
-	for _, e := range plan.Helpers {
-		_, reading := p.ledger.busy(now, e.Life)
-		most = max(most, reading)
-	}
-	return most
-}
-
-// open estimates how many requests are open on a plan's engines.
-func (p *Policy) open(now time.Time, plan *Plan) int {
-	open := 0
-	for _, e := range append([]*directory.Listed{plan.Endpoint}, plan.Helpers...) {
-		there, _ := p.ledger.busy(now, e.Life)
-		open += there
-	}
-	return open
-}
-
 // boundary is how many of a service's engines short prompts have to themselves.
 func (p *Policy) boundary(now time.Time, service *directory.Service, engines int) int {
 	return int(shortShare(p.ledger.total(now, service.Name), service.Engine)*float64(engines) + 0.5)
