One ring for what is counted in parts of a window; one count of entries, one sum of results

Cause: found when reading the change. The retry window moved two kinds of rings on, each in its own way; EntryCount and SharingCount were the same loop but for one condition; the control loop's own time was ignored for another reading of the clock; results of plays were added field by field in a test and by two maps in the summary, whose mean worth was summed in the order of a map; an experiment's tasks had a goroutine to feed them. Ruled out: other counts: the tests of the retry window (random ones too), of membership and of the experiment hold unchanged. Change: admission's ring, View.countEntries, emulator.Result.Add, a row of a summary in its own function in the order of its plays, a filled channel of tasks; Tick uses the time that it is given.

--- a/admission/retrywindow.go
+++ b/admission/retrywindow.go
@@ -39,40 +39,53 @@
 	keptSlots = retrySlots + 1
 )
 
-type retryService struct {
-	slot     int64
-	requests [keptSlots]float64
-	repeats  [keptSlots]float64
+// ring is a number for each part of a window. The zero value has the number 0 for all.
+type ring struct {
+	slot  int64
+	parts [keptSlots]float64
 }
 
-// entryCounts keeps the greatest number of entries in each part of a window. None is known
-// at first.
-type entryCounts struct {
-	slot int64
-	now  int
-	most [keptSlots]int
+// at moves on to a part, fills those that begin with a number, and gives the present one.
+func (r *ring) at(slot int64, fill float64) *float64 {
+	for r.slot = max(r.slot, slot-keptSlots); r.slot < slot; {
+		r.slot++
+		r.parts[r.slot%keptSlots] = fill
+	}
+	return &r.parts[r.slot%keptSlots]
 }
 
-// at moves on to a part.
-func (c *entryCounts) at(slot int64) {
-	for c.slot = max(c.slot, slot-keptSlots); c.slot < slot; {
-		c.slot++
-		c.most[c.slot%keptSlots] = c.now
+func (r *ring) sum() float64 {
+	sum := 0.0
+	for _, n := range r.parts {
+		sum += n
 	}
+	return sum
+}
+
+// oldest is the number of the part that is not all in the window any more.
+func (r *ring) oldest() float64 { return r.parts[(r.slot+1)%keptSlots] }
+
+// retryService is what was counted for a service.
+type retryService struct{ requests, repeats ring }
+
+// entryCounts keeps the greatest number of entries in each part of a window. None is known
+// at first.
+type entryCounts struct {
+	now  float64
+	most ring
 }
 
 // set tells how many there are from now on.
 func (c *entryCounts) set(slot int64, n int) {
-	c.at(slot)
-	c.now = n
-	here := &c.most[slot%keptSlots]
-	*here = max(*here, n)
+	here := c.most.at(slot, c.now)
+	c.now = float64(n)
+	*here = max(*here, c.now)
 }
 
 // greatest is the greatest number in the window.
-func (c *entryCounts) greatest(slot int64) int {
-	c.at(slot)
-	if n := slices.Max(c.most[:]); n > 0 {
+func (c *entryCounts) greatest(slot int64) float64 {
+	c.most.at(slot, c.now)
+	if n := slices.Max(c.most.parts[:]); n > 0 {
 		return n
 	}
 	return unseenEntries
@@ -118,7 +131,7 @@
 
 // allowance is this entry's part of what may be repeated besides the ratio.
 func (w *RetryWindow) allowance(now time.Time) float64 {
-	part := w.limits.Allowance / float64(w.entries.greatest(w.slot(now)))
+	part := w.limits.Allowance / w.entries.greatest(w.slot(now))
 	if now.Sub(w.origin) < w.limits.Window {
 		part *= firstPart
 	}
@@ -129,42 +142,30 @@
 func (w *RetryWindow) Request(now time.Time, service string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s := w.service(now, service)
-	s.requests[s.slot%keptSlots]++
+	*w.service(service).requests.at(w.slot(now), 0)++
 }
 
 // Take spends one repeat if the limits allow it.
 func (w *RetryWindow) Take(now time.Time, service string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s := w.service(now, service)
-	repeats, requests := 0.0, -s.requests[(s.slot+1)%keptSlots] // the oldest part is not all in the window
-	for i := range keptSlots {
-		requests += s.requests[i]
-		repeats += s.repeats[i]
-	}
-	allowed := retrySafety * (w.limits.Ratio*requests + w.allowance(now))
-	if repeats+1 > allowed {
+	s, slot := w.service(service), w.slot(now)
+	s.requests.at(slot, 0)
+	spent := s.repeats.at(slot, 0)
+	allowed := retrySafety * (w.limits.Ratio*(s.requests.sum()-s.requests.oldest()) + w.allowance(now))
+	if s.repeats.sum()+1 > allowed {
 		return false
 	}
-	s.repeats[s.slot%keptSlots]++
+	*spent++
 	return true
 }
 
-// service finds a service's counts and clears the parts that the window has left.
-func (w *RetryWindow) service(now time.Time, name string) *retryService {
-	slot := w.slot(now)
+// service finds what was counted for a service.
+func (w *RetryWindow) service(name string) *retryService {
 	s := w.services[name]
 	if s == nil {
-		s = &retryService{slot: slot}
+		s = &retryService{}
 		w.services[name] = s
 	}
-	if slot-s.slot >= keptSlots {
-		*s = retryService{slot: slot}
-	}
-	for s.slot < slot {
-		s.slot++
-		s.requests[s.slot%keptSlots], s.repeats[s.slot%keptSlots] = 0, 0
-	}
 	return s
 }
--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -128,6 +128,17 @@
 	Largest, LargestServed int
 }
 
+// Add adds what callers of the same kind got in another play.
+func (r *Result) Add(other Result) {
+	r.Asked += other.Asked
+	r.OnTime += other.OnTime
+	r.LateFirst += other.LateFirst
+	r.LatePause += other.LatePause
+	r.Refused += other.Refused
+	r.Largest += other.Largest
+	r.LargestServed += other.LargestServed
+}
+
 // Share is the part of requests that were on time.
 func (r Result) Share() float64 { return float64(r.OnTime) / float64(max(r.Asked, 1)) }
 
--- a/bench/emulator/emulator_test.go
+++ b/bench/emulator/emulator_test.go
@@ -47,13 +47,7 @@
 	for seed := range uint64(seeds) {
 		for i, r := range Play(config(seed + 1)) {
 			sums[i].Kind = r.Kind
-			sums[i].Asked += r.Asked
-			sums[i].OnTime += r.OnTime
-			sums[i].LateFirst += r.LateFirst
-			sums[i].LatePause += r.LatePause
-			sums[i].Refused += r.Refused
-			sums[i].Largest += r.Largest
-			sums[i].LargestServed += r.LargestServed
+			sums[i].Add(r)
 		}
 	}
 	for _, r := range sums {
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -56,7 +56,11 @@
 // ends; plays that are under way then are dropped.
 func (f *File) Run(ctx context.Context, done func(p *Play, of int)) error {
 	tasks := f.tasks()
-	next := make(chan task)
+	next := make(chan task, len(tasks))
+	for _, t := range tasks {
+		next <- t
+	}
+	close(next)
 	plays := make(chan *Play)
 	var workers sync.WaitGroup
 	for range runtime.GOMAXPROCS(0) {
@@ -65,20 +69,11 @@
 				select {
 				case plays <- t.play():
 				case <-ctx.Done():
+					return
 				}
 			}
 		})
 	}
-	go func() {
-		defer close(next)
-		for _, t := range tasks {
-			select {
-			case next <- t:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
 	go func() {
 		workers.Wait()
 		close(plays)
--- a/bench/experiment/summary.go
+++ b/bench/experiment/summary.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
+
+	"aspenyard.example/bench/emulator"
 )
 
 // Summary compares policies over the plays of an experiment.
@@ -21,6 +24,10 @@
 	seed uint64
 }
 
+func (k playKey) compare(other playKey) int {
+	return cmp.Or(cmp.Compare(k.site, other.site), cmp.Compare(k.seed, other.seed))
+}
+
 // NewSummary makes an empty summary.
 func NewSummary(f *File) *Summary {
 	return &Summary{file: f, plays: map[string]map[playKey]*Play{}}
@@ -76,40 +83,51 @@
 
 func (s *Summary) rows(site string, among func(k playKey) bool) []Row {
 	var rows []Row
-	base := s.plays[s.file.Policies[0].Name]
 	for i := range s.file.Policies {
-		row := Row{Site: site, Policy: s.file.Policies[i].Name}
-		var differences []float64
-		asked, onTime := map[string]int{}, map[string]int{}
-		var kinds []string
-		for key, p := range s.plays[row.Policy] {
-			if !among(key) {
-				continue
-			}
-			row.Plays++
-			row.Worth += p.Worth
-			for _, k := range p.Kinds {
-				if !slices.Contains(kinds, k.Kind) {
-					kinds = append(kinds, k.Kind)
-				}
-				asked[k.Kind] += k.Asked
-				onTime[k.Kind] += k.OnTime
-			}
-			if before := base[key]; before != nil {
-				differences = append(differences, p.Worth-before.Worth)
-			}
+		if row := s.row(site, s.file.Policies[i].Name, among); row.Plays > 0 {
+			rows = append(rows, row)
 		}
-		if row.Plays == 0 {
+	}
+	return rows
+}
+
+// row sums a policy's plays, in the order of their keys: sums of floating-point numbers hang
+// on their order, and that of a map is another one each time.
+func (s *Summary) row(site, policy string, among func(k playKey) bool) Row {
+	row := Row{Site: site, Policy: policy}
+	plays, base := s.plays[policy], s.plays[s.file.Policies[0].Name]
+	var differences []float64
+	var kinds []emulator.Result
+	for _, key := range slices.SortedFunc(maps.Keys(plays), playKey.compare) {
+		if !among(key) {
 			continue
 		}
-		row.Worth /= float64(row.Plays)
-		row.compare(differences)
-		for _, kind := range kinds {
-			row.Shares = append(row.Shares, Share{kind, float64(onTime[kind]) / float64(max(asked[kind], 1))})
+		p := plays[key]
+		row.Plays++
+		row.Worth += p.Worth
+		if before := base[key]; before != nil {
+			differences = append(differences, p.Worth-before.Worth)
 		}
-		rows = append(rows, row)
+		kinds = addResults(kinds, p.Kinds)
 	}
-	return rows
+	row.Worth /= float64(max(row.Plays, 1))
+	row.compare(differences)
+	for _, k := range kinds {
+		row.Shares = append(row.Shares, Share{k.Kind, k.Share()})
+	}
+	return row
+}
+
+// addResults adds results to sums by kind.
+func addResults(sums, results []emulator.Result) []emulator.Result {
+	for _, r := range results {
+		i := slices.IndexFunc(sums, func(sum emulator.Result) bool { return sum.Kind == r.Kind })
+		if i < 0 {
+			i, sums = len(sums), append(sums, emulator.Result{Kind: r.Kind})
+		}
+		sums[i].Add(r)
+	}
+	return sums
 }
 
 // compare sets the mean of paired differences and its standard error.
@@ -118,7 +136,6 @@
 	if n == 0 {
 		return
 	}
-	slices.Sort(differences) // sums do not hang on the order of a map
 	sum, squares := 0.0, 0.0
 	for _, d := range differences {
 		sum += d
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -233,8 +233,8 @@
 }
 
 // Tick implements membership.Delegate.
-func (p *peers) Tick(_ time.Time, members *membership.View) {
-	p.gateway.retries.SetEntries(time.Now(), members.SharingCount()+1)
+func (p *peers) Tick(now time.Time, members *membership.View) {
+	p.gateway.retries.SetEntries(now, members.SharingCount()+1)
 	p.gateway.ledger.SetEntries(members.EntryCount() + 1)
 	alive := members.Entries("")
 	number := sort.Search(len(alive), func(i int) bool { return alive[i].Name() > p.gateway.settings.Name })
--- a/membership/state.go
+++ b/membership/state.go
@@ -59,10 +59,11 @@
 	return m.VM.DataCentre
 }
 
+// heard tells whether the node was heard of lately.
+func (m *Member) heard() bool { return m.Last != nil && !m.Suspect }
+
 // Alive tells whether the node was heard of lately and is not leaving.
-func (m *Member) Alive() bool {
-	return m.Last != nil && !m.Suspect && !m.Leaving
-}
+func (m *Member) Alive() bool { return m.heard() && !m.Leaving }
 
 // View is an immutable state of the membership.
 type View struct {
@@ -88,21 +89,20 @@
 // EntryCount counts the entries that may be serving, this node excluded: those
 // that are heard of and those that the platform lists.
 func (v *View) EntryCount() int {
-	count := 0
-	for _, m := range v.Members {
-		if m.Role() == RoleEntry && !m.Leaving && (m.Listed || m.Alive()) {
-			count++
-		}
-	}
-	return count
+	return v.countEntries(func(m *Member) bool { return !m.Leaving })
 }
 
 // SharingCount counts the entries among which a limit is shared, this node excluded: those
 // of EntryCount and those that are leaving, which still serve what they have.
 func (v *View) SharingCount() int {
+	return v.countEntries(func(*Member) bool { return true })
+}
+
+// countEntries counts, of the entries that are heard of or listed, those that are asked for.
+func (v *View) countEntries(asked func(m *Member) bool) int {
 	count := 0
 	for _, m := range v.Members {
-		if m.Role() == RoleEntry && (m.Listed || m.Last != nil && !m.Suspect) {
+		if m.Role() == RoleEntry && (m.Listed || m.heard()) && asked(m) {
 			count++
 		}
 	}
