Settings take numbers as the platform writes them

Symptom: small twins of the large site do not start: every entry ends with "retry_allowance: value 44.78: allowed: int64". Cause: the template fills in the platform's figures, which at that size are fractions; the allowance was a whole number, sizes too, and durations knew no exponent. Ruled out: rounding in the template, which it cannot do. Change: the allowance is a number, sizes and durations are read with a fraction and an exponent by one function; a fault says "a number" in place of Go's type.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -208,7 +208,7 @@
 const operatorsHeaderTimeout = 5 * time.Second
 
 func retryLimits(s settings.Gateway) admission.RetryLimits {
-	return admission.RetryLimits{Ratio: s.RetryRatio, Allowance: float64(s.RetryAllowance), Window: s.RetryWindow.D()}
+	return admission.RetryLimits{Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindow.D()}
 }
 
 func (g *Gateway) reload(load func() (settings.Gateway, error)) {
@@ -218,7 +218,7 @@
 		return
 	}
 	g.retries.SetLimits(retryLimits(next))
-	g.log.Info("reload", zap.Float64("retry_ratio", next.RetryRatio), zap.Int64("retry_allowance", next.RetryAllowance))
+	g.log.Info("reload", zap.Float64("retry_ratio", next.RetryRatio), zap.Float64("retry_allowance", next.RetryAllowance))
 }
 
 // ready tells the balancer whether to send callers here.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -36,7 +36,7 @@
 	// budget saves more requests from single failures and adds more load when
 	// everything fails at once.
 	RetryRatio     float64  `json:"retry_ratio,omitempty"`
-	RetryAllowance int64    `json:"retry_allowance,omitempty"`
+	RetryAllowance float64  `json:"retry_allowance,omitempty"`
 	RetryWindow    Duration `json:"retry_window,omitempty"`
 	// MemoryFreeWithin is how soon after a request's end the engines' memory that was
 	// reserved for it must be free, also when this process dies; default 4s. Shorter
@@ -93,10 +93,8 @@
 	faults.CheckRange("memory_free_within", g.MemoryFreeWithin.D(), 500*time.Millisecond, time.Minute)
 	faults.CheckRange("memory_idle_within", g.MemoryIdleWithin.D(), 500*time.Millisecond, time.Minute)
 	faults.CheckRange("retry_window", g.RetryWindow.D(), 100*time.Millisecond, time.Hour)
-	if g.RetryRatio < 0 || g.RetryRatio > 1 {
-		faults.Add("retry_ratio", g.RetryRatio, "0 to 1")
-	}
-	faults.CheckInt("retry_allowance", g.RetryAllowance, 0, 1_000_000)
+	faults.CheckNumber("retry_ratio", g.RetryRatio, 0, 1)
+	faults.CheckNumber("retry_allowance", g.RetryAllowance, 0, 1_000_000)
 	faults.CheckInt("memory_limit", int64(g.MemoryLimit), 32_000_000, 1<<40)
 	return faults
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -74,30 +74,65 @@
 	return json.Marshal(time.Duration(d).String())
 }
 
+// durationUnits are those of a number with an exponent, which time.ParseDuration does not
+// read.
+var durationUnits = []unit{
+	{"ns", float64(time.Nanosecond)}, {"us", float64(time.Microsecond)}, {"µs", float64(time.Microsecond)}, {"ms", float64(time.Millisecond)},
+	{"s", float64(time.Second)}, {"m", float64(time.Minute)}, {"h", float64(time.Hour)},
+}
+
 // UnmarshalJSON takes a string with a unit; a bare number is refused because
 // its unit would be a guess.
 func (d *Duration) UnmarshalJSON(data []byte) error {
+	fault := Faults{{Value: string(data), Allowed: `a duration with its unit, such as "250ms"`}}
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
-		return Faults{{Value: string(data), Allowed: `a duration with its unit, such as "250ms"`}}
+		return fault
 	}
-	parsed, err := time.ParseDuration(text)
-	if err != nil {
-		return Faults{{Value: string(data), Allowed: `a duration with its unit, such as "250ms"`}}
+	if parsed, err := time.ParseDuration(text); err == nil {
+		*d = Duration(parsed)
+		return nil
+	}
+	parsed, ok := parseQuantity(text, durationUnits)
+	if !ok {
+		return fault
 	}
 	*d = Duration(parsed)
 	return nil
 }
 
+// unit is a suffix of a quantity and how many of the smallest unit it stands for.
+type unit struct {
+	suffix string
+	value  float64
+}
+
+// parseQuantity reads a number and its unit, in the smallest unit, rounded down. The number
+// may have a fraction and an exponent, as in JSON: templates are filled in by programs that
+// write numbers in any of these ways.
+func parseQuantity(text string, units []unit) (int64, bool) {
+	for _, u := range units {
+		number, found := strings.CutSuffix(text, u.suffix)
+		if !found {
+			continue
+		}
+		var n float64
+		if err := json.Unmarshal([]byte(number), &n); err != nil || number == "null" {
+			continue // the suffix of another unit, such as the s of ms
+		}
+		if n *= u.value; math.Abs(n) < math.MaxInt64 {
+			return int64(math.Floor(n)), true
+		}
+		return 0, false
+	}
+	return 0, false
+}
+
 // Size is a number of bytes written with its unit, such as "8MB" (10^6) or "1MiB".
 type Size int64
 
-var sizeUnits = []struct {
-	suffix string
-	bytes  int64
-}{
-	{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30},
-	{"KB", 1_000}, {"MB", 1_000_000}, {"GB", 1_000_000_000}, {"B", 1},
+var sizeUnits = []unit{
+	{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"KB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"B", 1},
 }
 
 // MarshalJSON writes the size in bytes.
@@ -105,26 +140,19 @@
 	return json.Marshal(fmt.Sprintf("%dB", int64(s)))
 }
 
-// UnmarshalJSON takes a whole number followed by a unit.
+// UnmarshalJSON takes a number followed by a unit.
 func (s *Size) UnmarshalJSON(data []byte) error {
 	fault := Faults{{Value: string(data), Allowed: `a size with its unit, such as "8MB"`}}
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
 		return fault
 	}
-	for _, unit := range sizeUnits {
-		number, found := strings.CutSuffix(text, unit.suffix)
-		if !found {
-			continue
-		}
-		var n int64
-		if _, err := fmt.Sscanf(number, "%d", &n); err != nil || fmt.Sprint(n) != number || n < 0 || n > math.MaxInt64/unit.bytes {
-			return fault
-		}
-		*s = Size(n * unit.bytes)
-		return nil
+	parsed, ok := parseQuantity(text, sizeUnits)
+	if !ok || parsed < 0 {
+		return fault
 	}
-	return fault
+	*s = Size(parsed)
+	return nil
 }
 
 // Checker is a settings type that can check its own fields.
@@ -193,7 +221,7 @@
 	if err == nil {
 		return nil
 	}
-	fault := &Fault{Field: name, Value: string(raw), Allowed: field.Type().String()}
+	fault := &Fault{Field: name, Value: string(raw), Allowed: allowedType(field.Type())}
 	var found Faults
 	if errors.As(err, &found) {
 		fault.Allowed = found[0].Allowed
@@ -204,6 +232,19 @@
 	return fault
 }
 
+// allowedType says in words what a field takes.
+func allowedType(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Float64:
+		return "a number"
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.String:
+		return "text"
+	}
+	return t.String()
+}
+
 // CheckAddr notes a fault unless addr is an IP number and a port.
 func (f *Faults) CheckAddr(field, addr string) {
 	if _, err := netip.ParseAddrPort(addr); err != nil {
@@ -225,6 +266,13 @@
 	}
 }
 
+// CheckNumber notes a fault unless low <= value <= high.
+func (f *Faults) CheckNumber(field string, value, low, high float64) {
+	if !(value >= low && value <= high) {
+		f.Add(field, value, fmt.Sprintf("%g to %g", low, high))
+	}
+}
+
 // CheckName notes a fault unless name is a non-empty word of at most 64
 // characters out of a-z, 0-9, '-', '_' and '.'.
 func (f *Faults) CheckName(field, name string) {
