report losses: what callers got by the size of their prompts

Change: a table by fifths and the largest tenth of each route: on time, late, refused for what (expected too late, parts too long, no memory, other), how long held, first token expected and seen, how many engines were prefilling then and how much each had before it. Tests: TestPromptsAreDividedBySize, TestLossesAreReportedByTheSizeOfPrompts.

--- a/bench/losses/losses.go
+++ b/bench/losses/losses.go
@@ -40,8 +40,11 @@
 	PauseFrom, PauseTo time.Time
 	// Endpoint is where it was sent last.
 	Endpoint string
-	// Waited is how long a long prompt was held back.
-	Waited time.Duration
+	// Waited is how long a long prompt was held back, Expected when its first token was
+	// expected on arrival; 0 where neither was said.
+	Waited, Expected time.Duration
+	// Refusal is what it was refused for, as far as the log says.
+	Refusal Refusal
 	// Resumed requests go on with a stream that broke off.
 	Resumed bool
 }
@@ -119,6 +122,8 @@
 	Routes []RouteTotal
 	// Losses are sorted by route and share, the largest first.
 	Losses []Loss
+	// Sizes is what callers got by the size of their prompts.
+	Sizes []SizeClass
 	// Seconds holds, by cause, what was lost of the requests that began in each second.
 	Seconds map[Cause][]float64
 }
@@ -129,7 +134,7 @@
 
 // New makes the account.
 func New(r *Records) *Account {
-	a := &Account{Seconds: map[Cause][]float64{}}
+	a := &Account{Seconds: map[Cause][]float64{}, Sizes: bySize(r)}
 	totals := routeTotals(r.Requests)
 	for i := range r.Requests {
 		if !r.Requests[i].NotOwed && (a.Start.IsZero() || r.Requests[i].Began.Before(a.Start)) {
--- a/bench/losses/losses_test.go
+++ b/bench/losses/losses_test.go
@@ -90,6 +90,33 @@
 	is.True(a.Seconds[CauseRefused][2] > 1.34)
 }
 
+func TestPromptsAreDividedBySize(t *testing.T) {
+	is := is.New(t)
+	r := &Records{Parts: []Part{part("x", "long", 0, 100, 400), {Request: "x", Endpoint: "e-2", From: at(0), To: at(1), Prefill: 200 * time.Millisecond}}}
+	for i := range 40 {
+		q := ask("q", float64(10+i), 1000*(i+1))
+		switch {
+		case i >= 38:
+			q.Code, q.Refused, q.Refusal = 3004, true, RefusedParts
+		case i >= 36:
+			q.Code = 4003
+		case i >= 32:
+			q.Late, q.Waited, q.Expected = LateFirst, 2*time.Second, time.Second
+		}
+		r.Requests = append(r.Requests, q)
+	}
+	sizes := New(r).Sizes
+	is.Equal(len(sizes), sizeClasses+1)
+	first, fifth, tenth := sizes[0], sizes[4], sizes[5]
+	is.Equal(first.Name, "fifth 1")
+	is.Equal([]int{first.Least, first.Most, first.Asked, first.OnTime}, []int{1000, 8000, 8, 8})
+	is.Equal([]int{fifth.Asked, fifth.OnTime, fifth.LateOrResumed, fifth.Refused[RefusedParts], fifth.Failed}, []int{8, 0, 4, 2, 2})
+	is.Equal([]time.Duration{fifth.Held, fifth.Expected, fifth.First}, []time.Duration{2 * time.Second, time.Second, 100 * time.Millisecond})
+	is.Equal([]int{tenth.Asked, tenth.Refused[RefusedParts], tenth.Failed}, []int{4, 2, 2})
+	is.Equal(first.Reading, 0.5)                // one of two engines, by another request
+	is.Equal(first.Ahead, 200*time.Millisecond) // 400 ms at one of two
+}
+
 func TestThePageIsWritten(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
--- a/bench/losses/page.go
+++ b/bench/losses/page.go
@@ -58,6 +58,7 @@
 			fmt.Fprintf(&b, "%s| nothing | 0 | 0 |\n", head)
 		}
 	}
+	writeSizes(&b, a.Sizes)
 	return b.String()
 }
 
--- /dev/null
+++ b/bench/losses/sizes.go
@@ -0,0 +1,174 @@
+package losses
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Refusal is what a prompt was refused for, or failed to find.
+type Refusal string
+
+// The refusals.
+const (
+	NotRefused Refusal = ""
+	// RefusedExpected: its first token was expected too late on arrival.
+	RefusedExpected Refusal = "expected too late"
+	// RefusedParts: its parts would hold up others for too long.
+	RefusedParts Refusal = "parts too long"
+	// RefusedMemory: engines had not the memory that it needs.
+	RefusedMemory Refusal = "no memory"
+	// RefusedOther: endpoints refused it, or were gone.
+	RefusedOther Refusal = "other"
+)
+
+// refusals in the order of the table's columns.
+var refusals = []Refusal{RefusedExpected, RefusedParts, RefusedMemory, RefusedOther}
+
+const (
+	// sizeClasses is in how many classes of equal number a route's prompts are divided by
+	// their size; the users judge the largest fifth and the largest tenth.
+	sizeClasses = 5
+	// leastBySize is how many requests a route has at least to be divided.
+	leastBySize = 20
+)
+
+// SizeClass is what callers of one route got whose prompts are of like size.
+type SizeClass struct {
+	Route, Name string
+	// Least and Most are the shortest and the longest prompt, in tokens.
+	Least, Most                  int
+	Asked, OnTime, LateOrResumed int
+	// Refused counts by reason; Failed are those that were not served otherwise.
+	Refused map[Refusal]int
+	Failed  int
+	// Held is how long the prompts were held back at their entries, Expected when their
+	// first tokens were expected on arrival, First when they came: medians of those that
+	// have one.
+	Held, Expected, First time.Duration
+	// Reading is the part of all engines that had a part of a prompt to prefill when these
+	// prompts were refused or left the queue, and Ahead the mean prefill under way at an
+	// engine: means.
+	Reading float64
+	Ahead   time.Duration
+}
+
+// bySize divides the prompts of each route by their size.
+func bySize(r *Records) []SizeClass {
+	prompts := map[string][]*Request{}
+	for i := range r.Requests {
+		if q := &r.Requests[i]; !q.NotOwed && q.PromptTokens > 0 {
+			prompts[q.Route] = append(prompts[q.Route], q)
+		}
+	}
+	engines := newActivity(r.Parts)
+	var classes []SizeClass
+	for route, list := range prompts {
+		if len(list) < leastBySize {
+			continue
+		}
+		slices.SortFunc(list, func(a, b *Request) int { return cmp.Compare(a.PromptTokens, b.PromptTokens) })
+		for i := range sizeClasses {
+			part := list[i*len(list)/sizeClasses : (i+1)*len(list)/sizeClasses]
+			classes = append(classes, sizeClass(route, fmt.Sprintf("fifth %d", i+1), part, engines))
+		}
+		classes = append(classes, sizeClass(route, "largest tenth", list[len(list)*9/10:], engines))
+	}
+	slices.SortStableFunc(classes, func(a, b SizeClass) int { return cmp.Compare(a.Route, b.Route) })
+	return classes
+}
+
+func sizeClass(route, name string, list []*Request, engines *activity) SizeClass {
+	c := SizeClass{Route: route, Name: name, Least: list[0].PromptTokens, Most: list[len(list)-1].PromptTokens, Asked: len(list), Refused: map[Refusal]int{}}
+	var held, expected, first []time.Duration
+	for _, q := range list {
+		switch {
+		case served(q) && q.Late == OnTime:
+			c.OnTime++
+		case served(q):
+			c.LateOrResumed++
+		case q.Refusal != NotRefused:
+			c.Refused[q.Refusal]++
+		case q.Refused:
+			c.Refused[RefusedOther]++
+		default:
+			c.Failed++
+		}
+		held = appendSome(held, q.Waited)
+		expected = appendSome(expected, q.Expected)
+		first = appendSome(first, q.First)
+		reading, ahead := engines.at(q.Began.Add(q.Waited), q.ID)
+		c.Reading += reading / float64(len(list))
+		c.Ahead += ahead / time.Duration(len(list))
+	}
+	c.Held, c.Expected, c.First = median(held), median(expected), median(first)
+	return c
+}
+
+func appendSome(list []time.Duration, d time.Duration) []time.Duration {
+	if d == 0 {
+		return list
+	}
+	return append(list, d)
+}
+
+// median gives 0 for none.
+func median(list []time.Duration) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
+// activity tells what the engines that prompts were sent to had to prefill.
+type activity struct {
+	parts   []Part
+	engines int
+}
+
+func newActivity(parts []Part) *activity {
+	engines := map[string]bool{}
+	for _, p := range parts {
+		engines[p.Endpoint] = true
+	}
+	return &activity{parts, len(engines)}
+}
+
+// at gives the part of the engines that had something to prefill at a time, of requests other
+// than one, and the mean prefill under way at all of them.
+func (a *activity) at(t time.Time, but string) (reading float64, ahead time.Duration) {
+	if a.engines == 0 {
+		return 0, 0
+	}
+	busy := map[string]bool{}
+	for _, p := range a.parts {
+		if p.Request != but && !t.Before(p.From) && t.Before(p.To) {
+			busy[p.Endpoint] = true
+			ahead += p.Prefill
+		}
+	}
+	return float64(len(busy)) / float64(a.engines), ahead / time.Duration(a.engines)
+}
+
+// writeSizes writes the table of what callers got by the size of their prompts.
+func writeSizes(b *strings.Builder, classes []SizeClass) {
+	if len(classes) == 0 {
+		return
+	}
+	b.WriteString("\nPrompts by size: medians of how long they were held back, when their first tokens were expected on arrival and when\nthey came; the part of the engines that were prefilling when they were sent or refused, and the mean prefill under way there.\n\n")
+	b.WriteString("| Route | Size | Tokens | Asked | On time | Late | Refused:")
+	for _, reason := range refusals {
+		fmt.Fprintf(b, " %s |", reason)
+	}
+	b.WriteString(" Failed | Held, ms | Expected, ms | First, ms | Prefilling | Ahead, ms |\n|" + strings.Repeat("---|", 12+len(refusals)) + "\n")
+	for _, c := range classes {
+		fmt.Fprintf(b, "| %s | %s | %d to %d | %d | %d | %d |", c.Route, c.Name, c.Least, c.Most, c.Asked, c.OnTime, c.LateOrResumed)
+		for _, reason := range refusals {
+			fmt.Fprintf(b, " %d |", c.Refused[reason])
+		}
+		fmt.Fprintf(b, " %d | %d | %d | %d | %.2f | %d |\n", c.Failed, c.Held.Milliseconds(), c.Expected.Milliseconds(), c.First.Milliseconds(), c.Reading, c.Ahead.Milliseconds())
+	}
+}
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -92,6 +93,29 @@
 {"level":"info","time":"2026-04-12T21:25:29Z","event":"request_ended","node":"g1","code":3004,"took_ms":1,"route":"short","endpoint":"","prompt_tokens":5000,"ran":"no","request":"q2"}
 `
 
+// Each refusal of a prompt is put down to what the log says of it, by the prompt's size.
+func TestLossesAreReportedByTheSizeOfPrompts(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	var log strings.Builder
+	for i := range 20 {
+		reason := [...]string{
+			`"event":"queue_refused","expected_ms":4000`, `"event":"capacity_refused","prefill_ms":900`,
+			`"event":"memory_reserved","tokens":5,"needed":10`, `"event":"attempt_failed"`,
+		}[i%4]
+		fmt.Fprintf(&log, `{"time":"2026-04-12T21:25:20Z","node":"g1","request":"r%d",%s}`+"\n", i, reason)
+		fmt.Fprintf(&log, `{"time":"2026-04-12T21:25:20Z","node":"g1","request":"r%d","event":"request_ended","code":3004,"route":"long","prompt_tokens":%d}`+"\n", i, 1000*(i+1))
+	}
+	path := filepath.Join(dir, "log")
+	is.NoErr(os.WriteFile(path, []byte(log.String()), 0o600))
+	var o, e bytes.Buffer
+	is.Equal(run([]string{"report", "losses", "--out", dir, "--name", "day", path}, terminal{out: &o, err: &e}), exitOK)
+	page, err := os.ReadFile(filepath.Join(dir, "day.md"))
+	is.NoErr(err)
+	is.True(strings.Contains(string(page), "| long | fifth 1 | 1000 to 4000 | 4 | 0 | 0 | 1 | 1 | 1 | 1 | 0 | 0 | 4000 | 0 |"))
+	is.True(strings.Contains(string(page), "| long | largest tenth | 19000 to 20000 | 2 | 0 | 0 | 0 | 0 | 1 | 1 | 0 |"))
+}
+
 func TestLossesAreReportedFromLogs(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
--- a/cli/losses.go
+++ b/cli/losses.go
@@ -52,31 +52,56 @@
 	return journal.DecodeReport(data)
 }
 
+// course is what the log tells of a request before its end.
+type course struct {
+	// placed is the last plan.
+	placed           *logLine
+	waited, expected time.Duration
+	refusal          losses.Refusal
+}
+
+// note takes in a line of the request.
+func (c *course) note(l *logLine) {
+	switch l.Event {
+	case "placed":
+		if c.placed == nil || c.placed.Time.Before(l.Time) {
+			c.placed = l
+		}
+	case "queue_left":
+		c.waited, c.expected = l.duration("waited_ms"), l.duration("expected_ms")
+	case "queue_refused":
+		c.expected, c.refusal = l.duration("expected_ms"), losses.RefusedExpected
+	case "capacity_refused":
+		c.refusal = losses.RefusedParts
+	case "memory_reserved":
+		if l.number("tokens") < l.number("needed") {
+			c.refusal = losses.RefusedMemory
+		}
+	}
+}
+
 // lossRecords sorts log lines into requests, the parts that they gave to endpoints, and
 // starts of processes.
 func lossRecords(lines []logLine) *losses.Records {
 	records := &losses.Records{}
-	placed := map[string]*logLine{}
-	waited := map[string]time.Duration{}
+	courses := map[string]*course{}
 	for i := range lines {
 		l := &lines[i]
-		switch l.Event {
-		case "start":
+		if l.Event == "start" {
 			records.Starts = append(records.Starts, l.Time)
-		case "placed":
-			if before := placed[l.key()]; before == nil || before.Time.Before(l.Time) {
-				placed[l.key()] = l
-			}
-		case "queue_left":
-			waited[l.key()] = l.duration("waited_ms")
 		}
+		if courses[l.key()] == nil {
+			courses[l.key()] = &course{}
+		}
+		courses[l.key()].note(l)
 	}
 	for i := range lines {
 		if l := &lines[i]; l.Event == "request_ended" {
-			request := lossRequest(l, waited[l.key()])
+			course := courses[l.key()]
+			request := lossRequest(l, course)
 			records.Requests = append(records.Requests, request)
-			if sent := placed[l.key()]; sent != nil {
-				records.Parts = append(records.Parts, lossParts(sent, &request)...)
+			if course.placed != nil {
+				records.Parts = append(records.Parts, lossParts(course.placed, &request)...)
 			}
 		}
 	}
@@ -86,14 +111,17 @@
 // key names one request at one gateway: a caller that comes back may use its ID again.
 func (l *logLine) key() string { return l.Node + " " + l.Request }
 
-func lossRequest(l *logLine, waited time.Duration) losses.Request {
+func lossRequest(l *logLine, course *course) losses.Request {
 	code := result.Code(l.number("code"))
 	began := l.Time.Add(-l.duration("took_ms"))
 	status := result.Lookup(code).HTTPStatus
 	q := losses.Request{
 		ID: l.Request, Node: l.Node, Route: l.get("route"), Began: began, Ended: l.Time, PromptTokens: int(l.number("prompt_tokens")),
 		Code: code, Refused: status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests, NotOwed: notOwed(code), Late: late(l.get("late")),
-		First: l.duration("first_ms"), Endpoint: l.get("endpoint"), Waited: waited, Resumed: l.get("resumed") == "true",
+		First: l.duration("first_ms"), Endpoint: l.get("endpoint"), Waited: course.waited, Expected: course.expected, Resumed: l.get("resumed") == "true",
+	}
+	if q.Refused {
+		q.Refusal = course.refusal
 	}
 	q.PauseTo = began.Add(l.duration("gap_end_ms"))
 	q.PauseFrom = q.PauseTo.Add(-l.duration("gap_ms"))
