Entries report to all others that their bytes allow

Cause: an entry reported to eight entries of its data centre and eight of each other one, whatever that took. With 68 entries each heard of about 40 of 67, multiplied what it heard up to all, and sent to engines that the rest had filled. Ruled out: the bytes. Change: whom an entry reports to follows from what a heartbeat takes, its bytes a second and the longest time that heartbeats may be apart (300 ms): all of 68, about a hundred of 1,000. At least as many as before. Sites of up to 27 entries heard of all before: not changed. Tests: TestAnEntryReportsToAllThatItsBytesAllow failed before with 68 and 1,000 entries; TestKnowledgeOfOtherEntriesIsTold, and over real sockets TestGatewaysHearOfEachOther.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -139,8 +139,9 @@
 	writer := eventlog.NewWriter(s.log)
 	dial := gateway.Dialer(time.Second)
 	orders := platform.NewOrders(dial)
+	store := platform.NewStore(own.Store, dial)
 	s.gateway = gateway.New(gateway.Config{
-		Settings: own, Dialect: platform.Wire{}, Source: platform.NewStore(own.Store, dial), Reserver: orders, Pacer: orders,
+		Settings: own, Dialect: platform.Wire{}, Source: store, Registry: store, Reserver: orders, Pacer: orders,
 		Log: eventlog.New(writer, own.Name, "gateway"), LogWriter: writer,
 		FirstWait: s.firstWait,
 	})
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -11,7 +11,9 @@
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/membership"
 	"aspenyard.example/result"
+	"aspenyard.example/routing/direct"
 )
 
 func (g *Gateway) metricsHandler() http.Handler {
@@ -35,11 +37,34 @@
 	g.metrics.NewGauge("aspenyard_gateway_request_logs_skipped_total", func() float64 { return float64(g.requestLogs.Skipped()) })
 	g.metrics.NewGauge("aspenyard_gateway_config_age_seconds", func() float64 { return g.since(&g.configAt).Seconds() })
 	g.metrics.NewGauge("aspenyard_gateway_list_age_seconds", func() float64 { return g.since(&g.heardStoreAt).Seconds() })
+	g.exposePeers()
 	if writer != nil {
 		g.metrics.NewGauge("aspenyard_gateway_log_lines_dropped_total", func() float64 { return float64(writer.Dropped()) })
 	}
 }
 
+// exposePeers registers what tells how much of the other entries' work is known, and what it
+// takes to know it.
+func (g *Gateway) exposePeers() {
+	knowledge := func() direct.Knowledge { return g.ledger.Knowledge(time.Now()) }
+	g.metrics.NewGauge("aspenyard_gateway_peers", func() float64 { return float64(knowledge().Entries) })
+	g.metrics.NewGauge("aspenyard_gateway_peers_heard", func() float64 { return float64(knowledge().Heard) })
+	g.metrics.NewGauge("aspenyard_gateway_peer_age_seconds", func() float64 { return knowledge().Mean.Seconds() })
+	g.metrics.NewGauge("aspenyard_gateway_peer_oldest_seconds", func() float64 { return knowledge().Oldest.Seconds() })
+	for direction, bytes := range map[string]func(s *membership.Stats) uint64{
+		"in":  func(s *membership.Stats) uint64 { return s.ReceivedBytes.Load() },
+		"out": func(s *membership.Stats) uint64 { return s.SentBytes.Load() },
+	} {
+		g.metrics.NewGauge(fmt.Sprintf(`aspenyard_gateway_heartbeat_bytes_total{direction=%q}`, direction), func() float64 {
+			loop := g.peerLoop.Load()
+			if loop == nil {
+				return 0
+			}
+			return float64(bytes(&loop.Stats))
+		})
+	}
+}
+
 // since gives the time since a moment that is kept as nanoseconds from the process's
 // start; since the start itself where there was none yet.
 func (g *Gateway) since(moment *atomic.Int64) time.Duration {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -34,7 +34,10 @@
 	// wholeInterval is the time between two heartbeats that tell everything: for so long
 	// a lost one leaves an old number behind.
 	wholeInterval = time.Second
-	// peersNear and peersFar let entries of a site of thirty all hear of each other.
+	// peerLongestInterval is how old the word of another entry may be for that all entries
+	// hear of each other, up to about a hundred; more hear of a part of them.
+	peerLongestInterval = 300 * time.Millisecond
+	// peersNear and peersFar are heard of in any case, in the own data centre and in others.
 	peersNear, peersFar = 8, 8
 	// peerSuspect is the silence after which another entry counts as gone.
 	peerSuspect = time.Second
@@ -127,7 +130,7 @@
 		Node: g.settings.Name, Role: membership.RoleEntry, DataCentre: g.settings.DataCentre,
 		Listen: g.settings.PeersListen, Advertise: g.settings.PeersListen, Incarnation: incarnation,
 		Tick: peerInterval, Interval: peerInterval, SuspectAfter: peerSuspect, BytesPerSecond: peerBytes, ForgetAfter: registerTTL,
-		NearEntries: peersNear, FarEntries: peersFar,
+		NearEntries: peersNear, FarEntries: peersFar, LongestInterval: peerLongestInterval,
 	}, p)
 	g.peerLoop.Store(loop)
 	go func() {
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -48,3 +50,35 @@
 	is.NoErr(client.Deregister(ctx, again.Lease))
 	is.True(store.Get("nodes/g1") == nil)
 }
+
+// Gateways that are registered hear of each other over their sockets, and their metrics say
+// of how many, how old that is and what it takes.
+func TestGatewaysHearOfEachOther(t *testing.T) {
+	is := is.New(t)
+	first, second := newSite(t), newSite(t)
+	second.store = first.store
+	first.own = fmt.Sprintf(`,"peers_listen":%q`, freeUDP(t))
+	second.own = fmt.Sprintf(`,"peers_listen":%q,"name":"g2"`, freeUDP(t))
+	first.start()
+	second.version = first.version
+	second.start()
+	for _, s := range []*site{first, second} {
+		s.until("heard of the other", func() bool {
+			return s.metric("aspenyard_gateway_peers_heard ") == 1 && s.metric("aspenyard_gateway_peers ") == 1
+		})
+		s.until("an age", func() bool { return s.metric("aspenyard_gateway_peer_age_seconds ") > 0 })
+		is.True(s.metric(`aspenyard_gateway_heartbeat_bytes_total{direction="in"}`) > 0)
+		is.True(s.metric(`aspenyard_gateway_heartbeat_bytes_total{direction="out"}`) > 0)
+	}
+}
+
+// freeUDP gives a loopback address that nothing is bound to.
+func freeUDP(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String()
+}
--- a/membership/config.go
+++ b/membership/config.go
@@ -44,6 +44,12 @@
 	// centre and in each other one; defaults 8 and 2. More of them know more of the
 	// node's load, and receive more heartbeats.
 	NearEntries, FarEntries int
+	// LongestInterval is how far an entry's heartbeats to other entries may be apart where
+	// they are many: it reports to as many of them as BytesPerSecond allow at that interval,
+	// at least NearEntries and FarEntries, and to all where these are fewer. Longer lets
+	// more entries know of each other, of an older state. 0: to NearEntries and FarEntries
+	// alone.
+	LongestInterval time.Duration
 	// Seeds are entries' addresses to use before the platform's list is known.
 	Seeds []string
 }
--- a/membership/state.go
+++ b/membership/state.go
@@ -131,8 +131,8 @@
 	// reported are the addresses of a round of heartbeats, chosen at targetsAt.
 	reported  []string
 	targetsAt time.Time
-	// roundBytes is the mean size of a round of heartbeats.
-	roundBytes int
+	// beatBytes is the mean size of a heartbeat.
+	beatBytes float64
 }
 
 func newState(config Config) *state {
@@ -323,14 +323,28 @@
 	if s.config.Role != RoleEntry {
 		return s.interval
 	}
-	s.roundBytes += (targets*bytes - s.roundBytes) / averagedBeats
-	needed := time.Duration(s.roundBytes) * time.Second / time.Duration(s.config.BytesPerSecond)
-	return max(s.config.Interval, needed)
+	s.beatBytes += (float64(bytes) - s.beatBytes) / averagedBeats
+	needed := float64(targets) * s.beatBytes / float64(s.config.BytesPerSecond)
+	return max(s.config.Interval, time.Duration(needed*float64(time.Second)))
+}
+
+// affordedEntries is to how many entries of each data centre this one can report without
+// its heartbeats being further apart than LongestInterval.
+func (s *state) affordedEntries(dataCentres int) int {
+	if s.config.Role != RoleEntry || s.config.LongestInterval == 0 || s.beatBytes == 0 {
+		return 0
+	}
+	round := s.config.LongestInterval.Seconds() * float64(s.config.BytesPerSecond)
+	return int(round/s.beatBytes) / max(dataCentres, 1)
 }
 
 // chooseTargets lists the addresses of a round of heartbeats: some entries of this
-// data centre and a few of each other one. Everyone reports to entries; agents
-// are answered and need no round of their own.
+// data centre and a few of each other one, or all that can be afforded. Everyone reports to
+// entries; agents are answered and need no round of their own.
+//
+// Entries that hear of a part of the others multiply it up to all, and two that hear of
+// different ones send to the same engines: an entry that knows all others' work serves more
+// than one that knows of it sooner.
 //
 // Which entries is decided by a rendezvous hash, so that each node keeps to its
 // own few, each entry hears of an even share, and the traffic of a node does not
@@ -342,13 +356,14 @@
 			byDataCentre[member.DataCentre()] = append(byDataCentre[member.DataCentre()], member)
 		}
 	}
+	afforded := s.affordedEntries(len(byDataCentre))
 	var targets []string
 	for dataCentre, entries := range byDataCentre {
 		count := s.config.FarEntries
 		if dataCentre == s.config.DataCentre {
 			count = s.config.NearEntries
 		}
-		for _, member := range s.nearest(entries, count) {
+		for _, member := range s.nearest(entries, max(count, afforded)) {
 			targets = append(targets, member.Addr())
 		}
 	}
--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -212,3 +212,39 @@
 		loop.Step(testStart)
 	})
 }
+
+// Symptom: at sixty entries each knows of two thirds of the others, sees none of the rest's
+// requests, and sends to engines that are in use. Sequence: entries of five data centres, each
+// of which reports to eight of its own and eight of each other one. Cause: whom an entry
+// reports to was a number, whatever the heartbeats take.
+func TestAnEntryReportsToAllThatItsBytesAllow(t *testing.T) {
+	const dataCentres, bytes = 5, 150
+	for _, c := range []struct {
+		entries, least, most int
+	}{
+		{24, 23, 23},
+		{68, 67, 67},
+		{1000, 90, 100}, // 15,000 bytes in 300 ms
+	} {
+		t.Run(fmt.Sprint(c.entries), func(t *testing.T) {
+			is := is.New(t)
+			s := testState(RoleEntry)
+			s.config.NearEntries, s.config.FarEntries, s.config.LongestInterval, s.config.BytesPerSecond = 8, 8, 300*time.Millisecond, 50_000
+			for i := range c.entries - 1 {
+				h := beat(fmt.Sprintf("e-%03d", i), 1, 1)
+				h.Role, h.DataCentre, h.Addr = RoleEntry, fmt.Sprintf("dc%d", i%dataCentres), fmt.Sprintf("127.0.0.1:%d", 1000+i)
+				is.True(s.heard(testStart, h))
+			}
+			interval := time.Duration(0)
+			targets := s.targets(testStart)
+			for range 200 {
+				interval = s.beatInterval(len(targets), bytes)
+			}
+			targets = s.targets(testStart.Add(2 * targetsLife))
+			interval = s.beatInterval(len(targets), bytes)
+			is.True(len(targets) >= c.least && len(targets) <= c.most)
+			is.True(interval <= s.config.LongestInterval)
+			is.True(float64(len(targets)*bytes)/interval.Seconds() <= float64(s.config.BytesPerSecond)*1.01)
+		})
+	}
+}
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -113,6 +113,18 @@
 	is.Equal(len(l.peerLoads), 0)
 }
 
+// An operator sees how much of the others is known, and how old it is.
+func TestKnowledgeOfOtherEntriesIsTold(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	is.Equal(l.Knowledge(testNow), Knowledge{})
+	l.SetEntries(5)
+	l.TellPeer(testNow.Add(-2*peerValid), "a", nil, nil)
+	l.TellPeer(testNow.Add(-300*time.Millisecond), "b", nil, nil)
+	l.TellPeerChanges(testNow.Add(-100*time.Millisecond), "c", nil, nil)
+	is.Equal(l.Knowledge(testNow), Knowledge{Entries: 4, Heard: 2, Oldest: 300 * time.Millisecond, Mean: 200 * time.Millisecond})
+}
+
 func TestAnEndpointThatOthersUseIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	p := policy(3)
--- a/routing/direct/peers.go
+++ b/routing/direct/peers.go
@@ -78,6 +78,32 @@
 	delete(l.peers, name)
 }
 
+// Knowledge is how much this entry knows of the work of the others.
+type Knowledge struct {
+	// Entries is how many others there are, Heard of how many the word is in use.
+	Entries, Heard int
+	// Oldest is the age of the oldest word in use, Mean that of all.
+	Oldest, Mean time.Duration
+}
+
+// Knowledge tells how much is known of the other entries' work.
+func (l *Ledger) Knowledge(now time.Time) Knowledge {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := Knowledge{Entries: max(l.entries-1, 0)}
+	for _, p := range l.peers {
+		age := now.Sub(p.at)
+		if age > peerValid {
+			continue
+		}
+		k.Heard++
+		k.Oldest = max(k.Oldest, age)
+		k.Mean += age
+	}
+	k.Mean /= time.Duration(max(k.Heard, 1))
+	return k
+}
+
 // SetEntries tells how many entries there are; not all of them need to be heard of.
 func (l *Ledger) SetEntries(n int) {
 	l.mu.Lock()
