An entry tells of a long prompt that is its first request

Symptom: other entries did not know of a long prompt under way at an entry that had had no short one for that service yet; found by a new test of the longest prompts, which got no word from the ledger. Cause: Demands went over the services with a count of short requests. Change: it goes over the services whose engines were asked for anything. Plain services, whose counts nobody uses, are not told any more.

--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -113,6 +113,18 @@
 	is.Equal(len(l.peerLoads), 0)
 }
 
+// Symptom: other entries do not know of a long prompt that is being prefilled. Sequence: it is
+// the first request of an entry. Cause: an entry told only of services for which it had had a
+// short one.
+func TestAnEntryTellsOfALongPromptThatIsItsFirst(t *testing.T) {
+	is := is.New(t)
+	p := policy(1)
+	p.ledger.Begin(p.Place(testNow, prompt(150_000), endpoints(20)))
+	told := p.ledger.Demands(testNow)
+	is.Equal(len(told), 1)
+	is.True(told[0].Reading > time.Second)
+}
+
 // An operator sees how much of the others is known, and how old it is.
 func TestKnowledgeOfOtherEntriesIsTold(t *testing.T) {
 	is := is.New(t)
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -65,12 +65,12 @@
 	return list
 }
 
-// Demands gives what this entry's own requests ask, by service.
+// Demands gives what this entry's own requests ask of engines, by service.
 func (l *Ledger) Demands(now time.Time) []Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := make([]Demand, 0, len(l.shorts))
-	for service := range l.shorts {
+	list := make([]Demand, 0, len(l.demands))
+	for service := range l.demands {
 		list = append(list, l.own(now, service))
 	}
 	return list
