Settings: quantities are rounded, not cut off

Found by reading the change once more; TestSizes failed with it before. Also: a value that a test of heartbeats assigned twice is assigned once. Figures: whole numbers are read as before.

--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -235,13 +235,12 @@
 				h.Role, h.DataCentre, h.Addr = RoleEntry, fmt.Sprintf("dc%d", i%dataCentres), fmt.Sprintf("127.0.0.1:%d", 1000+i)
 				is.True(s.heard(testStart, h))
 			}
-			interval := time.Duration(0)
 			targets := s.targets(testStart)
 			for range 200 {
-				interval = s.beatInterval(len(targets), bytes)
+				s.beatInterval(len(targets), bytes)
 			}
 			targets = s.targets(testStart.Add(2 * targetsLife))
-			interval = s.beatInterval(len(targets), bytes)
+			interval := s.beatInterval(len(targets), bytes)
 			is.True(len(targets) >= c.least && len(targets) <= c.most)
 			is.True(interval <= s.config.LongestInterval)
 			is.True(float64(len(targets)*bytes)/interval.Seconds() <= float64(s.config.BytesPerSecond)*1.01)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -107,7 +107,7 @@
 	value  float64
 }
 
-// parseQuantity reads a number and its unit, in the smallest unit, rounded down. The number
+// parseQuantity reads a number and its unit, in the smallest unit, rounded. The number
 // may have a fraction and an exponent, as in JSON: templates are filled in by programs that
 // write numbers in any of these ways.
 func parseQuantity(text string, units []unit) (int64, bool) {
@@ -121,7 +121,7 @@
 			continue // the suffix of another unit, such as the s of ms
 		}
 		if n *= u.value; math.Abs(n) < math.MaxInt64 {
-			return int64(math.Floor(n)), true
+			return int64(math.Round(n)), true
 		}
 		return 0, false
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -62,6 +62,8 @@
 	is.Equal(int64(size), int64(1024))
 	is.NoErr(size.UnmarshalJSON([]byte(`"1.5MB"`)))
 	is.Equal(int64(size), int64(1_500_000))
+	is.NoErr(size.UnmarshalJSON([]byte(`"2.3KB"`))) // 2299.9999999999995 in binary
+	is.Equal(int64(size), int64(2300))
 	for _, bad := range []string{`8`, `"8"`, `"-1B"`, `"MB"`, `"NaNMB"`, `"InfMB"`, `"0x8MB"`, `"1_0MB"`, `"nullMB"`, `"1e300MB"`, `"1.MB"`} {
 		is.True(size.UnmarshalJSON([]byte(bad)) != nil) // a size needs a number and a unit
 	}
