Ports of the test of heartbeats are claimed, not only free

Cause: TestGatewaysHearOfEachOther took a port that was free a moment ago; tests that run beside it could be given the same. standin/link has a function that claims ports, which the soak and the scripts use.

--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -14,6 +13,7 @@
 	"aspenyard.example/directory"
 	"aspenyard.example/gateway"
 	"aspenyard.example/platform"
+	"aspenyard.example/standin/link"
 	standin "aspenyard.example/standin/platform"
 )
 
@@ -57,8 +57,12 @@
 	is := is.New(t)
 	first, second := newSite(t), newSite(t)
 	second.store = first.store
-	first.own = fmt.Sprintf(`,"peers_listen":%q`, freeUDP(t))
-	second.own = fmt.Sprintf(`,"peers_listen":%q,"name":"g2"`, freeUDP(t))
+	for _, s := range []*site{first, second} {
+		addr, err := link.FreeAddr()
+		is.NoErr(err)
+		s.own = fmt.Sprintf(`,"peers_listen":%q`, addr)
+	}
+	second.own += `,"name":"g2"`
 	first.start()
 	second.version = first.version
 	second.start()
@@ -71,14 +75,3 @@
 		is.True(s.metric(`aspenyard_gateway_heartbeat_bytes_total{direction="out"}`) > 0)
 	}
 }
-
-// freeUDP gives a loopback address that nothing is bound to.
-func freeUDP(t *testing.T) string {
-	t.Helper()
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	return conn.LocalAddr().String()
-}
