--- a/bench/experiment/file.go
+++ b/bench/experiment/file.go
@@ -173,8 +173,8 @@
 	faults.CheckInt(field+".engines", int64(s.Engines), 1, mostEngines)
 	faults.CheckRange(field+".length", s.Length.D(), time.Second, longestPlay)
 	faults.CheckRange(field+".pace_known", s.PaceKnown.D(), 0, longestPlay)
-	checkNumber(faults, field+".heartbeat_loss", s.HeartbeatLoss, 0, 1)
-	checkNumber(faults, field+".skew", s.Skew, 0, 1000)
+	faults.CheckNumber(field+".heartbeat_loss", s.HeartbeatLoss, 0, 1)
+	faults.CheckNumber(field+".skew", s.Skew, 0, 1000)
 	s.Engine.check(field+".engine", faults)
 	if len(s.Kinds) == 0 {
 		faults.Add(field+".kinds", 0, "one kind or more")
@@ -194,7 +194,7 @@
 		faults.CheckRange(at+".from", slow.From.D(), 0, longestPlay)
 		faults.CheckRange(at+".to", slow.To.D(), slow.From.D(), longestPlay)
 		faults.CheckInt(at+".engines", int64(slow.Engines), 1, int64(max((s.Engines+1)/2, 1)))
-		checkNumber(faults, at+".pace", slow.Pace, 1, 1000)
+		faults.CheckNumber(at+".pace", slow.Pace, 1, 1000)
 	}
 }
 
@@ -202,25 +202,25 @@
 	faults.CheckInt(field+".slots", int64(e.Slots), 1, 10_000)
 	faults.CheckInt(field+".memory_tokens", int64(e.MemoryTokens), 1, 1e9)
 	faults.CheckInt(field+".stride", int64(e.Stride), 1, 10_000)
-	checkNumber(faults, field+".step_us", e.Step, 1, 1e6)
-	checkNumber(faults, field+".step_per_request_us", e.StepPerRequest, 0, 1e6)
-	checkNumber(faults, field+".step_per_thousand_us", e.StepPerThousand, 0, 1e6)
-	checkNumber(faults, field+".prefill_per_second", e.PrefillPerSecond, 1, 1e9)
-	checkNumber(faults, field+".pairs_per_million_us", e.PairsPerMillion, 0, 1e6)
+	faults.CheckNumber(field+".step_us", e.Step, 1, 1e6)
+	faults.CheckNumber(field+".step_per_request_us", e.StepPerRequest, 0, 1e6)
+	faults.CheckNumber(field+".step_per_thousand_us", e.StepPerThousand, 0, 1e6)
+	faults.CheckNumber(field+".prefill_per_second", e.PrefillPerSecond, 1, 1e9)
+	faults.CheckNumber(field+".pairs_per_million_us", e.PairsPerMillion, 0, 1e6)
 }
 
 func (k *Kind) check(field string, faults *settings.Faults) {
 	if k.Name == "" {
 		faults.Add(field+".name", k.Name, "a text")
 	}
-	checkNumber(faults, field+".tokens", k.Tokens, 1, mostTokens)
-	checkNumber(faults, field+".spread", k.Spread, 0, 10)
+	faults.CheckNumber(field+".tokens", k.Tokens, 1, mostTokens)
+	faults.CheckNumber(field+".spread", k.Spread, 0, 10)
 	faults.CheckInt(field+".most_tokens", int64(k.MostTokens), 1, mostTokens)
 	faults.CheckInt(field+".events", int64(k.Events), 1, mostEvents)
-	checkNumber(faults, field+".per_second", k.PerSecond, 0, mostRate)
+	faults.CheckNumber(field+".per_second", k.PerSecond, 0, mostRate)
 	faults.CheckRange(field+".target", k.Target.D(), time.Millisecond, longestPlay)
 	faults.CheckRange(field+".pause_limit", k.PauseLimit.D(), time.Millisecond, longestPlay)
-	checkNumber(faults, field+".worth", k.Worth, 0, 1e6)
+	faults.CheckNumber(field+".worth", k.Worth, 0, 1e6)
 }
 
 func (p *Policy) check(field string, faults *settings.Faults) {
@@ -235,13 +235,6 @@
 	faults.CheckRange(field+".heartbeat", p.Heartbeat.D(), 0, time.Minute)
 }
 
-// checkNumber notes a fault unless low <= value <= high.
-func checkNumber(faults *settings.Faults, field string, value, low, high float64) {
-	if !(value >= low && value <= high) {
-		faults.Add(field, value, fmt.Sprintf("%g to %g", low, high))
-	}
-}
-
 // config is the play of a site under a policy.
 func (s *Site) config(p *Policy, seed uint64) *emulator.Config {
 	c := &emulator.Config{
