--- a/admission/deferral.go
+++ b/admission/deferral.go
@@ -12,12 +12,12 @@
 	// way back, and Retry-After in whole seconds.
 	deferralGrace = 10 * time.Second
 	// retryMargin is the time to come back over the time by which the wait is too
-	// long: with 1, callers came back to a queue that bursts had filled again, and
-	// 0.57 of them succeeded in place of 0.70 (bench policy, load 1.3).
+	// long: with 1, callers would come back to a queue that bursts have filled again, and
+	// be refused once more.
 	retryMargin = 2
 	// newShare is the part of the longest wait that is open to requests without a
 	// deferral. At 1, too little is left for those who come back; at a half,
-	// urgent requests are refused that would have been in time (bench policy).
+	// urgent requests are refused that would have been in time.
 	newShare = 2.0 / 3
 	// minReturnShare is the least part of the deferred work that is reckoned to come
 	// back.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -89,8 +89,8 @@
 }
 
 // awaitConfig waits for the first configuration of a process that has just started: when all
-// nodes are started again at once, callers use them before they have read the store. Of 265
-// prompts in the first 0.8 s after a start of 24 nodes 47 were refused, and came back late.
+// nodes are started again at once, callers use them before they have read the store, and those
+// who are refused then come back late.
 func (c *call) awaitConfig() {
 	select {
 	case <-c.gateway.configured:
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -27,9 +27,8 @@
 	deregisterTimeout = 150 * time.Millisecond
 	// peerInterval is the time between two heartbeats to other entries. They carry
 	// what this entry's requests ask of the engines, and an entry that does not know
-	// what the others have just sent sends to the same engines. With 21 and 27 entries,
-	// mean worth was 0.511 and 0.573 at 900 ms, 0.546 and 0.602 at 500, 0.582 and 0.636
-	// at 250, 0.602 and 0.649 at 100, and no more at 50 (docs/POLICY.md).
+	// what the others have just sent sends to the same engines. Shorter
+	// gains nothing more.
 	peerInterval = 100 * time.Millisecond
 	// wholeInterval is the time between two heartbeats that tell everything: for so long
 	// a lost one leaves an old number behind.
--- a/routing/direct/affinity.go
+++ b/routing/direct/affinity.go
@@ -11,22 +11,17 @@
 // three prompts that meet in one pass of an engine are late whatever it had to do before.
 // So each entry prefers a part of the engines: what it sends there it knows at once, and
 // others seldom send there. What its own engines cannot take goes to one of another entry's,
-// drawn at random, as long as that is cheaper by awayCost. Short prompts on time beside three
-// engines drawn anew for each prompt, or all where entries are few: 0.877 in place of 0.860,
-// 0.869 of 0.856 and 0.852 of 0.838 (12 to 18 played days with 21, 23 and 14 engines); mean
-// worth +0.006 ± 0.005, -0.005 ± 0.006 and +0.015 ± 0.005; with 69 engines and 24 entries no
-// difference on played days, and 0.796 in place of 0.764 in the emulator.
+// drawn at random, as long as that is cheaper by awayCost. It gains short prompts that are on
+// time, beside a few engines drawn anew for each of them.
 const (
 	// awayCost is what another entry's engine costs a short prompt more: about what two
-	// prompts take that meet in a pass. 150 ms serves the same where callers come to all
-	// entries alike, and less (0.906 in place of 0.913 in the emulator) where one gets five
-	// times as many as another.
+	// prompts take that meet in a pass. More keeps an entry that gets many times as many
+	// callers as another from engines that are free.
 	awayCost = 60 * time.Millisecond
 	// awayDrawn is how many of other entries' engines are weighed.
 	awayDrawn = 1
-	// otherDrawn is how many of the engines for long prompts are weighed: where these are
-	// idle in a rush of short ones, 0.818 of these are on time in place of 0.794 with one
-	// (69 engines, emulator); two to eight make no difference.
+	// otherDrawn is how many of the engines for long prompts are weighed: with one, short
+	// prompts would miss those that are idle in a rush of them.
 	otherDrawn = 4
 	// leastDrawn are weighed by an entry that has fewer engines of its own.
 	leastDrawn = 2
--- a/routing/direct/backlog.go
+++ b/routing/direct/backlog.go
@@ -10,9 +10,7 @@
 	// readingLimit is how much prefill of long prompts may be under way for each engine
 	// that takes them, the next one's included. Engines prefill all parts that they have
 	// before the next event of those who decode there, and the most patient of those allow a
-	// second. Mean worth of 12 days each beside 600 ms without the next one's: +0.012 ± 0.005
-	// (69 engines), +0.009 ± 0.005 (14), +0.007 ± 0.006 (23), 0.000 ± 0.006 (21); 600 ms with
-	// the next one's: -0.002 ± 0.004, +0.002 ± 0.003, -0.003 ± 0.010 (14, 23, 21).
+	// second.
 	readingLimit = 800 * time.Millisecond
 	// leastReading is the part of it that may be under way before the longest prompts, which
 	// would otherwise never go while others come.
--- a/routing/direct/limits.go
+++ b/routing/direct/limits.go
@@ -11,12 +11,12 @@
 // routes allow.
 const (
 	// partShare is the part of the shortest pause allowed that one part takes: a pass takes
-	// a fifth of it without any, and two parts may meet. 0.16 serves the same.
+	// a fifth of it without any, and two parts may meet.
 	partShare = 0.24
 	// longestPartShare is the part of the longest pause allowed that a part on engines in
 	// use may take. A longer one stops everyone who decodes on up to 17 engines for nearly
-	// as long as the most patient callers allow. Of 0.5, 0.7, 0.9, 1 and 1.7, 0.7 served most
-	// (docs/POLICY.md, docs/WORTH.md).
+	// as long as the most patient callers allow; a lower limit refuses prompts that would
+	// hold up few.
 	longestPartShare = 0.7
 	// usualGap and patientGap stand in where no route says what it allows: those of the
 	// users' sites.
--- a/routing/direct/memory.go
+++ b/routing/direct/memory.go
@@ -10,9 +10,7 @@
 	// aloneShare is the part of an engine's memory that one request may need; what needs more
 	// is reserved at several engines. A request over half of it finds no engine with room
 	// while two like it decode on each, and waits at its first one; all parts that it has
-	// elsewhere count meanwhile as prefill under way, and hold others back. Of 6 days with 69
-	// engines, where 0.8 of the long prompts need over half of the memory, mean worth was
-	// 0.704 with 0.5 and 0.661 with 0.85; with 21 and 23 engines it made no difference.
+	// elsewhere count meanwhile as prefill under way, and hold others back.
 	aloneShare = 0.5
 	// firstShare is the part of its memory that the first engine of a request gives
 	// that needs more than one engine's.
@@ -54,9 +52,7 @@
 
 // divideMemory sets what each engine of a plan has to hold. Few helpers hold memory, the
 // first ones, which have most of it free: each holder takes an order to reserve, one to release and one a
-// second between them, and the other helpers prefill their parts without any. With four
-// holders in place of sixteen there were 269 orders a day in place of 716 (mean of 36 days,
-// 21 engines).
+// second between them, and the other helpers prefill their parts without any.
 func (plan *Plan) divideMemory(engine *directory.Engine) {
 	plan.FirstMemory = plan.Memory
 	if plan.Memory <= aloneMemory(engine) || len(plan.Helpers) == 0 {
--- a/routing/direct/pace.go
+++ b/routing/direct/pace.go
@@ -117,10 +117,8 @@
 const thousand = 1000
 
 // steady drops slow engines, as long as there are others: the first token of a prompt that
-// is prefilled in parts comes with the slowest of them. On days on which a tenth to a third
-// of the engines are 2 to 6 times as slow for six seconds, mean worth was 0.832 with it and
-// the costs of slow engines, and 0.756 without (8 days, 21 engines); 0.715 and 0.681 (23),
-// 0.695 and 0.683 (14).
+// is prefilled in parts comes with the slowest of them, so that a few slow engines would make every such prompt
+// late.
 func steady(list []scored) []scored {
 	kept := make([]scored, 0, len(list))
 	for _, s := range list {
--- a/routing/direct/picker.go
+++ b/routing/direct/picker.go
@@ -8,14 +8,12 @@
 
 // choose takes the engines with the least cost. The one that a long prompt is sent to is
 // that, of them, whose memory is least used; a short one is sent to the engine for short
-// prompts that is preferred, where its events come sooner and its memory is in nobody's way
-// (of those of 45,000 tokens 0.92 of the worth was earned in place of 0.90), and its other
-// parts to engines for long ones. Where none of them
-// has room, another one is taken: an engine without room holds a request back until another
-// one ends, and prompts of 110,000 to 160,000 tokens that were read in 0.4 s began after 3
-// to 5 s. The helpers of a request that needs more memory than alone come in the order of
-// what is free there, as the first of them are to hold it. It gives the most that any of
-// the engines has to prefill before.
+// prompts that is preferred, where its events come sooner and its memory is in nobody's way,
+// and its other parts to engines for long ones. Where none of them has room, another one is
+// taken: an engine without room holds a request back until another one ends, and prompts that
+// are prefilled in less than a second would begin after several. The helpers of a request that
+// needs more memory than alone come in the order of what is free there, as the first of them
+// are to hold it. It gives the most that any of the engines has to prefill before.
 func (p *Policy) choose(plan *Plan, list []scored, parts, alone int) (before time.Duration) {
 	for i := range list { // random among equals
 		j := i + p.rand.IntN(len(list)-i)
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -83,8 +83,7 @@
 	// otherPoolCost is what an engine of the other kind costs a short prompt, which a part of
 	// a long one that is prefilled there makes late; and what one of its own kind costs a part
 	// of a short prompt, which makes those late that decode there. It is worth 40 open requests, so that
-	// those for short ones fill their slots first. Mean worth 0.760 in place of 0.751 at 60 ms
-	// (30 days of a site of 21 engines whose mix turns every ten seconds).
+	// those for short ones fill their slots first.
 	otherPoolCost = 200 * time.Millisecond
 	// maxParts is on how many engines a prompt is prefilled: the one that it is sent to
 	// and the helpers that it may name.
@@ -138,9 +137,8 @@
 // many parts. Endpoints come in the same order at every entry: short prompts have the
 // engines at its beginning, long ones those at its end, and the boundary follows the demand.
 // One in parts is held by an engine for short ones and prefilled on those for long ones: on
-// its own kind's three or four such parts met in one pass, over the pause that short streams
-// allow. Mean worth +0.006 ± 0.003 over 48 pairs of days on four sites; in the emulator 0.840
-// and 0.730 of short ones were on time in place of 0.809 and 0.703.
+// its own kind's three or four such parts meet in one pass, over the pause that short streams
+// allow.
 func (p *Policy) shortEngines(now time.Time, r *Request, kept []*directory.Listed, prefill time.Duration) ([]scored, int) {
 	target := partTarget(r.Service)
 	boundary := min(p.boundary(now, r.Service, len(kept)), len(kept))
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -23,9 +23,8 @@
 }
 
 // longOpenCost is what each open request on an engine adds to its cost for a long
-// prompt, whose part would pause it. With 21 and 27 entries mean worth was 0.582 and 0.621
-// at 5 ms, 0.581 and 0.635 at 30, 0.582 and 0.636 at 50, 0.558 and 0.626 at 100, and less
-// at a quarter of the part; with 4 and 5 entries it makes no difference (docs/POLICY.md).
+// prompt, whose part would pause it. More than a short part costs would send parts to
+// engines that already have much to prefill.
 const longOpenCost = 50 * time.Millisecond
 
 // openCostFor is what each open request adds to an engine's cost for a prompt.
--- a/routing/policies.go
+++ b/routing/policies.go
@@ -27,8 +27,8 @@
 	prefixMemory = 16_384
 	// pickSlack is how much worse than the best a pick may be, in seconds.
 	pickSlack = 0.002
-	// interferenceWeight: at 1, long prompts start half as late again as at 3; at
-	// 8, short ones are slowed by over a quarter (bench policy, loads 0.8, 0.95).
+	// interferenceWeight: less lets long prompts start later, more slows short
+	// ones.
 	interferenceWeight = 3
 	// dataCentreTrip is the round trip between data centres, in seconds.
 	dataCentreTrip = 0.002
