Short prompts fill few engines within their share

Change: short prompts have as many engines as what is open fills to two thirds of the slots, and one more, at most their share of before. An entry that has heard of no other keeps the share alone.

--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"time"
 
 	"aspenyard.example/directory"
@@ -42,10 +43,17 @@
 const (
 	// fullUse is the part of an engine's time that long prompts may take.
 	fullUse = 0.85
-	// openUse is the part of an engine's slots that short requests should take: more
-	// of them meet in one pass and lengthen it.
+	// openUse is the part of an engine's slots that short requests take where both kinds ask
+	// for all engines: more of them meet in one pass and lengthen it.
 	openUse = 0.5
-	// leastLong and leastShort are the parts of the engines that each kind always has.
+	// fillUse is the part of an engine's slots that short requests fill before they take
+	// another engine: one more lengthens a pass by little, and an engine on which nobody
+	// decodes reads parts of long prompts without making anybody late.
+	fillUse = 0.67
+	// spareShort is how many engines short requests have beyond those that they fill: more
+	// of them begin before the other entries hear of it.
+	spareShort = 1
+	// leastLong and leastShort are the parts of the engines that each kind may always take.
 	leastLong, leastShort = 0.35, 0.1
 )
 
@@ -61,7 +69,7 @@
 	Reading, Waiting time.Duration
 }
 
-// shortShare is the part of a service's engines that short prompts have to themselves.
+// shortShare is the part of a service's engines that short prompts may take.
 func shortShare(d Demand, engine *directory.Engine) float64 {
 	long := d.LongPrefill.Seconds() / demandWindow.Seconds() / fullUse
 	short := float64(d.OpenShort) / (float64(max(engine.Slots, 1)) * openUse)
@@ -70,3 +78,11 @@
 	}
 	return min(max(short/(long+short), leastShort), 1-leastLong)
 }
+
+// shortEngines is how many of a service's engines short prompts have to themselves: as few
+// as those that are open fill, within their share.
+func shortEngines(d Demand, engine *directory.Engine, engines int) int {
+	share := int(shortShare(d, engine)*float64(engines) + 0.5)
+	filled := math.Ceil(float64(d.OpenShort) / (float64(max(engine.Slots, 1)) * fillUse))
+	return max(min(int(filled)+spareShort, share), 1)
+}
--- a/routing/direct/peers.go
+++ b/routing/direct/peers.go
@@ -104,6 +104,9 @@
 	return k
 }
 
+// heardOfOthers tells whether this entry knows of another one's work, or that it is alone.
+func (l *Ledger) heardOfOthers() bool { return l.rank.of > 0 || len(l.peers) > 0 }
+
 // SetEntries tells how many entries there are; not all of them need to be heard of.
 func (l *Ledger) SetEntries(n int) {
 	l.mu.Lock()
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -223,5 +223,11 @@
 
 // boundary is how many of a service's engines short prompts have to themselves.
 func (p *Policy) boundary(now time.Time, service *directory.Service, engines int) int {
-	return int(shortShare(p.ledger.total(now, service.Name), service.Engine)*float64(engines) + 0.5)
+	demand := p.ledger.total(now, service.Name)
+	if !p.ledger.heardOfOthers() {
+		// Entries that have all just started would each send their first requests to the
+		// same few engines.
+		return int(shortShare(demand, service.Engine)*float64(engines) + 0.5)
+	}
+	return shortEngines(demand, service.Engine, engines)
 }
