Who is late by a long part counts by the pause that its own route allows

Cause: a prompt with parts over 0.7 of the longest pause was refused once more than four requests were open on its engines, whatever these allow: on the shifted site a part of 0.6 s stops nobody who allows 0.8 s. Change: requests are counted at each endpoint by the pause that their routes allow, entries tell each other these counts, and such a prompt is refused when more than four would be late by it.

Engines that are all slow are not taken to widen a prompt: since short prompts keep to few engines these may all be slow, and a test of the gateway showed parts there. The test of the ledger found that counts without a request were forgotten; it compares them now.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -152,6 +152,8 @@
 	// placings is how many endpoints a request is placed on until one has room.
 	placings = 4
 	service  = "m"
+	// shortestWay and longestWay bound how long a message takes.
+	shortestWay, longestWay = time.Millisecond, 4 * time.Millisecond
 )
 
 // world is one play.
@@ -271,11 +273,16 @@
 	for _, other := range w.entries {
 		lost := w.config.HeartbeatLoss > 0 && w.rand.Float64() < w.config.HeartbeatLoss
 		if other != e && !lost {
-			other.ledger.TellPeer(w.clock(), e.name, demands, opens)
+			w.After(w.way(), func() { other.ledger.TellPeer(w.clock(), e.name, demands, opens) })
 		}
 	}
 }
 
+// way is how long a message takes: those of several entries overtake each other.
+func (w *world) way() time.Duration {
+	return shortestWay + time.Duration(w.rand.Int64N(int64(longestWay-shortestWay)))
+}
+
 // arrive begins a request of a kind and lets the next one come.
 func (w *world) arrive(kind int) {
 	if w.Now() >= w.config.Length {
@@ -376,7 +383,7 @@
 // place sends a request to an engine, or to another one where its memory finds no room.
 func (r *request) place() {
 	w := r.world
-	placing := direct.Request{Service: w.service, PromptTokens: r.tokens, OutputTokens: outputTokens, Tried: map[directory.Life]bool{}}
+	placing := direct.Request{Service: w.service, PromptTokens: r.tokens, OutputTokens: outputTokens, Pause: r.kind.PauseLimit, Tried: map[directory.Life]bool{}}
 	for range placings {
 		plan := r.entry.policy.Place(w.clock(), &placing, w.list)
 		if plan == nil || plan.Crowded {
@@ -402,7 +409,7 @@
 		r.world.tell(r.entry)
 	}
 	r.engine = r.world.engines[plan.Endpoint.Life]
-	r.engine.submit(j)
+	r.world.After(r.world.way(), func() { r.engine.submit(j) })
 }
 
 func (r *request) prefilled() {
--- a/bench/emulator/engine.go
+++ b/bench/emulator/engine.go
@@ -48,6 +48,10 @@
 	held    int // memory in use, in tokens
 	slots   int // in use
 	running bool
+	// readingSince is when the newest part began to be read alone, read how many times one did.
+	readingSince time.Duration
+	reading      bool
+	read         int
 }
 
 // submit gives the engine a request.
@@ -68,31 +72,67 @@
 		e.slots++
 		e.held += j.memory
 		for _, helper := range append([]*engine{e}, j.helpers...) {
+			helper.stopReading()
 			helper.parts = append(helper.parts, part{j, j.part, j.request.tokens / (1 + len(j.helpers))})
 			helper.run()
 		}
 	}
 }
 
-// run begins a pass unless one is under way.
+// run begins a pass, or to read, unless a pass is under way.
 func (e *engine) run() {
-	if e.running || len(e.parts) == 0 && len(e.writing) == 0 {
+	if e.running {
+		return
+	}
+	e.stopReading()
+	if len(e.writing) == 0 {
+		e.readNewest()
 		return
 	}
 	e.running = true
 	reading := e.parts
 	e.parts = nil
-	length := e.passTime(reading)
-	e.world.After(time.Duration(e.pace*float64(length)), func() { e.end(reading) })
+	e.world.After(e.paced(e.passTime(reading)), func() { e.end(reading) })
+}
+
+func (e *engine) paced(d time.Duration) time.Duration { return time.Duration(e.pace * float64(d)) }
+
+// readNewest reads the newest part, unless another one comes before it is done.
+func (e *engine) readNewest() {
+	if len(e.parts) == 0 {
+		return
+	}
+	e.reading, e.readingSince = true, e.world.Now()
+	e.read++
+	number, newest := e.read, e.parts[len(e.parts)-1]
+	length := newest.prefill + time.Duration(e.readSteps([]part{newest}))*e.model.Step
+	e.world.After(e.paced(length), func() {
+		if !e.reading || e.read != number {
+			return
+		}
+		e.reading = false
+		e.parts = e.parts[:len(e.parts)-1]
+		e.finish([]part{newest}, nil)
+		e.admit()
+		e.run()
+	})
+}
+
+// stopReading leaves the rest of the part that is being read.
+func (e *engine) stopReading() {
+	if !e.reading {
+		return
+	}
+	e.reading = false
+	newest := &e.parts[len(e.parts)-1]
+	done := time.Duration(float64(e.world.Now()-e.readingSince) / e.pace)
+	newest.prefill = max(newest.prefill-done, 0)
 }
 
-// passTime is how long a pass takes: as many steps as everyone who decodes needs for an
-// event, or where nobody does as many as the prompts' tokens take, and the prefill.
+// passTime is how long a pass takes: the steps that everyone who decodes needs for an event,
+// and the prefill.
 func (e *engine) passTime(reading []part) time.Duration {
 	length := direct.DecodeTime(e.model, len(e.writing), e.held)
-	if len(e.writing) == 0 {
-		length = time.Duration(e.readSteps(reading)) * e.model.Step
-	}
 	for _, p := range reading {
 		length += p.prefill
 	}
@@ -114,22 +154,29 @@
 // end ends a pass: parts are prefilled, and everyone who decodes writes an event.
 func (e *engine) end(reading []part) {
 	e.running = false
-	writing := slices.Clone(e.writing)
+	e.finish(reading, slices.Clone(e.writing))
+	e.admit()
+	e.run()
+}
+
+// finish ends parts that have been read, and the pass in which some requests decoded.
+func (e *engine) finish(reading []part, writing []*job) {
 	for _, p := range reading {
-		if p.job.missing--; p.job.missing == 0 {
-			first := p.job.request.engine
-			first.writing = append(first.writing, p.job)
-			if len(p.job.helpers) == 0 {
-				writing = append(writing, p.job) // read and begun in one pass
-			}
+		if p.job.missing--; p.job.missing > 0 {
+			continue
+		}
+		first := p.job.request.engine
+		first.writing = append(first.writing, p.job)
+		if len(p.job.helpers) == 0 {
+			writing = append(writing, p.job) // read and begun in one pass
+		}
+		if first != e {
 			first.run()
 		}
 	}
 	for _, j := range writing {
 		e.write(j)
 	}
-	e.admit()
-	e.run()
 }
 
 // write passes one event of a stream on.
--- /dev/null
+++ b/bench/emulator/engine_test.go
@@ -0,0 +1,36 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// give sends an engine a part of a prompt that others read parts of too.
+func give(e *engine, prefill time.Duration) *job {
+	j := &job{missing: 2}
+	e.stopReading()
+	e.parts = append(e.parts, part{j, prefill, 1000})
+	e.run()
+	return j
+}
+
+// Engines read the newest part first while nobody decodes there, and take up the older one
+// where they left it.
+func TestAnEngineReadsTheNewestPartFirst(t *testing.T) {
+	is := is.New(t)
+	w := &world{config: &Config{Engine: siteEngine()}}
+	e := &engine{world: w, model: &w.config.Engine, pace: 1}
+	var older, newer *job
+	w.After(0, func() { older = give(e, 300*time.Millisecond) })
+	w.After(100*time.Millisecond, func() { newer = give(e, 200*time.Millisecond) })
+	w.After(310*time.Millisecond, func() {
+		is.Equal(newer.missing, 1)
+		is.Equal(older.missing, 2)
+	})
+	w.After(500*time.Millisecond, func() { is.Equal(older.missing, 2) })
+	w.After(510*time.Millisecond, func() { is.Equal(older.missing, 1) })
+	w.Run(time.Second)
+	is.Equal(older.missing, 1)
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -36,7 +36,7 @@
 	f.retrier = attempt.Retrier{Repeatable: c.route.Repeatable(), MaxArrivals: c.route.MaxAttempts}
 	f.request = direct.Request{
 		Service: c.service, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens,
-		DataCentre: c.gateway.settings.DataCentre, Tried: map[directory.Life]bool{},
+		DataCentre: c.gateway.settings.DataCentre, Pause: c.route.TargetGap, Tried: map[directory.Life]bool{},
 	}
 	if c.route.Kind == directory.Streaming {
 		f.relay = &relay{call: c, last: c.LastEvent}
@@ -247,7 +247,7 @@
 
 // refuseCapacity ends a call whose prompt would hold up others for too long.
 func (f *forwarding) refuseCapacity(plan *direct.Plan) *result.Error {
-	f.log.Add("capacity_refused", zap.Duration("prefill_ms", plan.Prefill), zap.Int("engines", 1+len(plan.Helpers)), zap.Int("open", plan.Open))
+	f.log.Add("capacity_refused", zap.Duration("prefill_ms", plan.Prefill), zap.Int("engines", 1+len(plan.Helpers)), zap.Int("open", plan.Open), zap.Int("harmed", plan.Harmed))
 	if f.retrier.MayHaveRun() {
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "the endpoint failed and no other has room")
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -166,6 +167,7 @@
 		h.OpenCounts = append(h.OpenCounts, uint32(o.Count))
 		h.ReadingMs = append(h.ReadingMs, uint32(max(o.Reading.Milliseconds(), 0)))
 		h.MemoryKtokens = append(h.MemoryKtokens, uint32(max(o.Memory, 0)+memoryUnit-1)/memoryUnit)
+		fillStreams(h, o.Streams)
 	}
 	for _, s := range p.gateway.ledger.Slows(now) {
 		h.SlowEndpoints = append(h.SlowEndpoints, uint32(s.Endpoint))
@@ -212,11 +214,15 @@
 	open := make([]direct.Open, 0, len(h.OpenEndpoints))
 	for i := range min(len(h.OpenEndpoints), len(h.OpenCounts), len(h.ReadingMs)) {
 		o := direct.Open{Endpoint: direct.EndpointHash(h.OpenEndpoints[i]), Count: int(h.OpenCounts[i]), Reading: milliseconds(h.ReadingMs[i])}
+		if len(h.StreamKeys) == 0 && o.Count > 0 { // an earlier version: none may be made late
+			o.Streams[0] = int16(o.Count)
+		}
 		if i < len(h.MemoryKtokens) { // entries of an earlier version do not tell
 			o.Memory = int(h.MemoryKtokens[i]) * memoryUnit
 		}
 		open = append(open, o)
 	}
+	readStreams(h, open)
 	p.gateway.ledger.TellSlows(now, slows(h))
 	if h.Partial {
 		p.gateway.ledger.TellPeerChanges(now, h.Node, demands, open)
@@ -225,6 +231,30 @@
 	p.gateway.ledger.TellPeer(now, h.Node, demands, open)
 }
 
+// streamKeyBase is what an endpoint's index is multiplied by in the key of its streams.
+const streamKeyBase = 16
+
+// fillStreams tells of the streams at the last endpoint of a heartbeat.
+func fillStreams(h *wire.Heartbeat, streams direct.Streams) {
+	index := len(h.OpenEndpoints) - 1
+	for class, n := range streams {
+		if n > 0 {
+			h.StreamKeys = append(h.StreamKeys, uint32(index*streamKeyBase+class))
+			h.StreamCounts = append(h.StreamCounts, uint32(n))
+		}
+	}
+}
+
+// readStreams reads what a heartbeat tells of the streams at its endpoints.
+func readStreams(h *wire.Heartbeat, open []direct.Open) {
+	for i := range min(len(h.StreamKeys), len(h.StreamCounts)) {
+		index, class := int(h.StreamKeys[i]/streamKeyBase), int(h.StreamKeys[i]%streamKeyBase)
+		if index < len(open) && class < len(open[index].Streams) {
+			open[index].Streams[class] = int16(min(h.StreamCounts[i], math.MaxInt16))
+		}
+	}
+}
+
 // slows reads which endpoints another entry knows to be slow.
 func slows(h *wire.Heartbeat) []direct.Slow {
 	list := make([]direct.Slow, 0, len(h.SlowEndpoints))
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -174,7 +174,7 @@
 		l, whole := NewLedger(), NewLedger()
 		state := map[EndpointHash]Open{}
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
-			o := Open{EndpointHash(rapid.IntRange(0, 5).Draw(t, "endpoint")), rapid.IntRange(0, 3).Draw(t, "open"), time.Duration(rapid.IntRange(0, 2).Draw(t, "reading")), rapid.IntRange(0, 2).Draw(t, "memory")}
+			o := Open{EndpointHash(rapid.IntRange(0, 5).Draw(t, "endpoint")), rapid.IntRange(0, 3).Draw(t, "open"), time.Duration(rapid.IntRange(0, 2).Draw(t, "reading")), rapid.IntRange(0, 2).Draw(t, "memory"), Streams{3: int16(rapid.IntRange(0, 2).Draw(t, "streams"))}}
 			state[o.Endpoint] = o
 			l.TellPeerChanges(testNow, "b", nil, []Open{o})
 		}
@@ -278,10 +278,18 @@
 	is.True(p.Place(testNow, prompt(500_000), endpoints(23)).Crowded) // engines in use
 }
 
+// streams are so many requests that allow a pause.
+func streams(pause time.Duration, count int) Streams {
+	var s Streams
+	s[PauseClass(pause)] = int16(count)
+	return s
+}
+
+// opens gives each endpoint so many requests.
 func opens(list []*directory.Listed, count int) []Open {
 	var open []Open
 	for _, e := range list {
-		open = append(open, Open{Endpoint: HashEndpoint(e.Life), Count: count})
+		open = append(open, Open{Endpoint: HashEndpoint(e.Life), Count: count, Streams: streams(250*time.Millisecond, count)})
 	}
 	return open
 }
@@ -341,7 +349,7 @@
 			c.End()
 		}
 		for id, l := range p.ledger.loads {
-			if l.open != 0 || l.prefill != 0 || l.memory != 0 {
+			if l.open != 0 || l.prefill != 0 || l.memory != 0 || l.streams != (Streams{}) {
 				t.Fatalf("%s: %+v", id, *l)
 			}
 		}
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -32,13 +32,15 @@
 	peers map[string]*peer
 }
 
-// Open is what an entry has given an endpoint to do: how many requests are open there,
-// the prefill that is not done, and the KV cache that they need, in tokens.
+// Open is what an entry has given an endpoint to do: how many requests are open there, by
+// the pause that they allow too, the prefill that is not done, and the KV cache that they
+// need, in tokens.
 type Open struct {
 	Endpoint EndpointHash
 	Count    int
 	Reading  time.Duration
 	Memory   int
+	Streams  Streams
 }
 
 // EndpointHash names a life of an endpoint in messages between entries: what an entry
@@ -59,7 +61,7 @@
 	list := make([]Open, 0, len(l.loads))
 	for life, known := range l.loads {
 		if known.open > 0 || known.prefill > 0 || known.memory > 0 {
-			list = append(list, Open{HashEndpoint(life), known.open, known.prefill, known.memory})
+			list = append(list, Open{HashEndpoint(life), known.open, known.prefill, known.memory, known.streams})
 		}
 	}
 	return list
@@ -104,6 +106,7 @@
 
 type load struct {
 	open    int
+	streams Streams
 	prefill time.Duration
 	// memory is the KV cache that one's own requests need, in tokens.
 	memory int
@@ -138,6 +141,8 @@
 	// service is what the request is for, and long tells whether its prompt is.
 	service string
 	long    bool
+	// pauseClass is that of the pause which its route allows.
+	pauseClass int
 }
 
 type part struct {
@@ -153,10 +158,11 @@
 
 // Begin charges a plan.
 func (l *Ledger) Begin(p *Plan) *Charge {
-	c := &Charge{ledger: l, open: p.Endpoint.Life, service: p.Endpoint.Service, long: p.Long}
+	c := &Charge{ledger: l, open: p.Endpoint.Life, service: p.Endpoint.Service, long: p.Long, pauseClass: p.pauseClass}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load(c.open).open++
+	l.load(c.open).streams[c.pauseClass]++
 	if !c.long {
 		l.shorts[c.service]++
 	}
@@ -208,6 +214,7 @@
 	}
 	if known := c.ledger.loads[c.open]; known != nil && known.open > 0 {
 		known.open--
+		known.streams[c.pauseClass]--
 	}
 	for _, m := range c.memory {
 		if known := c.ledger.loads[m.endpoint]; known != nil {
@@ -236,6 +243,7 @@
 	open    int
 	reading time.Duration
 	memory  int
+	streams Streams
 	// pace is how many times as long as described its work takes.
 	pace float64
 }
@@ -254,6 +262,7 @@
 		open:    known.open + int(float64(peers.Count)*scale+0.5),
 		reading: known.prefill + time.Duration(float64(peers.Reading)*scale),
 		memory:  known.memory + int(float64(peers.Memory)*scale),
+		streams: known.streams.plus(peers.Streams, scale),
 		pace:    l.pace(now, known, hash),
 	}
 	if !known.told.IsZero() && now.Sub(known.told) <= toldValid {
--- a/routing/direct/pace.go
+++ b/routing/direct/pace.go
@@ -120,14 +120,19 @@
 // is prefilled in parts comes with the slowest of them, so that a few slow engines would make every such prompt
 // late.
 func steady(list []scored) []scored {
+	if kept := steadyOnly(list); len(kept) > 0 {
+		return kept
+	}
+	return list
+}
+
+// steadyOnly drops slow engines.
+func steadyOnly(list []scored) []scored {
 	kept := make([]scored, 0, len(list))
 	for _, s := range list {
 		if s.pace < slowPace {
 			kept = append(kept, s)
 		}
 	}
-	if len(kept) == 0 {
-		return list
-	}
 	return kept
 }
--- a/routing/direct/pace_test.go
+++ b/routing/direct/pace_test.go
@@ -39,6 +39,22 @@
 	is.True(p.Place(testNow, prompt(150_000), list) != nil) // slow ones are better than none
 }
 
+// Symptom: long prompts are prefilled on a slow engine, though they would be read as soon
+// without it. Sequence: the only engine for short prompts is slow; a long one takes it to have
+// shorter parts. Cause: of engines that are all slow none was dropped.
+func TestALongPromptIsNotWidenedToSlowEngines(t *testing.T) {
+	is := is.New(t)
+	list := endpoints(4)
+	p := ranked(0, 1)
+	p.ledger.SetPace(testNow, list[0].Life, 5)
+	for range 3 {
+		p.Expect(testNow, service(), len(list), 150_000)
+		plan := p.Place(testNow, prompt(150_000), list)
+		is.True(plan.Prefill > longestPart(service()) || len(plan.Helpers) < 3)
+		is.True(!enginesOf(plan)[list[0].Life])
+	}
+}
+
 // A slow engine still serves short prompts, when the others have much more to do.
 func TestAShortPromptGoesToASlowEngineOnlyWhenOthersAreBusy(t *testing.T) {
 	is := is.New(t)
--- a/routing/direct/peers.go
+++ b/routing/direct/peers.go
@@ -41,7 +41,7 @@
 func (l *Ledger) takeOpen(p *peer, open []Open) {
 	for _, o := range open {
 		old := p.open[o.Endpoint]
-		l.addPeerLoad(o.Endpoint, Open{Count: o.Count - old.Count, Reading: o.Reading - old.Reading, Memory: o.Memory - old.Memory})
+		l.addPeerLoad(o.Endpoint, Open{Count: o.Count - old.Count, Reading: o.Reading - old.Reading, Memory: o.Memory - old.Memory, Streams: o.Streams.plus(old.Streams, -1)})
 		if o.nothing() {
 			delete(p.open, o.Endpoint)
 			continue
@@ -51,7 +51,7 @@
 }
 
 // nothing tells whether there is nothing to do.
-func (o Open) nothing() bool { return o.Count == 0 && o.Reading == 0 && o.Memory == 0 }
+func (o Open) nothing() bool { return o == Open{Endpoint: o.Endpoint} }
 
 // addPeerLoad adds a difference to the sum of what other entries tell of an endpoint.
 func (l *Ledger) addPeerLoad(endpoint EndpointHash, more Open) {
@@ -59,6 +59,7 @@
 	sum.Count += more.Count
 	sum.Reading += more.Reading
 	sum.Memory += more.Memory
+	sum.Streams = sum.Streams.plus(more.Streams, 1)
 	if sum.nothing() {
 		delete(l.peerLoads, endpoint)
 		return
@@ -73,7 +74,7 @@
 		return
 	}
 	for endpoint, o := range known.open {
-		l.addPeerLoad(endpoint, Open{Count: -o.Count, Reading: -o.Reading, Memory: -o.Memory})
+		l.addPeerLoad(endpoint, Open{Count: -o.Count, Reading: -o.Reading, Memory: -o.Memory, Streams: Streams{}.plus(o.Streams, -1)})
 	}
 	delete(l.peers, name)
 }
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -16,6 +16,8 @@
 	PromptTokens, OutputTokens int
 	// DataCentre is the entry's own.
 	DataCentre string
+	// Pause is the longest pause between events that its route allows; 0: any.
+	Pause time.Duration
 	// Tried holds the endpoints that it was sent to already.
 	Tried map[directory.Life]bool
 }
@@ -33,16 +35,18 @@
 	// be at the endpoint; where that is less, HelperMemory is to be reserved at each of the
 	// first Holders of the helpers.
 	Memory, FirstMemory, HelperMemory, Holders int
-	// Crowded is set when the request must not be sent now: its parts would hold up the
-	// Open requests on the engines for too long.
-	Crowded bool
-	Open    int
+	// Crowded is set when the request must not be sent now: Harmed of the Open requests on the
+	// engines would be late by the pause that its parts are for them.
+	Crowded      bool
+	Open, Harmed int
 	// Expected is when the first token is expected.
 	Expected time.Duration
 	// Cost is the estimate by which the endpoint was picked.
 	Cost time.Duration
 	// Candidates is how many endpoints it was picked from.
 	Candidates int
+	// pauseClass is that of the pause which the request's route allows.
+	pauseClass int
 }
 
 // HelperIDs names the helpers.
@@ -117,7 +121,7 @@
 func (p *Policy) placeEngine(now time.Time, r *Request, kept []*directory.Listed) *Plan {
 	engine := r.Service.Engine
 	prefill := Prefill(engine, r.PromptTokens)
-	plan := &Plan{Long: isLong(r.Service, prefill), Memory: r.PromptTokens + r.OutputTokens, Candidates: len(kept)}
+	plan := &Plan{Long: isLong(r.Service, prefill), Memory: r.PromptTokens + r.OutputTokens, Candidates: len(kept), pauseClass: PauseClass(r.Pause)}
 	var list []scored
 	var parts int
 	if plan.Long {
@@ -126,10 +130,10 @@
 		list, parts = p.shortEngines(now, r, kept, prefill)
 	}
 	plan.Prefill = prefill / time.Duration(parts)
-	before := p.choose(plan, list, parts, aloneMemory(engine))
+	before := p.choose(plan, list, parts, aloneMemory(engine), DecodeTime(engine, engine.Slots/2, engine.MemoryTokens/2))
 	plan.Expected = before + plan.Prefill + 2*PassTime(engine)
 	plan.divideMemory(engine)
-	plan.Crowded = plan.Prefill > longestPart(r.Service) && plan.Open > quietOpen
+	plan.Crowded = plan.Prefill > longestPart(r.Service) && plan.Harmed > quietHarmed
 	return plan
 }
 
@@ -172,8 +176,11 @@
 	boundary := min(p.boundary(now, r.Service, len(kept)), len(kept)-1)
 	others := kept[:boundary]
 	list := steady(p.score(now, r, kept[boundary:], engine))
-	if len(list) < holders(engine, r.PromptTokens+r.OutputTokens) {
-		list = p.score(now, r, kept, engine)
+	if needed := holders(engine, r.PromptTokens+r.OutputTokens); len(list) < needed {
+		all := p.score(now, r, kept, engine)
+		if list = steady(all); len(list) < needed {
+			list = all
+		}
 		return list, min(maxParts, len(list))
 	}
 	parts := partsOf(prefill, partTarget(r.Service), len(list))
@@ -189,9 +196,8 @@
 }
 
 const (
-	// quietOpen is how many requests may be open on all engines of a plan whose parts
-	// are longer.
-	quietOpen = 4
+	// quietHarmed is how many requests a plan with parts over longestPart may make late.
+	quietHarmed = 4
 )
 
 // widenOpen is how many short requests may be held up by a long prompt that needs more
@@ -204,7 +210,7 @@
 func (p *Policy) widen(now time.Time, r *Request, others []*directory.Listed, list []scored, prefill time.Duration) ([]scored, int) {
 	parts := min(maxParts, len(list))
 	longest := longestPart(r.Service)
-	more := steady(p.score(now, r, others, r.Service.Engine))
+	more := steadyOnly(p.score(now, r, others, r.Service.Engine))
 	needed := min(int((prefill+longest-1)/longest), maxParts, len(list)+len(more))
 	extra := needed - len(list)
 	if extra <= 0 {
--- /dev/null
+++ b/routing/direct/streams_test.go
@@ -0,0 +1,48 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Symptom: a prompt is refused though only patient streams decode on the engines. Cause: the
+// open requests were counted, whatever pause their routes allow.
+func TestALongPartGoesWhereOnlyPatientStreamsDecode(t *testing.T) {
+	is := is.New(t)
+	list := endpoints(18)
+	crowded := func(pause time.Duration) bool {
+		p := ranked(0, 2)
+		open := make([]Open, 0, len(list))
+		for _, e := range list {
+			open = append(open, Open{Endpoint: HashEndpoint(e.Life), Count: 1, Streams: streams(pause, 1)})
+		}
+		p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", LongPrefill: time.Minute}}, open)
+		return p.Place(testNow, prompt(380_000), list).Crowded // parts of 0.83 s
+	}
+	is.True(crowded(250 * time.Millisecond))
+	is.True(crowded(800 * time.Millisecond))
+	is.True(!crowded(time.Second))
+	is.True(!crowded(0)) // any pause
+}
+
+// Every pause counts under one that is no longer.
+func TestPausesCountUnderNoLongerOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pause := time.Duration(rapid.Int64Range(1, int64(5*time.Second)).Draw(t, "pause"))
+		class := PauseClass(pause)
+		if pauseLimits[class] > pause || pauseLimits[class+1] <= pause {
+			t.Fatalf("%v counts under %v", pause, pauseLimits[class])
+		}
+		if got := streams(pause, 3).under(pauseLimits[class] + 1); got != 3 {
+			t.Fatalf("%d of 3 allow no longer pause", got)
+		}
+		if got := streams(pause, 3).under(pauseLimits[class]); got != 0 {
+			t.Fatalf("%d of 3 do not allow their own", got)
+		}
+	})
+	is := is.New(t)
+	is.Equal(PauseClass(0), pauseClasses-1)
+}
