Rounding by the library; names of the emulator's reading

Read as a newcomer: the counts of streams are rounded by math.Round in place of an own function, and the fields of an engine that reads one part say so. Behaviour as before: tests of direct, emulator and mutation pass.

--- a/bench/emulator/engine.go
+++ b/bench/emulator/engine.go
@@ -48,10 +48,11 @@
 	held    int // memory in use, in tokens
 	slots   int // in use
 	running bool
-	// readingSince is when the newest part began to be read alone, read how many times one did.
-	readingSince time.Duration
-	reading      bool
-	read         int
+	// readingNewest is set while the newest part is read, since readingSince; readings is how
+	// many times one began to be.
+	readingNewest bool
+	readingSince  time.Duration
+	readings      int
 }
 
 // submit gives the engine a request.
@@ -102,15 +103,15 @@
 	if len(e.parts) == 0 {
 		return
 	}
-	e.reading, e.readingSince = true, e.world.Now()
-	e.read++
-	number, newest := e.read, e.parts[len(e.parts)-1]
+	e.readingNewest, e.readingSince = true, e.world.Now()
+	e.readings++
+	number, newest := e.readings, e.parts[len(e.parts)-1]
 	length := newest.prefill + time.Duration(e.readSteps([]part{newest}))*e.model.Step
 	e.world.After(e.paced(length), func() {
-		if !e.reading || e.read != number {
+		if !e.readingNewest || e.readings != number {
 			return
 		}
-		e.reading = false
+		e.readingNewest = false
 		e.parts = e.parts[:len(e.parts)-1]
 		e.finish([]part{newest}, nil)
 		e.admit()
@@ -120,10 +121,10 @@
 
 // stopReading leaves the rest of the part that is being read.
 func (e *engine) stopReading() {
-	if !e.reading {
+	if !e.readingNewest {
 		return
 	}
-	e.reading = false
+	e.readingNewest = false
 	newest := &e.parts[len(e.parts)-1]
 	done := time.Duration(float64(e.world.Now()-e.readingSince) / e.pace)
 	newest.prefill = max(newest.prefill-done, 0)
--- a/routing/direct/streams.go
+++ b/routing/direct/streams.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -38,18 +39,11 @@
 // plus adds another count, factor times.
 func (s Streams) plus(other Streams, factor float64) Streams {
 	for i := range s {
-		s[i] += int16(roundHalf(float64(other[i]) * factor))
+		s[i] += int16(math.Round(float64(other[i]) * factor))
 	}
 	return s
 }
 
-func roundHalf(x float64) int {
-	if x < 0 {
-		return int(x - 0.5)
-	}
-	return int(x + 0.5)
-}
-
 // under is how many of them allow no pause of such a length.
 func (s Streams) under(pause time.Duration) int {
 	sum := 0
