--- a/cli/explain.go
+++ b/cli/explain.go
@@ -179,7 +179,7 @@
 	case "queue_refused":
 		return fmt.Sprintf("long prompt: its first token is expected after %s, at most %s is accepted", l.ms("expected_ms"), l.ms("limit_ms"))
 	case "capacity_refused":
-		return fmt.Sprintf("no room: %s of prefill on each of %s engines, on which %s requests are open", l.ms("prefill_ms"), l.get("engines"), l.get("open"))
+		return fmt.Sprintf("no room: %s of prefill on each of %s engines, on which %s requests are open, %s of which it would make late", l.ms("prefill_ms"), l.get("engines"), l.get("open"), l.get("harmed"))
 	case "placed":
 		return fmt.Sprintf("placed at %s of %s, out of %s by the list at revision %s; estimated delay %s, prefill %s%s", l.get("endpoint"), l.get("service"), l.get("candidates"), l.get("at"), l.ms("cost_ms"), l.ms("prefill_ms"), l.helpers())
 	case "memory_reserved":
