Short prompts have an engine for each entry where engines abound

Ruled out: an engine for each entry whatever the engines are: a test of the emulator with 24 entries and 69 engines then served the longest tenth too seldom (19 of 95). Change: as many engines as entries, up to an eighth of them, within the share. 78 engines before 22 entries have as many as before.

--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -53,6 +53,9 @@
 	// spareShort is how many engines short requests have beyond those that they fill: more
 	// of them begin before the other entries hear of it.
 	spareShort = 1
+	// ownShare is the part of the engines that short requests take, however few are open, for
+	// each entry to have one of its own.
+	ownShare = 0.125
 	// leastLong and leastShort are the parts of the engines that each kind may always take.
 	leastLong, leastShort = 0.35, 0.1
 )
@@ -80,9 +83,11 @@
 }
 
 // shortEngines is how many of a service's engines short prompts have to themselves: as few
-// as those that are open fill, within their share.
-func shortEngines(d Demand, engine *directory.Engine, engines int) int {
+// as those that are open fill, or one for each entry where engines abound, on which its prompts
+// meet no others; within their share.
+func shortEngines(d Demand, engine *directory.Engine, engines, entries int) int {
 	share := int(shortShare(d, engine)*float64(engines) + 0.5)
 	filled := math.Ceil(float64(d.OpenShort) / (float64(max(engine.Slots, 1)) * fillUse))
-	return max(min(int(filled)+spareShort, share), 1)
+	own := min(entries, int(ownShare*float64(engines)))
+	return max(min(max(int(filled)+spareShort, own), share), 1)
 }
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -235,5 +235,5 @@
 		// same few engines.
 		return int(shortShare(demand, service.Engine)*float64(engines) + 0.5)
 	}
-	return shortEngines(demand, service.Engine, engines)
+	return shortEngines(demand, service.Engine, engines, p.ledger.rank.of)
 }
