Streams are counted where a long part asks for them; one way to give an engine a part

Read again: every engine scored for a short prompt summed and rounded fourteen counts that only the refusal of a long part uses; they are now asked of the chosen engines, and heartbeats add whole numbers. Two functions had the name shortEngines; the share of engines was worked out twice; the emulator's test repeated how an engine is given a part.

--- a/bench/emulator/engine.go
+++ b/bench/emulator/engine.go
@@ -73,13 +73,18 @@
 		e.slots++
 		e.held += j.memory
 		for _, helper := range append([]*engine{e}, j.helpers...) {
-			helper.stopReading()
-			helper.parts = append(helper.parts, part{j, j.part, j.request.tokens / (1 + len(j.helpers))})
-			helper.run()
+			helper.take(part{j, j.part, j.request.tokens / (1 + len(j.helpers))})
 		}
 	}
 }
 
+// take gives the engine a part to read.
+func (e *engine) take(p part) {
+	e.stopReading()
+	e.parts = append(e.parts, p)
+	e.run()
+}
+
 // run begins a pass, or to read, unless a pass is under way.
 func (e *engine) run() {
 	if e.running {
@@ -106,7 +111,7 @@
 	e.readingNewest, e.readingSince = true, e.world.Now()
 	e.readings++
 	number, newest := e.readings, e.parts[len(e.parts)-1]
-	length := newest.prefill + time.Duration(e.readSteps([]part{newest}))*e.model.Step
+	length := newest.prefill + time.Duration(e.readSteps(newest.tokens))*e.model.Step
 	e.world.After(e.paced(length), func() {
 		if !e.readingNewest || e.readings != number {
 			return
@@ -140,12 +145,8 @@
 	return length
 }
 
-// readSteps is in how many steps prompts are prefilled that nobody's decoding adds steps to.
-func (e *engine) readSteps(reading []part) int {
-	tokens := 0
-	for _, p := range reading {
-		tokens += p.tokens
-	}
+// readSteps is in how many steps tokens are prefilled that nobody's decoding adds steps to.
+func (e *engine) readSteps(tokens int) int {
 	if e.model.Chunk <= 0 {
 		return 1
 	}
--- a/bench/emulator/engine_test.go
+++ b/bench/emulator/engine_test.go
@@ -10,9 +10,7 @@
 // give sends an engine a part of a prompt that others read parts of too.
 func give(e *engine, prefill time.Duration) *job {
 	j := &job{missing: 2}
-	e.stopReading()
-	e.parts = append(e.parts, part{j, prefill, 1000})
-	e.run()
+	e.take(part{j, prefill, 1000})
 	return j
 }
 
--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -82,11 +82,16 @@
 	return min(max(short/(long+short), leastShort), 1-leastLong)
 }
 
-// shortEngines is how many of a service's engines short prompts have to themselves: as few
+// mostShort is how many of a service's engines short prompts may take.
+func mostShort(d Demand, engine *directory.Engine, engines int) int {
+	return int(shortShare(d, engine)*float64(engines) + 0.5)
+}
+
+// enginesForShort is how many of a service's engines short prompts have to themselves: as few
 // as those that are open fill, or one for each entry where engines abound, on which its prompts
 // meet no others; within their share.
-func shortEngines(d Demand, engine *directory.Engine, engines, entries int) int {
-	share := int(shortShare(d, engine)*float64(engines) + 0.5)
+func enginesForShort(d Demand, engine *directory.Engine, engines, entries int) int {
+	share := mostShort(d, engine, engines)
 	filled := math.Ceil(float64(d.OpenShort) / (float64(max(engine.Slots, 1)) * fillUse))
 	own := min(entries, int(ownShare*float64(engines)))
 	return max(min(max(int(filled)+spareShort, own), share), 1)
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -103,12 +103,12 @@
 func TestShortPromptsFillFewEnginesWithinTheirShare(t *testing.T) {
 	is := is.New(t)
 	e := siteEngine()
-	is.Equal(shortEngines(Demand{}, e, 20, 1), 1)
-	is.Equal(shortEngines(Demand{OpenShort: 10}, e, 20, 1), 2)
-	is.Equal(shortEngines(Demand{OpenShort: 100}, e, 20, 1), 11)
-	is.Equal(shortEngines(Demand{OpenShort: 1000}, e, 20, 1), 13) // their share
-	is.Equal(shortEngines(Demand{OpenShort: 100, LongPrefill: time.Minute}, e, 20, 1), 7)
-	is.Equal(shortEngines(Demand{OpenShort: 1000}, e, 1, 1), 1)
+	is.Equal(enginesForShort(Demand{}, e, 20, 1), 1)
+	is.Equal(enginesForShort(Demand{OpenShort: 10}, e, 20, 1), 2)
+	is.Equal(enginesForShort(Demand{OpenShort: 100}, e, 20, 1), 11)
+	is.Equal(enginesForShort(Demand{OpenShort: 1000}, e, 20, 1), 13) // their share
+	is.Equal(enginesForShort(Demand{OpenShort: 100, LongPrefill: time.Minute}, e, 20, 1), 7)
+	is.Equal(enginesForShort(Demand{OpenShort: 1000}, e, 1, 1), 1)
 }
 
 // Symptom: on a site with ten times as many engines as entries and little to do, short prompts are
@@ -116,9 +116,9 @@
 func TestEachEntryHasAnEngineForShortPromptsWhereEnginesAbound(t *testing.T) {
 	is := is.New(t)
 	e := siteEngine()
-	is.Equal(shortEngines(Demand{OpenShort: 10}, e, 320, 33), 33)
-	is.Equal(shortEngines(Demand{OpenShort: 10}, e, 80, 22), 10) // engines do not abound
-	is.Equal(shortEngines(Demand{OpenShort: 1000}, e, 320, 33), 95)
+	is.Equal(enginesForShort(Demand{OpenShort: 10}, e, 320, 33), 33)
+	is.Equal(enginesForShort(Demand{OpenShort: 10}, e, 80, 22), 10) // engines do not abound
+	is.Equal(enginesForShort(Demand{OpenShort: 1000}, e, 320, 33), 95)
 }
 
 // Symptom: entries divide the engines differently. Sequence: each sees a few long
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -243,7 +243,6 @@
 	open    int
 	reading time.Duration
 	memory  int
-	streams Streams
 	// pace is how many times as long as described its work takes.
 	pace float64
 }
@@ -262,7 +261,6 @@
 		open:    known.open + int(float64(peers.Count)*scale+0.5),
 		reading: known.prefill + time.Duration(float64(peers.Reading)*scale),
 		memory:  known.memory + int(float64(peers.Memory)*scale),
-		streams: known.streams.plus(peers.Streams, scale),
 		pace:    l.pace(now, known, hash),
 	}
 	if !known.told.IsZero() && now.Sub(known.told) <= toldValid {
@@ -271,6 +269,16 @@
 	return e
 }
 
+// streams gives what is thought of the requests that are open at an endpoint's life, by the
+// pause that they allow: those of all entries.
+func (l *Ledger) streams(life directory.Life) Streams {
+	others := l.peerLoads[HashEndpoint(life)].Streams.times(l.peerScale())
+	if known := l.loads[life]; known != nil {
+		return known.streams.plus(others)
+	}
+	return others
+}
+
 // SetUnreachable notes whether an endpoint accepts connections; it tells whether that is new.
 func (l *Ledger) SetUnreachable(endpoint directory.Life, unreachable bool) bool {
 	l.mu.Lock()
--- a/routing/direct/peers.go
+++ b/routing/direct/peers.go
@@ -41,7 +41,7 @@
 func (l *Ledger) takeOpen(p *peer, open []Open) {
 	for _, o := range open {
 		old := p.open[o.Endpoint]
-		l.addPeerLoad(o.Endpoint, Open{Count: o.Count - old.Count, Reading: o.Reading - old.Reading, Memory: o.Memory - old.Memory, Streams: o.Streams.plus(old.Streams, -1)})
+		l.addPeerLoad(o.Endpoint, Open{Count: o.Count - old.Count, Reading: o.Reading - old.Reading, Memory: o.Memory - old.Memory, Streams: o.Streams.minus(old.Streams)})
 		if o.nothing() {
 			delete(p.open, o.Endpoint)
 			continue
@@ -59,7 +59,7 @@
 	sum.Count += more.Count
 	sum.Reading += more.Reading
 	sum.Memory += more.Memory
-	sum.Streams = sum.Streams.plus(more.Streams, 1)
+	sum.Streams = sum.Streams.plus(more.Streams)
 	if sum.nothing() {
 		delete(l.peerLoads, endpoint)
 		return
@@ -74,7 +74,7 @@
 		return
 	}
 	for endpoint, o := range known.open {
-		l.addPeerLoad(endpoint, Open{Count: -o.Count, Reading: -o.Reading, Memory: -o.Memory, Streams: Streams{}.plus(o.Streams, -1)})
+		l.addPeerLoad(endpoint, Open{Count: -o.Count, Reading: -o.Reading, Memory: -o.Memory, Streams: Streams{}.minus(o.Streams)})
 	}
 	delete(l.peers, name)
 }
--- a/routing/direct/picker.go
+++ b/routing/direct/picker.go
@@ -13,9 +13,8 @@
 // taken: an engine without room holds a request back until another one ends, and prompts that
 // are prefilled in less than a second would begin after several. The helpers of a request that
 // needs more memory than alone come in the order of what is free there, as the first of them
-// are to hold it. pass is what a pass takes without any part. It gives the most that any of the
-// engines has to prefill before.
-func (p *Policy) choose(plan *Plan, list []scored, parts, alone int, pass time.Duration) (before time.Duration) {
+// are to hold it. It gives the most that any of the engines has to prefill before.
+func (p *Policy) choose(plan *Plan, list []scored, parts, alone int) (before time.Duration) {
 	for i := range list { // random among equals
 		j := i + p.rand.IntN(len(list)-i)
 		list[i], list[j] = list[j], list[i]
@@ -40,7 +39,6 @@
 	}
 	for _, s := range list[:parts] {
 		plan.Open += s.open
-		plan.Harmed += s.streams.under(pass + plan.Prefill)
 		before = max(before, s.reading)
 	}
 	return before
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -36,7 +36,8 @@
 	// first Holders of the helpers.
 	Memory, FirstMemory, HelperMemory, Holders int
 	// Crowded is set when the request must not be sent now: Harmed of the Open requests on the
-	// engines would be late by the pause that its parts are for them.
+	// engines would be late by the pause that its parts are for them. Parts that are short enough
+	// are not counted for it.
 	Crowded      bool
 	Open, Harmed int
 	// Expected is when the first token is expected.
@@ -130,13 +131,26 @@
 		list, parts = p.shortEngines(now, r, kept, prefill)
 	}
 	plan.Prefill = prefill / time.Duration(parts)
-	before := p.choose(plan, list, parts, aloneMemory(engine), DecodeTime(engine, engine.Slots/2, engine.MemoryTokens/2))
+	before := p.choose(plan, list, parts, aloneMemory(engine))
 	plan.Expected = before + plan.Prefill + 2*PassTime(engine)
 	plan.divideMemory(engine)
-	plan.Crowded = plan.Prefill > longestPart(r.Service) && plan.Harmed > quietHarmed
+	if plan.Prefill > longestPart(r.Service) {
+		plan.Harmed = p.harmed(plan, engine)
+		plan.Crowded = plan.Harmed > quietHarmed
+	}
 	return plan
 }
 
+// harmed is how many of the requests that are open on a plan's engines its parts make late.
+func (p *Policy) harmed(plan *Plan, engine *directory.Engine) int {
+	pause := DecodeTime(engine, engine.Slots/2, engine.MemoryTokens/2) + plan.Prefill
+	sum := p.ledger.streams(plan.Endpoint.Life).under(pause)
+	for _, e := range plan.Helpers {
+		sum += p.ledger.streams(e.Life).under(pause)
+	}
+	return sum
+}
+
 // shortEngines gives the engines that a prompt which is not long may be sent to, and in how
 // many parts. Endpoints come in the same order at every entry: short prompts have the
 // engines at its beginning, long ones those at its end, and the boundary follows the demand.
@@ -195,10 +209,8 @@
 	return max(1, min(int((prefill+target-1)/target), maxParts, engines))
 }
 
-const (
-	// quietHarmed is how many requests a plan with parts over longestPart may make late.
-	quietHarmed = 4
-)
+// quietHarmed is how many requests a plan with parts over longestPart may make late.
+const quietHarmed = 4
 
 // widenOpen is how many short requests may be held up by a long prompt that needs more
 // engines than those for long prompts.
@@ -233,7 +245,7 @@
 	if !p.ledger.heardOfOthers() {
 		// Entries that have all just started would each send their first requests to the
 		// same few engines.
-		return int(shortShare(demand, service.Engine)*float64(engines) + 0.5)
+		return mostShort(demand, service.Engine, engines)
 	}
-	return shortEngines(demand, service.Engine, engines, p.ledger.rank.of)
+	return enginesForShort(demand, service.Engine, engines, p.ledger.rank.of)
 }
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -12,8 +12,6 @@
 	// open is how many requests the engine has, reading what it has to prefill.
 	open    int
 	reading time.Duration
-	// streams are the open requests by the pause that they allow.
-	streams Streams
 	// memory is the KV cache in use there, in tokens; full is set when it has no room for
 	// what the request's first engine must hold.
 	memory int
@@ -44,7 +42,7 @@
 	pass := float64(PassTime(engine))
 	for _, e := range kept {
 		there := p.ledger.estimate(now, e.Life)
-		s := scored{endpoint: e, open: there.open, reading: there.reading, pace: there.pace, streams: there.streams}
+		s := scored{endpoint: e, open: there.open, reading: there.reading, pace: there.pace}
 		reading := time.Duration(s.pace*float64(there.reading)) + time.Duration(slowPassShare*(s.pace-1)*pass)
 		s.cost = reading + time.Duration(there.open)*openCost + time.Duration(max(there.open+1-e.Slots, 0))*slotCost
 		if engine != nil && engine.MemoryTokens > 0 {
--- a/routing/direct/streams.go
+++ b/routing/direct/streams.go
@@ -36,10 +36,26 @@
 	return i - 1
 }
 
-// plus adds another count, factor times.
-func (s Streams) plus(other Streams, factor float64) Streams {
+// plus adds other counts.
+func (s Streams) plus(other Streams) Streams {
 	for i := range s {
-		s[i] += int16(math.Round(float64(other[i]) * factor))
+		s[i] += other[i]
+	}
+	return s
+}
+
+// minus takes other counts away.
+func (s Streams) minus(other Streams) Streams {
+	for i := range s {
+		s[i] -= other[i]
+	}
+	return s
+}
+
+// times scales the counts.
+func (s Streams) times(factor float64) Streams {
+	for i := range s {
+		s[i] = int16(math.Round(float64(s[i]) * factor))
 	}
 	return s
 }
