A refused long prompt tells how few any engines would have made late

The lines of a refused prompt said how many streams its parts make late on the engines chosen, not whether others exist on which fewer would be. That cannot tell a choice that passes quiet engines over from a load without any. capacity_refused now says both: least_harmed and quiet.

--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -40,6 +40,9 @@
 	// are not counted for it.
 	Crowded      bool
 	Open, Harmed int
+	// Of a crowded plan: LeastHarmed is how many requests any choice of as many engines would make
+	// late, Quiet on how many engines a part would make none late.
+	LeastHarmed, Quiet int
 	// Expected is when the first token is expected.
 	Expected time.Duration
 	// Cost is the estimate by which the endpoint was picked.
@@ -138,12 +141,15 @@
 		plan.Harmed = p.harmed(plan, engine)
 		plan.Crowded = plan.Harmed > quietHarmed
 	}
+	if plan.Crowded {
+		plan.LeastHarmed, plan.Quiet = p.leastHarmed(plan, kept, engine)
+	}
 	return plan
 }
 
 // harmed is how many of the requests that are open on a plan's engines its parts make late.
 func (p *Policy) harmed(plan *Plan, engine *directory.Engine) int {
-	pause := DecodeTime(engine, engine.Slots/2, engine.MemoryTokens/2) + plan.Prefill
+	pause := partPause(engine, plan.Prefill)
 	sum := p.ledger.streams(plan.Endpoint.Life).under(pause)
 	for _, e := range plan.Helpers {
 		sum += p.ledger.streams(e.Life).under(pause)
@@ -151,6 +157,30 @@
 	return sum
 }
 
+// partPause is the pause that a part means for those who decode on its engine.
+func partPause(engine *directory.Engine, part time.Duration) time.Duration {
+	return DecodeTime(engine, engine.Slots/2, engine.MemoryTokens/2) + part
+}
+
+// leastHarmed is how many requests a plan's parts make late where they are given to as many of
+// the engines with the fewest, and on how many engines they make none late.
+func (p *Policy) leastHarmed(plan *Plan, kept []*directory.Listed, engine *directory.Engine) (least, quiet int) {
+	pause := partPause(engine, plan.Prefill)
+	harmed := make([]int, 0, len(kept))
+	for _, e := range kept {
+		n := p.ledger.streams(e.Life).under(pause)
+		harmed = append(harmed, n)
+		if n == 0 {
+			quiet++
+		}
+	}
+	slices.Sort(harmed)
+	for _, n := range harmed[:min(1+len(plan.Helpers), len(harmed))] {
+		least += n
+	}
+	return least, quiet
+}
+
 // shortEngines gives the engines that a prompt which is not long may be sent to, and in how
 // many parts. Endpoints come in the same order at every entry: short prompts have the
 // engines at its beginning, long ones those at its end, and the boundary follows the demand.
