--- a/bench/emulator/emulator_test.go
+++ b/bench/emulator/emulator_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -148,3 +149,39 @@
 		is.Equal(r.Asked, r.OnTime+r.LateFirst+r.LatePause+r.Refused)
 	}
 }
+
+// crowding is a load at which the engines for long prompts are in use most of the time: 65 of
+// them behind 22 entries, a mix that turns from long prompts to short ones and back, and prompts
+// that a seventeenth of which is longer than most streams may pause. All kinds come so many times
+// as often as usual.
+func crowding(load float64) func(seed uint64) *Config {
+	return func(seed uint64) *Config {
+		return &Config{
+			Seed: seed, Entries: 22, Engines: 65, Length: 33 * time.Second,
+			Engine: directory.Engine{
+				Slots: 10, MemoryTokens: 405_000, Stride: 53, Chunk: 2048, Step: 1310 * time.Microsecond, StepPerRequest: 917 * time.Nanosecond,
+				StepPerContext: 2130 * time.Nanosecond, PrefillPerSecond: 154_000, PairsPerMillion: 162 * time.Microsecond,
+			},
+			Kinds: []Kind{
+				{Name: "short", Tokens: 4960, Spread: 0.9, MostTokens: 23_800, Events: 26, PerSecond: 88 * load, Target: 400 * time.Millisecond, PauseLimit: 300 * time.Millisecond},
+				{Name: "medium", Tokens: 45_000, Spread: 0.5, MostTokens: 110_000, Events: 16, PerSecond: 7.2 * load, Target: 1500 * time.Millisecond, PauseLimit: 800 * time.Millisecond},
+				{Name: "long", Tokens: 260_000, Spread: 0.55, MostTokens: 900_000, Events: 13, PerSecond: 1.8 * load, Target: 4 * time.Second, PauseLimit: 1200 * time.Millisecond},
+			},
+			Turns: []Turn{{2 * time.Second, []float64{0.38, 1.3, 2.8}}, {12 * time.Second, []float64{2.4, 0.5, 0.05}}, {23 * time.Second, []float64{0.33, 1.3, 2.6}}},
+		}
+	}
+}
+
+// Guards against long prompts of which the largest tenth is refused most of the time while others are served.
+func TestTheLargestPromptsAreServedBesideOthers(t *testing.T) {
+	for _, load := range []float64{0.5, 1, 2} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			is := is.New(t)
+			_, _, long := play(t, crowding(load))
+			served := float64(long.Asked-long.Refused) / float64(long.Asked)
+			largest := float64(long.LargestServed) / float64(long.Largest)
+			t.Logf("served: %.3f of all, %.3f of the largest tenth", served, largest)
+			is.True(largest >= served/2)
+		})
+	}
+}
