Logs and metrics tell under which request an endpoint ended

Copies of a request have IDs of their own, and a broken attempt did not say whether its endpoint had ended, was cut off or had only closed a connection: the logs of an incident could not tell which request ends endpoints. After a break the endpoint's port is probed; where nobody listens, or the endpoint is back in another life, the request has a line endpoint_crashed with its fingerprint (caller, method, host, path, body) and aspenyard_gateway_crashes_total counts. An endpoint that leaves, accepts or is silent does not count. No decision changes.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -56,6 +56,9 @@
 		if err == nil {
 			return nil
 		}
+		if outcome == attempt.Broken && ctx.Err() == nil {
+			f.noteCrash(ctx, plan.Endpoint)
+		}
 		next := f.retrier.After(outcome, func() bool { return c.gateway.retries.Take(time.Now(), c.service.Name) })
 		c.log.Add("attempt_failed", zap.String("endpoint", plan.Endpoint.ID), zap.String("outcome", outcome.String()),
 			zap.Int("arrivals", f.retrier.Arrivals()), zap.String("next", next.String()), eventlog.Error(err))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
 	"aspenyard.example/result"
@@ -41,6 +42,8 @@
 	events      int
 	// endpoint is the last that the request was sent to.
 	endpoint string
+	// print is the request's fingerprint, nil until it was asked for.
+	print *attempt.Fingerprint
 }
 
 // serveCaller serves one request from a caller.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -116,6 +116,11 @@
 	g.metrics.GetOrCreatePrometheusHistogramExt("aspenyard_gateway_queue_wait_seconds", latencyBuckets).Update(waited.Seconds())
 }
 
+// countCrash counts an endpoint that ended while a request was open there.
+func (g *Gateway) countCrash(service string) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_crashes_total{service=%q}`, service)).Inc()
+}
+
 // countAttempt counts a failed attempt.
 func (g *Gateway) countAttempt(service string, outcome attempt.SendOutcome) {
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_attempts_failed_total{service=%q,outcome=%q}`, service, outcome)).Inc()
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -32,9 +32,11 @@
 }
 
 type probe struct {
-	done  chan struct{}
-	at    time.Time
-	alive bool
+	done chan struct{}
+	// begun is when it was begun, at when it ended; zero: it is under way.
+	begun, at time.Time
+	// alive is set where the endpoint accepted a connection, refused where nobody listens.
+	alive, refused bool
 }
 
 func newProber(g *Gateway) *prober {
@@ -44,43 +46,56 @@
 // alive tells whether the endpoint accepts connections; a recent probe's result is
 // used again, and one at a time is under way.
 func (p *prober) alive(ctx context.Context, e *directory.Listed) bool {
+	result, ok := p.ask(ctx, e, time.Now().Add(-probeValid))
+	return !ok || result.alive
+}
+
+// refuses tells whether nobody listens any more where the endpoint did.
+func (p *prober) refuses(ctx context.Context, e *directory.Listed) bool {
+	result, ok := p.ask(ctx, e, time.Now())
+	return ok && result.refused
+}
+
+// ask gives the result of a probe, of the last one if it is no older than since; false where the
+// context ended before.
+func (p *prober) ask(ctx context.Context, e *directory.Listed, since time.Time) (*probe, bool) {
 	p.mu.Lock()
 	current := p.results[e.Life]
-	if current == nil || !current.at.IsZero() && time.Since(current.at) > probeValid {
-		current = &probe{done: make(chan struct{})}
+	if current == nil || !current.at.IsZero() && current.at.Before(since) {
+		current = &probe{done: make(chan struct{}), begun: time.Now()}
 		p.results[e.Life] = current
 		go p.run(e, current)
 	}
 	p.mu.Unlock()
 	select {
 	case <-current.done:
-		return current.alive
+		return current, true
 	case <-ctx.Done():
-		return true
+		return nil, false
 	}
 }
 
 func (p *prober) run(e *directory.Listed, result *probe) {
-	alive := p.dial(e)
+	err := p.dial(e)
 	p.mu.Lock()
-	result.alive, result.at = alive, time.Now()
+	result.alive, result.refused, result.at = err == nil, refused(err), time.Now()
 	p.mu.Unlock()
 	close(result.done)
-	if !alive {
+	if err != nil {
 		p.gateway.markUnreachable(e, "does not accept connections")
 	}
 }
 
 // dial opens a connection and leaves it to the next request.
-func (p *prober) dial(e *directory.Listed) bool {
+func (p *prober) dial(e *directory.Listed) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	conn, err := p.gateway.pool.open(ctx, e)
 	if err != nil {
-		return false
+		return err
 	}
 	p.gateway.pool.put(e.Life, conn, idleMost)
-	return true
+	return nil
 }
 
 // prune forgets endpoints that are not known any more.
@@ -100,7 +115,7 @@
 		begun := time.Now()
 		for g.snapshot.Load().Endpoint(e.Life) != nil {
 			time.Sleep(unreachableInterval)
-			if g.prober.dial(e) {
+			if g.prober.dial(e) == nil {
 				g.ledger.SetUnreachable(e.Life, false)
 				g.log.Info("endpoint_reachable", zap.String("endpoint", e.ID), zap.Duration("unreachable_ms", time.Since(begun)))
 				return
