A test sends a request that ends every endpoint at two entries, and fails

Thirty stand-in endpoints that end as they begin to run one body; twelve copies of it come, by turns at two entries that hear of each other.

Two of each copy but one: the entries' own repeats double what copies do, and no entry remembers.

--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -95,6 +95,9 @@
 	// Slots is how many requests it works on at once; more are refused as not run.
 	// 0: any number.
 	Slots int
+	// CrashOn is the body of requests under which the worker ends as it begins to run them; "":
+	// none.
+	CrashOn string
 	// MemoryTokens is its KV cache, of which reservations take their part; 0: no bound.
 	MemoryTokens int
 
@@ -325,6 +328,10 @@
 	}
 	run.Ran, run.Status = true, http.StatusOK
 	w.note(run)
+	if w.CrashOn != "" && run.Body == w.CrashOn {
+		w.Stop()
+		return false
+	}
 	left := watchCaller(reader)
 	stays := w.run(conn, head, run, fault, left)
 	w.end(run, left)
