A request under which three endpoints ended is refused at every entry

Cause: nothing outlives a request but counts. Each copy was a new request to its entry, was sent to two endpoints, and no entry knew what another had seen. Class of fault: a failure that belongs to a request was put down to endpoints alone.

Change: attempt.Quarantine. After a break an endpoint whose port refuses connections, or that is back in another life, has crashed; the crash is held against the fingerprint of every request that was open there. Three lives since its last whole answer, by any entry's word, and a request is refused before it is queued and before each send, with 3015 and when it may come back, or as failed where it may have run. Entries tell each other findings in heartbeats, at once from the second crash on, and all of them each second to those who start; a finding ends everywhere an hour after it was made. One or two crashes, endpoints that leave, are silent or accept count for nothing, and an answer clears. Bodies are hashed only where caller, path and length are those of a suspect.

Ten thousand different requests: 4,096 are remembered, 32 findings a heartbeat.

Ruled out: own repeats alone (the first sends of copies exceed the bound by themselves). Not built: a record in the platform's store for the case that all entries end at once, and copies under way are not withdrawn.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
+	"aspenyard.example/result"
+	"aspenyard.example/routing/direct"
 )
 
 // fingerprint names the call's request, whichever copy of it this is.
@@ -27,13 +30,56 @@
 	return attempt.FingerprintScope(account, c.in.Method, c.in.Host, c.in.RequestURI, len(c.body))
 }
 
+// suspected tells whether anything is known of the call's request.
+func (c *call) suspected() bool {
+	q := c.gateway.quarantine
+	return !q.Empty() && q.Suspects(c.scope())
+}
+
+// refuseQuarantined ends a call whose request must not be sent to an endpoint; nil where it may be.
+func (f *forwarding) refuseQuarantined() *result.Error {
+	if !f.suspected() {
+		return nil
+	}
+	left := f.gateway.quarantine.Holds(time.Now(), f.fingerprint())
+	if left == 0 {
+		return nil
+	}
+	f.log.Add("quarantine_refused", zap.Stringer("fingerprint", f.fingerprint()), zap.Duration("left_ms", left))
+	if f.retrier.MayHaveRun() {
+		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoints crash under this request")
+	}
+	return result.Refuse(result.Quarantined, left, "endpoints crashed under earlier copies of this request")
+}
+
 // noteCrash finds out whether the endpoint has crashed after an exchange broke off.
 func (f *forwarding) noteCrash(ctx context.Context, e *directory.Listed) {
-	if !f.gateway.crashed(ctx, e) {
+	g := f.gateway
+	if !g.crashed(ctx, e) {
 		return
 	}
-	f.log.Add("endpoint_crashed", zap.String("endpoint", e.ID), zap.Stringer("fingerprint", f.fingerprint()))
-	f.gateway.countCrash(f.service.Name)
+	crashes, quarantined := g.quarantine.Crashed(time.Now(), f.fingerprint(), uint32(direct.HashEndpoint(e.Life)))
+	f.log.Add("endpoint_crashed", zap.String("endpoint", e.ID), zap.Stringer("fingerprint", f.fingerprint()), zap.Int("crashes", crashes))
+	g.countCrash(f.service.Name)
+	if quarantined {
+		g.logQuarantined(f.fingerprint(), "")
+	}
+	if crashes > 1 {
+		g.peers.announce()
+	}
+}
+
+// noteAnswer notes that an endpoint has answered the call whole.
+func (f *forwarding) noteAnswer() {
+	if f.suspected() {
+		f.gateway.quarantine.Answered(time.Now(), f.fingerprint())
+	}
+}
+
+// logQuarantined tells that a request is refused from now on, and which entry's word completed what
+// was known; "" for what this one saw itself.
+func (g *Gateway) logQuarantined(request attempt.Fingerprint, from string) {
+	g.log.Warn("quarantined", zap.Stringer("fingerprint", request), zap.String("heard_from", from))
 }
 
 // crashed tells whether an endpoint's process has ended without notice: its port refuses
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -71,3 +73,114 @@
 	is.True(first.ranBody(poison) <= 6) // three, and three retries
 	is.Equal(first.post("/again/a", "other").status, http.StatusOK)
 }
+
+// Guards against an answer that is held back, or that says more than is known, for a request in quarantine.
+func TestARequestInQuarantineIsRefusedAtOnceAndDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	first, second := twoGateways(t, crashing(12)...)
+	for i := range 2 {
+		got := first.do(first.request("POST", "/again/a", fmt.Sprint("p", i), poison))
+		is.Equal(got.status, http.StatusBadGateway) // it may have run
+	}
+	for _, s := range []*site{first, second} {
+		s.until("it is in quarantine", func() bool { return s.metric("aspenyard_gateway_quarantined_requests ") == 1 })
+	}
+	ran := first.ranBody(poison)
+	is.Equal(ran, 3)
+	for _, s := range []*site{first, second} {
+		got := s.do(s.request("POST", "/again/a", "later", poison))
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(got.header.Get("Retry-After") != "")
+		s.until("the refusal is logged", func() bool { return strings.Contains(s.log.String(), `"event":"quarantine_refused"`) })
+	}
+	is.Equal(first.ranBody(poison), ran)
+	for _, path := range []string{"/again/b", "/once/a"} { // another path or kind, or another body
+		got := second.do(second.request("POST", path, "other"+path, "body"))
+		is.Equal(got.status, http.StatusOK)
+	}
+	is.True(strings.Contains(second.log.String(), `"heard_from":"g1"`))
+	is.True(second.metric("aspenyard_gateway_crashes_total") == 0)
+}
+
+// Guards against an entry that starts after a request was put in quarantine and sends it again.
+func TestAnEntryThatStartsHearsOfTheQuarantine(t *testing.T) {
+	is := is.New(t)
+	first := newSite(t, crashing(12)...)
+	addr, err := link.FreeAddr()
+	is.NoErr(err)
+	first.own = fmt.Sprintf(`,"peers_listen":%q`, addr)
+	first.start()
+	for i := range 2 {
+		first.do(first.request("POST", "/again/a", fmt.Sprint("p", i), poison))
+	}
+	is.Equal(first.ranBody(poison), 3)
+	second := newSite(t)
+	second.store = first.store
+	addr, err = link.FreeAddr()
+	is.NoErr(err)
+	second.own = fmt.Sprintf(`,"peers_listen":%q,"name":"g2"`, addr)
+	second.version = first.version
+	second.start()
+	second.until("it is in quarantine", func() bool { return second.metric("aspenyard_gateway_quarantined_requests ") == 1 })
+	is.Equal(second.do(second.request("POST", "/again/a", "later", poison)).status, http.StatusServiceUnavailable)
+	is.Equal(first.ranBody(poison), 3)
+}
+
+// Guards against taking a broken connection, or an endpoint that leaves, for a crash under the request.
+func TestWhatIsNoCrashIsNotHeldAgainstARequest(t *testing.T) {
+	is := is.New(t)
+	alive, leaving := plain(), plain()
+	s := newSite(t, alive)
+	s.start()
+	for i := range 4 {
+		alive.Next(standin.FaultReset)
+		s.do(s.request("POST", "/again/a", fmt.Sprint("r", i), "the same"))
+	}
+	is.Equal(s.metric("aspenyard_gateway_suspect_requests "), 0.0)
+	leaving.ID, leaving.Service = "i-9", "app"
+	is.NoErr(leaving.Start())
+	s.store.Delete("servers/" + alive.ID)
+	s.store.Put("servers/"+leaving.ID, leaving.Registration("ready"))
+	leaving.Always(standin.FaultHang)
+	got := make(chan answer, 1)
+	s.until("it is used", func() bool {
+		go func() { got <- s.do(s.request("POST", "/again/a", "r9", "the same")) }()
+		<-time.After(20 * time.Millisecond)
+		return leaving.Working() > 0
+	})
+	s.store.Put("servers/"+leaving.ID, leaving.Registration("draining"))
+	s.until("it leaves", func() bool { return strings.Contains(s.log.String(), `"event":"endpoint_leaving"`) })
+	leaving.Stop()
+	<-got
+	is.Equal(s.metric("aspenyard_gateway_suspect_requests "), 0.0)
+}
+
+// Guards against refusing those who were beside a request that crashes endpoints.
+func TestARequestBesideACrashIsServedAndForgiven(t *testing.T) {
+	is := is.New(t)
+	workers := crashing(8)
+	for _, w := range workers {
+		w.Work = 300 * time.Millisecond
+	}
+	s := newSite(t, workers...).start()
+	got := make(chan answer, 16)
+	for i := range 16 {
+		go func() { got <- s.do(s.request("POST", "/again/a", fmt.Sprint("n", i), fmt.Sprint("body ", i))) }()
+	}
+	s.until("all are at work", func() bool {
+		working := 0
+		for _, w := range workers {
+			working += w.Working()
+		}
+		return working == 16
+	})
+	s.do(s.request("POST", "/again/a", "p", poison)) // ends two endpoints, and one of those to which their requests went perhaps
+	for range 16 {
+		is.Equal((<-got).status, http.StatusOK)
+	}
+	for i := range 16 {
+		is.Equal(s.do(s.request("POST", "/again/a", fmt.Sprint("again", i), fmt.Sprint("body ", i))).status, http.StatusOK)
+	}
+	is.True(s.metric("aspenyard_gateway_crashes_total") >= 2)
+	is.Equal(s.metric("aspenyard_gateway_quarantined_requests "), 0.0)
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -41,10 +41,16 @@
 	if c.route.Kind == directory.Streaming {
 		f.relay = &relay{call: c, last: c.LastEvent}
 	}
+	if failure := f.refuseQuarantined(); failure != nil {
+		return failure
+	}
 	if failure := f.waitInQueue(ctx); failure != nil {
 		return failure
 	}
 	for {
+		if failure := f.refuseQuarantined(); failure != nil {
+			return failure
+		}
 		plan := c.place(&f.request)
 		if plan == nil {
 			return f.noEndpoint()
@@ -54,6 +60,7 @@
 		}
 		outcome, err := f.send(ctx, plan)
 		if err == nil {
+			f.noteAnswer()
 			return nil
 		}
 		if outcome == attempt.Broken && ctx.Err() == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/admission"
+	"aspenyard.example/attempt"
 	"aspenyard.example/burn/window"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
@@ -45,6 +46,7 @@
 	ledger      *direct.Ledger
 	policy      *direct.Policy
 	retries     *admission.RetryWindow
+	quarantine  *attempt.Quarantine
 	pool        *pool
 	callers     *callers
 	prober      *prober
@@ -116,6 +118,7 @@
 		metrics: metrics.NewSet(), ledger: ledger, policy: direct.NewPolicy(ledger, globalRand{}), pool: newPool(), objectives: window.New(), started: time.Now(),
 		configured: make(chan struct{}), firstWait: cmp.Or(c.FirstWait, defaultFirstWait),
 	}
+	g.quarantine = attempt.NewQuarantine()
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.Empty())
 	g.callers = newCallers(g)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -37,6 +37,14 @@
 	g.metrics.NewGauge("aspenyard_gateway_request_logs_skipped_total", func() float64 { return float64(g.requestLogs.Skipped()) })
 	g.metrics.NewGauge("aspenyard_gateway_config_age_seconds", func() float64 { return g.since(&g.configAt).Seconds() })
 	g.metrics.NewGauge("aspenyard_gateway_list_age_seconds", func() float64 { return g.since(&g.heardStoreAt).Seconds() })
+	g.metrics.NewGauge("aspenyard_gateway_suspect_requests", func() float64 {
+		suspects, _ := g.quarantine.Counts()
+		return float64(suspects)
+	})
+	g.metrics.NewGauge("aspenyard_gateway_quarantined_requests", func() float64 {
+		_, quarantined := g.quarantine.Counts()
+		return float64(quarantined)
+	})
 	g.exposePeers()
 	if writer != nil {
 		g.metrics.NewGauge("aspenyard_gateway_log_lines_dropped_total", func() float64 { return float64(writer.Dropped()) })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
 	"aspenyard.example/infra"
@@ -44,6 +45,8 @@
 	// peerBytes is what heartbeats may take at a receiving entry, in bytes a second; with
 	// more entries they come less often.
 	peerBytes = 50_000
+	// findingsMost is how many findings of crashes a heartbeat tells, of about 24 bytes each.
+	findingsMost = 32
 )
 
 // peers is what this entry has to do with the others: it registers in the store, so
@@ -173,6 +176,7 @@
 		h.SlowEndpoints = append(h.SlowEndpoints, uint32(s.Endpoint))
 		h.SlowPercents = append(h.SlowPercents, uint32(s.Pace*percent))
 	}
+	fillFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, findingsMost))
 	for _, d := range p.gateway.ledger.Demands(now) {
 		h.Demands = append(h.Demands, &wire.Demand{
 			Service: d.Service, LongPrefillMs: uint32(d.LongPrefill.Milliseconds()), OpenShort: uint32(max(d.OpenShort, 0)),
@@ -224,6 +228,9 @@
 	}
 	readStreams(h, open)
 	p.gateway.ledger.TellSlows(now, slows(h))
+	for _, request := range p.gateway.quarantine.Hear(now, findings(h)) {
+		p.gateway.logQuarantined(request, h.Node)
+	}
 	if h.Partial {
 		p.gateway.ledger.TellPeerChanges(now, h.Node, demands, open)
 		return
@@ -255,6 +262,27 @@
 	}
 }
 
+// fillFindings tells under which requests endpoints crashed.
+func fillFindings(h *wire.Heartbeat, list []attempt.Finding) {
+	for _, f := range list {
+		h.FindingScopes = append(h.FindingScopes, f.Request.Scope)
+		h.FindingBodies = append(h.FindingBodies, f.Request.Body)
+		h.FindingEndpoints = append(h.FindingEndpoints, f.Endpoint)
+		h.FindingAgesMs = append(h.FindingAgesMs, uint32(f.Age.Milliseconds())+1)
+	}
+}
+
+// findings reads under which requests another entry knows endpoints to have crashed.
+func findings(h *wire.Heartbeat) []attempt.Finding {
+	n := min(len(h.FindingScopes), len(h.FindingBodies), len(h.FindingEndpoints), len(h.FindingAgesMs))
+	list := make([]attempt.Finding, 0, n)
+	for i := range n {
+		request := attempt.Fingerprint{Scope: h.FindingScopes[i], Body: h.FindingBodies[i]}
+		list = append(list, attempt.Finding{Request: request, Endpoint: h.FindingEndpoints[i], Age: milliseconds(h.FindingAgesMs[i])})
+	}
+	return list
+}
+
 // slows reads which endpoints another entry knows to be slow.
 func slows(h *wire.Heartbeat) []direct.Slow {
 	list := make([]direct.Slow, 0, len(h.SlowEndpoints))
--- a/result/result.go
+++ b/result/result.go
@@ -55,6 +55,7 @@
 	NoReservation      Code = 3012
 	NoPower            Code = 3013
 	NotReady           Code = 3014
+	Quarantined        Code = 3015
 
 	DeadlineExceeded Code = 4001
 	OutcomeUnknown   Code = 4002
--- a/result/table.go
+++ b/result/table.go
@@ -45,6 +45,7 @@
 	{NoReservation, "no_reservation", http.StatusServiceUnavailable, "The order names no live reservation of this agent.", "Ask again."},
 	{NoPower, "no_power", http.StatusServiceUnavailable, "The endpoint's power grant does not allow more work.", "Ask again after Retry-After."},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, "The node has no catalogue or configuration yet, or one that may be out of date.", "Ask again after Retry-After."},
+	{Quarantined, "quarantined", http.StatusServiceUnavailable, "Endpoints crashed under earlier copies of this request.", "Do not send it again before Retry-After; give the operators the fingerprint of the log."},
 
 	{DeadlineExceeded, "deadline_exceeded", http.StatusGatewayTimeout, "The deadline passed before the request ended.", "Allow more time; see ran."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The order was sent and nobody can tell whether it ran.", "Look up the status by key; do not assume either."},
