--- a/attempt/quarantine.go
+++ b/attempt/quarantine.go
@@ -171,7 +171,7 @@
 func (q *Quarantine) begin(now time.Time, request Fingerprint) *suspect {
 	q.expire(now)
 	if len(q.suspects) >= maxSuspects {
-		q.drop(q.leastWorth())
+		q.drop(q.evictionCandidate())
 	}
 	s := &suspect{}
 	q.suspects[request] = s
@@ -179,9 +179,9 @@
 	return s
 }
 
-// leastWorth is the suspect to forget first: of those that are not in quarantine, or else of all,
+// evictionCandidate is the suspect to forget first: of those that are not in quarantine, or else of all,
 // the one whose last finding is the oldest.
-func (q *Quarantine) leastWorth() Fingerprint {
+func (q *Quarantine) evictionCandidate() Fingerprint {
 	var least Fingerprint
 	var found *suspect
 	for request, s := range q.suspects {
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -13,7 +12,6 @@
 	"aspenyard.example/directory"
 	"aspenyard.example/gateway"
 	"aspenyard.example/platform"
-	"aspenyard.example/standin/link"
 	standin "aspenyard.example/standin/platform"
 )
 
@@ -55,17 +53,7 @@
 // of how many, how old that is and what it takes.
 func TestGatewaysHearOfEachOther(t *testing.T) {
 	is := is.New(t)
-	first, second := newSite(t), newSite(t)
-	second.store = first.store
-	for _, s := range []*site{first, second} {
-		addr, err := link.FreeAddr()
-		is.NoErr(err)
-		s.own = fmt.Sprintf(`,"peers_listen":%q`, addr)
-	}
-	second.own += `,"name":"g2"`
-	first.start()
-	second.version = first.version
-	second.start()
+	first, second := twoGateways(t)
 	for _, s := range []*site{first, second} {
 		s.until("heard of the other", func() bool {
 			return s.metric("aspenyard_gateway_peers_heard ") == 1 && s.metric("aspenyard_gateway_peers ") == 1
