--- a/attempt/quarantine.go
+++ b/attempt/quarantine.go
@@ -240,10 +240,9 @@
 	q.expire(now)
 	var list []Finding
 	for request, s := range q.suspects {
-		for _, c := range s.findings(request) {
-			c.Age = now.Sub(s.at(c.Endpoint))
-			if whole || c.Age <= freshAge {
-				list = append(list, c)
+		for _, f := range s.findings(now, request) {
+			if whole || f.Age <= freshAge {
+				list = append(list, f)
 			}
 		}
 	}
@@ -258,25 +257,16 @@
 	return append(list[from:], list[:from]...)[:most]
 }
 
-// findings lists what a node tells of a suspect, without ages.
-func (s *suspect) findings(request Fingerprint) []Finding {
+// findings lists what a node tells of a suspect.
+func (s *suspect) findings(now time.Time, request Fingerprint) []Finding {
 	var list []Finding
 	if !s.answered.IsZero() {
-		list = append(list, Finding{Request: request, Endpoint: Answered})
+		list = append(list, Finding{request, Answered, now.Sub(s.answered)})
 	}
 	for _, c := range s.crashes {
 		if c.own || s.shared() {
-			list = append(list, Finding{Request: request, Endpoint: c.endpoint})
+			list = append(list, Finding{request, c.endpoint, now.Sub(c.at)})
 		}
 	}
 	return list
 }
-
-// at is when a finding was made.
-func (s *suspect) at(endpoint uint32) time.Time {
-	if endpoint == Answered {
-		return s.answered
-	}
-	i := slices.IndexFunc(s.crashes, func(c crash) bool { return c.endpoint == endpoint })
-	return s.crashes[i].at
-}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -16,18 +16,23 @@
 
 // fingerprint names the call's request, whichever copy of it this is.
 func (c *call) fingerprint() attempt.Fingerprint {
-	if c.print == nil {
-		c.print = &attempt.Fingerprint{Scope: c.scope(), Body: attempt.FingerprintBody(c.body)}
+	c.scope()
+	if c.print.Body == 0 {
+		c.print.Body = attempt.FingerprintBody(c.body)
 	}
-	return *c.print
+	return c.print
 }
 
+// scope is the part of the fingerprint that needs no reading of the body.
 func (c *call) scope() uint64 {
-	account := ""
-	if c.account != nil {
-		account = c.account.Name
+	if c.print.Scope == 0 {
+		account := ""
+		if c.account != nil {
+			account = c.account.Name
+		}
+		c.print.Scope = attempt.FingerprintScope(account, c.in.Method, c.in.Host, c.in.RequestURI, len(c.body))
 	}
-	return attempt.FingerprintScope(account, c.in.Method, c.in.Host, c.in.RequestURI, len(c.body))
+	return c.print.Scope
 }
 
 // suspected tells whether anything is known of the call's request.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -41,9 +41,6 @@
 	if c.route.Kind == directory.Streaming {
 		f.relay = &relay{call: c, last: c.LastEvent}
 	}
-	if failure := f.refuseQuarantined(); failure != nil {
-		return failure
-	}
 	if failure := f.waitInQueue(ctx); failure != nil {
 		return failure
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -42,8 +42,8 @@
 	events      int
 	// endpoint is the last that the request was sent to.
 	endpoint string
-	// print is the request's fingerprint, nil until it was asked for.
-	print *attempt.Fingerprint
+	// print is the request's fingerprint; each half is 0 until it was asked for.
+	print attempt.Fingerprint
 }
 
 // serveCaller serves one request from a caller.
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -33,8 +33,8 @@
 
 type probe struct {
 	done chan struct{}
-	// begun is when it was begun, at when it ended; zero: it is under way.
-	begun, at time.Time
+	// at is when it ended; zero: it is under way.
+	at time.Time
 	// alive is set where the endpoint accepted a connection, refused where nobody listens.
 	alive, refused bool
 }
@@ -62,7 +62,7 @@
 	p.mu.Lock()
 	current := p.results[e.Life]
 	if current == nil || !current.at.IsZero() && current.at.Before(since) {
-		current = &probe{done: make(chan struct{}), begun: time.Now()}
+		current = &probe{done: make(chan struct{})}
 		p.results[e.Life] = current
 		go p.run(e, current)
 	}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -34,6 +34,9 @@
 	if engine == nil || !direct.IsLong(f.service, f.PromptTokens) {
 		return nil
 	}
+	if failure := f.refuseQuarantined(); failure != nil {
+		return failure
+	}
 	g := f.gateway
 	endpoints := g.snapshot.Load().Endpoints(f.service.Name)
 	engines := len(endpoints)
