--- a/bench/emulator/emulator_test.go
+++ b/bench/emulator/emulator_test.go
@@ -185,3 +185,11 @@
 		})
 	}
 }
+
+// Guards against long prompts that are sent when they can only be late, into a rush of short ones.
+func TestLongPromptsThatCannotBeOnTimeAreNotInTheWayOfARushOfShortOnes(t *testing.T) {
+	is := is.New(t)
+	short, _, long := play(t, crowding(1))
+	is.True(short.Share() > 0.75)
+	is.True(long.LateFirst*20 < long.Asked) // refused in time rather than late
+}
