Refuse a long prompt whose turn does not come in time, in place of sending it late

Callers saw: as the mix turns from long to short prompts, short ones are late for seconds and long ones late too. Cause: a long prompt was held back until its latest start and sent then, though the engines' backlog was over its limit: it could only be late, and its parts held up the rush of short prompts. Change: direct.Held says whether the prompt may start; where it may not at its latest start, it is refused and told when those before it are read. queue_refused tells for how long it waited. Where a route names no target, nothing is waited for, as before.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -145,8 +145,6 @@
 const (
 	// heartbeat is the time between two words of an entry to the others.
 	heartbeat = 100 * time.Millisecond
-	// poll is how often a waiting long prompt looks at the engines.
-	poll = 20 * time.Millisecond
 	// outputTokens bound an answer, for the memory that it needs.
 	outputTokens = 1300
 	// placings is how many endpoints a request is placed on until one has room.
@@ -180,16 +178,16 @@
 
 // request is one caller's request.
 type request struct {
-	world   *world
-	entry   *entry
-	kind    *Kind
-	result  *Result
-	tokens  int
-	began   time.Duration
-	gap     time.Duration
-	charge  *direct.Charge
-	engine  *engine
-	release func()
+	world  *world
+	entry  *entry
+	kind   *Kind
+	result *Result
+	tokens int
+	began  time.Duration
+	gap    time.Duration
+	charge *direct.Charge
+	engine *engine
+	held   *direct.Held
 	// latest is until when it may be held back, from its arrival.
 	latest time.Duration
 }
@@ -369,17 +367,23 @@
 		return
 	}
 	r.latest = expected.LatestStart(r.kind.Target)
-	r.release = r.entry.policy.Hold(w.service, r.tokens)
+	r.held = r.entry.policy.Hold(w.service, r.tokens)
 	r.wait()
 }
 
+// wait holds the request back until there is room, and refuses it if that is too late.
 func (r *request) wait() {
 	w := r.world
-	if w.config.has(Waiting) && w.Now()-r.began < r.latest && r.entry.policy.Crowded(w.clock(), w.service, len(w.list), r.tokens) {
-		w.After(poll, r.wait)
+	room := !w.config.has(Waiting) || r.held.MayStart(w.clock(), len(w.list))
+	if !room && w.Now()-r.began < r.latest {
+		w.After(direct.HeldPoll, r.wait)
+		return
+	}
+	r.held.Release()
+	if !room && w.config.has(Refusing) {
+		r.result.Refused++
 		return
 	}
-	r.release()
 	r.place()
 }
 
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -177,7 +177,7 @@
 	case "queue_left":
 		return fmt.Sprintf("long prompt: its turn after %s (first token expected after %s; %s others still wait)", l.ms("waited_ms"), l.ms("expected_ms"), l.get("waiting"))
 	case "queue_refused":
-		return fmt.Sprintf("long prompt: its first token is expected after %s, at most %s is accepted", l.ms("expected_ms"), l.ms("limit_ms"))
+		return fmt.Sprintf("long prompt: its first token is expected after %s, at most %s is accepted; refused after %s", l.ms("expected_ms"), l.ms("limit_ms"), l.ms("waited_ms"))
 	case "capacity_refused":
 		return fmt.Sprintf("no room: %s of prefill on each of %s engines, on which %s requests are open, %s of which it would make late", l.ms("prefill_ms"), l.get("engines"), l.get("open"), l.get("harmed"))
 	case "placed":
--- /dev/null
+++ b/gateway/export_test.go
@@ -0,0 +1,12 @@
+package gateway
+
+import (
+	"time"
+
+	"aspenyard.example/routing/direct"
+)
+
+// TellReading lets the gateway hear that another entry has so much prefill under way.
+func (g *Gateway) TellReading(service string, reading time.Duration) {
+	g.ledger.TellPeer(time.Now(), "another", []direct.Demand{{Service: service, Reading: reading}}, nil)
+}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -11,10 +11,6 @@
 	"aspenyard.example/routing/direct"
 )
 
-// crowdedPoll is how often a waiting long prompt looks at the engines: a fraction of
-// the time in which one of them is prefilled.
-const crowdedPoll = 20 * time.Millisecond
-
 const (
 	// comeBackLeast bounds from below when a refused long prompt may come back.
 	comeBackLeast = 500 * time.Millisecond
@@ -30,8 +26,7 @@
 // is by arrival, and a longer prompt lets those pass that come while it could not have
 // been read itself.
 func (f *forwarding) waitInQueue(ctx context.Context) *result.Error {
-	engine := f.service.Engine
-	if engine == nil || !direct.IsLong(f.service, f.PromptTokens) {
+	if f.service.Engine == nil || !direct.IsLong(f.service, f.PromptTokens) {
 		return nil
 	}
 	if failure := f.refuseQuarantined(); failure != nil {
@@ -42,30 +37,52 @@
 	engines := len(endpoints)
 	expected := g.policy.Expect(f.started, f.service, engines, f.PromptTokens)
 	if expected.TooLate(f.route.Target) {
-		return f.refuseExpected(expected)
+		return f.refuseExpected(expected, drainFactor*(expected.FirstToken()-f.route.Target))
 	}
 	if plan := g.policy.Place(f.started, &f.request, endpoints); plan != nil && plan.Crowded {
 		return f.refuseCapacity(plan) // known now: waiting would only delay the refusal
 	}
-	defer g.policy.Hold(f.service, f.PromptTokens)()
-	waiting, cancel := context.WithDeadline(ctx, f.started.Add(expected.LatestStart(f.route.Target)))
-	defer cancel()
-	if err := g.longQueue.Acquire(waiting, f.started.Add(direct.Prefill(engine, f.PromptTokens))); err == nil {
-		for waiting.Err() == nil && g.policy.Crowded(time.Now(), f.service, engines, f.PromptTokens) {
-			membership.Sleep(waiting, crowdedPoll)
-		}
-		g.longQueue.Release()
-	}
+	held := g.policy.Hold(f.service, f.PromptTokens)
+	room := f.untilRoom(ctx, held, engines, f.started.Add(expected.LatestStart(f.route.Target)))
+	held.Release()
 	if ctx.Err() != nil {
 		return f.ended(ctx)
 	}
 	g.measureWait(time.Since(f.started))
+	if !room {
+		now := g.policy.ExpectAgain(time.Now(), f.service, engines, f.PromptTokens)
+		return f.refuseExpected(now, now.Wait)
+	}
 	f.log.Add("queue_left", zap.Duration("expected_ms", expected.FirstToken()), zap.Duration("waited_ms", time.Since(f.started)), zap.Int("waiting", g.longQueue.Waiting()))
 	return nil
 }
 
-// refuseExpected ends a call whose first token is expected too late.
-func (f *forwarding) refuseExpected(expected direct.Expectation) *result.Error {
-	f.log.Add("queue_refused", zap.Duration("expected_ms", expected.FirstToken()), zap.Duration("wait_ms", expected.Wait), zap.Duration("limit_ms", f.route.Target))
-	return result.Refuse(result.Overloaded, max(drainFactor*(expected.FirstToken()-f.route.Target), comeBackLeast), "its first token is expected after %v", expected.FirstToken())
+// untilRoom waits until the engines have room for the prompt. False: they have none when its first
+// token would begin to be late, or ctx has ended. Where the route names no target nothing is late,
+// and nothing is waited for.
+func (f *forwarding) untilRoom(ctx context.Context, held *direct.Held, engines int, latest time.Time) bool {
+	if f.route.Target == 0 {
+		return true
+	}
+	ctx, cancel := context.WithDeadline(ctx, latest)
+	defer cancel()
+	queue := f.gateway.longQueue
+	if err := queue.Acquire(ctx, f.started.Add(direct.Prefill(f.service.Engine, f.PromptTokens))); err != nil {
+		return false
+	}
+	defer queue.Release()
+	for !held.MayStart(time.Now(), engines) {
+		if ctx.Err() != nil {
+			return false
+		}
+		membership.Sleep(ctx, direct.HeldPoll)
+	}
+	return true
+}
+
+// refuseExpected ends a call whose first token is expected too late, or whose turn did not come in
+// time.
+func (f *forwarding) refuseExpected(expected direct.Expectation, comeBack time.Duration) *result.Error {
+	f.log.Add("queue_refused", zap.Duration("expected_ms", expected.FirstToken()), zap.Duration("wait_ms", expected.Wait), zap.Duration("limit_ms", f.route.Target), zap.Duration("waited_ms", time.Since(f.started)))
+	return result.Refuse(result.Overloaded, max(comeBack, comeBackLeast), "its first token is expected after %v", expected.FirstToken())
 }
--- a/routing/direct/backlog.go
+++ b/routing/direct/backlog.go
@@ -17,15 +17,37 @@
 	leastReading = 0.3
 )
 
-// Crowded tells whether the engines for long prompts have enough to prefill, so that
-// another one of so many tokens had better wait. Longer prompts wait for more to be done:
-// what one of them takes would make several shorter ones late.
-func (p *Policy) Crowded(now time.Time, service *directory.Service, engines, promptTokens int) bool {
+// HeldPoll is how often a prompt that is held back asks whether it may start: a fraction of the
+// time in which one of them is prefilled.
+const HeldPoll = 20 * time.Millisecond
+
+// Held is a long prompt that is held back until the engines have room for it.
+type Held struct {
+	policy  *Policy
+	service *directory.Service
+	prefill time.Duration
+}
+
+// Hold notes that a long prompt waits, until it is released.
+func (p *Policy) Hold(service *directory.Service, promptTokens int) *Held {
+	h := &Held{policy: p, service: service, prefill: Prefill(service.Engine, promptTokens)}
+	p.ledger.hold(service.Name, h.prefill)
+	return h
+}
+
+// Release ends the wait. It must be called once.
+func (h *Held) Release() { h.policy.ledger.hold(h.service.Name, -h.prefill) }
+
+// MayStart tells whether the engines for long prompts, of so many engines, have room for the
+// prompt. Longer prompts wait for more to be done: what one of them takes would make several
+// shorter ones late.
+func (h *Held) MayStart(now time.Time, engines int) bool {
+	p := h.policy
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
-	limit := time.Duration(p.forLong(now, service, engines)) * readingLimit
-	before := max(limit-Prefill(service.Engine, promptTokens), time.Duration(leastReading*float64(limit)))
-	return p.ledger.total(now, service.Name).Reading > before
+	limit := time.Duration(p.forLong(now, h.service, engines)) * readingLimit
+	before := max(limit-h.prefill, time.Duration(leastReading*float64(limit)))
+	return p.ledger.total(now, h.service.Name).Reading <= before
 }
 
 // Expectation is when the first token of a long prompt that has come would be there.
@@ -56,23 +78,27 @@
 	return max(target-time.Duration(spreadFactor*float64(e.Prefill)), 0)
 }
 
-// Expect notes that a long prompt has come, which moves the boundary at once, and
-// estimates when its first token would come: after the long prompts that all entries
-// have sent and hold back, at the rate of the engines for long prompts.
+// Expect notes that a long prompt has come, which moves the boundary at once, and estimates when
+// its first token would come.
 func (p *Policy) Expect(now time.Time, service *directory.Service, engines, promptTokens int) Expectation {
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
-	prefill := Prefill(service.Engine, promptTokens)
-	p.ledger.demand(service.Name).add(now, prefill)
+	p.ledger.demand(service.Name).add(now, Prefill(service.Engine, promptTokens))
+	return p.expect(now, service, engines, promptTokens)
+}
+
+// ExpectAgain estimates the same of a prompt that has been noted.
+func (p *Policy) ExpectAgain(now time.Time, service *directory.Service, engines, promptTokens int) Expectation {
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	return p.expect(now, service, engines, promptTokens)
+}
+
+// expect estimates when the first token of a prompt would come: after the long prompts that all
+// entries have sent and hold back, at the rate of the engines for long prompts.
+func (p *Policy) expect(now time.Time, service *directory.Service, engines, promptTokens int) Expectation {
 	total := p.ledger.total(now, service.Name)
 	free := p.forLong(now, service, engines)
 	wait := (total.Reading + total.Waiting).Seconds() / (float64(free) * fullUse)
-	return Expectation{Wait: time.Duration(wait * float64(time.Second)), Prefill: prefill / time.Duration(min(free, maxParts))}
-}
-
-// Hold notes that a long prompt waits; the function that it returns ends that.
-func (p *Policy) Hold(service *directory.Service, promptTokens int) func() {
-	prefill := Prefill(service.Engine, promptTokens)
-	p.ledger.hold(service.Name, prefill)
-	return func() { p.ledger.hold(service.Name, -prefill) }
+	return Expectation{Wait: time.Duration(wait * float64(time.Second)), Prefill: Prefill(service.Engine, promptTokens) / time.Duration(min(free, maxParts))}
 }
