Count down what a long prompt has left to prefill

Callers saw: long prompts, the largest first, refused for the backlog while the engines that they would use were nearly done, and short ones sent past engines that were about to be free. Cause: a part counted in full, at its engine and in the backlog, until the first token of its prompt. A prompt of 540,000 tokens takes 17 engines for 1.6 s; on the mean half of what is counted for it is already done. Change: direct.progress counts the parts of an entry's own long prompts down over the time in which its first token is expected, to a tenth at least until that has come; heartbeats tell what is left.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -269,7 +269,7 @@
 func (w *world) heartbeat() time.Duration { return cmp.Or(w.config.Heartbeat, heartbeat) }
 
 func (w *world) tell(e *entry) {
-	demands, opens := e.ledger.Demands(w.clock()), e.ledger.Opens()
+	demands, opens := e.ledger.Demands(w.clock()), e.ledger.Opens(w.clock())
 	for _, other := range w.entries {
 		lost := w.config.HeartbeatLoss > 0 && w.rand.Float64() < w.config.HeartbeatLoss
 		if other != e && !lost {
@@ -411,7 +411,7 @@
 
 // submit gives a request to the first engine of its plan.
 func (r *request) submit(plan *direct.Plan, j *job) {
-	r.charge = r.entry.ledger.Begin(plan)
+	r.charge = r.entry.ledger.Begin(r.world.clock(), plan)
 	if plan.Long && r.world.config.has(Announcing) && r.world.config.has(Heartbeats) {
 		r.world.tell(r.entry)
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -92,7 +92,7 @@
 // send sends the call to one endpoint and passes its answer on.
 func (f *forwarding) send(ctx context.Context, plan *direct.Plan) (attempt.SendOutcome, error) {
 	f.request.Tried[plan.Endpoint.Life] = true
-	charge := f.gateway.ledger.Begin(plan)
+	charge := f.gateway.ledger.Begin(time.Now(), plan)
 	defer charge.End()
 	if plan.Long {
 		f.gateway.peers.announce()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -160,7 +160,7 @@
 // Fill implements membership.Delegate. Between whole heartbeats only changes are told: a
 // tenth of the bytes, and of the work of those who take them in.
 func (p *peers) Fill(now time.Time, h *wire.Heartbeat) {
-	opens := p.gateway.ledger.Opens()
+	opens := p.gateway.ledger.Opens(now)
 	if h.Partial = now.Sub(p.wholeAt) < wholeInterval; !h.Partial {
 		p.wholeAt = now
 		clear(p.told)
--- a/routing/direct/affinity_test.go
+++ b/routing/direct/affinity_test.go
@@ -55,7 +55,7 @@
 		p.ledger.TellPeer(testNow, "x", []Demand{{Service: "m", OpenShort: 400}}, nil)
 		for range each {
 			plan := p.Place(testNow, prompt(3000), list)
-			p.ledger.Begin(plan)
+			p.ledger.Begin(testNow, plan)
 			placed[plan.Endpoint.ID]++
 		}
 	}
@@ -73,7 +73,7 @@
 	own, away := 0, 0
 	for range 200 {
 		plan := p.Place(testNow, prompt(3000), list)
-		p.ledger.Begin(plan)
+		p.ledger.Begin(testNow, plan)
 		if p.ledger.rank.prefers(plan.Endpoint.Position, engines) {
 			own++
 			continue
--- a/routing/direct/backlog.go
+++ b/routing/direct/backlog.go
@@ -7,12 +7,11 @@
 )
 
 const (
-	// readingLimit is how much prefill of long prompts may be under way for each engine
-	// that takes them, the next one's included. Engines prefill all parts that they have
-	// before the next event of those who decode there, and the most patient of those allow a
-	// second.
-	readingLimit = 800 * time.Millisecond
-	// leastReading is the part of it that may be under way before the longest prompts, which
+	// readingLimit is how much prefill of long prompts may be left for each engine that takes
+	// them, the next one's included. Engines prefill all parts that they have before the next
+	// event of those who decode there, and the most patient of those allow a second.
+	readingLimit = 480 * time.Millisecond
+	// leastReading is the part of it that may be left before the longest prompts, which
 	// would otherwise never go while others come.
 	leastReading = 0.3
 )
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -58,7 +58,7 @@
 	p := policy(1)
 	list := endpoints(20)
 	for range 40 {
-		p.ledger.Begin(p.Place(testNow, prompt(3000), list))
+		p.ledger.Begin(testNow, p.Place(testNow, prompt(3000), list))
 	}
 	together := 0
 	for i := range 6 {
@@ -70,14 +70,14 @@
 				together++
 			}
 		}
-		p.ledger.Begin(long).Prefilled()
+		p.ledger.Begin(testNow, long).Prefilled()
 	}
 	before := map[directory.Life]int{}
 	for id, l := range p.ledger.loads {
 		before[id] = l.open
 	}
 	for range 20 {
-		p.ledger.Begin(p.Place(testNow, prompt(3000), list))
+		p.ledger.Begin(testNow, p.Place(testNow, prompt(3000), list))
 	}
 	onLong := 0
 	for _, e := range list[10:] {
@@ -142,7 +142,7 @@
 func TestAnEntryTellsOfALongPromptThatIsItsFirst(t *testing.T) {
 	is := is.New(t)
 	p := policy(1)
-	p.ledger.Begin(p.Place(testNow, prompt(150_000), endpoints(20)))
+	p.ledger.Begin(testNow, p.Place(testNow, prompt(150_000), endpoints(20)))
 	told := p.ledger.Demands(testNow)
 	is.Equal(len(told), 1)
 	is.True(told[0].Reading > time.Second)
@@ -312,7 +312,7 @@
 	p := policy(6)
 	list := endpoints(23)
 	for range 3 {
-		p.ledger.Begin(p.Place(testNow, prompt(3000), list))
+		p.ledger.Begin(testNow, p.Place(testNow, prompt(3000), list))
 	}
 	p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", OpenShort: 160, LongPrefill: 17 * time.Second}}, opens(list[:4], 9))
 	plan := p.Place(testNow, prompt(250_000), list)
@@ -353,7 +353,7 @@
 				}
 				seen[h.ID] = true
 			}
-			open = append(open, p.ledger.Begin(plan))
+			open = append(open, p.ledger.Begin(testNow, plan))
 		}
 		for _, c := range open {
 			c.End()
@@ -398,7 +398,7 @@
 	p.ledger.TellPeer(testNow, "b", []Demand{{Service: "m", LongPrefill: 9 * time.Second}}, open)
 	plan := p.Place(testNow, prompt(200_000), list)
 	is.Equal(plan.Endpoint.Life, list[11].Life)
-	p.ledger.Begin(plan)
+	p.ledger.Begin(testNow, plan)
 	is.True(p.Place(testNow, prompt(190_000), list).Endpoint.Life != list[11].Life) // its own is counted too
 }
 
@@ -486,7 +486,7 @@
 	for range 14 {
 		plan := p.Place(testNow, prompt(3000), list)
 		is.True(slices.Contains(list[:14], plan.Endpoint))
-		p.ledger.Begin(plan)
+		p.ledger.Begin(testNow, plan)
 	}
 }
 
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -30,6 +30,8 @@
 	peerPaces map[EndpointHash]peerPace
 	// peers holds what other entries last told, by their names.
 	peers map[string]*peer
+	// prefilling holds the charges of this entry's long prompts whose first token has not come.
+	prefilling map[*Charge]struct{}
 }
 
 // Open is what an entry has given an endpoint to do: how many requests are open there, by
@@ -55,9 +57,10 @@
 }
 
 // Opens gives what this entry has given each endpoint to do.
-func (l *Ledger) Opens() []Open {
+func (l *Ledger) Opens(now time.Time) []Open {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.advance(now)
 	list := make([]Open, 0, len(l.loads))
 	for life, known := range l.loads {
 		if known.open > 0 || known.prefill > 0 || known.memory > 0 {
@@ -79,6 +82,7 @@
 }
 
 func (l *Ledger) own(now time.Time, service string) Demand {
+	l.advance(now)
 	d := l.demand(service)
 	d.expire(now)
 	return Demand{Service: service, LongPrefill: d.sum, OpenShort: l.shorts[service], Reading: l.reading[service], Waiting: l.waiting[service]}
@@ -128,7 +132,7 @@
 
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{loads: map[directory.Life]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]*peer{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}, peerLoads: map[EndpointHash]Open{}, peerPaces: map[EndpointHash]peerPace{}}
+	return &Ledger{loads: map[directory.Life]*load{}, demands: map[string]*demand{}, shorts: map[string]int{}, peers: map[string]*peer{}, reading: map[string]time.Duration{}, waiting: map[string]time.Duration{}, peerLoads: map[EndpointHash]Open{}, peerPaces: map[EndpointHash]peerPace{}, prefilling: map[*Charge]struct{}{}}
 }
 
 // Charge is what one request weighs on its endpoints, until it ends. Safe for use by
@@ -143,8 +147,10 @@
 	long    bool
 	// pauseClass is that of the pause which its route allows.
 	pauseClass int
+	progress   progress
 }
 
+// part is what is left to prefill of a prompt at one endpoint.
 type part struct {
 	endpoint directory.Life
 	prefill  time.Duration
@@ -156,14 +162,17 @@
 	tokens   int
 }
 
-// Begin charges a plan.
-func (l *Ledger) Begin(p *Plan) *Charge {
+// Begin charges a plan that is carried out from now on.
+func (l *Ledger) Begin(now time.Time, p *Plan) *Charge {
 	c := &Charge{ledger: l, open: p.Endpoint.Life, service: p.Endpoint.Service, long: p.Long, pauseClass: p.pauseClass}
+	c.progress = progress{began: now, expected: p.Expected, part: p.Prefill}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load(c.open).open++
 	l.load(c.open).streams[c.pauseClass]++
-	if !c.long {
+	if c.long {
+		l.prefilling[c] = struct{}{}
+	} else {
 		l.shorts[c.service]++
 	}
 	c.parts = append(c.parts, part{c.open, p.Prefill})
@@ -193,6 +202,7 @@
 	}
 	c.ledger.mu.Lock()
 	defer c.ledger.mu.Unlock()
+	delete(c.ledger.prefilling, c)
 	for _, p := range c.parts {
 		if known := c.ledger.loads[p.endpoint]; known != nil {
 			known.prefill = max(known.prefill-p.prefill, 0)
--- a/routing/direct/lives_test.go
+++ b/routing/direct/lives_test.go
@@ -20,7 +20,7 @@
 	after := *before
 	after.Born = 200
 	p := policy(1)
-	p.ledger.Begin(p.Place(testNow, prompt(3000), []*directory.Listed{before}))
+	p.ledger.Begin(testNow, p.Place(testNow, prompt(3000), []*directory.Listed{before}))
 	p.ledger.Avoid(before.Life, testNow.Add(time.Minute))
 	p.ledger.SetUnreachable(before.Life, true)
 	p.ledger.Tell(testNow, before.Life, 16, 30)
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -108,6 +108,7 @@
 func (p *Policy) Place(now time.Time, r *Request, endpoints []*directory.Listed) *Plan {
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
+	p.ledger.advance(now)
 	kept := p.eligible(now, r, endpoints)
 	if len(kept) == 0 {
 		return nil
