Let a long prompt start where enough engines are idle

Cause: the largest wait until the backlog of all engines, less their own prefill, is under its limit. Other prompts keep it at the limit, and it is that of few engines: five prompts of 27 s of prefill fill the limit of 150 engines, while 65 of them are idle. Change: a prompt may also start where as many engines as it may use have no stream and less than 300 ms to prefill, whatever the backlog is. Its latest start allows for 1.2 times its own prefill, 1.5 before. The list of engines is read anew at each look: a prompt may be held back for seconds.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -374,7 +374,7 @@
 // wait holds the request back until there is room, and refuses it if that is too late.
 func (r *request) wait() {
 	w := r.world
-	room := !w.config.has(Waiting) || r.held.MayStart(w.clock(), len(w.list))
+	room := !w.config.has(Waiting) || r.held.MayStart(w.clock(), w.list)
 	if !room && w.Now()-r.began < r.latest {
 		w.After(direct.HeldPoll, r.wait)
 		return
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -43,7 +43,7 @@
 		return f.refuseCapacity(plan) // known now: waiting would only delay the refusal
 	}
 	held := g.policy.Hold(f.service, f.PromptTokens)
-	room := f.untilRoom(ctx, held, engines, f.started.Add(expected.LatestStart(f.route.Target)))
+	room := f.untilRoom(ctx, held, f.started.Add(expected.LatestStart(f.route.Target)))
 	held.Release()
 	if ctx.Err() != nil {
 		return f.ended(ctx)
@@ -60,18 +60,18 @@
 // untilRoom waits until the engines have room for the prompt. False: they have none when its first
 // token would begin to be late, or ctx has ended. Where the route names no target nothing is late,
 // and nothing is waited for.
-func (f *forwarding) untilRoom(ctx context.Context, held *direct.Held, engines int, latest time.Time) bool {
+func (f *forwarding) untilRoom(ctx context.Context, held *direct.Held, latest time.Time) bool {
 	if f.route.Target == 0 {
 		return true
 	}
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
-	queue := f.gateway.longQueue
-	if err := queue.Acquire(ctx, f.started.Add(direct.Prefill(f.service.Engine, f.PromptTokens))); err != nil {
+	g := f.gateway
+	if err := g.longQueue.Acquire(ctx, f.started.Add(direct.Prefill(f.service.Engine, f.PromptTokens))); err != nil {
 		return false
 	}
-	defer queue.Release()
-	for !held.MayStart(time.Now(), engines) {
+	defer g.longQueue.Release()
+	for !held.MayStart(time.Now(), g.snapshot.Load().Endpoints(f.service.Name)) {
 		if ctx.Err() != nil {
 			return false
 		}
--- a/routing/direct/backlog.go
+++ b/routing/direct/backlog.go
@@ -14,6 +14,9 @@
 	// leastReading is the part of it that may be left before the longest prompts, which
 	// would otherwise never go while others come.
 	leastReading = 0.3
+	// idleReading is what an engine may have to prefill that counts as idle. With more, those who
+	// share it wait for each other.
+	idleReading = 300 * time.Millisecond
 )
 
 // HeldPoll is how often a prompt that is held back asks whether it may start: a fraction of the
@@ -37,16 +40,34 @@
 // Release ends the wait. It must be called once.
 func (h *Held) Release() { h.policy.ledger.hold(h.service.Name, -h.prefill) }
 
-// MayStart tells whether the engines for long prompts, of so many engines, have room for the
-// prompt. Longer prompts wait for more to be done: what one of them takes would make several
-// shorter ones late.
-func (h *Held) MayStart(now time.Time, engines int) bool {
+// MayStart tells whether the engines for long prompts, which are those at the end of the list,
+// have room for the prompt. Longer prompts wait for more to be done: what one of them takes would
+// make several shorter ones late. Where as many engines are idle as a prompt may use, none is
+// made late, however much others have to prefill.
+func (h *Held) MayStart(now time.Time, endpoints []*directory.Listed) bool {
 	p := h.policy
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
-	limit := time.Duration(p.forLong(now, h.service, engines)) * readingLimit
+	long := p.forLong(now, h.service, len(endpoints))
+	limit := time.Duration(long) * readingLimit
 	before := max(limit-h.prefill, time.Duration(leastReading*float64(limit)))
-	return p.ledger.total(now, h.service.Name).Reading <= before
+	if p.ledger.total(now, h.service.Name).Reading <= before {
+		return true
+	}
+	return p.idle(now, h.service, endpoints, long) >= maxParts
+}
+
+// idle counts, of the engines for long prompts, those on which nobody decodes and that are nearly
+// done with what they have to prefill.
+func (p *Policy) idle(now time.Time, service *directory.Service, endpoints []*directory.Listed, long int) int {
+	kept := p.eligible(now, &Request{Service: service}, endpoints)
+	n := 0
+	for _, e := range kept[max(len(kept)-long, 0):] {
+		if there := p.ledger.estimate(now, e.Life); there.open == 0 && there.reading <= idleReading {
+			n++
+		}
+	}
+	return n
 }
 
 // Expectation is when the first token of a long prompt that has come would be there.
@@ -69,7 +90,7 @@
 
 // spreadFactor is how many times as long as its parts take a prompt is read: it ends with the slowest
 // of its engines.
-const spreadFactor = 1.5
+const spreadFactor = 1.2
 
 // LatestStart is until when the prompt may be held back, from its arrival, and its first token
 // still be there in time.
--- /dev/null
+++ b/routing/direct/backlog_test.go
@@ -0,0 +1,42 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"aspenyard.example/directory"
+)
+
+// tellOthers lets a policy hear that others have so much to prefill, and of some engines.
+func tellOthers(p *Policy, demand Demand, open ...Open) {
+	demand.Service = "m"
+	p.ledger.TellPeer(testNow, "other", []Demand{demand}, open)
+}
+
+// Guards against holding the longest prompts back while engines are idle.
+func TestALongPromptStartsWhereEnoughEnginesAreIdle(t *testing.T) {
+	is := is.New(t)
+	p, list := policy(1), endpoints(40)
+	held := p.Hold(service(), 380_000)
+	defer held.Release()
+	is.True(held.MayStart(testNow, list))
+	backlog := Demand{LongPrefill: time.Minute, Reading: time.Minute}
+	tellOthers(p, backlog)
+	is.True(held.MayStart(testNow, list)) // what is read is read elsewhere
+	tellOthers(p, backlog, eachOf(list, Open{Reading: time.Second})...)
+	is.True(!held.MayStart(testNow, list))
+	tellOthers(p, backlog, eachOf(list, Open{Count: 1, Streams: streams(250*time.Millisecond, 1)})...)
+	is.True(!held.MayStart(testNow, list)) // they would be made late
+}
+
+// eachOf gives the same of each endpoint.
+func eachOf(list []*directory.Listed, o Open) []Open {
+	var all []Open
+	for _, e := range list {
+		o.Endpoint = HashEndpoint(e.Life)
+		all = append(all, o)
+	}
+	return all
+}
