Entries take turns at the room that all of them see

Callers saw: a dozen long prompts sent by ten entries within 0.1 s, their parts on the same engines, and all of them late with those who came after; again and again while the backlog was near its limit. Cause: entries with a prompt that waits see the backlog fall under its limit at the same moment and hear of each other's starts only later, so the room was filled once by each of them. Change: of all the prefill that waits at all entries, as much starts between two heartbeats as there is room for: an entry draws its turn with that chance. Alone, or where all that waits has room, nothing changes. The way without a draw would be an order among entries, which each would have to know of all others.

--- a/routing/direct/backlog.go
+++ b/routing/direct/backlog.go
@@ -51,12 +51,31 @@
 	long := p.forLong(now, h.service, len(endpoints))
 	limit := time.Duration(long) * readingLimit
 	before := max(limit-h.prefill, time.Duration(leastReading*float64(limit)))
-	if p.ledger.total(now, h.service.Name).Reading <= before {
+	demand := p.ledger.total(now, h.service.Name)
+	if demand.Reading <= before {
+		return p.takesTurn(limit-demand.Reading, demand.Waiting)
+	}
+	idle := p.idle(now, h.service, endpoints, long)
+	return idle >= maxParts && p.takesTurn(time.Duration(idle)*readingLimit, demand.Waiting)
+}
+
+// takesTurn draws whether one of the prompts that wait takes of the room now. All entries see the
+// same room at the same moment and hear of each other's starts later: until then as much is to start as
+// there is room for, of all that waits.
+func (p *Policy) takesTurn(room, waiting time.Duration) bool {
+	if waiting <= room || len(p.ledger.peers) == 0 {
 		return true
 	}
-	return p.idle(now, h.service, endpoints, long) >= maxParts
+	chance := room.Seconds() / waiting.Seconds() / looksPerHeartbeat
+	return p.rand.IntN(chances) < int(chance*chances)
 }
 
+// looksPerHeartbeat is how often a prompt asks between two heartbeats of another entry.
+const looksPerHeartbeat = 5
+
+// chances is the precision with which a chance is drawn.
+const chances = 1 << 20
+
 // idle counts, of the engines for long prompts, those on which nobody decodes and that are nearly
 // done with what they have to prefill.
 func (p *Policy) idle(now time.Time, service *directory.Service, endpoints []*directory.Listed, long int) int {
--- a/routing/direct/backlog_test.go
+++ b/routing/direct/backlog_test.go
@@ -40,3 +40,34 @@
 	}
 	return all
 }
+
+// Guards against entries that see the same room at the same moment and all fill it.
+func TestEntriesTakeTurnsAtTheRoomThatAllSee(t *testing.T) {
+	is := is.New(t)
+	const entries, rounds = 40, 20
+	list, prefill := endpoints(40), Prefill(siteEngine(), 150_000)
+	started := 0
+	for seed := range uint64(rounds) {
+		for i := range uint64(entries) {
+			p := policy(1 + seed*entries + i)
+			tellOthers(p, Demand{LongPrefill: time.Minute, Reading: 2 * time.Second, Waiting: (entries - 1) * prefill})
+			held := p.Hold(service(), 150_000)
+			for range looksPerHeartbeat {
+				if held.MayStart(testNow, list) {
+					started++
+					break
+				}
+			}
+		}
+	}
+	room := float64(40 * readingLimit)
+	taken := float64(started) / rounds * float64(prefill)
+	t.Logf("%.2f of the room taken in one heartbeat", taken/room)
+	is.True(taken < 1.3*room)
+	is.True(taken > 0.3*room)
+
+	alone := policy(1)
+	for range entries {
+		is.True(alone.Hold(service(), 150_000).MayStart(testNow, list)) // nobody else takes it
+	}
+}
