The count of quarantined requests expires without peers too

Operators saw (only suspected, found by reading): on a node alone the gauges of suspects and quarantined requests stay up after their hour. Cause: what expires was dropped when a crash was noted or when findings were told to peers; the gauges only counted. Change: Counts takes the time and forgets what is too old first, as the others do. Evidence: the test fails without it (1, 1 in place of 0, 0). Requests were let through in time before as well.

--- a/attempt/quarantine.go
+++ b/attempt/quarantine.go
@@ -221,9 +221,10 @@
 }
 
 // Counts tells how many requests are suspects, and how many of these in quarantine.
-func (q *Quarantine) Counts() (suspects, quarantined int) {
+func (q *Quarantine) Counts(now time.Time) (suspects, quarantined int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.expire(now)
 	for _, s := range q.suspects {
 		if s.quarantined() {
 			quarantined++
--- a/attempt/quarantine_test.go
+++ b/attempt/quarantine_test.go
@@ -82,6 +82,19 @@
 	is.True(a.Empty() && b.Empty())
 }
 
+// Guards against a metric that shows requests in quarantine after their time, on a node without peers.
+func TestWhatIsCountedExpires(t *testing.T) {
+	is := is.New(t)
+	q := NewQuarantine()
+	for life := range uint32(crashesToQuarantine) {
+		q.Crashed(quarantineNow, printOf("a"), life+1)
+	}
+	suspects, held := q.Counts(quarantineNow.Add(findingLife - 1))
+	is.Equal([]int{suspects, held}, []int{1, 1})
+	suspects, held = q.Counts(quarantineNow.Add(findingLife))
+	is.Equal([]int{suspects, held}, []int{0, 0})
+}
+
 // Guards against memory and messages that grow with the number of different requests that crash endpoints.
 func TestManySuspectsTakeBoundedMemory(t *testing.T) {
 	is := is.New(t)
@@ -92,7 +105,7 @@
 	for i := range 10_000 {
 		q.Crashed(quarantineNow.Add(time.Duration(i)), printOf(fmt.Sprint("n", i)), uint32(i+1))
 	}
-	suspects, held := q.Counts()
+	suspects, held := q.Counts(quarantineNow)
 	is.Equal(suspects, maxSuspects)
 	is.Equal(held, 1) // what is in quarantine goes last
 	told := map[Finding]bool{}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -38,11 +38,11 @@
 	g.metrics.NewGauge("aspenyard_gateway_config_age_seconds", func() float64 { return g.since(&g.configAt).Seconds() })
 	g.metrics.NewGauge("aspenyard_gateway_list_age_seconds", func() float64 { return g.since(&g.heardStoreAt).Seconds() })
 	g.metrics.NewGauge("aspenyard_gateway_suspect_requests", func() float64 {
-		suspects, _ := g.quarantine.Counts()
+		suspects, _ := g.quarantine.Counts(time.Now())
 		return float64(suspects)
 	})
 	g.metrics.NewGauge("aspenyard_gateway_quarantined_requests", func() float64 {
-		_, quarantined := g.quarantine.Counts()
+		_, quarantined := g.quarantine.Counts(time.Now())
 		return float64(quarantined)
 	})
 	g.exposePeers()
