A probe that began before a crash does not tell of the time after it

Callers saw (only suspected, found by reading): a crash under a request is missed where a probe of that endpoint was under way, so that it is counted one too few for quarantine. Cause: prober.ask took a probe that was under way whatever its age, and the result of one by the time of its end; it may have reached the endpoint before that ended. Change: a result counts by when its probe began; an older one that is under way is waited for and another begins. Evidence: the test gets the earlier probe back without the change.

--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -32,9 +32,8 @@
 }
 
 type probe struct {
-	done chan struct{}
-	// at is when it ended; zero: it is under way.
-	at time.Time
+	began time.Time
+	done  chan struct{}
 	// alive is set where the endpoint accepted a connection, refused where nobody listens.
 	alive, refused bool
 }
@@ -56,30 +55,49 @@
 	return ok && result.refused
 }
 
-// ask gives the result of a probe, of the last one if it is no older than since; false where the
-// context ended before.
+// ask gives the result of a probe that did not begin before since; false where the context ended
+// before. One that began earlier may tell of an endpoint that has ended in the meantime.
 func (p *prober) ask(ctx context.Context, e *directory.Listed, since time.Time) (*probe, bool) {
+	for {
+		current := p.latest(e, since)
+		select {
+		case <-current.done:
+		case <-ctx.Done():
+			return nil, false
+		}
+		if !current.began.Before(since) {
+			return current, true
+		}
+	}
+}
+
+// latest gives the last probe, or a new one where that has ended and is too old.
+func (p *prober) latest(e *directory.Listed, since time.Time) *probe {
 	p.mu.Lock()
-	current := p.results[e.Life]
-	if current == nil || !current.at.IsZero() && current.at.Before(since) {
-		current = &probe{done: make(chan struct{})}
-		p.results[e.Life] = current
-		go p.run(e, current)
+	defer p.mu.Unlock()
+	last := p.results[e.Life]
+	if last != nil && (!last.ended() || !last.began.Before(since)) {
+		return last
 	}
-	p.mu.Unlock()
+	last = &probe{began: time.Now(), done: make(chan struct{})}
+	p.results[e.Life] = last
+	go p.run(e, last)
+	return last
+}
+
+// ended tells whether the result is there.
+func (r *probe) ended() bool {
 	select {
-	case <-current.done:
-		return current, true
-	case <-ctx.Done():
-		return nil, false
+	case <-r.done:
+		return true
+	default:
+		return false
 	}
 }
 
 func (p *prober) run(e *directory.Listed, result *probe) {
 	err := p.dial(e)
-	p.mu.Lock()
-	result.alive, result.refused, result.at = err == nil, refused(err), time.Now()
-	p.mu.Unlock()
+	result.alive, result.refused = err == nil, refused(err)
 	close(result.done)
 	if err != nil {
 		p.gateway.markUnreachable(e, "does not accept connections")
