Soak: one request that crashes every endpoint that runs it, at all gateways

Change: a kind of fault sends one body again and again at all gateways in turn, every endpoint ends as it begins to run it, its link refuses connections like a port that nobody listens on, and another life begins after 2 s. A check counts what gateways in touch send of it later than contact after the third crash: more than three breaks BUDGET.

--- a/soak/check.go
+++ b/soak/check.go
@@ -30,6 +30,7 @@
 	{"ROUTE", false, rightService},
 	{"BUDGET", false, fewArrivals},
 	{"BUDGET", false, retriesInBudget},
+	{"BUDGET", false, crashersStopped},
 	{"BUDGET", true, deadlinesPassedOn},
 	{"LIMIT", false, ticketsUsedOnce},
 	{"CONFIG", false, neverReverts},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -102,6 +102,12 @@
 			r.again(run, "i-2", 50.05)
 		}
 	}},
+	"a request that crashes endpoints is sent on": {"BUDGET", func(r *Record) {
+		for i := range 10 {
+			a, run := r.served(string(rune('a'+i)), plainOnce, 50+float64(i))
+			a.Body, run.Body = crashBody, crashBody
+		}
+	}},
 	"more time than is left": {"BUDGET", func(r *Record) {
 		for i := range 30 {
 			_, run := r.served(string(rune('a'+i)), plainOnce, 50)
--- a/soak/endpoints.go
+++ b/soak/endpoints.go
@@ -53,6 +53,12 @@
 		}
 		time.Sleep(bindInterval)
 	}
+	for p.link.Listen() != nil {
+		if w.stopped.Err() != nil {
+			return
+		}
+		time.Sleep(bindInterval)
+	}
 	p.mu.Lock()
 	p.worker, p.service, p.leaving, p.busy = next, next.Service, false, false
 	p.mu.Unlock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -23,6 +23,8 @@
 	kindStoreLink    = "store-link"
 	kindCallersLink  = "callers-link"
 	kindEndpointLink = "endpoint-link"
+
+	kindCrashingRequest = "crashing-request"
 )
 
 // kindTable lists every kind of fault, with how often it comes. New ones go at its end:
@@ -59,6 +61,7 @@
 		{"addresses-change-owners", 1, changeOwners},
 		{"endpoint-restarts", 3, restart},
 		{"foreign-entries", 1, writeForeign},
+		{kindCrashingRequest, 1, crashingRequest},
 	}
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -187,7 +187,8 @@
 	if id == "" {
 		id = fmt.Sprintf("i-%04d", w.lives)
 	}
-	worker := &platform.Worker{ID: id, Born: time.Now().UnixMilli(), Service: service, Work: plainWork}
+	worker := &platform.Worker{ID: id, Born: time.Now().UnixMilli(), Service: service, Work: plainWork, CrashOn: crashBody}
+	worker.Crashed = func() { w.crashed(worker) }
 	if service == serviceModel {
 		worker.Events, worker.Pace, worker.Work, worker.Slots, worker.MemoryTokens = streamEvents, eventPace, 0, 16, memoryTokens
 	}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Direction is the way of traffic through a link; Both is the two together.
@@ -22,15 +24,17 @@
 
 // Link carries connections and datagrams to a target.
 type Link struct {
-	target   string
-	listener net.Listener
-	packets  net.PacketConn
+	target  string
+	addr    string
+	packets net.PacketConn
 
-	mu    sync.Mutex
-	cut   Direction
-	open  map[Direction]chan struct{} // closed while that way is whole
-	delay time.Duration
-	pairs map[*pair]bool
+	mu sync.Mutex
+	// listener is nil while connections are refused.
+	listener net.Listener
+	cut      Direction
+	open     map[Direction]chan struct{} // closed while that way is whole
+	delay    time.Duration
+	pairs    map[*pair]bool
 }
 
 // pair is a connection and its continuation to the target.
@@ -63,12 +67,12 @@
 			last = err
 			continue
 		}
-		l := &Link{target: target, listener: listener, packets: packets, pairs: map[*pair]bool{}, open: map[Direction]chan struct{}{}}
+		l := &Link{target: target, addr: listener.Addr().String(), listener: listener, packets: packets, pairs: map[*pair]bool{}, open: map[Direction]chan struct{}{}}
 		for _, way := range []Direction{ToTarget, FromTarget} {
 			l.open[way] = make(chan struct{})
 			close(l.open[way])
 		}
-		go l.serveTCP()
+		go l.serveTCP(listener)
 		go l.serveUDP()
 		return l, nil
 	}
@@ -76,11 +80,38 @@
 }
 
 // Addr is where the link listens.
-func (l *Link) Addr() string { return l.listener.Addr().String() }
+func (l *Link) Addr() string { return l.addr }
+
+// Refuse makes the link refuse connections, as its target does whose process has ended. Present
+// ones go on.
+func (l *Link) Refuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil {
+		_ = l.listener.Close()
+		l.listener = nil
+	}
+}
+
+// Listen takes connections again after Refuse. Error: the address is in use.
+func (l *Link) Listen() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	l.listener = listener
+	go l.serveTCP(listener)
+	return nil
+}
 
 // Close ends the link and all its connections.
 func (l *Link) Close() {
-	_ = l.listener.Close()
+	l.Refuse()
 	_ = l.packets.Close()
 	l.Reset()
 	l.SetCut(0)
@@ -142,9 +173,9 @@
 	}
 }
 
-func (l *Link) serveTCP() {
+func (l *Link) serveTCP(listener net.Listener) {
 	for {
-		near, err := l.listener.Accept()
+		near, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -98,6 +98,8 @@
 	// CrashOn is the body of requests under which the worker ends as it begins to run them; "":
 	// none.
 	CrashOn string
+	// Crashed is called as the worker ends under CrashOn; nil: nothing is.
+	Crashed func()
 	// MemoryTokens is its KV cache, of which reservations take their part; 0: no bound.
 	MemoryTokens int
 
@@ -329,6 +331,9 @@
 	run.Ran, run.Status = true, http.StatusOK
 	w.note(run)
 	if w.CrashOn != "" && run.Body == w.CrashOn {
+		if w.Crashed != nil {
+			w.Crashed()
+		}
 		w.Stop()
 		return false
 	}
