A request in quarantine is known to entries that all start anew

Cause: what endpoints crash under was only in the memory of entries, which tell each other in heartbeats. Change: an entry that saw one of the crashes leaves a record in the platform's store, by a transaction that expects it not to be there, under a lease of ten minutes; entries read the records as they start, by a reading that may be stale and costs a tenth of a call, and see later ones in the watch that they have. platform/ only translates; the record's words are the gateway's. A record that cannot be read is logged and left. Its crashes count from when it is read, so that clocks need not agree. Ruled out: a lease that is renewed (ten thousand requests would be as many leases), one key for all of them (a write would replace another's). Evidence: TestAQuarantineOutlivesAllEntries fails where the reading's records are not taken in (a mutation).

--- a/attempt/quarantine.go
+++ b/attempt/quarantine.go
@@ -113,6 +113,22 @@
 	return crashes, quarantined
 }
 
+// Evidence gives the endpoints that crashed under a request, and tells whether this node has seen
+// one of them crash.
+func (q *Quarantine) Evidence(request Fingerprint) (endpoints []uint32, own bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.suspects[request]
+	if s == nil {
+		return nil, false
+	}
+	for _, c := range s.crashes {
+		endpoints = append(endpoints, c.endpoint)
+		own = own || c.own
+	}
+	return endpoints, own
+}
+
 // Answered notes that a request was answered whole: it does not crash every endpoint.
 func (q *Quarantine) Answered(now time.Time, request Fingerprint) {
 	q.mu.Lock()
--- a/directory/registry.go
+++ b/directory/registry.go
@@ -23,7 +23,14 @@
 	Lease, Revision uint64
 }
 
-// Registry is where nodes make themselves known to each other.
+// Record is what nodes leave in the store for those that start later.
+type Record struct {
+	// Name is unique; Value is in the words of those who write it.
+	Name  string
+	Value []byte
+}
+
+// Registry is where nodes make themselves known to each other, and leave records.
 type Registry interface {
 	// Register writes the node's entry under a lease of ttl. After an error it may be
 	// there, and ends with the lease.
@@ -32,4 +39,7 @@
 	Renew(ctx context.Context, lease uint64) error
 	// Deregister ends the lease, and with it the entry.
 	Deregister(ctx context.Context, lease uint64) error
+	// Keep writes a record for ttl; one of its name that is there stays as it is. After an error
+	// it may be there.
+	Keep(ctx context.Context, r Record, ttl time.Duration) error
 }
--- a/directory/replica.go
+++ b/directory/replica.go
@@ -53,6 +53,8 @@
 	Refused []string
 	// Nodes are the system's own processes.
 	Nodes []Node
+	// Records are what nodes have left; some of the last seconds may be missing.
+	Records []Record
 	// Faults lists what could not be decoded.
 	Faults []Fault
 }
@@ -79,6 +81,8 @@
 	// registration ended.
 	Node     *Node
 	NodeGone string
+	// Record is one that a node has left.
+	Record *Record
 }
 
 // Changes is what happened after a revision.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -67,7 +67,7 @@
 	f.log.Add("endpoint_crashed", zap.String("endpoint", e.ID), zap.Stringer("fingerprint", f.fingerprint()), zap.Int("crashes", crashes))
 	g.countCrash(f.service.Name)
 	if quarantined {
-		g.logQuarantined(f.fingerprint(), "")
+		g.noteQuarantined(f.fingerprint(), "")
 	}
 	if crashes > 1 {
 		g.peers.announce()
@@ -81,10 +81,13 @@
 	}
 }
 
-// logQuarantined tells that a request is refused from now on, and which entry's word completed what
-// was known; "" for what this one saw itself.
-func (g *Gateway) logQuarantined(request attempt.Fingerprint, from string) {
+// noteQuarantined notes that a request is refused from now on, and by whose word; "" for what this
+// entry saw itself. Entries that saw one of the crashes leave a record of it.
+func (g *Gateway) noteQuarantined(request attempt.Fingerprint, from string) {
 	g.log.Warn("quarantined", zap.Stringer("fingerprint", request), zap.String("heard_from", from))
+	if endpoints, own := g.quarantine.Evidence(request); own {
+		go g.keepQuarantined(quarantineRecord{Scope: request.Scope, Body: request.Body, Endpoints: endpoints})
+	}
 }
 
 // crashed tells whether an endpoint's process has ended without notice: its port refuses
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -128,6 +128,38 @@
 	is.Equal(first.ranBody(poison), 3)
 }
 
+// Guards against entries that all start anew and end three more endpoints with a request in quarantine.
+func TestAQuarantineOutlivesAllEntries(t *testing.T) {
+	is := is.New(t)
+	first := newSite(t, crashing(12)...)
+	first.start()
+	for i := range 2 {
+		first.do(first.request("POST", "/again/a", fmt.Sprint("p", i), poison))
+	}
+	is.Equal(first.ranBody(poison), 3)
+	first.until("the record is kept", func() bool { return len(first.store.Keys("records/")) == 1 })
+	first.terminate()
+	<-first.ended
+	next := newSite(t)
+	next.store = first.store
+	next.version = first.version
+	next.start()
+	is.Equal(next.do(next.request("POST", "/again/a", "later", poison)).status, http.StatusServiceUnavailable)
+	is.Equal(first.ranBody(poison), 3)
+	is.Equal(next.post("/again/a", "other").status, http.StatusOK)
+}
+
+// Guards against records that something else wrote.
+func TestARecordThatCannotBeReadIsLeft(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, plain())
+	s.store.Put("records/x", []byte("{"))
+	s.start()
+	s.until("it is logged", func() bool { return strings.Contains(s.log.String(), `"event":"quarantine_record_refused"`) })
+	is.Equal(s.post("/again/a", "q").status, http.StatusOK)
+	is.Equal(s.metric("aspenyard_gateway_suspect_requests "), 0.0)
+}
+
 // Guards against taking a broken connection, or an endpoint that leaves, for a crash under the request.
 func TestWhatIsNoCrashIsNotHeldAgainstARequest(t *testing.T) {
 	is := is.New(t)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -158,11 +158,14 @@
 		f.replica.TakeReading(now, answer.reading)
 		f.stale = false
 		f.logFaults(answer.reading.Faults)
+		for i := range answer.reading.Records {
+			f.gateway.hearRecord(now, &answer.reading.Records[i])
+		}
 	default:
 		pause = f.gatherPause(answer.changes)
 		f.replica.TakeChanges(now, answer.changes)
 		f.logFaults(answer.changes.Faults)
-		f.logChanges(answer.changes)
+		f.noteChanges(now, answer.changes)
 	}
 	f.gateway.heardStoreAt.Store(f.gateway.now())
 	f.publish()
@@ -199,9 +202,12 @@
 	}
 }
 
-func (f *follower) logChanges(changes *directory.Changes) {
+// noteChanges logs changes, and passes on the records among them.
+func (f *follower) noteChanges(now time.Time, changes *directory.Changes) {
 	for i := range changes.Changes {
 		switch change := &changes.Changes[i]; {
+		case change.Record != nil:
+			f.gateway.hearRecord(now, change.Record)
 		case change.Gone != "":
 			f.gateway.log.Info("endpoint_gone", zap.String("endpoint", change.Gone), zap.Uint64("revision", change.Revision))
 		case change.Endpoint != nil && change.Endpoint.Leaving:
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -229,7 +229,7 @@
 	readStreams(h, open)
 	p.gateway.ledger.TellSlows(now, slows(h))
 	for _, request := range p.gateway.quarantine.Hear(now, findings(h)) {
-		p.gateway.logQuarantined(request, h.Node)
+		p.gateway.noteQuarantined(request, h.Node)
 	}
 	if h.Partial {
 		p.gateway.ledger.TellPeerChanges(now, h.Node, demands, open)
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -49,6 +49,32 @@
 	is.True(store.Get("nodes/g1") == nil)
 }
 
+// A record is written once, is read and seen by others, and ends with its lease.
+func TestNodesLeaveRecordsInTheStore(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewStore()
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), gateway.Dialer(time.Second))
+	ctx := context.Background()
+	before, err := client.Read(ctx)
+	is.NoErr(err)
+	record := directory.Record{Name: "r1", Value: []byte("first")}
+	is.NoErr(client.Keep(ctx, record, time.Minute))
+	is.NoErr(client.Keep(ctx, directory.Record{Name: "r1", Value: []byte("second")}, time.Minute))
+	reading, err := client.Read(ctx)
+	is.NoErr(err)
+	is.Equal(reading.Records, []directory.Record{record})
+	changes, err := client.Follow(ctx, before.At, 0)
+	is.NoErr(err)
+	is.Equal(len(changes.Changes), 1)
+	is.Equal(*changes.Changes[0].Record, record)
+	store.EndLeases()
+	reading, err = client.Read(ctx)
+	is.NoErr(err)
+	is.Equal(len(reading.Records), 0)
+}
+
 // Gateways that are registered hear of each other over their sockets, and their metrics say
 // of how many, how old that is and what it takes.
 func TestGatewaysHearOfEachOther(t *testing.T) {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -94,6 +94,20 @@
 	s.remove(key)
 }
 
+// Keys gives the keys under a prefix, sorted.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
 // Get gives a key's value, nil where there is none.
 func (s *Store) Get(key string) []byte {
 	s.mu.Lock()
