--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -15,14 +15,20 @@
 	standin "aspenyard.example/standin/platform"
 )
 
+// storeAndClient starts a store for the test, and makes a client of it.
+func storeAndClient(t *testing.T) (*standin.Store, *platform.Store) {
+	t.Helper()
+	store := standin.NewStore()
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+	return store, platform.NewStore(strings.TrimPrefix(server.URL, "http://"), gateway.Dialer(time.Second))
+}
+
 // A node's registration is seen by the others, ends with its lease, and is made anew
 // when the lease has lapsed, whatever answers were lost on the way.
 func TestNodesRegisterInTheStore(t *testing.T) {
 	is := is.New(t)
-	store := standin.NewStore()
-	server := httptest.NewServer(store.Handler())
-	defer server.Close()
-	client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), gateway.Dialer(time.Second))
+	store, client := storeAndClient(t)
 	ctx := context.Background()
 	node := directory.Node{Name: "g1", Addr: "127.0.0.1:7340", DataCentre: "dc1"}
 	store.SetFaults(standin.StoreFaults{LoseAnswers: 2})
@@ -52,10 +58,7 @@
 // A record is written once, is read and seen by others, and ends with its lease.
 func TestNodesLeaveRecordsInTheStore(t *testing.T) {
 	is := is.New(t)
-	store := standin.NewStore()
-	server := httptest.NewServer(store.Handler())
-	defer server.Close()
-	client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), gateway.Dialer(time.Second))
+	store, client := storeAndClient(t)
 	ctx := context.Background()
 	before, err := client.Read(ctx)
 	is.NoErr(err)
