The test of an entry that starts hears of the quarantine by heartbeats alone again

What was seen: the mutation quarantine-is-told survived the run of all mutations, since the entry that starts now reads the record in the store. Change: the test waits for the record and deletes it before the second entry starts; what it asserts is as before.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -117,6 +117,8 @@
 		first.do(first.request("POST", "/again/a", fmt.Sprint("p", i), poison))
 	}
 	is.Equal(first.ranBody(poison), 3)
+	first.until("the record is kept", func() bool { return len(first.store.Keys("records/")) == 1 })
+	first.store.Delete(first.store.Keys("records/")[0]) // it hears by heartbeats alone
 	second := newSite(t)
 	second.store = first.store
 	second.hearPeers()
