Read again: demand is summed once a look, one bound of a registering call, one list of loads in tests

What the whole change showed on another reading, behaviour as before: - a look for room, and the estimate on arrival, summed what all entries tell twice: forLong takes the demand that is known; - what is left to prefill was counted down twice in each placing, and once for each service told: whoever reads loads does it once; - keepQuarantined asked twice in two places; its calls have the bound of the other calls that write under a lease; - opens and eachOf made the same list.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -17,11 +17,9 @@
 	// recordTTL is how long the store keeps the record of a request in quarantine: the longest
 	// lease that it gives. Only entries that all start anew need it.
 	recordTTL = 10 * time.Minute
-	// recordTries is how often an entry tries to leave one, recordPause the time between; recordTimeout
-	// bounds a try.
-	recordTries   = 5
-	recordPause   = 2 * time.Second
-	recordTimeout = time.Second
+	// recordTries is how often an entry tries to leave one, recordPause the time between.
+	recordTries = 5
+	recordPause = 2 * time.Second
 	// recordedEndpoints is how many endpoints a record names at most.
 	recordedEndpoints = 16
 )
@@ -41,16 +39,16 @@
 
 // keepQuarantined leaves a record, and gives up after a few tries.
 func (g *Gateway) keepQuarantined(r quarantineRecord) {
-	err := g.keep(r)
-	for range recordTries - 1 {
-		if err == nil {
+	for try := 1; ; try++ {
+		err := g.keep(r)
+		switch {
+		case err == nil:
+			return
+		case try == recordTries:
+			g.log.Warn("quarantine_not_kept", zap.Stringer("fingerprint", r.request()), eventlog.Error(err))
 			return
 		}
 		time.Sleep(recordPause)
-		err = g.keep(r)
-	}
-	if err != nil {
-		g.log.Warn("quarantine_not_kept", zap.Stringer("fingerprint", r.request()), eventlog.Error(err))
 	}
 }
 
@@ -60,7 +58,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
 	defer cancel()
 	return g.registry.Keep(ctx, directory.Record{Name: r.request().String(), Value: value}, recordTTL)
 }
--- a/routing/direct/backlog.go
+++ b/routing/direct/backlog.go
@@ -19,9 +19,9 @@
 // TooLate tells whether the prompt is to be refused at once, as its first token would be late.
 func (e Expectation) TooLate(target time.Duration) bool { return target > 0 && e.FirstToken() > target }
 
-// forLong is how many engines there are for long prompts.
-func (p *Policy) forLong(now time.Time, service *directory.Service, engines int) int {
-	return max(engines-p.boundary(now, service, engines), 1)
+// forLong is how many engines there are for long prompts at a demand.
+func (p *Policy) forLong(demand Demand, service *directory.Service, engines int) int {
+	return max(engines-p.boundaryFor(demand, service, engines), 1)
 }
 
 // spreadFactor is how many times as long as its parts take a prompt is read: it ends with the slowest
@@ -53,8 +53,9 @@
 // expect estimates when the first token of a prompt would come: after the long prompts that all
 // entries have sent and hold back, at the rate of the engines for long prompts.
 func (p *Policy) expect(now time.Time, service *directory.Service, engines, promptTokens int) Expectation {
+	p.ledger.advance(now)
 	total := p.ledger.total(now, service.Name)
-	free := p.forLong(now, service, engines)
+	free := p.forLong(total, service, engines)
 	wait := (total.Reading + total.Waiting).Seconds() / (float64(free) * fullUse)
 	return Expectation{Wait: time.Duration(wait * float64(time.Second)), Prefill: Prefill(service.Engine, promptTokens) / time.Duration(min(free, maxParts))}
 }
--- a/routing/direct/direct_test.go
+++ b/routing/direct/direct_test.go
@@ -297,11 +297,7 @@
 
 // opens gives each endpoint so many requests.
 func opens(list []*directory.Listed, count int) []Open {
-	var open []Open
-	for _, e := range list {
-		open = append(open, Open{Endpoint: HashEndpoint(e.Life), Count: count, Streams: streams(250*time.Millisecond, count)})
-	}
-	return open
+	return eachOf(list, Open{Count: count, Streams: streams(250*time.Millisecond, count)})
 }
 
 // Symptom: a quarter of the long prompts are refused while engines have room. Sequence:
--- a/routing/direct/held.go
+++ b/routing/direct/held.go
@@ -52,10 +52,11 @@
 	p := h.policy
 	p.ledger.mu.Lock()
 	defer p.ledger.mu.Unlock()
-	long := p.forLong(now, h.service, len(endpoints))
+	p.ledger.advance(now)
+	demand := p.ledger.total(now, h.service.Name)
+	long := p.forLong(demand, h.service, len(endpoints))
 	limit := time.Duration(long) * readingLimit
 	before := max(limit-h.prefill, time.Duration(leastReading*float64(limit)))
-	demand := p.ledger.total(now, h.service.Name)
 	if demand.Reading <= before {
 		return p.takesTurn(limit-demand.Reading, demand.Waiting)
 	}
--- a/routing/direct/held_test.go
+++ b/routing/direct/held_test.go
@@ -27,7 +27,7 @@
 	is.True(held.MayStart(testNow, list)) // what is read is read elsewhere
 	tellOthers(p, backlog, eachOf(list, Open{Reading: time.Second})...)
 	is.True(!held.MayStart(testNow, list))
-	tellOthers(p, backlog, eachOf(list, Open{Count: 1, Streams: streams(250*time.Millisecond, 1)})...)
+	tellOthers(p, backlog, opens(list, 1)...)
 	is.True(!held.MayStart(testNow, list)) // they would be made late
 }
 
--- a/routing/direct/ledger.go
+++ b/routing/direct/ledger.go
@@ -74,6 +74,7 @@
 func (l *Ledger) Demands(now time.Time) []Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.advance(now)
 	list := make([]Demand, 0, len(l.demands))
 	for service := range l.demands {
 		list = append(list, l.own(now, service))
@@ -82,7 +83,6 @@
 }
 
 func (l *Ledger) own(now time.Time, service string) Demand {
-	l.advance(now)
 	d := l.demand(service)
 	d.expire(now)
 	return Demand{Service: service, LongPrefill: d.sum, OpenShort: l.shorts[service], Reading: l.reading[service], Waiting: l.waiting[service]}
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -280,7 +280,11 @@
 
 // boundary is how many of a service's engines short prompts have to themselves.
 func (p *Policy) boundary(now time.Time, service *directory.Service, engines int) int {
-	demand := p.ledger.total(now, service.Name)
+	return p.boundaryFor(p.ledger.total(now, service.Name), service, engines)
+}
+
+// boundaryFor is the same at a demand that is known.
+func (p *Policy) boundaryFor(demand Demand, service *directory.Service, engines int) int {
 	if !p.ledger.heardOfOthers() {
 		// Entries that have all just started would each send their first requests to the
 		// same few engines.
--- a/routing/direct/progress.go
+++ b/routing/direct/progress.go
@@ -24,7 +24,8 @@
 }
 
 // advance counts down what this entry's long prompts have left to prefill. Counted in full until
-// their first tokens, engines that are nearly done would look as busy as those that have begun.
+// their first tokens, engines that are nearly done would look as busy as those that have begun. Whoever
+// reads loads or demands calls it first, once under the lock.
 func (l *Ledger) advance(now time.Time) {
 	for c := range l.prefilling {
 		left := c.progress.left(now)
