--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -126,10 +126,15 @@
 			endPrefill()
 		}
 	}
+	if f.gateway.limitLog.isLimited(plan.Endpoint.Incarnation) {
+		f.gateway.countLimitedRequest(f.service.Name)
+		f.log.Add("sent_to_limited", zap.String("endpoint", plan.Endpoint.ID))
+	}
 	response, sendErr := f.gateway.exchange(ctx, plan.Endpoint, f.buildRequest(plan, helpers), !f.route.Repeatable(), f.silenceTimeout())
 	if sendErr != nil {
 		return sendErr.outcome, sendErr
 	}
+	f.gateway.observeLimit(plan.Endpoint, response.parsed.Limit)
 	if response.parsed.HasLoad {
 		f.gateway.loadTracker.RecordLoadReport(time.Now(), plan.Endpoint.Incarnation, response.parsed.Running, response.parsed.Waiting)
 	}
