--- /dev/null
+++ b/standin/platform/limit.go
@@ -0,0 +1,73 @@
+package platform
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+// SetLimit makes the worker state in its responses, from now on, how many requests per second
+// it takes from all gateways together. It does not enforce the limit.
+func (w *Worker) SetLimit(perSecond float64) {
+	w.SetLimitText(strconv.FormatFloat(perSecond, 'f', -1, 64))
+}
+
+// SetLimitText sets the text of the limit that responses state, which may be malformed; with ""
+// they state none.
+func (w *Worker) SetLimitText(text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.statedLimit = text
+}
+
+// limitHeader returns the header line that states the limit.
+func (w *Worker) limitHeader() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.statedLimit == "" {
+		return ""
+	}
+	return "Server-Limit: " + w.statedLimit + "\r\n"
+}
+
+// ArrivalsPerSecond returns how many requests arrived in each second since a time, by sender.
+// senderOf maps a request to the gateway that it came through.
+func (w *Worker) ArrivalsPerSecond(since time.Time, senderOf func(r *Run) string) map[string][]int {
+	counts := map[string][]int{}
+	for _, run := range w.Runs() {
+		if run.ArrivedAt.Before(since) {
+			continue
+		}
+		sender, second := senderOf(&run), int(run.ArrivedAt.Sub(since)/time.Second)
+		for len(counts[sender]) <= second {
+			counts[sender] = append(counts[sender], 0)
+		}
+		counts[sender][second]++
+	}
+	return counts
+}
+
+// MaxArrivals returns the largest number of requests that arrived since a time within any span
+// of the given length.
+func (w *Worker) MaxArrivals(since time.Time, span time.Duration) int {
+	var times []time.Time
+	for _, run := range w.Runs() {
+		if !run.ArrivedAt.Before(since) {
+			times = append(times, run.ArrivedAt)
+		}
+	}
+	return MaxWithin(times, span)
+}
+
+// MaxWithin returns the largest number of times within any span of the given length.
+func MaxWithin(times []time.Time, span time.Duration) int {
+	times = slices.SortedFunc(slices.Values(times), time.Time.Compare)
+	most, first := 0, 0
+	for i := range times {
+		for times[i].Sub(times[first]) > span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -121,6 +121,8 @@
 	orderCount      int
 	freedCount      int
 	failedHelper    string
+	// statedLimit is the text of the limit header in responses; "" states none.
+	statedLimit     string
 	slowdown        float64
 	reportCount     int
 	listener        net.Listener
@@ -330,7 +332,7 @@
 		return false
 	}
 	run.Body, run.ArrivedAt = string(body), time.Now()
-	headers := fmt.Sprintf("X-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Instance-Load: 1,0,16\r\n", run.ID)
+	headers := fmt.Sprintf("X-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Instance-Load: 1,0,16\r\n%s", run.ID, w.limitHeader())
 	if status, refusalHeaders := w.refusal(r, fault); status != 0 {
 		run.Status = status
 		w.addRun(run)
