gateway, routing/direct: entries keep the limit that an endpoint states, all together

What callers saw: nothing yet; the endpoint in need got up to three times what it takes, and would have become slow or ended. Cause: nothing read the limit. Class: a total over all entries, which none of them can see alone. Change: - A response's limit is kept by incarnation (direct.EndpointLimits). Where responses overtake each other the stricter limit counts: a limit is loosened only by a request that was sent after the last statement was heard. - A limit is divided among a few entries, its holders, chosen by rendezvous hashing over the registered names; each has a token bucket (admission.RateShare). RetryWindow stays as it is: its allowance is large against the number of entries, a limit is not. - Heartbeats report limits, with the ages of request and response, and the sender's uptime, by which a late heartbeat is told. An entry that starts gets a full heartbeat from each other at its first one. - Placing: a limited endpoint takes what others cannot take soon, no parts of prompts and no queries; where all are limited, refusal at once (3016) with when to come back, more urgent requests first. - An allowance is taken when a request is sent, and given back when it has certainly not arrived.

--- a/directory/replica.go
+++ b/directory/replica.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -354,6 +356,9 @@
 // nil.
 func (s *Snapshot) EndpointByID(id string) *EndpointState { return s.byID[id] }
 
+// All returns all endpoints, in no order.
+func (s *Snapshot) All() iter.Seq[*EndpointState] { return maps.Values(s.byID) }
+
 // Len returns the number of endpoints that may be sent requests.
 func (s *Snapshot) Len() int { return len(s.byID) }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -234,7 +234,7 @@
 	w.gateway.pool.prune(known)
 	w.gateway.prober.prune(known)
 	w.gateway.slowdownMonitor.prune(known)
-	w.gateway.limitLog.prune(known)
+	w.gateway.shareLimits(snapshot)
 	w.gateway.loadTracker.Prune(known)
 	w.gateway.peers.setMembers(snapshot)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -36,7 +36,7 @@
 	f.retrier = attempt.Retrier{Repeatable: c.route.Repeatable(), MaxArrivals: c.route.MaxAttempts}
 	f.placementRequest = direct.Request{
 		Service: c.service, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens,
-		DataCentre: c.gateway.settings.DataCentre, MaxPause: c.route.TargetPause, Tried: map[directory.Incarnation]bool{},
+		DataCentre: c.gateway.settings.DataCentre, Priority: c.priority(), MaxPause: c.route.TargetPause, Tried: map[directory.Incarnation]bool{},
 	}
 	if c.route.Kind == directory.Streaming {
 		f.relay = &streamRelay{call: c, lastEventID: c.LastEventID}
@@ -52,14 +52,23 @@
 		if plan == nil {
 			return f.noEndpointError()
 		}
+		if plan.RateLimited {
+			return f.refuseLimited(plan)
+		}
 		if plan.Overloaded {
 			return f.refuseCapacity(plan)
 		}
+		if !f.takeAllowance(plan.Endpoint) {
+			continue // another request has taken it since; the next plan leaves the endpoint out
+		}
 		outcome, err := f.sendTo(ctx, plan)
 		if err == nil {
 			f.recordResponse()
 			return nil
 		}
+		if outcome == attempt.NotSent {
+			c.gateway.loadTracker.Limits().GiveBack(time.Now(), direct.HashEndpoint(plan.Endpoint.Incarnation))
+		}
 		if outcome == attempt.Broken && ctx.Err() == nil {
 			f.checkForCrash(ctx, plan.Endpoint)
 		}
@@ -81,7 +90,7 @@
 func (c *call) place(r *direct.Request) *direct.Plan {
 	snapshot := c.gateway.snapshot.Load()
 	plan := c.gateway.policy.Place(time.Now(), r, snapshot.Endpoints(c.service.Name))
-	if plan == nil || plan.Overloaded {
+	if plan == nil || plan.Overloaded || plan.RateLimited {
 		return plan
 	}
 	c.lastEndpoint = plan.Endpoint.ID
@@ -126,15 +135,12 @@
 			endPrefill()
 		}
 	}
-	if f.gateway.limitLog.isLimited(plan.Endpoint.Incarnation) {
-		f.gateway.countLimitedRequest(f.service.Name)
-		f.log.Add("sent_to_limited", zap.String("endpoint", plan.Endpoint.ID))
-	}
+	sentAt := time.Now()
 	response, sendErr := f.gateway.exchange(ctx, plan.Endpoint, f.buildRequest(plan, helpers), !f.route.Repeatable(), f.silenceTimeout())
 	if sendErr != nil {
 		return sendErr.outcome, sendErr
 	}
-	f.gateway.observeLimit(plan.Endpoint, response.parsed.Limit)
+	f.gateway.observeLimit(plan.Endpoint, sentAt, response.parsed.Limit)
 	if response.parsed.HasLoad {
 		f.gateway.loadTracker.RecordLoadReport(time.Now(), plan.Endpoint.Incarnation, response.parsed.Running, response.parsed.Waiting)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,7 +53,6 @@
 	registry        directory.Registry
 	slowdownReader  SlowdownReader
 	slowdownMonitor *slowdownMonitor
-	limitLog        *limitLog
 	peers           *peers
 	peerLoop        atomic.Pointer[membership.Loop] // nil until the first registration
 	active          atomic.Int64                    // callers' requests in flight
@@ -126,8 +125,7 @@
 	g.callers = newCallerServer(g)
 	g.prober = newProber(g)
 	g.slowdownReader, g.slowdownMonitor = c.SlowdownReader, newSlowdownMonitor(g)
-	g.limitLog = newLimitLog()
-	g.peers = &peers{gateway: g, lastSent: map[direct.EndpointHash]direct.EndpointLoad{}}
+	g.peers = &peers{gateway: g, lastSent: map[direct.EndpointHash]direct.EndpointLoad{}, delays: newPeerDelays(g.started), incarnations: map[string]uint64{}}
 	g.longQueue = admission.NewSemaphore(1)
 	g.registerMetrics(c.LogWriter)
 	return g
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -30,7 +30,6 @@
 	g.metrics.NewGauge("aspenyard_gateway_active_requests", func() float64 { return float64(g.active.Load()) })
 	g.metrics.NewGauge("aspenyard_gateway_endpoints", func() float64 { return float64(g.snapshot.Load().Len()) })
 	g.metrics.NewGauge("aspenyard_gateway_slow_endpoints", func() float64 { return float64(len(g.loadTracker.SlowEndpoints(time.Now()))) })
-	g.metrics.NewGauge("aspenyard_gateway_limited_endpoints", func() float64 { return float64(g.limitLog.count()) })
 	g.metrics.NewGauge("aspenyard_gateway_config_version", func() float64 {
 		if config := g.snapshot.Load().Config; config != nil {
 			return float64(config.Version)
@@ -48,6 +47,7 @@
 		_, quarantined := g.quarantine.Counts(time.Now())
 		return float64(quarantined)
 	})
+	g.registerLimitMetrics()
 	g.registerPeerMetrics()
 	if writer != nil {
 		g.metrics.NewGauge("aspenyard_gateway_log_lines_dropped_total", func() float64 { return float64(writer.Dropped()) })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sort"
 	"sync/atomic"
@@ -66,6 +67,10 @@
 	// full heartbeat was sent. Only the membership loop's control thread uses these two fields.
 	lastSent   map[direct.EndpointHash]direct.EndpointLoad
 	fullSentAt time.Time
+	// delays and incarnations are used by the control thread only, like lastSent.
+	// incarnations holds the other entries' incarnations as of the last tick.
+	delays       *peerDelays
+	incarnations map[string]uint64
 }
 
 // keepRegistered registers this node and renews the registration until ctx ends.
@@ -182,6 +187,8 @@
 		h.SlowEndpoints = append(h.SlowEndpoints, uint32(s.Endpoint))
 		h.SlowPercents = append(h.SlowPercents, uint32(s.Slowdown*percent))
 	}
+	h.SentUptimeMs = uint64(time.Since(p.gateway.started).Milliseconds())
+	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
 	for _, d := range p.gateway.loadTracker.Demands(now) {
 		h.Demands = append(h.Demands, &wire.Demand{
@@ -235,6 +242,7 @@
 	}
 	decodeStreams(h, loads)
 	p.gateway.loadTracker.RecordPeerSlowEndpoints(now, decodeSlowEndpoints(h))
+	p.gateway.mergeLimits(now, h, p.delays.observe(now, h))
 	for _, request := range p.gateway.quarantine.Merge(now, decodeFindings(h)) {
 		p.gateway.reportQuarantined(request, h.Node)
 	}
@@ -303,6 +311,7 @@
 // Tick implements membership.Delegate: it updates the number of entries, and this one's rank
 // among them by name, for the retry limits and the division of the engines.
 func (p *peers) Tick(now time.Time, members *membership.View) {
+	p.welcomeEntries(members)
 	p.gateway.retries.SetEntries(now, members.EntryCountWithLeaving()+1)
 	p.gateway.loadTracker.SetEntryCount(members.EntryCount() + 1)
 	alive := members.Entries("")
@@ -310,6 +319,20 @@
 	p.gateway.loadTracker.SetRank(rank, len(alive)+1)
 }
 
+// welcomeEntries makes the next heartbeat a full one when an entry has started, so that it learns
+// at once what the others know, and drops what is kept of entries that are gone.
+func (p *peers) welcomeEntries(members *membership.View) {
+	for name, m := range members.Members {
+		if m.LastHeartbeat != nil && p.incarnations[name] != m.LastHeartbeat.Incarnation {
+			p.incarnations[name] = m.LastHeartbeat.Incarnation
+			p.fullSentAt = time.Time{}
+		}
+	}
+	known := func(name string) bool { return members.Members[name] != nil }
+	maps.DeleteFunc(p.incarnations, func(name string, _ uint64) bool { return !known(name) })
+	p.delays.prune(known)
+}
+
 // percent is the factor by which a slowdown is multiplied in heartbeats.
 const percent = 100
 
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -33,13 +33,16 @@
 		return failure
 	}
 	g := f.gateway
-	endpoints := g.snapshot.Load().Endpoints(f.service.Name)
+	endpoints := g.policy.Unlimited(f.started, g.snapshot.Load().Endpoints(f.service.Name))
 	engines := len(endpoints)
 	estimate := g.policy.AddLongPrompt(f.started, f.service, engines, f.PromptTokens)
 	if estimate.TooLate(f.route.Target) {
 		return f.refuseLateFirstToken(estimate, backlogDrainFactor*(estimate.FirstToken()-f.route.Target))
 	}
-	if plan := g.policy.Place(f.started, &f.placementRequest, endpoints); plan != nil && plan.Overloaded {
+	if plan := g.policy.Place(f.started, &f.placementRequest, endpoints); plan != nil && (plan.Overloaded || plan.RateLimited) {
+		if plan.RateLimited {
+			return f.refuseLimited(plan)
+		}
 		return f.refuseCapacity(plan) // already known; waiting would only delay the refusal
 	}
 	queued := g.policy.Enqueue(f.service, f.PromptTokens)
--- a/gateway/slowdown.go
+++ b/gateway/slowdown.go
@@ -64,6 +64,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range endpoints {
+		if m.gateway.loadTracker.Limits().Limited(now, direct.HashEndpoint(e.Incarnation)) {
+			continue // a query would be one more request of those that the endpoint takes
+		}
 		last := m.queries[e.Incarnation]
 		if last != nil && (last.active || now.Sub(last.lastQuery) < slowdownInterval) {
 			continue
@@ -82,7 +85,7 @@
 // poll queries one endpoint, and repeats the query while the endpoint is slow.
 func (m *slowdownMonitor) poll(e *directory.EndpointState) {
 	g := m.gateway
-	for g.snapshot.Load().Endpoint(e.Incarnation) != nil {
+	for g.snapshot.Load().Endpoint(e.Incarnation) != nil && !g.loadTracker.Limits().Limited(time.Now(), direct.HashEndpoint(e.Incarnation)) {
 		ctx, cancel := context.WithTimeout(context.Background(), slowdownTimeout)
 		slowdown, err := g.slowdownReader.Slowdown(ctx, e)
 		cancel()
--- a/result/result.go
+++ b/result/result.go
@@ -57,6 +57,7 @@
 	NoPower            Code = 3013
 	NotReady           Code = 3014
 	Quarantined        Code = 3015
+	EndpointsLimited   Code = 3016
 
 	DeadlineExceeded Code = 4001
 	OutcomeUnknown   Code = 4002
--- a/routing/direct/filter.go
+++ b/routing/direct/filter.go
@@ -6,23 +6,65 @@
 	"aspenyard.example/directory"
 )
 
+// candidates are the endpoints among which a request is placed.
+type candidates struct {
+	// unlimited endpoints state no limit, limited ones state one and may be sent a request now.
+	unlimited, limited []*directory.EndpointState
+	// exhausted endpoints state a limit and may not be sent a request now.
+	exhausted []*directory.EndpointState
+}
+
+// count is the number of endpoints that may be sent the request.
+func (c *candidates) count() int { return len(c.unlimited) + len(c.limited) }
+
 // eligible drops endpoints that were already tried. Unless no others remain, it also drops
 // those that accept no connections, refused work lately or have lost their registration.
-func (p *Policy) eligible(now time.Time, r *Request, endpoints []*directory.EndpointState) []*directory.EndpointState {
-	preferred := make([]*directory.EndpointState, 0, len(endpoints))
-	var avoided []*directory.EndpointState
+func (p *Policy) eligible(now time.Time, r *Request, endpoints []*directory.EndpointState) candidates {
+	noLimits := p.tracker.limits.Empty()
+	var preferred, avoided candidates
+	preferred.unlimited = make([]*directory.EndpointState, 0, len(endpoints))
 	for _, e := range endpoints {
+		if r.Tried[e.Incarnation] {
+			continue
+		}
 		tracked := p.tracker.endpoints[e.Incarnation]
-		switch {
-		case r.Tried[e.Incarnation]:
-		case !e.MissingSince.IsZero() || tracked != nil && tracked.avoided(now):
-			avoided = append(avoided, e)
+		c := &preferred
+		if !e.MissingSince.IsZero() || tracked != nil && tracked.avoided(now) {
+			c = &avoided
+		}
+		if noLimits {
+			c.unlimited = append(c.unlimited, e)
+			continue
+		}
+		switch status := p.tracker.limits.status(now, HashEndpoint(e.Incarnation)); {
+		case !status.limited:
+			c.unlimited = append(c.unlimited, e)
+		case status.available:
+			c.limited = append(c.limited, e)
 		default:
-			preferred = append(preferred, e)
+			c.exhausted = append(c.exhausted, e)
 		}
 	}
-	if len(preferred) > 0 {
+	if preferred.count() > 0 {
 		return preferred
 	}
+	avoided.exhausted = append(avoided.exhausted, preferred.exhausted...)
 	return avoided
 }
+
+// Unlimited returns the endpoints that state no limit, or all if each of them states one.
+func (p *Policy) Unlimited(now time.Time, endpoints []*directory.EndpointState) []*directory.EndpointState {
+	if p.tracker.limits.Empty() {
+		return endpoints
+	}
+	kept := make([]*directory.EndpointState, 0, len(endpoints))
+	for _, e := range endpoints {
+		if !p.tracker.limits.Limited(now, HashEndpoint(e.Incarnation)) {
+			kept = append(kept, e)
+		}
+	}
+	if len(kept) == 0 {
+		return endpoints
+	}
+	return kept
+}
--- /dev/null
+++ b/routing/direct/limited.go
@@ -0,0 +1,84 @@
+package direct
+
+import (
+	"time"
+
+	"aspenyard.example/directory"
+)
+
+const (
+	// limitedCost is added to the cost of an endpoint that states a limit: it asked for less
+	// work, and what its limit allows is kept for requests that others cannot take soon.
+	limitedCost = 100 * time.Millisecond
+	// minLimitRetryAfter and maxLimitRetryAfter bound when a caller is told to come back.
+	minLimitRetryAfter = 300 * time.Millisecond
+	maxLimitRetryAfter = 10 * time.Second
+	// urgentReserveTime is how long after the refusal of a request the limits of a service are
+	// kept from less urgent ones. By then the caller has come back.
+	urgentReserveTime = 3 * time.Second
+)
+
+// refusals remembers when requests were last refused because of limits, by service and priority.
+type refusals map[refusalClass]time.Time
+
+// refusalClass is a class of requests of equal urgency.
+type refusalClass struct {
+	service  string
+	priority int
+}
+
+// moreUrgent counts the classes that are more urgent than a request and had a refusal lately.
+func (f refusals) moreUrgent(now time.Time, r *Request) int {
+	n := 0
+	for class, at := range f {
+		switch {
+		case now.Sub(at) > urgentReserveTime:
+			delete(f, class)
+		case class.service == r.Service.Name && class.priority < r.Priority:
+			n++
+		}
+	}
+	return n
+}
+
+// refuseLimited returns the plan of a request that no endpoint may be sent because of limits.
+// The less urgent it is, the later its caller is told to come back.
+func (p *Policy) refuseLimited(now time.Time, r *Request, limited []*directory.EndpointState) *Plan {
+	hashes := make([]EndpointHash, 0, len(limited))
+	for _, e := range limited {
+		hashes = append(hashes, HashEndpoint(e.Incarnation))
+	}
+	wait, _ := p.tracker.limits.untilAllowed(now, hashes)
+	urgent := p.refusals.moreUrgent(now, r)
+	p.refusals[refusalClass{r.Service.Name, r.Priority}] = now
+	retryAfter := time.Duration(1+urgent) * max(wait, minLimitRetryAfter)
+	return &Plan{RateLimited: true, RetryAfter: min(retryAfter, maxLimitRetryAfter), Candidates: len(limited)}
+}
+
+// scoreLimited scores endpoints that state a limit, behind others. Those that have not
+// confirmed their limit for a while are not put behind others.
+func (p *Policy) scoreLimited(now time.Time, r *Request, limited []*directory.EndpointState) []scored {
+	list := p.score(now, r, limited, r.Service.Engine)
+	for i := range list {
+		if !p.tracker.limits.status(now, HashEndpoint(list[i].endpoint.Incarnation)).unconfirmed {
+			list[i].cost += limitedCost
+		}
+	}
+	return list
+}
+
+// placeOnlyLimited places a request where every endpoint states a limit. An engine with a limit
+// prefills no parts for others, so that the prompt must be prefilled, and held, by one engine.
+func (p *Policy) placeOnlyLimited(now time.Time, r *Request, c candidates) *Plan {
+	if len(c.limited) == 0 || p.refusals.moreUrgent(now, r) > 0 {
+		return p.refuseLimited(now, r, append(c.limited, c.exhausted...))
+	}
+	engine := r.Service.Engine
+	if engine == nil {
+		return p.placePlain(now, r, c)
+	}
+	if memory := r.PromptTokens + r.OutputTokens; engine.KVCacheTokens > 0 && memory > engine.KVCacheTokens {
+		return p.refuseLimited(now, r, c.limited)
+	}
+	return p.placeEngine(now, r, c)
+}
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -17,6 +17,8 @@
 	PromptTokens, OutputTokens int
 	// DataCentre is the entry's own data centre.
 	DataCentre string
+	// Priority is the urgency of the request, 0 for the most urgent.
+	Priority int
 	// MaxPause is the longest pause between events that the request's route allows; 0: any.
 	MaxPause time.Duration
 	// Tried holds the endpoints that the request was already sent to.
@@ -41,6 +43,10 @@
 	// many. For parts up to longestPart, none are counted as delayed.
 	Overloaded        bool
 	InFlight, Delayed int
+	// RateLimited is set when the request must not be sent now because of the limits that the
+	// endpoints state. It may be sent after RetryAfter.
+	RateLimited bool
+	RetryAfter  time.Duration
 	// ExpectedFirstToken is the estimated time from the start of the plan to the first
 	// token.
 	ExpectedFirstToken time.Duration
@@ -71,11 +77,13 @@
 type Policy struct {
 	tracker *LoadTracker
 	rand    Rand
+	// refusals is used under the tracker's lock.
+	refusals refusals
 }
 
 // NewPolicy returns a policy that places requests by the loads of a tracker.
 func NewPolicy(tracker *LoadTracker, rand Rand) *Policy {
-	return &Policy{tracker: tracker, rand: rand}
+	return &Policy{tracker: tracker, rand: rand, refusals: refusals{}}
 }
 
 const (
@@ -112,33 +120,46 @@
 	p.tracker.mu.Lock()
 	defer p.tracker.mu.Unlock()
 	p.tracker.updatePendingPrefill(now)
-	candidates := p.eligible(now, r, endpoints)
-	if len(candidates) == 0 {
+	c := p.eligible(now, r, endpoints)
+	switch {
+	case len(c.unlimited) == 0 && len(c.limited)+len(c.exhausted) > 0:
+		return p.placeOnlyLimited(now, r, c)
+	case len(c.unlimited) == 0:
 		return nil
+	case r.Service.Engine == nil:
+		return p.placePlain(now, r, c)
 	}
-	if r.Service.Engine == nil {
-		return p.placePlain(now, r, candidates)
-	}
-	return p.placeEngine(now, r, candidates)
+	return p.placeEngine(now, r, c)
 }
 
 // placePlain picks the endpoint of a plain service with the lowest cost.
-func (p *Policy) placePlain(now time.Time, r *Request, candidates []*directory.EndpointState) *Plan {
-	best := pickCheapest(p.rand, p.score(now, r, candidates, nil))
-	return &Plan{Endpoint: best.endpoint, Cost: best.cost, Candidates: len(candidates)}
+func (p *Policy) placePlain(now time.Time, r *Request, c candidates) *Plan {
+	list := p.score(now, r, c.unlimited, nil)
+	if len(c.limited) > 0 {
+		list = append(list, p.scoreLimited(now, r, c.limited)...)
+	}
+	best := pickCheapest(p.rand, list)
+	return &Plan{Endpoint: best.endpoint, Cost: best.cost, Candidates: c.count()}
 }
 
-// placeEngine picks an engine, and helpers where the prompt is prefilled in parts.
-func (p *Policy) placeEngine(now time.Time, r *Request, candidates []*directory.EndpointState) *Plan {
+// placeEngine picks an engine, and helpers where the prompt is prefilled in parts. Engines that
+// state a limit take short prompts only, unless all engines do.
+func (p *Policy) placeEngine(now time.Time, r *Request, c candidates) *Plan {
 	engine := r.Service.Engine
 	prefill := PrefillTime(engine, r.PromptTokens)
-	plan := &Plan{Long: isLong(r.Service, prefill), MemoryTokens: r.PromptTokens + r.OutputTokens, Candidates: len(candidates), pauseClass: PauseClass(r.MaxPause)}
+	plan := &Plan{Long: isLong(r.Service, prefill), MemoryTokens: r.PromptTokens + r.OutputTokens, Candidates: c.count(), pauseClass: PauseClass(r.MaxPause)}
 	var list []scored
 	var parts int
-	if plan.Long {
-		list, parts = p.longEngines(now, r, candidates, prefill)
-	} else {
-		list, parts = p.shortEngines(now, r, candidates, prefill)
+	switch {
+	case len(c.unlimited) == 0:
+		list, parts = p.scoreLimited(now, r, c.limited), 1
+	case plan.Long:
+		list, parts = p.longEngines(now, r, c.unlimited, prefill)
+	default:
+		list, parts = p.shortEngines(now, r, c.unlimited, prefill)
+		if parts == 1 && len(c.limited) > 0 {
+			list = append(list, p.scoreLimited(now, r, c.limited)...)
+		}
 	}
 	plan.PartPrefill = prefill / time.Duration(parts)
 	if plan.PartPrefill <= longestPart(r.Service) {
--- a/routing/direct/queue.go
+++ b/routing/direct/queue.go
@@ -58,6 +58,7 @@
 	p.tracker.mu.Lock()
 	defer p.tracker.mu.Unlock()
 	p.tracker.updatePendingPrefill(now)
+	endpoints = p.Unlimited(now, endpoints)
 	demand := p.tracker.totalDemand(now, q.service.Name)
 	long := p.longEngineCount(demand, q.service, len(endpoints))
 	limit := time.Duration(long) * pendingPrefillLimit
@@ -84,7 +85,7 @@
 // idleEngines counts the engines for long prompts on which nothing decodes and little
 // prefill is pending.
 func (p *Policy) idleEngines(now time.Time, service *directory.Service, endpoints []*directory.EndpointState, long int) int {
-	candidates := p.eligible(now, &Request{Service: service}, endpoints)
+	candidates := p.eligible(now, &Request{Service: service}, endpoints).unlimited
 	n := 0
 	for _, e := range candidates[max(len(candidates)-long, 0):] {
 		if load := p.tracker.estimate(now, e.Incarnation); load.inFlight == 0 && load.pendingPrefill <= idlePrefillLimit {
