soak: endpoints that state a limit, and a check of what they get

The users' rule, from the record of arrivals: from 3 s after an endpoint first stated a limit, in any 4 s at most 1.5 x the limit x 4 + 5 from gateways that had passed on such a response half a second before; a gateway or endpoint that was disturbed in the window is left out. A case of the check's own table.

--- a/soak/check.go
+++ b/soak/check.go
@@ -35,6 +35,7 @@
 	{"BUDGET", false, checkCrashingRequests},
 	{"BUDGET", true, checkDeadlines},
 	{"LIMIT", false, checkReservationsUsedOnce},
+	{"LIMIT", false, checkStatedLimits},
 	{"CONFIG", false, checkConfigNeverReverts},
 	{"CONFIG", true, checkConfigApplied},
 	{"CONFIG", true, checkTimeouts},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -111,6 +112,13 @@
 			r.addArrival(run, "i-2", 50.05)
 		}
 	}},
+	"limit of an endpoint exceeded": {"LIMIT", func(r *Record) {
+		for i := range 13 {
+			req, _ := r.addServed(fmt.Sprint("q", i), onceRoute, 50+float64(i)/4)
+			req.HeadAt, req.StatesLimit = req.EndedAt, true
+		}
+		r.Limits = []LimitPeriod{{Endpoint: "i-1", PerSecond: 0.2, From: atSecond(40), To: atSecond(60)}}
+	}},
 	"crashing request not quarantined": {"BUDGET", func(r *Record) {
 		for i := range 10 {
 			req, run := r.addServed(string(rune('a'+i)), onceRoute, 50+float64(i))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -63,6 +63,7 @@
 		{"endpoint-restarts", 3, restartEndpoint},
 		{"foreign-entries", 1, writeForeignRegistrations},
 		{kindCrashingRequest, 1, sendCrashingRequest},
+		{"endpoint-limited", 3, limitEndpoint},
 	}
 }
 
--- a/soak/record.go
+++ b/soak/record.go
@@ -57,6 +57,10 @@
 	ResponseBody   string
 	HasServerStamp bool
 	EchoedID       string
+	// HeadAt is when the response's head was read. StatesLimit says whether it states an
+	// endpoint's limit.
+	HeadAt      time.Time
+	StatesLimit bool
 	// ExpectedStatus is the status with which an invalid request must be refused; 0 for a valid
 	// request.
 	ExpectedStatus int
@@ -147,11 +151,15 @@
 	Edits        []ConfigEdit
 	Departures   []Departure
 	Reservations map[string]*Reservation
+	Limits       []LimitPeriod
+	limited      map[string]bool // endpoints that stated a limit
 	violations   []Violation
 }
 
 // NewRecord returns an empty record.
-func NewRecord() *Record { return &Record{Reservations: map[string]*Reservation{}} }
+func NewRecord() *Record {
+	return &Record{Reservations: map[string]*Reservation{}, limited: map[string]bool{}}
+}
 
 func (r *Record) addRequest(req *Request) {
 	r.mu.Lock()
--- a/standin/platform/limit.go
+++ b/standin/platform/limit.go
@@ -1,11 +1,14 @@
 package platform
 
 import (
+	"net/http"
 	"slices"
 	"strconv"
 	"time"
 )
 
+const headerLimit = "Server-Limit"
+
 // SetLimit makes the worker state in its responses, from now on, how many requests per second
 // it takes from all gateways together. It does not enforce the limit.
 func (w *Worker) SetLimit(perSecond float64) {
@@ -27,9 +30,12 @@
 	if w.statedLimit == "" {
 		return ""
 	}
-	return "Server-Limit: " + w.statedLimit + "\r\n"
+	return headerLimit + ": " + w.statedLimit + "\r\n"
 }
 
+// StatesLimit reports whether a response states a limit.
+func StatesLimit(h http.Header) bool { return h.Get(headerLimit) != "" }
+
 // ArrivalsPerSecond returns how many requests arrived in each second since a time, by sender.
 // senderOf maps a request to the gateway that it came through.
 func (w *Worker) ArrivalsPerSecond(since time.Time, senderOf func(r *Run) string) map[string][]int {
