bench/emulator: engines that state limits; three rules for how many entries share one

Engines state a limit with their responses and do not enforce it; entries report it to each other in heartbeats.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -73,6 +73,10 @@
 	// Skew is the arrival rate of the busiest entry divided by that of the least busy; the
 	// others lie linearly between. 0 or 1: all entries get the same rate.
 	Skew float64
+	// Limits are the limits that engines state.
+	Limits []Limit
+	// Holders is the number of entries that share a limit; nil: admission.Holders.
+	Holders func(perSecond float64, entries int) int
 }
 
 // Policy names a placement policy.
@@ -173,6 +177,8 @@
 	service   *directory.Service
 	entries   []*entry
 	results   []Result
+	// heartbeats counts the rounds of heartbeats.
+	heartbeats int
 }
 
 // entry is one simulated entry.
@@ -198,11 +204,19 @@
 	queued       *direct.QueuedPrompt
 	// latestStart is how long after its arrival the request may still leave the queue.
 	latestStart time.Duration
+	// sentAt is when the request was sent to its engine.
+	sentAt time.Duration
 }
 
 // Simulate runs a load until its last request has ended and returns a result for each kind,
 // in the order of the kinds.
 func Simulate(c *Config) []Result {
+	results, _ := SimulateLimits(c)
+	return results
+}
+
+// SimulateLimits is Simulate; it also returns what the engines with limits got.
+func SimulateLimits(c *Config) ([]Result, LimitResult) {
 	sim := &simulation{config: c, rand: rand.New(rand.NewPCG(c.Seed, 1)), epoch: time.Unix(0, 0), engines: map[directory.Incarnation]*engine{}}
 	sim.service = &directory.Service{Name: serviceName, Engine: &c.Engine}
 	for _, k := range c.Kinds {
@@ -211,7 +225,7 @@
 	}
 	sim.setUp()
 	sim.RunUntil(math.MaxInt64)
-	return sim.results
+	return sim.results, sim.limitResult()
 }
 
 // setUp creates the engines and entries and schedules heartbeats, arrivals and slowdowns.
@@ -219,7 +233,7 @@
 	for i := range sim.config.Engines {
 		endpoint := &directory.EndpointState{Endpoint: directory.Endpoint{Incarnation: directory.Incarnation{ID: fmt.Sprintf("e-%03d", i)}, Service: serviceName, Slots: sim.config.Engine.Slots}, Position: i}
 		sim.endpoints = append(sim.endpoints, endpoint)
-		sim.engines[endpoint.Incarnation] = &engine{sim: sim, spec: &sim.config.Engine, slowdown: 1}
+		sim.engines[endpoint.Incarnation] = &engine{sim: sim, spec: &sim.config.Engine, slowdown: 1, endpoint: direct.HashEndpoint(endpoint.Incarnation)}
 	}
 	for i := range sim.config.Entries {
 		tracker := direct.NewLoadTracker()
@@ -227,6 +241,10 @@
 		if sim.config.enabled(Affinity) {
 			tracker.SetRank(i, sim.config.Entries)
 		}
+		tracker.Limits().SetEntries(fmt.Sprint(i), sim.entryNames())
+		if sim.config.Holders != nil {
+			tracker.Limits().SetHolders(sim.config.Holders)
+		}
 		e := &entry{name: fmt.Sprint(i), inFlight: map[*engine]int{}, tracker: tracker, policy: direct.NewPolicy(tracker, rand.New(rand.NewPCG(sim.config.Seed, uint64(i+2))))}
 		sim.entries = append(sim.entries, e)
 		if sim.config.enabled(Heartbeats) {
@@ -239,6 +257,9 @@
 	for i := range sim.config.Slowdowns {
 		sim.scheduleSlowdown(&sim.config.Slowdowns[i])
 	}
+	for i := range sim.config.Limits {
+		sim.scheduleLimit(&sim.config.Limits[i])
+	}
 }
 
 // scheduleSlowdown slows every other engine from the end of the list, where the engines for
@@ -286,10 +307,15 @@
 // sendHeartbeat sends an entry's load to all others; each copy may be lost.
 func (sim *simulation) sendHeartbeat(e *entry) {
 	demands, loads := e.tracker.Demands(sim.wallTime()), e.tracker.Loads(sim.wallTime())
+	sim.heartbeats++
+	limits := e.tracker.Limits().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedLimits)
 	for _, other := range sim.entries {
 		lost := sim.config.HeartbeatLoss > 0 && sim.rand.Float64() < sim.config.HeartbeatLoss
 		if other != e && !lost {
-			sim.AfterFunc(sim.messageDelay(), func() { other.tracker.ReplacePeerLoad(sim.wallTime(), e.name, demands, loads) })
+			sim.AfterFunc(sim.messageDelay(), func() {
+				other.tracker.ReplacePeerLoad(sim.wallTime(), e.name, demands, loads)
+				other.tracker.Limits().Merge(sim.wallTime(), 0, limits)
+			})
 		}
 	}
 }
@@ -381,7 +407,7 @@
 		r.place()
 		return
 	}
-	expected := r.entry.policy.AddLongPrompt(sim.wallTime(), sim.service, len(sim.endpoints), r.promptTokens)
+	expected := r.entry.policy.AddLongPrompt(sim.wallTime(), sim.service, len(r.entry.policy.Unlimited(sim.wallTime(), sim.endpoints)), r.promptTokens)
 	if expected.TooLate(r.kind.Target) && sim.config.enabled(Refusing) {
 		r.result.Refused++
 		return
@@ -415,9 +441,12 @@
 	placement := direct.Request{Service: sim.service, PromptTokens: r.promptTokens, OutputTokens: maxOutputTokens, MaxPause: r.kind.MaxPause, Tried: map[directory.Incarnation]bool{}}
 	for range maxPlacements {
 		plan := r.entry.policy.Place(sim.wallTime(), &placement, sim.endpoints)
-		if plan == nil || plan.Overloaded {
+		if plan == nil || plan.Overloaded || plan.RateLimited {
 			break
 		}
+		if !r.entry.tracker.Limits().Take(sim.wallTime(), direct.HashEndpoint(plan.Endpoint.Incarnation)) {
+			continue
+		}
 		j := newJob(r, plan)
 		for _, h := range plan.Helpers {
 			j.helpers = append(j.helpers, sim.engines[h.Incarnation])
@@ -438,6 +467,7 @@
 		r.sim.sendHeartbeat(r.entry)
 	}
 	r.engine = r.sim.engines[plan.Endpoint.Incarnation]
+	r.sentAt = r.sim.Now()
 	r.sim.AfterFunc(r.sim.messageDelay(), func() { r.engine.submit(j) })
 }
 
--- a/bench/emulator/engine.go
+++ b/bench/emulator/engine.go
@@ -56,10 +56,17 @@
 	prefillingNewest bool
 	prefillSince     time.Duration
 	prefillCount     int
+	// endpoint identifies the engine. limit is the limit that it states, nil while it states
+	// none.
+	endpoint direct.EndpointHash
+	limit    *Limit
+	// limitedArrivals are the arrivals while it states a limit.
+	limitedArrivals []time.Duration
 }
 
 // submit queues a job by its priority.
 func (e *engine) submit(j *job) {
+	e.recordArrival()
 	e.waiting = append(e.waiting, j)
 	slices.SortStableFunc(e.waiting, func(a, b *job) int { return cmp.Compare(a.priority, b.priority) })
 	e.admit()
@@ -197,6 +204,7 @@
 	if j.firstEventAt == 0 {
 		j.firstEventAt = now
 		j.request.finishPrefill()
+		j.request.observeLimit()
 	} else {
 		j.request.longestPause = max(j.request.longestPause, now-j.lastEventAt)
 	}
