routing/direct: an entry counts for a limit for 10 s after its registration ended

Found by reading: when the store returns without registrations (leases may expire in an outage), each entry saw itself alone and took the whole of every limit until the others had registered again. The model check has the event (lapse) and fails without the time: 37 requests in 4 s at a limit of 5, allowed 35. It also found that the time must count from when the entry was last known to be listed, not from the last change of the list (41 requests, allowed 35). An allowance is given back only where the attempt took one.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -241,7 +241,7 @@
 		if sim.config.enabled(Affinity) {
 			tracker.SetRank(i, sim.config.Entries)
 		}
-		tracker.Limits().SetEntries(fmt.Sprint(i), sim.entryNames())
+		tracker.Limits().SetEntries(sim.wallTime(), fmt.Sprint(i), sim.entryNames())
 		if sim.config.Holders != nil {
 			tracker.Limits().SetHolders(sim.config.Holders)
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -24,6 +24,8 @@
 	relay *streamRelay
 	// reserveAttempts counts the attempts to reserve KV cache; each uses reservation IDs of its own.
 	reserveAttempts int
+	// allowanceTaken is set if the last attempt used the allowance of an endpoint's limit.
+	allowanceTaken bool
 	// failedResponse is the last complete response in which an endpoint reported a failure.
 	failedResponse *bufferedResponse
 }
@@ -67,7 +69,7 @@
 			return nil
 		}
 		if outcome == attempt.NotSent {
-			c.gateway.loadTracker.Limits().GiveBack(time.Now(), direct.HashEndpoint(plan.Endpoint.Incarnation))
+			f.giveBackAllowance(plan.Endpoint)
 		}
 		if outcome == attempt.Broken && ctx.Err() == nil {
 			f.checkForCrash(ctx, plan.Endpoint)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -108,7 +108,7 @@
 		names = append(names, n.Name)
 	}
 	limits := g.loadTracker.Limits()
-	limits.SetEntries(g.settings.Name, names)
+	limits.SetEntries(time.Now(), g.settings.Name, names)
 	if limits.Empty() {
 		return
 	}
@@ -123,7 +123,7 @@
 // allows none now.
 func (f *forwarding) takeAllowance(e *directory.EndpointState) bool {
 	limits, hash, now := f.gateway.loadTracker.Limits(), direct.HashEndpoint(e.Incarnation), time.Now()
-	if limits.Empty() || !limits.Limited(now, hash) {
+	if f.allowanceTaken = !limits.Empty() && limits.Limited(now, hash); !f.allowanceTaken {
 		return true
 	}
 	if !limits.Take(now, hash) {
@@ -134,6 +134,13 @@
 	return true
 }
 
+// giveBackAllowance returns the allowance of a request that has certainly not reached the endpoint.
+func (f *forwarding) giveBackAllowance(e *directory.EndpointState) {
+	if f.allowanceTaken {
+		f.gateway.loadTracker.Limits().GiveBack(time.Now(), direct.HashEndpoint(e.Incarnation))
+	}
+}
+
 // refuseLimited ends a request that no endpoint may be sent because of the limits that the
 // endpoints state.
 func (f *forwarding) refuseLimited(plan *direct.Plan) *result.Error {
--- a/routing/direct/endpoint_limits.go
+++ b/routing/direct/endpoint_limits.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -19,7 +20,11 @@
 	self    string
 	entries []string
 	epoch   int
-	limits  map[EndpointHash]*knownLimit
+	// listed are the names as last listed, listedAt is when each of entries was last known to
+	// be listed.
+	listed   []string
+	listedAt map[string]time.Time
+	limits   map[EndpointHash]*knownLimit
 	// holders returns how many entries share a limit.
 	holders func(perSecond float64, entries int) int
 	// nextReport is the position at which the next full report starts.
@@ -73,6 +78,9 @@
 	ownReportTime = 3 * time.Second
 	// extraReporters is the number of entries beyond the holders that report a limit.
 	extraReporters = 8
+	// unlistedEntryTTL is how long an entry counts whose registration has ended. Entries that
+	// are alive have registered again by then.
+	unlistedEntryTTL = 10 * time.Second
 	// repeatedReportMargin is how much later a statement may seem to be after it was passed on
 	// among entries.
 	repeatedReportMargin = 250 * time.Millisecond
@@ -80,7 +88,7 @@
 
 // NewEndpointLimits returns a tracker that knows no limits and no other entries.
 func NewEndpointLimits() *EndpointLimits {
-	return &EndpointLimits{limits: map[EndpointHash]*knownLimit{}, holders: admission.Holders}
+	return &EndpointLimits{listedAt: map[string]time.Time{}, limits: map[EndpointHash]*knownLimit{}, holders: admission.Holders}
 }
 
 // SetHolders replaces the rule for how many entries share a limit; for experiments.
@@ -91,12 +99,18 @@
 }
 
 // SetEntries sets this entry's name and the names of all registered entries. The registrations
-// are the same for all entries, whoever hears of whom, so that all agree on who shares a limit.
-func (l *EndpointLimits) SetEntries(self string, entries []string) {
+// are the same for all entries, whoever hears of whom, so that all agree on who shares a limit. An
+// entry counts for unlistedEntryTTL after its registration has ended: when the platform's store
+// returns without any registrations, each entry would else take all limits for itself.
+func (l *EndpointLimits) SetEntries(now time.Time, self string, entries []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	others := slices.DeleteFunc(slices.Clone(entries), func(name string) bool { return name == self })
-	slices.Sort(others)
+	for _, name := range slices.Concat(l.listed, entries) { // those listed before were so until now
+		l.listedAt[name] = now
+	}
+	l.listed = slices.Clone(entries)
+	maps.DeleteFunc(l.listedAt, func(name string, at time.Time) bool { return name == self || now.Sub(at) > unlistedEntryTTL })
+	others := slices.Sorted(maps.Keys(l.listedAt))
 	if self == l.self && slices.Equal(others, l.entries) {
 		return
 	}
--- a/routing/direct/endpoint_limits_test.go
+++ b/routing/direct/endpoint_limits_test.go
@@ -22,7 +22,7 @@
 // limitsOf returns the limits of the only entry.
 func limitsOf(name string, others ...string) *EndpointLimits {
 	l := NewEndpointLimits()
-	l.SetEntries(name, append(others, name))
+	l.SetEntries(at(0), name, append(others, name))
 	return l
 }
 
@@ -196,9 +196,11 @@
 		restarted := limitsOf(name, names...)
 		restarted.Observe(at(64), 7, at(63.9), true, 1)
 		taken = append(taken, takeFor(restarted, 7, 64, 68)...)
-		restarted.SetEntries(name, []string{"a", "b"})
+		restarted.SetEntries(at(68), name, []string{"a", "b"})
 		if name == "a" || name == "b" {
-			taken = append(taken, takeFor(restarted, 7, 68, 72)...)
+			taken = append(taken, takeFor(restarted, 7, 68, 80)...)
+			restarted.SetEntries(at(80), name, []string{"a", "b"})
+			taken = append(taken, takeFor(restarted, 7, 80, 100)...)
 		}
 	}
 	is.True(maxWithin(taken, 4*time.Second) <= 11)
--- a/routing/direct/limited_test.go
+++ b/routing/direct/limited_test.go
@@ -13,7 +13,7 @@
 
 // limitEndpoints makes endpoints state a limit, a second before testNow.
 func limitEndpoints(p *Policy, perSecond float64, list []*directory.EndpointState) {
-	p.tracker.limits.SetEntries("a", []string{"a"})
+	p.tracker.limits.SetEntries(testNow, "a", []string{"a"})
 	for _, e := range list {
 		p.tracker.limits.Observe(testNow.Add(-time.Second), HashEndpoint(e.Incarnation), testNow.Add(-2*time.Second), true, perSecond)
 	}
--- a/routing/direct/limits_model_test.go
+++ b/routing/direct/limits_model_test.go
@@ -22,6 +22,8 @@
 	modelContact = 3 * time.Second
 	modelWindow  = 4 * time.Second
 	modelTold    = 500 * time.Millisecond
+	// modelRenewal is how long after the end of its registration an entry registers again.
+	modelRenewal = 5 * time.Second
 )
 
 // modelEvent is a change of the limit (value -1 ends it) or a disturbance of an entry.
@@ -88,12 +90,13 @@
 func (m *limitModel) publishList() {
 	names := m.names()
 	for _, e := range m.entries {
-		m.after(m.draw(time.Second), func() { e.limits.SetEntries(e.name, names) })
+		m.after(m.draw(time.Second), func() { e.limits.SetEntries(m.clock(e), e.name, names) })
 	}
 }
 
 func (m *limitModel) restart(e *modelEntry) {
-	e.limits = limitsOf(e.name, m.names()...)
+	e.limits = NewEndpointLimits()
+	e.limits.SetEntries(m.clock(e), e.name, m.names())
 	e.present, e.registered, e.knowsSince = true, true, -1
 	e.excusedTo = m.now + modelWindow
 }
@@ -114,6 +117,23 @@
 			m.restart(e)
 			m.publishList()
 		}
+	case "lapse": // all registrations end, and the entries that run register again
+		var lapsed []*modelEntry
+		for _, e := range m.entries {
+			if e.registered {
+				e.registered = false
+				lapsed = append(lapsed, e)
+			}
+		}
+		m.publishList()
+		for _, e := range lapsed {
+			m.after(m.draw(modelRenewal), func() {
+				if e.present {
+					e.registered = true
+					m.publishList()
+				}
+			})
+		}
 	case "leave":
 		e.present, e.registered = false, false
 		m.publishList()
@@ -246,7 +266,7 @@
 		}
 		for range rapid.IntRange(0, 6).Draw(t, "disturbances") {
 			events = append(events, modelEvent{
-				at: time.Duration(rapid.IntRange(0, 15000).Draw(t, "at")) * time.Millisecond, kind: rapid.SampledFrom([]string{"restart", "join", "leave", "freeze", "cut"}).Draw(t, "kind"),
+				at: time.Duration(rapid.IntRange(0, 15000).Draw(t, "at")) * time.Millisecond, kind: rapid.SampledFrom([]string{"restart", "join", "leave", "lapse", "freeze", "cut"}).Draw(t, "kind"),
 				entry: rapid.IntRange(0, count-1).Draw(t, "entry"), span: time.Duration(rapid.IntRange(100, 10000).Draw(t, "span")) * time.Millisecond,
 			})
 		}
