routing/direct: a limit that an endpoint never reaches is no reason to leave it out

A limited endpoint is a smaller one, not a broken one. A limit of as many requests a second as the endpoint has slots, or more, is counted, and the endpoint is otherwise placed like one without a limit, long prompts and their parts too; before, any limit took an engine out for them. A request at a tighter limit costs the time until this entry may send the next one, 100 ms at most, in place of 100 ms. Test: TestAnEngineWithAHighLimitIsUsedLikeOthers.

--- a/routing/direct/endpoint_limits.go
+++ b/routing/direct/endpoint_limits.go
@@ -229,8 +229,13 @@
 	available bool
 	// unconfirmed is set if nobody has heard from the endpoint for limitConfirmInterval.
 	unconfirmed bool
+	// perSecond is the limit, sharePerSecond this entry's part of it.
+	perSecond, sharePerSecond float64
 }
 
+// tight reports whether the limit is lower than what the endpoint's slots would take in a second.
+func (s limitStatus) tight(slots int) bool { return s.limited && s.perSecond < float64(slots) }
+
 func (l *EndpointLimits) status(now time.Time, endpoint EndpointHash) limitStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -238,7 +243,7 @@
 	if k == nil {
 		return limitStatus{available: true}
 	}
-	return limitStatus{limited: true, available: k.share.Available(now), unconfirmed: now.Sub(k.heardAt) > limitConfirmInterval}
+	return limitStatus{limited: true, available: k.share.Available(now), unconfirmed: now.Sub(k.heardAt) > limitConfirmInterval, perSecond: k.perSecond, sharePerSecond: k.share.Rate()}
 }
 
 // Empty reports whether nothing is known of any limit.
--- a/routing/direct/filter.go
+++ b/routing/direct/filter.go
@@ -8,7 +8,8 @@
 
 // candidates are the endpoints among which a request is placed.
 type candidates struct {
-	// unlimited endpoints state no limit, limited ones state one and may be sent a request now.
+	// unlimited endpoints state no limit, or one that is not tight. limited ones state a tight one.
+	// Both may be sent a request now.
 	unlimited, limited []*directory.EndpointState
 	// exhausted endpoints state a limit and may not be sent a request now.
 	exhausted []*directory.EndpointState
@@ -37,12 +38,12 @@
 			continue
 		}
 		switch status := p.tracker.limits.status(now, HashEndpoint(e.Incarnation)); {
-		case !status.limited:
-			c.unlimited = append(c.unlimited, e)
-		case status.available:
+		case !status.available:
+			c.exhausted = append(c.exhausted, e)
+		case status.tight(e.Slots):
 			c.limited = append(c.limited, e)
 		default:
-			c.exhausted = append(c.exhausted, e)
+			c.unlimited = append(c.unlimited, e)
 		}
 	}
 	if preferred.count() > 0 {
@@ -52,14 +53,14 @@
 	return avoided
 }
 
-// Unlimited returns the endpoints that state no limit, or all if each of them states one.
+// Unlimited returns the endpoints that state no tight limit, or all if each of them states one.
 func (p *Policy) Unlimited(now time.Time, endpoints []*directory.EndpointState) []*directory.EndpointState {
 	if p.tracker.limits.Empty() {
 		return endpoints
 	}
 	kept := make([]*directory.EndpointState, 0, len(endpoints))
 	for _, e := range endpoints {
-		if !p.tracker.limits.Limited(now, HashEndpoint(e.Incarnation)) {
+		if !p.tracker.limits.status(now, HashEndpoint(e.Incarnation)).tight(e.Slots) {
 			kept = append(kept, e)
 		}
 	}
--- a/routing/direct/limited.go
+++ b/routing/direct/limited.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// limitedCost is added to the cost of an endpoint that states a limit: it asked for less
-	// work, and what its limit allows is kept for requests that others cannot take soon.
-	limitedCost = 100 * time.Millisecond
+	// maxLimitedCost bounds what is added to the cost of an endpoint that states a limit: it asked
+	// for less work, and what its limit allows is kept for requests that others cannot take soon.
+	maxLimitedCost = 100 * time.Millisecond
 	// minLimitRetryAfter and maxLimitRetryAfter bound when a caller is told to come back.
 	minLimitRetryAfter = 300 * time.Millisecond
 	maxLimitRetryAfter = 10 * time.Second
@@ -55,13 +55,14 @@
 	return &Plan{RateLimited: true, RetryAfter: min(retryAfter, maxLimitRetryAfter), Candidates: len(limited)}
 }
 
-// scoreLimited scores endpoints that state a limit, behind others. Those that have not
-// confirmed their limit for a while are not put behind others.
+// scoreLimited scores endpoints that state a limit. A request there costs the time until this
+// entry may send the next one, unless the limit has not been confirmed for a while.
 func (p *Policy) scoreLimited(now time.Time, r *Request, limited []*directory.EndpointState) []scored {
 	list := p.score(now, r, limited, r.Service.Engine)
 	for i := range list {
-		if !p.tracker.limits.status(now, HashEndpoint(list[i].endpoint.Incarnation)).unconfirmed {
-			list[i].cost += limitedCost
+		status := p.tracker.limits.status(now, HashEndpoint(list[i].endpoint.Incarnation))
+		if !status.unconfirmed && status.sharePerSecond > 0 {
+			list[i].cost += min(time.Duration(float64(time.Second)/status.sharePerSecond), maxLimitedCost)
 		}
 	}
 	return list
--- a/routing/direct/limited_test.go
+++ b/routing/direct/limited_test.go
@@ -106,6 +106,19 @@
 	is.True(!p.Place(testNow.Add(urgentReserveTime+time.Second), bulk, list).RateLimited)
 }
 
+// Guards against leaving out engines for long prompts whose limit they never reach.
+func TestAnEngineWithAHighLimitIsUsedLikeOthers(t *testing.T) {
+	is := is.New(t)
+	p := newPolicy(1)
+	list := endpoints(20)
+	limitEndpoints(p, 1000, list)
+	is.Equal(len(p.Unlimited(testNow, list)), 20)
+	p.AddLongPrompt(testNow, service(), 20, 150_000)
+	plan := p.Place(testNow, prompt(150_000), list)
+	is.True(!plan.RateLimited)
+	is.True(len(plan.Helpers) > 0)
+}
+
 // Guards against an endpoint that keeps its limit for ever because nobody asks whether it has ended.
 func TestAnUnconfirmedLimitIsAskedAbout(t *testing.T) {
 	is := is.New(t)
