--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -85,6 +85,7 @@
 func TestARequestInQuarantineIsRefusedAtOnceAndDoesNotRun(t *testing.T) {
 	is := is.New(t)
 	first, second := twoGateways(t, crashingWorkers(12)...)
+	first.store.SetFaults(standin.StoreFaults{RefuseStatus: http.StatusServiceUnavailable}) // heartbeats alone report it
 	for i := range 2 {
 		got := first.do(first.request("POST", "/again/a", fmt.Sprint("p", i), crashingBody))
 		is.Equal(got.status, http.StatusBadGateway) // it may have run
@@ -92,6 +93,7 @@
 	for _, s := range []*fixture{first, second} {
 		s.waitFor("the request is in quarantine", func() bool { return s.sumMetric("aspenyard_gateway_quarantined_requests ") == 1 })
 	}
+	first.store.SetFaults(standin.StoreFaults{})
 	ran := first.runsOfBody(crashingBody)
 	is.Equal(ran, 3)
 	for _, s := range []*fixture{first, second} {
