entry: an agent's answer ends the avoidance of earlier failures

Shown by a test of the decision on the code before, failing twice: (1) a failed attempt is recorded, the agent answers a later one, and the endpoint stays avoided for up to 2 s; (2) the failure of an attempt is recorded only after the agent has answered a later one, as both are posted to the control thread, and the endpoint is avoided from then on. With one endpoint callers got 3006 meanwhile. Change: an answer ends the avoidance; a failure counts only if no answer came since its attempt began. Heartbeats end it as before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -23,6 +23,7 @@
 func (e *Entry) reserve(ctx context.Context, c *call, endpoint *routing.Endpoint, r *routing.Request) (*wire.Reservation, *result.Error) {
 	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
+	started := time.Now()
 	response, err := e.clients.Agent(endpoint.Addr).Reserve(callCtx, connect.NewRequest(&wire.ReserveRequest{
 		RequestId: c.id, Attempt: c.attempts, Account: c.account.ID, Kind: c.kind.ID, Class: uint32(r.Class),
 		PromptTokens: uint64(r.PromptTokens), OutputTokens: uint64(r.OutputTokens),
@@ -30,7 +31,7 @@
 	}))
 	if err != nil {
 		if ctx.Err() == nil {
-			e.control.avoidEndpoint(endpoint.Name)
+			e.control.avoidEndpoint(endpoint.Name, started)
 		}
 		return nil, result.Refuse(result.NoEndpoint, time.Second, "the agent of %s did not answer the reservation request", endpoint.Name)
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,8 @@
 	// avoidUntil holds the endpoints that failed a request of this entry, and until
 	// when they are avoided.
 	avoidUntil map[string]time.Time
+	// answeredAt is when each agent last answered a request of this entry.
+	answeredAt map[string]time.Time
 
 	endpoints     atomic.Pointer[[]routing.Endpoint]
 	isStoreReader atomic.Bool
@@ -40,7 +43,7 @@
 }
 
 func newControlState(e *Entry) *controlState {
-	c := &controlState{entry: e, loads: map[string]loadReport{}, avoidUntil: map[string]time.Time{}}
+	c := &controlState{entry: e, loads: map[string]loadReport{}, avoidUntil: map[string]time.Time{}, answeredAt: map[string]time.Time{}}
 	c.endpoints.Store(&[]routing.Endpoint{})
 	c.entryCount.Store(1)
 	return c
@@ -78,7 +81,7 @@
 // recordAgentLoad stores the load report that came with an agent's response. It may be
 // called from any goroutine.
 func (c *controlState) recordAgentLoad(endpoint string, incarnation uint64, load *wire.Load) {
-	c.entry.loop.Post(func() { c.recordLoad(time.Now(), endpoint, incarnation, load) })
+	c.entry.loop.Post(func() { c.recordAnswer(time.Now(), endpoint, incarnation, load) })
 }
 
 // avoidFailedFor is how long an endpoint that failed a request is avoided, unless its
@@ -86,13 +89,31 @@
 // requests detect a dead endpoint sooner.
 const avoidFailedFor = 2 * time.Second
 
-// avoidEndpoint makes routing avoid an endpoint for avoidFailedFor. It may be called from
-// any goroutine.
-func (c *controlState) avoidEndpoint(endpoint string) {
-	c.entry.loop.Post(func() {
-		c.avoidUntil[endpoint] = time.Now().Add(avoidFailedFor)
+// avoidEndpoint makes routing avoid an endpoint for avoidFailedFor, after an attempt that began
+// at attemptStart has failed. It may be called from any goroutine.
+func (c *controlState) avoidEndpoint(endpoint string, attemptStart time.Time) {
+	c.entry.loop.Post(func() { c.recordFailure(time.Now(), endpoint, attemptStart) })
+}
+
+// recordFailure records a failed attempt, unless the endpoint's agent has answered another one
+// since it began. Call it on the loop's goroutine.
+func (c *controlState) recordFailure(now time.Time, endpoint string, attemptStart time.Time) {
+	if c.answeredAt[endpoint].After(attemptStart) {
+		return
+	}
+	c.avoidUntil[endpoint] = now.Add(avoidFailedFor)
+	c.endpointsChanged = true
+}
+
+// recordAnswer records an agent's response, which shows that the endpoint is alive. Call it on the
+// loop's goroutine.
+func (c *controlState) recordAnswer(now time.Time, endpoint string, incarnation uint64, load *wire.Load) {
+	c.answeredAt[endpoint] = now
+	if !c.avoidUntil[endpoint].IsZero() {
+		delete(c.avoidUntil, endpoint)
 		c.endpointsChanged = true
-	})
+	}
+	c.recordLoad(now, endpoint, incarnation, load)
 }
 
 // Tick implements membership.Delegate.
@@ -130,6 +151,7 @@
 			delete(c.loads, name)
 		}
 	}
+	maps.DeleteFunc(c.answeredAt, func(name string, _ time.Time) bool { return members.Members[name] == nil })
 	sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].Name < endpoints[j].Name })
 	c.endpoints.Store(&endpoints)
 }
