gateway: entries keep idle connections by their part of what an endpoint accepts

An endpoint accepts MaxConnections from all callers together and resets more; an entry kept up to 32 idle ones to each endpoint, however many entries there are (33 entries before an endpoint that accepts 190). The setting was read and not used. Change: all entries together keep half of them idle, each an equal part, at least one and at most 32; with four entries and 264 nothing changes.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -169,7 +169,7 @@
 		_ = r.conn.Close()
 		return
 	}
-	r.pool.put(r.endpoint.Incarnation, r.conn, r.keepAlive)
+	r.pool.put(r.endpoint, r.conn, r.keepAlive)
 }
 
 // outgoingRequest is a request as it is written to an endpoint.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,7 @@
 	g.quarantine = attempt.NewQuarantine()
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.EmptySnapshot())
+	g.pool.idleLimit = g.idleConnsFor
 	g.callers = newCallerServer(g)
 	g.prober = newProber(g)
 	g.slowdownReader, g.slowdownMonitor = c.SlowdownReader, newSlowdownMonitor(g)
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -23,8 +23,11 @@
 	// request that must not run twice. The endpoint may close an older one just as the request
 	// is sent, and then nobody knows whether the request ran.
 	nonRepeatableMaxIdle = time.Second
-	// maxIdleConns is how many idle connections are kept to an endpoint.
+	// maxIdleConns is how many idle connections are kept to an endpoint at most.
 	maxIdleConns = 32
+	// idleConnShare is the share of the connections that an endpoint accepts which all entries
+	// together may keep idle. The rest is for requests in flight.
+	idleConnShare = 0.5
 	// readBufferSize has room for a response's header and several events.
 	readBufferSize = 4 << 10
 )
@@ -43,12 +46,15 @@
 // pool keeps idle connections for each incarnation of an endpoint.
 type pool struct {
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
-	mu   sync.Mutex
-	idle map[directory.Incarnation][]*endpointConn
+	// idleLimit is how many idle connections are kept to an endpoint.
+	idleLimit func(e *directory.EndpointState) int
+	mu        sync.Mutex
+	idle      map[directory.Incarnation][]*endpointConn
 }
 
 func newPool() *pool {
-	return &pool{dial: Dialer(dialTimeout), idle: map[directory.Incarnation][]*endpointConn{}}
+	unlimited := func(*directory.EndpointState) int { return maxIdleConns }
+	return &pool{dial: Dialer(dialTimeout), idleLimit: unlimited, idle: map[directory.Incarnation][]*endpointConn{}}
 }
 
 // get returns a connection to the endpoint: the most recently used idle one, or else a new one.
@@ -98,14 +104,31 @@
 	return nil
 }
 
-// put makes a connection available to other requests, for at most the time keep.
-func (p *pool) put(incarnation directory.Incarnation, conn *endpointConn, keep time.Duration) {
+// idleConnsFor returns how many idle connections this entry keeps to an endpoint: an equal part of
+// those that all entries may keep.
+func (g *Gateway) idleConnsFor(e *directory.EndpointState) int {
+	snapshot := g.snapshot.Load()
+	if snapshot.Config == nil {
+		return maxIdleConns
+	}
+	service := snapshot.Config.Service(e.Service)
+	if service == nil || service.MaxConnections == 0 {
+		return maxIdleConns
+	}
+	share := idleConnShare * float64(service.MaxConnections) / float64(max(len(snapshot.Nodes), 1))
+	return min(max(int(share), 1), maxIdleConns)
+}
+
+// put makes a connection available to other requests, for at most the time keep, unless idleLimit
+// idle ones are kept already.
+func (p *pool) put(e *directory.EndpointState, conn *endpointConn, keep time.Duration) {
 	conn.idleSince, conn.reused = time.Now(), true
 	conn.expiresAt = conn.idleSince.Add(min(keep, maxIdleTime))
+	limit := p.idleLimit(e)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if list := p.idle[incarnation]; len(list) < maxIdleConns {
-		p.idle[incarnation] = append(list, conn)
+	if list := p.idle[e.Incarnation]; len(list) < limit {
+		p.idle[e.Incarnation] = append(list, conn)
 		return
 	}
 	_ = conn.Close()
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	p.gateway.pool.put(e.Incarnation, conn, maxIdleTime)
+	p.gateway.pool.put(e, conn, maxIdleTime)
 	return nil
 }
 
--- a/routing/direct/limit_reports.go
+++ b/routing/direct/limit_reports.go
@@ -27,7 +27,7 @@
 		switch k := l.limits[endpoint]; {
 		case now.Sub(k.changedAt) < limitNewsTime:
 			changed = append(changed, endpoint)
-		case full && l.reports(now, endpoint, k):
+		case full && l.shouldReport(now, endpoint, k):
 			standing = append(standing, endpoint)
 		}
 	}
@@ -47,8 +47,8 @@
 	return reports
 }
 
-// reports returns whether this entry reports a limit that has not changed lately.
-func (l *EndpointLimits) reports(now time.Time, endpoint EndpointHash, k *knownLimit) bool {
+// shouldReport returns whether this entry reports a limit that has not changed lately.
+func (l *EndpointLimits) shouldReport(now time.Time, endpoint EndpointHash, k *knownLimit) bool {
 	if now.Sub(k.heardAt) > limitReportTTL {
 		return false
 	}
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -279,6 +279,13 @@
 	return held, len(w.releasedIDs), w.orderCount
 }
 
+// OpenConnections returns the number of open connections.
+func (w *Worker) OpenConnections() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.conns)
+}
+
 func (w *Worker) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
