--- /dev/null
+++ b/gateway/peerdelay_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"aspenyard.example/membership"
+	"aspenyard.example/wire"
+)
+
+// Guards against heartbeats that waited while this process was suspended and count as new.
+func TestLateHeartbeatsAreTold(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	d := newPeerDelays(start)
+	beat := func(incarnation, uptime uint64) *wire.Heartbeat {
+		return &wire.Heartbeat{Node: "g2", Incarnation: incarnation, SentUptimeMs: uptime}
+	}
+	is.Equal(d.observe(at(1000), beat(1, 500)), time.Duration(0))
+	is.Equal(d.observe(at(1105), beat(1, 600)), 5*time.Millisecond)
+	is.Equal(d.observe(at(1200), beat(1, 702)), time.Duration(0)) // the promptest so far
+	is.Equal(d.observe(at(9000), beat(1, 800)), 7702*time.Millisecond)
+	is.Equal(d.observe(at(9000), beat(2, 10)), time.Duration(0)) // another incarnation
+	is.Equal(d.observe(at(9100), beat(0, 0)), time.Duration(0))  // an earlier version does not tell
+	d.prune(func(string) bool { return false })
+	is.Equal(len(d.peers), 0)
+}
+
+// Guards against an entry that starts and waits for up to a second to hear what the others know.
+func TestAStartingEntryGetsAFullHeartbeat(t *testing.T) {
+	is := is.New(t)
+	p := &peers{delays: newPeerDelays(time.Now()), incarnations: map[string]uint64{}, fullSentAt: time.Now()}
+	view := func(incarnation uint64) *membership.View {
+		return &membership.View{Members: map[string]*membership.Member{"g2": {LastHeartbeat: &wire.Heartbeat{Node: "g2", Incarnation: incarnation}}}}
+	}
+	p.welcomeEntries(view(1))
+	is.True(p.fullSentAt.IsZero())
+	p.fullSentAt = time.Now()
+	p.welcomeEntries(view(1))
+	is.True(!p.fullSentAt.IsZero())
+	p.welcomeEntries(view(2)) // it has started again
+	is.True(p.fullSentAt.IsZero())
+}
