--- a/gateway/peerdelay.go
+++ b/gateway/peerdelay.go
@@ -7,7 +7,7 @@
 )
 
 // peerDelays estimates how late heartbeats are. Those that arrive while this process is suspended,
-// or that the network holds back, tell ages that have grown since. Only the membership loop's
+// or that the network holds back, carry ages that have grown since. Only the membership loop's
 // control thread uses it.
 type peerDelays struct {
 	started time.Time
@@ -26,7 +26,7 @@
 }
 
 // observe returns by how much a heartbeat is later than the promptest one of its sender; 0 for
-// senders that do not tell the time.
+// senders that do not report their uptime.
 func (d *peerDelays) observe(now time.Time, h *wire.Heartbeat) time.Duration {
 	if h.SentUptimeMs == 0 {
 		return 0
--- a/gateway/peerdelay_test.go
+++ b/gateway/peerdelay_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against heartbeats that waited while this process was suspended and count as new.
-func TestLateHeartbeatsAreTold(t *testing.T) {
+func TestLateHeartbeatsAreRecognized(t *testing.T) {
 	is := is.New(t)
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -36,11 +36,11 @@
 	view := func(incarnation uint64) *membership.View {
 		return &membership.View{Members: map[string]*membership.Member{"g2": {LastHeartbeat: &wire.Heartbeat{Node: "g2", Incarnation: incarnation}}}}
 	}
-	p.welcomeEntries(view(1))
+	p.fullHeartbeatForNewEntries(view(1))
 	is.True(p.fullSentAt.IsZero())
 	p.fullSentAt = time.Now()
-	p.welcomeEntries(view(1))
+	p.fullHeartbeatForNewEntries(view(1))
 	is.True(!p.fullSentAt.IsZero())
-	p.welcomeEntries(view(2)) // it has started again
+	p.fullHeartbeatForNewEntries(view(2)) // it has started again
 	is.True(p.fullSentAt.IsZero())
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -311,7 +311,7 @@
 // Tick implements membership.Delegate: it updates the number of entries, and this one's rank
 // among them by name, for the retry limits and the division of the engines.
 func (p *peers) Tick(now time.Time, members *membership.View) {
-	p.welcomeEntries(members)
+	p.fullHeartbeatForNewEntries(members)
 	p.gateway.retries.SetEntries(now, members.EntryCountWithLeaving()+1)
 	p.gateway.loadTracker.SetEntryCount(members.EntryCount() + 1)
 	alive := members.Entries("")
@@ -319,9 +319,9 @@
 	p.gateway.loadTracker.SetRank(rank, len(alive)+1)
 }
 
-// welcomeEntries makes the next heartbeat a full one when an entry has started, so that it learns
+// fullHeartbeatForNewEntries makes the next heartbeat a full one when an entry has started, so that it learns
 // at once what the others know, and drops what is kept of entries that are gone.
-func (p *peers) welcomeEntries(members *membership.View) {
+func (p *peers) fullHeartbeatForNewEntries(members *membership.View) {
 	for name, m := range members.Members {
 		if m.LastHeartbeat != nil && p.incarnations[name] != m.LastHeartbeat.Incarnation {
 			p.incarnations[name] = m.LastHeartbeat.Incarnation
--- a/routing/direct/endpoint_limits.go
+++ b/routing/direct/endpoint_limits.go
@@ -72,8 +72,8 @@
 	// limitReportTTL is how long the end of a limit is remembered, and the age up to which
 	// other entries' reports are used. An older report might revive a limit that has ended.
 	limitReportTTL = time.Minute
-	// limitNewsTime is how long a change is part of every heartbeat.
-	limitNewsTime = 500 * time.Millisecond
+	// changeReportTime is how long a change is part of every heartbeat.
+	changeReportTime = 500 * time.Millisecond
 	// ownReportTime is how long an entry reports what it heard from an endpoint itself.
 	ownReportTime = 3 * time.Second
 	// extraReporters is the number of entries beyond the holders that report a limit.
@@ -101,7 +101,7 @@
 // SetEntries sets this entry's name and the names of all registered entries. The registrations
 // are the same for all entries, whoever hears of whom, so that all agree on who shares a limit. An
 // entry counts for unlistedEntryTTL after its registration has ended: when the platform's store
-// returns without any registrations, each entry would else take all limits for itself.
+// returns without any registrations, each entry would otherwise take all limits for itself.
 func (l *EndpointLimits) SetEntries(now time.Time, self string, entries []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/routing/direct/limit_reports.go
+++ b/routing/direct/limit_reports.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// LimitReport is what an entry tells others of an endpoint's limit. Ages are those of the
+// LimitReport is an entry's report of an endpoint's limit to others. Ages are those of the
 // request and of the response that stated it, when the report is sent.
 type LimitReport struct {
 	Endpoint          EndpointHash
@@ -15,8 +15,8 @@
 	SentAge, HeardAge time.Duration
 }
 
-// Reports returns what to tell other entries, at most most reports. Changes are always told, by
-// every entry that learned of them; with full, also the limits that stand. Those are told by
+// Reports returns the reports for other entries, at most most of them. Every entry reports the
+// changes that it learned of; with full, also the limits that stand. Those are reported by
 // entries that heard them from the endpoint itself, and by its holders and a few more, so that a
 // limit outlives the entry that heard it and entries that start learn of it.
 func (l *EndpointLimits) Reports(now time.Time, full bool, most int) []LimitReport {
@@ -25,7 +25,7 @@
 	var changed, standing []EndpointHash
 	for _, endpoint := range slices.Sorted(maps.Keys(l.limits)) {
 		switch k := l.limits[endpoint]; {
-		case now.Sub(k.changedAt) < limitNewsTime:
+		case now.Sub(k.changedAt) < changeReportTime:
 			changed = append(changed, endpoint)
 		case full && l.shouldReport(now, endpoint, k):
 			standing = append(standing, endpoint)
