Reading the change once more: an impossible uptime in a heartbeat, and comments

A heartbeat's uptime was used before it was checked: one near the end of its range overflows the arithmetic with durations and would make every later heartbeat of that sender look late, so that its reports of limits are ignored or misdated. One over a hundred years now counts as not reported (TestLateHeartbeatsAreRecognized has the case).

--- a/admission/sharedrate.go
+++ b/admission/sharedrate.go
@@ -15,9 +15,9 @@
 // leave each of them less than one request in a window. A single holder would refuse callers
 // that arrive at other entries while most of the limit is unused.
 
-// extraHolders is the number of holders beyond one for each request per second. A window of
-// length w then has at most w*rate + holders requests, which stays below the 1.5*w*rate + 5
-// that endpoints tolerate, with room for entries that briefly disagree about the holders.
+// extraHolders is the number of holders beyond one for each request per second. A window then
+// has at most what the rate allows in it and a full bucket of each holder. That leaves room, below
+// what endpoints tolerate, for entries that briefly disagree about the holders.
 const extraHolders = 3
 
 // Holders returns how many of the given number of entries share a rate limit.
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -62,7 +62,8 @@
 // endedLimit is the value that reports the end of a limit in heartbeats.
 const endedLimit = -1
 
-// appendLimits adds reports of endpoints' limits to a heartbeat.
+// appendLimits adds reports of endpoints' limits to a heartbeat. The age of the request is rounded
+// up, so that the receiver does not take the request for later than it was.
 func appendLimits(h *wire.Heartbeat, reports []direct.LimitReport) {
 	for _, r := range reports {
 		value := r.PerSecond
@@ -76,8 +77,7 @@
 	}
 }
 
-// ageMillis rounds an age down to milliseconds. The age of the request is rounded up, so that the
-// receiver does not take the request for later than it was.
+// ageMillis rounds an age down to milliseconds.
 func ageMillis(age time.Duration) uint32 {
 	return uint32(min(max(age.Milliseconds(), 0), math.MaxUint32))
 }
--- a/gateway/peerdelay.go
+++ b/gateway/peerdelay.go
@@ -6,6 +6,10 @@
 	"aspenyard.example/wire"
 )
 
+// maxUptime is the longest uptime that a heartbeat is believed to report. A longer one would
+// overflow the arithmetic with durations.
+const maxUptime = 100 * 365 * 24 * time.Hour
+
 // peerDelays estimates how late heartbeats are. Those that arrive while this process is suspended,
 // or that the network holds back, carry ages that have grown since. Only the membership loop's
 // control thread uses it.
@@ -26,9 +30,9 @@
 }
 
 // observe returns by how much a heartbeat is later than the promptest one of its sender; 0 for
-// senders that do not report their uptime.
+// senders that report no uptime or an impossible one.
 func (d *peerDelays) observe(now time.Time, h *wire.Heartbeat) time.Duration {
-	if h.SentUptimeMs == 0 {
+	if h.SentUptimeMs == 0 || h.SentUptimeMs > uint64(maxUptime.Milliseconds()) {
 		return 0
 	}
 	offset := now.Sub(d.started) - time.Duration(h.SentUptimeMs)*time.Millisecond
--- a/gateway/peerdelay_test.go
+++ b/gateway/peerdelay_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	is.Equal(d.observe(at(9000), beat(1, 800)), 7702*time.Millisecond)
 	is.Equal(d.observe(at(9000), beat(2, 10)), time.Duration(0)) // another incarnation
 	is.Equal(d.observe(at(9100), beat(0, 0)), time.Duration(0))  // an earlier version does not tell
+	is.Equal(d.observe(at(9100), beat(2, math.MaxUint64)), time.Duration(0))
+	is.Equal(d.observe(at(9105), beat(2, 110)), 5*time.Millisecond) // the impossible uptime has left no trace
 	d.prune(func(string) bool { return false })
 	is.Equal(len(d.peers), 0)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -319,8 +319,8 @@
 	p.gateway.loadTracker.SetRank(rank, len(alive)+1)
 }
 
-// fullHeartbeatForNewEntries makes the next heartbeat a full one when an entry has started, so that it learns
-// at once what the others know, and drops what is kept of entries that are gone.
+// fullHeartbeatForNewEntries makes the next heartbeat a full one when an entry has started, so that
+// it learns at once what the others know, and drops what is kept of entries that are gone.
 func (p *peers) fullHeartbeatForNewEntries(members *membership.View) {
 	for name, m := range members.Members {
 		if m.LastHeartbeat != nil && p.incarnations[name] != m.LastHeartbeat.Incarnation {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -53,8 +53,8 @@
 }
 
 func newPool() *pool {
-	unlimited := func(*directory.EndpointState) int { return maxIdleConns }
-	return &pool{dial: Dialer(dialTimeout), idleLimit: unlimited, idle: map[directory.Incarnation][]*endpointConn{}}
+	defaultLimit := func(*directory.EndpointState) int { return maxIdleConns }
+	return &pool{dial: Dialer(dialTimeout), idleLimit: defaultLimit, idle: map[directory.Incarnation][]*endpointConn{}}
 }
 
 // get returns a connection to the endpoint: the most recently used idle one, or else a new one.
