gateway, platform: log and count when an endpoint states that it leaves or wants rest

Nothing of Server-Leaving or Retry-After in an endpoint's response is in logs or metrics.

Log lines endpoint_states_leaving, endpoint_rests and endpoint_statement_refused; counters rests_total and invalid_statements_total. Limits and loads go through the same function as before.

Limits, leaving and rest share presence, two values in one response and values that cannot be parsed.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -142,10 +142,7 @@
 	if sendErr != nil {
 		return sendErr.outcome, sendErr
 	}
-	f.gateway.observeLimit(plan.Endpoint, sentAt, response.parsed.Limit)
-	if response.parsed.HasLoad {
-		f.gateway.loadTracker.RecordLoadReport(time.Now(), plan.Endpoint.Incarnation, response.parsed.Running, response.parsed.Waiting)
-	}
+	f.gateway.observeStatements(plan.Endpoint, sentAt, &response.parsed.Statements)
 	if outcome, err := classify(response); err != nil {
 		response.discard()
 		if outcome == attempt.NotExecuted {
--- a/gateway/header_codec.go
+++ b/gateway/header_codec.go
@@ -53,33 +53,7 @@
 	// FaultyAddr is the address of the endpoint that kept the request from running; empty if the
 	// response does not name one.
 	FaultyAddr string
-	// Running and Waiting are the numbers of requests at the endpoint. They are valid if HasLoad
-	// is set.
-	Running, Waiting int
-	HasLoad          bool
-	// Limit is the limit of requests per second that the endpoint states.
-	Limit StatedLimit
-}
-
-// StatedLimitKind tells whether a response states a limit.
-type StatedLimitKind uint8
-
-// The kinds. The zero value is a response without a limit.
-const (
-	LimitNotStated StatedLimitKind = iota
-	LimitStated
-	// LimitInvalid is a limit that cannot be parsed, or two different ones.
-	LimitInvalid
-)
-
-// StatedLimit is the limit of requests per second, over all callers together, that a response
-// states.
-type StatedLimit struct {
-	Kind StatedLimitKind
-	// PerSecond is valid for LimitStated.
-	PerSecond float64
-	// Header is the header's name and Text its value, as received.
-	Header, Text string
+	Statements
 }
 
 // HeaderCodec translates between the headers of the platform and the values that the gateway uses.
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -18,13 +18,13 @@
 
 // observeLimit records the limit that an endpoint's response states or does not state. sentAt is
 // when the request was sent. Entries that hear of a change pass it on at once.
-func (g *Gateway) observeLimit(e *directory.EndpointState, sentAt time.Time, limit StatedLimit) {
-	if limit.Kind == LimitInvalid {
+func (g *Gateway) observeLimit(e *directory.EndpointState, sentAt time.Time, limit Stated[float64]) {
+	if limit.Kind == InvalidStatement {
 		g.metrics.GetOrCreateCounter("aspenyard_gateway_invalid_limits_total").Inc()
 		g.log.Error("endpoint_limit_refused", zap.String("endpoint", e.ID), zap.String("header", limit.Header), zap.String("value", limit.Text))
 		return
 	}
-	change, changed := g.loadTracker.Limits().Observe(time.Now(), direct.HashEndpoint(e.Incarnation), sentAt, limit.Kind == LimitStated, limit.PerSecond)
+	change, changed := g.loadTracker.Limits().Observe(time.Now(), direct.HashEndpoint(e.Incarnation), sentAt, limit.Kind == ValidStatement, limit.Value)
 	if changed {
 		g.logLimitChange(e.ID, change, limit.Header, "")
 		g.peers.sendHeartbeat()
--- /dev/null
+++ b/gateway/statements.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"aspenyard.example/directory"
+)
+
+// Statements are what a process states in a response about itself, not about the request.
+type Statements struct {
+	// Instance is the ID by which the process names itself; empty if it does not.
+	Instance string
+	// Running and Waiting are the numbers of requests at the endpoint. They are valid if HasLoad
+	// is set.
+	Running, Waiting int
+	HasLoad          bool
+	// Limit is how many requests per second the endpoint takes from all callers together.
+	Limit Stated[float64]
+	// Leaving is set if the endpoint is about to stop and takes no further requests.
+	Leaving Stated[bool]
+	// Rest is the time for which an endpoint that refused a request wants none from this entry.
+	Rest Stated[time.Duration]
+}
+
+// Stated is a value that a response may state.
+type Stated[T any] struct {
+	Kind StatementKind
+	// Value is valid for ValidStatement.
+	Value T
+	// Header is the header's name and Text its value, as received.
+	Header, Text string
+}
+
+// StatementKind tells whether a response makes a statement.
+type StatementKind uint8
+
+// The kinds. The zero value is a response that does not make the statement.
+const (
+	NotStated StatementKind = iota
+	ValidStatement
+	// InvalidStatement cannot be parsed, or the response has two different values.
+	InvalidStatement
+)
+
+// Names of statements in logs and metrics.
+const (
+	statementLeaving = "leaving"
+	statementRest    = "rest"
+)
+
+// observeStatements applies what an endpoint's response states. sentAt is when the request was
+// sent.
+func (g *Gateway) observeStatements(e *directory.EndpointState, sentAt time.Time, s *Statements) {
+	if s.HasLoad {
+		g.loadTracker.RecordLoadReport(time.Now(), e.Incarnation, s.Running, s.Waiting)
+	}
+	g.observeLimit(e, sentAt, s.Limit)
+	if acceptStatement(g, e, statementLeaving, s.Leaving) && s.Leaving.Value {
+		g.log.Info("endpoint_states_leaving", zap.String("endpoint", e.ID), zap.String("header", s.Leaving.Header))
+	}
+	if acceptStatement(g, e, statementRest, s.Rest) && s.Rest.Value > 0 {
+		g.log.Info("endpoint_rests", zap.String("endpoint", e.ID), zap.Duration("rest_ms", s.Rest.Value), zap.String("value", s.Rest.Text))
+		g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_rests_total{service=%q}`, e.Service)).Inc()
+	}
+}
+
+// acceptStatement reports whether a response makes a valid statement. An invalid one is logged and
+// counted, and what was known before stays in force.
+func acceptStatement[T any](g *Gateway, e *directory.EndpointState, name string, s Stated[T]) bool {
+	if s.Kind == InvalidStatement {
+		g.log.Error("endpoint_statement_refused", zap.String("endpoint", e.ID), zap.String("statement", name), zap.String("header", s.Header), zap.String("value", s.Text))
+		g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_invalid_statements_total{statement=%q}`, name)).Inc()
+	}
+	return s.Kind == ValidStatement
+}
