--- a/standin/platform/reservations.go
+++ b/standin/platform/reservations.go
@@ -24,7 +24,7 @@
 		"phase": "mixed", "busy": false, "seq_no": w.orderCount, "queued": 0, "active": w.inFlight, "kv_used": used, "kv_total": w.MemoryTokens, "handles": 0, "pace": w.slowdown, "tickets": reservations,
 	})
 	w.mu.Unlock()
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(data), data)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n%sContent-Length: %d\r\n\r\n%s", w.statements(), len(data), data)
 	return true
 }
 
@@ -79,7 +79,7 @@
 	_ = json.NewDecoder(r.Body).Decode(&order)
 	_, _ = io.Copy(io.Discard, r.Body)
 	if expectedID := r.Header.Get("X-Aspenyard-Expect-Instance"); expectedID != "" && expectedID != w.ID {
-		fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Aspenyard-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.ID)
+		fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Aspenyard-Instance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", w.ID, w.statements())
 		return true
 	}
 	fault := w.nextOrderFault()
@@ -97,7 +97,7 @@
 	if fault == FaultReset {
 		return false
 	}
-	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}", status)
+	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/json\r\n%sContent-Length: 2\r\n\r\n{}", status, w.statements())
 	return true
 }
 
--- a/standin/platform/limit.go
+++ b/standin/platform/statements.go
@@ -7,7 +7,11 @@
 	"time"
 )
 
-const headerLimit = "Server-Limit"
+// Headers in which a worker makes statements about itself.
+const (
+	headerLimit   = "Server-Limit"
+	headerLeaving = "Server-Leaving"
+)
 
 // SetLimit makes the worker state in its responses, from now on, how many requests per second
 // it takes from all gateways together. It does not enforce the limit.
@@ -23,16 +27,57 @@
 	w.statedLimit = text
 }
 
-// limitHeader returns the header line that states the limit.
-func (w *Worker) limitHeader() string {
+// SetLeaving makes the worker state in all its responses, from now on, that it leaves; with false
+// they do not say so. Its registration is not changed.
+func (w *Worker) SetLeaving(leaving bool) {
+	text := ""
+	if leaving {
+		text = "1"
+	}
+	w.SetLeavingText(text)
+}
+
+// SetLeavingText sets the text of that statement, which may be malformed; with "" there is none.
+func (w *Worker) SetLeavingText(text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.statedLeaving = text
+}
+
+// SetRest sets the text of the Retry-After header in refusals with status 503, which may be
+// malformed; with "" they have none.
+func (w *Worker) SetRest(text string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.statedLimit == "" {
+	w.statedRest = text
+}
+
+// statements returns the header lines of what the worker states in all its responses.
+func (w *Worker) statements() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return headerLine(headerLimit, w.statedLimit) + headerLine(headerLeaving, w.statedLeaving)
+}
+
+// restHeader returns the header line of refusals that states for how long the worker wants no
+// requests from the gateway.
+func (w *Worker) restHeader() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return headerLine("Retry-After", w.statedRest)
+}
+
+// headerLine returns a line of a response's head; "" for an empty value.
+func headerLine(name, value string) string {
+	if value == "" {
 		return ""
 	}
-	return headerLimit + ": " + w.statedLimit + "\r\n"
+	return name + ": " + value + "\r\n"
 }
 
+// StatesLeaving reports whether a response states that its worker leaves.
+func StatesLeaving(h http.Header) bool { return h.Get(headerLeaving) == "1" }
+
 // StatesLimit reports whether a response states a limit.
 func StatesLimit(h http.Header) bool { return h.Get(headerLimit) != "" }
 
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -121,8 +121,10 @@
 	orderCount      int
 	freedCount      int
 	failedHelper    string
-	// statedLimit is the text of the limit header in responses; "" states none.
-	statedLimit     string
+	// statedLimit and statedLeaving are the texts of headers in responses, statedRest that of
+	// Retry-After in refusals; "" states nothing.
+	statedLimit, statedLeaving, statedRest string
+
 	slowdown        float64
 	reportCount     int
 	listener        net.Listener
@@ -330,7 +332,7 @@
 	fault := w.nextFault()
 	run := newRun(r, fault)
 	if fault == FaultEarlyResponse {
-		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", run.ID)
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Not-Executed: 1\r\n%s%sContent-Length: 0\r\n\r\n", run.ID, w.statements(), w.restHeader())
 		_, _ = io.Copy(io.Discard, r.Body)
 		return true
 	}
@@ -339,7 +341,7 @@
 		return false
 	}
 	run.Body, run.ArrivedAt = string(body), time.Now()
-	headers := fmt.Sprintf("X-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Instance-Load: 1,0,16\r\n%s", run.ID, w.limitHeader())
+	headers := fmt.Sprintf("X-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Instance-Load: 1,0,16\r\n%s", run.ID, w.statements())
 	if status, refusalHeaders := w.refusal(r, fault); status != 0 {
 		run.Status = status
 		w.addRun(run)
@@ -377,7 +379,7 @@
 // refusal returns the status, and further headers, with which a request is refused without
 // being executed; status 0 means that it is executed.
 func (w *Worker) refusal(r *http.Request, fault Fault) (status int, headers string) {
-	const notExecuted = "X-Aspenyard-Not-Executed: 1\r\n"
+	notExecuted := "X-Aspenyard-Not-Executed: 1\r\n" + w.restHeader()
 	switch {
 	case r.Header.Get("X-Aspenyard-Expect-Instance") != w.ID:
 		return http.StatusMisdirectedRequest, "X-Aspenyard-Instance-Id: " + w.ID + "\r\n"
