gateway: statements in a 421 are those of the instance that sent it, not of the one that was meant

Callers saw requests refused with 3016 (limits used up) although the endpoint of their service states no limit. Cause: what a response states was applied to the endpoint to which the request was sent. A 421 comes from another instance at its address, as when addresses change owners; that instance's limit was taken for that of the endpoint that was meant. With a statement that is final, such as leaving, the same mistake would take a healthy endpoint out for good.

Change: a response's sender is the target, unless it names another instance or has status 421. Another instance counts only if it is listed at that address; what an unknown one states is not used.

Before: TestAStatementOfAnotherInstanceIsNotAppliedToTheOneThatWasMeant: limited_endpoints 1 instead of 0 after a 421. After: 0, and 1, for the instance that sent it, once that is listed.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -142,7 +142,7 @@
 	if sendErr != nil {
 		return sendErr.outcome, sendErr
 	}
-	f.gateway.observeStatements(plan.Endpoint, sentAt, &response.parsed.Statements)
+	f.gateway.observeResponse(response, sentAt)
 	if outcome, err := classify(response); err != nil {
 		response.discard()
 		if outcome == attempt.NotExecuted {
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,8 +52,29 @@
 	statementRest    = "rest"
 )
 
-// observeStatements applies what an endpoint's response states. sentAt is when the request was
-// sent.
+// responder returns the endpoint that a response is from; nil if it is not listed. target is the
+// endpoint to which the request was sent. A response with status 421 may come from another instance
+// at its address, which may name itself.
+func (g *Gateway) responder(target *directory.EndpointState, status int, instance string) *directory.EndpointState {
+	if instance == target.ID || instance == "" && status != http.StatusMisdirectedRequest {
+		return target
+	}
+	if e := g.snapshot.Load().EndpointByID(instance); e != nil && e.Addr == target.Addr {
+		return e
+	}
+	return nil
+}
+
+// observeResponse applies what the response to a request, which was sent at sentAt, states about
+// its endpoint.
+func (g *Gateway) observeResponse(r *endpointResponse, sentAt time.Time) {
+	if e := g.responder(r.endpoint, r.status, r.parsed.Instance); e != nil {
+		g.observeStatements(e, sentAt, &r.parsed.Statements)
+	}
+}
+
+// observeStatements applies what an endpoint states about itself in the response to a request that
+// was sent at sentAt.
 func (g *Gateway) observeStatements(e *directory.EndpointState, sentAt time.Time, s *Statements) {
 	if s.HasLoad {
 		g.loadTracker.RecordLoadReport(time.Now(), e.Incarnation, s.Running, s.Waiting)
