gateway, directory: an endpoint that states that it leaves gets no more requests

Callers saw requests sent to an endpoint that was about to stop, more than 2 s after its response had said so to the same entry. Cause: an endpoint left by the store's word alone, and the store was 12 s late in the record.

The statement is final for the incarnation: registrations, outages, later responses and other entries only confirm it. It is read in responses to callers' requests, orders and report queries. Entries tell each other (8 bytes an endpoint, while the store still lists it), also one that starts. A plan one of whose engines leaves while memory is reserved is made anew. Where all endpoints leave, requests are refused at once (3006), queued ones too.

Ruled out: a filter in routing/direct alone, which each of the uses above would need to repeat; a time for which the statement holds, as the store may be away for longer; the hash of 32 bits that limits use, as a collision would take a healthy endpoint out for good.

--- a/bench/gatewaypath.go
+++ b/bench/gatewaypath.go
@@ -98,7 +98,7 @@
 	}
 	dial := gateway.Dialer(time.Second)
 	endpoints := platform.NewEndpointClient(dial)
-	g := gateway.New(gateway.Config{Settings: s, HeaderCodec: platform.HeaderCodec{}, Source: platform.NewStore(s.Store, dial), Reserver: endpoints, SlowdownReader: endpoints, Log: zap.NewNop()})
+	g := gateway.New(gateway.Config{Settings: s, HeaderCodec: platform.HeaderCodec{}, Source: platform.NewStore(s.Store, dial), Reserver: endpoints, SlowdownReader: endpoints, Statements: endpoints, Log: zap.NewNop()})
 	failed := make(chan error, 1)
 	go func() { failed <- g.Serve(ctx, make(chan os.Signal), nil) }()
 	for deadline := time.Now().Add(gatewayReadyTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
--- a/directory/replica.go
+++ b/directory/replica.go
@@ -137,6 +137,8 @@
 	outageEnd time.Time
 	// synced is set once a full state has been applied.
 	synced bool
+	// stated are the endpoints that have stated themselves that they leave.
+	stated *StatedLeaving
 }
 
 // tombstone is how the registration of an incarnation ended.
@@ -150,9 +152,13 @@
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	return &Replica{endpoints: map[string]*EndpointState{}, nodes: map[string]Node{}, tombstones: map[string]tombstone{}}
+	return &Replica{endpoints: map[string]*EndpointState{}, nodes: map[string]Node{}, tombstones: map[string]tombstone{}, stated: NewStatedLeaving()}
 }
 
+// StatedLeaving returns the set of endpoints that have stated themselves that they leave. Snapshots
+// treat them like those that the store lists as leaving.
+func (r *Replica) StatedLeaving() *StatedLeaving { return r.stated }
+
 // Revision returns the store's revision up to which changes are known.
 func (r *Replica) Revision() uint64 { return r.revision }
 
@@ -308,9 +314,10 @@
 const maxTombstones = 20_000
 
 // ExpireMissing drops endpoints that have been missing for longer than missingGrace. It
-// drops all tombstones if there are more than maxTombstones. It reports whether an endpoint
-// was dropped.
+// drops all tombstones if there are more than maxTombstones, and statements of endpoints that are
+// no longer listed. It reports whether an endpoint was dropped.
 func (r *Replica) ExpireMissing(now time.Time) bool {
+	r.stated.refresh(now, r.endpoints)
 	changed := false
 	for id, e := range r.endpoints {
 		if !e.MissingSince.IsZero() && now.Sub(e.MissingSince) > missingGrace {
@@ -333,6 +340,8 @@
 	// byService lists the endpoints of each service that are not leaving, sorted by ID.
 	byService map[string][]*EndpointState
 	byID      map[string]*EndpointState
+	// leaving holds the service of each endpoint that is leaving, by ID.
+	leaving map[string]string
 	// Nodes are the system's own registered processes, sorted by name.
 	Nodes []Node
 }
@@ -356,7 +365,24 @@
 // nil.
 func (s *Snapshot) EndpointByID(id string) *EndpointState { return s.byID[id] }
 
-// All returns all endpoints, in no order.
+// Registered reports whether an endpoint with that ID is registered, whether or not it is leaving.
+func (s *Snapshot) Registered(id string) bool {
+	_, leaving := s.leaving[id]
+	return leaving || s.byID[id] != nil
+}
+
+// LeavingCount returns how many endpoints of a service are registered and leaving.
+func (s *Snapshot) LeavingCount(service string) int {
+	n := 0
+	for _, of := range s.leaving {
+		if of == service {
+			n++
+		}
+	}
+	return n
+}
+
+// All returns all endpoints that may be sent requests, in no order.
 func (s *Snapshot) All() iter.Seq[*EndpointState] { return maps.Values(s.byID) }
 
 // Len returns the number of endpoints that may be sent requests.
@@ -365,12 +391,13 @@
 // Snapshot returns an immutable copy of the replica's state. It has no configuration until a
 // full state has been applied.
 func (r *Replica) Snapshot() *Snapshot {
-	s := &Snapshot{Revision: r.revision, byService: map[string][]*EndpointState{}, byID: map[string]*EndpointState{}}
+	s := &Snapshot{Revision: r.revision, byService: map[string][]*EndpointState{}, byID: map[string]*EndpointState{}, leaving: map[string]string{}}
 	if r.synced {
 		s.Config = r.config
 	}
 	for id, e := range r.endpoints {
-		if e.Leaving {
+		if e.Leaving || r.stated.Contains(e.Incarnation) {
+			s.leaving[id] = e.Service
 			continue
 		}
 		usable := *e
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -82,7 +82,7 @@
 
 // watchStore follows the store until ctx ends. One call is under way at a time.
 func (g *Gateway) watchStore(ctx context.Context) {
-	w := &storeWatcher{gateway: g, replica: directory.NewReplica(), needsFullRead: true, backoff: minBackoff, timeout: g.settings.StoreTimeout.D(), loggedInvalidItems: map[string]uint64{}}
+	w := &storeWatcher{gateway: g, replica: g.replica, needsFullRead: true, backoff: minBackoff, timeout: g.settings.StoreTimeout.D(), loggedInvalidItems: map[string]uint64{}}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	results := make(chan storeResult, 1)
@@ -95,6 +95,8 @@
 			if w.replica.ExpireMissing(now) {
 				w.publish()
 			}
+		case <-g.leavingStated:
+			w.publish()
 		case result := <-results:
 			w.startCall(ctx, w.handleResult(result), results)
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -137,6 +138,10 @@
 			endPrefill()
 		}
 	}
+	if f.leavesSince(plan) {
+		delete(f.placementRequest.Tried, plan.Endpoint.Incarnation) // the next plan may use it without the helper
+		return attempt.NotSent, errEndpointLeaving
+	}
 	sentAt := time.Now()
 	response, sendErr := f.gateway.exchange(ctx, plan.Endpoint, f.buildRequest(plan, helpers), !f.route.Repeatable(), f.silenceTimeout())
 	if sendErr != nil {
@@ -188,6 +193,16 @@
 	return attempt.NotExecuted
 }
 
+// errEndpointLeaving is returned when an endpoint of a plan has stated that it leaves.
+var errEndpointLeaving = errors.New("an endpoint of the plan leaves")
+
+// leavesSince reports whether one of the plan's endpoints has stated that it leaves, as it may do
+// in its response to a reservation.
+func (f *forwarding) leavesSince(plan *direct.Plan) bool {
+	leaves := func(e *directory.EndpointState) bool { return f.gateway.statedLeaving().Contains(e.Incarnation) }
+	return leaves(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, leaves)
+}
+
 // streamStarted reports whether the head of a stream's response has been sent to the caller.
 func (f *forwarding) streamStarted() bool { return f.relay != nil && f.relay.headSent }
 
@@ -263,7 +278,9 @@
 	case f.retrier.MayHaveRun():
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and no other is available")
 	}
-	return result.Refuse(result.NoEndpoint, noEndpointRetryAfter, "no endpoint available for service %q", f.service.Name)
+	leaving := f.gateway.snapshot.Load().LeavingCount(f.service.Name)
+	f.log.Add("no_endpoint", zap.String("service", f.service.Name), zap.Int("leaving", leaving))
+	return result.Refuse(result.NoEndpoint, noEndpointRetryAfter, "no endpoint available for service %q; %d are leaving", f.service.Name, leaving)
 }
 
 // refuseCapacity ends a request whose prefill would delay too many other requests.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,10 @@
 	active          atomic.Int64                    // callers' requests in flight
 	releasing       atomic.Int64                    // requests whose reservations are being released
 	objectives      *window.Counter
+	// replica is used by watchStore's goroutine only, apart from its StatedLeaving. leavingStated
+	// tells that goroutine of a change there.
+	replica       *directory.Replica
+	leavingStated chan struct{}
 	// configAppliedAt is when the current configuration came into force, storeAnsweredAt when
 	// the store last answered. Both are in nanoseconds since started.
 	configAppliedAt, storeAnsweredAt atomic.Int64
@@ -96,7 +100,10 @@
 	Registry    directory.Registry
 	// SlowdownReader may be nil; slow endpoints are then not detected.
 	SlowdownReader SlowdownReader
-	Log            *zap.Logger
+	// Statements may be nil; what endpoints state in responses to orders and queries is then not
+	// used.
+	Statements StatementSource
+	Log        *zap.Logger
 	// LogWriter is the writer behind Log; a metric reports the lines that it drops. May be nil.
 	LogWriter *eventlog.Writer
 	// FirstConfigWait is how long after the start requests wait for the first configuration;
@@ -120,6 +127,7 @@
 		configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
 	}
 	g.quarantine = attempt.NewQuarantine()
+	g.replica, g.leavingStated = directory.NewReplica(), make(chan struct{}, 1)
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.EmptySnapshot())
 	g.pool.idleLimit = g.idleConnsFor
@@ -129,6 +137,9 @@
 	g.peers = &peers{gateway: g, lastSent: map[direct.EndpointHash]direct.EndpointLoad{}, delays: newPeerDelays(g.started), incarnations: map[string]uint64{}}
 	g.longQueue = admission.NewSemaphore(1)
 	g.registerMetrics(c.LogWriter)
+	if c.Statements != nil {
+		c.Statements.ObserveResponses(g.observeCallResponse)
+	}
 	return g
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -48,6 +48,7 @@
 		return float64(quarantined)
 	})
 	g.registerLimitMetrics()
+	g.registerLeavingMetrics()
 	g.registerPeerMetrics()
 	if writer != nil {
 		g.metrics.NewGauge("aspenyard_gateway_log_lines_dropped_total", func() float64 { return float64(writer.Dropped()) })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -188,6 +188,7 @@
 		h.SlowPercents = append(h.SlowPercents, uint32(s.Slowdown*percent))
 	}
 	h.SentUptimeMs = uint64(time.Since(p.gateway.started).Milliseconds())
+	p.gateway.appendLeaving(now, h)
 	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
 	for _, d := range p.gateway.loadTracker.Demands(now) {
@@ -243,6 +244,7 @@
 	decodeStreams(h, loads)
 	p.gateway.loadTracker.RecordPeerSlowEndpoints(now, decodeSlowEndpoints(h))
 	p.gateway.mergeLimits(now, h, p.delays.observe(now, h))
+	p.gateway.mergeLeaving(now, h)
 	for _, request := range p.gateway.quarantine.Merge(now, decodeFindings(h)) {
 		p.gateway.reportQuarantined(request, h.Node)
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -105,12 +105,15 @@
 }
 
 // idleConnsFor returns how many idle connections this entry keeps to an endpoint: an equal part of
-// those that all entries may keep.
+// those that all entries may keep, and none to one that takes no requests any more.
 func (g *Gateway) idleConnsFor(e *directory.EndpointState) int {
 	snapshot := g.snapshot.Load()
 	if snapshot.Config == nil {
 		return maxIdleConns
 	}
+	if snapshot.Endpoint(e.Incarnation) == nil {
+		return 0
+	}
 	service := snapshot.Config.Service(e.Service)
 	if service == nil || service.MaxConnections == 0 {
 		return maxIdleConns
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -35,6 +35,9 @@
 	g := f.gateway
 	endpoints := g.policy.Unlimited(f.started, g.snapshot.Load().Endpoints(f.service.Name))
 	engines := len(endpoints)
+	if engines == 0 {
+		return f.noEndpointError()
+	}
 	estimate := g.policy.AddLongPrompt(f.started, f.service, engines, f.PromptTokens)
 	if estimate.TooLate(f.route.Target) {
 		return f.refuseLateFirstToken(estimate, backlogDrainFactor*(estimate.FirstToken()-f.route.Target))
@@ -74,13 +77,19 @@
 		return false
 	}
 	defer g.longQueue.Release()
-	for !queued.MayStart(time.Now(), g.snapshot.Load().Endpoints(f.service.Name)) {
+	for {
+		endpoints := g.snapshot.Load().Endpoints(f.service.Name)
+		if len(endpoints) == 0 {
+			return true // there is nothing to wait for: placing refuses the request
+		}
+		if queued.MayStart(time.Now(), endpoints) {
+			return true
+		}
 		if ctx.Err() != nil {
 			return false
 		}
 		membership.Sleep(ctx, direct.QueuePollInterval)
 	}
-	return true
 }
 
 // refuseLateFirstToken ends a request whose first token is expected too late, or that did not get
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -52,6 +52,34 @@
 	statementRest    = "rest"
 )
 
+// CallResponse is the head of a response to a call that is not a caller's request: an order or a
+// query.
+type CallResponse struct {
+	// EndpointID is the ID of the endpoint that was called.
+	EndpointID string
+	Status     int
+	Statements
+}
+
+// StatementSource is a client of endpoints that reads what they state in responses to its calls.
+type StatementSource interface {
+	// ObserveResponses sets the function that is told of each response. It must be called before
+	// the first call to an endpoint.
+	ObserveResponses(observe func(r *CallResponse))
+}
+
+// observeCallResponse applies what the response to an order or a query states. The limit counts
+// requests: its absence there does not end it.
+func (g *Gateway) observeCallResponse(r *CallResponse) {
+	target := g.snapshot.Load().EndpointByID(r.EndpointID)
+	if target == nil {
+		return
+	}
+	if e := g.responder(target, r.Status, r.Instance); e != nil {
+		g.observeAvailability(e, &r.Statements)
+	}
+}
+
 // responder returns the endpoint that a response is from; nil if it is not listed. target is the
 // endpoint to which the request was sent. A response with status 421 may come from another instance
 // at its address, which may name itself.
@@ -80,8 +108,13 @@
 		g.loadTracker.RecordLoadReport(time.Now(), e.Incarnation, s.Running, s.Waiting)
 	}
 	g.observeLimit(e, sentAt, s.Limit)
+	g.observeAvailability(e, s)
+}
+
+// observeAvailability applies what an endpoint states about whether it takes requests.
+func (g *Gateway) observeAvailability(e *directory.EndpointState, s *Statements) {
 	if acceptStatement(g, e, statementLeaving, s.Leaving) && s.Leaving.Value {
-		g.log.Info("endpoint_states_leaving", zap.String("endpoint", e.ID), zap.String("header", s.Leaving.Header))
+		g.observeLeaving(e, s.Leaving.Header)
 	}
 	if acceptStatement(g, e, statementRest, s.Rest) && s.Rest.Value > 0 {
 		g.log.Info("endpoint_rests", zap.String("endpoint", e.ID), zap.Duration("rest_ms", s.Rest.Value), zap.String("value", s.Rest.Text))
--- a/routing/direct/load_tracker.go
+++ b/routing/direct/load_tracker.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"aspenyard.example/directory"
 )
 
@@ -59,7 +57,7 @@
 
 // HashEndpoint returns the hash of an endpoint's incarnation.
 func HashEndpoint(incarnation directory.Incarnation) EndpointHash {
-	return EndpointHash(xxhash.Sum64String(incarnation.String()))
+	return EndpointHash(incarnation.Hash())
 }
 
 // Loads returns the load that this entry's requests put on each endpoint, without endpoints
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -60,8 +60,9 @@
 	Priority                                              string
 	Body                                                  string
 	DeadlineMS                                            int
-	// Authorization is the caller's header, which a gateway must not forward.
-	Authorization string
+	// Authorization is the caller's header, which a gateway must not forward. Statements are the
+	// values of headers in which only workers make statements.
+	Authorization, Statements string
 	// Ran is false for a request that was refused as not executed.
 	Ran bool
 	// Status is that of the response, 0 if what was sent is not a response. Fault is the
@@ -372,7 +373,7 @@
 	return &Run{
 		ID: r.Header.Get("X-Aspenyard-Attempt-Id"), Method: r.Method, RequestURI: r.RequestURI, Account: r.Header.Get("X-Aspenyard-Tenant"),
 		LastEventID: r.Header.Get("Last-Event-Id"), Helpers: r.Header.Get("X-Aspenyard-Helpers"), Priority: r.Header.Get("X-Aspenyard-Request-Priority"),
-		DeadlineMS: deadline, Authorization: r.Header.Get("Authorization"), Fault: fault,
+		DeadlineMS: deadline, Authorization: r.Header.Get("Authorization"), Statements: r.Header.Get(headerLimit) + r.Header.Get(headerLeaving), Fault: fault,
 	}
 }
 
