gateway: a reservation that an engine makes late is released also when the engine leaves

Callers' memory stayed reserved at an engine until the reservation expired. Cause: a call to reserve without a response may be carried out seconds later, so its release is repeated for 6 s; the repetition stopped when the engine was no longer listed as taking requests, which was taken for its end. An engine that leaves still runs for seconds, and holds the memory that others wait for.

--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -211,6 +211,23 @@
 	is.Equal(after, before)
 }
 
+// Guards against memory that stays reserved at an engine that left after a call to reserve got no
+// response: the engine executes the call late, when it is no longer sent requests.
+func TestAnUncertainReservationAtALeavingEngineIsReleased(t *testing.T) {
+	s := startEngineFixture(t, 20)
+	for _, w := range s.workers {
+		w.QueueOrderFaults(standin.FaultLateOrder)
+	}
+	s.sendPrompt("q1", 500_000)
+	for _, w := range s.workers {
+		s.store.Put("servers/"+w.ID, w.Registration("draining"))
+	}
+	s.waitFor("reservations made in time are released", func() bool { return s.reservationCount() == 0 })
+	s.waitFor("late reservations are held", func() bool { return s.reservationCount() > 0 })
+	freed := s.freedCount()
+	s.waitFor("late reservations are released", func() bool { return s.freedCount() > freed && s.reservationCount() == 0 })
+}
+
 // Guards against an entry that sends requests to an endpoint although the others know that it
 // leaves, also when it has only just started.
 func TestOtherEntriesLearnThatAnEndpointLeaves(t *testing.T) {
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -250,6 +250,15 @@
 	}
 }
 
+// freedCount returns how many releases ended a reservation, over all workers.
+func (s *fixture) freedCount() int {
+	freed := 0
+	for _, w := range s.workers {
+		freed += w.FreedCount()
+	}
+	return freed
+}
+
 // Guards against memory that stays reserved for seconds after its request. An engine leaves the call to
 // reserve without a response, the request is refused and its reservations are released, and then the
 // engine executes the call. One release is not enough, because it may precede the reservation.
@@ -262,17 +271,8 @@
 	s.sendPrompt("q1", 500_000)
 	s.waitFor("reservations made in time are released", func() bool { return s.reservationCount() == 0 })
 	s.waitFor("late reservations are held", func() bool { return s.reservationCount() > 0 })
-	freed := 0
-	for _, w := range s.workers {
-		freed += w.FreedCount()
-	}
-	s.waitFor("late reservations are released", func() bool {
-		now := 0
-		for _, w := range s.workers {
-			now += w.FreedCount()
-		}
-		return now > freed && s.reservationCount() == 0
-	})
+	freed := s.freedCount()
+	s.waitFor("late reservations are released", func() bool { return s.freedCount() > freed && s.reservationCount() == 0 })
 }
 
 // Guards against reservations that last as long as the caller waits, up to ten seconds: helpers have
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -227,7 +227,7 @@
 		if i > 0 {
 			time.Sleep(interval)
 		}
-		if i >= releaseAttempts && r.gateway.snapshot.Load().EndpointByID(h.Endpoint.ID) == nil {
+		if i >= releaseAttempts && !r.gateway.snapshot.Load().Registered(h.Endpoint.ID) {
 			return // the engine is gone, and its memory with it
 		}
 		if err = r.sendRelease(h); err == nil && !h.uncertain {
