gateway, routing/direct: endpoints that refuse and want rest get no requests within it

Callers at an entry were refused (3004, come back after 0.3 s) one after the other, while 21 other engines were free: two engines that refuse everything have nothing in flight, look cheapest and got each of these requests again. They had stated with 503 and Retry-After that they want none for 3 s, and got five each.

Change: an entry keeps each endpoint's rest by incarnation (direct.EndpointRests), apart from the list of endpoints: the last of several ends counts, and neither responses nor a registration that lapses end it. The filter knows endpoints that must not be sent a request beside those that others are preferred to, so that no first attempt, retry, resumed stream, part, reservation or report query goes there, as a last resort neither; it is checked again when a request is sent. Releases, renewals and cancellations go on. Where all endpoints rest, a request is refused at once (3017) with the first end of a rest, spread over a second and by class, the more urgent first; also the request whose refusal completed that. A long prompt waits only for rests that end within its time. A retry that finds no endpoint is returned to the budget. After a rest an entry resumes with its part of half of the endpoint's slots and one more for each response, and as many entries resume at a time as the endpoint has slots.

Ruled out: a longer avoidance, which would stay a preference; 429, which is about who asks; the hash of limits as the key, as a collision would rest a healthy endpoint.

--- a/admission/retrywindow.go
+++ b/admission/retrywindow.go
@@ -169,6 +169,14 @@
 	return true
 }
 
+// GiveBack returns a retry that was taken just now and not sent.
+func (w *RetryWindow) GiveBack(now time.Time, service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	retries := w.countsOf(service).retries.advance(w.slotOf(now), 0)
+	*retries = max(*retries-1, 0)
+}
+
 // countsOf returns the counts of a service; new ones are 0.
 func (w *RetryWindow) countsOf(name string) *serviceCounts {
 	s := w.services[name]
--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -407,7 +407,7 @@
 		r.place()
 		return
 	}
-	expected := r.entry.policy.AddLongPrompt(sim.wallTime(), sim.service, len(r.entry.policy.Unlimited(sim.wallTime(), sim.endpoints)), r.promptTokens)
+	expected := r.entry.policy.AddLongPrompt(sim.wallTime(), sim.service, len(r.entry.policy.Usable(sim.wallTime(), sim.wallTime().Add(r.kind.Target), sim.endpoints)), r.promptTokens)
 	if expected.TooLate(r.kind.Target) && sim.config.enabled(Refusing) {
 		r.result.Refused++
 		return
@@ -441,7 +441,7 @@
 	placement := direct.Request{Service: sim.service, PromptTokens: r.promptTokens, OutputTokens: maxOutputTokens, MaxPause: r.kind.MaxPause, Tried: map[directory.Incarnation]bool{}}
 	for range maxPlacements {
 		plan := r.entry.policy.Place(sim.wallTime(), &placement, sim.endpoints)
-		if plan == nil || plan.Overloaded || plan.RateLimited {
+		if plan == nil || plan.Refused() {
 			break
 		}
 		if !r.entry.tracker.Limits().Take(sim.wallTime(), direct.HashEndpoint(plan.Endpoint.Incarnation)) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -27,6 +27,10 @@
 	reserveAttempts int
 	// allowanceTaken is set if the last attempt used the allowance of an endpoint's limit.
 	allowanceTaken bool
+	// countedAfterRest is set while the last attempt counts as one of those after a rest.
+	countedAfterRest bool
+	// budgetTaken is set if the next attempt has used the retry budget.
+	budgetTaken bool
 	// failedResponse is the last complete response in which an endpoint reported a failure.
 	failedResponse *bufferedResponse
 }
@@ -52,30 +56,27 @@
 			return failure
 		}
 		plan := c.place(&f.placementRequest)
-		if plan == nil {
-			return f.noEndpointError()
-		}
-		if plan.RateLimited {
-			return f.refuseLimited(plan)
-		}
-		if plan.Overloaded {
-			return f.refuseCapacity(plan)
+		if plan == nil || plan.Refused() {
+			f.returnBudget()
+			return f.refuse(plan)
 		}
 		if !f.takeAllowance(plan.Endpoint) {
 			continue // another request has taken it since; the next plan leaves the endpoint out
 		}
+		f.budgetTaken = false
 		outcome, err := f.sendTo(ctx, plan)
+		f.endRestCount(plan.Endpoint, false)
 		if err == nil {
 			f.recordResponse()
 			return nil
 		}
 		if outcome == attempt.NotSent {
-			f.giveBackAllowance(plan.Endpoint)
+			f.giveBackLimit(plan.Endpoint)
 		}
 		if outcome == attempt.Broken && ctx.Err() == nil {
 			f.checkForCrash(ctx, plan.Endpoint)
 		}
-		next := f.retrier.Decide(outcome, func() bool { return c.gateway.retries.Take(time.Now(), c.service.Name) })
+		next := f.retrier.Decide(outcome, f.takeBudget)
 		c.log.Add("attempt_failed", zap.String("endpoint", plan.Endpoint.ID), zap.String("outcome", outcome.String()),
 			zap.Int("arrivals", f.retrier.Arrivals()), zap.String("next", next.String()), eventlog.Error(err))
 		c.gateway.countFailedAttempt(c.service.Name, outcome)
@@ -88,12 +89,40 @@
 	}
 }
 
+// takeBudget takes a retry from the retry budget.
+func (f *forwarding) takeBudget() bool {
+	f.budgetTaken = f.gateway.retries.Take(time.Now(), f.service.Name)
+	return f.budgetTaken
+}
+
+// returnBudget returns a retry to the budget that was not sent.
+func (f *forwarding) returnBudget() {
+	if f.budgetTaken {
+		f.budgetTaken = false
+		f.gateway.retries.GiveBack(time.Now(), f.service.Name)
+	}
+}
+
+// refuse ends a request that must not be sent, for the reason in the plan; plan is nil if there is
+// no endpoint for it.
+func (f *forwarding) refuse(plan *direct.Plan) *result.Error {
+	switch {
+	case plan == nil:
+		return f.noEndpointError()
+	case plan.RateLimited:
+		return f.refuseLimited(plan)
+	case plan.Resting:
+		return f.refuseResting(plan)
+	}
+	return f.refuseCapacity(plan)
+}
+
 // place selects an endpoint, and helpers, from the newest snapshot. It returns nil when no
 // endpoint is eligible.
 func (c *call) place(r *direct.Request) *direct.Plan {
 	snapshot := c.gateway.snapshot.Load()
 	plan := c.gateway.policy.Place(time.Now(), r, snapshot.Endpoints(c.service.Name))
-	if plan == nil || plan.Overloaded || plan.RateLimited {
+	if plan == nil || plan.Refused() {
 		return plan
 	}
 	c.lastEndpoint = plan.Endpoint.ID
@@ -138,9 +167,9 @@
 			endPrefill()
 		}
 	}
-	if f.leavesSince(plan) {
+	if f.withdrawn(plan) {
 		delete(f.placementRequest.Tried, plan.Endpoint.Incarnation) // the next plan may use it without the helper
-		return attempt.NotSent, errEndpointLeaving
+		return attempt.NotSent, errEndpointWithdrawn
 	}
 	sentAt := time.Now()
 	response, sendErr := f.gateway.exchange(ctx, plan.Endpoint, f.buildRequest(plan, helpers), !f.route.Repeatable(), f.silenceTimeout())
@@ -148,6 +177,7 @@
 		return sendErr.outcome, sendErr
 	}
 	f.gateway.observeResponse(response, sentAt)
+	f.endRestCount(plan.Endpoint, response.status < http.StatusInternalServerError)
 	if outcome, err := classify(response); err != nil {
 		response.discard()
 		if outcome == attempt.NotExecuted {
@@ -193,14 +223,17 @@
 	return attempt.NotExecuted
 }
 
-// errEndpointLeaving is returned when an endpoint of a plan has stated that it leaves.
-var errEndpointLeaving = errors.New("an endpoint of the plan leaves")
+// errEndpointWithdrawn is returned when an endpoint of a plan has stated that it takes no requests.
+var errEndpointWithdrawn = errors.New("an endpoint of the plan takes no requests")
 
-// leavesSince reports whether one of the plan's endpoints has stated that it leaves, as it may do
-// in its response to a reservation.
-func (f *forwarding) leavesSince(plan *direct.Plan) bool {
-	leaves := func(e *directory.EndpointState) bool { return f.gateway.statedLeaving().Contains(e.Incarnation) }
-	return leaves(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, leaves)
+// withdrawn reports whether one of the plan's endpoints has stated that it leaves or wants rest, as
+// it may do in its response to a reservation.
+func (f *forwarding) withdrawn(plan *direct.Plan) bool {
+	now := time.Now()
+	withdrawn := func(e *directory.EndpointState) bool {
+		return f.gateway.statedLeaving().Contains(e.Incarnation) || f.gateway.loadTracker.Rests().Resting(now, e.Incarnation)
+	}
+	return withdrawn(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, withdrawn)
 }
 
 // streamStarted reports whether the head of a stream's response has been sent to the caller.
@@ -278,6 +311,9 @@
 	case f.retrier.MayHaveRun():
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and no other is available")
 	}
+	if failure := f.refuseIfAllRest(); failure != nil {
+		return failure
+	}
 	leaving := f.gateway.snapshot.Load().LeavingCount(f.service.Name)
 	f.log.Add("no_endpoint", zap.String("service", f.service.Name), zap.Int("leaving", leaving))
 	return result.Refuse(result.NoEndpoint, noEndpointRetryAfter, "no endpoint available for service %q; %d are leaving", f.service.Name, leaving)
@@ -300,6 +336,9 @@
 	case attempt.Fail:
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "%v", err)
 	}
+	if failure := f.refuseIfAllRest(); failure != nil {
+		return failure
+	}
 	return result.Refuse(result.Overloaded, overloadedRetryAfter, "%v", err)
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -119,9 +119,21 @@
 	limits.Prune(time.Now(), func(hash direct.EndpointHash) bool { return known[hash] })
 }
 
-// takeAllowance uses the allowance of one request to an endpoint; false if the endpoint's limit
+// takeAllowance uses the allowance of one request to an endpoint; false if what the endpoint states
 // allows none now.
 func (f *forwarding) takeAllowance(e *directory.EndpointState) bool {
+	if !f.takeLimit(e) {
+		return false
+	}
+	if !f.takeRest(e) {
+		f.giveBackLimit(e)
+		return false
+	}
+	return true
+}
+
+// takeLimit uses the allowance of an endpoint's limit; false if it allows no request now.
+func (f *forwarding) takeLimit(e *directory.EndpointState) bool {
 	limits, hash, now := f.gateway.loadTracker.Limits(), direct.HashEndpoint(e.Incarnation), time.Now()
 	if f.allowanceTaken = !limits.Empty() && limits.Limited(now, hash); !f.allowanceTaken {
 		return true
@@ -134,8 +146,8 @@
 	return true
 }
 
-// giveBackAllowance returns the allowance of a request that has certainly not reached the endpoint.
-func (f *forwarding) giveBackAllowance(e *directory.EndpointState) {
+// giveBackLimit returns the allowance of a request that has certainly not reached the endpoint.
+func (f *forwarding) giveBackLimit(e *directory.EndpointState) {
 	if f.allowanceTaken {
 		f.gateway.loadTracker.Limits().GiveBack(time.Now(), direct.HashEndpoint(e.Incarnation))
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -141,6 +141,9 @@
 		start := time.Now()
 		for g.snapshot.Load().Endpoint(e.Incarnation) != nil {
 			time.Sleep(unreachableProbeInterval)
+			if g.loadTracker.Rests().Resting(time.Now(), e.Incarnation) {
+				continue
+			}
 			if g.prober.dial(e) == nil {
 				g.loadTracker.SetUnreachable(e.Incarnation, false)
 				g.log.Info("endpoint_reachable", zap.String("endpoint", e.ID), zap.Duration("unreachable_ms", time.Since(start)))
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -33,7 +33,7 @@
 		return failure
 	}
 	g := f.gateway
-	endpoints := g.policy.Unlimited(f.started, g.snapshot.Load().Endpoints(f.service.Name))
+	endpoints := g.policy.Usable(f.started, f.started.Add(f.route.Target), g.snapshot.Load().Endpoints(f.service.Name))
 	engines := len(endpoints)
 	if engines == 0 {
 		return f.noEndpointError()
@@ -42,11 +42,8 @@
 	if estimate.TooLate(f.route.Target) {
 		return f.refuseLateFirstToken(estimate, backlogDrainFactor*(estimate.FirstToken()-f.route.Target))
 	}
-	if plan := g.policy.Place(f.started, &f.placementRequest, endpoints); plan != nil && (plan.Overloaded || plan.RateLimited) {
-		if plan.RateLimited {
-			return f.refuseLimited(plan)
-		}
-		return f.refuseCapacity(plan) // already known; waiting would only delay the refusal
+	if plan := g.policy.Place(f.started, &f.placementRequest, endpoints); plan != nil && plan.Refused() && !plan.Resting {
+		return f.refuse(plan) // already known; waiting would only delay the refusal
 	}
 	queued := g.policy.Enqueue(f.service, f.PromptTokens)
 	hasCapacity := f.waitForCapacity(ctx, queued, f.started.Add(estimate.LatestStart(f.route.Target)))
@@ -78,7 +75,7 @@
 	}
 	defer g.longQueue.Release()
 	for {
-		endpoints := g.snapshot.Load().Endpoints(f.service.Name)
+		endpoints := g.policy.Usable(time.Now(), latest, g.snapshot.Load().Endpoints(f.service.Name))
 		if len(endpoints) == 0 {
 			return true // there is nothing to wait for: placing refuses the request
 		}
--- a/gateway/slowdown.go
+++ b/gateway/slowdown.go
@@ -64,8 +64,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range endpoints {
-		if m.gateway.loadTracker.Limits().Limited(now, direct.HashEndpoint(e.Incarnation)) {
-			continue // a query would be one more request of those that the endpoint takes
+		if !m.mayQuery(now, e) {
+			continue
 		}
 		last := m.queries[e.Incarnation]
 		if last != nil && (last.active || now.Sub(last.lastQuery) < slowdownInterval) {
@@ -85,7 +85,7 @@
 // poll queries one endpoint, and repeats the query while the endpoint is slow.
 func (m *slowdownMonitor) poll(e *directory.EndpointState) {
 	g := m.gateway
-	for g.snapshot.Load().Endpoint(e.Incarnation) != nil && !g.loadTracker.Limits().Limited(time.Now(), direct.HashEndpoint(e.Incarnation)) {
+	for g.snapshot.Load().Endpoint(e.Incarnation) != nil && m.mayQuery(time.Now(), e) {
 		ctx, cancel := context.WithTimeout(context.Background(), slowdownTimeout)
 		slowdown, err := g.slowdownReader.Slowdown(ctx, e)
 		cancel()
@@ -105,6 +105,13 @@
 	}
 }
 
+// mayQuery reports whether an endpoint may be sent a query. Where it states a limit or wants rest, a
+// query would be one more request.
+func (m *slowdownMonitor) mayQuery(now time.Time, e *directory.EndpointState) bool {
+	tracker := m.gateway.loadTracker
+	return !tracker.Limits().Limited(now, direct.HashEndpoint(e.Incarnation)) && !tracker.Rests().Resting(now, e.Incarnation)
+}
+
 // prune drops endpoints that are no longer known.
 func (m *slowdownMonitor) prune(known func(incarnation directory.Incarnation) bool) {
 	m.mu.Lock()
--- a/gateway/slowdown_test.go
+++ b/gateway/slowdown_test.go
@@ -83,3 +83,23 @@
 	s.waitFor("the engine was queried", func() bool { return strings.Contains(s.log.String(), "pace_unknown") })
 	is.Equal(s.sendPrompt("q2", 1000).body, standin.StreamText("q2", 5))
 }
+
+// Guards against queries to a slow engine that wants no requests for a time.
+func TestARestingEngineIsNotQueried(t *testing.T) {
+	is := is.New(t)
+	s := startEngineFixture(t, 1)
+	slow := s.workers[0]
+	slow.SetSlowdown(5)
+	slow.SetDefaultFault(standin.FaultSlow)
+	go s.sendPrompt("h0", 1000)
+	s.waitFor("the engine is polled", func() bool { return slow.ReportCount() > 0 })
+	slow.SetRest("3600")
+	slow.SetDefaultFault(standin.FaultShed)
+	s.waitFor("the engine rests", func() bool {
+		s.sendPrompt("q", 1000)
+		return s.sumMetric(restingEndpoints) == 1
+	})
+	before := slow.ReportCount()
+	time.Sleep(2500 * time.Millisecond)     // two intervals of the poll
+	is.True(slow.ReportCount() <= before+1) // one may have been under way
+}
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -117,6 +117,7 @@
 		g.observeLeaving(e, s.Leaving.Header)
 	}
 	if acceptStatement(g, e, statementRest, s.Rest) && s.Rest.Value > 0 {
+		g.loadTracker.Rests().Observe(time.Now(), e, s.Rest.Value)
 		g.log.Info("endpoint_rests", zap.String("endpoint", e.ID), zap.Duration("rest_ms", s.Rest.Value), zap.String("value", s.Rest.Text))
 		g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_rests_total{service=%q}`, e.Service)).Inc()
 	}
--- a/routing/direct/filter.go
+++ b/routing/direct/filter.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"time"
 
 	"aspenyard.example/directory"
@@ -11,21 +12,30 @@
 	// unlimited endpoints state no limit, or one that is not tight. limited ones state a tight one.
 	// Both may be sent a request now.
 	unlimited, limited []*directory.EndpointState
-	// exhausted endpoints state a limit and may not be sent a request now.
-	exhausted []*directory.EndpointState
+	// exhausted endpoints state a limit, and resting ones a rest, because of which they must not be
+	// sent a request now.
+	exhausted, resting []*directory.EndpointState
+	// tried is set if the request was sent before to an endpoint that does not rest.
+	tried bool
 }
 
 // count is the number of endpoints that may be sent the request.
 func (c *candidates) count() int { return len(c.unlimited) + len(c.limited) }
 
-// eligible drops endpoints that were already tried. Unless no others remain, it also drops
-// those that accept no connections, refused work lately or have lost their registration.
+// eligible drops endpoints that were already tried and sets those apart that must not be sent a
+// request. Unless no others remain, it also drops those that accept no connections, refused work
+// lately or have lost their registration.
 func (p *Policy) eligible(now time.Time, r *Request, endpoints []*directory.EndpointState) candidates {
-	noLimits := p.tracker.limits.Empty()
+	noLimits, noRests := p.tracker.limits.Empty(), p.tracker.rests.Empty()
 	var preferred, avoided candidates
 	preferred.unlimited = make([]*directory.EndpointState, 0, len(endpoints))
 	for _, e := range endpoints {
+		if !noRests && p.tracker.rests.untilAvailable(now, e.Incarnation) > 0 {
+			preferred.resting = append(preferred.resting, e)
+			continue
+		}
 		if r.Tried[e.Incarnation] {
+			preferred.tried = true
 			continue
 		}
 		tracked := p.tracker.endpoints[e.Incarnation]
@@ -50,11 +60,18 @@
 		return preferred
 	}
 	avoided.exhausted = append(avoided.exhausted, preferred.exhausted...)
+	avoided.resting, avoided.tried = preferred.resting, preferred.tried
 	return avoided
 }
 
-// Unlimited returns the endpoints that state no tight limit, or all if each of them states one.
-func (p *Policy) Unlimited(now time.Time, endpoints []*directory.EndpointState) []*directory.EndpointState {
+// Usable returns the endpoints that state no tight limit, or all if each of them states one. It
+// leaves out those that still rest at the time by.
+func (p *Policy) Usable(now, by time.Time, endpoints []*directory.EndpointState) []*directory.EndpointState {
+	if !p.tracker.rests.Empty() {
+		endpoints = slices.DeleteFunc(slices.Clone(endpoints), func(e *directory.EndpointState) bool {
+			return p.tracker.rests.untilAvailable(now, e.Incarnation) > by.Sub(now)
+		})
+	}
 	if p.tracker.limits.Empty() {
 		return endpoints
 	}
--- a/routing/direct/place_limited_test.go
+++ b/routing/direct/place_limited_test.go
@@ -56,7 +56,7 @@
 	list := endpoints(20)
 	limited := list[14:]
 	limitEndpoints(p, 5, limited)
-	is.Equal(len(p.Unlimited(testNow, list)), 14)
+	is.Equal(len(p.Usable(testNow, testNow, list)), 14)
 	for _, tokens := range []int{20_000, 60_000, 150_000, 400_000} {
 		p.AddLongPrompt(testNow, service(), 14, tokens)
 		plan := p.Place(testNow, prompt(tokens), list)
@@ -112,7 +112,7 @@
 	p := newPolicy(1)
 	list := endpoints(20)
 	limitEndpoints(p, 1000, list)
-	is.Equal(len(p.Unlimited(testNow, list)), 20)
+	is.Equal(len(p.Usable(testNow, testNow, list)), 20)
 	p.AddLongPrompt(testNow, service(), 20, 150_000)
 	plan := p.Place(testNow, prompt(150_000), list)
 	is.True(!plan.RateLimited)
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -46,7 +46,10 @@
 	// RateLimited is set when the request must not be sent now because of the limits that the
 	// endpoints state. It may be sent after RetryAfter.
 	RateLimited bool
-	RetryAfter  time.Duration
+	// Resting is set when the request must not be sent now because all endpoints that are left
+	// rest. It may be sent after RetryAfter.
+	Resting    bool
+	RetryAfter time.Duration
 	// ExpectedFirstToken is the estimated time from the start of the plan to the first
 	// token.
 	ExpectedFirstToken time.Duration
@@ -58,6 +61,9 @@
 	pauseClass int
 }
 
+// Refused reports whether the request must not be sent now.
+func (plan *Plan) Refused() bool { return plan.Overloaded || plan.RateLimited || plan.Resting }
+
 // HelperIDs returns the IDs of the helpers.
 func (plan *Plan) HelperIDs() []string {
 	ids := make([]string, 0, len(plan.Helpers))
@@ -115,7 +121,8 @@
 	memoryCost = 300 * time.Millisecond
 )
 
-// Place picks the endpoints for a request. It returns nil when no endpoint is eligible.
+// Place picks the endpoints for a request, or refuses it, see Plan.Refused. It returns nil when
+// no endpoint is eligible.
 func (p *Policy) Place(now time.Time, r *Request, endpoints []*directory.EndpointState) *Plan {
 	p.tracker.mu.Lock()
 	defer p.tracker.mu.Unlock()
@@ -124,6 +131,8 @@
 	switch {
 	case len(c.unlimited) == 0 && len(c.limited)+len(c.exhausted) > 0:
 		return p.placeOnlyLimited(now, r, c)
+	case len(c.unlimited) == 0 && len(c.resting) > 0 && !c.tried:
+		return p.refuseResting(now, r, c.resting)
 	case len(c.unlimited) == 0:
 		return nil
 	case r.Service.Engine == nil:
--- a/routing/direct/queue.go
+++ b/routing/direct/queue.go
@@ -58,7 +58,9 @@
 	p.tracker.mu.Lock()
 	defer p.tracker.mu.Unlock()
 	p.tracker.updatePendingPrefill(now)
-	endpoints = p.Unlimited(now, endpoints)
+	if endpoints = p.Usable(now, now, endpoints); len(endpoints) == 0 {
+		return false // all of them rest
+	}
 	demand := p.tracker.totalDemand(now, q.service.Name)
 	long := p.longEngineCount(demand, q.service, len(endpoints))
 	limit := time.Duration(long) * pendingPrefillLimit
--- /dev/null
+++ b/routing/direct/stated_rests_test.go
@@ -0,0 +1,204 @@
+package direct
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"aspenyard.example/directory"
+)
+
+// Guards against a rest that ends too early: by a shorter one, a response in between, or a registration
+// that ended for a while; and against one that applies to another incarnation.
+func TestRestsEndAtTheLastStatedEnd(t *testing.T) {
+	is := is.New(t)
+	r, e := NewEndpointRests(), endpoints(1)[0]
+	r.Observe(testNow, e, 3*time.Second)
+	r.Observe(testNow.Add(time.Second), e, time.Second)
+	at := func(d time.Duration) bool { return r.Resting(testNow.Add(d), e.Incarnation) }
+	is.True(at(2900 * time.Millisecond))
+	is.True(!at(3 * time.Second))
+	r.Observe(testNow.Add(2*time.Second), e, 4*time.Second)
+	r.Answered(testNow.Add(2500*time.Millisecond), e.Incarnation) // of a request that was sent before
+	is.True(at(5900 * time.Millisecond))
+	allowed, _ := r.Take(testNow.Add(4*time.Second), e.Incarnation)
+	is.True(!allowed)
+	is.True(!at(6 * time.Second))
+	other := e.Incarnation
+	other.StartUnixMilli = 1
+	is.True(!r.Resting(testNow.Add(time.Second), other))
+
+	tracker := NewLoadTracker()
+	tracker.Rests().Observe(testNow, e, time.Hour)
+	tracker.Prune(func(directory.Incarnation) bool { return false })
+	is.True(tracker.Rests().Resting(testNow.Add(59*time.Minute), e.Incarnation))
+	count, longest := tracker.Rests().Totals(testNow)
+	is.Equal(count, 1)
+	is.Equal(longest, time.Hour)
+}
+
+// Guards against requests to resting endpoints as a last resort, as helpers, or as a retry, and
+// against refusals that do not say when to come back.
+func TestRestingEndpointsGetNothing(t *testing.T) {
+	is := is.New(t)
+	p := newPolicy(1)
+	list := endpoints(20)
+	resting := list[10:]
+	for i, e := range resting {
+		p.tracker.Rests().Observe(testNow, e, time.Duration(3+i)*time.Second)
+	}
+	for _, tokens := range []int{2000, 20_000, 60_000, 150_000, 400_000} {
+		for range 10 {
+			is.True(!usesAny(p.Place(testNow, prompt(tokens), list), resting))
+		}
+	}
+	is.Equal(len(p.Usable(testNow, testNow, list)), 10)
+	is.Equal(len(p.Usable(testNow, testNow.Add(5*time.Second), list)), 13)
+
+	request := prompt(2000)
+	for _, e := range list[:10] {
+		request.Tried[e.Incarnation] = true
+	}
+	is.True(p.Place(testNow, request, list) == nil) // the others may take it when it comes back
+	plan := p.Place(testNow, prompt(2000), resting)
+	is.True(plan.Resting && plan.Refused())
+	is.True(plan.RetryAfter >= 3*time.Second && plan.RetryAfter < 3*time.Second+restSpread)
+	less := prompt(2000)
+	less.Priority = 5
+	plan = p.Place(testNow, less, resting)
+	is.True(plan.RetryAfter >= 3*time.Second+restSpread) // after the more urgent one
+	is.True(p.RefuseIfAllRest(testNow, request, resting) != nil)
+	is.True(p.RefuseIfAllRest(testNow, request, list) == nil)
+	is.True(p.RefuseIfAllRest(testNow, request, nil) == nil)
+}
+
+// Guards against avoidance that takes precedence over a rest: endpoints that accept no connections
+// are a last resort, those that rest are not.
+func TestAvoidedEndpointsAreUsedBeforeRestingOnes(t *testing.T) {
+	is := is.New(t)
+	p := newPolicy(1)
+	list := endpoints(2)
+	p.tracker.Rests().Observe(testNow, list[0], time.Second)
+	p.tracker.SetUnreachable(list[1].Incarnation, true)
+	for range 10 {
+		is.Equal(p.Place(testNow, prompt(2000), list).Endpoint, list[1])
+	}
+}
+
+// Guards against entries that send to an endpoint all that waited at the end of its rest: from one
+// entry, and from many together.
+func TestEntriesResumeWithFewRequestsAfterARest(t *testing.T) {
+	for _, entries := range []int{1, 4, 24, 68, 300} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			is := is.New(t)
+			e := endpoints(1)[0]
+			var all []*EndpointRests
+			for i := range entries {
+				r := NewEndpointRests()
+				r.setRank(rank{i, entries})
+				r.Observe(testNow, e, time.Second)
+				all = append(all, r)
+			}
+			end := testNow.Add(time.Second)
+			taken := func(at time.Time) int {
+				n := 0
+				for _, r := range all {
+					for range 2 * e.Slots {
+						if allowed, _ := r.Take(at, e.Incarnation); allowed {
+							n++
+						}
+					}
+				}
+				return n
+			}
+			is.Equal(taken(end.Add(-time.Millisecond)), 0)
+			first := taken(end)
+			t.Logf("%d entries, %d slots: %d requests at the end of the rest", entries, e.Slots, first)
+			is.True(first >= 1 && first <= e.Slots)
+			is.Equal(taken(end.Add(maxResumeDelay/10)), 0) // before a response, no more than that
+			for _, r := range all {
+				r.Answered(end.Add(resumeInterval), e.Incarnation)
+			}
+			is.True(taken(end.Add(resumeInterval)) > 0)
+		})
+	}
+}
+
+// Guards against an endpoint that takes few requests for ever after a rest.
+func TestTheTimeAfterARestEnds(t *testing.T) {
+	is := is.New(t)
+	e := endpoints(1)[0]
+	r := NewEndpointRests()
+	r.setRank(rank{0, 68})
+	r.Observe(testNow, e, time.Second)
+	end := testNow.Add(time.Second + maxResumeDelay)
+	for range e.Slots {
+		allowed, counted := r.Take(end, e.Incarnation)
+		is.True(allowed)
+		if counted {
+			r.Answered(end, e.Incarnation)
+		}
+	}
+	_, counted := r.Take(end, e.Incarnation)
+	is.True(!counted)
+	r.Observe(end, e, time.Second)
+	resumed := end.Add(time.Second + maxResumeDelay)
+	r.Take(resumed, e.Incarnation) // never answered
+	allowed, counted := r.Take(resumed.Add(rampTime), e.Incarnation)
+	is.True(allowed && !counted)
+}
+
+// Guards against a request to an endpoint within a rest that it stated to this entry, whatever the
+// order of refusals, responses and failures.
+func TestNoRequestIsSentWithinARest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, now := NewEndpointRests(), testNow
+		r.setRank(rank{rapid.IntRange(0, 5).Draw(t, "rank"), rapid.IntRange(0, 6).Draw(t, "entries")})
+		list := endpoints(3)
+		ends, pending := map[int]time.Time{}, map[int]int{}
+		t.Repeat(map[string]func(*rapid.T){
+			"time passes": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"send": func(t *rapid.T) {
+				i := rapid.IntRange(0, 2).Draw(t, "endpoint")
+				free := r.untilAvailable(now, list[i].Incarnation) == 0
+				allowed, counted := r.Take(now, list[i].Incarnation)
+				if allowed && now.Before(ends[i]) {
+					t.Fatalf("sent %v before the end of a rest", ends[i].Sub(now))
+				}
+				if allowed != free {
+					t.Fatalf("placing sees %v and sending %v", free, allowed)
+				}
+				if !allowed && now.Sub(ends[i]) > maxResumeDelay+rampTime {
+					t.Fatalf("refused %v after the end of the last rest", now.Sub(ends[i]))
+				}
+				if counted {
+					pending[i]++
+				}
+			},
+			"refusal": func(t *rapid.T) {
+				i, length := rapid.IntRange(0, 2).Draw(t, "endpoint"), time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms"))*time.Millisecond
+				r.Observe(now, list[i], length)
+				if end := now.Add(length); end.After(ends[i]) {
+					ends[i] = end
+				}
+			},
+			"response": func(t *rapid.T) {
+				if i := rapid.IntRange(0, 2).Draw(t, "endpoint"); pending[i] > 0 {
+					pending[i]--
+					r.Answered(now, list[i].Incarnation)
+				}
+			},
+			"no response": func(t *rapid.T) {
+				if i := rapid.IntRange(0, 2).Draw(t, "endpoint"); pending[i] > 0 {
+					pending[i]--
+					r.Unanswered(list[i].Incarnation)
+				}
+			},
+		})
+	})
+}
