gateway, routing/direct: entries put an endpoint behind others that rests for another entry

Cause: an endpoint in need refuses one entry after the other, each of which spends a request, a repeat and the caller's time to learn it. The users' rule binds the entry that was asked only.

Change: heartbeats report the rests that endpoints have stated to their sender (7 bytes each, 64 at most; new ones at once, all once a second). A receiver adds 200 ms to the cost of such an endpoint, as much as 40 requests in flight: it is used when others are overloaded, and never refused for it.

Ruled out: to use such an endpoint only where no other is left.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -189,6 +189,7 @@
 	}
 	h.SentUptimeMs = uint64(time.Since(p.gateway.started).Milliseconds())
 	p.gateway.appendLeaving(now, h)
+	appendRests(h, p.gateway.loadTracker.Rests().Reports(now, !h.Partial, maxHeartbeatRests))
 	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
 	for _, d := range p.gateway.loadTracker.Demands(now) {
@@ -243,7 +244,9 @@
 	}
 	decodeStreams(h, loads)
 	p.gateway.loadTracker.RecordPeerSlowEndpoints(now, decodeSlowEndpoints(h))
-	p.gateway.mergeLimits(now, h, p.delays.observe(now, h))
+	delay := p.delays.observe(now, h)
+	p.gateway.mergeLimits(now, h, delay)
+	p.gateway.loadTracker.Rests().Merge(now, delay, decodeRests(h))
 	p.gateway.mergeLeaving(now, h)
 	for _, request := range p.gateway.quarantine.Merge(now, decodeFindings(h)) {
 		p.gateway.reportQuarantined(request, h.Node)
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -260,3 +260,24 @@
 		})
 	}
 }
+
+// Guards against entries that each send a request to an endpoint which has asked one of them for rest,
+// while others are free; and against entries that refuse requests because it asked another one.
+func TestOtherEntriesPreferOthersToAnEndpointThatRests(t *testing.T) {
+	is := is.New(t)
+	resting, other := plainWorker(), plainWorker()
+	gateways := startGateways(t, 2, resting, other)
+	restAfterRefusal(gateways[0], resting, "3600", 1)
+	second := gateways[1]
+	second.waitFor("the second gateway prefers the other endpoint", func() bool {
+		before := len(resting.Runs())
+		for i := range 10 {
+			second.post("/again/a", fmt.Sprint("r", i))
+		}
+		return len(resting.Runs()) == before
+	})
+	is.Equal(second.sumMetric(restingEndpoints), 0.0)
+	other.SetRest("3600")
+	other.SetDefaultFault(standin.FaultShed)
+	is.Equal(second.post("/again/a", "last").status, http.StatusOK) // the first asked the first gateway only
+}
--- a/gateway/rests.go
+++ b/gateway/rests.go
@@ -9,6 +9,7 @@
 	"aspenyard.example/directory"
 	"aspenyard.example/result"
 	"aspenyard.example/routing/direct"
+	"aspenyard.example/wire"
 )
 
 // takeRest counts a request to an endpoint that had a rest; false if it must not be sent there now.
@@ -54,6 +55,27 @@
 	return nil
 }
 
+// maxHeartbeatRests is how many rests a heartbeat carries at most, of about 7 bytes each.
+const maxHeartbeatRests = 64
+
+// appendRests adds reports of endpoints' rests to a heartbeat.
+func appendRests(h *wire.Heartbeat, reports []direct.RestReport) {
+	for _, r := range reports {
+		h.RestingEndpoints = append(h.RestingEndpoints, uint32(r.Endpoint))
+		h.RestLeftMs = append(h.RestLeftMs, ageMillis(r.Left))
+	}
+}
+
+// decodeRests returns a heartbeat's reports of endpoints' rests.
+func decodeRests(h *wire.Heartbeat) []direct.RestReport {
+	n := min(len(h.RestingEndpoints), len(h.RestLeftMs))
+	reports := make([]direct.RestReport, 0, n)
+	for i := range n {
+		reports = append(reports, direct.RestReport{Endpoint: direct.EndpointHash(h.RestingEndpoints[i]), Left: milliseconds(h.RestLeftMs[i])})
+	}
+	return reports
+}
+
 // registerRestMetrics registers the gauges of endpoints that rest.
 func (g *Gateway) registerRestMetrics() {
 	g.metrics.NewGauge("aspenyard_gateway_resting_endpoints", func() float64 {
--- a/routing/direct/filter.go
+++ b/routing/direct/filter.go
@@ -26,7 +26,7 @@
 // request. Unless no others remain, it also drops those that accept no connections, refused work
 // lately or have lost their registration.
 func (p *Policy) eligible(now time.Time, r *Request, endpoints []*directory.EndpointState) candidates {
-	noLimits, noRests := p.tracker.limits.Empty(), p.tracker.rests.Empty()
+	noLimits, noRests := p.tracker.limits.Empty(), p.tracker.rests.Empty(now)
 	var preferred, avoided candidates
 	preferred.unlimited = make([]*directory.EndpointState, 0, len(endpoints))
 	for _, e := range endpoints {
@@ -67,7 +67,7 @@
 // Usable returns the endpoints that state no tight limit, or all if each of them states one. It
 // leaves out those that still rest at the time by.
 func (p *Policy) Usable(now, by time.Time, endpoints []*directory.EndpointState) []*directory.EndpointState {
-	if !p.tracker.rests.Empty() {
+	if !p.tracker.rests.Empty(now) {
 		endpoints = slices.DeleteFunc(slices.Clone(endpoints), func(e *directory.EndpointState) bool {
 			return p.tracker.rests.untilAvailable(now, e.Incarnation) > by.Sub(now)
 		})
--- a/routing/direct/place_resting.go
+++ b/routing/direct/place_resting.go
@@ -10,6 +10,10 @@
 // that they do not return at one moment. Less urgent classes return after more urgent ones.
 const restSpread = time.Second
 
+// peerRestCost is added for an endpoint that rests according to another entry. It is the cost of 40
+// requests in flight: others are preferred as long as they are not overloaded.
+const peerRestCost = 200 * time.Millisecond
+
 // refuseResting returns the plan of a request whose endpoints all rest.
 func (p *Policy) refuseResting(now time.Time, r *Request, resting []*directory.EndpointState) *Plan {
 	first := p.tracker.rests.untilAvailable(now, resting[0].Incarnation)
--- a/routing/direct/stated_rests.go
+++ b/routing/direct/stated_rests.go
@@ -1,7 +1,9 @@
 package direct
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,16 +17,19 @@
 type EndpointRests struct {
 	mu    sync.Mutex
 	rests map[directory.Incarnation]*rest
-	rank  rank
+	// peerRests holds the ends of the rests that other entries report.
+	peerRests map[EndpointHash]time.Time
+	rank      rank
 	// ramp is unset in experiments that resume without one.
 	ramp bool
 }
 
 // rest is the rest of one incarnation and the time after it.
 type rest struct {
-	// until is the end of the rest, resumeAt when this entry may send requests again.
-	until, resumeAt time.Time
-	slots           int
+	// until is the end of the rest, resumeAt when this entry may send requests again, statedAt when
+	// the last refusal was received.
+	until, resumeAt, statedAt time.Time
+	slots                     int
 	// window is how many requests may be without a response after the rest, unanswered how many
 	// are.
 	window, unanswered int
@@ -37,6 +42,8 @@
 	resumeShare = 0.5
 	// maxResumeDelay bounds the time after a rest at which an entry resumes.
 	maxResumeDelay = 2 * time.Second
+	// maxPeerRest is how long a report of another entry holds that is not repeated.
+	maxPeerRest = 3 * time.Second
 	// rampTime is how long after a rest requests are counted. A service that gets few requests
 	// would otherwise never end the ramp.
 	rampTime = 5 * time.Second
@@ -44,7 +51,7 @@
 
 // NewEndpointRests returns a tracker that knows no rests.
 func NewEndpointRests() *EndpointRests {
-	return &EndpointRests{rests: map[directory.Incarnation]*rest{}, ramp: true}
+	return &EndpointRests{rests: map[directory.Incarnation]*rest{}, peerRests: map[EndpointHash]time.Time{}, ramp: true}
 }
 
 // SetRamp sets whether entries resume with few requests after a rest; for experiments.
@@ -65,7 +72,7 @@
 func (r *EndpointRests) Observe(now time.Time, e *directory.EndpointState, length time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.rests, func(_ directory.Incarnation, known *rest) bool { return known.over(now) })
+	r.expire(now)
 	known := r.rests[e.Incarnation]
 	if known == nil {
 		known = &rest{}
@@ -74,7 +81,7 @@
 	if until := now.Add(length); until.After(known.until) {
 		known.until = until
 	}
-	known.slots = max(e.Slots, 1)
+	known.slots, known.statedAt = max(e.Slots, 1), now
 	known.resumeAt, known.window, known.unanswered = known.until, known.slots, 0
 	if r.ramp {
 		known.resumeAt = known.until.Add(r.resumeDelay(e))
@@ -129,13 +136,19 @@
 	return 0
 }
 
-// Empty reports whether no rest is known.
-func (r *EndpointRests) Empty() bool {
+// Empty reports whether no endpoint has stated a rest to this entry that matters now.
+func (r *EndpointRests) Empty(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.expire(now)
 	return len(r.rests) == 0
 }
 
+// expire drops rests that do not matter any more.
+func (r *EndpointRests) expire(now time.Time) {
+	maps.DeleteFunc(r.rests, func(_ directory.Incarnation, known *rest) bool { return known.over(now) })
+}
+
 // Take counts a request to an endpoint that had a rest. allowed is false if the request must not
 // be sent there now. If counted is set, Answered or Unanswered must follow.
 func (r *EndpointRests) Take(now time.Time, incarnation directory.Incarnation) (allowed, counted bool) {
@@ -174,6 +187,49 @@
 	}
 }
 
+// RestReport is an entry's report to others of how long an endpoint still rests.
+type RestReport struct {
+	Endpoint EndpointHash
+	Left     time.Duration
+}
+
+// Reports returns rests that endpoints have stated to this entry, at most most, the longest first:
+// those of the last changeReportTime and, with full, all.
+func (r *EndpointRests) Reports(now time.Time, full bool, most int) []RestReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var reports []RestReport
+	for incarnation, known := range r.rests {
+		if left := known.until.Sub(now); left > 0 && (full || now.Sub(known.statedAt) < changeReportTime) {
+			reports = append(reports, RestReport{HashEndpoint(incarnation), left})
+		}
+	}
+	slices.SortFunc(reports, func(a, b RestReport) int {
+		return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return reports[:min(len(reports), most)]
+}
+
+// Merge applies the reports of another entry, which are late by delay. An endpoint that it reports is
+// put behind others: it asked that entry alone, and will probably ask this one too.
+func (r *EndpointRests) Merge(now time.Time, delay time.Duration, reports []RestReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.peerRests, func(_ EndpointHash, until time.Time) bool { return !now.Before(until) })
+	for _, report := range reports {
+		if until := now.Add(min(report.Left-delay, maxPeerRest)); until.After(r.peerRests[report.Endpoint]) {
+			r.peerRests[report.Endpoint] = until
+		}
+	}
+}
+
+// peerRest reports whether an endpoint rests according to another entry.
+func (r *EndpointRests) peerRest(now time.Time, incarnation directory.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.peerRests) > 0 && now.Before(r.peerRests[HashEndpoint(incarnation)])
+}
+
 // Totals returns how many endpoints rest, and the time until the last of these rests ends.
 func (r *EndpointRests) Totals(now time.Time) (count int, longest time.Duration) {
 	r.mu.Lock()
--- a/routing/direct/stated_rests_test.go
+++ b/routing/direct/stated_rests_test.go
@@ -202,3 +202,32 @@
 		})
 	})
 }
+
+// Guards against reports of other entries that outlive the rest or keep an endpoint from being used
+// where no other is left.
+func TestReportedRestsPutAnEndpointBehindOthers(t *testing.T) {
+	is := is.New(t)
+	p := newPolicy(1)
+	list := endpoints(2)
+	request := &Request{Service: &directory.Service{Name: "plain"}, Tried: map[directory.Incarnation]bool{}}
+	other := NewEndpointRests()
+	other.Observe(testNow, list[0], 2*time.Second)
+	other.Observe(testNow, list[1], time.Second)
+	is.Equal(len(other.Reports(testNow, false, 64)), 2)
+	is.Equal(len(other.Reports(testNow.Add(changeReportTime), false, 64)), 0)
+	is.Equal(len(other.Reports(testNow.Add(changeReportTime), true, 64)), 2)
+	is.Equal(len(other.Reports(testNow.Add(1500*time.Millisecond), true, 64)), 1)
+	reports := other.Reports(testNow, false, 1)
+	is.Equal(reports, []RestReport{{HashEndpoint(list[0].Incarnation), 2 * time.Second}})
+	rests := p.tracker.Rests()
+	rests.Merge(testNow, 500*time.Millisecond, reports)
+	for range 10 {
+		is.Equal(p.Place(testNow, request, list).Endpoint, list[1])
+	}
+	is.Equal(p.Place(testNow, request, list[:1]).Endpoint, list[0])
+	is.True(rests.peerRest(testNow.Add(1400*time.Millisecond), list[0].Incarnation))
+	is.True(!rests.peerRest(testNow.Add(1500*time.Millisecond), list[0].Incarnation))
+	rests.Merge(testNow, 0, []RestReport{{HashEndpoint(list[1].Incarnation), time.Hour}})
+	is.True(!rests.peerRest(testNow.Add(maxPeerRest), list[1].Incarnation))
+	is.True(!rests.Resting(testNow, list[0].Incarnation))
+}
