bench/emulator: engines that refuse and state a rest, and engines that leave while the store is late

Cause: two choices needed a comparison on the same loads: whether entries tell each other of a rest, and of an endpoint that leaves.

Change: Config.Refusals and Config.Departures, and what such engines got (SimulateStatements). Each entry has a list of engines of its own.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -75,6 +75,9 @@
 	Skew float64
 	// Limits are the limits that engines state.
 	Limits []Limit
+	// Refusals are the refusals of engines that state a rest, Departures the engines that leave.
+	Refusals   []Refusal
+	Departures []Departure
 	// Holders is the number of entries that share a limit; nil: admission.Holders.
 	Holders func(perSecond float64, entries int) int
 }
@@ -178,7 +181,9 @@
 	entries   []*entry
 	results   []Result
 	// heartbeats counts the rounds of heartbeats.
-	heartbeats int
+	heartbeats      int
+	refusalResult   RefusalResult
+	departureResult DepartureResult
 }
 
 // entry is one simulated entry.
@@ -188,6 +193,8 @@
 	inFlight map[*engine]int
 	tracker  *direct.LoadTracker
 	policy   *direct.Policy
+	// endpoints are the engines that it knows to take requests.
+	endpoints []*directory.EndpointState
 }
 
 // request is one simulated request.
@@ -206,17 +213,35 @@
 	latestStart time.Duration
 	// sentAt is when the request was sent to its engine.
 	sentAt time.Duration
+	// arrivals is the number of engines that refused it, tried are these engines.
+	arrivals int
+	tried    []directory.Incarnation
+	// countedAfterRest is set while it counts as one of the requests after a rest.
+	countedAfterRest bool
 }
 
 // Simulate runs a load until its last request has ended and returns a result for each kind,
 // in the order of the kinds.
 func Simulate(c *Config) []Result {
-	results, _ := SimulateLimits(c)
+	results, _ := SimulateStatements(c)
 	return results
 }
 
 // SimulateLimits is Simulate; it also returns what the engines with limits got.
 func SimulateLimits(c *Config) ([]Result, LimitResult) {
+	results, statements := SimulateStatements(c)
+	return results, statements.Limits
+}
+
+// StatementResult is what the engines got that made statements about themselves.
+type StatementResult struct {
+	Limits     LimitResult
+	Refusals   RefusalResult
+	Departures DepartureResult
+}
+
+// SimulateStatements is Simulate; it also returns what the engines got that made statements.
+func SimulateStatements(c *Config) ([]Result, StatementResult) {
 	sim := &simulation{config: c, rand: rand.New(rand.NewPCG(c.Seed, 1)), epoch: time.Unix(0, 0), engines: map[directory.Incarnation]*engine{}}
 	sim.service = &directory.Service{Name: serviceName, Engine: &c.Engine}
 	for _, k := range c.Kinds {
@@ -225,7 +250,7 @@
 	}
 	sim.setUp()
 	sim.RunUntil(math.MaxInt64)
-	return sim.results, sim.limitResult()
+	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult}
 }
 
 // setUp creates the engines and entries and schedules heartbeats, arrivals and slowdowns.
@@ -233,7 +258,7 @@
 	for i := range sim.config.Engines {
 		endpoint := &directory.EndpointState{Endpoint: directory.Endpoint{Incarnation: directory.Incarnation{ID: fmt.Sprintf("e-%03d", i)}, Service: serviceName, Slots: sim.config.Engine.Slots}, Position: i}
 		sim.endpoints = append(sim.endpoints, endpoint)
-		sim.engines[endpoint.Incarnation] = &engine{sim: sim, spec: &sim.config.Engine, slowdown: 1, endpoint: direct.HashEndpoint(endpoint.Incarnation)}
+		sim.engines[endpoint.Incarnation] = &engine{sim: sim, spec: &sim.config.Engine, slowdown: 1, endpoint: direct.HashEndpoint(endpoint.Incarnation), incarnation: endpoint.Incarnation}
 	}
 	for i := range sim.config.Entries {
 		tracker := direct.NewLoadTracker()
@@ -245,7 +270,7 @@
 		if sim.config.Holders != nil {
 			tracker.Limits().SetHolders(sim.config.Holders)
 		}
-		e := &entry{name: fmt.Sprint(i), inFlight: map[*engine]int{}, tracker: tracker, policy: direct.NewPolicy(tracker, rand.New(rand.NewPCG(sim.config.Seed, uint64(i+2))))}
+		e := &entry{name: fmt.Sprint(i), endpoints: sim.endpoints, inFlight: map[*engine]int{}, tracker: tracker, policy: direct.NewPolicy(tracker, rand.New(rand.NewPCG(sim.config.Seed, uint64(i+2))))}
 		sim.entries = append(sim.entries, e)
 		if sim.config.enabled(Heartbeats) {
 			sim.AfterFunc(sim.heartbeatInterval()*time.Duration(i)/time.Duration(sim.config.Entries), func() { sim.sendHeartbeats(e) })
@@ -260,6 +285,12 @@
 	for i := range sim.config.Limits {
 		sim.scheduleLimit(&sim.config.Limits[i])
 	}
+	for i := range sim.config.Refusals {
+		sim.scheduleRefusal(&sim.config.Refusals[i])
+	}
+	for i := range sim.config.Departures {
+		sim.scheduleDeparture(&sim.config.Departures[i])
+	}
 }
 
 // scheduleSlowdown slows every other engine from the end of the list, where the engines for
@@ -309,12 +340,17 @@
 	demands, loads := e.tracker.Demands(sim.wallTime()), e.tracker.Loads(sim.wallTime())
 	sim.heartbeats++
 	limits := e.tracker.Limits().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedLimits)
+	var rests []direct.RestReport
+	if len(sim.config.Refusals) > 0 && sim.config.Refusals[0].Shared {
+		rests = e.tracker.Rests().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedRests)
+	}
 	for _, other := range sim.entries {
 		lost := sim.config.HeartbeatLoss > 0 && sim.rand.Float64() < sim.config.HeartbeatLoss
 		if other != e && !lost {
 			sim.AfterFunc(sim.messageDelay(), func() {
 				other.tracker.ReplacePeerLoad(sim.wallTime(), e.name, demands, loads)
 				other.tracker.Limits().Merge(sim.wallTime(), 0, limits)
+				other.tracker.Rests().Merge(sim.wallTime(), 0, rests)
 			})
 		}
 	}
@@ -407,7 +443,7 @@
 		r.place()
 		return
 	}
-	expected := r.entry.policy.AddLongPrompt(sim.wallTime(), sim.service, len(r.entry.policy.Usable(sim.wallTime(), sim.wallTime().Add(r.kind.Target), sim.endpoints)), r.promptTokens)
+	expected := r.entry.policy.AddLongPrompt(sim.wallTime(), sim.service, len(r.entry.policy.Usable(sim.wallTime(), sim.wallTime().Add(r.kind.Target), r.entry.endpoints)), r.promptTokens)
 	if expected.TooLate(r.kind.Target) && sim.config.enabled(Refusing) {
 		r.result.Refused++
 		return
@@ -421,7 +457,7 @@
 // they have none by its latest start.
 func (r *request) waitForCapacity() {
 	sim := r.sim
-	hasCapacity := !sim.config.enabled(Waiting) || r.queued.MayStart(sim.wallTime(), sim.endpoints)
+	hasCapacity := !sim.config.enabled(Waiting) || r.queued.MayStart(sim.wallTime(), r.entry.endpoints)
 	if !hasCapacity && sim.Now()-r.arrivedAt < r.latestStart {
 		sim.AfterFunc(direct.QueuePollInterval, r.waitForCapacity)
 		return
@@ -439,14 +475,22 @@
 func (r *request) place() {
 	sim := r.sim
 	placement := direct.Request{Service: sim.service, PromptTokens: r.promptTokens, OutputTokens: maxOutputTokens, MaxPause: r.kind.MaxPause, Tried: map[directory.Incarnation]bool{}}
+	for _, tried := range r.tried {
+		placement.Tried[tried] = true
+	}
 	for range maxPlacements {
-		plan := r.entry.policy.Place(sim.wallTime(), &placement, sim.endpoints)
+		plan := r.entry.policy.Place(sim.wallTime(), &placement, r.entry.endpoints)
 		if plan == nil || plan.Refused() {
 			break
 		}
 		if !r.entry.tracker.Limits().Take(sim.wallTime(), direct.HashEndpoint(plan.Endpoint.Incarnation)) {
 			continue
 		}
+		allowed, counted := r.entry.tracker.Rests().Take(sim.wallTime(), plan.Endpoint.Incarnation)
+		if !allowed {
+			continue
+		}
+		r.countedAfterRest = counted
 		j := newJob(r, plan)
 		for _, h := range plan.Helpers {
 			j.helpers = append(j.helpers, sim.engines[h.Incarnation])
@@ -455,6 +499,7 @@
 			r.submit(plan, j)
 			return
 		}
+		r.entry.tracker.Rests().Unanswered(plan.Endpoint.Incarnation)
 		placement.Tried[plan.Endpoint.Incarnation] = true
 	}
 	r.result.Refused++
@@ -468,7 +513,25 @@
 	}
 	r.engine = r.sim.engines[plan.Endpoint.Incarnation]
 	r.sentAt = r.sim.Now()
-	r.sim.AfterFunc(r.sim.messageDelay(), func() { r.engine.submit(j) })
+	engine := r.engine
+	r.sim.AfterFunc(r.sim.messageDelay(), func() {
+		engine.recordDeparture()
+		if engine.refuses(j) {
+			j.releaseMemory()
+			r.handleRefusal(engine, engine.refusals.refusal, plan)
+			return
+		}
+		engine.submit(j)
+	})
+}
+
+// observeHead tells the entry what the engine states in the response's head.
+func (r *request) observeHead() {
+	r.observeLimit()
+	r.observeDeparture()
+	if r.countedAfterRest {
+		r.sim.AfterFunc(r.sim.messageDelay(), func() { r.entry.tracker.Rests().Answered(r.sim.wallTime(), r.engine.incarnation) })
+	}
 }
 
 // finishPrefill ends the prefill part of the request's load at its first event.
--- a/bench/emulator/engine.go
+++ b/bench/emulator/engine.go
@@ -62,6 +62,10 @@
 	limit    *Limit
 	// limitedArrivals are the arrivals while it states a limit.
 	limitedArrivals []time.Duration
+	incarnation     directory.Incarnation
+	// refusals and departure are nil for an engine that does not refuse, or leave.
+	refusals  *refusalState
+	departure *departureState
 }
 
 // submit queues a job by its priority.
@@ -204,7 +208,7 @@
 	if j.firstEventAt == 0 {
 		j.firstEventAt = now
 		j.request.finishPrefill()
-		j.request.observeLimit()
+		j.request.observeHead()
 	} else {
 		j.request.longestPause = max(j.request.longestPause, now-j.lastEventAt)
 	}
--- /dev/null
+++ b/bench/emulator/refusal.go
@@ -0,0 +1,141 @@
+package emulator
+
+import (
+	"time"
+
+	"aspenyard.example/directory"
+	"aspenyard.example/routing/direct"
+)
+
+// Refusal makes some engines refuse all requests for a time. Each refusal states a rest.
+type Refusal struct {
+	From, To time.Duration
+	// Engines is the number of engines, spread over the list.
+	Engines int
+	Rest    time.Duration
+	// Unread makes the entries avoid an engine for a moment only, as if they did not read the rest.
+	Unread bool
+	// Shared makes an entry that was refused report the rest to the others, which then put the
+	// engine behind others. Avoided makes them use it only where no other engine is left.
+	Shared, Avoided bool
+	// NoRamp makes entries resume after a rest without limits.
+	NoRamp bool
+}
+
+const (
+	// maxReportedRests is the number of rests that a heartbeat carries.
+	maxReportedRests = 64
+	// busyAvoidance is how long an engine is avoided that refused a request without a rest.
+	busyAvoidance = 400 * time.Millisecond
+	// maxArrivals is the number of engines that a request may reach.
+	maxArrivals = 2
+	// A rest is broken by more than restAllowed requests from the entry that was told, between
+	// restMargin after it and its end.
+	restMargin  = 500 * time.Millisecond
+	restAllowed = 2
+)
+
+// RefusalResult is what the engines got that refused requests.
+type RefusalResult struct {
+	// Refused is the number of requests that they refused, Repeats the number of requests sent
+	// again for it, Broken the number of rests that entries broke.
+	Refused, Repeats, Broken int
+	// FirstSecond is the most that one of them got in the second after the last rest, from all
+	// entries together.
+	FirstSecond int
+}
+
+// refusalState is what an engine records of the requests that it refuses.
+type refusalState struct {
+	refusal *Refusal
+	// toldAt is when each entry was last told of a rest, during counts what it sent in it.
+	toldAt map[*entry]time.Duration
+	during map[*entry]int
+	// served are the arrivals after the refusals have ended.
+	served []time.Duration
+	lastAt time.Duration
+}
+
+// scheduleRefusal makes engines refuse requests for a time.
+func (sim *simulation) scheduleRefusal(refusal *Refusal) {
+	for i := range refusal.Engines {
+		e := sim.engines[sim.endpoints[i*len(sim.endpoints)/refusal.Engines].Incarnation]
+		e.refusals = &refusalState{refusal: refusal, toldAt: map[*entry]time.Duration{}, during: map[*entry]int{}}
+	}
+	for _, e := range sim.entries {
+		e.tracker.Rests().SetRamp(!refusal.NoRamp)
+	}
+}
+
+// refuses records a request that arrives and reports whether the engine refuses it.
+func (e *engine) refuses(j *job) bool {
+	s := e.refusals
+	if s == nil {
+		return false
+	}
+	now, sender := e.sim.Now(), j.request.entry
+	if told, found := s.toldAt[sender]; found && now > told+restMargin && now < told+s.refusal.Rest {
+		s.during[sender]++
+		if s.during[sender] == restAllowed+1 {
+			e.sim.refusalResult.Broken++
+		}
+	}
+	if now < s.refusal.From {
+		return false
+	}
+	if now >= s.refusal.To {
+		s.served = append(s.served, now)
+		return false
+	}
+	if told, found := s.toldAt[sender]; !found || now >= told+s.refusal.Rest {
+		s.toldAt[sender], s.during[sender] = now, 0
+	}
+	s.lastAt = now
+	e.sim.refusalResult.Refused++
+	return true
+}
+
+// handleRefusal tells the entry of an engine's refusal and sends the request again.
+func (r *request) handleRefusal(e *engine, refusal *Refusal, plan *direct.Plan) {
+	sim := r.sim
+	sim.AfterFunc(sim.messageDelay(), func() {
+		r.load.End()
+		if refusal.Unread {
+			r.entry.tracker.Avoid(plan.Endpoint.Incarnation, sim.wallTime().Add(busyAvoidance))
+		} else {
+			r.entry.tracker.Rests().Observe(sim.wallTime(), plan.Endpoint, refusal.Rest)
+		}
+		if refusal.Avoided {
+			sim.avoidEverywhere(r.entry, plan.Endpoint, refusal.Rest)
+		}
+		r.arrivals++
+		if r.arrivals >= maxArrivals {
+			r.result.Refused++
+			return
+		}
+		sim.refusalResult.Repeats++
+		r.tried = append(r.tried, plan.Endpoint.Incarnation)
+		r.place()
+	})
+}
+
+// avoidEverywhere makes the other entries avoid an engine until the end of a rest.
+func (sim *simulation) avoidEverywhere(from *entry, e *directory.EndpointState, rest time.Duration) {
+	until := sim.wallTime().Add(rest)
+	for _, other := range sim.entries {
+		if other != from {
+			sim.AfterFunc(sim.messageDelay(), func() { other.tracker.Avoid(e.Incarnation, until) })
+		}
+	}
+}
+
+// result completes the result of the engines' refusals.
+func (sim *simulation) completeRefusals() RefusalResult {
+	result := sim.refusalResult
+	for _, e := range sim.engines {
+		if e.refusals != nil {
+			result.FirstSecond = max(result.FirstSecond, mostWithin(e.refusals.served, time.Second))
+		}
+	}
+	return result
+}
