soak: endpoints that state that they leave, and endpoints that refuse with a rest, as faults with checks

Cause: the soak had no fault in which the store hears of a leaving endpoint late, and none with Retry-After in an endpoint's refusal, so that neither incident could show there.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -157,7 +157,7 @@
 	response, err := c.client.Do(httpRequest)
 	if err == nil {
 		req.Status = response.StatusCode
-		req.HeadAt, req.StatesLimit = time.Now(), platform.StatesLimit(response.Header)
+		req.HeadAt, req.StatesLimit, req.StatesLeaving = time.Now(), platform.StatesLimit(response.Header), platform.StatesLeaving(response.Header)
 		req.EchoedID, req.HasServerStamp = platform.ParseResponseHeaders(response.Header)
 		retryAfter, _ = time.ParseDuration(response.Header.Get("Retry-After") + "s")
 		var text []byte
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -119,6 +119,20 @@
 		}
 		r.Limits = []LimitPeriod{{Endpoint: "i-1", PerSecond: 0.2, From: atSecond(40), To: atSecond(60)}}
 	}},
+	"requests within a rest": {"BUDGET", func(r *Record) {
+		for i := range 4 {
+			_, run := r.addServed(fmt.Sprint("q", i), onceRoute, 50+float64(i))
+			if i == 0 {
+				run.Ran, run.StatedRest = false, "4"
+			}
+		}
+	}},
+	"request to an endpoint that stated that it leaves": {"DRAIN", func(r *Record) {
+		req, _ := r.addServed("q", onceRoute, 50)
+		req.HeadAt, req.StatesLeaving = req.EndedAt, true
+		r.addServed("r", onceRoute, 53)
+		r.StatedDepartures = map[string]time.Time{"i-1": atSecond(40)}
+	}},
 	"crashing request not quarantined": {"BUDGET", func(r *Record) {
 		for i := range 10 {
 			req, run := r.addServed(string(rune('a'+i)), onceRoute, 50+float64(i))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -64,6 +64,8 @@
 		{"foreign-entries", 1, writeForeignRegistrations},
 		{kindCrashingRequest, 1, sendCrashingRequest},
 		{"endpoint-limited", 3, limitEndpoint},
+		{"endpoint-states-leaving", 3, func(h *harness, f *Fault) { h.replaceEndpoint(f, leaveStated(f), h.ports[f.Port].currentService()) }},
+		{"endpoint-refuses-with-rest", 3, refuseWithRest},
 	}
 }
 
--- a/soak/record.go
+++ b/soak/record.go
@@ -61,6 +61,8 @@
 	// endpoint's limit.
 	HeadAt      time.Time
 	StatesLimit bool
+	// StatesLeaving says whether the response states that its endpoint leaves.
+	StatesLeaving bool
 	// ExpectedStatus is the status with which an invalid request must be refused; 0 for a valid
 	// request.
 	ExpectedStatus int
@@ -153,12 +155,14 @@
 	Reservations map[string]*Reservation
 	Limits       []LimitPeriod
 	limited      map[string]bool // endpoints that stated a limit
-	violations   []Violation
+	// StatedDepartures says when endpoints began to state that they leave.
+	StatedDepartures map[string]time.Time
+	violations       []Violation
 }
 
 // NewRecord returns an empty record.
 func NewRecord() *Record {
-	return &Record{Reservations: map[string]*Reservation{}, limited: map[string]bool{}}
+	return &Record{Reservations: map[string]*Reservation{}, limited: map[string]bool{}, StatedDepartures: map[string]time.Time{}}
 }
 
 func (r *Record) addRequest(req *Request) {
--- a/standin/platform/statements.go
+++ b/standin/platform/statements.go
@@ -59,14 +59,17 @@
 	return headerLine(headerLimit, w.statedLimit) + headerLine(headerLeaving, w.statedLeaving)
 }
 
-// restHeader returns the header line of refusals that states for how long the worker wants no
-// requests from the gateway.
-func (w *Worker) restHeader() string {
+// rest returns the text of Retry-After in refusals.
+func (w *Worker) rest() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return headerLine("Retry-After", w.statedRest)
+	return w.statedRest
 }
 
+// restHeader returns the header line of refusals that states for how long the worker wants no
+// requests from the gateway.
+func (w *Worker) restHeader() string { return headerLine("Retry-After", w.rest()) }
+
 // headerLine returns a line of a response's head; "" for an empty value.
 func headerLine(name, value string) string {
 	if value == "" {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -69,6 +69,8 @@
 	// fault that was simulated.
 	Status int
 	Fault  Fault
+	// StatedRest is the text of Retry-After in the refusal; "" if there was none.
+	StatedRest string
 	// ArrivedAt is when the request was read completely; EndedAt when its execution ended,
 	// zero while it runs. Cancelled is set if the caller disconnected before that.
 	ArrivedAt, EndedAt time.Time
@@ -345,6 +347,9 @@
 	headers := fmt.Sprintf("X-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Instance-Load: 1,0,16\r\n%s", run.ID, w.statements())
 	if status, refusalHeaders := w.refusal(r, fault); status != 0 {
 		run.Status = status
+		if status == http.StatusServiceUnavailable {
+			run.StatedRest = w.rest()
+		}
 		w.addRun(run)
 		fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%s%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), headers, refusalHeaders)
 		return true
