--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -95,7 +95,7 @@
 			if w.replica.ExpireMissing(now) {
 				w.publish()
 			}
-		case <-g.leavingStated:
+		case <-g.publishRequested:
 			w.publish()
 		case result := <-results:
 			w.startCall(ctx, w.handleResult(result), results)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,10 +58,10 @@
 	active          atomic.Int64                    // callers' requests in flight
 	releasing       atomic.Int64                    // requests whose reservations are being released
 	objectives      *window.Counter
-	// replica is used by watchStore's goroutine only, apart from its StatedLeaving. leavingStated
-	// tells that goroutine of a change there.
-	replica       *directory.Replica
-	leavingStated chan struct{}
+	// replica is used by watchStore's goroutine only, apart from its StatedLeaving. After a change
+	// there, publishRequested makes that goroutine publish a new snapshot.
+	replica          *directory.Replica
+	publishRequested chan struct{}
 	// configAppliedAt is when the current configuration came into force, storeAnsweredAt when
 	// the store last answered. Both are in nanoseconds since started.
 	configAppliedAt, storeAnsweredAt atomic.Int64
@@ -127,7 +127,7 @@
 		configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
 	}
 	g.quarantine = attempt.NewQuarantine()
-	g.replica, g.leavingStated = directory.NewReplica(), make(chan struct{}, 1)
+	g.replica, g.publishRequested = directory.NewReplica(), make(chan struct{}, 1)
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.EmptySnapshot())
 	g.pool.idleLimit = g.idleConnsFor
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -28,7 +28,7 @@
 // requestPublish makes the goroutine of watchStore publish a new snapshot soon.
 func (g *Gateway) requestPublish() {
 	select {
-	case g.leavingStated <- struct{}{}:
+	case g.publishRequested <- struct{}{}:
 	default: // one is due already
 	}
 }
@@ -42,21 +42,21 @@
 
 // mergeLeaving applies the endpoints that another entry's heartbeat reports as leaving.
 func (g *Gateway) mergeLeaving(now time.Time, h *wire.Heartbeat) {
-	changed := false
+	added := map[directory.IncarnationHash]bool{}
 	for _, hash := range h.LeavingEndpoints {
-		if !g.statedLeaving().Add(now, directory.IncarnationHash(hash)) {
-			continue
-		}
-		changed = true
-		for e := range g.snapshot.Load().All() {
-			if e.Hash() == directory.IncarnationHash(hash) {
-				g.log.Info("endpoint_states_leaving", zap.String("endpoint", e.ID), zap.String("header", ""), zap.String("heard_from", h.Node))
-			}
+		if incarnation := directory.IncarnationHash(hash); g.statedLeaving().Add(now, incarnation) {
+			added[incarnation] = true
 		}
 	}
-	if changed {
-		g.requestPublish()
+	if len(added) == 0 {
+		return
 	}
+	for e := range g.snapshot.Load().All() {
+		if added[e.Hash()] {
+			g.log.Info("endpoint_states_leaving", zap.String("endpoint", e.ID), zap.String("header", ""), zap.String("heard_from", h.Node))
+		}
+	}
+	g.requestPublish()
 }
 
 // registerLeavingMetrics registers the gauges of endpoints that state that they leave while the
