gateway: tests that fail without the retry's return to the budget, and without reports of rests

Cause: two mutations survived. Without the return of an unsent retry the test was satisfied by a request that needed no retry; without reports of rests ten requests in a row may avoid an endpoint by chance.

Change: the entry has two retries; one is used, twenty unsent ones must cost nothing, and then a request that fails first must be retried. Forty requests in place of ten.

--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -155,26 +155,25 @@
 // Guards against retries that are charged to the retry budget although no endpoint was left for them.
 func TestARetryThatIsNotSentCostsNoBudget(t *testing.T) {
 	is := is.New(t)
-	first, second := plainWorker(), plainWorker()
-	s := newFixture(t, first, second)
-	s.extraSettings = `,"retry_ratio":0,"retry_allowance":200` // some five retries for one of 32 entries
+	resting, failing := plainWorker(), plainWorker()
+	s := newFixture(t, resting, failing)
+	s.extraSettings = `,"retry_ratio":0,"retry_allowance":500` // two retries for an entry that has just started
 	s.start()
-	restAfterRefusal(s, first, "3600", 1)
+	restAfterRefusal(s, resting, "3600", 1) // uses one
+	failing.SetDefaultFault(standin.FaultError)
 	for i := range 20 {
-		second.QueueFaults(standin.FaultError)
 		is.Equal(s.post("/again/a", fmt.Sprint("failed", i)).status, http.StatusInternalServerError)
 	}
-	second.QueueFaults(standin.FaultShed)
-	is.Equal(s.post("/again/a", "refused").status, http.StatusServiceUnavailable)
-	third := plainWorker()
-	third.ID, third.Service = "i-3", "app"
+	third := &standin.Worker{ID: "i-3", Service: "app"}
 	is.NoErr(third.Start())
 	t.Cleanup(third.Stop)
 	s.store.Put("servers/i-3", third.Registration("ready"))
 	s.waitFor("the third endpoint is listed", func() bool { return s.sumMetric("aspenyard_gateway_endpoints ") == 3 })
-	s.waitFor("a retry is served", func() bool {
-		second.QueueFaults(standin.FaultError)
-		return s.post("/again/a", "retried").status == http.StatusOK
+	n, failed := 0, len(failing.Runs())
+	s.waitFor("a request fails at the second endpoint first", func() bool {
+		n++
+		is.Equal(s.post("/again/a", fmt.Sprint("retried", n)).status, http.StatusOK)
+		return len(failing.Runs()) > failed
 	})
 }
 
@@ -271,7 +270,7 @@
 	second := gateways[1]
 	second.waitFor("the second gateway prefers the other endpoint", func() bool {
 		before := len(resting.Runs())
-		for i := range 10 {
+		for i := range 40 {
 			second.post("/again/a", fmt.Sprint("r", i))
 		}
 		return len(resting.Runs()) == before
