--- a/bench/emulator/refusal.go
+++ b/bench/emulator/refusal.go
@@ -40,9 +40,9 @@
 	// Refused is the number of requests that they refused, Repeats the number of requests sent
 	// again for it, Broken the number of rests that entries broke.
 	Refused, Repeats, Broken int
-	// FirstSecond is the most that one of them got in the second after the last rest, from all
-	// entries together.
-	FirstSecond int
+	// MostInASecond is the most that one of them got within a second after it had stopped to
+	// refuse, from all entries together.
+	MostInASecond int
 }
 
 // refusalState is what an engine records of the requests that it refuses.
@@ -53,7 +53,6 @@
 	during map[*entry]int
 	// served are the arrivals after the refusals have ended.
 	served []time.Duration
-	lastAt time.Duration
 }
 
 // scheduleRefusal makes engines refuse requests for a time.
@@ -90,7 +89,6 @@
 	if told, found := s.toldAt[sender]; !found || now >= told+s.refusal.Rest {
 		s.toldAt[sender], s.during[sender] = now, 0
 	}
-	s.lastAt = now
 	e.sim.refusalResult.Refused++
 	return true
 }
@@ -129,12 +127,12 @@
 	}
 }
 
-// result completes the result of the engines' refusals.
+// completeRefusals returns what the engines that refused requests got.
 func (sim *simulation) completeRefusals() RefusalResult {
 	result := sim.refusalResult
 	for _, e := range sim.engines {
 		if e.refusals != nil {
-			result.FirstSecond = max(result.FirstSecond, mostWithin(e.refusals.served, time.Second))
+			result.MostInASecond = max(result.MostInASecond, mostWithin(e.refusals.served, time.Second))
 		}
 	}
 	return result
--- a/bench/emulator/statements_test.go
+++ b/bench/emulator/statements_test.go
@@ -37,8 +37,8 @@
 				config.Refusals = []Refusal{refusal}
 				load, statements := SimulateStatements(config)
 				results[way] = statements.Refusals
-				t.Logf("%2d entries, %-7s refuse, %-20s: %4d refused on arrival, %4d repeats, %3d rests broken, first second %3d; on time %.3f %.3f", entries, share, way,
-					statements.Refusals.Refused, statements.Refusals.Repeats, statements.Refusals.Broken, statements.Refusals.FirstSecond, load[0].OnTimeShare(), load[1].OnTimeShare())
+				t.Logf("%2d entries, %-7s refuse, %-20s: %4d refused on arrival, %4d repeats, %3d rests broken, most in a second %3d; on time %.3f %.3f", entries, share, way,
+					statements.Refusals.Refused, statements.Refusals.Repeats, statements.Refusals.Broken, statements.Refusals.MostInASecond, load[0].OnTimeShare(), load[1].OnTimeShare())
 			}
 			is := is.New(t)
 			is.Equal(results["own entry"].Broken, 0)
