--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -75,7 +75,7 @@
 	Skew float64
 	// Limits are the limits that engines state.
 	Limits []Limit
-	// Refusals are the refusals of engines that state a rest, Departures the engines that leave.
+	// Refusals are the refusals of engines that state a backoff, Departures the engines that leave.
 	Refusals   []Refusal
 	Departures []Departure
 	// Holders is the number of entries that share a limit; nil: admission.Holders.
@@ -216,8 +216,8 @@
 	// arrivals is the number of engines that refused it, tried are these engines.
 	arrivals int
 	tried    []directory.Incarnation
-	// countedAfterRest is set while it counts as one of the requests after a rest.
-	countedAfterRest bool
+	// countedAfterBackoff is set while it counts as one of the requests after a backoff.
+	countedAfterBackoff bool
 }
 
 // Simulate runs a load until its last request has ended and returns a result for each kind,
@@ -340,9 +340,9 @@
 	demands, loads := e.tracker.Demands(sim.wallTime()), e.tracker.Loads(sim.wallTime())
 	sim.heartbeats++
 	limits := e.tracker.Limits().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedLimits)
-	var rests []direct.RestReport
+	var backoffs []direct.BackoffReport
 	if len(sim.config.Refusals) > 0 && sim.config.Refusals[0].Shared {
-		rests = e.tracker.Rests().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedRests)
+		backoffs = e.tracker.Backoffs().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedBackoffs)
 	}
 	for _, other := range sim.entries {
 		lost := sim.config.HeartbeatLoss > 0 && sim.rand.Float64() < sim.config.HeartbeatLoss
@@ -350,7 +350,7 @@
 			sim.AfterFunc(sim.messageDelay(), func() {
 				other.tracker.ReplacePeerLoad(sim.wallTime(), e.name, demands, loads)
 				other.tracker.Limits().Merge(sim.wallTime(), 0, limits)
-				other.tracker.Rests().Merge(sim.wallTime(), 0, rests)
+				other.tracker.Backoffs().Merge(sim.wallTime(), 0, backoffs)
 			})
 		}
 	}
@@ -486,11 +486,11 @@
 		if !r.entry.tracker.Limits().Take(sim.wallTime(), direct.HashEndpoint(plan.Endpoint.Incarnation)) {
 			continue
 		}
-		allowed, counted := r.entry.tracker.Rests().Take(sim.wallTime(), plan.Endpoint.Incarnation)
+		allowed, counted := r.entry.tracker.Backoffs().Take(sim.wallTime(), plan.Endpoint.Incarnation)
 		if !allowed {
 			continue
 		}
-		r.countedAfterRest = counted
+		r.countedAfterBackoff = counted
 		j := newJob(r, plan)
 		for _, h := range plan.Helpers {
 			j.helpers = append(j.helpers, sim.engines[h.Incarnation])
@@ -499,7 +499,9 @@
 			r.submit(plan, j)
 			return
 		}
-		r.entry.tracker.Rests().Unanswered(plan.Endpoint.Incarnation)
+		if counted {
+			r.entry.tracker.Backoffs().Unanswered(plan.Endpoint.Incarnation)
+		}
 		placement.Tried[plan.Endpoint.Incarnation] = true
 	}
 	r.result.Refused++
@@ -518,7 +520,7 @@
 		engine.recordDeparture()
 		if engine.refuses(j) {
 			j.releaseMemory()
-			r.handleRefusal(engine, engine.refusals.refusal, plan)
+			r.handleRefusal(engine.refusals.refusal, plan)
 			return
 		}
 		engine.submit(j)
@@ -529,8 +531,8 @@
 func (r *request) observeHead() {
 	r.observeLimit()
 	r.observeDeparture()
-	if r.countedAfterRest {
-		r.sim.AfterFunc(r.sim.messageDelay(), func() { r.entry.tracker.Rests().Answered(r.sim.wallTime(), r.engine.incarnation) })
+	if r.countedAfterBackoff {
+		r.sim.AfterFunc(r.sim.messageDelay(), func() { r.entry.tracker.Backoffs().Answered(r.sim.wallTime(), r.engine.incarnation) })
 	}
 }
 
--- a/bench/emulator/refusal.go
+++ b/bench/emulator/refusal.go
@@ -7,48 +7,48 @@
 	"aspenyard.example/routing/direct"
 )
 
-// Refusal makes some engines refuse all requests for a time. Each refusal states a rest.
+// Refusal makes some engines refuse all requests for a time. Each refusal states a backoff.
 type Refusal struct {
 	From, To time.Duration
 	// Engines is the number of engines, spread over the list.
 	Engines int
-	Rest    time.Duration
-	// Unread makes the entries avoid an engine for a moment only, as if they did not read the rest.
+	Backoff time.Duration
+	// Unread makes the entries avoid an engine for a moment only, as if they did not read the backoff.
 	Unread bool
-	// Shared makes an entry that was refused report the rest to the others, which then put the
+	// Shared makes an entry that was refused report the backoff to the others, which then put the
 	// engine behind others. Avoided makes them use it only where no other engine is left.
 	Shared, Avoided bool
-	// NoRamp makes entries resume after a rest without limits.
+	// NoRamp makes entries resume after a backoff without limits.
 	NoRamp bool
 }
 
 const (
-	// maxReportedRests is the number of rests that a heartbeat carries.
-	maxReportedRests = 64
-	// busyAvoidance is how long an engine is avoided that refused a request without a rest.
+	// maxReportedBackoffs is the number of backoffs that a heartbeat carries.
+	maxReportedBackoffs = 64
+	// busyAvoidance is how long an engine is avoided that refused a request without a backoff.
 	busyAvoidance = 400 * time.Millisecond
 	// maxArrivals is the number of engines that a request may reach.
 	maxArrivals = 2
-	// A rest is broken by more than restAllowed requests from the entry that was told, between
-	// restMargin after it and its end.
-	restMargin  = 500 * time.Millisecond
-	restAllowed = 2
+	// A backoff is broken by more than backoffAllowed requests from the entry that was told, between
+	// backoffMargin after it and its end.
+	backoffMargin  = 500 * time.Millisecond
+	backoffAllowed = 2
 )
 
 // RefusalResult is what the engines got that refused requests.
 type RefusalResult struct {
 	// Refused is the number of requests that they refused, Repeats the number of requests sent
-	// again for it, Broken the number of rests that entries broke.
+	// again for it, Broken the number of backoffs that entries broke.
 	Refused, Repeats, Broken int
-	// MostInASecond is the most that one of them got within a second after it had stopped to
-	// refuse, from all entries together.
+	// MostInASecond is the most that one of them got within any second after it had stopped
+	// refusing, from all entries together.
 	MostInASecond int
 }
 
 // refusalState is what an engine records of the requests that it refuses.
 type refusalState struct {
 	refusal *Refusal
-	// toldAt is when each entry was last told of a rest, during counts what it sent in it.
+	// toldAt is when each entry was last told of a backoff, during counts what it sent in it.
 	toldAt map[*entry]time.Duration
 	during map[*entry]int
 	// served are the arrivals after the refusals have ended.
@@ -62,7 +62,7 @@
 		e.refusals = &refusalState{refusal: refusal, toldAt: map[*entry]time.Duration{}, during: map[*entry]int{}}
 	}
 	for _, e := range sim.entries {
-		e.tracker.Rests().SetRamp(!refusal.NoRamp)
+		e.tracker.Backoffs().SetRamp(!refusal.NoRamp)
 	}
 }
 
@@ -73,9 +73,9 @@
 		return false
 	}
 	now, sender := e.sim.Now(), j.request.entry
-	if told, found := s.toldAt[sender]; found && now > told+restMargin && now < told+s.refusal.Rest {
+	if told, found := s.toldAt[sender]; found && now > told+backoffMargin && now < told+s.refusal.Backoff {
 		s.during[sender]++
-		if s.during[sender] == restAllowed+1 {
+		if s.during[sender] == backoffAllowed+1 {
 			e.sim.refusalResult.Broken++
 		}
 	}
@@ -86,7 +86,7 @@
 		s.served = append(s.served, now)
 		return false
 	}
-	if told, found := s.toldAt[sender]; !found || now >= told+s.refusal.Rest {
+	if told, found := s.toldAt[sender]; !found || now >= told+s.refusal.Backoff {
 		s.toldAt[sender], s.during[sender] = now, 0
 	}
 	e.sim.refusalResult.Refused++
@@ -94,17 +94,17 @@
 }
 
 // handleRefusal tells the entry of an engine's refusal and sends the request again.
-func (r *request) handleRefusal(e *engine, refusal *Refusal, plan *direct.Plan) {
+func (r *request) handleRefusal(refusal *Refusal, plan *direct.Plan) {
 	sim := r.sim
 	sim.AfterFunc(sim.messageDelay(), func() {
 		r.load.End()
 		if refusal.Unread {
 			r.entry.tracker.Avoid(plan.Endpoint.Incarnation, sim.wallTime().Add(busyAvoidance))
 		} else {
-			r.entry.tracker.Rests().Observe(sim.wallTime(), plan.Endpoint, refusal.Rest)
+			r.entry.tracker.Backoffs().Observe(sim.wallTime(), plan.Endpoint, refusal.Backoff)
 		}
 		if refusal.Avoided {
-			sim.avoidEverywhere(r.entry, plan.Endpoint, refusal.Rest)
+			sim.avoidEverywhere(r.entry, plan.Endpoint, refusal.Backoff)
 		}
 		r.arrivals++
 		if r.arrivals >= maxArrivals {
@@ -117,9 +117,9 @@
 	})
 }
 
-// avoidEverywhere makes the other entries avoid an engine until the end of a rest.
-func (sim *simulation) avoidEverywhere(from *entry, e *directory.EndpointState, rest time.Duration) {
-	until := sim.wallTime().Add(rest)
+// avoidEverywhere makes the other entries avoid an engine until the end of a backoff.
+func (sim *simulation) avoidEverywhere(from *entry, e *directory.EndpointState, backoff time.Duration) {
+	until := sim.wallTime().Add(backoff)
 	for _, other := range sim.entries {
 		if other != from {
 			sim.AfterFunc(sim.messageDelay(), func() { other.tracker.Avoid(e.Incarnation, until) })
--- a/bench/emulator/statements_test.go
+++ b/bench/emulator/statements_test.go
@@ -17,10 +17,10 @@
 	return c
 }
 
-// Guards against requests to engines within the rest that they stated to an entry, against repeats
-// for which other engines are known, and against a rush when the rests have ended. With -v it logs
-// the figures of several ways to treat a rest on the same loads.
-func TestRestsOfEngines(t *testing.T) {
+// Guards against requests to engines within the backoff that they stated to an entry, against repeats
+// for which other engines are known, and against a rush when the backoffs have ended. With -v it logs
+// the figures of several ways to treat a backoff on the same loads.
+func TestBackoffsOfEngines(t *testing.T) {
 	entryCounts := []int{4, 24}
 	if testing.Verbose() {
 		entryCounts = append(entryCounts, 68)
@@ -32,12 +32,12 @@
 			results := map[string]RefusalResult{}
 			for _, way := range []string{"unread", "own entry", "others at a cost", "others avoid it", "no ramp"} {
 				refusal := ways[way]
-				refusal.From, refusal.To, refusal.Engines, refusal.Rest = 3*time.Second, 9*time.Second, shares[share], 3*time.Second
+				refusal.From, refusal.To, refusal.Engines, refusal.Backoff = 3*time.Second, 9*time.Second, shares[share], 3*time.Second
 				config := statementSite(1, entries)
 				config.Refusals = []Refusal{refusal}
 				load, statements := SimulateStatements(config)
 				results[way] = statements.Refusals
-				t.Logf("%2d entries, %-7s refuse, %-20s: %4d refused on arrival, %4d repeats, %3d rests broken, most in a second %3d; on time %.3f %.3f", entries, share, way,
+				t.Logf("%2d entries, %-7s refuse, %-20s: %4d refused on arrival, %4d repeats, %3d backoffs broken, most in a second %3d; on time %.3f %.3f", entries, share, way,
 					statements.Refusals.Refused, statements.Refusals.Repeats, statements.Refusals.Broken, statements.Refusals.MostInASecond, load[0].OnTimeShare(), load[1].OnTimeShare())
 			}
 			is := is.New(t)
@@ -87,7 +87,7 @@
 		t.Run(fmt.Sprint(entries), func(t *testing.T) {
 			config := statementSite(2, entries)
 			without := Simulate(config)
-			config.Refusals = []Refusal{{From: 3 * time.Second, To: 9 * time.Second, Engines: entries / 4, Rest: 3 * time.Second}}
+			config.Refusals = []Refusal{{From: 3 * time.Second, To: 9 * time.Second, Engines: entries / 4, Backoff: 3 * time.Second}}
 			config.Departures = []Departure{{From: 2 * time.Second, Interval: 2 * time.Second, Engines: 2, StoreDelay: 20 * time.Second, EndsAfter: 6 * time.Second, Shared: true}}
 			for i, with := range Simulate(config) {
 				is.New(t).True(with.OnTimeShare() >= without[i].OnTimeShare()-0.05)
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -197,7 +197,7 @@
 		return fmt.Sprintf("%s states a limit of requests per second; the request uses this node's share of it", l.text("endpoint"))
 	case "limit_refused":
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s that are left state limits, which are used up or kept for requests more urgent than priority %s", l.text("endpoints"), l.text("service"), l.text("priority"))
-	case "rest_refused":
+	case "backoff_refused":
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s have refused requests and want no others for a time; the caller is told to come back after %s", l.text("endpoints"), l.text("service"), l.milliseconds("retry_after_ms"))
 	case "no_endpoint":
 		return fmt.Sprintf("refused at once: no endpoint of service %s takes requests; %s are leaving", l.text("service"), l.text("leaving"))
--- a/directory/leaving.go
+++ b/directory/leaving.go
@@ -8,7 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// IncarnationHash identifies an incarnation in messages between nodes.
+// IncarnationHash identifies an incarnation in messages between nodes, where two with the same hash
+// would do harm. routing/direct uses its lower half where that only costs a little time.
 type IncarnationHash uint64
 
 // Hash returns the incarnation's hash.
@@ -37,8 +38,8 @@
 	// seconds. An endpoint that registers without a start time has the incarnation of its previous
 	// start, for which the statement must end.
 	unlistedStatementTTL = 30 * time.Second
-	// newStatementTime is how long a statement is part of every report.
-	newStatementTime = 500 * time.Millisecond
+	// changeReportTime is how long a new statement is part of every report.
+	changeReportTime = 500 * time.Millisecond
 )
 
 // NewStatedLeaving returns an empty set.
@@ -89,13 +90,13 @@
 }
 
 // Reports returns the incarnations to report to other nodes, at most most: those that became known
-// in the last newStatementTime and, with full, those that the store still lists as taking requests.
+// in the last changeReportTime and, with full, those that the store still lists as taking requests.
 func (s *StatedLeaving) Reports(now time.Time, full bool, most int) []IncarnationHash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var reports []IncarnationHash
 	for incarnation, l := range s.known {
-		if now.Sub(l.statedAt) < newStatementTime || full && l.listed {
+		if now.Sub(l.statedAt) < changeReportTime || full && l.listed {
 			reports = append(reports, incarnation)
 		}
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -27,8 +27,8 @@
 	reserveAttempts int
 	// allowanceTaken is set if the last attempt used the allowance of an endpoint's limit.
 	allowanceTaken bool
-	// countedAfterRest is set while the last attempt counts as one of those after a rest.
-	countedAfterRest bool
+	// countedAfterBackoff is set while the last attempt counts as one of those after a backoff.
+	countedAfterBackoff bool
 	// budgetTaken is set if the next attempt has used the retry budget.
 	budgetTaken bool
 	// failedResponse is the last complete response in which an endpoint reported a failure.
@@ -65,7 +65,7 @@
 		}
 		f.budgetTaken = false
 		outcome, err := f.sendTo(ctx, plan)
-		f.endRestCount(plan.Endpoint, false)
+		f.endBackoffCount(plan.Endpoint, false)
 		if err == nil {
 			f.recordResponse()
 			return nil
@@ -111,8 +111,8 @@
 		return f.noEndpointError()
 	case plan.RateLimited:
 		return f.refuseLimited(plan)
-	case plan.Resting:
-		return f.refuseResting(plan)
+	case plan.InBackoff:
+		return f.refuseInBackoff(plan)
 	}
 	return f.refuseCapacity(plan)
 }
@@ -177,7 +177,7 @@
 		return sendErr.outcome, sendErr
 	}
 	f.gateway.observeResponse(response, sentAt)
-	f.endRestCount(plan.Endpoint, response.status < http.StatusInternalServerError)
+	f.endBackoffCount(plan.Endpoint, response.status < http.StatusInternalServerError)
 	if outcome, err := classify(response); err != nil {
 		response.discard()
 		if outcome == attempt.NotExecuted {
@@ -226,12 +226,12 @@
 // errEndpointWithdrawn is returned when an endpoint of a plan has stated that it takes no requests.
 var errEndpointWithdrawn = errors.New("an endpoint of the plan takes no requests")
 
-// withdrawn reports whether one of the plan's endpoints has stated that it leaves or wants rest, as
+// withdrawn reports whether one of the plan's endpoints has stated that it leaves or requests backoff, as
 // it may do in its response to a reservation.
 func (f *forwarding) withdrawn(plan *direct.Plan) bool {
 	now := time.Now()
 	withdrawn := func(e *directory.EndpointState) bool {
-		return f.gateway.statedLeaving().Contains(e.Incarnation) || f.gateway.loadTracker.Rests().Resting(now, e.Incarnation)
+		return f.gateway.statedLeaving().Contains(e.Incarnation) || f.gateway.loadTracker.Backoffs().InBackoff(now, e.Incarnation)
 	}
 	return withdrawn(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, withdrawn)
 }
@@ -311,7 +311,7 @@
 	case f.retrier.MayHaveRun():
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and no other is available")
 	}
-	if failure := f.refuseIfAllRest(); failure != nil {
+	if failure := f.refuseIfAllInBackoff(); failure != nil {
 		return failure
 	}
 	leaving := f.gateway.snapshot.Load().LeavingCount(f.service.Name)
@@ -336,7 +336,7 @@
 	case attempt.Fail:
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "%v", err)
 	}
-	if failure := f.refuseIfAllRest(); failure != nil {
+	if failure := f.refuseIfAllInBackoff(); failure != nil {
 		return failure
 	}
 	return result.Refuse(result.Overloaded, overloadedRetryAfter, "%v", err)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -125,7 +125,7 @@
 	if !f.takeLimit(e) {
 		return false
 	}
-	if !f.takeRest(e) {
+	if !f.takeAfterBackoff(e) {
 		f.giveBackLimit(e)
 		return false
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -189,7 +189,7 @@
 	}
 	h.SentUptimeMs = uint64(time.Since(p.gateway.started).Milliseconds())
 	p.gateway.appendLeaving(now, h)
-	appendRests(h, p.gateway.loadTracker.Rests().Reports(now, !h.Partial, maxHeartbeatRests))
+	appendBackoffs(h, p.gateway.loadTracker.Backoffs().Reports(now, !h.Partial, maxHeartbeatBackoffs))
 	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
 	for _, d := range p.gateway.loadTracker.Demands(now) {
@@ -246,7 +246,7 @@
 	p.gateway.loadTracker.RecordPeerSlowEndpoints(now, decodeSlowEndpoints(h))
 	delay := p.delays.observe(now, h)
 	p.gateway.mergeLimits(now, h, delay)
-	p.gateway.loadTracker.Rests().Merge(now, delay, decodeRests(h))
+	p.gateway.loadTracker.Backoffs().Merge(now, delay, decodeBackoffs(h))
 	p.gateway.mergeLeaving(now, h)
 	for _, request := range p.gateway.quarantine.Merge(now, decodeFindings(h)) {
 		p.gateway.reportQuarantined(request, h.Node)
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -141,7 +141,7 @@
 		start := time.Now()
 		for g.snapshot.Load().Endpoint(e.Incarnation) != nil {
 			time.Sleep(unreachableProbeInterval)
-			if g.loadTracker.Rests().Resting(time.Now(), e.Incarnation) {
+			if g.loadTracker.Backoffs().InBackoff(time.Now(), e.Incarnation) {
 				continue
 			}
 			if g.prober.dial(e) == nil {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -42,7 +42,7 @@
 	if estimate.TooLate(f.route.Target) {
 		return f.refuseLateFirstToken(estimate, backlogDrainFactor*(estimate.FirstToken()-f.route.Target))
 	}
-	if plan := g.policy.Place(f.started, &f.placementRequest, endpoints); plan != nil && plan.Refused() && !plan.Resting {
+	if plan := g.policy.Place(f.started, &f.placementRequest, endpoints); plan != nil && plan.Refused() && !plan.InBackoff {
 		return f.refuse(plan) // already known; waiting would only delay the refusal
 	}
 	queued := g.policy.Enqueue(f.service, f.PromptTokens)
--- a/gateway/slowdown_test.go
+++ b/gateway/slowdown_test.go
@@ -85,7 +85,7 @@
 }
 
 // Guards against queries to a slow engine that wants no requests for a time.
-func TestARestingEngineIsNotQueried(t *testing.T) {
+func TestAnEngineInBackoffIsNotQueried(t *testing.T) {
 	is := is.New(t)
 	s := startEngineFixture(t, 1)
 	slow := s.workers[0]
@@ -93,11 +93,11 @@
 	slow.SetDefaultFault(standin.FaultSlow)
 	go s.sendPrompt("h0", 1000)
 	s.waitFor("the engine is polled", func() bool { return slow.ReportCount() > 0 })
-	slow.SetRest("3600")
+	slow.SetBackoff("3600")
 	slow.SetDefaultFault(standin.FaultShed)
-	s.waitFor("the engine rests", func() bool {
+	s.waitFor("the engine is in backoff", func() bool {
 		s.sendPrompt("q", 1000)
-		return s.sumMetric(restingEndpoints) == 1
+		return s.sumMetric(backoffEndpoints) == 1
 	})
 	before := slow.ReportCount()
 	time.Sleep(2500 * time.Millisecond)     // two intervals of the poll
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -22,8 +22,8 @@
 	Limit Stated[float64]
 	// Leaving is set if the endpoint is about to stop and takes no further requests.
 	Leaving Stated[bool]
-	// Rest is the time for which an endpoint that refused a request wants none from this entry.
-	Rest Stated[time.Duration]
+	// Backoff is the time for which an endpoint that refused a request wants none from this entry.
+	Backoff Stated[time.Duration]
 }
 
 // Stated is a value that a response may state.
@@ -49,7 +49,7 @@
 // Names of statements in logs and metrics.
 const (
 	statementLeaving = "leaving"
-	statementRest    = "rest"
+	statementBackoff = "backoff"
 )
 
 // CallResponse is the head of a response to a call that is not a caller's request: an order or a
@@ -116,10 +116,10 @@
 	if acceptStatement(g, e, statementLeaving, s.Leaving) && s.Leaving.Value {
 		g.observeLeaving(e, s.Leaving.Header)
 	}
-	if acceptStatement(g, e, statementRest, s.Rest) && s.Rest.Value > 0 {
-		g.loadTracker.Rests().Observe(time.Now(), e, s.Rest.Value)
-		g.log.Info("endpoint_rests", zap.String("endpoint", e.ID), zap.Duration("rest_ms", s.Rest.Value), zap.String("value", s.Rest.Text))
-		g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_rests_total{service=%q}`, e.Service)).Inc()
+	if acceptStatement(g, e, statementBackoff, s.Backoff) && s.Backoff.Value > 0 {
+		g.loadTracker.Backoffs().Observe(time.Now(), e, s.Backoff.Value)
+		g.log.Info("endpoint_backoff", zap.String("endpoint", e.ID), zap.Duration("backoff_ms", s.Backoff.Value), zap.String("value", s.Backoff.Text))
+		g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_backoffs_total{service=%q}`, e.Service)).Inc()
 	}
 }
 
--- a/result/result.go
+++ b/result/result.go
@@ -58,7 +58,7 @@
 	NotReady           Code = 3014
 	Quarantined        Code = 3015
 	EndpointsLimited   Code = 3016
-	EndpointsResting   Code = 3017
+	EndpointsInBackoff Code = 3017
 
 	DeadlineExceeded Code = 4001
 	OutcomeUnknown   Code = 4002
--- a/result/table.go
+++ b/result/table.go
@@ -47,7 +47,7 @@
 	{NotReady, "not_ready", http.StatusServiceUnavailable, "The node has no catalogue or configuration yet, or one that may be out of date.", "Send the request again after Retry-After."},
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, "Endpoints crashed while they ran earlier copies of this request.", "Do not send the request again before Retry-After; give the operators the fingerprint from the log."},
 	{EndpointsLimited, "endpoints_limited", http.StatusServiceUnavailable, "All endpoints of the service state a limit of requests per second, and it is used up.", "Send the request again after Retry-After."},
-	{EndpointsResting, "endpoints_resting", http.StatusServiceUnavailable, "All endpoints of the service have refused requests and stated for how long they want no others.", "Send the request again after Retry-After."},
+	{EndpointsInBackoff, "endpoints_in_backoff", http.StatusServiceUnavailable, "All endpoints of the service have refused requests and stated for how long they want no others.", "Send the request again after Retry-After."},
 
 	{DeadlineExceeded, "deadline_exceeded", http.StatusGatewayTimeout, "The deadline passed before the request ended.", "See ran; allow more time."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The request was sent to an endpoint, and it cannot be determined whether it ran.", "Look up the status by idempotency key; do not assume either outcome."},
--- a/routing/direct/filter.go
+++ b/routing/direct/filter.go
@@ -12,10 +12,10 @@
 	// unlimited endpoints state no limit, or one that is not tight. limited ones state a tight one.
 	// Both may be sent a request now.
 	unlimited, limited []*directory.EndpointState
-	// exhausted endpoints state a limit, and resting ones a rest, because of which they must not be
-	// sent a request now.
-	exhausted, resting []*directory.EndpointState
-	// tried is set if the request was sent before to an endpoint that does not rest.
+	// exhausted endpoints have a limit, and those in inBackoff a backoff, because of which they
+	// must not be sent a request now.
+	exhausted, inBackoff []*directory.EndpointState
+	// tried is set if the request was sent before to an endpoint that is not in backoff.
 	tried bool
 }
 
@@ -26,12 +26,12 @@
 // request. Unless no others remain, it also drops those that accept no connections, refused work
 // lately or have lost their registration.
 func (p *Policy) eligible(now time.Time, r *Request, endpoints []*directory.EndpointState) candidates {
-	noLimits, noRests := p.tracker.limits.Empty(), p.tracker.rests.Empty(now)
+	noLimits, noBackoffs := p.tracker.limits.Empty(), p.tracker.backoffs.Empty(now)
 	var preferred, avoided candidates
 	preferred.unlimited = make([]*directory.EndpointState, 0, len(endpoints))
 	for _, e := range endpoints {
-		if !noRests && p.tracker.rests.untilAvailable(now, e.Incarnation) > 0 {
-			preferred.resting = append(preferred.resting, e)
+		if !noBackoffs && p.tracker.backoffs.untilAvailable(now, e.Incarnation) > 0 {
+			preferred.inBackoff = append(preferred.inBackoff, e)
 			continue
 		}
 		if r.Tried[e.Incarnation] {
@@ -60,16 +60,16 @@
 		return preferred
 	}
 	avoided.exhausted = append(avoided.exhausted, preferred.exhausted...)
-	avoided.resting, avoided.tried = preferred.resting, preferred.tried
+	avoided.inBackoff, avoided.tried = preferred.inBackoff, preferred.tried
 	return avoided
 }
 
 // Usable returns the endpoints that state no tight limit, or all if each of them states one. It
-// leaves out those that still rest at the time by.
+// leaves out those that are still in backoff at the time by.
 func (p *Policy) Usable(now, by time.Time, endpoints []*directory.EndpointState) []*directory.EndpointState {
-	if !p.tracker.rests.Empty(now) {
+	if !p.tracker.backoffs.Empty(now) {
 		endpoints = slices.DeleteFunc(slices.Clone(endpoints), func(e *directory.EndpointState) bool {
-			return p.tracker.rests.untilAvailable(now, e.Incarnation) > by.Sub(now)
+			return p.tracker.backoffs.untilAvailable(now, e.Incarnation) > by.Sub(now)
 		})
 	}
 	if p.tracker.limits.Empty() {
--- a/routing/direct/load_tracker.go
+++ b/routing/direct/load_tracker.go
@@ -33,14 +33,14 @@
 	// arrived.
 	prefilling map[*RequestLoad]struct{}
 	limits     *EndpointLimits
-	rests      *EndpointRests
+	backoffs   *EndpointBackoffs
 }
 
 // Limits returns the limits that endpoints state. They have a lock of their own.
 func (l *LoadTracker) Limits() *EndpointLimits { return l.limits }
 
-// Rests returns the rests that endpoints state. They have a lock of their own.
-func (l *LoadTracker) Rests() *EndpointRests { return l.rests }
+// Backoffs returns the backoffs that endpoints state. They have a lock of their own.
+func (l *LoadTracker) Backoffs() *EndpointBackoffs { return l.backoffs }
 
 // EndpointLoad is the load that an entry's requests put on an endpoint: the number in
 // flight, in total and by the pause that their routes allow (Streams), the pending prefill
@@ -149,7 +149,7 @@
 
 // NewLoadTracker returns an empty tracker.
 func NewLoadTracker() *LoadTracker {
-	return &LoadTracker{endpoints: map[directory.Incarnation]*trackedEndpoint{}, demands: map[string]*demand{}, shortInFlight: map[string]int{}, peers: map[string]*peer{}, pendingPrefill: map[string]time.Duration{}, queuedPrefill: map[string]time.Duration{}, peerLoads: map[EndpointHash]EndpointLoad{}, peerSlowdowns: map[EndpointHash]peerSlowdown{}, prefilling: map[*RequestLoad]struct{}{}, limits: NewEndpointLimits(), rests: NewEndpointRests()}
+	return &LoadTracker{endpoints: map[directory.Incarnation]*trackedEndpoint{}, demands: map[string]*demand{}, shortInFlight: map[string]int{}, peers: map[string]*peer{}, pendingPrefill: map[string]time.Duration{}, queuedPrefill: map[string]time.Duration{}, peerLoads: map[EndpointHash]EndpointLoad{}, peerSlowdowns: map[EndpointHash]peerSlowdown{}, prefilling: map[*RequestLoad]struct{}{}, limits: NewEndpointLimits(), backoffs: NewEndpointBackoffs()}
 }
 
 // RequestLoad is the load that one request puts on its endpoints until it ends. It must be
--- a/routing/direct/peers.go
+++ b/routing/direct/peers.go
@@ -124,7 +124,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rank = rank{index, count}
-	l.rests.setRank(l.rank)
+	l.backoffs.setRank(l.rank)
 }
 
 // peerScale is the number of other entries for each one that reports; 0 while none does.
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -46,9 +46,9 @@
 	// RateLimited is set when the request must not be sent now because of the limits that the
 	// endpoints state. It may be sent after RetryAfter.
 	RateLimited bool
-	// Resting is set when the request must not be sent now because all endpoints that are left
-	// rest. It may be sent after RetryAfter.
-	Resting    bool
+	// InBackoff is set when the request must not be sent now because all endpoints that are left
+	// are in backoff. It may be sent after RetryAfter.
+	InBackoff  bool
 	RetryAfter time.Duration
 	// ExpectedFirstToken is the estimated time from the start of the plan to the first
 	// token.
@@ -62,7 +62,7 @@
 }
 
 // Refused reports whether the request must not be sent now.
-func (plan *Plan) Refused() bool { return plan.Overloaded || plan.RateLimited || plan.Resting }
+func (plan *Plan) Refused() bool { return plan.Overloaded || plan.RateLimited || plan.InBackoff }
 
 // HelperIDs returns the IDs of the helpers.
 func (plan *Plan) HelperIDs() []string {
@@ -131,8 +131,8 @@
 	switch {
 	case len(c.unlimited) == 0 && len(c.limited)+len(c.exhausted) > 0:
 		return p.placeOnlyLimited(now, r, c)
-	case len(c.unlimited) == 0 && len(c.resting) > 0 && !c.tried:
-		return p.refuseResting(now, r, c.resting)
+	case len(c.unlimited) == 0 && len(c.inBackoff) > 0 && !c.tried:
+		return p.refuseInBackoff(now, r, c.inBackoff)
 	case len(c.unlimited) == 0:
 		return nil
 	case r.Service.Engine == nil:
--- a/routing/direct/queue.go
+++ b/routing/direct/queue.go
@@ -59,7 +59,7 @@
 	defer p.tracker.mu.Unlock()
 	p.tracker.updatePendingPrefill(now)
 	if endpoints = p.Usable(now, now, endpoints); len(endpoints) == 0 {
-		return false // all of them rest
+		return false // all of them are in backoff
 	}
 	demand := p.tracker.totalDemand(now, q.service.Name)
 	long := p.longEngineCount(demand, q.service, len(endpoints))
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -56,8 +56,8 @@
 			s.cost += time.Duration(float64(memoryCost) * float64(s.memoryTokens) / float64(engine.KVCacheTokens))
 			s.full = s.memoryTokens+endpointMemory(engine, r.PromptTokens+r.OutputTokens) > engine.KVCacheTokens
 		}
-		if p.tracker.rests.peerRest(now, e.Incarnation) {
-			s.cost += peerRestCost
+		if p.tracker.backoffs.peerBackoff(now, e.Incarnation) {
+			s.cost += peerBackoffCost
 		}
 		if e.DataCentre != r.DataCentre {
 			s.cost += distanceCost
--- a/routing/direct/stated_rests_test.go
+++ b/routing/direct/stated_backoffs_test.go
@@ -11,14 +11,14 @@
 	"aspenyard.example/directory"
 )
 
-// Guards against a rest that ends too early: by a shorter one, a response in between, or a registration
+// Guards against a backoff that ends too early: by a shorter one, a response in between, or a registration
 // that ended for a while; and against one that applies to another incarnation.
-func TestRestsEndAtTheLastStatedEnd(t *testing.T) {
+func TestBackoffsEndAtTheLastStatedEnd(t *testing.T) {
 	is := is.New(t)
-	r, e := NewEndpointRests(), endpoints(1)[0]
+	r, e := NewEndpointBackoffs(), endpoints(1)[0]
 	r.Observe(testNow, e, 3*time.Second)
 	r.Observe(testNow.Add(time.Second), e, time.Second)
-	at := func(d time.Duration) bool { return r.Resting(testNow.Add(d), e.Incarnation) }
+	at := func(d time.Duration) bool { return r.InBackoff(testNow.Add(d), e.Incarnation) }
 	is.True(at(2900 * time.Millisecond))
 	is.True(!at(3 * time.Second))
 	r.Observe(testNow.Add(2*time.Second), e, 4*time.Second)
@@ -29,30 +29,30 @@
 	is.True(!at(6 * time.Second))
 	other := e.Incarnation
 	other.StartUnixMilli = 1
-	is.True(!r.Resting(testNow.Add(time.Second), other))
+	is.True(!r.InBackoff(testNow.Add(time.Second), other))
 
 	tracker := NewLoadTracker()
-	tracker.Rests().Observe(testNow, e, time.Hour)
+	tracker.Backoffs().Observe(testNow, e, time.Hour)
 	tracker.Prune(func(directory.Incarnation) bool { return false })
-	is.True(tracker.Rests().Resting(testNow.Add(59*time.Minute), e.Incarnation))
-	count, longest := tracker.Rests().Totals(testNow)
+	is.True(tracker.Backoffs().InBackoff(testNow.Add(59*time.Minute), e.Incarnation))
+	count, longest := tracker.Backoffs().Totals(testNow)
 	is.Equal(count, 1)
 	is.Equal(longest, time.Hour)
 }
 
-// Guards against requests to resting endpoints as a last resort, as helpers, or as a retry, and
+// Guards against requests to endpoints in backoff as a last resort, as helpers, or as a retry, and
 // against refusals that do not say when to come back.
-func TestRestingEndpointsGetNothing(t *testing.T) {
+func TestEndpointsInBackoffGetNothing(t *testing.T) {
 	is := is.New(t)
 	p := newPolicy(1)
 	list := endpoints(20)
-	resting := list[10:]
-	for i, e := range resting {
-		p.tracker.Rests().Observe(testNow, e, time.Duration(3+i)*time.Second)
+	inBackoff := list[10:]
+	for i, e := range inBackoff {
+		p.tracker.Backoffs().Observe(testNow, e, time.Duration(3+i)*time.Second)
 	}
 	for _, tokens := range []int{2000, 20_000, 60_000, 150_000, 400_000} {
 		for range 10 {
-			is.True(!usesAny(p.Place(testNow, prompt(tokens), list), resting))
+			is.True(!usesAny(p.Place(testNow, prompt(tokens), list), inBackoff))
 		}
 	}
 	is.Equal(len(p.Usable(testNow, testNow, list)), 10)
@@ -63,41 +63,41 @@
 		request.Tried[e.Incarnation] = true
 	}
 	is.True(p.Place(testNow, request, list) == nil) // the others may take it when it comes back
-	plan := p.Place(testNow, prompt(2000), resting)
-	is.True(plan.Resting && plan.Refused())
-	is.True(plan.RetryAfter >= 3*time.Second && plan.RetryAfter < 3*time.Second+restSpread)
+	plan := p.Place(testNow, prompt(2000), inBackoff)
+	is.True(plan.InBackoff && plan.Refused())
+	is.True(plan.RetryAfter >= 3*time.Second && plan.RetryAfter < 3*time.Second+backoffSpread)
 	less := prompt(2000)
 	less.Priority = 5
-	plan = p.Place(testNow, less, resting)
-	is.True(plan.RetryAfter >= 3*time.Second+restSpread) // after the more urgent one
-	is.True(p.RefuseIfAllRest(testNow, request, resting) != nil)
-	is.True(p.RefuseIfAllRest(testNow, request, list) == nil)
-	is.True(p.RefuseIfAllRest(testNow, request, nil) == nil)
+	plan = p.Place(testNow, less, inBackoff)
+	is.True(plan.RetryAfter >= 3*time.Second+backoffSpread) // after the more urgent one
+	is.True(p.RefuseIfAllInBackoff(testNow, request, inBackoff) != nil)
+	is.True(p.RefuseIfAllInBackoff(testNow, request, list) == nil)
+	is.True(p.RefuseIfAllInBackoff(testNow, request, nil) == nil)
 }
 
-// Guards against avoidance that takes precedence over a rest: endpoints that accept no connections
-// are a last resort, those that rest are not.
-func TestAvoidedEndpointsAreUsedBeforeRestingOnes(t *testing.T) {
+// Guards against avoidance that takes precedence over a backoff: endpoints that accept no connections
+// are a last resort, those in backoff are not.
+func TestAvoidedEndpointsAreUsedBeforeThoseInBackoff(t *testing.T) {
 	is := is.New(t)
 	p := newPolicy(1)
 	list := endpoints(2)
-	p.tracker.Rests().Observe(testNow, list[0], time.Second)
+	p.tracker.Backoffs().Observe(testNow, list[0], time.Second)
 	p.tracker.SetUnreachable(list[1].Incarnation, true)
 	for range 10 {
 		is.Equal(p.Place(testNow, prompt(2000), list).Endpoint, list[1])
 	}
 }
 
-// Guards against entries that send to an endpoint all that waited at the end of its rest: from one
+// Guards against entries that send to an endpoint all that waited at the end of its backoff: from one
 // entry, and from many together.
-func TestEntriesResumeWithFewRequestsAfterARest(t *testing.T) {
+func TestEntriesResumeWithFewRequestsAfterABackoff(t *testing.T) {
 	for _, entries := range []int{1, 4, 24, 68, 300} {
 		t.Run(fmt.Sprint(entries), func(t *testing.T) {
 			is := is.New(t)
 			e := endpoints(1)[0]
-			var all []*EndpointRests
+			var all []*EndpointBackoffs
 			for i := range entries {
-				r := NewEndpointRests()
+				r := NewEndpointBackoffs()
 				r.setRank(rank{i, entries})
 				r.Observe(testNow, e, time.Second)
 				all = append(all, r)
@@ -116,7 +116,7 @@
 			}
 			is.Equal(taken(end.Add(-time.Millisecond)), 0)
 			first := taken(end)
-			t.Logf("%d entries, %d slots: %d requests at the end of the rest", entries, e.Slots, first)
+			t.Logf("%d entries, %d slots: %d requests at the end of the backoff", entries, e.Slots, first)
 			is.True(first >= 1 && first <= e.Slots)
 			is.Equal(taken(end.Add(maxResumeDelay/10)), 0) // before a response, no more than that
 			for _, r := range all {
@@ -127,11 +127,11 @@
 	}
 }
 
-// Guards against an endpoint that takes few requests for ever after a rest.
-func TestTheTimeAfterARestEnds(t *testing.T) {
+// Guards against an endpoint that takes few requests for ever after a backoff.
+func TestTheTimeAfterABackoffEnds(t *testing.T) {
 	is := is.New(t)
 	e := endpoints(1)[0]
-	r := NewEndpointRests()
+	r := NewEndpointBackoffs()
 	r.setRank(rank{0, 68})
 	r.Observe(testNow, e, time.Second)
 	end := testNow.Add(time.Second + maxResumeDelay)
@@ -151,11 +151,11 @@
 	is.True(allowed && !counted)
 }
 
-// Guards against a request to an endpoint within a rest that it stated to this entry, whatever the
+// Guards against a request to an endpoint within a backoff that it stated to this entry, whatever the
 // order of refusals, responses and failures.
-func TestNoRequestIsSentWithinARest(t *testing.T) {
+func TestNoRequestIsSentWithinABackoff(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r, now := NewEndpointRests(), testNow
+		r, now := NewEndpointBackoffs(), testNow
 		r.setRank(rank{rapid.IntRange(0, 5).Draw(t, "rank"), rapid.IntRange(0, 6).Draw(t, "entries")})
 		list := endpoints(3)
 		ends, pending := map[int]time.Time{}, map[int]int{}
@@ -168,13 +168,13 @@
 				free := r.untilAvailable(now, list[i].Incarnation) == 0
 				allowed, counted := r.Take(now, list[i].Incarnation)
 				if allowed && now.Before(ends[i]) {
-					t.Fatalf("sent %v before the end of a rest", ends[i].Sub(now))
+					t.Fatalf("sent %v before the end of a backoff", ends[i].Sub(now))
 				}
 				if allowed != free {
 					t.Fatalf("placing sees %v and sending %v", free, allowed)
 				}
 				if !allowed && now.Sub(ends[i]) > maxResumeDelay+rampTime {
-					t.Fatalf("refused %v after the end of the last rest", now.Sub(ends[i]))
+					t.Fatalf("refused %v after the end of the last backoff", now.Sub(ends[i]))
 				}
 				if counted {
 					pending[i]++
@@ -203,14 +203,14 @@
 	})
 }
 
-// Guards against reports of other entries that outlive the rest or keep an endpoint from being used
+// Guards against reports of other entries that outlive the backoff or keep an endpoint from being used
 // where no other is left.
-func TestReportedRestsPutAnEndpointBehindOthers(t *testing.T) {
+func TestReportedBackoffsPutAnEndpointBehindOthers(t *testing.T) {
 	is := is.New(t)
 	p := newPolicy(1)
 	list := endpoints(2)
 	request := &Request{Service: &directory.Service{Name: "plain"}, Tried: map[directory.Incarnation]bool{}}
-	other := NewEndpointRests()
+	other := NewEndpointBackoffs()
 	other.Observe(testNow, list[0], 2*time.Second)
 	other.Observe(testNow, list[1], time.Second)
 	is.Equal(len(other.Reports(testNow, false, 64)), 2)
@@ -218,16 +218,16 @@
 	is.Equal(len(other.Reports(testNow.Add(changeReportTime), true, 64)), 2)
 	is.Equal(len(other.Reports(testNow.Add(1500*time.Millisecond), true, 64)), 1)
 	reports := other.Reports(testNow, false, 1)
-	is.Equal(reports, []RestReport{{HashEndpoint(list[0].Incarnation), 2 * time.Second}})
-	rests := p.tracker.Rests()
-	rests.Merge(testNow, 500*time.Millisecond, reports)
+	is.Equal(reports, []BackoffReport{{HashEndpoint(list[0].Incarnation), 2 * time.Second}})
+	backoffs := p.tracker.Backoffs()
+	backoffs.Merge(testNow, 500*time.Millisecond, reports)
 	for range 10 {
 		is.Equal(p.Place(testNow, request, list).Endpoint, list[1])
 	}
 	is.Equal(p.Place(testNow, request, list[:1]).Endpoint, list[0])
-	is.True(rests.peerRest(testNow.Add(1400*time.Millisecond), list[0].Incarnation))
-	is.True(!rests.peerRest(testNow.Add(1500*time.Millisecond), list[0].Incarnation))
-	rests.Merge(testNow, 0, []RestReport{{HashEndpoint(list[1].Incarnation), time.Hour}})
-	is.True(!rests.peerRest(testNow.Add(maxPeerRest), list[1].Incarnation))
-	is.True(!rests.Resting(testNow, list[0].Incarnation))
+	is.True(backoffs.peerBackoff(testNow.Add(1400*time.Millisecond), list[0].Incarnation))
+	is.True(!backoffs.peerBackoff(testNow.Add(1500*time.Millisecond), list[0].Incarnation))
+	backoffs.Merge(testNow, 0, []BackoffReport{{HashEndpoint(list[1].Incarnation), time.Hour}})
+	is.True(!backoffs.peerBackoff(testNow.Add(maxPeerBackoff), list[1].Incarnation))
+	is.True(!backoffs.InBackoff(testNow, list[0].Incarnation))
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -33,7 +33,7 @@
 	{"BUDGET", false, checkAttemptLimit},
 	{"BUDGET", false, checkRetryBudget},
 	{"BUDGET", false, checkCrashingRequests},
-	{"BUDGET", false, checkStatedRests},
+	{"BUDGET", false, checkStatedBackoffs},
 	{"BUDGET", true, checkDeadlines},
 	{"LIMIT", false, checkReservationsUsedOnce},
 	{"LIMIT", false, checkStatedLimits},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -119,11 +119,11 @@
 		}
 		r.Limits = []LimitPeriod{{Endpoint: "i-1", PerSecond: 0.2, From: atSecond(40), To: atSecond(60)}}
 	}},
-	"requests within a rest": {"BUDGET", func(r *Record) {
+	"requests within a backoff": {"BUDGET", func(r *Record) {
 		for i := range 4 {
 			_, run := r.addServed(fmt.Sprint("q", i), onceRoute, 50+float64(i))
 			if i == 0 {
-				run.Ran, run.StatedRest = false, "4"
+				run.Ran, run.StatedBackoff = false, "4"
 			}
 		}
 	}},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -65,7 +65,7 @@
 		{kindCrashingRequest, 1, sendCrashingRequest},
 		{"endpoint-limited", 3, limitEndpoint},
 		{"endpoint-states-leaving", 3, func(h *harness, f *Fault) { h.replaceEndpoint(f, leaveStated(f), h.ports[f.Port].currentService()) }},
-		{"endpoint-refuses-with-rest", 3, refuseWithRest},
+		{"endpoint-requests-backoff", 3, refuseWithBackoff},
 	}
 }
 
--- a/soak/record.go
+++ b/soak/record.go
@@ -237,11 +237,14 @@
 // endpointUndisturbed reports whether an endpoint handled a run without an injected fault and was
 // not disturbed during the run or in the calmTime before it.
 func (r *Record) endpointUndisturbed(run *Arrival) bool {
-	if run.Fault != "" {
-		return false
-	}
+	return run.Fault == "" && r.endpointCalm(run.Endpoint, run.ArrivedAt, runEnd(run))
+}
+
+// endpointCalm reports whether an endpoint was not disturbed between from and to or in the calmTime
+// before.
+func (r *Record) endpointCalm(endpoint string, from, to time.Time) bool {
 	for _, d := range r.Disturbances {
-		if d.Endpoint == run.Endpoint && d.overlaps(run.ArrivedAt.Add(-calmTime), runEnd(run)) {
+		if d.Endpoint == endpoint && d.overlaps(from.Add(-calmTime), to) {
 			return false
 		}
 	}
--- a/soak/statements.go
+++ b/soak/statements.go
@@ -11,17 +11,17 @@
 )
 
 const (
-	// Users' rule for an endpoint that refuses a request with Retry-After: from restMargin after it
-	// to the end of that time it gets at most restAllowed requests from the gateway that it refused.
-	restMargin  = 500 * time.Millisecond
-	restAllowed = 2
+	// Users' rule for an endpoint that refuses a request with Retry-After: from backoffMargin after it
+	// to the end of that time it gets at most backoffAllowed requests from the gateway that it refused.
+	backoffMargin  = 500 * time.Millisecond
+	backoffAllowed = 2
 	// storeLag is how long after an endpoint first states that it leaves the store hears of it, in
 	// addition to the fault's duration.
 	storeLag = leavingWithin + time.Second
 )
 
-// statedRests are the values of Retry-After with which endpoints refuse requests.
-var statedRests = []string{"0.6", "1", "2.5", "4", "0", "soon"}
+// statedBackoffs are the values of Retry-After with which endpoints refuse requests.
+var statedBackoffs = []string{"0.6", "1", "2.5", "4", "0", "soon"}
 
 // leaveStated makes an endpoint state in its responses that it leaves. The store hears of it later,
 // and then the endpoint ends.
@@ -34,17 +34,17 @@
 	}
 }
 
-// refuseWithRest makes an endpoint refuse all requests for the fault's duration and state a rest.
-func refuseWithRest(h *harness, f *Fault) {
+// refuseWithBackoff makes an endpoint refuse all requests for the fault's duration and state a backoff.
+func refuseWithBackoff(h *harness, f *Fault) {
 	worker := h.ports[f.Port].currentWorker()
 	if worker == nil {
 		return
 	}
-	worker.SetRest(statedRests[rand.New(rand.NewPCG(h.config.Seed, uint64(f.Start))).IntN(len(statedRests))])
+	worker.SetBackoff(statedBackoffs[rand.New(rand.NewPCG(h.config.Seed, uint64(f.Start))).IntN(len(statedBackoffs))])
 	worker.SetDefaultFault(platform.FaultShed)
 	time.Sleep(f.Duration)
 	worker.SetDefaultFault("")
-	worker.SetRest("")
+	worker.SetBackoff("")
 }
 
 func (r *Record) addStatedDeparture(endpoint string) {
@@ -53,48 +53,37 @@
 	r.StatedDepartures[endpoint] = time.Now()
 }
 
-// checkStatedRests finds endpoints that got requests from a gateway within the rest that they had
+// checkStatedBackoffs finds endpoints that got requests from a gateway within the backoff that they had
 // stated to it.
-func checkStatedRests(ix *indexedRecord) []string {
+func checkStatedBackoffs(ix *indexedRecord) []string {
 	var findings []string
 	for i := range ix.Arrivals {
 		refusal := &ix.Arrivals[i]
-		seconds, err := strconv.ParseFloat(refusal.StatedRest, 64)
+		seconds, err := strconv.ParseFloat(refusal.StatedBackoff, 64)
 		sender := ix.requestsByID[refusal.ID]
 		if err != nil || sender == nil {
 			continue
 		}
 		end := refusal.ArrivedAt.Add(time.Duration(seconds * float64(time.Second)))
-		if !ix.undisturbed(sender.Gateway, refusal.ArrivedAt, end, false) || !ix.endpointReachable(refusal.Endpoint, refusal.ArrivedAt, end) {
+		if !ix.undisturbed(sender.Gateway, refusal.ArrivedAt, end, false) || !ix.endpointCalm(refusal.Endpoint, refusal.ArrivedAt, end) {
 			continue
 		}
 		n := 0
 		for j := range ix.Arrivals {
 			arrival := &ix.Arrivals[j]
 			req := ix.requestsByID[arrival.ID]
-			within := arrival.ArrivedAt.After(refusal.ArrivedAt.Add(restMargin)) && arrival.ArrivedAt.Before(end)
+			within := arrival.ArrivedAt.After(refusal.ArrivedAt.Add(backoffMargin)) && arrival.ArrivedAt.Before(end)
 			if within && arrival.Endpoint == refusal.Endpoint && req != nil && req.Gateway == sender.Gateway && req.Incarnation == sender.Incarnation {
 				n++
 			}
 		}
-		if n > restAllowed {
-			findings = append(findings, fmt.Sprintf("%s asked %s for %s s of rest and got %d requests from it in that time", refusal.Endpoint, sender.Gateway, refusal.StatedRest, n))
+		if n > backoffAllowed {
+			findings = append(findings, fmt.Sprintf("%s asked %s for %s s of backoff and got %d requests from it in that time", refusal.Endpoint, sender.Gateway, refusal.StatedBackoff, n))
 		}
 	}
 	return findings
 }
 
-// endpointReachable reports whether an endpoint was not disturbed between from and to or in the
-// calmTime before.
-func (ix *indexedRecord) endpointReachable(endpoint string, from, to time.Time) bool {
-	for _, d := range ix.Disturbances {
-		if d.Endpoint == endpoint && d.overlaps(from.Add(-calmTime), to) {
-			return false
-		}
-	}
-	return true
-}
-
 // checkStatedDepartures finds requests that reached an endpoint later than allowed after the gateway
 // that sent them had passed on a response in which the endpoint stated that it leaves.
 func checkStatedDepartures(ix *indexedRecord) []string {
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -37,7 +37,7 @@
 		fmt.Fprintf(conn, "HTTP/1.1 500 Internal Server Error\r\n%s%sContent-Length: 4\r\n\r\nfail", headers, serverStamp)
 	case FaultUnmarkedRefusal:
 		w.setStatus(run, http.StatusServiceUnavailable)
-		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s%s%sContent-Length: 0\r\n\r\n", headers, serverStamp, w.restHeader())
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s%s%sContent-Length: 0\r\n\r\n", headers, serverStamp, w.backoffHeader())
 	case FaultReset:
 		return false
 	case FaultTruncated:
--- a/standin/platform/statements.go
+++ b/standin/platform/statements.go
@@ -44,12 +44,12 @@
 	w.statedLeaving = text
 }
 
-// SetRest sets the text of the Retry-After header in refusals with status 503, which may be
+// SetBackoff sets the text of the Retry-After header in refusals with status 503, which may be
 // malformed; with "" they have none.
-func (w *Worker) SetRest(text string) {
+func (w *Worker) SetBackoff(text string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.statedRest = text
+	w.statedBackoff = text
 }
 
 // statements returns the header lines of what the worker states in all its responses.
@@ -59,16 +59,16 @@
 	return headerLine(headerLimit, w.statedLimit) + headerLine(headerLeaving, w.statedLeaving)
 }
 
-// rest returns the text of Retry-After in refusals.
-func (w *Worker) rest() string {
+// backoff returns the text of Retry-After in refusals.
+func (w *Worker) backoff() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.statedRest
+	return w.statedBackoff
 }
 
-// restHeader returns the header line of refusals that states for how long the worker wants no
+// backoffHeader returns the header line of refusals that states for how long the worker wants no
 // requests from the gateway.
-func (w *Worker) restHeader() string { return headerLine("Retry-After", w.rest()) }
+func (w *Worker) backoffHeader() string { return headerLine("Retry-After", w.backoff()) }
 
 // headerLine returns a line of a response's head; "" for an empty value.
 func headerLine(name, value string) string {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -69,8 +69,8 @@
 	// fault that was simulated.
 	Status int
 	Fault  Fault
-	// StatedRest is the text of Retry-After in the refusal; "" if there was none.
-	StatedRest string
+	// StatedBackoff is the text of Retry-After in the refusal; "" if there was none.
+	StatedBackoff string
 	// ArrivedAt is when the request was read completely; EndedAt when its execution ended,
 	// zero while it runs. Cancelled is set if the caller disconnected before that.
 	ArrivedAt, EndedAt time.Time
@@ -124,9 +124,9 @@
 	orderCount      int
 	freedCount      int
 	failedHelper    string
-	// statedLimit and statedLeaving are the texts of headers in responses, statedRest that of
+	// statedLimit and statedLeaving are the texts of headers in responses, statedBackoff that of
 	// Retry-After in refusals; "" states nothing.
-	statedLimit, statedLeaving, statedRest string
+	statedLimit, statedLeaving, statedBackoff string
 
 	slowdown        float64
 	reportCount     int
@@ -335,7 +335,7 @@
 	fault := w.nextFault()
 	run := newRun(r, fault)
 	if fault == FaultEarlyResponse {
-		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Not-Executed: 1\r\n%s%sContent-Length: 0\r\n\r\n", run.ID, w.statements(), w.restHeader())
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Not-Executed: 1\r\n%s%sContent-Length: 0\r\n\r\n", run.ID, w.statements(), w.backoffHeader())
 		_, _ = io.Copy(io.Discard, r.Body)
 		return true
 	}
@@ -348,7 +348,7 @@
 	if status, refusalHeaders := w.refusal(r, fault); status != 0 {
 		run.Status = status
 		if status == http.StatusServiceUnavailable {
-			run.StatedRest = w.rest()
+			run.StatedBackoff = w.backoff()
 		}
 		w.addRun(run)
 		fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%s%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), headers, refusalHeaders)
@@ -385,7 +385,7 @@
 // refusal returns the status, and further headers, with which a request is refused without
 // being executed; status 0 means that it is executed.
 func (w *Worker) refusal(r *http.Request, fault Fault) (status int, headers string) {
-	notExecuted := "X-Aspenyard-Not-Executed: 1\r\n" + w.restHeader()
+	notExecuted := "X-Aspenyard-Not-Executed: 1\r\n" + w.backoffHeader()
 	switch {
 	case r.Header.Get("X-Aspenyard-Expect-Instance") != w.ID:
 		return http.StatusMisdirectedRequest, "X-Aspenyard-Instance-Id: " + w.ID + "\r\n"
