--- a/result/result.go
+++ b/result/result.go
@@ -59,6 +59,11 @@
 	Quarantined        Code = 3015
 	EndpointsLimited   Code = 3016
 	EndpointsInBackoff Code = 3017
+	Evacuated          Code = 3018
+	EndpointsCold      Code = 3019
+	NotAdmitted        Code = 3020
+	OutsideRegions     Code = 3021
+	EntryFull          Code = 3022
 
 	DeadlineExceeded Code = 4001
 	OutcomeUnknown   Code = 4002
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Gateway holds the settings of a gateway.
 type Gateway struct {
@@ -50,8 +53,33 @@
 	// MemoryLimit is the memory that the process may use; default 256MB. The runtime collects
 	// garbage more often as the process comes near it.
 	MemoryLimit Size `json:"memory_limit,omitempty"`
+	// EvacuateWithin bounds the time from when the store has the evacuation of a data centre
+	// until its endpoints are sent no more requests; default 5s. Like ConfigWithin, it limits
+	// how long a watch call may wait.
+	EvacuateWithin Duration `json:"evacuate_within,omitempty"`
+	// ColdOvershoot and ColdTolerance bound the requests that all gateways together send to an
+	// endpoint that is warming up: in any second, at most ColdOvershoot times the rate that its
+	// service's configuration names, plus ColdTolerance. Defaults: 1 and 0. Higher values serve
+	// more while endpoints warm up; above what endpoints tolerate, they crash.
+	ColdOvershoot float64 `json:"cold_overshoot,omitempty"`
+	ColdTolerance float64 `json:"cold_tolerance,omitempty"`
+	// Regions maps each data centre to its region; optional. Routes and client accounts may
+	// restrict requests to regions. A data centre that is not listed is in no region.
+	Regions map[string]string `json:"regions,omitempty"`
+	// Admission says for which services requests are admitted by priority while capacity is
+	// scarce: AdmissionAuto (the default) for services whose routes differ in priority,
+	// AdmissionOn for all, AdmissionOff for none. Without it, requests of all priorities are
+	// late together.
+	Admission string `json:"admission,omitempty"`
 }
 
+// The values of Gateway.Admission.
+const (
+	AdmissionAuto = "auto"
+	AdmissionOn   = "on"
+	AdmissionOff  = "off"
+)
+
 // SetDefaults sets the optional fields that are zero to their defaults.
 func (g *Gateway) SetDefaults() {
 	setDuration(&g.StoreTimeout, 700*time.Millisecond)
@@ -70,6 +98,13 @@
 	if g.MemoryLimit == 0 {
 		g.MemoryLimit = 256_000_000
 	}
+	setDuration(&g.EvacuateWithin, 5*time.Second)
+	if g.ColdOvershoot == 0 {
+		g.ColdOvershoot = 1
+	}
+	if g.Admission == "" {
+		g.Admission = AdmissionAuto
+	}
 }
 
 // Check sets the defaults and returns an error for each field that is not valid.
@@ -97,5 +132,15 @@
 	errs.CheckNumber("retry_ratio", g.RetryRatio, 0, 1)
 	errs.CheckNumber("retry_allowance", g.RetryAllowance, 0, 1_000_000)
 	errs.CheckInt("memory_limit", int64(g.MemoryLimit), 32_000_000, 1<<40)
+	errs.CheckRange("evacuate_within", g.EvacuateWithin.D(), 2*g.StoreTimeout.D(), time.Hour)
+	errs.CheckNumber("cold_overshoot", g.ColdOvershoot, 0.01, 100)
+	errs.CheckNumber("cold_tolerance", g.ColdTolerance, 0, 1_000_000)
+	for dataCentre, region := range g.Regions {
+		errs.CheckName("regions", dataCentre)
+		errs.CheckName("regions."+dataCentre, region)
+	}
+	if !slices.Contains([]string{AdmissionAuto, AdmissionOn, AdmissionOff}, g.Admission) {
+		errs.Add("admission", g.Admission, AdmissionAuto+", "+AdmissionOn+" or "+AdmissionOff)
+	}
 	return errs
 }
