Evacuation of data centres: no requests, parts or reservations while the operator asks for it

Before a full read they read the evacuations alone, which a slow store answers sooner. After the end, requests return as after a backoff.

--- a/directory/replica.go
+++ b/directory/replica.go
@@ -1,10 +1,6 @@
 package directory
 
 import (
-	"cmp"
-	"iter"
-	"maps"
-	"slices"
 	"strconv"
 	"time"
 )
@@ -59,6 +55,8 @@
 	InvalidEndpoints []string
 	// Nodes are the system's own processes.
 	Nodes []Node
+	// Evacuations are the data centres that are evacuated.
+	Evacuations []Evacuation
 	// Records are the nodes' records; records of the last seconds may be missing.
 	Records []Record
 	// InvalidItems are the items that could not be decoded.
@@ -89,6 +87,8 @@
 	NodeGone string
 	// Record is a record that a node wrote.
 	Record *Record
+	// Evacuation is the start or the end of the evacuation of a data centre.
+	Evacuation *Evacuation
 }
 
 // Changes are the changes of the store after a revision.
@@ -139,6 +139,8 @@
 	synced bool
 	// stated are the endpoints that have stated themselves that they leave.
 	stated *StatedLeaving
+	// evacuations are the data centres whose endpoints get no requests.
+	evacuations *Evacuations
 }
 
 // tombstone is how the registration of an incarnation ended.
@@ -152,13 +154,17 @@
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	return &Replica{endpoints: map[string]*EndpointState{}, nodes: map[string]Node{}, tombstones: map[string]tombstone{}, stated: NewStatedLeaving()}
+	return &Replica{endpoints: map[string]*EndpointState{}, nodes: map[string]Node{}, tombstones: map[string]tombstone{}, stated: NewStatedLeaving(), evacuations: NewEvacuations()}
 }
 
 // StatedLeaving returns the set of endpoints that have stated themselves that they leave. Snapshots
 // treat them like those that the store lists as leaving.
 func (r *Replica) StatedLeaving() *StatedLeaving { return r.stated }
 
+// Evacuations returns the evacuations of data centres. Snapshots leave the endpoints of these data
+// centres out of those that may be sent requests.
+func (r *Replica) Evacuations() *Evacuations { return r.evacuations }
+
 // Revision returns the store's revision up to which changes are known.
 func (r *Replica) Revision() uint64 { return r.revision }
 
@@ -169,10 +175,10 @@
 func (r *Replica) SetOutageEnd(now time.Time) { r.outageEnd = now }
 
 // ApplyState applies a full state: endpoints and nodes that it does not list are gone. It
-// ignores a state that is older than the replica.
-func (r *Replica) ApplyState(now time.Time, state *StoreState) {
+// ignores a state that is older than the replica. It returns the evacuations that have begun or ended.
+func (r *Replica) ApplyState(now time.Time, state *StoreState) []Evacuation {
 	if state.Revision < r.revision {
-		return
+		return nil
 	}
 	r.revision = state.Revision
 	if state.Config != nil {
@@ -196,10 +202,13 @@
 		r.nodes[n.Name] = n
 	}
 	r.synced = true
+	return r.evacuations.ApplyList(now, state.Revision, state.Evacuations)
 }
 
-// ApplyChanges applies the changes that followed the last applied state or changes.
-func (r *Replica) ApplyChanges(now time.Time, changes *Changes) {
+// ApplyChanges applies the changes that followed the last applied state or changes. It returns the
+// evacuations that have begun or ended.
+func (r *Replica) ApplyChanges(now time.Time, changes *Changes) []Evacuation {
+	var evacuations []Evacuation
 	for i := range changes.Changes {
 		change := &changes.Changes[i]
 		switch {
@@ -215,9 +224,15 @@
 			r.nodes[change.Node.Name] = *change.Node
 		case change.NodeGone != "":
 			delete(r.nodes, change.NodeGone)
+		case change.Evacuation != nil:
+			if r.evacuations.ApplyChange(now, *change.Evacuation) {
+				evacuations = append(evacuations, *change.Evacuation)
+			}
 		}
 	}
 	r.revision = max(r.revision, changes.Revision)
+	r.evacuations.SetStoreRevision(r.revision)
+	return evacuations
 }
 
 // applyConfig replaces the configuration unless the known one is at least as new.
@@ -314,10 +329,11 @@
 const maxTombstones = 20_000
 
 // ExpireMissing drops endpoints that have been missing for longer than missingGrace. It
-// drops all tombstones if there are more than maxTombstones, and statements of endpoints that are
-// no longer listed. It reports whether an endpoint was dropped.
+// drops all tombstones if there are more than maxTombstones, statements of endpoints that are
+// no longer listed, and evacuations that ended some time ago. It reports whether an endpoint was dropped.
 func (r *Replica) ExpireMissing(now time.Time) bool {
 	r.stated.refresh(now, r.endpoints)
+	r.evacuations.expire(now)
 	changed := false
 	for id, e := range r.endpoints {
 		if !e.MissingSince.IsZero() && now.Sub(e.MissingSince) > missingGrace {
@@ -330,89 +346,3 @@
 	}
 	return changed
 }
-
-// Snapshot is an immutable copy of a Replica for the goroutines that serve traffic.
-type Snapshot struct {
-	// Config is nil until the node knows a configuration.
-	Config *Config
-	// Revision is the store's revision that the snapshot reflects.
-	Revision uint64
-	// byService lists the endpoints of each service that are not leaving, sorted by ID.
-	byService map[string][]*EndpointState
-	byID      map[string]*EndpointState
-	// leaving holds the service of each endpoint that is leaving, by ID.
-	leaving map[string]string
-	// Nodes are the system's own registered processes, sorted by name.
-	Nodes []Node
-}
-
-// EmptySnapshot returns a snapshot without configuration, endpoints and nodes.
-func EmptySnapshot() *Snapshot { return &Snapshot{} }
-
-// Endpoints returns the endpoints of a service that may be sent requests, sorted by ID.
-func (s *Snapshot) Endpoints(service string) []*EndpointState { return s.byService[service] }
-
-// Endpoint returns an endpoint that may be sent requests, or nil if its current incarnation
-// is not the given one.
-func (s *Snapshot) Endpoint(incarnation Incarnation) *EndpointState {
-	if e := s.byID[incarnation.ID]; e != nil && e.Incarnation == incarnation {
-		return e
-	}
-	return nil
-}
-
-// EndpointByID returns the current incarnation of an endpoint that may be sent requests, or
-// nil.
-func (s *Snapshot) EndpointByID(id string) *EndpointState { return s.byID[id] }
-
-// Registered reports whether an endpoint with that ID is registered, whether or not it is leaving.
-func (s *Snapshot) Registered(id string) bool {
-	_, leaving := s.leaving[id]
-	return leaving || s.byID[id] != nil
-}
-
-// LeavingCount returns how many endpoints of a service are registered and leaving.
-func (s *Snapshot) LeavingCount(service string) int {
-	n := 0
-	for _, of := range s.leaving {
-		if of == service {
-			n++
-		}
-	}
-	return n
-}
-
-// All returns all endpoints that may be sent requests, in no order.
-func (s *Snapshot) All() iter.Seq[*EndpointState] { return maps.Values(s.byID) }
-
-// Len returns the number of endpoints that may be sent requests.
-func (s *Snapshot) Len() int { return len(s.byID) }
-
-// Snapshot returns an immutable copy of the replica's state. It has no configuration until a
-// full state has been applied.
-func (r *Replica) Snapshot() *Snapshot {
-	s := &Snapshot{Revision: r.revision, byService: map[string][]*EndpointState{}, byID: map[string]*EndpointState{}, leaving: map[string]string{}}
-	if r.synced {
-		s.Config = r.config
-	}
-	for id, e := range r.endpoints {
-		if e.Leaving || r.stated.Contains(e.Incarnation) {
-			s.leaving[id] = e.Service
-			continue
-		}
-		usable := *e
-		s.byService[e.Service] = append(s.byService[e.Service], &usable)
-		s.byID[id] = &usable
-	}
-	for _, n := range r.nodes {
-		s.Nodes = append(s.Nodes, n)
-	}
-	slices.SortFunc(s.Nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
-	for _, list := range s.byService {
-		slices.SortFunc(list, func(a, b *EndpointState) int { return cmp.Compare(a.ID, b.ID) })
-		for i, e := range list {
-			e.Position = i
-		}
-	}
-	return s
-}
--- a/directory/source.go
+++ b/directory/source.go
@@ -18,6 +18,9 @@
 type Source interface {
 	// Read returns the full state. The read is linearizable, except for Records.
 	Read(ctx context.Context) (*StoreState, error)
+	// ReadEvacuations returns all evacuations of data centres, and the store's revision when the read
+	// began. It is linearizable and much faster than Read.
+	ReadEvacuations(ctx context.Context) (list []Evacuation, revision uint64, err error)
 	// Watch returns the changes after a revision as soon as there are any, or no changes
 	// after wait. Errors: ErrHistoryGone, ErrUnavailable.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -99,15 +99,16 @@
 // hasCrashed reports whether an endpoint's process has ended without notice: its address refuses
 // connections, or the endpoint is listed with a later incarnation. An endpoint that is leaving
 // ends as planned, and a silent one may only be cut off from the network.
+// An endpoint that is evacuated is not probed.
 func (g *Gateway) hasCrashed(ctx context.Context, e *directory.EndpointState) bool {
-	current := g.snapshot.Load().EndpointByID(e.ID)
+	current := g.snapshot.Load().Present(e.ID)
 	if current == nil {
 		return false
 	}
 	if current.Incarnation != e.Incarnation {
 		return current.StartUnixMilli > e.StartUnixMilli
 	}
-	return g.prober.connectionRefused(ctx, e)
+	return !g.evacuated(e) && g.prober.connectionRefused(ctx, e)
 }
 
 // isConnectionRefused reports whether a dial failed because no process listens at the address.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -90,6 +90,10 @@
 		}
 		return nil, &sendError{attempt.NotSent, err}
 	}
+	if g.evacuated(e) { // connecting takes up to dialTimeout
+		_ = conn.Close()
+		return nil, &sendError{attempt.NotSent, errEndpointWithdrawn}
+	}
 	g.countConnection(conn.reused)
 	r := &endpointResponse{endpoint: e, pool: g.pool, conn: conn}
 	r.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -33,7 +33,7 @@
 
 // maxChangeDelay returns how soon a change in the store must be in force here.
 func (g *Gateway) maxChangeDelay() time.Duration {
-	return min(g.settings.ConfigWithin.D(), g.settings.LeavingWithin.D())
+	return min(g.settings.ConfigWithin.D(), g.settings.LeavingWithin.D(), g.evacuationDelay())
 }
 
 // longPollWait returns how long one call waits for a change. A store that drops its history
@@ -78,6 +78,14 @@
 	state   *directory.StoreState
 	changes *directory.Changes
 	err     error
+	// evacuations are set, with their revision, in a result that precedes that of a full read.
+	evacuations *evacuationList
+}
+
+// evacuationList is the result of directory.Source.ReadEvacuations.
+type evacuationList struct {
+	list     []directory.Evacuation
+	revision uint64
 }
 
 // watchStore follows the store until ctx ends. One call is under way at a time.
@@ -85,7 +93,7 @@
 	w := &storeWatcher{gateway: g, replica: g.replica, needsFullRead: true, backoff: minBackoff, timeout: g.settings.StoreTimeout.D(), loggedInvalidItems: map[string]uint64{}}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
-	results := make(chan storeResult, 1)
+	results := make(chan storeResult, 2) // a call has two results at most
 	w.startCall(ctx, 0, results)
 	for {
 		select {
@@ -98,6 +106,12 @@
 		case <-g.publishRequested:
 			w.publish()
 		case result := <-results:
+			if first := result.evacuations; first != nil {
+				changed := w.replica.Evacuations().ApplyList(time.Now(), first.revision, first.list)
+				w.publish()
+				g.announceEvacuations(changed)
+				continue
+			}
 			w.startCall(ctx, w.handleResult(result), results)
 		}
 	}
@@ -117,6 +131,12 @@
 		case <-ctx.Done():
 			return
 		}
+		if fullRead && revision > 0 {
+			if err := gateway.readEvacuations(ctx, timeout, results); err != nil {
+				results <- storeResult{err: err}
+				return
+			}
+		}
 		ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 		defer cancel()
 		var result storeResult
@@ -131,6 +151,18 @@
 	}()
 }
 
+// readEvacuations reads the evacuations before a full read, which takes many times as long: a store that
+// is slow might not answer that within the timeout for seconds.
+func (g *Gateway) readEvacuations(ctx context.Context, timeout time.Duration, results chan<- storeResult) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	list, revision, err := g.source.ReadEvacuations(ctx)
+	if err == nil {
+		results <- storeResult{evacuations: &evacuationList{list, revision}}
+	}
+	return err
+}
+
 // handleResult applies the outcome of a call and returns the pause before the next call.
 func (w *storeWatcher) handleResult(result storeResult) time.Duration {
 	log, now := w.gateway.log, time.Now()
@@ -157,11 +189,12 @@
 		w.replica.SetOutageEnd(now)
 	}
 	w.backoff, w.timeout = minBackoff, w.gateway.settings.StoreTimeout.D()
+	var evacuations []directory.Evacuation
 	before := w.gateway.snapshot.Load().Config
 	pause := time.Duration(0)
 	switch {
 	case result.state != nil:
-		w.replica.ApplyState(now, result.state)
+		evacuations = w.replica.ApplyState(now, result.state)
 		w.needsFullRead = false
 		w.logInvalidItems(result.state.InvalidItems)
 		for i := range result.state.Records {
@@ -169,12 +202,13 @@
 		}
 	default:
 		pause = w.batchPause(result.changes)
-		w.replica.ApplyChanges(now, result.changes)
+		evacuations = w.replica.ApplyChanges(now, result.changes)
 		w.logInvalidItems(result.changes.InvalidItems)
 		w.handleChanges(now, result.changes)
 	}
 	w.gateway.storeAnsweredAt.Store(w.gateway.uptimeNanos())
 	w.publish()
+	w.gateway.announceEvacuations(evacuations)
 	if config := w.gateway.snapshot.Load().Config; config != before {
 		w.gateway.configAppliedAt.Store(w.gateway.uptimeNanos())
 		if before == nil {
@@ -231,12 +265,12 @@
 // that are not in it.
 func (w *storeWatcher) publish() {
 	snapshot := w.replica.Snapshot()
+	w.gateway.resumeEvacuated(w.gateway.snapshot.Load(), snapshot)
 	w.gateway.snapshot.Store(snapshot)
-	known := func(incarnation directory.Incarnation) bool { return snapshot.Endpoint(incarnation) != nil }
-	w.gateway.pool.prune(known)
-	w.gateway.prober.prune(known)
-	w.gateway.slowdownMonitor.prune(known)
+	w.gateway.pool.prune(func(incarnation directory.Incarnation) bool { return snapshot.Endpoint(incarnation) != nil })
+	w.gateway.prober.prune(snapshot.Known)
+	w.gateway.slowdownMonitor.prune(snapshot.Known)
 	w.gateway.shareLimits(snapshot)
-	w.gateway.loadTracker.Prune(known)
+	w.gateway.loadTracker.Prune(snapshot.Known)
 	w.gateway.peers.setMembers(snapshot)
 }
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -56,6 +56,10 @@
 	return &directory.Changes{Revision: after}, nil
 }
 
+func (r *recordingSource) ReadEvacuations(ctx context.Context) ([]directory.Evacuation, uint64, error) {
+	return nil, 1, r.record(ctx, recordedCall{fullRead: true})
+}
+
 func (r *recordingSource) CloseIdleConnections() {}
 
 // Guards against changes that come into force seconds late. It happened when the store went silent
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -121,7 +121,7 @@
 // endpoint is eligible.
 func (c *call) place(r *direct.Request) *direct.Plan {
 	snapshot := c.gateway.snapshot.Load()
-	plan := c.gateway.policy.Place(time.Now(), r, snapshot.Endpoints(c.service.Name))
+	plan := c.gateway.policy.Place(time.Now(), r, c.gateway.endpoints(snapshot, c.service.Name))
 	if plan == nil || plan.Refused() {
 		return plan
 	}
@@ -134,6 +134,9 @@
 // sendTo makes one attempt at the plan's endpoint and relays its response. After an error the
 // outcome says whether the request may have run.
 func (f *forwarding) sendTo(ctx context.Context, plan *direct.Plan) (attempt.SendOutcome, error) {
+	if f.planEvacuated(plan) { // before anything is reserved or sent
+		return attempt.NotSent, errEndpointWithdrawn
+	}
 	f.placementRequest.Tried[plan.Endpoint.Incarnation] = true
 	load := f.gateway.loadTracker.Begin(time.Now(), plan)
 	defer load.End()
@@ -223,17 +226,18 @@
 	return attempt.NotExecuted
 }
 
-// errEndpointWithdrawn is returned when an endpoint of a plan has stated that it takes no requests.
+// errEndpointWithdrawn is returned when an endpoint of a plan has stated that it takes no requests, or is
+// evacuated.
 var errEndpointWithdrawn = errors.New("an endpoint of the plan takes no requests")
 
 // withdrawn reports whether one of the plan's endpoints has stated that it leaves or requests backoff, as
-// it may do in its response to a reservation.
+// it may do in its response to a reservation, or has been evacuated meanwhile.
 func (f *forwarding) withdrawn(plan *direct.Plan) bool {
 	now := time.Now()
 	withdrawn := func(e *directory.EndpointState) bool {
 		return f.gateway.statedLeaving().Contains(e.Incarnation) || f.gateway.loadTracker.Backoffs().InBackoff(now, e.Incarnation)
 	}
-	return withdrawn(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, withdrawn)
+	return f.planEvacuated(plan) || withdrawn(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, withdrawn)
 }
 
 // streamStarted reports whether the head of a stream's response has been sent to the caller.
@@ -314,6 +318,9 @@
 	if failure := f.refuseIfAllInBackoff(); failure != nil {
 		return failure
 	}
+	if failure := f.refuseIfAllEvacuated(); failure != nil {
+		return failure
+	}
 	leaving := f.gateway.snapshot.Load().LeavingCount(f.service.Name)
 	f.log.Add("no_endpoint", zap.String("service", f.service.Name), zap.Int("leaving", leaving))
 	return result.Refuse(result.NoEndpoint, noEndpointRetryAfter, "no endpoint available for service %q; %d are leaving", f.service.Name, leaving)
@@ -339,6 +346,9 @@
 	if failure := f.refuseIfAllInBackoff(); failure != nil {
 		return failure
 	}
+	if failure := f.refuseIfAllEvacuated(); failure != nil {
+		return failure
+	}
 	return result.Refuse(result.Overloaded, overloadedRetryAfter, "%v", err)
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"math"
 	"time"
 
@@ -113,8 +114,10 @@
 		return
 	}
 	known := make(map[direct.EndpointHash]bool, snapshot.Len())
-	for e := range snapshot.All() {
-		known[direct.HashEndpoint(e.Incarnation)] = true
+	for _, endpoints := range []iter.Seq[*directory.EndpointState]{snapshot.All(), snapshot.Evacuated()} {
+		for e := range endpoints {
+			known[direct.HashEndpoint(e.Incarnation)] = true
+		}
 	}
 	limits.Prune(time.Now(), func(hash direct.EndpointHash) bool { return known[hash] })
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -189,6 +189,7 @@
 	}
 	h.SentUptimeMs = uint64(time.Since(p.gateway.started).Milliseconds())
 	p.gateway.appendLeaving(now, h)
+	p.gateway.appendEvacuations(now, h)
 	appendBackoffs(h, p.gateway.loadTracker.Backoffs().Reports(now, !h.Partial, maxHeartbeatBackoffs))
 	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
@@ -248,6 +249,7 @@
 	p.gateway.mergeLimits(now, h, delay)
 	p.gateway.loadTracker.Backoffs().Merge(now, delay, decodeBackoffs(h))
 	p.gateway.mergeLeaving(now, h)
+	p.gateway.mergeEvacuations(now, h)
 	for _, request := range p.gateway.quarantine.Merge(now, decodeFindings(h)) {
 		p.gateway.reportQuarantined(request, h.Node)
 	}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -139,9 +139,9 @@
 	g.log.Warn("endpoint_unreachable", zap.String("endpoint", e.ID), zap.String("reason", reason))
 	go func() {
 		start := time.Now()
-		for g.snapshot.Load().Endpoint(e.Incarnation) != nil {
+		for g.snapshot.Load().Known(e.Incarnation) {
 			time.Sleep(unreachableProbeInterval)
-			if g.loadTracker.Backoffs().InBackoff(time.Now(), e.Incarnation) {
+			if g.evacuated(e) || g.loadTracker.Backoffs().InBackoff(time.Now(), e.Incarnation) {
 				continue
 			}
 			if g.prober.dial(e) == nil {
@@ -182,7 +182,7 @@
 func (w *watchdog) stop() { w.timer.Stop() }
 
 // check probes the endpoint if it has been silent for long enough, and aborts the exchange if it
-// is dead.
+// is dead. An endpoint that is evacuated is not probed: its request goes on.
 func (w *watchdog) check() {
 	if w.ctx.Err() != nil {
 		return
@@ -192,7 +192,7 @@
 		w.timer.Reset(w.silence - silent)
 		return
 	}
-	if w.gateway.prober.alive(w.ctx, w.response.endpoint) {
+	if w.gateway.evacuated(w.response.endpoint) || w.gateway.prober.alive(w.ctx, w.response.endpoint) {
 		w.timer.Reset(w.silence)
 		return
 	}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -179,7 +179,7 @@
 // incarnation does not hold the reservations of the earlier one, and calls name only the ID: a
 // renewal would reserve memory there that no request uses.
 func (g *Gateway) restarted(incarnation directory.Incarnation) bool {
-	present := g.snapshot.Load().EndpointByID(incarnation.ID)
+	present := g.snapshot.Load().Present(incarnation.ID)
 	return present != nil && present.Incarnation != incarnation
 }
 
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -71,7 +71,7 @@
 // observeCallResponse applies what the response to an order or a query states. The limit counts
 // requests: its absence there does not end it.
 func (g *Gateway) observeCallResponse(r *CallResponse) {
-	target := g.snapshot.Load().EndpointByID(r.EndpointID)
+	target := g.snapshot.Load().Present(r.EndpointID)
 	if target == nil {
 		return
 	}
@@ -87,7 +87,7 @@
 	if instance == target.ID || instance == "" && status != http.StatusMisdirectedRequest {
 		return target
 	}
-	if e := g.snapshot.Load().EndpointByID(instance); e != nil && e.Addr == target.Addr {
+	if e := g.snapshot.Load().Present(instance); e != nil && e.Addr == target.Addr {
 		return e
 	}
 	return nil
--- a/routing/direct/stated_backoffs.go
+++ b/routing/direct/stated_backoffs.go
@@ -84,11 +84,29 @@
 	known.slots, known.statedAt = max(e.Slots, 1), now
 	known.resumeAt, known.window, known.unanswered = known.until, known.slots, 0
 	if r.ramp {
-		known.resumeAt = known.until.Add(r.resumeDelay(e))
-		known.window = max(int(resumeShare*float64(known.slots))/max(r.rank.count, 1), 1)
+		r.startRamp(known, e)
 	}
 }
 
+// Resume makes this entry resume with few requests at an endpoint that all entries have sent none for a
+// time, as after a backoff that ends now. A backoff that ends later stays in force.
+func (r *EndpointBackoffs) Resume(now time.Time, e *directory.EndpointState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known := r.backoffs[e.Incarnation]; !r.ramp || known != nil && known.until.After(now) {
+		return
+	}
+	known := &backoff{until: now, slots: max(e.Slots, 1)}
+	r.backoffs[e.Incarnation] = known
+	r.startRamp(known, e)
+}
+
+// startRamp sets when and with how many requests this entry resumes after a backoff.
+func (r *EndpointBackoffs) startRamp(known *backoff, e *directory.EndpointState) {
+	known.resumeAt = known.until.Add(r.resumeDelay(e))
+	known.window, known.unanswered = max(int(resumeShare*float64(known.slots))/max(r.rank.count, 1), 1), 0
+}
+
 // resumeDelay is how long after the end of a backoff this entry resumes. As many entries as the
 // endpoint has slots resume in each resumeInterval; the order differs by endpoint.
 func (r *EndpointBackoffs) resumeDelay(e *directory.EndpointState) time.Duration {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -93,6 +94,8 @@
 type Worker struct {
 	// ID identifies the worker; Service is the service that it belongs to.
 	ID, Service string
+	// DataCentre is the data centre that the worker is in; "" stands for dc1.
+	DataCentre string
 	// StartUnixMilli is when this incarnation started, in Unix milliseconds. With 0 the
 	// registration leaves it out, as on older platforms.
 	StartUnixMilli int64
@@ -186,7 +189,7 @@
 	defer w.mu.Unlock()
 	w.registrationSeq++
 	fields := map[string]any{
-		"service": w.Service, "address": addr, "zone": "dc1", "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq_no": w.registrationSeq,
+		"service": w.Service, "address": addr, "zone": cmp.Or(w.DataCentre, "dc1"), "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq_no": w.registrationSeq,
 	}
 	if w.StartUnixMilli != 0 {
 		fields["born"] = w.StartUnixMilli
