--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -108,7 +108,10 @@
 	if current.Incarnation != e.Incarnation {
 		return current.StartUnixMilli > e.StartUnixMilli
 	}
-	return !g.evacuated(e) && g.prober.connectionRefused(ctx, e)
+	if g.evacuated(e) {
+		return false
+	}
+	return g.prober.connectionRefused(ctx, e)
 }
 
 // isConnectionRefused reports whether a dial failed because no process listens at the address.
--- /dev/null
+++ b/gateway/evacuation_checks_test.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/attempt"
+	"aspenyard.example/directory"
+	"aspenyard.example/routing/direct"
+	"aspenyard.example/settings"
+)
+
+// reserverFunc is a Reserver whose reservations are made by a function.
+type reserverFunc func()
+
+func (f reserverFunc) Reserve(context.Context, Reservation, time.Duration) error { f(); return nil }
+
+func (f reserverFunc) Release(context.Context, Reservation) error { return nil }
+
+// evacuationFixture is a gateway that does not run, with a plan for two endpoints in dc1.
+type evacuationFixture struct {
+	*Gateway
+	plan  *direct.Plan
+	dials atomic.Int64
+	// received is closed after what the endpoint received was counted in bytes.
+	received chan struct{}
+	bytes    int64
+}
+
+func newEvacuationFixture(is *is.I, source directory.Source, reserve, dialed func(g *Gateway)) *evacuationFixture {
+	s := settings.Gateway{Name: "g", DataCentre: "d", CallersListen: "127.0.0.1:0", ReadinessListen: "127.0.0.1:0", Store: "127.0.0.1:1"}
+	is.NoErr(s.Check().Err())
+	f := &evacuationFixture{received: make(chan struct{})}
+	f.Gateway = New(Config{Settings: s, Source: source, Reserver: reserverFunc(func() { reserve(f.Gateway) }), Log: zap.NewNop()})
+	f.pool.dial = func(context.Context, string, string) (net.Conn, error) {
+		f.dials.Add(1)
+		ours, theirs := net.Pipe()
+		go func() {
+			f.bytes, _ = io.Copy(io.Discard, theirs)
+			close(f.received)
+		}()
+		dialed(f.Gateway)
+		return ours, nil
+	}
+	endpoint := func(id string) *directory.EndpointState {
+		return &directory.EndpointState{Endpoint: directory.Endpoint{Incarnation: directory.Incarnation{ID: id}, Service: "s", DataCentre: "dc1", Slots: 16}}
+	}
+	f.plan = &direct.Plan{Endpoint: endpoint("a"), Helpers: []*directory.EndpointState{endpoint("b")}}
+	return f
+}
+
+// evacuateDC1 applies an evacuation that no snapshot reflects yet.
+func evacuateDC1(g *Gateway) {
+	g.evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: "dc1", Revision: 1, Evacuated: true})
+}
+
+// send sends a request to the plan's endpoint.
+func (f *evacuationFixture) send() (attempt.SendOutcome, error) {
+	c := &call{gateway: f.Gateway, service: &directory.Service{Name: "s"}, route: &directory.Route{}, started: time.Now()}
+	c.log = f.requestLogs.Begin("q")
+	sending := &forwarding{call: c}
+	sending.placementRequest.Tried = map[directory.Incarnation]bool{}
+	return sending.sendTo(context.Background(), f.plan)
+}
+
+func nothing(*Gateway) {}
+
+// Guards against reservations and requests at an endpoint or a helper that was evacuated after the plan
+// was made.
+func TestNothingIsReservedForAPlanThatIsEvacuated(t *testing.T) {
+	is := is.New(t)
+	reserved := false
+	f := newEvacuationFixture(is, &recordingSource{}, func(*Gateway) { reserved = true }, nothing)
+	f.plan.ReservingHelpers, f.plan.HelperMemoryTokens, f.plan.MemoryTokens = 1, 10, 10
+	f.plan.Endpoint.DataCentre = "dc2" // the helper alone is evacuated
+	evacuateDC1(f.Gateway)
+	outcome, err := f.send()
+	is.Equal(outcome, attempt.NotSent)
+	is.True(errors.Is(err, errEndpointWithdrawn))
+	is.True(!reserved)
+	is.Equal(f.dials.Load(), int64(0))
+}
+
+// Guards against a request that is sent after its endpoints were evacuated while memory was reserved for
+// it.
+func TestARequestIsNotSentWhenItIsEvacuatedDuringItsReservations(t *testing.T) {
+	is := is.New(t)
+	f := newEvacuationFixture(is, &recordingSource{}, evacuateDC1, nothing)
+	f.plan.ReservingHelpers, f.plan.HelperMemoryTokens, f.plan.MemoryTokens = 1, 10, 10
+	outcome, err := f.send()
+	is.Equal(outcome, attempt.NotSent)
+	is.True(errors.Is(err, errEndpointWithdrawn))
+	is.Equal(f.dials.Load(), int64(0))
+}
+
+// Guards against a request that is sent after its endpoint was evacuated while the gateway connected
+// to it.
+func TestARequestIsNotSentWhenItIsEvacuatedWhileConnecting(t *testing.T) {
+	is := is.New(t)
+	f := newEvacuationFixture(is, &recordingSource{}, nothing, evacuateDC1)
+	_, err := f.exchange(context.Background(), f.plan.Endpoint, &outgoingRequest{id: "q", method: "GET", target: "/", host: "h"}, false, 0)
+	is.True(err != nil)
+	is.Equal(err.outcome, attempt.NotSent)
+	<-f.received
+	is.Equal(f.bytes, int64(0))
+}
+
+// Guards against plans for evacuated endpoints before the snapshot leaves them out.
+func TestAnEvacuationCountsBeforeASnapshotReflectsIt(t *testing.T) {
+	is := is.New(t)
+	f := newEvacuationFixture(is, &recordingSource{}, nothing, nothing)
+	f.replica.ApplyChanges(time.Now(), &directory.Changes{Changes: []directory.Change{{Endpoint: &f.plan.Endpoint.Endpoint}, {Endpoint: &f.plan.Helpers[0].Endpoint}}})
+	before := f.replica.Snapshot()
+	is.Equal(len(f.endpoints(before, "s")), 2)
+	evacuateDC1(f.Gateway)
+	is.Equal(len(f.endpoints(before, "s")), 0)
+	is.Equal(len(before.Endpoints("s")), 2) // not changed by that
+}
+
+// Guards against connections and queries to evacuated endpoints by which the gateway finds out whether
+// they are alive, crashed or slow, and against requests in flight there that are given up without one.
+func TestEvacuatedEndpointsAreNotProbedOrQueried(t *testing.T) {
+	is := is.New(t)
+	f := newEvacuationFixture(is, &recordingSource{}, nothing, nothing)
+	e := f.plan.Endpoint
+	f.replica.ApplyChanges(time.Now(), &directory.Changes{Changes: []directory.Change{{Endpoint: &e.Endpoint}}})
+	is.True(f.slowdownMonitor.mayQuery(time.Now(), e))
+	evacuateDC1(f.Gateway)
+	f.snapshot.Store(f.replica.Snapshot())
+	is.True(!f.slowdownMonitor.mayQuery(time.Now(), e))
+	is.True(!f.hasCrashed(context.Background(), e))
+	w := &watchdog{gateway: f.Gateway, response: &endpointResponse{endpoint: e}, ctx: context.Background()}
+	w.timer = time.AfterFunc(time.Hour, func() {})
+	w.silence = time.Nanosecond
+	w.check()
+	is.True(!w.unreachable.Load())
+	is.Equal(f.dials.Load(), int64(0))
+}
+
+// slowSource is a store that is too slow for full reads after the first one, and has lost its history.
+type slowSource struct {
+	recordingSource
+	first sync.Once
+}
+
+func (s *slowSource) Read(ctx context.Context) (*directory.StoreState, error) {
+	err := errors.WithStack(directory.ErrUnavailable)
+	s.first.Do(func() { err = nil })
+	if err != nil {
+		return nil, err
+	}
+	return s.recordingSource.Read(ctx)
+}
+
+func (s *slowSource) Watch(context.Context, uint64, time.Duration) (*directory.Changes, error) {
+	return nil, errors.WithStack(directory.ErrHistoryGone)
+}
+
+func (s *slowSource) ReadEvacuations(context.Context) ([]directory.Evacuation, uint64, error) {
+	return []directory.Evacuation{{DataCentre: "dc1", Revision: 5, Evacuated: true}}, 7, nil
+}
+
+// Guards against an evacuation that is unknown for as long as a slow store does not answer a full read.
+func TestEvacuationsAreReadBeforeEverythingElse(t *testing.T) {
+	is := is.New(t)
+	f := newEvacuationFixture(is, &slowSource{}, nothing, nothing)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		f.watchStore(ctx)
+		close(ended)
+	}()
+	for deadline := time.Now().Add(30 * time.Second); !f.evacuations().Contains("dc1") && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-ended
+	is.True(f.evacuations().Contains("dc1"))
+	is.Equal(f.snapshot.Load().EvacuationGeneration, f.evacuations().Generation())
+}
+
+// Guards against a watch that a store leaves unanswered for longer than an evacuation may stay unknown,
+// less the time for two calls to a store that is slow.
+func TestAnEvacuationBoundsHowLongAWatchWaits(t *testing.T) {
+	is := is.New(t)
+	for _, within := range []time.Duration{1400 * time.Millisecond, 5 * time.Second, time.Minute} {
+		s := settings.Gateway{EvacuateWithin: settings.Duration(within), ConfigWithin: settings.Duration(time.Hour), LeavingWithin: settings.Duration(time.Hour)}
+		s.SetDefaults()
+		g := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()})
+		is.True(g.longPollWait() >= s.StoreTimeout.D())
+		is.True(g.maxChangeDelay() <= max(within/2, 2*s.StoreTimeout.D()))
+	}
+}
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -155,3 +155,116 @@
 	is.Equal(s.gateway.InFlight(w.ID), 1)
 	is.Equal((<-streamed).body, standin.StreamText("r", 400))
 }
+
+// Guards against entries that go on sending for the whole of an outage of the store, or that never
+// return to a data centre, although other entries know better.
+func TestAnEntryWithoutTheStoreLearnsOfEvacuationsFromOthers(t *testing.T) {
+	is := is.New(t)
+	away := in("dc1")
+	first, second := twoGateways(t, away, in("dc2"))
+	second.cutFromStore.Store(true)
+	second.waitFor("the outage is noticed", func() bool { return strings.Contains(second.log.String(), "store_lost") })
+	first.store.Put("op/evacuate/dc1", []byte("{}"))
+	second.awaitEvacuated(1)
+	expectNone(second, away, "during")
+	is.True(strings.Contains(second.log.String(), `"data_centre":"dc1","revision":6,"endpoints":1,"heard_from":"g1"`))
+	first.store.Delete("op/evacuate/dc1")
+	second.awaitEvacuated(0)
+	is.True(strings.Contains(second.log.String(), `"event":"evacuation_ended","node":"g2","role":"gateway","data_centre":"dc1","revision":7,"endpoints":1,"heard_from":"g1"`))
+}
+
+// Guards against the end of an evacuation that an entry misses for good because it was cut off from the
+// store and the others meanwhile, and against that entry's reports that bring the evacuation back.
+func TestAnEvacuationThatEndedDuringACutOffIsNotBroughtBack(t *testing.T) {
+	is := is.New(t)
+	first, second := twoGateways(t, in("dc1"), in("dc2"))
+	first.evacuate("dc1", 1)
+	second.awaitEvacuated(1)
+	second.cutFromStore.Store(true)
+	second.waitFor("the outage is noticed", func() bool { return strings.Contains(second.log.String(), "store_lost") })
+	first.store.Delete("op/evacuate/dc1")
+	second.awaitEvacuated(0)
+	first.gateway.HearEvacuation("g2", "dc1", 1) // what a third entry still says
+	second.gateway.HearEvacuation("g1", "dc1", 1)
+	is.Equal(first.sumMetric(evacuatedDataCentres), 0.0)
+	is.Equal(second.sumMetric(evacuatedDataCentres), 0.0)
+}
+
+// Guards against endpoints that get all requests at once when their evacuation ends: they may be cold.
+func TestRequestsReturnGraduallyAfterAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	w := in("dc1")
+	s := newFixture(t, w, in("dc2")).start()
+	is.Equal(s.gateway.RequestsAllowed(w.ID, 100), 100)
+	is.Equal(s.post("/again/a", "first").status, http.StatusOK)
+	s.evacuate("dc1", 1)
+	s.waitFor("idle connections are closed", func() bool { return w.OpenConnections() == 0 })
+	s.store.Delete("op/evacuate/dc1")
+	s.awaitEvacuated(0)
+	is.Equal(s.gateway.RequestsAllowed(w.ID, 100), 8) // half of its slots
+}
+
+// Guards against an endpoint that stays unreachable for good because its evacuation ended the probes.
+func TestAnUnreachableEndpointIsProbedAgainAfterAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	w := in("dc1")
+	w.StartUnixMilli = startMillis
+	s := newFixture(t, w, in("dc2"))
+	w.ID, w.Service = "i-1", "app"
+	s.start()
+	addr := w.Addr()
+	w.Stop()
+	is.Equal(s.post("/again/a", "r").status, http.StatusOK)
+	s.waitFor("the endpoint is unreachable", func() bool { return strings.Contains(s.log.String(), "endpoint_unreachable") })
+	s.evacuate("dc1", 1)
+	again := &standin.Worker{ID: w.ID, Service: w.Service, DataCentre: w.DataCentre, StartUnixMilli: startMillis}
+	s.waitFor("the address is free", func() bool { return again.StartAt(addr) == nil })
+	t.Cleanup(again.Stop)
+	is.True(!strings.Contains(s.log.String(), "endpoint_reachable"))
+	s.store.Delete("op/evacuate/dc1")
+	s.waitFor("the endpoint is reachable", func() bool { return strings.Contains(s.log.String(), "endpoint_reachable") })
+}
+
+// Guards against requests that are cut off, and memory that is held for ever, because reservations at
+// evacuated engines are not renewed or not released; and against renewals that reserve memory anew at
+// an evacuated engine that has restarted.
+func TestReservationsAtEvacuatedEnginesAreRenewedAndReleased(t *testing.T) {
+	is := is.New(t)
+	s := newEngineFixture(t, 20)
+	for _, w := range s.workers {
+		w.StartUnixMilli = startMillis
+		s.store.Put("servers/"+w.ID, w.Registration("ready"))
+		w.SetDefaultFault(standin.FaultSlow)
+	}
+	s.extraSettings = `,"memory_free_within":"500ms"`
+	s.start()
+	streamed := make(chan callerResponse, 1)
+	go func() { streamed <- s.sendPrompt("q1", 500_000) }()
+	s.waitFor("the request runs", func() bool { return s.findRun("q1") != nil })
+	s.evacuate("dc1", 20)
+	var helper *standin.Worker
+	for _, w := range s.workers {
+		if held, _, _ := w.Reservations(); len(held) > 0 {
+			helper = w
+		}
+	}
+	is.True(helper != nil)
+	next := s.restartWorker(helper)
+	s.waitFor("the next incarnation is listed", func() bool { return strings.Contains(s.log.String(), "endpoint_listed") })
+	_, _, before := next.Reservations()
+	callCount := func() (n int) {
+		for _, w := range s.workers {
+			_, _, sent := w.Reservations()
+			n += sent
+		}
+		return n
+	}
+	sent := callCount()
+	s.waitFor("other reservations are renewed", func() bool { return callCount() >= sent+20 })
+	_, _, after := next.Reservations()
+	is.True(after <= before+1) // a renewal may have been in transit
+	is.Equal((<-streamed).body, standin.StreamText("q1", 5))
+	s.waitFor("all reservations are released", func() bool { return s.reservationCount() == 0 })
+	is.Equal(s.sendPrompt("q2", 500_000).status, http.StatusServiceUnavailable)
+	is.Equal(s.reservationCount(), 0)
+}
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"aspenyard.example/routing/direct"
+	"aspenyard.example/wire"
 )
 
 // ReportPeerPrefill simulates a heartbeat in which another entry reports pending prefill.
@@ -22,3 +23,20 @@
 	}
 	return 0
 }
+
+// RequestsAllowed takes, as requests do that get no response, as many requests as the gateway may send to
+// an endpoint after a backoff, at most most, and returns their number.
+func (g *Gateway) RequestsAllowed(endpoint string, most int) int {
+	e := g.snapshot.Load().Present(endpoint)
+	for n := range most {
+		if allowed, _ := g.loadTracker.Backoffs().Take(time.Now(), e.Incarnation); !allowed {
+			return n
+		}
+	}
+	return most
+}
+
+// HearEvacuation simulates a heartbeat in which another entry reports an evacuation.
+func (g *Gateway) HearEvacuation(from, dataCentre string, revision uint64) {
+	g.mergeEvacuations(time.Now(), &wire.Heartbeat{Node: from, Evacuations: []*wire.Evacuation{{DataCentre: dataCentre, Revision: revision, Evacuated: true}}})
+}
