Soak: evacuation of data centres as a fault, with its own checks

Cause: the faults did not include the operator's request to evacuate. Change: endpoints are in two data centres; one or both are evacuated, also twice in a row. Two checks: nothing reaches an evacuated endpoint after the bound, also where a gateway has lost its link to the store only, and no request is refused because of an evacuation that is over. The directory's random model also covers old lists and reports that come after the end of an evacuation was forgotten.

--- a/directory/evacuations.go
+++ b/directory/evacuations.go
@@ -131,7 +131,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.known)) {
 		known := s.known[name]
-		if listed[name] || !known.Evacuated || known.Revision >= revision {
+		if listed[name] || !known.Evacuated {
 			continue
 		}
 		if e := (Evacuation{DataCentre: name, Revision: revision}); s.apply(now, e) {
--- a/directory/evacuations_test.go
+++ b/directory/evacuations_test.go
@@ -29,7 +29,7 @@
 	told     map[string]uint64
 }
 
-var modelledDataCentres = []string{"dc1", "dc2", "dc3"}
+var modelledDataCentres = []string{"dc1", "dc2"}
 
 // evacuatedAt says whether a data centre was evacuated at a revision of the store.
 func (m *evacuationModel) evacuatedAt(dataCentre string, revision uint64) bool {
@@ -128,27 +128,48 @@
 			m.entries = append(m.entries, m.newEntry())
 		}
 		entry := func(t *rapid.T) *modelledEntry { return rapid.SampledFrom(m.entries).Draw(t, "entry") }
-		write := func(t *rapid.T) {
-			m.revision++
-			e := Evacuation{DataCentre: rapid.SampledFrom(modelledDataCentres).Draw(t, "dc"), Revision: m.revision, Evacuated: rapid.Bool().Draw(t, "evacuated")}
-			m.history = append(m.history, e)
+		write := func(t *rapid.T, toggle bool) {
+			dataCentre := rapid.SampledFrom(modelledDataCentres).Draw(t, "dc")
+			e := Evacuation{DataCentre: dataCentre, Revision: m.revision + 1, Evacuated: m.evacuatedAt(dataCentre, m.revision) != toggle}
+			m.revision, m.history = m.revision+1, append(m.history, e)
+		}
+		report := func(e *modelledEntry, full bool) {
+			m.sent = append(m.sent, e.replica.Evacuations().Reports(m.now, full, 100, 100))
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"operator writes":             write,
-			"operator writes once more":   write,
-			"something else is written":   func(*rapid.T) { m.revision++ },
-			"entry follows to the end":    func(t *rapid.T) { m.follow(entry(t), m.revision) },
-			"entry follows a little":      func(t *rapid.T) { e := entry(t); m.follow(e, min(e.followed+1, m.revision)) },
-			"entry gets old changes":      func(t *rapid.T) { e := entry(t); f := e.followed; e.followed = 0; m.follow(e, f) },
-			"entry reads everything":      func(t *rapid.T) { m.read(entry(t), m.revision, true) },
-			"entry reads evacuations":     func(t *rapid.T) { m.read(entry(t), m.revision, false) },
-			"entry gets an old full read": func(t *rapid.T) { m.read(entry(t), rapid.Uint64Range(0, m.revision).Draw(t, "old"), true) },
-			"entry sends": func(t *rapid.T) {
-				m.sent = append(m.sent, entry(t).replica.Evacuations().Reports(m.now, rapid.Bool().Draw(t, "full"), 100, 100))
+			"operator begins or ends an evacuation": func(t *rapid.T) { write(t, true) },
+			"operator writes the same again":        func(t *rapid.T) { write(t, false) },
+			"something else is written":             func(*rapid.T) { m.revision++ },
+			"entry follows to the end and reports": func(t *rapid.T) {
+				e := entry(t)
+				m.follow(e, m.revision)
+				report(e, true)
+			},
+			"entry follows a little":  func(t *rapid.T) { e := entry(t); m.follow(e, min(e.followed+1, m.revision)) },
+			"entry gets old changes":  func(t *rapid.T) { e := entry(t); f := e.followed; e.followed = 0; m.follow(e, f) },
+			"entry reads everything":  func(t *rapid.T) { m.read(entry(t), m.revision, true) },
+			"entry reads evacuations": func(t *rapid.T) { m.read(entry(t), m.revision, false) },
+			"entry gets an old list":  func(t *rapid.T) { m.read(entry(t), rapid.Uint64Range(0, m.revision).Draw(t, "old"), false) },
+			"entry gets an old full read": func(t *rapid.T) {
+				m.read(entry(t), rapid.Uint64Range(0, m.revision).Draw(t, "old"), true)
 			},
+			"entry reports": func(t *rapid.T) { report(entry(t), rapid.Bool().Draw(t, "full")) },
 			"entry gets any report of the past": func(t *rapid.T) {
-				if len(m.sent) > 0 {
-					m.deliver(entry(t), rapid.SampledFrom(m.sent).Draw(t, "sent"))
+				if e := entry(t); len(m.sent) > 0 {
+					m.deliver(e, rapid.SampledFrom(m.sent).Draw(t, "sent"))
+				}
+			},
+			"entry gets the newest report and then an old one": func(t *rapid.T) {
+				if e := entry(t); len(m.sent) > 0 {
+					m.deliver(e, m.sent[len(m.sent)-1])
+					m.deliver(e, rapid.SampledFrom(m.sent).Draw(t, "sent"))
+				}
+			},
+			"entry gets an old report after a long time": func(t *rapid.T) {
+				if e := entry(t); len(m.sent) > 0 {
+					m.now = m.now.Add(endedEvacuationTTL + time.Second)
+					e.replica.ExpireMissing(m.now)
+					m.deliver(e, rapid.SampledFrom(m.sent).Draw(t, "sent"))
 				}
 			},
 			"time passes": func(t *rapid.T) {
--- a/soak/check.go
+++ b/soak/check.go
@@ -42,6 +42,8 @@
 	{"CONFIG", true, checkTimeouts},
 	{"DRAIN", true, checkLeavingEndpoints},
 	{"DRAIN", false, checkStatedDepartures},
+	{"EVACUATION", true, checkEvacuations},
+	{"EVACUATION", true, checkEvacuationRefusals},
 	{"LOST", false, checkNoRequestCut},
 	{"GONE", true, checkRunsCancelled},
 	{"LEAK", true, checkReservationsReleased},
--- a/soak/endpoints.go
+++ b/soak/endpoints.go
@@ -52,6 +52,7 @@
 // startEndpoint starts an endpoint at an address, retrying until the address can be bound, and
 // registers it.
 func (h *harness) startEndpoint(p *endpointPort, next *platform.Worker) {
+	next.DataCentre = p.dataCentre
 	for next.StartAt(p.addr) != nil {
 		if h.ctx.Err() != nil {
 			return
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,6 +26,7 @@
 	kindEndpointLink = "endpoint-link"
 
 	kindCrashingRequest = "crashing-request"
+	kindEvacuation      = "data-centre-evacuated"
 )
 
 // faultTable lists every kind of fault. New kinds are appended: with only the kinds that existed
@@ -66,6 +67,7 @@
 		{"endpoint-limited", 3, limitEndpoint},
 		{"endpoint-states-leaving", 3, func(h *harness, f *Fault) { h.replaceEndpoint(f, leaveStated(f), h.ports[f.Port].currentService()) }},
 		{"endpoint-requests-backoff", 3, refuseWithBackoff},
+		{kindEvacuation, 4, evacuateDataCentre},
 	}
 }
 
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -30,6 +30,9 @@
 	memoryTokens = 60_000
 )
 
+// dataCentres are those of the endpoints of each service, in turn.
+var dataCentres = []string{dataCentre, "dc2"}
+
 // Service names. The route "moved" alternates between serviceApp and serviceNext.
 const (
 	serviceModel = "model"
@@ -73,6 +76,8 @@
 type endpointPort struct {
 	addr string
 	link *link.Link
+	// dataCentre is where the endpoints at this address are.
+	dataCentre string
 
 	mu                 sync.Mutex
 	service            string
@@ -106,11 +111,12 @@
 	incarnations int
 	workers      []*platform.Worker // of all incarnations
 	faultCounts  map[string]int
+	evacuating   map[string]bool // data centres that a fault is evacuating
 }
 
 // newHarness starts the stand-ins and the gateways.
 func newHarness(config Config) (*harness, error) {
-	h := &harness{config: config, record: NewRecord(), store: platform.NewStore(), client: &http.Client{Timeout: readinessTimeout}, faultCounts: map[string]int{}}
+	h := &harness{config: config, record: NewRecord(), store: platform.NewStore(), client: &http.Client{Timeout: readinessTimeout}, faultCounts: map[string]int{}, evacuating: map[string]bool{}}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -135,8 +141,8 @@
 // gateways.
 func (h *harness) createComponents(storeAddr string) error {
 	for service, n := range map[string]int{serviceModel: h.config.Engines, serviceApp: h.config.PlainEndpoints, serviceNext: h.config.PlainEndpoints} {
-		for range n {
-			p := &endpointPort{service: service}
+		for i := range n {
+			p := &endpointPort{service: service, dataCentre: dataCentres[i%len(dataCentres)]}
 			if err := h.openPort(p); err != nil {
 				return err
 			}
@@ -157,6 +163,7 @@
 // openPort starts the first endpoint of an endpointPort on a free address, which the port keeps.
 func (h *harness) openPort(p *endpointPort) error {
 	first := h.newWorker(p.service)
+	first.DataCentre = p.dataCentre
 	if err := first.Start(); err != nil {
 		return errors.WithStack(err)
 	}
@@ -349,7 +356,7 @@
 	h.record.Arrivals = nil
 	for _, worker := range h.workers {
 		for _, run := range worker.Runs() {
-			h.record.Arrivals = append(h.record.Arrivals, Arrival{Run: run, Endpoint: worker.Incarnation(), Service: worker.Service})
+			h.record.Arrivals = append(h.record.Arrivals, Arrival{Run: run, Endpoint: worker.Incarnation(), Service: worker.Service, DataCentre: worker.DataCentre})
 		}
 	}
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -81,7 +81,7 @@
 	data, err := json.MarshalIndent(map[string]any{
 		"name": g.name, "data_centre": dataCentre, "callers_listen": g.addrs["callers"], "readiness_listen": g.addrs["readiness"],
 		"metrics_listen": g.addrs["metrics"], "peers_listen": g.addrs["peers"], "store": g.store.Addr(),
-		"config_within": configWithin.String(), "leaving_within": leavingWithin.String(), "drain_timeout": drainTimeout.String(),
+		"config_within": configWithin.String(), "leaving_within": leavingWithin.String(), "evacuate_within": evacuateWithin.String(), "drain_timeout": drainTimeout.String(),
 		"retry_ratio": retryRatio, "retry_allowance": retryAllowancePerGateway * gateways, "retry_window": retryWindow.String(),
 	}, "", "  ")
 	if err != nil {
--- a/soak/record.go
+++ b/soak/record.go
@@ -100,7 +100,7 @@
 // identifies the incarnation of the endpoint.
 type Arrival struct {
 	platform.Run
-	Endpoint, Service string
+	Endpoint, Service, DataCentre string
 }
 
 // Disturbance is a period in which a fault or planned work affected a gateway, an endpoint or the
@@ -152,6 +152,7 @@
 	Disturbances []*Disturbance
 	Edits        []ConfigEdit
 	Departures   []Departure
+	Evacuations  []*EvacuationPeriod
 	Reservations map[string]*Reservation
 	Limits       []LimitPeriod
 	limited      map[string]bool // endpoints that stated a limit
