--- a/cli/explain.go
+++ b/cli/explain.go
@@ -199,6 +199,8 @@
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s that are left state limits, which are used up or kept for requests more urgent than priority %s", l.text("endpoints"), l.text("service"), l.text("priority"))
 	case "backoff_refused":
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s have refused requests and want no others for a time; the caller is told to come back after %s", l.text("endpoints"), l.text("service"), l.milliseconds("retry_after_ms"))
+	case "evacuated_refused":
+		return fmt.Sprintf("refused at once: all %s endpoints of service %s that take requests are in data centres that are evacuated: %s", l.text("endpoints"), l.text("service"), l.listText("data_centres"))
 	case "no_endpoint":
 		return fmt.Sprintf("refused at once: no endpoint of service %s takes requests; %s are leaving", l.text("service"), l.text("leaving"))
 	case "caller_lost":
@@ -247,5 +249,15 @@
 	return fmt.Sprint(value)
 }
 
+// listText returns a field that holds a list of texts, separated by commas.
+func (l *logLine) listText(name string) string {
+	list, _ := l.fields[name].([]any)
+	texts := make([]string, 0, len(list))
+	for _, item := range list {
+		texts = append(texts, fmt.Sprint(item))
+	}
+	return strings.Join(texts, ", ")
+}
+
 // milliseconds returns a field that holds milliseconds as text, with its unit.
 func (l *logLine) milliseconds(name string) string { return l.text(name) + " ms" }
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -42,6 +42,14 @@
 	is.True(strings.Contains(lines[2], "endpoint_failed (4003), HTTP 502; ran: unknown"))
 }
 
+// Guards against a refusal whose cause is not told.
+func TestExplainNamesTheEvacuatedDataCentres(t *testing.T) {
+	is := is.New(t)
+	code, out, _ := explain(t, "q1", `{"time":"2026-12-03T20:00:00Z","event":"evacuated_refused","node":"g1","request":"q1","service":"s","endpoints":2,"data_centres":["dc1","dc2"]}`+"\n")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "all 2 endpoints of service s that take requests are in data centres that are evacuated: dc1, dc2"))
+}
+
 func TestExplainReportsMissingRequestOrLog(t *testing.T) {
 	is := is.New(t)
 	code, _, err := explain(t, "nobody", sampleLog)
--- a/directory/evacuations_test.go
+++ b/directory/evacuations_test.go
@@ -250,3 +250,30 @@
 	is.True(s.Present("a2") != nil && s.EndpointByID("a2") == nil)
 	is.True(s.Present("a1") == nil && s.Registered("a1"))
 }
+
+// BenchmarkEvacuations measures what the checks before sending and a snapshot of 10,000 endpoints take,
+// while one of nine data centres is evacuated and while none is.
+func BenchmarkEvacuations(b *testing.B) {
+	for _, evacuated := range []int{0, 1} {
+		r, now := NewReplica(), time.Unix(0, 0)
+		state := &StoreState{Revision: 1}
+		for i := range 10_000 {
+			e := Endpoint{Incarnation: Incarnation{ID: fmt.Sprint("e", i)}, Service: fmt.Sprint("s", i%4), DataCentre: fmt.Sprint("dc", i%9), Revision: 1}
+			state.Endpoints = append(state.Endpoints, e)
+		}
+		r.ApplyState(now, state)
+		for i := range evacuated {
+			r.Evacuations().ApplyChange(now, Evacuation{fmt.Sprint("dc", i), 2, true})
+		}
+		b.Run(fmt.Sprint("check/", evacuated), func(b *testing.B) {
+			for b.Loop() {
+				r.Evacuations().Contains("dc5")
+			}
+		})
+		b.Run(fmt.Sprint("snapshot/", evacuated), func(b *testing.B) {
+			for b.Loop() {
+				r.Snapshot()
+			}
+		})
+	}
+}
--- a/gateway/evacuation_checks_test.go
+++ b/gateway/evacuation_checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -12,11 +13,13 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/settings"
+	"aspenyard.example/wire"
 )
 
 // reserverFunc is a Reserver whose reservations are made by a function.
@@ -200,3 +203,23 @@
 		is.True(g.maxChangeDelay() <= max(within/2, 2*s.StoreTimeout.D()))
 	}
 }
+
+// BenchmarkEvacuationsInHeartbeats measures the bytes that evacuations add to a heartbeat, and the time to
+// add and merge them.
+func BenchmarkEvacuationsInHeartbeats(b *testing.B) {
+	for _, n := range []int{1, 9, maxHeartbeatEvacuations} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			is := is.New(b)
+			f := newEvacuationFixture(is, &recordingSource{}, nothing, nothing)
+			for i := range n {
+				f.evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: fmt.Sprint("data-centre-", i), Revision: 1_000_000 + uint64(i), Evacuated: true})
+			}
+			for b.Loop() {
+				h := &wire.Heartbeat{}
+				f.appendEvacuations(time.Now(), h)
+				f.mergeEvacuations(time.Now(), h)
+				b.ReportMetric(float64(proto.Size(h)), "bytes")
+			}
+		})
+	}
+}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -170,6 +170,24 @@
 		r.Departures = []Departure{{"i-1", atSecond(45)}}
 		r.addServed("q", onceRoute, 50)
 	}},
+	"request sent to an evacuated data centre": {"EVACUATION", func(r *Record) {
+		r.Evacuations = []*EvacuationPeriod{{"dc2", atSecond(46), atSecond(46), atSecond(55)}}
+		_, run := r.addServed("q", onceRoute, 50)
+		run.DataCentre = "dc2"
+	}},
+	"evacuation unknown to a gateway that has lost its own link to the store only": {"EVACUATION", func(r *Record) {
+		r.Evacuations = []*EvacuationPeriod{{"dc2", atSecond(46), atSecond(46), atSecond(55)}}
+		r.Disturbances = []*Disturbance{{Kind: kindStoreLink, Gateway: "g1", From: atSecond(44), To: atSecond(52)}}
+		_, run := r.addServed("q", onceRoute, 50)
+		run.DataCentre = "dc2"
+		other, _ := r.addServed("r", onceRoute, 50)
+		other.Gateway = "g2"
+	}},
+	"refused because of an evacuation that is over": {"EVACUATION", func(r *Record) {
+		r.Evacuations = []*EvacuationPeriod{{"dc2", atSecond(30), atSecond(30), atSecond(40)}}
+		req, run := r.addServed("q", onceRoute, 50)
+		req.Status, req.HasServerStamp, req.ResponseBody, run.Ran = 503, false, `{"code":3018}`, false
+	}},
 	"shutdown cuts off a request": {"LOST", func(r *Record) {
 		r.Disturbances = []*Disturbance{{Kind: "term", Gateway: "g1", Planned: true, From: atSecond(49), To: atSecond(57)}}
 		req, _ := r.addServed("q", resumableRoute, 50)
@@ -223,7 +241,7 @@
 
 // Violations that a disturbance explains are not reported.
 func TestDisturbancesExcuseTheirEffects(t *testing.T) {
-	for _, name := range []string{"older edit in use for too long", "request sent to a leaving endpoint", "runs continue after cancellation", "reservation not released", "no response at the timeout"} {
+	for _, name := range []string{"older edit in use for too long", "request sent to an evacuated data centre", "refused because of an evacuation that is over", "request sent to a leaving endpoint", "runs continue after cancellation", "reservation not released", "no response at the timeout"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r := correctRecord()
