Evacuation: read beside full reads and outage calls; a played load; a sharper test of probes

Change: the evacuations are read in a call of their own beside the others, with a longer timeout, at most once in store_timeout. The emulator plays evacuations of a third and of all engines.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -78,6 +78,8 @@
 	// Refusals are the refusals of engines that state a backoff, Departures the engines that leave.
 	Refusals   []Refusal
 	Departures []Departure
+	// Evacuations are the evacuations of engines.
+	Evacuations []Evacuation
 	// Holders is the number of entries that share a limit; nil: admission.Holders.
 	Holders func(perSecond float64, entries int) int
 }
@@ -181,9 +183,10 @@
 	entries   []*entry
 	results   []Result
 	// heartbeats counts the rounds of heartbeats.
-	heartbeats      int
-	refusalResult   RefusalResult
-	departureResult DepartureResult
+	heartbeats       int
+	refusalResult    RefusalResult
+	departureResult  DepartureResult
+	evacuationResult EvacuationResult
 }
 
 // entry is one simulated entry.
@@ -235,9 +238,10 @@
 
 // StatementResult is what the engines got that made statements about themselves.
 type StatementResult struct {
-	Limits     LimitResult
-	Refusals   RefusalResult
-	Departures DepartureResult
+	Limits      LimitResult
+	Refusals    RefusalResult
+	Departures  DepartureResult
+	Evacuations EvacuationResult
 }
 
 // SimulateStatements is Simulate; it also returns what the engines got that made statements.
@@ -250,7 +254,7 @@
 	}
 	sim.setUp()
 	sim.RunUntil(math.MaxInt64)
-	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult}
+	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult, sim.evacuationResult}
 }
 
 // setUp creates the engines and entries and schedules heartbeats, arrivals and slowdowns.
@@ -291,6 +295,9 @@
 	for i := range sim.config.Departures {
 		sim.scheduleDeparture(&sim.config.Departures[i])
 	}
+	for i := range sim.config.Evacuations {
+		sim.scheduleEvacuation(&sim.config.Evacuations[i])
+	}
 }
 
 // scheduleSlowdown slows every other engine from the end of the list, where the engines for
@@ -518,6 +525,10 @@
 	engine := r.engine
 	r.sim.AfterFunc(r.sim.messageDelay(), func() {
 		engine.recordDeparture()
+		engine.recordEvacuation(false)
+		for _, helper := range j.helpers {
+			helper.recordEvacuation(true)
+		}
 		if engine.refuses(j) {
 			j.releaseMemory()
 			r.handleRefusal(engine.refusals.refusal, plan)
--- a/bench/emulator/engine.go
+++ b/bench/emulator/engine.go
@@ -56,6 +56,8 @@
 	prefillingNewest bool
 	prefillSince     time.Duration
 	prefillCount     int
+	// evacuation is the engine's evacuation, nil if it has none.
+	evacuation *evacuationState
 	// endpoint identifies the engine. limit is the limit that it states, nil while it states
 	// none.
 	endpoint direct.EndpointHash
--- a/gateway/evacuation_checks_test.go
+++ b/gateway/evacuation_checks_test.go
@@ -37,12 +37,15 @@
 	// received is closed after what the endpoint received was counted in bytes.
 	received chan struct{}
 	bytes    int64
+	// dialed is closed after the first connection was made.
+	dialed   chan struct{}
+	dialOnce sync.Once
 }
 
 func newEvacuationFixture(is *is.I, source directory.Source, reserve, dialed func(g *Gateway)) *evacuationFixture {
 	s := settings.Gateway{Name: "g", DataCentre: "d", CallersListen: "127.0.0.1:0", ReadinessListen: "127.0.0.1:0", Store: "127.0.0.1:1"}
 	is.NoErr(s.Check().Err())
-	f := &evacuationFixture{received: make(chan struct{})}
+	f := &evacuationFixture{received: make(chan struct{}), dialed: make(chan struct{})}
 	f.Gateway = New(Config{Settings: s, Source: source, Reserver: reserverFunc(func() { reserve(f.Gateway) }), Log: zap.NewNop()})
 	f.pool.dial = func(context.Context, string, string) (net.Conn, error) {
 		f.dials.Add(1)
@@ -52,6 +55,7 @@
 			close(f.received)
 		}()
 		dialed(f.Gateway)
+		f.dialOnce.Do(func() { close(f.dialed) })
 		return ours, nil
 	}
 	endpoint := func(id string) *directory.EndpointState {
@@ -149,6 +153,28 @@
 	is.Equal(f.dials.Load(), int64(0))
 }
 
+// Guards against an endpoint that stays unreachable for good because its evacuation ended the probes, and
+// against probes meanwhile.
+func TestAnUnreachableEndpointIsProbedAgainAfterAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	probedWhileEvacuated := false
+	f := newEvacuationFixture(is, &recordingSource{}, nothing, func(g *Gateway) { probedWhileEvacuated = g.evacuations().Contains("dc1") })
+	e := f.plan.Endpoint
+	f.replica.ApplyChanges(time.Now(), &directory.Changes{Changes: []directory.Change{{Endpoint: &e.Endpoint}}})
+	evacuateDC1(f.Gateway)
+	f.snapshot.Store(f.replica.Snapshot())
+	f.markUnreachable(e, "a test")
+	time.Sleep(2 * unreachableProbeInterval) // in which a probe would come
+	f.evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: "dc1", Revision: 2})
+	f.snapshot.Store(f.replica.Snapshot())
+	for deadline := time.Now().Add(30 * time.Second); f.dials.Load() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(f.dials.Load(), int64(1))
+	<-f.dialed
+	is.True(!probedWhileEvacuated)
+}
+
 // slowSource is a store that is too slow for full reads after the first one, and has lost its history.
 type slowSource struct {
 	recordingSource
@@ -173,7 +199,7 @@
 }
 
 // Guards against an evacuation that is unknown for as long as a slow store does not answer a full read.
-func TestEvacuationsAreReadBeforeEverythingElse(t *testing.T) {
+func TestEvacuationsAreReadBesideFullReads(t *testing.T) {
 	is := is.New(t)
 	f := newEvacuationFixture(is, &slowSource{}, nothing, nothing)
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/gateway/evacuation_reads.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"aspenyard.example/directory"
+)
+
+// evacuationReadShare is the timeout of a read of evacuations, as a share of the setting EvacuateWithin. A
+// store that is slow may take longer for it than the timeout of other calls allows, and the watch that
+// failed before has used evacuationDelayShare.
+const evacuationReadShare = 0.5
+
+// evacuationReads are the reads of evacuations beside the calls that follow the store. One is under way
+// at a time.
+type evacuationReads struct {
+	underWay  bool
+	startedAt time.Time
+}
+
+// evacuationList is the result of a read of evacuations.
+type evacuationList struct {
+	list     []directory.Evacuation
+	revision uint64
+	err      error
+}
+
+// readEvacuations reads the evacuations beside the next call, while the state must be read in full or the
+// store does not answer. A full read takes many times as long, and calls that time out learn nothing from
+// a store that is merely slow. The reads begin at least StoreTimeout apart, because a store that refuses
+// calls may be over its rate. Before the first state is known nothing is served, and none is needed.
+func (w *storeWatcher) readEvacuations(ctx context.Context, results chan<- storeResult) {
+	g, now := w.gateway, time.Now()
+	if w.evacuationReads.underWay || w.replica.Revision() == 0 || now.Sub(w.evacuationReads.startedAt) < g.settings.StoreTimeout.D() {
+		return
+	}
+	w.evacuationReads = evacuationReads{underWay: true, startedAt: now}
+	timeout := max(scaleDuration(g.settings.EvacuateWithin.D(), evacuationReadShare), g.settings.StoreTimeout.D())
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		list, revision, err := g.source.ReadEvacuations(ctx)
+		results <- storeResult{evacuations: &evacuationList{list, revision, err}}
+	}()
+}
+
+// handleEvacuations applies the result of a read of evacuations. A failed one is left to the other calls,
+// which say so.
+func (w *storeWatcher) handleEvacuations(read *evacuationList) {
+	w.evacuationReads.underWay = false
+	if read.err != nil {
+		return
+	}
+	changed := w.replica.Evacuations().ApplyList(time.Now(), read.revision, read.list)
+	w.publish()
+	w.gateway.announceEvacuations(changed)
+}
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -204,27 +204,6 @@
 	is.Equal(s.gateway.RequestsAllowed(w.ID, 100), 8) // half of its slots
 }
 
-// Guards against an endpoint that stays unreachable for good because its evacuation ended the probes.
-func TestAnUnreachableEndpointIsProbedAgainAfterAnEvacuation(t *testing.T) {
-	is := is.New(t)
-	w := in("dc1")
-	w.StartUnixMilli = startMillis
-	s := newFixture(t, w, in("dc2"))
-	w.ID, w.Service = "i-1", "app"
-	s.start()
-	addr := w.Addr()
-	w.Stop()
-	is.Equal(s.post("/again/a", "r").status, http.StatusOK)
-	s.waitFor("the endpoint is unreachable", func() bool { return strings.Contains(s.log.String(), "endpoint_unreachable") })
-	s.evacuate("dc1", 1)
-	again := &standin.Worker{ID: w.ID, Service: w.Service, DataCentre: w.DataCentre, StartUnixMilli: startMillis}
-	s.waitFor("the address is free", func() bool { return again.StartAt(addr) == nil })
-	t.Cleanup(again.Stop)
-	is.True(!strings.Contains(s.log.String(), "endpoint_reachable"))
-	s.store.Delete("op/evacuate/dc1")
-	s.waitFor("the endpoint is reachable", func() bool { return strings.Contains(s.log.String(), "endpoint_reachable") })
-}
-
 // Guards against requests that are cut off, and memory that is held for ever, because reservations at
 // evacuated engines are not renewed or not released; and against renewals that reserve memory anew at
 // an evacuated engine that has restarted.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -70,6 +70,7 @@
 	// loggedInvalidItems holds the revision at which each item was last found undecodable, so
 	// that an item that stays is logged once and not with each full read.
 	loggedInvalidItems map[string]uint64
+	evacuationReads    evacuationReads
 }
 
 // storeResult is the outcome of one call to the store: the state from a full read, the changes
@@ -78,22 +79,16 @@
 	state   *directory.StoreState
 	changes *directory.Changes
 	err     error
-	// evacuations are set, with their revision, in a result that precedes that of a full read.
+	// evacuations is set in the result of a read of evacuations alone, nil in those of other calls.
 	evacuations *evacuationList
 }
 
-// evacuationList is the result of directory.Source.ReadEvacuations.
-type evacuationList struct {
-	list     []directory.Evacuation
-	revision uint64
-}
-
 // watchStore follows the store until ctx ends. One call is under way at a time.
 func (g *Gateway) watchStore(ctx context.Context) {
 	w := &storeWatcher{gateway: g, replica: g.replica, needsFullRead: true, backoff: minBackoff, timeout: g.settings.StoreTimeout.D(), loggedInvalidItems: map[string]uint64{}}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
-	results := make(chan storeResult, 2) // a call has two results at most
+	results := make(chan storeResult, 2) // of a call and a read of evacuations
 	w.startCall(ctx, 0, results)
 	for {
 		select {
@@ -106,10 +101,8 @@
 		case <-g.publishRequested:
 			w.publish()
 		case result := <-results:
-			if first := result.evacuations; first != nil {
-				changed := w.replica.Evacuations().ApplyList(time.Now(), first.revision, first.list)
-				w.publish()
-				g.announceEvacuations(changed)
+			if result.evacuations != nil {
+				w.handleEvacuations(result.evacuations)
 				continue
 			}
 			w.startCall(ctx, w.handleResult(result), results)
@@ -124,6 +117,7 @@
 	fullRead, revision, wait, timeout, gateway := w.needsFullRead, w.replica.Revision(), w.gateway.longPollWait(), w.timeout, w.gateway
 	if fullRead || !w.outageSince.IsZero() {
 		wait = 0
+		w.readEvacuations(ctx, results)
 	}
 	go func() {
 		select {
@@ -131,12 +125,6 @@
 		case <-ctx.Done():
 			return
 		}
-		if fullRead && revision > 0 {
-			if err := gateway.readEvacuations(ctx, timeout, results); err != nil {
-				results <- storeResult{err: err}
-				return
-			}
-		}
 		ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 		defer cancel()
 		var result storeResult
@@ -151,18 +139,6 @@
 	}()
 }
 
-// readEvacuations reads the evacuations before a full read, which takes many times as long: a store that
-// is slow might not answer that within the timeout for seconds.
-func (g *Gateway) readEvacuations(ctx context.Context, timeout time.Duration, results chan<- storeResult) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	list, revision, err := g.source.ReadEvacuations(ctx)
-	if err == nil {
-		results <- storeResult{evacuations: &evacuationList{list, revision}}
-	}
-	return err
-}
-
 // handleResult applies the outcome of a call and returns the pause before the next call.
 func (w *storeWatcher) handleResult(result storeResult) time.Duration {
 	log, now := w.gateway.log, time.Now()
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -56,8 +56,8 @@
 	return &directory.Changes{Revision: after}, nil
 }
 
-func (r *recordingSource) ReadEvacuations(ctx context.Context) ([]directory.Evacuation, uint64, error) {
-	return nil, 1, r.record(ctx, recordedCall{fullRead: true})
+func (r *recordingSource) ReadEvacuations(context.Context) ([]directory.Evacuation, uint64, error) {
+	return nil, 0, directory.ErrUnavailable // leaves the evacuations to the other calls
 }
 
 func (r *recordingSource) CloseIdleConnections() {}
