--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -33,7 +33,7 @@
 
 // maxChangeDelay returns how soon a change in the store must be in force here.
 func (g *Gateway) maxChangeDelay() time.Duration {
-	return min(g.settings.ConfigWithin.D(), g.settings.LeavingWithin.D())
+	return min(g.settings.ConfigWithin.D(), g.settings.LeavingWithin.D(), g.evacuationDelay())
 }
 
 // longPollWait returns how long one call waits for a change. A store that drops its history
@@ -70,6 +70,7 @@
 	// loggedInvalidItems holds the revision at which each item was last found undecodable, so
 	// that an item that stays is logged once and not with each full read.
 	loggedInvalidItems map[string]uint64
+	evacuationReads    evacuationReads
 }
 
 // storeResult is the outcome of one call to the store: the state from a full read, the changes
@@ -78,6 +79,8 @@
 	state   *directory.StoreState
 	changes *directory.Changes
 	err     error
+	// evacuations is set in the result of a read of evacuations alone, nil in those of other calls.
+	evacuations *evacuationList
 }
 
 // watchStore follows the store until ctx ends. One call is under way at a time.
@@ -85,7 +88,7 @@
 	w := &storeWatcher{gateway: g, replica: g.replica, needsFullRead: true, backoff: minBackoff, timeout: g.settings.StoreTimeout.D(), loggedInvalidItems: map[string]uint64{}}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
-	results := make(chan storeResult, 1)
+	results := make(chan storeResult, 2) // of a call and a read of evacuations
 	w.startCall(ctx, 0, results)
 	for {
 		select {
@@ -98,6 +101,10 @@
 		case <-g.publishRequested:
 			w.publish()
 		case result := <-results:
+			if result.evacuations != nil {
+				w.handleEvacuations(result.evacuations)
+				continue
+			}
 			w.startCall(ctx, w.handleResult(result), results)
 		}
 	}
@@ -110,6 +117,7 @@
 	fullRead, revision, wait, timeout, gateway := w.needsFullRead, w.replica.Revision(), w.gateway.longPollWait(), w.timeout, w.gateway
 	if fullRead || !w.outageSince.IsZero() {
 		wait = 0
+		w.readEvacuations(ctx, results)
 	}
 	go func() {
 		select {
@@ -157,11 +165,12 @@
 		w.replica.SetOutageEnd(now)
 	}
 	w.backoff, w.timeout = minBackoff, w.gateway.settings.StoreTimeout.D()
+	var evacuations []directory.Evacuation
 	before := w.gateway.snapshot.Load().Config
 	pause := time.Duration(0)
 	switch {
 	case result.state != nil:
-		w.replica.ApplyState(now, result.state)
+		evacuations = w.replica.ApplyState(now, result.state)
 		w.needsFullRead = false
 		w.logInvalidItems(result.state.InvalidItems)
 		for i := range result.state.Records {
@@ -169,12 +178,13 @@
 		}
 	default:
 		pause = w.batchPause(result.changes)
-		w.replica.ApplyChanges(now, result.changes)
+		evacuations = w.replica.ApplyChanges(now, result.changes)
 		w.logInvalidItems(result.changes.InvalidItems)
 		w.handleChanges(now, result.changes)
 	}
 	w.gateway.storeAnsweredAt.Store(w.gateway.uptimeNanos())
 	w.publish()
+	w.gateway.announceEvacuations(evacuations)
 	if config := w.gateway.snapshot.Load().Config; config != before {
 		w.gateway.configAppliedAt.Store(w.gateway.uptimeNanos())
 		if before == nil {
@@ -231,12 +241,12 @@
 // that are not in it.
 func (w *storeWatcher) publish() {
 	snapshot := w.replica.Snapshot()
+	w.gateway.resumeEvacuated(w.gateway.snapshot.Load(), snapshot)
 	w.gateway.snapshot.Store(snapshot)
-	known := func(incarnation directory.Incarnation) bool { return snapshot.Endpoint(incarnation) != nil }
-	w.gateway.pool.prune(known)
-	w.gateway.prober.prune(known)
-	w.gateway.slowdownMonitor.prune(known)
+	w.gateway.pool.prune(func(incarnation directory.Incarnation) bool { return snapshot.Endpoint(incarnation) != nil })
+	w.gateway.prober.prune(snapshot.Known)
+	w.gateway.slowdownMonitor.prune(snapshot.Known)
 	w.gateway.shareLimits(snapshot)
-	w.gateway.loadTracker.Prune(known)
+	w.gateway.loadTracker.Prune(snapshot.Known)
 	w.gateway.peers.setMembers(snapshot)
 }
--- a/routing/direct/length_fairness.go
+++ b/routing/direct/length_fairness.go
@@ -20,8 +20,9 @@
 	// maxOutcomes bounds the outcomes that are kept for a route, maxOutcomeRoutes the routes, and
 	// maxUnreportedOutcomes those that wait to be reported.
 	maxOutcomes, maxOutcomeRoutes, maxUnreportedOutcomes = 128, 1024, 256
-	// minOutcomes is the number of outcomes from which they are compared.
-	minOutcomes = 10
+	// minOutcomes is the number of outcomes from which they are compared. Of fewer, the longest tenth
+	// is so few prompts that a single refusal would count as starvation.
+	minOutcomes = 40
 	// largestQuantile is the quantile of a route's prompt lengths from which a prompt counts as one
 	// of the longest.
 	largestQuantile   = 0.9
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -54,8 +54,8 @@
 	// garbage more often as the process comes near it.
 	MemoryLimit Size `json:"memory_limit,omitempty"`
 	// EvacuateWithin bounds the time from when the store has the evacuation of a data centre
-	// until its endpoints are sent no more requests; default 5s. Like ConfigWithin, it limits
-	// how long a watch call may wait.
+	// until its endpoints are sent no more requests; default 10s. Like ConfigWithin, it limits
+	// how long a watch call may wait: to half of it, as the rest is for reading a slow store.
 	EvacuateWithin Duration `json:"evacuate_within,omitempty"`
 	// ColdOvershoot and ColdTolerance bound the requests that all gateways together send to an
 	// endpoint that is warming up: in any second, at most ColdOvershoot times the rate that its
@@ -98,7 +98,7 @@
 	if g.MemoryLimit == 0 {
 		g.MemoryLimit = 256_000_000
 	}
-	setDuration(&g.EvacuateWithin, 5*time.Second)
+	setDuration(&g.EvacuateWithin, 10*time.Second)
 	if g.ColdOvershoot == 0 {
 		g.ColdOvershoot = 1
 	}
