Longest prompts: a caller that returns counts once, and few outcomes do not count as starvation

Change: outcomes carry the exact length, by which returns are recognised; 20 outcomes are needed, and three of the longest before these count as starved.

--- a/gateway/length_fairness.go
+++ b/gateway/length_fairness.go
@@ -43,17 +43,14 @@
 	f.gateway.loadTracker.RecordOutcome(time.Now(), direct.LengthOutcome{Route: direct.HashRoute(f.service.Name, f.route.Name), Tokens: f.PromptTokens, Admitted: admitted})
 }
 
-// lengthUnit is the number of tokens that one unit of a length in heartbeats stands for.
-const lengthUnit = 1000
-
-// maxReportedLength is the longest length, in units, that a heartbeat may report. A longer one is not
-// valid.
-const maxReportedLength = 100_000
+// maxReportedLength is the longest prompt, in tokens, whose outcome a heartbeat may report. A longer one
+// is not valid.
+const maxReportedLength = 100_000_000
 
 // appendOutcomes adds outcomes of long prompts to a heartbeat.
 func appendOutcomes(h *wire.Heartbeat, outcomes []direct.LengthOutcome) {
 	for _, o := range outcomes {
-		length := uint32(min((o.Tokens+lengthUnit-1)/lengthUnit, maxReportedLength)) << 1
+		length := uint32(min(o.Tokens, maxReportedLength)) << 1
 		if o.Admitted {
 			length |= 1
 		}
@@ -68,7 +65,7 @@
 	outcomes := make([]direct.LengthOutcome, 0, n)
 	for i := range n {
 		if length := int(h.OutcomeLengths[i] >> 1); length <= maxReportedLength {
-			outcomes = append(outcomes, direct.LengthOutcome{Route: direct.RouteHash(h.OutcomeRoutes[i]), Tokens: length * lengthUnit, Admitted: h.OutcomeLengths[i]&1 != 0})
+			outcomes = append(outcomes, direct.LengthOutcome{Route: direct.RouteHash(h.OutcomeRoutes[i]), Tokens: length, Admitted: h.OutcomeLengths[i]&1 != 0})
 		}
 	}
 	return outcomes
--- a/gateway/length_fairness_test.go
+++ b/gateway/length_fairness_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"testing"
 
 	"github.com/matryer/is"
@@ -18,6 +19,6 @@
 	appendOutcomes(&h, sent)
 	is.Equal(decodeOutcomes(&h), sent)
 	h.OutcomeRoutes = append(h.OutcomeRoutes, 9, 10)
-	h.OutcomeLengths = append(h.OutcomeLengths, 1<<31)
+	h.OutcomeLengths = append(h.OutcomeLengths, math.MaxUint32)
 	is.Equal(decodeOutcomes(&h), sent)
 }
--- a/routing/direct/length_fairness.go
+++ b/routing/direct/length_fairness.go
@@ -20,9 +20,9 @@
 	// maxOutcomes bounds the outcomes that are kept for a route, maxOutcomeRoutes the routes, and
 	// maxUnreportedOutcomes those that wait to be reported.
 	maxOutcomes, maxOutcomeRoutes, maxUnreportedOutcomes = 128, 1024, 256
-	// minOutcomes is the number of outcomes from which they are compared. Of fewer, the longest tenth
-	// is so few prompts that a single refusal would count as starvation.
-	minOutcomes = 40
+	// minOutcomes is the number of outcomes from which they are compared, and minLargest the number of
+	// longest prompts that can show that these are starved. Of fewer a single refusal would.
+	minOutcomes, minLargest = 20, 3
 	// largestQuantile is the quantile of a route's prompt lengths from which a prompt counts as one
 	// of the longest.
 	largestQuantile   = 0.9
@@ -59,7 +59,15 @@
 	LengthOutcome
 }
 
+// add adds an outcome. A caller that was refused usually sends its prompt again: the outcomes of prompts
+// of exactly the same length count as one, which is admitted if any of them is.
 func (r *routeOutcomes) add(now time.Time, o LengthOutcome) {
+	for i := range *r {
+		if earlier := &(*r)[i]; earlier.Tokens == o.Tokens && !earlier.Admitted {
+			earlier.Admitted = o.Admitted
+			return
+		}
+	}
 	expired := 0
 	for expired < len(*r) && now.Sub((*r)[expired].at) > outcomeWindow {
 		expired++
@@ -101,7 +109,7 @@
 	switch {
 	case tokens < largest[0].Tokens || ratio >= minLargestRatio:
 		return NoPreference
-	case ratio < starvedRatio:
+	case ratio < starvedRatio && len(largest) >= minLargest:
 		return Starved
 	case tokens <= recent[quantile(preferredQuantile)].Tokens:
 		return PassedOver
--- a/routing/direct/length_fairness_test.go
+++ b/routing/direct/length_fairness_test.go
@@ -35,8 +35,8 @@
 		p := newPolicy(1)
 		lengthLoad(p.tracker, c.largestAdmitted)
 		is.Equal(p.LengthPreference(testNow, 7, c.tokens), c.want)
-		is.Equal(p.LengthPreference(testNow, 8, c.tokens), NoPreference)                              // another route
-		is.Equal(p.LengthPreference(testNow.Add(outcomeWindow+1), 7, c.tokens), NoPreference)         // too long ago
+		is.Equal(p.LengthPreference(testNow, 8, c.tokens), NoPreference)                                // another route
+		is.Equal(p.LengthPreference(testNow.Add(outcomeWindow+1), 7, c.tokens), NoPreference)           // too long ago
 		is.True(maxDelayedBy(c.want) >= maxDelayed && maxDelayedBy(Starved) > maxDelayedBy(PassedOver)) // more may be delayed
 	}
 }
@@ -56,13 +56,25 @@
 	is.Equal(len(receiving.tracker.TakeOutcomes(64)), 0) // what others reported is not passed on
 }
 
+// Guards against prompts that count as refused several times because their callers return.
+func TestARefusedPromptThatReturnsCountsOnce(t *testing.T) {
+	is := is.New(t)
+	l := NewLoadTracker()
+	for range 3 {
+		l.RecordOutcome(testNow, LengthOutcome{Route: 7, Tokens: 50_001})
+	}
+	l.RecordOutcome(testNow, LengthOutcome{Route: 7, Tokens: 50_001, Admitted: true})
+	is.Equal(len(*l.outcomes[7]), 1)
+	is.True((*l.outcomes[7])[0].Admitted)
+}
+
 // Guards against unbounded memory when routes change and many prompts arrive.
 func TestOutcomesAreBounded(t *testing.T) {
 	is := is.New(t)
 	l := NewLoadTracker()
 	for i := range 3 * maxOutcomeRoutes {
 		l.RecordOutcome(testNow.Add(time.Duration(i)*time.Millisecond), LengthOutcome{Route: RouteHash(i), Tokens: 1})
-		l.RecordOutcome(testNow, LengthOutcome{Route: 1, Tokens: 1})
+		l.RecordOutcome(testNow, LengthOutcome{Route: 1, Tokens: i})
 	}
 	is.True(len(l.outcomes) <= maxOutcomeRoutes)
 	is.True(len(*l.outcomes[1]) <= maxOutcomes)
