--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,237 @@
+package admission
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ControllerConfig holds the parameters of a Controller.
+type ControllerConfig struct {
+	// Utilization is the fraction of the engines' time that is given out, 0 to 1. With a higher
+	// value more requests are admitted, and more of those find all slots of an engine taken.
+	Utilization float64
+	// Minimum is the fraction of the capacity that each less urgent tier keeps as long as it
+	// offers load, 0 to 1. A higher value serves more of the less urgent requests and refuses more of
+	// the urgent ones.
+	Minimum float64
+	// RefreshInterval is the time for which shares are used before they are computed again. Reports
+	// of other entries arrive every 100 to 300 ms.
+	RefreshInterval time.Duration
+}
+
+// DefaultControllerConfig returns the parameters that the gateway uses; docs/design/admission.md
+// has the measurements.
+func DefaultControllerConfig() ControllerConfig {
+	return ControllerConfig{Utilization: 0.9, Minimum: 0.03, RefreshInterval: 50 * time.Millisecond}
+}
+
+const (
+	// scarceUse is the use of engines below which capacity is never scarce, whatever load is
+	// estimated: no engine may be idle while requests are refused.
+	scarceUse = 0.6
+	// fullUse is the use of engines up to which more is given out than the estimate of the capacity,
+	// in proportion to what is unused.
+	fullUse = 0.85
+	// maxUnusedFactor bounds that proportion.
+	maxUnusedFactor = 1.5
+	// sufficientDemand is the demand, as a fraction of what is given out, below which scarcity
+	// ends, and sufficientFor how long it must have been below. Without the difference a load near
+	// the capacity would be refused and admitted in turns.
+	sufficientDemand = 0.9
+	sufficientFor    = time.Second
+	// reportLag is the time in which entries admit requests before they learn of each other's.
+	reportLag = 150 * time.Millisecond
+	// minWaitShare is the fraction of its target that a request may in any case wait before its
+	// prefill.
+	minWaitShare = 0.3
+)
+
+// Arrival describes a request that asks to be admitted.
+type Arrival struct {
+	Service string
+	Tier    Tier
+	// Account is the client account's name, Kind the route's.
+	Account, Kind string
+	// Cost is the engine time that the request needs, Prefill the part of it that is spent on its
+	// prompt.
+	Cost, Prefill time.Duration
+	// Slack is the time from now until the first token is late, less that of the passes of an
+	// engine which it takes in any case; 0: the route has no target.
+	Slack time.Duration
+	// Wait estimates how long the prompt waits for others that are prefilled in parts, before its
+	// own prefill, which takes Alone. Both are 0 for a prompt that does not wait.
+	Wait, Alone time.Duration
+	// Exempt requests are admitted in any case, and counted.
+	Exempt bool
+}
+
+// ArrivalDecision says whether a request is admitted.
+type ArrivalDecision struct {
+	Admitted bool
+	// Tier is the request's tier, and Share the share of such requests that is admitted.
+	Tier  Tier
+	Share float64
+	// Offered is the load of the tier and of the more urgent ones, Demand that of all tiers, and
+	// Capacity what is given out to all tiers, in milliseconds of engine time a second over all
+	// entries.
+	Offered, Demand, Capacity float64
+	// Scarce is set while shares are applied.
+	Scarce bool
+}
+
+// Controller decides which requests are admitted while the engines of a service have too little
+// capacity for all. Each entry has one. Entries report what callers offered them to each other and
+// compute the same shares from all reports. It is safe for concurrent use.
+type Controller struct {
+	mu       sync.Mutex
+	config   ControllerConfig
+	entries  int
+	services map[string]*serviceState
+	peers    map[string]*peerReport
+	diffuser *diffuser
+}
+
+// NewController returns a controller for the entry with the given name.
+func NewController(config ControllerConfig, entry string) *Controller {
+	return &Controller{config: config, entries: 1, services: map[string]*serviceState{}, peers: map[string]*peerReport{}, diffuser: newDiffuser(xxhash.Sum64String(entry))}
+}
+
+// HashAccount returns the hash that stands for a client account in reports.
+func HashAccount(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// SetEntries sets the number of entries including this one, whether or not all of them report.
+func (c *Controller) SetEntries(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = n
+}
+
+// Merge records the report of another entry in place of its previous one.
+func (c *Controller) Merge(now time.Time, entry string, loads []TierLoad) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers[entry] = &peerReport{now, loads}
+	maps.DeleteFunc(c.peers, func(_ string, p *peerReport) bool { return now.Sub(p.receivedAt) > reportTTL })
+}
+
+// Reports returns what callers lately offered to this entry, without tiers that offer nothing.
+func (c *Controller) Reports(now time.Time) []TierLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []TierLoad
+	for name, s := range c.services {
+		list = append(list, s.reports(now, name)...)
+	}
+	return list
+}
+
+// Admit decides on a request. engines returns the engines of its service; it is called when the
+// shares must be computed again.
+func (c *Controller) Admit(now time.Time, a *Arrival, engines func() []EngineState) ArrivalDecision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.service(a.Service)
+	account := HashAccount(a.Account)
+	window := s.tier(a.Tier)
+	window.arrive(now, account, milliseconds(a.Cost))
+	window.typical.observe(a)
+	kind := s.kind(a.Kind)
+	kind.cost.observe(milliseconds(a.Cost))
+	if a.Alone > 0 {
+		kind.alone.observe(milliseconds(a.Alone))
+	}
+	if now.Sub(s.computedAt) >= c.config.RefreshInterval || s.shares[a.Tier] == nil {
+		c.refresh(now, a.Service, s, engines())
+	}
+	share := s.shares[a.Tier]
+	d := ArrivalDecision{Tier: a.Tier, Share: 1, Offered: share.offered, Demand: s.demand, Capacity: s.given, Scarce: s.scarce}
+	if s.scarce {
+		d.Share = share.of(account)
+		if waitsTooLong(a, kind) {
+			d.Share = 0
+		}
+	}
+	largest := milliseconds(a.Cost) >= kind.cost.longestTenth()
+	d.Admitted = a.Exempt || d.Share >= 1 || d.Share > 0 && c.diffuser.admit(diffusionKey{a.Tier, account, a.Kind, largest}, d.Share)
+	if d.Admitted {
+		window.admitted.add(now, milliseconds(a.Cost))
+	}
+	return d
+}
+
+// waitsTooLong reports whether the longest tenth of the request's kind would be late after the
+// present wait. The bound is the same for all lengths: if each prompt could wait as long as its own
+// length allows, short ones would keep the wait at a length at which the longest never start.
+func waitsTooLong(a *Arrival, kind *kindState) bool {
+	if a.Slack <= 0 || a.Alone <= 0 {
+		return false
+	}
+	bound := max(milliseconds(a.Slack)-kind.alone.longestTenth(), minWaitShare*milliseconds(a.Slack))
+	return milliseconds(a.Wait) > bound
+}
+
+// Started records the first response to an admitted request.
+func (c *Controller) Started(now time.Time, service string, tier Tier, late bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	window := c.service(service).tier(tier)
+	window.started.add(now, 1)
+	if late {
+		window.late.add(now, 1)
+	}
+}
+
+// Ended records the number of events of a stream that has ended, from which the cost of later
+// requests of its kind is estimated.
+func (c *Controller) Ended(service, kind string, events int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.service(service).kind(kind)
+	if k.events == 0 {
+		k.events = float64(events)
+		return
+	}
+	k.events += typicalWeight * (float64(events) - k.events)
+}
+
+// MeanEvents returns the mean number of events of the streams of a kind; 0 if none has ended.
+func (c *Controller) MeanEvents(service, kind string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.service(service).kind(kind).events
+}
+
+// TierStatus is the state of one tier, for metrics.
+type TierStatus struct {
+	// Share is the share of the tier's load that is admitted, Offered its load over all entries and
+	// Capacity what is given out to all tiers of the service, in milliseconds a second.
+	Share, Offered, Capacity float64
+}
+
+// Status returns the state of a tier as of the last decision on a request of its service. A tier
+// that offers nothing has a share of 1.
+func (c *Controller) Status(service string, tier Tier) TierStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.service(service)
+	status := TierStatus{Share: 1, Capacity: s.given}
+	if share := s.shares[tier]; share != nil {
+		status.Offered = share.own
+		if s.scarce {
+			status.Share = share.mean * share.startable
+		}
+	}
+	return status
+}
+
+func (c *Controller) service(name string) *serviceState {
+	s := c.services[name]
+	if s == nil {
+		s = newServiceState()
+		c.services[name] = s
+	}
+	return s
+}
--- /dev/null
+++ b/admission/feedback.go
@@ -0,0 +1,64 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// toleratedLateness is the share of late requests at which the capacity given out begins to
+	// shrink. Some are late for reasons that less load does not change.
+	toleratedLateness = 0.1
+	// latenessGain is by how much the capacity shrinks for a share of late requests beyond that.
+	latenessGain = 1.0
+	// minFeedback bounds the shrinking: lateness that does not end with less load, such as that
+	// of an engine which is slow and does not report it, must not refuse most callers.
+	minFeedback = 0.5
+	// feedbackTime is the time constant with which the factor follows: that of a few requests, so
+	// that the effect of a change is seen before the next one.
+	feedbackTime = time.Second
+	// minStarted is the number of first responses, over all entries, from which their lateness
+	// says anything.
+	minStarted = 5
+)
+
+// feedback is the factor by which the capacity that is given out shrinks while requests of the
+// more urgent tiers are late although they were admitted. It depends on the latest reports of all
+// entries and forgets its past within seconds, so that entries that have missed reports, or have
+// just started, come to the same factor.
+type feedback struct {
+	// shrunk is 1 minus the factor.
+	shrunk    float64
+	updatedAt time.Time
+}
+
+// update moves the factor towards the one for the present lateness and returns it.
+func (f *feedback) update(now time.Time, late float64) float64 {
+	target := min(latenessGain*max(late-toleratedLateness, 0), 1-minFeedback)
+	if passed := now.Sub(f.updatedAt); passed > 0 {
+		f.shrunk += (target - f.shrunk) * (1 - math.Exp(-passed.Seconds()/feedbackTime.Seconds()))
+		f.updatedAt = now
+	}
+	return 1 - f.shrunk
+}
+
+// urgentLateness returns the share of late requests among the most urgent tiers that together
+// have at least half of all first responses. tiers are in order of urgency.
+func urgentLateness(tiers []*demandSum) float64 {
+	total := 0.0
+	for _, d := range tiers {
+		total += d.started
+	}
+	if total < minStarted {
+		return 0
+	}
+	started, late := 0.0, 0.0
+	for _, d := range tiers {
+		started += d.started
+		late += d.late
+		if started >= total/2 {
+			break
+		}
+	}
+	return min(late/started, 1)
+}
--- /dev/null
+++ b/admission/servicestate.go
@@ -0,0 +1,170 @@
+package admission
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// serviceState is what a controller knows of one service.
+type serviceState struct {
+	tiers map[Tier]*tierWindow
+	kinds map[string]*kindState
+	// shares are those computed at computedAt, given is the capacity that they divide, and demand
+	// the load of all tiers, in milliseconds of engine time a second.
+	shares        map[Tier]*tierShare
+	given, demand float64
+	computedAt    time.Time
+	feedback      feedback
+	// scarce is set while shares are applied, sufficientSince when demand was last found to be
+	// within the capacity; zero while it exceeds it.
+	scarce          bool
+	sufficientSince time.Time
+}
+
+// kindState describes the requests of one kind.
+type kindState struct {
+	cost, alone lengths
+	events      float64
+}
+
+// tierShare is the share of one tier's requests that is admitted.
+type tierShare struct {
+	// offered is the load of this tier and the more urgent ones, own that of this tier.
+	offered, own float64
+	// mean is the share of the tier's load. level is the load that one client account may have,
+	// accounts what the listed ones offer, and restEach what each of the others counts for.
+	mean, level, restEach float64
+	accounts              map[uint32]float64
+	// startable is the share that engines can start in time, 0 to 1.
+	startable float64
+}
+
+// of returns the share of a client account's requests that is admitted.
+func (t *tierShare) of(account uint32) float64 {
+	if t.mean >= 1 {
+		return t.startable
+	}
+	offers, listed := t.accounts[account]
+	if !listed {
+		offers = t.restEach
+	}
+	if offers <= t.level {
+		return t.startable
+	}
+	return t.startable * t.level / offers
+}
+
+func newServiceState() *serviceState {
+	return &serviceState{tiers: map[Tier]*tierWindow{}, kinds: map[string]*kindState{}, shares: map[Tier]*tierShare{}}
+}
+
+func (s *serviceState) tier(tier Tier) *tierWindow {
+	w := s.tiers[tier]
+	if w == nil {
+		w = newTierWindow()
+		s.tiers[tier] = w
+	}
+	return w
+}
+
+func (s *serviceState) kind(name string) *kindState {
+	k := s.kinds[name]
+	if k == nil {
+		k = &kindState{}
+		s.kinds[name] = k
+	}
+	return k
+}
+
+// reports returns the loads of all tiers that offer anything.
+func (s *serviceState) reports(now time.Time, name string) []TierLoad {
+	var list []TierLoad
+	for _, tier := range slices.Sorted(maps.Keys(s.tiers)) {
+		if load := s.tiers[tier].report(now, name, tier); load.Offered >= negligibleLoad || load.Started >= negligibleLoad {
+			list = append(list, load)
+		}
+	}
+	return list
+}
+
+// refresh computes the shares of a service from the reports of all entries and the state of the
+// engines.
+func (c *Controller) refresh(now time.Time, name string, s *serviceState, engines []EngineState) {
+	sums := sumReports(now, name, s.reports(now, name), c.peers, c.entries)
+	order := slices.Sorted(maps.Keys(sums))
+	tiers, offered, demand := make([]*demandSum, len(order)), make([]float64, len(order)), 0.0
+	for i, tier := range order {
+		tiers[i], offered[i] = sums[tier], sums[tier].offered
+		demand += offered[i]
+	}
+	capacity := SumEngines(engines)
+	s.given = capacity.Rate * c.config.Utilization * s.feedback.update(now, urgentLateness(tiers)) * unusedFactor(capacity.Use)
+	granted := Grant(s.given, c.config.Minimum, offered)
+	s.shares, s.computedAt = make(map[Tier]*tierShare, len(order)), now
+	above, unstartable := 0.0, false
+	for i, tier := range order {
+		above += offered[i]
+		t := newTierShare(granted[i], tiers[i])
+		t.offered = above
+		t.startable = startableShare(engines, s.tier(tier).typical, granted[i])
+		unstartable = unstartable || t.startable < 1
+		s.shares[tier] = t
+	}
+	s.demand = demand
+	s.updateScarcity(now, demand, capacity.Use, unstartable)
+}
+
+// unusedFactor raises the capacity that is given out while engines are not fully used: then the
+// estimates are too low, or the load has just begun.
+func unusedFactor(use float64) float64 {
+	if use >= fullUse {
+		return 1
+	}
+	return min(fullUse/max(use, fullUse/maxUnusedFactor), maxUnusedFactor)
+}
+
+// newTierShare divides what a tier is granted among its client accounts.
+func newTierShare(granted float64, d *demandSum) *tierShare {
+	t := &tierShare{own: d.offered, accounts: d.accounts, mean: 1, startable: 1}
+	if granted >= d.offered {
+		return t
+	}
+	t.mean = granted / d.offered
+	listed, sum := make([]float64, 0, len(d.accounts)), 0.0
+	for _, o := range d.accounts {
+		listed = append(listed, o)
+		sum += o
+	}
+	t.level, t.restEach = FairLevel(granted, listed, max(d.offered-sum, 0))
+	return t
+}
+
+// startableShare returns the share of a tier's granted requests that engines can start in time
+// until entries learn of each other's requests. The rates lag a burst, and the requests in flight
+// show it.
+func startableShare(engines []EngineState, typical typicalRequest, granted float64) float64 {
+	if typical.slack <= 0 || typical.cost <= 0 || typical.prefill > typical.slack {
+		return 1 // without a target, or prefilled in parts
+	}
+	expected := granted / milliseconds(typical.cost) * reportLag.Seconds()
+	if expected <= 0 {
+		return 1
+	}
+	return min(Places(engines, typical.slack, typical.cost, typical.prefill)/expected, 1)
+}
+
+// updateScarcity begins and ends the refusal of requests.
+func (s *serviceState) updateScarcity(now time.Time, demand, use float64, unstartable bool) {
+	switch {
+	case unstartable, demand > s.given && use >= scarceUse:
+		s.scarce, s.sufficientSince = true, time.Time{}
+	case !s.scarce:
+	case demand > sufficientDemand*s.given && use >= scarceUse:
+		s.sufficientSince = time.Time{}
+	case s.sufficientSince.IsZero():
+		s.sufficientSince = now
+	case now.Sub(s.sufficientSince) >= sufficientFor:
+		s.scarce, s.sufficientSince = false, time.Time{}
+	}
+}
--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -31,6 +31,10 @@
 	// Target is the longest time to the first event, and MaxPause the longest pause between
 	// events, with which a request counts as on time.
 	Target, MaxPause time.Duration
+	// Priority is the priority of the kind's route; 0 goes first.
+	Priority int
+	// Accounts are the client accounts that send the requests, by their weight; empty: one.
+	Accounts []Account
 }
 
 // LoadChange changes the arrival rate of each kind from a time on.
@@ -80,6 +84,8 @@
 	Departures []Departure
 	// Holders is the number of entries that share a limit; nil: admission.Holders.
 	Holders func(perSecond float64, entries int) int
+	// Admission returns what admits requests at an entry; nil: all are admitted.
+	Admission func(entry string) Admission
 }
 
 // Policy names a placement policy.
@@ -140,6 +146,11 @@
 	// Largest counts the prompts in the longest tenth of the kind's length distribution,
 	// LargestServed those of them that were not refused.
 	Largest, LargestServed int
+	// NotAdmitted counts the refused requests that were not admitted by priority, HeldBack those
+	// that were refused after they had waited for half of their target.
+	NotAdmitted, HeldBack int
+	// Accounts counts the requests of each client account.
+	Accounts map[string]AccountResult `json:",omitempty"`
 }
 
 // Add adds the counts of the same kind from another run.
@@ -151,6 +162,9 @@
 	r.Refused += other.Refused
 	r.Largest += other.Largest
 	r.LargestServed += other.LargestServed
+	r.NotAdmitted += other.NotAdmitted
+	r.HeldBack += other.HeldBack
+	r.addAccounts(other.Accounts)
 }
 
 // OnTimeShare is the share of requests that were on time, 0 to 1.
@@ -195,6 +209,8 @@
 	policy   *direct.Policy
 	// endpoints are the engines that it knows to take requests.
 	endpoints []*directory.EndpointState
+	// admission is nil where all requests are admitted.
+	admission Admission
 }
 
 // request is one simulated request.
@@ -218,6 +234,9 @@
 	tried    []directory.Incarnation
 	// countedAfterBackoff is set while it counts as one of the requests after a backoff.
 	countedAfterBackoff bool
+	account             string
+	// admitted is set while a request that was admitted by priority has no response.
+	admitted bool
 }
 
 // Simulate runs a load until its last request has ended and returns a result for each kind,
@@ -271,6 +290,10 @@
 			tracker.Limits().SetHolders(sim.config.Holders)
 		}
 		e := &entry{name: fmt.Sprint(i), endpoints: sim.endpoints, inFlight: map[*engine]int{}, tracker: tracker, policy: direct.NewPolicy(tracker, rand.New(rand.NewPCG(sim.config.Seed, uint64(i+2))))}
+		if sim.config.Admission != nil {
+			e.admission = sim.config.Admission(e.name)
+			e.admission.SetEntries(sim.config.Entries)
+		}
 		sim.entries = append(sim.entries, e)
 		if sim.config.enabled(Heartbeats) {
 			sim.AfterFunc(sim.heartbeatInterval()*time.Duration(i)/time.Duration(sim.config.Entries), func() { sim.sendHeartbeats(e) })
@@ -339,6 +362,7 @@
 func (sim *simulation) sendHeartbeat(e *entry) {
 	demands, loads := e.tracker.Demands(sim.wallTime()), e.tracker.Loads(sim.wallTime())
 	sim.heartbeats++
+	offered := e.offeredLoads(sim.wallTime())
 	limits := e.tracker.Limits().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedLimits)
 	var backoffs []direct.BackoffReport
 	if len(sim.config.Refusals) > 0 && sim.config.Refusals[0].Shared {
@@ -349,6 +373,7 @@
 		if other != e && !lost {
 			sim.AfterFunc(sim.messageDelay(), func() {
 				other.tracker.ReplacePeerLoad(sim.wallTime(), e.name, demands, loads)
+				other.mergeOffered(sim.wallTime(), e.name, offered)
 				other.tracker.Limits().Merge(sim.wallTime(), 0, limits)
 				other.tracker.Backoffs().Merge(sim.wallTime(), 0, backoffs)
 			})
@@ -372,6 +397,8 @@
 	if rate > 0 && sim.Now() > 0 {
 		r := &request{sim: sim, entry: sim.pickEntry(), kind: k, result: &sim.results[kind], promptTokens: sim.drawPromptTokens(k), arrivedAt: sim.Now()}
 		r.result.Requests++
+		r.account = k.pickAccount(sim)
+		r.countAccount(func(a *AccountResult) { a.Requests++ })
 		if k.inLargestTenth(r.promptTokens) {
 			r.result.Largest++
 		}
@@ -439,6 +466,9 @@
 		r.placeBaseline()
 		return
 	}
+	if !r.admit() {
+		return
+	}
 	if !direct.IsLongPrompt(sim.service, r.promptTokens) {
 		r.place()
 		return
@@ -465,6 +495,7 @@
 	r.queued.Dequeue()
 	if !hasCapacity && sim.config.enabled(Refusing) {
 		r.result.Refused++
+		r.countHeldBack()
 		return
 	}
 	r.place()
@@ -541,6 +572,7 @@
 	if r.load != nil {
 		r.load.FinishPrefill()
 	}
+	r.recordFirstResponse()
 }
 
 // finish ends the request's load and counts its outcome.
@@ -553,6 +585,7 @@
 	if r.kind.inLargestTenth(r.promptTokens) {
 		r.result.LargestServed++
 	}
+	r.countServed(j)
 	switch {
 	case j.firstEventAt-r.arrivedAt > r.kind.Target:
 		r.result.LateFirst++
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -199,6 +199,8 @@
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s that are left state limits, which are used up or kept for requests more urgent than priority %s", l.text("endpoints"), l.text("service"), l.text("priority"))
 	case "backoff_refused":
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s have refused requests and want no others for a time; the caller is told to come back after %s", l.text("endpoints"), l.text("service"), l.milliseconds("retry_after_ms"))
+	case "not_admitted":
+		return fmt.Sprintf("refused at once: capacity of service %s is scarce, and %s of 100 requests of tier %s are admitted; up to this tier callers ask for %s ms of engine time a second, %s ms are given out", l.text("service"), l.percentage("share"), l.text("tier"), l.text("offered"), l.text("capacity"))
 	case "no_endpoint":
 		return fmt.Sprintf("refused at once: no endpoint of service %s takes requests; %s are leaving", l.text("service"), l.text("leaving"))
 	case "caller_lost":
@@ -247,5 +249,10 @@
 	return fmt.Sprint(value)
 }
 
+// percentage returns a field that holds a fraction as a percentage, without the sign.
+func (l *logLine) percentage(name string) string {
+	return fmt.Sprintf("%.0f", 100*l.number(name))
+}
+
 // milliseconds returns a field that holds milliseconds as text, with its unit.
 func (l *logLine) milliseconds(name string) string { return l.text(name) + " ms" }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
@@ -33,6 +34,9 @@
 	budgetTaken bool
 	// failedResponse is the last complete response in which an endpoint reported a failure.
 	failedResponse *bufferedResponse
+	// admitted is set from the admission by priority, in admittedTier, to the first response.
+	admitted     bool
+	admittedTier admission.Tier
 }
 
 // forward sends the request to endpoints until one has answered it or no retry is allowed.
@@ -48,6 +52,10 @@
 	if c.route.Kind == directory.Streaming {
 		f.relay = &streamRelay{call: c, lastEventID: c.LastEventID}
 	}
+	if failure := f.admit(); failure != nil {
+		return failure
+	}
+	defer f.endAdmission()
 	if failure := f.waitInQueue(ctx); failure != nil {
 		return failure
 	}
@@ -148,6 +156,7 @@
 	onFirstEvent := func() {
 		stopWatch()
 		load.FinishPrefill()
+		f.recordFirstResponse()
 	}
 	if plan.HelperMemoryTokens > 0 {
 		f.reserveAttempts++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,7 @@
 	loadTracker     *direct.LoadTracker
 	policy          *direct.Policy
 	retries         *admission.RetryWindow
+	admission       *admissionControl
 	quarantine      *attempt.Quarantine
 	pool            *pool
 	callers         *callerServer
@@ -127,6 +128,7 @@
 		configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
 	}
 	g.quarantine = attempt.NewQuarantine()
+	g.admission = newAdmissionControl(&c.Settings)
 	g.replica, g.publishRequested = directory.NewReplica(), make(chan struct{}, 1)
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.EmptySnapshot())
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -192,6 +192,7 @@
 	appendBackoffs(h, p.gateway.loadTracker.Backoffs().Reports(now, !h.Partial, maxHeartbeatBackoffs))
 	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
+	appendOfferedLoads(h, p.gateway.admission.controller.Reports(now))
 	for _, d := range p.gateway.loadTracker.Demands(now) {
 		h.Demands = append(h.Demands, &wire.Demand{
 			Service: d.Service, LongPrefillMs: uint32(d.LongPrefill.Milliseconds()), OpenShort: uint32(max(d.ShortInFlight, 0)),
@@ -248,6 +249,7 @@
 	p.gateway.mergeLimits(now, h, delay)
 	p.gateway.loadTracker.Backoffs().Merge(now, delay, decodeBackoffs(h))
 	p.gateway.mergeLeaving(now, h)
+	p.gateway.admission.controller.Merge(now, h.Node, decodeOfferedLoads(h))
 	for _, request := range p.gateway.quarantine.Merge(now, decodeFindings(h)) {
 		p.gateway.reportQuarantined(request, h.Node)
 	}
@@ -319,6 +321,7 @@
 	p.fullHeartbeatForNewEntries(members)
 	p.gateway.retries.SetEntries(now, members.EntryCountWithLeaving()+1)
 	p.gateway.loadTracker.SetEntryCount(members.EntryCount() + 1)
+	p.gateway.admission.controller.SetEntries(members.EntryCount() + 1)
 	alive := members.Entries("")
 	rank := sort.Search(len(alive), func(i int) bool { return alive[i].Name() > p.gateway.settings.Name })
 	p.gateway.loadTracker.SetRank(rank, len(alive)+1)
--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -74,16 +74,23 @@
 	// PendingPrefill is the prefill time of long prompts that was sent to engines and is
 	// not done, QueuedPrefill that of queued long prompts.
 	PendingPrefill, QueuedPrefill time.Duration
+	// maxShortShare is the fraction of the engines that short prompts may take; 0: all but
+	// minLongShare.
+	maxShortShare float64
 }
 
 // shortShare is the fraction of a service's engines that short prompts may take.
 func shortShare(d Demand, engine *directory.Engine) float64 {
 	long := d.LongPrefill.Seconds() / demandWindow.Seconds() / maxLongUtilization
 	short := float64(d.ShortInFlight) / (float64(max(engine.Slots, 1)) * contendedSlotShare)
+	highest := 1 - minLongShare
+	if d.maxShortShare > 0 {
+		highest = d.maxShortShare
+	}
 	if long+short == 0 {
-		return 1 - minLongShare
+		return highest
 	}
-	return min(max(short/(long+short), minShortShare), 1-minLongShare)
+	return min(max(short/(long+short), minShortShare), highest)
 }
 
 // maxShortEngines is the number of a service's engines that short prompts may take.
--- /dev/null
+++ b/routing/direct/engine_state.go
@@ -0,0 +1,95 @@
+package direct
+
+import (
+	"time"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/directory"
+)
+
+// EngineTime returns the time of an engine that a request needs: that of its prefill, and its part
+// of the decode passes, in which a full engine decodes for as many requests as it has slots. events
+// is the number of passes that it decodes in. Where the request needs more of the engine's KV cache
+// than of its time, it is the time of that part of the engine.
+func EngineTime(e *directory.Engine, promptTokens int, events float64) time.Duration {
+	if e == nil {
+		return 0
+	}
+	prefill := PrefillTime(e, promptTokens)
+	slots := max(e.Slots, 1)
+	decode := time.Duration(events * float64(DecodeTime(e, slots, promptTokens)))
+	cost := prefill + decode/time.Duration(slots)
+	if e.KVCacheTokens > 0 {
+		held := float64(prefill/maxParts+decode) * float64(promptTokens) / float64(e.KVCacheTokens)
+		cost = max(cost, time.Duration(held))
+	}
+	return cost
+}
+
+// FirstTokenSlack returns how much of a target is left for the prefill of prompts, after the pass
+// that an engine is in and the one that decodes the first token; 0 if there is no target.
+func FirstTokenSlack(e *directory.Engine, target time.Duration) time.Duration {
+	if target <= 0 {
+		return 0
+	}
+	return max(target-2*PassTime(e), target/4)
+}
+
+// PromptArrival completes an arrival at a service's engines: the engine time that the request needs,
+// and for a long prompt how long it would wait. events is the expected number of events.
+func (p *Policy) PromptArrival(now time.Time, a *admission.Arrival, service *directory.Service, engines, promptTokens int, events float64, target time.Duration) {
+	a.Cost, a.Prefill = EngineTime(service.Engine, promptTokens, events), PrefillTime(service.Engine, promptTokens)
+	a.Slack = FirstTokenSlack(service.Engine, target)
+	if engines > 0 && isLong(service, a.Prefill) {
+		estimate := p.EstimateFirstToken(now, service, engines, promptTokens)
+		a.Wait, a.Alone = estimate.Wait, estimate.Prefill
+	}
+}
+
+// EngineStates returns the states of the engines that requests may be sent to. It leaves out those
+// that accept no connections, have lost their registration, refused work lately, or are in backoff.
+func (p *Policy) EngineStates(now time.Time, service *directory.Service, endpoints []*directory.EndpointState) []admission.EngineState {
+	p.tracker.mu.Lock()
+	defer p.tracker.mu.Unlock()
+	p.tracker.updatePendingPrefill(now)
+	candidates := p.eligible(now, &Request{Service: service}, endpoints).unlimited
+	states := make([]admission.EngineState, 0, len(candidates))
+	kvCacheTokens := 0
+	if service.Engine != nil {
+		kvCacheTokens = service.Engine.KVCacheTokens
+	}
+	for _, e := range candidates {
+		load := p.tracker.estimate(now, e.Incarnation)
+		states = append(states, admission.EngineState{
+			Slowdown: load.slowdown, Slots: e.Slots, InFlight: load.inFlight, PendingPrefill: load.pendingPrefill,
+			KVCacheTokens: kvCacheTokens, MemoryTokens: load.memoryTokens,
+		})
+	}
+	return states
+}
+
+// scarceLongMargin is the factor by which the engines for long prompts exceed those that the long
+// prompts which were admitted need.
+const scarceLongMargin = 1.5
+
+// SetScarce sets whether requests of a service are refused by priority. Meanwhile engines are kept
+// for long prompts only as far as long prompts are admitted.
+func (l *LoadTracker) SetScarce(service string, scarce bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if scarce {
+		l.scarce[service] = true
+		return
+	}
+	delete(l.scarce, service)
+}
+
+// maxShortShare is the fraction of a service's engines that short prompts may take, however few
+// long ones there are.
+func (l *LoadTracker) maxShortShare(d *Demand, engines int) float64 {
+	if !l.scarce[d.Service] {
+		return 1 - minLongShare
+	}
+	needed := scarceLongMargin * d.LongPrefill.Seconds() / demandWindow.Seconds() / maxLongUtilization
+	return 1 - min(needed/float64(max(engines, 1)), minLongShare)
+}
--- a/routing/direct/load_tracker.go
+++ b/routing/direct/load_tracker.go
@@ -32,8 +32,10 @@
 	// prefilling holds the loads of this entry's long prompts whose first token has not
 	// arrived.
 	prefilling map[*RequestLoad]struct{}
-	limits     *EndpointLimits
-	backoffs   *EndpointBackoffs
+	// scarce holds the services whose requests are refused by priority.
+	scarce   map[string]bool
+	limits   *EndpointLimits
+	backoffs *EndpointBackoffs
 }
 
 // Limits returns the limits that endpoints state. They have a lock of their own.
@@ -149,7 +151,7 @@
 
 // NewLoadTracker returns an empty tracker.
 func NewLoadTracker() *LoadTracker {
-	return &LoadTracker{endpoints: map[directory.Incarnation]*trackedEndpoint{}, demands: map[string]*demand{}, shortInFlight: map[string]int{}, peers: map[string]*peer{}, pendingPrefill: map[string]time.Duration{}, queuedPrefill: map[string]time.Duration{}, peerLoads: map[EndpointHash]EndpointLoad{}, peerSlowdowns: map[EndpointHash]peerSlowdown{}, prefilling: map[*RequestLoad]struct{}{}, limits: NewEndpointLimits(), backoffs: NewEndpointBackoffs()}
+	return &LoadTracker{endpoints: map[directory.Incarnation]*trackedEndpoint{}, demands: map[string]*demand{}, shortInFlight: map[string]int{}, peers: map[string]*peer{}, pendingPrefill: map[string]time.Duration{}, queuedPrefill: map[string]time.Duration{}, peerLoads: map[EndpointHash]EndpointLoad{}, peerSlowdowns: map[EndpointHash]peerSlowdown{}, prefilling: map[*RequestLoad]struct{}{}, scarce: map[string]bool{}, limits: NewEndpointLimits(), backoffs: NewEndpointBackoffs()}
 }
 
 // RequestLoad is the load that one request puts on its endpoints until it ends. It must be
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -321,6 +321,7 @@
 
 // boundaryFor returns the boundary for a given demand.
 func (p *Policy) boundaryFor(demand Demand, service *directory.Service, engines int) int {
+	demand.maxShortShare = p.tracker.maxShortShare(&demand, engines)
 	if !p.tracker.knowsOtherEntries() {
 		// Entries that have all just started would each send their first requests to the
 		// same few engines.
