Admission: urgent short prompts on time; windows by target; lateness by pauses; a threshold to compare with

One long prompt of a million tokens looked like a lack of capacity for a second; the averages of tiers that may wait are longer now.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -25,7 +25,7 @@
 // DefaultControllerConfig returns the parameters that the gateway uses; docs/design/admission.md
 // has the measurements.
 func DefaultControllerConfig() ControllerConfig {
-	return ControllerConfig{Utilization: 0.9, Minimum: 0.03, RefreshInterval: 50 * time.Millisecond}
+	return ControllerConfig{Utilization: 0.85, Minimum: 0.03, RefreshInterval: 50 * time.Millisecond}
 }
 
 const (
@@ -34,7 +34,7 @@
 	scarceUse = 0.6
 	// fullUse is the use of engines up to which more is given out than the estimate of the capacity,
 	// in proportion to what is unused.
-	fullUse = 0.85
+	fullUse = 0.75
 	// maxUnusedFactor bounds that proportion.
 	maxUnusedFactor = 1.5
 	// sufficientDemand is the demand, as a fraction of what is given out, below which scarcity
@@ -44,9 +44,6 @@
 	sufficientFor    = time.Second
 	// reportLag is the time in which entries admit requests before they learn of each other's.
 	reportLag = 150 * time.Millisecond
-	// minWaitShare is the fraction of its target that a request may in any case wait before its
-	// prefill.
-	minWaitShare = 0.3
 )
 
 // Arrival describes a request that asks to be admitted.
@@ -61,9 +58,6 @@
 	// Slack is the time from now until the first token is late, less that of the passes of an
 	// engine which it takes in any case; 0: the route has no target.
 	Slack time.Duration
-	// Wait estimates how long the prompt waits for others that are prefilled in parts, before its
-	// own prefill, which takes Alone. Both are 0 for a prompt that does not wait.
-	Wait, Alone time.Duration
 	// Exempt requests are admitted in any case, and counted.
 	Exempt bool
 }
@@ -136,13 +130,8 @@
 	s := c.service(a.Service)
 	account := HashAccount(a.Account)
 	window := s.tier(a.Tier)
-	window.arrive(now, account, milliseconds(a.Cost))
 	window.typical.observe(a)
-	kind := s.kind(a.Kind)
-	kind.cost.observe(milliseconds(a.Cost))
-	if a.Alone > 0 {
-		kind.alone.observe(milliseconds(a.Alone))
-	}
+	window.arrive(now, account, milliseconds(a.Cost))
 	if now.Sub(s.computedAt) >= c.config.RefreshInterval || s.shares[a.Tier] == nil {
 		c.refresh(now, a.Service, s, engines())
 	}
@@ -150,27 +139,22 @@
 	d := ArrivalDecision{Tier: a.Tier, Share: 1, Offered: share.offered, Demand: s.demand, Capacity: s.given, Scarce: s.scarce}
 	if s.scarce {
 		d.Share = share.of(account)
-		if waitsTooLong(a, kind) {
-			d.Share = 0
-		}
 	}
-	largest := milliseconds(a.Cost) >= kind.cost.longestTenth()
-	d.Admitted = a.Exempt || d.Share >= 1 || d.Share > 0 && c.diffuser.admit(diffusionKey{a.Tier, account, a.Kind, largest}, d.Share)
+	d.Admitted = a.Exempt || d.Share >= 1 || d.Share > 0 && c.diffuser.admit(diffusionKey{a.Tier, account, a.Kind}, d.Share)
 	if d.Admitted {
-		window.admitted.add(now, milliseconds(a.Cost))
+		window.admitted.add(now, window.window(), milliseconds(a.Cost))
 	}
 	return d
 }
 
-// waitsTooLong reports whether the longest tenth of the request's kind would be late after the
-// present wait. The bound is the same for all lengths: if each prompt could wait as long as its own
-// length allows, short ones would keep the wait at a length at which the longest never start.
-func waitsTooLong(a *Arrival, kind *kindState) bool {
-	if a.Slack <= 0 || a.Alone <= 0 {
-		return false
-	}
-	bound := max(milliseconds(a.Slack)-kind.alone.longestTenth(), minWaitShare*milliseconds(a.Slack))
-	return milliseconds(a.Wait) > bound
+// Refresh computes the shares of a service again, and reports whether they are applied. It ends the
+// scarcity of a service whose callers have stopped to send requests to this entry.
+func (c *Controller) Refresh(now time.Time, service string, engines []EngineState) (scarce bool, demand, capacity float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.service(service)
+	c.refresh(now, service, s, engines)
+	return s.scarce, s.demand, s.given
 }
 
 // Started records the first response to an admitted request.
@@ -178,12 +162,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	window := c.service(service).tier(tier)
-	window.started.add(now, 1)
+	window.started.add(now, minWindow, 1)
 	if late {
-		window.late.add(now, 1)
+		window.late.add(now, minWindow, 1)
 	}
 }
 
+// Late records that an admitted request, whose first response was in time, was late later on.
+func (c *Controller) Late(now time.Time, service string, tier Tier) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.service(service).tier(tier).late.add(now, minWindow, 1)
+}
+
 // Ended records the number of events of a stream that has ended, from which the cost of later
 // requests of its kind is estimated.
 func (c *Controller) Ended(service, kind string, events int) {
--- a/admission/diffusion.go
+++ b/admission/diffusion.go
@@ -6,14 +6,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// diffusionKey identifies requests that are admitted by one share.
+// diffusionKey identifies requests that are admitted by one share. Lengths are not told apart, so
+// that prompts of all lengths of a kind are admitted at the same rate.
 type diffusionKey struct {
 	tier    Tier
 	account uint32
-	// kind and largest separate the longest prompts of a kind from the others, so that neither
-	// takes the other's turn.
 	kind    string
-	largest bool
 }
 
 // diffuser admits a share of a sequence of requests evenly: each request adds the share to an
@@ -55,12 +53,9 @@
 func (d *diffuser) phase(key diffusionKey) float64 {
 	var digest xxhash.Digest
 	digest.ResetWithSeed(d.seed)
-	var bytes [6]byte
+	var bytes [5]byte
 	binary.LittleEndian.PutUint32(bytes[:], key.account)
 	bytes[4] = byte(key.tier)
-	if key.largest {
-		bytes[5] = 1
-	}
 	_, _ = digest.Write(bytes[:])
 	_, _ = digest.WriteString(key.kind)
 	const bits = 53 // those of a float64's mantissa
--- a/admission/offered.go
+++ b/admission/offered.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// offeredWindow is the time constant of the averages of offered load: short enough to follow
-	// a burst, long enough to smooth out single requests.
-	offeredWindow = time.Second
+	// minWindow and maxWindow bound the time constant of the averages of offered load, which is
+	// windowShare of the time that the tier's requests may wait. A burst of urgent requests must be
+	// followed within a second. A single prompt of a million tokens takes the time of fifty engines
+	// for a second, and may wait for several.
+	minWindow, maxWindow = time.Second, 4 * time.Second
+	windowShare          = 0.5
 	// maxReportedAccounts is how many client accounts a report lists for each tier.
 	maxReportedAccounts = 8
 	// negligibleLoad is the load, in milliseconds a second, below which an average is dropped.
@@ -37,24 +40,24 @@
 	Accounts []AccountLoad
 }
 
-// average is an exponentially weighted rate.
+// average is an exponentially weighted rate per second.
 type average struct {
-	sum float64
-	at  time.Time
+	rate float64
+	at   time.Time
 }
 
-// add adds an amount.
-func (a *average) add(now time.Time, amount float64) {
-	a.sum = a.value(now) + amount
+// add adds an amount. window is the time constant.
+func (a *average) add(now time.Time, window time.Duration, amount float64) {
+	a.rate = a.value(now, window) + amount/window.Seconds()
 	a.at = now
 }
 
-// value returns the amount of the last offeredWindow, which is also the rate per second.
-func (a *average) value(now time.Time) float64 {
-	if passed := now.Sub(a.at); passed > 0 && a.sum != 0 {
-		return a.sum * math.Exp(-passed.Seconds()/offeredWindow.Seconds())
+// value returns the rate.
+func (a *average) value(now time.Time, window time.Duration) float64 {
+	if passed := now.Sub(a.at); passed > 0 && a.rate != 0 {
+		return a.rate * math.Exp(-passed.Seconds()/window.Seconds())
 	}
-	return a.sum
+	return a.rate
 }
 
 // tierWindow is what callers lately offered to this entry in one tier.
@@ -67,22 +70,29 @@
 
 func newTierWindow() *tierWindow { return &tierWindow{accounts: map[uint32]*average{}} }
 
+// window is the time constant of the tier's offered load.
+func (w *tierWindow) window() time.Duration {
+	return min(max(time.Duration(windowShare*float64(w.typical.slack)), minWindow), maxWindow)
+}
+
 // arrive records a request's engine time.
 func (w *tierWindow) arrive(now time.Time, account uint32, cost float64) {
-	w.offered.add(now, cost)
+	window := w.window()
+	w.offered.add(now, window, cost)
 	a := w.accounts[account]
 	if a == nil {
 		a = &average{}
 		w.accounts[account] = a
 	}
-	a.add(now, cost)
+	a.add(now, window, cost)
 }
 
 // report returns the averages, and drops accounts that no longer offer anything.
 func (w *tierWindow) report(now time.Time, service string, tier Tier) TierLoad {
-	load := TierLoad{Service: service, Tier: tier, Offered: w.offered.value(now), Admitted: w.admitted.value(now), Started: w.started.value(now), Late: w.late.value(now)}
+	window := w.window()
+	load := TierLoad{Service: service, Tier: tier, Offered: w.offered.value(now, window), Admitted: w.admitted.value(now, window), Started: w.started.value(now, minWindow), Late: w.late.value(now, minWindow)}
 	for account, a := range w.accounts {
-		value := a.value(now)
+		value := a.value(now, window)
 		if value < negligibleLoad {
 			delete(w.accounts, account)
 			continue
--- a/admission/servicestate.go
+++ b/admission/servicestate.go
@@ -24,8 +24,8 @@
 
 // kindState describes the requests of one kind.
 type kindState struct {
-	cost, alone lengths
-	events      float64
+	// events is the mean number of events of its streams; 0 if none has ended.
+	events float64
 }
 
 // tierShare is the share of one tier's requests that is admitted.
--- a/bench/emulator/admission.go
+++ b/bench/emulator/admission.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"aspenyard.example/admission"
+	"aspenyard.example/routing/direct"
 )
 
 // Admission admits requests at one entry. admission.Controller is the product's.
 type Admission interface {
 	Admit(now time.Time, a *admission.Arrival, engines func() []admission.EngineState) admission.ArrivalDecision
 	Started(now time.Time, service string, tier admission.Tier, late bool)
+	Late(now time.Time, service string, tier admission.Tier)
 	Reports(now time.Time) []admission.TierLoad
 	Merge(now time.Time, entry string, loads []admission.TierLoad)
 	SetEntries(n int)
@@ -82,7 +84,7 @@
 	}
 	sim, now := r.sim, r.sim.wallTime()
 	a := &admission.Arrival{Service: serviceName, Tier: r.kind.tier(), Account: r.account, Kind: r.kind.Name}
-	r.entry.policy.PromptArrival(now, a, sim.service, len(r.entry.endpoints), r.promptTokens, float64(r.kind.Events), r.kind.Target)
+	direct.SetPromptCost(a, sim.service.Engine, r.promptTokens, float64(r.kind.Events), r.kind.Target)
 	d := r.entry.admission.Admit(now, a, func() []admission.EngineState {
 		return r.entry.policy.EngineStates(now, sim.service, r.entry.endpoints)
 	})
@@ -104,6 +106,15 @@
 	}
 }
 
+// observePause records a pause and tells the entry's admission of the first one that is too long.
+func (r *request) observePause(pause, firstEventAt time.Duration) {
+	late := pause > r.kind.MaxPause && r.longestPause <= r.kind.MaxPause
+	r.longestPause = max(r.longestPause, pause)
+	if late && r.entry.admission != nil && firstEventAt-r.arrivedAt <= r.kind.Target {
+		r.entry.admission.Late(r.sim.wallTime(), serviceName, r.kind.tier())
+	}
+}
+
 // countHeldBack counts a refusal if it came late.
 func (r *request) countHeldBack() {
 	if r.sim.Now()-r.arrivedAt > r.kind.Target/2 {
--- a/bench/emulator/engine.go
+++ b/bench/emulator/engine.go
@@ -210,7 +210,7 @@
 		j.request.finishPrefill()
 		j.request.observeHead()
 	} else {
-		j.request.longestPause = max(j.request.longestPause, now-j.lastEventAt)
+		j.request.observePause(now-j.lastEventAt, j.firstEventAt)
 	}
 	j.lastEventAt = now
 	if j.eventsLeft--; j.eventsLeft > 0 {
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -12,6 +12,7 @@
 	"aspenyard.example/admission"
 	"aspenyard.example/directory"
 	"aspenyard.example/result"
+	"aspenyard.example/routing/direct"
 	"aspenyard.example/settings"
 	"aspenyard.example/wire"
 )
@@ -71,7 +72,7 @@
 	now := time.Now()
 	endpoints := f.gateway.snapshot.Load().Endpoints(f.service.Name)
 	arrival := &admission.Arrival{Service: f.service.Name, Tier: f.tier(), Account: f.accountName(), Kind: f.route.Name, Exempt: f.LastEventID != ""}
-	f.gateway.policy.PromptArrival(now, arrival, f.service, len(endpoints), f.PromptTokens, f.expectedEvents(), f.route.Target)
+	direct.SetPromptCost(arrival, f.service.Engine, f.PromptTokens, f.expectedEvents(), f.route.Target)
 	decision := a.controller.Admit(now, arrival, func() []admission.EngineState {
 		return f.gateway.policy.EngineStates(now, f.service, endpoints)
 	})
@@ -119,14 +120,19 @@
 	f.admitted = false
 	now := time.Now()
 	late := f.route.Target > 0 && now.Sub(f.started) > f.route.Target
+	f.startedInTime = !late
 	f.gateway.admission.controller.Started(now, f.service.Name, f.admittedTier, late)
 }
 
-// endAdmission records the response to a request that was not streamed, and the length of a stream.
+// endAdmission records the response to a request that was not streamed, and the pauses and the length
+// of a stream.
 func (f *forwarding) endAdmission() {
 	if !f.firstByteAt.IsZero() {
 		f.recordFirstResponse()
 	}
+	if f.startedInTime && f.route.TargetPause > 0 && f.longestPause > f.route.TargetPause {
+		f.gateway.admission.controller.Late(time.Now(), f.service.Name, f.admittedTier)
+	}
 	if f.service.Engine != nil && f.eventsSent > 0 && f.gateway.admission.applies(f.config, f.service) {
 		f.gateway.admission.controller.Ended(f.service.Name, f.route.Name, f.eventsSent)
 	}
@@ -144,25 +150,53 @@
 func (g *Gateway) applyDecision(service string, d admission.ArrivalDecision) {
 	a := g.admission
 	a.mu.Lock()
-	changed := a.scarce[service] != d.Scarce
-	if changed {
-		a.scarce[service] = d.Scarce
-	}
 	unmetered := !a.metered[meteredTier{service, d.Tier}]
 	a.metered[meteredTier{service, d.Tier}] = true
 	a.mu.Unlock()
 	if unmetered {
 		g.registerTierMetrics(service, d.Tier)
 	}
+	g.setScarce(service, d.Scarce, d.Demand, d.Capacity)
+}
+
+// setScarce records whether a service's requests are refused by priority.
+func (g *Gateway) setScarce(service string, scarce bool, demand, capacity float64) {
+	a := g.admission
+	a.mu.Lock()
+	changed := a.scarce[service] != scarce
+	a.scarce[service] = scarce
+	a.mu.Unlock()
 	if !changed {
 		return
 	}
-	g.loadTracker.SetScarce(service, d.Scarce)
-	event := "capacity_scarce"
-	if !d.Scarce {
-		event = "capacity_sufficient"
+	g.loadTracker.SetScarce(service, scarce)
+	if !scarce {
+		g.log.Info("capacity_sufficient", zap.String("service", service), zap.Float64("capacity", capacity), zap.Float64("demand", demand))
+		return
+	}
+	g.log.Warn("capacity_scarce", zap.String("service", service), zap.Float64("capacity", capacity), zap.Float64("demand", demand))
+}
+
+// refreshScarce computes the shares of services with scarce capacity again, also if no requests
+// arrive at this entry.
+func (g *Gateway) refreshScarce(now time.Time) {
+	snapshot := g.snapshot.Load()
+	if snapshot.Config == nil {
+		return
+	}
+	g.admission.mu.Lock()
+	var services []string
+	for service, scarce := range g.admission.scarce {
+		if scarce {
+			services = append(services, service)
+		}
+	}
+	g.admission.mu.Unlock()
+	for _, name := range services {
+		engines := g.policy.EngineStates(now, snapshot.Config.Service(name), snapshot.Endpoints(name))
+		scarce, demand, capacity := g.admission.controller.Refresh(now, name, engines)
+		g.setScarce(name, scarce, demand, capacity)
 	}
-	g.log.Info(event, zap.String("service", service), zap.Float64("capacity", d.Capacity), zap.Float64("demand", d.Demand))
 }
 
 // appendOfferedLoads adds to a heartbeat what callers offered to this entry.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -34,9 +34,10 @@
 	budgetTaken bool
 	// failedResponse is the last complete response in which an endpoint reported a failure.
 	failedResponse *bufferedResponse
-	// admitted is set from the admission by priority, in admittedTier, to the first response.
-	admitted     bool
-	admittedTier admission.Tier
+	// admitted is set from the admission by priority, in admittedTier, to the first response, and
+	// startedInTime if that was not late.
+	admitted, startedInTime bool
+	admittedTier            admission.Tier
 }
 
 // forward sends the request to endpoints until one has answered it or no retry is allowed.
--- a/routing/direct/engine_state.go
+++ b/routing/direct/engine_state.go
@@ -26,24 +26,20 @@
 	return cost
 }
 
-// FirstTokenSlack returns how much of a target is left for the prefill of prompts, after the pass
+// firstTokenSlack returns how much of a target is left for the prefill of prompts, after the pass
 // that an engine is in and the one that decodes the first token; 0 if there is no target.
-func FirstTokenSlack(e *directory.Engine, target time.Duration) time.Duration {
+func firstTokenSlack(e *directory.Engine, target time.Duration) time.Duration {
 	if target <= 0 {
 		return 0
 	}
 	return max(target-2*PassTime(e), target/4)
 }
 
-// PromptArrival completes an arrival at a service's engines: the engine time that the request needs,
-// and for a long prompt how long it would wait. events is the expected number of events.
-func (p *Policy) PromptArrival(now time.Time, a *admission.Arrival, service *directory.Service, engines, promptTokens int, events float64, target time.Duration) {
-	a.Cost, a.Prefill = EngineTime(service.Engine, promptTokens, events), PrefillTime(service.Engine, promptTokens)
-	a.Slack = FirstTokenSlack(service.Engine, target)
-	if engines > 0 && isLong(service, a.Prefill) {
-		estimate := p.EstimateFirstToken(now, service, engines, promptTokens)
-		a.Wait, a.Alone = estimate.Wait, estimate.Prefill
-	}
+// SetPromptCost sets what a request needs of an engine: its time, and the part of its target that
+// is left for the prefill of prompts. events is the expected number of events.
+func SetPromptCost(a *admission.Arrival, e *directory.Engine, promptTokens int, events float64, target time.Duration) {
+	a.Cost, a.Prefill = EngineTime(e, promptTokens, events), PrefillTime(e, promptTokens)
+	a.Slack = firstTokenSlack(e, target)
 }
 
 // EngineStates returns the states of the engines that requests may be sent to. It leaves out those
@@ -93,3 +89,16 @@
 	needed := scarceLongMargin * d.LongPrefill.Seconds() / demandWindow.Seconds() / maxLongUtilization
 	return 1 - min(needed/float64(max(engines, 1)), minLongShare)
 }
+
+// scarceShortPoolCost takes the place of otherPoolCost for parts of prompts at engines for short
+// prompts while capacity is scarce: the engines for long prompts have more to prefill then, and
+// parts that avoid them would pause the streams of more urgent requests.
+const scarceShortPoolCost = 600 * time.Millisecond
+
+// shortPoolCost is added to the cost of engines for short prompts for a part of a prompt.
+func (p *Policy) shortPoolCost(service string) time.Duration {
+	if p.tracker.scarce[service] {
+		return scarceShortPoolCost
+	}
+	return otherPoolCost
+}
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -240,7 +240,7 @@
 	list := p.score(now, r, candidates, r.Service.Engine)
 	short := list[:boundary]
 	markPreferred(short)
-	addCost(short, otherPoolCost)
+	addCost(short, p.shortPoolCost(r.Service.Name))
 	list = dropSlowUnlessAll(list)
 	return list, partCount(prefill, target, len(list))
 }
