Admission: less urgent tiers give way while more urgent requests are late; engines for short prompts are held

A long prompt that needs the memory of several engines was prefilled on seventeen of them, beside a hundred short streams, and engines changed from short to long prompts while streams still decoded there.

--- a/admission/feedback.go
+++ b/admission/feedback.go
@@ -17,6 +17,10 @@
 	// feedbackTime is the time constant with which the factor follows: that of a few requests, so
 	// that the effect of a change is seen before the next one.
 	feedbackTime = time.Second
+	// tierTolerance and tierGain are like toleratedLateness and latenessGain for what is left to less
+	// urgent tiers, which give way earlier. minTierLimit is the least fraction of the capacity up to
+	// which they get what more urgent ones leave.
+	tierTolerance, tierGain, minTierLimit = 0.05, 3.0, 0.3
 	// minStarted is the number of first responses, over all entries, from which their lateness
 	// says anything.
 	minStarted = 5
@@ -42,6 +46,23 @@
 	return 1 - f.shrunk
 }
 
+// tierLimits returns, for each tier, the fraction of the capacity that it and the more urgent ones may
+// be granted. It shrinks while the more urgent ones are late: less urgent requests, which pause their
+// streams and take their slots, give way first.
+func tierLimits(tiers []*demandSum) []float64 {
+	limits := make([]float64, len(tiers))
+	started, late := 0.0, 0.0
+	for i, d := range tiers {
+		limits[i] = 1
+		if started >= minStarted {
+			limits[i] = max(1-tierGain*max(late/started-tierTolerance, 0), minTierLimit)
+		}
+		started += d.started
+		late += d.late
+	}
+	return limits
+}
+
 // urgentLateness returns the share of late requests among the most urgent tiers that together
 // have at least half of all first responses. tiers are in order of urgency.
 func urgentLateness(tiers []*demandSum) float64 {
--- a/admission/servicestate.go
+++ b/admission/servicestate.go
@@ -100,7 +100,7 @@
 	}
 	capacity := SumEngines(engines)
 	s.given = capacity.Rate * c.config.Utilization * s.feedback.update(now, urgentLateness(tiers)) * unusedFactor(capacity.Use)
-	granted := Grant(s.given, c.config.Minimum, offered)
+	granted := Grant(s.given, c.config.Minimum, offered, tierLimits(tiers))
 	s.shares, s.computedAt = make(map[Tier]*tierShare, len(order)), now
 	above, unstartable := 0.0, false
 	for i, tier := range order {
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -7,9 +7,11 @@
 
 // Grant divides capacity among tiers, most urgent first. Each tier gets what it asks for, as far
 // as anything is left. Tiers that offer load get at least the given fraction of the capacity, or
-// less where there are so many that their minimums would exceed maxMinimums. The sum of the
-// grants does not exceed the capacity. All amounts have the same unit.
-func Grant(capacity, minimum float64, offered []float64) []float64 {
+// less where there are so many that their minimums would exceed maxMinimums. Beyond its minimum, a
+// tier gets something only while it and the more urgent ones together have less than its limit, a
+// fraction of the capacity; limits may be nil. The sum of the grants does not exceed the capacity.
+// All amounts have the same unit.
+func Grant(capacity, minimum float64, offered, limits []float64) []float64 {
 	granted := make([]float64, len(offered))
 	capacity = max(capacity, 0)
 	each := capacity * min(minimum, maxMinimums/float64(max(len(offered), 1)))
@@ -18,9 +20,15 @@
 		granted[i] = min(max(o, 0), each)
 		left -= granted[i]
 	}
+	given := 0.0
 	for i, o := range offered {
-		more := max(min(o-granted[i], left), 0)
+		room := left
+		if limits != nil {
+			room = min(left, limits[i]*capacity-given-granted[i])
+		}
+		more := max(min(o-granted[i], room), 0)
 		granted[i] += more
+		given += granted[i]
 		left -= more
 	}
 	return granted
--- a/bench/emulator/admission_test.go
+++ b/bench/emulator/admission_test.go
@@ -14,7 +14,7 @@
 // the given factors after three seconds. A large client account sends four fifths of the requests.
 func scarceSite(seed uint64, engines int, factors []float64) *Config {
 	c := &Config{
-		Seed: seed, Entries: 25, Engines: engines, Duration: 12 * time.Second,
+		Seed: seed, Entries: 25, Engines: engines, Duration: 15 * time.Second,
 		Engine: directory.Engine{
 			Slots: 12, KVCacheTokens: 382_500, Stride: 52, ChunkTokens: 2048, StepTime: 925 * time.Microsecond, StepTimePerRequest: 1500 * time.Nanosecond,
 			StepTimePerContext: 700 * time.Nanosecond, PrefillTokensPerSecond: 256_000, AttentionTimePerMillionPairs: 91700 * time.Nanosecond,
@@ -24,7 +24,7 @@
 			{Name: "medium", MeanTokens: 45_000, Spread: 0.5, MaxTokens: 110_000, Events: 20, RequestsPerSecond: 12, Target: 1500 * time.Millisecond, MaxPause: 500 * time.Millisecond, Priority: 1},
 			{Name: "long", MeanTokens: 300_000, Spread: 0.55, MaxTokens: 1_000_000, Events: 16, RequestsPerSecond: 2, Target: 8 * time.Second, MaxPause: 800 * time.Millisecond, Priority: 2},
 		},
-		LoadChanges: []LoadChange{{3 * time.Second, factors}},
+		LoadChanges: []LoadChange{{3 * time.Second, factors}, {12 * time.Second, []float64{0.3, 0.1, 0}}}, // streams of the burst end while entries still report
 	}
 	for i := range c.Kinds {
 		c.Kinds[i].Accounts = []Account{{"large", 0.8}, {"small", 0.1}, {"smaller", 0.05}, {"smallest", 0.05}}
--- a/routing/direct/engine_state.go
+++ b/routing/direct/engine_state.go
@@ -64,8 +64,8 @@
 	return states
 }
 
-// scarceLongMargin is the factor by which the engines for long prompts exceed those that the long
-// prompts which were admitted need.
+// scarceLongMargin is the factor by which the engines that are kept for long prompts exceed those
+// that the long prompts which were admitted need.
 const scarceLongMargin = 1.5
 
 // SetScarce sets whether requests of a service are refused by priority. Meanwhile engines are kept
@@ -73,17 +73,43 @@
 func (l *LoadTracker) SetScarce(service string, scarce bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if scarce {
-		l.scarce[service] = true
-		return
+	switch {
+	case !scarce:
+		delete(l.scarce, service)
+	case l.scarce[service] == nil:
+		l.scarce[service] = &scarcity{}
+		l.demands[service] = &demand{} // arrivals before do not tell what is admitted from now on
 	}
-	delete(l.scarce, service)
+}
+
+// scarcity is the state of a service whose requests are refused by priority.
+type scarcity struct {
+	// shortInFlight is the largest number of requests with short prompts in flight since heldSince.
+	shortInFlight int
+	heldSince     time.Time
+}
+
+// shortHold is for how long engines for short prompts are kept while capacity is scarce: about as
+// long as a short stream takes. Otherwise long prompts would be prefilled on engines on which short
+// streams still decode, each time that a few of them have ended.
+const shortHold = 1500 * time.Millisecond
+
+// holdShort returns the number of requests with short prompts in flight for which engines are kept.
+func (l *LoadTracker) holdShort(now time.Time, service string, inFlight int) int {
+	s := l.scarce[service]
+	if s == nil {
+		return inFlight
+	}
+	if inFlight >= s.shortInFlight || now.Sub(s.heldSince) > shortHold {
+		s.shortInFlight, s.heldSince = inFlight, now
+	}
+	return s.shortInFlight
 }
 
 // maxShortShare is the fraction of a service's engines that short prompts may take, however few
 // long ones there are.
 func (l *LoadTracker) maxShortShare(d *Demand, engines int) float64 {
-	if !l.scarce[d.Service] {
+	if l.scarce[d.Service] == nil {
 		return 1 - minLongShare
 	}
 	needed := scarceLongMargin * d.LongPrefill.Seconds() / demandWindow.Seconds() / maxLongUtilization
@@ -97,8 +123,32 @@
 
 // shortPoolCost is added to the cost of engines for short prompts for a part of a prompt.
 func (p *Policy) shortPoolCost(service string) time.Duration {
-	if p.tracker.scarce[service] {
+	if p.tracker.scarce[service] != nil {
 		return scarceShortPoolCost
 	}
 	return otherPoolCost
 }
+
+// countedPart is the prefill time from which on the requests that a part would delay are counted.
+// While capacity is scarce, each part that lengthens a pass beyond what short streams allow counts:
+// a prompt that was admitted as one of few must not make a hundred more urgent ones late.
+func (p *Policy) countedPart(s *directory.Service) time.Duration {
+	if p.tracker.scarce[s.Name] != nil {
+		return partTarget(s)
+	}
+	return longestPart(s)
+}
+
+// memoryEngines returns the engines for a prompt for whose memory those for long prompts are too
+// few, and the number of its parts. While capacity is scarce it has as few parts as its memory
+// allows, so that it shares engines with few other requests.
+func (p *Policy) memoryEngines(service string, all []scored, needed int) ([]scored, int) {
+	list := dropSlowUnlessAll(all)
+	if len(list) < needed {
+		list = all
+	}
+	if p.tracker.scarce[service] != nil {
+		return list, min(needed, maxParts, len(list))
+	}
+	return list, min(maxParts, len(list))
+}
--- a/routing/direct/load_tracker.go
+++ b/routing/direct/load_tracker.go
@@ -33,7 +33,7 @@
 	// arrived.
 	prefilling map[*RequestLoad]struct{}
 	// scarce holds the services whose requests are refused by priority.
-	scarce   map[string]bool
+	scarce   map[string]*scarcity
 	limits   *EndpointLimits
 	backoffs *EndpointBackoffs
 }
@@ -117,6 +117,7 @@
 			}
 		}
 	}
+	sum.ShortInFlight = l.holdShort(now, service, sum.ShortInFlight)
 	return sum
 }
 
@@ -151,7 +152,7 @@
 
 // NewLoadTracker returns an empty tracker.
 func NewLoadTracker() *LoadTracker {
-	return &LoadTracker{endpoints: map[directory.Incarnation]*trackedEndpoint{}, demands: map[string]*demand{}, shortInFlight: map[string]int{}, peers: map[string]*peer{}, pendingPrefill: map[string]time.Duration{}, queuedPrefill: map[string]time.Duration{}, peerLoads: map[EndpointHash]EndpointLoad{}, peerSlowdowns: map[EndpointHash]peerSlowdown{}, prefilling: map[*RequestLoad]struct{}{}, scarce: map[string]bool{}, limits: NewEndpointLimits(), backoffs: NewEndpointBackoffs()}
+	return &LoadTracker{endpoints: map[directory.Incarnation]*trackedEndpoint{}, demands: map[string]*demand{}, shortInFlight: map[string]int{}, peers: map[string]*peer{}, pendingPrefill: map[string]time.Duration{}, queuedPrefill: map[string]time.Duration{}, peerLoads: map[EndpointHash]EndpointLoad{}, peerSlowdowns: map[EndpointHash]peerSlowdown{}, prefilling: map[*RequestLoad]struct{}{}, scarce: map[string]*scarcity{}, limits: NewEndpointLimits(), backoffs: NewEndpointBackoffs()}
 }
 
 // RequestLoad is the load that one request puts on its endpoints until it ends. It must be
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -171,7 +171,7 @@
 		}
 	}
 	plan.PartPrefill = prefill / time.Duration(parts)
-	if plan.PartPrefill <= longestPart(r.Service) {
+	if plan.PartPrefill <= p.countedPart(r.Service) {
 		p.assign(plan, list, parts, engine)
 		return plan
 	}
@@ -265,11 +265,7 @@
 	others := candidates[:boundary]
 	list := dropSlowUnlessAll(p.score(now, r, candidates[boundary:], engine))
 	if needed := enginesForMemory(engine, r.PromptTokens+r.OutputTokens); len(list) < needed {
-		all := p.score(now, r, candidates, engine)
-		if list = dropSlowUnlessAll(all); len(list) < needed {
-			list = all
-		}
-		return list, min(maxParts, len(list))
+		return p.memoryEngines(r.Service.Name, p.score(now, r, candidates, engine), needed)
 	}
 	parts := partCount(prefill, partTarget(r.Service), len(list))
 	if prefill/time.Duration(parts) > longestPart(r.Service) {
