--- a/admission/controller.go
+++ b/admission/controller.go
@@ -42,6 +42,11 @@
 	// the capacity would be refused and admitted in turns.
 	sufficientDemand = 0.9
 	sufficientFor    = time.Second
+	// refreshShare is the fraction of the requests that engines can start in time after which the
+	// shares are computed again, in a burst that is shorter than RefreshInterval; but not before
+	// minRefreshAfter requests.
+	refreshShare    = 0.1
+	minRefreshAfter = 8
 	// reportLag is the time in which entries admit requests before they learn of each other's.
 	reportLag = 150 * time.Millisecond
 )
@@ -132,7 +137,7 @@
 	window := s.tier(a.Tier)
 	window.typical.observe(a)
 	window.arrive(now, account, milliseconds(a.Cost))
-	if now.Sub(s.computedAt) >= c.config.RefreshInterval || s.shares[a.Tier] == nil {
+	if now.Sub(s.computedAt) >= c.config.RefreshInterval || s.shares[a.Tier] == nil || s.admitted >= s.refreshAfter {
 		c.refresh(now, a.Service, s, engines())
 	}
 	share := s.shares[a.Tier]
@@ -142,6 +147,7 @@
 	}
 	d.Admitted = a.Exempt || d.Share >= 1 || d.Share > 0 && c.diffuser.admit(diffusionKey{a.Tier, account, a.Kind}, d.Share)
 	if d.Admitted {
+		s.admitted++
 		window.admitted.add(now, window.window(), milliseconds(a.Cost))
 	}
 	return d
--- a/admission/servicestate.go
+++ b/admission/servicestate.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -16,6 +17,9 @@
 	given, demand float64
 	computedAt    time.Time
 	feedback      feedback
+	// admitted is the number of requests that were admitted since then, and refreshAfter the one at
+	// which the shares are computed again.
+	admitted, refreshAfter int
 	// scarce is set while shares are applied, sufficientSince when demand was last found to be
 	// within the capacity; zero while it exceeds it.
 	scarce          bool
@@ -102,16 +106,25 @@
 	s.given = capacity.Rate * c.config.Utilization * s.feedback.update(now, urgentLateness(tiers)) * unusedFactor(capacity.Use)
 	granted := Grant(s.given, c.config.Minimum, offered, tierLimits(tiers))
 	s.shares, s.computedAt = make(map[Tier]*tierShare, len(order)), now
-	above, unstartable := 0.0, false
+	above, unstartable, leastPlaces := 0.0, false, math.Inf(1)
 	for i, tier := range order {
 		above += offered[i]
 		t := newTierShare(granted[i], tiers[i])
 		t.offered = above
-		t.startable = startableShare(engines, s.tier(tier).typical, granted[i])
+		places, expected := startable(engines, s.tier(tier).typical, granted[i])
+		if expected > 0 {
+			t.startable = min(places/expected, 1)
+			leastPlaces = min(leastPlaces, places)
+		}
 		unstartable = unstartable || t.startable < 1
 		s.shares[tier] = t
 	}
-	s.demand = demand
+	s.demand, s.admitted = demand, 0
+	s.refreshAfter = max(int(min(refreshShare*leastPlaces, math.MaxInt32)), minRefreshAfter)
+	if len(engines) == 0 {
+		s.scarce = false // placement refuses, with the reason
+		return
+	}
 	s.updateScarcity(now, demand, capacity.Use, unstartable)
 }
 
@@ -140,18 +153,15 @@
 	return t
 }
 
-// startableShare returns the share of a tier's granted requests that engines can start in time
-// until entries learn of each other's requests. The rates lag a burst, and the requests in flight
-// show it.
-func startableShare(engines []EngineState, typical typicalRequest, granted float64) float64 {
+// startable returns how many of a tier's requests engines can start in time, and how many are
+// expected, as far as they are granted, until entries learn of each other's requests; 0 if that does
+// not bind. The rates lag a burst, and the requests in flight show it.
+func startable(engines []EngineState, typical typicalRequest, granted float64) (places, expected float64) {
 	if typical.slack <= 0 || typical.cost <= 0 || typical.prefill > typical.slack {
-		return 1 // without a target, or prefilled in parts
-	}
-	expected := granted / milliseconds(typical.cost) * reportLag.Seconds()
-	if expected <= 0 {
-		return 1
+		return 0, 0 // without a target, or prefilled in parts
 	}
-	return min(Places(engines, typical.slack, typical.cost, typical.prefill)/expected, 1)
+	expected = granted / milliseconds(typical.cost) * reportLag.Seconds()
+	return Places(engines, typical.slack, typical.cost, typical.prefill), expected
 }
 
 // updateScarcity begins and ends the refusal of requests.
--- /dev/null
+++ b/admission/shares_test.go
@@ -0,0 +1,164 @@
+package admission
+
+import (
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const tolerance = 1e-6
+
+// drawLoads draws the loads of a few tiers.
+func drawLoads(t *rapid.T) []float64 {
+	return rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 12).Draw(t, "offered")
+}
+
+func sumOf(list []float64) float64 {
+	sum := 0.0
+	for _, x := range list {
+		sum += x
+	}
+	return sum
+}
+
+// Guards against grants that exceed the capacity or what is offered, that serve a less urgent tier
+// beyond its minimum while a more urgent one lacks something, that starve a tier, and that leave
+// capacity unused while load is refused.
+func TestGrantsFollowTheOrderOfTiers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offered, capacity, minimum := drawLoads(t), rapid.Float64Range(0, 3000).Draw(t, "capacity"), rapid.Float64Range(0, 0.2).Draw(t, "minimum")
+		granted := Grant(capacity, minimum, offered, nil)
+		least := capacity * min(minimum, maxMinimums/float64(len(offered)))
+		lacking := false
+		for i, o := range offered {
+			if granted[i] > o+tolerance || granted[i] < min(o, least)-tolerance {
+				t.Fatalf("tier %d is granted %v of %v; the minimum is %v", i, granted[i], o, least)
+			}
+			if lacking && granted[i] > min(o, least)+tolerance {
+				t.Fatalf("tier %d is granted %v while a more urgent tier lacks capacity", i, granted[i])
+			}
+			lacking = lacking || granted[i] < o-tolerance
+		}
+		if want := min(sumOf(offered), capacity); math.Abs(sumOf(granted)-want) > tolerance {
+			t.Fatalf("granted %v in total, want %v", sumOf(granted), want)
+		}
+	})
+}
+
+// Guards against more capacity that gives a tier less.
+func TestGrantsGrowWithTheCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offered, capacity, more := drawLoads(t), rapid.Float64Range(0, 3000).Draw(t, "capacity"), rapid.Float64Range(0, 500).Draw(t, "more")
+		before, after := Grant(capacity, 0.03, offered, nil), Grant(capacity+more, 0.03, offered, nil)
+		for i := range offered {
+			if after[i] < before[i]-tolerance {
+				t.Fatalf("tier %d gets %v of a capacity of %v and %v of %v", i, before[i], capacity, after[i], capacity+more)
+			}
+		}
+	})
+}
+
+// Guards against less urgent tiers that keep their load while more urgent requests are late.
+func TestLimitsLeaveLessUrgentTiersTheirMinimum(t *testing.T) {
+	is := is.New(t)
+	granted := Grant(100, 0.03, []float64{50, 40, 40}, []float64{1, 0.6, 0.4})
+	is.Equal(granted, []float64{50, 10, 3})
+	limits := tierLimits([]*demandSum{{started: 100, late: 30}, {started: 10}, {started: 10}})
+	is.Equal(limits[0], 1.0) // the most urgent tier is not limited by its own lateness
+	is.True(limits[1] < 0.5 && limits[2] < 0.6)
+	is.Equal(tierLimits([]*demandSum{{started: 100, late: 4}, {started: 10}})[1], 1.0)
+}
+
+// fairLevelByBisection is the plain reference of FairLevel for accounts without a rest.
+func fairLevelByBisection(capacity float64, accounts []float64) float64 {
+	low, high := 0.0, capacity
+	for range 200 {
+		middle, used := (low+high)/2, 0.0
+		for _, o := range accounts {
+			used += min(o, middle)
+		}
+		if used <= capacity {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// Guards against an account that gets more than another which is refused something.
+func TestFairLevelIsTheMaxMinLevel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		accounts := rapid.SliceOfN(rapid.Float64Range(0.1, 500), 1, 10).Draw(t, "accounts")
+		capacity := rapid.Float64Range(0, 1).Draw(t, "fraction") * sumOf(accounts) * 0.99
+		level, _ := FairLevel(capacity, accounts, 0)
+		if want := fairLevelByBisection(capacity, accounts); math.Abs(level-want) > 1e-3 {
+			t.Fatalf("level %v, want %v", level, want)
+		}
+	})
+}
+
+// Guards against accounts that no report lists and that get more than the listed ones, or nothing.
+func TestFairLevelCountsUnlistedAccounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		accounts := rapid.SliceOfN(rapid.Float64Range(1, 500), 0, 10).Draw(t, "accounts")
+		rest := rapid.Float64Range(0, 2000).Draw(t, "rest")
+		capacity := rapid.Float64Range(0, 1).Draw(t, "fraction") * (sumOf(accounts) + rest)
+		level, restEach := FairLevel(capacity, accounts, rest)
+		used := 0.0
+		for _, o := range accounts {
+			used += min(o, level)
+		}
+		if restEach > 0 {
+			used += rest / restEach * min(restEach, level)
+		}
+		if used > capacity+1e-3 || used < capacity-1e-3 {
+			t.Fatalf("level %v uses %v of %v", level, used, capacity)
+		}
+	})
+}
+
+// Guards against shares that are admitted in bursts, or in the long run not kept.
+func TestDiffusionAdmitsAShareEvenly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDiffuser(rapid.Uint64().Draw(t, "seed"))
+		shares := rapid.SliceOfN(rapid.Float64Range(0, 1), 1, 300).Draw(t, "shares")
+		constant := rapid.Bool().Draw(t, "constant")
+		key, sum, admitted := diffusionKey{tier: 3, account: 7, kind: "k"}, 0.0, 0
+		for _, share := range shares {
+			if constant {
+				share = shares[0]
+			}
+			sum += share
+			if d.admit(key, share) {
+				admitted++
+			}
+			if math.Abs(float64(admitted)-sum) > 1 {
+				t.Fatalf("%d admitted where the shares sum up to %v", admitted, sum)
+			}
+		}
+	})
+}
+
+// Guards against entries with few requests that all refuse, or all admit, their first one.
+func TestDiffusionPhasesDifferBetweenEntries(t *testing.T) {
+	is := is.New(t)
+	admitted := 0
+	for seed := range uint64(1000) {
+		if newDiffuser(seed).admit(diffusionKey{kind: "k"}, 0.3) {
+			admitted++
+		}
+	}
+	is.True(admitted > 250 && admitted < 350)
+}
+
+// Guards against priorities that rank a route before its client account, or that overflow.
+func TestTiersOrderAccountsBeforeRoutes(t *testing.T) {
+	is := is.New(t)
+	is.True(TierOf(0, 15) < TierOf(1, 0))
+	is.Equal(TierOf(1, 2), Tier(18))
+	is.Equal(TierOf(99, 99), Tier(255))
+	is.Equal(TierOf(-1, -1), Tier(0))
+}
