--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -92,6 +92,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			g.refreshScarce(now)
 			if w.replica.ExpireMissing(now) {
 				w.publish()
 			}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -192,7 +192,6 @@
 	appendBackoffs(h, p.gateway.loadTracker.Backoffs().Reports(now, !h.Partial, maxHeartbeatBackoffs))
 	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
-	p.gateway.refreshScarce(now)
 	appendOfferedLoads(h, p.gateway.admission.controller.Reports(now))
 	for _, d := range p.gateway.loadTracker.Demands(now) {
 		h.Demands = append(h.Demands, &wire.Demand{
