--- a/admission/controller.go
+++ b/admission/controller.go
@@ -18,7 +18,8 @@
 	// the urgent ones.
 	Minimum float64
 	// RefreshInterval is the time for which shares are used before they are computed again. Reports
-	// of other entries arrive every 100 to 300 ms.
+	// of other entries arrive every 100 to 300 ms. Many engines and entries lengthen it, see
+	// refreshPerEngine.
 	RefreshInterval time.Duration
 }
 
@@ -42,6 +43,11 @@
 	// the capacity would be refused and admitted in turns.
 	sufficientDemand = 0.9
 	sufficientFor    = time.Second
+	// refreshPerEngine and refreshPerReport are by how much each engine and each report in use lengthen
+	// the time until the shares are computed again: a hundred times what they cost, so that this takes
+	// about a hundredth of a core.
+	refreshPerEngine = 15 * time.Microsecond
+	refreshPerReport = 500 * time.Microsecond
 	// refreshShare is the fraction of the requests that engines can start in time after which the
 	// shares are computed again, in a burst that is shorter than RefreshInterval; but not before
 	// minRefreshAfter requests.
@@ -116,7 +122,9 @@
 	maps.DeleteFunc(c.peers, func(_ string, p *peerReport) bool { return now.Sub(p.receivedAt) > reportTTL })
 }
 
-// Reports returns what callers lately offered to this entry, without tiers that offer nothing.
+// Reports returns what callers lately offered to this entry, without tiers that offer nothing. Client
+// accounts are listed only while capacity is scarce: without them entries divide a tier evenly until
+// the next report.
 func (c *Controller) Reports(now time.Time) []TierLoad {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -137,7 +145,7 @@
 	window := s.tier(a.Tier)
 	window.typical.observe(a)
 	window.arrive(now, account, milliseconds(a.Cost))
-	if now.Sub(s.computedAt) >= c.config.RefreshInterval || s.shares[a.Tier] == nil || s.admitted >= s.refreshAfter {
+	if now.Sub(s.computedAt) >= s.interval || s.shares[a.Tier] == nil || s.admitted >= s.refreshAfter {
 		c.refresh(now, a.Service, s, engines())
 	}
 	share := s.shares[a.Tier]
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -308,3 +308,17 @@
 		is.True(cluster.entries[0].Admit(cluster.now, &exempt, testEngines(60, 0.8)).Admitted)
 	}
 }
+
+// Guards against sums over the few entries that an entry hears among thousands.
+func TestReportsAreScaledUpToAllEntries(t *testing.T) {
+	is := is.New(t)
+	c, now := NewController(DefaultControllerConfig(), "e"), time.Unix(1000, 0)
+	c.SetEntries(101)
+	for i := range 4 { // 25 times as many are not heard
+		c.Merge(now, fmt.Sprint(i), []TierLoad{{Service: "m", Tier: 16, Offered: 500}})
+	}
+	_, demand, _ := c.Refresh(now, "m", testEngines(60, 0.8)())
+	is.Equal(demand, 50_000.0)
+	_, demand, _ = c.Refresh(now.Add(2*reportTTL), "m", testEngines(60, 0.8)())
+	is.Equal(demand, 0.0) // reports are not used for long
+}
--- a/admission/offered.go
+++ b/admission/offered.go
@@ -16,6 +16,9 @@
 	windowShare          = 0.5
 	// maxReportedAccounts is how many client accounts a report lists for each tier.
 	maxReportedAccounts = 8
+	// maxAccounts bounds the client accounts of which an average is kept for each tier; beyond it all
+	// are dropped, and those that offer most are known again within the time constant.
+	maxAccounts = 4096
 	// negligibleLoad is the load, in milliseconds a second, below which an average is dropped.
 	negligibleLoad = 0.01
 )
@@ -81,29 +84,42 @@
 	w.offered.add(now, window, cost)
 	a := w.accounts[account]
 	if a == nil {
+		if len(w.accounts) >= maxAccounts {
+			clear(w.accounts)
+		}
 		a = &average{}
 		w.accounts[account] = a
 	}
 	a.add(now, window, cost)
 }
 
-// report returns the averages, and drops accounts that no longer offer anything.
-func (w *tierWindow) report(now time.Time, service string, tier Tier) TierLoad {
+// report returns the averages, with client accounts if asked for.
+func (w *tierWindow) report(now time.Time, service string, tier Tier, listAccounts bool) TierLoad {
 	window := w.window()
 	load := TierLoad{Service: service, Tier: tier, Offered: w.offered.value(now, window), Admitted: w.admitted.value(now, window), Started: w.started.value(now, minWindow), Late: w.late.value(now, minWindow)}
+	if listAccounts {
+		load.Accounts = w.largestAccounts(now)
+	}
+	return load
+}
+
+// largestAccounts returns the client accounts that offer most, and drops those that no longer offer
+// anything.
+func (w *tierWindow) largestAccounts(now time.Time) []AccountLoad {
+	window := w.window()
+	list := make([]AccountLoad, 0, len(w.accounts))
 	for account, a := range w.accounts {
 		value := a.value(now, window)
 		if value < negligibleLoad {
 			delete(w.accounts, account)
 			continue
 		}
-		load.Accounts = append(load.Accounts, AccountLoad{account, value})
+		list = append(list, AccountLoad{account, value})
 	}
-	slices.SortFunc(load.Accounts, func(a, b AccountLoad) int {
+	slices.SortFunc(list, func(a, b AccountLoad) int {
 		return cmp.Or(cmp.Compare(b.Offered, a.Offered), cmp.Compare(a.Account, b.Account))
 	})
-	load.Accounts = load.Accounts[:min(len(load.Accounts), maxReportedAccounts)]
-	return load
+	return list[:min(len(list), maxReportedAccounts)]
 }
 
 // typicalRequest holds moving means of a tier's requests.
@@ -138,52 +154,68 @@
 // demandSum is the load of one tier over all entries.
 type demandSum struct {
 	offered, admitted, started, late float64
-	accounts                         map[uint32]float64
 }
 
-func (d *demandSum) add(load *TierLoad, scale float64) {
-	d.offered += load.Offered * scale
-	d.admitted += load.Admitted * scale
-	d.started += load.Started * scale
-	d.late += load.Late * scale
-	for _, a := range load.Accounts {
-		d.accounts[a.Account] += a.Offered * scale
-	}
+// scaledReport is the report of one entry and the number of entries for which it counts.
+type scaledReport struct {
+	loads []TierLoad
+	scale float64
 }
 
-// sumReports sums the loads of one service over all entries: this entry's own, and its peers',
-// scaled up to all entries. Where no peer reports, the others count like this entry.
-func sumReports(now time.Time, service string, own []TierLoad, peers map[string]*peerReport, entries int) map[Tier]*demandSum {
-	heard := 0
-	for _, p := range peers {
+// scaledReports returns the reports in use: this entry's own, and its peers', scaled up to all
+// entries. Where no peer reports, the others count like this entry.
+func (c *Controller) scaledReports(now time.Time, own []TierLoad) []scaledReport {
+	reports := make([]scaledReport, 1, 1+len(c.peers))
+	for _, p := range c.peers {
 		if now.Sub(p.receivedAt) <= reportTTL {
-			heard++
+			reports = append(reports, scaledReport{loads: p.loads})
 		}
 	}
-	ownScale, peerScale := 1.0, 1.0
+	heard := len(reports) - 1
+	reports[0] = scaledReport{own, 1}
 	if heard == 0 {
-		ownScale = float64(max(entries, 1))
-	} else {
-		peerScale = float64(max(entries-1, heard)) / float64(heard)
+		reports[0].scale = float64(max(c.entries, 1))
+	}
+	for i := range reports[1:] {
+		reports[1+i].scale = float64(max(c.entries-1, heard)) / float64(heard)
 	}
+	return reports
+}
+
+// sumReports sums the loads of one service.
+func sumReports(service string, reports []scaledReport) map[Tier]*demandSum {
 	sums := map[Tier]*demandSum{}
-	add := func(loads []TierLoad, scale float64) {
-		for i := range loads {
-			if loads[i].Service != service {
+	for _, r := range reports {
+		for i := range r.loads {
+			load := &r.loads[i]
+			if load.Service != service {
 				continue
 			}
-			sum := sums[loads[i].Tier]
+			sum := sums[load.Tier]
 			if sum == nil {
-				sum = &demandSum{accounts: map[uint32]float64{}}
-				sums[loads[i].Tier] = sum
+				sum = &demandSum{}
+				sums[load.Tier] = sum
 			}
-			sum.add(&loads[i], scale)
+			sum.offered += load.Offered * r.scale
+			sum.admitted += load.Admitted * r.scale
+			sum.started += load.Started * r.scale
+			sum.late += load.Late * r.scale
 		}
 	}
-	add(own, ownScale)
-	for _, p := range peers {
-		if now.Sub(p.receivedAt) <= reportTTL {
-			add(p.loads, peerScale)
+	return sums
+}
+
+// sumAccounts sums what the listed client accounts offer in one tier.
+func sumAccounts(service string, tier Tier, reports []scaledReport) map[uint32]float64 {
+	sums := map[uint32]float64{}
+	for _, r := range reports {
+		for i := range r.loads {
+			if r.loads[i].Service != service || r.loads[i].Tier != tier {
+				continue
+			}
+			for _, a := range r.loads[i].Accounts {
+				sums[a.Account] += a.Offered * r.scale
+			}
 		}
 	}
 	return sums
--- a/admission/servicestate.go
+++ b/admission/servicestate.go
@@ -20,6 +20,8 @@
 	// admitted is the number of requests that were admitted since then, and refreshAfter the one at
 	// which the shares are computed again.
 	admitted, refreshAfter int
+	// interval is the time until the shares are computed again.
+	interval time.Duration
 	// scarce is set while shares are applied, sufficientSince when demand was last found to be
 	// within the capacity; zero while it exceeds it.
 	scarce          bool
@@ -81,11 +83,12 @@
 	return k
 }
 
-// reports returns the loads of all tiers that offer anything.
+// reports returns the loads of all tiers that offer anything, with client accounts only while
+// capacity is scarce.
 func (s *serviceState) reports(now time.Time, name string) []TierLoad {
 	var list []TierLoad
 	for _, tier := range slices.Sorted(maps.Keys(s.tiers)) {
-		if load := s.tiers[tier].report(now, name, tier); load.Offered >= negligibleLoad || load.Started >= negligibleLoad {
+		if load := s.tiers[tier].report(now, name, tier, s.scarce); load.Offered >= negligibleLoad || load.Started >= negligibleLoad {
 			list = append(list, load)
 		}
 	}
@@ -95,7 +98,9 @@
 // refresh computes the shares of a service from the reports of all entries and the state of the
 // engines.
 func (c *Controller) refresh(now time.Time, name string, s *serviceState, engines []EngineState) {
-	sums := sumReports(now, name, s.reports(now, name), c.peers, c.entries)
+	own := s.reports(now, name)
+	reports := c.scaledReports(now, own)
+	sums := sumReports(name, reports)
 	order := slices.Sorted(maps.Keys(sums))
 	tiers, offered, demand := make([]*demandSum, len(order)), make([]float64, len(order)), 0.0
 	for i, tier := range order {
@@ -109,7 +114,7 @@
 	above, unstartable, leastPlaces := 0.0, false, math.Inf(1)
 	for i, tier := range order {
 		above += offered[i]
-		t := newTierShare(granted[i], tiers[i])
+		t := newTierShare(granted[i], tiers[i].offered, func() map[uint32]float64 { return sumAccounts(name, tier, reports) })
 		t.offered = above
 		places, expected := startable(engines, s.tier(tier).typical, granted[i])
 		if expected > 0 {
@@ -120,6 +125,7 @@
 		s.shares[tier] = t
 	}
 	s.demand, s.admitted = demand, 0
+	s.interval = c.config.RefreshInterval + time.Duration(len(engines))*refreshPerEngine + time.Duration(len(c.peers))*refreshPerReport
 	s.refreshAfter = max(int(min(refreshShare*leastPlaces, math.MaxInt32)), minRefreshAfter)
 	if len(engines) == 0 {
 		s.scarce = false // placement refuses, with the reason
@@ -137,19 +143,20 @@
 	return min(fullUse/max(use, fullUse/maxUnusedFactor), maxUnusedFactor)
 }
 
-// newTierShare divides what a tier is granted among its client accounts.
-func newTierShare(granted float64, d *demandSum) *tierShare {
-	t := &tierShare{own: d.offered, accounts: d.accounts, mean: 1, startable: 1}
-	if granted >= d.offered {
+// newTierShare divides what a tier is granted among its client accounts. accounts returns what the
+// listed ones offer; it is called only if the tier is not granted all that it offers.
+func newTierShare(granted, offered float64, accounts func() map[uint32]float64) *tierShare {
+	t := &tierShare{own: offered, mean: 1, startable: 1}
+	if granted >= offered {
 		return t
 	}
-	t.mean = granted / d.offered
-	listed, sum := make([]float64, 0, len(d.accounts)), 0.0
-	for _, o := range d.accounts {
+	t.mean, t.accounts = granted/offered, accounts()
+	listed, sum := make([]float64, 0, len(t.accounts)), 0.0
+	for _, o := range t.accounts {
 		listed = append(listed, o)
 		sum += o
 	}
-	t.level, t.restEach = FairLevel(granted, listed, max(d.offered-sum, 0))
+	t.level, t.restEach = FairLevel(granted, listed, max(offered-sum, 0))
 	return t
 }
 
