--- a/admission/controller.go
+++ b/admission/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -114,23 +115,35 @@
 	c.entries = n
 }
 
-// Merge records the report of another entry in place of its previous one.
-func (c *Controller) Merge(now time.Time, entry string, loads []TierLoad) {
+// Merge records the report of another entry in place of its previous one. A report that is not full
+// replaces the loads of the services that it lists.
+func (c *Controller) Merge(now time.Time, entry string, loads []TierLoad, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if previous := c.peers[entry]; previous != nil && !full {
+		listed := func(l TierLoad) bool {
+			return slices.ContainsFunc(loads, func(other TierLoad) bool { return other.Service == l.Service })
+		}
+		loads = append(slices.DeleteFunc(slices.Clone(previous.loads), listed), loads...)
+	}
 	c.peers[entry] = &peerReport{now, loads}
 	maps.DeleteFunc(c.peers, func(_ string, p *peerReport) bool { return now.Sub(p.receivedAt) > reportTTL })
 }
 
 // Reports returns what callers lately offered to this entry, without tiers that offer nothing. Client
 // accounts are listed only while capacity is scarce: without them entries divide a tier evenly until
-// the next report.
-func (c *Controller) Reports(now time.Time) []TierLoad {
+// the next report. A report that is not full leaves out services whose demand is far below their
+// capacity and has hardly changed.
+func (c *Controller) Reports(now time.Time, full bool) []TierLoad {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []TierLoad
 	for name, s := range c.services {
-		list = append(list, s.reports(now, name)...)
+		loads := s.reports(now, name)
+		if full || s.reportDue(loads) {
+			s.reported = totalOffered(loads)
+			list = append(list, loads...)
+		}
 	}
 	return list
 }
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -45,6 +45,7 @@
 	at    time.Time
 	from  int
 	loads []TierLoad
+	full  bool
 }
 
 func newCluster(n int) *cluster {
@@ -98,7 +99,8 @@
 	if c.now.UnixMilli()%100 == 0 {
 		for i, e := range c.entries {
 			delay := time.Millisecond + time.Duration(c.rand.Float64()*float64(c.delay))
-			c.pending = append(c.pending, pendingReport{c.now.Add(delay), i, e.Reports(c.now)})
+			full := c.now.UnixMilli()%1000 == 0
+			c.pending = append(c.pending, pendingReport{c.now.Add(delay), i, e.Reports(c.now, full), full})
 		}
 	}
 	var later []pendingReport
@@ -109,7 +111,7 @@
 		}
 		for i, e := range c.entries {
 			if i != r.from && c.rand.Float64() >= c.loss {
-				e.Merge(c.now, fmt.Sprint(r.from), r.loads)
+				e.Merge(c.now, fmt.Sprint(r.from), r.loads, r.full)
 			}
 		}
 	}
@@ -322,10 +324,39 @@
 	c, now := NewController(DefaultControllerConfig(), "e"), time.Unix(1000, 0)
 	c.SetEntries(101)
 	for i := range 4 { // 25 times as many are not heard
-		c.Merge(now, fmt.Sprint(i), []TierLoad{{Service: "m", Tier: 16, Offered: 500}})
+		c.Merge(now, fmt.Sprint(i), []TierLoad{{Service: "m", Tier: 16, Offered: 500}}, true)
 	}
 	_, demand, _ := c.Refresh(now, "m", testEngines(60, 0.8)())
 	is.Equal(demand, 50_000.0)
 	_, demand, _ = c.Refresh(now.Add(2*reportTTL), "m", testEngines(60, 0.8)())
 	is.Equal(demand, 0.0) // reports are not used for long
 }
+
+// Guards against heartbeats that report every load each time, and against reports that leave out what
+// other entries must know at once, or drop what a report that is not full leaves out.
+func TestReportsAreShortWhileCapacitySuffices(t *testing.T) {
+	is := is.New(t)
+	c, now := NewController(DefaultControllerConfig(), "e"), time.Unix(1000, 0)
+	offer := func(duration time.Duration, perSecond float64) {
+		for end := now.Add(duration); now.Before(end); now = now.Add(time.Duration(float64(time.Second) / perSecond)) {
+			c.Admit(now, shortArrival("a"), testEngines(60, 0.8))
+		}
+	}
+	offer(6*time.Second, 100) // a third of what is given out
+	is.Equal(len(c.Reports(now, true)), 1)
+	is.Equal(len(c.Reports(now, false)), 0)
+	offer(500*time.Millisecond, 200)
+	is.Equal(len(c.Reports(now, false)), 1) // it has changed
+	offer(2*time.Second, 200)
+	is.Equal(len(c.Reports(now, false)), 1)
+	is.Equal(len(c.Reports(now, false)), 1) // close to the capacity
+	other := NewController(DefaultControllerConfig(), "f")
+	other.SetEntries(2)
+	other.Merge(now, "e", c.Reports(now, true), true)
+	other.Merge(now, "e", nil, false)
+	_, demand, _ := other.Refresh(now, "m", testEngines(60, 0.8)())
+	is.True(demand > 25_000)
+	other.Merge(now, "e", nil, true)
+	_, demand, _ = other.Refresh(now, "m", testEngines(60, 0.8)())
+	is.Equal(demand, 0.0)
+}
--- a/admission/offered.go
+++ b/admission/offered.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -166,8 +167,8 @@
 // entries. Where no peer reports, the others count like this entry.
 func (c *Controller) scaledReports(now time.Time, own []TierLoad) []scaledReport {
 	reports := make([]scaledReport, 1, 1+len(c.peers))
-	for _, p := range c.peers {
-		if now.Sub(p.receivedAt) <= reportTTL {
+	for _, name := range slices.Sorted(maps.Keys(c.peers)) { // in the same order each time, as sums of floats depend on it
+		if p := c.peers[name]; now.Sub(p.receivedAt) <= reportTTL {
 			reports = append(reports, scaledReport{loads: p.loads})
 		}
 	}
--- a/admission/servicestate.go
+++ b/admission/servicestate.go
@@ -20,6 +20,8 @@
 	// admitted is the number of requests that were admitted since then, and refreshAfter the one at
 	// which the shares are computed again.
 	admitted, refreshAfter int
+	// reported is the load in the last report, in milliseconds a second.
+	reported float64
 	// interval is the time until the shares are computed again.
 	interval time.Duration
 	// scarce is set while shares are applied, sufficientSince when demand was last found to be
@@ -95,6 +97,29 @@
 	return list
 }
 
+const (
+	// nearDemand is the demand, as a fraction of what is given out, from which on each report has a
+	// service's loads.
+	nearDemand = 0.5
+	// reportedChange is the change of what is offered to this entry, as a fraction of that, which is
+	// reported at once.
+	reportedChange = 0.25
+)
+
+// reportDue reports whether the loads are part of a report that is not full.
+func (s *serviceState) reportDue(loads []TierLoad) bool {
+	offered := totalOffered(loads)
+	return s.scarce || s.demand > nearDemand*s.given || math.Abs(offered-s.reported) > reportedChange*offered
+}
+
+func totalOffered(loads []TierLoad) float64 {
+	sum := 0.0
+	for i := range loads {
+		sum += loads[i].Offered
+	}
+	return sum
+}
+
 // refresh computes the shares of a service from the reports of all entries and the state of the
 // engines.
 func (c *Controller) refresh(now time.Time, name string, s *serviceState, engines []EngineState) {
@@ -151,9 +176,8 @@
 		return t
 	}
 	t.mean, t.accounts = granted/offered, accounts()
-	listed, sum := make([]float64, 0, len(t.accounts)), 0.0
-	for _, o := range t.accounts {
-		listed = append(listed, o)
+	listed, sum := slices.Sorted(maps.Values(t.accounts)), 0.0
+	for _, o := range listed {
 		sum += o
 	}
 	t.level, t.restEach = FairLevel(granted, listed, max(offered-sum, 0))
--- a/bench/emulator/admission.go
+++ b/bench/emulator/admission.go
@@ -12,8 +12,8 @@
 	Admit(now time.Time, a *admission.Arrival, engines func() []admission.EngineState) admission.ArrivalDecision
 	Started(now time.Time, service string, tier admission.Tier, late bool)
 	Late(now time.Time, service string, tier admission.Tier)
-	Reports(now time.Time) []admission.TierLoad
-	Merge(now time.Time, entry string, loads []admission.TierLoad)
+	Reports(now time.Time, full bool) []admission.TierLoad
+	Merge(now time.Time, entry string, loads []admission.TierLoad, full bool)
 	SetEntries(n int)
 }
 
@@ -133,17 +133,17 @@
 }
 
 // offeredLoads returns what the entry reports of its admission.
-func (e *entry) offeredLoads(now time.Time) []admission.TierLoad {
+func (e *entry) offeredLoads(now time.Time, full bool) []admission.TierLoad {
 	if e.admission == nil {
 		return nil
 	}
-	return e.admission.Reports(now)
+	return e.admission.Reports(now, full)
 }
 
 // mergeOffered applies the report of another entry.
-func (e *entry) mergeOffered(now time.Time, from string, loads []admission.TierLoad) {
+func (e *entry) mergeOffered(now time.Time, from string, loads []admission.TierLoad, full bool) {
 	if e.admission != nil {
-		e.admission.Merge(now, from, loads)
+		e.admission.Merge(now, from, loads, full)
 	}
 }
 
--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -362,7 +362,8 @@
 func (sim *simulation) sendHeartbeat(e *entry) {
 	demands, loads := e.tracker.Demands(sim.wallTime()), e.tracker.Loads(sim.wallTime())
 	sim.heartbeats++
-	offered := e.offeredLoads(sim.wallTime())
+	full := sim.isFullHeartbeat()
+	offered := e.offeredLoads(sim.wallTime(), full)
 	limits := e.tracker.Limits().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedLimits)
 	var backoffs []direct.BackoffReport
 	if len(sim.config.Refusals) > 0 && sim.config.Refusals[0].Shared {
@@ -373,7 +374,7 @@
 		if other != e && !lost {
 			sim.AfterFunc(sim.messageDelay(), func() {
 				other.tracker.ReplacePeerLoad(sim.wallTime(), e.name, demands, loads)
-				other.mergeOffered(sim.wallTime(), e.name, offered)
+				other.mergeOffered(sim.wallTime(), e.name, offered, full)
 				other.tracker.Limits().Merge(sim.wallTime(), 0, limits)
 				other.tracker.Backoffs().Merge(sim.wallTime(), 0, backoffs)
 			})
--- a/bench/emulator/threshold.go
+++ b/bench/emulator/threshold.go
@@ -64,7 +64,7 @@
 			late += l.Late
 		}
 	}
-	add(t.own.Reports(now))
+	add(t.own.Reports(now, true))
 	for _, loads := range t.loads {
 		add(loads)
 	}
@@ -87,10 +87,12 @@
 }
 
 // Reports implements Admission.
-func (t *Threshold) Reports(now time.Time) []admission.TierLoad { return t.own.Reports(now) }
+func (t *Threshold) Reports(now time.Time, _ bool) []admission.TierLoad {
+	return t.own.Reports(now, true)
+}
 
 // Merge implements Admission.
-func (t *Threshold) Merge(_ time.Time, entry string, loads []admission.TierLoad) {
+func (t *Threshold) Merge(_ time.Time, entry string, loads []admission.TierLoad, _ bool) {
 	t.loads[entry] = loads
 }
 
--- a/gateway/admission_bench_test.go
+++ b/gateway/admission_bench_test.go
@@ -45,6 +45,6 @@
 		c.Admit(now, a, func() []admission.EngineState { return []admission.EngineState{{Slowdown: 1, Slots: 12}} })
 	}
 	for b.Loop() {
-		c.Reports(now)
+		c.Reports(now, true)
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -192,7 +192,7 @@
 	appendBackoffs(h, p.gateway.loadTracker.Backoffs().Reports(now, !h.Partial, maxHeartbeatBackoffs))
 	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
-	appendOfferedLoads(h, p.gateway.admission.controller.Reports(now))
+	appendOfferedLoads(h, p.gateway.admission.controller.Reports(now, !h.Partial))
 	for _, d := range p.gateway.loadTracker.Demands(now) {
 		h.Demands = append(h.Demands, &wire.Demand{
 			Service: d.Service, LongPrefillMs: uint32(d.LongPrefill.Milliseconds()), OpenShort: uint32(max(d.ShortInFlight, 0)),
@@ -249,7 +249,7 @@
 	p.gateway.mergeLimits(now, h, delay)
 	p.gateway.loadTracker.Backoffs().Merge(now, delay, decodeBackoffs(h))
 	p.gateway.mergeLeaving(now, h)
-	p.gateway.admission.controller.Merge(now, h.Node, decodeOfferedLoads(h))
+	p.gateway.admission.controller.Merge(now, h.Node, decodeOfferedLoads(h), !h.Partial)
 	for _, request := range p.gateway.quarantine.Merge(now, decodeFindings(h)) {
 		p.gateway.reportQuarantined(request, h.Node)
 	}
--- a/routing/direct/engine_state_test.go
+++ b/routing/direct/engine_state_test.go
@@ -108,7 +108,7 @@
 		c := admission.NewController(admission.DefaultControllerConfig(), "e")
 		c.SetEntries(3800)
 		for i := range 100 {
-			c.Merge(now, fmt.Sprint(i), benchmarkReports(i, float64(engines)/3800))
+			c.Merge(now, fmt.Sprint(i), benchmarkReports(i, float64(engines)/3800), true)
 		}
 		a := &admission.Arrival{Service: "m", Tier: 16, Account: "a", Kind: "short"}
 		SetPromptCost(a, siteEngine(), 5000, 30, 250*time.Millisecond)
