Admission: requests that cost nothing, and engines on which every request is late

A request without tokens had no share, and the look-up of it ended the process; it is admitted now. Where engines are so slow that even an idle one is late, the bound of what can start in time refused every request; it does not bind there.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -161,10 +161,12 @@
 	if now.Sub(s.computedAt) >= s.interval || s.shares[a.Tier] == nil || s.admitted >= s.refreshAfter {
 		c.refresh(now, a.Service, s, engines())
 	}
-	share := s.shares[a.Tier]
-	d := ArrivalDecision{Tier: a.Tier, Share: 1, Offered: share.offered, Demand: s.demand, Capacity: s.given, Scarce: s.scarce}
-	if s.scarce {
-		d.Share = share.of(account)
+	d := ArrivalDecision{Tier: a.Tier, Share: 1, Demand: s.demand, Capacity: s.given, Scarce: s.scarce}
+	if share := s.shares[a.Tier]; share != nil { // nil for requests that cost nothing
+		d.Offered = share.offered
+		if s.scarce {
+			d.Share = share.of(account)
+		}
 	}
 	d.Admitted = a.Exempt || d.Share >= 1 || d.Share > 0 && c.diffuser.admit(diffusionKey{a.Tier, account, a.Kind}, d.Share)
 	if d.Admitted {
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -280,9 +280,14 @@
 	is.Equal(sum.Rate, 3250.0)
 	is.Equal(sum.Use, (0.5+0.25*1+1+0.75)/3.25)
 	const slack, cost, prefill = 150 * time.Millisecond, 160 * time.Millisecond, 20 * time.Millisecond
-	is.True(Places(engines[:1], slack, cost, prefill) > 6 && Places(engines[:1], slack, cost, prefill) < 7.5)
-	is.True(Places(engines[1:2], slack, cost, prefill) < 0.2) // no free slot, and slow
-	is.Equal(Places(engines[2:3], slack, cost, prefill), 0.0)
+	places := func(e EngineState) float64 {
+		n, able := Places([]EngineState{e}, slack, cost, prefill)
+		is.True(able)
+		return n
+	}
+	is.True(places(engines[0]) > 6 && places(engines[0]) < 7.5)
+	is.True(places(engines[1]) < 0.2) // no free slot, and slow
+	is.Equal(places(engines[2]), 0.0)
 	is.Equal(SumEngines(nil).Use, 0.0)
 }
 
@@ -360,3 +365,16 @@
 	_, demand, _ = other.Refresh(now, "m", testEngines(60, 0.8)())
 	is.Equal(demand, 0.0)
 }
+
+// Guards against refusing every request where engines are so slow that each is late, and against
+// requests whose cost is not known.
+func TestRequestsThatAreLateInAnyCaseAreNotAllRefused(t *testing.T) {
+	is := is.New(t)
+	c, now := NewController(DefaultControllerConfig(), "e"), time.Unix(1000, 0)
+	slow := func() []EngineState { return []EngineState{{Slowdown: 20, Slots: 12, InFlight: 2}} }
+	for range 20 {
+		now = now.Add(5 * time.Second)
+		is.True(c.Admit(now, shortArrival("a"), slow).Admitted)
+		is.True(c.Admit(now, &Arrival{Service: "m", Tier: 20}, slow).Admitted)
+	}
+}
--- a/admission/enginecapacity.go
+++ b/admission/enginecapacity.go
@@ -58,21 +58,22 @@
 
 // Places estimates how many requests with the given engine time and prefill time the engines can
 // start so that their first tokens come within slack: how many find a free slot, or one that
-// another request frees by then, and are prefilled by then.
-func Places(engines []EngineState, slack, cost, prefill time.Duration) float64 {
-	sum := 0.0
+// another request frees by then, and are prefilled by then. able is false if no engine could start
+// any in time even if it had nothing else to do.
+func Places(engines []EngineState, slack, cost, prefill time.Duration) (places float64, able bool) {
 	for i := range engines {
 		e := &engines[i]
 		slowdown := max(e.Slowdown, 1)
+		able = able || slowdown*prefill.Seconds() <= slack.Seconds()
 		left := slack.Seconds() - slowdown*(e.PendingPrefill+prefill).Seconds()
 		if left < 0 {
 			continue
 		}
 		prefills := 1 + left/max(slowdown*prefill.Seconds(), minPrefillSeconds)
 		freed := left / max(slowdown*cost.Seconds(), minPrefillSeconds)
-		sum += max(min(float64(e.Slots-e.InFlight)+freed, prefills), 0)
+		places += max(min(float64(e.Slots-e.InFlight)+freed, prefills), 0)
 	}
-	return sum
+	return places, able
 }
 
 // minPrefillSeconds keeps estimates finite for prompts of a few tokens.
--- a/admission/servicestate.go
+++ b/admission/servicestate.go
@@ -188,11 +188,14 @@
 // expected, as far as they are granted, until entries learn of each other's requests; 0 if that does
 // not bind. The rates lag a burst, and the requests in flight show it.
 func startable(engines []EngineState, typical typicalRequest, granted float64) (places, expected float64) {
-	if typical.slack <= 0 || typical.cost <= 0 || typical.prefill > typical.slack {
-		return 0, 0 // without a target, or prefilled in parts
+	if typical.slack <= 0 || typical.cost <= 0 {
+		return 0, 0 // without a target
 	}
-	expected = granted / milliseconds(typical.cost) * reportLag.Seconds()
-	return Places(engines, typical.slack, typical.cost, typical.prefill), expected
+	places, able := Places(engines, typical.slack, typical.cost, typical.prefill)
+	if !able {
+		return 0, 0 // prefilled in parts, or late in any case: refusing all would leave engines idle
+	}
+	return places, granted / milliseconds(typical.cost) * reportLag.Seconds()
 }
 
 // updateScarcity begins and ends the refusal of requests.
