--- /dev/null
+++ b/admission/servicestate.go
@@ -0,0 +1,214 @@
+package admission
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// serviceState is what a controller knows of one service.
+type serviceState struct {
+	tiers map[Tier]*tierWindow
+	kinds map[string]*kindState
+	// shares are those computed at computedAt, given is the capacity that they divide, and demand
+	// the load of all tiers, in milliseconds of engine time a second.
+	shares        map[Tier]*tierShare
+	given, demand float64
+	computedAt    time.Time
+	feedback      feedback
+	// admitted is the number of requests that were admitted since then, and refreshAfter the one at
+	// which the shares are computed again.
+	admitted, refreshAfter int
+	// reported is the load in the last report, in milliseconds a second.
+	reported float64
+	// interval is the time until the shares are computed again.
+	interval time.Duration
+	// scarce is set while shares are applied, sufficientSince when demand was last found to be
+	// within the capacity; zero while it exceeds it.
+	scarce          bool
+	sufficientSince time.Time
+}
+
+// kindState describes the requests of one kind.
+type kindState struct {
+	// events is the mean number of events of its streams; 0 if none has ended.
+	events float64
+}
+
+// tierShare is the share of one tier's requests that is admitted.
+type tierShare struct {
+	// offered is the load of this tier and the more urgent ones, own that of this tier.
+	offered, own float64
+	// mean is the share of the tier's load. level is the load that one client account may have,
+	// accounts what the listed ones offer, and restEach what each of the others counts for.
+	mean, level, restEach float64
+	accounts              map[uint32]float64
+	// startable is the share that engines can start in time, 0 to 1.
+	startable float64
+}
+
+// of returns the share of a client account's requests that is admitted.
+func (t *tierShare) of(account uint32) float64 {
+	if t.mean >= 1 {
+		return t.startable
+	}
+	offers, listed := t.accounts[account]
+	if !listed {
+		offers = t.restEach
+	}
+	if offers <= t.level {
+		return t.startable
+	}
+	return t.startable * t.level / offers
+}
+
+func newServiceState() *serviceState {
+	return &serviceState{tiers: map[Tier]*tierWindow{}, kinds: map[string]*kindState{}, shares: map[Tier]*tierShare{}}
+}
+
+func (s *serviceState) tier(tier Tier) *tierWindow {
+	w := s.tiers[tier]
+	if w == nil {
+		w = newTierWindow()
+		s.tiers[tier] = w
+	}
+	return w
+}
+
+func (s *serviceState) kind(name string) *kindState {
+	k := s.kinds[name]
+	if k == nil {
+		k = &kindState{}
+		s.kinds[name] = k
+	}
+	return k
+}
+
+// reports returns the loads of all tiers that offer anything, with client accounts only while
+// capacity is scarce.
+func (s *serviceState) reports(now time.Time, name string) []TierLoad {
+	var list []TierLoad
+	for _, tier := range slices.Sorted(maps.Keys(s.tiers)) {
+		if load := s.tiers[tier].report(now, name, tier, s.scarce); load.Offered >= negligibleLoad || load.Started >= negligibleLoad {
+			list = append(list, load)
+		}
+	}
+	return list
+}
+
+const (
+	// nearDemand is the demand, as a fraction of what is given out, from which on each report has a
+	// service's loads.
+	nearDemand = 0.5
+	// reportedChange is the change of what is offered to this entry, as a fraction of that, which is
+	// reported at once.
+	reportedChange = 0.25
+)
+
+// reportDue reports whether the loads are part of a report that is not full.
+func (s *serviceState) reportDue(loads []TierLoad) bool {
+	offered := totalOffered(loads)
+	return s.scarce || s.demand > nearDemand*s.given || math.Abs(offered-s.reported) > reportedChange*offered
+}
+
+func totalOffered(loads []TierLoad) float64 {
+	sum := 0.0
+	for i := range loads {
+		sum += loads[i].Offered
+	}
+	return sum
+}
+
+// refresh computes the shares of a service from the reports of all entries and the state of the
+// engines.
+func (c *Controller) refresh(now time.Time, name string, s *serviceState, engines []EngineState) {
+	own := s.reports(now, name)
+	reports := c.scaledReports(now, own)
+	sums := sumReports(name, reports)
+	order := slices.Sorted(maps.Keys(sums))
+	tiers, offered, demand := make([]*demandSum, len(order)), make([]float64, len(order)), 0.0
+	for i, tier := range order {
+		tiers[i], offered[i] = sums[tier], sums[tier].offered
+		demand += offered[i]
+	}
+	capacity := SumEngines(engines)
+	s.given = capacity.Rate * c.config.Utilization * s.feedback.update(now, urgentLateness(tiers)) * unusedFactor(capacity.Use)
+	granted := Grant(s.given, c.config.Minimum, offered, tierLimits(tiers))
+	s.shares, s.computedAt = make(map[Tier]*tierShare, len(order)), now
+	above, unstartable, leastPlaces := 0.0, false, math.Inf(1)
+	for i, tier := range order {
+		above += offered[i]
+		t := newTierShare(granted[i], tiers[i].offered, func() map[uint32]float64 { return sumAccounts(name, tier, reports) })
+		t.offered = above
+		places, expected := startable(engines, s.tier(tier).typical, granted[i])
+		if expected > 0 {
+			t.startable = min(places/expected, 1)
+			leastPlaces = min(leastPlaces, places)
+		}
+		unstartable = unstartable || t.startable < 1
+		s.shares[tier] = t
+	}
+	s.demand, s.admitted = demand, 0
+	s.interval = c.config.RefreshInterval + time.Duration(len(engines))*refreshPerEngine + time.Duration(len(c.peers))*refreshPerReport
+	s.refreshAfter = max(int(min(refreshShare*leastPlaces, math.MaxInt32)), minRefreshAfter)
+	if len(engines) == 0 {
+		s.scarce = false // placement refuses, with the reason
+		return
+	}
+	s.updateScarcity(now, demand, capacity.Use, unstartable)
+}
+
+// unusedFactor raises the capacity that is given out while engines are not fully used: then the
+// estimates are too low, or the load has just begun.
+func unusedFactor(use float64) float64 {
+	if use >= fullUse {
+		return 1
+	}
+	return min(fullUse/max(use, fullUse/maxUnusedFactor), maxUnusedFactor)
+}
+
+// newTierShare divides what a tier is granted among its client accounts. accounts returns what the
+// listed ones offer; it is called only if the tier is not granted all that it offers.
+func newTierShare(granted, offered float64, accounts func() map[uint32]float64) *tierShare {
+	t := &tierShare{own: offered, mean: 1, startable: 1}
+	if granted >= offered {
+		return t
+	}
+	t.mean, t.accounts = granted/offered, accounts()
+	listed, sum := slices.Sorted(maps.Values(t.accounts)), 0.0
+	for _, o := range listed {
+		sum += o
+	}
+	t.level, t.restEach = FairLevel(granted, listed, max(offered-sum, 0))
+	return t
+}
+
+// startable returns how many of a tier's requests engines can start in time, and how many are
+// expected, as far as they are granted, until entries learn of each other's requests; 0 if that does
+// not bind. The rates lag a burst, and the requests in flight show it.
+func startable(engines []EngineState, typical typicalRequest, granted float64) (places, expected float64) {
+	if typical.slack <= 0 || typical.cost <= 0 {
+		return 0, 0 // without a target
+	}
+	places, able := Places(engines, typical.slack, typical.cost, typical.prefill)
+	if !able {
+		return 0, 0 // prefilled in parts, or late in any case: refusing all would leave engines idle
+	}
+	return places, granted / milliseconds(typical.cost) * reportLag.Seconds()
+}
+
+// updateScarcity begins and ends the refusal of requests.
+func (s *serviceState) updateScarcity(now time.Time, demand, use float64, unstartable bool) {
+	switch {
+	case unstartable, demand > s.given && use >= scarceUse:
+		s.scarce, s.sufficientSince = true, time.Time{}
+	case !s.scarce:
+	case demand > sufficientDemand*s.given && use >= scarceUse:
+		s.sufficientSince = time.Time{}
+	case s.sufficientSince.IsZero():
+		s.sufficientSince = now
+	case now.Sub(s.sufficientSince) >= sufficientFor:
+		s.scarce, s.sufficientSince = false, time.Time{}
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
@@ -35,6 +36,10 @@
 	lengthRecorded bool
 	// failedResponse is the last complete response in which an endpoint reported a failure.
 	failedResponse *bufferedResponse
+	// admitted is set from the admission by priority, in admittedTier, to the first response, and
+	// startedInTime if that was not late.
+	admitted, startedInTime bool
+	admittedTier            admission.Tier
 }
 
 // forward sends the request to endpoints until one has answered it or no retry is allowed.
@@ -50,6 +55,10 @@
 	if c.route.Kind == directory.Streaming {
 		f.relay = &streamRelay{call: c, lastEventID: c.LastEventID}
 	}
+	if failure := f.admit(); failure != nil {
+		return failure
+	}
+	defer f.endAdmission()
 	defer f.recordLengthOutcome(false) // unless it was admitted before
 	if failure := f.waitInQueue(ctx); failure != nil {
 		return failure
@@ -155,6 +164,7 @@
 	onFirstEvent := func() {
 		stopWatch()
 		load.FinishPrefill()
+		f.recordFirstResponse()
 	}
 	if plan.HelperMemoryTokens > 0 {
 		f.reserveAttempts++
--- a/routing/direct/load_tracker.go
+++ b/routing/direct/load_tracker.go
@@ -32,12 +32,14 @@
 	// prefilling holds the loads of this entry's long prompts whose first token has not
 	// arrived.
 	prefilling map[*RequestLoad]struct{}
-	limits     *EndpointLimits
-	backoffs   *EndpointBackoffs
 	// outcomes holds the outcomes of all entries' long prompts by route, unreportedOutcomes those
 	// of this entry that the others do not know yet.
 	outcomes           map[RouteHash]*routeOutcomes
 	unreportedOutcomes []LengthOutcome
+	// scarce holds the services whose requests are refused by priority.
+	scarce   map[string]*scarcity
+	limits   *EndpointLimits
+	backoffs *EndpointBackoffs
 }
 
 // Limits returns the limits that endpoints state. They have a lock of their own.
@@ -119,6 +121,7 @@
 			}
 		}
 	}
+	sum.ShortInFlight = l.holdShort(now, service, sum.ShortInFlight)
 	return sum
 }
 
@@ -153,7 +156,7 @@
 
 // NewLoadTracker returns an empty tracker.
 func NewLoadTracker() *LoadTracker {
-	return &LoadTracker{endpoints: map[directory.Incarnation]*trackedEndpoint{}, demands: map[string]*demand{}, shortInFlight: map[string]int{}, peers: map[string]*peer{}, pendingPrefill: map[string]time.Duration{}, queuedPrefill: map[string]time.Duration{}, peerLoads: map[EndpointHash]EndpointLoad{}, peerSlowdowns: map[EndpointHash]peerSlowdown{}, prefilling: map[*RequestLoad]struct{}{}, limits: NewEndpointLimits(), backoffs: NewEndpointBackoffs(), outcomes: map[RouteHash]*routeOutcomes{}}
+	return &LoadTracker{endpoints: map[directory.Incarnation]*trackedEndpoint{}, demands: map[string]*demand{}, shortInFlight: map[string]int{}, peers: map[string]*peer{}, pendingPrefill: map[string]time.Duration{}, queuedPrefill: map[string]time.Duration{}, peerLoads: map[EndpointHash]EndpointLoad{}, peerSlowdowns: map[EndpointHash]peerSlowdown{}, prefilling: map[*RequestLoad]struct{}{}, scarce: map[string]*scarcity{}, limits: NewEndpointLimits(), backoffs: NewEndpointBackoffs(), outcomes: map[RouteHash]*routeOutcomes{}}
 }
 
 // RequestLoad is the load that one request puts on its endpoints until it ends. It must be
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -175,7 +175,7 @@
 		}
 	}
 	plan.PartPrefill = prefill / time.Duration(parts)
-	if plan.PartPrefill <= longestPart(r.Service) {
+	if plan.PartPrefill <= p.countedPart(r.Service) {
 		p.assign(plan, list, parts, engine)
 		return plan
 	}
@@ -244,7 +244,7 @@
 	list := p.score(now, r, candidates, r.Service.Engine)
 	short := list[:boundary]
 	markPreferred(short)
-	addCost(short, otherPoolCost)
+	addCost(short, p.shortPoolCost(r.Service.Name))
 	list = dropSlowUnlessAll(list)
 	return list, partCount(prefill, target, len(list))
 }
@@ -269,11 +269,7 @@
 	others := candidates[:boundary]
 	list := dropSlowUnlessAll(p.score(now, r, candidates[boundary:], engine))
 	if needed := enginesForMemory(engine, r.PromptTokens+r.OutputTokens); len(list) < needed {
-		all := p.score(now, r, candidates, engine)
-		if list = dropSlowUnlessAll(all); len(list) < needed {
-			list = all
-		}
-		return list, min(maxParts, len(list))
+		return p.memoryEngines(r.Service.Name, p.score(now, r, candidates, engine), needed)
 	}
 	parts := partCount(prefill, partTarget(r.Service), len(list))
 	if prefill/time.Duration(parts) > longestPart(r.Service) {
@@ -336,6 +332,7 @@
 
 // boundaryFor returns the boundary for a given demand.
 func (p *Policy) boundaryFor(demand Demand, service *directory.Service, engines int) int {
+	demand.maxShortShare = p.tracker.maxShortShare(&demand, engines)
 	if !p.tracker.knowsOtherEntries() {
 		// Entries that have all just started would each send their first requests to the
 		// same few engines.
