When refused callers return: a schedule of return times, and recognition at any entry

Cause: Retry-After was a constant, so that all refused callers returned into the same overload. Change: admission.Returns spreads return times over the capacity that is left beside new arrivals, estimates the end of outages, and recognises a returning request by a hash. Heartbeats carry promises (fields 46, 47). Every refusal of a request that has not run gets its time where the call ends. A return on time goes before newcomers of its tier in the queue of long prompts.

--- /dev/null
+++ b/admission/returns_outage.go
@@ -0,0 +1,59 @@
+package admission
+
+import "time"
+
+const (
+	// minOutage is the shortest time without a response that counts as an outage. Single endpoints
+	// that refuse a request end earlier.
+	minOutage = 200 * time.Millisecond
+	// outageLapse is the time without a refusal after which nothing is known of an outage: a service
+	// with few requests has neither refusals nor responses for a while.
+	outageLapse = 3 * time.Second
+	// outageMargin lengthens the expected time to the end of an outage, so that most returns arrive
+	// after it.
+	outageMargin = 0.1
+	// outageWeight is the weight of the latest outage in the average of their lengths.
+	outageWeight = 0.5
+	// minOutageWait and maxOutageWait bound the estimated time to the end. A longer one would keep
+	// callers away long after an outage that has just ended.
+	minOutageWait = 300 * time.Millisecond
+	maxOutageWait = 5 * time.Second
+)
+
+// outage estimates when a service whose endpoints are all gone serves again.
+type outage struct {
+	// since is when the outage began, zero while there is none; refusedAt is its last refusal.
+	since, refusedAt time.Time
+	// typical is the average length of earlier outages; 0 if there was none.
+	typical time.Duration
+}
+
+// refuse records a refusal and returns the estimated time to the end. base is the time for an outage
+// of which nothing is known.
+func (o *outage) refuse(now time.Time, base time.Duration) time.Duration {
+	if o.since.IsZero() || now.Sub(o.refusedAt) > outageLapse {
+		o.since = now
+	}
+	o.refusedAt = now
+	elapsed := now.Sub(o.since)
+	if left := o.typical - elapsed; left > 0 {
+		left += time.Duration(outageMargin * float64(o.typical))
+		return min(max(left, minOutageWait), maxOutageWait)
+	}
+	// An outage that has lasted for some time beyond the usual is expected to last as long again.
+	return max(base, min(elapsed-o.typical, maxOutageWait))
+}
+
+// end records that the service serves again.
+func (o *outage) end(now time.Time) {
+	length := now.Sub(o.since)
+	lapsed := now.Sub(o.refusedAt) > outageLapse
+	if !o.since.IsZero() && length >= minOutage && !lapsed {
+		if o.typical == 0 {
+			o.typical = length
+		} else {
+			o.typical += time.Duration(outageWeight * float64(length-o.typical))
+		}
+	}
+	o.since = time.Time{}
+}
--- /dev/null
+++ b/admission/returns_service.go
@@ -0,0 +1,172 @@
+package admission
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+const (
+	// returnUtilization is the fraction of a service's capacity that is scheduled: cost estimates
+	// are inexact, and returns have to arrive at entries that have room.
+	returnUtilization = 0.8
+	// minReturnRoom is the fraction of the capacity that is scheduled for returns however much new
+	// load there is: returns go before newcomers of their tier.
+	minReturnRoom = 0.25
+	// firstReturnShare is the fraction of a slot that is open to callers that are refused for the
+	// first time, lessUrgentShare the fraction that is open to a tier while callers of a more urgent
+	// one are refused as well. The rest is kept for those that go first.
+	firstReturnShare = 0.8
+	lessUrgentShare  = 0.7
+	// urgentRefusalTime is how long after a refusal its tier counts as being refused.
+	urgentRefusalTime = time.Second
+	// capacityMemory is the time constant with which the capacity before an outage is forgotten.
+	capacityMemory = 30 * time.Second
+	// arrivalWindow is the time constant of the averaged rates of new arrivals: long enough for a
+	// few long prompts, short enough to follow a burst.
+	arrivalWindow = time.Second
+	// maxTiers bounds the tiers of a service that are distinguished; there are 256.
+	maxTiers = 256
+	// responseWeight is the weight of the latest response in the average of their times, and
+	// initialResponseTime that average before the first one.
+	responseWeight      = 0.05
+	initialResponseTime = 100 * time.Millisecond
+)
+
+// serviceReturns is what is known of one service.
+type serviceReturns struct {
+	slots  returnSlotList
+	outage outage
+	// capacity is the service's present capacity over all entries, in seconds per second; full is
+	// the largest of late. Both are 0 while unknown.
+	capacity, full float64
+	setAt          time.Time
+	// arrivals are the rates at which this entry gets new requests, in seconds of capacity per
+	// second, and refusedAt when callers were last refused, both by tier.
+	arrivals  map[int]float64
+	arrivedAt time.Time
+	refusedAt map[int]time.Time
+	// responseTime is the moving average of the time of responses; 0 before the first one.
+	responseTime time.Duration
+}
+
+// service returns the state of a service, with its schedule advanced to now. The caller holds mu.
+func (r *Returns) service(now time.Time, name string) *serviceReturns {
+	s := r.services[name]
+	if s == nil {
+		s = &serviceReturns{arrivals: map[int]float64{}, refusedAt: map[int]time.Time{}}
+		r.services[name] = s
+	}
+	s.slots.advance(now.Sub(r.started) + r.phase)
+	return s
+}
+
+// SetCapacity sets the capacity of a service over all entries: how many seconds of cost its
+// endpoints work off in a second. 0 means that no endpoint takes requests.
+func (r *Returns) SetCapacity(now time.Time, name string, perSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(now, name)
+	s.full *= math.Exp(-max(now.Sub(s.setAt), 0).Seconds() / capacityMemory.Seconds())
+	s.capacity, s.full, s.setAt = perSecond, max(s.full, perSecond), now
+}
+
+// KeepServices drops the state of all services but those that are known.
+func (r *Returns) KeepServices(known func(name string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range r.services {
+		if !known(name) {
+			delete(r.services, name)
+		}
+	}
+}
+
+// cost returns a request's cost in seconds; requests whose cost is 0 have the average one.
+func (s *serviceReturns) cost(cost time.Duration) float64 {
+	if cost > 0 {
+		return cost.Seconds()
+	}
+	return cmp.Or(s.responseTime, initialResponseTime).Seconds()
+}
+
+// RecordArrival counts a new request, which is no return, with its cost; see ReturnRequest.
+func (r *Returns) RecordArrival(now time.Time, name string, tier int, cost time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(now, name)
+	s.decay(now)
+	if _, known := s.arrivals[tier]; known || len(s.arrivals) < maxTiers {
+		s.arrivals[tier] += s.cost(cost) / arrivalWindow.Seconds()
+	}
+}
+
+// RecordServed records that an endpoint of a service has responded with a result, which ends an
+// outage, and the time that it took.
+func (r *Returns) RecordServed(now time.Time, name string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(now, name)
+	s.outage.end(now)
+	s.responseTime += time.Duration(responseWeight * float64(took-cmp.Or(s.responseTime, took)))
+	if s.responseTime == 0 {
+		s.responseTime = took
+	}
+}
+
+func (s *serviceReturns) decay(now time.Time) {
+	passed := now.Sub(s.arrivedAt)
+	if passed <= 0 {
+		return
+	}
+	factor := math.Exp(-passed.Seconds() / arrivalWindow.Seconds())
+	for tier := range s.arrivals {
+		s.arrivals[tier] *= factor
+	}
+	s.arrivedAt = now
+}
+
+// earliest returns the time until the cause of a refusal ends.
+func (s *serviceReturns) earliest(now time.Time, q *ReturnRequest) time.Duration {
+	if q.Cause != CauseOutage {
+		return q.Earliest
+	}
+	return s.outage.refuse(now, q.Earliest)
+}
+
+// limit returns how much returns of a tier may book in each slot, in seconds of capacity: this
+// entry's share of the capacity less its own new arrivals of the tier and of more urgent ones. It is
+// 0 if the capacity is not known.
+func (s *serviceReturns) limit(now time.Time, q *ReturnRequest, share float64) float64 {
+	capacity := s.capacity
+	if q.Cause != CauseCapacity || capacity <= 0 {
+		capacity = s.full
+	}
+	capacity *= share * returnUtilization
+	s.decay(now)
+	room := capacity
+	for tier, rate := range s.arrivals {
+		if tier <= q.Tier {
+			room -= rate
+		}
+	}
+	return max(room, capacity*minReturnRoom) * returnSlot.Seconds()
+}
+
+// refused records a refusal of a tier.
+func (s *serviceReturns) refused(now time.Time, tier int) {
+	if _, known := s.refusedAt[tier]; known || len(s.refusedAt) < maxTiers {
+		s.refusedAt[tier] = now
+	}
+}
+
+// firstShare returns the fraction of a slot that callers of a tier may book when they are refused
+// for the first time.
+func (s *serviceReturns) firstShare(now time.Time, tier int) float64 {
+	for other, at := range s.refusedAt {
+		if other < tier && now.Sub(at) < urgentRefusalTime {
+			return firstReturnShare * lessUrgentShare
+		}
+	}
+	return firstReturnShare
+}
--- a/admission/semaphore.go
+++ b/admission/semaphore.go
@@ -21,23 +21,32 @@
 
 // waiter is a call of Acquire that waits for a permit.
 type waiter struct {
-	// priority is the time by which waiters are admitted, the earliest first.
-	priority time.Time
+	Turn
 	admitted chan struct{}
 	index    int // in the heap; -1 once it is admitted
 }
 
+// Turn is the place of a call of Acquire among those that wait.
+type Turn struct {
+	// Priority is the time by which waiters are admitted, the earliest first.
+	Priority time.Time
+	// Tier is the urgency of the waiter. It does not rank tiers against each other.
+	Tier int
+	// Returning is set for a caller that was refused and returns when it was told to. It goes before
+	// all waiters of its tier that are not returning.
+	Returning bool
+}
+
 // Acquire waits for a permit, or returns the error of ctx when ctx ends first. Waiters
-// are admitted by priority, the earliest time first. After nil, Release must be called
-// once.
-func (s *Semaphore) Acquire(ctx context.Context, priority time.Time) error {
+// are admitted by their turns. After nil, Release must be called once.
+func (s *Semaphore) Acquire(ctx context.Context, turn Turn) error {
 	s.mu.Lock()
 	if s.held < s.limit {
 		s.held++
 		s.mu.Unlock()
 		return nil
 	}
-	w := &waiter{priority: priority, admitted: make(chan struct{})}
+	w := &waiter{Turn: s.waiting.adjust(turn), admitted: make(chan struct{})}
 	heap.Push(&s.waiting, w)
 	s.mu.Unlock()
 	select {
@@ -82,11 +91,26 @@
 	return len(s.waiting)
 }
 
+// adjust moves the turn of a returning caller before the waiters of its tier that are not returning,
+// and that of others behind the waiters of their tier that are.
+func (w waiters) adjust(turn Turn) Turn {
+	for _, other := range w {
+		switch {
+		case other.Tier != turn.Tier || other.Returning == turn.Returning:
+		case turn.Returning && !turn.Priority.Before(other.Priority):
+			turn.Priority = other.Priority.Add(-1)
+		case other.Returning && !other.Priority.Before(turn.Priority):
+			turn.Priority = other.Priority.Add(1)
+		}
+	}
+	return turn
+}
+
 // waiters is a heap of waiters by priority. It implements heap.Interface.
 type waiters []*waiter
 
 func (w waiters) Len() int           { return len(w) }
-func (w waiters) Less(i, j int) bool { return w[i].priority.Before(w[j].priority) }
+func (w waiters) Less(i, j int) bool { return w[i].Priority.Before(w[j].Priority) }
 func (w waiters) Swap(i, j int) {
 	w[i], w[j] = w[j], w[i]
 	w[i].index, w[j].index = i, j
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -199,6 +199,10 @@
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s that are left state limits, which are used up or kept for requests more urgent than priority %s", l.text("endpoints"), l.text("service"), l.text("priority"))
 	case "backoff_refused":
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s have refused requests and want no others for a time; the caller is told to come back after %s", l.text("endpoints"), l.text("service"), l.milliseconds("retry_after_ms"))
+	case "return_recognised":
+		return l.describeReturn()
+	case "return_promised":
+		return fmt.Sprintf("the caller is told to return after %s: the cause (%s) may end after %s, and returns are spread over the capacity that is left for tier %s", l.milliseconds("retry_after_ms"), l.text("cause"), l.milliseconds("earliest_ms"), l.text("tier"))
 	case "no_endpoint":
 		return fmt.Sprintf("refused at once: no endpoint of service %s takes requests; %s are leaving", l.text("service"), l.text("leaving"))
 	case "caller_lost":
@@ -209,6 +213,17 @@
 	return l.Event
 }
 
+// describeReturn returns a sentence about a request that was refused before.
+func (l *logLine) describeReturn() string {
+	switch l.text("state") {
+	case "on_time":
+		return "the caller was refused before and returns when it was told to: the request goes before new ones of its tier"
+	case "early":
+		return fmt.Sprintf("the caller was refused before and returns %s too early: no precedence, and a refusal confirms its time", l.milliseconds("left_ms"))
+	}
+	return "the caller was refused before and returns long after its time: no precedence"
+}
+
 // helperCountText names the number of engines of a placed request with helpers; it is empty
 // without helpers.
 func (l *logLine) helperCountText() string {
--- a/directory/config.go
+++ b/directory/config.go
@@ -5,6 +5,8 @@
 package directory
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -210,6 +212,9 @@
 	return &Service{Name: name}
 }
 
+// Services returns all services, in no particular order.
+func (c *Config) Services() []*Service { return slices.Collect(maps.Values(c.services)) }
+
 // RouteCount returns the number of routes of all hosts.
 func (c *Config) RouteCount() int {
 	n := 0
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -237,6 +237,7 @@
 	w.gateway.prober.prune(known)
 	w.gateway.slowdownMonitor.prune(known)
 	w.gateway.shareLimits(snapshot)
+	w.gateway.updateReturnCapacity(time.Now(), snapshot)
 	w.gateway.loadTracker.Prune(known)
 	w.gateway.peers.setMembers(snapshot)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -177,6 +177,7 @@
 		return sendErr.outcome, sendErr
 	}
 	f.gateway.observeResponse(response, sentAt)
+	f.observeServed(response, sentAt)
 	f.endBackoffCount(plan.Endpoint, response.status < http.StatusInternalServerError)
 	if outcome, err := classify(response); err != nil {
 		response.discard()
@@ -339,6 +340,7 @@
 	if failure := f.refuseIfAllInBackoff(); failure != nil {
 		return failure
 	}
+	f.attemptsRefused = true
 	return result.Refuse(result.Overloaded, overloadedRetryAfter, "%v", err)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,8 @@
 	policy          *direct.Policy
 	retries         *admission.RetryWindow
 	quarantine      *attempt.Quarantine
+	returns         *admission.Returns
+	capacityAt      atomic.Int64 // when the services' capacity was last updated, in nanoseconds since started
 	pool            *pool
 	callers         *callerServer
 	prober          *prober
@@ -127,6 +129,7 @@
 		configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
 	}
 	g.quarantine = attempt.NewQuarantine()
+	g.returns = admission.NewReturns(g.started, c.Settings.Name)
 	g.replica, g.publishRequested = directory.NewReplica(), make(chan struct{}, 1)
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.EmptySnapshot())
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
@@ -45,6 +46,12 @@
 	// cachedFingerprint is the request's fingerprint. Each half is computed on first use and is 0
 	// until then.
 	cachedFingerprint attempt.Fingerprint
+	// cachedReturnKey is the request's return key; 0 until it is first used.
+	cachedReturnKey uint64
+	// returnStatus says whether the caller was refused before and returns when it was told to.
+	returnStatus admission.ReturnStatus
+	// attemptsRefused is set if the call is refused because all of its attempts were.
+	attemptsRefused bool
 }
 
 // serveCaller is the HTTP handler of the callers' port. It logs and counts the request when it
@@ -90,6 +97,7 @@
 	if !c.gateway.canAccept(c.estimatedDuration()) {
 		return result.Refuse(result.Leaving, drainingRetryAfter, "process is shutting down")
 	}
+	c.recogniseReturn()
 	c.gateway.retries.RecordRequest(c.started, c.service.Name)
 	return nil
 }
@@ -272,6 +280,7 @@
 	if failure != nil {
 		code = failure.Code
 	}
+	c.endReturn(failure)
 	late := c.lateness(elapsed)
 	c.gateway.observeCall(c, code, elapsed, late)
 	fields := []zap.Field{
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -191,6 +191,7 @@
 	p.gateway.appendLeaving(now, h)
 	appendBackoffs(h, p.gateway.loadTracker.Backoffs().Reports(now, !h.Partial, maxHeartbeatBackoffs))
 	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
+	appendReturns(h, p.gateway.returns.Reports(now, !h.Partial, maxHeartbeatReturns))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
 	for _, d := range p.gateway.loadTracker.Demands(now) {
 		h.Demands = append(h.Demands, &wire.Demand{
@@ -247,6 +248,7 @@
 	delay := p.delays.observe(now, h)
 	p.gateway.mergeLimits(now, h, delay)
 	p.gateway.loadTracker.Backoffs().Merge(now, delay, decodeBackoffs(h))
+	p.gateway.returns.Merge(now, delay, decodeReturns(h))
 	p.gateway.mergeLeaving(now, h)
 	for _, request := range p.gateway.quarantine.Merge(now, decodeFindings(h)) {
 		p.gateway.reportQuarantined(request, h.Node)
@@ -319,6 +321,7 @@
 	p.fullHeartbeatForNewEntries(members)
 	p.gateway.retries.SetEntries(now, members.EntryCountWithLeaving()+1)
 	p.gateway.loadTracker.SetEntryCount(members.EntryCount() + 1)
+	p.gateway.returns.SetEntries(members.EntryCount() + 1)
 	alive := members.Entries("")
 	rank := sort.Search(len(alive), func(i int) bool { return alive[i].Name() > p.gateway.settings.Name })
 	p.gateway.loadTracker.SetRank(rank, len(alive)+1)
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/membership"
 	"aspenyard.example/result"
 	"aspenyard.example/routing/direct"
@@ -39,6 +40,9 @@
 		return f.noEndpointError()
 	}
 	estimate := g.policy.AddLongPrompt(f.started, f.service, engines, f.PromptTokens)
+	if f.returning() {
+		estimate = estimate.WithoutQueued()
+	}
 	if estimate.TooLate(f.route.Target) {
 		return f.refuseLateFirstToken(estimate, backlogDrainFactor*(estimate.FirstToken()-f.route.Target))
 	}
@@ -70,7 +74,8 @@
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
 	g := f.gateway
-	if err := g.longQueue.Acquire(ctx, f.started.Add(direct.PrefillTime(f.service.Engine, f.PromptTokens))); err != nil {
+	turn := admission.Turn{Priority: f.started.Add(direct.PrefillTime(f.service.Engine, f.PromptTokens)), Tier: f.tier(), Returning: f.returning()}
+	if err := g.longQueue.Acquire(ctx, turn); err != nil {
 		return false
 	}
 	defer g.longQueue.Release()
