bench/emulator: callers that return after a refusal

Cause: how callers are told to return could not be played without a network. Change: Config.Callers: callers return once when told, some at once; outages of engines; a stand-in for admission.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/bench/virtual"
 	"aspenyard.example/directory"
 	"aspenyard.example/routing/direct"
@@ -78,6 +79,8 @@
 	// Refusals are the refusals of engines that state a backoff, Departures the engines that leave.
 	Refusals   []Refusal
 	Departures []Departure
+	// Callers says what refused callers do; nil: they do not return. See SimulateReturns.
+	Callers *Callers
 	// Holders is the number of entries that share a limit; nil: admission.Holders.
 	Holders func(perSecond float64, entries int) int
 }
@@ -184,6 +187,10 @@
 	heartbeats      int
 	refusalResult   RefusalResult
 	departureResult DepartureResult
+	// returnResults are the results of callers by kind, callers counts them, and inFlight the
+	// requests at engines. They are used where Config.Callers is set.
+	returnResults     []ReturnResult
+	callers, inFlight int
 }
 
 // entry is one simulated entry.
@@ -195,6 +202,8 @@
 	policy   *direct.Policy
 	// endpoints are the engines that it knows to take requests.
 	endpoints []*directory.EndpointState
+	// returns is nil unless Config.Callers is set.
+	returns *admission.Returns
 }
 
 // request is one simulated request.
@@ -218,6 +227,10 @@
 	tried    []directory.Incarnation
 	// countedAfterBackoff is set while it counts as one of the requests after a backoff.
 	countedAfterBackoff bool
+	// kindIndex is the index of kind. caller and status are set where Config.Callers is.
+	kindIndex int
+	caller    *caller
+	status    admission.ReturnStatus
 }
 
 // Simulate runs a load until its last request has ended and returns a result for each kind,
@@ -242,6 +255,13 @@
 
 // SimulateStatements is Simulate; it also returns what the engines got that made statements.
 func SimulateStatements(c *Config) ([]Result, StatementResult) {
+	sim := newSimulation(c)
+	sim.run()
+	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult}
+}
+
+// newSimulation returns a simulation whose load and heartbeats are scheduled.
+func newSimulation(c *Config) *simulation {
 	sim := &simulation{config: c, rand: rand.New(rand.NewPCG(c.Seed, 1)), epoch: time.Unix(0, 0), engines: map[directory.Incarnation]*engine{}}
 	sim.service = &directory.Service{Name: serviceName, Engine: &c.Engine}
 	for _, k := range c.Kinds {
@@ -249,10 +269,11 @@
 		sim.service.AddTargetPause(k.MaxPause)
 	}
 	sim.setUp()
-	sim.RunUntil(math.MaxInt64)
-	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult}
+	return sim
 }
 
+func (sim *simulation) run() { sim.RunUntil(math.MaxInt64) }
+
 // setUp creates the engines and entries and schedules heartbeats, arrivals and slowdowns.
 func (sim *simulation) setUp() {
 	for i := range sim.config.Engines {
@@ -344,6 +365,7 @@
 	if len(sim.config.Refusals) > 0 && sim.config.Refusals[0].Shared {
 		backoffs = e.tracker.Backoffs().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedBackoffs)
 	}
+	returns := e.returnReports(sim)
 	for _, other := range sim.entries {
 		lost := sim.config.HeartbeatLoss > 0 && sim.rand.Float64() < sim.config.HeartbeatLoss
 		if other != e && !lost {
@@ -351,6 +373,7 @@
 				other.tracker.ReplacePeerLoad(sim.wallTime(), e.name, demands, loads)
 				other.tracker.Limits().Merge(sim.wallTime(), 0, limits)
 				other.tracker.Backoffs().Merge(sim.wallTime(), 0, backoffs)
+				other.mergeReturns(sim, returns)
 			})
 		}
 	}
@@ -370,7 +393,7 @@
 	k := &sim.config.Kinds[kind]
 	rate := k.RequestsPerSecond * sim.rateFactor(kind)
 	if rate > 0 && sim.Now() > 0 {
-		r := &request{sim: sim, entry: sim.pickEntry(), kind: k, result: &sim.results[kind], promptTokens: sim.drawPromptTokens(k), arrivedAt: sim.Now()}
+		r := &request{sim: sim, entry: sim.pickEntry(), kind: k, kindIndex: kind, result: &sim.results[kind], promptTokens: sim.drawPromptTokens(k), arrivedAt: sim.Now()}
 		r.result.Requests++
 		if k.inLargestTenth(r.promptTokens) {
 			r.result.Largest++
@@ -439,13 +462,19 @@
 		r.placeBaseline()
 		return
 	}
+	if !r.arriveAsCaller() {
+		return
+	}
 	if !direct.IsLongPrompt(sim.service, r.promptTokens) {
 		r.place()
 		return
 	}
 	expected := r.entry.policy.AddLongPrompt(sim.wallTime(), sim.service, len(r.entry.policy.Usable(sim.wallTime(), sim.wallTime().Add(r.kind.Target), r.entry.endpoints)), r.promptTokens)
+	if r.status.State == admission.ReturnOnTime {
+		expected = expected.WithoutQueued()
+	}
 	if expected.TooLate(r.kind.Target) && sim.config.enabled(Refusing) {
-		r.result.Refused++
+		r.refuse(admission.CauseCapacity, max(backlogFactor*(expected.FirstToken()-r.kind.Target), minAdvice))
 		return
 	}
 	r.latestStart = expected.LatestStart(r.kind.Target)
@@ -464,7 +493,7 @@
 	}
 	r.queued.Dequeue()
 	if !hasCapacity && sim.config.enabled(Refusing) {
-		r.result.Refused++
+		r.refuse(admission.CauseCapacity, minAdvice)
 		return
 	}
 	r.place()
@@ -504,12 +533,13 @@
 		}
 		placement.Tried[plan.Endpoint.Incarnation] = true
 	}
-	r.result.Refused++
+	r.refuse(admission.CauseCapacity, capacityAdvice)
 }
 
 // submit records the request's load and sends it to its plan's endpoint.
 func (r *request) submit(plan *direct.Plan, j *job) {
 	r.load = r.entry.tracker.Begin(r.sim.wallTime(), plan)
+	r.admitted()
 	if plan.Long && r.sim.config.enabled(Announcing) && r.sim.config.enabled(Heartbeats) {
 		r.sim.sendHeartbeat(r.entry)
 	}
@@ -531,6 +561,7 @@
 func (r *request) observeHead() {
 	r.observeLimit()
 	r.observeDeparture()
+	r.observeServed()
 	if r.countedAfterBackoff {
 		r.sim.AfterFunc(r.sim.messageDelay(), func() { r.entry.tracker.Backoffs().Answered(r.sim.wallTime(), r.engine.incarnation) })
 	}
@@ -553,6 +584,7 @@
 	if r.kind.inLargestTenth(r.promptTokens) {
 		r.result.LargestServed++
 	}
+	r.servedCaller(j.firstEventAt-r.arrivedAt <= r.kind.Target && r.longestPause <= r.kind.MaxPause)
 	switch {
 	case j.firstEventAt-r.arrivedAt > r.kind.Target:
 		r.result.LateFirst++
