--- a/admission/returns.go
+++ b/admission/returns.go
@@ -30,8 +30,11 @@
 // The causes. The end of an outage is not known: it is estimated from earlier outages and from how
 // long this one lasts.
 const (
-	// CauseOutage: no endpoint takes requests, or none of those that were tried.
+	// CauseOutage: no endpoint takes requests.
 	CauseOutage ReturnCause = iota
+	// CauseBusy: the endpoints that were tried did not take the request. It becomes an outage when
+	// none has responded for a while.
+	CauseBusy
 	// CauseCapacity: endpoints have too little capacity for the request, or it is not admitted.
 	CauseCapacity
 	// CauseStated: endpoints state when they take requests again (limits, backoffs, warm-up).
@@ -45,6 +48,8 @@
 	switch c {
 	case CauseOutage:
 		return "outage"
+	case CauseBusy:
+		return "busy"
 	case CauseCapacity:
 		return "capacity"
 	case CauseStated:
@@ -131,7 +136,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.promises.find(q.Key)
-	if p != nil && !p.claimed && now.Before(p.due) {
+	if p != nil && !p.claimed && !p.kept && now.Before(p.due) {
 		return r.confirm(now, p, &q)
 	}
 	wait := r.plan(now, &q, p != nil && p.claimed)
@@ -192,7 +197,7 @@
 	defer r.mu.Unlock()
 	p := r.promises.find(key)
 	switch {
-	case p == nil || p.claimed:
+	case p == nil || p.claimed || p.kept:
 		return ReturnStatus{}
 	case now.Before(p.due.Add(-earlyTolerance)):
 		return ReturnStatus{State: ReturnEarly, Remaining: p.due.Sub(now)}
@@ -209,8 +214,8 @@
 func (r *Returns) Complete(key uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p := r.promises.find(key); p != nil {
-		r.promises.remove(p)
+	if p := r.promises.find(key); p != nil && !p.kept {
+		p.kept, p.claimed = true, false
 		r.promises.reportKept(key)
 	}
 }
@@ -234,8 +239,12 @@
 func (r *Returns) Totals(now time.Time) ReturnTotals {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	totals := ReturnTotals{Promises: len(r.promises.byKey)}
+	totals := ReturnTotals{}
 	for _, p := range r.promises.byKey {
+		if p.kept {
+			continue
+		}
+		totals.Promises++
 		if p.own {
 			totals.Own++
 		}
--- a/admission/returns_promises.go
+++ b/admission/returns_promises.go
@@ -29,6 +29,9 @@
 	own bool
 	// claimed is set when a request has returned on time, until it ends or is refused again.
 	claimed bool
+	// kept is set when its request has returned. It is remembered, so that a late report does not
+	// bring the promise back.
+	kept bool
 	// confirmed counts the early returns that were told the time again.
 	confirmed uint8
 	// reports counts how often it was reported to the other entries.
@@ -47,6 +50,16 @@
 	kept []uint64
 }
 
+// supersededBy reports whether a time that another entry reports belongs to a later promise for the
+// same request. Reports whose delay is not known seem to be later than they are; they must not bring
+// back a promise that was kept.
+func (p *promise) supersededBy(due time.Time) bool {
+	if p.kept {
+		return due.After(p.due.Add(returnGrace))
+	}
+	return !due.Before(p.due.Add(earlyTolerance))
+}
+
 func newPromiseTable() promiseTable { return promiseTable{byKey: map[uint64]*promise{}} }
 
 func (t *promiseTable) find(key uint64) *promise {
@@ -75,7 +88,7 @@
 		t.byKey[key] = p
 		heap.Push(&t.order, p)
 	}
-	p.due, p.own, p.claimed, p.confirmed, p.reports = due, own, false, 0, 0
+	p.due, p.own, p.claimed, p.kept, p.confirmed, p.reports = due, own, false, false, 0, 0
 	heap.Fix(&t.order, p.index)
 	if own {
 		t.unreported = append(t.unreported, key)
@@ -138,7 +151,7 @@
 	for len(keys) > 0 && len(reports) < most {
 		p := t.byKey[keys[len(keys)-1]]
 		keys = keys[:len(keys)-1]
-		if p == nil || !p.own || p.claimed || p.reports != times || !p.due.After(now) {
+		if p == nil || !p.own || p.claimed || p.kept || p.reports != times || !p.due.After(now) {
 			continue
 		}
 		p.reports++
@@ -161,14 +174,14 @@
 		switch {
 		case report.Kept:
 			if p != nil && !p.claimed {
-				r.promises.remove(p)
+				p.kept = true
 			}
 			continue
 		case report.Left < 0 || report.Left > maxReportedWait:
 			continue
 		}
 		due := now.Add(report.Left - delay)
-		if now.Sub(due) > returnGrace || p != nil && due.Before(p.due.Add(earlyTolerance)) {
+		if now.Sub(due) > returnGrace || p != nil && !p.supersededBy(due) {
 			continue
 		}
 		r.share.count(now, false)
--- a/admission/returns_service.go
+++ b/admission/returns_service.go
@@ -128,10 +128,13 @@
 
 // earliest returns the time until the cause of a refusal ends.
 func (s *serviceReturns) earliest(now time.Time, q *ReturnRequest) time.Duration {
-	if q.Cause != CauseOutage {
-		return q.Earliest
+	switch q.Cause {
+	case CauseOutage:
+		return s.outage.refuse(now, q.Earliest, true)
+	case CauseBusy:
+		return s.outage.refuse(now, q.Earliest, false)
 	}
-	return s.outage.refuse(now, q.Earliest)
+	return q.Earliest
 }
 
 // limit returns how much returns of a tier may book in each slot, in seconds of capacity: this
@@ -139,7 +142,7 @@
 // 0 if the capacity is not known.
 func (s *serviceReturns) limit(now time.Time, q *ReturnRequest, share float64) float64 {
 	capacity := s.capacity
-	if q.Cause != CauseCapacity || capacity <= 0 {
+	if q.Cause != CauseCapacity && q.Cause != CauseBusy || capacity <= 0 {
 		capacity = s.full
 	}
 	capacity *= share * returnUtilization
--- a/gateway/returns.go
+++ b/gateway/returns.go
@@ -88,10 +88,13 @@
 	}
 	switch failure.Code {
 	case result.NoEndpoint, result.Evacuated:
+		if c.lastEndpoint != "" { // some were tried
+			return admission.CauseBusy, true
+		}
 		return admission.CauseOutage, true
 	case result.Overloaded:
 		if c.attemptsRefused {
-			return admission.CauseOutage, true
+			return admission.CauseBusy, true
 		}
 		return admission.CauseCapacity, true
 	case result.NotAdmitted:
