--- a/admission/returns.go
+++ b/admission/returns.go
@@ -173,21 +173,17 @@
 	if limit <= 0 || q.Cause == CauseEntry {
 		return roundUp(earliest)
 	}
-	share := 1.0
-	if !repeated {
-		share = s.firstShare(now, q.Tier)
-	}
 	from := now.Sub(r.started) + r.phase
-	slot := s.slots.find(from+earliest, limit*share)
+	b := s.findBooking(from+earliest, q, limit, s.openLanes(now, q.Tier, repeated))
 	useful := time.Duration(float64(q.Remaining) * waitShare)
-	if q.Remaining > 0 && s.slots.start(slot) > from+useful {
-		// The reserve for more urgent and repeated returns is used where the caller's time is short.
-		if urgent := s.slots.find(from+earliest, limit); s.slots.start(urgent) <= from+useful {
-			slot, share = urgent, 1
+	if q.Remaining > 0 && b.start > from+useful {
+		// What is kept for others is used where the caller's time is short.
+		if urgent := s.findBooking(from+earliest, q, limit, laneCount); urgent.start <= from+useful {
+			b = urgent
 		}
 	}
-	at := s.slots.book(slot, from+earliest, s.cost(q.Cost), limit*share)
-	return roundUp(at - from)
+	b.book()
+	return roundUp(b.start - from)
 }
 
 // Check returns how a request that arrives relates to what was promised to its caller. The state
--- a/admission/returns_service.go
+++ b/admission/returns_service.go
@@ -13,11 +13,12 @@
 	// minReturnRoom is the fraction of the capacity that is scheduled for returns however much new
 	// load there is: returns go before newcomers of their tier.
 	minReturnRoom = 0.25
-	// firstReturnShare is the fraction of a slot that is open to callers that are refused for the
-	// first time, lessUrgentShare the fraction that is open to a tier while callers of a more urgent
-	// one are refused as well. The rest is kept for those that go first.
-	firstReturnShare = 0.8
-	lessUrgentShare  = 0.7
+	// The capacity for returns is divided into lanes. All returns may use the first one. The second is
+	// kept from a tier while callers of a more urgent one are refused, the third is for callers that
+	// returned on time and are refused again.
+	laneCount    = 3
+	firstLanes   = 2
+	generalLanes = 1
 	// urgentRefusalTime is how long after a refusal its tier counts as being refused.
 	urgentRefusalTime = time.Second
 	// capacityMemory is the time constant with which the capacity before an outage is forgotten.
@@ -33,9 +34,12 @@
 	initialResponseTime = 100 * time.Millisecond
 )
 
+// laneShares are the lanes' fractions of the capacity for returns.
+var laneShares = [laneCount]float64{0.6, 0.2, 0.2}
+
 // serviceReturns is what is known of one service.
 type serviceReturns struct {
-	slots  returnSlotList
+	lanes  [laneCount]returnSlotList
 	outage outage
 	// capacity is the service's present capacity over all entries, in seconds per second; full is
 	// the largest of late. Both are 0 while unknown.
@@ -57,7 +61,9 @@
 		s = &serviceReturns{arrivals: map[int]float64{}, refusedAt: map[int]time.Time{}}
 		r.services[name] = s
 	}
-	s.slots.advance(now.Sub(r.started) + r.phase)
+	for i := range s.lanes {
+		s.lanes[i].advance(now.Sub(r.started) + r.phase)
+	}
 	return s
 }
 
@@ -163,13 +169,28 @@
 	}
 }
 
-// firstShare returns the fraction of a slot that callers of a tier may book when they are refused
-// for the first time.
-func (s *serviceReturns) firstShare(now time.Time, tier int) float64 {
+// openLanes returns the number of lanes that a return may use.
+func (s *serviceReturns) openLanes(now time.Time, tier int, repeated bool) int {
+	if repeated {
+		return laneCount
+	}
 	for other, at := range s.refusedAt {
 		if other < tier && now.Sub(at) < urgentRefusalTime {
-			return firstReturnShare * lessUrgentShare
+			return generalLanes
+		}
+	}
+	return firstLanes
+}
+
+// findBooking returns the earliest booking for a return in the first lanes. limit is what all lanes
+// together may hold in a slot.
+func (s *serviceReturns) findBooking(earliest time.Duration, q *ReturnRequest, limit float64, lanes int) booking {
+	var best booking
+	for i := range s.lanes[:lanes] {
+		found := s.lanes[i].find(earliest, s.cost(q.Cost), limit*laneShares[i])
+		if i == 0 || found.start < best.start {
+			best = found
 		}
 	}
-	return firstReturnShare
+	return best
 }
--- a/admission/returns_slots.go
+++ b/admission/returns_slots.go
@@ -37,14 +37,35 @@
 	}
 }
 
-// find returns the first slot, not before a time, in which less than limit is booked. If there is
-// none, it returns the one with the least bookings in the last second of the schedule.
-func (l *returnSlotList) find(earliest time.Duration, limit float64) int64 {
+// booking is a place in the schedule for one return.
+type booking struct {
+	list *returnSlotList
+	slot int64
+	// cost is what the return needs, limit what each slot may hold, in seconds of capacity.
+	cost, limit float64
+	// start is when the request should return.
+	start time.Duration
+}
+
+// find returns the first booking, not before a time, for a cost: in what is left of a slot and in the
+// next ones, in which nothing is booked yet. Otherwise costs that start in one slot would overlap
+// those of the next. If there is none, it is in the slot with the least bookings of the last second.
+func (l *returnSlotList) find(earliest time.Duration, cost, limit float64) booking {
 	end := l.first + returnSlots
 	from := min(max(int64(earliest/returnSlot), l.first), end-1)
+	start, missing := int64(-1), 0.0
 	for slot := from; slot < end; slot++ {
-		if *l.at(slot) < limit-bookingRounding {
-			return slot
+		booked := *l.at(slot)
+		switch {
+		case start >= 0 && booked == 0:
+			missing -= limit
+		case booked < limit-bookingRounding:
+			start, missing = slot, cost-(limit-booked)
+		default:
+			start = -1
+		}
+		if start >= 0 && (missing <= bookingRounding || slot == end-1) {
+			return l.booking(start, earliest, cost, limit)
 		}
 	}
 	least := max(from, end-int64(time.Second/returnSlot))
@@ -53,18 +74,26 @@
 			least = slot
 		}
 	}
-	return least
+	return l.booking(least, earliest, cost, limit)
 }
 
-// book books a cost from a slot on, at most limit in each slot as far as the schedule reaches, and
-// returns when the request should return: after the requests that are booked in the slot before it.
-func (l *returnSlotList) book(slot int64, earliest time.Duration, cost, limit float64) time.Duration {
-	at := l.start(slot) + time.Duration(min(*l.at(slot)/limit, 1)*float64(returnSlot))
-	end := l.first + returnSlots
-	for next := slot; next < end && cost > 0; next++ {
-		taken := min(cost, max(limit-*l.at(next), 0))
-		*l.at(next) += taken
+// booking returns a booking from a slot on. Its request returns after those that are booked in the
+// slot before it.
+func (l *returnSlotList) booking(slot int64, earliest time.Duration, cost, limit float64) booking {
+	start := l.start(slot) + time.Duration(min(*l.at(slot)/limit, 1)*float64(returnSlot))
+	return booking{list: l, slot: slot, cost: cost, limit: limit, start: max(start, earliest)}
+}
+
+// book enters the booking, as far as the schedule reaches. In a slot that is full, more than its
+// limit is booked.
+func (b *booking) book() {
+	end, cost := b.list.first+returnSlots, b.cost
+	for slot := b.slot; slot < end && cost > 0; slot++ {
+		taken := min(cost, max(b.limit-*b.list.at(slot), 0))
+		if taken == 0 {
+			taken = cost
+		}
+		*b.list.at(slot) += taken
 		cost -= taken
 	}
-	return max(at, earliest)
 }
--- a/admission/semaphore_test.go
+++ b/admission/semaphore_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"container/heap"
 	"context"
 	"sync"
 	"testing"
@@ -58,3 +59,35 @@
 		}
 	})
 }
+
+// Guards against callers that return when they were told to and wait behind newcomers of their tier,
+// and against precedence over other tiers. The turns are in the order of arrival.
+func TestReturningCallersGoBeforeNewcomersOfTheirTier(t *testing.T) {
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	for name, c := range map[string]struct {
+		turns []Turn
+		want  []int
+	}{
+		"returning after newcomers":  {[]Turn{{Priority: at(1)}, {Priority: at(2)}, {Priority: at(9), Returning: true}}, []int{2, 0, 1}},
+		"newcomers after returning":  {[]Turn{{Priority: at(9), Returning: true}, {Priority: at(1)}}, []int{0, 1}},
+		"other tiers keep their own": {[]Turn{{Priority: at(1)}, {Priority: at(2), Tier: 1}, {Priority: at(9), Tier: 1, Returning: true}}, []int{0, 2, 1}},
+		"returning among themselves": {[]Turn{{Priority: at(9), Returning: true}, {Priority: at(1), Returning: true}}, []int{1, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var waiting waiters
+			order := map[*waiter]int{}
+			for i, turn := range c.turns {
+				w := &waiter{Turn: waiting.adjust(turn)}
+				order[w] = i
+				heap.Push(&waiting, w)
+			}
+			var got []int
+			for len(waiting) > 0 {
+				got = append(got, order[heap.Pop(&waiting).(*waiter)])
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
--- a/routing/direct/queue_test.go
+++ b/routing/direct/queue_test.go
@@ -73,3 +73,30 @@
 		is.True(alone.Enqueue(service(), 150_000).MayStart(testNow, list)) // no other entry uses the capacity
 	}
 }
+
+// Guards against refusing a caller that returns when it was told to because of prompts that it goes
+// before.
+func TestAReturningPromptIsNotRefusedBecauseOfQueuedOnes(t *testing.T) {
+	is := is.New(t)
+	p := newPolicy(1)
+	reportOthers(p, Demand{LongPrefill: time.Minute, PendingPrefill: time.Second, QueuedPrefill: 200 * time.Second})
+	estimate := p.EstimateFirstToken(testNow, service(), 40, 150_000)
+	is.True(estimate.TooLate(2 * time.Second))
+	is.True(!estimate.WithoutQueued().TooLate(2 * time.Second))
+	is.True(estimate.WithoutQueued().Wait > 0) // what the engines have already goes before it
+}
+
+// Guards against return times that are computed from other costs than the capacity.
+func TestTheCapacityOfAServiceServesItsRequests(t *testing.T) {
+	is := is.New(t)
+	engine := siteEngine()
+	list := endpoints(3)
+	is.Equal(ServiceCapacity(service(), list), 3.0)
+	list[1] = &directory.EndpointState{Endpoint: list[1].Endpoint, MissingSince: testNow}
+	is.Equal(ServiceCapacity(service(), list), 2.0)
+	is.Equal(ServiceCapacity(&directory.Service{}, list), float64(list[0].Slots+list[2].Slots))
+	// A full engine decodes one pass of each of its slots in PassTime.
+	is.Equal(RequestCost(service(), 0, engine.Stride*engine.Slots), PassTime(engine))
+	is.Equal(RequestCost(service(), 5000, 0), PrefillTime(engine, 5000))
+	is.Equal(RequestCost(&directory.Service{}, 5000, 100), time.Duration(0))
+}
