--- a/admission/returns_service.go
+++ b/admission/returns_service.go
@@ -28,8 +28,8 @@
 	arrivalWindow = time.Second
 	// maxTiers bounds the tiers of a service that are distinguished; there are 256.
 	maxTiers = 256
-	// responseWeight is the weight of the latest response in the average of their times, and
-	// initialResponseTime that average before the first one.
+	// responseWeight is the weight of the latest response in the averages of their times and lengths,
+	// initialResponseTime the average time before the first one.
 	responseWeight      = 0.05
 	initialResponseTime = 100 * time.Millisecond
 )
@@ -52,6 +52,8 @@
 	refusedAt map[int]time.Time
 	// responseTime is the moving average of the time of responses; 0 before the first one.
 	responseTime time.Duration
+	// output is the moving average of the tokens of a stream; 0 before the first one.
+	output float64
 }
 
 // service returns the state of a service, with its schedule advanced to now. The caller holds mu.
@@ -120,6 +122,31 @@
 	}
 }
 
+// RecordOutput records how many tokens a stream had.
+func (r *Returns) RecordOutput(name string, tokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.services[name]; s != nil {
+		s.output += responseWeight * (float64(tokens) - cmp.Or(s.output, float64(tokens)))
+		s.output = cmp.Or(s.output, float64(tokens))
+	}
+}
+
+// ExpectedOutput returns the expected tokens of a stream that has no more than bound, 0 if it states
+// no bound. Bounds are well above what streams have on average.
+func (r *Returns) ExpectedOutput(name string, bound int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[name]
+	switch {
+	case s == nil || s.output == 0:
+		return bound
+	case bound == 0:
+		return int(s.output)
+	}
+	return min(int(s.output), bound)
+}
+
 func (s *serviceReturns) decay(now time.Time) {
 	passed := now.Sub(s.arrivedAt)
 	if passed <= 0 {
--- a/admission/returns_test.go
+++ b/admission/returns_test.go
@@ -299,3 +299,18 @@
 		})
 	}
 }
+
+// Guards against costs by the bound of the output, which callers set well above what they get.
+func TestTheOutputIsExpectedAsObserved(t *testing.T) {
+	is := is.New(t)
+	r := newTestReturns(time.Now(), 10)
+	is.Equal(r.ExpectedOutput("s", 1000), 1000)
+	r.RecordOutput("s", 200)
+	is.Equal(r.ExpectedOutput("s", 1000), 200)
+	is.Equal(r.ExpectedOutput("s", 100), 100)
+	is.Equal(r.ExpectedOutput("s", 0), 200)
+	for range 200 {
+		r.RecordOutput("s", 400)
+	}
+	is.True(r.ExpectedOutput("s", 1000) > 390)
+}
--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -67,7 +67,7 @@
 func Capacity() ([]Cost, error) {
 	var costs []Cost
 	for _, measure := range []func() ([]Cost, error){
-		heartbeatCosts, routingCosts, catalogueCosts, powerCosts, agentCosts, limiterCosts, claimCosts,
+		heartbeatCosts, routingCosts, catalogueCosts, powerCosts, agentCosts, limiterCosts, claimCosts, returnCosts,
 	} {
 		measured, err := measure()
 		if err != nil {
--- a/gateway/returns.go
+++ b/gateway/returns.go
@@ -30,9 +30,9 @@
 	capacityRefreshInterval = 100 * time.Millisecond
 )
 
-// tier returns the urgency of the call for admission; 0 goes first. The client account's priority
+// returnTier returns the urgency of the call; 0 goes first. The client account's priority
 // ranks before the route's.
-func (c *call) tier() int {
+func (c *call) returnTier() int {
 	clamp := func(priority int) int { return min(max(priority, 0), maxPriority) }
 	return (maxPriority+1)*clamp(c.priority()) + clamp(c.route.Priority)
 }
@@ -59,7 +59,8 @@
 
 // returnCost returns the time that the call takes of its service's capacity; 0 if that is not known.
 func (c *call) returnCost() time.Duration {
-	return direct.RequestCost(c.service, c.PromptTokens, cmp.Or(c.ExpectedOutput, c.OutputTokens))
+	output := cmp.Or(c.ExpectedOutput, c.gateway.returns.ExpectedOutput(c.service.Name, c.OutputTokens))
+	return direct.RequestCost(c.service, c.PromptTokens, output)
 }
 
 // recogniseReturn determines whether the call's caller was refused before and was told to return.
@@ -69,7 +70,7 @@
 		c.returnStatus = g.returns.Check(c.started, c.returnKey())
 	}
 	if c.returnStatus.State == admission.ReturnUnknown {
-		g.returns.RecordArrival(c.started, c.service.Name, c.tier(), c.returnCost())
+		g.returns.RecordArrival(c.started, c.service.Name, c.returnTier(), c.returnCost())
 		return
 	}
 	c.log.Add("return_recognised", zap.Stringer("state", c.returnStatus.State), zap.Duration("left_ms", c.returnStatus.Remaining))
@@ -112,6 +113,9 @@
 // Retry-After of a refusal is until then the earliest time at which its cause may end.
 func (c *call) endReturn(failure *result.Error) {
 	g := c.gateway
+	if c.eventsSent > 0 && c.service.Engine != nil {
+		g.returns.RecordOutput(c.service.Name, c.eventsSent*c.service.Engine.Stride)
+	}
 	cause, refused := c.returnCause(failure)
 	if !refused {
 		if state := c.returnStatus.State; state == admission.ReturnEarly || state == admission.ReturnOnTime {
@@ -122,7 +126,7 @@
 	now := time.Now()
 	q := admission.ReturnRequest{Key: c.returnKey(), Cause: cause, Earliest: failure.RetryAfter, Remaining: max(c.deadline.Sub(now), 0)}
 	if c.route != nil {
-		q.Tier = c.tier()
+		q.Tier = c.returnTier()
 	}
 	if c.service != nil {
 		g.refreshCapacity(now)
--- a/gateway/returns_test.go
+++ b/gateway/returns_test.go
@@ -50,7 +50,7 @@
 		early := second.send(body+" early", body)
 		is.Equal(early.status, http.StatusServiceUnavailable)
 		is.True(time.Now().Add(retryAfter(t, early)).After(toldAt.Add(told - time.Second))) // it is not told to come earlier
-		is.True(strings.Contains(second.log.String(), `"event":"return_recognised"`))
+		second.waitFor("it is logged", func() bool { return strings.Contains(second.log.String(), `"event":"return_recognised"`) })
 		second.store.Put("servers/"+worker.ID, worker.Registration("ready"))
 		second.waitFor("the worker is known", func() bool { return second.sumMetric("aspenyard_gateway_endpoints ") == 1 })
 		time.Sleep(time.Until(toldAt.Add(told)))
@@ -83,5 +83,5 @@
 	}
 	is.True(last > first+time.Second)
 	is.Equal(s.sumMetric(`aspenyard_gateway_return_promises_total{cause="outage"}`), 40.0)
-	is.True(strings.Contains(s.log.String(), `"event":"return_promised"`))
+	s.waitFor("it is logged", func() bool { return strings.Contains(s.log.String(), `"event":"return_promised"`) })
 }
