--- a/admission/returns.go
+++ b/admission/returns.go
@@ -170,7 +170,7 @@
 	earliest := s.earliest(now, q)
 	limit := s.limit(now, q, r.share.of(now))
 	s.refused(now, q.Tier)
-	if limit <= 0 || q.Cause == CauseEntry {
+	if limit <= 0 || q.Cause == CauseEntry || earliest >= returnHorizon {
 		return roundUp(earliest)
 	}
 	from := now.Sub(r.started) + r.phase
--- a/admission/returns_service.go
+++ b/admission/returns_service.go
@@ -10,9 +10,11 @@
 	// returnUtilization is the fraction of a service's capacity that is scheduled: cost estimates
 	// are inexact, and returns have to arrive at entries that have room.
 	returnUtilization = 0.8
-	// minReturnRoom is the fraction of the capacity that is scheduled for returns however much new
-	// load there is: returns go before newcomers of their tier.
+	// minReturnRoom is the fraction of what more urgent tiers leave that is scheduled for returns,
+	// however many newcomers of their tier there are: returns go before them. minTierRoom is the
+	// fraction of the capacity that is scheduled in any case, as less urgent tiers are not starved.
 	minReturnRoom = 0.25
+	minTierRoom   = 0.05
 	// The capacity for returns is divided into lanes. All returns may use the first one. The second is
 	// kept from a tier while callers of a more urgent one are refused, the third is for callers that
 	// returned on time and are refused again.
@@ -180,13 +182,13 @@
 	}
 	capacity *= share * returnUtilization
 	s.decay(now)
-	room := capacity
+	left := capacity // by more urgent tiers
 	for tier, rate := range s.arrivals {
-		if tier <= q.Tier {
-			room -= rate
+		if tier < q.Tier {
+			left -= rate
 		}
 	}
-	return max(room, capacity*minReturnRoom) * returnSlot.Seconds()
+	return max(left-s.arrivals[q.Tier], left*minReturnRoom, capacity*minTierRoom) * returnSlot.Seconds()
 }
 
 // refused records a refusal of a tier.
--- a/gateway/returns.go
+++ b/gateway/returns.go
@@ -38,9 +38,10 @@
 }
 
 // returnKey returns the hash by which the call's request is recognised when it returns, whichever
-// entry receives it. The request ID is not part of it: a returning request has a new one.
+// entry receives it; 0 before the body is read. The request ID is not part of it: a returning request
+// has a new one.
 func (c *call) returnKey() uint64 {
-	if c.cachedReturnKey != 0 || c.route == nil {
+	if c.cachedReturnKey != 0 || c.service == nil {
 		return c.cachedReturnKey
 	}
 	account := ""
