--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -488,7 +488,7 @@
 // submit records the request's load and sends it to its plan's endpoint.
 func (r *request) submit(plan *direct.Plan, j *job) {
 	r.load = r.entry.tracker.Begin(r.sim.wallTime(), plan)
-	r.admitted()
+	r.countInFlight()
 	if plan.Long && r.sim.config.enabled(Announcing) && r.sim.config.enabled(Heartbeats) {
 		r.sim.sendHeartbeat(r.entry)
 	}
--- a/bench/emulator/returns.go
+++ b/bench/emulator/returns.go
@@ -199,8 +199,8 @@
 	})
 }
 
-// admitted counts a request that is sent to an engine.
-func (r *request) admitted() {
+// countInFlight counts a request that is sent to an engine.
+func (r *request) countInFlight() {
 	r.sim.inFlight++
 	if r.caller == nil {
 		return
--- a/bench/emulator/returns_test.go
+++ b/bench/emulator/returns_test.go
@@ -20,9 +20,9 @@
 	return c
 }
 
-// scarceSite is a site that loses nine tenths of its engines for two seconds, and half of them later
+// engineLossSite is a site that loses nine tenths of its engines for two seconds, and half of them later
 // while all callers send more.
-func scarceSite(seed uint64, entries int) *Config {
+func engineLossSite(seed uint64, entries int) *Config {
 	c := statementSite(seed, entries)
 	c.LoadChanges = []LoadChange{{8 * time.Second, []float64{3, 3}}, {12 * time.Second, []float64{1, 1}}}
 	c.Callers = &Callers{
@@ -39,7 +39,7 @@
 	if testing.Verbose() {
 		entryCounts = append(entryCounts, 68)
 	}
-	sites := map[string]func(uint64, int) *Config{"herd": herdSite, "scarcity": scarceSite}
+	sites := map[string]func(uint64, int) *Config{"herd": herdSite, "scarcity": engineLossSite}
 	for _, site := range []string{"herd", "scarcity"} {
 		for _, entries := range entryCounts {
 			again := map[Advice]int{}
