--- a/admission/controller.go
+++ b/admission/controller.go
@@ -72,6 +72,12 @@
 	Slack time.Duration
 	// Exempt requests are admitted in any case, and counted.
 	Exempt bool
+	// Returning requests go before others of their tier: their callers were refused and return when
+	// they were told to.
+	Returning bool
+	// Early requests return before their time. While capacity is scarce they are not admitted, as each
+	// further attempt would have another chance, and they do not count as offered load.
+	Early bool
 }
 
 // ArrivalDecision says whether a request is admitted.
@@ -157,7 +163,9 @@
 	account := HashAccount(a.Account)
 	window := s.tier(a.Tier)
 	window.typical.observe(a)
-	window.arrive(now, account, milliseconds(a.Cost))
+	if !a.Early {
+		window.arrive(now, account, milliseconds(a.Cost))
+	}
 	if now.Sub(s.computedAt) >= s.interval || s.shares[a.Tier] == nil || s.admitted >= s.refreshAfter {
 		c.refresh(now, a.Service, s, engines())
 	}
@@ -168,7 +176,7 @@
 			d.Share = share.of(account)
 		}
 	}
-	d.Admitted = a.Exempt || d.Share >= 1 || d.Share > 0 && c.diffuser.admit(diffusionKey{a.Tier, account, a.Kind}, d.Share)
+	d.Admitted = a.Exempt || d.Share >= 1 || !a.Early && d.Share > 0 && c.diffuser.admit(diffusionKey{a.Tier, account, a.Kind}, d.Share, a.Returning)
 	if d.Admitted {
 		s.admitted++
 		window.admitted.add(now, window.window(), milliseconds(a.Cost))
--- a/admission/diffusion.go
+++ b/admission/diffusion.go
@@ -26,12 +26,15 @@
 // admission of each key by less than a request.
 const maxDiffusionKeys = 4096
 
+// maxDebt is how many returning requests are admitted ahead of their share. Newcomers make up for it.
+const maxDebt = 4
+
 func newDiffuser(seed uint64) *diffuser {
 	return &diffuser{errors: map[diffusionKey]float64{}, seed: seed}
 }
 
 // admit decides on the next request of a key.
-func (d *diffuser) admit(key diffusionKey, share float64) bool {
+func (d *diffuser) admit(key diffusionKey, share float64, returning bool) bool {
 	e, found := d.errors[key]
 	if !found {
 		if len(d.errors) >= maxDiffusionKeys {
@@ -40,7 +43,7 @@
 		e = d.phase(key)
 	}
 	e += min(max(share, 0), 1)
-	admitted := e >= 1
+	admitted := e >= 1 || returning && e > -maxDebt
 	if admitted {
 		e--
 	}
--- a/admission/shares_test.go
+++ b/admission/shares_test.go
@@ -142,7 +142,7 @@
 				share = shares[0]
 			}
 			sum += share
-			if d.admit(key, share) {
+			if d.admit(key, share, false) {
 				admitted++
 			}
 			if math.Abs(float64(admitted)-sum) > 1 {
@@ -157,7 +157,7 @@
 	is := is.New(t)
 	admitted := 0
 	for seed := range uint64(1000) {
-		if newDiffuser(seed).admit(diffusionKey{kind: "k"}, 0.3) {
+		if newDiffuser(seed).admit(diffusionKey{kind: "k"}, 0.3, false) {
 			admitted++
 		}
 	}
--- a/bench/emulator/admission.go
+++ b/bench/emulator/admission.go
@@ -83,7 +83,7 @@
 		return true
 	}
 	sim, now := r.sim, r.sim.wallTime()
-	a := &admission.Arrival{Service: serviceName, Tier: r.kind.tier(), Account: r.account, Kind: r.kind.Name}
+	a := &admission.Arrival{Service: serviceName, Tier: r.kind.tier(), Account: r.account, Kind: r.kind.Name, Returning: r.status.State == admission.ReturnOnTime && r.sim.config.Callers.Advice == ScheduleAdvice, Early: r.status.State == admission.ReturnEarly && r.sim.config.Callers.Advice == ScheduleAdvice}
 	direct.SetPromptCost(a, sim.service.Engine, r.promptTokens, float64(r.kind.Events), r.kind.Target)
 	d := r.entry.admission.Admit(now, a, func() []admission.EngineState {
 		return r.entry.policy.EngineStates(now, sim.service, r.entry.endpoints)
@@ -93,8 +93,8 @@
 		r.admitted = true
 		return true
 	}
-	r.result.Refused++
 	r.result.NotAdmitted++
+	r.refuse(admission.CauseCapacity, time.Second)
 	return false
 }
 
--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/bench/virtual"
 	"aspenyard.example/directory"
 	"aspenyard.example/routing/direct"
@@ -84,6 +85,8 @@
 	Departures []Departure
 	// Evacuations are the evacuations of engines.
 	Evacuations []Evacuation
+	// Callers says what refused callers do; nil: they do not return. See SimulateReturns.
+	Callers *Callers
 	// Holders is the number of entries that share a limit; nil: admission.Holders.
 	Holders func(perSecond float64, entries int) int
 	// Admission returns what admits requests at an entry; nil: all are admitted.
@@ -203,6 +206,10 @@
 	refusalResult    RefusalResult
 	departureResult  DepartureResult
 	evacuationResult EvacuationResult
+	// returnResults are the results of callers by kind, callers counts them, and inFlight the
+	// requests at engines. They are used where Config.Callers is set.
+	returnResults     []ReturnResult
+	callers, inFlight int
 }
 
 // entry is one simulated entry.
@@ -216,6 +223,8 @@
 	endpoints []*directory.EndpointState
 	// admission is nil where all requests are admitted.
 	admission Admission
+	// returns is nil unless Config.Callers is set.
+	returns *admission.Returns
 }
 
 // request is one simulated request.
@@ -244,6 +253,10 @@
 	account             string
 	// admitted is set while a request that was admitted by priority has no response.
 	admitted bool
+	// kindIndex is the index of kind. caller and status are set where Config.Callers is.
+	kindIndex int
+	caller    *caller
+	status    admission.ReturnStatus
 }
 
 // Simulate runs a load until its last request has ended and returns a result for each kind,
@@ -269,6 +282,13 @@
 
 // SimulateStatements is Simulate; it also returns what the engines got that made statements.
 func SimulateStatements(c *Config) ([]Result, StatementResult) {
+	sim := newSimulation(c)
+	sim.run()
+	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult, sim.evacuationResult}
+}
+
+// newSimulation returns a simulation whose load and heartbeats are scheduled.
+func newSimulation(c *Config) *simulation {
 	sim := &simulation{config: c, rand: rand.New(rand.NewPCG(c.Seed, 1)), epoch: time.Unix(0, 0), engines: map[directory.Incarnation]*engine{}}
 	sim.service = &directory.Service{Name: serviceName, Engine: &c.Engine}
 	for _, k := range c.Kinds {
@@ -276,10 +296,11 @@
 		sim.service.AddTargetPause(k.MaxPause)
 	}
 	sim.setUp()
-	sim.RunUntil(math.MaxInt64)
-	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult, sim.evacuationResult}
+	return sim
 }
 
+func (sim *simulation) run() { sim.RunUntil(math.MaxInt64) }
+
 // setUp creates the engines and entries and schedules heartbeats, arrivals and slowdowns.
 func (sim *simulation) setUp() {
 	for i := range sim.config.Engines {
@@ -327,33 +348,6 @@
 	}
 }
 
-// scheduleSlowdown slows every other engine from the end of the list, where the engines for
-// long prompts are.
-func (sim *simulation) scheduleSlowdown(s *Slowdown) {
-	for i := range s.Engines {
-		endpoint := sim.endpoints[len(sim.endpoints)-1-2*i]
-		set := func(factor float64) {
-			sim.engines[endpoint.Incarnation].slowdown = factor
-			if sim.config.SlowdownKnownAfter > 0 {
-				sim.AfterFunc(sim.config.SlowdownKnownAfter, func() { sim.reportSlowdown(endpoint.Incarnation, factor, s.To) })
-			}
-		}
-		sim.AfterFunc(s.From, func() { set(s.Factor) })
-		sim.AfterFunc(s.To, func() { set(1) })
-	}
-}
-
-// reportSlowdown tells all entries how slow an engine is, and repeats that each second until
-// the slowdown ends.
-func (sim *simulation) reportSlowdown(incarnation directory.Incarnation, factor float64, until time.Duration) {
-	for _, e := range sim.entries {
-		e.tracker.SetSlowdown(sim.wallTime(), incarnation, factor)
-	}
-	if factor > 1 && sim.Now() < until {
-		sim.AfterFunc(time.Second, func() { sim.reportSlowdown(incarnation, sim.engines[incarnation].slowdown, until) })
-	}
-}
-
 // wallTime is the virtual time as the policy reads it.
 func (sim *simulation) wallTime() time.Time { return sim.epoch.Add(sim.Now()) }
 
@@ -381,6 +375,7 @@
 	if len(sim.config.Refusals) > 0 && sim.config.Refusals[0].Shared {
 		backoffs = e.tracker.Backoffs().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedBackoffs)
 	}
+	returns := e.returnReports(sim)
 	for _, other := range sim.entries {
 		lost := sim.config.HeartbeatLoss > 0 && sim.rand.Float64() < sim.config.HeartbeatLoss
 		if other != e && !lost {
@@ -390,6 +385,7 @@
 				other.mergeOffered(sim.wallTime(), e.name, offered, full)
 				other.tracker.Limits().Merge(sim.wallTime(), 0, limits)
 				other.tracker.Backoffs().Merge(sim.wallTime(), 0, backoffs)
+				other.mergeReturns(sim, returns)
 			})
 		}
 	}
@@ -409,7 +405,7 @@
 	k := &sim.config.Kinds[kind]
 	rate := k.RequestsPerSecond * sim.rateFactor(kind)
 	if rate > 0 && sim.Now() > 0 {
-		r := &request{sim: sim, entry: sim.pickEntry(), kind: k, result: &sim.results[kind], promptTokens: sim.drawPromptTokens(k), arrivedAt: sim.Now()}
+		r := &request{sim: sim, entry: sim.pickEntry(), kind: k, kindIndex: kind, result: &sim.results[kind], promptTokens: sim.drawPromptTokens(k), arrivedAt: sim.Now()}
 		r.result.Requests++
 		r.account = k.pickAccount(sim)
 		r.countAccount(func(a *AccountResult) { a.Requests++ })
@@ -421,57 +417,6 @@
 	sim.AfterFunc(time.Duration(sim.rand.ExpFloat64()/max(rate, minRate)*float64(time.Second)), func() { sim.arrive(kind) })
 }
 
-// pickEntry draws the entry at which a request arrives, weighted by Config.Skew.
-func (sim *simulation) pickEntry() *entry {
-	n := len(sim.entries)
-	if sim.config.Skew <= 1 || n == 1 {
-		return sim.entries[sim.rand.IntN(n)]
-	}
-	weight := func(i int) float64 { return 1 + (sim.config.Skew-1)*float64(i)/float64(n-1) }
-	left := sim.rand.Float64() * float64(n) * (1 + sim.config.Skew) / 2
-	for i := range n {
-		if left -= weight(i); left < 0 {
-			return sim.entries[i]
-		}
-	}
-	return sim.entries[n-1]
-}
-
-// minRate is the least rate at which arrivals are scheduled, in requests a second, so that a
-// kind with rate 0 notices the next load change.
-const minRate = 0.5
-
-// rateFactor is the factor of the latest load change for a kind.
-func (sim *simulation) rateFactor(kind int) float64 {
-	factor := 1.0
-	for _, change := range sim.config.LoadChanges {
-		if sim.Now() >= change.At {
-			factor = change.RateFactors[kind]
-		}
-	}
-	return factor
-}
-
-// ninthDecileZ is the 0.9 quantile of the standard normal distribution.
-const ninthDecileZ = 1.2816
-
-// inLargestTenth reports whether a prompt is in the longest tenth of its kind's distribution.
-func (k *Kind) inLargestTenth(tokens int) bool {
-	sigma := k.logSigma()
-	return float64(tokens) > k.MeanTokens*math.Exp(ninthDecileZ*sigma-sigma*sigma/2)
-}
-
-// logSigma is the standard deviation of the logarithm of the prompt length.
-func (k *Kind) logSigma() float64 { return math.Sqrt(math.Log(1 + k.Spread*k.Spread)) }
-
-// drawPromptTokens draws a prompt length from the log-normal distribution with the kind's
-// mean and spread, bounded by MaxTokens.
-func (sim *simulation) drawPromptTokens(k *Kind) int {
-	sigma := k.logSigma()
-	drawn := k.MeanTokens * math.Exp(sigma*sim.rand.NormFloat64()-sigma*sigma/2)
-	return min(max(int(drawn), 1), k.MaxTokens)
-}
-
 // start handles a request that has arrived. Short prompts are placed at once; a long prompt is
 // refused if its first token is expected too late, else queued.
 func (r *request) start() {
@@ -480,7 +425,7 @@
 		r.placeBaseline()
 		return
 	}
-	if !r.admit() {
+	if !r.arriveAsCaller() || !r.admit() {
 		return
 	}
 	if !direct.IsLongPrompt(sim.service, r.promptTokens) {
@@ -489,9 +434,12 @@
 	}
 	expected := r.entry.policy.AddLongPrompt(sim.wallTime(), sim.service, len(r.entry.policy.Usable(sim.wallTime(), sim.wallTime().Add(r.kind.Target), r.entry.endpoints)), r.promptTokens)
 	r.preference = r.entry.policy.LengthPreference(sim.wallTime(), r.route(), r.promptTokens)
+	if r.status.State == admission.ReturnOnTime {
+		expected = expected.WithoutQueued()
+	}
 	if expected.TooLate(r.kind.Target) && sim.config.enabled(Refusing) && r.preference == direct.NoPreference {
 		r.recordOutcome(false)
-		r.result.Refused++
+		r.refuse(admission.CauseCapacity, max(backlogFactor*(expected.FirstToken()-r.kind.Target), minAdvice))
 		return
 	}
 	r.latestStart = expected.LatestStart(r.kind.Target)
@@ -511,8 +459,8 @@
 	r.queued.Dequeue()
 	if !hasCapacity && sim.config.enabled(Refusing) && r.preference == direct.NoPreference {
 		r.recordOutcome(false)
-		r.result.Refused++
 		r.countHeldBack()
+		r.refuse(admission.CauseCapacity, minAdvice)
 		return
 	}
 	r.place()
@@ -554,7 +502,7 @@
 		placement.Tried[plan.Endpoint.Incarnation] = true
 	}
 	r.recordOutcome(false)
-	r.result.Refused++
+	r.refuse(admission.CauseCapacity, capacityAdvice)
 }
 
 func (r *request) route() direct.RouteHash { return direct.HashRoute(serviceName, r.kind.Name) }
@@ -569,6 +517,7 @@
 // submit records the request's load and sends it to its plan's endpoint.
 func (r *request) submit(plan *direct.Plan, j *job) {
 	r.load = r.entry.tracker.Begin(r.sim.wallTime(), plan)
+	r.countInFlight()
 	if plan.Long && r.sim.config.enabled(Announcing) && r.sim.config.enabled(Heartbeats) {
 		r.sim.sendHeartbeat(r.entry)
 	}
@@ -594,6 +543,7 @@
 func (r *request) observeHead() {
 	r.observeLimit()
 	r.observeDeparture()
+	r.observeServed()
 	if r.countedAfterBackoff {
 		r.sim.AfterFunc(r.sim.messageDelay(), func() { r.entry.tracker.Backoffs().Answered(r.sim.wallTime(), r.engine.incarnation) })
 	}
@@ -618,6 +568,7 @@
 		r.result.LargestServed++
 	}
 	r.countServed(j)
+	r.servedCaller(j.firstEventAt-r.arrivedAt <= r.kind.Target && r.longestPause <= r.kind.MaxPause)
 	switch {
 	case j.firstEventAt-r.arrivedAt > r.kind.Target:
 		r.result.LateFirst++
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -248,6 +248,7 @@
 	w.gateway.prober.prune(snapshot.Known)
 	w.gateway.slowdownMonitor.prune(snapshot.Known)
 	w.gateway.shareLimits(snapshot)
+	w.gateway.updateReturnCapacity(time.Now(), snapshot)
 	w.gateway.loadTracker.Prune(snapshot.Known)
 	w.gateway.peers.setMembers(snapshot)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,8 @@
 	retries         *admission.RetryWindow
 	admission       *admissionControl
 	quarantine      *attempt.Quarantine
+	returns         *admission.Returns
+	capacityAt      atomic.Int64 // when the services' capacity was last updated, in nanoseconds since started
 	pool            *pool
 	callers         *callerServer
 	prober          *prober
@@ -129,6 +131,7 @@
 	}
 	g.quarantine = attempt.NewQuarantine()
 	g.admission = newAdmissionControl(&c.Settings)
+	g.returns = admission.NewReturns(g.started, c.Settings.Name)
 	g.replica, g.publishRequested = directory.NewReplica(), make(chan struct{}, 1)
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.EmptySnapshot())
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -193,6 +193,7 @@
 	appendBackoffs(h, p.gateway.loadTracker.Backoffs().Reports(now, !h.Partial, maxHeartbeatBackoffs))
 	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
 	appendOutcomes(h, p.gateway.loadTracker.TakeOutcomes(maxHeartbeatOutcomes))
+	appendReturns(h, p.gateway.returns.Reports(now, !h.Partial, maxHeartbeatReturns))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
 	appendOfferedLoads(h, p.gateway.admission.controller.Reports(now, !h.Partial))
 	for _, d := range p.gateway.loadTracker.Demands(now) {
@@ -250,6 +251,7 @@
 	delay := p.delays.observe(now, h)
 	p.gateway.mergeLimits(now, h, delay)
 	p.gateway.loadTracker.Backoffs().Merge(now, delay, decodeBackoffs(h))
+	p.gateway.returns.Merge(now, delay, decodeReturns(h))
 	p.gateway.mergeLeaving(now, h)
 	p.gateway.loadTracker.MergeOutcomes(now, decodeOutcomes(h))
 	p.gateway.mergeEvacuations(now, h)
@@ -326,6 +328,7 @@
 	p.gateway.retries.SetEntries(now, members.EntryCountWithLeaving()+1)
 	p.gateway.loadTracker.SetEntryCount(members.EntryCount() + 1)
 	p.gateway.admission.controller.SetEntries(members.EntryCount() + 1)
+	p.gateway.returns.SetEntries(members.EntryCount() + 1)
 	alive := members.Entries("")
 	rank := sort.Search(len(alive), func(i int) bool { return alive[i].Name() > p.gateway.settings.Name })
 	p.gateway.loadTracker.SetRank(rank, len(alive)+1)
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/membership"
 	"aspenyard.example/result"
 	"aspenyard.example/routing/direct"
@@ -40,6 +41,9 @@
 	}
 	estimate := g.policy.AddLongPrompt(f.started, f.service, engines, f.PromptTokens)
 	f.checkLengthPreference(estimate)
+	if f.returning() {
+		estimate = estimate.WithoutQueued()
+	}
 	if estimate.TooLate(f.route.Target) && f.placementRequest.Preference == direct.NoPreference {
 		return f.refuseLateFirstToken(estimate, backlogDrainFactor*(estimate.FirstToken()-f.route.Target))
 	}
@@ -71,7 +75,8 @@
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
 	g := f.gateway
-	if err := g.longQueue.Acquire(ctx, f.started.Add(direct.PrefillTime(f.service.Engine, f.PromptTokens))); err != nil {
+	turn := admission.Turn{Priority: f.started.Add(direct.PrefillTime(f.service.Engine, f.PromptTokens)), Tier: f.returnTier(), Returning: f.returning()}
+	if err := g.longQueue.Acquire(ctx, turn); err != nil {
 		return false
 	}
 	defer g.longQueue.Release()
