Requests keep to the regions that their route and account allow

Cause: nothing read allowed_regions; a request of a restricted account reached endpoints in any data centre.

Code 3021 where no endpoint is left by this alone; log lines regions_refused and unknown_region, counter regions_refused_total. A restricted prompt is placed by its endpoints' share of the demand.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -199,6 +199,8 @@
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s that are left state limits, which are used up or kept for requests more urgent than priority %s", l.text("endpoints"), l.text("service"), l.text("priority"))
 	case "backoff_refused":
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s have refused requests and want no others for a time; the caller is told to come back after %s", l.text("endpoints"), l.text("service"), l.milliseconds("retry_after_ms"))
+	case "regions_refused":
+		return fmt.Sprintf("refused at once: none of %s endpoints of service %s is in a region that the route and the client account allow (%s)", l.text("endpoints"), l.text("service"), l.text("allowed"))
 	case "no_endpoint":
 		return fmt.Sprintf("refused at once: no endpoint of service %s takes requests; %s are leaving", l.text("service"), l.text("leaving"))
 	case "caller_lost":
--- a/directory/config.go
+++ b/directory/config.go
@@ -57,6 +57,8 @@
 	MaxAttempts int
 	// Services are the services that the route's requests are divided among by weight.
 	Services []WeightedService
+	// AllowedRegions are the regions whose endpoints may be sent the route's requests; empty: any.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request may be sent again after an attempt that may have
@@ -94,6 +96,8 @@
 	// Priority overrides the route's priority if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions are the regions whose endpoints may be sent the account's requests; empty: any.
+	AllowedRegions []string
 }
 
 // Service describes the endpoints that offer one service.
@@ -108,6 +112,9 @@
 	// MinTargetPause and MaxTargetPause are the smallest and the largest TargetPause of the
 	// routes to the service; 0 if none of them sets one.
 	MinTargetPause, MaxTargetPause time.Duration
+	// AllowedShare is the part of the service's endpoints that a request may use, which bears that part
+	// of the demand; 0: all. It is set for requests that are restricted to regions only.
+	AllowedShare float64
 }
 
 // AddTargetPause includes the TargetPause of a route to the service in MinTargetPause and
--- a/directory/replica.go
+++ b/directory/replica.go
@@ -342,6 +342,8 @@
 	byID      map[string]*EndpointState
 	// leaving holds the service of each endpoint that is leaving, by ID.
 	leaving map[string]string
+	// leavingPlaces holds the services and data centres of endpoints that are leaving.
+	leavingPlaces map[servicePlace]bool
 	// Nodes are the system's own registered processes, sorted by name.
 	Nodes []Node
 }
@@ -391,13 +393,14 @@
 // Snapshot returns an immutable copy of the replica's state. It has no configuration until a
 // full state has been applied.
 func (r *Replica) Snapshot() *Snapshot {
-	s := &Snapshot{Revision: r.revision, byService: map[string][]*EndpointState{}, byID: map[string]*EndpointState{}, leaving: map[string]string{}}
+	s := &Snapshot{Revision: r.revision, byService: map[string][]*EndpointState{}, byID: map[string]*EndpointState{}, leaving: map[string]string{}, leavingPlaces: map[servicePlace]bool{}}
 	if r.synced {
 		s.Config = r.config
 	}
 	for id, e := range r.endpoints {
 		if e.Leaving || r.stated.Contains(e.Incarnation) {
 			s.leaving[id] = e.Service
+			s.leavingPlaces[servicePlace{e.Service, e.DataCentre}] = true
 			continue
 		}
 		usable := *e
--- a/gateway/backoffs.go
+++ b/gateway/backoffs.go
@@ -50,7 +50,7 @@
 // refuseIfAllInBackoff returns the error for a request that has certainly not run if all endpoints
 // of its service are in backoff; nil otherwise.
 func (f *forwarding) refuseIfAllInBackoff() *result.Error {
-	endpoints := f.gateway.snapshot.Load().Endpoints(f.service.Name)
+	endpoints := f.allowedEndpoints(f.gateway.snapshot.Load())
 	if plan := f.gateway.policy.RefuseIfAllInBackoff(time.Now(), &f.placementRequest, endpoints); plan != nil {
 		return f.refuseInBackoff(plan)
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -70,6 +70,8 @@
 	// loggedInvalidItems holds the revision at which each item was last found undecodable, so
 	// that an item that stays is logged once and not with each full read.
 	loggedInvalidItems map[string]uint64
+	// loggedUnknownRegions are the regions of the configuration in force that are logged as unknown.
+	loggedUnknownRegions map[string]bool
 }
 
 // storeResult is the outcome of one call to the store: the state from a full read, the changes
@@ -181,6 +183,7 @@
 			close(w.gateway.configured)
 		}
 		log.Info("config_in_force", zap.Uint64("version", config.Version), zap.Int("routes", config.RouteCount()), zap.Uint64("at", w.replica.Revision()))
+		w.logUnknownRegions(config)
 	}
 	return pause
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -39,6 +39,7 @@
 func (c *call) forward() *result.Error {
 	ctx, cancel := c.withDeadline()
 	defer cancel()
+	c.restrictRegions()
 	f := &forwarding{call: c}
 	f.retrier = attempt.Retrier{Repeatable: c.route.Repeatable(), MaxArrivals: c.route.MaxAttempts}
 	f.placementRequest = direct.Request{
@@ -121,7 +122,7 @@
 // endpoint is eligible.
 func (c *call) place(r *direct.Request) *direct.Plan {
 	snapshot := c.gateway.snapshot.Load()
-	plan := c.gateway.policy.Place(time.Now(), r, snapshot.Endpoints(c.service.Name))
+	plan := c.gateway.policy.Place(time.Now(), r, c.allowedEndpoints(snapshot))
 	if plan == nil || plan.Refused() {
 		return plan
 	}
@@ -311,6 +312,9 @@
 	case f.retrier.MayHaveRun():
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and no other is available")
 	}
+	if failure := f.refuseOutsideRegions(); failure != nil {
+		return failure
+	}
 	if failure := f.refuseIfAllInBackoff(); failure != nil {
 		return failure
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -22,14 +22,16 @@
 // call is the state of one caller's request while the gateway serves it.
 type call struct {
 	Request
-	gateway     *Gateway
-	started     time.Time
-	deadline    time.Time
-	snapshot    *directory.Snapshot
-	config      *directory.Config
-	route       *directory.Route
-	service     *directory.Service
-	account     *directory.Account
+	gateway  *Gateway
+	started  time.Time
+	deadline time.Time
+	snapshot *directory.Snapshot
+	config   *directory.Config
+	route    *directory.Route
+	service  *directory.Service
+	account  *directory.Account
+	// restriction limits the request to endpoints in some regions; nil without a limit.
+	restriction *directory.Restriction
 	body        []byte
 	writer      http.ResponseWriter
 	httpRequest *http.Request
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -33,7 +33,7 @@
 		return failure
 	}
 	g := f.gateway
-	endpoints := g.policy.Usable(f.started, f.started.Add(f.route.Target), g.snapshot.Load().Endpoints(f.service.Name))
+	endpoints := g.policy.Usable(f.started, f.started.Add(f.route.Target), f.allowedEndpoints(g.snapshot.Load()))
 	engines := len(endpoints)
 	if engines == 0 {
 		return f.noEndpointError()
@@ -75,7 +75,7 @@
 	}
 	defer g.longQueue.Release()
 	for {
-		endpoints := g.policy.Usable(time.Now(), latest, g.snapshot.Load().Endpoints(f.service.Name))
+		endpoints := g.policy.Usable(time.Now(), latest, f.allowedEndpoints(g.snapshot.Load()))
 		if len(endpoints) == 0 {
 			return true // there is nothing to wait for: placing refuses the request
 		}
--- a/routing/direct/first_token.go
+++ b/routing/direct/first_token.go
@@ -60,7 +60,7 @@
 // tracker's lock.
 func (p *Policy) estimateFirstToken(now time.Time, service *directory.Service, engines, promptTokens int) FirstTokenEstimate {
 	p.tracker.updatePendingPrefill(now)
-	total := p.tracker.totalDemand(now, service.Name)
+	total := p.allowedDemand(now, service)
 	longEngines := p.longEngineCount(total, service, engines)
 	wait := (total.PendingPrefill + total.QueuedPrefill).Seconds() / (float64(longEngines) * maxLongUtilization)
 	return FirstTokenEstimate{Wait: time.Duration(wait * float64(time.Second)), Prefill: PrefillTime(service.Engine, promptTokens) / time.Duration(min(longEngines, maxParts))}
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -316,7 +316,7 @@
 
 // boundary is the number of a service's engines that are reserved for short prompts.
 func (p *Policy) boundary(now time.Time, service *directory.Service, engines int) int {
-	return p.boundaryFor(p.tracker.totalDemand(now, service.Name), service, engines)
+	return p.boundaryFor(p.allowedDemand(now, service), service, engines)
 }
 
 // boundaryFor returns the boundary for a given demand.
--- a/routing/direct/queue.go
+++ b/routing/direct/queue.go
@@ -61,7 +61,7 @@
 	if endpoints = p.Usable(now, now, endpoints); len(endpoints) == 0 {
 		return false // all of them are in backoff
 	}
-	demand := p.tracker.totalDemand(now, q.service.Name)
+	demand := p.allowedDemand(now, q.service)
 	long := p.longEngineCount(demand, q.service, len(endpoints))
 	limit := time.Duration(long) * pendingPrefillLimit
 	startLimit := max(limit-q.prefill, time.Duration(minPrefillShare*float64(limit)))
