The bytes that an entry holds for callers are bounded

Cause: an entry read whole bodies and responses of any number of callers, waited for slow readers while endpoints' streams stayed unread, and cut a slow reader off after 3 s; a few dozen slow callers with bodies of 4 MB exceed a machine of 112 MB.

A stream's data that its caller does not take at once goes to a backlog on the connection, written by a goroutine that exists only then; a caller is cut off by a reset at the bound, when it takes nothing for half of the request's time limit, or for others. A request whose caller is cut off is not sent again. Large bodies are written to endpoints without a copy.

--- /dev/null
+++ b/admission/bytes.go
@@ -0,0 +1,112 @@
+package admission
+
+import "sync/atomic"
+
+// BytePurpose says what bytes are held for.
+type BytePurpose int
+
+const (
+	// BodyBytes are those of a request's body, announced or read. The request has not run yet.
+	BodyBytes BytePurpose = iota
+	// ResponseBytes are those of a response that has been read and not written. The request has run,
+	// so that dropping them wastes an endpoint's work.
+	ResponseBytes
+	// BacklogBytes are those of a stream that its caller reads too slowly.
+	BacklogBytes
+)
+
+// SmallBody is the size in bytes up to which a body counts as small. Prompts up to 16,000 tokens have
+// fewer bytes.
+const SmallBody = 64 << 10
+
+const (
+	// bodyShare is the part of the bound up to which small bodies of the most urgent requests are taken.
+	// The rest is for the responses of requests that have been taken.
+	bodyShare = 0.85
+	// rankShare is by how much less the least urgent requests may fill.
+	rankShare = 0.35
+	// largeShare is by how much less large bodies may fill, so that a few callers that send large bodies
+	// slowly do not keep out the many small ones.
+	largeShare = 0.25
+	// backlogShare is the part of the bound that the backlog of a single stream may have.
+	backlogShare = 0.125
+)
+
+// ByteAccount counts the bytes that an entry holds for its callers, and keeps them within a bound. It
+// is safe for concurrent use.
+type ByteAccount struct {
+	bound int64
+	held  atomic.Int64
+}
+
+// NewByteAccount returns an empty account with a bound in bytes.
+func NewByteAccount(bound int64) *ByteAccount { return &ByteAccount{bound: bound} }
+
+// Bound returns the largest number of bytes that are held at once.
+func (a *ByteAccount) Bound() int64 { return a.bound }
+
+// Held returns the number of bytes that are held now.
+func (a *ByteAccount) Held() int64 { return a.held.Load() }
+
+// limit is the number of held bytes that must not be exceeded by bytes for a purpose. total is the
+// size of what they belong to. rank is 0 for the most urgent requests and 1 for the least urgent.
+func (a *ByteAccount) limit(purpose BytePurpose, rank float64, total int64) int64 {
+	if purpose != BodyBytes {
+		return a.bound
+	}
+	share := bodyShare - rankShare*min(max(rank, 0), 1)
+	if total > SmallBody {
+		share -= largeShare
+	}
+	return int64(share * float64(a.bound))
+}
+
+// Open returns a holding for bytes of one purpose. Release must be called at its end.
+func (a *ByteAccount) Open(purpose BytePurpose, rank float64) Holding {
+	return Holding{account: a, purpose: purpose, rank: rank}
+}
+
+// Holding is the part of an account that one request, or the backlog of one connection, holds. Only
+// Bytes may be called concurrently with other methods.
+type Holding struct {
+	account *ByteAccount
+	purpose BytePurpose
+	rank    float64
+	bytes   atomic.Int64
+}
+
+// Bytes returns the number of bytes that are held.
+func (h *Holding) Bytes() int64 { return h.bytes.Load() }
+
+// Grow adds n bytes, or returns false and adds none if the account does not allow them. A body that is
+// larger than its limit is taken while nothing else is held, as it could never be taken otherwise.
+func (h *Holding) Grow(n int64) bool {
+	a, total := h.account, h.bytes.Load()+n
+	if h.purpose == BacklogBytes && total > int64(backlogShare*float64(a.bound)) {
+		return false
+	}
+	limit := a.limit(h.purpose, h.rank, total)
+	for {
+		held := a.held.Load()
+		if held+n > limit && (held > h.bytes.Load() || held+n > a.bound) {
+			return false
+		}
+		if a.held.CompareAndSwap(held, held+n) {
+			h.bytes.Add(n)
+			return true
+		}
+	}
+}
+
+// Shrink gives n of the held bytes back.
+func (h *Holding) Shrink(n int64) {
+	h.bytes.Add(-n)
+	h.account.held.Add(-n)
+}
+
+// Release gives all bytes back. It may be called repeatedly.
+func (h *Holding) Release() {
+	if n := h.bytes.Swap(0); n != 0 {
+		h.account.held.Add(-n)
+	}
+}
--- /dev/null
+++ b/admission/bytes_test.go
@@ -0,0 +1,157 @@
+package admission
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against an account that exceeds its bound, that leaks bytes of a request that has ended, or that
+// refuses a more urgent request where a less urgent one is taken.
+func TestHeldBytesStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const bound = 1 << 20
+		a := NewByteAccount(bound)
+		var open []*Holding
+		var model []int64
+		sum := func() (n int64) {
+			for _, held := range model {
+				n += held
+			}
+			return n
+		}
+		pick := func(t *rapid.T) int {
+			if len(open) == 0 {
+				t.Skip("nothing is open")
+			}
+			return rapid.IntRange(0, len(open)-1).Draw(t, "holding")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				h := a.Open(rapid.SampledFrom([]BytePurpose{BodyBytes, ResponseBytes, BacklogBytes}).Draw(t, "purpose"), rapid.Float64Range(0, 1).Draw(t, "rank"))
+				open, model = append(open, &h), append(model, 0)
+			},
+			"grow": func(t *rapid.T) {
+				i, n := pick(t), rapid.Int64Range(1, bound).Draw(t, "bytes")
+				h := open[i]
+				wants := model[i] + n
+				limit := int64(bound)
+				if h.purpose == BodyBytes {
+					share := 0.85 - 0.35*h.rank
+					if wants > SmallBody {
+						share -= 0.25
+					}
+					limit = int64(share * bound)
+				}
+				allowed := sum()+n <= limit || sum() == model[i] && sum()+n <= bound
+				if h.purpose == BacklogBytes && wants > bound/8 {
+					allowed = false
+				}
+				if got := h.Grow(n); got != allowed {
+					t.Fatalf("%d bytes more for %+v: %v, want %v", n, h, got, allowed)
+				}
+				if allowed {
+					model[i] = wants
+				}
+			},
+			"shrink": func(t *rapid.T) {
+				i := pick(t)
+				n := rapid.Int64Range(0, model[i]).Draw(t, "bytes")
+				open[i].Shrink(n)
+				model[i] -= n
+			},
+			"release": func(t *rapid.T) {
+				i := pick(t)
+				open[i].Release()
+				model[i] = 0
+			},
+			"": func(t *rapid.T) {
+				if a.Held() != sum() || a.Held() > bound {
+					t.Fatalf("%d bytes are held, want %d", a.Held(), sum())
+				}
+			},
+		})
+	})
+}
+
+// Guards against less urgent requests that fill the entry before more urgent ones are refused.
+func TestLessUrgentBodiesAreRefusedEarlier(t *testing.T) {
+	is := is.New(t)
+	fill := func(rank float64, size int64) int64 {
+		a := NewByteAccount(32 << 20)
+		for {
+			if h := a.Open(BodyBytes, rank); !h.Grow(size) {
+				return a.Held()
+			}
+		}
+	}
+	for _, size := range []int64{SmallBody, 1 << 20} {
+		is.True(fill(0, size) > fill(0.5, size))
+		is.True(fill(0.5, size) > fill(1, size))
+	}
+	is.True(fill(1, SmallBody) > fill(1, 1<<20))
+	is.True(fill(0, SmallBody) < 28<<20) // the rest is for responses
+}
+
+// Guards against two requests that take the last bytes at the same moment.
+func TestConcurrentHoldingsStayWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	a := NewByteAccount(1000)
+	var wait sync.WaitGroup
+	for range 8 {
+		wait.Go(func() {
+			h := a.Open(ResponseBytes, 0)
+			defer h.Release()
+			for range 10_000 {
+				if h.Grow(130) && a.Held() > 1000 {
+					t.Error("more than the bound")
+				}
+				h.Release()
+			}
+		})
+	}
+	wait.Wait()
+	is.Equal(a.Held(), int64(0))
+}
+
+// Guards against cutting off a caller that has just begun, one whose body arrives in time, or one whose request
+// has run for one whose request has not; and against cutting off the more urgent caller, or the smaller one.
+func TestTheSlowCallerThatCostsLeastIsCutOff(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	since, deadline := now.Add(-2*time.Second), now.Add(8*time.Second)
+	reader := SlowCaller{Held: 100, Since: since, Deadline: deadline}
+	larger, lessUrgent, recent, empty := reader, reader, reader, reader
+	larger.Held, lessUrgent.Rank, recent.Since, empty.Held = 200, 1, now.Add(-minSlowTime/2), 0
+	inTime := SlowCaller{Held: 1000, Since: since, Deadline: deadline, Announced: 1000, Received: 201}
+	hopeless, new := inTime, inTime
+	hopeless.Received, new.Received, new.Since = 199, 0, now
+	for _, c := range []struct {
+		purpose BytePurpose
+		callers []SlowCaller
+		want    int
+	}{
+		{ResponseBytes, []SlowCaller{recent, empty, inTime, new}, -1}, {ResponseBytes, []SlowCaller{reader, larger}, 1},
+		{ResponseBytes, []SlowCaller{larger, lessUrgent}, 1}, {ResponseBytes, []SlowCaller{lessUrgent, hopeless}, 1},
+		{BodyBytes, []SlowCaller{reader, larger, lessUrgent, inTime}, -1}, {BodyBytes, []SlowCaller{reader, inTime, hopeless}, 2}, {BodyBytes, nil, -1},
+		{BodyBytes, []SlowCaller{reader, larger, inTime, recent}, -1}, {BodyBytes, []SlowCaller{reader, larger, inTime, new}, -1}, {BodyBytes, []SlowCaller{reader, inTime, larger, larger, lessUrgent}, 4},
+	} {
+		is.Equal(PickSlowCaller(now, c.purpose, 2800, c.callers), c.want)
+	}
+}
+
+// BenchmarkHeldBytes takes and releases what one request holds.
+func BenchmarkHeldBytes(b *testing.B) {
+	a := NewByteAccount(28 << 20)
+	b.ReportAllocs()
+	for b.Loop() {
+		body, response := a.Open(BodyBytes, 0.5), a.Open(ResponseBytes, 0.5)
+		body.Grow(12_000)
+		response.Grow(4096)
+		body.Release()
+		response.Release()
+	}
+}
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -203,6 +203,10 @@
 		return fmt.Sprintf("refused at once: none of %s endpoints of service %s is in a region that the route and the client account allow (%s)", l.text("endpoints"), l.text("service"), l.text("allowed"))
 	case "no_endpoint":
 		return fmt.Sprintf("refused at once: no endpoint of service %s takes requests; %s are leaving", l.text("service"), l.text("leaving"))
+	case "entry_full":
+		return fmt.Sprintf("refused before its body was read: %s bytes more than the %s of %s that the entry holds for callers; rank %s", l.text("bytes"), l.text("held_bytes"), l.text("bound_bytes"), fmt.Sprint(l.number("rank")))
+	case "caller_cut":
+		return fmt.Sprintf("the caller was cut off because it is too slow (%s), with %s bytes unwritten", l.text("reason"), l.text("unwritten_bytes"))
 	case "caller_lost":
 		return "the caller did not accept the response: " + l.text("error")
 	case "request_ended":
--- a/directory/config.go
+++ b/directory/config.go
@@ -166,6 +166,7 @@
 	services map[string]*Service
 	routes   map[string][]*Route // by host, longest prefix first
 	accounts map[string]*Account // by key; nil if the deployment has no accounts
+	tiers    []int               // that requests can have, ascending
 }
 
 // NewConfig indexes a configuration. accounts maps keys to client accounts and is nil if the
@@ -187,6 +188,7 @@
 	for _, list := range c.routes {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
+	c.tiers = c.indexTiers()
 	return c
 }
 
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -91,7 +91,8 @@
 		return nil, err
 	}
 	setTCPTimeouts(conn)
-	return &callerConn{Conn: l.server.conns.Track(conn), gateway: l.server.gateway}, nil
+	backlog := newBacklogConn(l.server.gateway, conn)
+	return &callerConn{Conn: l.server.conns.Track(backlog), backlog: backlog, gateway: l.server.gateway}, nil
 }
 
 // callerConn replaces the server's fixed timeouts by those of the current configuration: the
@@ -99,6 +100,7 @@
 // response when a request's head does not arrive in time, which the server itself does not do.
 type callerConn struct {
 	*graceful.Conn
+	backlog *backlogConn
 	gateway *Gateway
 	// headTimedOut is set when a part of a request's head was read and the rest did not arrive
 	// in time.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,7 +34,8 @@
 	header         http.Header
 	parsed         Response
 	body           io.Reader
-	closeDelimited bool // the body ends with the connection
+	length         int64 // of the body in bytes; negative if the head does not say
+	closeDelimited bool  // the body ends with the connection
 	endpoint       *directory.EndpointState
 
 	pool        *pool
@@ -128,7 +129,10 @@
 			}
 			continue
 		}
-		r.status, r.header, r.body, r.closeDelimited = response.StatusCode, response.Header, response.Body, closeDelimited
+		r.status, r.header, r.body, r.length, r.closeDelimited = response.StatusCode, response.Header, response.Body, response.ContentLength, closeDelimited
+		if response.Body == http.NoBody {
+			r.length = 0 // the head may state the length of a body that it does not have, as after HEAD
+		}
 		r.keepAlive = keepAliveTimeout(response)
 		return nil
 	}
@@ -194,15 +198,18 @@
 		head.WriteString("Content-Length: " + strconv.Itoa(len(o.body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	head.Write(o.body)
 	writeResult := make(chan error, 1)
-	if head.Len() <= maxInlineWrite {
+	if head.Len()+len(o.body) <= maxInlineWrite {
+		head.Write(o.body)
 		_, err := conn.Write(head.Bytes())
 		writeResult <- err
 		return writeResult
 	}
-	go func() {
+	go func() { // in two writes, as a copy would double the memory that a large body takes
 		_, err := conn.Write(head.Bytes())
+		if err == nil {
+			_, err = conn.Write(o.body)
+		}
 		writeResult <- err
 	}()
 	return writeResult
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -71,6 +71,9 @@
 			f.recordResponse()
 			return nil
 		}
+		if failure := f.entryError(err); failure != nil {
+			return failure
+		}
 		if outcome == attempt.NotSent {
 			f.giveBackLimit(plan.Endpoint)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,8 +55,10 @@
 	slowdownMonitor *slowdownMonitor
 	peers           *peers
 	peerLoop        atomic.Pointer[membership.Loop] // nil until the first registration
-	active          atomic.Int64                    // callers' requests in flight
-	releasing       atomic.Int64                    // requests whose reservations are being released
+	bytes           *admission.ByteAccount          // what is held for callers
+	slowCallers     slowCallers
+	active          atomic.Int64 // callers' requests in flight
+	releasing       atomic.Int64 // requests whose reservations are being released
 	objectives      *window.Counter
 	// replica is used by watchStore's goroutine only, apart from its StatedLeaving. After a change
 	// there, publishRequested makes that goroutine publish a new snapshot.
@@ -127,6 +129,7 @@
 		configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
 	}
 	g.quarantine = attempt.NewQuarantine()
+	g.bytes = admission.NewByteAccount(heldBound(c.Settings.MemoryLimit))
 	g.replica, g.publishRequested = directory.NewReplica(), make(chan struct{}, 1)
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.EmptySnapshot())
@@ -210,7 +213,7 @@
 			}
 		}()
 	}
-	listener, err := net.Listen("tcp", g.settings.CallersListen)
+	listener, err := listenForCallers(ctx, g.settings.CallersListen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
@@ -33,9 +34,13 @@
 	// restriction limits the request to endpoints in some regions; nil without a limit.
 	restriction *directory.Restriction
 	body        []byte
-	writer      http.ResponseWriter
-	httpRequest *http.Request
-	log         *eventlog.RequestLog
+	// held is what is held of the request's body, responseHeld of responses. rank is 0 for the most
+	// urgent requests and 1 for the least urgent.
+	held, responseHeld admission.Holding
+	rank               float64
+	writer             http.ResponseWriter
+	httpRequest        *http.Request
+	log                *eventlog.RequestLog
 	// firstByteAt is when the response's head or first event was written to the caller.
 	firstByteAt time.Time
 	// longestPause is the longest time between two events of the stream.
@@ -56,6 +61,7 @@
 	defer g.active.Add(-1)
 	c := &call{gateway: g, started: time.Now(), Request: g.headerCodec.ReadRequest(r.Header), writer: w, httpRequest: r}
 	c.log = g.requestLogs.Begin(c.ID)
+	defer c.releaseHolding()
 	failure := c.prepare()
 	if failure == nil {
 		failure = c.forward()
@@ -81,6 +87,10 @@
 	if failure := c.resolveRoute(); failure != nil {
 		return failure
 	}
+	c.openHolding()
+	if !c.held.Grow(0) { // without a body the response still needs room
+		return c.refuseFull(0)
+	}
 	if failure := c.readBody(); failure != nil {
 		return failure
 	}
@@ -219,7 +229,7 @@
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(c.deadline)
 	reader := http.MaxBytesReader(c.writer, c.httpRequest.Body, limit)
-	body, err := readAll(reader, c.httpRequest.ContentLength)
+	body, err := c.readBodyWithin(reader, c.httpRequest.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
@@ -227,6 +237,8 @@
 	case err == nil:
 		c.body = body
 		return nil
+	case errors.Is(err, errBodyRefused):
+		return c.refuseFull(max(c.httpRequest.ContentLength, c.held.Bytes()))
 	case errors.As(err, &tooLarge):
 		return result.Refuse(result.BodyTooLarge, 0, "request body exceeds %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout():
@@ -240,16 +252,6 @@
 // defaultBodyBytes bounds the body when the configuration sets no limit.
 const defaultBodyBytes = 16 << 20
 
-// readAll reads a body of the given length; a negative length means that it is unknown.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 // writeError writes the response to a request that was refused, or that failed without a response
 // from an endpoint.
 func (c *call) writeError(failure *result.Error) {
@@ -259,7 +261,8 @@
 	if failure.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	if failure.Code == result.SlowCaller || failure.Code == result.BodyTooLarge || failure.Code == result.BadRequest || failure.Code == result.Leaving {
+	switch failure.Code { // the rest of the body is on the connection, or the process ends
+	case result.SlowCaller, result.BodyTooLarge, result.BadRequest, result.Leaving, result.EntryFull:
 		h.Set("Connection", "close")
 	}
 	c.writer.WriteHeader(status)
--- /dev/null
+++ b/gateway/held.go
@@ -0,0 +1,221 @@
+package gateway
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"aspenyard.example/admission"
+	"aspenyard.example/result"
+	"aspenyard.example/settings"
+)
+
+// heldShare is the part of the process's memory limit that bytes held for callers may take. The Go runtime
+// collects garbage continually above goMemoryLimitShare; with the 20 MB of an idle process and as much
+// garbage as held bytes, this share stays below it at 112 MB.
+const heldShare = 0.25
+
+const (
+	// entryFullRetryAfter is the Retry-After value of a request that is refused because of held bytes: another
+	// entry may have room at once, and here a response of ordinary size is written by then.
+	entryFullRetryAfter = 300 * time.Millisecond
+	// responseRoomTimeout is how long a response waits for room. Endpoints cut off responses that are not read
+	// for some seconds.
+	responseRoomTimeout = time.Second
+	// roomPollInterval is the time between two attempts to get room for a response.
+	roomPollInterval = 10 * time.Millisecond
+	// minSegment and maxSegment are the sizes in bytes of the first segment of a response of unknown length
+	// and of the largest.
+	minSegment = 4 << 10
+	maxSegment = 256 << 10
+	// minBodyBuffer is the size in bytes of the first buffer for a body of unknown length.
+	minBodyBuffer = 4 << 10
+)
+
+// errNoRoom is returned for a response that the account of bytes has no room for.
+var errNoRoom = errors.New("entry holds too many bytes to take the response")
+
+// heldBound returns how many bytes a process may hold for callers.
+func heldBound(memoryLimit settings.Size) int64 {
+	return int64(heldShare * float64(cmp.Or(memoryLimit, settings.DefaultMemoryLimit)))
+}
+
+// openHolding opens the call's holding and sets what bounds the writing of its response. The route must be
+// resolved.
+func (c *call) openHolding() {
+	c.rank = c.config.PriorityRank(c.route, c.account)
+	c.held = c.gateway.bytes.Open(admission.BodyBytes, c.rank)
+	c.responseHeld = c.gateway.bytes.Open(admission.ResponseBytes, c.rank)
+	if conn := c.backlog(); conn != nil {
+		conn.beginResponse(responseTerms{request: c.ID, stall: stallTimeout(c.deadline.Sub(c.started)), deadline: c.deadline, rank: c.rank, held: &c.responseHeld})
+	}
+}
+
+// releaseHolding ends the call's holdings, however the call ended.
+func (c *call) releaseHolding() {
+	c.held.Release()
+	c.responseHeld.Release()
+	if conn := c.backlog(); conn != nil {
+		conn.endResponse()
+	}
+}
+
+// backlog returns the caller's connection; nil in tests that have none.
+func (c *call) backlog() *backlogConn {
+	if conn, ok := c.httpRequest.Context().Value(connKey{}).(*callerConn); ok {
+		return conn.backlog
+	}
+	return nil
+}
+
+// refuseFull refuses a request whose body of the given size must not be held. Bodies that cannot arrive in
+// time make room for later requests.
+func (c *call) refuseFull(size int64) *result.Error {
+	g := c.gateway
+	g.slowCallers.cutOne(time.Now(), admission.BodyBytes, g.bytes.Bound())
+	c.log.Add("entry_full", zap.Int64("bytes", size), zap.Int64("held_bytes", g.bytes.Held()), zap.Int64("bound_bytes", g.bytes.Bound()), zap.Float64("rank", c.rank))
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_full_refused_total{class=%q}`, c.requestClass())).Inc()
+	return result.Refuse(result.EntryFull, entryFullRetryAfter, "entry holds %d of %d bytes", g.bytes.Held(), g.bytes.Bound())
+}
+
+// errBodyRefused is returned while a body of unknown length is read that must not be held.
+var errBodyRefused = errors.New("body exceeds what the entry may hold")
+
+// readBodyWithin reads a body of the given length, negative if unknown, whose bytes are accounted for: all
+// at once before it is read, or as it grows.
+func (c *call) readBodyWithin(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return c.readGrowing(r)
+	}
+	if !c.held.Grow(length) {
+		return nil, errBodyRefused
+	}
+	body := make([]byte, length)
+	if length <= admission.SmallBody {
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	sender := &sendingCaller{call: c}
+	c.gateway.slowCallers.add(sender)
+	defer c.gateway.slowCallers.remove(sender)
+	defer sender.end()
+	for n := 0; n < len(body); {
+		m, err := r.Read(body[n:])
+		n += m
+		sender.received.Add(int64(m))
+		if n < len(body) && err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
+// readGrowing reads a body of unknown length.
+func (c *call) readGrowing(r io.Reader) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			next := max(2*cap(body), minBodyBuffer)
+			if !c.held.Grow(int64(next)) {
+				return nil, errBodyRefused
+			}
+			grown := make([]byte, len(body), next)
+			copy(grown, body)
+			c.held.Shrink(int64(cap(body)))
+			body = grown
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// endBodyRead makes the read of the body that is under way fail with a timeout.
+func (c *call) endBodyRead() {
+	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Unix(1, 0))
+}
+
+// readResponse reads the body of a response of the given length, negative if unknown, in segments whose
+// bytes are accounted for. After an error nothing is held for it.
+func (c *call) readResponse(r io.Reader, length int64) (segments [][]byte, err error) {
+	before := c.responseHeld.Bytes()
+	defer func() {
+		if err != nil {
+			segments = nil
+			c.responseHeld.Shrink(c.responseHeld.Bytes() - before)
+		}
+	}()
+	if length > maxBufferedBytes {
+		return nil, errResponseTooLong
+	}
+	total, size := int64(0), int64(minSegment)
+	for length < 0 || total < length {
+		if length >= 0 {
+			size = min(length-total, maxSegment)
+		}
+		if !c.awaitRoom(size) {
+			return nil, errNoRoom
+		}
+		segment := make([]byte, size)
+		n, err := io.ReadFull(r, segment)
+		segments, total = append(segments, segment[:n]), total+int64(n)
+		switch {
+		case total > maxBufferedBytes:
+			return nil, errResponseTooLong
+		case length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF):
+			return segments, nil
+		case err != nil:
+			return nil, err
+		}
+		size = min(2*size, maxSegment)
+	}
+	return segments, nil
+}
+
+// awaitRoom adds n bytes to what is held for the response. While there is no room for them, it cuts off
+// callers that read too slowly; it returns false if there is none after responseRoomTimeout.
+func (c *call) awaitRoom(n int64) bool {
+	if c.responseHeld.Grow(n) {
+		return true
+	}
+	for end := time.Now().Add(responseRoomTimeout); time.Now().Before(end); {
+		c.gateway.slowCallers.cutOne(time.Now(), admission.ResponseBytes, c.gateway.bytes.Bound())
+		if c.responseHeld.Grow(n) {
+			return true
+		}
+		time.Sleep(roomPollInterval)
+	}
+	return false
+}
+
+// entryError returns the error of a request whose response cannot be passed on for a reason that is not the
+// endpoint's, so that it must not be sent again; nil for other errors.
+func (f *forwarding) entryError(err error) *result.Error {
+	switch {
+	case errors.Is(err, errCallerWrite):
+		return result.Fail(result.Cancelled, result.RanUnknown, "%v", err)
+	case errors.Is(err, errNoRoom):
+		return result.Fail(result.EndpointFailed, result.RanUnknown, "%v", err)
+	}
+	return nil
+}
+
+// registerHeldMetrics registers the gauges of the bytes that are held for callers.
+func (g *Gateway) registerHeldMetrics() {
+	g.metrics.NewGauge("aspenyard_gateway_held_bytes", func() float64 { return float64(g.bytes.Held()) })
+	g.metrics.NewGauge("aspenyard_gateway_held_bytes_bound", func() float64 { return float64(g.bytes.Bound()) })
+	g.metrics.NewGauge("aspenyard_gateway_slow_callers", func() float64 { return float64(g.slowCallers.count()) })
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -19,7 +19,8 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	// body is nil once it has been written.
+	body [][]byte
 }
 
 // maxBufferedBytes bounds a buffered response. Responses are buffered so that one that breaks off
@@ -31,10 +32,7 @@
 // relayBuffered reads a response completely and then writes it to the caller. A response with
 // status 500 or above is not written but kept in failedResponse.
 func (f *forwarding) relayBuffered(r *endpointResponse) (attempt.SendOutcome, error) {
-	body, err := io.ReadAll(io.LimitReader(r.body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errResponseTooLong
-	}
+	body, err := f.readResponse(r.body, r.length)
 	if err != nil {
 		r.abandon()
 		return attempt.Broken, errors.Wrap(err, "read response body")
@@ -42,6 +40,9 @@
 	r.finish()
 	response := &bufferedResponse{status: r.status, header: r.header, body: body}
 	if r.status >= http.StatusInternalServerError {
+		if f.failedResponse != nil {
+			f.failedResponse.drop(f.call)
+		}
 		f.failedResponse = response
 		return attempt.Failed, errors.Errorf("endpoint answered with status %d", r.status)
 	}
@@ -57,12 +58,25 @@
 	}
 	copyHeaders(c.writer.Header(), b.header)
 	c.writer.WriteHeader(b.status)
-	if _, err := c.writer.Write(b.body); err != nil {
-		c.log.Add("caller_lost", eventlog.Error(err))
+	for i, segment := range b.body {
+		if _, err := c.writer.Write(segment); err != nil {
+			c.log.Add("caller_lost", eventlog.Error(err))
+			break
+		}
+		b.body[i] = nil
+		c.responseHeld.Shrink(int64(cap(segment)))
 	}
 	return nil
 }
 
+// drop gives up the body of a response that is not written.
+func (b *bufferedResponse) drop(c *call) {
+	for _, segment := range b.body {
+		c.responseHeld.Shrink(int64(cap(segment)))
+	}
+	b.body = nil
+}
+
 // copyHeaders copies the end-to-end headers of an endpoint's response.
 func copyHeaders(to, from http.Header) {
 	for name, values := range forwardableHeaders(from) {
@@ -157,6 +171,9 @@
 func (s *streamRelay) writeHead(r *endpointResponse) {
 	s.headSent = true
 	s.controller = http.NewResponseController(s.writer)
+	if conn := s.backlog(); conn != nil {
+		conn.beginStream()
+	}
 	copyHeaders(s.writer.Header(), r.header)
 	s.writer.WriteHeader(r.status)
 }
@@ -172,7 +189,6 @@
 			s.longestPause, s.longestPauseEnd = pause, now
 		}
 	}
-	_ = s.controller.SetWriteDeadline(now.Add(callerWriteTimeout))
 	if _, err := s.writer.Write(event); err != nil {
 		return errors.Wrap(errCallerWrite, err.Error())
 	}
@@ -190,10 +206,6 @@
 	return nil
 }
 
-// callerWriteTimeout is how long a write to a caller that does not read may block before the
-// stream is cancelled, because the stream occupies an engine's slot meanwhile.
-const callerWriteTimeout = 3 * time.Second
-
 // maxEventBytes bounds the size of one event.
 const maxEventBytes = 1 << 20
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -73,6 +73,9 @@
 	Admission string `json:"admission,omitempty"`
 }
 
+// DefaultMemoryLimit is the default of Gateway.MemoryLimit.
+const DefaultMemoryLimit Size = 256_000_000
+
 // The values of Gateway.Admission.
 const (
 	AdmissionAuto = "auto"
@@ -96,7 +99,7 @@
 		g.RetryAllowance = 10
 	}
 	if g.MemoryLimit == 0 {
-		g.MemoryLimit = 256_000_000
+		g.MemoryLimit = DefaultMemoryLimit
 	}
 	setDuration(&g.EvacuateWithin, 5*time.Second)
 	if g.ColdOvershoot == 0 {
