Small requests keep a reserve of the held bytes; a soak with slow callers

Cause: with only one limit for all bodies and none for responses, a few slow readers of 4 MB filled the account, and of some 900 ordinary requests beside 400 slow callers 1 and 2 were served. Responses were admitted by what was held before they ran.

--- a/admission/bytes.go
+++ b/admission/bytes.go
@@ -6,7 +6,8 @@
 type BytePurpose int
 
 const (
-	// BodyBytes are those of a request's body, announced or read. The request has not run yet.
+	// BodyBytes are those of a request's body, announced or read, and of the response that is expected. The
+	// request has not run yet.
 	BodyBytes BytePurpose = iota
 	// ResponseBytes are those of a response that has been read and not written. The request has run,
 	// so that dropping them wastes an endpoint's work.
@@ -15,19 +16,21 @@
 	BacklogBytes
 )
 
-// SmallBody is the size in bytes up to which a body counts as small. Prompts up to 16,000 tokens have
+// SmallBody is the size in bytes up to which a body, a response or a backlog counts as small. Prompts up to 16,000 tokens have
 // fewer bytes.
 const SmallBody = 64 << 10
 
+// The parts of the bound up to which bytes are taken. What is small keeps a reserve that nothing large can
+// fill, so that a few callers with large bodies or responses do not keep out the many others. Of what is
+// large, responses keep a reserve that new requests cannot fill, and new requests one that backlogs cannot.
 const (
-	// bodyShare is the part of the bound up to which small bodies of the most urgent requests are taken.
-	// The rest is for the responses of requests that have been taken.
-	bodyShare = 0.85
-	// rankShare is by how much less the least urgent requests may fill.
-	rankShare = 0.35
-	// largeShare is by how much less large bodies may fill, so that a few callers that send large bodies
-	// slowly do not keep out the many small ones.
-	largeShare = 0.25
+	largeBodyShare     = 0.6
+	largeResponseShare = 0.8
+	smallBodyShare     = 0.95
+	// largeRankShare and smallRankShare are by how much less the least urgent requests may fill with large
+	// and small bodies.
+	largeRankShare = 0.35
+	smallRankShare = 0.1
 	// backlogShare is the part of the bound that the backlog of a single stream may have.
 	backlogShare = 0.125
 )
@@ -51,12 +54,18 @@
 // limit is the number of held bytes that must not be exceeded by bytes for a purpose. total is the
 // size of what they belong to. rank is 0 for the most urgent requests and 1 for the least urgent.
 func (a *ByteAccount) limit(purpose BytePurpose, rank float64, total int64) int64 {
-	if purpose != BodyBytes {
-		return a.bound
-	}
-	share := bodyShare - rankShare*min(max(rank, 0), 1)
-	if total > SmallBody {
-		share -= largeShare
+	large := total > SmallBody
+	rank = min(max(rank, 0), 1)
+	share := 1.0
+	switch {
+	case purpose == BodyBytes && large:
+		share = largeBodyShare - largeRankShare*rank
+	case purpose == BodyBytes:
+		share = smallBodyShare - smallRankShare*rank
+	case purpose == BacklogBytes && large:
+		share = largeBodyShare
+	case purpose == BacklogBytes || large:
+		share = largeResponseShare
 	}
 	return int64(share * float64(a.bound))
 }
@@ -98,6 +107,12 @@
 	}
 }
 
+// MoveTo moves n of the held bytes to another holding of the same account.
+func (h *Holding) MoveTo(other *Holding, n int64) {
+	h.bytes.Add(-n)
+	other.bytes.Add(n)
+}
+
 // Shrink gives n of the held bytes back.
 func (h *Holding) Shrink(n int64) {
 	h.bytes.Add(-n)
--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -220,7 +220,7 @@
 	defer c.mu.Unlock()
 	for c.failed == nil && len(c.chunks) > 0 {
 		chunk := c.chunks[0]
-		c.chunks = c.chunks[1:]
+		c.chunks[0], c.chunks = nil, c.chunks[1:] // the list must not keep what has been written
 		if _, err := c.writeAll(chunk, 0); err != nil {
 			if !errors.Is(err, errCallerCut) {
 				c.gateway.log.Info("caller_lost", zap.String("request", c.response.request), eventlog.Error(err))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,7 @@
 	peerLoop        atomic.Pointer[membership.Loop] // nil until the first registration
 	bytes           *admission.ByteAccount          // what is held for callers
 	slowCallers     slowCallers
+	responseSizes   admission.ResponseSizes
 	active          atomic.Int64 // callers' requests in flight
 	releasing       atomic.Int64 // requests whose reservations are being released
 	objectives      *window.Counter
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -38,9 +38,11 @@
 	// urgent requests and 1 for the least urgent.
 	held, responseHeld admission.Holding
 	rank               float64
-	writer             http.ResponseWriter
-	httpRequest        *http.Request
-	log                *eventlog.RequestLog
+	// expected is the part of held that is kept for the response.
+	expected    int64
+	writer      http.ResponseWriter
+	httpRequest *http.Request
+	log         *eventlog.RequestLog
 	// firstByteAt is when the response's head or first event was written to the caller.
 	firstByteAt time.Time
 	// longestPause is the longest time between two events of the stream.
@@ -88,8 +90,8 @@
 		return failure
 	}
 	c.openHolding()
-	if !c.held.Grow(0) { // without a body the response still needs room
-		return c.refuseFull(0)
+	if failure := c.holdResponse(); failure != nil {
+		return failure
 	}
 	if failure := c.readBody(); failure != nil {
 		return failure
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/admission"
+	"aspenyard.example/directory"
 	"aspenyard.example/result"
 	"aspenyard.example/settings"
 )
@@ -100,7 +101,7 @@
 		_, err := io.ReadFull(r, body)
 		return body, err
 	}
-	sender := &sendingCaller{call: c}
+	sender := &sendingCaller{call: c, announced: length}
 	c.gateway.slowCallers.add(sender)
 	defer c.gateway.slowCallers.remove(sender)
 	defer sender.end()
@@ -148,8 +149,21 @@
 	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Unix(1, 0))
 }
 
-// readResponse reads the body of a response of the given length, negative if unknown, in segments whose
-// bytes are accounted for. After an error nothing is held for it.
+// holdResponse holds the bytes that a response of the route is expected to have. Streams are expected to be
+// read at once.
+func (c *call) holdResponse() *result.Error {
+	if c.route.Kind != directory.Streaming {
+		c.expected = min(c.gateway.responseSizes.Expect(c.route.Name), maxBufferedBytes)
+	}
+	if !c.held.Grow(c.expected) {
+		return c.refuseFull(c.expected)
+	}
+	return nil
+}
+
+// readResponse reads the body of a response of the given length, negative if unknown, in segments. Its bytes
+// are accounted for before it is read, or as it grows if the length is unknown. After an error nothing is held
+// for it.
 func (c *call) readResponse(r io.Reader, length int64) (segments [][]byte, err error) {
 	before := c.responseHeld.Bytes()
 	defer func() {
@@ -158,15 +172,23 @@
 			c.responseHeld.Shrink(c.responseHeld.Bytes() - before)
 		}
 	}()
+	if length >= 0 {
+		c.gateway.responseSizes.Observe(c.route.Name, min(length, maxBufferedBytes))
+	}
 	if length > maxBufferedBytes {
 		return nil, errResponseTooLong
 	}
-	total, size := int64(0), int64(minSegment)
-	for length < 0 || total < length {
-		if length >= 0 {
-			size = min(length-total, maxSegment)
+	if length >= 0 {
+		if !c.awaitRoom(length) {
+			return nil, errNoRoom
 		}
-		if !c.awaitRoom(size) {
+		c.dropExpected()
+	}
+	for total, size := int64(0), int64(minSegment); length < 0 || total < length; size = min(2*size, maxSegment) {
+		switch {
+		case length >= 0:
+			size = min(length-total, maxSegment)
+		case !c.awaitRoom(size):
 			return nil, errNoRoom
 		}
 		segment := make([]byte, size)
@@ -176,18 +198,31 @@
 		case total > maxBufferedBytes:
 			return nil, errResponseTooLong
 		case length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF):
+			c.dropExpected()
+			c.gateway.responseSizes.Observe(c.route.Name, total)
 			return segments, nil
 		case err != nil:
 			return nil, err
 		}
-		size = min(2*size, maxSegment)
 	}
 	return segments, nil
 }
 
-// awaitRoom adds n bytes to what is held for the response. While there is no room for them, it cuts off
-// callers that read too slowly; it returns false if there is none after responseRoomTimeout.
+// dropExpected gives back what was kept for the response and is not needed.
+func (c *call) dropExpected() {
+	c.held.Shrink(c.expected)
+	c.expected = 0
+}
+
+// awaitRoom adds n bytes to what is held for the response, those first that were kept for it. While there is
+// no room for them, it cuts off callers that read too slowly; it returns false if there is none after
+// responseRoomTimeout.
 func (c *call) awaitRoom(n int64) bool {
+	if kept := min(n, c.expected); kept > 0 {
+		c.held.MoveTo(&c.responseHeld, kept)
+		c.expected -= kept
+		n -= kept
+	}
 	if c.responseHeld.Grow(n) {
 		return true
 	}
--- a/gateway/slowcallers.go
+++ b/gateway/slowcallers.go
@@ -74,10 +74,12 @@
 
 // sendingCaller is a caller that sends a large body.
 type sendingCaller struct {
-	call     *call
-	received atomic.Int64
-	mu       sync.Mutex
-	ended    bool
+	call *call
+	// announced is the size of the body.
+	announced int64
+	received  atomic.Int64
+	mu        sync.Mutex
+	ended     bool
 }
 
 // end is called when the body is no longer read; a cut has no effect afterwards.
@@ -90,7 +92,7 @@
 // slowState implements slowCaller.
 func (s *sendingCaller) slowState() admission.SlowCaller {
 	c := s.call
-	return admission.SlowCaller{Held: c.held.Bytes(), Since: c.started, Deadline: c.deadline, Announced: c.held.Bytes(), Received: s.received.Load(), Rank: c.rank}
+	return admission.SlowCaller{Held: c.held.Bytes(), Since: c.started, Deadline: c.deadline, Announced: s.announced, Received: s.received.Load(), Rank: c.rank}
 }
 
 // cut implements slowCaller: it ends the read of the body.
--- a/soak/check.go
+++ b/soak/check.go
@@ -46,6 +46,7 @@
 	{"GONE", true, checkRunsCancelled},
 	{"LEAK", true, checkReservationsReleased},
 	{"STUCK", true, checkReservationsUsed},
+	{"SERVED", false, checkServedBesideSlowCallers},
 }
 
 // Time bounds of the users' sites, and the number of exceptions that their rules allow.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -186,6 +186,14 @@
 		run.Helpers = "127.0.0.1:1/t1"
 		r.Reservations["i-1/t1"] = &Reservation{"i-1", "t1", atSecond(50), atSecond(56)}
 	}},
+	"nobody served beside slow callers": {"SERVED", func(r *Record) {
+		r.SlowPeriods = append(r.SlowPeriods, SlowPeriod{"g1", 1, atSecond(49), atSecond(53)})
+		for i := range minRequestsInPeriod {
+			req, _ := r.addServed(fmt.Sprint("q", i), onceRoute, 50)
+			req.Status, req.HasServerStamp = 503, false
+			r.Arrivals = r.Arrivals[:len(r.Arrivals)-1] // refused
+		}
+	}},
 	"reservation never used": {"STUCK", func(r *Record) { r.Reservations["i-1/t1"] = &Reservation{"i-1", "t1", atSecond(40), atSecond(56)} }},
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -82,7 +83,7 @@
 		"name": g.name, "data_centre": dataCentre, "callers_listen": g.addrs["callers"], "readiness_listen": g.addrs["readiness"],
 		"metrics_listen": g.addrs["metrics"], "peers_listen": g.addrs["peers"], "store": g.store.Addr(),
 		"config_within": configWithin.String(), "leaving_within": leavingWithin.String(), "drain_timeout": drainTimeout.String(),
-		"retry_ratio": retryRatio, "retry_allowance": retryAllowancePerGateway * gateways, "retry_window": retryWindow.String(),
+		"retry_ratio": retryRatio, "retry_allowance": retryAllowancePerGateway * gateways, "retry_window": retryWindow.String(), "memory_limit": fmt.Sprint(memoryLimit, "B"),
 	}, "", "  ")
 	if err != nil {
 		return errors.WithStack(err)
--- a/soak/record.go
+++ b/soak/record.go
@@ -157,7 +157,10 @@
 	limited      map[string]bool // endpoints that stated a limit
 	// StatedDepartures says when endpoints began to state that they leave.
 	StatedDepartures map[string]time.Time
-	violations       []Violation
+	SlowPeriods      []SlowPeriod
+	// MaxResident is the largest resident memory of a gateway process, in bytes.
+	MaxResident int
+	violations  []Violation
 }
 
 // NewRecord returns an empty record.
--- a/standin/platform/bulk.go
+++ b/standin/platform/bulk.go
@@ -41,7 +41,11 @@
 }
 
 // Stop closes the port and all connections.
-func (b *Bulk) Stop() { _ = b.server.Close() }
+func (b *Bulk) Stop() {
+	if b.server != nil {
+		_ = b.server.Close()
+	}
+}
 
 // Registration returns the value that the endpoint writes under servers/ID.
 func (b *Bulk) Registration(id, service string) []byte {
