--- a/directory/config.go
+++ b/directory/config.go
@@ -59,6 +59,8 @@
 	MaxAttempts int
 	// Services are the services that the route's requests are divided among by weight.
 	Services []WeightedService
+	// AllowedRegions are the regions whose endpoints may be sent the route's requests; empty: any.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request may be sent again after an attempt that may have
@@ -96,6 +98,8 @@
 	// Priority overrides the route's priority if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions are the regions whose endpoints may be sent the account's requests; empty: any.
+	AllowedRegions []string
 }
 
 // Service describes the endpoints that offer one service.
@@ -110,6 +114,9 @@
 	// MinTargetPause and MaxTargetPause are the smallest and the largest TargetPause of the
 	// routes to the service; 0 if none of them sets one.
 	MinTargetPause, MaxTargetPause time.Duration
+	// AllowedShare is the part of the service's endpoints that a request may use, which bears that part
+	// of the demand; 0: all. It is set for requests that are restricted to regions only.
+	AllowedShare float64
 }
 
 // AddTargetPause includes the TargetPause of a route to the service in MinTargetPause and
@@ -161,6 +168,7 @@
 	services map[string]*Service
 	routes   map[string][]*Route // by host, longest prefix first
 	accounts map[string]*Account // by key; nil if the deployment has no accounts
+	tiers    []int               // that requests can have, ascending
 }
 
 // NewConfig indexes a configuration. accounts maps keys to client accounts and is nil if the
@@ -182,6 +190,7 @@
 	for _, list := range c.routes {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
+	c.tiers = c.indexTiers()
 	return c
 }
 
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -18,6 +18,8 @@
 	byID      map[string]*EndpointState
 	// leaving holds the service of each endpoint that is leaving, by ID.
 	leaving map[string]string
+	// leavingPlaces holds the services and data centres of endpoints that are leaving.
+	leavingPlaces map[servicePlace]bool
 	// evacuated holds the endpoints, by ID, that are not leaving and whose data centre is evacuated.
 	evacuated map[string]*EndpointState
 	// EvacuationGeneration is the generation of the evacuations that the snapshot reflects.
@@ -75,14 +77,23 @@
 // EvacuatedTotal returns how many endpoints Evacuated yields.
 func (s *Snapshot) EvacuatedTotal() int { return len(s.evacuated) }
 
-// EvacuatedCount returns how many endpoints of a service are left out only because their data centre
-// is evacuated.
+// EvacuatedEndpoints returns the endpoints of a service that are left out only because their data centre is
+// evacuated, in no order.
+func (s *Snapshot) EvacuatedEndpoints(service string) iter.Seq[*EndpointState] {
+	return func(yield func(*EndpointState) bool) {
+		for _, e := range s.evacuated {
+			if e.Service == service && !yield(e) {
+				return
+			}
+		}
+	}
+}
+
+// EvacuatedCount returns how many endpoints EvacuatedEndpoints yields.
 func (s *Snapshot) EvacuatedCount(service string) int {
 	n := 0
-	for _, e := range s.evacuated {
-		if e.Service == service {
-			n++
-		}
+	for range s.EvacuatedEndpoints(service) {
+		n++
 	}
 	return n
 }
@@ -120,7 +131,7 @@
 // Snapshot returns an immutable copy of the replica's state. It has no configuration until a
 // full state has been applied.
 func (r *Replica) Snapshot() *Snapshot {
-	s := &Snapshot{Revision: r.revision, byService: map[string][]*EndpointState{}, byID: map[string]*EndpointState{}, leaving: map[string]string{}, evacuated: map[string]*EndpointState{}}
+	s := &Snapshot{Revision: r.revision, byService: map[string][]*EndpointState{}, byID: map[string]*EndpointState{}, leaving: map[string]string{}, leavingPlaces: map[servicePlace]bool{}, evacuated: map[string]*EndpointState{}}
 	s.EvacuationGeneration = r.evacuations.Generation()
 	if r.synced {
 		s.Config = r.config
@@ -128,6 +139,7 @@
 	for id, e := range r.endpoints {
 		if e.Leaving || r.stated.Contains(e.Incarnation) {
 			s.leaving[id] = e.Service
+			s.leavingPlaces[servicePlace{e.Service, e.DataCentre}] = true
 			continue
 		}
 		usable := *e
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -70,7 +70,7 @@
 		return nil
 	}
 	now := time.Now()
-	endpoints := f.gateway.snapshot.Load().Endpoints(f.service.Name)
+	endpoints := f.gateway.endpoints(f.gateway.snapshot.Load(), f.service.Name)
 	arrival := &admission.Arrival{Service: f.service.Name, Tier: f.tier(), Account: f.accountName(), Kind: f.route.Name, Exempt: f.LastEventID != "", Returning: f.returning(), Early: f.returnStatus.State == admission.ReturnEarly}
 	direct.SetPromptCost(arrival, f.service.Engine, f.PromptTokens, f.expectedEvents(), f.route.Target)
 	decision := a.controller.Admit(now, arrival, func() []admission.EngineState {
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -121,12 +121,13 @@
 	return f.gateway.evacuated(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, f.gateway.evacuated)
 }
 
-// refuseIfAllEvacuated returns the error for a request that has certainly not run if the endpoints of its
-// service are left out because of evacuations; nil if one of them is not.
+// refuseIfAllEvacuated returns the error for a request that has certainly not run if all endpoints that it
+// may use are left out because of evacuations; nil if one of them is not, or there is none.
 func (f *forwarding) refuseIfAllEvacuated() *result.Error {
 	snapshot := f.gateway.snapshot.Load()
-	usable := len(f.gateway.endpoints(snapshot, f.service.Name))
-	evacuated := snapshot.EvacuatedCount(f.service.Name) + len(snapshot.Endpoints(f.service.Name)) - usable
+	listed := slices.AppendSeq(slices.Clone(snapshot.Endpoints(f.service.Name)), snapshot.EvacuatedEndpoints(f.service.Name))
+	usable := len(f.allowedEndpoints(snapshot))
+	evacuated := len(f.restriction.Select(listed)) - usable
 	if usable > 0 || evacuated == 0 {
 		return nil
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -46,6 +46,7 @@
 func (c *call) forward() *result.Error {
 	ctx, cancel := c.withDeadline()
 	defer cancel()
+	c.restrictRegions()
 	f := &forwarding{call: c}
 	f.retrier = attempt.Retrier{Repeatable: c.route.Repeatable(), MaxArrivals: c.route.MaxAttempts}
 	f.placementRequest = direct.Request{
@@ -83,6 +84,9 @@
 			f.recordResponse()
 			return nil
 		}
+		if failure := f.entryError(err); failure != nil {
+			return failure
+		}
 		if outcome == attempt.NotSent {
 			f.giveBackLimit(plan.Endpoint)
 		}
@@ -134,7 +138,7 @@
 // endpoint is eligible.
 func (c *call) place(r *direct.Request) *direct.Plan {
 	snapshot := c.gateway.snapshot.Load()
-	plan := c.gateway.policy.Place(time.Now(), r, c.gateway.endpoints(snapshot, c.service.Name))
+	plan := c.gateway.policy.Place(time.Now(), r, c.allowedEndpoints(snapshot))
 	if plan == nil || plan.Refused() {
 		return plan
 	}
@@ -331,10 +335,13 @@
 	case f.retrier.MayHaveRun():
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and no other is available")
 	}
-	if failure := f.refuseIfAllInBackoff(); failure != nil {
+	if failure := f.refuseIfAllEvacuated(); failure != nil {
 		return failure
 	}
-	if failure := f.refuseIfAllEvacuated(); failure != nil {
+	if failure := f.refuseOutsideRegions(); failure != nil {
+		return failure
+	}
+	if failure := f.refuseIfAllInBackoff(); failure != nil {
 		return failure
 	}
 	leaving := f.gateway.snapshot.Load().LeavingCount(f.service.Name)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -52,6 +52,7 @@
 	g.registerBackoffMetrics()
 	g.registerEvacuationMetrics()
 	g.registerReturnMetrics()
+	g.registerHeldMetrics()
 	g.registerPeerMetrics()
 	if writer != nil {
 		g.metrics.NewGauge("aspenyard_gateway_log_lines_dropped_total", func() float64 { return float64(writer.Dropped()) })
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -68,6 +68,7 @@
 		{"endpoint-states-leaving", 3, func(h *harness, f *Fault) { h.replaceEndpoint(f, leaveStated(f), h.ports[f.Port].currentService()) }},
 		{"endpoint-requests-backoff", 3, refuseWithBackoff},
 		{kindEvacuation, 4, evacuateDataCentre},
+		{"slow-callers", 3, addSlowCallers},
 	}
 }
 
