Warm-up of cold endpoints: decoding, shares, placement and refusal

An endpoint that warms up crashes at rates well above what its service's configuration names, and no entry knew of it.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -199,6 +199,10 @@
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s that are left state limits, which are used up or kept for requests more urgent than priority %s", l.text("endpoints"), l.text("service"), l.text("priority"))
 	case "backoff_refused":
 		return fmt.Sprintf("refused at once: all %s endpoints of service %s have refused requests and want no others for a time; the caller is told to come back after %s", l.text("endpoints"), l.text("service"), l.milliseconds("retry_after_ms"))
+	case "sent_to_cold":
+		return fmt.Sprintf("%s or one of its %s helpers warms up; the request uses this node's share of what they bear", l.text("endpoint"), l.text("helpers"))
+	case "cold_refused":
+		return fmt.Sprintf("refused at once: all %s endpoints of service %s that are left warm up, and this node's share of what they bear is used up or kept for requests more urgent than priority %s; the caller is told to come back after %s", l.text("endpoints"), l.text("service"), l.text("priority"), l.milliseconds("retry_after_ms"))
 	case "no_endpoint":
 		return fmt.Sprintf("refused at once: no endpoint of service %s takes requests; %s are leaving", l.text("service"), l.text("leaving"))
 	case "caller_lost":
--- a/directory/config.go
+++ b/directory/config.go
@@ -105,6 +105,10 @@
 	MaxConnections int
 	// Engine is set for services whose endpoints are engines, nil for plain services.
 	Engine *Engine
+	// ColdTime is how long an endpoint warms up after a start, ColdPerSecond how many requests a
+	// second it bears meanwhile. 0: not known.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// MinTargetPause and MaxTargetPause are the smallest and the largest TargetPause of the
 	// routes to the service; 0 if none of them sets one.
 	MinTargetPause, MaxTargetPause time.Duration
--- a/directory/replica.go
+++ b/directory/replica.go
@@ -40,6 +40,8 @@
 	Slots int
 	// Leaving is set if the endpoint is draining and takes no new requests.
 	Leaving bool
+	// ColdLeft is how long the endpoint still warms up, as of this registration; 0 if it is warm.
+	ColdLeft time.Duration
 	// Revision is the store's revision of the registration.
 	Revision uint64
 }
@@ -107,6 +109,9 @@
 	MissingSince time.Time
 	// Position is the index among the endpoints of its service in a snapshot.
 	Position int
+	// ColdSeenAt is when this revision of the registration was first seen. By it the endpoint is
+	// cold until ColdUntil.
+	ColdSeenAt, ColdUntil time.Time
 }
 
 // missingGrace is how long an endpoint whose registration ended shortly after an outage of
@@ -181,7 +186,7 @@
 	listed := map[string]bool{}
 	for i := range state.Endpoints {
 		listed[state.Endpoints[i].ID] = true
-		r.applyEndpoint(&state.Endpoints[i])
+		r.applyEndpoint(now, &state.Endpoints[i])
 	}
 	for _, id := range state.InvalidEndpoints {
 		r.invalidateEndpoint(id, state.Revision)
@@ -206,7 +211,7 @@
 		case change.Config != nil:
 			r.applyConfig(change.Config, change.Revision)
 		case change.Endpoint != nil:
-			r.applyEndpoint(change.Endpoint)
+			r.applyEndpoint(now, change.Endpoint)
 		case change.EndpointGone != "":
 			r.removeEndpoint(now, change.EndpointGone, change.Revision)
 		case change.InvalidEndpoint != "":
@@ -230,10 +235,10 @@
 
 // applyEndpoint applies a registration unless it is stale: of an incarnation before the
 // known one, or written before the known registration.
-func (r *Replica) applyEndpoint(e *Endpoint) {
+func (r *Replica) applyEndpoint(now time.Time, e *Endpoint) {
 	known := r.endpoints[e.ID]
 	if known == nil {
-		r.addEndpoint(e)
+		r.addEndpoint(now, e)
 		return
 	}
 	switch {
@@ -247,9 +252,12 @@
 	case e.StartUnixMilli < known.StartUnixMilli:
 		return
 	case e.StartUnixMilli > known.StartUnixMilli:
-		r.endpoints[e.ID] = &EndpointState{Endpoint: *e}
+		r.endpoints[e.ID] = newEndpointState(now, e)
 		return
 	}
+	if e.Revision > known.Revision {
+		known.setCold(now, e.ColdLeft)
+	}
 	leaving := known.Leaving
 	known.Endpoint = *e
 	known.Leaving = known.Leaving || leaving
@@ -260,8 +268,8 @@
 // that was leaving when its registration ended is still leaving. Without start times, a
 // registration after the end of an earlier one counts as a new incarnation, unless the
 // earlier one ended by being replaced with an invalid registration.
-func (r *Replica) addEndpoint(e *Endpoint) {
-	added := &EndpointState{Endpoint: *e}
+func (r *Replica) addEndpoint(now time.Time, e *Endpoint) {
+	added := newEndpointState(now, e)
 	if last, found := r.tombstones[e.ID]; found {
 		if e.Revision <= last.revision || e.StartUnixMilli < last.startUnixMilli {
 			return
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -91,6 +91,9 @@
 		return nil, &sendError{attempt.NotSent, err}
 	}
 	g.countConnection(conn.reused)
+	if out.connected != nil {
+		out.connected()
+	}
 	r := &endpointResponse{endpoint: e, pool: g.pool, conn: conn}
 	r.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if silence > 0 {
@@ -177,6 +180,8 @@
 	id, method, target, host string
 	header                   http.Header
 	body                     []byte
+	// connected is called, unless nil, before the request is written.
+	connected func()
 }
 
 // maxInlineWrite is the size in bytes up to which a request is written before the response is
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -78,6 +78,8 @@
 	state   *directory.StoreState
 	changes *directory.Changes
 	err     error
+	// began is when the call began: what it returned is at least as new.
+	began time.Time
 }
 
 // watchStore follows the store until ctx ends. One call is under way at a time.
@@ -95,6 +97,7 @@
 			if w.replica.ExpireMissing(now) {
 				w.publish()
 			}
+			g.logColdTransitions("")
 		case <-g.publishRequested:
 			w.publish()
 		case result := <-results:
@@ -121,6 +124,7 @@
 		defer cancel()
 		var result storeResult
 		start := time.Now()
+		result.began = start
 		if fullRead {
 			result.state, result.err = gateway.source.Read(ctx)
 		} else {
@@ -174,6 +178,7 @@
 		w.handleChanges(now, result.changes)
 	}
 	w.gateway.storeAnsweredAt.Store(w.gateway.uptimeNanos())
+	w.gateway.cold().SetCurrent(result.began)
 	w.publish()
 	if config := w.gateway.snapshot.Load().Config; config != before {
 		w.gateway.configAppliedAt.Store(w.gateway.uptimeNanos())
@@ -222,6 +227,7 @@
 		case change.Endpoint != nil && change.Endpoint.Leaving:
 			w.gateway.log.Info("endpoint_leaving", zap.String("endpoint", change.Endpoint.ID), zap.Uint64("revision", change.Revision))
 		case change.Endpoint != nil:
+			w.gateway.logLongCold(change.Endpoint.ID, change.Endpoint.ColdLeft)
 			w.gateway.log.Info("endpoint_listed", zap.String("endpoint", change.Endpoint.ID), zap.Int64("born", change.Endpoint.StartUnixMilli), zap.String("service", change.Endpoint.Service), zap.Uint64("revision", change.Revision))
 		}
 	}
@@ -237,6 +243,7 @@
 	w.gateway.prober.prune(known)
 	w.gateway.slowdownMonitor.prune(known)
 	w.gateway.shareLimits(snapshot)
+	w.gateway.shareCold(snapshot, known)
 	w.gateway.loadTracker.Prune(known)
 	w.gateway.peers.setMembers(snapshot)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -27,6 +27,8 @@
 	reserveAttempts int
 	// allowanceTaken is set if the last attempt used the allowance of an endpoint's limit.
 	allowanceTaken bool
+	// coldTickets count the last attempt at endpoints that warm up, or may do so.
+	coldTickets []*direct.ColdTicket
 	// countedAfterBackoff is set while the last attempt counts as one of those after a backoff.
 	countedAfterBackoff bool
 	// budgetTaken is set if the next attempt has used the retry budget.
@@ -60,7 +62,7 @@
 			f.returnBudget()
 			return f.refuse(plan)
 		}
-		if !f.takeAllowance(plan.Endpoint) {
+		if !f.takeAllowance(plan.Endpoint) || !f.takeCold(plan) {
 			continue // another request has taken it since; the next plan leaves the endpoint out
 		}
 		f.budgetTaken = false
@@ -70,6 +72,7 @@
 			f.recordResponse()
 			return nil
 		}
+		f.endCold(outcome)
 		if outcome == attempt.NotSent {
 			f.giveBackLimit(plan.Endpoint)
 		}
@@ -113,6 +116,8 @@
 		return f.refuseLimited(plan)
 	case plan.InBackoff:
 		return f.refuseInBackoff(plan)
+	case plan.WarmingUp:
+		return f.refuseCold(plan)
 	}
 	return f.refuseCapacity(plan)
 }
@@ -218,6 +223,7 @@
 	wait := avoidBusyFor
 	if r.status == http.StatusMisdirectedRequest {
 		wait = avoidGoneFor
+		f.giveBackCold()
 	}
 	f.gateway.loadTracker.Avoid(plan.Endpoint.Incarnation, time.Now().Add(wait))
 	return attempt.NotExecuted
@@ -279,7 +285,7 @@
 	}
 	header := forwardableHeaders(f.httpRequest.Header)
 	f.gateway.headerCodec.Forward(header, d)
-	return &outgoingRequest{id: f.ID, method: f.httpRequest.Method, target: f.httpRequest.RequestURI, host: f.httpRequest.Host, header: header, body: f.body}
+	return &outgoingRequest{id: f.ID, method: f.httpRequest.Method, target: f.httpRequest.RequestURI, host: f.httpRequest.Host, header: header, body: f.body, connected: f.recordColdSent}
 }
 
 // priority returns the client account's priority, or the route's if the account has none.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,6 +136,7 @@
 	g.slowdownReader, g.slowdownMonitor = c.SlowdownReader, newSlowdownMonitor(g)
 	g.peers = &peers{gateway: g, lastSent: map[direct.EndpointHash]direct.EndpointLoad{}, delays: newPeerDelays(g.started), incarnations: map[string]uint64{}}
 	g.longQueue = admission.NewSemaphore(1)
+	g.configureCold()
 	g.registerMetrics(c.LogWriter)
 	if c.Statements != nil {
 		c.Statements.ObserveResponses(g.observeCallResponse)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -50,6 +50,7 @@
 	g.registerLimitMetrics()
 	g.registerLeavingMetrics()
 	g.registerBackoffMetrics()
+	g.registerColdMetrics()
 	g.registerPeerMetrics()
 	if writer != nil {
 		g.metrics.NewGauge("aspenyard_gateway_log_lines_dropped_total", func() float64 { return float64(writer.Dropped()) })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -78,12 +78,15 @@
 	g := p.gateway
 	node := directory.Node{Name: g.settings.Name, Addr: g.settings.PeersListen, DataCentre: g.settings.DataCentre}
 	var registration directory.Registration
+	var registeredAt time.Time
 	for ctx.Err() == nil {
+		calledAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, registryTimeout)
 		var err error
 		if registration.Lease == 0 {
 			if registration, err = g.registry.Register(callCtx, node, registrationTTL); err == nil {
 				p.lease.Store(registration.Lease)
+				registeredAt = time.Now()
 				g.log.Info("registered", zap.Uint64("lease", registration.Lease), zap.Uint64("revision", registration.Revision))
 				p.startHeartbeats(ctx, registration.Revision)
 			}
@@ -91,6 +94,9 @@
 			err = g.registry.Renew(callCtx, registration.Lease)
 		}
 		cancel()
+		if err == nil {
+			g.cold().SetRegistered(registeredAt, calledAt.Add(registrationTTL))
+		}
 		if errors.Is(err, directory.ErrLeaseExpired) {
 			registration = directory.Registration{}
 			continue
@@ -189,6 +195,7 @@
 	}
 	h.SentUptimeMs = uint64(time.Since(p.gateway.started).Milliseconds())
 	p.gateway.appendLeaving(now, h)
+	p.gateway.appendCold(now, h)
 	appendBackoffs(h, p.gateway.loadTracker.Backoffs().Reports(now, !h.Partial, maxHeartbeatBackoffs))
 	appendLimits(h, p.gateway.loadTracker.Limits().Reports(now, !h.Partial, maxHeartbeatLimits))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
@@ -246,6 +253,7 @@
 	p.gateway.loadTracker.RecordPeerSlowEndpoints(now, decodeSlowEndpoints(h))
 	delay := p.delays.observe(now, h)
 	p.gateway.mergeLimits(now, h, delay)
+	p.gateway.mergeCold(now, h, delay)
 	p.gateway.loadTracker.Backoffs().Merge(now, delay, decodeBackoffs(h))
 	p.gateway.mergeLeaving(now, h)
 	for _, request := range p.gateway.quarantine.Merge(now, decodeFindings(h)) {
@@ -319,6 +327,7 @@
 	p.fullHeartbeatForNewEntries(members)
 	p.gateway.retries.SetEntries(now, members.EntryCountWithLeaving()+1)
 	p.gateway.loadTracker.SetEntryCount(members.EntryCount() + 1)
+	p.gateway.cold().SetHeard(members.EntryCount())
 	alive := members.Entries("")
 	rank := sort.Search(len(alive), func(i int) bool { return alive[i].Name() > p.gateway.settings.Name })
 	p.gateway.loadTracker.SetRank(rank, len(alive)+1)
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -34,7 +34,7 @@
 	}
 	g := f.gateway
 	endpoints := g.policy.Usable(f.started, f.started.Add(f.route.Target), g.snapshot.Load().Endpoints(f.service.Name))
-	engines := len(endpoints)
+	engines := len(g.policy.Warm(f.started, f.service, endpoints))
 	if engines == 0 {
 		return f.noEndpointError()
 	}
--- a/gateway/slowdown.go
+++ b/gateway/slowdown.go
@@ -105,11 +105,11 @@
 	}
 }
 
-// mayQuery reports whether an endpoint may be sent a query. Where it states a limit or requests backoff, a
-// query would be one more request.
+// mayQuery reports whether an endpoint may be sent a query. Where it states a limit, requests backoff or
+// warms up, a query would be one more request.
 func (m *slowdownMonitor) mayQuery(now time.Time, e *directory.EndpointState) bool {
 	tracker := m.gateway.loadTracker
-	return !tracker.Limits().Limited(now, direct.HashEndpoint(e.Incarnation)) && !tracker.Backoffs().InBackoff(now, e.Incarnation)
+	return !tracker.Limits().Limited(now, direct.HashEndpoint(e.Incarnation)) && !tracker.Backoffs().InBackoff(now, e.Incarnation) && !m.gateway.isCold(now, e)
 }
 
 // prune drops endpoints that are no longer known.
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -24,6 +24,8 @@
 	Leaving Stated[bool]
 	// Backoff is the time for which an endpoint that refused a request wants none from this entry.
 	Backoff Stated[time.Duration]
+	// Cold is the time for which the endpoint still warms up.
+	Cold Stated[time.Duration]
 }
 
 // Stated is a value that a response may state.
@@ -50,6 +52,7 @@
 const (
 	statementLeaving = "leaving"
 	statementBackoff = "backoff"
+	statementCold    = "cold"
 )
 
 // CallResponse is the head of a response to a call that is not a caller's request: an order or a
@@ -77,6 +80,7 @@
 	}
 	if e := g.responder(target, r.Status, r.Instance); e != nil {
 		g.observeAvailability(e, &r.Statements)
+		g.observeCold(e, time.Time{}, r.Cold)
 	}
 }
 
@@ -108,6 +112,7 @@
 		g.loadTracker.RecordLoadReport(time.Now(), e.Incarnation, s.Running, s.Waiting)
 	}
 	g.observeLimit(e, sentAt, s.Limit)
+	g.observeCold(e, sentAt, s.Cold)
 	g.observeAvailability(e, s)
 }
 
--- a/routing/direct/filter.go
+++ b/routing/direct/filter.go
@@ -15,6 +15,8 @@
 	// exhausted endpoints have a limit, and those in inBackoff a backoff, because of which they
 	// must not be sent a request now.
 	exhausted, inBackoff []*directory.EndpointState
+	// cold endpoints warm up and may be sent a request now, coldUsedUp ones may not.
+	cold, coldUsedUp []*directory.EndpointState
 	// tried is set if the request was sent before to an endpoint that is not in backoff.
 	tried bool
 }
@@ -56,9 +58,12 @@
 			c.unlimited = append(c.unlimited, e)
 		}
 	}
-	if preferred.count() > 0 {
+	p.sortCold(now, r.Service, &preferred)
+	if preferred.count()+len(preferred.cold) > 0 {
 		return preferred
 	}
+	p.sortCold(now, r.Service, &avoided)
+	avoided.coldUsedUp = append(avoided.coldUsedUp, preferred.coldUsedUp...)
 	avoided.exhausted = append(avoided.exhausted, preferred.exhausted...)
 	avoided.inBackoff, avoided.tried = preferred.inBackoff, preferred.tried
 	return avoided
--- a/routing/direct/load_tracker.go
+++ b/routing/direct/load_tracker.go
@@ -34,8 +34,12 @@
 	prefilling map[*RequestLoad]struct{}
 	limits     *EndpointLimits
 	backoffs   *EndpointBackoffs
+	cold       *ColdEndpoints
 }
 
+// Cold returns what is known of endpoints that warm up. It has a lock of its own.
+func (l *LoadTracker) Cold() *ColdEndpoints { return l.cold }
+
 // Limits returns the limits that endpoints state. They have a lock of their own.
 func (l *LoadTracker) Limits() *EndpointLimits { return l.limits }
 
@@ -149,7 +153,7 @@
 
 // NewLoadTracker returns an empty tracker.
 func NewLoadTracker() *LoadTracker {
-	return &LoadTracker{endpoints: map[directory.Incarnation]*trackedEndpoint{}, demands: map[string]*demand{}, shortInFlight: map[string]int{}, peers: map[string]*peer{}, pendingPrefill: map[string]time.Duration{}, queuedPrefill: map[string]time.Duration{}, peerLoads: map[EndpointHash]EndpointLoad{}, peerSlowdowns: map[EndpointHash]peerSlowdown{}, prefilling: map[*RequestLoad]struct{}{}, limits: NewEndpointLimits(), backoffs: NewEndpointBackoffs()}
+	return &LoadTracker{endpoints: map[directory.Incarnation]*trackedEndpoint{}, demands: map[string]*demand{}, shortInFlight: map[string]int{}, peers: map[string]*peer{}, pendingPrefill: map[string]time.Duration{}, queuedPrefill: map[string]time.Duration{}, peerLoads: map[EndpointHash]EndpointLoad{}, peerSlowdowns: map[EndpointHash]peerSlowdown{}, prefilling: map[*RequestLoad]struct{}{}, limits: NewEndpointLimits(), backoffs: NewEndpointBackoffs(), cold: NewColdEndpoints()}
 }
 
 // RequestLoad is the load that one request puts on its endpoints until it ends. It must be
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -50,6 +50,9 @@
 	// are in backoff. It may be sent after RetryAfter.
 	InBackoff  bool
 	RetryAfter time.Duration
+	// WarmingUp is set when the request must not be sent now because all endpoints that are left are
+	// cold and this entry's shares of what they bear are used up. It may be sent after RetryAfter.
+	WarmingUp bool
 	// ExpectedFirstToken is the estimated time from the start of the plan to the first
 	// token.
 	ExpectedFirstToken time.Duration
@@ -62,7 +65,9 @@
 }
 
 // Refused reports whether the request must not be sent now.
-func (plan *Plan) Refused() bool { return plan.Overloaded || plan.RateLimited || plan.InBackoff }
+func (plan *Plan) Refused() bool {
+	return plan.Overloaded || plan.RateLimited || plan.InBackoff || plan.WarmingUp
+}
 
 // HelperIDs returns the IDs of the helpers.
 func (plan *Plan) HelperIDs() []string {
@@ -83,13 +88,13 @@
 type Policy struct {
 	tracker *LoadTracker
 	rand    Rand
-	// refusals is used under the tracker's lock.
-	refusals refusals
+	// refusals, and those because endpoints warm up, are used under the tracker's lock.
+	refusals, coldRefusals refusals
 }
 
 // NewPolicy returns a policy that places requests by the loads of a tracker.
 func NewPolicy(tracker *LoadTracker, rand Rand) *Policy {
-	return &Policy{tracker: tracker, rand: rand, refusals: refusals{}}
+	return &Policy{tracker: tracker, rand: rand, refusals: refusals{}, coldRefusals: refusals{}}
 }
 
 const (
@@ -129,6 +134,8 @@
 	p.tracker.updatePendingPrefill(now)
 	c := p.eligible(now, r, endpoints)
 	switch {
+	case c.count() == 0 && len(c.cold)+len(c.coldUsedUp) > 0:
+		return p.placeOnlyCold(now, r, c)
 	case len(c.unlimited) == 0 && len(c.limited)+len(c.exhausted) > 0:
 		return p.placeOnlyLimited(now, r, c)
 	case len(c.unlimited) == 0 && len(c.inBackoff) > 0 && !c.tried:
@@ -147,6 +154,9 @@
 	if len(c.limited) > 0 {
 		list = append(list, p.scoreLimited(now, r, c.limited)...)
 	}
+	if len(c.cold) > 0 {
+		list = append(list, p.scoreCold(now, r, c.cold)...)
+	}
 	best := pickCheapest(p.rand, list)
 	return &Plan{Endpoint: best.endpoint, Cost: best.cost, Candidates: c.count()}
 }
@@ -169,6 +179,9 @@
 		if parts == 1 && len(c.limited) > 0 {
 			list = append(list, p.scoreLimited(now, r, c.limited)...)
 		}
+		if parts == 1 && len(c.cold) > 0 {
+			list = append(list, p.scoreCold(now, r, c.cold)...)
+		}
 	}
 	plan.PartPrefill = prefill / time.Duration(parts)
 	if plan.PartPrefill <= longestPart(r.Service) {
@@ -183,7 +196,11 @@
 	}
 	// Interrupting the prefill of other prompts is better than refusing this one.
 	p.assign(&interrupting, addDelayCost(list, false), parts, engine)
-	interrupting.Overloaded = interrupting.Delayed > maxDelayed
+	if interrupting.Overloaded = interrupting.Delayed > maxDelayed; interrupting.Overloaded && plan.Long {
+		if whole := p.placeWhole(now, r, c); whole != nil {
+			return whole
+		}
+	}
 	return &interrupting
 }
 
--- a/routing/direct/queue.go
+++ b/routing/direct/queue.go
@@ -58,7 +58,7 @@
 	p.tracker.mu.Lock()
 	defer p.tracker.mu.Unlock()
 	p.tracker.updatePendingPrefill(now)
-	if endpoints = p.Usable(now, now, endpoints); len(endpoints) == 0 {
+	if endpoints = p.Warm(now, q.service, p.Usable(now, now, endpoints)); len(endpoints) == 0 {
 		return false // all of them are in backoff
 	}
 	demand := p.tracker.totalDemand(now, q.service.Name)
--- a/routing/direct/stated_limits.go
+++ b/routing/direct/stated_limits.go
@@ -1,9 +1,7 @@
 package direct
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,15 +14,8 @@
 // they know. EndpointLimits is safe for concurrent use.
 type EndpointLimits struct {
 	mu sync.Mutex
-	// self is this entry's name, entries the names of all others. epoch counts their changes.
-	self    string
-	entries []string
-	epoch   int
-	// listed are the names as last listed, listedAt is when each of entries was last known to
-	// be listed.
-	listed   []string
-	listedAt map[string]time.Time
-	limits   map[EndpointHash]*knownLimit
+	entryList
+	limits map[EndpointHash]*knownLimit
 	// holders returns how many entries share a limit.
 	holders func(perSecond float64, entries int) int
 	// nextReport is the position at which the next full report starts.
@@ -88,7 +79,7 @@
 
 // NewEndpointLimits returns a tracker that knows no limits and no other entries.
 func NewEndpointLimits() *EndpointLimits {
-	return &EndpointLimits{listedAt: map[string]time.Time{}, limits: map[EndpointHash]*knownLimit{}, holders: admission.Holders}
+	return &EndpointLimits{entryList: newEntryList(), limits: map[EndpointHash]*knownLimit{}, holders: admission.Holders}
 }
 
 // SetHolders replaces the rule for how many entries share a limit; for experiments.
@@ -99,23 +90,11 @@
 }
 
 // SetEntries sets this entry's name and the names of all registered entries. The registrations
-// are the same for all entries, whoever hears of whom, so that all agree on who shares a limit. An
-// entry counts for unlistedEntryTTL after its registration has ended: when the platform's store
-// returns without any registrations, each entry would otherwise take all limits for itself.
+// are the same for all entries, whoever hears of whom, so that all agree on who shares a limit.
 func (l *EndpointLimits) SetEntries(now time.Time, self string, entries []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, name := range slices.Concat(l.listed, entries) { // those listed before were so until now
-		l.listedAt[name] = now
-	}
-	l.listed = slices.Clone(entries)
-	maps.DeleteFunc(l.listedAt, func(name string, at time.Time) bool { return name == self || now.Sub(at) > unlistedEntryTTL })
-	others := slices.Sorted(maps.Keys(l.listedAt))
-	if self == l.self && slices.Equal(others, l.entries) {
-		return
-	}
-	l.self, l.entries = self, others
-	l.epoch++
+	l.set(now, self, entries)
 }
 
 // LimitChange is a change of what is known of an endpoint's limit.
