--- a/admission/sharedrate.go
+++ b/admission/sharedrate.go
@@ -31,24 +31,32 @@
 // HolderRank returns the number of entries that precede self in the order in which entries
 // become holders of the limit with the given key. self need not be among the entries.
 func HolderRank(key uint64, entries []string, self string) int {
-	weight := func(entry string) uint64 {
-		var digest xxhash.Digest
-		digest.ResetWithSeed(key)
-		_, _ = digest.WriteString(entry)
-		return digest.Sum64()
-	}
-	own, rank := weight(self), 0
+	own, rank := holderWeight(key, self), 0
 	for _, entry := range entries {
 		if entry == self {
 			continue
 		}
-		if w := weight(entry); w > own || w == own && entry < self {
+		if w := holderWeight(key, entry); w > own || w == own && entry < self {
 			rank++
 		}
 	}
 	return rank
 }
 
+// holderWeight returns the weight of an entry by which holders are ranked.
+func holderWeight(key uint64, entry string) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(key)
+	_, _ = digest.WriteString(entry)
+	return digest.Sum64()
+}
+
+// HolderPhase returns a number in [0, 1) by which entries that do not know of each other spread what
+// they do at the same intervals.
+func HolderPhase(key uint64, self string) float64 {
+	return float64(holderWeight(key, self)>>11) / (1 << 53)
+}
+
 // burstTime is the time for which an idle bucket collects tokens beyond the first one.
 const burstTime = 250 * time.Millisecond
 
--- a/admission/windowshare.go
+++ b/admission/windowshare.go
@@ -35,8 +35,9 @@
 }
 
 // SpreadBound returns the part of each of count entries that do not know of each other. Parts of
-// less than a request a second become a request in a longer window, at first after from, spread by rank.
-func SpreadBound(perSecond float64, rank, count int, from time.Time) Share {
+// less than a request a second become a request in a longer window, at first after from. phase, in
+// [0, 1), says how much later within the window, so that the entries do not all send at one moment.
+func SpreadBound(perSecond float64, phase float64, count int, from time.Time) Share {
 	if perSecond <= 0 {
 		return Share{}
 	}
@@ -45,7 +46,7 @@
 	if part >= 1 {
 		share = Share{Slots: int(part), Window: windowLength}
 	}
-	share.From = from.Add(share.Window * time.Duration(rank%count+1) / time.Duration(count))
+	share.From = from.Add(windowLength + time.Duration(phase*float64(share.Window)))
 	return share
 }
 
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -153,11 +153,14 @@
 	return true
 }
 
-// recordColdSent counts the request from now on: there is a connection to the endpoint.
-func (f *forwarding) recordColdSent() {
+// recordColdSent counts the request from now on: there is a connection to the endpoint. It returns false
+// if the request must not be sent, as that took too long.
+func (f *forwarding) recordColdSent() bool {
+	inTime, now := true, time.Now()
 	for _, ticket := range f.coldTickets {
-		ticket.Sent(time.Now())
+		inTime = ticket.Sent(now) && inTime
 	}
+	return inTime
 }
 
 // giveBackCold returns the shares of a request that has certainly not arrived, or does not count.
@@ -174,7 +177,7 @@
 		f.giveBackCold()
 		return
 	}
-	f.recordColdSent()
+	_ = f.recordColdSent()
 }
 
 // refuseCold ends a request that no endpoint may be sent while it warms up.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -75,6 +75,9 @@
 // errStrayResponse is returned when a connection delivers only responses to other requests.
 var errStrayResponse = errors.New("response belongs to another request")
 
+// errConnectedLate is returned when a request was held up for so long that it must be placed anew.
+var errConnectedLate = errors.New("the connection to the endpoint took too long")
+
 // exchange sends a request to an endpoint and reads the head of the response. ctx covers the whole
 // exchange, including the body: when it ends, the connection is closed so that the endpoint
 // cancels the request.
@@ -91,8 +94,9 @@
 		return nil, &sendError{attempt.NotSent, err}
 	}
 	g.countConnection(conn.reused)
-	if out.connected != nil {
-		out.connected()
+	if out.connected != nil && !out.connected() {
+		_ = conn.Close()
+		return nil, &sendError{attempt.NotSent, errConnectedLate}
 	}
 	r := &endpointResponse{endpoint: e, pool: g.pool, conn: conn}
 	r.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
@@ -180,8 +184,9 @@
 	id, method, target, host string
 	header                   http.Header
 	body                     []byte
-	// connected is called, unless nil, before the request is written.
-	connected func()
+	// connected is called, unless nil, before the request is written; if it returns false, the request
+	// must not be sent.
+	connected func() bool
 }
 
 // maxInlineWrite is the size in bytes up to which a request is written before the response is
--- a/routing/direct/cold_shares.go
+++ b/routing/direct/cold_shares.go
@@ -62,9 +62,9 @@
 		return admission.DivideBound(memberPart*bound, sent.rank, count)
 	}
 	if since := c.lapsedSince(now); !since.IsZero() {
-		return admission.SpreadBound(lapsedPart*bound, sent.rank, count, since)
+		return admission.SpreadBound(lapsedPart*bound, float64(sent.rank)/float64(count), count, since)
 	}
-	return admission.SpreadBound(starterPart*bound, sent.rank, max(count, assumedStarters), c.startedAt)
+	return admission.SpreadBound(starterPart*bound, admission.HolderPhase(sent.key, c.self), max(count, assumedStarters), c.startedAt)
 }
 
 // coldStatus is what placing needs to know of an endpoint.
@@ -108,9 +108,10 @@
 type ColdTicket struct {
 	cold     *ColdEndpoints
 	sent     *coldShare
-	pending  bool
-	sentAt   time.Time
 	coldThen bool
+	// pending is set until the request is sent.
+	pending         bool
+	takenAt, sentAt time.Time
 }
 
 // Cold reports whether the endpoint was cold when the ticket was taken.
@@ -130,21 +131,31 @@
 	}
 	sent := c.shareOf(e.Incarnation)
 	sent.log.Begin()
-	return &ColdTicket{cold: c, sent: sent, pending: true, coldThen: status.cold}, true
+	return &ColdTicket{cold: c, sent: sent, pending: true, takenAt: now, coldThen: status.cold}, true
 }
 
+// maxTicketAge is the time within which a request must be sent. Connecting takes less; a process that
+// was suspended in between may have lost its share since.
+const maxTicketAge = 2 * time.Second
+
 // Sent records that the request is sent at now. The time counts from here, as connecting may have
-// taken long. Further calls do nothing.
-func (t *ColdTicket) Sent(now time.Time) {
+// taken long. It returns false if that was too long, and the request must not be sent. Further calls do
+// nothing.
+func (t *ColdTicket) Sent(now time.Time) bool {
 	if t == nil {
-		return
+		return true
 	}
 	t.cold.mu.Lock()
 	defer t.cold.mu.Unlock()
-	if t.pending {
-		t.pending = false
-		t.sentAt = t.sent.log.Sent(now, now.Add(-coldKeptTime))
+	if !t.pending {
+		return true
+	}
+	if now.Sub(t.takenAt) > maxTicketAge {
+		return false
 	}
+	t.pending = false
+	t.sentAt = t.sent.log.Sent(now, now.Add(-coldKeptTime))
+	return true
 }
 
 // GiveBack ends the count of a request that has certainly not arrived, or does not count.
