Emulator: engines that warm up, and rules compared on them

Entries restart, or are cut off from the store and from each other, while nine tenths of the engines are cold and callers ask for more than these bear.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -78,6 +78,8 @@
 	// Refusals are the refusals of engines that state a backoff, Departures the engines that leave.
 	Refusals   []Refusal
 	Departures []Departure
+	// Warming is set for engines that warm up.
+	Warming *Warming
 	// Holders is the number of entries that share a limit; nil: admission.Holders.
 	Holders func(perSecond float64, entries int) int
 }
@@ -195,6 +197,7 @@
 	policy   *direct.Policy
 	// endpoints are the engines that it knows to take requests.
 	endpoints []*directory.EndpointState
+	state     entryState
 }
 
 // request is one simulated request.
@@ -238,6 +241,7 @@
 	Limits     LimitResult
 	Refusals   RefusalResult
 	Departures DepartureResult
+	Warming    WarmingResult
 }
 
 // SimulateStatements is Simulate; it also returns what the engines got that made statements.
@@ -250,7 +254,7 @@
 	}
 	sim.setUp()
 	sim.RunUntil(math.MaxInt64)
-	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult}
+	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult, sim.warmingResult()}
 }
 
 // setUp creates the engines and entries and schedules heartbeats, arrivals and slowdowns.
@@ -279,6 +283,9 @@
 	for i := range sim.config.Kinds {
 		sim.AfterFunc(0, func() { sim.arrive(i) })
 	}
+	if sim.config.Warming != nil {
+		sim.scheduleWarming(sim.config.Warming)
+	}
 	for i := range sim.config.Slowdowns {
 		sim.scheduleSlowdown(&sim.config.Slowdowns[i])
 	}
@@ -344,13 +351,18 @@
 	if len(sim.config.Refusals) > 0 && sim.config.Refusals[0].Shared {
 		backoffs = e.tracker.Backoffs().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedBackoffs)
 	}
+	var cold []direct.ColdReport
+	if sim.config.Warming != nil {
+		cold = e.tracker.Cold().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedCold, slices.Values(e.endpoints))
+	}
 	for _, other := range sim.entries {
-		lost := sim.config.HeartbeatLoss > 0 && sim.rand.Float64() < sim.config.HeartbeatLoss
+		lost := e.state.cut || e.state.dead || other.state.cut || other.state.dead || sim.config.HeartbeatLoss > 0 && sim.rand.Float64() < sim.config.HeartbeatLoss
 		if other != e && !lost {
 			sim.AfterFunc(sim.messageDelay(), func() {
 				other.tracker.ReplacePeerLoad(sim.wallTime(), e.name, demands, loads)
 				other.tracker.Limits().Merge(sim.wallTime(), 0, limits)
 				other.tracker.Backoffs().Merge(sim.wallTime(), 0, backoffs)
+				other.tracker.Cold().Merge(sim.wallTime(), 0, cold)
 			})
 		}
 	}
@@ -384,7 +396,11 @@
 func (sim *simulation) pickEntry() *entry {
 	n := len(sim.entries)
 	if sim.config.Skew <= 1 || n == 1 {
-		return sim.entries[sim.rand.IntN(n)]
+		for {
+			if e := sim.entries[sim.rand.IntN(n)]; !e.state.dead {
+				return e
+			}
+		}
 	}
 	weight := func(i int) float64 { return 1 + (sim.config.Skew-1)*float64(i)/float64(n-1) }
 	left := sim.rand.Float64() * float64(n) * (1 + sim.config.Skew) / 2
@@ -490,6 +506,9 @@
 		if !allowed {
 			continue
 		}
+		if !r.takeCold(plan) {
+			continue
+		}
 		r.countedAfterBackoff = counted
 		j := newJob(r, plan)
 		for _, h := range plan.Helpers {
@@ -523,6 +542,11 @@
 			r.handleRefusal(engine.refusals.refusal, plan)
 			return
 		}
+		engine.recordCold()
+		for _, h := range j.helpers {
+			h.recordCold()
+		}
+		r.observeCold(plan)
 		engine.submit(j)
 	})
 }
--- a/bench/emulator/engine.go
+++ b/bench/emulator/engine.go
@@ -64,8 +64,11 @@
 	limitedArrivals []time.Duration
 	incarnation     directory.Incarnation
 	// refusals and departure are nil for an engine that does not refuse, or leave.
-	refusals  *refusalState
-	departure *departureState
+	refusals *refusalState
+	// coldUntil is until when it is cold, coldArrivals what arrived meanwhile.
+	coldUntil    time.Duration
+	coldArrivals []time.Duration
+	departure    *departureState
 }
 
 // submit queues a job by its priority.
