--- a/bench/emulator/cold.go
+++ b/bench/emulator/cold.go
@@ -118,10 +118,11 @@
 		}
 	}
 	for _, e := range sim.entries {
+		cold := e.tracker.Cold()
 		if e.state.dead || e.state.cut {
+			cold.SetHeard(0)
 			continue
 		}
-		cold := e.tracker.Cold()
 		cold.SetEntries(sim.wallTime(), e.name, names)
 		cold.SetCurrent(sim.wallTime())
 		cold.SetHeard(len(names) - 1)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -43,6 +43,8 @@
 	extraSettings string
 	// firstConfigWait is how long requests wait for the first configuration; 0 means the default.
 	firstConfigWait time.Duration
+	// coldPerSecond is what a cold worker of service "app" bears; 0 means that it is not known.
+	coldPerSecond float64
 }
 
 // syncBuffer collects the log; safe for concurrent use.
@@ -106,6 +108,9 @@
 
 func (s *fixture) config() []byte {
 	services := []map[string]any{{"name": "app", "health_path": "/healthz", "max_conns": 100}, {"name": "model", "max_conns": 100, "engine": standin.SmallEngine(400_000)}}
+	if s.coldPerSecond > 0 {
+		services[0]["cold_s"], services[0]["cold_per_s"] = 20, s.coldPerSecond
+	}
 	data, err := json.Marshal(map[string]any{
 		"version": s.version, "routes": s.routes, "services": services, "limits": s.limits,
 		"tenants": []map[string]any{{"name": "acme", "api_keys": s.keys, "priority": 1}},
--- a/standin/platform/config.go
+++ b/standin/platform/config.go
@@ -28,6 +28,9 @@
 type Service struct {
 	Name                         string
 	MaxConnections, MemoryTokens int
+	// ColdTime is how long a worker warms up, ColdPerSecond what it bears meanwhile; 0: not stated.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 }
 
 // Account is a client account and its API keys.
@@ -56,6 +59,9 @@
 		if s.MemoryTokens > 0 {
 			item["engine"] = SmallEngine(s.MemoryTokens)
 		}
+		if s.ColdPerSecond > 0 {
+			item["cold_s"], item["cold_per_s"] = s.ColdTime.Seconds(), s.ColdPerSecond
+		}
 		services = append(services, item)
 	}
 	for _, a := range c.Accounts {
--- a/standin/platform/statements.go
+++ b/standin/platform/statements.go
@@ -56,7 +56,7 @@
 func (w *Worker) statements() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return headerLine(headerLimit, w.statedLimit) + headerLine(headerLeaving, w.statedLeaving)
+	return headerLine(headerLimit, w.statedLimit) + headerLine(headerLeaving, w.statedLeaving) + headerLine(headerCold, w.cold.stated(time.Now()))
 }
 
 // backoff returns the text of Retry-After in refusals.
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -127,6 +127,7 @@
 	// statedLimit and statedLeaving are the texts of headers in responses, statedBackoff that of
 	// Retry-After in refusals; "" states nothing.
 	statedLimit, statedLeaving, statedBackoff string
+	cold                                      coldState
 
 	slowdown        float64
 	reportCount     int
@@ -186,7 +187,7 @@
 	defer w.mu.Unlock()
 	w.registrationSeq++
 	fields := map[string]any{
-		"service": w.Service, "address": addr, "zone": "dc1", "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq_no": w.registrationSeq,
+		"service": w.Service, "address": addr, "zone": "dc1", "version": "v1", "slots": 16, "state": state, "cold_left_ms": w.cold.registered(time.Now()), "seq_no": w.registrationSeq,
 	}
 	if w.StartUnixMilli != 0 {
 		fields["born"] = w.StartUnixMilli
