--- a/soak/check.go
+++ b/soak/check.go
@@ -37,6 +37,7 @@
 	{"BUDGET", true, checkDeadlines},
 	{"LIMIT", false, checkReservationsUsedOnce},
 	{"LIMIT", false, checkStatedLimits},
+	{"LIMIT", false, checkColdEndpoints},
 	{"CONFIG", false, checkConfigNeverReverts},
 	{"CONFIG", true, checkConfigApplied},
 	{"CONFIG", true, checkTimeouts},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -119,6 +119,12 @@
 		}
 		r.Limits = []LimitPeriod{{Endpoint: "i-1", PerSecond: 0.2, From: atSecond(40), To: atSecond(60)}}
 	}},
+	"cold endpoint gets more than it bears": {"LIMIT", func(r *Record) {
+		for i := range 12 {
+			r.addServed(fmt.Sprint("q", i), onceRoute, 50+float64(i)/20)
+		}
+		r.ColdPeriods = []ColdPeriod{{Endpoint: "i-1", From: atSecond(45), To: atSecond(60)}}
+	}},
 	"requests within a backoff": {"BUDGET", func(r *Record) {
 		for i := range 4 {
 			_, run := r.addServed(fmt.Sprint("q", i), onceRoute, 50+float64(i))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -66,6 +66,7 @@
 		{"endpoint-limited", 3, limitEndpoint},
 		{"endpoint-states-leaving", 3, func(h *harness, f *Fault) { h.replaceEndpoint(f, leaveStated(f), h.ports[f.Port].currentService()) }},
 		{"endpoint-requests-backoff", 3, refuseWithBackoff},
+		{"endpoint-cold", 4, warmUpEndpoint},
 	}
 }
 
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -265,8 +265,12 @@
 // one and by a different step each time.
 func encodeConfig(n int, e *ConfigEdit) []byte {
 	c := platform.Config{
-		Version:  1 + n*(n+3),
-		Services: []platform.Service{{Name: serviceModel, MaxConnections: maxConnections, MemoryTokens: memoryTokens}},
+		Version: 1 + n*(n+3),
+		Services: []platform.Service{
+			{Name: serviceModel, MaxConnections: maxConnections, MemoryTokens: memoryTokens, ColdTime: coldTime, ColdPerSecond: coldPerSecond},
+			{Name: serviceApp, MaxConnections: maxConnections, ColdTime: coldTime, ColdPerSecond: coldPerSecond},
+			{Name: serviceNext, MaxConnections: maxConnections, ColdTime: coldTime, ColdPerSecond: coldPerSecond},
+		},
 		Accounts: []platform.Account{{Name: accountPlain, Keys: []string{keyPlain}}, {Name: accountOfEdit(n), Keys: []string{keyPerEdit}}},
 		Limits:   platform.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -83,6 +83,7 @@
 		"metrics_listen": g.addrs["metrics"], "peers_listen": g.addrs["peers"], "store": g.store.Addr(),
 		"config_within": configWithin.String(), "leaving_within": leavingWithin.String(), "drain_timeout": drainTimeout.String(),
 		"retry_ratio": retryRatio, "retry_allowance": retryAllowancePerGateway * gateways, "retry_window": retryWindow.String(),
+		"cold_overshoot": coldOvershoot, "cold_tolerance": coldTolerance,
 	}, "", "  ")
 	if err != nil {
 		return errors.WithStack(err)
--- a/soak/record.go
+++ b/soak/record.go
@@ -154,7 +154,9 @@
 	Departures   []Departure
 	Reservations map[string]*Reservation
 	Limits       []LimitPeriod
-	limited      map[string]bool // endpoints that stated a limit
+	// ColdPeriods are the warm-ups of endpoints.
+	ColdPeriods []ColdPeriod
+	limited     map[string]bool // endpoints that stated a limit
 	// StatedDepartures says when endpoints began to state that they leave.
 	StatedDepartures map[string]time.Time
 	violations       []Violation
