--- a/admission/windowshare.go
+++ b/admission/windowshare.go
@@ -13,11 +13,27 @@
 // second. It is longer than a second because requests travel for different times.
 const windowLength = 1050 * time.Millisecond
 
-// Share is one entry's part: at most Slots requests in any Window, none before From.
+// Share is one entry's part: at most Slots requests in any Window. Where Open is set, none is sent
+// before From, and later only within Open from the start of each Window counted from there: an entry
+// that could have sent for long would otherwise send at the same moment as others.
 type Share struct {
-	Slots  int
-	Window time.Duration
-	From   time.Time
+	Slots        int
+	Window, Open time.Duration
+	From         time.Time
+}
+
+// untilOpen returns the time from at until the share is open.
+func (s *Share) untilOpen(at time.Time) time.Duration {
+	since := at.Sub(s.From)
+	switch {
+	case s.Open == 0:
+		return 0
+	case since < 0:
+		return -since
+	case since%s.Window < s.Open:
+		return 0
+	}
+	return s.Window - since%s.Window
 }
 
 // DivideBound returns the part of the entry with the given rank among count entries, which know of
@@ -34,19 +50,25 @@
 	return Share{Slots: max((int(perSecond)-rank+count-1)/count, 0), Window: windowLength}
 }
 
-// SpreadBound returns the part of each of count entries that do not know of each other. Parts of
-// less than a request a second become a request in a longer window, at first after from. phase, in
-// [0, 1), says how much later within the window, so that the entries do not all send at one moment.
+// openShare is the share of a window in which entries that do not know of each other may send.
+const openShare = 0.125
+
+// SpreadBound returns the part of each of count entries that do not know of each other, from a time on.
+// Parts of less than a request a second become a request in a longer window. phase, in [0, 1), says when
+// in the window, so that the entries do not all send at one moment.
 func SpreadBound(perSecond float64, phase float64, count int, from time.Time) Share {
 	if perSecond <= 0 {
 		return Share{}
 	}
 	part := perSecond / float64(count)
-	share := Share{Slots: 1, Window: scaleWindow(1 / part)}
+	window, slots := scaleWindow(1/part), 1
 	if part >= 1 {
-		share = Share{Slots: int(part), Window: windowLength}
+		window, slots = windowLength, int(part)
+	}
+	share := Share{Slots: slots, Window: window, Open: window, From: from.Add(windowLength + time.Duration(phase*float64(window)))}
+	if window > windowLength {
+		share.Open = time.Duration(openShare * float64(window))
 	}
-	share.From = from.Add(windowLength + time.Duration(phase*float64(share.Window)))
 	return share
 }
 
@@ -80,7 +102,7 @@
 
 // Available reports whether a share allows a request now.
 func (l *SentLog) Available(now time.Time, s Share) bool {
-	return !now.Before(s.From) && l.pending+len(l.recent(now, s.Window)) < s.Slots
+	return s.untilOpen(now) == 0 && l.pending+len(l.recent(now, s.Window)) < s.Slots
 }
 
 // Idle reports whether no request was sent in the window that ends now.
@@ -93,7 +115,7 @@
 	if s.Slots <= 0 {
 		return 0, false
 	}
-	wait := max(s.From.Sub(now), 0)
+	wait := time.Duration(0)
 	recent := l.recent(now, s.Window)
 	if excess := l.pending + len(recent) - s.Slots; excess >= 0 {
 		free := s.Window // of a request that is about to be sent
@@ -102,7 +124,7 @@
 		}
 		wait = max(wait, free)
 	}
-	return wait, true
+	return wait + s.untilOpen(now.Add(wait)), true
 }
 
 // Begin counts a request that is about to be sent. Sent or Drop must follow.
--- a/routing/direct/cold_membership.go
+++ b/routing/direct/cold_membership.go
@@ -12,10 +12,15 @@
 	lapsedAt time.Time
 	// listTTL is the age up to which a list of entries is used.
 	listTTL time.Duration
-	// alone is set where there are no other entries, peersHeard while most of them are heard.
-	alone, peersHeard bool
+	// alone is set where there are no other entries, peersHeard while enough of them are heard, and
+	// peersKnown once they were.
+	alone, peersHeard, peersKnown bool
 }
 
+// enoughPeers is how many other entries must be heard, or half of them where there are fewer. Each of
+// them reports all endpoints that it knows to be cold.
+const enoughPeers = 8
+
 // defaultListTTL is the listTTL where none is set.
 const defaultListTTL = 6 * time.Second
 
@@ -70,7 +75,8 @@
 func (c *ColdEndpoints) SetHeard(entries int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peersHeard = entries > 0 && 2*entries >= len(c.entries)
+	c.peersHeard = entries > 0 && (entries >= enoughPeers || 2*entries >= len(c.entries))
+	c.peersKnown = c.peersKnown || c.peersHeard
 }
 
 // joinedAt returns when this entry became, or becomes, a member with its present registration.
@@ -101,7 +107,8 @@
 	return m.lapsedAt
 }
 
-// confirmed reports whether this entry would know by now if an endpoint had become cold.
+// confirmed reports whether this entry would know by now if an endpoint had become cold. Other entries
+// are missed within a second, the store only after listTTL: it counts alone where no entry was heard yet.
 func (m *membership) confirmed(now time.Time) bool {
-	return m.alone || m.peersHeard || now.Before(m.currentAt.Add(m.listTTL))
+	return m.alone || m.peersHeard || !m.peersKnown && now.Before(m.currentAt.Add(m.listTTL))
 }
