Warm-up: an entry that outlives the others is not kept to its share of warm engines

After the loss of the other entries the one that serves their callers was bound at warm engines until their registrations had lapsed. The store now counts as heard for two long polls.

--- a/routing/direct/cold_membership.go
+++ b/routing/direct/cold_membership.go
@@ -10,8 +10,9 @@
 	registeredSince, registeredUntil, currentAt time.Time
 	// lapsedAt is when an earlier registration with which it was a member went out of use.
 	lapsedAt time.Time
-	// listTTL is the age up to which a list of entries is used.
-	listTTL time.Duration
+	// listTTL is the age up to which a list of entries is used, storeTTL that up to which the store
+	// counts as heard where the other entries are not heard any more.
+	listTTL, storeTTL time.Duration
 	// alone is set where there are no other entries, peersHeard while enough of them are heard, and
 	// peersKnown once they were.
 	alone, peersHeard, peersKnown bool
@@ -21,16 +22,20 @@
 // them reports all endpoints that it knows to be cold.
 const enoughPeers = 8
 
-// defaultListTTL is the listTTL where none is set.
-const defaultListTTL = 6 * time.Second
+// defaultListTTL and defaultStoreTTL apply where none are set.
+const (
+	defaultListTTL  = 6 * time.Second
+	defaultStoreTTL = 3 * time.Second
+)
 
-// SetListTTL sets the age up to which a list of entries is used, the same at all entries. An entry that
-// registers becomes a member only when all older lists are out of use, so that a longer time delays
-// entries that start; a shorter one ends memberships whenever the store answers late.
-func (c *ColdEndpoints) SetListTTL(ttl time.Duration) {
+// SetTTLs sets the age up to which a list of entries is used, the same at all entries, and the time
+// without an answer after which the store counts as lost. An entry that registers becomes a member only
+// when all older lists are out of use, so that a longer time delays entries that start; a shorter one
+// ends memberships whenever the store answers late.
+func (c *ColdEndpoints) SetTTLs(list, store time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.listTTL = ttl
+	c.listTTL, c.storeTTL = list, store
 }
 
 // SetAlone makes this entry count as the only one.
@@ -108,7 +113,12 @@
 }
 
 // confirmed reports whether this entry would know by now if an endpoint had become cold. Other entries
-// are missed within a second, the store only after listTTL: it counts alone where no entry was heard yet.
+// are missed within a second, but may all have ended, so that the store counts too: for storeTTL, or for
+// listTTL where no entry was heard yet.
 func (m *membership) confirmed(now time.Time) bool {
-	return m.alone || m.peersHeard || !m.peersKnown && now.Before(m.currentAt.Add(m.listTTL))
+	ttl := m.listTTL
+	if m.peersKnown {
+		ttl = m.storeTTL
+	}
+	return m.alone || m.peersHeard || now.Before(m.currentAt.Add(ttl))
 }
--- a/routing/direct/cold_shares.go
+++ b/routing/direct/cold_shares.go
@@ -76,7 +76,7 @@
 	binding, available bool
 }
 
-// status returns the status of an endpoint of a service.
+// status returns the status of an endpoint of a service with a known warm-up.
 func (c *ColdEndpoints) status(now time.Time, s *directory.Service, e *directory.EndpointState) coldStatus {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -84,7 +84,7 @@
 }
 
 func (c *ColdEndpoints) statusOf(now time.Time, s *directory.Service, e *directory.EndpointState) coldStatus {
-	if s.ColdPerSecond <= 0 || c.rule == ColdNever {
+	if c.rule == ColdNever {
 		return coldStatus{available: true}
 	}
 	status := coldStatus{cold: now.Before(c.coldUntil(e))}
--- a/routing/direct/cold_state.go
+++ b/routing/direct/cold_state.go
@@ -51,7 +51,7 @@
 // NewColdEndpoints returns a tracker that knows no cold endpoints and no other entries, and that
 // allows endpoints the rate that their service's configuration names.
 func NewColdEndpoints() *ColdEndpoints {
-	return &ColdEndpoints{entryList: newEntryList(), membership: membership{listTTL: defaultListTTL}, overshoot: 1, known: map[EndpointHash]*coldStatement{}, sent: map[directory.Incarnation]*coldShare{}, logged: map[directory.Incarnation]bool{}}
+	return &ColdEndpoints{entryList: newEntryList(), membership: membership{listTTL: defaultListTTL, storeTTL: defaultStoreTTL}, overshoot: 1, known: map[EndpointHash]*coldStatement{}, sent: map[directory.Incarnation]*coldShare{}, logged: map[directory.Incarnation]bool{}}
 }
 
 // SetBound sets what an endpoint bears in any second while it warms up: overshoot times the rate of
--- a/routing/direct/cold_test.go
+++ b/routing/direct/cold_test.go
@@ -218,6 +218,9 @@
 	is.Equal(taken(at(20)), 1000)
 	c.SetHeard(0)
 	is.True(taken(at(40)) < 10)
+	c.currentAt = at(40) // the others have ended, and the store says nothing else
+	is.Equal(taken(at(42)), 1000)
+	is.True(taken(at(44)) < 10)
 	c = members(at(0), 1)[0]
 	c.currentAt = at(0)
 	is.Equal(taken(at(1)), 1000)
