--- a/bench/emulator/cold.go
+++ b/bench/emulator/cold.go
@@ -173,11 +173,12 @@
 	return true
 }
 
-// observeCold tells the entry, with the response's head, how long the engine still warms up.
+// observeCold tells the entry, with the response's head, how long the engine still warms up. It draws
+// no random number, so that runs with and without warm-ups have the same load.
 func (r *request) observeCold(plan *direct.Plan) {
 	if left := r.engine.coldUntil - r.sim.Now(); left > 0 {
 		sentAt := r.sim.epoch.Add(r.sentAt)
-		r.sim.AfterFunc(r.sim.messageDelay(), func() { r.entry.tracker.Cold().Observe(r.sim.wallTime(), plan.Endpoint, sentAt, left) })
+		r.sim.AfterFunc(minMessageDelay, func() { r.entry.tracker.Cold().Observe(r.sim.wallTime(), plan.Endpoint, sentAt, left) })
 	}
 }
 
