--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,6 +23,24 @@
 	return s
 }
 
+// sendAtOnce sends n requests at one moment and returns the responses by status.
+func (s *fixture) sendAtOnce(n int, prefix string) map[int]int {
+	s.t.Helper()
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	statuses := map[int]int{}
+	for i := range n {
+		callers.Go(func() {
+			got := s.post("/again/a", fmt.Sprint(prefix, i))
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[got.status]++
+		})
+	}
+	callers.Wait()
+	return statuses
+}
+
 // sendMany sends n requests one after the other and returns the responses by status.
 func (s *fixture) sendMany(n int, prefix string) map[int]int {
 	s.t.Helper()
@@ -42,14 +61,14 @@
 	s.store.Put("servers/"+w.ID, w.Registration("ready"))
 	s.start()
 	s.waitFor("the endpoint is known to be cold", func() bool { return s.sumMetric(coldEndpointCount) == 1 })
-	statuses := s.sendMany(40, "q")
+	statuses := s.sendAtOnce(200, "q")
 	is.True(statuses[http.StatusOK] > 0)
 	is.True(statuses[http.StatusServiceUnavailable] > 0)
 	is.True(w.MaxArrivals(time.Time{}, time.Second) <= 10)
-	refused := s.post("/again/a", "late")
-	if refused.status == http.StatusServiceUnavailable {
-		is.True(refused.header.Get("Retry-After") != "")
-	}
+	s.waitFor("a refusal says when to come back", func() bool {
+		refused := s.post("/again/a", fmt.Sprint("late", time.Now().UnixNano()))
+		return refused.status == http.StatusServiceUnavailable && refused.header.Get("Retry-After") != ""
+	})
 	s.waitFor("the refusals are logged", func() bool { return strings.Contains(s.log.String(), `"event":"cold_refused"`) })
 	is.True(strings.Contains(s.log.String(), `"code":3019`))
 	is.True(strings.Contains(s.log.String(), `"event":"endpoint_cold"`))
