--- a/admission/offered.go
+++ b/admission/offered.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// minWindow and maxWindow bound the time constant of the averages of offered load, which is
+	// minWindow and maxOfferedWindow bound the time constant of the averages of offered load, which is
 	// windowShare of the time that the tier's requests may wait. A burst of urgent requests must be
 	// followed within a second. A single prompt of a million tokens takes the time of fifty engines
 	// for a second, and may wait for several.
-	minWindow, maxWindow = time.Second, 4 * time.Second
+	minWindow, maxOfferedWindow = time.Second, 4 * time.Second
 	windowShare          = 0.5
 	// maxReportedAccounts is how many client accounts a report lists for each tier.
 	maxReportedAccounts = 8
@@ -76,7 +76,7 @@
 
 // window is the time constant of the tier's offered load.
 func (w *tierWindow) window() time.Duration {
-	return min(max(time.Duration(windowShare*float64(w.typical.slack)), minWindow), maxWindow)
+	return min(max(time.Duration(windowShare*float64(w.typical.slack)), minWindow), maxOfferedWindow)
 }
 
 // arrive records a request's engine time.
--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -87,6 +87,8 @@
 	Evacuations []Evacuation
 	// Callers says what refused callers do; nil: they do not return. See SimulateReturns.
 	Callers *Callers
+	// Warming is set for engines that warm up.
+	Warming *Warming
 	// Holders is the number of entries that share a limit; nil: admission.Holders.
 	Holders func(perSecond float64, entries int) int
 	// Admission returns what admits requests at an entry; nil: all are admitted.
@@ -225,6 +227,7 @@
 	admission Admission
 	// returns is nil unless Config.Callers is set.
 	returns *admission.Returns
+	state   entryState
 }
 
 // request is one simulated request.
@@ -278,13 +281,14 @@
 	Refusals    RefusalResult
 	Departures  DepartureResult
 	Evacuations EvacuationResult
+	Warming     WarmingResult
 }
 
 // SimulateStatements is Simulate; it also returns what the engines got that made statements.
 func SimulateStatements(c *Config) ([]Result, StatementResult) {
 	sim := newSimulation(c)
 	sim.run()
-	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult, sim.evacuationResult}
+	return sim.results, StatementResult{sim.limitResult(), sim.completeRefusals(), sim.departureResult, sim.evacuationResult, sim.warmingResult()}
 }
 
 // newSimulation returns a simulation whose load and heartbeats are scheduled.
@@ -331,6 +335,9 @@
 	for i := range sim.config.Kinds {
 		sim.AfterFunc(0, func() { sim.arrive(i) })
 	}
+	if sim.config.Warming != nil {
+		sim.scheduleWarming(sim.config.Warming)
+	}
 	for i := range sim.config.Slowdowns {
 		sim.scheduleSlowdown(&sim.config.Slowdowns[i])
 	}
@@ -376,8 +383,12 @@
 		backoffs = e.tracker.Backoffs().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedBackoffs)
 	}
 	returns := e.returnReports(sim)
+	var cold []direct.ColdReport
+	if sim.config.Warming != nil {
+		cold = e.tracker.Cold().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedCold, slices.Values(e.endpoints))
+	}
 	for _, other := range sim.entries {
-		lost := sim.config.HeartbeatLoss > 0 && sim.rand.Float64() < sim.config.HeartbeatLoss
+		lost := e.state.cut || e.state.dead || other.state.cut || other.state.dead || sim.config.HeartbeatLoss > 0 && sim.rand.Float64() < sim.config.HeartbeatLoss
 		if other != e && !lost {
 			sim.AfterFunc(sim.messageDelay(), func() {
 				other.tracker.ReplacePeerLoad(sim.wallTime(), e.name, demands, loads)
@@ -386,6 +397,7 @@
 				other.tracker.Limits().Merge(sim.wallTime(), 0, limits)
 				other.tracker.Backoffs().Merge(sim.wallTime(), 0, backoffs)
 				other.mergeReturns(sim, returns)
+				other.tracker.Cold().Merge(sim.wallTime(), 0, cold)
 			})
 		}
 	}
@@ -486,6 +498,9 @@
 		if !allowed {
 			continue
 		}
+		if !r.takeCold(plan) {
+			continue
+		}
 		r.countedAfterBackoff = counted
 		j := newJob(r, plan)
 		for _, h := range plan.Helpers {
@@ -535,6 +550,11 @@
 			r.handleRefusal(engine.refusals.refusal, plan)
 			return
 		}
+		engine.recordCold()
+		for _, h := range j.helpers {
+			h.recordCold()
+		}
+		r.observeCold(plan)
 		engine.submit(j)
 	})
 }
--- a/bench/emulator/load.go
+++ b/bench/emulator/load.go
@@ -6,7 +6,11 @@
 func (sim *simulation) pickEntry() *entry {
 	n := len(sim.entries)
 	if sim.config.Skew <= 1 || n == 1 {
-		return sim.entries[sim.rand.IntN(n)]
+		for {
+			if e := sim.entries[sim.rand.IntN(n)]; !e.state.dead {
+				return e
+			}
+		}
 	}
 	weight := func(i int) float64 { return 1 + (sim.config.Skew-1)*float64(i)/float64(n-1) }
 	left := sim.rand.Float64() * float64(n) * (1 + sim.config.Skew) / 2
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -209,6 +209,10 @@
 		return fmt.Sprintf("the caller is told to return after %s: the cause (%s) may end after %s, and returns are spread over the capacity that is left for tier %s", l.milliseconds("retry_after_ms"), l.text("cause"), l.milliseconds("earliest_ms"), l.text("tier"))
 	case "regions_refused":
 		return fmt.Sprintf("refused at once: none of %s endpoints of service %s is in a region that the route and the client account allow (%s)", l.text("endpoints"), l.text("service"), l.text("allowed"))
+	case "sent_to_cold":
+		return fmt.Sprintf("%s or one of its %s helpers warms up; the request uses this node's share of what they bear", l.text("endpoint"), l.text("helpers"))
+	case "cold_refused":
+		return fmt.Sprintf("refused at once: all %s endpoints of service %s that are left warm up, and this node's share of what they bear is used up or kept for requests more urgent than priority %s; the caller is told to come back after %s", l.text("endpoints"), l.text("service"), l.text("priority"), l.milliseconds("retry_after_ms"))
 	case "no_endpoint":
 		return fmt.Sprintf("refused at once: no endpoint of service %s takes requests; %s are leaving", l.text("service"), l.text("leaving"))
 	case "entry_full":
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -83,6 +83,8 @@
 	err     error
 	// evacuations is set in the result of a read of evacuations alone, nil in those of other calls.
 	evacuations *evacuationList
+	// began is when the call began: what it returned is at least as new.
+	began time.Time
 }
 
 // watchStore follows the store until ctx ends. One call is under way at a time.
@@ -101,6 +103,7 @@
 			if w.replica.ExpireMissing(now) {
 				w.publish()
 			}
+			g.logColdTransitions("")
 		case <-g.publishRequested:
 			w.publish()
 		case result := <-results:
@@ -132,6 +135,7 @@
 		defer cancel()
 		var result storeResult
 		start := time.Now()
+		result.began = start
 		if fullRead {
 			result.state, result.err = gateway.source.Read(ctx)
 		} else {
@@ -186,6 +190,7 @@
 		w.handleChanges(now, result.changes)
 	}
 	w.gateway.storeAnsweredAt.Store(w.gateway.uptimeNanos())
+	w.gateway.cold().SetCurrent(result.began)
 	w.publish()
 	w.gateway.announceEvacuations(evacuations)
 	if config := w.gateway.snapshot.Load().Config; config != before {
@@ -236,6 +241,7 @@
 		case change.Endpoint != nil && change.Endpoint.Leaving:
 			w.gateway.log.Info("endpoint_leaving", zap.String("endpoint", change.Endpoint.ID), zap.Uint64("revision", change.Revision))
 		case change.Endpoint != nil:
+			w.gateway.logLongCold(change.Endpoint.ID, change.Endpoint.ColdLeft)
 			w.gateway.log.Info("endpoint_listed", zap.String("endpoint", change.Endpoint.ID), zap.Int64("born", change.Endpoint.StartUnixMilli), zap.String("service", change.Endpoint.Service), zap.Uint64("revision", change.Revision))
 		}
 	}
@@ -252,6 +258,7 @@
 	w.gateway.slowdownMonitor.prune(snapshot.Known)
 	w.gateway.shareLimits(snapshot)
 	w.gateway.updateReturnCapacity(time.Now(), snapshot)
+	w.gateway.shareCold(snapshot, snapshot.Known)
 	w.gateway.loadTracker.Prune(snapshot.Known)
 	w.gateway.peers.setMembers(snapshot)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -53,6 +53,7 @@
 	g.registerEvacuationMetrics()
 	g.registerReturnMetrics()
 	g.registerHeldMetrics()
+	g.registerColdMetrics()
 	g.registerPeerMetrics()
 	if writer != nil {
 		g.metrics.NewGauge("aspenyard_gateway_log_lines_dropped_total", func() float64 { return float64(writer.Dropped()) })
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -69,6 +69,7 @@
 		{"endpoint-requests-backoff", 3, refuseWithBackoff},
 		{kindEvacuation, 4, evacuateDataCentre},
 		{"slow-callers", 3, addSlowCallers},
+		{"endpoint-cold", 4, warmUpEndpoint},
 	}
 }
 
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -281,8 +281,13 @@
 // one and by a different step each time.
 func encodeConfig(n int, e *ConfigEdit, bodyLimit int) []byte {
 	c := platform.Config{
-		Version:  1 + n*(n+3),
-		Services: []platform.Service{{Name: serviceModel, MaxConnections: maxConnections, MemoryTokens: memoryTokens}, {Name: serviceBulk, MaxConnections: maxConnections}},
+		Version: 1 + n*(n+3),
+		Services: []platform.Service{
+			{Name: serviceModel, MaxConnections: maxConnections, MemoryTokens: memoryTokens, ColdTime: coldTime, ColdPerSecond: coldPerSecond},
+			{Name: serviceApp, MaxConnections: maxConnections, ColdTime: coldTime, ColdPerSecond: coldPerSecond},
+			{Name: serviceNext, MaxConnections: maxConnections, ColdTime: coldTime, ColdPerSecond: coldPerSecond},
+			{Name: serviceBulk, MaxConnections: maxConnections},
+		},
 		Accounts: []platform.Account{{Name: accountPlain, Keys: []string{keyPlain}}, {Name: accountOfEdit(n), Keys: []string{keyPerEdit}}},
 		Limits:   platform.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: bodyLimit, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 	}
