--- a/admission/offered.go
+++ b/admission/offered.go
@@ -14,7 +14,7 @@
 	// followed within a second. A single prompt of a million tokens takes the time of fifty engines
 	// for a second, and may wait for several.
 	minWindow, maxOfferedWindow = time.Second, 4 * time.Second
-	windowShare          = 0.5
+	windowShare                 = 0.5
 	// maxReportedAccounts is how many client accounts a report lists for each tier.
 	maxReportedAccounts = 8
 	// maxAccounts bounds the client accounts of which an average is kept for each tier; beyond it all
