Longest prompts: only the shorter ones of them are preferred, and they may delay few streams

Change: a prompt that is passed over is preferred up to the 0.96 quantile of its route's lengths, may delay four times as many streams as others, and 30 outcomes are needed.

--- a/gateway/length_fairness.go
+++ b/gateway/length_fairness.go
@@ -19,16 +19,15 @@
 // tokens.
 const preferredDeadlineShare = 0.5
 
-// checkLengthPreference marks a long prompt that is admitted in spite of the backlog, because prompts as long
+// checkPassedOver marks a long prompt that is admitted in spite of the backlog, because prompts as long
 // as it are served much less often than others. A prompt that cannot be served before its deadline is
 // not marked.
-func (f *forwarding) checkLengthPreference(estimate direct.FirstTokenEstimate) {
+func (f *forwarding) checkPassedOver(estimate direct.FirstTokenEstimate) {
 	if estimate.FirstToken() > scaleDuration(time.Until(f.deadline), preferredDeadlineShare) {
 		return
 	}
-	preference := f.gateway.policy.LengthPreference(time.Now(), direct.HashRoute(f.service.Name, f.route.Name), f.PromptTokens)
-	if preference != direct.NoPreference {
-		f.placementRequest.Preference = preference
+	if f.gateway.policy.PassedOver(time.Now(), direct.HashRoute(f.service.Name, f.route.Name), f.PromptTokens) {
+		f.placementRequest.PassedOver = true
 		f.log.Add("length_preferred", zap.Duration("expected_ms", estimate.FirstToken()), zap.Duration("limit_ms", f.route.Target))
 		f.gateway.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_length_preferred_total{service=%q}`, f.service.Name)).Inc()
 	}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -40,11 +40,11 @@
 		return f.noEndpointError()
 	}
 	estimate := g.policy.AddLongPrompt(f.started, f.service, engines, f.PromptTokens)
-	f.checkLengthPreference(estimate)
+	f.checkPassedOver(estimate)
 	if f.returning() {
 		estimate = estimate.WithoutQueued()
 	}
-	if estimate.TooLate(f.route.Target) && f.placementRequest.Preference == direct.NoPreference {
+	if estimate.TooLate(f.route.Target) && !f.placementRequest.PassedOver {
 		return f.refuseLateFirstToken(estimate, backlogDrainFactor*(estimate.FirstToken()-f.route.Target))
 	}
 	if plan := g.policy.Place(f.started, &f.placementRequest, endpoints); plan != nil && plan.Refused() && !plan.InBackoff {
@@ -57,7 +57,7 @@
 		return f.contextError(ctx)
 	}
 	g.observeQueueWait(time.Since(f.started))
-	if !hasCapacity && f.placementRequest.Preference == direct.NoPreference {
+	if !hasCapacity && !f.placementRequest.PassedOver {
 		newEstimate := g.policy.EstimateFirstToken(time.Now(), f.service, engines, f.PromptTokens)
 		return f.refuseLateFirstToken(newEstimate, newEstimate.Wait)
 	}
--- a/routing/direct/length_fairness.go
+++ b/routing/direct/length_fairness.go
@@ -20,19 +20,16 @@
 	// maxOutcomes bounds the outcomes that are kept for a route, maxOutcomeRoutes the routes, and
 	// maxUnreportedOutcomes those that wait to be reported.
 	maxOutcomes, maxOutcomeRoutes, maxUnreportedOutcomes = 128, 1024, 256
-	// minOutcomes is the number of outcomes from which they are compared, and minLargest the number of
-	// longest prompts that can show that these are starved. Of fewer a single refusal would.
-	minOutcomes, minLargest = 20, 3
+	// minOutcomes is the number of outcomes from which they are compared. Of fewer, a single refusal of a
+	// long prompt would decide.
+	minOutcomes = 30
 	// largestQuantile is the quantile of a route's prompt lengths from which a prompt counts as one
-	// of the longest.
-	largestQuantile   = 0.9
-	preferredQuantile = 0.96
+	// of the longest, preferredQuantile that up to which it is preferred.
+	largestQuantile, preferredQuantile = 0.9, 0.96
 	// minLargestRatio is the ratio of the share of the longest prompts that is admitted to that of
 	// all, below which the longest are preferred: users want them served half as often as all at
-	// least. starvedRatio is the ratio below which they count as starved.
-	minLargestRatio, starvedRatio = 0.5, 0.3
-	// minAdmittedShare keeps the ratio finite while nothing is admitted.
-	minAdmittedShare = 0.01
+	// least.
+	minLargestRatio = 0.5
 )
 
 // RouteHash identifies a route and the service that its request goes to, in messages between
@@ -78,21 +75,11 @@
 	*r = append(slices.Delete(*r, 0, expired), timedOutcome{now, o})
 }
 
-// LengthPreference tells whether a long prompt is preferred because of its length.
-type LengthPreference int
-
-// The preferences. A prompt that is PassedOver is admitted in spite of the backlog. One of a route
-// whose longest prompts are Starved is also placed however many streams it delays.
-const (
-	NoPreference LengthPreference = iota
-	PassedOver
-	Starved
-)
-
-// preference returns the preference of a prompt of the route. While the longest prompts are passed
-// over, the shorter ones of them are preferred, because more callers are served in the same engine
-// time. While they are starved, all of them are.
-func (r routeOutcomes) preference(now time.Time, tokens int) LengthPreference {
+// passesOver reports whether a prompt is to be preferred: it is among the longest of the route, and these
+// are admitted much less often than all. Of the longest, only the shorter ones are preferred, because more
+// callers are served in the same engine time, and because each of the very longest stops the streams of
+// its engines for seconds.
+func (r routeOutcomes) passesOver(now time.Time, tokens int) bool {
 	recent := make([]LengthOutcome, 0, len(r))
 	for _, o := range r {
 		if now.Sub(o.at) <= outcomeWindow {
@@ -100,21 +87,15 @@
 		}
 	}
 	if len(recent) < minOutcomes {
-		return NoPreference
+		return false
 	}
 	slices.SortFunc(recent, func(a, b LengthOutcome) int { return a.Tokens - b.Tokens })
 	quantile := func(q float64) int { return int(q * float64(len(recent))) }
 	largest := recent[quantile(largestQuantile):]
-	ratio := admittedShare(largest) / max(admittedShare(recent), minAdmittedShare)
-	switch {
-	case tokens < largest[0].Tokens || ratio >= minLargestRatio:
-		return NoPreference
-	case ratio < starvedRatio && len(largest) >= minLargest:
-		return Starved
-	case tokens <= recent[quantile(preferredQuantile)].Tokens:
-		return PassedOver
+	if tokens < largest[0].Tokens || tokens > recent[quantile(preferredQuantile)].Tokens {
+		return false
 	}
-	return NoPreference
+	return admittedShare(largest) < minLargestRatio*admittedShare(recent)
 }
 
 func admittedShare(outcomes []LengthOutcome) float64 {
@@ -170,13 +151,11 @@
 	known.add(now, o)
 }
 
-// LengthPreference returns the preference of a long prompt of a route.
-func (p *Policy) LengthPreference(now time.Time, route RouteHash, tokens int) LengthPreference {
+// PassedOver reports whether a long prompt of a route is to be admitted in spite of the backlog, because
+// prompts of its length are admitted much less often than others.
+func (p *Policy) PassedOver(now time.Time, route RouteHash, tokens int) bool {
 	p.tracker.mu.Lock()
 	defer p.tracker.mu.Unlock()
 	known := p.tracker.outcomes[route]
-	if known == nil {
-		return NoPreference
-	}
-	return known.preference(now, tokens)
+	return known != nil && known.passesOver(now, tokens)
 }
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -22,13 +21,20 @@
 	Priority int
 	// MaxPause is the longest pause between events that the request's route allows; 0: any.
 	MaxPause time.Duration
-	// Preference is the preference of a long prompt because of its length. It raises the number of
-	// streams that the prompt may delay.
-	Preference LengthPreference
+	// PassedOver is set for a long prompt that may delay more streams, see Policy.PassedOver.
+	PassedOver bool
 	// Tried holds the endpoints that the request was already sent to.
 	Tried map[directory.Incarnation]bool
 }
 
+// maxDelayed returns how many streams the request's parts may delay.
+func (r *Request) maxDelayed() int {
+	if r.PassedOver {
+		return maxDelayedByPassedOver
+	}
+	return maxDelayed
+}
+
 // Plan is the placement of a request.
 type Plan struct {
 	Endpoint *directory.EndpointState
@@ -200,7 +206,7 @@
 	}
 	// Interrupting the prefill of other prompts is better than refusing this one.
 	p.assign(&interrupting, addDelayCost(list, false), parts, engine)
-	if interrupting.Overloaded = interrupting.Delayed > maxDelayedBy(r.Preference); interrupting.Overloaded && plan.Long {
+	if interrupting.Overloaded = interrupting.Delayed > r.maxDelayed(); interrupting.Overloaded && plan.Long {
 		if whole := p.placeWhole(now, r, c); whole != nil {
 			return whole
 		}
@@ -304,16 +310,8 @@
 // maxDelayed is the number of streams that a plan with parts over longestPart may delay.
 const maxDelayed = 4
 
-// maxDelayedBy returns that number for a prompt with a preference.
-func maxDelayedBy(preference LengthPreference) int {
-	switch preference {
-	case Starved:
-		return math.MaxInt
-	case PassedOver:
-		return 4 * maxDelayed
-	}
-	return maxDelayed
-}
+// maxDelayedByPassedOver is that number for a prompt that is passed over, see Policy.PassedOver.
+const maxDelayedByPassedOver = 4 * maxDelayed
 
 // maxWidenInFlight is the number of requests in flight on the other engines that a long
 // prompt may delay when it needs more engines than those for long prompts.
