A chunked response that breaks off is not passed on as complete

Since the bytes held for responses are accounted for, their bodies are read with io.ReadFull, which returns io.ErrUnexpectedEOF both at a clean end within the buffer and where the chunked reader reports that the body broke off; both counted as the end. Change: fill returns io.EOF only where the reader does.

--- a/gateway/held.go
+++ b/gateway/held.go
@@ -192,22 +192,36 @@
 			return nil, errNoRoom
 		}
 		segment := make([]byte, size)
-		n, err := io.ReadFull(r, segment)
+		n, err := fill(r, segment)
 		segments, total = append(segments, segment[:n]), total+int64(n)
 		switch {
 		case total > maxBufferedBytes:
 			return nil, errResponseTooLong
-		case length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF):
+		case err == io.EOF && length < 0:
 			c.dropExpected()
 			c.gateway.responseSizes.Observe(c.route.Name, total)
 			return segments, nil
-		case err != nil:
+		case err == io.EOF && total < length:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil && err != io.EOF:
 			return nil, err
 		}
 	}
 	return segments, nil
 }
 
+// fill reads until the buffer is full or the reader returns an error. Unlike io.ReadFull it returns io.EOF only
+// where the reader does: a chunked body that breaks off ends with io.ErrUnexpectedEOF and must not count as
+// complete.
+func fill(r io.Reader, buffer []byte) (n int, err error) {
+	for n < len(buffer) && err == nil {
+		var m int
+		m, err = r.Read(buffer[n:])
+		n += m
+	}
+	return n, err
+}
+
 // dropExpected gives back what was kept for the response and is not needed.
 func (c *call) dropExpected() {
 	c.held.Shrink(c.expected)
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -41,9 +41,6 @@
 	}
 	estimate := g.policy.AddLongPrompt(f.started, f.service, engines, f.PromptTokens)
 	f.checkPassedOver(estimate)
-	if f.returning() {
-		estimate = estimate.WithoutQueued()
-	}
 	if estimate.TooLate(f.route.Target) && !f.placementRequest.PassedOver {
 		return f.refuseLateFirstToken(estimate, backlogDrainFactor*(estimate.FirstToken()-f.route.Target))
 	}
