Returning callers are refused at the same backlog as newcomers

Cause: a long prompt that returned on time was estimated without the queued prompts, so that it was let in on top of engines whose backlog others already waited for; their first tokens were late.

--- a/routing/direct/first_token.go
+++ b/routing/direct/first_token.go
@@ -11,13 +11,6 @@
 	// Wait is the time for the long prompts that all entries have sent or queued, Prefill
 	// that for the prompt itself.
 	Wait, Prefill time.Duration
-	// QueuedWait is the part of Wait that is due to prompts that are still queued.
-	QueuedWait time.Duration
-}
-
-// WithoutQueued returns the estimate for a prompt that goes before those that are queued.
-func (e FirstTokenEstimate) WithoutQueued() FirstTokenEstimate {
-	return FirstTokenEstimate{Wait: e.Wait - e.QueuedWait, Prefill: e.Prefill}
 }
 
 // FirstToken is the estimated time until the first token.
@@ -71,6 +64,5 @@
 	longEngines := p.longEngineCount(total, service, engines)
 	rate := float64(longEngines) * maxLongUtilization
 	wait := (total.PendingPrefill + total.QueuedPrefill).Seconds() / rate
-	queued := total.QueuedPrefill.Seconds() / rate
-	return FirstTokenEstimate{Wait: time.Duration(wait * float64(time.Second)), QueuedWait: time.Duration(queued * float64(time.Second)), Prefill: PrefillTime(service.Engine, promptTokens) / time.Duration(min(longEngines, maxParts))}
+	return FirstTokenEstimate{Wait: time.Duration(wait * float64(time.Second)), Prefill: PrefillTime(service.Engine, promptTokens) / time.Duration(min(longEngines, maxParts))}
 }
