--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -88,7 +88,7 @@
 }
 
 // tier returns the request's tier.
-func (f *forwarding) tier() admission.Tier { return admission.TierOf(f.priority(), f.route.Priority) }
+func (c *call) tier() admission.Tier { return admission.TierOf(c.priority(), c.route.Priority) }
 
 func (c *call) accountName() string {
 	if c.account == nil {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
 	g := f.gateway
-	turn := admission.Turn{Priority: f.started.Add(direct.PrefillTime(f.service.Engine, f.PromptTokens)), Tier: f.returnTier(), Returning: f.returning()}
+	turn := admission.Turn{Priority: f.started.Add(direct.PrefillTime(f.service.Engine, f.PromptTokens)), Tier: int(f.tier()), Returning: f.returning()}
 	if err := g.longQueue.Acquire(ctx, turn); err != nil {
 		return false
 	}
--- a/gateway/returns.go
+++ b/gateway/returns.go
@@ -23,20 +23,11 @@
 	maxHeartbeatReturns = 64
 	// keptReturn reports in heartbeats that a promise was kept.
 	keptReturn = math.MaxUint32
-	// maxPriority is the least urgent of the two priorities that make up a tier.
-	maxPriority = 15
 	// capacityRefreshInterval is the least time between two updates of the services' capacity because
 	// of refusals: a herd of refused callers must not make the entry count its endpoints each time.
 	capacityRefreshInterval = 100 * time.Millisecond
 )
 
-// returnTier returns the urgency of the call; 0 goes first. The client account's priority
-// ranks before the route's.
-func (c *call) returnTier() int {
-	clamp := func(priority int) int { return min(max(priority, 0), maxPriority) }
-	return (maxPriority+1)*clamp(c.priority()) + clamp(c.route.Priority)
-}
-
 // returnKey returns the hash by which the call's request is recognised when it returns, whichever
 // entry receives it; 0 before the body is read. The request ID is not part of it: a returning request
 // has a new one.
@@ -71,7 +62,7 @@
 		c.returnStatus = g.returns.Check(c.started, c.returnKey())
 	}
 	if c.returnStatus.State == admission.ReturnUnknown {
-		g.returns.RecordArrival(c.started, c.service.Name, c.returnTier(), c.returnCost())
+		g.returns.RecordArrival(c.started, c.service.Name, int(c.tier()), c.returnCost())
 		return
 	}
 	c.log.Add("return_recognised", zap.Stringer("state", c.returnStatus.State), zap.Duration("left_ms", c.returnStatus.Remaining))
@@ -127,7 +118,7 @@
 	now := time.Now()
 	q := admission.ReturnRequest{Key: c.returnKey(), Cause: cause, Earliest: failure.RetryAfter, Remaining: max(c.deadline.Sub(now), 0)}
 	if c.route != nil {
-		q.Tier = c.returnTier()
+		q.Tier = int(c.tier())
 	}
 	if c.service != nil {
 		g.refreshCapacity(now)
