--- a/admission/diffusion.go
+++ b/admission/diffusion.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// diffusionKey identifies requests that are admitted by one share. Lengths are not told apart, so
+// diffusionKey identifies requests that are admitted by one share. Lengths are not distinguished, so
 // that prompts of all lengths of a kind are admitted at the same rate.
 type diffusionKey struct {
 	tier    Tier
--- a/admission/windowshare.go
+++ b/admission/windowshare.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// What an endpoint bears in any second is divided among entries as requests in a sliding window.
+// What an endpoint tolerates in any second is divided among entries as requests in a sliding window.
 // A RateShare does not serve for that: its bucket and its rate add up within a second, so that a
 // second has nearly twice what the rate allows.
 
--- a/bench/emulator/cold.go
+++ b/bench/emulator/cold.go
@@ -14,11 +14,11 @@
 	From, To time.Duration
 	// Engines is the number of engines, spread over the list.
 	Engines int
-	// DemandFrom and DemandTo bound the time in which callers ask for more than cold engines bear.
+	// DemandFrom and DemandTo bound the time in which callers ask for more than cold engines tolerate.
 	DemandFrom, DemandTo time.Duration
 }
 
-// Warming describes what cold engines bear and how entries keep to it.
+// Warming describes what cold engines tolerate and how entries keep to it.
 type Warming struct {
 	WarmUps []WarmUp
 	// Time and PerSecond are those of the service. Overshoot and Tolerance are what is tolerated.
@@ -53,7 +53,7 @@
 	// bound was broken.
 	Worst float64
 	// Sent is the number of requests that arrived at cold engines while there was demand, Borne what
-	// they bear in that time.
+	// they tolerate in that time.
 	Sent  int
 	Borne float64
 }
@@ -154,7 +154,7 @@
 	}
 }
 
-// takeCold uses the entry's shares of a plan's engines; false if one of them bears no request now.
+// takeCold uses the entry's shares of a plan's engines; false if one of them can take no request now.
 func (r *request) takeCold(plan *direct.Plan) bool {
 	var tickets []*direct.ColdTicket
 	for _, e := range append([]*directory.EndpointState{plan.Endpoint}, plan.Helpers...) {
--- a/bench/emulator/cold_test.go
+++ b/bench/emulator/cold_test.go
@@ -11,8 +11,8 @@
 )
 
 // warmingSite is a load of very short prompts, of which a warm engine serves far more than a cold one
-// bears, on 60 engines for each 25 entries. Nine tenths of these are cold from second 3 to 9; half become
-// cold again at second 12. Meanwhile callers ask for more than the cold engines bear.
+// tolerates, on 60 engines for each 25 entries. Nine tenths of these are cold from second 3 to 9; half become
+// cold again at second 12. Meanwhile callers ask for more than the cold engines tolerate.
 func warmingSite(seed uint64, entries int, rule direct.ColdRule) *Config {
 	c := &Config{Seed: seed, Entries: entries, Engines: max(entries*60/25, 12), Engine: testEngine(), Duration: 16 * time.Second}
 	c.Kinds = []Kind{{Name: "short", MeanTokens: 600, Spread: 0.5, MaxTokens: 2000, Events: 2, RequestsPerSecond: 5 * float64(c.Engines), Target: 300 * time.Millisecond, MaxPause: 250 * time.Millisecond}}
@@ -38,7 +38,7 @@
 	}
 }
 
-// Guards against entries that together send a cold engine more than it bears, and against shares that
+// Guards against entries that together send a cold engine more than it tolerates, and against shares that
 // leave a cold engine idle while there is demand. With -v it logs the figures of several rules.
 func TestColdEnginesGetWhatTheyBear(t *testing.T) {
 	entryCounts := []int{4, 25}
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -210,9 +210,9 @@
 	case "regions_refused":
 		return fmt.Sprintf("refused at once: none of %s endpoints of service %s is in a region that the route and the client account allow (%s)", l.text("endpoints"), l.text("service"), l.text("allowed"))
 	case "sent_to_cold":
-		return fmt.Sprintf("%s or one of its %s helpers warms up; the request uses this node's share of what they bear", l.text("endpoint"), l.text("helpers"))
+		return fmt.Sprintf("%s or one of its %s helpers warms up; the request uses this node's share of what they tolerate", l.text("endpoint"), l.text("helpers"))
 	case "cold_refused":
-		return fmt.Sprintf("refused at once: all %s endpoints of service %s that are left warm up, and this node's share of what they bear is used up or kept for requests more urgent than priority %s; the caller is told to come back after %s", l.text("endpoints"), l.text("service"), l.text("priority"), l.milliseconds("retry_after_ms"))
+		return fmt.Sprintf("refused at once: all %s endpoints of service %s that are left warm up, and this node's share of what they tolerate is used up or kept for requests more urgent than priority %s; the caller is told to come back after %s", l.text("endpoints"), l.text("service"), l.text("priority"), l.milliseconds("retry_after_ms"))
 	case "no_endpoint":
 		return fmt.Sprintf("refused at once: no endpoint of service %s takes requests; %s are leaving", l.text("service"), l.text("leaving"))
 	case "entry_full":
--- a/directory/config.go
+++ b/directory/config.go
@@ -112,13 +112,13 @@
 	// Engine is set for services whose endpoints are engines, nil for plain services.
 	Engine *Engine
 	// ColdTime is how long an endpoint warms up after a start, ColdPerSecond how many requests a
-	// second it bears meanwhile. 0: not known.
+	// second it tolerates meanwhile. 0: not known.
 	ColdTime      time.Duration
 	ColdPerSecond float64
 	// MinTargetPause and MaxTargetPause are the smallest and the largest TargetPause of the
 	// routes to the service; 0 if none of them sets one.
 	MinTargetPause, MaxTargetPause time.Duration
-	// AllowedShare is the part of the service's endpoints that a request may use, which bears that part
+	// AllowedShare is the part of the service's endpoints that a request may use, which tolerates that part
 	// of the demand; 0: all. It is set for requests that are restricted to regions only.
 	AllowedShare float64
 }
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// takeCold uses this entry's shares of what the plan's endpoint and helpers bear while they warm up. If
-// one of them bears no request now, it returns false and the other allowances for the request.
+// takeCold uses this entry's shares of what the plan's endpoint and helpers tolerate while they warm up. If
+// one of them can take no request now, it returns false and the other allowances for the request.
 func (f *forwarding) takeCold(plan *direct.Plan) bool {
 	f.coldTickets = f.coldTickets[:0]
 	now, cold := time.Now(), false
@@ -190,7 +190,7 @@
 	if f.retrier.MayHaveRun() {
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and the others warm up")
 	}
-	return result.Refuse(result.EndpointsCold, plan.RetryAfter, "%d endpoints warm up and bear no more requests now", plan.Candidates)
+	return result.Refuse(result.EndpointsCold, plan.RetryAfter, "%d endpoints warm up and tolerate no more requests now", plan.Candidates)
 }
 
 // registerColdMetrics registers the gauges of endpoints that warm up.
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -15,7 +15,7 @@
 
 const coldEndpointCount = "aspenyard_gateway_cold_endpoints "
 
-// newColdFixture prepares a single gateway whose endpoints bear 10 requests a second while they are
+// newColdFixture prepares a single gateway whose endpoints tolerate 10 requests a second while they are
 // cold, of which it may send 6 in any second.
 func newColdFixture(t *testing.T, workers ...*standin.Worker) *fixture {
 	s := newFixture(t, workers...)
@@ -51,7 +51,7 @@
 	return statuses
 }
 
-// Guards against requests beyond what a cold endpoint bears, and against refusals that take long or do
+// Guards against requests beyond what a cold endpoint tolerates, and against refusals that take long or do
 // not say when to come back.
 func TestAColdEndpointGetsNoMoreThanItBears(t *testing.T) {
 	is := is.New(t)
@@ -136,7 +136,7 @@
 	is.Equal(s.sumMetric(`aspenyard_gateway_cold_refused_total{service="app"}`), 0.0)
 }
 
-// Guards against entries that together send a cold endpoint more than it bears, and against entries
+// Guards against entries that together send a cold endpoint more than it tolerates, and against entries
 // that do not hear from each other that an endpoint is cold.
 func TestEntriesKeepAColdEndpointsBoundTogether(t *testing.T) {
 	is := is.New(t)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -46,7 +46,7 @@
 	firstConfigWait time.Duration
 	// cutFromStore makes the store refuse the calls of this fixture's gateway only.
 	cutFromStore atomic.Bool
-	// coldPerSecond is what a cold worker of service "app" bears; 0 means that it is not known.
+	// coldPerSecond is what a cold worker of service "app" tolerates; 0 means that it is not known.
 	coldPerSecond float64
 }
 
--- a/routing/direct/cold_model_test.go
+++ b/routing/direct/cold_model_test.go
@@ -316,7 +316,7 @@
 	return ""
 }
 
-// Guards against entries that together send a cold endpoint more than it bears in any second, whatever
+// Guards against entries that together send a cold endpoint more than it tolerates in any second, whatever
 // is lost or late and whoever starts, freezes, or is cut off.
 func TestEntriesTogetherSendAColdEndpointNoMoreThanItBears(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/routing/direct/cold_shares.go
+++ b/routing/direct/cold_shares.go
@@ -8,7 +8,7 @@
 	"aspenyard.example/directory"
 )
 
-// What an endpoint bears in any second while it is cold is divided into three parts and a margin.
+// What an endpoint tolerates in any second while it is cold is divided into three parts and a margin.
 // Members are registered, have a recent list of entries, and have been registered for so long that
 // every other member lists them; they divide the largest part by that list. Others may send at the
 // same time without knowing of each other: entries that started a moment ago, and entries that the
@@ -47,7 +47,7 @@
 	c.rule = rule
 }
 
-// bound returns how many requests an endpoint of a service bears in any second while it is cold.
+// bound returns how many requests an endpoint of a service tolerates in any second while it is cold.
 func (c *ColdEndpoints) bound(s *directory.Service) float64 {
 	return s.ColdPerSecond*c.overshoot + c.tolerance
 }
@@ -175,7 +175,7 @@
 
 // untilAvailable returns the time until this entry's share allows a request to one of the endpoints,
 // or an endpoint is warm. Where it has no share, it returns the mean time between two requests that
-// the endpoints bear from all entries.
+// the endpoints tolerate from all entries.
 func (c *ColdEndpoints) untilAvailable(now time.Time, s *directory.Service, endpoints []*directory.EndpointState) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/routing/direct/cold_state.go
+++ b/routing/direct/cold_state.go
@@ -13,7 +13,7 @@
 )
 
 // ColdEndpoints tracks which endpoints warm up and how many requests this entry may send them: its
-// share of what they bear from all entries together (cold_shares.go). Registrations, responses and
+// share of what they tolerate from all entries together (cold_shares.go). Registrations, responses and
 // other entries say for how long an endpoint is cold. ColdEndpoints is safe for concurrent use.
 type ColdEndpoints struct {
 	mu sync.Mutex
@@ -54,7 +54,7 @@
 	return &ColdEndpoints{entryList: newEntryList(), membership: membership{listTTL: defaultListTTL, storeTTL: defaultStoreTTL}, overshoot: 1, known: map[EndpointHash]*coldStatement{}, sent: map[directory.Incarnation]*coldShare{}, logged: map[directory.Incarnation]bool{}}
 }
 
-// SetBound sets what an endpoint bears in any second while it warms up: overshoot times the rate of
+// SetBound sets what an endpoint tolerates in any second while it warms up: overshoot times the rate of
 // its service's configuration, plus tolerance.
 func (c *ColdEndpoints) SetBound(overshoot, tolerance float64) {
 	c.mu.Lock()
--- a/routing/direct/cold_test.go
+++ b/routing/direct/cold_test.go
@@ -47,7 +47,7 @@
 	return list
 }
 
-// Guards against shares that leave a cold endpoint without the requests that it bears while there is
+// Guards against shares that leave a cold endpoint without the requests that it tolerates while there is
 // demand, and against a burst beyond the bound.
 func TestEntriesTogetherUseWhatAColdEndpointBears(t *testing.T) {
 	for _, entries := range []int{1, 4, 25, 68, 300, 3800} {
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -61,7 +61,7 @@
 	InBackoff  bool
 	RetryAfter time.Duration
 	// WarmingUp is set when the request must not be sent now because all endpoints that are left are
-	// cold and this entry's shares of what they bear are used up. It may be sent after RetryAfter.
+	// cold and this entry's shares of what they tolerate are used up. It may be sent after RetryAfter.
 	WarmingUp bool
 	// ExpectedFirstToken is the estimated time from the start of the plan to the first
 	// token.
--- a/soak/cold.go
+++ b/soak/cold.go
@@ -44,7 +44,7 @@
 	h.record.mu.Unlock()
 }
 
-// checkColdEndpoints finds endpoints that got more requests in a second than they bear while they are
+// checkColdEndpoints finds endpoints that got more requests in a second than they tolerate while they are
 // cold.
 func checkColdEndpoints(ix *indexedRecord) []string {
 	var findings []string
@@ -64,7 +64,7 @@
 	return findings
 }
 
-// countsWhileCold reports whether an arrival counts for what a cold endpoint bears. Requests that a
+// countsWhileCold reports whether an arrival counts for what a cold endpoint tolerates. Requests that a
 // link held back may arrive together, whenever they were sent.
 func (ix *indexedRecord) countsWhileCold(arrival *Arrival, period ColdPeriod) bool {
 	req := ix.requestsByID[arrival.ID]
--- a/standin/platform/cold.go
+++ b/standin/platform/cold.go
@@ -8,7 +8,7 @@
 // headerCold is the header in which a worker states how long it still warms up.
 const headerCold = "X-Aspenyard-Cold-Ms"
 
-// coldState is a worker's warm-up. It bears any number of requests meanwhile.
+// coldState is a worker's warm-up. It tolerates any number of requests meanwhile.
 type coldState struct {
 	until time.Time
 	// text, unless it is empty, is stated instead of the time that is left.
--- a/standin/platform/config.go
+++ b/standin/platform/config.go
@@ -28,7 +28,7 @@
 type Service struct {
 	Name                         string
 	MaxConnections, MemoryTokens int
-	// ColdTime is how long a worker warms up, ColdPerSecond what it bears meanwhile; 0: not stated.
+	// ColdTime is how long a worker warms up, ColdPerSecond what it tolerates meanwhile; 0: not stated.
 	ColdTime      time.Duration
 	ColdPerSecond float64
 }
