--- a/routing/direct/length_fairness.go
+++ b/routing/direct/length_fairness.go
@@ -59,20 +59,21 @@
 // add adds an outcome. A caller that was refused usually sends its prompt again: the outcomes of prompts
 // of exactly the same length count as one, which is admitted if any of them is.
 func (r *routeOutcomes) add(now time.Time, o LengthOutcome) {
+	expired := 0
+	for expired < len(*r) && now.Sub((*r)[expired].at) > outcomeWindow {
+		expired++
+	}
+	*r = slices.Delete(*r, 0, expired)
 	for i := range *r {
 		if earlier := &(*r)[i]; earlier.Tokens == o.Tokens && !earlier.Admitted {
 			earlier.Admitted = o.Admitted
 			return
 		}
 	}
-	expired := 0
-	for expired < len(*r) && now.Sub((*r)[expired].at) > outcomeWindow {
-		expired++
-	}
-	if expired == 0 && len(*r) == maxOutcomes {
-		expired = 1
+	if len(*r) == maxOutcomes {
+		*r = slices.Delete(*r, 0, 1)
 	}
-	*r = append(slices.Delete(*r, 0, expired), timedOutcome{now, o})
+	*r = append(*r, timedOutcome{now, o})
 }
 
 // passesOver reports whether a prompt is to be preferred: it is among the longest of the route, and these
--- a/routing/direct/length_fairness_test.go
+++ b/routing/direct/length_fairness_test.go
@@ -68,6 +68,16 @@
 	is.True((*l.outcomes[7])[0].Admitted)
 }
 
+// Guards against an outcome that is lost because it updates one of the same length that has expired.
+func TestAnExpiredOutcomeIsNotUpdated(t *testing.T) {
+	is := is.New(t)
+	l := NewLoadTracker()
+	l.RecordOutcome(testNow, LengthOutcome{Route: 7, Tokens: 50_001})
+	later := testNow.Add(outcomeWindow + time.Second)
+	l.RecordOutcome(later, LengthOutcome{Route: 7, Tokens: 50_001})
+	is.Equal(*l.outcomes[7], routeOutcomes{{later, LengthOutcome{Route: 7, Tokens: 50_001}}})
+}
+
 // Guards against unbounded memory when routes change and many prompts arrive.
 func TestOutcomesAreBounded(t *testing.T) {
 	is := is.New(t)
