--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -32,6 +32,9 @@
 	// Target is the longest time to the first event, and MaxPause the longest pause between
 	// events, with which a request counts as on time.
 	Target, MaxPause time.Duration
+	// Deadline is the time that callers have. A prompt that is passed over may wait for half of it, or
+	// for Target if that is longer.
+	Deadline time.Duration
 	// Priority is the priority of the kind's route; 0 goes first.
 	Priority int
 	// Accounts are the client accounts that send the requests, by their weight; empty: one.
@@ -446,7 +449,13 @@
 	}
 	expected := r.entry.policy.AddLongPrompt(sim.wallTime(), sim.service, len(r.entry.policy.Usable(sim.wallTime(), sim.wallTime().Add(r.kind.Target), r.entry.endpoints)), r.promptTokens)
 	r.passedOver = r.entry.policy.PassedOver(sim.wallTime(), r.route(), r.promptTokens)
-	if expected.TooLate(r.kind.Target) && sim.config.enabled(Refusing) && !r.passedOver {
+	if r.passedOver && sim.config.enabled(Waiting) {
+		r.latestStart = expected.LatestStart(max(r.kind.Deadline/2, r.kind.Target))
+		r.queued = r.entry.policy.WaitUncounted(sim.service, r.promptTokens)
+		r.waitForCapacity()
+		return
+	}
+	if expected.TooLate(r.kind.Target) && sim.config.enabled(Refusing) {
 		r.recordOutcome(false)
 		r.refuse(admission.CauseCapacity, max(backlogFactor*(expected.FirstToken()-r.kind.Target), minAdvice))
 		return
@@ -465,8 +474,10 @@
 		sim.AfterFunc(direct.QueuePollInterval, r.waitForCapacity)
 		return
 	}
-	r.queued.Dequeue()
-	if !hasCapacity && sim.config.enabled(Refusing) && !r.passedOver {
+	if !r.passedOver {
+		r.queued.Dequeue()
+	}
+	if !hasCapacity && sim.config.enabled(Refusing) {
 		r.recordOutcome(false)
 		r.countHeldBack()
 		r.refuse(admission.CauseCapacity, minAdvice)
--- a/bench/emulator/emulator_test.go
+++ b/bench/emulator/emulator_test.go
@@ -167,8 +167,8 @@
 			},
 			Kinds: []Kind{
 				{Name: "short", MeanTokens: 4960, Spread: 0.9, MaxTokens: 23_800, Events: 26, RequestsPerSecond: 88 * load, Target: 400 * time.Millisecond, MaxPause: 300 * time.Millisecond},
-				{Name: "medium", MeanTokens: 45_000, Spread: 0.5, MaxTokens: 110_000, Events: 16, RequestsPerSecond: 7.2 * load, Target: 1500 * time.Millisecond, MaxPause: 800 * time.Millisecond},
-				{Name: "long", MeanTokens: 260_000, Spread: 0.55, MaxTokens: 900_000, Events: 13, RequestsPerSecond: 1.8 * load, Target: 4 * time.Second, MaxPause: 1200 * time.Millisecond},
+				{Name: "medium", MeanTokens: 45_000, Spread: 0.5, MaxTokens: 110_000, Events: 16, RequestsPerSecond: 7.2 * load, Target: 1500 * time.Millisecond, Deadline: 10 * time.Second, MaxPause: 800 * time.Millisecond},
+				{Name: "long", MeanTokens: 260_000, Spread: 0.55, MaxTokens: 900_000, Events: 13, RequestsPerSecond: 1.8 * load, Target: 4 * time.Second, Deadline: 15 * time.Second, MaxPause: 1200 * time.Millisecond},
 			},
 			LoadChanges: []LoadChange{{2 * time.Second, []float64{0.38, 1.3, 2.8}}, {12 * time.Second, []float64{2.4, 0.5, 0.05}}, {23 * time.Second, []float64{0.33, 1.3, 2.6}}},
 		}
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -12,6 +12,19 @@
 	g.loadTracker.ReplacePeerLoad(time.Now(), "another", []direct.Demand{{Service: service, PendingPrefill: pending}}, nil)
 }
 
+// ReportRefusedLengths simulates heartbeats in which another entry reports that a route serves all prompts of
+// 1,000 to 90,000 tokens and none of 140,000 to 159,000.
+func (g *Gateway) ReportRefusedLengths(service, route string) {
+	var outcomes []direct.LengthOutcome
+	for i := range 90 {
+		outcomes = append(outcomes, direct.LengthOutcome{Route: direct.HashRoute(service, route), Tokens: 1000 * (i + 1), Admitted: true})
+	}
+	for i := range 20 {
+		outcomes = append(outcomes, direct.LengthOutcome{Route: direct.HashRoute(service, route), Tokens: 140_000 + 1000*i})
+	}
+	g.loadTracker.MergeOutcomes(time.Now(), outcomes)
+}
+
 // InFlight returns how many of the gateway's requests are in flight at an endpoint, as placement
 // counts them.
 func (g *Gateway) InFlight(endpoint string) int {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,7 @@
 	callers         *callerServer
 	prober          *prober
 	longQueue       *admission.Semaphore // orders waiting long prompts; its holder starts next
+	outsideQueue    atomic.Int64         // long prompts that wait outside of it
 	registry        directory.Registry
 	slowdownReader  SlowdownReader
 	slowdownMonitor *slowdownMonitor
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -237,6 +238,42 @@
 	is.True(!strings.Contains(s.log.String(), `"event":"queue_left"`)) // it was not queued
 }
 
+// Guards against refusing a long prompt because of streams that end well before its target.
+func TestAPromptThatWouldDelayStreamsWaitsForTheirEnd(t *testing.T) {
+	is := is.New(t)
+	s := newEngineFixture(t, 17)
+	s.routes[len(s.routes)-1]["target_latency_ms"] = 20_000
+	s.start()
+	for _, w := range s.workers {
+		w.SetDefaultFault(standin.FaultHang)
+	}
+	ctx, endStreams := context.WithCancel(t.Context())
+	defer endStreams()
+	for i := range 6 {
+		r := s.request(http.MethodPost, "/model/a", fmt.Sprint("h", i), "x")
+		r.Header.Set("X-Aspenyard-Model", "m")
+		r.Header.Set("X-Aspenyard-Token-Usage", "1000,400")
+		go s.do(r.WithContext(ctx))
+	}
+	inFlight := func() int {
+		n := 0
+		for _, w := range s.workers {
+			n += w.InFlight()
+		}
+		return n
+	}
+	s.waitFor("engines are in use", func() bool { return inFlight() == 6 })
+	for _, w := range s.workers {
+		w.SetDefaultFault("")
+	}
+	got := make(chan callerResponse, 1)
+	go func() { got <- s.sendPrompt("big", 500_000) }()
+	s.waitFor("the prompt waits", func() bool { return s.sumMetric("aspenyard_gateway_waiting_outside_queue") > 0 })
+	is.Equal(s.runCount("big"), 0)
+	endStreams()
+	is.Equal((<-got).status, http.StatusOK)
+}
+
 func TestARequestRefusedByAFullEndpointIsRetriedElsewhere(t *testing.T) {
 	is := is.New(t)
 	full, other := plainWorker(), plainWorker()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -37,6 +37,7 @@
 		return 0
 	})
 	g.metrics.NewGauge("aspenyard_gateway_request_logs_skipped_total", func() float64 { return float64(g.requestLogs.Skipped()) })
+	g.metrics.NewGauge("aspenyard_gateway_waiting_outside_queue", func() float64 { return float64(g.outsideQueue.Load()) })
 	g.metrics.NewGauge("aspenyard_gateway_config_age_seconds", func() float64 { return g.elapsedSince(&g.configAppliedAt).Seconds() })
 	g.metrics.NewGauge("aspenyard_gateway_list_age_seconds", func() float64 { return g.elapsedSince(&g.storeAnsweredAt).Seconds() })
 	g.metrics.NewGauge("aspenyard_gateway_suspect_requests", func() float64 {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/admission"
+	"aspenyard.example/directory"
 	"aspenyard.example/membership"
 	"aspenyard.example/result"
 	"aspenyard.example/routing/direct"
@@ -44,7 +45,11 @@
 	if estimate.TooLate(f.route.Target) && !f.placementRequest.PassedOver {
 		return f.refuseLateFirstToken(estimate, backlogDrainFactor*(estimate.FirstToken()-f.route.Target))
 	}
-	if plan := g.policy.Place(f.started, &f.placementRequest, endpoints); plan != nil && plan.Refused() && !plan.InBackoff {
+	plan := g.policy.Place(f.started, &f.placementRequest, endpoints)
+	switch {
+	case f.placementRequest.PassedOver, plan != nil && plan.Overloaded && f.route.Target > 0:
+		return f.waitOutsideQueue(ctx, engines, estimate)
+	case plan != nil && plan.Refused() && !plan.InBackoff:
 		return f.refuse(plan) // already known; waiting would only delay the refusal
 	}
 	queued := g.policy.Enqueue(f.service, f.PromptTokens)
@@ -54,14 +59,57 @@
 		return f.contextError(ctx)
 	}
 	g.observeQueueWait(time.Since(f.started))
-	if !hasCapacity && !f.placementRequest.PassedOver {
+	if !hasCapacity {
 		newEstimate := g.policy.EstimateFirstToken(time.Now(), f.service, engines, f.PromptTokens)
 		return f.refuseLateFirstToken(newEstimate, newEstimate.Wait)
 	}
-	f.log.Add("queue_left", zap.Duration("expected_ms", estimate.FirstToken()), zap.Duration("waited_ms", time.Since(f.started)), zap.Int("waiting", g.longQueue.Waiting()))
+	f.logQueueLeft(estimate)
 	return nil
 }
 
+func (f *forwarding) logQueueLeft(estimate direct.FirstTokenEstimate) {
+	f.log.Add("queue_left", zap.Duration("expected_ms", estimate.FirstToken()), zap.Duration("waited_ms", time.Since(f.started)), zap.Int("waiting", f.gateway.longQueue.Waiting()))
+}
+
+// waitOutsideQueue holds back a prompt that would delay too many streams now, or that is passed over, until
+// the engines have capacity for it: streams end within a second or two, and a long prompt's target is several.
+// It is neither queued nor counted as queued, so that prompts that may start are not refused or held back
+// because of it. It is refused if the engines have no capacity by its latest start. For a prompt that is
+// passed over, whose first token is late already, that follows from preferredDeadlineShare: started without
+// capacity, such prompts made more streams late than were served of them.
+func (f *forwarding) waitOutsideQueue(ctx context.Context, engines int, estimate direct.FirstTokenEstimate) *result.Error {
+	g := f.gateway
+	limit := f.route.Target
+	if f.placementRequest.PassedOver {
+		limit = scaleDuration(f.deadline.Sub(f.started), preferredDeadlineShare)
+	}
+	g.outsideQueue.Add(1)
+	defer g.outsideQueue.Add(-1)
+	waiting := g.policy.WaitUncounted(f.service, f.PromptTokens)
+	var plan *direct.Plan // the last one
+	hasCapacity := f.pollCapacity(ctx, f.started.Add(estimate.LatestStart(limit)), func(now time.Time, endpoints []*directory.EndpointState) bool {
+		plan = nil
+		if !waiting.MayStart(now, endpoints) {
+			return false
+		}
+		plan = g.policy.Place(now, &f.placementRequest, endpoints)
+		return plan == nil || !plan.Overloaded
+	})
+	if ctx.Err() != nil {
+		return f.contextError(ctx)
+	}
+	g.observeQueueWait(time.Since(f.started))
+	switch {
+	case hasCapacity:
+		f.logQueueLeft(estimate)
+		return nil
+	case plan != nil:
+		return f.refuse(plan)
+	}
+	newEstimate := g.policy.EstimateFirstToken(time.Now(), f.service, engines, f.PromptTokens)
+	return f.refuseLateFirstToken(newEstimate, newEstimate.Wait)
+}
+
 // waitForCapacity waits until the engines have capacity for the prompt. It returns false if they
 // have none by latest, after which the first token would miss the target, or if ctx has ended.
 // Where the route has no target, it does not wait.
@@ -77,15 +125,23 @@
 		return false
 	}
 	defer g.longQueue.Release()
+	return f.pollCapacity(ctx, latest, queued.MayStart)
+}
+
+// pollCapacity polls until the engines have capacity for the prompt, as mayStart says. It returns false if they
+// have none by latest, or if ctx has ended.
+func (f *forwarding) pollCapacity(ctx context.Context, latest time.Time, mayStart func(now time.Time, endpoints []*directory.EndpointState) bool) bool {
+	g := f.gateway
 	for {
-		endpoints := g.policy.Usable(time.Now(), latest, f.allowedEndpoints(g.snapshot.Load()))
+		now := time.Now()
+		endpoints := g.policy.Usable(now, latest, f.allowedEndpoints(g.snapshot.Load()))
 		if len(endpoints) == 0 {
 			return true // there is nothing to wait for: placing refuses the request
 		}
-		if queued.MayStart(time.Now(), endpoints) {
+		if mayStart(now, endpoints) {
 			return true
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || !now.Before(latest) {
 			return false
 		}
 		membership.Sleep(ctx, direct.QueuePollInterval)
--- a/routing/direct/cold_test.go
+++ b/routing/direct/cold_test.go
@@ -75,6 +75,15 @@
 	}
 }
 
+// Guards against refusing nearly all requests by priority after an outage, while idle engines warm up.
+func TestColdEnginesCountAsCapacity(t *testing.T) {
+	is := is.New(t)
+	p := newPolicy(1)
+	p.tracker.cold = members(testNow, 1)[0]
+	is.Equal(len(p.EngineStates(testNow, warmingService(32), coldList(testNow, 8, 6))), 8)
+	is.Equal(len(p.EngineStates(testNow, warmingService(32), coldList(testNow, 8, 8))), 8)
+}
+
 // Guards against cold engines that delay urgent prompts, or take parts of others' prompts, while warm
 // engines have free slots, and against cold engines that stay idle while warm ones have none.
 func TestWarmEnginesArePreferred(t *testing.T) {
--- a/routing/direct/engine_state.go
+++ b/routing/direct/engine_state.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"time"
 
 	"aspenyard.example/admission"
@@ -48,7 +49,10 @@
 	p.tracker.mu.Lock()
 	defer p.tracker.mu.Unlock()
 	p.tracker.updatePendingPrefill(now)
-	candidates := p.eligible(now, &Request{Service: service}, endpoints).unlimited
+	c := p.eligible(now, &Request{Service: service}, endpoints)
+	// Cold engines work at their usual speed. Without them, nearly all requests would be refused by priority
+	// after an outage of all engines, although the engines are idle.
+	candidates := slices.Concat(c.unlimited, c.cold)
 	states := make([]admission.EngineState, 0, len(candidates))
 	kvCacheTokens := 0
 	if service.Engine != nil {
--- a/routing/direct/queue.go
+++ b/routing/direct/queue.go
@@ -15,6 +15,9 @@
 	// minPrefillShare is the fraction of the limit that may be pending when the longest
 	// prompts start. Without it they would never start while others keep arriving.
 	minPrefillShare = 0.3
+	// uncountedPrefillShare is that fraction for prompts that wait outside the queue, whose turn no other
+	// prompt waits for: of the longest prompts, too few would be served with the smaller one.
+	uncountedPrefillShare = 0.6
 	// idlePrefillLimit is the pending prefill up to which an engine counts as idle. With
 	// more, prompts that share the engine wait for each other.
 	idlePrefillLimit = 300 * time.Millisecond
@@ -35,6 +38,8 @@
 	policy  *Policy
 	service *directory.Service
 	prefill time.Duration
+	// uncounted is set for a prompt that waits outside the queue.
+	uncounted bool
 }
 
 // Enqueue counts a long prompt as queued until Dequeue is called.
@@ -44,7 +49,13 @@
 	return q
 }
 
-// Dequeue ends the wait. It must be called exactly once.
+// WaitUncounted returns a long prompt that waits without being counted as queued, so that no other prompt is
+// held back or refused because of it.
+func (p *Policy) WaitUncounted(service *directory.Service, promptTokens int) *QueuedPrompt {
+	return &QueuedPrompt{policy: p, service: service, prefill: PrefillTime(service.Engine, promptTokens), uncounted: true}
+}
+
+// Dequeue ends the wait of a counted prompt. It must be called exactly once.
 func (q *QueuedPrompt) Dequeue() { q.policy.tracker.addQueuedPrefill(q.service.Name, -q.prefill) }
 
 // MayStart reports whether the engines for long prompts, which are at the end of the list,
@@ -64,7 +75,11 @@
 	demand := p.allowedDemand(now, q.service)
 	long := p.longEngineCount(demand, q.service, len(endpoints))
 	limit := time.Duration(long) * pendingPrefillLimit
-	startLimit := max(limit-q.prefill, time.Duration(minPrefillShare*float64(limit)))
+	minShare := minPrefillShare
+	if q.uncounted {
+		minShare = uncountedPrefillShare
+	}
+	startLimit := max(limit-q.prefill, time.Duration(minShare*float64(limit)))
 	if demand.PendingPrefill <= startLimit {
 		return p.drawStart(limit-demand.PendingPrefill, demand.QueuedPrefill)
 	}
--- a/routing/direct/queue_test.go
+++ b/routing/direct/queue_test.go
@@ -32,6 +32,19 @@
 	is.True(!queued.MayStart(testNow, list)) // the requests in flight would be delayed
 }
 
+// Guards against prompts that are refused or held back because of one that is passed over and waits for longer.
+func TestAPromptThatWaitsOutsideTheQueueIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	p, list := newPolicy(1), endpoints(40)
+	reportOthers(p, Demand{LongPrefill: time.Minute, PendingPrefill: time.Minute}, sameLoad(list, EndpointLoad{PendingPrefill: time.Second})...)
+	before := p.EstimateFirstToken(testNow, service(), len(list), 150_000)
+	waiting := p.WaitUncounted(service(), 380_000)
+	is.True(!waiting.MayStart(testNow, list)) // no capacity
+	is.Equal(p.EstimateFirstToken(testNow, service(), len(list), 150_000), before)
+	reportOthers(p, Demand{})
+	is.True(waiting.MayStart(testNow, list))
+}
+
 // sameLoad returns the same load for each endpoint.
 func sameLoad(list []*directory.EndpointState, load EndpointLoad) []EndpointLoad {
 	var all []EndpointLoad
