An entry short of processor time, link or descriptors refuses by urgency

Cause: an entry with a small processor or link, or with more callers than others, read requests late and relayed events late for all its callers, while other entries had spare capacity. Callers' connections were unbounded.

Large bodies that could not arrive in time are refused unread. Connections of callers are bounded by descriptor_limit and memory_limit; the longest idle are closed first. The label resource is added to full_refused_total. explain, metrics, log lines and pages say which resource is short.

Nothing is refused below the limit.

--- a/cli/bounds_test.go
+++ b/cli/bounds_test.go
@@ -16,7 +16,8 @@
 // duration or a size, optional ones included.
 var completeFiles = map[string]string{
 	"gateway": `{"name":"g","data_centre":"dc","callers_listen":"127.0.0.1:1","readiness_listen":"127.0.0.1:2","metrics_listen":"127.0.0.1:3","peers_listen":"127.0.0.1:4","store":"127.0.0.1:5",
-"store_timeout":"700ms","config_within":"2s","leaving_within":"2s","drain_timeout":"10s","retry_ratio":0.1,"retry_allowance":10,"retry_window":"10s","memory_free_within":"4s","memory_idle_within":"9s","memory_limit":"256MB"}`,
+"store_timeout":"700ms","config_within":"2s","leaving_within":"2s","drain_timeout":"10s","retry_ratio":0.1,"retry_allowance":10,"retry_window":"10s","memory_free_within":"4s","memory_idle_within":"9s","memory_limit":"256MB",
+"processor_limit":0.5,"link_limit":"14Mbit","descriptor_limit":2870}`,
 	"entry": `{"name":"e","data_centre":"dc","listen":"127.0.0.1:1","operators_listen":"127.0.0.1:2","platform":"127.0.0.1:3","callers_listen":"127.0.0.1:4",
 "heartbeat_interval":"500ms","suspect_after":"3s","list_interval":"1s","list_lag":"30s","store_timeout":"1s","drain_timeout":"60s","body_limit":"16MB","connection_limit":4096,"default_deadline":"60s","deadline_limit":"30m"}`,
 	"agent": `{"name":"a","data_centre":"dc","listen":"127.0.0.1:1","operators_listen":"127.0.0.1:2","platform":"127.0.0.1:3","endpoint":"127.0.0.1:4","kind":"service","services":["filing"],
@@ -30,6 +31,7 @@
 
 var (
 	isDuration = regexp.MustCompile(`^[0-9.]+(ms|s|m|h)$`)
+	isBitRate  = regexp.MustCompile(`^[0-9]+[kMG]?bit$`)
 	isSize     = regexp.MustCompile(`^[0-9]+[KMG]?i?B$`)
 )
 
@@ -43,6 +45,8 @@
 		switch {
 		case isDuration.MatchString(v):
 			return []any{"-1s", "1000000h"}
+		case isBitRate.MatchString(v):
+			return []any{"-1bit", "100000Gbit", "9000000000000Gbit"}
 		case isSize.MatchString(v):
 			return []any{"-1B", "9000000GB", "9000000000000GB"}
 		}
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -216,6 +216,9 @@
 	case "no_endpoint":
 		return fmt.Sprintf("refused at once: no endpoint of service %s takes requests; %s are leaving", l.text("service"), l.text("leaving"))
 	case "entry_full":
+		if _, pressed := l.fields["pressure"]; pressed {
+			return l.describePressure()
+		}
 		return fmt.Sprintf("refused before its body was read: %s bytes more than the %s of %s that the entry holds for callers; rank %s", l.text("bytes"), l.text("held_bytes"), l.text("bound_bytes"), fmt.Sprint(l.number("rank")))
 	case "caller_cut":
 		return fmt.Sprintf("the caller was cut off because it is too slow (%s), with %s bytes unwritten", l.text("reason"), l.text("unwritten_bytes"))
@@ -227,6 +230,19 @@
 	return l.Event
 }
 
+// describePressure returns a sentence about a request that an entry refused for lack of a resource of its own.
+func (l *logLine) describePressure() string {
+	asked := fmt.Sprintf("%.2f times what it has", l.number("pressure"))
+	switch resource := l.text("resource"); {
+	case l.number("bytes") > 0:
+		return fmt.Sprintf("refused before its body was read: %s bytes could not arrive through the entry's link within a third of the remaining time; %s is asked for", l.text("bytes"), asked)
+	case resource == "descriptors" || resource == "memory":
+		return fmt.Sprintf("refused because callers have more connections than the entry's %s allow: %s", resource, asked)
+	default:
+		return fmt.Sprintf("refused before its body was read: the entry itself is short of %s: %s is asked for; rank %s", resource, asked, fmt.Sprint(l.number("rank")))
+	}
+}
+
 // describeReturn returns a sentence about a request that was refused before.
 func (l *logLine) describeReturn() string {
 	switch l.text("state") {
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -55,10 +55,16 @@
 	is := is.New(t)
 	_, out, _ := explain(t, "q1", `{"time":"2026-04-12T21:25:27.1Z","event":"regions_refused","service":"s","allowed":["eu"],"endpoints":3,"request":"q1"}
 {"time":"2026-04-12T21:25:27.2Z","event":"entry_full","bytes":4000000,"held_bytes":27000000,"bound_bytes":28000000,"rank":0.5,"request":"q1"}
+{"time":"2026-04-12T21:25:27.2Z","event":"entry_full","resource":"processor","pressure":1.5,"bytes":0,"rank":0.5,"request":"q1"}
+{"time":"2026-04-12T21:25:27.2Z","event":"entry_full","resource":"link_received","pressure":0.5,"bytes":4000000,"rank":0.5,"request":"q1"}
+{"time":"2026-04-12T21:25:27.2Z","event":"entry_full","resource":"descriptors","pressure":1.1,"bytes":0,"rank":0.5,"request":"q1"}
 {"time":"2026-04-12T21:25:27.3Z","event":"caller_cut","reason":"stalled","unwritten_bytes":8192,"request":"q1"}
 `)
 	is.True(strings.Contains(out, "none of 3 endpoints of service s is in a region that the route and the client account allow ([eu])"))
 	is.True(strings.Contains(out, "4000000 bytes more than the 27000000 of 28000000 that the entry holds for callers; rank 0.5"))
+	is.True(strings.Contains(out, "short of processor: 1.50 times what it has is asked for; rank 0.5"))
+	is.True(strings.Contains(out, "4000000 bytes could not arrive through the entry's link within a third of the remaining time"))
+	is.True(strings.Contains(out, "more connections than the entry's descriptors allow: 1.10 times"))
 	is.True(strings.Contains(out, "too slow (stalled), with 8192 bytes unwritten"))
 }
 
--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -131,6 +131,13 @@
 	c.streaming, c.response.held = false, nil
 }
 
+// Read implements net.Conn.
+func (c *backlogConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.gateway.traffic.addReceived(n)
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *backlogConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -184,6 +191,7 @@
 			return true
 		default:
 			c.attemptSize += n
+			c.gateway.traffic.addSent(n)
 		}
 	}
 	return true
@@ -249,6 +257,7 @@
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.response.stall / stallChecks))
 		c.mu.Unlock()
 		n, err := c.Conn.Write(p[written:])
+		c.gateway.traffic.addSent(n)
 		c.mu.Lock()
 		written += n
 		now, unsent := time.Now(), c.unsent()
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -91,8 +91,15 @@
 		return nil, err
 	}
 	setTCPTimeouts(conn)
-	backlog := newBacklogConn(l.server.gateway, conn)
-	return &callerConn{Conn: l.server.conns.Track(backlog), backlog: backlog, gateway: l.server.gateway}, nil
+	g := l.server.gateway
+	backlog := newBacklogConn(g, conn)
+	caller := &callerConn{Conn: l.server.conns.Track(backlog), backlog: backlog, gateway: g}
+	if g.pressure.callersOverLimit() {
+		if caller.overLimit = !l.server.conns.CloseLongestIdle(); !caller.overLimit {
+			g.metrics.GetOrCreateCounter("aspenyard_gateway_idle_callers_closed_total").Inc()
+		}
+	}
+	return caller, nil
 }
 
 // callerConn replaces the server's fixed timeouts by those of the current configuration: the
@@ -102,6 +109,9 @@
 	*graceful.Conn
 	backlog *backlogConn
 	gateway *Gateway
+	// overLimit is set if callers had too many connections when this one was accepted and none was idle. Its
+	// first request is refused. Only the server's goroutine for this connection uses it.
+	overLimit bool
 	// headTimedOut is set when a part of a request's head was read and the rest did not arrive
 	// in time.
 	headTimedOut atomic.Bool
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -44,6 +44,8 @@
 	extraSettings string
 	// firstConfigWait is how long requests wait for the first configuration; 0 means the default.
 	firstConfigWait time.Duration
+	// usage replaces the measurements of the process; nil means those of the operating system.
+	usage gateway.UsageReader
 	// cutFromStore makes the store refuse the calls of this fixture's gateway only.
 	cutFromStore atomic.Bool
 	// coldPerSecond is what a cold worker of service "app" tolerates; 0 means that it is not known.
@@ -151,7 +153,7 @@
 	s.gateway = gateway.New(gateway.Config{
 		Settings: nodeSettings, HeaderCodec: platform.HeaderCodec{}, Source: store, Registry: store, Reserver: endpointClient, SlowdownReader: endpointClient, Statements: endpointClient,
 		Log: eventlog.New(writer, nodeSettings.Name, "gateway"), LogWriter: writer,
-		FirstConfigWait: s.firstConfigWait,
+		FirstConfigWait: s.firstConfigWait, Usage: s.usage,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,8 @@
 	peerLoop        atomic.Pointer[membership.Loop] // nil until the first registration
 	bytes           *admission.ByteAccount          // what is held for callers
 	slowCallers     slowCallers
+	traffic         traffic
+	pressure        *pressureMonitor
 	responseSizes   admission.ResponseSizes
 	active          atomic.Int64 // callers' requests in flight
 	releasing       atomic.Int64 // requests whose reservations are being released
@@ -109,7 +111,9 @@
 	// Statements may be nil; what endpoints state in responses to orders and queries is then not
 	// used.
 	Statements StatementSource
-	Log        *zap.Logger
+	// Usage measures the process; by default what the operating system reports is used.
+	Usage UsageReader
+	Log   *zap.Logger
 	// LogWriter is the writer behind Log; a metric reports the lines that it drops. May be nil.
 	LogWriter *eventlog.Writer
 	// FirstConfigWait is how long after the start requests wait for the first configuration;
@@ -139,7 +143,8 @@
 	g.replica, g.publishRequested = directory.NewReplica(), make(chan struct{}, 1)
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.EmptySnapshot())
-	g.pool.idleLimit = g.idleConnsFor
+	g.pool.idleLimit, g.pool.traffic = g.idleConnsFor, &g.traffic
+	g.pressure = newPressureMonitor(g, &c.Settings, c.Usage)
 	g.callers = newCallerServer(g)
 	g.prober = newProber(g)
 	g.slowdownReader, g.slowdownMonitor = c.SlowdownReader, newSlowdownMonitor(g)
@@ -171,6 +176,7 @@
 		return err
 	}
 	go g.watchStore(ctx)
+	go g.pressure.run(ctx)
 	if g.settings.PeersListen != "" {
 		go g.peers.keepRegistered(ctx)
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -70,6 +70,7 @@
 	c := &call{gateway: g, started: time.Now(), Request: g.headerCodec.ReadRequest(r.Header), writer: w, httpRequest: r}
 	c.log = g.requestLogs.Begin(c.ID)
 	defer c.releaseHolding()
+	c.closeOverLimit()
 	failure := c.prepare()
 	if failure == nil {
 		failure = c.forward()
@@ -96,6 +97,9 @@
 		return failure
 	}
 	c.openHolding()
+	if failure := c.refusePressed(); failure != nil {
+		return failure
+	}
 	if failure := c.holdResponse(); failure != nil {
 		return failure
 	}
@@ -235,6 +239,9 @@
 	if c.httpRequest.ContentLength > limit {
 		return result.Refuse(result.BodyTooLarge, 0, "request body has %d bytes; the limit is %d", c.httpRequest.ContentLength, limit)
 	}
+	if failure := c.refuseLateBody(c.httpRequest.ContentLength); failure != nil {
+		return failure
+	}
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(c.deadline)
 	reader := http.MaxBytesReader(c.writer, c.httpRequest.Body, limit)
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -43,7 +42,12 @@
 
 // heldBound returns how many bytes a process may hold for callers.
 func heldBound(memoryLimit settings.Size) int64 {
-	return int64(heldShare * float64(cmp.Or(memoryLimit, settings.DefaultMemoryLimit)))
+	return int64(heldShare * float64(memoryOrDefault(memoryLimit)))
+}
+
+// memoryOrDefault returns the memory limit of settings whose defaults may not be set.
+func memoryOrDefault(memoryLimit settings.Size) settings.Size {
+	return cmp.Or(memoryLimit, settings.DefaultMemoryLimit)
 }
 
 // openHolding opens the call's holding and sets what bounds the writing of its response. The route must be
@@ -68,19 +72,25 @@
 
 // backlog returns the caller's connection; nil in tests that have none.
 func (c *call) backlog() *backlogConn {
-	if conn, ok := c.httpRequest.Context().Value(connKey{}).(*callerConn); ok {
+	if conn := c.callerConn(); conn != nil {
 		return conn.backlog
 	}
 	return nil
 }
 
+// callerConn returns the connection on which the request arrived; nil in tests that have none.
+func (c *call) callerConn() *callerConn {
+	conn, _ := c.httpRequest.Context().Value(connKey{}).(*callerConn)
+	return conn
+}
+
 // refuseFull refuses a request whose body of the given size must not be held. Bodies that cannot arrive in
 // time make room for later requests.
 func (c *call) refuseFull(size int64) *result.Error {
 	g := c.gateway
 	g.slowCallers.cutOne(time.Now(), admission.BodyBytes, g.bytes.Bound())
-	c.log.Add("entry_full", zap.Int64("bytes", size), zap.Int64("held_bytes", g.bytes.Held()), zap.Int64("bound_bytes", g.bytes.Bound()), zap.Float64("rank", c.rank))
-	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_full_refused_total{class=%q}`, c.requestClass())).Inc()
+	c.log.Add("entry_full", zap.Stringer("resource", admission.Memory), zap.Int64("bytes", size), zap.Int64("held_bytes", g.bytes.Held()), zap.Int64("bound_bytes", g.bytes.Bound()), zap.Float64("rank", c.rank))
+	c.countFull(admission.Memory)
 	return result.Refuse(result.EntryFull, entryFullRetryAfter, "entry holds %d of %d bytes", g.bytes.Held(), g.bytes.Bound())
 }
 
@@ -109,6 +119,7 @@
 		m, err := r.Read(body[n:])
 		n += m
 		sender.received.Add(int64(m))
+		c.gateway.traffic.largeBodies.Add(int64(m))
 		if n < len(body) && err != nil {
 			if err == io.EOF {
 				err = io.ErrUnexpectedEOF
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -53,6 +53,7 @@
 	g.registerEvacuationMetrics()
 	g.registerReturnMetrics()
 	g.registerHeldMetrics()
+	g.registerPressureMetrics()
 	g.registerColdMetrics()
 	g.registerPeerMetrics()
 	if writer != nil {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -40,7 +40,22 @@
 	// idle.
 	expiresAt, idleSince time.Time
 	// reused is set once the connection has been idle in the pool.
-	reused bool
+	reused  bool
+	traffic *traffic
+}
+
+// Read implements net.Conn.
+func (c *endpointConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.addReceived(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *endpointConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.addSent(n)
+	return n, err
 }
 
 // pool keeps idle connections for each incarnation of an endpoint.
@@ -48,6 +63,7 @@
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// idleLimit is how many idle connections are kept to an endpoint.
 	idleLimit func(e *directory.EndpointState) int
+	traffic   *traffic // of all connections; may be nil
 	mu        sync.Mutex
 	idle      map[directory.Incarnation][]*endpointConn
 }
@@ -79,7 +95,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &endpointConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	endpoint := &endpointConn{Conn: conn, traffic: p.traffic}
+	endpoint.reader = bufio.NewReaderSize(endpoint, readBufferSize)
+	return endpoint, nil
 }
 
 // popIdle removes and returns the most recently used idle connection; nil if there is none that
--- a/gateway/slowcallers.go
+++ b/gateway/slowcallers.go
@@ -48,19 +48,46 @@
 	return len(s.known)
 }
 
-// cutOne cuts off the caller that admission picks to make room for bytes of a purpose, unless there is none
-// that may be cut off.
-func (s *slowCallers) cutOne(now time.Time, purpose admission.BytePurpose, bound int64) {
+// list returns the callers that the entry waits for.
+func (s *slowCallers) list() []slowCaller {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	callers := make([]slowCaller, 0, len(s.known))
 	for c := range s.known {
 		callers = append(callers, c)
 	}
-	s.mu.Unlock()
+	return callers
+}
+
+// slowStates returns what is known of each caller. The lock of slowCallers must not be held, as callers lock
+// their connection before it.
+func slowStates(callers []slowCaller) []admission.SlowCaller {
 	states := make([]admission.SlowCaller, 0, len(callers))
 	for _, c := range callers {
 		states = append(states, c.slowState())
 	}
+	return states
+}
+
+// states returns what is known of the callers that the entry waits for.
+func (s *slowCallers) states() []admission.SlowCaller { return slowStates(s.list()) }
+
+// incomingBodies returns the large bodies that are being received.
+func (s *slowCallers) incomingBodies(now time.Time) []admission.IncomingBody {
+	var bodies []admission.IncomingBody
+	for _, state := range s.states() {
+		if state.Announced > 0 {
+			bodies = append(bodies, admission.IncomingBody{Announced: state.Announced, Received: state.Received, Sending: now.Sub(state.Since)})
+		}
+	}
+	return bodies
+}
+
+// cutOne cuts off the caller that admission picks to make room for bytes of a purpose, unless there is none
+// that may be cut off.
+func (s *slowCallers) cutOne(now time.Time, purpose admission.BytePurpose, bound int64) {
+	callers := s.list()
+	states := slowStates(callers)
 	if i := admission.PickSlowCaller(now, purpose, bound, states); i >= 0 {
 		callers[i].cut(cutForOthers)
 	}
--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -7,6 +7,7 @@
 package graceful
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -20,6 +21,8 @@
 type Conns struct {
 	mu   sync.Mutex
 	open map[*Conn]struct{}
+	// idle lists the idle connections, the longest idle first.
+	idle list.List
 	// readingStopped is set when connections that are opened from now on are not read.
 	readingStopped bool
 	// closeAfterResponse is set when every further response closes its connection.
@@ -95,6 +98,38 @@
 	}
 }
 
+// Len returns the number of open connections.
+func (c *Conns) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// CloseLongestIdle closes the connection that has been idle for the longest time after a response; it returns
+// false if none is idle. A connection on which a request is being read is not.
+func (c *Conns) CloseLongestIdle() bool {
+	conn := c.takeLongestIdle()
+	if conn == nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// takeLongestIdle stops the reading of the connection that CloseLongestIdle closes. It no longer counts as open.
+func (c *Conns) takeLongestIdle() *Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for e := c.idle.Front(); e != nil; e = e.Next() {
+		if conn := e.Value.(*Conn); conn.stopReading() {
+			conn.leaveIdle()
+			delete(c.open, conn)
+			return conn
+		}
+	}
+	return nil
+}
+
 // StopReading prevents further requests from being read on the connections that carry none, and
 // reports whether that is so on every connection, so that no request is in flight. Without it, a
 // request that is read as the process ends is handled and its caller gets no response.
@@ -140,6 +175,8 @@
 	// use changes atomically, so that an idle connection is not closed while a request that
 	// arrives at that moment is taken from it.
 	use atomic.Int32
+	// idleElement is the connection's element of Conns.idle, nil while it is not idle. Conns.mu guards it.
+	idleElement *list.Element
 }
 
 // Values of Conn.use.
@@ -158,15 +195,28 @@
 // SetState records the server's state of the connection.
 func (c *Conn) SetState(state http.ConnState) {
 	c.state.Store(int32(state))
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
 	switch state {
 	case http.StateActive: // covers a pipelined request that was read together with the one before it
 		c.use.CompareAndSwap(useIdle, useRequest)
+		c.leaveIdle()
 	case http.StateIdle:
 		c.use.CompareAndSwap(useRequest, useIdle)
+		if _, open := c.conns.open[c]; open && c.idleElement == nil {
+			c.idleElement = c.conns.idle.PushBack(c)
+		}
 	case http.StateClosed, http.StateHijacked:
-		c.conns.mu.Lock()
+		c.leaveIdle()
 		delete(c.conns.open, c)
-		c.conns.mu.Unlock()
+	}
+}
+
+// leaveIdle removes the connection from the idle ones. The caller holds Conns.mu.
+func (c *Conn) leaveIdle() {
+	if c.idleElement != nil {
+		c.conns.idle.Remove(c.idleElement)
+		c.idleElement = nil
 	}
 }
 
--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -173,3 +173,41 @@
 	cancel()
 	is.True(errors.Is(s.conns.Drain(ctx, s.active.Load), context.Canceled))
 }
+
+// Guards against closing a connection that is in use or was idle for less time than another.
+func TestTheLongestIdleConnectionIsClosed(t *testing.T) {
+	is := is.New(t)
+	c := &Conns{}
+	var conns []*Conn
+	for range 4 {
+		server, client := net.Pipe()
+		t.Cleanup(func() { _ = server.Close(); _ = client.Close() })
+		conn := c.Track(server)
+		conn.SetState(http.StateIdle)
+		conns = append(conns, conn)
+	}
+	conns[0].SetState(http.StateActive)
+	conns[0].SetState(http.StateIdle) // now the last
+	conns[1].SetState(http.StateActive)
+	for _, want := range []*Conn{conns[2], conns[3], conns[0]} {
+		is.True(c.CloseLongestIdle())
+		_, err := want.Write([]byte("x"))
+		is.True(err != nil)
+		want.SetState(http.StateClosed)
+	}
+	is.True(!c.CloseLongestIdle()) // the last one carries a request
+	is.Equal(c.Len(), 1)
+}
+
+func BenchmarkLongestIdle(b *testing.B) {
+	c := &Conns{}
+	for range b.N {
+		server, client := net.Pipe()
+		_ = client.Close()
+		c.Track(server).SetState(http.StateIdle)
+	}
+	b.ResetTimer()
+	for range b.N {
+		c.CloseLongestIdle()
+	}
+}
--- a/result/table.go
+++ b/result/table.go
@@ -52,7 +52,7 @@
 	{EndpointsCold, "endpoints_cold", http.StatusServiceUnavailable, "All endpoints that could serve the request are warming up, and what they tolerate meanwhile is used up.", "Send the request again after Retry-After."},
 	{NotAdmitted, "not_admitted", http.StatusServiceUnavailable, "The service has too little capacity for all requests, and this one's priority is too low.", "Send the request again after Retry-After."},
 	{OutsideRegions, "outside_regions", http.StatusServiceUnavailable, "No endpoint of the service is in a region that the route and the client account allow.", "Send the request again after Retry-After; check the regions that the route and the account allow."},
-	{EntryFull, "entry_full", http.StatusServiceUnavailable, "The entry holds as many bytes of requests and responses as its memory allows.", "Send the request again after Retry-After; another entry may take it."},
+	{EntryFull, "entry_full", http.StatusServiceUnavailable, "The entry itself is short of memory, processor time, link capacity or descriptors.", "Send the request again after Retry-After; another entry may take it."},
 
 	{DeadlineExceeded, "deadline_exceeded", http.StatusGatewayTimeout, "The deadline passed before the request ended.", "See ran; allow more time."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The request was sent to an endpoint, and it cannot be determined whether it ran.", "Look up the status by idempotency key; do not assume either outcome."},
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -53,6 +53,12 @@
 	// MemoryLimit is the memory that the process may use; default 256MB. The runtime collects
 	// garbage more often as the process comes near it.
 	MemoryLimit Size `json:"memory_limit,omitempty"`
+	// ProcessorLimit (cores), LinkLimit (bits a second in each direction) and DescriptorLimit (open files)
+	// are what the process may use; optional, 0 stands for no limit. Near the first two, it refuses new
+	// requests by urgency. The third bounds callers' connections.
+	ProcessorLimit  float64 `json:"processor_limit,omitempty"`
+	LinkLimit       BitRate `json:"link_limit,omitempty"`
+	DescriptorLimit float64 `json:"descriptor_limit,omitempty"`
 	// EvacuateWithin bounds the time from when the store has the evacuation of a data centre
 	// until its endpoints are sent no more requests; default 10s. Like ConfigWithin, it limits
 	// how long a watch call may wait: to half of it, as the rest is for reading a slow store.
@@ -76,6 +82,9 @@
 // DefaultMemoryLimit is the default of Gateway.MemoryLimit.
 const DefaultMemoryLimit Size = 256_000_000
 
+// minDescriptorLimit leaves descriptors for callers and endpoints beside the 200 that are kept for files.
+const minDescriptorLimit = 256
+
 // The values of Gateway.Admission.
 const (
 	AdmissionAuto = "auto"
@@ -135,6 +144,15 @@
 	errs.CheckNumber("retry_ratio", g.RetryRatio, 0, 1)
 	errs.CheckNumber("retry_allowance", g.RetryAllowance, 0, 1_000_000)
 	errs.CheckInt("memory_limit", int64(g.MemoryLimit), 32_000_000, 1<<40)
+	if g.ProcessorLimit != 0 {
+		errs.CheckNumber("processor_limit", g.ProcessorLimit, 0.001, 10_000)
+	}
+	if g.LinkLimit != 0 {
+		errs.CheckInt("link_limit", int64(g.LinkLimit), 100_000, 1e13)
+	}
+	if g.DescriptorLimit != 0 {
+		errs.CheckNumber("descriptor_limit", g.DescriptorLimit, minDescriptorLimit, 100_000_000)
+	}
 	errs.CheckRange("evacuate_within", g.EvacuateWithin.D(), 2*g.StoreTimeout.D(), time.Hour)
 	errs.CheckNumber("cold_overshoot", g.ColdOvershoot, 0.01, 100)
 	errs.CheckNumber("cold_tolerance", g.ColdTolerance, 0, 1_000_000)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -158,6 +158,31 @@
 	return nil
 }
 
+// BitRate is a number of bits a second that is written with its unit in JSON, such as "14Mbit".
+type BitRate int64
+
+var bitRateUnits = []unit{{"kbit", 1e3}, {"Mbit", 1e6}, {"Gbit", 1e9}, {"bit", 1}}
+
+// MarshalJSON writes the rate as a string in bits a second, such as "14000000bit".
+func (r BitRate) MarshalJSON() ([]byte, error) {
+	return json.Marshal(fmt.Sprintf("%dbit", int64(r)))
+}
+
+// UnmarshalJSON reads a string with a number that is not negative and a unit.
+func (r *BitRate) UnmarshalJSON(data []byte) error {
+	invalid := FieldErrors{{Value: string(data), Allowed: `bits a second with their unit, such as "14Mbit"`}}
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return invalid
+	}
+	parsed, ok := parseQuantity(text, bitRateUnits)
+	if !ok || parsed < 0 {
+		return invalid
+	}
+	*r = BitRate(parsed)
+	return nil
+}
+
 // Checker is a settings type that checks its own fields.
 type Checker interface {
 	// Check returns an error for each field that is not valid. It may set defaults first.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -72,7 +72,7 @@
 
 const validGateway = `{"name":"g","data_centre":"d","callers_listen":"127.0.0.1:1","readiness_listen":"127.0.0.1:2","store":"127.0.0.1:3",
 "config_within":"4000ms","leaving_within":"4000ms","drain_timeout":"8s","retry_ratio":0.2,"retry_allowance":206,"retry_window":"10s",
-"memory_free_within":"4000ms","memory_idle_within":"9000ms","memory_limit":"184MB"}`
+"memory_free_within":"4000ms","memory_idle_within":"9000ms","memory_limit":"184MB","processor_limit":0.06,"link_limit":"14Mbit","descriptor_limit":2870}`
 
 // The platform fills in the settings template with figures scaled to the size of a
 // deployment, and writes a figure as a whole number, with a fraction or with an exponent. When
@@ -92,6 +92,9 @@
 		{"retry_window", `"10s"`, []string{`"10.0s"`, `"1e1s"`}, func(g *Gateway) any { return g.RetryWindow }},
 		{"memory_free_within", `"4000ms"`, []string{`"4000.0ms"`, `"4e3ms"`}, func(g *Gateway) any { return g.MemoryFreeWithin }},
 		{"memory_idle_within", `"9000ms"`, []string{`"9000.0ms"`, `"9e3ms"`}, func(g *Gateway) any { return g.MemoryIdleWithin }},
+		{"processor_limit", `0.06`, []string{`6e-2`, `0.060`}, func(g *Gateway) any { return g.ProcessorLimit }},
+		{"link_limit", `"14Mbit"`, []string{`"14.0Mbit"`, `"1.4e1Mbit"`, `"14000kbit"`, `"0.014Gbit"`, `"14000000bit"`}, func(g *Gateway) any { return g.LinkLimit }},
+		{"descriptor_limit", `2870`, []string{`2870.0`, `2.87e3`}, func(g *Gateway) any { return g.DescriptorLimit }},
 		{"memory_limit", `"184MB"`, []string{`"184.0MB"`, `"1.84e2MB"`}, func(g *Gateway) any { return g.MemoryLimit }},
 	}
 	for _, c := range cases {
@@ -119,6 +122,27 @@
 	is.Equal(err.Error(), `field "retry_allowance": value "44.78": allowed: a number`)
 }
 
+// Guards against a limit of an entry that is misread, so that it refuses everything or nothing, and against an
+// error that does not name the setting.
+func TestTheLimitsOfAnEntryAreChecked(t *testing.T) {
+	for field, values := range map[string][]string{
+		"processor_limit":  {`-0.06`, `"0.06"`, `1e9`, `0.0001`},
+		"link_limit":       {`14`, `"14"`, `"14MB"`, `"-1Mbit"`, `"1bit"`, `"NaNMbit"`, `"1e300Gbit"`, `"9000000Gbit"`},
+		"descriptor_limit": {`-1`, `200`, `"2870"`, `1e15`},
+	} {
+		plain := map[string]string{"processor_limit": `0.06`, "link_limit": `"14Mbit"`, "descriptor_limit": `2870`}[field]
+		for _, value := range values {
+			is := is.New(t)
+			var g Gateway
+			err := Decode([]byte(strings.Replace(validGateway, `"`+field+`":`+plain, `"`+field+`":`+value, 1)), &g)
+			is.True(err != nil && strings.Contains(err.Error(), `"`+field+`"`))
+		}
+		is := is.New(t)
+		var g Gateway
+		is.NoErr(Decode([]byte(strings.Replace(validGateway, `"`+field+`":`+plain, `"`+field+`":`+map[bool]string{true: `"0bit"`, false: `0`}[field == "link_limit"], 1)), &g))
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(validAgent))
 	f.Fuzz(func(t *testing.T, data []byte) {
