A starting entry places its first requests by another entry's view

An entry that starts beside others knew nothing of their loads until their full heartbeats came, and took its rank among the few that it had heard, so that all starting entries sent to the same few engines.

It now asks one entry after the other (heartbeat field 50, at most four, 50 ms apart) for a view of all entries (field 51) and uses the larger of the view and of what it has heard; for 2 s it ranks itself among the registered entries. The lists of the store's full read are read at the same time, and the first heartbeat is sent as soon as the recipients are known.

--- a/bench/emulator/admission.go
+++ b/bench/emulator/admission.go
@@ -52,7 +52,7 @@
 	for _, a := range k.Accounts {
 		sum += a.Weight
 	}
-	left := sim.rand.Float64() * sum
+	left := sim.loadRand.Float64() * sum
 	for _, a := range k.Accounts {
 		if left -= a.Weight; left < 0 {
 			return a.Name
--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -5,7 +5,6 @@
 package emulator
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -87,6 +86,8 @@
 	Evacuations []Evacuation
 	// Callers says what refused callers do; nil: they do not return. See SimulateReturns.
 	Callers *Callers
+	// Restarts is set for entries that restart.
+	Restarts *Restarts
 	// Warming is set for engines that warm up.
 	Warming *Warming
 	// Holders is the number of entries that share a limit; nil: admission.Holders.
@@ -195,8 +196,11 @@
 // simulation is the state of one run.
 type simulation struct {
 	virtual.Clock
-	config    *Config
-	rand      *rand.Rand
+	config *Config
+	rand   *rand.Rand
+	// loadRand draws the requests. With Config.Restarts it is a source of its own, so that runs which
+	// differ in the placement get the same requests.
+	loadRand  *rand.Rand
 	epoch     time.Time
 	engines   map[directory.Incarnation]*engine
 	endpoints []*directory.EndpointState
@@ -208,6 +212,7 @@
 	refusalResult    RefusalResult
 	departureResult  DepartureResult
 	evacuationResult EvacuationResult
+	restartResult    RestartResult
 	// returnResults are the results of callers by kind, callers counts them, and inFlight the
 	// requests at engines. They are used where Config.Callers is set.
 	returnResults     []ReturnResult
@@ -228,6 +233,8 @@
 	// returns is nil unless Config.Callers is set.
 	returns *admission.Returns
 	state   entryState
+	// starting is set once the entry has restarted.
+	starting *startingEntry
 }
 
 // request is one simulated request.
@@ -294,6 +301,10 @@
 // newSimulation returns a simulation whose load and heartbeats are scheduled.
 func newSimulation(c *Config) *simulation {
 	sim := &simulation{config: c, rand: rand.New(rand.NewPCG(c.Seed, 1)), epoch: time.Unix(0, 0), engines: map[directory.Incarnation]*engine{}}
+	sim.loadRand = sim.rand
+	if c.Restarts != nil {
+		sim.loadRand = rand.New(rand.NewPCG(c.Seed, 2))
+	}
 	sim.service = &directory.Service{Name: serviceName, Engine: &c.Engine}
 	for _, k := range c.Kinds {
 		sim.results = append(sim.results, Result{Kind: k.Name})
@@ -338,6 +349,9 @@
 	if sim.config.Warming != nil {
 		sim.scheduleWarming(sim.config.Warming)
 	}
+	if sim.config.Restarts != nil {
+		sim.scheduleRestarts(sim.config.Restarts)
+	}
 	for i := range sim.config.Slowdowns {
 		sim.scheduleSlowdown(&sim.config.Slowdowns[i])
 	}
@@ -358,57 +372,6 @@
 // wallTime is the virtual time as the policy reads it.
 func (sim *simulation) wallTime() time.Time { return sim.epoch.Add(sim.Now()) }
 
-// sendHeartbeats sends an entry's heartbeats while requests arrive.
-func (sim *simulation) sendHeartbeats(e *entry) {
-	sim.sendHeartbeat(e)
-	if sim.Now() < sim.config.Duration {
-		sim.AfterFunc(sim.heartbeatInterval(), func() { sim.sendHeartbeats(e) })
-	}
-}
-
-func (sim *simulation) heartbeatInterval() time.Duration {
-	return cmp.Or(sim.config.HeartbeatInterval, defaultHeartbeatInterval)
-}
-
-// sendHeartbeat sends an entry's load to all others; each copy may be lost.
-func (sim *simulation) sendHeartbeat(e *entry) {
-	demands, loads := e.tracker.Demands(sim.wallTime()), e.tracker.Loads(sim.wallTime())
-	sim.heartbeats++
-	outcomes := e.tracker.TakeOutcomes(maxReportedOutcomes)
-	full := sim.isFullHeartbeat()
-	offered := e.offeredLoads(sim.wallTime(), full)
-	limits := e.tracker.Limits().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedLimits)
-	var backoffs []direct.BackoffReport
-	if len(sim.config.Refusals) > 0 && sim.config.Refusals[0].Shared {
-		backoffs = e.tracker.Backoffs().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedBackoffs)
-	}
-	returns := e.returnReports(sim)
-	var cold []direct.ColdReport
-	if sim.config.Warming != nil {
-		cold = e.tracker.Cold().Reports(sim.wallTime(), sim.isFullHeartbeat(), maxReportedCold, slices.Values(e.endpoints))
-	}
-	for _, other := range sim.entries {
-		lost := e.state.cut || e.state.dead || other.state.cut || other.state.dead || sim.config.HeartbeatLoss > 0 && sim.rand.Float64() < sim.config.HeartbeatLoss
-		if other != e && !lost {
-			sim.AfterFunc(sim.messageDelay(), func() {
-				other.tracker.ReplacePeerLoad(sim.wallTime(), e.name, demands, loads)
-				other.tracker.MergeOutcomes(sim.wallTime(), outcomes)
-				other.mergeOffered(sim.wallTime(), e.name, offered, full)
-				other.tracker.Limits().Merge(sim.wallTime(), 0, limits)
-				other.tracker.Backoffs().Merge(sim.wallTime(), 0, backoffs)
-				other.mergeReturns(sim, returns)
-				other.tracker.Cold().Merge(sim.wallTime(), 0, cold)
-			})
-		}
-	}
-}
-
-// messageDelay draws the delay of a message. As delays differ, messages may overtake each
-// other.
-func (sim *simulation) messageDelay() time.Duration {
-	return minMessageDelay + time.Duration(sim.rand.Int64N(int64(maxMessageDelay-minMessageDelay)))
-}
-
 // arrive starts a request of a kind and schedules the arrival of the next one.
 func (sim *simulation) arrive(kind int) {
 	if sim.Now() >= sim.config.Duration {
@@ -426,7 +389,7 @@
 		}
 		r.start()
 	}
-	sim.AfterFunc(time.Duration(sim.rand.ExpFloat64()/max(rate, minRate)*float64(time.Second)), func() { sim.arrive(kind) })
+	sim.AfterFunc(time.Duration(sim.loadRand.ExpFloat64()/max(rate, minRate)*float64(time.Second)), func() { sim.arrive(kind) })
 }
 
 // start handles a request that has arrived. Short prompts are placed at once; a long prompt is
@@ -585,6 +548,7 @@
 		r.result.LargestServed++
 	}
 	r.countServed(j)
+	r.countAfterRestart(j)
 	r.servedCaller(j.firstEventAt-r.arrivedAt <= r.kind.Target && r.longestPause <= r.kind.MaxPause)
 	switch {
 	case j.firstEventAt-r.arrivedAt > r.kind.Target:
--- a/bench/emulator/load.go
+++ b/bench/emulator/load.go
@@ -7,13 +7,13 @@
 	n := len(sim.entries)
 	if sim.config.Skew <= 1 || n == 1 {
 		for {
-			if e := sim.entries[sim.rand.IntN(n)]; !e.state.dead {
+			if e := sim.entries[sim.loadRand.IntN(n)]; !e.state.dead {
 				return e
 			}
 		}
 	}
 	weight := func(i int) float64 { return 1 + (sim.config.Skew-1)*float64(i)/float64(n-1) }
-	left := sim.rand.Float64() * float64(n) * (1 + sim.config.Skew) / 2
+	left := sim.loadRand.Float64() * float64(n) * (1 + sim.config.Skew) / 2
 	for i := range n {
 		if left -= weight(i); left < 0 {
 			return sim.entries[i]
@@ -53,6 +53,6 @@
 // mean and spread, bounded by MaxTokens.
 func (sim *simulation) drawPromptTokens(k *Kind) int {
 	sigma := k.logSigma()
-	drawn := k.MeanTokens * math.Exp(sigma*sim.rand.NormFloat64()-sigma*sigma/2)
+	drawn := k.MeanTokens * math.Exp(sigma*sim.loadRand.NormFloat64()-sigma*sigma/2)
 	return min(max(int(drawn), 1), k.MaxTokens)
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -63,6 +63,8 @@
 	{"not_registered", "warn", "Registering or renewing the registration failed; other entries may not know of this one.", []Field{{"error", "error of the call"}}},
 	{"not_deregistered", "warn", "The registration could not be deleted at shutdown; it ends with its lease.", []Field{{"error", "error of the call"}}},
 	{"heartbeats_stopped", "error", "The heartbeat loop ended; engines are divided between short and long prompts by this entry's own requests alone.", []Field{{"error", "why it ended"}}},
+	{"view_received", "info", "This entry has started and uses the view of another one of the load from all entries until it has heard from them.", []Field{{"from", "entry that sent the view"}, {"engines", "engines in it"}, {"entries", "number of entries that its sums stand for"}, {"age_ms", "age of the oldest report in it"}}},
+	{"view_refused", "warn", "A view of another entry has impossible values and is ignored.", []Field{{"from", "entry that sent the view"}, {"engines", "engines in it"}, {"entries", "number of entries that its sums stand for"}}},
 	{"memory_not_renewed", "warn", "A KV cache reservation could not be renewed; the request may be cut off.", []Field{{"reservation", "ID of the reservation"}, {"error", "error of the call"}}},
 	{"memory_lapsed", "warn", "Reservations were not renewed in time and are given up, because this process was suspended.", []Field{{"reservation", "ID of the first reservation"}, {"gap_ms", "time since the last renewal"}}},
 	{"memory_not_released", "warn", "A reservation could not be released; it expires by itself.", []Field{{"reservation", "ID of the reservation"}, {"error", "error of the call"}}},
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -40,3 +40,35 @@
 func (g *Gateway) HearEvacuation(from, dataCentre string, revision uint64) {
 	g.mergeEvacuations(time.Now(), &wire.Heartbeat{Node: from, Evacuations: []*wire.Evacuation{{DataCentre: dataCentre, Revision: revision, Evacuated: true}}})
 }
+
+// HearView simulates a heartbeat in which another entry sends its view.
+func (g *Gateway) HearView(from string, view *wire.View) {
+	g.peers.HandleHeartbeat(time.Now(), &wire.Heartbeat{Node: from, View: view})
+}
+
+// HearViewRequest simulates a heartbeat in which another entry asks for this one's view.
+func (g *Gateway) HearViewRequest(from string) {
+	g.peers.HandleHeartbeat(time.Now(), &wire.Heartbeat{Node: from, Addr: "127.0.0.1:1", ViewRequested: true})
+}
+
+// AskedForView simulates that the gateway has asked an entry for its view.
+func (g *Gateway) AskedForView(entry string) {
+	g.peers.views.requests.Next(time.Now(), []string{entry}, 0, globalRand{})
+}
+
+// EncodeViewOf returns a view of loaded engines, of average loads or of the largest possible ones, in
+// the form that heartbeats carry.
+func EncodeViewOf(engines int, large bool) *wire.View {
+	view := &direct.View{Entries: 3799, Age: time.Second}
+	for i := range engines {
+		e := direct.ViewEngine{Endpoint: direct.EndpointHash(i), InFlight: 10, PendingPrefill: 90 * time.Millisecond, MemoryTokens: 90_000}
+		if large {
+			e = direct.ViewEngine{Endpoint: direct.EndpointHash(i), InFlight: 1 << 16, PendingPrefill: time.Hour, MemoryTokens: 1 << 30, Slowdown: 1000}
+		}
+		view.Engines = append(view.Engines, e)
+	}
+	for range 20 {
+		view.Demands = append(view.Demands, direct.Demand{Service: "a-service-of-a-site", LongPrefill: time.Hour, ShortInFlight: 100_000, PendingPrefill: time.Hour, QueuedPrefill: time.Hour})
+	}
+	return encodeView(view)
+}
--- a/gateway/peerdelay_test.go
+++ b/gateway/peerdelay_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"aspenyard.example/infra"
 	"aspenyard.example/membership"
 	"aspenyard.example/wire"
 )
@@ -47,3 +48,18 @@
 	p.fullHeartbeatForNewEntries(view(2)) // it has started again
 	is.True(p.fullSentAt.IsZero())
 }
+
+// Guards against entries that start together and each take the few others that they have heard for all:
+// they would prefer the same engines. Entries that are registered and have ended count only at first.
+func TestAStartingEntryRanksAmongTheRegistered(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	p := &peers{views: viewExchange{startedAt: start}}
+	entry := func(name string, leaving bool) *membership.Member {
+		return &membership.Member{Listed: true, Leaving: leaving, VM: infra.VM{Name: name, Role: membership.RoleEntry}}
+	}
+	heard := &membership.Member{Listed: true, LastHeartbeat: &wire.Heartbeat{Node: "g3", Role: membership.RoleEntry}}
+	view := &membership.View{Members: map[string]*membership.Member{"g2": entry("g2", false), "g3": heard, "g4": entry("g4", true)}}
+	is.Equal(p.rankedEntries(start, view), []string{"g2", "g3"})
+	is.Equal(p.rankedEntries(start.Add(startingTime), view), []string{"g3"})
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -71,6 +71,7 @@
 	// incarnations holds the other entries' incarnations as of the last tick.
 	delays       *peerDelays
 	incarnations map[string]uint64
+	views        viewExchange
 }
 
 // keepRegistered registers this node and renews the registration until ctx ends.
@@ -203,12 +204,31 @@
 	appendReturns(h, p.gateway.returns.Reports(now, !h.Partial, maxHeartbeatReturns))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
 	appendOfferedLoads(h, p.gateway.admission.controller.Reports(now, !h.Partial))
-	for _, d := range p.gateway.loadTracker.Demands(now) {
-		h.Demands = append(h.Demands, &wire.Demand{
+	h.Demands = encodeDemands(p.gateway.loadTracker.Demands(now))
+}
+
+// encodeDemands returns demands in the form that heartbeats carry.
+func encodeDemands(demands []direct.Demand) []*wire.Demand {
+	encoded := make([]*wire.Demand, 0, len(demands))
+	for _, d := range demands {
+		encoded = append(encoded, &wire.Demand{
 			Service: d.Service, LongPrefillMs: uint32(d.LongPrefill.Milliseconds()), OpenShort: uint32(max(d.ShortInFlight, 0)),
 			ReadingMs: uint32(max(d.PendingPrefill.Milliseconds(), 0)), WaitingMs: uint32(max(d.QueuedPrefill.Milliseconds(), 0)),
 		})
 	}
+	return encoded
+}
+
+// decodeDemands returns the demands of a heartbeat.
+func decodeDemands(encoded []*wire.Demand) []direct.Demand {
+	demands := make([]direct.Demand, 0, len(encoded))
+	for _, d := range encoded {
+		demands = append(demands, direct.Demand{
+			Service: d.Service, LongPrefill: milliseconds(d.LongPrefillMs), ShortInFlight: int(d.OpenShort),
+			PendingPrefill: milliseconds(d.ReadingMs), QueuedPrefill: milliseconds(d.WaitingMs),
+		})
+	}
+	return demands
 }
 
 // changedLoads returns the endpoint loads that differ from what was last sent, and records them as
@@ -235,13 +255,10 @@
 // HandleHeartbeat implements membership.Delegate: it applies the load, the slow endpoints and the
 // crash findings that another entry reports.
 func (p *peers) HandleHeartbeat(now time.Time, h *wire.Heartbeat) {
-	demands := make([]direct.Demand, 0, len(h.Demands))
-	for _, d := range h.Demands {
-		demands = append(demands, direct.Demand{
-			Service: d.Service, LongPrefill: milliseconds(d.LongPrefillMs), ShortInFlight: int(d.OpenShort),
-			PendingPrefill: milliseconds(d.ReadingMs), QueuedPrefill: milliseconds(d.WaitingMs),
-		})
+	if p.handleView(now, h) {
+		return
 	}
+	demands := decodeDemands(h.Demands)
 	loads := make([]direct.EndpointLoad, 0, len(h.OpenEndpoints))
 	for i := range min(len(h.OpenEndpoints), len(h.OpenCounts), len(h.ReadingMs)) {
 		load := direct.EndpointLoad{Endpoint: direct.EndpointHash(h.OpenEndpoints[i]), InFlight: int(h.OpenCounts[i]), PendingPrefill: milliseconds(h.ReadingMs[i])}
@@ -332,15 +349,16 @@
 // Tick implements membership.Delegate: it updates the number of entries, and this one's rank
 // among them by name, for the retry limits and the division of the engines.
 func (p *peers) Tick(now time.Time, members *membership.View) {
+	p.requestView(now, members)
 	p.fullHeartbeatForNewEntries(members)
 	p.gateway.retries.SetEntries(now, members.EntryCountWithLeaving()+1)
 	p.gateway.loadTracker.SetEntryCount(members.EntryCount() + 1)
 	p.gateway.admission.controller.SetEntries(members.EntryCount() + 1)
 	p.gateway.returns.SetEntries(members.EntryCount() + 1)
 	p.gateway.cold().SetHeard(members.EntryCount())
-	alive := members.Entries("")
-	rank := sort.Search(len(alive), func(i int) bool { return alive[i].Name() > p.gateway.settings.Name })
-	p.gateway.loadTracker.SetRank(rank, len(alive)+1)
+	others := p.rankedEntries(now, members)
+	rank := sort.SearchStrings(others, p.gateway.settings.Name)
+	p.gateway.loadTracker.SetRank(rank, len(others)+1)
 }
 
 // fullHeartbeatForNewEntries makes the next heartbeat a full one when an entry has started, so that
--- a/membership/loop.go
+++ b/membership/loop.go
@@ -111,6 +111,10 @@
 	return gnet.None
 }
 
+// bootPollInterval is the time between two attempts to get the event loop's handle. A node sends no
+// heartbeat before it has the handle.
+const bootPollInterval = 2 * time.Millisecond
+
 // OnTick implements gnet.EventHandler. gnet calls it on another thread than the event
 // loop's, so it posts the work to the event loop.
 func (l *Loop) OnTick() (time.Duration, gnet.Action) {
@@ -118,7 +122,7 @@
 		// gnet gives the event loop's handle with a datagram only, so the loop sends one
 		// to itself.
 		l.send(l.config.Listen, nil)
-		return l.config.Tick, gnet.None
+		return min(l.config.Tick, bootPollInterval), gnet.None
 	}
 	l.Post(func() { l.Step(time.Now()) })
 	return l.config.Tick, gnet.None
@@ -172,7 +176,9 @@
 	if !now.Before(l.state.nextHeartbeat) {
 		recipients := l.state.recipients(now)
 		bytes := l.sendHeartbeat(now, recipients, false)
-		l.state.nextHeartbeat = now.Add(l.state.heartbeatInterval(len(recipients), bytes))
+		if len(recipients) > 0 {
+			l.state.nextHeartbeat = now.Add(l.state.heartbeatInterval(len(recipients), bytes))
+		}
 	}
 	if l.state.viewChanged {
 		l.state.viewChanged = false
@@ -187,12 +193,8 @@
 	if len(recipients) == 0 {
 		return 0
 	}
-	l.state.sequence++
-	h := &wire.Heartbeat{
-		Node: l.config.Node, Role: l.config.Role, DataCentre: l.config.DataCentre, Addr: l.config.Advertise,
-		Incarnation: l.config.Incarnation, Sequence: l.state.sequence, Leaving: l.state.leaving(now), Reply: reply,
-		AdvisedIntervalMs: l.state.advisedInterval.Milliseconds(), LeavingNodes: l.state.leavingNames,
-	}
+	h := l.newHeartbeat(now)
+	h.Reply = reply
 	l.delegate.FillHeartbeat(now, h)
 	if h.Partial {
 		h.Role, h.DataCentre, h.Addr, h.LeavingNodes = "", "", "", nil
@@ -207,6 +209,27 @@
 	return len(data) + headerBytes
 }
 
+// newHeartbeat returns a heartbeat that identifies this node, with the next sequence number.
+func (l *Loop) newHeartbeat(now time.Time) *wire.Heartbeat {
+	l.state.sequence++
+	return &wire.Heartbeat{
+		Node: l.config.Node, Role: l.config.Role, DataCentre: l.config.DataCentre, Addr: l.config.Advertise,
+		Incarnation: l.config.Incarnation, Sequence: l.state.sequence, Leaving: l.state.leaving(now),
+		AdvisedIntervalMs: l.state.advisedInterval.Milliseconds(), LeavingNodes: l.state.leavingNames,
+	}
+}
+
+// SendTo sends one heartbeat to one address, with what fill adds instead of the delegate. It
+// belongs to the control thread.
+func (l *Loop) SendTo(now time.Time, recipient string, fill func(h *wire.Heartbeat)) {
+	h := l.newHeartbeat(now)
+	h.LeavingNodes = nil // the regular heartbeats carry them
+	fill(h)
+	if data, err := proto.Marshal(h); err == nil {
+		l.send(recipient, data)
+	}
+}
+
 // send sends one datagram. Before OnBoot it does nothing.
 func (l *Loop) send(recipient string, data []byte) {
 	addr, err := netip.ParseAddrPort(recipient)
@@ -241,9 +264,16 @@
 	l.sendHeartbeat(now, l.state.recipients(now), false)
 }
 
-// SetList replaces the list of VMs that the platform knows.
+// SetList replaces the list of VMs that the platform knows. The first heartbeats are sent as soon as
+// the list names their recipients.
 func (l *Loop) SetList(vms []infra.VM) {
-	l.Post(func() { l.state.applyList(time.Now(), vms) })
+	l.Post(func() {
+		now := time.Now()
+		l.state.applyList(now, vms)
+		if l.state.nextHeartbeat.IsZero() {
+			l.Step(now)
+		}
+	})
 }
 
 // Post runs f on the control thread at some later time and does not wait for it. Once the
@@ -271,7 +301,7 @@
 		select {
 		case <-l.stopped:
 			return false
-		case <-time.After(l.config.Tick):
+		case <-time.After(min(l.config.Tick, bootPollInterval)):
 		}
 	}
 	return true
--- a/routing/direct/load_tracker.go
+++ b/routing/direct/load_tracker.go
@@ -29,6 +29,10 @@
 	peerSlowdowns map[EndpointHash]peerSlowdown
 	// peers holds the last state of the other entries, by name.
 	peers map[string]*peer
+	// fullPeers is the number of peers that have reported all of their load, view what stands in
+	// for those that have not; nil if there is none.
+	fullPeers int
+	view      *startingView
 	// prefilling holds the loads of this entry's long prompts whose first token has not
 	// arrived.
 	prefilling map[*RequestLoad]struct{}
@@ -110,7 +114,7 @@
 // totalDemand sums a service's demand over this entry and the peers that reported within
 // peerLoadTTL. It removes the state of peers that did not.
 func (l *LoadTracker) totalDemand(now time.Time, service string) Demand {
-	sum := l.ownDemand(now, service)
+	sum := Demand{Service: service}
 	for name, peer := range l.peers {
 		if now.Sub(peer.receivedAt) > peerLoadTTL {
 			l.removePeer(name)
@@ -125,6 +129,9 @@
 			}
 		}
 	}
+	l.raiseDemandToView(now, &sum)
+	own := l.ownDemand(now, service)
+	sum = sum.plus(&own)
 	sum.ShortInFlight = l.holdShort(now, service, sum.ShortInFlight)
 	return sum
 }
@@ -308,7 +315,8 @@
 // estimate returns the estimated load of an endpoint's incarnation. The number of requests
 // in flight is the higher of two: the last load report, corrected by what this entry has
 // begun and ended since, and the sum of this entry's requests and those that other entries
-// report, scaled up to all entries.
+// report, scaled up to all entries. While this entry starts, a view stands in for entries that have
+// not reported, see startingView.
 func (l *LoadTracker) estimate(now time.Time, incarnation directory.Incarnation) loadEstimate {
 	hash := HashEndpoint(incarnation)
 	peerLoad, scale := l.peerLoads[hash], l.peerScale()
@@ -317,11 +325,15 @@
 		tracked = &trackedEndpoint{}
 	}
 	e := loadEstimate{
-		inFlight:       tracked.inFlight + int(float64(peerLoad.InFlight)*scale+0.5),
-		pendingPrefill: tracked.pendingPrefill + time.Duration(float64(peerLoad.PendingPrefill)*scale),
-		memoryTokens:   tracked.memoryTokens + int(float64(peerLoad.MemoryTokens)*scale),
+		inFlight:       int(float64(peerLoad.InFlight)*scale + 0.5),
+		pendingPrefill: time.Duration(float64(peerLoad.PendingPrefill) * scale),
+		memoryTokens:   int(float64(peerLoad.MemoryTokens) * scale),
 		slowdown:       l.slowdown(now, tracked, hash),
 	}
+	l.raiseToView(now, hash, &e)
+	e.inFlight += tracked.inFlight
+	e.pendingPrefill += tracked.pendingPrefill
+	e.memoryTokens += tracked.memoryTokens
 	if !tracked.reportedAt.IsZero() && now.Sub(tracked.reportedAt) <= loadReportTTL {
 		e.inFlight = max(e.inFlight, tracked.reportedInFlight+tracked.inFlight-tracked.ownAtReport)
 	}
--- a/routing/direct/peers.go
+++ b/routing/direct/peers.go
@@ -5,8 +5,10 @@
 // peer is the state that another entry last reported.
 type peer struct {
 	receivedAt time.Time
-	demands    []Demand
-	loads      map[EndpointHash]EndpointLoad
+	// full is set once the entry has reported all of its load.
+	full    bool
+	demands []Demand
+	loads   map[EndpointHash]EndpointLoad
 }
 
 // peerLoadTTL is how long another entry's report is used, several times the interval at
@@ -19,7 +21,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.removePeer(name)
-	l.peers[name] = &peer{now, demands, make(map[EndpointHash]EndpointLoad, len(loads))}
+	l.peers[name] = &peer{receivedAt: now, full: true, demands: demands, loads: make(map[EndpointHash]EndpointLoad, len(loads))}
+	l.fullPeers++
 	l.applyPeerLoads(l.peers[name], loads)
 }
 
@@ -76,6 +79,9 @@
 	for endpoint, load := range p.loads {
 		l.addPeerLoad(endpoint, EndpointLoad{InFlight: -load.InFlight, PendingPrefill: -load.PendingPrefill, MemoryTokens: -load.MemoryTokens, Streams: StreamCounts{}.minus(load.Streams)})
 	}
+	if p.full {
+		l.fullPeers--
+	}
 	delete(l.peers, name)
 }
 
@@ -106,9 +112,19 @@
 	return status
 }
 
-// knowsOtherEntries reports whether this entry has a report from another one or knows its
-// own rank, which it also knows when it is the only entry.
-func (l *LoadTracker) knowsOtherEntries() bool { return l.rank.count > 0 || len(l.peers) > 0 }
+// FullPeers returns the number of other entries that have reported all of their load.
+func (l *LoadTracker) FullPeers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fullPeers
+}
+
+// knowsOtherEntries reports whether this entry has a report from another one or a view of all of
+// them, or is the only entry. A rank among several does not count: an entry that has just started
+// takes it from the registrations and knows no loads.
+func (l *LoadTracker) knowsOtherEntries() bool {
+	return l.rank.count == 1 || len(l.peers) > 0 || l.view != nil
+}
 
 // SetEntryCount sets the number of entries including this one, whether or not all of them
 // report.
