Admission: memory is a limit of its own, and prompts are spread while it is short

Cause: the cost of a request was the larger of its engine time and its memory. The sum of these exceeds what either resource must provide, so that engine time stayed idle while memory was short. All entries also sent prompts to the engine that had most memory in reports of 100 ms ago; a tenth of the medium prompts waited there for seconds while half of the engines had memory.

Where the cheapest engine has memory for fewer than four requests like the one that is placed, the engine that holds the prompt is drawn by free memory. Logs name the resource; two gauges are new.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -65,8 +65,9 @@
 	// Account is the client account's name, Kind the route's.
 	Account, Kind string
 	// Cost is the engine time that the request needs, Prefill the part of it that is spent on its
-	// prompt.
-	Cost, Prefill time.Duration
+	// prompt, and Memory the time of an engine whose whole KV cache is held that corresponds to what
+	// the request holds.
+	Cost, Prefill, Memory time.Duration
 	// Slack is the time from now until the first token is late, less that of the passes of an
 	// engine which it takes in any case; 0: the route has no target.
 	Slack time.Duration
@@ -86,12 +87,30 @@
 	// Tier is the request's tier, and Share the share of such requests that is admitted.
 	Tier  Tier
 	Share float64
-	// Offered is the load of the tier and of the more urgent ones, Demand that of all tiers, and
-	// Capacity what is given out to all tiers, in milliseconds of engine time a second over all
-	// entries.
-	Offered, Demand, Capacity float64
-	// Scarce is set while shares are applied.
-	Scarce bool
+	// Offered is the load of the tier and of the more urgent ones in the resource that demand exceeds
+	// most, in milliseconds a second over all entries.
+	Offered float64
+	ServiceStatus
+}
+
+// largestCost is what the request needs of the resource of which it needs most, in milliseconds.
+func (a *Arrival) largestCost() float64 { return milliseconds(max(a.Cost, a.Memory)) }
+
+// Resource is what requests need of engines.
+type Resource string
+
+// The resources of engines.
+const (
+	EngineTime   Resource = "time"
+	EngineMemory Resource = "memory"
+)
+
+// of returns the load of one resource.
+func (r Resource) of(l Load) float64 {
+	if r == EngineMemory {
+		return l.Memory
+	}
+	return l.Time
 }
 
 // Controller decides which requests are admitted while the engines of a service have too little
@@ -164,14 +183,14 @@
 	window := s.tier(a.Tier)
 	window.typical.observe(a)
 	if !a.Early {
-		window.arrive(now, account, milliseconds(a.Cost))
+		window.arrive(now, account, a)
 	}
 	if now.Sub(s.computedAt) >= s.interval || s.shares[a.Tier] == nil || s.admitted >= s.refreshAfter {
 		c.refresh(now, a.Service, s, engines())
 	}
-	d := ArrivalDecision{Tier: a.Tier, Share: 1, Demand: s.demand, Capacity: s.given, Scarce: s.scarce}
+	d := ArrivalDecision{ServiceStatus: s.status(), Tier: a.Tier, Share: 1}
 	if share := s.shares[a.Tier]; share != nil { // nil for requests that cost nothing
-		d.Offered = share.offered
+		d.Offered = s.resource.of(share.offered)
 		if s.scarce {
 			d.Share = share.of(account)
 		}
@@ -179,19 +198,28 @@
 	d.Admitted = a.Exempt || d.Share >= 1 || !a.Early && d.Share > 0 && c.diffuser.admit(diffusionKey{a.Tier, account, a.Kind}, d.Share, a.Returning)
 	if d.Admitted {
 		s.admitted++
-		window.admitted.add(now, window.window(), milliseconds(a.Cost))
+		window.admitted.add(now, window.window(), a.largestCost())
 	}
 	return d
 }
 
-// Refresh computes the shares of a service again, and reports whether they are applied. It ends the
-// scarcity of a service whose callers have stopped to send requests to this entry.
-func (c *Controller) Refresh(now time.Time, service string, engines []EngineState) (scarce bool, demand, capacity float64) {
+// ServiceStatus is the state of a service. Scarce is set while shares are applied. Demand is the load of
+// all tiers and Capacity what is given out to them, in milliseconds a second over all entries; both are of
+// Resource, which is what demand exceeds most.
+type ServiceStatus struct {
+	Scarce           bool
+	Resource         Resource
+	Demand, Capacity float64
+}
+
+// Refresh computes the shares of a service again, and returns the service's state. It ends the scarcity of
+// a service whose callers have stopped to send requests to this entry.
+func (c *Controller) Refresh(now time.Time, service string, engines []EngineState) ServiceStatus {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.service(service)
 	c.refresh(now, service, s, engines)
-	return s.scarce, s.demand, s.given
+	return s.status()
 }
 
 // Started records the first response to an admitted request.
@@ -237,6 +265,8 @@
 	// Share is the share of the tier's load that is admitted, Offered its load over all entries and
 	// Capacity what is given out to all tiers of the service, in milliseconds a second.
 	Share, Offered, Capacity float64
+	// OfferedMemory and MemoryCapacity are Offered and Capacity of the memory.
+	OfferedMemory, MemoryCapacity float64
 }
 
 // Status returns the state of a tier as of the last decision on a request of its service. A tier
@@ -245,9 +275,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.service(service)
-	status := TierStatus{Share: 1, Capacity: s.given}
+	status := TierStatus{Share: 1, Capacity: s.given.Time, MemoryCapacity: s.given.Memory}
 	if share := s.shares[tier]; share != nil {
-		status.Offered = share.own
+		status.Offered, status.OfferedMemory = share.own.Time, share.own.Memory
 		if s.scarce {
 			status.Share = share.mean * share.startable
 		}
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -37,6 +37,8 @@
 	loss    float64
 	delay   time.Duration
 	pending []pendingReport
+	// memory is the KV cache of each engine, used like its slots; 0: not known.
+	memory int
 	// offered and admitted count requests by kind and account since the last reset.
 	offered, admitted map[string]float64
 }
@@ -64,6 +66,17 @@
 // share is the share of a kind's and account's requests that was admitted since the last reset.
 func (c *cluster) share(key string) float64 { return c.admitted[key] / max(c.offered[key], 1) }
 
+// engines returns engines with the given share of their slots and memory in use.
+func (c *cluster) engines(use float64) func() []EngineState {
+	return func() []EngineState {
+		list := testEngines(60, use)()
+		for i := range list {
+			list[i].KVCacheTokens, list[i].MemoryTokens = c.memory, int(use*float64(c.memory))
+		}
+		return list
+	}
+}
+
 const clusterStep = 10 * time.Millisecond
 
 // load is the mean number of arrivals a second.
@@ -85,7 +98,7 @@
 				entry := c.entries[c.rand.IntN(len(c.entries))]
 				key := a.Kind + "/" + a.Account
 				c.offered[key]++
-				if entry.Admit(c.now, a, testEngines(60, use)).Admitted {
+				if entry.Admit(c.now, a, c.engines(use)).Admitted {
 					c.admitted[key]++
 					entry.Started(c.now, a.Service, a.Tier, false)
 				}
@@ -147,7 +160,7 @@
 			cluster.run(4*time.Second, 0.8, urgent)
 			cluster.reset()
 			cluster.run(4*time.Second, 0.8, urgent)
-			_, _, capacity := cluster.entries[0].Refresh(cluster.now, "m", testEngines(60, 0.8)())
+			capacity := cluster.entries[0].Refresh(cluster.now, "m", testEngines(60, 0.8)()).Capacity
 			work := cluster.admitted["short/a"] * milliseconds(short.Cost) / 4
 			t.Logf("admitted %.0f ms a second of %.0f; shares differ by %.3f", work, capacity, cluster.spread(short.Tier))
 			is.True(math.Abs(work-capacity) < 0.08*capacity)
@@ -160,6 +173,26 @@
 	}
 }
 
+// Guards against requests that are admitted beyond the memory of the engines, against engine time that is
+// kept from others while memory is short, and against reports that leave out the memory.
+func TestMemoryIsALimitOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	cluster := newCluster(8)
+	cluster.memory = 100_000
+	large, small := *longArrival("a"), *longArrival("a")
+	large.Cost, large.Memory, large.Kind = 500*time.Millisecond, 2*time.Second, "large"
+	small.Cost, small.Memory, small.Kind, small.Tier = 500*time.Millisecond, 0, "small", large.Tier+1
+	loads := []load{{&large, 60}, {&small, 50}} // 55 engines' worth of time, 120 of memory
+	cluster.run(8*time.Second, 0.8, loads...)
+	cluster.reset()
+	cluster.run(8*time.Second, 0.8, loads...)
+	status := cluster.entries[0].Refresh(cluster.now, "m", cluster.engines(0.8)())
+	t.Log(cluster.share("large/a"), cluster.share("small/a"), status)
+	is.True(status.Scarce && status.Resource == EngineMemory)
+	is.True(math.Abs(cluster.share("large/a")-0.85*60/120) < 0.05)
+	is.True(cluster.share("small/a") > 0.97)
+}
+
 // Guards against a large client account that displaces small ones of the same tier.
 func TestClientAccountsShareATier(t *testing.T) {
 	is := is.New(t)
@@ -289,6 +322,8 @@
 	is.True(places(engines[1]) < 0.2) // no free slot, and slow
 	is.Equal(places(engines[2]), 0.0)
 	is.Equal(SumEngines(nil).Use, 0.0)
+	is.Equal(sum.MemoryRate, 1000.0) // that of engines whose memory is known
+	is.Equal(sum.MemoryUse, 0.75)
 }
 
 // Guards against requests that are told that capacity is scarce when there is no engine at all, as
@@ -331,9 +366,9 @@
 	for i := range 4 { // 25 times as many are not heard
 		c.Merge(now, fmt.Sprint(i), []TierLoad{{Service: "m", Tier: 16, Offered: 500}}, true)
 	}
-	_, demand, _ := c.Refresh(now, "m", testEngines(60, 0.8)())
+	demand := c.Refresh(now, "m", testEngines(60, 0.8)()).Demand
 	is.Equal(demand, 50_000.0)
-	_, demand, _ = c.Refresh(now.Add(2*reportTTL), "m", testEngines(60, 0.8)())
+	demand = c.Refresh(now.Add(2*reportTTL), "m", testEngines(60, 0.8)()).Demand
 	is.Equal(demand, 0.0) // reports are not used for long
 }
 
@@ -359,10 +394,10 @@
 	other.SetEntries(2)
 	other.Merge(now, "e", c.Reports(now, true), true)
 	other.Merge(now, "e", nil, false)
-	_, demand, _ := other.Refresh(now, "m", testEngines(60, 0.8)())
+	demand := other.Refresh(now, "m", testEngines(60, 0.8)()).Demand
 	is.True(demand > 25_000)
 	other.Merge(now, "e", nil, true)
-	_, demand, _ = other.Refresh(now, "m", testEngines(60, 0.8)())
+	demand = other.Refresh(now, "m", testEngines(60, 0.8)()).Demand
 	is.Equal(demand, 0.0)
 }
 
--- a/admission/enginecapacity.go
+++ b/admission/enginecapacity.go
@@ -23,12 +23,18 @@
 // 0 to 1.
 func (e *EngineState) use() float64 {
 	used := float64(e.InFlight) / float64(max(e.Slots, 1))
-	if e.KVCacheTokens > 0 {
-		used = max(used, float64(e.MemoryTokens)/float64(e.KVCacheTokens))
-	}
+	used = max(used, e.memoryUse())
 	return min(max(used, e.Slowdown*e.PendingPrefill.Seconds()/fullPrefill.Seconds()), 1)
 }
 
+// memoryUse is the fraction of the engine's KV cache that is in use, 0 to 1.
+func (e *EngineState) memoryUse() float64 {
+	if e.KVCacheTokens <= 0 {
+		return 0
+	}
+	return min(float64(e.MemoryTokens)/float64(e.KVCacheTokens), 1)
+}
+
 // EngineCapacity sums up the engines of a service.
 type EngineCapacity struct {
 	// Rate is the engine time that the engines provide, in milliseconds a second. A slow engine
@@ -36,6 +42,9 @@
 	Rate float64
 	// Use is the mean fraction of the engines that is in use, 0 to 1. A slow engine counts less.
 	Use float64
+	// MemoryRate is Rate over the engines whose KV cache is known, and MemoryUse the mean fraction of
+	// it that is in use, 0 to 1.
+	MemoryRate, MemoryUse float64
 }
 
 // SumEngines sums up engines.
@@ -46,8 +55,13 @@
 		rate := millisecondsPerSecond / max(e.Slowdown, 1)
 		c.Rate += rate
 		c.Use += e.use() * rate
+		if e.KVCacheTokens > 0 {
+			c.MemoryRate += rate
+			c.MemoryUse += e.memoryUse() * rate
+		}
 	}
 	c.Use /= max(c.Rate, 1)
+	c.MemoryUse /= max(c.MemoryRate, 1)
 	return c
 }
 
--- a/admission/offered.go
+++ b/admission/offered.go
@@ -37,6 +37,9 @@
 	// Offered counts all requests, Admitted those that were admitted, in milliseconds of engine
 	// time a second.
 	Offered, Admitted float64
+	// Needed is the engine time and the memory of all requests. Offered counts for each request the
+	// larger of the two. Without either, the time is Offered.
+	Needed Load
 	// Started is how many requests lately had their first response, Late how many of them
 	// missed their route's target.
 	Started, Late float64
@@ -44,6 +47,14 @@
 	Accounts []AccountLoad
 }
 
+// needed returns the load by resource. An entry of an earlier version reports Offered alone.
+func (l *TierLoad) needed() Load {
+	if l.Needed == (Load{}) {
+		return Load{Time: l.Offered}
+	}
+	return l.Needed
+}
+
 // average is an exponentially weighted rate per second.
 type average struct {
 	rate float64
@@ -67,6 +78,7 @@
 // tierWindow is what callers lately offered to this entry in one tier.
 type tierWindow struct {
 	offered, admitted, started, late average
+	time, memory                     average
 	accounts                         map[uint32]*average
 	// typical describes the tier's requests.
 	typical typicalRequest
@@ -79,10 +91,12 @@
 	return min(max(time.Duration(windowShare*float64(w.typical.slack)), minWindow), maxOfferedWindow)
 }
 
-// arrive records a request's engine time.
-func (w *tierWindow) arrive(now time.Time, account uint32, cost float64) {
-	window := w.window()
+// arrive records what a request needs.
+func (w *tierWindow) arrive(now time.Time, account uint32, request *Arrival) {
+	window, cost := w.window(), request.largestCost()
 	w.offered.add(now, window, cost)
+	w.time.add(now, window, milliseconds(request.Cost))
+	w.memory.add(now, window, milliseconds(request.Memory))
 	a := w.accounts[account]
 	if a == nil {
 		if len(w.accounts) >= maxAccounts {
@@ -97,7 +111,7 @@
 // report returns the averages, with client accounts if asked for.
 func (w *tierWindow) report(now time.Time, service string, tier Tier, listAccounts bool) TierLoad {
 	window := w.window()
-	load := TierLoad{Service: service, Tier: tier, Offered: w.offered.value(now, window), Admitted: w.admitted.value(now, window), Started: w.started.value(now, minWindow), Late: w.late.value(now, minWindow)}
+	load := TierLoad{Service: service, Tier: tier, Offered: w.offered.value(now, window), Admitted: w.admitted.value(now, window), Needed: Load{w.time.value(now, window), w.memory.value(now, window)}, Started: w.started.value(now, minWindow), Late: w.late.value(now, minWindow)}
 	if listAccounts {
 		load.Accounts = w.largestAccounts(now)
 	}
@@ -155,6 +169,7 @@
 // demandSum is the load of one tier over all entries.
 type demandSum struct {
 	offered, admitted, started, late float64
+	needed                           Load
 }
 
 // scaledReport is the report of one entry and the number of entries for which it counts.
@@ -200,6 +215,7 @@
 			sum.offered += load.Offered * r.scale
 			sum.admitted += load.Admitted * r.scale
 			sum.started += load.Started * r.scale
+			sum.needed = sum.needed.plus(load.needed().times(r.scale))
 			sum.late += load.Late * r.scale
 		}
 	}
--- a/admission/servicestate.go
+++ b/admission/servicestate.go
@@ -11,10 +11,11 @@
 type serviceState struct {
 	tiers map[Tier]*tierWindow
 	kinds map[string]*kindState
-	// shares are those computed at computedAt, given is the capacity that they divide, and demand
-	// the load of all tiers, in milliseconds of engine time a second.
+	// shares are those computed at computedAt, given is the capacity that they divide, demand the
+	// load of all tiers, and resource what demand exceeds most.
 	shares        map[Tier]*tierShare
-	given, demand float64
+	given, demand Load
+	resource      Resource
 	computedAt    time.Time
 	feedback      feedback
 	// admitted is the number of requests that were admitted since then, and refreshAfter the one at
@@ -39,7 +40,7 @@
 // tierShare is the share of one tier's requests that is admitted.
 type tierShare struct {
 	// offered is the load of this tier and the more urgent ones, own that of this tier.
-	offered, own float64
+	offered, own Load
 	// mean is the share of the tier's load. level is the load that one client account may have,
 	// accounts what the listed ones offer, and restEach what each of the others counts for.
 	mean, level, restEach float64
@@ -64,7 +65,11 @@
 }
 
 func newServiceState() *serviceState {
-	return &serviceState{tiers: map[Tier]*tierWindow{}, kinds: map[string]*kindState{}, shares: map[Tier]*tierShare{}}
+	return &serviceState{resource: EngineTime, tiers: map[Tier]*tierWindow{}, kinds: map[string]*kindState{}, shares: map[Tier]*tierShare{}}
+}
+
+func (s *serviceState) status() ServiceStatus {
+	return ServiceStatus{s.scarce, s.resource, s.resource.of(s.demand), s.resource.of(s.given)}
 }
 
 func (s *serviceState) tier(tier Tier) *tierWindow {
@@ -109,7 +114,7 @@
 // reportDue reports whether the loads are part of a report that is not full.
 func (s *serviceState) reportDue(loads []TierLoad) bool {
 	offered := totalOffered(loads)
-	return s.scarce || s.demand > nearDemand*s.given || math.Abs(offered-s.reported) > reportedChange*offered
+	return s.scarce || s.demand.Time > nearDemand*s.given.Time || s.demand.Memory > nearDemand*s.given.Memory || math.Abs(offered-s.reported) > reportedChange*offered
 }
 
 func totalOffered(loads []TierLoad) float64 {
@@ -127,21 +132,22 @@
 	reports := c.scaledReports(now, own)
 	sums := sumReports(name, reports)
 	order := slices.Sorted(maps.Keys(sums))
-	tiers, offered, demand := make([]*demandSum, len(order)), make([]float64, len(order)), 0.0
+	tiers, needed, demand := make([]*demandSum, len(order)), make([]Load, len(order)), Load{}
 	for i, tier := range order {
-		tiers[i], offered[i] = sums[tier], sums[tier].offered
-		demand += offered[i]
+		tiers[i], needed[i] = sums[tier], sums[tier].needed
+		demand = demand.plus(needed[i])
 	}
 	capacity := SumEngines(engines)
-	s.given = capacity.Rate * c.config.Utilization * s.feedback.update(now, urgentLateness(tiers)) * unusedFactor(capacity.Use)
-	granted := Grant(s.given, c.config.Minimum, offered, tierLimits(tiers))
+	usable := c.config.Utilization * s.feedback.update(now, urgentLateness(tiers))
+	s.given = Load{capacity.Rate * usable * unusedFactor(capacity.Use), capacity.MemoryRate * usable * unusedFactor(capacity.MemoryUse)}
+	shares := GrantShares(s.given, c.config.Minimum, needed, tierLimits(tiers))
 	s.shares, s.computedAt = make(map[Tier]*tierShare, len(order)), now
-	above, unstartable, leastPlaces := 0.0, false, math.Inf(1)
+	above, unstartable, leastPlaces := Load{}, false, math.Inf(1)
 	for i, tier := range order {
-		above += offered[i]
-		t := newTierShare(granted[i], tiers[i].offered, func() map[uint32]float64 { return sumAccounts(name, tier, reports) })
-		t.offered = above
-		places, expected := startable(engines, s.tier(tier).typical, granted[i])
+		above = above.plus(needed[i])
+		t := newTierShare(shares[i], tiers[i].offered, func() map[uint32]float64 { return sumAccounts(name, tier, reports) })
+		t.offered, t.own = above, needed[i]
+		places, expected := startable(engines, s.tier(tier).typical, shares[i]*needed[i].Time)
 		if expected > 0 {
 			t.startable = min(places/expected, 1)
 			leastPlaces = min(leastPlaces, places)
@@ -149,14 +155,17 @@
 		unstartable = unstartable || t.startable < 1
 		s.shares[tier] = t
 	}
-	s.demand, s.admitted = demand, 0
+	s.demand, s.admitted, s.resource = demand, 0, EngineTime
+	if demand.Memory*s.given.Time > demand.Time*s.given.Memory {
+		s.resource = EngineMemory
+	}
 	s.interval = c.config.RefreshInterval + time.Duration(len(engines))*refreshPerEngine + time.Duration(len(c.peers))*refreshPerReport
 	s.refreshAfter = max(int(min(refreshShare*leastPlaces, math.MaxInt32)), minRefreshAfter)
 	if len(engines) == 0 {
 		s.scarce = false // placement refuses, with the reason
 		return
 	}
-	s.updateScarcity(now, demand, capacity.Use, unstartable)
+	s.updateScarcity(now, s.resource.of(demand), s.resource.of(s.given), capacity.Use, unstartable)
 }
 
 // unusedFactor raises the capacity that is given out while engines are not fully used: then the
@@ -168,19 +177,20 @@
 	return min(fullUse/max(use, fullUse/maxUnusedFactor), maxUnusedFactor)
 }
 
-// newTierShare divides what a tier is granted among its client accounts. accounts returns what the
-// listed ones offer; it is called only if the tier is not granted all that it offers.
-func newTierShare(granted, offered float64, accounts func() map[uint32]float64) *tierShare {
-	t := &tierShare{own: offered, mean: 1, startable: 1}
-	if granted >= offered {
+// newTierShare divides the share of a tier's load that is granted among its client accounts. An account
+// counts by the resource of which its requests need most. accounts returns what the listed ones offer;
+// it is called only if the tier is not granted all that it offers.
+func newTierShare(share, offered float64, accounts func() map[uint32]float64) *tierShare {
+	t := &tierShare{mean: 1, startable: 1}
+	if share >= 1 {
 		return t
 	}
-	t.mean, t.accounts = granted/offered, accounts()
+	t.mean, t.accounts = share, accounts()
 	listed, sum := slices.Sorted(maps.Values(t.accounts)), 0.0
 	for _, o := range listed {
 		sum += o
 	}
-	t.level, t.restEach = FairLevel(granted, listed, max(offered-sum, 0))
+	t.level, t.restEach = FairLevel(share*offered, listed, max(offered-sum, 0))
 	return t
 }
 
@@ -199,12 +209,12 @@
 }
 
 // updateScarcity begins and ends the refusal of requests.
-func (s *serviceState) updateScarcity(now time.Time, demand, use float64, unstartable bool) {
+func (s *serviceState) updateScarcity(now time.Time, demand, given, use float64, unstartable bool) {
 	switch {
-	case unstartable, demand > s.given && use >= scarceUse:
+	case unstartable, demand > given && use >= scarceUse:
 		s.scarce, s.sufficientSince = true, time.Time{}
 	case !s.scarce:
-	case demand > sufficientDemand*s.given && use >= scarceUse:
+	case demand > sufficientDemand*given && use >= scarceUse:
 		s.sufficientSince = time.Time{}
 	case s.sufficientSince.IsZero():
 		s.sufficientSince = now
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -5,33 +5,58 @@
 // maxMinimums is the fraction of the capacity that the minimums of all tiers may take together.
 const maxMinimums = 0.25
 
-// Grant divides capacity among tiers, most urgent first. Each tier gets what it asks for, as far
-// as anything is left. Tiers that offer load get at least the given fraction of the capacity, or
-// less where there are so many that their minimums would exceed maxMinimums. Beyond its minimum, a
-// tier gets something only while it and the more urgent ones together have less than its limit, a
-// fraction of the capacity; limits may be nil. The sum of the grants does not exceed the capacity.
-// All amounts have the same unit.
-func Grant(capacity, minimum float64, offered, limits []float64) []float64 {
-	granted := make([]float64, len(offered))
-	capacity = max(capacity, 0)
-	each := capacity * min(minimum, maxMinimums/float64(max(len(offered), 1)))
+// Load is what requests need of engines, in milliseconds of one engine a second. A request that holds
+// half of an engine's KV cache for a second needs 500 ms of Memory.
+type Load struct {
+	Time, Memory float64
+}
+
+func (l Load) times(factor float64) Load { return Load{factor * l.Time, factor * l.Memory} }
+
+func (l Load) plus(other Load) Load { return Load{l.Time + other.Time, l.Memory + other.Memory} }
+
+func (l Load) minus(other Load) Load { return l.plus(other.times(-1)) }
+
+// shareWithin returns the largest share of the load, 0 to 1, that is within room.
+func (l Load) shareWithin(room Load) float64 {
+	share := 1.0
+	if l.Time > 0 {
+		share = min(share, room.Time/l.Time)
+	}
+	if l.Memory > 0 {
+		share = min(share, room.Memory/l.Memory)
+	}
+	return max(share, 0)
+}
+
+// GrantShares divides capacity among tiers, most urgent first, and returns the share of each tier's load
+// that is granted. Each tier gets what it offers, as far as anything is left of the time and the memory:
+// what one tier leaves of the one because it lacks the other is left to the next. Tiers that offer load
+// get at least the given fraction of the capacity, or less where there are so many that their minimums
+// would exceed maxMinimums. Beyond its minimum, a tier gets something only while it and the more urgent
+// ones together have less than its limit, a fraction of the capacity; limits may be nil.
+func GrantShares(capacity Load, minimum float64, offered []Load, limits []float64) []float64 {
+	shares := make([]float64, len(offered))
+	capacity = Load{max(capacity.Time, 0), max(capacity.Memory, 0)}
+	each := capacity.times(min(minimum, maxMinimums/float64(max(len(offered), 1))))
 	left := capacity
 	for i, o := range offered {
-		granted[i] = min(max(o, 0), each)
-		left -= granted[i]
+		shares[i] = o.shareWithin(each)
+		left = left.minus(o.times(shares[i]))
 	}
-	given := 0.0
+	given := Load{}
 	for i, o := range offered {
 		room := left
 		if limits != nil {
-			room = min(left, limits[i]*capacity-given-granted[i])
+			limit := capacity.times(limits[i]).minus(given).minus(o.times(shares[i]))
+			room = Load{min(left.Time, limit.Time), min(left.Memory, limit.Memory)}
 		}
-		more := max(min(o-granted[i], room), 0)
-		granted[i] += more
-		given += granted[i]
-		left -= more
+		more := min(o.shareWithin(room), 1-shares[i])
+		shares[i] += more
+		given = given.plus(o.times(shares[i]))
+		left = left.minus(o.times(more))
 	}
-	return granted
+	return shares
 }
 
 // FairLevel divides capacity among client accounts by max-min fairness: it returns the largest
--- a/admission/shares_test.go
+++ b/admission/shares_test.go
@@ -10,6 +10,18 @@
 
 const tolerance = 1e-6
 
+// grant returns what tiers are granted that need engine time only.
+func grant(capacity, minimum float64, offered, limits []float64) []float64 {
+	loads, granted := make([]Load, len(offered)), make([]float64, len(offered))
+	for i, o := range offered {
+		loads[i].Time = o
+	}
+	for i, share := range GrantShares(Load{Time: capacity}, minimum, loads, limits) {
+		granted[i] = share * offered[i]
+	}
+	return granted
+}
+
 // drawLoads draws the loads of a few tiers.
 func drawLoads(t *rapid.T) []float64 {
 	return rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 12).Draw(t, "offered")
@@ -29,7 +41,7 @@
 func TestGrantsFollowTheOrderOfTiers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		offered, capacity, minimum := drawLoads(t), rapid.Float64Range(0, 3000).Draw(t, "capacity"), rapid.Float64Range(0, 0.2).Draw(t, "minimum")
-		granted := Grant(capacity, minimum, offered, nil)
+		granted := grant(capacity, minimum, offered, nil)
 		least := capacity * min(minimum, maxMinimums/float64(len(offered)))
 		lacking := false
 		for i, o := range offered {
@@ -47,11 +59,63 @@
 	})
 }
 
+// referenceShares grants each tier the largest share that fits, found by bisection.
+func referenceShares(capacity Load, minimum float64, offered []Load) []float64 {
+	each := min(minimum, maxMinimums/float64(len(offered)))
+	shares, used := make([]float64, len(offered)), Load{}
+	raise := func(i int, room Load) {
+		low, high := 0.0, 1-shares[i]
+		for range 60 {
+			if more := (low + high) / 2; more*offered[i].Time <= room.Time && more*offered[i].Memory <= room.Memory {
+				low = more
+			} else {
+				high = more
+			}
+		}
+		shares[i] += low
+		used.Time += low * offered[i].Time
+		used.Memory += low * offered[i].Memory
+	}
+	for i := range offered {
+		raise(i, Load{each * capacity.Time, each * capacity.Memory})
+	}
+	for i := range offered {
+		raise(i, Load{capacity.Time - used.Time, capacity.Memory - used.Memory})
+	}
+	return shares
+}
+
+// Guards against memory that is given out beyond what there is, against memory that is left while a tier
+// lacks nothing else, and against a tier that lacks memory and keeps engine time from the next one.
+func TestGrantsDivideMemoryBesideEngineTime(t *testing.T) {
+	is := is.New(t)
+	is.Equal(GrantShares(Load{100, 100}, 0, []Load{{20, 200}, {80, 0}, {100, 0}}, nil), []float64{0.5, 1, 0.1})
+	rapid.Check(t, func(t *rapid.T) {
+		amount := rapid.Float64Range(1, 1000)
+		capacity, minimum := Load{amount.Draw(t, "time"), amount.Draw(t, "memory")}, rapid.Float64Range(0, 0.2).Draw(t, "minimum")
+		offered := make([]Load, rapid.IntRange(1, 5).Draw(t, "tiers"))
+		for i := range offered {
+			offered[i] = Load{amount.Draw(t, "offered time"), amount.Draw(t, "offered memory")}
+		}
+		got, want := GrantShares(capacity, minimum, offered, nil), referenceShares(capacity, minimum, offered)
+		left := capacity
+		for i, share := range got {
+			left = left.minus(offered[i].times(share))
+			if math.Abs(share-want[i]) > tolerance {
+				t.Fatalf("tier %d gets %v, want %v", i, share, want[i])
+			}
+		}
+		if left.Time < -tolerance || left.Memory < -tolerance {
+			t.Fatalf("%v is left of %v", left, capacity)
+		}
+	})
+}
+
 // Guards against more capacity that gives a tier less.
 func TestGrantsGrowWithTheCapacity(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		offered, capacity, more := drawLoads(t), rapid.Float64Range(0, 3000).Draw(t, "capacity"), rapid.Float64Range(0, 500).Draw(t, "more")
-		before, after := Grant(capacity, 0.03, offered, nil), Grant(capacity+more, 0.03, offered, nil)
+		before, after := grant(capacity, 0.03, offered, nil), grant(capacity+more, 0.03, offered, nil)
 		for i := range offered {
 			if after[i] < before[i]-tolerance {
 				t.Fatalf("tier %d gets %v of a capacity of %v and %v of %v", i, before[i], capacity, after[i], capacity+more)
@@ -63,7 +127,7 @@
 // Guards against less urgent tiers that keep their load while more urgent requests are late.
 func TestLimitsLeaveLessUrgentTiersTheirMinimum(t *testing.T) {
 	is := is.New(t)
-	granted := Grant(100, 0.03, []float64{50, 40, 40}, []float64{1, 0.6, 0.4})
+	granted := grant(100, 0.03, []float64{50, 40, 40}, []float64{1, 0.6, 0.4})
 	is.Equal(granted, []float64{50, 10, 3})
 	limits := tierLimits([]*demandSum{{started: 100, late: 10}, {started: 100}, {started: 10}})
 	is.Equal(limits[0], 1.0) // the most urgent tier is not limited by its own lateness
--- a/bench/emulator/admission.go
+++ b/bench/emulator/admission.go
@@ -84,7 +84,7 @@
 	}
 	sim, now := r.sim, r.sim.wallTime()
 	a := &admission.Arrival{Service: serviceName, Tier: r.kind.tier(), Account: r.account, Kind: r.kind.Name, Returning: r.status.State == admission.ReturnOnTime && r.sim.config.Callers.Advice == ScheduleAdvice, Early: r.status.State == admission.ReturnEarly && r.sim.config.Callers.Advice == ScheduleAdvice}
-	direct.SetPromptCost(a, sim.service.Engine, r.promptTokens, float64(r.kind.Events), r.kind.Target)
+	direct.SetPromptCost(a, sim.service.Engine, r.promptTokens, maxOutputTokens, float64(r.kind.Events), r.kind.Target)
 	d := r.entry.admission.Admit(now, a, func() []admission.EngineState {
 		return r.entry.policy.EngineStates(now, sim.service, r.entry.endpoints)
 	})
--- a/bench/emulator/admission_test.go
+++ b/bench/emulator/admission_test.go
@@ -147,6 +147,22 @@
 	is.True(servedOnTime(results[0]) > 0.9)
 }
 
+// shortMemory is a burst of prompts whose streams hold more memory than the engines have, and less of their time.
+func shortMemory(seed uint64) *Config {
+	c := scarceSite(seed, 60, []float64{1, 3, 1})
+	c.Engine.KVCacheTokens, c.Kinds[1].Events = 160_000, 80
+	return c
+}
+
+// Guards against prompts that are admitted and wait for memory, or are refused while engines have it.
+func TestPromptsAreOnTimeWhileMemoryIsShort(t *testing.T) {
+	is := is.New(t)
+	results := simulateScarcity(t, "memory", with(shortMemory, booked))
+	is.True(results[0].OnTimeShare() > 0.93) // 0.922 while memory was part of the cost
+	is.True(results[1].OnTimeShare() > 0.79) // 0.708
+	is.True(servedOnTime(results[1]) > 0.87) // 0.856
+}
+
 // Guards against admission by priority that changes anything while capacity suffices.
 func TestNothingChangesWhileCapacitySuffices(t *testing.T) {
 	is := is.New(t)
--- a/bench/emulator/threshold.go
+++ b/bench/emulator/threshold.go
@@ -50,7 +50,7 @@
 		}
 	}
 	rank += float64(admission.HashAccount(a.Account)%thresholdSlots) / thresholdSlots
-	return admission.ArrivalDecision{Admitted: rank < t.level, Tier: a.Tier, Scarce: t.level < float64(len(t.tiers))}
+	return admission.ArrivalDecision{Admitted: rank < t.level, Tier: a.Tier, ServiceStatus: admission.ServiceStatus{Scarce: t.level < float64(len(t.tiers))}}
 }
 
 // move changes the level by the lateness of all entries' requests.
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"sync"
@@ -72,7 +73,7 @@
 	now := time.Now()
 	endpoints := f.gateway.endpoints(f.gateway.snapshot.Load(), f.service.Name)
 	arrival := &admission.Arrival{Service: f.service.Name, Tier: f.tier(), Account: f.accountName(), Kind: f.route.Name, Exempt: f.LastEventID != "", Returning: f.returning(), Early: f.returnStatus.State == admission.ReturnEarly}
-	direct.SetPromptCost(arrival, f.service.Engine, f.PromptTokens, f.expectedEvents(), f.route.Target)
+	direct.SetPromptCost(arrival, f.service.Engine, f.PromptTokens, f.OutputTokens, f.expectedEvents(), f.route.Target)
 	decision := a.controller.Admit(now, arrival, func() []admission.EngineState {
 		return f.gateway.policy.EngineStates(now, f.service, endpoints)
 	})
@@ -81,7 +82,7 @@
 		f.admittedTier, f.admitted = decision.Tier, true
 		return nil
 	}
-	f.log.Add("not_admitted", zap.String("service", f.service.Name), zap.Int("tier", int(decision.Tier)), zap.Float64("share", decision.Share),
+	f.log.Add("not_admitted", zap.String("service", f.service.Name), zap.Int("tier", int(decision.Tier)), zap.Float64("share", decision.Share), zap.String("resource", string(decision.Resource)),
 		zap.Float64("offered", decision.Offered), zap.Float64("capacity", decision.Capacity))
 	f.gateway.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_not_admitted_total{service=%q,tier="%d"}`, f.service.Name, decision.Tier)).Inc()
 	return result.Refuse(result.NotAdmitted, notAdmittedRetryAfter(&decision), "capacity is scarce and %.0f%% of the requests of tier %d are admitted", 100*decision.Share, decision.Tier)
@@ -156,11 +157,11 @@
 	if unmetered {
 		g.registerTierMetrics(service, d.Tier)
 	}
-	g.setScarce(service, d.Scarce, d.Demand, d.Capacity)
+	g.setScarce(service, d.Scarce, d.Resource, d.Demand, d.Capacity)
 }
 
 // setScarce records whether a service's requests are refused by priority.
-func (g *Gateway) setScarce(service string, scarce bool, demand, capacity float64) {
+func (g *Gateway) setScarce(service string, scarce bool, resource admission.Resource, demand, capacity float64) {
 	a := g.admission
 	a.mu.Lock()
 	changed := a.scarce[service] != scarce
@@ -171,10 +172,10 @@
 	}
 	g.loadTracker.SetScarce(service, scarce)
 	if !scarce {
-		g.log.Info("capacity_sufficient", zap.String("service", service), zap.Float64("capacity", capacity), zap.Float64("demand", demand))
+		g.log.Info("capacity_sufficient", zap.String("service", service), zap.String("resource", string(resource)), zap.Float64("capacity", capacity), zap.Float64("demand", demand))
 		return
 	}
-	g.log.Warn("capacity_scarce", zap.String("service", service), zap.Float64("capacity", capacity), zap.Float64("demand", demand))
+	g.log.Warn("capacity_scarce", zap.String("service", service), zap.String("resource", string(resource)), zap.Float64("capacity", capacity), zap.Float64("demand", demand))
 }
 
 // refreshScarce computes the shares of services with scarce capacity again, also if no requests
@@ -194,8 +195,8 @@
 	g.admission.mu.Unlock()
 	for _, name := range services {
 		engines := g.policy.EngineStates(now, snapshot.Config.Service(name), snapshot.Endpoints(name))
-		scarce, demand, capacity := g.admission.controller.Refresh(now, name, engines)
-		g.setScarce(name, scarce, demand, capacity)
+		d := g.admission.controller.Refresh(now, name, engines)
+		g.setScarce(name, d.Scarce, d.Resource, d.Demand, d.Capacity)
 	}
 }
 
@@ -203,7 +204,10 @@
 func appendOfferedLoads(h *wire.Heartbeat, loads []admission.TierLoad) {
 	for i := range loads {
 		l := &loads[i]
-		offered := &wire.OfferedLoad{Service: l.Service, Tier: uint32(l.Tier), OfferedMs: roundLoad(l.Offered), AdmittedMs: roundLoad(l.Admitted), Started: roundLoad(l.Started), Late: roundLoad(l.Late)}
+		offered := &wire.OfferedLoad{Service: l.Service, Tier: uint32(l.Tier), OfferedMs: roundLoad(l.Offered), AdmittedMs: roundLoad(l.Admitted), Started: roundLoad(l.Started), Late: roundLoad(l.Late), MemoryMs: roundLoad(l.Needed.Memory)}
+		if time := roundLoad(l.Needed.Time); time != offered.OfferedMs {
+			offered.TimeMs = time
+		}
 		for _, a := range l.Accounts {
 			offered.Accounts = append(offered.Accounts, a.Account)
 			offered.AccountMs = append(offered.AccountMs, roundLoad(a.Offered))
@@ -222,7 +226,7 @@
 		if o.Tier > maxTier {
 			continue // from a later version
 		}
-		l := admission.TierLoad{Service: o.Service, Tier: admission.Tier(o.Tier), Offered: float64(o.OfferedMs), Admitted: float64(o.AdmittedMs), Started: float64(o.Started), Late: float64(o.Late)}
+		l := admission.TierLoad{Service: o.Service, Tier: admission.Tier(o.Tier), Offered: float64(o.OfferedMs), Admitted: float64(o.AdmittedMs), Started: float64(o.Started), Late: float64(o.Late), Needed: admission.Load{Time: float64(cmp.Or(o.TimeMs, o.OfferedMs)), Memory: float64(o.MemoryMs)}}
 		for i := range min(len(o.Accounts), len(o.AccountMs)) {
 			l.Accounts = append(l.Accounts, admission.AccountLoad{Account: o.Accounts[i], Offered: float64(o.AccountMs[i])})
 		}
@@ -244,5 +248,7 @@
 	labels := "{service=" + strconv.Quote(service) + ",tier=\"" + strconv.Itoa(int(tier)) + "\"}"
 	g.metrics.GetOrCreateGauge("aspenyard_gateway_admitted_share"+labels, status(func(s *admission.TierStatus) float64 { return s.Share }))
 	g.metrics.GetOrCreateGauge("aspenyard_gateway_offered_load"+labels, status(func(s *admission.TierStatus) float64 { return s.Offered }))
+	g.metrics.GetOrCreateGauge("aspenyard_gateway_offered_memory"+labels, status(func(s *admission.TierStatus) float64 { return s.OfferedMemory }))
 	g.metrics.GetOrCreateGauge("aspenyard_gateway_given_capacity{service="+strconv.Quote(service)+"}", status(func(s *admission.TierStatus) float64 { return s.Capacity }))
+	g.metrics.GetOrCreateGauge("aspenyard_gateway_given_memory{service="+strconv.Quote(service)+"}", status(func(s *admission.TierStatus) float64 { return s.MemoryCapacity }))
 }
--- a/gateway/admission_bench_test.go
+++ b/gateway/admission_bench_test.go
@@ -19,7 +19,7 @@
 			b.Run(fmt.Sprintf("%d tiers, %d accounts", tiers, accounts), func(b *testing.B) {
 				var loads []admission.TierLoad
 				for tier := range tiers {
-					load := admission.TierLoad{Service: "summaries", Tier: admission.Tier(16 + tier), Offered: 1000, Admitted: 800, Started: 5, Late: 1}
+					load := admission.TierLoad{Service: "summaries", Tier: admission.Tier(16 + tier), Offered: 1000, Admitted: 800, Needed: admission.Load{Time: 900, Memory: 500}, Started: 5, Late: 1}
 					for i := range accounts {
 						load.Accounts = append(load.Accounts, admission.AccountLoad{Account: admission.HashAccount(fmt.Sprint(i)), Offered: 200})
 					}
--- a/routing/direct/engine_state.go
+++ b/routing/direct/engine_state.go
@@ -9,8 +9,7 @@
 
 // EngineTime returns the time of an engine that a request needs: that of its prefill, and its part
 // of the decode passes, in which a full engine decodes for as many requests as it has slots. events
-// is the number of passes that it decodes in. Where the request needs more of the engine's KV cache
-// than of its time, it is the time of that part of the engine.
+// is the number of passes that it decodes in.
 func EngineTime(e *directory.Engine, promptTokens int, events float64) time.Duration {
 	if e == nil {
 		return 0
@@ -18,12 +17,22 @@
 	prefill := PrefillTime(e, promptTokens)
 	slots := max(e.Slots, 1)
 	decode := time.Duration(events * float64(DecodeTime(e, slots, promptTokens)))
-	cost := prefill + decode/time.Duration(slots)
-	if e.KVCacheTokens > 0 {
-		held := float64(prefill/maxParts+decode) * float64(promptTokens) / float64(e.KVCacheTokens)
-		cost = max(cost, time.Duration(held))
+	return prefill + decode/time.Duration(slots)
+}
+
+// EngineMemory returns the time for which a request holds its part of an engine's KV cache, as the time
+// of a whole one; 0 where the size of the KV cache is not known. tokens is the memory that is reserved for
+// the request, prompt and output. Where one engine has too little for it, its helpers reserve more than
+// they need, see splitMemory.
+func EngineMemory(e *directory.Engine, promptTokens, tokens int, events float64) time.Duration {
+	if e == nil || e.KVCacheTokens == 0 {
+		return 0
 	}
-	return cost
+	slots := max(e.Slots, 1)
+	held := PrefillTime(e, promptTokens)/maxParts + time.Duration(events*float64(DecodeTime(e, slots, promptTokens)))
+	endpoint := endpointMemory(e, tokens)
+	reserved := float64(endpoint) + reserveFactor*float64(tokens-endpoint)
+	return time.Duration(float64(held) * reserved / float64(e.KVCacheTokens))
 }
 
 // firstTokenSlack returns how much of a target is left for the prefill of prompts, after the pass
@@ -35,10 +44,12 @@
 	return max(target-2*PassTime(e), target/4)
 }
 
-// SetPromptCost sets what a request needs of an engine: its time, and the part of its target that
-// is left for the prefill of prompts. events is the expected number of events.
-func SetPromptCost(a *admission.Arrival, e *directory.Engine, promptTokens int, events float64, target time.Duration) {
+// SetPromptCost sets what a request needs of an engine: its time and its memory, and the part of its
+// target that is left for the prefill of prompts. outputTokens is the bound for which memory is reserved,
+// events the expected number of events.
+func SetPromptCost(a *admission.Arrival, e *directory.Engine, promptTokens, outputTokens int, events float64, target time.Duration) {
 	a.Cost, a.Prefill = EngineTime(e, promptTokens, events), PrefillTime(e, promptTokens)
+	a.Memory = EngineMemory(e, promptTokens, promptTokens+outputTokens, events)
 	a.Slack = firstTokenSlack(e, target)
 }
 
--- a/routing/direct/engine_state_test.go
+++ b/routing/direct/engine_state_test.go
@@ -67,6 +67,32 @@
 	is.Equal(p.shortPoolCost("m"), scarceShortPoolCost)
 }
 
+// Guards against entries that all send prompts to the engine which is the cheapest in reports of 100 ms ago,
+// where they wait for memory while other engines have it; and against any change while memory is ample.
+func TestPromptsAreSpreadWhileMemoryIsShort(t *testing.T) {
+	is := is.New(t)
+	memory := siteEngine().KVCacheTokens
+	endpointsOf := func(tokens, used int) map[string]int {
+		p, list, picked := newPolicy(1), endpoints(60), map[string]int{}
+		loads := sameLoad(list, EndpointLoad{InFlight: 6, MemoryTokens: used})
+		loads[0].MemoryTokens -= memory / 50 // the cheapest for short prompts
+		loads[58].MemoryTokens -= memory / 50
+		loads[59].MemoryTokens = memory - tokens
+		p.tracker.ReplacePeerLoad(testNow, "other", []Demand{{Service: "m", ShortInFlight: 60, LongPrefill: 30 * time.Second}}, loads)
+		for range 200 {
+			picked[p.Place(testNow, prompt(tokens), list).Endpoint.ID]++
+		}
+		return picked
+	}
+	for tokens, used := range map[int]int{memory / 8: memory * 2 / 3, memory * 2 / 5: memory / 4} { // split on a few engines, and long
+		picked := endpointsOf(tokens, used)
+		t.Log(tokens, picked)
+		is.True(len(picked) > 10)
+		is.Equal(picked["e-59"], 0) // it has room for none
+	}
+	is.Equal(len(endpointsOf(memory/8, memory/20)), 1)
+}
+
 // Guards against estimates of what requests need that are far from what engines do: an engine with
 // all slots taken serves as many requests a second as fit into a second of its time.
 func TestEngineTimeCountsPrefillDecodingAndMemory(t *testing.T) {
@@ -77,8 +103,11 @@
 	is.Equal(short, PrefillTime(e, 5000)+passes/time.Duration(e.Slots))
 	is.True(EngineTime(e, 5000, 60) > short)
 	is.True(EngineTime(e, 100_000, 30) > 5*short)
-	full := EngineTime(e, e.KVCacheTokens, 1000) // decodes for long, with all of the memory
-	is.True(full > 1000*PassTime(e)/2)
+	memory := EngineMemory(e, e.KVCacheTokens/4, e.KVCacheTokens/3, 1000) // a third of it, for 1000 passes
+	is.True(memory > 1000*PassTime(e)/4 && memory < 1000*PassTime(e)/2)
+	is.True(EngineMemory(e, e.KVCacheTokens, e.KVCacheTokens, 1000) > 1000*PassTime(e)) // helpers reserve more
+	is.True(EngineMemory(e, 5000, 6300, 30) < short/2)                                  // a short prompt takes slots, and little memory
+	is.Equal(EngineMemory(nil, 5000, 6300, 30), time.Duration(0))
 	is.Equal(EngineTime(nil, 5000, 30), time.Duration(0))
 }
 
@@ -111,7 +140,7 @@
 			c.Merge(now, fmt.Sprint(i), benchmarkReports(i, float64(engines)/3800), true)
 		}
 		a := &admission.Arrival{Service: "m", Tier: 16, Account: "a", Kind: "short"}
-		SetPromptCost(a, siteEngine(), 5000, 30, 250*time.Millisecond)
+		SetPromptCost(a, siteEngine(), 5000, 1300, 30, 250*time.Millisecond)
 		states := func() []admission.EngineState { return p.EngineStates(now, service(), list) }
 		b.Run(fmt.Sprintf("%d engines, refresh", engines), func(b *testing.B) {
 			for b.Loop() {
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -265,9 +265,8 @@
 		return p.scoreSample(now, r, p.sampleEngines(candidates[:boundary], candidates[boundary:])), 1
 	}
 	list := p.score(now, r, candidates, r.Service.Engine)
-	short := list[:boundary]
-	markPreferred(short)
-	addCost(short, p.shortPoolCost(r.Service.Name))
+	p.markPreferred(list, boundary)
+	addCost(list[:boundary], p.shortPoolCost(r.Service.Name))
 	list = dropSlowUnlessAll(list)
 	return list, partCount(prefill, target, len(list))
 }
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -21,6 +21,9 @@
 	// engine lacks the memory that a request's endpoint must provide, see endpointMemory.
 	memoryTokens int
 	full         bool
+	// requestsFit is the number of requests like this one for whose endpoint's memory the engine has
+	// room.
+	requestsFit float64
 	// preferred is set for the engine to which the request should be sent.
 	preferred bool
 	// slowdown is the engine's slowdown, see slowThreshold; 1 unless it is slow.
@@ -54,7 +57,9 @@
 		if engine != nil && engine.KVCacheTokens > 0 {
 			s.memoryTokens = load.memoryTokens
 			s.cost += time.Duration(float64(memoryCost) * float64(s.memoryTokens) / float64(engine.KVCacheTokens))
-			s.full = s.memoryTokens+endpointMemory(engine, r.PromptTokens+r.OutputTokens) > engine.KVCacheTokens
+			needed := endpointMemory(engine, r.PromptTokens+r.OutputTokens)
+			s.full = s.memoryTokens+needed > engine.KVCacheTokens
+			s.requestsFit = float64(engine.KVCacheTokens-s.memoryTokens) / float64(max(needed, 1))
 		}
 		if p.tracker.backoffs.peerBackoff(now, e.Incarnation) {
 			s.cost += peerBackoffCost
@@ -74,11 +79,21 @@
 	}
 }
 
-// markPreferred marks the cheapest of the engines that are not slow and whose memory is
-// not full. A prompt whose other parts are prefilled elsewhere should be sent to it.
-func markPreferred(list []scored) {
+// ampleRequests is the number of requests like the one that is placed for which the cheapest engine must have
+// memory to be picked by all entries: several of them pick it within the 100 ms between two reports.
+const ampleRequests = 4
+
+// memoryDrawPrecision is the number of steps of a request in which memory is weighed.
+const memoryDrawPrecision = 16
+
+// markPreferred marks the cheapest of the first count engines, those for short prompts, that are not slow
+// and whose memory is not full. A prompt whose other parts are prefilled elsewhere should be sent to it.
+// Where its memory is short, a random one of all engines is marked, by how many such requests they have
+// memory for: entries learn of each other's requests 100 ms later, and if all picked the cheapest engine,
+// prompts would wait there for seconds while others have memory.
+func (p *Policy) markPreferred(list []scored, count int) {
 	best := -1
-	for i, s := range list {
+	for i, s := range list[:count] {
 		if s.full || s.slowdown >= slowThreshold {
 			continue
 		}
@@ -86,7 +101,37 @@
 			best = i
 		}
 	}
+	if best < 0 || list[best].requestsFit < ampleRequests {
+		if drawn := p.drawByMemory(list); drawn >= 0 {
+			best = drawn
+		}
+	}
 	if best >= 0 {
 		list[best].preferred = true
 	}
 }
+
+// memoryWeight is the weight of an engine by the number of requests like the one that is placed, beyond the
+// first, for which it has memory; 0 for a slow one.
+func (s *scored) memoryWeight() int {
+	if s.slowdown >= slowThreshold {
+		return 0
+	}
+	return max(int(memoryDrawPrecision*(s.requestsFit-1)), 0)
+}
+
+// drawByMemory draws an engine by memoryWeight and returns its index; -1 if none has memory for more than
+// one request.
+func (p *Policy) drawByMemory(list []scored) int {
+	drawn, sum := -1, 0
+	for i, s := range list {
+		weight := s.memoryWeight()
+		if weight <= 0 {
+			continue
+		}
+		if sum += weight; p.rand.IntN(sum) < weight {
+			drawn = i
+		}
+	}
+	return drawn
+}
