--- a/admission/controller.go
+++ b/admission/controller.go
@@ -96,17 +96,17 @@
 // largestCost is what the request needs of the resource of which it needs most, in milliseconds.
 func (a *Arrival) largestCost() float64 { return milliseconds(max(a.Cost, a.Memory)) }
 
-// Resource is what requests need of engines.
-type Resource string
+// EngineResource is what requests need of engines.
+type EngineResource string
 
 // The resources of engines.
 const (
-	EngineTime   Resource = "time"
-	EngineMemory Resource = "memory"
+	EngineTime   EngineResource = "time"
+	EngineMemory EngineResource = "memory"
 )
 
 // of returns the load of one resource.
-func (r Resource) of(l Load) float64 {
+func (r EngineResource) of(l Load) float64 {
 	if r == EngineMemory {
 		return l.Memory
 	}
@@ -208,7 +208,7 @@
 // Resource, which is what demand exceeds most.
 type ServiceStatus struct {
 	Scarce           bool
-	Resource         Resource
+	Resource         EngineResource
 	Demand, Capacity float64
 }
 
--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// Resource is what an entry can run short of.
-type Resource int
+// EntryResource is what an entry can run short of.
+type EntryResource int
 
 // The resources. Processor, LinkReceived and LinkSent decide on new requests, Descriptors and Memory on
 // connections; what is held in memory for requests is bounded by a ByteAccount.
 const (
-	Processor Resource = iota
+	Processor EntryResource = iota
 	LinkReceived
 	LinkSent
 	Descriptors
@@ -20,7 +20,7 @@
 )
 
 // String returns the resource's name in logs and metrics.
-func (r Resource) String() string {
+func (r EntryResource) String() string {
 	return [ResourceCount]string{"processor", "link_received", "link_sent", "descriptors", "memory"}[r]
 }
 
@@ -88,7 +88,7 @@
 
 // PressureChange is the beginning or end of a resource's pressure.
 type PressureChange struct {
-	Resource Resource
+	Resource EntryResource
 	Pressed  bool
 	Pressure float64
 }
@@ -133,7 +133,7 @@
 	for r := range p.pressure {
 		value, was := p.pressure[r], p.pressed[r]
 		if p.pressed[r] = value > 1 || was && value >= reliefPressure; p.pressed[r] != was {
-			changes = append(changes, PressureChange{Resource(r), !was, value})
+			changes = append(changes, PressureChange{EntryResource(r), !was, value})
 		}
 	}
 	return changes
@@ -141,7 +141,7 @@
 
 // observe adds one measurement of a resource, of some seconds, to its average. waiting is the work that waits for it, 1 where twice
 // the capacity is asked for.
-func (p *EntryPressure) observe(seconds float64, r Resource, limit, used, waiting float64) {
+func (p *EntryPressure) observe(seconds float64, r EntryResource, limit, used, waiting float64) {
 	if limit <= 0 || used < 0 {
 		p.pressure[r], p.recent[r] = 0, [saturationMeasurements]measuredUse{}
 		return
@@ -161,7 +161,7 @@
 
 // saturated adds a measurement of a resource and reports whether the latest ones together show that it is used in
 // full.
-func (p *EntryPressure) saturated(r Resource, latest measuredUse) bool {
+func (p *EntryPressure) saturated(r EntryResource, latest measuredUse) bool {
 	recent := &p.recent[r]
 	copy(recent[1:], recent[:])
 	recent[0] = latest
@@ -174,13 +174,13 @@
 }
 
 // SetUse records the use of a resource that does not decide on new requests, as a multiple of its limit.
-func (p *EntryPressure) SetUse(r Resource, use float64) { p.pressure[r] = use }
+func (p *EntryPressure) SetUse(r EntryResource, use float64) { p.pressure[r] = use }
 
 // Pressure returns the pressure of a resource.
-func (p *EntryPressure) Pressure(r Resource) float64 { return p.pressure[r] }
+func (p *EntryPressure) Pressure(r EntryResource) float64 { return p.pressure[r] }
 
 // Highest returns the resource that refuses the most requests, and its pressure.
-func (p *EntryPressure) Highest() (Resource, float64) {
+func (p *EntryPressure) Highest() (EntryResource, float64) {
 	highest := Processor
 	for r := LinkReceived; r <= LinkSent; r++ {
 		if p.pressure[r] > p.pressure[highest] {
@@ -310,7 +310,7 @@
 
 // CallerConnections returns how many connections of callers an entry may have, and the resource that bounds
 // them. A limit of 0 is not considered. otherDescriptors is how many are open for anything else, 0 if unknown.
-func CallerConnections(descriptorLimit int, memoryLimit int64, otherDescriptors int) (int, Resource) {
+func CallerConnections(descriptorLimit int, memoryLimit int64, otherDescriptors int) (int, EntryResource) {
 	most, bounding := math.MaxInt, Descriptors
 	if memoryLimit > 0 {
 		most, bounding = int(connectionMemory*float64(memoryLimit)/connectionBytes), Memory
--- a/admission/pressure_test.go
+++ b/admission/pressure_test.go
@@ -217,7 +217,7 @@
 		memory      int64
 		others      int
 		most        int
-		bounding    Resource
+		bounding    EntryResource
 	}{
 		{"descriptors", 2870, 536_000_000, 0, 1780, Descriptors},
 		{"memory", 8192, 112_000_000, 0, 1217, Memory},
--- a/admission/servicestate.go
+++ b/admission/servicestate.go
@@ -15,7 +15,7 @@
 	// load of all tiers, and resource what demand exceeds most.
 	shares        map[Tier]*tierShare
 	given, demand Load
-	resource      Resource
+	resource      EngineResource
 	computedAt    time.Time
 	feedback      feedback
 	// admitted is the number of requests that were admitted since then, and refreshAfter the one at
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -161,7 +161,7 @@
 }
 
 // setScarce records whether a service's requests are refused by priority.
-func (g *Gateway) setScarce(service string, scarce bool, resource admission.Resource, demand, capacity float64) {
+func (g *Gateway) setScarce(service string, scarce bool, resource admission.EngineResource, demand, capacity float64) {
 	a := g.admission
 	a.mu.Lock()
 	changed := a.scarce[service] != scarce
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -70,7 +70,7 @@
 	// received, sent and largeBodies are the counts of the last measurement.
 	received, sent, largeBodies int64
 	// failed are the resources whose last measurement failed.
-	failed map[admission.Resource]bool
+	failed map[admission.EntryResource]bool
 }
 
 func newPressureMonitor(g *Gateway, s *settings.Gateway, usage UsageReader) *pressureMonitor {
@@ -80,7 +80,7 @@
 	limits := admission.EntryLimits{Cores: s.ProcessorLimit, LinkBytes: float64(s.LinkLimit) / 8}
 	m := &pressureMonitor{
 		gateway: g, usage: usage, limits: limits, descriptorLimit: int(s.DescriptorLimit),
-		pressure: admission.NewEntryPressure(limits), failed: map[admission.Resource]bool{},
+		pressure: admission.NewEntryPressure(limits), failed: map[admission.EntryResource]bool{},
 	}
 	m.boundCallers(0)
 	return m
@@ -122,7 +122,7 @@
 
 	m.mu.Lock()
 	m.otherBytes += (other - m.otherBytes) * otherBytesWeight
-	if admission.Resource(m.callerResource.Load()) == admission.Descriptors {
+	if admission.EntryResource(m.callerResource.Load()) == admission.Descriptors {
 		m.pressure.SetUse(admission.Descriptors, connections)
 		m.pressure.SetUse(admission.Memory, held)
 	} else {
@@ -170,7 +170,7 @@
 }
 
 // report logs the first failure in a row to measure a resource, which is left out until it can be measured.
-func (m *pressureMonitor) report(r admission.Resource, err error) {
+func (m *pressureMonitor) report(r admission.EntryResource, err error) {
 	if err != nil && !m.failed[r] {
 		m.gateway.log.Warn("entry_not_measured", zap.Stringer("resource", r), eventlog.Error(err))
 	}
@@ -206,7 +206,7 @@
 	}
 	m := c.gateway.pressure
 	if conn := c.callerConn(); conn != nil && conn.overLimit {
-		resource := admission.Resource(m.callerResource.Load())
+		resource := admission.EntryResource(m.callerResource.Load())
 		return c.refuseFor(resource, float64(c.gateway.callers.conns.Len())/float64(m.callerLimit.Load()), 0)
 	}
 	m.mu.Lock()
@@ -237,7 +237,7 @@
 }
 
 // refuseFor refuses a request for lack of a resource. bytes is the size of its body if that is the reason.
-func (c *call) refuseFor(resource admission.Resource, pressure float64, bytes int64) *result.Error {
+func (c *call) refuseFor(resource admission.EntryResource, pressure float64, bytes int64) *result.Error {
 	c.log.Add("entry_full", zap.Stringer("resource", resource), zap.Float64("pressure", pressure), zap.Int64("bytes", bytes), zap.Float64("rank", c.rank))
 	c.countFull(resource)
 	if bytes > 0 {
@@ -247,7 +247,7 @@
 }
 
 // countFull counts a request that is refused for lack of a resource.
-func (c *call) countFull(resource admission.Resource) {
+func (c *call) countFull(resource admission.EntryResource) {
 	c.gateway.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_full_refused_total{class=%q,resource=%q}`, c.requestClass(), resource)).Inc()
 }
 
@@ -266,7 +266,7 @@
 // registerPressureMetrics registers the gauges of the entry's own resources.
 func (g *Gateway) registerPressureMetrics() {
 	m := g.pressure
-	for r := admission.Resource(0); r < admission.ResourceCount; r++ {
+	for r := admission.EntryResource(0); r < admission.ResourceCount; r++ {
 		g.metrics.NewGauge(fmt.Sprintf(`aspenyard_gateway_pressure{resource=%q}`, r), func() float64 {
 			m.mu.Lock()
 			defer m.mu.Unlock()
