--- a/admission/pressure_test.go
+++ b/admission/pressure_test.go
@@ -53,7 +53,7 @@
 	for range 100 {
 		e.pressure.Observe(EntryUse{Elapsed: MeasureInterval, Processor: 85 * time.Millisecond, TimerLate: time.Minute, SendWaiting: 1 << 40, Sent: 1 << 40})
 	}
-	is.True(e.pressure.Admit(1))
+	is.True(e.pressure.Pressure(Processor) < 1)
 	unlimited := NewEntryPressure(EntryLimits{})
 	for range 100 {
 		is.Equal(len(unlimited.Observe(EntryUse{Elapsed: MeasureInterval, Processor: time.Hour, TimerLate: time.Hour, Received: 1 << 40})), 0)
@@ -90,6 +90,12 @@
 	is.True(e.pressure.Pressure(Processor) < 1)
 	is.True(e.pressure.Admit(1))
 	is.Equal(len(e.pressure.Observe(EntryUse{Processor: time.Second})), 0) // no time has passed
+	full := NewEntryPressure(EntryLimits{Cores: 1})
+	for range 20 {
+		full.Observe(EntryUse{Elapsed: MeasureInterval, Processor: 2 * MeasureInterval})
+	}
+	full.Observe(EntryUse{Elapsed: time.Minute})
+	is.True(full.Pressure(Processor) > 1)
 	saturated := NewEntryPressure(EntryLimits{Cores: 1}).Observe(EntryUse{Elapsed: 2 * time.Second, Processor: 2 * time.Second, TimerLate: 1900 * time.Millisecond})
 	is.Equal(len(saturated), 1) // it was not suspended
 }
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"aspenyard.example/admission"
 	standin "aspenyard.example/standin/platform"
 )
 
@@ -36,12 +37,12 @@
 	return 0, nil
 }
 
-// newPressedFixture prepares a gateway at which the route "once" is the most urgent one and "again" the least urgent.
+// newPressedFixture prepares a gateway at which the route "once" is more urgent than the others.
 func newPressedFixture(t *testing.T, usage *fakeUsage, extraSettings string, workers ...*standin.Worker) *fixture {
 	s := newFixture(t, workers...)
 	s.usage, s.extraSettings = usage, extraSettings
 	for _, r := range s.routes {
-		r["priority"] = map[string]int{"once": 0, "stream": 1, "again": 2}[r["name"].(string)]
+		r["priority"] = map[string]int{"once": 0, "stream": 2, "again": 2}[r["name"].(string)]
 	}
 	return s
 }
@@ -82,14 +83,19 @@
 		for range 10 { // goes on for longer than the wait below
 			load()
 		}
-		r := s.request(http.MethodGet, "/stream/a", "resumed", "")
-		r.Header.Set("Last-Event-ID", "1")
-		is.True(!strings.Contains(s.do(r).body, "3022"))
+		for range 10 {
+			n++
+			r := s.request(http.MethodGet, "/stream/a", fmt.Sprint("resumed", n), "")
+			r.Header.Set("Last-Event-ID", "1")
+			is.True(!strings.Contains(s.do(r).body, "3022"))
+		}
 		response := s.dialSlow(announce(fmt.Sprint("unread", n), 60_000)).responseWithin(50 * time.Millisecond)
 		n++
 		return response != nil && response.StatusCode == http.StatusServiceUnavailable && response.Close
 	})
-	s.waitFor("the entry is relieved", func() bool { return s.logged(`"event":"entry_relieved"`) })
+	s.waitFor("the entry is relieved", func() bool {
+		return s.logged(`"event":"entry_relieved"`) && s.sumMetric(`aspenyard_gateway_pressure{resource="processor"}`) < 0.9
+	})
 	for i := range 20 {
 		is.Equal(s.post("/again/a", fmt.Sprint("later", i)).status, http.StatusOK)
 	}
@@ -120,6 +126,8 @@
 	}
 	is.Equal(strings.Count(s.log.String(), `"event":"entry_not_measured"`), 2)
 	usage.fails.Store(false)
+	time.Sleep(5 * admission.MeasureInterval)
+	is.True(!s.logged(`"event":"entry_pressed"`)) // what was used during the failures does not count
 	s.waitFor("the resource is measured again", func() bool {
 		usage.served.Add(1)
 		return s.logged(`"event":"entry_pressed"`)
@@ -186,7 +194,9 @@
 		_, err := io.Copy(io.Discard, response.Body)
 		is.NoErr(err)
 	}
-	for i := range 41 {
+	serve(connect("first"))
+	time.Sleep(100 * time.Millisecond) // the gateway takes a connection for idle after the response was read
+	for i := range 40 {
 		serve(connect(fmt.Sprint("idle", i)))
 	}
 	is.Equal(s.sumMetric("aspenyard_gateway_idle_callers_closed_total"), 1.0)
