The division of engines follows a change of the mix of lengths

Cause: the division followed the long prompts of the last 3 s and the short streams in flight. After a shift to short prompts it kept engines for long prompts that no longer arrived, and learned of more short prompts only as their streams began. Change: entries also report the arrivals of both kinds, of the last second and of 3 s, with the squares of their engine times (fields 6 to 12 of Demand). Where the last second differs by 2.5 standard deviations it decides, but engines are kept for the backlog of long prompts; short prompts in flight are scaled up and not down. Unchanged while capacity is scarce. Log line engine_division, gauge short_engines.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -12,6 +12,13 @@
 	g.loadTracker.ReplacePeerLoad(time.Now(), "another", []direct.Demand{{Service: service, PendingPrefill: pending}}, nil)
 }
 
+// ReportPeerShort simulates a heartbeat in which another entry reports short prompts in flight, and the
+// next tick of the membership loop, which must not run.
+func (g *Gateway) ReportPeerShort(service string, inFlight int) {
+	g.loadTracker.ReplacePeerLoad(time.Now(), "another", []direct.Demand{{Service: service, ShortInFlight: inFlight}}, nil)
+	g.divisions.observe(time.Now())
+}
+
 // InFlight returns how many of the gateway's requests are in flight at an endpoint, as placement
 // counts them.
 func (g *Gateway) InFlight(endpoint string) int {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,7 @@
 	registry        directory.Registry
 	slowdownReader  SlowdownReader
 	slowdownMonitor *slowdownMonitor
+	divisions       *divisions
 	peers           *peers
 	peerLoop        atomic.Pointer[membership.Loop] // nil until the first registration
 	bytes           *admission.ByteAccount          // what is held for callers
@@ -143,6 +144,7 @@
 	g.callers = newCallerServer(g)
 	g.prober = newProber(g)
 	g.slowdownReader, g.slowdownMonitor = c.SlowdownReader, newSlowdownMonitor(g)
+	g.divisions = &divisions{gateway: g, logged: map[string]loggedDivision{}}
 	g.peers = &peers{gateway: g, lastSent: map[direct.EndpointHash]direct.EndpointLoad{}, delays: newPeerDelays(g.started), incarnations: map[string]uint64{}}
 	g.longQueue = admission.NewSemaphore(1)
 	g.configureCold()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -204,10 +204,7 @@
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
 	appendOfferedLoads(h, p.gateway.admission.controller.Reports(now, !h.Partial))
 	for _, d := range p.gateway.loadTracker.Demands(now) {
-		h.Demands = append(h.Demands, &wire.Demand{
-			Service: d.Service, LongPrefillMs: uint32(d.LongPrefill.Milliseconds()), OpenShort: uint32(max(d.ShortInFlight, 0)),
-			ReadingMs: uint32(max(d.PendingPrefill.Milliseconds(), 0)), WaitingMs: uint32(max(d.QueuedPrefill.Milliseconds(), 0)),
-		})
+		h.Demands = append(h.Demands, encodeDemand(&d))
 	}
 }
 
@@ -237,10 +234,7 @@
 func (p *peers) HandleHeartbeat(now time.Time, h *wire.Heartbeat) {
 	demands := make([]direct.Demand, 0, len(h.Demands))
 	for _, d := range h.Demands {
-		demands = append(demands, direct.Demand{
-			Service: d.Service, LongPrefill: milliseconds(d.LongPrefillMs), ShortInFlight: int(d.OpenShort),
-			PendingPrefill: milliseconds(d.ReadingMs), QueuedPrefill: milliseconds(d.WaitingMs),
-		})
+		demands = append(demands, decodeDemand(d))
 	}
 	loads := make([]direct.EndpointLoad, 0, len(h.OpenEndpoints))
 	for i := range min(len(h.OpenEndpoints), len(h.OpenCounts), len(h.ReadingMs)) {
@@ -341,6 +335,7 @@
 	alive := members.Entries("")
 	rank := sort.Search(len(alive), func(i int) bool { return alive[i].Name() > p.gateway.settings.Name })
 	p.gateway.loadTracker.SetRank(rank, len(alive)+1)
+	p.gateway.divisions.observe(now)
 }
 
 // fullHeartbeatForNewEntries makes the next heartbeat a full one when an entry has started, so that
--- a/routing/direct/demand.go
+++ b/routing/direct/demand.go
@@ -7,38 +7,45 @@
 	"aspenyard.example/directory"
 )
 
-// demand records the prefill time of the long prompts that one entry recently received. It
-// determines how the engines are divided between short and long prompts.
+// demand records the prompts that one entry recently received. It determines how the engines are
+// divided between short and long prompts.
 type demand struct {
-	// arrivals holds the long prompts of the last demandWindow, and total is the sum of
-	// their prefill.
-	arrivals []arrival
-	total    time.Duration
+	// since is when the record was begun, at its first arrival.
+	since time.Time
+	// long holds the prefill of the long prompts, short the engine time of the short ones.
+	long, short arrivalWindow
 }
 
-type arrival struct {
-	at      time.Time
-	prefill time.Duration
+// demandWindow is the period over which demand is summed. The mix at the users' sites changes
+// threefold within ten seconds, and one or two seconds of it show the direction.
+const demandWindow = 3 * time.Second
+
+func (d *demand) addLong(now time.Time, prefill time.Duration) {
+	d.begin(now)
+	d.long.add(now, prefill, 0)
 }
 
-const (
-	// demandWindow is the period over which demand is summed. The mix at the users' sites
-	// changes threefold within ten seconds, and one or two seconds of it show the
-	// direction.
-	demandWindow = 3 * time.Second
-)
+func (d *demand) addShort(now time.Time, engineTime time.Duration) {
+	d.begin(now)
+	d.short.add(now, engineTime, shortArrivalInterval)
+}
 
-func (d *demand) add(now time.Time, prefill time.Duration) {
-	d.expire(now)
-	d.arrivals = append(d.arrivals, arrival{now, prefill})
-	d.total += prefill
+func (d *demand) begin(now time.Time) {
+	if d.since.IsZero() {
+		d.since = now
+	}
 }
 
-func (d *demand) expire(now time.Time) {
-	for len(d.arrivals) > 0 && now.Sub(d.arrivals[0].at) > demandWindow {
-		d.total -= d.arrivals[0].prefill
-		d.arrivals = d.arrivals[1:]
+// sums returns the sums of the arrivals of long and short prompts. Until the record spans the whole
+// window they count as steady, because all arrivals of an entry that has just started are recent.
+func (d *demand) sums(now time.Time) (long, short Arrivals) {
+	d.long.expire(now)
+	d.short.expire(now)
+	long, short = d.long.sums(now), d.short.sums(now)
+	if now.Sub(d.since) < demandWindow {
+		return long.steady(), short.steady()
 	}
+	return long, short
 }
 
 const (
@@ -71,6 +78,9 @@
 	// demandWindow, and ShortInFlight the number of requests with short prompts in flight.
 	LongPrefill   time.Duration
 	ShortInFlight int
+	// Long describes the arrivals of the long prompts of which LongPrefill is the sum, Short those
+	// of the short ones.
+	Long, Short Arrivals
 	// PendingPrefill is the prefill time of long prompts that was sent to engines and is
 	// not done, QueuedPrefill that of queued long prompts.
 	PendingPrefill, QueuedPrefill time.Duration
--- a/routing/direct/first_token.go
+++ b/routing/direct/first_token.go
@@ -43,7 +43,7 @@
 func (p *Policy) AddLongPrompt(now time.Time, service *directory.Service, engines, promptTokens int) FirstTokenEstimate {
 	p.tracker.mu.Lock()
 	defer p.tracker.mu.Unlock()
-	p.tracker.demand(service.Name).add(now, PrefillTime(service.Engine, promptTokens))
+	p.tracker.demand(service.Name).addLong(now, PrefillTime(service.Engine, promptTokens))
 	return p.estimateFirstToken(now, service, engines, promptTokens)
 }
 
--- a/routing/direct/load_tracker.go
+++ b/routing/direct/load_tracker.go
@@ -13,7 +13,7 @@
 type LoadTracker struct {
 	mu        sync.Mutex
 	endpoints map[directory.Incarnation]*trackedEndpoint
-	// demands holds the arrivals of long prompts, and shortInFlight the number of requests
+	// demands holds the arrivals of prompts, and shortInFlight the number of requests
 	// with short prompts in flight, by service.
 	demands       map[string]*demand
 	shortInFlight map[string]int
@@ -102,9 +102,8 @@
 }
 
 func (l *LoadTracker) ownDemand(now time.Time, service string) Demand {
-	d := l.demand(service)
-	d.expire(now)
-	return Demand{Service: service, LongPrefill: d.total, ShortInFlight: l.shortInFlight[service], PendingPrefill: l.pendingPrefill[service], QueuedPrefill: l.queuedPrefill[service]}
+	long, short := l.demand(service).sums(now)
+	return Demand{Service: service, LongPrefill: long.EngineTime, Long: long, Short: short, ShortInFlight: l.shortInFlight[service], PendingPrefill: l.pendingPrefill[service], QueuedPrefill: l.queuedPrefill[service]}
 }
 
 // totalDemand sums a service's demand over this entry and the peers that reported within
@@ -120,11 +119,16 @@
 			if d.Service == service {
 				sum.LongPrefill += d.LongPrefill
 				sum.ShortInFlight += d.ShortInFlight
+				sum.Long.add(d.Long)
+				sum.Short.add(d.Short)
 				sum.PendingPrefill += d.PendingPrefill
 				sum.QueuedPrefill += d.QueuedPrefill
 			}
 		}
 	}
+	if l.scarce[service] == nil {
+		sum.followChange()
+	}
 	sum.ShortInFlight = l.holdShort(now, service, sum.ShortInFlight)
 	return sum
 }
@@ -204,6 +208,9 @@
 		l.prefilling[r] = struct{}{}
 	} else {
 		l.shortInFlight[r.service]++
+		if p.arrivalTime > 0 {
+			l.demand(r.service).addShort(now, p.arrivalTime)
+		}
 	}
 	r.parts = append(r.parts, part{r.endpoint, p.PartPrefill})
 	r.memory = append(r.memory, memoryPart{r.endpoint, p.EndpointMemoryTokens})
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -72,6 +72,9 @@
 	Candidates int
 	// pauseClass is the class of the pause that the request's route allows, see PauseClass.
 	pauseClass int
+	// arrivalTime is the engine time that a short prompt adds to the demand when it is sent; 0 for
+	// one that was sent before.
+	arrivalTime time.Duration
 }
 
 // Refused reports whether the request must not be sent now.
@@ -177,6 +180,9 @@
 	engine := r.Service.Engine
 	prefill := PrefillTime(engine, r.PromptTokens)
 	plan := &Plan{Long: isLong(r.Service, prefill), MemoryTokens: r.PromptTokens + r.OutputTokens, Candidates: c.count(), pauseClass: PauseClass(r.MaxPause)}
+	if !plan.Long && len(r.Tried) == 0 {
+		plan.arrivalTime = RequestCost(r.Service, r.PromptTokens, r.OutputTokens)
+	}
 	var list []scored
 	var parts int
 	switch {
@@ -355,3 +361,12 @@
 	}
 	return enginesForShort(demand, service.Engine, engines, p.tracker.rank.count)
 }
+
+// ShortEngines returns the number of a service's engines that are reserved for short prompts, out of
+// the given number.
+func (p *Policy) ShortEngines(now time.Time, service *directory.Service, engines int) int {
+	p.tracker.mu.Lock()
+	defer p.tracker.mu.Unlock()
+	p.tracker.updatePendingPrefill(now)
+	return min(p.boundary(now, service, engines), engines)
+}
