--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -211,10 +211,7 @@
 func encodeDemands(demands []direct.Demand) []*wire.Demand {
 	encoded := make([]*wire.Demand, 0, len(demands))
 	for _, d := range demands {
-		encoded = append(encoded, &wire.Demand{
-			Service: d.Service, LongPrefillMs: uint32(d.LongPrefill.Milliseconds()), OpenShort: uint32(max(d.ShortInFlight, 0)),
-			ReadingMs: uint32(max(d.PendingPrefill.Milliseconds(), 0)), WaitingMs: uint32(max(d.QueuedPrefill.Milliseconds(), 0)),
-		})
+		encoded = append(encoded, encodeDemand(&d))
 	}
 	return encoded
 }
@@ -223,10 +220,7 @@
 func decodeDemands(encoded []*wire.Demand) []direct.Demand {
 	demands := make([]direct.Demand, 0, len(encoded))
 	for _, d := range encoded {
-		demands = append(demands, direct.Demand{
-			Service: d.Service, LongPrefill: milliseconds(d.LongPrefillMs), ShortInFlight: int(d.OpenShort),
-			PendingPrefill: milliseconds(d.ReadingMs), QueuedPrefill: milliseconds(d.WaitingMs),
-		})
+		demands = append(demands, decodeDemand(d))
 	}
 	return demands
 }
@@ -359,6 +353,7 @@
 	others := p.rankedEntries(now, members)
 	rank := sort.SearchStrings(others, p.gateway.settings.Name)
 	p.gateway.loadTracker.SetRank(rank, len(others)+1)
+	p.gateway.divisions.observe(now)
 }
 
 // fullHeartbeatForNewEntries makes the next heartbeat a full one when an entry has started, so that
--- a/routing/direct/starting_view.go
+++ b/routing/direct/starting_view.go
@@ -147,10 +147,14 @@
 
 // plus returns the sum of two demands.
 func (d *Demand) plus(other *Demand) Demand {
-	return Demand{
+	sum := Demand{
 		Service: d.Service, LongPrefill: d.LongPrefill + other.LongPrefill, ShortInFlight: d.ShortInFlight + other.ShortInFlight,
+		Long: d.Long, Short: d.Short,
 		PendingPrefill: d.PendingPrefill + other.PendingPrefill, QueuedPrefill: d.QueuedPrefill + other.QueuedPrefill,
 	}
+	sum.Long.add(other.Long)
+	sum.Short.add(other.Short)
+	return sum
 }
 
 // ViewFor returns this entry's view for a requesting entry, without the load that the requester itself
