Figures of starting entries; a view counts the entries it has heard

A view named all entries as summed, so that with more than a hundred of them it would have been used for its full 2 s although those that an entry hears had reported.

It now names the entries whose reports it has.

--- a/routing/direct/starting_view.go
+++ b/routing/direct/starting_view.go
@@ -16,7 +16,8 @@
 	Engines []ViewEngine
 	// Demands are the sums of the entries' demands.
 	Demands []Demand
-	// Entries is the number of entries that the sums stand for.
+	// Entries is the number of entries whose reports are in the sums. Where that is not all of them,
+	// the sums are scaled up to all.
 	Entries int
 	// Age is the age of the oldest report in the sums.
 	Age time.Duration
@@ -255,7 +256,7 @@
 	if heard == 0 && others > 0 {
 		return nil, 0
 	}
-	view := &View{Entries: others + 1, Age: age}
+	view := &View{Entries: heard + 1, Age: age}
 	scale := float64(others) / float64(max(heard, 1))
 	for service := range l.demands {
 		if _, found := sums[service]; !found {
