Admission: scarcity begins after the most urgent target and lasts 2.5 s longer

Cause: scarcity began with the estimate of a moment and ended a second after demand had fallen, so that entries near the limit changed several times in twenty seconds.

Change: it begins when demand has exceeded the capacity for as long as the most urgent target, at once only where engines cannot start what arrives, and not while all requests of the last second were on time and engines are used to less than 0.75. It ends after 2.5 s.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -43,7 +43,9 @@
 	// ends, and sufficientFor how long it must have been below. Without the difference a load near
 	// the capacity would be refused and admitted in turns.
 	sufficientDemand = 0.9
-	sufficientFor    = time.Second
+	sufficientFor    = 2500 * time.Millisecond
+	// defaultUrgentTarget takes the place of the most urgent target while no request with one has come.
+	defaultUrgentTarget = 250 * time.Millisecond
 	// refreshPerEngine and refreshPerReport are by how much each engine and each report in use lengthen
 	// the time until the shares are computed again: a hundred times what they cost, so that this takes
 	// about a hundredth of a core.
@@ -71,6 +73,8 @@
 	// Slack is the time from now until the first token is late, less that of the passes of an
 	// engine which it takes in any case; 0: the route has no target.
 	Slack time.Duration
+	// Target is the time until the first token is late; 0: the route has none.
+	Target time.Duration
 	// Exempt requests are admitted in any case, and counted.
 	Exempt bool
 	// Returning requests go before others of their tier: their callers were refused and return when
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -255,6 +255,36 @@
 	is.Equal(changes, 2)
 }
 
+// Guards against scarcity that begins with the estimate of a moment, and against urgent requests that have
+// become late before it begins.
+func TestScarcityBeginsAfterTheMostUrgentTarget(t *testing.T) {
+	is := is.New(t)
+	c, now := NewController(DefaultControllerConfig(), "e"), time.Unix(1000, 0)
+	urgent := shortArrival("a")
+	urgent.Target = 400 * time.Millisecond
+	began := func(use float64, offered float64) time.Duration {
+		for since := now; now.Sub(since) < 5*time.Second; now = now.Add(time.Second / 100) {
+			if d := c.Admit(now, urgent, testEngines(60, use)); d.Scarce {
+				return now.Sub(since)
+			}
+			c.Merge(now, "other", []TierLoad{{Service: "m", Tier: urgent.Tier, Offered: offered, Started: 500}}, true)
+		}
+		return -1
+	}
+	began(0.8, 0)
+	is.True(!c.Refresh(now, "m", testEngines(60, 0.8)()).Scarce)
+	waited := began(0.8, 100_000)
+	is.True(waited >= urgent.Target && waited < 2*urgent.Target)
+	c = NewController(DefaultControllerConfig(), "e")
+	is.Equal(began(0.7, 100_000), time.Duration(-1)) // all are on time, and engines are not fully used
+	c.Merge(now, "other", []TierLoad{{Service: "m", Tier: urgent.Tier, Offered: 100_000, Started: 500, Late: 50}}, true)
+	for range 10 {
+		c.Refresh(now, "m", testEngines(60, 0.7)())
+		now = now.Add(100 * time.Millisecond)
+	}
+	is.True(c.Refresh(now, "m", testEngines(60, 0.7)()).Scarce)
+}
+
 // Guards against a burst of urgent requests, too short for rates to show it, that fills the engines'
 // queues for seconds.
 func TestABurstIsAdmittedAsFarAsEnginesCanStartIt(t *testing.T) {
--- a/admission/feedback.go
+++ b/admission/feedback.go
@@ -21,6 +21,9 @@
 	// urgent tiers, which give way earlier. minTierLimit is the least fraction of the capacity up to
 	// which they get what more urgent ones leave.
 	tierTolerance, tierGain, minTierLimit = 0.05, 3.0, 0.7
+	// negligibleLate is the sum of late requests, each of which counts less the longer ago it was, below
+	// which none was late in the last second, and negligibleLateShare their share of all.
+	negligibleLate, negligibleLateShare = 0.4, 0.01
 	// minStarted is the number of first responses, over all entries, from which their lateness
 	// says anything.
 	minStarted = 5
@@ -63,6 +66,17 @@
 	return limits
 }
 
+// allOnTime reports whether no request was late in the last second, or one of a hundred, which less load
+// would not change.
+func allOnTime(tiers []*demandSum) bool {
+	started, late := 0.0, 0.0
+	for _, d := range tiers {
+		started += d.started
+		late += d.late
+	}
+	return late < max(negligibleLate, negligibleLateShare*started)
+}
+
 // urgentLateness returns the share of late requests among the most urgent tiers that together
 // have at least half of all first responses. tiers are in order of urgency.
 func urgentLateness(tiers []*demandSum) float64 {
--- a/admission/offered.go
+++ b/admission/offered.go
@@ -139,7 +139,7 @@
 
 // typicalRequest holds moving means of a tier's requests.
 type typicalRequest struct {
-	cost, prefill, slack time.Duration
+	cost, prefill, slack, target time.Duration
 }
 
 // typicalWeight is the weight of the newest request in the means.
@@ -147,13 +147,13 @@
 
 func (t *typicalRequest) observe(a *Arrival) {
 	if t.cost == 0 {
-		*t = typicalRequest{a.Cost, a.Prefill, a.Slack}
+		*t = typicalRequest{a.Cost, a.Prefill, a.Slack, a.Target}
 		return
 	}
 	mean := func(old, value time.Duration) time.Duration {
 		return old + time.Duration(typicalWeight*float64(value-old))
 	}
-	t.cost, t.prefill, t.slack = mean(t.cost, a.Cost), mean(t.prefill, a.Prefill), mean(t.slack, a.Slack)
+	t.cost, t.prefill, t.slack, t.target = mean(t.cost, a.Cost), mean(t.prefill, a.Prefill), mean(t.slack, a.Slack), mean(t.target, a.Target)
 }
 
 // peerReport is the last report of another entry.
--- a/admission/servicestate.go
+++ b/admission/servicestate.go
@@ -25,10 +25,10 @@
 	reported float64
 	// interval is the time until the shares are computed again.
 	interval time.Duration
-	// scarce is set while shares are applied, sufficientSince when demand was last found to be
-	// within the capacity; zero while it exceeds it.
-	scarce          bool
-	sufficientSince time.Time
+	// scarce is set while shares are applied. exceededSince is since when demand exceeds the capacity,
+	// sufficientSince since when it is within it; zero while it is not.
+	scarce                         bool
+	exceededSince, sufficientSince time.Time
 }
 
 // kindState describes the requests of one kind.
@@ -165,7 +165,7 @@
 		s.scarce = false // placement refuses, with the reason
 		return
 	}
-	s.updateScarcity(now, s.resource.of(demand), s.resource.of(s.given), capacity.Use, unstartable)
+	s.updateScarcity(now, capacity.Use, unstartable, allOnTime(tiers))
 }
 
 // unusedFactor raises the capacity that is given out while engines are not fully used: then the
@@ -208,13 +208,24 @@
 	return places, granted / milliseconds(typical.cost) * reportLag.Seconds()
 }
 
-// updateScarcity begins and ends the refusal of requests.
-func (s *serviceState) updateScarcity(now time.Time, demand, given, use float64, unstartable bool) {
+// updateScarcity begins and ends the refusal of requests. It begins at once where engines cannot start the
+// requests that arrive, else when demand has exceeded the capacity for as long as the most urgent requests may
+// wait: until then none is late, and the estimates of a moment would begin and end it in turns. While all
+// requests are on time and engines are not fully used, the estimates are too low.
+func (s *serviceState) updateScarcity(now time.Time, use float64, unstartable, onTime bool) {
+	demand, given := s.resource.of(s.demand), s.resource.of(s.given)
+	free := use < scarceUse || onTime && use < fullUse
+	if free || demand <= given {
+		s.exceededSince = time.Time{}
+	} else if s.exceededSince.IsZero() {
+		s.exceededSince = now
+	}
+	exceeded := !s.exceededSince.IsZero() && now.Sub(s.exceededSince) >= s.urgentTarget()
 	switch {
-	case unstartable, demand > given && use >= scarceUse:
+	case unstartable, exceeded:
 		s.scarce, s.sufficientSince = true, time.Time{}
 	case !s.scarce:
-	case demand > sufficientDemand*given && use >= scarceUse:
+	case !free && demand > sufficientDemand*given:
 		s.sufficientSince = time.Time{}
 	case s.sufficientSince.IsZero():
 		s.sufficientSince = now
@@ -222,3 +233,13 @@
 		s.scarce, s.sufficientSince = false, time.Time{}
 	}
 }
+
+// urgentTarget is how long the most urgent requests with a target may wait.
+func (s *serviceState) urgentTarget() time.Duration {
+	for _, tier := range slices.Sorted(maps.Keys(s.tiers)) {
+		if target := s.tiers[tier].typical.target; target > 0 {
+			return target
+		}
+	}
+	return defaultUrgentTarget
+}
--- a/routing/direct/engine_state.go
+++ b/routing/direct/engine_state.go
@@ -50,7 +50,7 @@
 func SetPromptCost(a *admission.Arrival, e *directory.Engine, promptTokens, outputTokens int, events float64, target time.Duration) {
 	a.Cost, a.Prefill = EngineTime(e, promptTokens, events), PrefillTime(e, promptTokens)
 	a.Memory = EngineMemory(e, promptTokens, promptTokens+outputTokens, events)
-	a.Slack = firstTokenSlack(e, target)
+	a.Slack, a.Target = firstTokenSlack(e, target), target
 }
 
 // EngineStates returns the states of the engines that requests may be sent to. It leaves out those
