--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -121,7 +121,7 @@
 			s := newPriorityFixture(t, 0, c.bulk)
 			s.extraSettings = c.settings
 			s.start()
-			s.overload("/bulk/a", "bulk", 30)
+			s.overload("/bulk/a", "bulk", 100) // 30 lasted for less than the target, before which scarcity does not begin
 			is.Equal(s.sumMetric(notAdmitted) > 0, c.refuses)
 		})
 	}
