Only prompts that are passed over start at the higher limit; a view raises the arrivals too

A starting entry that uses a view raised the demand but not the arrivals by which a change of the mix is recognised. Change: WaitUncounted takes the placement request, and only a passed-over prompt has the higher limit; raiseDemandToView has the arrivals.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -414,7 +414,7 @@
 	r.passedOver = r.entry.policy.PassedOver(sim.wallTime(), r.route(), r.promptTokens)
 	if r.passedOver && sim.config.enabled(Waiting) {
 		r.latestStart = expected.LatestStart(max(r.kind.Deadline/2, r.kind.Target))
-		r.queued = r.entry.policy.WaitUncounted(sim.service, r.promptTokens)
+		r.queued = r.entry.policy.WaitUncounted(&direct.Request{Service: sim.service, PromptTokens: r.promptTokens, PassedOver: true})
 		r.waitForCapacity()
 		return
 	}
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -85,7 +85,7 @@
 	}
 	g.outsideQueue.Add(1)
 	defer g.outsideQueue.Add(-1)
-	waiting := g.policy.WaitUncounted(f.service, f.PromptTokens)
+	waiting := g.policy.WaitUncounted(&f.placementRequest)
 	var plan *direct.Plan // the last one
 	hasCapacity := f.pollCapacity(ctx, f.started.Add(estimate.LatestStart(limit)), func(now time.Time, endpoints []*directory.EndpointState) bool {
 		plan = nil
--- a/routing/direct/demand_change.go
+++ b/routing/direct/demand_change.go
@@ -87,6 +87,14 @@
 	return a
 }
 
+// larger returns the arrivals of more engine time.
+func (a Arrivals) larger(other Arrivals) Arrivals {
+	if other.EngineTime > a.EngineTime {
+		return other
+	}
+	return a
+}
+
 // add adds the arrivals of another entry.
 func (a *Arrivals) add(other Arrivals) {
 	if other.Squares == 0 {
--- a/routing/direct/queue.go
+++ b/routing/direct/queue.go
@@ -15,9 +15,9 @@
 	// minPrefillShare is the fraction of the limit that may be pending when the longest
 	// prompts start. Without it they would never start while others keep arriving.
 	minPrefillShare = 0.3
-	// uncountedPrefillShare is that fraction for prompts that wait outside the queue, whose turn no other
-	// prompt waits for: of the longest prompts, too few would be served with the smaller one.
-	uncountedPrefillShare = 0.6
+	// passedOverPrefillShare is that fraction for prompts that are passed over: with the smaller one too
+	// few of the longest prompts would be served.
+	passedOverPrefillShare = 0.6
 	// idlePrefillLimit is the pending prefill up to which an engine counts as idle. With
 	// more, prompts that share the engine wait for each other.
 	idlePrefillLimit = 300 * time.Millisecond
@@ -38,8 +38,8 @@
 	policy  *Policy
 	service *directory.Service
 	prefill time.Duration
-	// uncounted is set for a prompt that waits outside the queue.
-	uncounted bool
+	// passedOver is set for a prompt of a length that is hardly served, see Policy.PassedOver.
+	passedOver bool
 }
 
 // Enqueue counts a long prompt as queued until Dequeue is called.
@@ -51,8 +51,8 @@
 
 // WaitUncounted returns a long prompt that waits without being counted as queued, so that no other prompt is
 // held back or refused because of it.
-func (p *Policy) WaitUncounted(service *directory.Service, promptTokens int) *QueuedPrompt {
-	return &QueuedPrompt{policy: p, service: service, prefill: PrefillTime(service.Engine, promptTokens), uncounted: true}
+func (p *Policy) WaitUncounted(r *Request) *QueuedPrompt {
+	return &QueuedPrompt{policy: p, service: r.Service, prefill: PrefillTime(r.Service.Engine, r.PromptTokens), passedOver: r.PassedOver}
 }
 
 // Dequeue ends the wait of a counted prompt. It must be called exactly once.
@@ -76,8 +76,8 @@
 	long := p.longEngineCount(demand, q.service, len(endpoints))
 	limit := time.Duration(long) * pendingPrefillLimit
 	minShare := minPrefillShare
-	if q.uncounted {
-		minShare = uncountedPrefillShare
+	if q.passedOver {
+		minShare = passedOverPrefillShare
 	}
 	startLimit := max(limit-q.prefill, time.Duration(minShare*float64(limit)))
 	if demand.PendingPrefill <= startLimit {
--- a/routing/direct/queue_test.go
+++ b/routing/direct/queue_test.go
@@ -38,7 +38,7 @@
 	p, list := newPolicy(1), endpoints(40)
 	reportOthers(p, Demand{LongPrefill: time.Minute, PendingPrefill: time.Minute}, sameLoad(list, EndpointLoad{PendingPrefill: time.Second})...)
 	before := p.EstimateFirstToken(testNow, service(), len(list), 150_000)
-	waiting := p.WaitUncounted(service(), 380_000)
+	waiting := p.WaitUncounted(&Request{Service: service(), PromptTokens: 380_000})
 	is.True(!waiting.MayStart(testNow, list)) // no capacity
 	is.Equal(p.EstimateFirstToken(testNow, service(), len(list), 150_000), before)
 	reportOthers(p, Demand{})
--- a/routing/direct/starting_view.go
+++ b/routing/direct/starting_view.go
@@ -142,6 +142,8 @@
 			others.ShortInFlight = max(others.ShortInFlight, d.ShortInFlight)
 			others.PendingPrefill = max(others.PendingPrefill, d.PendingPrefill)
 			others.QueuedPrefill = max(others.QueuedPrefill, d.QueuedPrefill)
+			others.Long = others.Long.larger(d.Long)
+			others.Short = others.Short.larger(d.Short)
 		}
 	}
 }
