--- a/routing/direct/length_fairness.go
+++ b/routing/direct/length_fairness.go
@@ -27,9 +27,9 @@
 	// of the longest, preferredQuantile that up to which it is preferred.
 	largestQuantile, preferredQuantile = 0.9, 0.96
 	// minLargestRatio is the ratio of the share of the longest prompts that is admitted to that of
-	// all, below which the longest are preferred: users want them served half as often as all at
-	// least.
-	minLargestRatio = 0.5
+	// all, below which the longest are preferred. Users want them served half as often as all at least;
+	// with half, the ratio stayed just below, as a preferred prompt is served seconds later or not at all.
+	minLargestRatio = 0.65
 )
 
 // RouteHash identifies a route and the service that its request goes to, in messages between
