Only services with admission by priority draw engines by memory, and only for prompts that are not long

The draw of an engine by free memory also took place in services without admission by priority: medium prompts were sent to engines for long prompts, where their events come later. Change: Request.SpreadMemory, set where admission by priority applies.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -453,7 +453,7 @@
 // one at another engine; the request is refused when none is left.
 func (r *request) place() {
 	sim := r.sim
-	placement := direct.Request{Service: sim.service, PromptTokens: r.promptTokens, OutputTokens: maxOutputTokens, MaxPause: r.kind.MaxPause, PassedOver: r.passedOver, Tried: map[directory.Incarnation]bool{}}
+	placement := direct.Request{Service: sim.service, PromptTokens: r.promptTokens, OutputTokens: maxOutputTokens, MaxPause: r.kind.MaxPause, PassedOver: r.passedOver, SpreadMemory: r.entry.admission != nil, Tried: map[directory.Incarnation]bool{}}
 	for _, tried := range r.tried {
 		placement.Tried[tried] = true
 	}
--- a/routing/direct/picker.go
+++ b/routing/direct/picker.go
@@ -34,9 +34,6 @@
 			first = i
 		}
 	}
-	if plan.Long && list[first].requestsFit < ampleRequests {
-		first = p.replaceLastByAmple(list, parts, first)
-	}
 	if list[first].full {
 		first = replaceLastByNonFull(list, parts, first)
 	}
@@ -81,31 +78,6 @@
 	return first
 }
 
-// replaceLastByAmple replaces the last of the first parts elements by a random further engine that has
-// memory for several such requests and costs hardly more, and returns its index; it returns first where
-// there is no such engine. Entries learn of each other's requests 100 ms later: if all picked the cheapest
-// engine, prompts would wait there for memory while others have it.
-func (p *Policy) replaceLastByAmple(list []scored, parts, first int) int {
-	last, drawn, sum := parts-1, -1, 0
-	for i := parts; i < len(list); i++ {
-		s := &list[i]
-		if weight := s.memoryWeight(); weight > 0 && s.inFlight <= list[last].inFlight && s.delayed <= list[last].delayed && s.cost <= list[last].cost+maxMemoryDetour {
-			if sum += weight; p.rand.IntN(sum) < weight {
-				drawn = i
-			}
-		}
-	}
-	if drawn < 0 {
-		return first
-	}
-	list[last], list[drawn] = list[drawn], list[last]
-	return last
-}
-
-// maxMemoryDetour is by how much the cost of an engine that is drawn for its memory may exceed that of the
-// engine in whose place it is used.
-const maxMemoryDetour = 100 * time.Millisecond
-
 // pickCheapest returns the element of lowest cost, a random one among equals, so that
 // entries with the same view do not all pick the same.
 func pickCheapest(rand Rand, list []scored) scored {
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -23,6 +23,10 @@
 	MaxPause time.Duration
 	// PassedOver is set for a long prompt that may delay more streams, see Policy.PassedOver.
 	PassedOver bool
+	// SpreadMemory is set for services whose requests are admitted by priority: where the cheapest engine
+	// has memory for few such prompts that are not long, a random one with memory holds it. Elsewhere medium prompts were late
+	// more often, as their events come later from engines for long prompts.
+	SpreadMemory bool
 	// Tried holds the endpoints that the request was already sent to.
 	Tried map[directory.Incarnation]bool
 }
@@ -271,7 +275,7 @@
 		return p.scoreSample(now, r, p.sampleEngines(candidates[:boundary], candidates[boundary:])), 1
 	}
 	list := p.score(now, r, candidates, r.Service.Engine)
-	p.markPreferred(list, boundary)
+	p.markPreferred(list, boundary, r.SpreadMemory)
 	addCost(list[:boundary], p.shortPoolCost(r.Service.Name))
 	list = dropSlowUnlessAll(list)
 	return list, partCount(prefill, target, len(list))
--- a/routing/direct/scorer.go
+++ b/routing/direct/scorer.go
@@ -88,10 +88,10 @@
 
 // markPreferred marks the cheapest of the first count engines, those for short prompts, that are not slow
 // and whose memory is not full. A prompt whose other parts are prefilled elsewhere should be sent to it.
-// Where its memory is short, a random one of all engines is marked, by how many such requests they have
-// memory for: entries learn of each other's requests 100 ms later, and if all picked the cheapest engine,
-// prompts would wait there for seconds while others have memory.
-func (p *Policy) markPreferred(list []scored, count int) {
+// With spreadMemory, and where its memory is short, a random one of all engines is marked, by how many such
+// requests they have memory for: entries learn of each other's requests 100 ms later, and if all picked the
+// cheapest engine, prompts would wait there for seconds while others have memory.
+func (p *Policy) markPreferred(list []scored, count int, spreadMemory bool) {
 	best := -1
 	for i, s := range list[:count] {
 		if s.full || s.slowdown >= slowThreshold {
@@ -101,7 +101,7 @@
 			best = i
 		}
 	}
-	if best < 0 || list[best].requestsFit < ampleRequests {
+	if spreadMemory && (best < 0 || list[best].requestsFit < ampleRequests) {
 		if drawn := p.drawByMemory(list); drawn >= 0 {
 			best = drawn
 		}
