Engines are drawn by memory where routes differ in priority, whether or not admission is on

Change: Request.SpreadMemory follows the priorities of the service's routes alone. Measured: the emulator's tests of admission, of the division and of what endpoints state pass, TestNothingChangesWhileCapacitySuffices among them.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -40,6 +40,16 @@
 	Accounts []Account
 }
 
+// kindsDifferInPriority reports whether the routes of the kinds differ in priority.
+func (c *Config) kindsDifferInPriority() bool {
+	for i := range c.Kinds {
+		if c.Kinds[i].Priority != c.Kinds[0].Priority {
+			return true
+		}
+	}
+	return false
+}
+
 // LoadChange changes the arrival rate of each kind from a time on.
 type LoadChange struct {
 	At time.Duration
@@ -453,7 +463,7 @@
 // one at another engine; the request is refused when none is left.
 func (r *request) place() {
 	sim := r.sim
-	placement := direct.Request{Service: sim.service, PromptTokens: r.promptTokens, OutputTokens: maxOutputTokens, MaxPause: r.kind.MaxPause, PassedOver: r.passedOver, SpreadMemory: r.entry.admission != nil, Tried: map[directory.Incarnation]bool{}}
+	placement := direct.Request{Service: sim.service, PromptTokens: r.promptTokens, OutputTokens: maxOutputTokens, MaxPause: r.kind.MaxPause, PassedOver: r.passedOver, SpreadMemory: sim.config.kindsDifferInPriority(), Tried: map[directory.Incarnation]bool{}}
 	for _, tried := range r.tried {
 		placement.Tried[tried] = true
 	}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -23,7 +23,7 @@
 type admissionControl struct {
 	controller *admission.Controller
 	mode       string
-	// services caches, for one configuration, the services to which it applies.
+	// services caches, for one configuration, the services whose routes differ in priority.
 	services atomic.Pointer[admissionServices]
 	mu       sync.Mutex
 	// scarce holds the services of which requests are refused, to log changes.
@@ -38,7 +38,7 @@
 	tier    admission.Tier
 }
 
-// admissionServices are the services with admission control in one configuration.
+// admissionServices are the services whose routes differ in priority in one configuration.
 type admissionServices struct {
 	config  *directory.Config
 	enabled map[string]bool
@@ -56,6 +56,11 @@
 	case a.mode == settings.AdmissionOn:
 		return true
 	}
+	return a.routesDiffer(config, service)
+}
+
+// routesDiffer reports whether the routes of a service differ in priority.
+func (a *admissionControl) routesDiffer(config *directory.Config, service *directory.Service) bool {
 	cached := a.services.Load()
 	if cached == nil || cached.config != config {
 		cached = &admissionServices{config, config.ServicesWithPriorities()}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -56,7 +56,7 @@
 	f.placementRequest = direct.Request{
 		Service: c.service, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens,
 		DataCentre: c.gateway.settings.DataCentre, Priority: c.priority(), MaxPause: c.route.TargetPause, Tried: map[directory.Incarnation]bool{},
-		SpreadMemory: c.gateway.admission.applies(c.config, c.service),
+		SpreadMemory: c.service.Engine != nil && c.gateway.admission.routesDiffer(c.config, c.service),
 	}
 	if c.route.Kind == directory.Streaming {
 		f.relay = &streamRelay{call: c, lastEventID: c.LastEventID}
--- a/routing/direct/engine_state_test.go
+++ b/routing/direct/engine_state_test.go
@@ -69,7 +69,7 @@
 
 // Guards against entries that all send prompts to the engine which is the cheapest in reports of 100 ms ago,
 // where they wait for memory while other engines have it; and against any change while memory is ample
-// or requests are not admitted by priority.
+// or the routes do not differ in priority.
 func TestPromptsAreSpreadWhileMemoryIsShort(t *testing.T) {
 	is := is.New(t)
 	memory := siteEngine().KVCacheTokens
@@ -91,7 +91,7 @@
 	is.True(len(picked) > 10)
 	is.Equal(picked["e-59"], 0) // it has room for none
 	is.Equal(len(endpointsOf(true, memory/8, memory/20)), 1)
-	is.Equal(len(endpointsOf(false, memory/8, memory*2/3)), 1) // a service without admission by priority
+	is.Equal(len(endpointsOf(false, memory/8, memory*2/3)), 1) // a service whose routes have one priority
 }
 
 // Guards against estimates of what requests need that are far from what engines do: an engine with
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -23,7 +23,7 @@
 	MaxPause time.Duration
 	// PassedOver is set for a long prompt that may delay more streams, see Policy.PassedOver.
 	PassedOver bool
-	// SpreadMemory is set for services whose requests are admitted by priority: where the cheapest engine
+	// SpreadMemory is set for services whose routes differ in priority: where the cheapest engine
 	// has memory for few such prompts that are not long, a random one with memory holds it. Elsewhere medium prompts were late
 	// more often, as their events come later from engines for long prompts.
 	SpreadMemory bool
