Longest prompts: comments say what the code does now; one copy of the refusal without capacity

Cause: read again as a newcomer. Comments still said that a passed-over prompt is admitted in spite of the backlog, although it waits and may be refused; three comments told what trials had shown; the refusal without capacity stood twice in queue.go. Change: wording, and refuseWithoutCapacity. No behaviour changed.

--- a/gateway/length_fairness.go
+++ b/gateway/length_fairness.go
@@ -15,11 +15,11 @@
 const maxHeartbeatOutcomes = 64
 
 // preferredDeadlineShare is the part of the time left to its deadline within which the first token
-// of a prompt must be expected that is admitted although it will be late: the rest is for its other
+// of a prompt must be expected that may wait although it is late: the rest is for its other
 // tokens.
 const preferredDeadlineShare = 0.7
 
-// checkPassedOver marks a long prompt that is admitted in spite of the backlog, because prompts as long
+// checkPassedOver marks a long prompt that may wait longer than its target allows, because prompts as long
 // as it are served much less often than others. A prompt that cannot be served before its deadline is
 // not marked.
 func (f *forwarding) checkPassedOver(estimate direct.FirstTokenEstimate) {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -60,8 +60,7 @@
 	}
 	g.observeQueueWait(time.Since(f.started))
 	if !hasCapacity {
-		newEstimate := g.policy.EstimateFirstToken(time.Now(), f.service, engines, f.PromptTokens)
-		return f.refuseLateFirstToken(newEstimate, newEstimate.Wait)
+		return f.refuseWithoutCapacity(engines)
 	}
 	f.logQueueLeft(estimate)
 	return nil
@@ -74,9 +73,9 @@
 // waitOutsideQueue holds back a prompt that would delay too many streams now, or that is passed over, until
 // the engines have capacity for it: streams end within a second or two, and a long prompt's target is several.
 // It is neither queued nor counted as queued, so that prompts that may start are not refused or held back
-// because of it. It is refused if the engines have no capacity by its latest start. For a prompt that is
-// passed over, whose first token is late already, that follows from preferredDeadlineShare: started without
-// capacity, such prompts made more streams late than were served of them.
+// because of it. It is refused if the engines have no capacity by its latest start, because it would delay more
+// callers than are served. For a prompt that is passed over, whose first token is late already, the latest
+// start follows from preferredDeadlineShare.
 func (f *forwarding) waitOutsideQueue(ctx context.Context, engines int, estimate direct.FirstTokenEstimate) *result.Error {
 	g := f.gateway
 	limit := f.route.Target
@@ -106,8 +105,13 @@
 	case plan != nil:
 		return f.refuse(plan)
 	}
-	newEstimate := g.policy.EstimateFirstToken(time.Now(), f.service, engines, f.PromptTokens)
-	return f.refuseLateFirstToken(newEstimate, newEstimate.Wait)
+	return f.refuseWithoutCapacity(engines)
+}
+
+// refuseWithoutCapacity ends a request that did not get capacity in time.
+func (f *forwarding) refuseWithoutCapacity(engines int) *result.Error {
+	estimate := f.gateway.policy.EstimateFirstToken(time.Now(), f.service, engines, f.PromptTokens)
+	return f.refuseLateFirstToken(estimate, estimate.Wait)
 }
 
 // waitForCapacity waits until the engines have capacity for the prompt. It returns false if they
--- a/routing/direct/length_fairness.go
+++ b/routing/direct/length_fairness.go
@@ -10,7 +10,7 @@
 // Under high load the refusal of long prompts that would be late hits the longest ones first: a
 // backlog that a shorter prompt can still wait for is too long for them, and the shorter ones keep it
 // there. All entries therefore report what became of their long prompts, and a prompt among the
-// longest of its route is admitted in spite of the backlog while these are served much less often
+// longest of its route may wait longer than its target allows while these are served much less often
 // than all prompts of the route.
 
 const (
@@ -27,8 +27,8 @@
 	// of the longest, preferredQuantile that up to which it is preferred.
 	largestQuantile, preferredQuantile = 0.9, 0.96
 	// minLargestRatio is the ratio of the share of the longest prompts that is admitted to that of
-	// all, below which the longest are preferred. Users want them served half as often as all at least;
-	// with half, the ratio stayed just below, as a preferred prompt is served seconds later or not at all.
+	// all, below which the longest are preferred. Users want them served half as often as all at least; the
+	// margin is for preferred prompts that still wait, and for those that are refused in the end.
 	minLargestRatio = 0.65
 )
 
@@ -152,7 +152,7 @@
 	known.add(now, o)
 }
 
-// PassedOver reports whether a long prompt of a route is to be admitted in spite of the backlog, because
+// PassedOver reports whether a long prompt of a route may wait longer than its target allows, because
 // prompts of its length are admitted much less often than others.
 func (p *Policy) PassedOver(now time.Time, route RouteHash, tokens int) bool {
 	p.tracker.mu.Lock()
--- a/routing/direct/policy.go
+++ b/routing/direct/policy.go
@@ -24,8 +24,8 @@
 	// PassedOver is set for a long prompt that may delay more streams, see Policy.PassedOver.
 	PassedOver bool
 	// SpreadMemory is set for services whose routes differ in priority: where the cheapest engine
-	// has memory for few such prompts that are not long, a random one with memory holds it. Elsewhere medium prompts were late
-	// more often, as their events come later from engines for long prompts.
+	// has memory for few such prompts that are not long, a random one with memory holds it. Otherwise the
+	// cheapest engine for short prompts holds it, as events come later from engines for long prompts.
 	SpreadMemory bool
 	// Tried holds the endpoints that the request was already sent to.
 	Tried map[directory.Incarnation]bool
