A few entries watch the store, and the others take its changes from them

Change: package changefeed. One entry in 64, by rendezvous hashing over the registered names, watches the store; the others ask a watcher every tenth of the bound for the changes after their revision, and count the age that the response states back from their own request, by clocks that go on in a suspension. An entry without a sufficient proof asks others and at last the store, within the bound. Values that do not fit into a datagram are read from the store, stale if that is new enough. Calls to the store are counted by kind and reason.

--- a/directory/replica.go
+++ b/directory/replica.go
@@ -99,6 +99,8 @@
 	Revision     uint64
 	Changes      []Change
 	InvalidItems []InvalidItem
+	// Items are the same changes as the store delivered them.
+	Items []Item
 }
 
 // EndpointState is an endpoint's registration with the replica's own state of it.
@@ -176,8 +178,12 @@
 // Ready reports whether a full state has been applied and a configuration is known.
 func (r *Replica) Ready() bool { return r.synced && r.config != nil }
 
-// SetOutageEnd records that the store answers again after an outage.
-func (r *Replica) SetOutageEnd(now time.Time) { r.outageEnd = now }
+// SetOutageEnd records when the store answered again after an outage.
+func (r *Replica) SetOutageEnd(at time.Time) {
+	if at.After(r.outageEnd) {
+		r.outageEnd = at
+	}
+}
 
 // ApplyState applies a full state: endpoints and nodes that it does not list are gone. It
 // ignores a state that is older than the replica. It returns the evacuations that have begun or ended.
--- a/directory/source.go
+++ b/directory/source.go
@@ -14,6 +14,18 @@
 // ErrUnavailable is returned if the store gave no usable response.
 var ErrUnavailable = errors.New("directory: store unavailable")
 
+// Item is one change of a key in the store, in the form in which entries pass it on to each other. Only
+// the store's adapter interprets its key and value.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	// Deleted is set if the change is the key's deletion.
+	Deleted bool
+	// Omitted is set if the value was left out because it is long; Source.ReadItem returns it.
+	Omitted bool
+}
+
 // Source reads the state of the deployment from the store.
 type Source interface {
 	// Read returns the full state. The read is linearizable, except for Records.
@@ -24,7 +36,45 @@
 	// Watch returns the changes after a revision as soon as there are any, or no changes
 	// after wait. Errors: ErrHistoryGone, ErrUnavailable.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+	// ReadItem returns the current item of a key, with Deleted set if there is none. If stale, the item
+	// may be seconds old, and the call costs the store a tenth.
+	ReadItem(ctx context.Context, key string, stale bool) (Item, error)
+	// Decode returns the changes that items stand for; the store's revision after them is revision.
+	Decode(revision uint64, items []Item) *Changes
 	// CloseIdleConnections closes idle connections, some of which may no longer get
 	// answers.
 	CloseIdleConnections()
 }
+
+// callReasonKey is the context key of the reason for a call to the store.
+type callReasonKey struct{}
+
+// WithCallReason returns a context for a call to the store with the reason for it, which metrics report.
+func WithCallReason(ctx context.Context, reason string) context.Context {
+	return context.WithValue(ctx, callReasonKey{}, reason)
+}
+
+// CallReason returns the reason for a call to the store; "" if none was given.
+func CallReason(ctx context.Context) string {
+	reason, _ := ctx.Value(callReasonKey{}).(string)
+	return reason
+}
+
+// StoreCall describes a call to the store, for metrics.
+type StoreCall struct {
+	// Kind is what is called: "watch", "list", "item", "lease", "transaction", "renewal" or "release".
+	Kind string
+	// Reason is the reason in the call's context. Stale is set for a read that may be stale.
+	Reason string
+	Stale  bool
+	// Answered is set if the store gave a response, RequestBytes and ResponseBytes are the lengths of
+	// the bodies.
+	Answered                    bool
+	RequestBytes, ResponseBytes int
+}
+
+// CallObserver is implemented by a Source that reports its calls.
+type CallObserver interface {
+	// ObserveCalls makes f be called after each call, by any goroutine.
+	ObserveCalls(f func(StoreCall))
+}
--- a/gateway/evacuation_reads.go
+++ b/gateway/evacuation_reads.go
@@ -37,7 +37,7 @@
 	}
 	w.evacuationReads = evacuationReads{underWay: true, startedAt: now}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, g.evacuationReadTimeout())
+		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "evacuations"), g.evacuationReadTimeout())
 		defer cancel()
 		list, revision, err := g.source.ReadEvacuations(ctx)
 		results <- storeResult{evacuations: &evacuationList{list, revision, err}}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -8,24 +8,24 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"aspenyard.example/changefeed"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
 )
 
 const (
-	// batchPauseDivisor divides maxChangeDelay into the pause after a change, in which more
-	// changes are collected: when many endpoints register one after the other, they are read
-	// with few calls.
-	batchPauseDivisor = 8
 	// maxTimeoutFactor bounds the timeout of calls, which grows while they fail, as a multiple
 	// of the store's configured timeout. Without the growth a store that is merely slow would
 	// never be read.
 	maxTimeoutFactor = 2
-	// minBackoff and maxBackoff bound the wait after a failed call, which doubles each time.
-	// The first wait is short because a call often breaks off just when the store has dropped
-	// its history and the state must be read again.
+	// minBackoff is the wait after a failed call, which doubles each time up to
+	// Gateway.maxBackoff. The first wait is short because a call often breaks off just when the
+	// store has dropped its history and the state must be read again.
 	minBackoff = 40 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
+	// minMaxBackoff and maxBackoffShare bound the wait after failed calls: maxBackoffShare is a share of
+	// the time within which changes must be known.
+	minMaxBackoff   = 400 * time.Millisecond
+	maxBackoffShare = 0.16
 	// expireInterval is the time between two checks for endpoints that have been missing
 	// for too long.
 	expireInterval = 500 * time.Millisecond
@@ -36,6 +36,11 @@
 	return min(g.settings.ConfigWithin.D(), g.settings.LeavingWithin.D(), g.evacuationDelay())
 }
 
+// maxBackoff returns the longest wait after a failed call to the store.
+func (g *Gateway) maxBackoff() time.Duration {
+	return max(scaleDuration(g.maxChangeDelay(), maxBackoffShare), minMaxBackoff)
+}
+
 // longPollWait returns how long one call waits for a change. A store that drops its history
 // leaves waiting calls unanswered until they end, and so does a connection that goes silent.
 // Together with the store's timeout the wait still ends within maxChangeDelay.
@@ -43,10 +48,14 @@
 	return g.maxChangeDelay() - g.settings.StoreTimeout.D()
 }
 
-// configMayBeStale reports whether the store has not answered for so long that a newer
+// stateAge returns the time since the state was last known to be current; the time since boot if it never
+// was.
+func (g *Gateway) stateAge() time.Duration { return bootTime() - time.Duration(g.currentAt.Load()) }
+
+// configMayBeStale reports whether the state has not been known to be current for so long that a newer
 // configuration may be in force elsewhere.
 func (g *Gateway) configMayBeStale() bool {
-	return g.elapsedSince(&g.storeAnsweredAt) > g.settings.ConfigWithin.D()+g.settings.StoreTimeout.D()
+	return g.stateAge() > g.settings.ConfigWithin.D()+g.settings.StoreTimeout.D()
 }
 
 // globalRand is the process-wide random number generator, safe for concurrent use.
@@ -56,15 +65,29 @@
 
 func (globalRand) Float64() float64 { return rand.Float64() }
 
-// storeWatcher keeps the replica of the store up to date. Only the goroutine of watchStore uses the
-// replica; it publishes snapshots for the goroutines that serve callers.
+// storeWatcher keeps the replica of the store up to date, by calls to the store or by what other entries
+// pass on. Only the goroutine of watchStore uses the replica; it publishes snapshots for the goroutines
+// that serve callers.
 type storeWatcher struct {
-	gateway *Gateway
-	replica *directory.Replica
+	gateway  *Gateway
+	replica  *directory.Replica
+	follower *changefeed.Follower
+	// membersOf is the snapshot whose entries the follower knows, addrs their addresses.
+	membersOf *directory.Snapshot
+	addrs     map[string]string
 	// needsFullRead is set when the whole state must be read instead of the changes.
 	needsFullRead bool
-	outageSince   time.Time // when the store stopped answering; zero while it answers
-	backoff       time.Duration
+	// calling is set while a call is under way. The next one begins at callNotBefore or later.
+	calling       bool
+	callNotBefore time.Duration
+	// reading is the key of an item that is being read, as its value was omitted; readingRevision is
+	// its least revision. itemsRead holds the revisions up to which such items are known.
+	reading         string
+	readingRevision uint64
+	itemsRead       map[string]uint64
+	publishedAt     time.Time
+	outageSince     time.Time // when the store stopped answering; zero while it answers
+	backoff         time.Duration
 	// timeout bounds the next call, besides its wait for a change.
 	timeout time.Duration
 	// loggedInvalidItems holds the revision at which each item was last found undecodable, so
@@ -75,70 +98,122 @@
 	loggedUnknownRegions map[string]bool
 }
 
-// storeResult is the outcome of one call to the store: the state from a full read, the changes
-// from any other, or an error.
+// storeResult is the outcome of one call to the store: the state from a full read, with the changes since
+// then if it was stale, the changes from any other call, or an error.
 type storeResult struct {
 	state   *directory.StoreState
 	changes *directory.Changes
 	err     error
 	// evacuations is set in the result of a read of evacuations alone, nil in those of other calls.
 	evacuations *evacuationList
-	// began is when the call began: what it returned is at least as new.
-	began time.Time
+	// began is when the call began, since boot: what it returned is at least as new.
+	began time.Duration
+}
+
+// newStoreWatcher returns a watcher that has no state yet.
+func (g *Gateway) newStoreWatcher() *storeWatcher {
+	return &storeWatcher{
+		gateway: g, replica: g.replica, needsFullRead: true, backoff: minBackoff, timeout: g.settings.StoreTimeout.D(),
+		addrs: map[string]string{}, itemsRead: map[string]uint64{}, loggedInvalidItems: map[string]uint64{},
+		follower: changefeed.NewFollower(changefeed.Config{
+			Name: g.settings.Name, DataCentre: g.settings.DataCentre, Bound: g.maxChangeDelay(), SoloWait: g.longPollWait(),
+		}, globalRand{}),
+	}
 }
 
-// watchStore follows the store until ctx ends. One call is under way at a time.
+// watchStore follows the store until ctx ends. One call for changes is under way at a time.
 func (g *Gateway) watchStore(ctx context.Context) {
-	w := &storeWatcher{gateway: g, replica: g.replica, needsFullRead: true, backoff: minBackoff, timeout: g.settings.StoreTimeout.D(), loggedInvalidItems: map[string]uint64{}}
+	w := g.newStoreWatcher()
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	results := make(chan storeResult, 2) // of a call and a read of evacuations
-	w.startCall(ctx, 0, results)
+	reads := make(chan itemRead, 1)
 	for {
+		w.askEntries()
+		w.call(ctx, results)
+		timer.Reset(w.untilNext())
 		select {
 		case <-ctx.Done():
 			return
+		case <-timer.C:
 		case now := <-ticker.C:
 			g.refreshScarce(now)
-			if w.replica.ExpireMissing(now) {
+			if w.replica.ExpireMissing(now) || now.Sub(w.publishedAt) > g.longPollWait() {
 				w.publish()
 			}
 			g.logColdTransitions("")
 		case <-g.publishRequested:
 			w.publish()
+		case response := <-g.feed.responses:
+			w.handleResponse(ctx, &response, reads)
+		case read := <-reads:
+			w.handleItemRead(ctx, &read, reads)
 		case result := <-results:
 			if result.evacuations != nil {
 				w.handleEvacuations(result.evacuations)
 				continue
 			}
-			w.startCall(ctx, w.handleResult(result), results)
+			w.calling = false
+			w.callNotBefore = bootTime() + w.handleResult(result)
 		}
 	}
 }
 
-// startCall makes one call to the store, after a pause, in a goroutine of its own that does not
-// touch the watcher's state. During an outage the call does not wait for changes, so that the
-// store's return is noticed at once.
-func (w *storeWatcher) startCall(ctx context.Context, pause time.Duration, results chan<- storeResult) {
-	fullRead, revision, wait, timeout, gateway := w.needsFullRead, w.replica.Revision(), w.gateway.longPollWait(), w.timeout, w.gateway
-	if fullRead || !w.outageSince.IsZero() {
+// untilNext returns how long to wait for the next request to an entry or call to the store.
+func (w *storeWatcher) untilNext() time.Duration {
+	now := bootTime()
+	next := w.follower.Next(now)
+	if !w.calling {
+		if reason, _ := w.callDue(now); reason != changefeed.CallNone {
+			next = min(next, w.callNotBefore)
+		}
+	}
+	return max(next-now, minIdle)
+}
+
+// minIdle is the shortest time between two looks for something to do.
+const minIdle = time.Millisecond
+
+// callDue returns why the store is to be called for its state or for changes, and how long the call waits
+// for them. During an outage the call does not wait for changes, so that the store's return is noticed at
+// once.
+func (w *storeWatcher) callDue(now time.Duration) (reason changefeed.CallReason, wait time.Duration) {
+	if w.needsFullRead {
+		return callFullRead, 0
+	}
+	reason, wait = w.follower.Call(now)
+	if !w.outageSince.IsZero() {
 		wait = 0
+	}
+	return reason, wait
+}
+
+// callFullRead is the reason for a call that reads the whole state.
+const callFullRead changefeed.CallReason = "full_read"
+
+// call calls the store if that is due, in a goroutine of its own that does not touch the watcher's state.
+func (w *storeWatcher) call(ctx context.Context, results chan<- storeResult) {
+	now := bootTime()
+	reason, wait := w.callDue(now)
+	if w.calling || reason == changefeed.CallNone || now < w.callNotBefore {
+		return
+	}
+	if w.needsFullRead || !w.outageSince.IsZero() {
 		w.readEvacuations(ctx, results)
 	}
+	w.calling = true
+	fullRead, revision, timeout, gateway := w.needsFullRead, w.replica.Revision(), w.timeout, w.gateway
 	go func() {
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-			return
-		}
-		ctx, cancel := context.WithTimeout(ctx, wait+timeout)
+		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, string(reason)), wait+timeout)
 		defer cancel()
-		var result storeResult
 		start := time.Now()
-		result.began = start
-		if fullRead {
+		result := storeResult{began: bootTime()}
+		switch {
+		case fullRead:
 			result.state, result.err = gateway.source.Read(ctx)
-		} else {
+		default:
 			result.changes, result.err = gateway.source.Watch(ctx, revision, wait)
 		}
 		gateway.observeStoreCall(fullRead, time.Since(start), result.err)
@@ -163,53 +238,94 @@
 		w.gateway.source.CloseIdleConnections()
 		w.timeout = min(2*w.timeout, maxTimeoutFactor*w.gateway.settings.StoreTimeout.D())
 		pause := w.backoff/2 + time.Duration(rand.Int64N(int64(w.backoff)))
-		w.backoff = min(2*w.backoff, maxBackoff)
+		w.backoff = min(2*w.backoff, w.gateway.maxBackoff())
 		return pause
 	}
 	if !w.outageSince.IsZero() {
-		log.Info("store_regained", zap.Duration("outage_ms", now.Sub(w.outageSince)))
-		w.outageSince = time.Time{}
+		w.endOutage(fromStore)
 		w.replica.SetOutageEnd(now)
+		w.gateway.feed.log.SetOutageEnd(bootTime())
 	}
 	w.backoff, w.timeout = minBackoff, w.gateway.settings.StoreTimeout.D()
-	var evacuations []directory.Evacuation
-	before := w.gateway.snapshot.Load().Config
-	pause := time.Duration(0)
-	switch {
-	case result.state != nil:
-		evacuations = w.replica.ApplyState(now, result.state)
+	w.follower.Prove(result.began)
+	if result.state != nil {
 		w.needsFullRead = false
-		w.logInvalidItems(result.state.InvalidItems)
-		for i := range result.state.Records {
-			w.gateway.applyQuarantineRecord(now, &result.state.Records[i])
-		}
-	default:
-		pause = w.batchPause(result.changes)
-		evacuations = w.replica.ApplyChanges(now, result.changes)
-		w.logInvalidItems(result.changes.InvalidItems)
-		w.handleChanges(now, result.changes)
+		w.gateway.feed.log.Reset(result.state.Revision)
+		w.applyState(result.state, result.changes)
+		w.prove(result.began)
+		return 0
 	}
-	w.gateway.storeAnsweredAt.Store(w.gateway.uptimeNanos())
-	w.gateway.cold().SetCurrent(result.began)
-	w.publish()
-	w.gateway.announceEvacuations(evacuations)
-	if config := w.gateway.snapshot.Load().Config; config != before {
-		w.gateway.configAppliedAt.Store(w.gateway.uptimeNanos())
-		if before == nil {
-			close(w.gateway.configured)
-		}
-		log.Info("config_in_force", zap.Uint64("version", config.Version), zap.Int("routes", config.RouteCount()), zap.Uint64("at", w.replica.Revision()))
-		w.logUnknownRegions(config)
+	w.gateway.feed.log.Append(result.changes.Items, result.changes.Revision)
+	w.applyChanges(result.changes)
+	w.prove(result.began)
+	if len(result.changes.Changes) == 0 {
+		return 0
 	}
-	return pause
+	return w.follower.BatchPause()
 }
 
-// batchPause returns how long to collect more changes before the next call.
-func (w *storeWatcher) batchPause(changes *directory.Changes) time.Duration {
-	if len(changes.Changes) == 0 {
-		return 0
+// endOutage notes that the state is current again: by the store itself or by what an entry passes on.
+func (w *storeWatcher) endOutage(from string) {
+	if w.outageSince.IsZero() {
+		return
+	}
+	w.gateway.log.Info("store_regained", zap.Duration("outage_ms", time.Since(w.outageSince)), zap.String("heard_from", from))
+	w.outageSince = time.Time{}
+}
+
+// prove records that the replica was current at a time since boot.
+func (w *storeWatcher) prove(at time.Duration) {
+	w.gateway.feed.log.Prove(at)
+	if g := w.gateway; int64(at) > g.currentAt.Load() {
+		g.currentAt.Store(int64(at))
+	}
+	w.gateway.cold().SetCurrent(time.Now().Add(at - bootTime()))
+}
+
+// applyState applies the result of a full read, and the changes since then if it was stale, before either
+// is used.
+func (w *storeWatcher) applyState(state *directory.StoreState, changes *directory.Changes) {
+	now := time.Now()
+	evacuations := w.replica.ApplyState(now, state)
+	if changes != nil {
+		w.gateway.feed.log.Append(changes.Items, changes.Revision)
+		evacuations = append(evacuations, w.replica.ApplyChanges(now, changes)...)
+		w.logInvalidItems(changes.InvalidItems)
+		w.handleChanges(now, changes)
+	}
+	w.logInvalidItems(state.InvalidItems)
+	for i := range state.Records {
+		w.gateway.applyQuarantineRecord(now, &state.Records[i])
+	}
+	w.publishChanges(evacuations)
+}
+
+// applyChanges applies changes, from the store or from another entry.
+func (w *storeWatcher) applyChanges(changes *directory.Changes) {
+	now := time.Now()
+	evacuations := w.replica.ApplyChanges(now, changes)
+	w.logInvalidItems(changes.InvalidItems)
+	w.handleChanges(now, changes)
+	if len(changes.Changes) > 0 {
+		w.publishChanges(evacuations)
+	}
+}
+
+// publishChanges publishes a snapshot and tells others of the evacuations that have begun or ended.
+func (w *storeWatcher) publishChanges(evacuations []directory.Evacuation) {
+	before := w.gateway.snapshot.Load().Config
+	w.publish()
+	w.gateway.announceEvacuations(evacuations)
+	config := w.gateway.snapshot.Load().Config
+	if config == before {
+		return
+	}
+	w.gateway.configAppliedAt.Store(w.gateway.uptimeNanos())
+	if before == nil {
+		close(w.gateway.configured)
 	}
-	return w.gateway.maxChangeDelay() / batchPauseDivisor
+	w.gateway.log.Info("config_in_force", zap.Uint64("version", config.Version), zap.Int("routes", config.RouteCount()), zap.Uint64("at", w.replica.Revision()))
+	w.logUnknownRegions(config)
 }
 
 // maxLoggedInvalidItems bounds loggedInvalidItems. A full map is cleared, and its items are
@@ -250,6 +366,7 @@
 // publish makes the replica's state the current snapshot and drops what is kept of endpoints
 // that are not in it.
 func (w *storeWatcher) publish() {
+	w.publishedAt = time.Now()
 	snapshot := w.replica.Snapshot()
 	w.gateway.resumeEvacuated(w.gateway.snapshot.Load(), snapshot)
 	w.gateway.snapshot.Store(snapshot)
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -60,6 +60,14 @@
 	return nil, 0, directory.ErrUnavailable // leaves the evacuations to the other calls
 }
 
+func (r *recordingSource) ReadItem(context.Context, string, bool) (directory.Item, error) {
+	return directory.Item{}, directory.ErrUnavailable
+}
+
+func (r *recordingSource) Decode(revision uint64, _ []directory.Item) *directory.Changes {
+	return &directory.Changes{Revision: revision}
+}
+
 func (r *recordingSource) CloseIdleConnections() {}
 
 // Guards against changes that come into force seconds late. It happened when the store went silent
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,7 @@
 	slowdownMonitor *slowdownMonitor
 	divisions       *divisions
 	peers           *peers
+	feed            *feed
 	peerLoop        atomic.Pointer[membership.Loop] // nil until the first registration
 	bytes           *admission.ByteAccount          // what is held for callers
 	slowCallers     slowCallers
@@ -72,11 +73,13 @@
 	// there, publishRequested makes that goroutine publish a new snapshot.
 	replica          *directory.Replica
 	publishRequested chan struct{}
-	// configAppliedAt is when the current configuration came into force, storeAnsweredAt when
-	// the store last answered. Both are in nanoseconds since started.
-	configAppliedAt, storeAnsweredAt atomic.Int64
-	drainStartedAt                   atomic.Int64 // start of the drain, in nanoseconds since started; 0 while serving
-	started                          time.Time
+	// configAppliedAt is when the current configuration came into force, in nanoseconds since started.
+	configAppliedAt atomic.Int64
+	// currentAt is when the state was last known to be current, in nanoseconds since boot; 0 if it never
+	// was.
+	currentAt      atomic.Int64
+	drainStartedAt atomic.Int64 // start of the drain, in nanoseconds since started; 0 while serving
+	started        time.Time
 	// configured is closed when the first configuration comes into force.
 	configured      chan struct{}
 	firstConfigWait time.Duration
@@ -152,9 +155,13 @@
 	g.slowdownReader, g.slowdownMonitor = c.SlowdownReader, newSlowdownMonitor(g)
 	g.divisions = &divisions{gateway: g, logged: map[string]loggedDivision{}}
 	g.peers = &peers{gateway: g, lastSent: map[direct.EndpointHash]direct.EndpointLoad{}, delays: newPeerDelays(g.started), incarnations: map[string]uint64{}}
+	g.feed = newFeed(g)
 	g.longQueue = admission.NewSemaphore(1)
 	g.configureCold()
 	g.registerMetrics(c.LogWriter)
+	if observer, ok := c.Source.(directory.CallObserver); ok {
+		observer.ObserveCalls(g.countStoreCall)
+	}
 	if c.Statements != nil {
 		c.Statements.ObserveResponses(g.observeCallResponse)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -39,7 +39,8 @@
 	g.metrics.NewGauge("aspenyard_gateway_request_logs_skipped_total", func() float64 { return float64(g.requestLogs.Skipped()) })
 	g.metrics.NewGauge("aspenyard_gateway_waiting_outside_queue", func() float64 { return float64(g.outsideQueue.Load()) })
 	g.metrics.NewGauge("aspenyard_gateway_config_age_seconds", func() float64 { return g.elapsedSince(&g.configAppliedAt).Seconds() })
-	g.metrics.NewGauge("aspenyard_gateway_list_age_seconds", func() float64 { return g.elapsedSince(&g.storeAnsweredAt).Seconds() })
+	g.metrics.NewGauge("aspenyard_gateway_list_age_seconds", func() float64 { return g.stateAge().Seconds() })
+	g.metrics.NewGauge("aspenyard_gateway_revision", func() float64 { return float64(g.snapshot.Load().Revision) })
 	g.metrics.NewGauge("aspenyard_gateway_suspect_requests", func() float64 {
 		suspects, _ := g.quarantine.Counts(time.Now())
 		return float64(suspects)
@@ -161,3 +162,10 @@
 	}
 	g.metrics.GetOrCreatePrometheusHistogramExt(fmt.Sprintf(`aspenyard_gateway_store_seconds{call=%q,outcome=%q}`, call, outcome), latencyBuckets).Update(took.Seconds())
 }
+
+// countStoreCall counts a call to the store and the bytes of its bodies by kind and reason.
+func (g *Gateway) countStoreCall(call directory.StoreCall) {
+	labels := fmt.Sprintf(`{kind=%q,reason=%q,stale="%t",answered="%t"}`, call.Kind, call.Reason, call.Stale, call.Answered)
+	g.metrics.GetOrCreateCounter("aspenyard_gateway_store_calls_total" + labels).Inc()
+	g.metrics.GetOrCreateCounter("aspenyard_gateway_store_bytes_total" + labels).Add(call.RequestBytes + call.ResponseBytes)
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -82,7 +82,7 @@
 	var registeredAt time.Time
 	for ctx.Err() == nil {
 		calledAt := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, registryTimeout)
+		callCtx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "registration"), registryTimeout)
 		var err error
 		if registration.Lease == 0 {
 			if registration, err = g.registry.Register(callCtx, node, registrationTTL); err == nil {
@@ -249,7 +249,7 @@
 // HandleHeartbeat implements membership.Delegate: it applies the load, the slow endpoints and the
 // crash findings that another entry reports.
 func (p *peers) HandleHeartbeat(now time.Time, h *wire.Heartbeat) {
-	if p.handleView(now, h) {
+	if p.gateway.feed.handle(h) || p.handleView(now, h) {
 		return
 	}
 	demands := decodeDemands(h.Demands)
--- a/membership/loop.go
+++ b/membership/loop.go
@@ -159,6 +159,14 @@
 // acceptHeartbeat passes a heartbeat that is not outdated to the delegate. An entry answers
 // each heartbeat of an agent.
 func (l *Loop) acceptHeartbeat(now time.Time, h *wire.Heartbeat) {
+	if h.FeedRequest != nil || h.FeedResponse != nil {
+		// They say nothing about the membership: a node that asks another one now and then would
+		// otherwise count as suspect in between.
+		if h.Node != l.config.Node {
+			l.delegate.HandleHeartbeat(now, h)
+		}
+		return
+	}
 	if !l.state.acceptHeartbeat(now, h) {
 		return
 	}
