Entries start from a checkpoint, or from lists that may be stale, brought up to date by one watch

Ruled out: reading one page of endpoints first (500 of 686 items are on it), and the state of peers (after a loss of all nobody has one). Change: the first watcher in rank writes the state, compressed, as one value of the store, three times in the time for which the store keeps changes, at 48 entries and more. A starting entry reads it, stale, and the changes since; without one it reads the lists stale, and the changes since; and the lists as before if these changes are gone. Nothing is used before the changes since then are applied. The fake store of TestEvacuationsAreReadBesideFullReads has lost its history, so that a start from stale lists reads them once more: it serves the stale read too, and as before one full read.

--- a/changefeed/follower.go
+++ b/changefeed/follower.go
@@ -22,6 +22,9 @@
 	// FollowersPerWatcher is how many followers a watcher has on average; default 64. With fewer, the
 	// store gets more calls; with more, a watcher answers more often.
 	FollowersPerWatcher int
+	// CheckpointInterval is the time between two checkpoints of the state; 0 stands for none. It must be
+	// well below the time for which the store keeps changes.
+	CheckpointInterval time.Duration
 }
 
 const defaultFollowersPerWatcher = 64
@@ -107,6 +110,8 @@
 	provenAt time.Duration
 	// jitter is the random part of the age at which the store is called.
 	jitter float64
+	// nextCheckpointAt is when the next checkpoint may be written.
+	nextCheckpointAt time.Duration
 	// behind is set while the entries that were asked do not have the changes any more.
 	behind bool
 }
@@ -361,3 +366,23 @@
 	}
 	return min(next, max(f.nextAskAt, now))
 }
+
+// minCheckpointEntries is the number of entries from which a checkpoint is worth its writes: so many that
+// start at once delay each other by reading all items.
+const minCheckpointEntries = 48
+
+// Checkpoint reports whether this entry is to write a checkpoint of the state now: the first in rank that
+// can be asked does, at intervals.
+func (f *Follower) Checkpoint(now time.Duration) bool {
+	if f.config.CheckpointInterval == 0 || len(f.ranked) < minCheckpointEntries || now < f.nextCheckpointAt || !f.fresh(now) {
+		return false
+	}
+	for w := range f.watchers(now) {
+		if w != &f.ranked[f.self] {
+			return false
+		}
+		break
+	}
+	f.nextCheckpointAt = now + f.config.CheckpointInterval
+	return true
+}
--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -41,7 +41,7 @@
 	}()
 	store := platform.NewStore(s.Store, gateway.Dialer(s.StoreTimeout.D()))
 	endpointClient := platform.NewEndpointClient(gateway.Dialer(s.StoreTimeout.D()))
-	g := gateway.New(gateway.Config{Settings: s, HeaderCodec: platform.HeaderCodec{}, Source: store, Registry: store,
+	g := gateway.New(gateway.Config{Settings: s, HeaderCodec: platform.HeaderCodec{}, Source: store, Registry: store, Checkpoints: store,
 		Reserver: endpointClient, SlowdownReader: endpointClient, Statements: endpointClient, Log: eventlog.New(writer, s.Name, roleGateway), LogWriter: writer})
 	if err := g.Serve(ctx, ch, c.loadGateway); err != nil {
 		return t.failf("%v", err)
--- a/directory/source.go
+++ b/directory/source.go
@@ -28,8 +28,10 @@
 
 // Source reads the state of the deployment from the store.
 type Source interface {
-	// Read returns the full state. The read is linearizable, except for Records.
-	Read(ctx context.Context) (*StoreState, error)
+	// Read returns the full state. It is linearizable, except for Records, unless stale is set: the state
+	// may then be seconds old, and the read costs the store a tenth. Watching from its revision brings it
+	// up to date.
+	Read(ctx context.Context, stale bool) (*StoreState, error)
 	// ReadEvacuations returns all evacuations of data centres, and the store's revision when the read
 	// began. It is linearizable and much faster than Read.
 	ReadEvacuations(ctx context.Context) (list []Evacuation, revision uint64, err error)
@@ -46,6 +48,20 @@
 	CloseIdleConnections()
 }
 
+// CheckpointStore keeps a checkpoint of the state in the store: one value, in a form that is up to its
+// writer, which entries that start read instead of all items.
+type CheckpointStore interface {
+	// ReadItems returns the items of the whole state, which may be seconds old, and the revision from
+	// which watching brings it up to date.
+	ReadItems(ctx context.Context) (items []Item, revision uint64, err error)
+	// DecodeState returns the state that such items stand for.
+	DecodeState(revision uint64, items []Item) *StoreState
+	// ReadCheckpoint returns the checkpoint, which may be seconds old; nil if there is none.
+	ReadCheckpoint(ctx context.Context) ([]byte, error)
+	// WriteCheckpoint replaces the checkpoint. After an error it may have been replaced.
+	WriteCheckpoint(ctx context.Context, checkpoint []byte) error
+}
+
 // callReasonKey is the context key of the reason for a call to the store.
 type callReasonKey struct{}
 
--- /dev/null
+++ b/gateway/checkpoint.go
@@ -0,0 +1,193 @@
+package gateway
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"aspenyard.example/directory"
+	"aspenyard.example/eventlog"
+	"aspenyard.example/wire"
+)
+
+const (
+	// checkpointsPerHistory is how many checkpoints are written in the time for which the store keeps
+	// changes, so that watching from the last one brings it up to date.
+	checkpointsPerHistory = 3
+	// maxCheckpointBytes bounds a checkpoint. Values of the store have at most a megabyte.
+	maxCheckpointBytes = 1_000_000
+	// maxCheckpointItemBytes bounds a checkpoint that is decompressed.
+	maxCheckpointItemBytes = 64 << 20
+)
+
+// checkpointResult is a value of the label of aspenyard_gateway_checkpoints_total.
+type checkpointResult string
+
+const (
+	checkpointWritten  checkpointResult = "written"
+	checkpointFailed   checkpointResult = "failed"    // a call to the store failed
+	checkpointTooLarge checkpointResult = "too_large" // not written
+	checkpointUsed     checkpointResult = "used"      // at the start
+	checkpointAbsent   checkpointResult = "absent"
+	checkpointInvalid  checkpointResult = "invalid" // it could not be decoded
+	checkpointOutdated checkpointResult = "outdated"
+)
+
+func (g *Gateway) countCheckpoint(result checkpointResult) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_checkpoints_total{result=%q}`, result)).Inc()
+}
+
+// writeCheckpoint writes a checkpoint of the state, if that is due, in a goroutine of its own.
+func (w *storeWatcher) writeCheckpoint(ctx context.Context) {
+	g := w.gateway
+	if g.checkpoints == nil || w.needsFullRead || g.drainStartedAt.Load() != 0 || !w.follower.Checkpoint(bootTime()) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "checkpoint"), 2*g.settings.StoreTimeout.D())
+		defer cancel()
+		result, err := g.makeCheckpoint(ctx)
+		g.countCheckpoint(result)
+		if err != nil {
+			g.log.Warn("checkpoint_not_written", zap.String("result", string(result)), eventlog.Error(err))
+		}
+	}()
+}
+
+// makeCheckpoint reads the state and writes it to the store as a checkpoint.
+func (g *Gateway) makeCheckpoint(ctx context.Context) (checkpointResult, error) {
+	items, revision, err := g.checkpoints.ReadItems(ctx)
+	if err != nil {
+		return checkpointFailed, err
+	}
+	data, err := encodeCheckpoint(revision, items)
+	if err != nil {
+		return checkpointFailed, err
+	}
+	if len(data) > maxCheckpointBytes {
+		return checkpointTooLarge, errors.Errorf("the checkpoint has %d bytes, of at most %d", len(data), maxCheckpointBytes)
+	}
+	g.checkpointBytes.Store(int64(len(data)))
+	if err := g.checkpoints.WriteCheckpoint(ctx, data); err != nil {
+		return checkpointFailed, err
+	}
+	return checkpointWritten, nil
+}
+
+// readCheckpoint returns the state of the checkpoint in the store; nil if there is none that can be used.
+func (g *Gateway) readCheckpoint(ctx context.Context) *directory.StoreState {
+	if g.checkpoints == nil {
+		return nil
+	}
+	data, err := g.checkpoints.ReadCheckpoint(ctx)
+	if err != nil || len(data) == 0 { // the calls that follow tell of a store that does not answer
+		g.countCheckpoint(checkpointAbsent)
+		return nil
+	}
+	revision, items, err := decodeCheckpoint(data)
+	if err != nil {
+		g.countCheckpoint(checkpointInvalid)
+		g.log.Warn("checkpoint_refused", zap.Int("bytes", len(data)), eventlog.Error(err))
+		return nil
+	}
+	return g.checkpoints.DecodeState(revision, items)
+}
+
+// encodeCheckpoint returns the state of the store, compressed.
+func encodeCheckpoint(revision uint64, items []directory.Item) ([]byte, error) {
+	checkpoint := &wire.Checkpoint{Revision: revision}
+	for _, i := range items {
+		checkpoint.Items = append(checkpoint.Items, encodeItem(i))
+	}
+	data, err := proto.Marshal(checkpoint)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	var compressed bytes.Buffer
+	writer := gzip.NewWriter(&compressed)
+	if _, err := writer.Write(data); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return compressed.Bytes(), nil
+}
+
+// decodeCheckpoint returns the state of the store from a checkpoint.
+func decodeCheckpoint(compressed []byte) (revision uint64, items []directory.Item, err error) {
+	reader, err := gzip.NewReader(bytes.NewReader(compressed))
+	if err != nil {
+		return 0, nil, errors.WithStack(err)
+	}
+	data, err := io.ReadAll(io.LimitReader(reader, maxCheckpointItemBytes))
+	if err != nil {
+		return 0, nil, errors.WithStack(err)
+	}
+	var checkpoint wire.Checkpoint
+	if err := proto.Unmarshal(data, &checkpoint); err != nil {
+		return 0, nil, errors.WithStack(err)
+	}
+	if checkpoint.Revision == 0 {
+		return 0, nil, errors.New("the checkpoint has no revision")
+	}
+	for _, i := range checkpoint.Items {
+		items = append(items, decodeItem(i))
+	}
+	return checkpoint.Revision, items, nil
+}
+
+// startState is the state that an entry starts with.
+type startState struct {
+	state *directory.StoreState
+	// changes are those since then; nil if the state was not stale.
+	changes *directory.Changes
+	// from says where the state comes from.
+	from string
+}
+
+// Values of startState.from.
+const (
+	fromCheckpoint   = "checkpoint"
+	fromStaleLists   = "stale_lists"
+	fromCurrentLists = "lists"
+)
+
+// readAtStart returns the state for an entry that has none: the checkpoint or else lists that may be
+// stale, and the changes since then, which bring it up to date. Entries that start at the same moment thus
+// cost the store little. If the store does not have these changes any more, the lists are read once more.
+func (g *Gateway) readAtStart(ctx context.Context) (startState, error) {
+	if state := g.readCheckpoint(ctx); state != nil {
+		changes, err := g.source.Watch(ctx, state.Revision, 0)
+		if err == nil {
+			g.countCheckpoint(checkpointUsed)
+			return startState{state, changes, fromCheckpoint}, nil
+		}
+		if !errors.Is(err, directory.ErrHistoryGone) {
+			return startState{}, err
+		}
+		g.countCheckpoint(checkpointOutdated)
+	}
+	state, err := g.source.Read(ctx, true)
+	if err != nil {
+		return startState{}, err
+	}
+	changes, err := g.source.Watch(ctx, state.Revision, 0)
+	if errors.Is(err, directory.ErrHistoryGone) {
+		state, err = g.source.Read(ctx, false)
+		return startState{state, nil, fromCurrentLists}, err
+	}
+	return startState{state, changes, fromStaleLists}, err
+}
+
+// logStart logs the state that an entry starts with.
+func (g *Gateway) logStart(start startState, took time.Duration) {
+	g.log.Info("state_read", zap.String("from", start.from), zap.Uint64("at", start.state.Revision), zap.Int("endpoints", len(start.state.Endpoints)), zap.Duration("took_ms", took))
+}
--- a/gateway/evacuation_checks_test.go
+++ b/gateway/evacuation_checks_test.go
@@ -175,19 +175,24 @@
 	is.True(!probedWhileEvacuated)
 }
 
-// slowSource is a store that is too slow for full reads after the first one, and has lost its history.
+// slowSource is a store that is too slow for full reads after the first one, and has lost its history, so
+// that a start from lists that may be stale reads them once more.
 type slowSource struct {
 	recordingSource
 	first sync.Once
 }
 
-func (s *slowSource) Read(ctx context.Context) (*directory.StoreState, error) {
+func (s *slowSource) Read(ctx context.Context, stale bool) (*directory.StoreState, error) {
 	err := errors.WithStack(directory.ErrUnavailable)
-	s.first.Do(func() { err = nil })
+	if stale {
+		err = nil
+	} else {
+		s.first.Do(func() { err = nil })
+	}
 	if err != nil {
 		return nil, err
 	}
-	return s.recordingSource.Read(ctx)
+	return s.recordingSource.Read(ctx, stale)
 }
 
 func (s *slowSource) Watch(context.Context, uint64, time.Duration) (*directory.Changes, error) {
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"aspenyard.example/directory"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/wire"
 )
@@ -92,3 +94,20 @@
 	}
 	return encodeView(view)
 }
+
+// MakeCheckpoint writes a checkpoint of the state to the store.
+func (g *Gateway) MakeCheckpoint(ctx context.Context) error {
+	_, err := g.makeCheckpoint(ctx)
+	return err
+}
+
+// EncodeCheckpoint encodes a checkpoint.
+func EncodeCheckpoint(revision uint64, items []directory.Item) ([]byte, error) {
+	return encodeCheckpoint(revision, items)
+}
+
+// DecodeCheckpoint returns the number of items in a checkpoint.
+func DecodeCheckpoint(data []byte) (int, error) {
+	_, items, err := decodeCheckpoint(data)
+	return len(items), err
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -151,7 +151,7 @@
 	endpointClient := platform.NewEndpointClient(dial)
 	store := platform.NewStore(nodeSettings.Store, dial)
 	s.gateway = gateway.New(gateway.Config{
-		Settings: nodeSettings, HeaderCodec: platform.HeaderCodec{}, Source: store, Registry: store, Reserver: endpointClient, SlowdownReader: endpointClient, Statements: endpointClient,
+		Settings: nodeSettings, HeaderCodec: platform.HeaderCodec{}, Source: store, Registry: store, Checkpoints: store, Reserver: endpointClient, SlowdownReader: endpointClient, Statements: endpointClient,
 		Log: eventlog.New(writer, nodeSettings.Name, "gateway"), LogWriter: writer,
 		FirstConfigWait: s.firstConfigWait, Usage: s.usage,
 	})
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -117,6 +117,7 @@
 		addrs: map[string]string{}, itemsRead: map[string]uint64{}, loggedInvalidItems: map[string]uint64{},
 		follower: changefeed.NewFollower(changefeed.Config{
 			Name: g.settings.Name, DataCentre: g.settings.DataCentre, Bound: g.maxChangeDelay(), SoloWait: g.longPollWait(),
+			CheckpointInterval: g.settings.StoreHistory.D() / checkpointsPerHistory,
 		}, globalRand{}),
 	}
 }
@@ -133,6 +134,7 @@
 	for {
 		w.askEntries()
 		w.call(ctx, results)
+		w.writeCheckpoint(ctx)
 		timer.Reset(w.untilNext())
 		select {
 		case <-ctx.Done():
@@ -211,8 +213,14 @@
 		start := time.Now()
 		result := storeResult{began: bootTime()}
 		switch {
+		case fullRead && revision == 0:
+			var read startState
+			if read, result.err = gateway.readAtStart(ctx); result.err == nil {
+				result.state, result.changes = read.state, read.changes
+				gateway.logStart(read, time.Since(start))
+			}
 		case fullRead:
-			result.state, result.err = gateway.source.Read(ctx)
+			result.state, result.err = gateway.source.Read(ctx, false)
 		default:
 			result.changes, result.err = gateway.source.Watch(ctx, revision, wait)
 		}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -41,7 +41,7 @@
 	return nil
 }
 
-func (r *recordingSource) Read(ctx context.Context) (*directory.StoreState, error) {
+func (r *recordingSource) Read(ctx context.Context, _ bool) (*directory.StoreState, error) {
 	if err := r.record(ctx, recordedCall{fullRead: true}); err != nil {
 		return nil, err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,8 @@
 	divisions       *divisions
 	peers           *peers
 	feed            *feed
+	checkpoints     directory.CheckpointStore       // nil if none are kept
+	checkpointBytes atomic.Int64                    // size of the last checkpoint that this entry made
 	peerLoop        atomic.Pointer[membership.Loop] // nil until the first registration
 	bytes           *admission.ByteAccount          // what is held for callers
 	slowCallers     slowCallers
@@ -111,6 +113,8 @@
 	Source      directory.Source
 	Reserver    Reserver
 	Registry    directory.Registry
+	// Checkpoints may be nil; entries that start then read all items.
+	Checkpoints directory.CheckpointStore
 	// SlowdownReader may be nil; slow endpoints are then not detected.
 	SlowdownReader SlowdownReader
 	// Statements may be nil; what endpoints state in responses to orders and queries is then not
@@ -155,7 +159,7 @@
 	g.slowdownReader, g.slowdownMonitor = c.SlowdownReader, newSlowdownMonitor(g)
 	g.divisions = &divisions{gateway: g, logged: map[string]loggedDivision{}}
 	g.peers = &peers{gateway: g, lastSent: map[direct.EndpointHash]direct.EndpointLoad{}, delays: newPeerDelays(g.started), incarnations: map[string]uint64{}}
-	g.feed = newFeed(g)
+	g.feed, g.checkpoints = newFeed(g), c.Checkpoints
 	g.longQueue = admission.NewSemaphore(1)
 	g.configureCold()
 	g.registerMetrics(c.LogWriter)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -32,6 +32,10 @@
 	// long a watch call may wait for changes; longer values cost the store fewer calls.
 	ConfigWithin  Duration `json:"config_within,omitempty"`
 	LeavingWithin Duration `json:"leaving_within,omitempty"`
+	// StoreHistory is how long the store keeps changes for watches; default 20s. Three times in it a
+	// checkpoint is written, from which entries start. With a longer value that is done less often, but
+	// entries that find the checkpoint too old read all items.
+	StoreHistory Duration `json:"store_history,omitempty"`
 	// DrainTimeout is how long a graceful shutdown may take before the process is killed;
 	// default 10s.
 	DrainTimeout Duration `json:"drain_timeout,omitempty"`
@@ -97,6 +101,7 @@
 	setDuration(&g.StoreTimeout, 700*time.Millisecond)
 	setDuration(&g.ConfigWithin, 2*time.Second)
 	setDuration(&g.LeavingWithin, 2*time.Second)
+	setDuration(&g.StoreHistory, 20*time.Second)
 	setDuration(&g.DrainTimeout, 10*time.Second)
 	setDuration(&g.RetryWindow, 10*time.Second)
 	setDuration(&g.MemoryFreeWithin, 4*time.Second)
@@ -137,6 +142,7 @@
 	errs.CheckRange("store_timeout", g.StoreTimeout.D(), 10*time.Millisecond, time.Minute)
 	errs.CheckRange("config_within", g.ConfigWithin.D(), 2*g.StoreTimeout.D(), time.Hour)
 	errs.CheckRange("leaving_within", g.LeavingWithin.D(), 2*g.StoreTimeout.D(), time.Hour)
+	errs.CheckRange("store_history", g.StoreHistory.D(), time.Second, 24*time.Hour)
 	errs.CheckRange("drain_timeout", g.DrainTimeout.D(), 100*time.Millisecond, 24*time.Hour)
 	errs.CheckRange("memory_free_within", g.MemoryFreeWithin.D(), 500*time.Millisecond, time.Minute)
 	errs.CheckRange("memory_idle_within", g.MemoryIdleWithin.D(), 500*time.Millisecond, time.Minute)
