Watchers' calls wait for less, so that followers need no calls of their own while nothing changes

A waiting call proves when it began, and is answered after its wait: with waits of 0.3 of the bound a watcher's proof was up to 0.6 old. Turned away by the store, an entry that lacks a configuration called it every 0.4 s. Change: waits of 0.18 of the bound; after failed calls up to 0.4 of the bound between two, once the first state is known. TestOnlyWatchersCallAQuietStore fails with the former share: 8 calls at 4 entries.

--- a/changefeed/changefeed_test.go
+++ b/changefeed/changefeed_test.go
@@ -58,6 +58,21 @@
 	}
 }
 
+// Guards against followers that call the store while nothing changes, since what the watchers' waiting calls
+// prove is older than what the followers need.
+func TestOnlyWatchersCallAQuietStore(t *testing.T) {
+	is := is.New(t)
+	for _, entries := range []int{4, 68, 341} {
+		w := newWorld(5, entries)
+		w.change()
+		w.run(5 * time.Second)
+		w.calls = map[CallReason]int{}
+		w.run(25 * time.Second)
+		t.Logf("%d entries: %v", entries, w.calls)
+		is.Equal(w.calls[CallStale], 0)
+	}
+}
+
 // Guards against changes that come late at the followers of watchers that end, hang, are slow to follow
 // or are cut off from the store, all at the same moment.
 func TestChangesAreKnownInTimeWhateverHappensToTheWatchers(t *testing.T) {
--- a/changefeed/follower.go
+++ b/changefeed/follower.go
@@ -29,11 +29,11 @@
 
 const defaultFollowersPerWatcher = 64
 
-// Shares of Bound. A watcher's proof is at most watchWaitShare and the time of a call old, and a
-// follower's askShare older, which leaves time to ask another entry before callShare, and from then on to
-// call the store before Bound.
+// Shares of Bound. A call proves the time at which it began, so that a watcher's proof is up to twice
+// watchWaitShare old before the next call returns. A follower's is askShare older. That leaves time to ask
+// another entry before callShare, and from then on to call the store before Bound.
 const (
-	watchWaitShare = 0.3
+	watchWaitShare = 0.18
 	askShare       = 0.1
 	// batchShare is how long a watcher collects more changes after one.
 	batchShare = 0.06
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -19,13 +19,14 @@
 	// never be read.
 	maxTimeoutFactor = 2
 	// minBackoff is the wait after a failed call, which doubles each time up to
-	// Gateway.maxBackoff. The first wait is short because a call often breaks off just when the
+	// storeWatcher.maxBackoff. The first wait is short because a call often breaks off just when the
 	// store has dropped its history and the state must be read again.
 	minBackoff = 40 * time.Millisecond
-	// minMaxBackoff and maxBackoffShare bound the wait after failed calls: maxBackoffShare is a share of
-	// the time within which changes must be known.
-	minMaxBackoff   = 400 * time.Millisecond
-	maxBackoffShare = 0.16
+	// maxStartBackoff bounds the wait after failed calls before the first state is known, maxBackoffShare
+	// later on, as a share of the time within which changes must be known: other entries may know them
+	// meanwhile.
+	maxStartBackoff = 400 * time.Millisecond
+	maxBackoffShare = 0.4
 	// expireInterval is the time between two checks for endpoints that have been missing
 	// for too long.
 	expireInterval = 500 * time.Millisecond
@@ -37,8 +38,11 @@
 }
 
 // maxBackoff returns the longest wait after a failed call to the store.
-func (g *Gateway) maxBackoff() time.Duration {
-	return max(scaleDuration(g.maxChangeDelay(), maxBackoffShare), minMaxBackoff)
+func (w *storeWatcher) maxBackoff() time.Duration {
+	if w.replica.Revision() == 0 {
+		return maxStartBackoff
+	}
+	return scaleDuration(w.gateway.maxChangeDelay(), maxBackoffShare)
 }
 
 // longPollWait returns how long one call waits for a change. A store that drops its history
@@ -246,7 +250,7 @@
 		w.gateway.source.CloseIdleConnections()
 		w.timeout = min(2*w.timeout, maxTimeoutFactor*w.gateway.settings.StoreTimeout.D())
 		pause := w.backoff/2 + time.Duration(rand.Int64N(int64(w.backoff)))
-		w.backoff = min(2*w.backoff, w.gateway.maxBackoff())
+		w.backoff = min(2*w.backoff, w.maxBackoff())
 		return pause
 	}
 	if !w.outageSince.IsZero() {
