Soak: all gateways that watch the store for others are killed, suspended or cut off at once

Cause: the soak disturbed single gateways; the entries from which the others take the store's changes were hit by chance only. Change: fault kind watchers-disturbed, appended, so that recorded seeds keep their schedules; the gauge aspenyard_gateway_watching, by which it finds them.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -170,6 +170,7 @@
 // untilNext returns how long to wait for the next request to an entry or call to the store.
 func (w *storeWatcher) untilNext() time.Duration {
 	now := bootTime()
+	w.gateway.watching.Store(w.follower.Watching(now))
 	next := w.follower.Next(now)
 	if !w.calling {
 		if reason, _ := w.callDue(now); reason != changefeed.CallNone {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,7 @@
 	divisions       *divisions
 	peers           *peers
 	feed            *feed
+	watching        atomic.Bool                     // this entry watches the store for others, or knows no other
 	checkpoints     directory.CheckpointStore       // nil if none are kept
 	checkpointBytes atomic.Int64                    // size of the last checkpoint that this entry made
 	peerLoop        atomic.Pointer[membership.Loop] // nil until the first registration
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -41,6 +41,12 @@
 	g.metrics.NewGauge("aspenyard_gateway_config_age_seconds", func() float64 { return g.elapsedSince(&g.configAppliedAt).Seconds() })
 	g.metrics.NewGauge("aspenyard_gateway_list_age_seconds", func() float64 { return g.stateAge().Seconds() })
 	g.metrics.NewGauge("aspenyard_gateway_checkpoint_bytes", func() float64 { return float64(g.checkpointBytes.Load()) })
+	g.metrics.NewGauge("aspenyard_gateway_watching", func() float64 {
+		if g.watching.Load() {
+			return 1
+		}
+		return 0
+	})
 	g.metrics.NewGauge("aspenyard_gateway_revision", func() float64 { return float64(g.snapshot.Load().Revision) })
 	g.metrics.NewGauge("aspenyard_gateway_suspect_requests", func() float64 {
 		suspects, _ := g.quarantine.Counts(time.Now())
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -70,6 +70,7 @@
 		{kindEvacuation, 4, evacuateDataCentre},
 		{"slow-callers", 3, addSlowCallers},
 		{"endpoint-cold", 4, warmUpEndpoint},
+		{kindWatchers, 3, disturbWatchers},
 	}
 }
 
