An entry registers once it has read the state

Change: registration waits for the state. An entry that cannot read the state does not register either. The gateway's tests of registration, heartbeats, starts, evacuations and cold endpoints pass.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -79,8 +79,9 @@
 	// membersOf is the snapshot whose entries the follower knows, addrs their addresses.
 	membersOf *directory.Snapshot
 	addrs     map[string]string
-	// needsFullRead is set when the whole state must be read instead of the changes.
-	needsFullRead bool
+	// needsFullRead is set when the whole state must be read instead of the changes, stateRead once it has
+	// been read.
+	needsFullRead, stateRead bool
 	// calling is set while a call is under way. The next one begins at callNotBefore or later.
 	calling       bool
 	callNotBefore time.Duration
@@ -299,6 +300,10 @@
 // is used.
 func (w *storeWatcher) applyState(state *directory.StoreState, changes *directory.Changes) {
 	now := time.Now()
+	if !w.stateRead {
+		w.stateRead = true
+		close(w.gateway.stateRead)
+	}
 	evacuations := w.replica.ApplyState(now, state)
 	if changes != nil {
 		w.gateway.feed.log.Append(changes.Items, changes.Revision)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,7 +83,9 @@
 	currentAt      atomic.Int64
 	drainStartedAt atomic.Int64 // start of the drain, in nanoseconds since started; 0 while serving
 	started        time.Time
-	// configured is closed when the first configuration comes into force.
+	// stateRead is closed when the state has been read for the first time, configured when the first
+	// configuration comes into force.
+	stateRead       chan struct{}
 	configured      chan struct{}
 	firstConfigWait time.Duration
 
@@ -144,7 +146,7 @@
 	g := &Gateway{
 		settings: c.Settings, headerCodec: c.HeaderCodec, source: c.Source, reserver: c.Reserver, registry: c.Registry, log: c.Log, requestLogs: eventlog.NewRequestLogs(c.Log),
 		metrics: metrics.NewSet(), loadTracker: loadTracker, policy: direct.NewPolicy(loadTracker, globalRand{}), pool: newPool(), objectives: window.New(), started: time.Now(),
-		configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
+		stateRead: make(chan struct{}), configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
 	}
 	g.quarantine = attempt.NewQuarantine()
 	g.admission = newAdmissionControl(&c.Settings)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -74,9 +74,16 @@
 	views        viewExchange
 }
 
-// keepRegistered registers this node and renews the registration until ctx ends.
+// keepRegistered registers this node, as soon as it has the state, and renews the registration until ctx
+// ends. Entries that start at the same moment would otherwise read each other's registrations as changes
+// before they serve.
 func (p *peers) keepRegistered(ctx context.Context) {
 	g := p.gateway
+	select {
+	case <-g.stateRead:
+	case <-ctx.Done():
+		return
+	}
 	node := directory.Node{Name: g.settings.Name, Addr: g.settings.PeersListen, DataCentre: g.settings.DataCentre}
 	var registration directory.Registration
 	var registeredAt time.Time
