A late answer of the store undoes nothing that another entry has passed on since

Cause: found by reading. A call that waited since revision 3 may be answered up to 6 after another entry has passed on 7; the end of a registration in it then took a node off the list that had registered again. Endpoints and the configuration are guarded by their revisions, nodes are not. Change: changes up to the revision that is known are left out. Measured: TestALateAnswerOfTheStoreUndoesNothing fails without it.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -318,9 +319,11 @@
 	w.publishChanges(evacuations)
 }
 
-// applyChanges applies changes, from the store or from another entry.
+// applyChanges applies changes, from the store or from another entry. What is known already is left out: a
+// call to the store may be answered after another entry has passed on later changes.
 func (w *storeWatcher) applyChanges(changes *directory.Changes) {
-	now := time.Now()
+	now, known := time.Now(), w.replica.Revision()
+	changes.Changes = slices.DeleteFunc(changes.Changes, func(c directory.Change) bool { return c.Revision <= known })
 	evacuations := w.replica.ApplyChanges(now, changes)
 	w.logInvalidItems(changes.InvalidItems)
 	w.handleChanges(now, changes)
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -120,3 +120,17 @@
 		outage = call.failed
 	}
 }
+
+// Guards against a call to the store that is answered after another entry has passed on later changes: the
+// end of a registration must not undo the next one.
+func TestALateAnswerOfTheStoreUndoesNothing(t *testing.T) {
+	is := is.New(t)
+	s := settings.Gateway{Name: "g", DataCentre: "d"}
+	s.SetDefaults()
+	w := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()}).newStoreWatcher()
+	w.applyState(&directory.StoreState{Revision: 3, Nodes: []directory.Node{{Name: "other"}}}, nil)
+	ended := directory.Change{Revision: 5, NodeGone: "other"}
+	w.applyChanges(&directory.Changes{Revision: 7, Changes: []directory.Change{ended, {Revision: 7, Node: &directory.Node{Name: "other"}}}})
+	w.applyChanges(&directory.Changes{Revision: 6, Changes: []directory.Change{ended}})
+	is.Equal(len(w.gateway.snapshot.Load().Nodes), 1)
+}
