Requests for changes are numbered from a random start

Cause: found by reading. A process that is started again within the life of a datagram numbered its requests from 1 as its predecessor did: a late response to the predecessor's request counted as one to its own, and its age from a later moment than the request's. Change: a random first number; the count of watchers belongs to each use of the sequence. Measured: TestAProofCountsFromTheRequest compares two processes' numbers; the package's tests pass.

--- a/changefeed/changefeed_test.go
+++ b/changefeed/changefeed_test.go
@@ -154,7 +154,9 @@
 // waited at a suspended responder, or a response at a suspended follower, is older by that time.
 func TestAProofCountsFromTheRequest(t *testing.T) {
 	is := is.New(t)
-	f := NewFollower(Config{Name: "a", Bound: bound}, newWorld(1, 1).random)
+	random := newWorld(1, 1).random
+	is.True(NewFollower(Config{Name: "a"}, random).nonce != NewFollower(Config{Name: "a"}, random).nonce) // of two processes
+	f := NewFollower(Config{Name: "a", Bound: bound}, random)
 	f.SetMembers([]Member{{Name: "a"}, {Name: "b"}})
 	f.ranked = []candidate{{Member: Member{Name: "b"}}, {Member: Member{Name: "a"}}}
 	f.self = 1
--- a/changefeed/follower.go
+++ b/changefeed/follower.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"iter"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -121,7 +122,11 @@
 	if config.FollowersPerWatcher == 0 {
 		config.FollowersPerWatcher = defaultFollowersPerWatcher
 	}
-	return &Follower{config: config, random: random, failures: map[string]failure{}, jitter: random.Float64()}
+	return &Follower{
+		config: config, random: random, failures: map[string]failure{}, jitter: random.Float64(),
+		// A response to a former process of this entry must not be taken for one to this process.
+		nonce: uint64(random.IntN(math.MaxInt)),
+	}
 }
 
 func (f *Follower) share(of float64) time.Duration {
@@ -175,8 +180,8 @@
 // watchers returns the entries that watch the store as this one sees it: the first in rank of those that
 // it has no reason to avoid.
 func (f *Follower) watchers(now time.Duration) iter.Seq[*candidate] {
-	left := (len(f.ranked) + f.config.FollowersPerWatcher - 1) / f.config.FollowersPerWatcher
 	return func(yield func(*candidate) bool) {
+		left := (len(f.ranked) + f.config.FollowersPerWatcher - 1) / f.config.FollowersPerWatcher
 		for i := 0; i < len(f.ranked) && left > 0; i++ {
 			if i != f.self && f.avoided(now, f.ranked[i].Name) {
 				continue
