--- a/changefeed/changefeed_test.go
+++ b/changefeed/changefeed_test.go
@@ -23,13 +23,13 @@
 	w.run(start)
 	w.calls, w.bytes = map[CallReason]int{}, 0
 	longest := time.Duration(0)
-	for w.now < start+time.Duration(seconds)*time.Second {
+	for w.Now() < start+time.Duration(seconds)*time.Second {
 		w.change()
-		w.run(w.now + 100*time.Millisecond)
+		w.run(w.Now() + 100*time.Millisecond)
 		w.checkBound()
 		for _, e := range w.entries {
 			if e.revision < w.storeRevision() {
-				longest = max(longest, w.now-w.changedAt[e.revision])
+				longest = max(longest, w.Now()-w.changedAt[e.revision])
 			}
 		}
 	}
@@ -78,7 +78,7 @@
 func TestChangesAreKnownInTimeWhateverHappensToTheWatchers(t *testing.T) {
 	for name, disturb := range map[string]func(w *world, e *entry){
 		"killed":   func(w *world, e *entry) { w.remove(e) },
-		"frozen":   func(w *world, e *entry) { w.freeze(e, w.now+8*time.Second) },
+		"frozen":   func(w *world, e *entry) { w.freeze(e, w.Now()+8*time.Second) },
 		"cut":      func(_ *world, e *entry) { e.cut = true },
 		"deafened": func(_ *world, e *entry) { e.log = &Log{} }, // responds to nobody
 	} {
@@ -92,11 +92,11 @@
 				}
 			}
 			w.calls = map[CallReason]int{}
-			for w.now < 40*time.Second {
+			for w.Now() < 40*time.Second {
 				if w.random.IntN(10) == 0 {
 					w.change()
 				}
-				w.run(w.now + 100*time.Millisecond)
+				w.run(w.Now() + 100*time.Millisecond)
 				w.checkBound()
 			}
 			t.Logf("%s, %d entries: %v", name, entries, w.calls)
@@ -117,9 +117,9 @@
 		}
 	}
 	w.calls = map[CallReason]int{}
-	for w.now < 10*time.Second+leaseTTL {
+	for w.Now() < 10*time.Second+leaseTTL {
 		w.change()
-		w.run(w.now + 500*time.Millisecond)
+		w.run(w.Now() + 500*time.Millisecond)
 		w.checkBound()
 	}
 	w.failOn(t)
@@ -136,11 +136,11 @@
 		e.dead = e.follower.self != len(w.entries)-1 // the last in rank is left
 	}
 	w.change()
-	for w.now < 30*time.Second {
-		if w.now > 10*time.Second && w.random.IntN(5) == 0 {
+	for w.Now() < 30*time.Second {
+		if w.Now() > 10*time.Second && w.random.IntN(5) == 0 {
 			w.change()
 		}
-		w.run(w.now + 100*time.Millisecond)
+		w.run(w.Now() + 100*time.Millisecond)
 		w.checkBound()
 	}
 	w.failOn(t)
--- a/changefeed/model_test.go
+++ b/changefeed/model_test.go
@@ -30,15 +30,15 @@
 				}
 			},
 			"pass": func(t *rapid.T) {
-				w.run(w.now + time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms"))*time.Millisecond)
+				w.run(w.Now() + time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms"))*time.Millisecond)
 			},
 			"freeze": func(t *rapid.T) {
-				w.freeze(pick(), w.now+time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms"))*time.Millisecond)
+				w.freeze(pick(), w.Now()+time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms"))*time.Millisecond)
 			},
 			"cut": func(t *rapid.T) {
 				e := pick()
 				e.cut = !e.cut
-				e.calmSince = max(e.calmSince, w.now)
+				e.calmSince = max(e.calmSince, w.Now())
 			},
 			"end": func(*rapid.T) { w.remove(pick()) },
 			"disagree": func(t *rapid.T) {
--- a/changefeed/world_test.go
+++ b/changefeed/world_test.go
@@ -1,12 +1,12 @@
 package changefeed
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"aspenyard.example/bench/virtual"
 	"aspenyard.example/directory"
 	"aspenyard.example/randomtest"
 )
@@ -24,12 +24,10 @@
 
 // world plays a store and entries in virtual time.
 type world struct {
-	now      time.Duration
-	events   eventQueue
-	sequence int
-	random   *rand.Rand
-	entries  []*entry
-	byName   map[string]*entry
+	virtual.Clock
+	random  *rand.Rand
+	entries []*entry
+	byName  map[string]*entry
 	// changedAt holds the time of each change; the revision of the i-th is i+1. Watches after
 	// revisions below compacted fail.
 	changedAt []time.Duration
@@ -64,26 +62,6 @@
 	valuesRead uint64
 }
 
-type event struct {
-	at       time.Duration
-	sequence int
-	run      func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].sequence < q[j].sequence
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(e any)   { *q = append(*q, e.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newWorld(seed uint64, entries int) *world {
 	w := &world{random: rand.New(rand.NewPCG(seed, 1)), calls: map[CallReason]int{}, byName: map[string]*entry{}}
 	var members []Member
@@ -96,29 +74,20 @@
 		e.follower.SetMembers(members)
 		w.entries = append(w.entries, e)
 		w.byName[e.name] = e
-		w.at(time.Duration(w.random.IntN(300))*time.Millisecond, e.wake)
+		w.AfterFunc(time.Duration(w.random.IntN(300))*time.Millisecond, e.wake)
 	}
 	return w
 }
 
-func (w *world) at(delay time.Duration, run func()) {
-	w.sequence++
-	heap.Push(&w.events, event{w.now + delay, w.sequence, run})
-}
-
 // run plays until a time.
 func (w *world) run(until time.Duration) {
-	for len(w.events) > 0 && w.events[0].at <= until {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.run()
-	}
-	w.now = until
+	w.AfterFunc(until-w.Now(), func() {}) // so that the clock ends there
+	w.RunUntil(until)
 }
 
 // change makes a change in the store.
 func (w *world) change() {
-	w.changedAt = append(w.changedAt, w.now)
+	w.changedAt = append(w.changedAt, w.Now())
 	waiting := w.waiting
 	w.waiting = nil
 	for _, wake := range waiting {
@@ -131,7 +100,7 @@
 // remove ends an entry; the others see its registration end later.
 func (w *world) remove(e *entry) {
 	e.dead = true
-	w.at(leaseTTL, func() {
+	w.AfterFunc(leaseTTL, func() {
 		var members []Member
 		for _, other := range w.entries {
 			if !other.dead {
@@ -152,14 +121,14 @@
 func (e *entry) do(run func()) {
 	switch {
 	case e.dead:
-	case e.world.now < e.frozenUntil:
-		e.world.at(e.frozenUntil-e.world.now, func() { e.do(run) })
+	case e.world.Now() < e.frozenUntil:
+		e.world.AfterFunc(e.frozenUntil-e.world.Now(), func() { e.do(run) })
 	default:
 		run()
 	}
 }
 
-func (e *entry) clock() time.Duration { return e.world.now + e.clockOffset }
+func (e *entry) clock() time.Duration { return e.world.Now() + e.clockOffset }
 
 func (e *entry) wake() {
 	e.do(func() {
@@ -179,7 +148,7 @@
 		}
 		e.wakeID++
 		id := e.wakeID
-		e.world.at(max(next-now, time.Millisecond), func() {
+		e.world.AfterFunc(max(next-now, time.Millisecond), func() {
 			if id == e.wakeID {
 				e.wake()
 			}
@@ -203,10 +172,10 @@
 		}
 		answered = true
 		revision, gone := w.storeRevision(), after < w.compacted
-		w.at(storeDelay, func() {
+		w.AfterFunc(storeDelay, func() {
 			e.do(func() {
 				if e.outage = e.cut; e.cut {
-					w.at(storeTimeout, func() { e.do(func() { end(200 * time.Millisecond) }) })
+					w.AfterFunc(storeTimeout, func() { e.do(func() { end(200 * time.Millisecond) }) })
 					return
 				}
 				if gone || after == 0 {
@@ -225,13 +194,13 @@
 			})
 		})
 	}
-	w.at(storeDelay, func() {
+	w.AfterFunc(storeDelay, func() {
 		if w.storeRevision() > after || wait == 0 {
 			respond()
 			return
 		}
 		w.waiting = append(w.waiting, respond)
-		w.at(wait, respond)
+		w.AfterFunc(wait, respond)
 	})
 }
 
@@ -267,7 +236,7 @@
 }
 
 func (w *world) violate(format string, args ...any) {
-	w.violations = append(w.violations, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+	w.violations = append(w.violations, fmt.Sprintf("%v: ", w.Now())+fmt.Sprintf(format, args...))
 }
 
 const datagramBytes = 150 // of the header, the identity of the sender and the fixed fields
@@ -278,9 +247,9 @@
 	if w.random.Float64() < w.loss {
 		return
 	}
-	w.at(time.Duration(1+w.random.IntN(4))*time.Millisecond, func() { to.do(deliver) })
+	w.AfterFunc(time.Duration(1+w.random.IntN(4))*time.Millisecond, func() { to.do(deliver) })
 	if w.random.Float64() < w.copies {
-		w.at(time.Duration(1+w.random.IntN(2000))*time.Millisecond, func() { to.do(deliver) })
+		w.AfterFunc(time.Duration(1+w.random.IntN(2000))*time.Millisecond, func() { to.do(deliver) })
 	}
 }
 
@@ -330,7 +299,7 @@
 // readValue plays the read of a long value; the store refuses it to entries that are cut off.
 func (e *entry) readValue() {
 	e.world.calls[callForValue]++
-	e.world.at(2*storeDelay, func() {
+	e.world.AfterFunc(2*storeDelay, func() {
 		e.do(func() {
 			if e.outage = e.cut; e.cut {
 				e.follower.FallBehind()
@@ -348,10 +317,10 @@
 // checkBound checks that the entries that were calm for the bound know all changes that are older than it.
 func (w *world) checkBound() {
 	for _, e := range w.entries {
-		if e.dead || e.cut || w.now < e.calmSince+bound {
+		if e.dead || e.cut || w.Now() < e.calmSince+bound {
 			continue
 		}
-		if r := e.revision; r < w.storeRevision() && w.now-w.changedAt[r] > bound {
+		if r := e.revision; r < w.storeRevision() && w.Now()-w.changedAt[r] > bound {
 			w.violate("%s at revision %d does not know revision %d of %v", e.name, r, r+1, w.changedAt[r])
 		}
 	}
