An entry that starts takes its share of the retry limits among the registered entries

Cause: found by reading. Until heartbeats run an entry assumed 32 entries: 341 that start at once could together send 1,705 retries in a window that allows 1,040 to a service (5 each; worked out). Registration after the state was read would have made that time longer. Change: before the membership loop counts them, the registered entries of the state do, if they are more than assumed. Measured: TestAStartingEntryKnowsItsShareOfTheRetryLimits fails without it.

--- a/admission/retrywindow.go
+++ b/admission/retrywindow.go
@@ -77,6 +77,7 @@
 type entryCounts struct {
 	current float64
 	maxima  slotRing
+	assumed float64 // in place of assumedEntries, if larger
 }
 
 // set sets the number of entries from the given slot on.
@@ -86,14 +87,14 @@
 	*maximum = max(*maximum, c.current)
 }
 
-// maximum returns the largest number of entries in the window, or assumedEntries if none
+// maximum returns the largest number of entries in the window, or the assumed number if none
 // was set.
 func (c *entryCounts) maximum(slot int64) float64 {
 	c.maxima.advance(slot, c.current)
 	if n := slices.Max(c.maxima.slots[:]); n > 0 {
 		return n
 	}
-	return assumedEntries
+	return max(assumedEntries, c.assumed)
 }
 
 const (
@@ -132,6 +133,15 @@
 	w.entries.set(w.slotOf(now), max(n, 1))
 }
 
+// AssumeEntries sets the number of entries that is assumed while the true one is not known. The default
+// is kept if it is larger: among more entries than are assumed, all that start at once together exceed the
+// limits.
+func (w *RetryWindow) AssumeEntries(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entries.assumed = float64(n)
+}
+
 // slotOf returns the number of the slot that a time lies in.
 func (w *RetryWindow) slotOf(now time.Time) int64 {
 	return int64(now.Sub(w.origin) / (w.limits.Window / windowSlots))
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -134,3 +135,23 @@
 	w.applyChanges(&directory.Changes{Revision: 6, Changes: []directory.Change{ended}})
 	is.Equal(len(w.gateway.snapshot.Load().Nodes), 1)
 }
+
+// Guards against a fleet that exceeds its retry limits when all entries start at once and do not know how
+// many they are: each then took its share among 32.
+func TestAStartingEntryKnowsItsShareOfTheRetryLimits(t *testing.T) {
+	is := is.New(t)
+	const entries, allowance = 341, 1040
+	s := settings.Gateway{Name: "g", DataCentre: "d", RetryAllowance: allowance}
+	s.SetDefaults()
+	w := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()}).newStoreWatcher()
+	state := &directory.StoreState{Revision: 1}
+	for i := range entries {
+		state.Nodes = append(state.Nodes, directory.Node{Name: fmt.Sprint("g", i)})
+	}
+	w.applyState(state, nil)
+	taken := 0
+	for w.gateway.retries.Take(time.Now(), "service") {
+		taken++
+	}
+	is.True(entries*taken <= allowance)
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -169,10 +169,12 @@
 	p.setMembers(g.snapshot.Load())
 }
 
-// setMembers passes the registered entries to the membership loop.
+// setMembers passes the registered entries to the membership loop. Before it runs, their number bounds
+// this entry's share of the retry limits.
 func (p *peers) setMembers(snapshot *directory.Snapshot) {
 	loop := p.gateway.peerLoop.Load()
 	if loop == nil {
+		p.gateway.retries.AssumeEntries(len(snapshot.Nodes))
 		return
 	}
 	vms := make([]infra.VM, 0, len(snapshot.Nodes))
