--- a/changefeed/changefeed_test.go
+++ b/changefeed/changefeed_test.go
@@ -155,8 +155,8 @@
 func TestAProofCountsFromTheRequest(t *testing.T) {
 	is := is.New(t)
 	random := newWorld(1, 1).random
-	is.True(NewFollower(Config{Name: "a"}, random).nonce != NewFollower(Config{Name: "a"}, random).nonce) // of two processes
-	f := NewFollower(Config{Name: "a", Bound: bound}, random)
+	former, f := NewFollower(Config{Name: "a"}, random), NewFollower(Config{Name: "a", Bound: bound}, random)
+	is.True(f.nonce != former.nonce) // of two processes
 	f.SetMembers([]Member{{Name: "a"}, {Name: "b"}})
 	f.ranked = []candidate{{Member: Member{Name: "b"}}, {Member: Member{Name: "a"}}}
 	f.self = 1
