Responses for changes are checked before they are used

Cause: read again as a newcomer. The age in another entry's response could overflow and prove the future, changes outside the stated range and responses that nobody asked for were applied; a checkpoint over the bound on its length was cut and then decoded. Change: Chunk.Valid and Follower.Remembers decide first, and a counter tells; an over-long checkpoint is refused.

--- a/changefeed/follower.go
+++ b/changefeed/follower.go
@@ -279,11 +279,19 @@
 	f.awaited = nil
 }
 
+// Remembers reports whether a response belongs to one of the last requests.
+func (f *Follower) Remembers(peer string, nonce uint64) bool { return f.remembered(peer, nonce) >= 0 }
+
+// remembered returns the index of a request among those that are remembered, or -1.
+func (f *Follower) remembered(peer string, nonce uint64) int {
+	return slices.IndexFunc(f.asks, func(a ask) bool { return a.nonce == nonce && a.peer == peer })
+}
+
 // Hear handles a chunk of a response. If ok, the caller may call Prove with the time that it returns as
 // soon as it has all changes up to the chunk's last revision. A response to no remembered request is no
 // proof.
 func (f *Follower) Hear(now time.Duration, peer string, nonce uint64, c *Chunk) (provenAt time.Duration, ok bool) {
-	i := slices.IndexFunc(f.asks, func(a ask) bool { return a.nonce == nonce && a.peer == peer })
+	i := f.remembered(peer, nonce)
 	if i < 0 {
 		return 0, false
 	}
--- a/changefeed/log.go
+++ b/changefeed/log.go
@@ -128,6 +128,23 @@
 	OutageAge time.Duration
 }
 
+// Valid reports whether the values of a chunk are possible: no negative ages, and changes that ascend
+// within the chunk's range.
+func (c *Chunk) Valid() bool {
+	if c.Age < 0 || c.OutageAge < 0 {
+		return false
+	}
+	last := c.From
+	for i := range c.Items {
+		revision := c.Items[i].Revision
+		if revision <= c.From || revision > c.To || revision < last {
+			return false
+		}
+		last = revision
+	}
+	return true
+}
+
 // After returns the chunk's changes for an entry that has all changes up to a revision, and the revision
 // that it has with them. They end before the first change whose value is omitted and not known by other
 // means, which is returned too. If ok is false, changes in between are missing.
--- a/gateway/checkpoint.go
+++ b/gateway/checkpoint.go
@@ -127,10 +127,13 @@
 	if err != nil {
 		return 0, nil, errors.WithStack(err)
 	}
-	data, err := io.ReadAll(io.LimitReader(reader, maxCheckpointItemBytes))
+	data, err := io.ReadAll(io.LimitReader(reader, maxCheckpointItemBytes+1))
 	if err != nil {
 		return 0, nil, errors.WithStack(err)
 	}
+	if len(data) > maxCheckpointItemBytes {
+		return 0, nil, errors.Errorf("the checkpoint has over %d bytes", maxCheckpointItemBytes)
+	}
 	var checkpoint wire.Checkpoint
 	if err := proto.Unmarshal(data, &checkpoint); err != nil {
 		return 0, nil, errors.WithStack(err)
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -104,7 +105,7 @@
 func decodeChunk(encoded *wire.FeedResponse) changefeed.Chunk {
 	c := changefeed.Chunk{
 		From: encoded.From, To: encoded.To, Last: encoded.Last, Complete: encoded.Complete, TooOld: encoded.TooOld,
-		Age: time.Duration(encoded.AgeMs) * time.Millisecond, OutageAge: time.Duration(encoded.OutageAgeMs) * time.Millisecond,
+		Age: durationOf(encoded.AgeMs), OutageAge: durationOf(encoded.OutageAgeMs),
 	}
 	for _, i := range encoded.Items {
 		c.Items = append(c.Items, decodeItem(i))
@@ -112,6 +113,14 @@
 	return c
 }
 
+// durationOf returns a duration that another entry states, negative if it is impossibly long.
+func durationOf(ms uint64) time.Duration {
+	if ms > uint64(math.MaxInt64/time.Millisecond) {
+		return -1
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // itemRead is the result of reading an item whose value was omitted.
 type itemRead struct {
 	item  directory.Item
@@ -144,6 +153,10 @@
 // handleResponse applies a chunk of another entry's response.
 func (w *storeWatcher) handleResponse(ctx context.Context, r *feedResponse, reads chan<- itemRead) {
 	now := bootTime()
+	if !w.follower.Remembers(r.from, r.nonce) || !r.chunk.Valid() {
+		w.gateway.metrics.GetOrCreateCounter("aspenyard_gateway_feed_responses_refused_total").Inc()
+		return
+	}
 	provenAt, proves := w.follower.Hear(now, r.from, r.nonce, &r.chunk)
 	if w.needsFullRead || r.chunk.TooOld {
 		return
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -10,8 +10,10 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"aspenyard.example/changefeed"
 	"aspenyard.example/directory"
 	"aspenyard.example/settings"
+	"aspenyard.example/wire"
 )
 
 // recordingSource is a directory.Source that records how long its calls may take.
@@ -155,3 +157,27 @@
 	}
 	is.True(entries*taken <= allowance)
 }
+
+// Guards against a response that nobody asked for, or with an age that overflows, which would make an entry
+// count as current in the future or skip changes.
+func TestImpossibleResponsesAreRefused(t *testing.T) {
+	is := is.New(t)
+	s := settings.Gateway{Name: "g", DataCentre: "d"}
+	s.SetDefaults()
+	w := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()}).newStoreWatcher()
+	w.applyState(&directory.StoreState{Revision: 3}, nil)
+	w.needsFullRead = false
+	w.follower.SetMembers([]changefeed.Member{{Name: "g"}, {Name: "other"}})
+	w.handleResponse(context.Background(), &feedResponse{"other", 7, changefeed.Chunk{From: 3, To: 9, Last: true, Complete: true}}, nil)
+	is.Equal(w.replica.Revision(), uint64(3))
+	peer, nonce, ok := w.follower.Ask(bootTime())
+	is.True(ok)
+	for _, impossible := range []*wire.FeedResponse{
+		{From: 3, To: 9, Last: true, Complete: true, AgeMs: 1 << 63},
+		{From: 3, To: 9, Last: true, Complete: true, Items: []*wire.FeedItem{{Revision: 12}}},
+	} {
+		w.handleResponse(context.Background(), &feedResponse{peer, nonce, decodeChunk(impossible)}, nil)
+		is.Equal(w.replica.Revision(), uint64(3))
+		is.Equal(w.gateway.currentAt.Load(), int64(0))
+	}
+}
