Crash log lines name the shared parts of the request's prompt

Cause: the logs of the incident could not tell whether the requests under which endpoints ended have a part of their prompts in common, as an entry did not read the parts at all. No logic changed.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -68,7 +68,7 @@
 		return
 	}
 	crashes, quarantined := g.quarantine.RecordCrash(time.Now(), f.fingerprint(), uint32(direct.HashEndpoint(e.Incarnation)))
-	f.log.Add("endpoint_crashed", zap.String("endpoint", e.ID), zap.Stringer("fingerprint", f.fingerprint()), zap.Int("crashes", crashes))
+	f.log.Add("endpoint_crashed", zap.String("endpoint", e.ID), zap.Stringer("fingerprint", f.fingerprint()), zap.Int("crashes", crashes), zap.Strings("parts", partNames(f.SharedParts)))
 	g.countCrash(f.service.Name)
 	if quarantined {
 		g.reportQuarantined(f.fingerprint(), "")
@@ -116,3 +116,12 @@
 
 // isConnectionRefused reports whether a dial failed because no process listens at the address.
 func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// partNames returns the names of parts of a prompt as they appear in logs.
+func partNames(parts []PromptPart) []string {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, string(part))
+	}
+	return names
+}
--- a/gateway/header_codec.go
+++ b/gateway/header_codec.go
@@ -19,8 +19,14 @@
 	// PromptTokens is the length of the prompt and OutputTokens the limit of the output, in tokens.
 	// ExpectedOutput is the caller's estimate of the output. 0 if the caller does not say.
 	PromptTokens, OutputTokens, ExpectedOutput int
+	// SharedParts are the parts of the prompt, in order, that other prompts may share. The last part of
+	// a prompt belongs to the request or its session alone and is left out.
+	SharedParts []PromptPart
 }
 
+// PromptPart names a part of a prompt, in hexadecimal lower case without leading zeros.
+type PromptPart string
+
 // Dispatch holds the values that the gateway adds to a request for an endpoint.
 type Dispatch struct {
 	// EndpointID is the ID of the intended endpoint; an endpoint with another ID refuses the
