--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,6 +59,8 @@
 // Run is one request that a worker executed or refused.
 type Run struct {
 	ID, Method, RequestURI, Account, LastEventID, Helpers string
+	// Parts are the parts of the prompt, as sent.
+	Parts string
 	Priority                                              string
 	Body                                                  string
 	DeadlineMS                                            int
@@ -110,7 +113,10 @@
 	// CrashBody is the body of requests that crash the worker when it starts to execute
 	// them; "" means none.
 	CrashBody string
-	// OnCrash is called, unless nil, when CrashBody crashes the worker.
+	// CrashPart is a part of prompts, other than the last one, that crashes the worker when it begins to
+	// write a response; "" means none.
+	CrashPart string
+	// OnCrash is called, unless nil, when a request crashes the worker.
 	OnCrash func()
 	// MemoryTokens is the size of the KV cache for reservations, in tokens; 0 means no
 	// limit.
@@ -361,13 +367,13 @@
 	run.Ran, run.Status = true, http.StatusOK
 	w.addRun(run)
 	if w.CrashBody != "" && run.Body == w.CrashBody {
-		if w.OnCrash != nil {
-			w.OnCrash()
-		}
-		w.Stop()
-		return false
+		return w.crash()
 	}
 	callerGone := watchCaller(reader)
+	if w.CrashPart != "" && hasSharedPart(run.Parts, w.CrashPart) {
+		sleepUnlessGone(w.WorkTime, callerGone)
+		return w.crash()
+	}
 	keepAlive := w.process(conn, headers, run, fault, callerGone)
 	w.finishRun(run, callerGone)
 	if !keepAlive {
@@ -377,11 +383,31 @@
 	return keepAlive
 }
 
+// crash ends the worker as a request does that crashes it. It always returns false: no connection stays
+// open.
+func (w *Worker) crash() bool {
+	if w.OnCrash != nil {
+		w.OnCrash()
+	}
+	w.Stop()
+	return false
+}
+
+// hasSharedPart reports whether a prompt has a part other than its last one. parts are entries ID:TOKENS,
+// separated by commas.
+func hasSharedPart(parts, id string) bool {
+	list := strings.Split(parts, ",")
+	return slices.ContainsFunc(list[:len(list)-1], func(part string) bool {
+		name, _, _ := strings.Cut(part, ":")
+		return name == id
+	})
+}
+
 func newRun(r *http.Request, fault Fault) *Run {
 	deadline, _ := strconv.Atoi(r.Header.Get("X-Aspenyard-Deadline-Ms"))
 	return &Run{
 		ID: r.Header.Get("X-Aspenyard-Attempt-Id"), Method: r.Method, RequestURI: r.RequestURI, Account: r.Header.Get("X-Aspenyard-Tenant"),
-		LastEventID: r.Header.Get("Last-Event-Id"), Helpers: r.Header.Get("X-Aspenyard-Helpers"), Priority: r.Header.Get("X-Aspenyard-Request-Priority"),
+		LastEventID: r.Header.Get("Last-Event-Id"), Helpers: r.Header.Get("X-Aspenyard-Helpers"), Priority: r.Header.Get("X-Aspenyard-Request-Priority"), Parts: r.Header.Get("X-Aspenyard-Prefix-Hash"),
 		DeadlineMS: deadline, Authorization: r.Header.Get("Authorization"), Statements: r.Header.Get(headerLimit) + r.Header.Get(headerLeaving), Fault: fault,
 	}
 }
