Requests whose prompts have a part that crashes endpoints are refused

Cause: a crash was held against endpoints and against copies of the requests in flight there. The requests here are no copies; what they share is one part of their prompts, which no entry related to crashes. Class of fault: a failure is held against what it happened to, and not against what it has in common with others. Ruled out: late news (every entry had known of the first five crashes for four seconds), own repeats alone (150 requests with up to three crashes each). Change: attempt/crashcause. Requests with such a part are refused at once (3023), also while they wait, and before each send. Crashes that a part explains no longer quarantine requests that were in flight.

--- /dev/null
+++ b/attempt/crashcause/main_test.go
@@ -0,0 +1,9 @@
+package crashcause
+
+import (
+	"testing"
+
+	"aspenyard.example/randomtest"
+)
+
+func TestMain(m *testing.M) { randomtest.Main(m) }
--- a/attempt/quarantine.go
+++ b/attempt/quarantine.go
@@ -47,6 +47,9 @@
 	suspects map[Fingerprint]*suspect
 	// scopes counts the suspects by the Scope of their fingerprints.
 	scopes map[uint64]int
+	// explained reports whether a crash of an endpoint's incarnation, given by its hash, has a known cause other
+	// than the requests that were in flight. Such crashes are kept, as the cause may prove to be another.
+	explained func(endpoint uint32) bool
 	// nextReport is the index of the finding at which the next report begins if not all findings
 	// fit into one.
 	nextReport int
@@ -69,9 +72,11 @@
 	local bool
 }
 
-// NewQuarantine returns a quarantine without suspects.
-func NewQuarantine() *Quarantine {
-	return &Quarantine{suspects: map[Fingerprint]*suspect{}, scopes: map[uint64]int{}}
+// NewQuarantine returns a quarantine without suspects. explained reports whether a crash of an endpoint's
+// incarnation, given by its hash, has a known cause other than the requests that were in flight; it must not call
+// the quarantine.
+func NewQuarantine(explained func(endpoint uint32) bool) *Quarantine {
+	return &Quarantine{suspects: map[Fingerprint]*suspect{}, scopes: map[uint64]int{}, explained: explained}
 }
 
 func (s *suspect) quarantined() bool { return len(s.crashes) >= crashesToQuarantine }
@@ -103,10 +108,19 @@
 	if s == nil || !s.quarantined() {
 		return 0
 	}
-	decisive := s.crashes[len(s.crashes)-crashesToQuarantine]
+	crashes := q.unexplained(s)
+	if len(crashes) < crashesToQuarantine {
+		return 0
+	}
+	decisive := crashes[len(crashes)-crashesToQuarantine]
 	return max(decisive.at.Add(findingTTL).Sub(now), 0)
 }
 
+// unexplained returns the crashes of a suspect that have no other known cause, sorted by time.
+func (q *Quarantine) unexplained(s *suspect) []crash {
+	return slices.DeleteFunc(slices.Clone(s.crashes), func(c crash) bool { return q.explained(c.endpoint) })
+}
+
 // RecordCrash records that an endpoint crashed while a request was in flight there; endpoint is
 // the hash of its incarnation. It returns the number of crashes that count for the request, and
 // whether this one put the request into quarantine.
@@ -251,7 +265,7 @@
 	defer q.mu.Unlock()
 	q.expire(now)
 	for _, s := range q.suspects {
-		if s.quarantined() {
+		if s.quarantined() && len(q.unexplained(s)) >= crashesToQuarantine {
 			quarantined++
 		}
 	}
--- a/attempt/quarantine_test.go
+++ b/attempt/quarantine_test.go
@@ -13,6 +13,9 @@
 
 var quarantineStart = time.Now()
 
+// noCause says of every crash that no other cause is known.
+func noCause(uint32) bool { return false }
+
 func fingerprintOf(body string) Fingerprint {
 	return Fingerprint{FingerprintScope("acme", "POST", "front.example", "/a", len(body)), FingerprintBody([]byte(body))}
 }
@@ -37,7 +40,7 @@
 // them.
 func TestTwoCrashesDoNotQuarantine(t *testing.T) {
 	is := is.New(t)
-	q := NewQuarantine()
+	q := NewQuarantine(noCause)
 	is.True(q.Empty())
 	for range 3 { // one incarnation counts once
 		q.RecordCrash(quarantineStart, fingerprintOf("a"), 1)
@@ -57,7 +60,7 @@
 // Guards against refusing a request that is sent often and was in flight at several crashes.
 func TestResponseClearsEarlierCrashes(t *testing.T) {
 	is := is.New(t)
-	q := NewQuarantine()
+	q := NewQuarantine(noCause)
 	q.RecordCrash(quarantineStart, fingerprintOf("a"), 1)
 	q.RecordCrash(quarantineStart, fingerprintOf("a"), 2)
 	q.RecordResponse(quarantineStart.Add(time.Second), fingerprintOf("a"))
@@ -72,7 +75,7 @@
 // Guards against nodes that keep a finding alive by reporting it to each other.
 func TestFindingsExpireOnAllNodesTogether(t *testing.T) {
 	is := is.New(t)
-	a, b := NewQuarantine(), NewQuarantine()
+	a, b := NewQuarantine(noCause), NewQuarantine(noCause)
 	for incarnation := range uint32(3) {
 		a.RecordCrash(quarantineStart, fingerprintOf("a"), incarnation+1)
 	}
@@ -88,7 +91,7 @@
 // without peers.
 func TestCountsLeaveOutExpiredFindings(t *testing.T) {
 	is := is.New(t)
-	q := NewQuarantine()
+	q := NewQuarantine(noCause)
 	for incarnation := range uint32(crashesToQuarantine) {
 		q.RecordCrash(quarantineStart, fingerprintOf("a"), incarnation+1)
 	}
@@ -102,7 +105,7 @@
 // endpoints.
 func TestManySuspectsTakeBoundedMemory(t *testing.T) {
 	is := is.New(t)
-	q := NewQuarantine()
+	q := NewQuarantine(noCause)
 	for incarnation := range uint32(3) {
 		q.RecordCrash(quarantineStart, fingerprintOf("kept"), incarnation+1)
 	}
@@ -127,7 +130,7 @@
 // second crash counts.
 func TestPeerFindingIsForwardedAfterSecondCrash(t *testing.T) {
 	is := is.New(t)
-	q := NewQuarantine()
+	q := NewQuarantine(noCause)
 	q.Merge(quarantineStart, []Finding{{fingerprintOf("a"), 1, 0}})
 	is.Equal(len(q.Findings(quarantineStart, true, 100)), 0)
 	q.RecordCrash(quarantineStart, fingerprintOf("a"), 2)
@@ -141,7 +144,7 @@
 // findings have arrived.
 func TestNodesAgreeOnQuarantine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		nodes := []*Quarantine{NewQuarantine(), NewQuarantine(), NewQuarantine()}
+		nodes := []*Quarantine{NewQuarantine(noCause), NewQuarantine(noCause), NewQuarantine(noCause)}
 		requests := []Fingerprint{fingerprintOf("a"), fingerprintOf("b")}
 		crashedSince := map[Fingerprint]map[uint32]bool{requests[0]: {}, requests[1]: {}}
 		now, incarnations := quarantineStart, uint32(0)
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -222,6 +222,12 @@
 		return fmt.Sprintf("refused before its body was read: %s bytes more than the %s of %s that the entry holds for callers; rank %s", l.text("bytes"), l.text("held_bytes"), l.text("bound_bytes"), fmt.Sprint(l.number("rank")))
 	case "caller_cut":
 		return fmt.Sprintf("the caller was cut off because it is too slow (%s), with %s bytes unwritten", l.text("reason"), l.text("unwritten_bytes"))
+	case "endpoint_crashed":
+		return fmt.Sprintf("%s crashed while it ran the request (fingerprint %s; endpoints crashed under copies of it: %s); parts of its prompt that others share: %s", l.text("endpoint"), l.text("fingerprint"), l.text("crashes"), cmp.Or(l.listText("parts"), "none"))
+	case "quarantine_refused":
+		return fmt.Sprintf("refused: endpoints crashed under copies of the request (fingerprint %s), for another %s", l.text("fingerprint"), l.milliseconds("left_ms"))
+	case "part_refused":
+		return fmt.Sprintf("refused: endpoints crashed under part %s of its prompt (identifier %s), for another %s", l.text("name"), l.text("part"), l.milliseconds("left_ms"))
 	case "caller_lost":
 		return "the caller did not accept the response: " + l.text("error")
 	case "request_ended":
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -46,6 +46,9 @@
 // refuseQuarantined returns the error for a request in quarantine, which must not be sent to an
 // endpoint; nil if it may be sent.
 func (f *forwarding) refuseQuarantined() *result.Error {
+	if failure := f.refuseBlamedPart(); failure != nil {
+		return failure
+	}
 	if !f.isSuspect() {
 		return nil
 	}
@@ -67,6 +70,7 @@
 	if !g.hasCrashed(ctx, e) {
 		return
 	}
+	f.recordPartCrash(e)
 	crashes, quarantined := g.quarantine.RecordCrash(time.Now(), f.fingerprint(), uint32(direct.HashEndpoint(e.Incarnation)))
 	f.log.Add("endpoint_crashed", zap.String("endpoint", e.ID), zap.Stringer("fingerprint", f.fingerprint()), zap.Int("crashes", crashes), zap.Strings("parts", partNames(f.SharedParts)))
 	g.countCrash(f.service.Name)
@@ -81,6 +85,7 @@
 // recordResponse records that an endpoint has answered the call completely: crashes before that no
 // longer count against the request.
 func (f *forwarding) recordResponse() {
+	f.recordPartAnswer()
 	if f.isSuspect() {
 		f.gateway.quarantine.RecordResponse(time.Now(), f.fingerprint())
 	}
@@ -90,9 +95,12 @@
 // heartbeat completed the evidence; it is empty if this entry observed the last crash itself.
 // Entries that observed one of the crashes also write a record to the store.
 func (g *Gateway) reportQuarantined(request attempt.Fingerprint, from string) {
+	if g.quarantine.Remaining(time.Now(), request) == 0 {
+		return // all of its crashes have another cause
+	}
 	g.log.Warn("quarantined", zap.Stringer("fingerprint", request), zap.String("heard_from", from))
 	if endpoints, own := g.quarantine.CrashedEndpoints(request); own {
-		go g.persistQuarantine(quarantineRecord{Scope: request.Scope, Body: request.Body, Endpoints: endpoints})
+		go g.persist(quarantineRecord{Scope: request.Scope, Body: request.Body, Endpoints: endpoints}.record())
 	}
 }
 
@@ -114,6 +122,12 @@
 	return g.prober.connectionRefused(ctx, e)
 }
 
+// endedByCrash reports whether the end of a response that ends with its connection is the end of the endpoint's
+// process, so that the response may be incomplete.
+func (g *Gateway) endedByCrash(ctx context.Context, r *endpointResponse) bool {
+	return r.closeDelimited && g.hasCrashed(ctx, r.endpoint)
+}
+
 // isConnectionRefused reports whether a dial failed because no process listens at the address.
 func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"aspenyard.example/attempt/crashcause"
 	"aspenyard.example/directory"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/wire"
@@ -111,3 +112,14 @@
 	_, items, err := decodeCheckpoint(data)
 	return len(items), err
 }
+
+// ReportPartCrashes simulates that other entries report crashes of endpoints under a part of prompts, enough to
+// refuse it.
+func (g *Gateway) ReportPartCrashes(service string, part PromptPart) {
+	h := &wire.Heartbeat{Node: "peer", Partial: true}
+	for n := range uint32(8) {
+		h.PartIds, h.PartEndpoints = append(h.PartIds, uint64(crashcause.PartOf(service, string(part)))), append(h.PartEndpoints, n+1)
+		h.PartRequests, h.PartPositions, h.PartAgesMs = append(h.PartRequests, n+1), append(h.PartPositions, 1), append(h.PartAgesMs, 200*(n+1))
+	}
+	g.peers.HandleHeartbeat(time.Now(), h)
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -38,6 +38,8 @@
 	budgetTaken bool
 	// lengthRecorded is set once the outcome of a long prompt is recorded.
 	lengthRecorded bool
+	// lastStatus is the status of the last endpoint's response.
+	lastStatus int
 	// failedResponse is the last complete response in which an endpoint reported a failure.
 	failedResponse *bufferedResponse
 	// admitted is set from the admission by priority, in admittedTier, to the first response, and
@@ -61,6 +63,9 @@
 	if c.route.Kind == directory.Streaming {
 		f.relay = &streamRelay{call: c, lastEventID: c.LastEventID}
 	}
+	if failure := f.refuseQuarantined(); failure != nil {
+		return failure
+	}
 	if failure := f.admit(); failure != nil {
 		return failure
 	}
@@ -207,6 +212,7 @@
 	if sendErr != nil {
 		return sendErr.outcome, sendErr
 	}
+	f.lastStatus = response.status
 	f.gateway.observeResponse(response, sentAt)
 	f.observeServed(response, sentAt)
 	f.endBackoffCount(plan.Endpoint, response.status < http.StatusInternalServerError)
@@ -222,9 +228,9 @@
 		return attempt.Broken, errors.Errorf("endpoint answered with status %d when a stream was to be resumed", response.status)
 	}
 	if f.relay != nil && response.status == http.StatusOK {
-		return f.relay.run(response, onFirstEvent, func(pause time.Duration) { f.checkPause(plan, pause) })
+		return f.relay.run(ctx, response, onFirstEvent, func(pause time.Duration) { f.checkPause(plan, pause) })
 	}
-	return f.relayBuffered(response)
+	return f.relayBuffered(ctx, response)
 }
 
 const (
@@ -261,13 +267,14 @@
 var errEndpointWithdrawn = errors.New("an endpoint of the plan takes no requests")
 
 // withdrawn reports whether one of the plan's endpoints has stated that it leaves or requests backoff, as
-// it may do in its response to a reservation, or has been evacuated meanwhile.
+// it may do in its response to a reservation, or has been evacuated meanwhile, or if the request must not be sent
+// because of a part of its prompt.
 func (f *forwarding) withdrawn(plan *direct.Plan) bool {
 	now := time.Now()
 	withdrawn := func(e *directory.EndpointState) bool {
 		return f.gateway.statedLeaving().Contains(e.Incarnation) || f.gateway.loadTracker.Backoffs().InBackoff(now, e.Incarnation)
 	}
-	return f.planEvacuated(plan) || withdrawn(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, withdrawn)
+	return f.planEvacuated(plan) || f.hasBlamedPart() || withdrawn(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, withdrawn)
 }
 
 // streamStarted reports whether the head of a stream's response has been sent to the caller.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 
 	"aspenyard.example/admission"
 	"aspenyard.example/attempt"
+	"aspenyard.example/attempt/crashcause"
 	"aspenyard.example/burn/window"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
@@ -47,6 +48,7 @@
 	retries         *admission.RetryWindow
 	admission       *admissionControl
 	quarantine      *attempt.Quarantine
+	crashCauses     *crashcause.Tracker
 	returns         *admission.Returns
 	capacityAt      atomic.Int64 // when the services' capacity was last updated, in nanoseconds since started
 	pool            *pool
@@ -148,7 +150,8 @@
 		metrics: metrics.NewSet(), loadTracker: loadTracker, policy: direct.NewPolicy(loadTracker, globalRand{}), pool: newPool(), objectives: window.New(), started: time.Now(),
 		stateRead: make(chan struct{}), configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
 	}
-	g.quarantine = attempt.NewQuarantine()
+	g.crashCauses = crashcause.NewTracker()
+	g.quarantine = attempt.NewQuarantine(g.crashCauses.Explained)
 	g.admission = newAdmissionControl(&c.Settings)
 	g.returns = admission.NewReturns(g.started, c.Settings.Name)
 	g.bytes = admission.NewByteAccount(heldBound(c.Settings.MemoryLimit))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -15,6 +15,7 @@
 
 	"aspenyard.example/admission"
 	"aspenyard.example/attempt"
+	"aspenyard.example/attempt/crashcause"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
 	"aspenyard.example/result"
@@ -54,6 +55,8 @@
 	// cachedFingerprint is the request's fingerprint. Each half is computed on first use and is 0
 	// until then.
 	cachedFingerprint attempt.Fingerprint
+	// cachedParts are the identifiers of SharedParts; nil until they are first used.
+	cachedParts []crashcause.Part
 	// cachedReturnKey is the request's return key; 0 until it is first used.
 	cachedReturnKey uint64
 	// returnStatus says whether the caller was refused before and returns when it was told to.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -56,6 +56,7 @@
 		_, quarantined := g.quarantine.Counts(time.Now())
 		return float64(quarantined)
 	})
+	g.registerPartMetrics()
 	g.registerLimitMetrics()
 	g.registerLeavingMetrics()
 	g.registerBackoffMetrics()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -212,6 +212,7 @@
 	appendOutcomes(h, p.gateway.loadTracker.TakeOutcomes(maxHeartbeatOutcomes))
 	appendReturns(h, p.gateway.returns.Reports(now, !h.Partial, maxHeartbeatReturns))
 	appendFindings(h, p.gateway.quarantine.Findings(now, !h.Partial, maxHeartbeatFindings))
+	appendPartFindings(h, p.gateway.crashCauses.Findings(now, !h.Partial, maxHeartbeatFindings))
 	appendOfferedLoads(h, p.gateway.admission.controller.Reports(now, !h.Partial))
 	h.Demands = encodeDemands(p.gateway.loadTracker.Demands(now))
 }
@@ -287,6 +288,7 @@
 	for _, request := range p.gateway.quarantine.Merge(now, decodeFindings(h)) {
 		p.gateway.reportQuarantined(request, h.Node)
 	}
+	p.gateway.reportParts(p.gateway.crashCauses.Merge(now, decodePartFindings(h)), h.Node)
 	if h.Partial {
 		p.gateway.loadTracker.UpdatePeerLoad(now, h.Node, demands, loads)
 		return
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"aspenyard.example/attempt"
@@ -38,15 +37,24 @@
 	return attempt.Fingerprint{Scope: r.Scope, Body: r.Body}
 }
 
-// persistQuarantine writes a record to the store, and gives up after maxRecordWrites tries.
-func (g *Gateway) persistQuarantine(r quarantineRecord) {
+// record returns the record in the form in which the store keeps it.
+func (r quarantineRecord) record() directory.Record {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // cannot happen for these types
+	}
+	return directory.Record{Name: r.fingerprint().String(), Value: value}
+}
+
+// persist writes a record to the store, and gives up after maxRecordWrites tries.
+func (g *Gateway) persist(r directory.Record) {
 	for tries := 1; ; tries++ {
 		err := g.writeRecord(r)
 		switch {
 		case err == nil:
 			return
 		case tries == maxRecordWrites:
-			g.log.Warn("quarantine_not_kept", zap.Stringer("fingerprint", r.fingerprint()), eventlog.Error(err))
+			g.log.Warn("quarantine_not_kept", zap.String("fingerprint", r.Name), eventlog.Error(err))
 			return
 		}
 		time.Sleep(recordRetryInterval)
@@ -54,19 +62,19 @@
 }
 
 // writeRecord tries once to write a record.
-func (g *Gateway) writeRecord(r quarantineRecord) error {
-	value, err := json.Marshal(r)
-	if err != nil {
-		return errors.WithStack(err)
-	}
+func (g *Gateway) writeRecord(r directory.Record) error {
 	ctx, cancel := context.WithTimeout(context.Background(), registryTimeout)
 	defer cancel()
-	return g.registry.CreateRecord(ctx, directory.Record{Name: r.fingerprint().String(), Value: value}, recordTTL)
+	return g.registry.CreateRecord(ctx, r, recordTTL)
 }
 
 // applyQuarantineRecord merges a record from the store into the quarantine. Its crashes count from
 // now on, except for those that are already known.
 func (g *Gateway) applyQuarantineRecord(now time.Time, record *directory.Record) {
+	if isPartRecord(record) {
+		g.applyPartRecord(now, record)
+		return
+	}
 	var r quarantineRecord
 	if err := json.Unmarshal(record.Value, &r); err != nil {
 		g.log.Error("quarantine_record_refused", zap.String("name", record.Name), eventlog.Error(err))
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -142,8 +142,8 @@
 		if len(endpoints) == 0 {
 			return true // there is nothing to wait for: placing refuses the request
 		}
-		if mayStart(now, endpoints) {
-			return true
+		if mayStart(now, endpoints) || f.hasBlamedPart() {
+			return true // a part that is blamed: refused before it is sent
 		}
 		if ctx.Err() != nil || !now.Before(latest) {
 			return false
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -31,8 +32,11 @@
 
 // relayBuffered reads a response completely and then writes it to the caller. A response with
 // status 500 or above is not written but kept in failedResponse.
-func (f *forwarding) relayBuffered(r *endpointResponse) (attempt.SendOutcome, error) {
+func (f *forwarding) relayBuffered(ctx context.Context, r *endpointResponse) (attempt.SendOutcome, error) {
 	body, err := f.readResponse(r.body, r.length)
+	if err == nil && f.gateway.endedByCrash(ctx, r) {
+		err = errEndedByCrash
+	}
 	if err != nil {
 		r.abandon()
 		return attempt.Broken, errors.Wrap(err, "read response body")
@@ -113,16 +117,20 @@
 
 var (
 	errTruncatedEvent = errors.New("stream ended within an event")
+	errEndedByCrash   = errors.New("endpoint ended with the response's connection")
 	errCallerWrite    = errors.New("write to the caller failed")
 )
 
 // run relays one endpoint's stream to its end. It calls onFirstEvent at the first event, which shows
 // that the prompt's prefill is complete, and onPause with the time between two events.
-func (s *streamRelay) run(r *endpointResponse, onFirstEvent func(), onPause func(pause time.Duration)) (attempt.SendOutcome, error) {
+func (s *streamRelay) run(ctx context.Context, r *endpointResponse, onFirstEvent func(), onPause func(pause time.Duration)) (attempt.SendOutcome, error) {
 	var previous time.Time
 	reader := bufio.NewReaderSize(r.body, readBufferSize)
 	for {
 		event, id, err := readEvent(reader)
+		if err == io.EOF && s.gateway.endedByCrash(ctx, r) {
+			err = errEndedByCrash
+		}
 		if err == io.EOF {
 			r.finish()
 			if !s.headSent {
--- a/gateway/responses_test.go
+++ b/gateway/responses_test.go
@@ -35,6 +35,31 @@
 	is.True(run.DeadlineMS > 0 && run.DeadlineMS <= 15000)
 }
 
+// Guards against passing on as complete a response that ends with its connection because the endpoint crashed.
+func TestAResponseThatEndsWithItsEndpointIsNotComplete(t *testing.T) {
+	for _, path := range []string{"/stream/a", "/again/a"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			crashing, sound := plainWorker(), plainWorker()
+			if path == "/stream/a" {
+				crashing, sound = streamingWorker(6), streamingWorker(6)
+			}
+			s := newFixture(t, crashing, sound).start()
+			crashing.SetDefaultFault(standin.FaultUnframedCrash)
+			for i := 0; s.sumMetric("aspenyard_gateway_crashes_total") == 0; i++ {
+				id := fmt.Sprint("q", i)
+				got := s.post(path, id)
+				is.NoErr(got.err)
+				want := standin.PlainResponse(id)
+				if path == "/stream/a" {
+					want = standin.StreamText(id, 6)
+				}
+				is.Equal(got.body, want)
+			}
+		})
+	}
+}
+
 func TestAStreamIsRelayedCompletely(t *testing.T) {
 	is := is.New(t)
 	s := newFixture(t, streamingWorker(20)).start()
--- a/result/result.go
+++ b/result/result.go
@@ -64,6 +64,7 @@
 	NotAdmitted        Code = 3020
 	OutsideRegions     Code = 3021
 	EntryFull          Code = 3022
+	PartQuarantined    Code = 3023
 
 	DeadlineExceeded Code = 4001
 	OutcomeUnknown   Code = 4002
--- a/result/table.go
+++ b/result/table.go
@@ -46,6 +46,7 @@
 	{NoPower, "no_power", http.StatusServiceUnavailable, "The power granted to the endpoint does not allow more work.", "Send the request again after Retry-After."},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, "The node has no catalogue or configuration yet, or one that may be out of date.", "Send the request again after Retry-After."},
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, "Endpoints crashed while they ran earlier copies of this request.", "Do not send the request again before Retry-After; give the operators the fingerprint from the log."},
+	{PartQuarantined, "part_quarantined", http.StatusServiceUnavailable, "Endpoints crashed while they ran earlier requests with a part of this prompt.", "Do not send prompts with the part before Retry-After; give the operators the request ID, by which the log names the part."},
 	{EndpointsLimited, "endpoints_limited", http.StatusServiceUnavailable, "All endpoints of the service state a limit of requests per second, and it is used up.", "Send the request again after Retry-After."},
 	{EndpointsInBackoff, "endpoints_in_backoff", http.StatusServiceUnavailable, "All endpoints of the service have refused requests and stated for how long they want no others.", "Send the request again after Retry-After."},
 	{Evacuated, "evacuated", http.StatusServiceUnavailable, "All endpoints that could serve the request are in data centres that are being evacuated.", "Send the request again after Retry-After; ask the operators when the evacuation ends."},
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -50,6 +50,9 @@
 	case FaultUnframed:
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+headers+serverStamp+"Connection: close\r\n\r\n"+body)
 		return false
+	case FaultUnframedCrash:
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+headers+serverStamp+"Connection: close\r\n\r\n"+body[:len(body)/2])
+		return w.crash()
 	case FaultNoServerStamp:
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", headers, len(body), body)
 	case FaultGarbage:
@@ -69,7 +72,7 @@
 	case FaultError, FaultReset, FaultHang, FaultGarbage, FaultUnmarkedRefusal:
 		return w.sendPlain(conn, headers, run, fault, callerGone)
 	}
-	chunked := fault != FaultUnframed && fault != FaultTruncatedUnframed
+	chunked := fault != FaultUnframed && fault != FaultTruncatedUnframed && fault != FaultUnframedCrash
 	framing := "Transfer-Encoding: chunked\r\n"
 	if !chunked {
 		framing = "Connection: close\r\n"
@@ -91,6 +94,9 @@
 		if truncate {
 			return false
 		}
+		if fault == FaultUnframedCrash && n == lastEventID+2 {
+			return w.crash()
+		}
 		interval := w.EventInterval
 		if fault == FaultSlow {
 			interval = time.Second
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -40,6 +40,9 @@
 	// FaultUnframed sends no length and no chunks: the end of the connection ends the
 	// response.
 	FaultUnframed Fault = "unframed"
+	// FaultUnframedCrash ends the worker in a response without a length or chunks: between two events of a
+	// stream, or in the middle of a plain body.
+	FaultUnframedCrash Fault = "unframed-crash"
 	// FaultNoServerStamp leaves out the server stamp.
 	FaultNoServerStamp Fault = "unsigned"
 	// FaultGarbage sends bytes that are not an HTTP response.
