A watcher that asks another entry draws among the others only

Cause: TestImpossibleResponsesAreRefused failed once in a whole run of gateway's tests. The only watcher asks an entry drawn from all, itself included, three times at most: with two entries it draws itself each time in one of eight, and nobody is asked until the next turn. Change: the draw leaves the entry itself out.

--- a/changefeed/follower.go
+++ b/changefeed/follower.go
@@ -263,8 +263,11 @@
 		return best.Name
 	}
 	for range maxAsks {
-		i := f.random.IntN(len(f.ranked))
-		if i != f.self && !f.avoided(now, f.ranked[i].Name) {
+		i := f.random.IntN(len(f.ranked) - 1) // among the others; Ask is not reached without any
+		if i >= f.self {
+			i++
+		}
+		if !f.avoided(now, f.ranked[i].Name) {
 			return f.ranked[i].Name
 		}
 	}
