A part that all prompts share is not refused for what other parts do

What callers would have seen: every request of a service refused. Cause: the part with most crashes was blamed first. While several parts crash endpoints the one that all prompts share has the most, and once it is blamed nothing with it is sent, so that nothing can show that it is sound. Change: parts further back in the prompts, which fewer share, are blamed first; an answered part needs 12 crashes over 5 s, and is not blamed if all of the last 20 requests of its service have it. A blamed part is tried by single requests: one at each entry with a probability of one in the number of entries, 0.5 to 2 s after the crash that decided; later one entry, after 1 and 10 minutes, or 5 s, 20 s, 1 and 10 minutes for a part that was answered before. A trial that told nothing is repeated. The soak checks both of the users' rules: sends after the fifth crash (BUDGET), and refusals of sound prompts from twice that time on (LOST).

--- a/attempt/crashcause/crashcause.go
+++ b/attempt/crashcause/crashcause.go
@@ -1,7 +1,7 @@
 // Package crashcause determines which parts of prompts make endpoints crash. Every request that is in flight
 // when an endpoint crashes is a possible cause, with every part that its prompt shares with others. Nodes
-// exchange what they observed; each then looks for the fewest parts that explain the crashes, so that parts
-// which were only present beside the cause are not blamed. The package does no I/O and reads no clock: the
+// exchange what they observed; each then looks for parts that explain the crashes, those further back in the
+// prompts first, which fewer prompts share, so that parts which were only present beside a cause are not blamed. The package does no I/O and reads no clock: the
 // time is an argument.
 package crashcause
 
@@ -49,9 +49,11 @@
 	// momentsToBlame the number of distinct moments at which they did: the loss of a rack, which ends many
 	// endpoints at once, is one moment.
 	crashesToBlame, momentsToBlame = 4, 3
-	// A part that has been answered is blamed only after that many crashes since its last answer: it is shared
-	// by sound requests, and a cause does not let any request be answered unless it has changed.
+	// A part that has been answered is blamed only after that many crashes since its last answer, the first and the
+	// last that far apart: it is shared by sound requests, and while other parts crash many endpoints none of these
+	// may be answered.
 	crashesToBlameAnswered, momentsToBlameAnswered = 12, 6
+	spanToBlameAnswered                            = 5 * time.Second
 	// otherCrashesToBlame is how many of these crashes must have been under other requests than the one with
 	// the most: copies of a single request may crash endpoints for another reason than the part.
 	otherCrashesToBlame = 2
@@ -73,6 +75,20 @@
 	// announceFor is for how long what is new about a part is in every report and not only in full ones, since
 	// several reports may be lost.
 	announceFor = 500 * time.Millisecond
+	// A part is tried by single requests while it is blamed, since one that is shared by all prompts looks like a
+	// cause while several other parts crash endpoints. Each entry may try it once between earlyTrialFrom and
+	// earlyTrialTo after the crash by which it was blamed, and one entry at each of lateTrials after it.
+	earlyTrialFrom, earlyTrialTo = 500 * time.Millisecond, 2 * time.Second
+	// requestsCompared is how many of a service's last requests are compared: an answered part that all of them
+	// have cannot be told from the service itself, and is not blamed.
+	requestsCompared = 20
 	// expiryInterval is the time between two removals of expired findings.
 	expiryInterval = time.Second
 )
+
+// lateTrials are the times from the crash by which a part was blamed to its later trials, lateTrialsAnswered those of
+// a part that was answered before it was blamed.
+var (
+	lateTrials         = []time.Duration{time.Minute, 10 * time.Minute}
+	lateTrialsAnswered = []time.Duration{5 * time.Second, 20 * time.Second, time.Minute, 10 * time.Minute}
+)
--- a/attempt/crashcause/explain.go
+++ b/attempt/crashcause/explain.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// explain chooses the parts to blame: again and again the part that explains most of the crashes that are left,
-// as long as one has enough of them. It depends on the findings alone, so that nodes with the same findings
+// explain chooses the parts to blame: again and again one that explains enough of the crashes that are left. It depends on the findings alone, so that nodes with the same findings
 // blame the same parts.
 func (t *Tracker) explain() {
 	var strong []*suspect
@@ -34,6 +33,7 @@
 type evidence struct {
 	*suspect
 	crashes, moments int
+	last             time.Time
 	// others is the number of crashes under other requests than the one with the most crashes.
 	others int
 }
@@ -43,7 +43,7 @@
 	var candidates []evidence
 	for _, s := range suspects {
 		e := t.unexplained(s)
-		if crashes, moments := s.threshold(); e.crashes >= crashes && e.moments >= moments && e.others >= otherCrashesToBlame {
+		if e.suffices() && (s.answered.IsZero() || !t.isInAll(s.part)) {
 			candidates = append(candidates, e)
 		}
 	}
@@ -53,15 +53,18 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	most := slices.MaxFunc(candidates, func(a, b evidence) int { return cmp.Compare(a.moments, b.moments) }).moments
-	// A single moment more may have another cause. Among parts that always come together the one further back
-	// is blamed: the others are shared by more requests.
-	candidates = slices.DeleteFunc(candidates, func(e evidence) bool { return e.moments < most-1 })
 	return slices.MaxFunc(candidates, func(a, b evidence) int {
 		return cmp.Or(cmp.Compare(a.position, b.position), cmp.Compare(a.moments, b.moments), cmp.Compare(a.crashes, b.crashes), cmp.Compare(b.part, a.part))
 	}).suspect
 }
 
+// suffices returns whether the evidence is enough to blame a part.
+func (e *evidence) suffices() bool {
+	crashes, moments := e.threshold()
+	enough := e.crashes >= crashes && e.moments >= moments && e.others >= otherCrashesToBlame
+	return enough && (e.answered.IsZero() || e.last.Sub(e.firstCrash) >= spanToBlameAnswered)
+}
+
 // unexplained counts the crashes of a suspect, and their moments, that no blamed part explains.
 func (t *Tracker) unexplained(s *suspect) evidence {
 	e := evidence{suspect: s}
@@ -71,6 +74,7 @@
 		if t.explained[c.endpoint] {
 			continue
 		}
+		e.last = c.at
 		e.crashes++
 		byRequest[c.request]++
 		most = max(most, byRequest[c.request])
--- a/attempt/crashcause/tracker.go
+++ b/attempt/crashcause/tracker.go
@@ -22,6 +22,10 @@
 	blamed    map[Part]bool
 	explained map[uint32]bool
 	expiredAt time.Time
+	// requests holds the parts of the last requests to each service.
+	requests map[string][][]Part
+	// rank is the index of this node among the nodes that exchange findings, nodes their number.
+	rank, nodes int
 	// nextReport is the index at which the next report begins if not all findings fit into one.
 	nextReport int
 }
@@ -33,9 +37,16 @@
 	crashes []crash
 	// answered is when the part was last answered completely, or zero. Crashes before it do not count.
 	answered time.Time
+	// firstCrash is the time of the first crash since then, which may not be kept any more.
+	firstCrash time.Time
 	// position is the smallest index that the part has had in a prompt. A part further back is shared by fewer
 	// requests.
 	position uint8
+	// blamedSince is the time of the crash by which the part was blamed; earlyTried is set once this node has tried
+	// it since, and lateTried is the number of later trials.
+	blamedSince time.Time
+	earlyTried  bool
+	lateTried   int
 	// announceUntil is until when all reports have what is known of the part.
 	announceUntil time.Time
 }
@@ -59,7 +70,7 @@
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
-	return &Tracker{suspects: map[Part]*suspect{}, answered: answered, blamed: map[Part]bool{}, explained: map[uint32]bool{}}
+	return &Tracker{suspects: map[Part]*suspect{}, answered: answered, blamed: map[Part]bool{}, explained: map[uint32]bool{}, requests: map[string][][]Part{}, nodes: 1}
 }
 
 // Blamed returns the first of a request's parts that is blamed, and for how long it remains so without further
@@ -119,6 +130,24 @@
 	return t.update(now)
 }
 
+// RecordRequest records a request to a service, with the parts of its prompt.
+func (t *Tracker) RecordRequest(service string, parts []Part) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last := append(t.requests[service], parts)
+	t.requests[service] = last[max(len(last)-requestsCompared, 0):]
+}
+
+// isInAll returns whether all of a service's last requests have a part. The part is that of one service.
+func (t *Tracker) isInAll(part Part) bool {
+	for _, last := range t.requests {
+		if len(last) == requestsCompared && !slices.ContainsFunc(last, func(parts []Part) bool { return !slices.Contains(parts, part) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // IsSuspect returns whether an endpoint has crashed under one of the parts.
 func (t *Tracker) IsSuspect(parts []Part) bool {
 	t.mu.Lock()
@@ -130,6 +159,22 @@
 func (t *Tracker) Merge(now time.Time, findings []Finding) Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.merge(now, findings)
+}
+
+// MergeStored adds findings that were stored before this node started. Others may have tried the part by then, so
+// this node does not do so at once.
+func (t *Tracker) MergeStored(now time.Time, findings []Finding) Changes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changes := t.merge(now, findings)
+	for _, part := range changes.Blamed {
+		t.suspects[part].earlyTried = true
+	}
+	return changes
+}
+
+func (t *Tracker) merge(now time.Time, findings []Finding) Changes {
 	changed := false
 	for _, f := range findings {
 		at := now.Add(-f.Age)
@@ -168,6 +213,9 @@
 	if !c.at.After(s.answered) {
 		return false
 	}
+	if len(s.crashes) == 0 || c.at.Before(s.firstCrash) {
+		s.firstCrash = c.at
+	}
 	s.crashes = append(s.crashes, c)
 	slices.SortFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
 	s.crashes = s.crashes[max(len(s.crashes)-maxCrashesKept, 0):]
@@ -195,6 +243,9 @@
 	}
 	s.answered = at
 	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return !c.at.After(at) })
+	if len(s.crashes) > 0 {
+		s.firstCrash = s.crashes[0].at
+	}
 	return mayChange
 }
 
@@ -277,6 +328,10 @@
 	}
 	slices.Sort(changes.Blamed)
 	slices.Sort(changes.Cleared)
+	for _, part := range changes.Blamed {
+		s := t.suspects[part]
+		s.blamedSince, s.earlyTried, s.lateTried = s.lastFindingAt(), false, 0
+	}
 	for _, part := range slices.Concat(changes.Blamed, changes.Cleared) {
 		if s := t.suspects[part]; s != nil {
 			s.announceUntil = now.Add(announceFor)
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -228,6 +228,8 @@
 		return fmt.Sprintf("refused: endpoints crashed under copies of the request (fingerprint %s), for another %s", l.text("fingerprint"), l.milliseconds("left_ms"))
 	case "part_refused":
 		return fmt.Sprintf("refused: endpoints crashed under part %s of its prompt (identifier %s), for another %s", l.text("name"), l.text("part"), l.milliseconds("left_ms"))
+	case "part_tried":
+		return fmt.Sprintf("sent once although endpoints crashed under a part of its prompt (identifier %s), to find out whether it is the cause", l.text("part"))
 	case "caller_lost":
 		return "the caller did not accept the response: " + l.text("error")
 	case "request_ended":
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -38,6 +38,9 @@
 	budgetTaken bool
 	// lengthRecorded is set once the outcome of a long prompt is recorded.
 	lengthRecorded bool
+	// onTrial is set if the request is sent once although a part of its prompt is blamed for crashes.
+	// trialDecided is set once it was answered, or its endpoint crashed.
+	onTrial, trialDecided bool
 	// lastStatus is the status of the last endpoint's response.
 	lastStatus int
 	// failedResponse is the last complete response in which an endpoint reported a failure.
@@ -63,6 +66,8 @@
 	if c.route.Kind == directory.Streaming {
 		f.relay = &streamRelay{call: c, lastEventID: c.LastEventID}
 	}
+	c.gateway.crashCauses.RecordRequest(c.service.Name, c.sharedParts())
+	defer f.endTrial()
 	if failure := f.refuseQuarantined(); failure != nil {
 		return failure
 	}
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -29,12 +29,12 @@
 	return c.cachedParts
 }
 
-// hasBlamedPart reports whether the call's prompt has a part that is blamed for crashes.
-func (c *call) hasBlamedPart() bool {
-	if len(c.SharedParts) == 0 {
+// hasBlamedPart reports whether the request must not be sent because of a part that is blamed for crashes.
+func (f *forwarding) hasBlamedPart() bool {
+	if len(f.SharedParts) == 0 || f.onTrial {
 		return false
 	}
-	_, remaining := c.gateway.crashCauses.Blamed(time.Now(), c.sharedParts())
+	_, remaining := f.gateway.crashCauses.Blamed(time.Now(), f.sharedParts())
 	return remaining > 0
 }
 
@@ -45,7 +45,12 @@
 		return nil
 	}
 	part, remaining := f.gateway.crashCauses.Blamed(time.Now(), f.sharedParts())
-	if remaining == 0 {
+	if remaining == 0 || f.onTrial && f.retrier.Arrivals() == 0 {
+		return nil
+	}
+	if f.retrier.Arrivals() == 0 && f.gateway.crashCauses.TakeTrial(time.Now(), f.sharedParts(), globalRand{}.Float64()) {
+		f.onTrial = true
+		f.log.Add("part_tried", zap.String("part", formatPart(part)))
 		return nil
 	}
 	name := string(f.SharedParts[slices.Index(f.sharedParts(), part)])
@@ -56,11 +61,19 @@
 	return result.Refuse(result.PartQuarantined, remaining, "endpoints crashed under part %s of this prompt", name)
 }
 
+// endTrial returns a trial that has told nothing.
+func (f *forwarding) endTrial() {
+	if f.onTrial && !f.trialDecided {
+		f.gateway.crashCauses.ReturnTrial(time.Now(), f.sharedParts())
+	}
+}
+
 // recordPartCrash records against the parts of the call's prompt that an endpoint crashed.
 func (f *forwarding) recordPartCrash(e *directory.EndpointState) {
 	if len(f.SharedParts) == 0 {
 		return
 	}
+	f.trialDecided = true
 	fingerprint := f.fingerprint()
 	request := uint32(fingerprint.Scope ^ fingerprint.Body)
 	changes := f.gateway.crashCauses.RecordCrash(time.Now(), f.sharedParts(), uint32(direct.HashEndpoint(e.Incarnation)), request)
@@ -72,6 +85,7 @@
 	if len(f.SharedParts) == 0 || f.lastStatus != http.StatusOK {
 		return
 	}
+	f.trialDecided = true
 	f.gateway.reportParts(f.gateway.crashCauses.RecordAnswer(time.Now(), f.sharedParts()), "")
 }
 
@@ -145,7 +159,7 @@
 		age := max(now.Sub(time.UnixMilli(c.AtUnixMilli)), 0) // the clocks of VMs differ
 		findings = append(findings, crashcause.Finding{Part: crashcause.Part(r.Part), Endpoint: c.Endpoint, Request: c.Request, Position: r.Position, Age: age})
 	}
-	g.reportParts(g.crashCauses.Merge(now, findings), heardFromStore)
+	g.reportParts(g.crashCauses.MergeStored(now, findings), heardFromStore)
 }
 
 // isPartRecord reports whether a record is that of a part of prompts.
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -131,7 +131,7 @@
 	c.requestCount++
 	req := &Request{ID: fmt.Sprintf("%s-%d", c.name, c.requestCount), Route: route, Gateway: c.gateway.name, Incarnation: c.gateway.currentIncarnation(), Deadline: shortDeadline}
 	req.RequestURI = fmt.Sprintf("/%s/%s?n=%d", route.Name, req.ID, c.requestCount)
-	req.Body = "body of " + req.ID
+	req.Body, req.Parts = "body of "+req.ID, promptOf(req.ID, commonPart)
 	req.APIKey = []string{keyPlain, keyPlain, keyPerEdit, keyGuest}[c.rand.IntN(4)]
 	if c.rand.IntN(longDeadlineOneIn) == 0 {
 		req.Deadline = longDeadline
@@ -173,7 +173,7 @@
 // setHeaders sets the headers that callers send, and some that callers must not set and gateways
 // must replace.
 func (c *caller) setHeaders(h http.Header, req *Request) {
-	call := platform.CallHeaders{ID: req.ID, APIKey: req.APIKey, Deadline: req.Deadline, PromptTokens: req.Route.PromptTokens, OutputTokens: outputTokens}
+	call := platform.CallHeaders{ID: req.ID, APIKey: req.APIKey, Deadline: req.Deadline, PromptTokens: req.Route.PromptTokens, OutputTokens: outputTokens, Parts: req.Parts}
 	call.SetHeaders(h)
 	platform.SetForgedHeaders(h)
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -33,6 +33,8 @@
 	{"BUDGET", false, checkAttemptLimit},
 	{"BUDGET", false, checkRetryBudget},
 	{"BUDGET", false, checkCrashingRequests},
+	{"BUDGET", false, checkCrashingParts},
+	{"LOST", false, checkSoundPartsServed},
 	{"BUDGET", false, checkStatedBackoffs},
 	{"BUDGET", true, checkDeadlines},
 	{"LIMIT", false, checkReservationsUsedOnce},
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -145,6 +145,23 @@
 			req.Body, run.Body = crashBody, crashBody
 		}
 	}},
+	"prompts with a crashing part are sent on": {"BUDGET", func(r *Record) {
+		for i := range 12 {
+			req, run := r.addServed(fmt.Sprint("q", i), onceRoute, 50+float64(i))
+			req.Parts = promptOf(req.ID, commonPart, crashPart+"1")
+			run.Parts = req.Parts
+		}
+	}},
+	"prompts beside a crashing part are refused": {"LOST", func(r *Record) {
+		for i := range crashesToRefusePart {
+			req, run := r.addServed(fmt.Sprint("q", i), onceRoute, 50)
+			req.Parts = promptOf(req.ID, commonPart, crashPart+"1")
+			run.Parts = req.Parts
+		}
+		req, _ := r.addServed("r", onceRoute, 57)
+		req.Status, req.HasServerStamp, req.ResponseBody = 503, false, partRefusal
+		r.Arrivals = r.Arrivals[:len(r.Arrivals)-1]
+	}},
 	"deadline extended": {"BUDGET", func(r *Record) {
 		for i := range 30 {
 			_, run := r.addServed(string(rune('a'+i)), onceRoute, 50)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,6 +26,7 @@
 	kindEndpointLink = "endpoint-link"
 
 	kindCrashingRequest = "crashing-request"
+	kindCrashingPart    = "crashing-part"
 	kindEvacuation      = "data-centre-evacuated"
 )
 
@@ -71,6 +72,7 @@
 		{"slow-callers", 3, addSlowCallers},
 		{"endpoint-cold", 4, warmUpEndpoint},
 		{kindWatchers, 3, disturbWatchers},
+		{kindCrashingPart, 3, sendCrashingParts},
 	}
 }
 
--- a/soak/record.go
+++ b/soak/record.go
@@ -43,8 +43,10 @@
 	Incarnation int
 	// RequestURI, Body, APIKey and Deadline are what the caller sent.
 	RequestURI, Body, APIKey string
-	Deadline                 time.Duration
-	SentAt                   time.Time
+	// Parts are the parts of the prompt, entries ID:TOKENS separated by commas.
+	Parts    string
+	Deadline time.Duration
+	SentAt   time.Time
 	// EndedAt is when the response was complete, the connection broke or the caller cancelled.
 	EndedAt time.Time
 	// Cancelled is set if the caller cancelled the request or its deadline passed.
--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -20,6 +20,7 @@
 	headerDeadline  = "X-Aspenyard-Deadline-Ms"
 	headerTokens    = "X-Aspenyard-Token-Usage"
 	headerModel     = "X-Aspenyard-Model"
+	headerParts     = "X-Aspenyard-Prefix-Hash"
 	headerStamp     = "X-Aspenyard-Server-Stamp"
 	headerTenant    = "X-Aspenyard-Tenant"
 	headerHelpers   = "X-Aspenyard-Helpers"
@@ -32,6 +33,8 @@
 	Deadline   time.Duration
 	// PromptTokens and OutputTokens are sent, with a model name, unless PromptTokens is 0.
 	PromptTokens, OutputTokens int
+	// Parts are the parts of the prompt, entries ID:TOKENS separated by commas; "" if the caller does not say.
+	Parts string
 }
 
 // SetHeaders sets the headers of a caller's request.
@@ -43,6 +46,9 @@
 		h.Set(headerModel, "m")
 		h.Set(headerTokens, fmt.Sprintf("%d,%d", c.PromptTokens, c.OutputTokens))
 	}
+	if c.Parts != "" {
+		h.Set(headerParts, c.Parts)
+	}
 }
 
 // SetForgedHeaders sets headers that only nodes may set, as a malicious caller could.
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -63,10 +63,10 @@
 type Run struct {
 	ID, Method, RequestURI, Account, LastEventID, Helpers string
 	// Parts are the parts of the prompt, as sent.
-	Parts string
-	Priority                                              string
-	Body                                                  string
-	DeadlineMS                                            int
+	Parts      string
+	Priority   string
+	Body       string
+	DeadlineMS int
 	// Authorization is the caller's header, which a gateway must not forward. Statements are the
 	// values of headers in which only workers make statements.
 	Authorization, Statements string
@@ -116,8 +116,8 @@
 	// CrashBody is the body of requests that crash the worker when it starts to execute
 	// them; "" means none.
 	CrashBody string
-	// CrashPart is a part of prompts, other than the last one, that crashes the worker when it begins to
-	// write a response; "" means none.
+	// CrashPart begins the names of the parts of prompts, other than the last one, that crash the worker when
+	// it begins to write a response; "" means none.
 	CrashPart string
 	// OnCrash is called, unless nil, when a request crashes the worker.
 	OnCrash func()
@@ -396,21 +396,18 @@
 	return false
 }
 
-// hasSharedPart reports whether a prompt has a part other than its last one. parts are entries ID:TOKENS,
-// separated by commas.
-func hasSharedPart(parts, id string) bool {
+// hasSharedPart reports whether a prompt has a part, other than its last one, whose name begins with prefix.
+// parts are entries ID:TOKENS, separated by commas.
+func hasSharedPart(parts, prefix string) bool {
 	list := strings.Split(parts, ",")
-	return slices.ContainsFunc(list[:len(list)-1], func(part string) bool {
-		name, _, _ := strings.Cut(part, ":")
-		return name == id
-	})
+	return slices.ContainsFunc(list[:len(list)-1], func(part string) bool { return strings.HasPrefix(part, prefix) })
 }
 
 func newRun(r *http.Request, fault Fault) *Run {
 	deadline, _ := strconv.Atoi(r.Header.Get("X-Aspenyard-Deadline-Ms"))
 	return &Run{
 		ID: r.Header.Get("X-Aspenyard-Attempt-Id"), Method: r.Method, RequestURI: r.RequestURI, Account: r.Header.Get("X-Aspenyard-Tenant"),
-		LastEventID: r.Header.Get("Last-Event-Id"), Helpers: r.Header.Get("X-Aspenyard-Helpers"), Priority: r.Header.Get("X-Aspenyard-Request-Priority"), Parts: r.Header.Get("X-Aspenyard-Prefix-Hash"),
+		LastEventID: r.Header.Get("Last-Event-Id"), Helpers: r.Header.Get("X-Aspenyard-Helpers"), Priority: r.Header.Get("X-Aspenyard-Request-Priority"), Parts: r.Header.Get(headerParts),
 		DeadlineMS: deadline, Authorization: r.Header.Get("Authorization"), Statements: r.Header.Get(headerLimit) + r.Header.Get(headerLeaving), Fault: fault,
 	}
 }
