--- a/gateway/prompt_parts_test.go
+++ b/gateway/prompt_parts_test.go
@@ -92,7 +92,10 @@
 func TestEntriesThatSawNoCrashRefuseThePart(t *testing.T) {
 	is := is.New(t)
 	first, second := twoGateways(t, partWorkers(16)...)
+	first.store.SetFaults(standin.StoreFaults{RefuseStatus: http.StatusServiceUnavailable}) // heartbeats alone report it
 	first.crashUntilRefused()
+	second.waitFor("the part is refused", func() bool { return second.sumMetric("aspenyard_gateway_quarantined_parts ") == 1 })
+	first.store.SetFaults(standin.StoreFaults{})
 	third := newFixture(t)
 	third.store, third.version = first.store, first.version
 	third.enablePeers()
