An entry short of a resource closes new connections unread while others have room

The platform may hand most new channels of a zone or a geo to one entry; there requests were read and refused by urgency (503, come back after 0.3 s), although every other entry was idle. Change: heartbeats report what is asked of the resource that an entry is shortest of. An entry asked for p times what it has closes all but one in p new connections before it reads anything, if half of the other entries that it hears have room; callers then try another entry at once. The first request on a connection that was kept is not refused for the same reason once more. Where no other entry has room, and on connections that are kept open, requests are refused by urgency as before. Not measured: an entry whose processor is busy enough that it accepts late.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -87,6 +87,10 @@
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	for err == nil && l.server.shedConnection() {
+		_ = conn.Close()
+		conn, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -94,6 +98,7 @@
 	g := l.server.gateway
 	backlog := newBacklogConn(g, conn)
 	caller := &callerConn{Conn: l.server.conns.Track(backlog), backlog: backlog, gateway: g}
+	caller.admitted = g.shedding.OthersHaveRoom(time.Now())
 	if g.pressure.callersOverLimit() {
 		if caller.overLimit = !l.server.conns.CloseLongestIdle(); !caller.overLimit {
 			g.metrics.GetOrCreateCounter("aspenyard_gateway_idle_callers_closed_total").Inc()
@@ -112,6 +117,9 @@
 	// overLimit is set if callers had too many connections when this one was accepted and none was idle. Its
 	// first request is refused. Only the server's goroutine for this connection uses it.
 	overLimit bool
+	// admitted is set if connections like this one are closed unread where the entry lacks a resource, so that the
+	// first request on it is not refused for that. Only the server's goroutine for this connection uses it.
+	admitted bool
 	// headTimedOut is set when a part of a request's head was read and the rest did not arrive
 	// in time.
 	headTimedOut atomic.Bool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	admission       *admissionControl
 	quarantine      *attempt.Quarantine
 	crashCauses     *crashcause.Tracker
+	shedding        *admission.ConnectionShedding
 	returns         *admission.Returns
 	capacityAt      atomic.Int64 // when the services' capacity was last updated, in nanoseconds since started
 	pool            *pool
@@ -150,7 +151,7 @@
 		metrics: metrics.NewSet(), loadTracker: loadTracker, policy: direct.NewPolicy(loadTracker, globalRand{}), pool: newPool(), objectives: window.New(), started: time.Now(),
 		stateRead: make(chan struct{}), configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
 	}
-	g.crashCauses = crashcause.NewTracker()
+	g.crashCauses, g.shedding = crashcause.NewTracker(), admission.NewConnectionShedding()
 	g.quarantine = attempt.NewQuarantine(g.crashCauses.Explained)
 	g.admission = newAdmissionControl(&c.Settings)
 	g.returns = admission.NewReturns(g.started, c.Settings.Name)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -204,6 +204,7 @@
 		h.SlowPercents = append(h.SlowPercents, uint32(s.Slowdown*percent))
 	}
 	h.SentUptimeMs = uint64(time.Since(p.gateway.started).Milliseconds())
+	p.gateway.appendPressure(h)
 	p.gateway.appendLeaving(now, h)
 	p.gateway.appendEvacuations(now, h)
 	p.gateway.appendCold(now, h)
@@ -281,6 +282,7 @@
 	p.gateway.mergeCold(now, h, delay)
 	p.gateway.loadTracker.Backoffs().Merge(now, delay, decodeBackoffs(h))
 	p.gateway.returns.Merge(now, delay, decodeReturns(h))
+	p.gateway.mergePressure(now, h)
 	p.gateway.mergeLeaving(now, h)
 	p.gateway.loadTracker.MergeOutcomes(now, decodeOutcomes(h))
 	p.gateway.mergeEvacuations(now, h)
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -213,6 +213,10 @@
 	resource, pressure := m.pressure.Highest()
 	admitted := m.pressure.Admit(c.rank)
 	m.mu.Unlock()
+	if conn := c.callerConn(); conn != nil && conn.admitted {
+		conn.admitted = false
+		return nil
+	}
 	if !admitted {
 		return c.refuseFor(resource, pressure, 0)
 	}
