Soak: connections that go to one gateway, endpoints that crash in a response, and all VMs lost at once

Change: kinds connections-skewed (with a check of how often requests that were read are served) and endpoint-crashes-in-response; with odd seeds the final kill of all gateways ends all endpoints at the same moment. The new check is seen to fail on a record that breaks the rule.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -72,7 +72,7 @@
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(c.rand.ExpFloat64()*float64(meanThinkTime)))
-		if c.client == nil || c.rand.IntN(switchOneIn) == 0 {
+		if c.client == nil || c.harness.preferred.Load() != nil || c.rand.IntN(switchOneIn) == 0 {
 			c.switchGateway()
 		}
 		if c.rand.IntN(invalidOneIn) == 0 {
@@ -109,6 +109,9 @@
 		c.client.CloseIdleConnections()
 	}
 	c.gateway = ready[c.rand.IntN(len(ready))]
+	if preferred := c.harness.preferred.Load(); preferred != nil && preferred.isReady() && c.rand.IntN(skewExceptions) != 0 {
+		c.gateway = preferred
+	}
 	c.client = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1}}
 }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -52,6 +52,7 @@
 	{"LEAK", true, checkReservationsReleased},
 	{"STUCK", true, checkReservationsUsed},
 	{"SERVED", false, checkServedBesideSlowCallers},
+	{"RECOVER", false, checkServedWhileSkewed},
 }
 
 // Time bounds of the users' sites, and the number of exceptions that their rules allow.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -235,6 +235,16 @@
 			r.Arrivals = r.Arrivals[:len(r.Arrivals)-1] // refused
 		}
 	}},
+	"hardly served while most connections go to one gateway": {"RECOVER", func(r *Record) {
+		r.SkewPeriods = []SkewPeriod{{"g1", atSecond(45), atSecond(55)}}
+		for i := range 120 {
+			req, _ := r.addServed(fmt.Sprint("q", i), onceRoute, 42.1+float64(i)/10)
+			if i > 60 && i%2 == 0 {
+				req.Status, req.HasServerStamp, req.ResponseBody = 503, false, ""
+				r.Arrivals = r.Arrivals[:len(r.Arrivals)-1]
+			}
+		}
+	}},
 	"reservation never used": {"STUCK", func(r *Record) { r.Reservations["i-1/t1"] = &Reservation{"i-1", "t1", atSecond(40), atSecond(56)} }},
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -73,6 +73,8 @@
 		{"endpoint-cold", 4, warmUpEndpoint},
 		{kindWatchers, 3, disturbWatchers},
 		{kindCrashingPart, 3, sendCrashingParts},
+		{"connections-skewed", 2, skewConnections},
+		{"endpoint-crashes-in-response", 2, crashInResponse},
 	}
 }
 
@@ -232,6 +234,15 @@
 	disturbLink(p.link, f)
 }
 
+// crashInResponse makes an endpoint crash in its next response, which has neither a length nor chunks.
+func crashInResponse(h *harness, f *Fault) {
+	if worker := h.ports[f.Port].currentWorker(); worker != nil {
+		worker.SetDefaultFault(platform.FaultUnframedCrash)
+		time.Sleep(f.Duration)
+		worker.SetDefaultFault("")
+	}
+}
+
 // applyEndpointFault makes an endpoint misbehave with all requests for the fault's duration.
 func applyEndpointFault(h *harness, f *Fault) {
 	p := h.ports[f.Port]
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,13 +98,15 @@
 
 // harness holds the gateways under test and the stand-ins for everything around them.
 type harness struct {
-	config   Config
-	record   *Record
-	store    *platform.Store
-	server   *http.Server
-	gateways []*gateway
-	ports    []*endpointPort
-	client   *http.Client
+	// preferred is the gateway that gets most new connections; nil if none does.
+	preferred atomic.Pointer[gateway]
+	config    Config
+	record    *Record
+	store     *platform.Store
+	server    *http.Server
+	gateways  []*gateway
+	ports     []*endpointPort
+	client    *http.Client
 	// bulk is the endpoint of serviceBulk. bodyLimit is the largest body that the configuration allows.
 	bulk       platform.Bulk
 	bodyLimit  int
--- a/soak/record.go
+++ b/soak/record.go
@@ -163,6 +163,7 @@
 	// StatedDepartures says when endpoints began to state that they leave.
 	StatedDepartures map[string]time.Time
 	SlowPeriods      []SlowPeriod
+	SkewPeriods      []SkewPeriod
 	// MaxResident is the largest resident memory of a gateway process, in bytes.
 	MaxResident int
 	violations  []Violation
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -128,9 +128,14 @@
 	return h.report(), ctx.Err()
 }
 
-// checkRecovery kills all gateways at once and waits until they serve requests again. It records
-// a RECOVER violation if they do not in time.
+// checkRecovery kills all gateways at once, with every other seed all endpoints too, and waits until they serve
+// requests again. It records a RECOVER violation if they do not in time.
 func (h *harness) checkRecovery(ctx context.Context) {
+	if h.config.Seed%2 == 1 {
+		for i, p := range h.ports {
+			go h.replaceEndpoint(&Fault{Kind: "all-lost", Port: i}, crashEndpoint, p.currentService())
+		}
+	}
 	for _, g := range h.gateways {
 		g.kill(h.record)
 	}
