An endpoint that has answered is published as usable at once

Cause: an entry of our own interface that avoids an endpoint after a failed attempt publishes that at the next tick, and so does the end of the avoidance: a caller's next request may come in between and is refused with 3006, right after the endpoint has answered. Change: an answer that ends an avoidance publishes the endpoints at once. Measured: TestAnAnswerIsPublishedAtOnce fails without it.

--- a/entry/control.go
+++ b/entry/control.go
@@ -109,11 +109,12 @@
 // loop's goroutine.
 func (c *controlState) recordAnswer(now time.Time, endpoint string, incarnation uint64, load *wire.Load) {
 	c.answeredAt[endpoint] = now
-	if !c.avoidUntil[endpoint].IsZero() {
-		delete(c.avoidUntil, endpoint)
-		c.endpointsChanged = true
-	}
+	avoided := !c.avoidUntil[endpoint].IsZero()
+	delete(c.avoidUntil, endpoint)
 	c.recordLoad(now, endpoint, incarnation, load)
+	if avoided && c.view != nil { // the caller's next request may come before the next tick
+		c.publishEndpoints(c.view)
+	}
 }
 
 // Tick implements membership.Delegate.
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -42,3 +42,17 @@
 		is.True(suspect(c))
 	})
 }
+
+// Guards against callers that are refused for lack of endpoints right after the only endpoint has answered, until
+// the next tick publishes that it is no longer avoided.
+func TestAnAnswerIsPublishedAtOnce(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	members := &membership.View{Members: map[string]*membership.Member{"a1": {LastHeartbeat: &wire.Heartbeat{Node: "a1", Role: membership.RoleAgent}}}}
+	c := &controlState{loads: map[string]loadReport{}, avoidUntil: map[string]time.Time{}, answeredAt: map[string]time.Time{}, view: members}
+	c.recordFailure(start, "a1", start)
+	c.publishEndpoints(members)
+	is.True((*c.endpoints.Load())[0].Suspect)
+	c.recordAnswer(start.Add(time.Millisecond), "a1", 1, &wire.Load{TakenMs: 1})
+	is.True(!(*c.endpoints.Load())[0].Suspect)
+}
