An agent of a plain service advertises it without the catalogue, and announces at once what it serves

Cause: traced with the entry's log kept: the call made three attempts, none to an endpoint. The agent's first heartbeat after its start lists no service, as it has no catalogue yet; but without it only engines refuse work, and an agent of a plain service runs what it gets. An entry that had routed by the heartbeat of the former process served one call, and refused the next once it had read the new one, until the following heartbeat. Change: the agent advertises what it runs, and sends a heartbeat at once when that changes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -163,6 +163,7 @@
 		Interval: a.settings.HeartbeatInterval.D(), SuspectAfter: a.settings.SuspectAfter.D(),
 		Seeds: a.settings.Seeds,
 	}, a.control)
+	a.control.announce = a.loop.Announce
 	a.catalogue.SetLoop(a.loop)
 }
 
--- a/agent/control.go
+++ b/agent/control.go
@@ -47,6 +47,9 @@
 	endpointDown   bool
 	catalogueView  *catalogue.View
 	catalogueReady bool
+	// announce sends a heartbeat at once, as entries must learn without delay whether the agent serves its models
+	// and services: they would refuse callers until the next heartbeat.
+	announce func()
 	// powerRefusals and previousPowerRefusals count the reservations that were refused for
 	// lack of power in the current powerRefusalPeriod, which ends at powerPeriodEnd, and in
 	// the one before.
@@ -73,7 +76,7 @@
 		agent: a, startedAt: time.Now(), queue: queue,
 		table: attempt.NewTable(a.incarnation, a.settings.ReservationLease.D(), outcomeRetention),
 		limit: power.NewLimit(a.incarnation, a.status.FloorWatts, a.status.MaxWatts, slots),
-		jobs:  map[uint64]*job{},
+		jobs:  map[uint64]*job{}, announce: func() {},
 	}
 }
 
@@ -196,6 +199,7 @@
 		return
 	}
 	c.endpointDown = down
+	c.announce()
 	if !down {
 		c.startReady()
 		return
@@ -257,11 +261,8 @@
 func (c *controlState) FillHeartbeat(now time.Time, h *wire.Heartbeat) {
 	a := c.agent
 	h.Endpoint, h.EngineAddr, h.OperatorsAddr = a.settings.Name, a.settings.Endpoint, a.settings.OperatorsListen
-	h.Models, h.Services = a.status.Models, a.settings.Services
-	if c.endpointDown || !c.catalogueReady {
-		// The agent advertises no model or service that it would refuse. Without the catalogue
-		// it does not know whether its site has a power cap, and starts nothing.
-		h.Models, h.Services = nil, nil
+	if c.serves() {
+		h.Models, h.Services = a.status.Models, a.settings.Services
 	}
 	h.Load = c.loadReport(now)
 	if a.settings.Kind == "engine" {
@@ -274,6 +275,13 @@
 	a.catalogue.FillHeartbeat(h)
 }
 
+// serves returns whether the agent starts requests for its models and services, which it advertises only then. Without
+// the catalogue the agent of an engine does not know whether its site has a power cap, and starts nothing; the agent of
+// a plain service has no limit of power and needs no catalogue.
+func (c *controlState) serves() bool {
+	return !c.endpointDown && (c.catalogueReady || c.agent.settings.Kind != "engine")
+}
+
 // powerRefusalPeriod is the length of the periods in which refusals for lack of power are
 // counted.
 const powerRefusalPeriod = 2 * time.Second
@@ -351,6 +359,9 @@
 	if view == c.catalogueView && ready == c.catalogueReady {
 		return
 	}
+	if ready != c.catalogueReady {
+		defer c.announce()
+	}
 	c.catalogueView, c.catalogueReady = view, ready
 	c.limit.SetCapped(!ready || view.SiteOf(c.agent.settings.DataCentre) != nil)
 	c.applyLimit()
--- a/agent/control_test.go
+++ b/agent/control_test.go
@@ -103,3 +103,32 @@
 	c.shed()
 	is.True(!stopped[urgent]) // a stopping job counts as stopped although it still holds its slot
 }
+
+// Guards against entries that refuse callers until the next regular heartbeat after an agent has started or its
+// endpoint is back, as the heartbeat before lists nothing that the agent serves.
+func TestAnAgentAnnouncesAtOnceWhatItServes(t *testing.T) {
+	is := is.New(t)
+	c := newTestControlState()
+	announced := 0
+	c.announce = func() { announced++ }
+	c.setDown(true)
+	c.setDown(true)
+	is.Equal(announced, 1)
+	c.setDown(false)
+	is.Equal(announced, 2)
+}
+
+// Guards against callers of a plain service that are refused after its agent has restarted, until the agent has the
+// catalogue, although it runs what it gets.
+func TestAnAgentAdvertisesWhatItRuns(t *testing.T) {
+	is := is.New(t)
+	for kind, serves := range map[string]bool{"service": true, "engine": false} {
+		c := newTestControlState()
+		c.agent.settings.Kind = kind
+		is.Equal(c.serves(), serves)
+		c.catalogueReady = true
+		is.True(c.serves())
+		c.setDown(true)
+		is.True(!c.serves())
+	}
+}
