--- a/result/table.go
+++ b/result/table.go
@@ -46,7 +46,6 @@
 	{NoPower, "no_power", http.StatusServiceUnavailable, "The power granted to the endpoint does not allow more work.", "Send the request again after Retry-After."},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, "The node has no catalogue or configuration yet, or one that may be out of date.", "Send the request again after Retry-After."},
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, "Endpoints crashed while they ran earlier copies of this request.", "Do not send the request again before Retry-After; give the operators the fingerprint from the log."},
-	{PartQuarantined, "part_quarantined", http.StatusServiceUnavailable, "Endpoints crashed while they ran earlier requests with a part of this prompt.", "Do not send prompts with the part before Retry-After; give the operators the request ID, by which the log names the part."},
 	{EndpointsLimited, "endpoints_limited", http.StatusServiceUnavailable, "All endpoints of the service state a limit of requests per second, and it is used up.", "Send the request again after Retry-After."},
 	{EndpointsInBackoff, "endpoints_in_backoff", http.StatusServiceUnavailable, "All endpoints of the service have refused requests and stated for how long they want no others.", "Send the request again after Retry-After."},
 	{Evacuated, "evacuated", http.StatusServiceUnavailable, "All endpoints that could serve the request are in data centres that are being evacuated.", "Send the request again after Retry-After; ask the operators when the evacuation ends."},
@@ -54,6 +53,7 @@
 	{NotAdmitted, "not_admitted", http.StatusServiceUnavailable, "The service has too little capacity for all requests, and this one's priority is too low.", "Send the request again after Retry-After."},
 	{OutsideRegions, "outside_regions", http.StatusServiceUnavailable, "No endpoint of the service is in a region that the route and the client account allow.", "Send the request again after Retry-After; check the regions that the route and the account allow."},
 	{EntryFull, "entry_full", http.StatusServiceUnavailable, "The entry itself is short of memory, processor time, link capacity or descriptors.", "Send the request again after Retry-After; another entry may take it."},
+	{PartQuarantined, "part_quarantined", http.StatusServiceUnavailable, "Endpoints crashed while they ran earlier requests with a part of this prompt.", "Do not send prompts with the part before Retry-After; give the operators the request ID, by which the log names the part."},
 
 	{DeadlineExceeded, "deadline_exceeded", http.StatusGatewayTimeout, "The deadline passed before the request ended.", "See ran; allow more time."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The request was sent to an endpoint, and it cannot be determined whether it ran.", "Look up the status by idempotency key; do not assume either outcome."},
