Findings with impossible positions are ignored; what a newcomer stumbles over in the code of blamed parts

Cause: read again as a newcomer. A position from a heartbeat was cut to eight bits unchecked and decides which part is blamed first; an exported function was not used, two comments were not wrapped, one gave figures, and a deferred announcement hid when an agent announces.

--- a/agent/control.go
+++ b/agent/control.go
@@ -359,10 +359,11 @@
 	if view == c.catalogueView && ready == c.catalogueReady {
 		return
 	}
-	if ready != c.catalogueReady {
-		defer c.announce()
-	}
+	served := c.serves()
 	c.catalogueView, c.catalogueReady = view, ready
+	if c.serves() != served {
+		c.announce()
+	}
 	c.limit.SetCapped(!ready || view.SiteOf(c.agent.settings.DataCentre) != nil)
 	c.applyLimit()
 }
--- a/attempt/crashcause/crashcause.go
+++ b/attempt/crashcause/crashcause.go
@@ -1,8 +1,8 @@
 // Package crashcause determines which parts of prompts make endpoints crash. Every request that is in flight
 // when an endpoint crashes is a possible cause, with every part that its prompt shares with others. Nodes
 // exchange what they observed; each then looks for parts that explain the crashes, those further back in the
-// prompts first, which fewer prompts share, so that parts which were only present beside a cause are not blamed. The package does no I/O and reads no clock: the
-// time is an argument.
+// prompts first, which fewer prompts share, so that parts which were only present beside a cause are not blamed.
+// The package does no I/O and reads no clock: the time is an argument.
 package crashcause
 
 import (
@@ -64,13 +64,12 @@
 	// findingTTL is how long a finding counts. It ends at the same time on all nodes, so that they do not keep
 	// a finding alive by reporting it to each other.
 	findingTTL = time.Hour
-	// maxSuspects and maxAnswered bound the memory: about 200 bytes for a suspect with few crashes, and 100 for
-	// an answered part.
+	// maxSuspects and maxAnswered bound the memory.
 	maxSuspects, maxAnswered = 4096, 8192
 	// evictedAtOnce is how many suspects are evicted when there are too many.
 	evictedAtOnce = maxSuspects / 16
-	// maxPartsOfARequest is how many parts of a request are recorded after a crash. Parts beyond that are
-	// checked, but not blamed.
+	// maxPartsOfARequest is how many parts of a request, the first ones, are recorded after a crash, so that a
+	// single request does not displace the suspects of others.
 	maxPartsOfARequest = 64
 	// announceFor is for how long what is new about a part is in every report and not only in full ones, since
 	// several reports may be lost.
--- a/attempt/crashcause/crashcause_test.go
+++ b/attempt/crashcause/crashcause_test.go
@@ -179,6 +179,17 @@
 	is.True(peer.blames(at(5), cause))
 }
 
+// Guards against a position that a peer reports and no request can have, which would decide on the order of blame.
+func TestImpossibleFindingsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker()
+	for n := range uint32(2 * crashesToBlame) {
+		tracker.Merge(at(int(n)), []Finding{{Part: cause, Endpoint: n + 1, Request: n, Position: maxPartsOfARequest}, {Part: cause, Endpoint: n + 1, Request: n, Age: -1}, {Part: cause, Endpoint: n + 1, Request: n, Age: findingTTL}})
+	}
+	suspects, blamed := tracker.Counts(at(9))
+	is.Equal([]int{suspects, blamed}, []int{0, 0})
+}
+
 // Guards against parts of two services that stand for one another.
 func TestAPartBelongsToAService(t *testing.T) {
 	is := is.New(t)
--- a/attempt/crashcause/explain.go
+++ b/attempt/crashcause/explain.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// explain chooses the parts to blame: again and again one that explains enough of the crashes that are left. It depends on the findings alone, so that nodes with the same findings
-// blame the same parts.
+// explain chooses the parts to blame: again and again one that explains enough of the crashes that are left. Apart
+// from isInAll it depends on the findings alone, so that nodes with the same findings blame the same parts.
 func (t *Tracker) explain() {
 	var strong []*suspect
 	for _, s := range t.suspects {
--- a/attempt/crashcause/tracker.go
+++ b/attempt/crashcause/tracker.go
@@ -148,14 +148,8 @@
 	return false
 }
 
-// IsSuspect returns whether an endpoint has crashed under one of the parts.
-func (t *Tracker) IsSuspect(parts []Part) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.ContainsFunc(parts, func(part Part) bool { return t.suspects[part] != nil })
-}
-
-// Merge adds the findings of another node, in any order and however often they are reported.
+// Merge adds the findings of another node, in any order and however often they are reported. Findings with an
+// impossible age or position are ignored.
 func (t *Tracker) Merge(now time.Time, findings []Finding) Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -179,7 +173,7 @@
 	for _, f := range findings {
 		at := now.Add(-f.Age)
 		switch {
-		case f.Age < 0 || f.Age >= findingTTL:
+		case f.Age < 0 || f.Age >= findingTTL || f.Position >= maxPartsOfARequest:
 		case f.Endpoint == Answered:
 			changed = t.addAnswer(now, f.Part, at) || changed
 		default:
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -185,7 +186,7 @@
 	for i := range n {
 		findings = append(findings, crashcause.Finding{
 			Part: crashcause.Part(h.PartIds[i]), Endpoint: h.PartEndpoints[i], Request: h.PartRequests[i],
-			Position: uint8(h.PartPositions[i]), Age: milliseconds(h.PartAgesMs[i]),
+			Position: uint8(min(h.PartPositions[i], math.MaxUint8)), Age: milliseconds(h.PartAgesMs[i]),
 		})
 	}
 	return findings
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -143,7 +143,7 @@
 			return true // there is nothing to wait for: placing refuses the request
 		}
 		if mayStart(now, endpoints) || f.hasBlamedPart() {
-			return true // a part that is blamed: refused before it is sent
+			return true // a prompt with a blamed part is refused before it is sent
 		}
 		if ctx.Err() != nil || !now.Before(latest) {
 			return false
