Scenarios wait for the whole catalogue before their first call

Cause: `ready` waited for the catalogue's first record only, the account; an entry that reads the catalogue from others may not have the kinds of work yet, and then refuses truthfully. The race is in the scenario, not in the entry; 25 runs beside five busy processes did not show it. Change: `ready` waits for every record that `seed` writes.

--- a/scenarios/conditions_test.go
+++ b/scenarios/conditions_test.go
@@ -37,9 +37,11 @@
 		if live < parseNumber(opts["agents"]) {
 			return fmt.Sprintf("%d agents are live", live)
 		}
-		var record catalogue.Record
-		if err := h.get("http://"+p.addrs["operators"]+"/v1/catalogue/account/crew", &record); err != nil {
-			return err.Error()
+		for _, seeded := range catalogueRecords(0) {
+			var record catalogue.Record
+			if err := h.get("http://"+p.addrs["operators"]+"/v1/catalogue/"+seeded.Key(), &record); err != nil {
+				return fmt.Sprintf("%s: %v", seeded.Key(), err)
+			}
 		}
 		return ""
 	})
