A response without a length that ends in a suspension of its entry is not passed on as complete

Cause: the entry stood still for 3 s; meanwhile its endpoint crashed in the response, another process started at the address, and the entry had not read that yet. It asks after such a response whether the address accepts connections; it did. Ruled out: the order of close and reset, which the probe covers. A response without a length that began before a suspension and ends within a second after it is broken: repeated or resumed where that is allowed, otherwise reported as possibly run. Considered: reading the endpoint's registration first; a crashed endpoint stays registered until its lease ends, so that does not tell either.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -122,10 +122,17 @@
 	return g.prober.connectionRefused(ctx, e)
 }
 
-// endedByCrash reports whether the end of a response that ends with its connection is the end of the endpoint's
-// process, so that the response may be incomplete.
+// endedByCrash reports whether the end of a response that ends with its connection may be the end of the endpoint's
+// process, so that the response may be incomplete. While this process was suspended another one may have replaced the
+// endpoint at its address.
 func (g *Gateway) endedByCrash(ctx context.Context, r *endpointResponse) bool {
-	return r.closeDelimited && g.hasCrashed(ctx, r.endpoint)
+	if !r.closeDelimited {
+		return false
+	}
+	if _, ended, ok := g.suspensions.recent(); ok && r.beganAt < ended {
+		return true
+	}
+	return g.hasCrashed(ctx, r.endpoint)
 }
 
 // isConnectionRefused reports whether a dial failed because no process listens at the address.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -37,6 +37,8 @@
 	length         int64 // of the body in bytes; negative if the head does not say
 	closeDelimited bool  // the body ends with the connection
 	endpoint       *directory.EndpointState
+	// beganAt is when the exchange began, in nanoseconds since the gateway's start.
+	beganAt int64
 
 	pool        *pool
 	conn        *endpointConn
@@ -103,7 +105,7 @@
 		_ = conn.Close()
 		return nil, &sendError{attempt.NotSent, errConnectedLate}
 	}
-	r := &endpointResponse{endpoint: e, pool: g.pool, conn: conn}
+	r := &endpointResponse{endpoint: e, beganAt: g.uptimeNanos(), pool: g.pool, conn: conn}
 	r.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if silence > 0 {
 		r.watchdog = g.startWatchdog(ctx, r, silence)
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -123,3 +123,12 @@
 	}
 	g.peers.HandleHeartbeat(time.Now(), h)
 }
+
+// SimulateSuspension makes it appear that the process has not run for a while. It must be running.
+func (g *Gateway) SimulateSuspension(length time.Duration) {
+	g.suspensions.observe()
+	g.suspensions.lastSeen.Add(-int64(length))
+}
+
+// Listed reports whether the directory lists an endpoint.
+func (g *Gateway) Listed(endpoint string) bool { return g.snapshot.Load().Present(endpoint) != nil }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	slowCallers     slowCallers
 	traffic         traffic
 	pressure        *pressureMonitor
+	suspensions     suspensions
 	responseSizes   admission.ResponseSizes
 	active          atomic.Int64 // callers' requests in flight
 	releasing       atomic.Int64 // requests whose reservations are being released
@@ -160,6 +161,7 @@
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.EmptySnapshot())
 	g.pool.idleLimit, g.pool.traffic = g.idleConnsFor, &g.traffic
+	g.suspensions.gateway = g
 	g.pressure = newPressureMonitor(g, &c.Settings, c.Usage)
 	g.callers = newCallerServer(g)
 	g.prober = newProber(g)
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -99,6 +99,7 @@
 			return
 		case <-timer.C:
 		}
+		m.gateway.suspensions.observe()
 		now := time.Now()
 		m.measure(now.Sub(last), now.Sub(due))
 		last, due = now, now.Add(admission.MeasureInterval)
--- /dev/null
+++ b/gateway/suspension_test.go
@@ -0,0 +1,34 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	standin "aspenyard.example/standin/platform"
+)
+
+// Guards against passing on as complete a response whose endpoint crashed and was replaced at its address while the
+// entry was suspended: neither its address nor the directory shows the crash.
+func TestAResponseThatEndsInASuspensionIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	crashing, sound := streamingWorker(6), streamingWorker(6)
+	crashing.EventInterval = 300 * time.Millisecond
+	crashing.SetDefaultFault(standin.FaultUnframedCrash)
+	s := newFixture(t, crashing, sound).start()
+	s.store.Delete("servers/" + sound.ID)
+	s.waitFor("one endpoint is listed", func() bool { return !s.gateway.Listed(sound.ID) })
+	got := make(chan callerResponse, 1)
+	go func() { got <- s.post("/stream/a", "q1") }()
+	s.waitFor("the request runs", func() bool { return crashing.InFlight() == 1 })
+	s.store.Put("servers/"+sound.ID, sound.Registration("ready"))
+	s.store.Delete("servers/" + crashing.ID)
+	s.waitFor("only the other endpoint is listed", func() bool {
+		return s.gateway.Listed(sound.ID) && !s.gateway.Listed(crashing.ID)
+	})
+	s.gateway.SimulateSuspension(2 * time.Second)
+	response := <-got
+	is.NoErr(response.err)
+	is.Equal(response.body, standin.StreamText("q1", 6))
+}
