A drain counts from the start of a suspension that has just ended

Cause: the process learns of the signal when it goes on, and counted its time from then; the supervisor had counted for up to three seconds more, and killed it with requests under way that it had accepted as able to end in time. Change: after a suspension the time for accepting counts from the suspension's start. Requests under way still get the whole limit from when the signal was noticed.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"os"
 	"time"
 
@@ -29,7 +30,7 @@
 func (g *Gateway) drain(signals <-chan os.Signal) {
 	limit := g.settings.DrainTimeout.D()
 	start := time.Now()
-	g.drainStartedAt.Store(int64(start.Sub(g.started)))
+	g.drainStartedAt.Store(g.signalledAt(start))
 	g.callers.conns.DisableKeepAlives()
 	g.peers.announceLeaving()
 	g.log.Info("drain", zap.Int64("active", g.active.Load()), zap.Duration("limit_ms", limit))
@@ -47,10 +48,10 @@
 			continue
 		case <-ticker.C:
 		}
-		elapsed := time.Since(start)
-		if elapsed < acceptTime {
+		if g.elapsedSince(&g.drainStartedAt) < acceptTime {
 			continue
 		}
+		elapsed := time.Since(start)
 		g.callers.conns.CloseIdle()
 		active := g.active.Load()
 		if active+g.releasing.Load() == 0 && g.callers.conns.StopReading() || elapsed > limit-stopMargin {
@@ -61,6 +62,15 @@
 	}
 }
 
+// signalledAt returns the earliest time at which a signal that is noticed now may have been sent, in nanoseconds since
+// the gateway's start. The supervisor counts the drain timeout from there, also while this process is suspended.
+func (g *Gateway) signalledAt(noticed time.Time) int64 {
+	if began, _, ok := g.suspensions.recent(); ok {
+		return cmp.Or(began, 1)
+	}
+	return int64(noticed.Sub(g.started))
+}
+
 // canAccept reports whether a new request that takes the time need can still end before the
 // process stops. When all nodes of a data centre are stopped in turn, the load balancer goes on
 // sending requests to draining nodes; short ones are still served then.
--- a/gateway/suspension_test.go
+++ b/gateway/suspension_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -32,3 +33,22 @@
 	is.NoErr(response.err)
 	is.Equal(response.body, standin.StreamText("q1", 6))
 }
+
+// Guards against requests that are cut off by the supervisor's SIGKILL because the entry was suspended when SIGTERM
+// came and counted the drain timeout from when it went on.
+func TestADrainCountsFromTheStartOfASuspension(t *testing.T) {
+	is := is.New(t)
+	worker := streamingWorker(30)
+	worker.EventInterval = 40 * time.Millisecond
+	s := newFixture(t, worker).start()
+	got := make(chan callerResponse, 1)
+	go func() { got <- s.post("/stream/a", "q1") }()
+	s.waitFor("the request runs", func() bool { return worker.InFlight() == 1 })
+	s.gateway.SimulateSuspension(4 * time.Second) // of a drain timeout of 5 s
+	s.sendSIGTERM()
+	s.waitFor("the readiness check fails", func() bool { return s.readyStatus() == http.StatusServiceUnavailable })
+	is.Equal(s.post("/stream/b", "q2").status, http.StatusServiceUnavailable)
+	response := <-got
+	is.NoErr(response.err)
+	is.Equal(response.body, standin.StreamText("q1", 30))
+}
