An entry counts as ready once it has applied the whole catalogue, and scenarios wait for that

`ready` of the scenarios did not look at the entry's readiness: the page with the account may be applied while others are still being read; a call is then refused with 3014, which the scenario does not repeat. And the entry itself counted as ready when it had read the last page, which its control thread had yet to apply; in between it refuses as unknown what it knows a moment later. Change: CatalogueSync is ready when all pages are applied, counted on the control thread. `ready` waits for the entry's readiness check.

--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"aspenyard.example/catalogue"
 	"aspenyard.example/result"
 	"aspenyard.example/settings"
 )
@@ -27,7 +28,9 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	e.catalogue.SetReady()
+	for number := range catalogue.PageCount {
+		e.catalogue.ReadPage(number, catalogue.Page{})
+	}
 	return e
 }
 
--- a/entry/store.go
+++ b/entry/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,17 +31,14 @@
 // store reader, one goroutine per page. An entry that is wrongly a store reader costs the
 // store only a few watch calls.
 func (e *Entry) watchStore(ctx context.Context) {
-	var unread atomic.Int64
-	unread.Store(catalogue.PageCount)
 	for page := range catalogue.PageCount {
-		go e.watchPage(ctx, page, &unread)
+		go e.watchPage(ctx, page)
 	}
 }
 
-// watchPage watches one page until ctx ends. unread counts the pages that have not been
-// read yet; the last one makes the catalogue ready. An entry that is not a store reader
-// reads nothing once it has read the page or the catalogue is ready.
-func (e *Entry) watchPage(ctx context.Context, page int, unread *atomic.Int64) {
+// watchPage watches one page until ctx ends. An entry that is not a store reader reads nothing
+// once it has read the page or the catalogue is ready.
+func (e *Entry) watchPage(ctx context.Context, page int) {
 	revision, read := uint64(0), false
 	backoff := minStoreBackoff
 	for ctx.Err() == nil {
@@ -57,19 +53,13 @@
 			continue
 		}
 		backoff = minStoreBackoff
-		revision = next
-		if !read {
-			read = true
-			if unread.Add(-1) == 0 {
-				e.catalogue.SetReady()
-			}
-		}
+		revision, read = next, true
 	}
 }
 
-// readPage returns the page's revision after handing a changed page to the catalogue.
-// It reads the page at once or, with watch set, waits until its revision differs from
-// the given one.
+// readPage returns the page's revision after handing the page to the catalogue. It reads the page
+// at once or, with watch set, waits until its revision differs from the given one; an unchanged
+// page is not handed over then.
 func (e *Entry) readPage(ctx context.Context, number int, revision uint64, watch bool) (uint64, error) {
 	key := catalogue.PageKey(number)
 	var value infra.Value
@@ -87,7 +77,7 @@
 		e.log.Error("a catalogue page in the store cannot be decoded", zap.Int("page", number), zap.Error(err))
 		return 0, err
 	}
-	if value.Revision != revision {
+	if !watch || value.Revision != revision {
 		e.catalogue.PostPage(number, page)
 	}
 	if value.Revision < revision {
--- a/node/catalogue.go
+++ b/node/catalogue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,12 +21,14 @@
 // the changes that it lacks. It is safe for concurrent use, except for SetLoop and the methods
 // that belong to the control thread.
 type CatalogueSync struct {
-	loop        *membership.Loop
-	clients     *Clients
-	log         *zap.Logger
-	replica     *catalogue.Replica // control thread only
-	view        atomic.Pointer[catalogue.View]
-	pulling     bool // control thread only
+	loop    *membership.Loop
+	clients *Clients
+	log     *zap.Logger
+	replica *catalogue.Replica // control thread only
+	view    atomic.Pointer[catalogue.View]
+	pulling bool // control thread only
+	// pagesRead are the pages that were read from the store; control thread only.
+	pagesRead   [catalogue.PageCount]bool
 	ready       atomic.Bool
 	pulledBytes atomic.Uint64
 }
@@ -48,10 +51,6 @@
 // that of an entry.
 func (c *CatalogueSync) Ready() bool { return c.ready.Load() }
 
-// SetReady marks the replica as ready. The entry calls it once it has read all pages from the
-// store.
-func (c *CatalogueSync) SetReady() { c.ready.Store(true) }
-
 // PulledBytes returns the number of bytes pulled from peers. Nothing counts them yet, so it
 // is always 0.
 func (c *CatalogueSync) PulledBytes() uint64 { return c.pulledBytes.Load() }
@@ -124,10 +123,19 @@
 	}
 }
 
-// PostPage schedules a page read from the store to be applied on the control thread, and
-// returns at once.
+// PostPage schedules a page read from the store for ReadPage on the control thread, and returns at once.
 func (c *CatalogueSync) PostPage(number int, page catalogue.Page) {
-	c.loop.Post(func() { c.applyPage(number, page) })
+	c.loop.Post(func() { c.ReadPage(number, page) })
+}
+
+// ReadPage applies a page read from the store. The replica is ready once all pages are applied, not when they have
+// been read: callers would be refused for records that are still to be applied. Control thread only.
+func (c *CatalogueSync) ReadPage(number int, page catalogue.Page) {
+	c.applyPage(number, page)
+	c.pagesRead[number] = true
+	if !slices.Contains(c.pagesRead[:], false) {
+		c.ready.Store(true)
+	}
 }
 
 // ApplyPage applies a page read from the store and returns once it is in the view, so that an
--- a/scenarios/conditions_test.go
+++ b/scenarios/conditions_test.go
@@ -28,6 +28,9 @@
 		if err != nil {
 			return err.Error()
 		}
+		if err := h.get("http://"+p.addrs["callers"]+"/readyz", nil); err != nil {
+			return err.Error()
+		}
 		live := 0
 		for _, m := range status.Members {
 			if m.Role == "agent" && m.State == "live" {
--- a/scenarios/harness_test.go
+++ b/scenarios/harness_test.go
@@ -203,6 +203,9 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("HTTP status %d: %s", response.StatusCode, data)
 	}
+	if into == nil {
+		return nil
+	}
 	return json.Unmarshal(data, into)
 }
 
