Test of the loss of all machines at once, with a request under way

Cause: that all entries and endpoints lose power at one moment, and only the store is left, was shown by the soak alone; the test of a restart stops entries in order and keeps the endpoints. Change: TestARefusedPartSurvivesTheLossOfAllMachines: no drain, endpoints gone with a request in them, others with other identifiers in their place; the part stays refused, sound prompts are served.

--- a/gateway/prompt_parts_test.go
+++ b/gateway/prompt_parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -132,6 +133,43 @@
 	is.Equal(next.do(next.promptWith("/again/a", "sound", commonPart)).status, http.StatusOK)
 }
 
+// Guards against what only machines knew: entries and endpoints all lose their power at once, with requests under way,
+// and only the store is left. The record of the part must be there, and nothing else may be needed to serve.
+func TestARefusedPartSurvivesTheLossOfAllMachines(t *testing.T) {
+	is := is.New(t)
+	first := newFixture(t, partWorkers(16)...).start()
+	first.crashUntilRefused()
+	first.waitFor("the record is in the store", func() bool { return len(first.store.Keys("records/part-")) == 1 })
+	for _, w := range first.workers {
+		w.SetDefaultFault(standin.FaultHang)
+	}
+	underWay := make(chan callerResponse, 1)
+	go func() { underWay <- first.do(first.promptWith("/again/a", "under-way", commonPart)) }()
+	first.waitFor("a request is under way", func() bool { return first.arrivals("under-way") == 1 })
+	first.signals <- os.Interrupt
+	first.signals <- os.Interrupt
+	for _, w := range first.workers {
+		w.Stop()
+		first.store.Delete("servers/" + w.ID)
+	}
+	<-first.serveErr
+	<-underWay
+	ran := first.arrivals("p")
+	replacements := partWorkers(4)
+	for i, w := range replacements {
+		w.ID, w.Service = fmt.Sprintf("i-next-%d", i), "app"
+	}
+	next := newFixture(t, replacements...)
+	for _, w := range replacements {
+		first.store.Put("servers/"+w.ID, w.Registration("ready"))
+	}
+	next.store, next.version = first.store, first.version
+	next.start()
+	is.Equal(next.do(next.promptWith("/again/a", "p-later", commonPart, crashingPart)).status, http.StatusServiceUnavailable)
+	is.Equal(first.arrivals("p")+next.arrivals("p"), ran)
+	is.Equal(next.do(next.promptWith("/again/a", "sound", commonPart)).status, http.StatusOK)
+}
+
 // Guards against a prompt that waits for capacity while its part becomes known and is then sent, in parts, to
 // several endpoints, or held until it is late.
 func TestAHeldPromptWithARefusedPartIsNotSent(t *testing.T) {
