--- a/scenarios/calls_test.go
+++ b/scenarios/calls_test.go
@@ -107,6 +107,16 @@
 	return c
 }
 
+// ended reports whether the call has its result.
+func (c *callRecord) ended() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // again ENTRY ID repeats the call ID through an entry, after the Retry-After of its response. ID
 // then names the new call.
 func again(ts *testscript.TestScript, _ bool, args []string) {
