A response without a length is not complete if its endpoint's address resets connections

Cause: after a response that ends with its connection the entry asked only whether the address refuses connections. A connection may also be reset as it is made, or just after it was accepted: by the queue of a process that ends, or by a proxy that has nothing behind it. That counted as an endpoint that runs. Change: a reset within 10 ms of the handshake leaves open who ended the response, which is then incomplete. It stays no evidence against the request: an endpoint with too many connections resets more of them, and its whole responses without a length are then repeated or resumed too.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -105,10 +105,15 @@
 }
 
 // hasCrashed reports whether an endpoint's process has ended without notice: its address refuses
-// connections, or the endpoint is listed with a later incarnation. An endpoint that is leaving
-// ends as planned, and a silent one may only be cut off from the network.
-// An endpoint that is evacuated is not probed.
+// connections, or the endpoint is listed with a later incarnation.
 func (g *Gateway) hasCrashed(ctx context.Context, e *directory.EndpointState) bool {
+	return g.hasEnded(ctx, e, g.prober.connectionRefused)
+}
+
+// hasEnded reports whether an endpoint's process has ended without notice, by the directory or by the probe. An
+// endpoint that is leaving ends as planned, and a silent one may only be cut off from the network. An endpoint that
+// is evacuated is not probed.
+func (g *Gateway) hasEnded(ctx context.Context, e *directory.EndpointState, probe func(context.Context, *directory.EndpointState) bool) bool {
 	current := g.snapshot.Load().Present(e.ID)
 	if current == nil {
 		return false
@@ -119,12 +124,13 @@
 	if g.evacuated(e) {
 		return false
 	}
-	return g.prober.connectionRefused(ctx, e)
+	return probe(ctx, e)
 }
 
 // endedByCrash reports whether the end of a response that ends with its connection may be the end of the endpoint's
-// process, so that the response may be incomplete. While this process was suspended another one may have replaced the
-// endpoint at its address.
+// process, so that the response may be incomplete. A reset connection is no evidence against a request, as an endpoint
+// with too many connections resets more, but leaves open who ended the response. While this process was suspended
+// another one may have replaced the endpoint at its address.
 func (g *Gateway) endedByCrash(ctx context.Context, r *endpointResponse) bool {
 	if !r.closeDelimited {
 		return false
@@ -132,9 +138,12 @@
 	if _, ended, ok := g.suspensions.recent(); ok && r.beganAt < ended {
 		return true
 	}
-	return g.hasCrashed(ctx, r.endpoint)
+	return g.hasEnded(ctx, r.endpoint, g.prober.connectionRefusedOrReset)
 }
 
+// isConnectionReset reports whether the other end reset a connection.
+func isConnectionReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
 // isConnectionRefused reports whether a dial failed because no process listens at the address.
 func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -16,6 +16,9 @@
 	// probeTimeout is how long an endpoint may take to accept a connection. A live endpoint
 	// accepts within milliseconds, however busy it is.
 	probeTimeout = 250 * time.Millisecond
+	// resetTime is how soon after the handshake a connection is reset that no process serves: it was in the
+	// queue of one that has ended, or something on the way accepted it.
+	resetTime = 10 * time.Millisecond
 	// probeResultTTL is how long a probe's result is used for other requests.
 	probeResultTTL = 300 * time.Millisecond
 	// unreachableProbeInterval is the time between two probes of an unreachable endpoint.
@@ -36,8 +39,8 @@
 	began time.Time
 	done  chan struct{}
 	// alive is set if the endpoint accepted the connection, connectionRefused if no process
-	// listens at its address.
-	alive, connectionRefused bool
+	// listens at its address, connectionReset if the connection was reset as it was made or just after.
+	alive, connectionRefused, connectionReset bool
 }
 
 func newProber(g *Gateway) *prober {
@@ -59,6 +62,13 @@
 	return ok && result.connectionRefused
 }
 
+// connectionRefusedOrReset reports whether a connection to the endpoint is refused or reset, so that its process may
+// have ended; false when ctx ends before that is known.
+func (p *prober) connectionRefusedOrReset(ctx context.Context, e *directory.EndpointState) bool {
+	result, ok := p.resultSince(ctx, e, time.Now())
+	return ok && (result.connectionRefused || result.connectionReset)
+}
+
 // resultSince returns the result of a probe that did not begin before since, or false when ctx
 // ends first. An earlier probe may have reached an endpoint that has ended in the meantime.
 func (p *prober) resultSince(ctx context.Context, e *directory.EndpointState, since time.Time) (*probe, bool) {
@@ -103,19 +113,31 @@
 // run completes a probe, and marks the endpoint as unreachable if it does not accept the
 // connection.
 func (p *prober) run(e *directory.EndpointState, result *probe) {
-	err := p.dial(e)
-	result.alive, result.connectionRefused = err == nil, isConnectionRefused(err)
+	conn, err := p.connect(e)
+	result.alive, result.connectionRefused, result.connectionReset = err == nil, isConnectionRefused(err), isConnectionReset(err)
+	if err == nil {
+		if result.connectionReset = resetSoon(conn); result.connectionReset {
+			_ = conn.Close()
+		} else {
+			p.gateway.pool.put(e, conn, maxIdleTime)
+		}
+	}
 	close(result.done)
 	if err != nil {
 		p.gateway.markUnreachable(e, "does not accept connections")
 	}
 }
 
-// dial connects to the endpoint and leaves the connection to the next request.
-func (p *prober) dial(e *directory.EndpointState) error {
+// connect opens a connection to the endpoint.
+func (p *prober) connect(e *directory.EndpointState) (*endpointConn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	conn, err := p.gateway.pool.open(ctx, e)
+	return p.gateway.pool.open(ctx, e)
+}
+
+// dial connects to the endpoint and leaves the connection to the next request.
+func (p *prober) dial(e *directory.EndpointState) error {
+	conn, err := p.connect(e)
 	if err != nil {
 		return err
 	}
@@ -123,6 +145,14 @@
 	return nil
 }
 
+// resetSoon reports whether a new connection is reset within resetTime.
+func resetSoon(conn *endpointConn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(resetTime))
+	_, err := conn.reader.Peek(1)
+	_ = conn.SetReadDeadline(time.Time{})
+	return isConnectionReset(err)
+}
+
 // prune removes the results of endpoints that are no longer known.
 func (p *prober) prune(known func(incarnation directory.Incarnation) bool) {
 	p.mu.Lock()
--- a/gateway/responses_test.go
+++ b/gateway/responses_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"aspenyard.example/standin/link"
 	standin "aspenyard.example/standin/platform"
 )
 
@@ -60,6 +61,37 @@
 	}
 }
 
+// Guards against passing on as complete a response whose endpoint crashed, where its address still accepts connections
+// for a moment and resets them: those in the queue of a process that has ended, or of a proxy.
+func TestAResponseIsNotCompleteIfItsEndpointsAddressResetsConnections(t *testing.T) {
+	for _, path := range []string{"/stream/a", "/again/a"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			crashing, sound := plainWorker(), plainWorker()
+			if path == "/stream/a" {
+				crashing, sound = streamingWorker(6), streamingWorker(6)
+			}
+			s := newFixture(t, crashing, sound)
+			proxy, err := link.New(crashing.Addr())
+			is.NoErr(err)
+			t.Cleanup(proxy.Close)
+			s.store.Put("servers/"+crashing.ID, crashing.RegistrationAt(proxy.Addr(), "ready"))
+			s.start()
+			crashing.SetDefaultFault(standin.FaultUnframedCrash)
+			for i := 0; len(crashing.Runs()) == 0; i++ {
+				id := fmt.Sprint("q", i)
+				got := s.post(path, id)
+				is.NoErr(got.err)
+				want := standin.PlainResponse(id)
+				if path == "/stream/a" {
+					want = standin.StreamText(id, 6)
+				}
+				is.Equal(got.body, want)
+			}
+		})
+	}
+}
+
 func TestAStreamIsRelayedCompletely(t *testing.T) {
 	is := is.New(t)
 	s := newFixture(t, streamingWorker(20)).start()
