Comments of limits give their reasons without figures

Cause: four comments told measurements and how values were tried; a reader of the code needs the reason only. Change: the figures stand in docs/CAPACITY.md and docs/design/uneven-load.md already; the comments name the pages.

--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -39,16 +39,16 @@
 	saturationMeasurements = 4
 	saturationTime         = 350 * time.Millisecond
 	// lateTimer is how late a timer fires at a saturated processor when twice its capacity is asked for. Each
-	// event is relayed as late: a fifth of a pause of 0.5 s. With 50 ms, entries whose callers triple refuse more
-	// than needed; with 250 ms, entries that become six times slower refuse too late (docs/design/uneven-load.md).
+	// event is relayed as late. With less, an entry whose callers triple refuses more than needed; with more, one
+	// that becomes much slower refuses too late (docs/design/uneven-load.md).
 	lateTimer = 100 * time.Millisecond
 	// usualLateness is how late timers are at a processor that is used in full and can serve all that is asked for.
 	usualLateness = 10 * time.Millisecond
 	// waitingBytes is how long a saturated link takes for what waits for it when twice its capacity is asked
 	// for. Streams have their events in the same buffers: half of a pause of 0.5 s.
 	waitingBytes = 250 * time.Millisecond
-	// maxWaiting bounds what waiting work adds to a measurement. At the bound the pressure rises from 1 to 7
-	// within a second. With 1, entries that become six times slower serve their backlog late for seconds.
+	// maxWaiting bounds what waiting work adds to a measurement. With less, entries that become much slower serve
+	// their backlog late for seconds.
 	maxWaiting = 2
 	// payloadShare is the payload's part of what a link transmits. Headers of full packets take 5%, those of
 	// packets with single events more.
@@ -302,8 +302,8 @@
 	// store: a third is enough while half of the callers' connections carry a request.
 	endpointDescriptors = 1.0 / 3
 	// connectionBytes is the memory that an idle connection of a caller takes (docs/CAPACITY.md), and
-	// connectionMemory the part of the memory limit for them. At 112 MB the rest is for 28 MB of held
-	// bytes, 20 MB of the process while it is idle, and the kernel's buffers.
+	// connectionMemory the part of the memory limit for them, beside held bytes, the idle process and the
+	// kernel's buffers.
 	connectionBytes  = 23_000
 	connectionMemory = 0.25
 )
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -15,9 +15,8 @@
 	"aspenyard.example/settings"
 )
 
-// heldShare is the part of the process's memory limit that bytes held for callers may take. At 112 MB, a
-// process that held as much for 400 slow callers took 82 MB, 20 MB of it while idle; the rest is for more
-// connections, of 23 KB each while idle, and for the kernel's buffers.
+// heldShare is the part of the process's memory limit that bytes held for callers may take. The rest is for the idle
+// process, for callers' connections and for the kernel's buffers (docs/CAPACITY.md).
 const heldShare = 0.25
 
 const (
