Statements of leaving take turns in heartbeats where there are more than fit

What callers would see: requests to endpoints that have stated that they leave (DRAIN's kind of loss), at entries that missed the first reports. With more endpoints that leave while the store is away and so still lists them, the older ones were reported for 0.5 s and never again. Change: they take turns, in the order of their hashes. Where they fit nothing changes.

--- a/directory/leaving.go
+++ b/directory/leaving.go
@@ -21,6 +21,8 @@
 type StatedLeaving struct {
 	mu    sync.Mutex
 	known map[IncarnationHash]*leavingStatement
+	// nextReport is the index in ascending order of the first of the next reports, where they take turns.
+	nextReport int
 }
 
 // leavingStatement is what is known of one incarnation that leaves.
@@ -91,6 +93,7 @@
 
 // Reports returns the incarnations to report to other nodes, at most most: those that became known
 // in the last changeReportTime and, with full, those that the store still lists as taking requests.
+// Where there are more, they take turns: an outage of the store may keep hundreds listed.
 func (s *StatedLeaving) Reports(now time.Time, full bool, most int) []IncarnationHash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,8 +103,13 @@
 			reports = append(reports, incarnation)
 		}
 	}
-	slices.SortFunc(reports, func(a, b IncarnationHash) int { return s.known[b].statedAt.Compare(s.known[a].statedAt) })
-	return reports[:min(len(reports), most)]
+	if len(reports) <= most {
+		return reports
+	}
+	slices.Sort(reports)
+	start := s.nextReport % len(reports)
+	s.nextReport = start + most
+	return append(reports[start:], reports[:start]...)[:most]
 }
 
 // StillListed returns how many incarnations that leave the store still lists as taking requests,
--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -121,3 +121,27 @@
 	r.ExpireMissing(now)
 	is.True(r.StatedLeaving().Add(now, Incarnation{ID: "7"}.Hash()))
 }
+
+// Guards against endpoints that leave in large numbers while the store is away: those that became known first were
+// never reported again, so that entries that had missed the report sent them requests.
+func TestManyStatementsOfLeavingAreReportedInTurns(t *testing.T) {
+	is := is.New(t)
+	const count, most = 300, 64
+	r, now := NewReplica(), time.Unix(1000, 0)
+	for i := range count {
+		e := Endpoint{Incarnation: Incarnation{ID: fmt.Sprint("i-", i), StartUnixMilli: 1}, Service: "s", Revision: uint64(i + 1)}
+		r.ApplyChanges(now, &Changes{Revision: e.Revision, Changes: []Change{{Revision: e.Revision, Endpoint: &e}}})
+		r.StatedLeaving().Add(now, e.Hash())
+	}
+	r.ExpireMissing(now)
+	reported := map[IncarnationHash]bool{}
+	for range count/most + 1 {
+		now = now.Add(time.Second)
+		reports := r.StatedLeaving().Reports(now, true, most)
+		is.Equal(len(reports), most)
+		for _, incarnation := range reports {
+			reported[incarnation] = true
+		}
+	}
+	is.Equal(len(reported), count)
+}
