explain tells by what state a request was decided, where it was not the newest

Change: explain reads config_in_force, store_lost, store_regained and suspended of all logs that it is given. Nothing that serves callers changes.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -36,7 +36,7 @@
 const maxLogLine = 1 << 20
 
 func (c *explainCommand) run(t terminal) int {
-	var lines, placed []logLine
+	var lines, placed, events []logLine
 	for _, path := range c.Files {
 		all, err := readLog(path)
 		if err != nil {
@@ -48,17 +48,21 @@
 				lines = append(lines, l)
 			case l.Event == "placed":
 				placed = append(placed, l)
+			case l.Request == "":
+				events = append(events, l)
 			}
 		}
 	}
 	if len(lines) == 0 {
 		return t.failf("no lines for request %q: each node logs at most 20 successful requests per second, and drops lines that are not read in time", c.Request)
 	}
-	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	for _, list := range [][]logLine{lines, events} {
+		slices.SortStableFunc(list, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	}
 	for i := range lines {
 		fmt.Fprintln(t.out, lines[i].format(lines[0].Time))
 	}
-	for _, line := range describePause(lines, placed) {
+	for _, line := range append(describeState(lines, events), describePause(lines, placed)...) {
 		fmt.Fprintln(t.out, line)
 	}
 	return exitOK
