--- a/bench/emulator/admission_test.go
+++ b/bench/emulator/admission_test.go
@@ -100,7 +100,6 @@
 // account that displaces small ones, against less urgent requests that are not served at all, and
 // against a design that serves more.
 func TestUrgentRequestsAreOnTimeWhileCapacityIsScarce(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	none, results, alternative := simulateDesigns(t, halfTheEngines)
 	short, medium, long := results[0], results[1], results[2]
@@ -117,7 +116,6 @@
 // Guards against a burst of less urgent requests that makes urgent ones late, and against refusing
 // it while engines could serve it.
 func TestABurstOfLongPromptsDoesNotDisplaceUrgentOnes(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	none, results, alternative := simulateDesigns(t, longBurst)
 	is.True(results[0].OnTimeShare() > 0.885 && results[0].OnTimeShare() > none[0].OnTimeShare()+0.05)
@@ -141,7 +139,6 @@
 // Guards against admission that counts slow engines in full, and against a burst of urgent requests that
 // makes all of them late.
 func TestUrgentRequestsGainFromAdmissionUnderOtherLoads(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	none, results := simulateScarcity(t, "none", slowEnginesAndLoad), simulateScarcity(t, "booked", with(slowEnginesAndLoad, booked))
 	is.True(results[0].OnTimeShare() > none[0].OnTimeShare()+0.03)
@@ -160,7 +157,6 @@
 
 // Guards against prompts that are admitted and wait for memory, or are refused while engines have it.
 func TestPromptsAreOnTimeWhileMemoryIsShort(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	results := simulateScarcity(t, "memory", with(shortMemory, booked))
 	is.True(results[0].OnTimeShare() > 0.93) // 0.922 while memory was part of the cost
@@ -170,7 +166,6 @@
 
 // Guards against admission by priority that changes anything while capacity suffices.
 func TestNothingChangesWhileCapacitySuffices(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	sufficient := func(seed uint64) *Config { return scarceSite(seed, 60, []float64{1, 1, 1}) }
 	for seed := range uint64(3) {
@@ -189,7 +184,6 @@
 
 // Guards against shares that depend on every report arriving.
 func TestSharesAgreeWhenReportsAreLost(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	lossy := func(seed uint64) *Config {
 		c := with(halfTheEngines, booked)(seed)
--- a/bench/emulator/cold_test.go
+++ b/bench/emulator/cold_test.go
@@ -41,7 +41,6 @@
 // Guards against entries that together send a cold engine more than it tolerates, and against shares that
 // leave a cold engine idle while there is demand. With -v it logs the figures of several rules.
 func TestColdEnginesGetWhatTheyBear(t *testing.T) {
-	t.Parallel()
 	entryCounts := []int{4, 25}
 	if testing.Verbose() {
 		entryCounts = append(entryCounts, 68, 300)
@@ -75,7 +74,6 @@
 // Guards against warm-ups that change what a service gets for which none is configured, although its
 // endpoints say that they are cold.
 func TestAServiceWithoutAWarmUpIsPlacedAsBefore(t *testing.T) {
-	t.Parallel()
 	config := warmingSite(2, 4, direct.ColdOrUnconfirmed)
 	config.Warming.Time, config.Warming.PerSecond = 0, 0
 	without := warmingSite(2, 4, direct.ColdNever)
--- a/bench/emulator/emulator_test.go
+++ b/bench/emulator/emulator_test.go
@@ -68,7 +68,6 @@
 // others are not refused (0.73 of long ones); parts of medium prompts run on engines for short
 // ones (0.809 of short ones).
 func TestTargetsAreMetAsTheLoadMixChanges(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	short, medium, long := simulateSeeds(t, changingMix)
 	is.True(short.OnTimeShare() > 0.82)
@@ -88,7 +87,6 @@
 // Guards against pauses of short streams whenever a prompt arrives that needs more memory than
 // one engine has. Its parts were prefilled on all engines (0.51 of short prompts on time).
 func TestShortStreamsAreNotDelayedByPromptsLargerThanOneEngine(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	short, _, long := simulateSeeds(t, largeLongPrompts)
 	is.True(short.OnTimeShare() > 0.9)
@@ -119,7 +117,6 @@
 // and 0.625 of long ones. Short prompts of several entries also met in one pass of an engine when
 // entries drew anew, for each prompt, the engines that they compared (0.764 of short ones).
 func TestPromptsAsLargeAsAnEngineDoNotDelayOthers(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	short, medium, long := simulateSeeds(t, largeSite)
 	is.True(short.OnTimeShare() > 0.78)
@@ -141,7 +138,6 @@
 // Guards against half of the long prompts being late while a few engines are slow. No entry knew
 // which engines were slow, and every prompt in parts waited for them (0.48 on time).
 func TestSlowEnginesDoNotMakeLongPromptsLate(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	_, _, long := simulateSeeds(t, slowEngines)
 	is.True(long.OnTimeShare() > 0.66)
@@ -149,7 +145,6 @@
 
 // The same seed gives the same results, and every request has exactly one outcome.
 func TestSimulationIsDeterministicAndEveryRequestEndsOnce(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	first, second := Simulate(changingMix(7)), Simulate(changingMix(7))
 	is.Equal(first, second)
@@ -183,7 +178,6 @@
 // Guards against refusing most of the largest tenth of the long prompts while shorter ones are
 // served.
 func TestTheLargestPromptsAreServedBesideOthers(t *testing.T) {
-	t.Parallel()
 	for _, load := range []float64{0.5, 1, 2} {
 		t.Run(fmt.Sprint(load), func(t *testing.T) {
 			is := is.New(t)
@@ -198,7 +192,6 @@
 
 // Guards against sending long prompts that can only be late into a burst of short ones.
 func TestUnmeetableLongPromptsDoNotDelayABurstOfShortOnes(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	short, _, long := simulateSeeds(t, highLoad(1))
 	is.True(short.OnTimeShare() > 0.75)
--- a/bench/emulator/engine_test.go
+++ b/bench/emulator/engine_test.go
@@ -17,7 +17,6 @@
 // While no request decodes, an engine prefills the newest part first and then resumes the
 // older one where it was interrupted.
 func TestEnginePrefillsTheNewestPartFirst(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	sim := &simulation{config: &Config{Engine: testEngine()}}
 	e := &engine{sim: sim, spec: &sim.config.Engine, slowdown: 1}
--- a/bench/emulator/entries_test.go
+++ b/bench/emulator/entries_test.go
@@ -38,7 +38,6 @@
 // entries triple, and where three entries become six times slower. The step design is the comparison of
 // docs/design/uneven-load.md.
 func TestCallersOfAFullEntryAreServedByOthers(t *testing.T) {
-	t.Parallel()
 	for name, factors := range map[string][2]float64{"callers triple": {3, 1}, "six times slower": {1, 6}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -56,7 +55,6 @@
 
 // Guards against an entry that refuses requests although it has capacity.
 func TestEntriesWithCapacityRefuseNothing(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	_, none := simulateEntries(t, "none", nil, 1, 1)
 	_, product := simulateEntries(t, "pressure", NewPressureRefusal, 1, 1)
--- a/bench/emulator/evacuation_test.go
+++ b/bench/emulator/evacuation_test.go
@@ -11,7 +11,6 @@
 // of short or medium prompts more than the engines that it takes. With -v it logs the figures with and
 // without the gradual return, also for 68 entries.
 func TestEvacuationsOfEngines(t *testing.T) {
-	t.Parallel()
 	entryCounts, ramps := []int{4, 25}, []bool{true}
 	if testing.Verbose() {
 		entryCounts, ramps = append(entryCounts, 68), append(ramps, false)
--- a/bench/emulator/limit_test.go
+++ b/bench/emulator/limit_test.go
@@ -27,7 +27,6 @@
 // Guards against limits that many entries exceed together, and against limits that make more callers
 // late than the capacity that they take away.
 func TestLimitedEnginesKeepTheirLimits(t *testing.T) {
-	t.Parallel()
 	one, tenth := func(int) int { return 1 }, func(engines int) int { return engines / 10 }
 	for _, c := range []struct {
 		entries   int
@@ -51,7 +50,6 @@
 // Guards against a rule for how many entries share a limit that exceeds it, or that serves fewer
 // callers than a single holder would. With -v it logs the figures of three rules on the same loads.
 func TestHolderRules(t *testing.T) {
-	t.Parallel()
 	all := func(engines int) int { return engines }
 	rules := map[string]func(float64, int) int{
 		"a few": admission.Holders, "all": func(_ float64, entries int) int { return entries }, "one": func(float64, int) int { return 1 },
--- a/bench/emulator/restart_test.go
+++ b/bench/emulator/restart_test.go
@@ -21,7 +21,6 @@
 // Guards against short prompts that entries which have just started send to engines that the others have
 // filled. With -v it logs the figures of several ways on the same loads.
 func TestStartingEntriesPlaceByAView(t *testing.T) {
-	t.Parallel()
 	seeds := uint64(2)
 	if testing.Verbose() {
 		seeds = 8
--- a/bench/emulator/returns_test.go
+++ b/bench/emulator/returns_test.go
@@ -35,7 +35,6 @@
 // Guards against callers that are refused, return as they were told and are refused again. With -v it
 // logs the figures of several ways to tell the time on the same loads.
 func TestRefusedCallersReturnWhenTheyAreServed(t *testing.T) {
-	t.Parallel()
 	entryCounts := []int{4, 25}
 	if testing.Verbose() {
 		entryCounts = append(entryCounts, 68)
--- a/bench/emulator/shift_test.go
+++ b/bench/emulator/shift_test.go
@@ -31,7 +31,6 @@
 // larger of two windows' rates 0.91 of the short prompts of the steady mix were on time, instead of
 // 0.94.
 func TestTargetsAreMetAsTheMixTurnsOver(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	short, medium, long := simulateSeeds(t, turningMix)
 	is.True(short.OnTimeShare() > 0.86)
@@ -46,7 +45,6 @@
 // Guards against entries that divide the engines differently for long when heartbeats are lost: the
 // recent arrivals of an entry that is not heard are missing.
 func TestLostHeartbeatsDoNotSpoilTheDivision(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	short, medium, long := simulateSeeds(t, func(seed uint64) *Config {
 		c := turningMix(seed)
--- a/bench/emulator/statements_test.go
+++ b/bench/emulator/statements_test.go
@@ -21,7 +21,6 @@
 // for which other engines are known, and against a rush when the backoffs have ended. With -v it logs
 // the figures of several ways to treat a backoff on the same loads.
 func TestBackoffsOfEngines(t *testing.T) {
-	t.Parallel()
 	entryCounts := []int{4, 24}
 	if testing.Verbose() {
 		entryCounts = append(entryCounts, 68)
@@ -51,7 +50,6 @@
 // Guards against requests that end with an engine which has said in time that it leaves, while the
 // store is late. With -v it logs the figures of several ways on the same loads.
 func TestDeparturesOfEngines(t *testing.T) {
-	t.Parallel()
 	entryCounts := []int{4, 24}
 	if testing.Verbose() {
 		entryCounts = append(entryCounts, 68)
@@ -85,7 +83,6 @@
 // Guards against statements of engines that make more callers late than the capacity which they
 // take away.
 func TestStatementsCostLittle(t *testing.T) {
-	t.Parallel()
 	for _, entries := range []int{4, 24} {
 		t.Run(fmt.Sprint(entries), func(t *testing.T) {
 			var with, without []Result
