Read once more: comments without figures, one lock for suspensions, a name that is not ApplyPage's twin

Cause: a last reading of the diff. Three comments outside tests told trials (docs/POLICY.md and docs/design/returning-callers.md have them), two had to be read twice; suspensions guarded one field by an atomic and the rest by a lock, and locked twice to answer; ReadPage applied a page, and reads none. Change: comments; lastSeen is guarded by the lock like the other fields; ReadPage is ApplyStoredPage; highestPressure says how it differs from EntryPressure.Highest. Measured: no behaviour is meant to change.

--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -45,7 +45,7 @@
 	// usualLateness is how late timers are at a processor that is used in full and can serve all that is asked for.
 	usualLateness = 10 * time.Millisecond
 	// waitingBytes is how long a saturated link takes for what waits for it when twice its capacity is asked
-	// for. Streams have their events in the same buffers: half of a pause of 0.5 s.
+	// for. Streams have their events in the same buffers, so that their pauses grow by it.
 	waitingBytes = 250 * time.Millisecond
 	// maxWaiting bounds what waiting work adds to a measurement. With less, entries that become much slower serve
 	// their backlog late for seconds.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -36,9 +36,7 @@
 	AgingDelay [classCount]time.Duration
 	// MaxWait is the longest estimated wait, by class, with which a job is accepted;
 	// defaults 10s, 15s, 30s. Shorter waits refuse earlier and keep accepted jobs
-	// faster: with 10s, 30s, 5m, a sustained load of 1.3 times the capacity made long
-	// prompts wait four times as long, while a tenth more of the bulk jobs were accepted
-	// at the first attempt.
+	// faster; longer ones accept more bulk jobs at the first attempt (docs/POLICY.md).
 	MaxWait [classCount]time.Duration
 	// ShortPromptReserve is the fraction of the KV cache that is kept free of long
 	// prompts; default 0.2.
--- a/admission/returns_outage.go
+++ b/admission/returns_outage.go
@@ -10,8 +10,8 @@
 	// that refuse a request end earlier.
 	minOutage = 200 * time.Millisecond
 	// initialOutage is the expected length of a service's first outage: processes take seconds to
-	// start. Most callers return once, so that a time that is too short costs more than a longer one:
-	// with 1 s, a fifth of the callers of an outage of 2 s were refused again, with 2 s none.
+	// start. Most callers return once, so that a time that is too short costs more than a longer one
+	// (docs/design/returning-callers.md).
 	initialOutage = 2 * time.Second
 	// outageLapse is the time without a refusal after which nothing is known of an outage: a service
 	// with few requests has neither refusals nor responses for a while.
--- a/attempt/crashcause/crashcause.go
+++ b/attempt/crashcause/crashcause.go
@@ -49,9 +49,9 @@
 	// momentsToBlame the number of distinct moments at which they did: the loss of a rack, which ends many
 	// endpoints at once, is one moment.
 	crashesToBlame, momentsToBlame = 4, 3
-	// A part that has been answered is blamed only after that many crashes since its last answer, the first and the
-	// last that far apart: it is shared by sound requests, and while other parts crash many endpoints none of these
-	// may be answered.
+	// A part that has been answered is shared by sound requests, none of which may be answered while other parts
+	// crash many endpoints. It takes more crashes since the last answer, and a longer time from the first of them
+	// to the last.
 	crashesToBlameAnswered, momentsToBlameAnswered = 12, 6
 	spanToBlameAnswered                            = 5 * time.Second
 	// otherCrashesToBlame is how many of these crashes must have been under other requests than the one with
--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -29,7 +29,7 @@
 		tb.Fatal(err)
 	}
 	for number := range catalogue.PageCount {
-		e.catalogue.ReadPage(number, catalogue.Page{})
+		e.catalogue.ApplyStoredPage(number, catalogue.Page{})
 	}
 	return e
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -128,9 +128,9 @@
 }
 
 // endedByCrash reports whether the end of a response that ends with its connection may be the end of the endpoint's
-// process, so that the response may be incomplete. A reset connection is no evidence against a request, as an endpoint
-// with too many connections resets more, but leaves open who ended the response. While this process was suspended
-// another one may have replaced the endpoint at its address.
+// process, so that the response may be incomplete. Unlike hasCrashed, which is evidence against the request, it takes a
+// reset connection for a sign of that, although an endpoint with too many connections resets more. It does not rely
+// on the probe if this process was suspended, as another process may have replaced the endpoint meanwhile.
 func (g *Gateway) endedByCrash(ctx context.Context, r *endpointResponse) bool {
 	if !r.closeDelimited {
 		return false
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -66,7 +66,7 @@
 // the gateway's start. The supervisor counts the drain timeout from there, also while this process is suspended.
 func (g *Gateway) signalledAt(noticed time.Time) int64 {
 	if began, _, ok := g.suspensions.recent(); ok {
-		return cmp.Or(began, 1)
+		return cmp.Or(began, 1) // 0 means that no drain has begun
 	}
 	return int64(noticed.Sub(g.started))
 }
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -127,7 +127,9 @@
 // SimulateSuspension makes it appear that the process has not run for a while. It must be running.
 func (g *Gateway) SimulateSuspension(length time.Duration) {
 	g.suspensions.observe()
-	g.suspensions.lastSeen.Add(-int64(length))
+	g.suspensions.mu.Lock()
+	defer g.suspensions.mu.Unlock()
+	g.suspensions.lastSeen -= int64(length)
 }
 
 // Listed reports whether the directory lists an endpoint.
--- a/gateway/shedding.go
+++ b/gateway/shedding.go
@@ -8,7 +8,8 @@
 	"aspenyard.example/wire"
 )
 
-// highestPressure returns the pressure of the resource that this entry is shortest of.
+// highestPressure returns the pressure of the resource that this entry is shortest of, memory and descriptors
+// included, which refuse no requests by rank.
 func (m *pressureMonitor) highestPressure() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gateway/suspension.go
+++ b/gateway/suspension.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,10 +19,10 @@
 // nanoseconds since the gateway's start.
 type suspensions struct {
 	gateway *Gateway
-	// lastSeen is when the process last ran; 0 before it serves.
-	lastSeen atomic.Int64
 
 	mu sync.Mutex
+	// lastSeen is when the process last ran; 0 before it serves.
+	lastSeen int64
 	// began and ended are those of the last suspension; 0 if there was none.
 	began, ended int64
 }
@@ -32,8 +31,14 @@
 func (s *suspensions) observe() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.update()
+}
+
+// update is observe with mu held.
+func (s *suspensions) update() {
 	now := s.gateway.uptimeNanos()
-	last := s.lastSeen.Swap(now)
+	last := s.lastSeen
+	s.lastSeen = now
 	if last == 0 || time.Duration(now-last) < suspendedAfter {
 		return
 	}
@@ -44,8 +49,8 @@
 // recent returns a suspension that has just ended, and whether there was one. What the process learns now may
 // have happened at any time in it.
 func (s *suspensions) recent() (began, ended int64, ok bool) {
-	s.observe()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.update()
 	return s.began, s.ended, s.ended != 0 && time.Duration(s.gateway.uptimeNanos()-s.ended) < suspensionEffect
 }
--- a/node/catalogue.go
+++ b/node/catalogue.go
@@ -123,14 +123,14 @@
 	}
 }
 
-// PostPage schedules a page read from the store for ReadPage on the control thread, and returns at once.
+// PostPage schedules a page read from the store for ApplyStoredPage on the control thread, and returns at once.
 func (c *CatalogueSync) PostPage(number int, page catalogue.Page) {
-	c.loop.Post(func() { c.ReadPage(number, page) })
+	c.loop.Post(func() { c.ApplyStoredPage(number, page) })
 }
 
-// ReadPage applies a page read from the store. The replica is ready once all pages are applied, not when they have
+// ApplyStoredPage applies a page read from the store. The replica is ready once all pages are applied, not when they have
 // been read: callers would be refused for records that are still to be applied. Control thread only.
-func (c *CatalogueSync) ReadPage(number int, page catalogue.Page) {
+func (c *CatalogueSync) ApplyStoredPage(number int, page catalogue.Page) {
 	c.applyPage(number, page)
 	c.pagesRead[number] = true
 	if !slices.Contains(c.pagesRead[:], false) {
--- a/node/catalogue_test.go
+++ b/node/catalogue_test.go
@@ -15,12 +15,12 @@
 	is := is.New(t)
 	c := NewCatalogueSync(nil, zap.NewNop())
 	for number := range catalogue.PageCount - 1 {
-		c.ReadPage(number, catalogue.Page{})
-		c.ReadPage(number, catalogue.Page{})
+		c.ApplyStoredPage(number, catalogue.Page{})
+		c.ApplyStoredPage(number, catalogue.Page{})
 	}
 	is.True(!c.Ready())
 	last := &catalogue.Record{Type: catalogue.TypeAccount, ID: "a", Account: &catalogue.Account{}}
-	c.ReadPage(catalogue.PageCount-1, catalogue.Page{Revision: 1, Records: map[string]*catalogue.Record{last.Key(): last}})
+	c.ApplyStoredPage(catalogue.PageCount-1, catalogue.Page{Revision: 1, Records: map[string]*catalogue.Record{last.Key(): last}})
 	is.True(c.Ready())
 	is.True(c.View().ChangesSince(make([]uint64, catalogue.PageCount)) != nil)
 }
