Tests of a pressed entry do not depend on the speed of the machine

Cause: the simulated process used 12 ms for each served request, so that the entry was pressed only while the machine served over 83 requests a second. Change: the simulated process uses a multiple of its limit, less the share that is refused, at any speed; the check for the refusal's code has its whole text. TestAnEntryThatGetsMostConnections had the same cause and uses it too.

--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -16,18 +16,51 @@
 	standin "aspenyard.example/standin/platform"
 )
 
-// fakeUsage simulates a process that uses a fixed processor time for each served request.
+// fakeUsage simulates a process whose callers ask for a multiple of one core, however fast the machine serves them: it
+// uses that, less the share that is refused.
 type fakeUsage struct {
+	demand atomic.Uint64 // in percent of a core
+	asked  atomic.Int64
 	served atomic.Int64
-	cost   time.Duration
+	extra  atomic.Int64 // processor time used for anything else
 	fails  atomic.Bool
+
+	// The other fields are used by the goroutine that measures.
+	lastAsked, lastServed int64
+	admittedShare         float64
+	measured              time.Time
+	used                  time.Duration
+}
+
+func newFakeUsage(demandPercent uint64) *fakeUsage {
+	u := &fakeUsage{admittedShare: 1}
+	u.demand.Store(demandPercent)
+	return u
+}
+
+// record counts a request and whether it was served.
+func (u *fakeUsage) record(served bool) {
+	if served {
+		u.served.Add(1)
+	}
+	u.asked.Add(1)
 }
 
 func (u *fakeUsage) ProcessorTime() (time.Duration, error) {
 	if u.fails.Load() {
 		return 0, errors.New("refused by a test")
 	}
-	return time.Duration(u.served.Load()) * u.cost, nil
+	now := time.Now()
+	if u.measured.IsZero() {
+		u.measured = now
+	}
+	asked, served := u.asked.Load(), u.served.Load()
+	if asked > u.lastAsked {
+		u.admittedShare = float64(served-u.lastServed) / float64(asked-u.lastAsked)
+	}
+	u.used += time.Duration(float64(now.Sub(u.measured)) * u.admittedShare * float64(u.demand.Load()) / 100)
+	u.measured, u.lastAsked, u.lastServed = now, asked, served
+	return u.used + time.Duration(u.extra.Load()), nil
 }
 
 func (u *fakeUsage) OpenDescriptors() (int, error) {
@@ -51,7 +84,7 @@
 // urgent requests for it, and that goes on refusing when the load has ended.
 func TestAnEntryShortOfProcessorTimeRefusesByUrgency(t *testing.T) {
 	is := is.New(t)
-	usage := &fakeUsage{cost: 12 * time.Millisecond} // 83 requests a second with one core
+	usage := newFakeUsage(150)
 	s := newPressedFixture(t, usage, `,"processor_limit":1`, plainWorker(), streamingWorker(3)).start()
 	refused := map[string]int{}
 	n := 0
@@ -59,8 +92,8 @@
 		for _, path := range []string{"/once/a", "/again/a"} {
 			n++
 			got := s.post(path, fmt.Sprint("q", n))
+			usage.record(got.status == http.StatusOK)
 			if got.status == http.StatusOK {
-				usage.served.Add(1)
 				continue
 			}
 			is.Equal(got.status, http.StatusServiceUnavailable)
@@ -80,19 +113,20 @@
 	is.Equal(s.readyStatus(), http.StatusOK)
 	// A resumed stream is not refused, nor is a body waited for that is not going to be read.
 	s.waitFor("a body is refused unread", func() bool {
-		for range 10 { // goes on for longer than the wait below
+		for range 10 {
 			load()
 		}
 		for range 10 {
 			n++
 			r := s.request(http.MethodGet, "/stream/a", fmt.Sprint("resumed", n), "")
 			r.Header.Set("Last-Event-ID", "1")
-			is.True(!strings.Contains(s.do(r).body, "3022"))
+			is.True(!strings.Contains(s.do(r).body, "entry_full (3022)"))
 		}
 		response := s.dialSlow(announce(fmt.Sprint("unread", n), 60_000)).responseWithin(50 * time.Millisecond)
 		n++
 		return response != nil && response.StatusCode == http.StatusServiceUnavailable && response.Close
 	})
+	usage.demand.Store(0)
 	s.waitFor("the entry is relieved", func() bool {
 		return s.logged(`"event":"entry_relieved"`) && s.sumMetric(`aspenyard_gateway_pressure{resource="processor"}`) < 0.9
 	})
@@ -115,13 +149,13 @@
 // with the failures.
 func TestAnEntryThatCannotMeasureItselfServes(t *testing.T) {
 	is := is.New(t)
-	usage := &fakeUsage{cost: time.Hour}
+	usage := newFakeUsage(0)
 	usage.fails.Store(true)
 	s := newPressedFixture(t, usage, `,"processor_limit":0.001,"descriptor_limit":256`, plainWorker()).start()
 	s.waitFor("both failures are logged", func() bool { return strings.Count(s.log.String(), `"event":"entry_not_measured"`) == 2 })
 	for i := range 50 {
 		is.Equal(s.post("/again/a", fmt.Sprint("q", i)).status, http.StatusOK)
-		usage.served.Add(1)
+		usage.extra.Add(int64(time.Hour))
 		time.Sleep(5 * time.Millisecond)
 	}
 	is.Equal(strings.Count(s.log.String(), `"event":"entry_not_measured"`), 2)
@@ -129,7 +163,7 @@
 	time.Sleep(5 * admission.MeasureInterval)
 	is.True(!s.logged(`"event":"entry_pressed"`)) // what was used during the failures does not count
 	s.waitFor("the resource is measured again", func() bool {
-		usage.served.Add(1)
+		usage.extra.Add(int64(time.Hour))
 		return s.logged(`"event":"entry_pressed"`)
 	})
 }
@@ -180,7 +214,7 @@
 func TestConnectionsOfCallersAreBounded(t *testing.T) {
 	is := is.New(t)
 	w := plainWorker()
-	s := newPressedFixture(t, &fakeUsage{}, `,"descriptor_limit":260`, w).start() // 40 callers
+	s := newPressedFixture(t, newFakeUsage(0), `,"descriptor_limit":260`, w).start() // 40 callers
 	s.waitFor("the bound is known", func() bool { return s.sumMetric("aspenyard_gateway_caller_connections_bound") == 40 })
 	var callers []*slowCaller
 	connect := func(id string) *slowCaller {
--- a/gateway/shedding_test.go
+++ b/gateway/shedding_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 )
@@ -13,7 +12,7 @@
 // connection is closed unread are served there at once.
 func TestAnEntryThatGetsMostConnectionsLeavesSomeToOthers(t *testing.T) {
 	is := is.New(t)
-	usage := &fakeUsage{cost: 12 * time.Millisecond} // 83 requests a second with one core
+	usage := newFakeUsage(150)
 	first, second := newPressedFixture(t, usage, `,"processor_limit":1`, plainWorker(), plainWorker()), newFixture(t)
 	second.store = first.store
 	first.enablePeers()
@@ -29,12 +28,12 @@
 	served, refused, closed := 0, 0, 0
 	send := func(s *fixture, id string) (read bool) {
 		got := s.do(s.request(http.MethodPost, "/again/a", id, "body"))
+		if s == first {
+			usage.record(got.status == http.StatusOK)
+		}
 		switch {
 		case got.status == http.StatusOK:
 			served++
-			if s == first {
-				usage.served.Add(1)
-			}
 		case got.status != 0:
 			refused++
 		default:
