A setting for how long another node may take to answer: peer_timeout

Cause: run on one core beside 14 busy processes it fails with 'timeout waiting for PING response': a node whose processes wait for a processor answers a ping later than the fixed second, its connection is closed and the requests on it end. suspect_after could be raised for such machines, the bound on pings and on reservations could not. Change: entries and agents read peer_timeout (default 1 s as before) for both. Gateways have no such connections and are not changed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,7 +42,7 @@
 
 // New returns the agent that s configures. It opens no connection before Serve.
 func New(s settings.Agent, log *zap.Logger) *Agent {
-	clients := node.NewClients()
+	clients := node.NewClients(s.PeerTimeout.D())
 	return &Agent{
 		settings: s, log: log, metrics: metrics.NewSet(), engine: engine.New(s.Endpoint),
 		clients: clients, catalogue: node.NewCatalogueSync(clients, log),
@@ -79,7 +79,7 @@
 	a.initControl()
 	a.registerMetrics()
 	go func() { failures <- a.loop.Run(ctx) }()
-	go func() { failures <- node.ServeRPC(ctx, listener, a.handler()) }()
+	go func() { failures <- node.ServeRPC(ctx, listener, a.handler(), a.settings.PeerTimeout.D()) }()
 	store := consul.NewClient(a.settings.Platform, a.settings.StoreTimeout.D())
 	go a.loop.PollList(ctx, store, a.settings.ListInterval.D())
 	go a.monitorHealth(ctx)
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -56,6 +56,9 @@
 	fleetOperator = "demo-operator.secret"
 	fleetService  = "filing"
 	dataCentre    = "dc1"
+	// fleetSilence is after how long a silent node counts as failed: all of them share one process, and
+	// one that is silent waits for a processor.
+	fleetSilence = settings.Duration(30 * time.Second)
 )
 
 // KindFor returns the kind of work for a prompt length in tokens: urgent work up to 4,000, normal
@@ -166,7 +169,7 @@
 		return settings.Node{}, err
 	}
 	operators, err := link.FreeAddr()
-	return settings.Node{Name: name, DataCentre: dataCentre, Listen: listen, OperatorsListen: operators, Platform: store}, err
+	return settings.Node{Name: name, DataCentre: dataCentre, Listen: listen, OperatorsListen: operators, Platform: store, PeerTimeout: fleetSilence, SuspectAfter: fleetSilence}, err
 }
 
 // startAgent lists an agent's VM and starts the agent beside an endpoint.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -13,15 +13,11 @@
 	"aspenyard.example/wire"
 )
 
-// reserveTimeout bounds a Reserve call: a request loses this much time at an agent that
-// does not answer before the next one is tried. A late response is harmless, because an
-// unused reservation expires.
-const reserveTimeout = time.Second
-
 // reserve asks an endpoint's agent to reserve a place for the call. All its errors mean
-// that nothing ran, because no run request was sent.
+// that nothing ran, because no run request was sent. A late response is harmless, because an
+// unused reservation expires.
 func (e *Entry) reserve(ctx context.Context, c *call, endpoint *routing.Endpoint, r *routing.Request) (*wire.Reservation, *result.Error) {
-	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, e.settings.PeerTimeout.D())
 	defer cancel()
 	started := time.Now()
 	response, err := e.clients.Agent(endpoint.Addr).Reserve(callCtx, connect.NewRequest(&wire.ReserveRequest{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,7 +65,7 @@
 // Serve does both. It returns an error if the routing policy is unknown.
 func New(s settings.Entry, log *zap.Logger) (*Entry, error) {
 	client := consul.NewClient(s.Platform, s.StoreTimeout.D())
-	clients := node.NewClients()
+	clients := node.NewClients(s.PeerTimeout.D())
 	e := &Entry{
 		settings: s, log: log, metrics: metrics.NewSet(), store: client, vmList: client,
 		clients: clients, catalogue: node.NewCatalogueSync(clients, log), limiter: admission.NewLimiter(),
@@ -119,7 +119,7 @@
 	e.registerMetrics()
 	failures := make(chan error, 4)
 	go func() { failures <- e.loop.Run(ctx) }()
-	go func() { failures <- node.ServeRPC(ctx, listeners[0], e.peerHandler()) }()
+	go func() { failures <- node.ServeRPC(ctx, listeners[0], e.peerHandler(), e.settings.PeerTimeout.D()) }()
 	go func() { failures <- node.ServeHTTP(ctx, listeners[1], e.operatorsHandler()) }()
 	callers := e.callersServer()
 	go func() {
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -16,12 +16,11 @@
 )
 
 const (
-	// pingAfter is the time without data after which a connection is pinged, and pingTimeout
-	// the time that the ping response may take. Together they bound how long a suspended or
-	// unreachable peer keeps a stream open, and with it the resources of the stream's request.
-	// TCP alone would wait for many minutes.
-	pingAfter   = time.Second
-	pingTimeout = time.Second
+	// pingAfter is the time without data after which a connection is pinged. Together with the time
+	// that the ping response may take it bounds how long a suspended or unreachable peer keeps a
+	// stream open, and with it the resources of the stream's request. TCP alone would wait for many
+	// minutes.
+	pingAfter = time.Second
 	// maxMessageBytes bounds one RPC message. The largest holds a prompt of a million tokens
 	// and the other fields of its request.
 	maxMessageBytes = 64 << 20
@@ -37,8 +36,9 @@
 
 // ServeRPC serves RPCs on listener until ctx ends, and then closes all connections, also those
 // with RPCs in progress. ctx must therefore not end before a drain is complete. ServeRPC
-// returns nil after that, and otherwise the error that ended it.
-func ServeRPC(ctx context.Context, listener net.Listener, handler http.Handler) error {
+// returns nil after that, and otherwise the error that ended it. A connection whose client does
+// not answer a ping within pingTimeout is closed.
+func ServeRPC(ctx context.Context, listener net.Listener, handler http.Handler, pingTimeout time.Duration) error {
 	server := &http.Server{
 		Handler: handler, Protocols: cleartextHTTP2(),
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout, MaxConcurrentStreams: 10_000},
@@ -64,8 +64,9 @@
 // addresses, so a full cache is cleared.
 const maxClients = 20_000
 
-// NewClients returns an empty cache. Its clients share one HTTP transport.
-func NewClients() *Clients {
+// NewClients returns an empty cache. Its clients share one HTTP transport, which closes connections
+// whose server does not answer a ping within pingTimeout.
+func NewClients(pingTimeout time.Duration) *Clients {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Clients{
 		http: &http.Client{Transport: &http.Transport{
--- /dev/null
+++ b/node/rpc_test.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"aspenyard.example/standin/link"
+	"aspenyard.example/wire"
+	"aspenyard.example/wire/wireconnect"
+)
+
+// slowAgent answers a reservation when it is released.
+type slowAgent struct {
+	wireconnect.UnimplementedAgentHandler
+	started, release chan struct{}
+}
+
+func (a *slowAgent) Reserve(ctx context.Context, _ *connect.Request[wire.ReserveRequest]) (*connect.Response[wire.ReserveResponse], error) {
+	a.started <- struct{}{}
+	select {
+	case <-a.release:
+	case <-ctx.Done():
+	}
+	return connect.NewResponse(&wire.ReserveResponse{}), ctx.Err()
+}
+
+// Guards against a node that ends calls of one that is silent for less than the time that the operator allows, and
+// against one that waits for longer.
+func TestASilentNodeEndsItsCallsAfterThePeerTimeout(t *testing.T) {
+	for name, c := range map[string]struct {
+		timeout time.Duration
+		ends    bool
+	}{"shorter": {50 * time.Millisecond, true}, "longer": {time.Minute, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			agent := &slowAgent{started: make(chan struct{}, 1), release: make(chan struct{})}
+			_, handler := wireconnect.NewAgentHandler(agent)
+			go func() { _ = ServeRPC(t.Context(), listener, handler, time.Minute) }()
+			l, err := link.New(listener.Addr().String())
+			is.NoErr(err)
+			defer l.Close()
+			ended := make(chan error, 1)
+			go func() {
+				_, err := NewClients(c.timeout).Agent(l.Addr()).Reserve(t.Context(), connect.NewRequest(&wire.ReserveRequest{}))
+				ended <- err
+			}()
+			<-agent.started
+			l.SetBlocked(link.Both)
+			if c.ends {
+				is.True(<-ended != nil)
+				return
+			}
+			time.Sleep(2*pingAfter + 500*time.Millisecond) // a ping is sent, and would be missed with the shorter timeout
+			l.SetBlocked(0)
+			close(agent.release)
+			is.NoErr(<-ended)
+		})
+	}
+}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -146,6 +146,9 @@
 	if seed := h.processes[opts["seeds"]]; seed != nil {
 		body["seeds"] = []string{seed.addrs["listen"]}
 	}
+	if opts["silence"] != "" {
+		body["peer_timeout"], body["suspect_after"] = opts["silence"], opts["silence"]
+	}
 	if opts["drain"] != "" {
 		body["drain_timeout"] = opts["drain"]
 	}
--- a/settings/node.go
+++ b/settings/node.go
@@ -37,6 +37,10 @@
 	ListLag Duration `json:"list_lag,omitempty"`
 	// StoreTimeout bounds one call to the platform's store; default 1s.
 	StoreTimeout Duration `json:"store_timeout,omitempty"`
+	// PeerTimeout bounds a call with a short answer to another node, and the answer to a ping; default
+	// 1s. A shorter time frees the resources of a suspended node's requests sooner. On machines whose
+	// processes wait longer than that for a processor it ends requests of nodes that are alive.
+	PeerTimeout Duration `json:"peer_timeout,omitempty"`
 	// DrainTimeout bounds how long a graceful shutdown waits for requests; default 60s.
 	DrainTimeout Duration `json:"drain_timeout,omitempty"`
 }
@@ -51,6 +55,7 @@
 	setDuration(&n.ListInterval, time.Second)
 	setDuration(&n.ListLag, 30*time.Second)
 	setDuration(&n.StoreTimeout, time.Second)
+	setDuration(&n.PeerTimeout, time.Second)
 	setDuration(&n.DrainTimeout, time.Minute)
 }
 
@@ -79,6 +84,7 @@
 	errs.CheckRange("list_interval", n.ListInterval.D(), 20*time.Millisecond, 10*time.Minute)
 	errs.CheckRange("list_lag", n.ListLag.D(), 0, time.Hour)
 	errs.CheckRange("store_timeout", n.StoreTimeout.D(), 10*time.Millisecond, time.Minute)
+	errs.CheckRange("peer_timeout", n.PeerTimeout.D(), 50*time.Millisecond, time.Minute)
 	errs.CheckRange("drain_timeout", n.DrainTimeout.D(), 0, 24*time.Hour)
 	return errs
 }
