A test of a rolling upgrade over 341 entries that follow the store together

Change: 341 registered entries of the former version, which watch for themselves and do not answer, become new ones in eleven waves while two changes a second are made. Calls of an entry stay under the same quarter of a watch as in a fleet of one version, and the bound holds.

--- a/changefeed/changefeed_test.go
+++ b/changefeed/changefeed_test.go
@@ -150,6 +150,42 @@
 	is.True(calls < 30*2) // one watch of its own, answered twice a second
 }
 
+// Guards against a rolling upgrade in which entries of the former version, which watch for themselves and do not answer,
+// make those of this version late, or let them call the store more often than the former ones did.
+func TestAnUpgradeInWavesKeepsTheBound(t *testing.T) {
+	is := is.New(t)
+	const entries, waves, waveTime = 341, 11, 6 * time.Second
+	w := newWorld(11, entries)
+	for _, e := range w.entries {
+		e.dead = true
+	}
+	w.change()
+	w.run(10 * time.Second)
+	upgraded := 0
+	for wave := range waves {
+		for range entries / waves {
+			e := w.entries[w.random.IntN(entries)]
+			for !e.dead {
+				e = w.entries[w.random.IntN(entries)]
+			}
+			e.dead, e.calmSince = false, w.Now()
+			e.wake()
+			upgraded++
+		}
+		w.calls = map[CallReason]int{}
+		for end := w.Now() + waveTime; w.Now() < end; {
+			w.change()
+			w.run(w.Now() + 500*time.Millisecond)
+			w.checkBound()
+		}
+		calls := float64(w.calls[CallStale]+w.calls[CallWatching]) / (float64(upgraded) * waveTime.Seconds())
+		t.Logf("wave %d: %d of %d entries upgraded, %.2f calls a second each", wave+1, upgraded, entries, calls)
+		is.True(calls < 0.25) // as in a fleet of one version
+	}
+	w.failOn(t)
+	is.Equal(upgraded, entries)
+}
+
 // Guards against a follower that counts the age of a proof from when the response came: a request that
 // waited at a suspended responder, or a response at a suspended follower, is older by that time.
 func TestAProofCountsFromTheRequest(t *testing.T) {
