--- a/gateway/events.go
+++ b/gateway/events.go
@@ -110,7 +110,7 @@
 // EventsMarkdown returns the contents of docs/LOGS.md.
 func EventsMarkdown() string {
 	var b strings.Builder
-	b.WriteString("# Log lines of the gateway\n\n")
+	b.WriteString("# Log lines of the gateway\n\nFor operators.\n\n")
 	b.WriteString("The gateway writes JSON lines to standard output, one for each decision about a request and for each\n")
 	b.WriteString("change of its own state. Every line has `time`, `level`, `event`, `node` and `role`; lines of a request\n")
 	b.WriteString("have its ID as `request`. The lines of a request are written when it has ended, either all or none.\n")
--- a/result/table.go
+++ b/result/table.go
@@ -69,7 +69,7 @@
 // prints it.
 func Markdown() string {
 	var b strings.Builder
-	b.WriteString("# Result codes\n\n")
+	b.WriteString("# Result codes\n\nFor callers and operators.\n\n")
 	b.WriteString("Every response carries its code in `X-Result-Code` and, when it is an error, in the body\n")
 	b.WriteString("with `ran` (`no`, `yes` or `unknown`). 1xxx: carried out; 2xxx: the request is invalid; 3xxx:\n")
 	b.WriteString("refused, the request did not run; 4xxx: failed after admission; 5xxx: internal error.\n")
