A test of silent nodes ends on a machine that answers pings late

Cause: with a ping timeout of 50 ms the call may end before its handler has started, and the test would wait for the start for ever. Found by reading. Change: an end before the start counts as the end that is expected. A page with fewer than four lines does not panic in the test of pages. Measured: both packages pass.

--- a/cli/pages_test.go
+++ b/cli/pages_test.go
@@ -25,7 +25,7 @@
 		is.NoErr(err)
 		lines := strings.Split(string(text), "\n")
 		says := false
-		for _, line := range lines[:4] {
+		for _, line := range lines[:min(len(lines), 4)] {
 			says = says || strings.HasPrefix(strings.TrimPrefix(line, "# "), "For ")
 		}
 		if !says {
--- a/node/rpc_test.go
+++ b/node/rpc_test.go
@@ -51,7 +51,12 @@
 				_, err := NewClients(c.timeout).Agent(l.Addr()).Reserve(t.Context(), connect.NewRequest(&wire.ReserveRequest{}))
 				ended <- err
 			}()
-			<-agent.started
+			select {
+			case <-agent.started:
+			case err := <-ended: // a ping that a slow machine answers late ends the call sooner
+				is.True(c.ends && err != nil)
+				return
+			}
 			l.SetBlocked(link.Both)
 			if c.ends {
 				is.True(<-ended != nil)
