Read once more: comments without figures, two encoders named as such

Cause: read as a newcomer would. Four comments outside tests told a measurement, and partRecord was both a type and the method that makes a record of the store; quarantineRecord had a method named record. Change: wording only and two names; no behaviour is meant to change.

--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -50,8 +50,8 @@
 	// maxWaiting bounds what waiting work adds to a measurement. With less, entries that become much slower serve
 	// their backlog late for seconds.
 	maxWaiting = 2
-	// payloadShare is the payload's part of what a link transmits. Headers of full packets take 5%, those of
-	// packets with single events more.
+	// payloadShare is the payload's part of what a link transmits. Headers take more of packets with single events than
+	// of full ones.
 	payloadShare = 0.9
 	// reliefFactor is by how much faster the pressure above 1 falls while the resource is not saturated. It
 	// rises too far while work that was admitted before still waits, and capacity is idle until it has fallen.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -100,7 +100,7 @@
 	}
 	g.log.Warn("quarantined", zap.Stringer("fingerprint", request), zap.String("heard_from", from))
 	if endpoints, own := g.quarantine.CrashedEndpoints(request); own {
-		go g.persist(quarantineRecord{Scope: request.Scope, Body: request.Body, Endpoints: endpoints}.record())
+		go g.persist(quarantineRecord{Scope: request.Scope, Body: request.Body, Endpoints: endpoints}.encode())
 	}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -185,7 +185,7 @@
 }
 
 // FillHeartbeat implements membership.Delegate. Between full heartbeats it reports changes only,
-// which takes a tenth of the bytes and of the receivers' work.
+// which spares bytes and the receivers' work.
 func (p *peers) FillHeartbeat(now time.Time, h *wire.Heartbeat) {
 	loads := p.gateway.loadTracker.Loads(now)
 	if h.Partial = now.Sub(p.fullSentAt) < fullHeartbeatInterval; !h.Partial {
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -98,7 +98,7 @@
 		crashes, _, local := g.crashCauses.Crashes(time.Now(), part)
 		g.log.Warn("part_quarantined", zap.String("part", formatPart(part)), zap.Int("crashes", len(crashes)), zap.String("heard_from", from))
 		if local {
-			go g.persist(g.partRecord(part))
+			go g.persist(g.encodePartRecord(part))
 		}
 	}
 	for _, part := range changes.Cleared {
@@ -130,8 +130,8 @@
 	AtUnixMilli int64 `json:"at_unix_ms"`
 }
 
-// partRecord returns the record of a part in its present state.
-func (g *Gateway) partRecord(part crashcause.Part) directory.Record {
+// encodePartRecord returns the record of a part in its present state, as the store keeps it.
+func (g *Gateway) encodePartRecord(part crashcause.Part) directory.Record {
 	now := time.Now()
 	crashes, position, _ := g.crashCauses.Crashes(now, part)
 	r := partRecord{Part: uint64(part), Position: position}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -37,8 +37,8 @@
 	return attempt.Fingerprint{Scope: r.Scope, Body: r.Body}
 }
 
-// record returns the record in the form in which the store keeps it.
-func (r quarantineRecord) record() directory.Record {
+// encode returns the record as the store keeps it.
+func (r quarantineRecord) encode() directory.Record {
 	value, err := json.Marshal(r)
 	if err != nil {
 		panic(err) // cannot happen for these types
--- a/gateway/slowdown.go
+++ b/gateway/slowdown.go
@@ -35,8 +35,7 @@
 // slowdownMonitor detects endpoints that have become slow. A prompt that is prefilled in parts
 // waits for the slowest of its engines, so one slow engine of twenty makes every such prompt late.
 // Endpoints are queried only after callers' requests show delays. The endpoint's own report
-// decides, and the other entries are told of it. A slow engine is detected 0.3 to 0.9 s after it
-// became slow.
+// decides, and the other entries are told of it.
 type slowdownMonitor struct {
 	gateway *Gateway
 	mu      sync.Mutex
--- a/routing/direct/starting_view.go
+++ b/routing/direct/starting_view.go
@@ -196,7 +196,7 @@
 }
 
 // topEngines collects the engines with the highest loads. It is reduced to those whenever it has become
-// twice as long: sorting all of 10,000 engines would take a third of the time of a view.
+// twice as long, because sorting all engines takes longer.
 type topEngines []ViewEngine
 
 func (list *topEngines) add(e ViewEngine, most int) {
