--- a/directory/source.go
+++ b/directory/source.go
@@ -43,6 +43,9 @@
 	ReadItem(ctx context.Context, key string, stale bool) (Item, error)
 	// Decode returns the changes that items stand for; the store's revision after them is revision.
 	Decode(revision uint64, items []Item) *Changes
+	// Era returns the highest era that the store has stated in any response; 0 if it states none. The era
+	// rises each time that the store is restored from a copy.
+	Era() uint64
 	// CloseIdleConnections closes idle connections, some of which may no longer get
 	// answers.
 	CloseIdleConnections()
--- a/gateway/checkpoint.go
+++ b/gateway/checkpoint.go
@@ -192,5 +192,5 @@
 
 // logStart logs the state that an entry starts with.
 func (g *Gateway) logStart(start startState, took time.Duration) {
-	g.log.Info("state_read", zap.String("from", start.from), zap.Uint64("at", start.state.Revision), zap.Int("endpoints", len(start.state.Endpoints)), zap.Duration("took_ms", took))
+	g.log.Info("state_read", zap.String("from", start.from), zap.Uint64("at", start.state.Revision), zap.Uint64("era", g.source.Era()), zap.Int("endpoints", len(start.state.Endpoints)), zap.Duration("took_ms", took))
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -242,7 +242,7 @@
 	switch {
 	case errors.Is(result.err, directory.ErrHistoryGone):
 		w.needsFullRead = true
-		log.Info("store_history_gone", zap.Uint64("at", w.replica.Revision()))
+		log.Info("store_history_gone", zap.Uint64("at", w.replica.Revision()), zap.Uint64("era", w.gateway.source.Era()))
 		return 0
 	case result.err != nil:
 		if w.outageSince.IsZero() {
@@ -265,6 +265,9 @@
 	w.follower.Prove(result.began)
 	if result.state != nil {
 		w.needsFullRead = false
+		if known := w.replica.Revision(); result.state.Revision < known {
+			log.Warn("state_outdated", zap.Uint64("at", result.state.Revision), zap.Uint64("known", known), zap.Uint64("era", w.gateway.source.Era()))
+		}
 		w.gateway.feed.log.Reset(result.state.Revision)
 		w.applyState(result.state, result.changes)
 		w.prove(result.began)
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -71,6 +71,8 @@
 	return &directory.Changes{Revision: revision}
 }
 
+func (r *recordingSource) Era() uint64 { return 0 }
+
 func (r *recordingSource) CloseIdleConnections() {}
 
 // Guards against changes that come into force seconds late. It happened when the store went silent
