A failing test: entries do not follow a store that was restored from a copy

What callers saw: requests reach an endpoint that left, new configurations are not in force. The stand-in can be restored from a copy, states its era or hides it.

--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -26,12 +26,19 @@
 
 // startGateways starts n gateways of one deployment that exchange heartbeats.
 func startGateways(t *testing.T, n int, workers ...*standin.Worker) []*fixture {
+	t.Helper()
+	return startGatewaysOn(t, n, func(*standin.Store) {}, workers...)
+}
+
+// startGatewaysOn is startGateways with a store that prepare has changed.
+func startGatewaysOn(t *testing.T, n int, prepare func(*standin.Store), workers ...*standin.Worker) []*fixture {
 	t.Helper()
 	var all []*fixture
 	for i := range n {
 		s := newFixture(t)
 		if i == 0 {
 			s = newFixture(t, workers...)
+			prepare(s.store)
 		} else {
 			s.store, s.version = all[0].store, all[0].version
 			s.extraSettings = fmt.Sprintf(`,"name":"g%d"`, i+1)
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -59,11 +59,14 @@
 	nextLease         uint64
 	changed           chan struct{}
 	callCounts        map[string]int
+	// era is stated in all responses, unless hidesEra is set.
+	era      uint64
+	hidesEra bool
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]Item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), callCounts: map[string]int{}}
+	return &Store{items: map[string]Item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), callCounts: map[string]int{}, era: 1}
 }
 
 // SetFaults replaces the faults and wakes the waiting watches.
@@ -191,6 +194,7 @@
 		s.callCounts[r.URL.Path]++
 		s.expireLeases()
 		faults := s.faults
+		s.stateEra(w.Header())
 		s.mu.Unlock()
 		if faults.Delay > 0 {
 			time.Sleep(faults.Delay)
@@ -215,6 +219,7 @@
 func (s *Store) serveKey(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w.Header())
 	item, found := s.items[r.URL.Query().Get("key")]
 	if !found {
 		writeJSON(w, http.StatusNotFound, map[string]uint64{"at": s.revision})
@@ -230,6 +235,7 @@
 	query := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w.Header())
 	entries := []Item{}
 	for key, item := range s.items {
 		if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
@@ -253,7 +259,8 @@
 	for {
 		s.mu.Lock()
 		muted = muted || s.faults.MuteWatches
-		compacted, revision, changed := after < s.compactedRevision, s.revision, s.changed
+		s.stateEra(w.Header())
+		gone, revision, changed := after < s.compactedRevision || after > s.revision, s.revision, s.changed
 		events := []event{}
 		for _, e := range s.events {
 			if e.Revision > after && strings.HasPrefix(e.Key, query.Get("prefix")) {
@@ -262,8 +269,8 @@
 		}
 		s.mu.Unlock()
 		switch {
-		case !muted && compacted:
-			http.Error(w, "events after this revision were compacted", http.StatusGone)
+		case !muted && gone:
+			http.Error(w, "the store has no history from this revision", http.StatusGone)
 			return
 		case !muted && len(events) > 0:
 			writeJSON(w, http.StatusOK, map[string]any{"events": events, "at": revision})
@@ -304,6 +311,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w.Header())
 	for _, expected := range txn.Expect {
 		if s.items[expected.Key].Revision != expected.Revision {
 			writeJSON(w, http.StatusPreconditionFailed, map[string]any{"entries": []Item{s.items[expected.Key]}})
@@ -348,6 +356,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w.Header())
 	s.nextLease++
 	ttl := time.Duration(request.TTLMS) * time.Millisecond
 	s.leases[s.nextLease] = &lease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
@@ -358,6 +367,7 @@
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w.Header())
 	l := s.leases[id]
 	if l == nil {
 		http.Error(w, "unknown or expired lease", http.StatusNotFound)
@@ -371,6 +381,7 @@
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w.Header())
 	delete(s.leases, id)
 	s.removeKeysOfLease(id)
 	writeJSON(w, http.StatusOK, map[string]any{})
