--- a/changefeed/changefeed_test.go
+++ b/changefeed/changefeed_test.go
@@ -28,8 +28,8 @@
 		w.run(w.Now() + 100*time.Millisecond)
 		w.checkBound()
 		for _, e := range w.entries {
-			if e.revision < w.storeRevision() {
-				longest = max(longest, w.Now()-w.changedAt[e.revision])
+			if e.at.Revision() < w.storeAt().Revision() {
+				longest = max(longest, w.Now()-w.changedAt[e.at.Revision()])
 			}
 		}
 	}
@@ -199,9 +199,51 @@
 	peer, nonce, ok := f.Ask(10 * time.Second)
 	is.True(ok)
 	is.Equal(peer, "b")
-	provenAt, ok := f.Hear(14*time.Second, "b", nonce, &Chunk{Last: true, Complete: true, Age: time.Second})
+	provenAt, ok := f.Hear(14*time.Second, "b", nonce, 0, &Chunk{Last: true, Complete: true, Age: time.Second})
 	is.True(ok)
 	is.Equal(provenAt, 9*time.Second)
-	_, ok = f.Hear(14*time.Second, "b", nonce+1, &Chunk{Last: true, Complete: true})
+	_, ok = f.Hear(14*time.Second, "b", nonce+1, 0, &Chunk{Last: true, Complete: true})
 	is.True(!ok) // no request of this entry
 }
+
+// Guards against entries that all read the state at once after a loss, and against calls that grow faster than
+// the entries. The reads that the users' store grants a second are the bound.
+func TestALossCostsFewCalls(t *testing.T) {
+	const readsPerSecond, callsPerEntry = 2000, 3
+	for _, entries := range []int{4, 68, 341} {
+		w := newWorld(1, entries)
+		w.change()
+		w.run(time.Minute)
+		before := w.totalCalls()
+		for range 5 {
+			w.change()
+		}
+		w.restore(7)
+		most := 0
+		for range 5 {
+			second := w.totalCalls()
+			w.run(w.Now() + time.Second)
+			most = max(most, w.totalCalls()-second)
+		}
+		w.checkBound()
+		w.failOn(t)
+		if calls := w.totalCalls() - before; calls > callsPerEntry*entries+readsPerSecond/100 || most > readsPerSecond {
+			t.Errorf("%d entries made %d calls in 5 s, up to %d in a second: %v", entries, calls, most, w.calls)
+		}
+		t.Logf("%d entries: %d calls in 5 s, up to %d in a second", entries, w.totalCalls()-before, most)
+		for _, e := range w.entries {
+			if e.at != w.storeAt() {
+				t.Errorf("%s is at %v, the store at %v", e.name, e.at, w.storeAt())
+			}
+		}
+	}
+}
+
+// totalCalls returns the number of calls to the store so far.
+func (w *world) totalCalls() int {
+	total := 0
+	for _, n := range w.calls {
+		total += n
+	}
+	return total
+}
--- a/changefeed/follower.go
+++ b/changefeed/follower.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"aspenyard.example/directory"
 )
 
 // Config configures a Follower. All entries of a deployment should use the same values.
@@ -47,6 +49,8 @@
 	callJitterShare = 0.06
 	// responseShare is how long an entry waits for a response before it asks another one.
 	responseShare = 0.05
+	// readSpreadShare is the time over which followers spread the full reads after a loss.
+	readSpreadShare = 0.2
 	// minAvoidShare is how long an entry that did not respond, or with no sufficient proof, is not
 	// asked. It doubles with each failure in a row, up to maxAvoidShare.
 	minAvoidShare, maxAvoidShare = 0.2, 2.0
@@ -290,16 +294,21 @@
 	return slices.IndexFunc(f.asks, func(a ask) bool { return a.nonce == nonce && a.peer == peer })
 }
 
-// Hear handles a chunk of a response. If ok, the caller may call Prove with the time that it returns as
-// soon as it has all changes up to the chunk's last revision. A response to no remembered request is no
-// proof.
-func (f *Follower) Hear(now time.Duration, peer string, nonce uint64, c *Chunk) (provenAt time.Duration, ok bool) {
+// Hear handles a chunk of a response, for an entry that knows the changes of an era. If ok, the caller may
+// call Prove with the time that it returns as soon as it has all changes up to the chunk's last position. A
+// response to no remembered request is no proof, nor is one of another era: another entry is asked then.
+func (f *Follower) Hear(now time.Duration, peer string, nonce uint64, era directory.Era, c *Chunk) (provenAt time.Duration, ok bool) {
 	i := f.remembered(peer, nonce)
 	if i < 0 {
 		return 0, false
 	}
 	sentAt, awaited := f.asks[i].sentAt, f.awaited != nil && f.awaited.nonce == nonce
 	switch {
+	case c.Era() != era:
+		if awaited {
+			f.fail(now, peer)
+		}
+		return 0, false
 	case c.TooOld:
 		f.behind = true
 	case !c.Last:
@@ -323,6 +332,22 @@
 	return provenAt, ok
 }
 
+// ReadDelay returns how long to wait before the whole state is read because the store has begun a new era.
+// Watchers read it at once, so that others can ask them; the others spread their reads.
+func (f *Follower) ReadDelay(now time.Duration) time.Duration {
+	if f.alone() || f.Watching(now) {
+		return 0
+	}
+	return time.Duration(f.random.Float64() * float64(f.share(readSpreadShare)))
+}
+
+// BeginEra records that the whole state was read in a new era: a checkpoint of an earlier one is worth
+// nothing, and every entry may have read the new state meanwhile.
+func (f *Follower) BeginEra() {
+	f.nextCheckpointAt = 0
+	clear(f.failures)
+}
+
 // AskAgain lets the next request be sent at once.
 func (f *Follower) AskAgain(now time.Duration) { f.asked, f.nextAskAt = 0, now }
 
--- a/changefeed/log.go
+++ b/changefeed/log.go
@@ -41,34 +41,40 @@
 type Log struct {
 	mu    sync.Mutex
 	items []directory.Item // ascending by revision
-	// The log holds all changes with revisions above from, up to and including to.
-	from, to uint64
+	// The log holds all changes after from, up to and including to.
+	from, to directory.Position
+	// restored is set once the store has begun a new era.
+	restored bool
 	// provenAt is the time as of which the log holds all changes; 0 if there is no proof.
 	provenAt time.Duration
 	// outageEndedAt is when the store answered again after its last outage; 0 if it had none.
 	outageEndedAt time.Duration
 }
 
-// Reset empties the log after a full read of the store as of a revision.
-func (l *Log) Reset(revision uint64) {
+// Reset empties the log after a full read of the store as of a position.
+func (l *Log) Reset(at directory.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision < l.to {
+	if at.Era() < l.to.Era() || l.to.After(at) {
 		return
 	}
-	l.items, l.from, l.to = nil, revision, revision
+	if !at.SameEra(l.to) {
+		l.restored, l.provenAt = !l.to.IsZero(), 0
+	}
+	l.items, l.from, l.to = nil, at, at
 }
 
-// Append adds the changes that follow the log's last revision, up to and including revision.
-func (l *Log) Append(items []directory.Item, revision uint64) {
+// Append adds the changes that follow the log's last position, up to and including at. Changes of another
+// era are ignored: they do not follow it.
+func (l *Log) Append(items []directory.Item, at directory.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision < l.to {
+	if !at.AtLeast(l.to) {
 		return
 	}
 	known := len(l.items)
 	for _, item := range items {
-		if item.Revision <= l.to {
+		if !item.At.After(l.to) {
 			continue
 		}
 		if len(item.Value) > MaxValueBytes {
@@ -76,29 +82,17 @@
 		}
 		l.items = append(l.items, item)
 	}
-	l.to = revision
-	slices.SortStableFunc(l.items[known:], func(a, b directory.Item) int {
-		return compareRevisions(a.Revision, b.Revision)
-	})
+	l.to = at
+	slices.SortStableFunc(l.items[known:], func(a, b directory.Item) int { return a.At.Compare(b.At) })
 	if excess := len(l.items) - maxLogItems; excess > 0 {
-		l.from = l.items[excess-1].Revision
-		for excess < len(l.items) && l.items[excess].Revision == l.from {
+		l.from = l.items[excess-1].At
+		for excess < len(l.items) && l.items[excess].At == l.from {
 			excess++
 		}
 		l.items = slices.Clone(l.items[excess:])
 	}
 }
 
-func compareRevisions(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Prove records that the log holds all changes as of a time.
 func (l *Log) Prove(at time.Duration) {
 	l.mu.Lock()
@@ -115,69 +109,80 @@
 
 // Chunk is a part of a response, of the size of a datagram.
 type Chunk struct {
-	// Items are all changes with revisions above From, up to and including To.
-	From, To uint64
+	// Items are all changes after From, up to and including To, which lie in one era.
+	From, To directory.Position
 	Items    []directory.Item
 	// Last is set in the last chunk of a response, Complete if the responder knows no later changes.
 	// Only then Age holds: the responder's state was current that long ago.
 	Last, Complete bool
 	Age            time.Duration
-	// TooOld is set if the log does not reach back to the follower's revision.
+	// TooOld is set if the log does not reach back to the follower's position, or is of another era.
 	TooOld bool
 	// OutageAge is the time since the store answered again after its last outage; 0 if it had none.
 	OutageAge time.Duration
 }
 
+// Era returns the era of the responder.
+func (c *Chunk) Era() directory.Era { return c.To.Era() }
+
 // Valid reports whether the values of a chunk are possible: no negative ages, and changes that ascend
 // within the chunk's range.
 func (c *Chunk) Valid() bool {
-	if c.Age < 0 || c.OutageAge < 0 {
+	if c.Age < 0 || c.OutageAge < 0 || !c.From.SameEra(c.To) {
 		return false
 	}
 	last := c.From
 	for i := range c.Items {
-		revision := c.Items[i].Revision
-		if revision <= c.From || revision > c.To || revision < last {
+		at := c.Items[i].At
+		if !at.After(c.From) || !c.To.AtLeast(at) || !at.AtLeast(last) {
 			return false
 		}
-		last = revision
+		last = at
 	}
 	return true
 }
 
-// After returns the chunk's changes for an entry that has all changes up to a revision, and the revision
+// After returns the chunk's changes for an entry that has all changes up to a position, and the position
 // that it has with them. They end before the first change whose value is omitted and not known by other
-// means, which is returned too. If ok is false, changes in between are missing.
-func (c *Chunk) After(revision uint64, known func(key string, revision uint64) bool) (items []directory.Item, to uint64, omitted *directory.Item, ok bool) {
-	if c.From > revision {
-		return nil, revision, nil, false
+// means, which is returned too. If ok is false, changes in between are missing, or the chunk is of another
+// era.
+func (c *Chunk) After(have directory.Position, known func(key string, at directory.Position) bool) (items []directory.Item, to directory.Position, omitted *directory.Item, ok bool) {
+	if !have.AtLeast(c.From) {
+		return nil, have, nil, false
 	}
 	for i := range c.Items {
 		item := &c.Items[i]
 		switch {
-		case item.Revision <= revision:
-		case item.Omitted && !known(item.Key, item.Revision):
-			return items, max(item.Revision-1, revision), item, true
+		case have.AtLeast(item.At):
+		case item.Omitted && !known(item.Key, item.At):
+			return items, have.Later(item.At.Previous()), item, true
 		default:
 			items = append(items, *item)
 		}
 	}
-	return items, max(c.To, revision), nil, true
+	return items, have.Later(c.To), nil, true
 }
 
-// Respond returns the changes after a revision in chunks, oldest first. It returns none if the log has no
+// Respond returns the changes after a position in chunks, oldest first. It returns none if the log has no
 // proof yet.
-func (l *Log) Respond(now time.Duration, after uint64) []Chunk {
+func (l *Log) Respond(now time.Duration, after directory.Position) []Chunk {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.provenAt == 0 {
 		return nil
 	}
-	if after < l.from {
-		return []Chunk{{From: after, To: after, Last: true, TooOld: true}}
+	if after.Era() == 0 && !l.restored {
+		// Entries of earlier versions state no era. Without a loss revisions are enough.
+		after = directory.At(l.to.Era(), after.Revision())
+	}
+	if !after.AtLeast(l.from) {
+		return []Chunk{{From: l.to, To: l.to, Last: true, TooOld: true}}
 	}
-	first, _ := slices.BinarySearchFunc(l.items, after+1, func(item directory.Item, revision uint64) int {
-		return compareRevisions(item.Revision, revision)
+	first, _ := slices.BinarySearchFunc(l.items, after, func(item directory.Item, after directory.Position) int {
+		if item.At.After(after) {
+			return 1
+		}
+		return -1
 	})
 	chunks, rest := splitChunks(after, l.items[first:])
 	last := &chunks[len(chunks)-1]
@@ -186,22 +191,19 @@
 		last.OutageAge = now - l.outageEndedAt
 	}
 	if rest == 0 {
-		last.To, last.Complete, last.Age = max(l.to, after), true, now-l.provenAt
-		if l.to < after {
-			last.To = l.to
-		}
+		last.To, last.Complete, last.Age = l.to, true, now-l.provenAt
 	}
 	return chunks
 }
 
 // splitChunks divides items into at most maxChunks chunks and returns how many items are left over. The
 // changes of one revision are not divided.
-func splitChunks(after uint64, items []directory.Item) (chunks []Chunk, rest int) {
+func splitChunks(after directory.Position, items []directory.Item) (chunks []Chunk, rest int) {
 	chunk := Chunk{From: after, To: after}
 	size := 0
 	for len(items) > 0 {
 		n, bytes := 0, 0
-		for n < len(items) && items[n].Revision == items[0].Revision {
+		for n < len(items) && items[n].At == items[0].At {
 			bytes += len(items[n].Key) + len(items[n].Value) + itemOverheadBytes
 			n++
 		}
@@ -213,7 +215,7 @@
 			chunk, size = Chunk{From: chunk.To, To: chunk.To}, 0
 		}
 		chunk.Items = append(chunk.Items, items[:n]...)
-		chunk.To = items[0].Revision
+		chunk.To = items[0].At
 		size += bytes
 		items = items[n:]
 	}
--- a/changefeed/model_test.go
+++ b/changefeed/model_test.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"aspenyard.example/directory"
 )
 
 // Plays entries under random faults beside each other, in series and overlapping: entries that end, are
-// suspended, lose the store or disagree about who is there, history that the store drops, several changes
-// at once, datagrams that are lost, late, doubled and out of order. No entry may count as more current
+// suspended, lose the store or disagree about who is there, history that the store drops, a store that is
+// restored from a copy, several changes at once, datagrams that are lost, late, doubled and out of order. No entry may count as more current
 // than it is, and those that are calm and reach the store know each change within the bound.
 func TestNoEntryCountsAsMoreCurrentThanItIs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -46,7 +48,16 @@
 				members := e.follower.members
 				e.follower.SetMembers(members[:rapid.IntRange(0, len(members)).Draw(t, "known")])
 			},
-			"drop history": func(*rapid.T) { w.compacted = w.storeRevision() },
+			"drop history": func(*rapid.T) { w.compacted = w.storeAt().Revision() },
+			"restore":      func(*rapid.T) { w.restore(rapid.IntRange(0, 30).Draw(t, "lost")) },
+			"restore to the same revision": func(t *rapid.T) {
+				lost := rapid.IntRange(1, 30).Draw(t, "lost")
+				before := len(w.changedAt)
+				w.restore(lost)
+				for len(w.changedAt) < before {
+					w.change()
+				}
+			},
 			"": func(t *rapid.T) {
 				w.checkBound()
 				if len(w.violations) > 0 {
@@ -62,33 +73,34 @@
 	rapid.Check(t, func(t *rapid.T) {
 		l := &Log{}
 		start := rapid.Uint64Range(1, 50).Draw(t, "start")
-		l.Reset(start)
+		at := func(revision uint64) directory.Position { return directory.At(0, revision) }
+		l.Reset(at(start))
 		l.Prove(1)
 		to := start
 		for range rapid.IntRange(0, 8).Draw(t, "appends") {
 			next := to + rapid.Uint64Range(0, 500).Draw(t, "changes")
-			l.Append(changes(rapid.Uint64Range(max(to, 3)-3, to).Draw(t, "overlap"), next), next)
+			l.Append(changes(at(rapid.Uint64Range(max(to, 3)-3, to).Draw(t, "overlap")), at(next)), at(next))
 			to = next
 		}
 		after := rapid.Uint64Range(0, to+3).Draw(t, "after")
 		known := after
-		for _, c := range l.Respond(time.Second, after) {
+		for _, c := range l.Respond(time.Second, at(after)) {
 			if c.TooOld {
 				if after >= start && to-after <= maxLogItems {
 					t.Fatalf("changes after %d are kept, but refused", after)
 				}
 				return
 			}
-			if c.From != known {
-				t.Fatalf("chunk from %d after %d", c.From, known)
+			if c.From != at(known) {
+				t.Fatalf("chunk from %v after %d", c.From, known)
 			}
 			for _, i := range c.Items {
-				if known++; i.Revision != known {
-					t.Fatalf("revision %d where %d is due", i.Revision, known)
+				if known++; i.At != at(known) {
+					t.Fatalf("%v where revision %d is due", i.At, known)
 				}
 			}
-			if c.Complete && c.To != to || !c.Complete && c.To != known {
-				t.Fatalf("chunk up to %d, with changes up to %d of %d", c.To, known, to)
+			if c.Complete && c.To != at(to) || !c.Complete && c.To != at(known) {
+				t.Fatalf("chunk up to %v, with changes up to %d of %d", c.To, known, to)
 			}
 		}
 	})
--- a/changefeed/world_test.go
+++ b/changefeed/world_test.go
@@ -32,7 +32,9 @@
 	// revisions below compacted fail.
 	changedAt []time.Duration
 	compacted uint64
-	waiting   []func()
+	// restoredAt holds when each era but the first began.
+	restoredAt []time.Duration
+	waiting    []func()
 	// loss and copies are the shares of datagrams that are lost and that come twice.
 	loss, copies float64
 	calls        map[CallReason]int
@@ -40,17 +42,20 @@
 	violations   []string
 }
 
-// entry is a played entry. Its state is the revision that it knows.
+// entry is a played entry. Its state is the position that it knows.
 type entry struct {
 	world       *world
 	name        string
 	clockOffset time.Duration
 	follower    *Follower
 	log         *Log
-	revision    uint64
-	calling     bool
-	callAfter   time.Duration
-	dead, cut   bool
+	at          directory.Position
+	// needsFullRead is set while the state is of an earlier era than the store, readNotBefore when it may be read.
+	needsFullRead bool
+	readNotBefore time.Duration
+	calling       bool
+	callAfter     time.Duration
+	dead, cut     bool
 	// outage is set after a call that failed.
 	outage      bool
 	frozenUntil time.Duration
@@ -59,7 +64,7 @@
 	provenAt  time.Duration
 	wakeID    int
 	// valuesRead is the revision up to which long values were read by themselves.
-	valuesRead uint64
+	valuesRead directory.Position
 }
 
 func newWorld(seed uint64, entries int) *world {
@@ -95,7 +100,16 @@
 	}
 }
 
-func (w *world) storeRevision() uint64 { return uint64(len(w.changedAt)) }
+func (w *world) storeAt() directory.Position {
+	return directory.At(directory.StatedEra(uint64(1+len(w.restoredAt))), uint64(len(w.changedAt)))
+}
+
+// restore replaces the store's state by a copy without its last changes.
+func (w *world) restore(lost int) {
+	w.changedAt = w.changedAt[:max(len(w.changedAt)-lost, 1)]
+	w.compacted = min(w.compacted, uint64(len(w.changedAt)))
+	w.restoredAt = append(w.restoredAt, w.Now())
+}
 
 // remove ends an entry; the others see its registration end later.
 func (w *world) remove(e *entry) {
@@ -133,18 +147,25 @@
 func (e *entry) wake() {
 	e.do(func() {
 		now := e.clock()
-		if e.revision > 0 {
+		if !e.at.IsZero() && !e.needsFullRead {
 			if peer, nonce, ok := e.follower.Ask(now); ok {
 				e.send(peer, nonce)
 			}
 		}
 		reason, wait := e.follower.Call(now)
-		if reason != CallNone && !e.calling && now >= e.callAfter {
+		notBefore := e.callAfter
+		if e.needsFullRead {
+			reason, wait, notBefore = callForState, 0, max(e.callAfter, e.readNotBefore)
+		}
+		if reason != CallNone && !e.calling && now >= notBefore {
 			e.call(reason, wait)
 		}
 		next := e.follower.Next(now)
+		if e.needsFullRead {
+			next = now + bound // only the read is due
+		}
 		if reason != CallNone && !e.calling {
-			next = min(next, e.callAfter)
+			next = min(next, notBefore)
 		}
 		e.wakeID++
 		id := e.wakeID
@@ -161,7 +182,7 @@
 	w := e.world
 	w.calls[reason]++
 	e.calling = true
-	began, after, answered := e.clock(), e.revision, false
+	began, after, answered := e.clock(), e.at, false
 	end := func(pause time.Duration) {
 		e.calling, e.callAfter = false, e.clock()+pause
 		e.wake()
@@ -171,23 +192,28 @@
 			return
 		}
 		answered = true
-		revision, gone := w.storeRevision(), after < w.compacted
+		at, gone := w.storeAt(), after.Revision() < w.compacted || after.Revision() > w.storeAt().Revision()
 		w.AfterFunc(storeDelay, func() {
 			e.do(func() {
 				if e.outage = e.cut; e.cut {
 					w.AfterFunc(storeTimeout, func() { e.do(func() { end(200 * time.Millisecond) }) })
 					return
 				}
-				if gone || after == 0 {
-					e.log.Reset(revision)
+				if reason != callForState && !after.IsZero() && !at.SameEra(after) {
+					e.needsFullRead, e.readNotBefore = true, e.clock()+e.follower.ReadDelay(e.clock())
+					end(0)
+					return
+				}
+				if gone || after.IsZero() || e.needsFullRead {
+					e.log.Reset(at)
 				} else {
-					e.log.Append(changes(after, revision), revision)
+					e.log.Append(changes(after, at), at)
 				}
-				e.advance(revision)
+				e.advance(at)
 				e.follower.Prove(began)
 				e.prove(began)
 				pause := time.Duration(0)
-				if revision > after {
+				if at.After(after) {
 					pause = e.follower.BatchPause()
 				}
 				end(pause)
@@ -195,7 +221,7 @@
 		})
 	}
 	w.AfterFunc(storeDelay, func() {
-		if w.storeRevision() > after || wait == 0 {
+		if !after.AtLeast(w.storeAt()) || wait == 0 {
 			respond()
 			return
 		}
@@ -207,29 +233,49 @@
 // longEvery is the number of changes of which one has a long value.
 const longEvery = 20
 
-// changes returns the changes with revisions above after up to and including to.
-func changes(after, to uint64) []directory.Item {
+// callForState stands for a read of the whole state after a loss.
+const callForState CallReason = "state"
+
+// changes returns the changes after a position up to and including to.
+func changes(after, to directory.Position) []directory.Item {
 	var items []directory.Item
-	for r := after + 1; r <= to; r++ {
+	for r := after.Revision() + 1; r <= to.Revision(); r++ {
 		length := 200
 		if r%longEvery == 0 {
 			length = 2 * MaxValueBytes
 		}
-		items = append(items, directory.Item{Key: fmt.Sprint("key-", r), Value: make([]byte, length), Revision: r})
+		items = append(items, directory.Item{Key: fmt.Sprint("key-", r), Value: make([]byte, length), At: directory.At(to.Era(), r)})
 	}
 	return items
 }
 
-func (e *entry) advance(revision uint64) { e.revision = max(e.revision, revision) }
+// advance makes an entry know a position. In a later era the state was read in full.
+func (e *entry) advance(at directory.Position) {
+	if !e.at.IsZero() && !at.SameEra(e.at) {
+		e.follower.BeginEra()
+		e.needsFullRead = false
+		e.at = at
+	}
+	e.at = e.at.Later(at)
+	if e.at.IsZero() {
+		e.at = at
+	}
+}
 
 // prove checks that the entry knows all changes made before the time as of which it counts as current.
 func (e *entry) prove(at time.Duration) {
 	e.log.Prove(at)
 	at -= e.clockOffset
 	e.provenAt = max(e.provenAt, at)
-	for r := e.revision; r < e.world.storeRevision(); r++ {
+	if !e.at.SameEra(e.world.storeAt()) {
+		if ended := e.world.restoredAt[e.at.Era().Stated()-1]; at > ended {
+			e.world.violate("%s at %v counts as current as of %v, but its era ended at %v", e.name, e.at, at, ended)
+		}
+		return
+	}
+	for r := e.at.Revision(); r < e.world.storeAt().Revision(); r++ {
 		if e.world.changedAt[r] < at {
-			e.world.violate("%s at revision %d counts as current as of %v, but revision %d was written at %v", e.name, e.revision, at, r+1, e.world.changedAt[r])
+			e.world.violate("%s at %v counts as current as of %v, but revision %d was written at %v", e.name, e.at, at, r+1, e.world.changedAt[r])
 			return
 		}
 	}
@@ -255,7 +301,7 @@
 
 // send plays a request to another entry and its response.
 func (e *entry) send(peer string, nonce uint64) {
-	w, after, responder := e.world, e.revision, e.world.byName[peer]
+	w, after, responder := e.world, e.at, e.world.byName[peer]
 	w.transmit(responder, datagramBytes, func() {
 		for _, c := range responder.log.Respond(responder.clock(), after) {
 			bytes := datagramBytes
@@ -268,18 +314,22 @@
 }
 
 func (e *entry) hear(peer string, nonce uint64, c *Chunk) {
-	provenAt, proves := e.follower.Hear(e.clock(), peer, nonce, c)
-	items, to, omitted, ok := c.After(e.revision, func(_ string, revision uint64) bool { return e.valuesRead >= revision })
+	provenAt, proves := e.follower.Hear(e.clock(), peer, nonce, e.at.Era(), c)
+	items, to, omitted, ok := c.After(e.at, func(_ string, at directory.Position) bool { return e.valuesRead.AtLeast(at) })
 	switch {
-	case c.TooOld:
+	case e.needsFullRead:
+	case c.Era() > e.at.Era():
+		e.follower.FallBehind()
+	case c.TooOld || c.Era() != e.at.Era():
 	case !ok:
 		e.follower.AskAgain(e.clock())
 	default:
 		e.log.Append(items, to)
 		for _, i := range items {
-			if e.revision++; i.Revision != e.revision {
-				e.world.violate("%s takes revision %d for %d", e.name, i.Revision, e.revision)
+			if next := directory.At(e.at.Era(), e.at.Revision()+1); i.At != next {
+				e.world.violate("%s takes %v for %v", e.name, i.At, next)
 			}
+			e.at = i.At
 		}
 		e.advance(to)
 		switch {
@@ -304,7 +354,7 @@
 			if e.outage = e.cut; e.cut {
 				e.follower.FallBehind()
 			} else {
-				e.valuesRead = e.world.storeRevision()
+				e.valuesRead = e.world.storeAt()
 				e.follower.AskAgain(e.clock())
 			}
 			e.wake()
@@ -320,8 +370,14 @@
 		if e.dead || e.cut || w.Now() < e.calmSince+bound {
 			continue
 		}
-		if r := e.revision; r < w.storeRevision() && w.Now()-w.changedAt[r] > bound {
-			w.violate("%s at revision %d does not know revision %d of %v", e.name, r, r+1, w.changedAt[r])
+		if !e.at.SameEra(w.storeAt()) && len(w.restoredAt) > 0 && !e.at.IsZero() {
+			if began := w.restoredAt[len(w.restoredAt)-1]; w.Now()-began > bound {
+				w.violate("%s at %v does not know the era that began at %v", e.name, e.at, began)
+			}
+			continue
+		}
+		if r := e.at.Revision(); r < w.storeAt().Revision() && w.Now()-w.changedAt[r] > bound {
+			w.violate("%s at %v does not know revision %d of %v", e.name, e.at, r+1, w.changedAt[r])
 		}
 	}
 }
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -192,7 +192,7 @@
 	case "capacity_refused":
 		return fmt.Sprintf("refused for lack of capacity: %s of prefill on each of %s engines, which have %s open requests, %s of which it would make late", l.milliseconds("prefill_ms"), l.text("engines"), l.text("open"), l.text("harmed"))
 	case "placed":
-		return fmt.Sprintf("placed at %s of service %s, one of %s candidates in the list at revision %s; estimated delay %s, prefill %s%s", l.text("endpoint"), l.text("service"), l.text("candidates"), l.text("at"), l.milliseconds("cost_ms"), l.milliseconds("prefill_ms"), l.helperCountText())
+		return fmt.Sprintf("placed at %s of service %s, one of %s candidates in the list at revision %s%s; estimated delay %s, prefill %s%s", l.text("endpoint"), l.text("service"), l.text("candidates"), l.text("at"), l.eraText(), l.milliseconds("cost_ms"), l.milliseconds("prefill_ms"), l.helperCountText())
 	case "memory_reserved":
 		return fmt.Sprintf("KV cache reserved at %s helpers (%s refused): %s of %s tokens", l.text("helpers"), l.text("refused"), l.text("tokens"), l.text("needed"))
 	case "attempt_failed":
@@ -292,6 +292,14 @@
 	return b.String()
 }
 
+// eraText returns the era of the line's revision as part of a sentence; "" for a store that states none.
+func (l *logLine) eraText() string {
+	if era := l.text("era"); era != "" && era != "0" {
+		return " of era " + era
+	}
+	return ""
+}
+
 // text returns a field as text, a number without its fraction; "" if it is missing.
 func (l *logLine) text(name string) string {
 	value, found := l.fields[name]
--- a/cli/explain_state_test.go
+++ b/cli/explain_state_test.go
@@ -27,6 +27,11 @@
 		"the store again": {`{"time":"2026-12-04T10:00:05.3Z","event":"store_lost","node":"g1","at":27}
 {"time":"2026-12-04T10:00:09Z","event":"store_regained","node":"g1","outage_ms":3700}`, "", "reached"},
 		"no store at another node": {`{"time":"2026-12-04T10:00:05.3Z","event":"store_lost","node":"g2","at":27}`, "", "reached"},
+		"a new era whose state was not read": {`{"time":"2026-12-04T10:00:09.8Z","event":"store_era","node":"g1","era":"2","before":"1","at":29}`,
+			"g1 decided by the state of era 1 of the store: it had noticed era 2 500ms before the request ended", "restored"},
+		"a restored store": {`{"time":"2026-12-04T10:00:09.8Z","event":"store_era","node":"g1","era":"2","before":"1","at":29}
+{"time":"2026-12-04T10:00:10Z","event":"store_restored","node":"g1","before":"1","era":"2","known":29,"at":22,"lost":7}`,
+			"g1 decided by the state of era 2 of the store, which was restored from a copy; it had read that state 300ms before the request ended, 7 revisions before what it had known", "noticed"},
 		"a suspension": {`{"time":"2026-12-04T10:00:10.25Z","event":"suspended","node":"g1","for_ms":2900}`,
 			"g1 was suspended for 2900 ms until 150ms after the first line", "decided by"},
 		"a suspension before": {`{"time":"2026-12-04T10:00:08Z","event":"suspended","node":"g1","for_ms":2900}`, "", "suspended"},
--- a/directory/cold_test.go
+++ b/directory/cold_test.go
@@ -15,7 +15,7 @@
 	apply := func(after time.Duration, start int64, revision uint64, left time.Duration) time.Duration {
 		e := incarnation("a", start, revision, false)
 		e.ColdLeft = left
-		r.ApplyState(now.Add(after), &StoreState{Revision: 10 + revision, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{*e}})
+		r.ApplyState(now.Add(after), &StoreState{At: At(0, 10+revision), Config: config(1), Endpoints: []Endpoint{*e}})
 		return r.Snapshot().EndpointByID("a").ColdUntil.Sub(now)
 	}
 	is.Equal(apply(0, 1, 1, 5*time.Second), 5*time.Second)
--- a/directory/evacuations.go
+++ b/directory/evacuations.go
@@ -13,8 +13,8 @@
 // nothing more.
 type Evacuation struct {
 	DataCentre string
-	// Revision is the store's revision that says so. The state with the higher one is in force.
-	Revision uint64
+	// At is the store's position that says so. The state with the later one is in force.
+	At Position
 	// Evacuated is false after the end of an evacuation.
 	Evacuated bool
 }
@@ -24,8 +24,8 @@
 type Evacuations struct {
 	mu    sync.RWMutex
 	known map[string]*evacuationState
-	// storeRevision is the store's revision up to which this node knows all evacuations.
-	storeRevision uint64
+	// storePosition is the store's position up to which this node knows all evacuations.
+	storePosition Position
 	// generation increases whenever another set of data centres is evacuated; inForce is how many are.
 	generation atomic.Uint64
 	inForce    atomic.Int64
@@ -36,8 +36,21 @@
 	Evacuation
 	// changedAt is when this state became known, or when another node last reported an older one.
 	changedAt time.Time
+	// unconfirmedUntil is until when the evacuation is in force although the store does not list it in its
+	// present era; zero if it does.
+	unconfirmedUntil time.Time
 }
 
+// precedes reports whether e is older than what is known, or the same.
+func (e *Evacuation) precedes(known *evacuationState) bool {
+	return e.At.Era() < known.At.Era() || known.At.AtLeast(e.At)
+}
+
+// unconfirmedEvacuationTTL is how long an evacuation stays in force that the store has lost, or that another
+// node reports from an era which this one has not read. The operator writes it again much sooner; one that
+// the operator has ended meanwhile leaves no trace in the store.
+const unconfirmedEvacuationTTL = 30 * time.Second
+
 // endedEvacuationTTL is how long other nodes are told that an evacuation has ended. An entry that is
 // cut off from the others for longer hears it when it reports the evacuation itself.
 const endedEvacuationTTL = 30 * time.Second
@@ -82,14 +95,14 @@
 // begun or ended by it.
 func (s *Evacuations) apply(now time.Time, e Evacuation) bool {
 	known := s.known[e.DataCentre]
-	if known != nil && e.Revision <= known.Revision {
+	if known != nil && e.precedes(known) {
 		return false
 	}
 	wasEvacuated := known != nil && known.Evacuated
 	if known == nil || wasEvacuated != e.Evacuated {
 		s.known[e.DataCentre] = &evacuationState{Evacuation: e, changedAt: now}
 	} else {
-		known.Revision = e.Revision
+		known.At, known.unconfirmedUntil = e.At, time.Time{}
 	}
 	if wasEvacuated == e.Evacuated {
 		return false
@@ -108,19 +121,20 @@
 func (s *Evacuations) ApplyChange(now time.Time, e Evacuation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return e.Revision > s.storeRevision && s.apply(now, e)
+	return e.At.After(s.storePosition) && s.apply(now, e)
 }
 
-// ApplyList applies a full list, which the store had at a revision: evacuations that are older and not
-// in the list have ended. It returns the evacuations that have begun or ended by it. A list that is
+// ApplyList applies a full list, which the store had at a position: evacuations that are older and not
+// in the list have ended. Those of an earlier era, which the store may have lost, stay in force for
+// unconfirmedEvacuationTTL. It returns the evacuations that have begun or ended by it. A list that is
 // older than what is known is ignored.
-func (s *Evacuations) ApplyList(now time.Time, revision uint64, list []Evacuation) []Evacuation {
+func (s *Evacuations) ApplyList(now time.Time, at Position, list []Evacuation) []Evacuation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if revision < s.storeRevision {
+	if at.Era() < s.storePosition.Era() || s.storePosition.After(at) {
 		return nil
 	}
-	s.storeRevision = revision
+	s.storePosition = at
 	var changed []Evacuation
 	listed := map[string]bool{}
 	for _, e := range list {
@@ -131,26 +145,52 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.known)) {
 		known := s.known[name]
-		if listed[name] || !known.Evacuated {
-			continue
-		}
-		if e := (Evacuation{DataCentre: name, Revision: revision}); s.apply(now, e) {
-			changed = append(changed, e)
+		switch {
+		case listed[name] || !known.Evacuated:
+		case !known.At.SameEra(at):
+			if known.unconfirmedUntil.IsZero() {
+				known.unconfirmedUntil = now.Add(unconfirmedEvacuationTTL)
+			}
+		default:
+			if e := (Evacuation{DataCentre: name, At: at}); s.apply(now, e) {
+				changed = append(changed, e)
+			}
 		}
 	}
 	return changed
 }
 
-// SetStoreRevision records the store's revision up to which all changes were applied.
-func (s *Evacuations) SetStoreRevision(revision uint64) {
+// EndUnconfirmed ends the evacuations that the store has not listed again in its present era, and returns
+// them.
+func (s *Evacuations) EndUnconfirmed(now time.Time) []Evacuation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.storeRevision = max(s.storeRevision, revision)
+	var ended []Evacuation
+	for _, name := range slices.Sorted(maps.Keys(s.known)) {
+		known := s.known[name]
+		if !known.Evacuated || known.unconfirmedUntil.IsZero() || now.Before(known.unconfirmedUntil) {
+			continue
+		}
+		e := Evacuation{DataCentre: name, At: s.storePosition}
+		s.known[name] = &evacuationState{Evacuation: e, changedAt: now}
+		s.generation.Add(1)
+		s.inForce.Add(-1)
+		ended = append(ended, e)
+	}
+	return ended
+}
+
+// SetStorePosition records the store's position up to which all changes were applied.
+func (s *Evacuations) SetStorePosition(at Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storePosition = s.storePosition.Later(at)
 }
 
 // Merge applies the reports of another node and returns the evacuations that have begun or ended by
-// them. Reports up to the store's revision that this node knows add nothing. If they contradict what it
-// knows, the other node has missed a change, and this node reports it once more.
+// them. Reports up to the store's position that this node knows add nothing, nor do those of an earlier era.
+// If they contradict what it knows, the other node has missed a change, and this node reports it once more. From an era
+// that this node has not read yet, it takes the beginning of evacuations, for a while, but not their end.
 func (s *Evacuations) Merge(now time.Time, reports []Evacuation) []Evacuation {
 	if len(reports) == 0 {
 		return nil
@@ -159,11 +199,15 @@
 	defer s.mu.Unlock()
 	var changed []Evacuation
 	for _, e := range reports {
+		laterEra := e.At.Era() > s.storePosition.Era()
 		switch {
-		case e.Revision > s.storeRevision:
+		case laterEra && e.Evacuated || e.At.After(s.storePosition) && !s.endsUnconfirmed(&e):
 			if s.apply(now, e) {
 				changed = append(changed, e)
 			}
+			if known := s.known[e.DataCentre]; laterEra && known.unconfirmedUntil.IsZero() {
+				known.unconfirmedUntil = now.Add(unconfirmedEvacuationTTL)
+			}
 		case e.Evacuated:
 			s.repeatEnd(now, e.DataCentre)
 		}
@@ -171,14 +215,23 @@
 	return changed
 }
 
+// endsUnconfirmed reports whether a report would end an evacuation that the store has lost. The node that
+// reports it may have started after the loss.
+func (s *Evacuations) endsUnconfirmed(e *Evacuation) bool {
+	known := s.known[e.DataCentre]
+	return !e.Evacuated && known != nil && known.Evacuated && !known.unconfirmedUntil.IsZero()
+}
+
 // repeatEnd makes the end of an evacuation be reported once more; not if it is still in force.
 func (s *Evacuations) repeatEnd(now time.Time, dataCentre string) {
 	known := s.known[dataCentre]
 	switch {
 	case known == nil:
-		s.known[dataCentre] = &evacuationState{Evacuation: Evacuation{DataCentre: dataCentre, Revision: s.storeRevision}, changedAt: now}
+		s.known[dataCentre] = &evacuationState{Evacuation: Evacuation{DataCentre: dataCentre, At: s.storePosition}, changedAt: now}
 	case !known.Evacuated:
-		known.Revision = max(known.Revision, s.storeRevision)
+		if !known.At.After(s.storePosition) {
+			known.At = s.storePosition
+		}
 		if now.Sub(known.changedAt) > changeReportTime {
 			known.changedAt = now
 		}
@@ -200,7 +253,7 @@
 		}
 	}
 	slices.SortFunc(reports, func(a, b Evacuation) int {
-		return cmp.Or(cmp.Compare(b.Revision, a.Revision), cmp.Compare(a.DataCentre, b.DataCentre))
+		return cmp.Or(cmp.Compare(b.At.Era(), a.At.Era()), b.At.Compare(a.At), cmp.Compare(a.DataCentre, b.DataCentre))
 	})
 	return reports[:min(len(reports), most)]
 }
@@ -211,6 +264,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maps.DeleteFunc(s.known, func(_ string, state *evacuationState) bool {
-		return !state.Evacuated && state.Revision <= s.storeRevision && now.Sub(state.changedAt) >= endedEvacuationTTL
+		return !state.Evacuated && !state.At.After(s.storePosition) && now.Sub(state.changedAt) >= endedEvacuationTTL
 	})
 }
--- a/directory/evacuations_test.go
+++ b/directory/evacuations_test.go
@@ -35,7 +35,7 @@
 func (m *evacuationModel) evacuatedAt(dataCentre string, revision uint64) bool {
 	evacuated := false
 	for _, e := range m.history {
-		if e.DataCentre == dataCentre && e.Revision <= revision {
+		if e.DataCentre == dataCentre && e.At.Revision() <= revision {
 			evacuated = e.Evacuated
 		}
 	}
@@ -47,7 +47,7 @@
 	var list []Evacuation
 	for _, dataCentre := range modelledDataCentres {
 		for _, e := range slices.Backward(m.history) {
-			if e.DataCentre == dataCentre && e.Revision <= revision {
+			if e.DataCentre == dataCentre && e.At.Revision() <= revision {
 				if e.Evacuated {
 					list = append(list, e)
 				}
@@ -69,10 +69,10 @@
 
 // follow makes an entry apply the changes up to a revision.
 func (m *evacuationModel) follow(e *modelledEntry, to uint64) {
-	changes := &Changes{Revision: to}
+	changes := &Changes{At: At(0, to)}
 	for i := range m.history {
-		if change := m.history[i]; change.Revision > e.followed && change.Revision <= to {
-			changes.Changes = append(changes.Changes, Change{Revision: change.Revision, Evacuation: &change})
+		if change := m.history[i]; change.At.Revision() > e.followed && change.At.Revision() <= to {
+			changes.Changes = append(changes.Changes, Change{At: change.At, Evacuation: &change})
 		}
 	}
 	e.replica.ApplyChanges(m.now, changes)
@@ -82,7 +82,7 @@
 func (m *evacuationModel) deliver(e *modelledEntry, reports []Evacuation) {
 	e.replica.Evacuations().Merge(m.now, reports)
 	for _, r := range reports {
-		e.told[r.DataCentre] = max(e.told[r.DataCentre], r.Revision)
+		e.told[r.DataCentre] = max(e.told[r.DataCentre], r.At.Revision())
 	}
 }
 
@@ -130,7 +130,7 @@
 		entry := func(t *rapid.T) *modelledEntry { return rapid.SampledFrom(m.entries).Draw(t, "entry") }
 		write := func(t *rapid.T, toggle bool) {
 			dataCentre := rapid.SampledFrom(modelledDataCentres).Draw(t, "dc")
-			e := Evacuation{DataCentre: dataCentre, Revision: m.revision + 1, Evacuated: m.evacuatedAt(dataCentre, m.revision) != toggle}
+			e := Evacuation{DataCentre: dataCentre, At: At(0, m.revision+1), Evacuated: m.evacuatedAt(dataCentre, m.revision) != toggle}
 			m.revision, m.history = m.revision+1, append(m.history, e)
 		}
 		report := func(e *modelledEntry, full bool) {
@@ -197,15 +197,15 @@
 // read makes an entry apply a full read, or one of the evacuations alone, at a revision.
 func (m *evacuationModel) read(e *modelledEntry, revision uint64, full bool) {
 	if !full {
-		e.replica.Evacuations().ApplyList(m.now, revision, m.listAt(revision))
+		e.replica.Evacuations().ApplyList(m.now, At(0, revision), m.listAt(revision))
 		for _, dataCentre := range modelledDataCentres {
 			e.told[dataCentre] = max(e.told[dataCentre], revision)
 		}
 		return
 	}
-	state := &StoreState{Revision: revision, Evacuations: m.listAt(revision)}
+	state := &StoreState{At: At(0, revision), Evacuations: m.listAt(revision)}
 	for _, dataCentre := range modelledDataCentres {
-		state.Endpoints = append(state.Endpoints, Endpoint{Incarnation: Incarnation{ID: "at " + dataCentre}, Service: "s", DataCentre: dataCentre, Revision: revision})
+		state.Endpoints = append(state.Endpoints, Endpoint{Incarnation: Incarnation{ID: "at " + dataCentre}, Service: "s", DataCentre: dataCentre, At: At(0, revision)})
 	}
 	e.replica.ApplyState(m.now, state)
 	e.followed = max(e.followed, revision)
@@ -216,16 +216,16 @@
 	is := is.New(t)
 	s, now := NewEvacuations(), time.Unix(0, 0)
 	for i := range 40 {
-		is.True(s.ApplyChange(now, Evacuation{fmt.Sprint("dc", i), uint64(i + 1), true}))
+		is.True(s.ApplyChange(now, Evacuation{fmt.Sprint("dc", i), At(0, uint64(i+1)), true}))
 	}
 	is.Equal(len(s.Reports(now, false, 100, 64)), 40)
-	is.Equal(s.Reports(now, false, 32, 64)[0], Evacuation{"dc39", 40, true}) // the newest first
+	is.Equal(s.Reports(now, false, 32, 64)[0], Evacuation{"dc39", At(0, 40), true}) // the newest first
 	is.Equal(len(s.Reports(now, false, 32, 64)), 32)
 	now = now.Add(time.Hour)
 	is.Equal(len(s.Reports(now, false, 100, 64)), 0)
 	is.Equal(len(s.Reports(now, true, 100, 64)), 40)
 	is.Equal(len(s.Reports(now, true, 100, 3)), 10)
-	is.Equal(len(s.ApplyList(now, 50, nil)), 40)
+	is.Equal(len(s.ApplyList(now, At(0, 50), nil)), 40)
 	s.expire(now.Add(endedEvacuationTTL - 1))
 	is.Equal(len(s.Reports(now.Add(endedEvacuationTTL-1), true, 100, 64)), 40)
 	is.Equal(len(s.Reports(now.Add(endedEvacuationTTL), true, 100, 64)), 0)
@@ -239,9 +239,9 @@
 	is := is.New(t)
 	r, now := NewReplica(), time.Unix(0, 0)
 	endpoint := func(id string, leaving bool) Endpoint {
-		return Endpoint{Incarnation: Incarnation{ID: id}, Service: strings.ToUpper(id[:1]), DataCentre: "dc1", Leaving: leaving, Revision: 1}
+		return Endpoint{Incarnation: Incarnation{ID: id}, Service: strings.ToUpper(id[:1]), DataCentre: "dc1", Leaving: leaving, At: At(0, 1)}
 	}
-	r.ApplyState(now, &StoreState{Revision: 3, Endpoints: []Endpoint{endpoint("a1", true), endpoint("a2", false), endpoint("b1", true)}, Evacuations: []Evacuation{{"dc1", 2, true}}})
+	r.ApplyState(now, &StoreState{At: At(0, 3), Endpoints: []Endpoint{endpoint("a1", true), endpoint("a2", false), endpoint("b1", true)}, Evacuations: []Evacuation{{"dc1", At(0, 2), true}}})
 	s := r.Snapshot()
 	is.Equal(s.EvacuatedCount("A"), 1)
 	is.Equal(s.EvacuatedCount("B"), 0)
@@ -256,14 +256,14 @@
 func BenchmarkEvacuations(b *testing.B) {
 	for _, evacuated := range []int{0, 1} {
 		r, now := NewReplica(), time.Unix(0, 0)
-		state := &StoreState{Revision: 1}
+		state := &StoreState{At: At(0, 1)}
 		for i := range 10_000 {
-			e := Endpoint{Incarnation: Incarnation{ID: fmt.Sprint("e", i)}, Service: fmt.Sprint("s", i%4), DataCentre: fmt.Sprint("dc", i%9), Revision: 1}
+			e := Endpoint{Incarnation: Incarnation{ID: fmt.Sprint("e", i)}, Service: fmt.Sprint("s", i%4), DataCentre: fmt.Sprint("dc", i%9), At: At(0, 1)}
 			state.Endpoints = append(state.Endpoints, e)
 		}
 		r.ApplyState(now, state)
 		for i := range evacuated {
-			r.Evacuations().ApplyChange(now, Evacuation{fmt.Sprint("dc", i), 2, true})
+			r.Evacuations().ApplyChange(now, Evacuation{fmt.Sprint("dc", i), At(0, 2), true})
 		}
 		b.Run(fmt.Sprint("check/", evacuated), func(b *testing.B) {
 			for b.Loop() {
--- a/directory/incarnation_test.go
+++ b/directory/incarnation_test.go
@@ -9,19 +9,19 @@
 )
 
 func incarnation(id string, startUnixMilli int64, revision uint64, leaving bool) *Endpoint {
-	return &Endpoint{Incarnation: Incarnation{id, startUnixMilli}, Service: "s", Addr: "127.0.0.1:1", Revision: revision, Leaving: leaving}
+	return &Endpoint{Incarnation: Incarnation{id, startUnixMilli}, Service: "s", Addr: "127.0.0.1:1", At: At(0, revision), Leaving: leaving}
 }
 
 // newReplicaWith returns a replica that has applied the state of a store with one endpoint.
 func newReplicaWith(e *Endpoint) *Replica {
 	r := NewReplica()
-	r.ApplyState(time.Now(), &StoreState{Revision: e.Revision, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{*e}})
+	r.ApplyState(time.Now(), &StoreState{At: e.At, Config: config(1), Endpoints: []Endpoint{*e}})
 	return r
 }
 
 // apply applies changes in order and advances to the revision of the last one.
 func (r *Replica) apply(changes ...Change) {
-	r.ApplyChanges(time.Now(), &Changes{Revision: changes[len(changes)-1].Revision, Changes: changes})
+	r.ApplyChanges(time.Now(), &Changes{At: changes[len(changes)-1].At, Changes: changes})
 }
 
 // A restarted endpoint must get requests although its previous incarnation was leaving. It
@@ -30,7 +30,7 @@
 	is := is.New(t)
 	r := newReplicaWith(incarnation("a", 100, 1, true))
 	is.True(r.Snapshot().EndpointByID("a") == nil)
-	r.apply(Change{Revision: 2, Endpoint: incarnation("a", 200, 2, false)})
+	r.apply(Change{At: At(0, 2), Endpoint: incarnation("a", 200, 2, false)})
 	is.Equal(r.Snapshot().EndpointByID("a").Incarnation, Incarnation{"a", 200})
 	is.True(r.Snapshot().Endpoint(Incarnation{"a", 100}) == nil)
 }
@@ -41,12 +41,12 @@
 func TestRegistrationOfEarlierIncarnationIsIgnored(t *testing.T) {
 	is := is.New(t)
 	r := newReplicaWith(incarnation("a", 200, 2, false))
-	r.apply(Change{Revision: 3, Endpoint: incarnation("a", 100, 3, true)})
+	r.apply(Change{At: At(0, 3), Endpoint: incarnation("a", 100, 3, true)})
 	is.Equal(r.Snapshot().EndpointByID("a").Incarnation, Incarnation{"a", 200})
-	r.apply(Change{Revision: 4, EndpointGone: "a"})
-	r.apply(Change{Revision: 5, Endpoint: incarnation("a", 100, 5, false)})
+	r.apply(Change{At: At(0, 4), EndpointGone: "a"})
+	r.apply(Change{At: At(0, 5), Endpoint: incarnation("a", 100, 5, false)})
 	is.True(r.Snapshot().EndpointByID("a") == nil) // also while no registration exists
-	r.apply(Change{Revision: 6, Endpoint: incarnation("a", 200, 6, false)})
+	r.apply(Change{At: At(0, 6), Endpoint: incarnation("a", 200, 6, false)})
 	is.Equal(r.Snapshot().EndpointByID("a").Incarnation, Incarnation{"a", 200}) // its registration had only expired
 }
 
@@ -55,7 +55,7 @@
 func TestIncarnationThatLeftDoesNotReturn(t *testing.T) {
 	is := is.New(t)
 	r := newReplicaWith(incarnation("a", 100, 1, false))
-	r.apply(Change{Revision: 2, Endpoint: incarnation("a", 100, 2, true)}, Change{Revision: 3, EndpointGone: "a"}, Change{Revision: 4, Endpoint: incarnation("a", 100, 4, false)})
+	r.apply(Change{At: At(0, 2), Endpoint: incarnation("a", 100, 2, true)}, Change{At: At(0, 3), EndpointGone: "a"}, Change{At: At(0, 4), Endpoint: incarnation("a", 100, 4, false)})
 	is.True(r.Snapshot().EndpointByID("a") == nil)
 }
 
@@ -66,17 +66,17 @@
 	is := is.New(t)
 	for _, startUnixMilli := range []int64{0, 100} {
 		r := newReplicaWith(incarnation("a", startUnixMilli, 1, false))
-		r.apply(Change{Revision: 2, InvalidEndpoint: "a"})
+		r.apply(Change{At: At(0, 2), InvalidEndpoint: "a"})
 		is.True(r.Snapshot().EndpointByID("a") == nil)
-		r.apply(Change{Revision: 3, Endpoint: incarnation("a", startUnixMilli, 3, true)}, Change{Revision: 4, InvalidEndpoint: "a"}, Change{Revision: 5, Endpoint: incarnation("a", startUnixMilli, 5, false)})
+		r.apply(Change{At: At(0, 3), Endpoint: incarnation("a", startUnixMilli, 3, true)}, Change{At: At(0, 4), InvalidEndpoint: "a"}, Change{At: At(0, 5), Endpoint: incarnation("a", startUnixMilli, 5, false)})
 		is.True(r.Snapshot().EndpointByID("a") == nil) // it is still leaving
 	}
 	r := newReplicaWith(incarnation("a", 100, 1, false))
-	r.apply(Change{Revision: 2, Endpoint: incarnation("a", 0, 2, false)}) // without a start time
+	r.apply(Change{At: At(0, 2), Endpoint: incarnation("a", 0, 2, false)}) // without a start time
 	is.True(r.Snapshot().EndpointByID("a") == nil)
-	r.ApplyState(time.Now(), &StoreState{Revision: 4, Endpoints: []Endpoint{*incarnation("a", 100, 3, false)}})
+	r.ApplyState(time.Now(), &StoreState{At: At(0, 4), Endpoints: []Endpoint{*incarnation("a", 100, 3, false)}})
 	is.True(r.Snapshot().EndpointByID("a") != nil)
-	r.ApplyState(time.Now(), &StoreState{Revision: 5, InvalidEndpoints: []string{"a"}})
+	r.ApplyState(time.Now(), &StoreState{At: At(0, 5), InvalidEndpoints: []string{"a"}})
 	is.True(r.Snapshot().EndpointByID("a") == nil)
 }
 
@@ -93,7 +93,7 @@
 func (m *storeModel) write(t *rapid.T) Change {
 	m.revision++
 	id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id")
-	change := Change{Revision: m.revision}
+	change := Change{At: At(0, m.revision)}
 	switch rapid.IntRange(0, 5).Draw(t, "what") {
 	case 0:
 		delete(m.registrations, id)
@@ -145,12 +145,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &storeModel{registrations: map[string]*Endpoint{}, newestStart: map[string]int64{}, left: map[Incarnation]bool{}}
 		r := NewReplica()
-		r.ApplyState(time.Now(), &StoreState{Config: config(1), ConfigRevision: 1})
+		r.ApplyState(time.Now(), &StoreState{Config: config(1)})
 		var last Change
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 4).Draw(t, "how") {
 			case 0:
-				state := &StoreState{Revision: m.revision}
+				state := &StoreState{At: At(0, m.revision)}
 				for id, e := range m.registrations {
 					if e == nil {
 						state.InvalidEndpoints = append(state.InvalidEndpoints, id)
@@ -161,7 +161,7 @@
 				}
 				r.ApplyState(time.Now(), state)
 			case 1:
-				if last.Revision > 0 {
+				if last.At.Revision() > 0 {
 					r.apply(last) // a repeated change
 				}
 			default:
--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -22,35 +22,35 @@
 			return Incarnation{ID: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"), StartUnixMilli: rapid.Int64Range(1, 3).Draw(t, "start")}
 		}
 		endpoint := func() Endpoint {
-			return Endpoint{Incarnation: incarnation(), Service: "s", Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0, Revision: revision}
+			return Endpoint{Incarnation: incarnation(), Service: "s", Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0, At: At(0, revision)}
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"store registers": func(*rapid.T) {
 				revision++
 				e := endpoint()
-				r.ApplyChanges(now, &Changes{Revision: revision, Changes: []Change{{Revision: revision, Endpoint: &e}}})
+				r.ApplyChanges(now, &Changes{At: At(0, revision), Changes: []Change{{At: At(0, revision), Endpoint: &e}}})
 			},
 			"store registers again what it had": func(t *rapid.T) {
 				revision++
 				if known := r.endpoints[rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")]; known != nil {
 					e := known.Endpoint
-					e.Leaving, e.Revision = false, revision
-					r.ApplyChanges(now, &Changes{Revision: revision, Changes: []Change{{Revision: revision, Endpoint: &e}}})
+					e.Leaving, e.At = false, At(0, revision)
+					r.ApplyChanges(now, &Changes{At: At(0, revision), Changes: []Change{{At: At(0, revision), Endpoint: &e}}})
 				}
 			},
 			"store reports an old change": func(t *rapid.T) {
 				e := endpoint()
-				e.Revision = rapid.Uint64Range(0, revision).Draw(t, "revision")
-				r.ApplyChanges(now, &Changes{Changes: []Change{{Revision: e.Revision, Endpoint: &e}}})
+				e.At = At(0, rapid.Uint64Range(0, revision).Draw(t, "revision"))
+				r.ApplyChanges(now, &Changes{Changes: []Change{{At: e.At, Endpoint: &e}}})
 			},
 			"registration ends": func(t *rapid.T) {
 				revision++
-				r.ApplyChanges(now, &Changes{Revision: revision, Changes: []Change{{Revision: revision, EndpointGone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")}}})
+				r.ApplyChanges(now, &Changes{At: At(0, revision), Changes: []Change{{At: At(0, revision), EndpointGone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")}}})
 			},
 			"store returns after an outage": func(*rapid.T) { r.SetOutageEnd(now) },
 			"full read": func(t *rapid.T) {
 				revision++
-				state := &StoreState{Revision: revision}
+				state := &StoreState{At: At(0, revision)}
 				for _, id := range slices.Sorted(maps.Keys(r.endpoints)) {
 					if rapid.Bool().Draw(t, "kept") {
 						state.Endpoints = append(state.Endpoints, r.endpoints[id].Endpoint)
@@ -99,8 +99,8 @@
 	is := is.New(t)
 	r, now := NewReplica(), time.Unix(0, 0)
 	for i := range 100 {
-		e := Endpoint{Incarnation: Incarnation{ID: fmt.Sprint(i)}, Service: "s", Revision: uint64(i + 1)}
-		r.ApplyChanges(now, &Changes{Revision: e.Revision, Changes: []Change{{Endpoint: &e}}})
+		e := Endpoint{Incarnation: Incarnation{ID: fmt.Sprint(i)}, Service: "s", At: At(0, uint64(i+1))}
+		r.ApplyChanges(now, &Changes{At: e.At, Changes: []Change{{Endpoint: &e}}})
 		is.True(r.StatedLeaving().Add(now, e.Hash()))
 		is.True(!r.StatedLeaving().Add(now, e.Hash()))
 	}
@@ -113,7 +113,7 @@
 	count, oldest := r.StatedLeaving().StillListed(now)
 	is.Equal(count, 100)
 	is.Equal(oldest, time.Second)
-	r.ApplyState(now, &StoreState{Revision: 1000})
+	r.ApplyState(now, &StoreState{At: At(0, 1000)})
 	r.ExpireMissing(now)
 	is.Equal(len(r.StatedLeaving().Reports(now, true, 1000)), 0)
 	is.True(!r.StatedLeaving().Add(now, Incarnation{ID: "7"}.Hash()))
@@ -129,8 +129,8 @@
 	const count, most = 300, 64
 	r, now := NewReplica(), time.Unix(1000, 0)
 	for i := range count {
-		e := Endpoint{Incarnation: Incarnation{ID: fmt.Sprint("i-", i), StartUnixMilli: 1}, Service: "s", Revision: uint64(i + 1)}
-		r.ApplyChanges(now, &Changes{Revision: e.Revision, Changes: []Change{{Revision: e.Revision, Endpoint: &e}}})
+		e := Endpoint{Incarnation: Incarnation{ID: fmt.Sprint("i-", i), StartUnixMilli: 1}, Service: "s", At: At(0, uint64(i+1))}
+		r.ApplyChanges(now, &Changes{At: e.At, Changes: []Change{{At: e.At, Endpoint: &e}}})
 		r.StatedLeaving().Add(now, e.Hash())
 	}
 	r.ExpireMissing(now)
--- a/directory/registry.go
+++ b/directory/registry.go
@@ -8,7 +8,7 @@
 )
 
 // ErrLeaseExpired is returned by Registry.Renew and Registry.Deregister if the lease no
-// longer exists.
+// longer exists or is of an earlier era: its ID may then belong to another lease.
 var ErrLeaseExpired = errors.New("directory: lease expired")
 
 // Node is one of the system's own processes.
@@ -17,11 +17,18 @@
 	Name, Addr, DataCentre string
 }
 
+// Lease is a lease of the store. Its ID is meaningful only in its era.
+type Lease struct {
+	Era Era
+	ID  uint64
+}
+
 // Registration identifies a node's registration in the store.
 type Registration struct {
-	// Lease keeps the registration in the store. Revision is the store's revision of its
-	// write, which is higher for each later incarnation of the node.
-	Lease, Revision uint64
+	// Lease keeps the registration in the store.
+	Lease Lease
+	// At is the position of its write, which comes later for each later incarnation of the node.
+	At Position
 }
 
 // Record is data that nodes write to the store for nodes that start later.
@@ -38,9 +45,9 @@
 	// registration may exist; it then ends with its lease.
 	Register(ctx context.Context, n Node, ttl time.Duration) (Registration, error)
 	// Renew renews the lease. Errors: ErrLeaseExpired, ErrUnavailable.
-	Renew(ctx context.Context, lease uint64) error
+	Renew(ctx context.Context, lease Lease) error
 	// Deregister ends the lease, which removes the registration.
-	Deregister(ctx context.Context, lease uint64) error
+	Deregister(ctx context.Context, lease Lease) error
 	// CreateRecord writes a record that the store keeps for ttl. An existing record of the
 	// same name is left as it is, without an error. After an error the record may exist.
 	CreateRecord(ctx context.Context, r Record, ttl time.Duration) error
--- a/directory/replica.go
+++ b/directory/replica.go
@@ -38,21 +38,18 @@
 	Leaving bool
 	// ColdLeft is how long the endpoint still warms up, as of this registration; 0 if it is warm.
 	ColdLeft time.Duration
-	// Revision is the store's revision of the registration.
-	Revision uint64
+	// At is the position at which the store has the registration.
+	At Position
 }
 
 // StoreState is the full state of the deployment as read from the store. The read is
 // linearizable, except for Records.
 type StoreState struct {
-	// Revision is the store's revision when the read began, from which Source.Watch
-	// continues.
-	Revision uint64
+	// At is the store's position when the read began, from which Source.Watch continues.
+	At Position
 	// Config is the newest configuration, or nil if there is none yet.
-	Config *Config
-	// ConfigRevision is the store's revision of Config.
-	ConfigRevision uint64
-	Endpoints      []Endpoint
+	Config    *Config
+	Endpoints []Endpoint
 	// InvalidEndpoints are the IDs of endpoints whose registrations cannot be used.
 	InvalidEndpoints []string
 	// Nodes are the system's own processes.
@@ -67,14 +64,14 @@
 
 // InvalidItem is an item of the store that could not be decoded.
 type InvalidItem struct {
-	Key      string
-	Revision uint64
-	Err      error
+	Key string
+	At  Position
+	Err error
 }
 
-// Change is one change of the store. Exactly one of its fields other than Revision is set.
+// Change is one change of the store. Exactly one of its fields other than At is set.
 type Change struct {
-	Revision uint64
+	At       Position
 	Config   *Config
 	Endpoint *Endpoint
 	// EndpointGone is the ID of an endpoint whose registration ended.
@@ -93,10 +90,10 @@
 	Evacuation *Evacuation
 }
 
-// Changes are the changes of the store after a revision.
+// Changes are the changes of the store after a position, all of its era.
 type Changes struct {
-	// Revision is the one from which Source.Watch continues.
-	Revision     uint64
+	// At is the position from which Source.Watch continues.
+	At           Position
 	Changes      []Change
 	InvalidItems []InvalidItem
 	// Items are the same changes as the store delivered them.
@@ -111,7 +108,7 @@
 	MissingSince time.Time
 	// Position is the index among the endpoints of its service in a snapshot.
 	Position int
-	// ColdSeenAt is when this revision of the registration was first seen. By it the endpoint is
+	// ColdSeenAt is when this registration was first seen. By it the endpoint is
 	// cold until ColdUntil.
 	ColdSeenAt, ColdUntil time.Time
 }
@@ -130,16 +127,19 @@
 // requests again in the same incarnation, whatever state or change is applied. Otherwise a
 // stale read would bring back a revoked key or route, or send requests to an endpoint that
 // is about to stop, and requests would be refused or run according to an older version.
+// That holds across eras too, see beginEra.
 // A Replica is not safe for concurrent use.
 type Replica struct {
-	revision       uint64
-	config         *Config
-	configRevision uint64
-	endpoints      map[string]*EndpointState
-	nodes          map[string]Node
+	at        Position
+	config    *Config
+	endpoints map[string]*EndpointState
+	nodes     map[string]nodeState
 	// tombstones holds, by ID, the last incarnation whose registration ended, so that a
 	// late change does not bring it back.
 	tombstones map[string]tombstone
+	// withheld holds registrations that are not used because they may be from before the end of their
+	// endpoints, by ID.
+	withheld map[string]withheldEndpoint
 	// outageEnd is when the store first answered again after its last outage.
 	outageEnd time.Time
 	// synced is set once a full state has been applied.
@@ -150,18 +150,29 @@
 	evacuations *Evacuations
 }
 
+// nodeState is a node's registration. MissingSince is as in EndpointState.
+type nodeState struct {
+	Node
+	missingSince time.Time
+}
+
 // tombstone is how the registration of an incarnation ended.
 type tombstone struct {
 	startUnixMilli int64
-	revision       uint64
+	at             Position
 	leaving        bool
 	// invalidated is set if the registration was replaced by one that cannot be used.
 	invalidated bool
+	// addedAt is when the end became known.
+	addedAt time.Time
 }
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	return &Replica{endpoints: map[string]*EndpointState{}, nodes: map[string]Node{}, tombstones: map[string]tombstone{}, stated: NewStatedLeaving(), evacuations: NewEvacuations()}
+	return &Replica{
+		endpoints: map[string]*EndpointState{}, nodes: map[string]nodeState{}, tombstones: map[string]tombstone{}, withheld: map[string]withheldEndpoint{},
+		stated: NewStatedLeaving(), evacuations: NewEvacuations(),
+	}
 }
 
 // StatedLeaving returns the set of endpoints that have stated themselves that they leave. Snapshots
@@ -172,8 +183,8 @@
 // centres out of those that may be sent requests.
 func (r *Replica) Evacuations() *Evacuations { return r.evacuations }
 
-// Revision returns the store's revision up to which changes are known.
-func (r *Replica) Revision() uint64 { return r.revision }
+// At returns the store's position up to which changes are known.
+func (r *Replica) At() Position { return r.at }
 
 // Ready reports whether a full state has been applied and a configuration is known.
 func (r *Replica) Ready() bool { return r.synced && r.config != nil }
@@ -186,53 +197,74 @@
 }
 
 // ApplyState applies a full state: endpoints and nodes that it does not list are gone. It
-// ignores a state that is older than the replica. It returns the evacuations that have begun or ended.
+// ignores a state that is older than the replica. A state of a later era replaces what is known, except for
+// what beginEra keeps. It returns the evacuations that have begun or ended.
 func (r *Replica) ApplyState(now time.Time, state *StoreState) []Evacuation {
-	if state.Revision < r.revision {
+	switch {
+	case state.At.Era() < r.at.Era() || r.at.After(state.At):
 		return nil
+	case !state.At.SameEra(r.at) && r.synced:
+		r.beginEra(now)
 	}
-	r.revision = state.Revision
+	r.at = state.At
 	if state.Config != nil {
-		r.applyConfig(state.Config, state.ConfigRevision)
+		r.applyConfig(state.Config)
 	}
 	listed := map[string]bool{}
+	clear(r.withheld)
 	for i := range state.Endpoints {
-		listed[state.Endpoints[i].ID] = true
-		r.applyEndpoint(now, &state.Endpoints[i])
+		e := &state.Endpoints[i]
+		if r.withhold(now, e) || r.applyEndpoint(now, e) {
+			listed[e.ID] = true
+		}
 	}
 	for _, id := range state.InvalidEndpoints {
-		r.invalidateEndpoint(id, state.Revision)
+		r.invalidateEndpoint(now, id, state.At)
 	}
 	for id, e := range r.endpoints {
-		if !listed[id] && e.Revision <= state.Revision {
-			r.removeEndpoint(now, id, state.Revision)
+		if !listed[id] && !e.At.After(state.At) {
+			r.removeEndpoint(now, id, state.At)
 		}
 	}
-	clear(r.nodes)
-	for _, n := range state.Nodes {
-		r.nodes[n.Name] = n
-	}
+	r.replaceNodes(state.Nodes)
 	r.synced = true
-	return r.evacuations.ApplyList(now, state.Revision, state.Evacuations)
+	return r.evacuations.ApplyList(now, state.At, state.Evacuations)
 }
 
-// ApplyChanges applies the changes that followed the last applied state or changes. It returns the
-// evacuations that have begun or ended.
+// replaceNodes applies a full list of nodes. Those of an earlier era that it does not list stay missing.
+func (r *Replica) replaceNodes(nodes []Node) {
+	for name, n := range r.nodes {
+		if n.missingSince.IsZero() {
+			delete(r.nodes, name)
+		}
+	}
+	for _, n := range nodes {
+		r.nodes[n.Name] = nodeState{Node: n}
+	}
+}
+
+// ApplyChanges applies the changes that followed the last applied state or changes. It ignores those of
+// another era. It returns the evacuations that have begun or ended.
 func (r *Replica) ApplyChanges(now time.Time, changes *Changes) []Evacuation {
+	if !changes.At.SameEra(r.at) {
+		return nil
+	}
 	var evacuations []Evacuation
 	for i := range changes.Changes {
 		change := &changes.Changes[i]
 		switch {
 		case change.Config != nil:
-			r.applyConfig(change.Config, change.Revision)
+			r.applyConfig(change.Config)
 		case change.Endpoint != nil:
+			delete(r.withheld, change.Endpoint.ID)
 			r.applyEndpoint(now, change.Endpoint)
 		case change.EndpointGone != "":
-			r.removeEndpoint(now, change.EndpointGone, change.Revision)
+			delete(r.withheld, change.EndpointGone)
+			r.removeEndpoint(now, change.EndpointGone, change.At)
 		case change.InvalidEndpoint != "":
-			r.invalidateEndpoint(change.InvalidEndpoint, change.Revision)
+			r.invalidateEndpoint(now, change.InvalidEndpoint, change.At)
 		case change.Node != nil:
-			r.nodes[change.Node.Name] = *change.Node
+			r.nodes[change.Node.Name] = nodeState{Node: *change.Node}
 		case change.NodeGone != "":
 			delete(r.nodes, change.NodeGone)
 		case change.Evacuation != nil:
@@ -241,48 +273,52 @@
 			}
 		}
 	}
-	r.revision = max(r.revision, changes.Revision)
-	r.evacuations.SetStoreRevision(r.revision)
+	r.at = r.at.Later(changes.At)
+	r.evacuations.SetStorePosition(r.at)
 	return evacuations
 }
 
-// applyConfig replaces the configuration unless the known one is at least as new.
-func (r *Replica) applyConfig(config *Config, revision uint64) {
-	if r.config != nil && (revision <= r.configRevision || config.Version <= r.config.Version) {
-		return
+// applyConfig replaces the configuration unless the known one is at least as new. Versions rise in all eras.
+func (r *Replica) applyConfig(config *Config) {
+	if r.config == nil || config.Version > r.config.Version {
+		r.config = config
 	}
-	r.config, r.configRevision = config, revision
 }
 
 // applyEndpoint applies a registration unless it is stale: of an incarnation before the
-// known one, or written before the known registration.
-func (r *Replica) applyEndpoint(now time.Time, e *Endpoint) {
+// known one, or written before the known registration. It reports whether the registration is that of the
+// known incarnation or a later one.
+func (r *Replica) applyEndpoint(now time.Time, e *Endpoint) bool {
 	known := r.endpoints[e.ID]
 	if known == nil {
 		r.addEndpoint(now, e)
-		return
+		return true
 	}
 	switch {
-	case e.Revision < known.Revision:
-		return
+	case known.At.After(e.At):
+		return true
 	case e.StartUnixMilli == 0 && known.StartUnixMilli != 0:
 		// An endpoint that registers with its start time always does, so something else
 		// wrote this registration.
-		r.invalidateEndpoint(e.ID, e.Revision)
-		return
+		r.invalidateEndpoint(now, e.ID, e.At)
+		return true
 	case e.StartUnixMilli < known.StartUnixMilli:
-		return
+		return false
 	case e.StartUnixMilli > known.StartUnixMilli:
 		r.endpoints[e.ID] = newEndpointState(now, e)
-		return
+		return true
 	}
-	if e.Revision > known.Revision {
+	switch {
+	case e.At.After(known.At):
 		known.setCold(now, e.ColdLeft)
+	case !e.At.SameEra(known.At) && now.Add(e.ColdLeft).Before(known.ColdUntil):
+		known.setCold(now, e.ColdLeft) // a copy may hold a registration from when less warm-up had passed
 	}
 	leaving := known.Leaving
 	known.Endpoint = *e
 	known.Leaving = known.Leaving || leaving
 	known.MissingSince = time.Time{}
+	return true
 }
 
 // addEndpoint applies the registration of an endpoint that is not known. An incarnation
@@ -292,7 +328,7 @@
 func (r *Replica) addEndpoint(now time.Time, e *Endpoint) {
 	added := newEndpointState(now, e)
 	if last, found := r.tombstones[e.ID]; found {
-		if e.Revision <= last.revision || e.StartUnixMilli < last.startUnixMilli {
+		if last.at.AtLeast(e.At) || e.StartUnixMilli < last.startUnixMilli {
 			return
 		}
 		sameIncarnation := e.StartUnixMilli == last.startUnixMilli && (e.StartUnixMilli != 0 || last.invalidated)
@@ -303,13 +339,16 @@
 
 // removeEndpoint applies the end of a registration. A registration that ends soon after an
 // outage of the store may only have expired, so its endpoint is kept as missing for
-// missingGrace.
-func (r *Replica) removeEndpoint(now time.Time, id string, revision uint64) {
+// missingGrace. One that is already missing stays so.
+func (r *Replica) removeEndpoint(now time.Time, id string, at Position) {
 	known := r.endpoints[id]
-	if known == nil || revision < known.Revision {
+	if known == nil || known.At.After(at) {
+		return
+	}
+	r.addTombstone(now, known, at)
+	if !known.MissingSince.IsZero() && !known.At.SameEra(at) {
 		return
 	}
-	r.addTombstone(known, revision)
 	if known.Leaving || r.outageEnd.IsZero() || now.Sub(r.outageEnd) > expiryWindow {
 		delete(r.endpoints, id)
 		return
@@ -321,20 +360,20 @@
 
 // invalidateEndpoint drops an endpoint whose registration was replaced by one that cannot be
 // used. The endpoint is added again when it next writes its own registration.
-func (r *Replica) invalidateEndpoint(id string, revision uint64) {
+func (r *Replica) invalidateEndpoint(now time.Time, id string, at Position) {
 	known := r.endpoints[id]
-	if known == nil || revision < known.Revision {
+	if known == nil || known.At.After(at) {
 		return
 	}
-	r.addTombstone(known, revision)
+	r.addTombstone(now, known, at)
 	last := r.tombstones[id]
 	last.invalidated = true
 	r.tombstones[id] = last
 	delete(r.endpoints, id)
 }
 
-func (r *Replica) addTombstone(e *EndpointState, revision uint64) {
-	r.tombstones[e.ID] = tombstone{startUnixMilli: e.StartUnixMilli, revision: max(r.tombstones[e.ID].revision, revision), leaving: e.Leaving}
+func (r *Replica) addTombstone(now time.Time, e *EndpointState, at Position) {
+	r.tombstones[e.ID] = tombstone{startUnixMilli: e.StartUnixMilli, at: at.Later(r.tombstones[e.ID].at), leaving: e.Leaving, addedAt: now}
 }
 
 // maxTombstones bounds the memory that tombstones take. Above it all of them are dropped:
@@ -342,19 +381,31 @@
 // incarnations out.
 const maxTombstones = 20_000
 
-// ExpireMissing drops endpoints that have been missing for longer than missingGrace. It
+// ExpireMissing drops endpoints and nodes that have been missing for longer than missingGrace, and uses
+// registrations that were withheld for long enough. It
 // drops all tombstones if there are more than maxTombstones, statements of endpoints that are
-// no longer listed, and evacuations that ended some time ago. It reports whether an endpoint was dropped.
+// no longer listed, and evacuations that ended some time ago. It reports whether the snapshot changes.
 func (r *Replica) ExpireMissing(now time.Time) bool {
 	r.stated.refresh(now, r.endpoints)
 	r.evacuations.expire(now)
 	changed := false
 	for id, e := range r.endpoints {
-		if !e.MissingSince.IsZero() && now.Sub(e.MissingSince) > missingGrace {
+		grace := missingGrace
+		if e.Leaving {
+			grace = leavingGrace
+		}
+		if !e.MissingSince.IsZero() && now.Sub(e.MissingSince) > grace {
 			delete(r.endpoints, id)
 			changed = true
 		}
 	}
+	for name, n := range r.nodes {
+		if !n.missingSince.IsZero() && now.Sub(n.missingSince) > missingGrace {
+			delete(r.nodes, name)
+			changed = true
+		}
+	}
+	changed = r.releaseWithheld(now) || changed
 	if len(r.tombstones) > maxTombstones {
 		clear(r.tombstones)
 	}
--- a/directory/replica_test.go
+++ b/directory/replica_test.go
@@ -12,7 +12,7 @@
 
 // endpoint returns a registration without a start time.
 func endpoint(id string, revision uint64, leaving bool) Endpoint {
-	return Endpoint{Incarnation: Incarnation{ID: id}, Service: "s", Addr: "127.0.0.1:1", Revision: revision, Leaving: leaving}
+	return Endpoint{Incarnation: Incarnation{ID: id}, Service: "s", Addr: "127.0.0.1:1", At: At(0, revision), Leaving: leaving}
 }
 
 // A revoked key must not work again, and an endpoint that is stopping must not get requests
@@ -31,14 +31,14 @@
 			edited := rapid.Uint64Range(1, 10).Draw(t, "version")
 			switch rapid.IntRange(0, 3).Draw(t, "kind") {
 			case 0:
-				r.ApplyState(now, &StoreState{Revision: revision, Config: config(edited), ConfigRevision: revision, Endpoints: []Endpoint{endpoint(id, revision, leaving)}})
+				r.ApplyState(now, &StoreState{At: At(0, revision), Config: config(edited), Endpoints: []Endpoint{endpoint(id, revision, leaving)}})
 			case 1:
 				e := endpoint(id, revision, leaving)
-				r.ApplyChanges(now, &Changes{Revision: revision, Changes: []Change{{Revision: revision, Endpoint: &e}}})
+				r.ApplyChanges(now, &Changes{At: At(0, revision), Changes: []Change{{At: At(0, revision), Endpoint: &e}}})
 			case 2:
-				r.ApplyChanges(now, &Changes{Revision: revision, Changes: []Change{{Revision: revision, Config: config(edited)}}})
+				r.ApplyChanges(now, &Changes{At: At(0, revision), Changes: []Change{{At: At(0, revision), Config: config(edited)}}})
 			case 3:
-				r.ApplyChanges(now, &Changes{Revision: revision, Changes: []Change{{Revision: revision, EndpointGone: id}}})
+				r.ApplyChanges(now, &Changes{At: At(0, revision), Changes: []Change{{At: At(0, revision), EndpointGone: id}}})
 			}
 			s := r.Snapshot()
 			if s.Config != nil {
@@ -74,15 +74,15 @@
 	r := NewReplica()
 	now := time.Now()
 	e := endpoint("a", 1, false)
-	r.ApplyState(now, &StoreState{Revision: 1, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{e}})
+	r.ApplyState(now, &StoreState{At: At(0, 1), Config: config(1), Endpoints: []Endpoint{e}})
 	r.SetOutageEnd(now)
-	r.ApplyChanges(now, &Changes{Revision: 2, Changes: []Change{{Revision: 2, EndpointGone: "a"}}})
+	r.ApplyChanges(now, &Changes{At: At(0, 2), Changes: []Change{{At: At(0, 2), EndpointGone: "a"}}})
 	is.True(!r.Snapshot().EndpointByID("a").MissingSince.IsZero()) // kept as a last resort
 	is.True(!r.ExpireMissing(now.Add(time.Second)))
 	is.True(r.ExpireMissing(now.Add(2 * time.Second)))
 	is.True(r.Snapshot().EndpointByID("a") == nil)
 	back := endpoint("a", 5, false)
-	r.ApplyChanges(now, &Changes{Revision: 5, Changes: []Change{{Revision: 5, Endpoint: &back}}})
+	r.ApplyChanges(now, &Changes{At: At(0, 5), Changes: []Change{{At: At(0, 5), Endpoint: &back}}})
 	is.True(r.Snapshot().EndpointByID("a").MissingSince.IsZero())
 }
 
@@ -90,8 +90,8 @@
 	is := is.New(t)
 	r := NewReplica()
 	now := time.Now()
-	r.ApplyState(now, &StoreState{Revision: 1, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{endpoint("a", 1, false), endpoint("b", 1, false)}})
-	r.ApplyState(now, &StoreState{Revision: 3, Config: config(1), ConfigRevision: 1, Endpoints: []Endpoint{endpoint("b", 1, false)}})
+	r.ApplyState(now, &StoreState{At: At(0, 1), Config: config(1), Endpoints: []Endpoint{endpoint("a", 1, false), endpoint("b", 1, false)}})
+	r.ApplyState(now, &StoreState{At: At(0, 3), Config: config(1), Endpoints: []Endpoint{endpoint("b", 1, false)}})
 	is.True(r.Snapshot().EndpointByID("a") == nil)
 	is.Equal(r.Snapshot().Len(), 1)
 	is.Equal(len(r.Snapshot().Endpoints("s")), 1)
@@ -100,7 +100,7 @@
 func TestReplicaIsNotReadyBeforeFullState(t *testing.T) {
 	is := is.New(t)
 	r := NewReplica()
-	r.ApplyChanges(time.Now(), &Changes{Revision: 2, Changes: []Change{{Revision: 2, Config: config(2)}}})
+	r.ApplyChanges(time.Now(), &Changes{At: At(0, 2), Changes: []Change{{At: At(0, 2), Config: config(2)}}})
 	is.True(r.Snapshot().Config == nil)
 	is.True(!r.Ready())
 }
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -11,8 +11,8 @@
 type Snapshot struct {
 	// Config is nil until the node knows a configuration.
 	Config *Config
-	// Revision is the store's revision that the snapshot reflects.
-	Revision uint64
+	// At is the store's position that the snapshot reflects.
+	At Position
 	// byService lists the endpoints of each service that are not leaving, sorted by ID.
 	byService map[string][]*EndpointState
 	byID      map[string]*EndpointState
@@ -131,7 +131,7 @@
 // Snapshot returns an immutable copy of the replica's state. It has no configuration until a
 // full state has been applied.
 func (r *Replica) Snapshot() *Snapshot {
-	s := &Snapshot{Revision: r.revision, byService: map[string][]*EndpointState{}, byID: map[string]*EndpointState{}, leaving: map[string]string{}, leavingPlaces: map[servicePlace]bool{}, evacuated: map[string]*EndpointState{}}
+	s := &Snapshot{At: r.at, byService: map[string][]*EndpointState{}, byID: map[string]*EndpointState{}, leaving: map[string]string{}, leavingPlaces: map[servicePlace]bool{}, evacuated: map[string]*EndpointState{}}
 	s.EvacuationGeneration = r.evacuations.Generation()
 	if r.synced {
 		s.Config = r.config
@@ -151,7 +151,7 @@
 		s.byID[id] = &usable
 	}
 	for _, n := range r.nodes {
-		s.Nodes = append(s.Nodes, n)
+		s.Nodes = append(s.Nodes, n.Node)
 	}
 	slices.SortFunc(s.Nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
 	for _, list := range s.byService {
--- a/directory/source.go
+++ b/directory/source.go
@@ -11,15 +11,23 @@
 // given revision. The full state must then be read again.
 var ErrHistoryGone = errors.New("directory: the store no longer has the changes after this revision")
 
+// ErrEraChanged is returned by a call that was answered in a later era than the one it refers to. The full
+// state must then be read again.
+var ErrEraChanged = errors.New("directory: the store was restored from a copy")
+
 // ErrUnavailable is returned if the store gave no usable response.
 var ErrUnavailable = errors.New("directory: store unavailable")
 
+// ErrEarlierEra is the ErrUnavailable of a response that describes the store as it was in an earlier era. A
+// read that may be stale can return it for as long as its state is old.
+var ErrEarlierEra = errors.WithMessage(ErrUnavailable, "response of an earlier era")
+
 // Item is one change of a key in the store, in the form in which entries pass it on to each other. Only
 // the store's adapter interprets its key and value.
 type Item struct {
-	Key      string
-	Value    []byte
-	Revision uint64
+	Key   string
+	Value []byte
+	At    Position
 	// Deleted is set if the change is the key's deletion.
 	Deleted bool
 	// Omitted is set if the value was left out because it is long; Source.ReadItem returns it.
@@ -32,20 +40,24 @@
 	// may then be seconds old, and the read costs the store a tenth. Watching from its revision brings it
 	// up to date.
 	Read(ctx context.Context, stale bool) (*StoreState, error)
-	// ReadEvacuations returns all evacuations of data centres, and the store's revision when the read
+	// ReadEvacuations returns all evacuations of data centres, and the store's position when the read
 	// began. It is linearizable and much faster than Read.
-	ReadEvacuations(ctx context.Context) (list []Evacuation, revision uint64, err error)
-	// Watch returns the changes after a revision as soon as there are any, or no changes
-	// after wait. Errors: ErrHistoryGone, ErrUnavailable.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (*Changes, error)
+	ReadEvacuations(ctx context.Context) (list []Evacuation, at Position, err error)
+	// Watch returns the changes after a position as soon as there are any, or no changes
+	// after wait. Errors: ErrHistoryGone, ErrEraChanged, ErrUnavailable.
+	Watch(ctx context.Context, after Position, wait time.Duration) (*Changes, error)
 	// ReadItem returns the current item of a key, with Deleted set if there is none. If stale, the item
 	// may be seconds old, and the call costs the store a tenth.
 	ReadItem(ctx context.Context, key string, stale bool) (Item, error)
-	// Decode returns the changes that items stand for; the store's revision after them is revision.
-	Decode(revision uint64, items []Item) *Changes
-	// Era returns the highest era that the store has stated in any response; 0 if it states none. The era
-	// rises each time that the store is restored from a copy.
-	Era() uint64
+	// Decode returns the changes that items stand for; the store's position after them is at.
+	Decode(at Position, items []Item) *Changes
+	// Era returns the latest era that is known: the highest that the store has stated in any response, or
+	// one that was assumed by AssumeEra. Responses of an earlier era count as unavailable.
+	Era() Era
+	// AssumeEra makes a store that states no era count as being in era, if that is later than the present one.
+	AssumeEra(era Era)
+	// EraChanged receives a value after the store has stated a new era.
+	EraChanged() <-chan struct{}
 	// CloseIdleConnections closes idle connections, some of which may no longer get
 	// answers.
 	CloseIdleConnections()
@@ -54,11 +66,11 @@
 // CheckpointStore keeps a checkpoint of the state in the store: one value, in a form that is up to its
 // writer, which entries that start read instead of all items.
 type CheckpointStore interface {
-	// ReadItems returns the items of the whole state, which may be seconds old, and the revision from
+	// ReadItems returns the items of the whole state, which may be seconds old, and the position from
 	// which watching brings it up to date.
-	ReadItems(ctx context.Context) (items []Item, revision uint64, err error)
+	ReadItems(ctx context.Context) (items []Item, at Position, err error)
 	// DecodeState returns the state that such items stand for.
-	DecodeState(revision uint64, items []Item) *StoreState
+	DecodeState(at Position, items []Item) *StoreState
 	// ReadCheckpoint returns the checkpoint, which may be seconds old; nil if there is none.
 	ReadCheckpoint(ctx context.Context) ([]byte, error)
 	// WriteCheckpoint replaces the checkpoint. After an error it may have been replaced.
--- a/gateway/checkpoint.go
+++ b/gateway/checkpoint.go
@@ -63,11 +63,11 @@
 
 // makeCheckpoint reads the state and writes it to the store as a checkpoint.
 func (g *Gateway) makeCheckpoint(ctx context.Context) (checkpointResult, error) {
-	items, revision, err := g.checkpoints.ReadItems(ctx)
+	items, at, err := g.checkpoints.ReadItems(ctx)
 	if err != nil {
 		return checkpointFailed, err
 	}
-	data, err := encodeCheckpoint(revision, items)
+	data, err := encodeCheckpoint(at, items)
 	if err != nil {
 		return checkpointFailed, err
 	}
@@ -91,18 +91,22 @@
 		g.countCheckpoint(checkpointAbsent)
 		return nil
 	}
-	revision, items, err := decodeCheckpoint(data)
+	at, items, err := decodeCheckpoint(data)
 	if err != nil {
 		g.countCheckpoint(checkpointInvalid)
 		g.log.Warn("checkpoint_refused", zap.Int("bytes", len(data)), eventlog.Error(err))
 		return nil
 	}
-	return g.checkpoints.DecodeState(revision, items)
+	if at.Era() != g.source.Era() {
+		g.countCheckpoint(checkpointOutdated)
+		return nil
+	}
+	return g.checkpoints.DecodeState(at, items)
 }
 
 // encodeCheckpoint returns the state of the store, compressed.
-func encodeCheckpoint(revision uint64, items []directory.Item) ([]byte, error) {
-	checkpoint := &wire.Checkpoint{Revision: revision}
+func encodeCheckpoint(at directory.Position, items []directory.Item) ([]byte, error) {
+	checkpoint := &wire.Checkpoint{Era: uint64(at.Era()), Revision: at.Revision()}
 	for _, i := range items {
 		checkpoint.Items = append(checkpoint.Items, encodeItem(i))
 	}
@@ -122,29 +126,29 @@
 }
 
 // decodeCheckpoint returns the state of the store from a checkpoint.
-func decodeCheckpoint(compressed []byte) (revision uint64, items []directory.Item, err error) {
+func decodeCheckpoint(compressed []byte) (at directory.Position, items []directory.Item, err error) {
 	reader, err := gzip.NewReader(bytes.NewReader(compressed))
 	if err != nil {
-		return 0, nil, errors.WithStack(err)
+		return at, nil, errors.WithStack(err)
 	}
 	data, err := io.ReadAll(io.LimitReader(reader, maxCheckpointItemBytes+1))
 	if err != nil {
-		return 0, nil, errors.WithStack(err)
+		return at, nil, errors.WithStack(err)
 	}
 	if len(data) > maxCheckpointItemBytes {
-		return 0, nil, errors.Errorf("the checkpoint has over %d bytes", maxCheckpointItemBytes)
+		return at, nil, errors.Errorf("the checkpoint has over %d bytes", maxCheckpointItemBytes)
 	}
 	var checkpoint wire.Checkpoint
 	if err := proto.Unmarshal(data, &checkpoint); err != nil {
-		return 0, nil, errors.WithStack(err)
+		return at, nil, errors.WithStack(err)
 	}
 	if checkpoint.Revision == 0 {
-		return 0, nil, errors.New("the checkpoint has no revision")
+		return at, nil, errors.New("the checkpoint has no revision")
 	}
 	for _, i := range checkpoint.Items {
-		items = append(items, decodeItem(i))
+		items = append(items, decodeItem(directory.Era(checkpoint.Era), i))
 	}
-	return checkpoint.Revision, items, nil
+	return directory.At(directory.Era(checkpoint.Era), checkpoint.Revision), items, nil
 }
 
 // startState is the state that an entry starts with.
@@ -163,12 +167,12 @@
 	fromCurrentLists = "lists"
 )
 
-// readAtStart returns the state for an entry that has none: the checkpoint or else lists that may be
+// readAtStart returns the state for an entry that has none of the store's present era: the checkpoint or else lists that may be
 // stale, and the changes since then, which bring it up to date. Entries that start at the same moment thus
 // cost the store little. If the store does not have these changes any more, the lists are read once more.
 func (g *Gateway) readAtStart(ctx context.Context) (startState, error) {
 	if state := g.readCheckpoint(ctx); state != nil {
-		changes, err := g.source.Watch(ctx, state.Revision, 0)
+		changes, err := g.source.Watch(ctx, state.At, 0)
 		if err == nil {
 			g.countCheckpoint(checkpointUsed)
 			return startState{state, changes, fromCheckpoint}, nil
@@ -179,10 +183,14 @@
 		g.countCheckpoint(checkpointOutdated)
 	}
 	state, err := g.source.Read(ctx, true)
+	if errors.Is(err, directory.ErrEarlierEra) {
+		state, err = g.source.Read(ctx, false)
+		return startState{state, nil, fromCurrentLists}, err
+	}
 	if err != nil {
 		return startState{}, err
 	}
-	changes, err := g.source.Watch(ctx, state.Revision, 0)
+	changes, err := g.source.Watch(ctx, state.At, 0)
 	if errors.Is(err, directory.ErrHistoryGone) {
 		state, err = g.source.Read(ctx, false)
 		return startState{state, nil, fromCurrentLists}, err
@@ -192,5 +200,5 @@
 
 // logStart logs the state that an entry starts with.
 func (g *Gateway) logStart(start startState, took time.Duration) {
-	g.log.Info("state_read", zap.String("from", start.from), zap.Uint64("at", start.state.Revision), zap.Uint64("era", g.source.Era()), zap.Int("endpoints", len(start.state.Endpoints)), zap.Duration("took_ms", took))
+	g.log.Info("state_read", zap.String("from", start.from), zap.Uint64("at", start.state.At.Revision()), zap.Stringer("era", start.state.At.Era()), zap.Int("endpoints", len(start.state.Endpoints)), zap.Duration("took_ms", took))
 }
--- a/gateway/checkpoint_test.go
+++ b/gateway/checkpoint_test.go
@@ -71,13 +71,13 @@
 			var items []directory.Item
 			for i := range size.endpoints {
 				items = append(items, directory.Item{
-					Key:      fmt.Sprintf("servers/i-%010x", uint64(i)*0x9e3779b97f4a7c15>>24),
-					Value:    fmt.Appendf(nil, `{"service":"model","address":"10.%d.64.%d:8706","zone":"zone-%c","version":"v1","slots":10,"state":"ready","cold_left_ms":0,"seq_no":%d}`, i%7, i%251, 'a'+i%9, i%13),
-					Revision: uint64(1000 + i),
+					Key:   fmt.Sprintf("servers/i-%010x", uint64(i)*0x9e3779b97f4a7c15>>24),
+					Value: fmt.Appendf(nil, `{"service":"model","address":"10.%d.64.%d:8706","zone":"zone-%c","version":"v1","slots":10,"state":"ready","cold_left_ms":0,"seq_no":%d}`, i%7, i%251, 'a'+i%9, i%13),
+					At:    directory.At(0, uint64(1000+i)),
 				})
 			}
 			for i := range size.entries {
-				items = append(items, directory.Item{Key: fmt.Sprintf("nodes/edge-%d", i), Value: fmt.Appendf(nil, `{"addr":"10.%d.%d.%d:7340","data_centre":"zone-%c"}`, i%7, i/251, i%251, 'a'+i%9), Revision: uint64(i)})
+				items = append(items, directory.Item{Key: fmt.Sprintf("nodes/edge-%d", i), Value: fmt.Appendf(nil, `{"addr":"10.%d.%d.%d:7340","data_centre":"zone-%c"}`, i%7, i/251, i%251, 'a'+i%9), At: directory.At(0, uint64(i))})
 			}
 			var config strings.Builder
 			for i := range size.accounts {
@@ -86,7 +86,7 @@
 			items = append(items, directory.Item{Key: "op/config", Value: []byte(config.String())})
 			size := 0
 			for b.Loop() {
-				data, err := gateway.EncodeCheckpoint(7, items)
+				data, err := gateway.EncodeCheckpoint(directory.At(0, 7), items)
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -69,7 +69,7 @@
 func (g *Gateway) logEvacuations(changed []directory.Evacuation, from string) {
 	for _, e := range changed {
 		fields := []zap.Field{
-			zap.String("data_centre", e.DataCentre), zap.Uint64("revision", e.Revision), zap.Int("endpoints", g.snapshot.Load().CountIn(e.DataCentre)), zap.String("heard_from", from),
+			zap.String("data_centre", e.DataCentre), zap.Uint64("revision", e.At.Revision()), zap.Int("endpoints", g.snapshot.Load().CountIn(e.DataCentre)), zap.String("heard_from", from), zap.Stringer("era", e.At.Era()),
 		}
 		if e.Evacuated {
 			g.log.Warn("evacuation", fields...)
@@ -82,7 +82,7 @@
 // appendEvacuations adds the evacuations to a heartbeat.
 func (g *Gateway) appendEvacuations(now time.Time, h *wire.Heartbeat) {
 	for _, e := range g.evacuations().Reports(now, !h.Partial, maxHeartbeatEvacuations, maxHeartbeatNameBytes) {
-		h.Evacuations = append(h.Evacuations, &wire.Evacuation{DataCentre: e.DataCentre, Revision: e.Revision, Evacuated: e.Evacuated})
+		h.Evacuations = append(h.Evacuations, &wire.Evacuation{DataCentre: e.DataCentre, Revision: e.At.Revision(), Era: uint64(e.At.Era()), Evacuated: e.Evacuated})
 	}
 }
 
@@ -95,7 +95,7 @@
 	reports := make([]directory.Evacuation, 0, len(h.Evacuations))
 	for _, e := range h.Evacuations {
 		if e.GetDataCentre() != "" {
-			reports = append(reports, directory.Evacuation{DataCentre: e.GetDataCentre(), Revision: e.GetRevision(), Evacuated: e.GetEvacuated()})
+			reports = append(reports, directory.Evacuation{DataCentre: e.GetDataCentre(), At: directory.At(directory.Era(e.GetEra()), e.GetRevision()), Evacuated: e.GetEvacuated()})
 		}
 	}
 	changed := g.evacuations().Merge(now, reports)
--- a/gateway/evacuation_checks_test.go
+++ b/gateway/evacuation_checks_test.go
@@ -67,7 +67,7 @@
 
 // evacuateDC1 applies an evacuation that no snapshot reflects yet.
 func evacuateDC1(g *Gateway) {
-	g.evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: "dc1", Revision: 1, Evacuated: true})
+	g.evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: "dc1", At: directory.At(0, 1), Evacuated: true})
 }
 
 // send sends a request to the plan's endpoint.
@@ -165,7 +165,7 @@
 	f.snapshot.Store(f.replica.Snapshot())
 	f.markUnreachable(e, "a test")
 	time.Sleep(2 * unreachableProbeInterval) // in which a probe would come
-	f.evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: "dc1", Revision: 2})
+	f.evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: "dc1", At: directory.At(0, 2)})
 	f.snapshot.Store(f.replica.Snapshot())
 	for deadline := time.Now().Add(30 * time.Second); f.dials.Load() == 0 && time.Now().Before(deadline); {
 		time.Sleep(time.Millisecond)
@@ -195,12 +195,12 @@
 	return s.recordingSource.Read(ctx, stale)
 }
 
-func (s *slowSource) Watch(context.Context, uint64, time.Duration) (*directory.Changes, error) {
+func (s *slowSource) Watch(context.Context, directory.Position, time.Duration) (*directory.Changes, error) {
 	return nil, errors.WithStack(directory.ErrHistoryGone)
 }
 
-func (s *slowSource) ReadEvacuations(context.Context) ([]directory.Evacuation, uint64, error) {
-	return []directory.Evacuation{{DataCentre: "dc1", Revision: 5, Evacuated: true}}, 7, nil
+func (s *slowSource) ReadEvacuations(context.Context) ([]directory.Evacuation, directory.Position, error) {
+	return []directory.Evacuation{{DataCentre: "dc1", At: directory.At(0, 5), Evacuated: true}}, directory.At(0, 7), nil
 }
 
 // Guards against an evacuation that is unknown for as long as a slow store does not answer a full read.
@@ -244,7 +244,7 @@
 			is := is.New(b)
 			f := newEvacuationFixture(is, &recordingSource{}, nothing, nothing)
 			for i := range n {
-				f.evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: fmt.Sprint("data-centre-", i), Revision: 1_000_000 + uint64(i), Evacuated: true})
+				f.evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: fmt.Sprint("data-centre-", i), At: directory.At(0, 1_000_000+uint64(i)), Evacuated: true})
 			}
 			for b.Loop() {
 				h := &wire.Heartbeat{}
--- a/gateway/evacuation_reads.go
+++ b/gateway/evacuation_reads.go
@@ -21,9 +21,9 @@
 
 // evacuationList is the result of a read of evacuations.
 type evacuationList struct {
-	list     []directory.Evacuation
-	revision uint64
-	err      error
+	list []directory.Evacuation
+	at   directory.Position
+	err  error
 }
 
 // readEvacuations reads the evacuations beside the next call, while the state must be read in full or the
@@ -32,15 +32,15 @@
 // calls may be over its rate. Before the first state is known nothing is served, and none is needed.
 func (w *storeWatcher) readEvacuations(ctx context.Context, results chan<- storeResult) {
 	g, now := w.gateway, time.Now()
-	if w.evacuationReads.underWay || w.replica.Revision() == 0 || now.Sub(w.evacuationReads.startedAt) < g.settings.StoreTimeout.D() {
+	if w.evacuationReads.underWay || w.replica.At().IsZero() || now.Sub(w.evacuationReads.startedAt) < g.settings.StoreTimeout.D() {
 		return
 	}
 	w.evacuationReads = evacuationReads{underWay: true, startedAt: now}
 	go func() {
 		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "evacuations"), g.evacuationReadTimeout())
 		defer cancel()
-		list, revision, err := g.source.ReadEvacuations(ctx)
-		results <- storeResult{evacuations: &evacuationList{list, revision, err}}
+		list, at, err := g.source.ReadEvacuations(ctx)
+		results <- storeResult{evacuations: &evacuationList{list, at, err}}
 	}()
 }
 
@@ -56,7 +56,7 @@
 	if read.err != nil {
 		return
 	}
-	changed := w.replica.Evacuations().ApplyList(time.Now(), read.revision, read.list)
+	changed := w.replica.Evacuations().ApplyList(time.Now(), read.at, read.list)
 	w.publish()
 	w.gateway.announceEvacuations(changed)
 }
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -61,7 +61,7 @@
 
 // HearEvacuation simulates a heartbeat in which another entry reports an evacuation.
 func (g *Gateway) HearEvacuation(from, dataCentre string, revision uint64) {
-	g.mergeEvacuations(time.Now(), &wire.Heartbeat{Node: from, Evacuations: []*wire.Evacuation{{DataCentre: dataCentre, Revision: revision, Evacuated: true}}})
+	g.mergeEvacuations(time.Now(), &wire.Heartbeat{Node: from, Evacuations: []*wire.Evacuation{{DataCentre: dataCentre, Era: uint64(g.source.Era()), Revision: revision, Evacuated: true}}})
 }
 
 // HearView simulates a heartbeat in which another entry sends its view.
@@ -103,8 +103,8 @@
 }
 
 // EncodeCheckpoint encodes a checkpoint.
-func EncodeCheckpoint(revision uint64, items []directory.Item) ([]byte, error) {
-	return encodeCheckpoint(revision, items)
+func EncodeCheckpoint(at directory.Position, items []directory.Item) ([]byte, error) {
+	return encodeCheckpoint(at, items)
 }
 
 // DecodeCheckpoint returns the number of items in a checkpoint.
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -58,7 +58,7 @@
 	if loop == nil {
 		return
 	}
-	chunks := f.log.Respond(bootTime(), request.After)
+	chunks := f.log.Respond(bootTime(), directory.At(directory.Era(request.Era), request.After))
 	f.gateway.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_feed_requests_received_total{answered="%t"}`, len(chunks) > 0)).Inc()
 	for i := range chunks {
 		loop.SendTo(time.Now(), h.Addr, func(h *wire.Heartbeat) {
@@ -67,8 +67,8 @@
 	}
 }
 
-// ask sends a request for the changes after a revision.
-func (f *feed) ask(addr string, nonce, after uint64) {
+// ask sends a request for the changes after a position.
+func (f *feed) ask(addr string, nonce uint64, after directory.Position) {
 	loop := f.gateway.peerLoop.Load()
 	if loop == nil {
 		return
@@ -76,7 +76,7 @@
 	f.gateway.metrics.GetOrCreateCounter("aspenyard_gateway_feed_requests_sent_total").Inc()
 	loop.Post(func() {
 		loop.SendTo(time.Now(), addr, func(h *wire.Heartbeat) {
-			h.Partial, h.FeedRequest = true, &wire.FeedRequest{Nonce: nonce, After: after}
+			h.Partial, h.FeedRequest = true, &wire.FeedRequest{Nonce: nonce, After: after.Revision(), Era: uint64(after.Era())}
 		})
 	})
 }
@@ -84,7 +84,7 @@
 // encodeChunk returns a chunk in the form that heartbeats carry. Its age is rounded up.
 func encodeChunk(nonce uint64, c *changefeed.Chunk) *wire.FeedResponse {
 	encoded := &wire.FeedResponse{
-		Nonce: nonce, From: c.From, To: c.To, Last: c.Last, Complete: c.Complete, TooOld: c.TooOld,
+		Nonce: nonce, Era: uint64(c.Era()), From: c.From.Revision(), To: c.To.Revision(), Last: c.Last, Complete: c.Complete, TooOld: c.TooOld,
 		AgeMs: uint64((c.Age + time.Millisecond - 1).Milliseconds()), OutageAgeMs: uint64(c.OutageAge.Milliseconds()),
 	}
 	for _, i := range c.Items {
@@ -94,21 +94,22 @@
 }
 
 func encodeItem(i directory.Item) *wire.FeedItem {
-	return &wire.FeedItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted, Omitted: i.Omitted}
+	return &wire.FeedItem{Key: i.Key, Value: i.Value, Revision: i.At.Revision(), Deleted: i.Deleted, Omitted: i.Omitted}
 }
 
-func decodeItem(i *wire.FeedItem) directory.Item {
-	return directory.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted, Omitted: i.Omitted}
+func decodeItem(era directory.Era, i *wire.FeedItem) directory.Item {
+	return directory.Item{Key: i.Key, Value: i.Value, At: directory.At(era, i.Revision), Deleted: i.Deleted, Omitted: i.Omitted}
 }
 
 // decodeChunk returns the chunk that a heartbeat carries.
 func decodeChunk(encoded *wire.FeedResponse) changefeed.Chunk {
+	era := directory.Era(encoded.Era)
 	c := changefeed.Chunk{
-		From: encoded.From, To: encoded.To, Last: encoded.Last, Complete: encoded.Complete, TooOld: encoded.TooOld,
+		From: directory.At(era, encoded.From), To: directory.At(era, encoded.To), Last: encoded.Last, Complete: encoded.Complete, TooOld: encoded.TooOld,
 		Age: durationOf(encoded.AgeMs), OutageAge: durationOf(encoded.OutageAgeMs),
 	}
 	for _, i := range encoded.Items {
-		c.Items = append(c.Items, decodeItem(i))
+		c.Items = append(c.Items, decodeItem(era, i))
 	}
 	return c
 }
@@ -146,7 +147,7 @@
 		w.follower.SetMembers(members)
 	}
 	if peer, nonce, ok := w.follower.Ask(now); ok {
-		w.gateway.feed.ask(w.addrs[peer], nonce, w.replica.Revision())
+		w.gateway.feed.ask(w.addrs[peer], nonce, w.replica.At())
 	}
 }
 
@@ -157,20 +158,21 @@
 		w.gateway.metrics.GetOrCreateCounter("aspenyard_gateway_feed_responses_refused_total").Inc()
 		return
 	}
-	provenAt, proves := w.follower.Hear(now, r.from, r.nonce, &r.chunk)
-	if w.needsFullRead || r.chunk.TooOld {
+	provenAt, proves := w.follower.Hear(now, r.from, r.nonce, w.replica.At().Era(), &r.chunk)
+	w.hearEra(r.chunk.Era())
+	if w.needsFullRead || r.chunk.TooOld || r.chunk.Era() != w.replica.At().Era() {
 		return
 	}
 	if r.chunk.OutageAge > 0 {
 		w.replica.SetOutageEnd(time.Now().Add(-r.chunk.OutageAge))
 		w.gateway.feed.log.SetOutageEnd(now - r.chunk.OutageAge)
 	}
-	items, to, omitted, ok := r.chunk.After(w.replica.Revision(), func(key string, revision uint64) bool { return w.itemsRead[key] >= revision })
+	items, to, omitted, ok := r.chunk.After(w.replica.At(), func(key string, at directory.Position) bool { return w.itemsRead[key].AtLeast(at) })
 	if !ok {
 		w.follower.AskAgain(now)
 		return
 	}
-	if to > w.replica.Revision() {
+	if to.After(w.replica.At()) {
 		w.gateway.feed.log.Append(items, to)
 		w.applyChanges(w.gateway.source.Decode(to, items))
 	}
@@ -192,13 +194,13 @@
 	case !w.outageSince.IsZero():
 		w.follower.FallBehind()
 	default:
-		w.readItem(ctx, item.Key, item.Revision, true, reads)
+		w.readItem(ctx, item.Key, item.At, true, reads)
 	}
 }
 
-// readItem reads an item that must have a revision or a later one.
-func (w *storeWatcher) readItem(ctx context.Context, key string, revision uint64, stale bool, reads chan<- itemRead) {
-	w.reading, w.readingRevision = key, revision
+// readItem reads an item that must be of a position or a later one.
+func (w *storeWatcher) readItem(ctx context.Context, key string, from directory.Position, stale bool, reads chan<- itemRead) {
+	w.reading, w.readingFrom = key, from
 	timeout, source := w.gateway.settings.StoreTimeout.D(), w.gateway.source
 	go func() {
 		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "omitted_value"), timeout)
@@ -212,18 +214,19 @@
 // stale; after a failure the store is asked for all changes.
 func (w *storeWatcher) handleItemRead(ctx context.Context, read *itemRead, reads chan<- itemRead) {
 	key := w.reading
-	current := read.err == nil && (read.item.Revision >= w.readingRevision || read.item.Deleted && !read.stale)
+	sameEra := w.readingFrom.SameEra(w.replica.At()) && read.item.At.SameEra(w.readingFrom)
+	current := read.err == nil && sameEra && (read.item.At.AtLeast(w.readingFrom) || read.item.Deleted && !read.stale)
 	w.gateway.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_omitted_values_read_total{stale="%t",current="%t"}`, read.stale, current)).Inc()
 	switch {
 	case current:
-		w.itemsRead[key] = max(w.readingRevision, read.item.Revision)
+		w.itemsRead[key] = w.readingFrom.Later(read.item.At)
 		w.reading = ""
 		if !read.item.Deleted {
-			w.applyChanges(w.gateway.source.Decode(w.replica.Revision(), []directory.Item{read.item}))
+			w.applyChanges(w.gateway.source.Decode(w.replica.At(), []directory.Item{read.item}))
 		}
 		w.follower.AskAgain(bootTime())
-	case read.stale:
-		w.readItem(ctx, key, w.readingRevision, false, reads)
+	case read.stale && sameEra:
+		w.readItem(ctx, key, w.readingFrom, false, reads)
 	default:
 		w.reading = ""
 		if read.err != nil {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -40,7 +40,7 @@
 
 // maxBackoff returns the longest wait after a failed call to the store.
 func (w *storeWatcher) maxBackoff() time.Duration {
-	if w.replica.Revision() == 0 {
+	if w.replica.At().IsZero() {
 		return maxStartBackoff
 	}
 	return scaleDuration(w.gateway.maxChangeDelay(), maxBackoffShare)
@@ -86,19 +86,25 @@
 	// calling is set while a call is under way. The next one begins at callNotBefore or later.
 	calling       bool
 	callNotBefore time.Duration
-	// reading is the key of an item that is being read, as its value was omitted; readingRevision is
-	// its least revision. itemsRead holds the revisions up to which such items are known.
-	reading         string
-	readingRevision uint64
-	itemsRead       map[string]uint64
-	publishedAt     time.Time
-	outageSince     time.Time // when the store stopped answering; zero while it answers
-	backoff         time.Duration
+	// readNotBefore is when the state may be read in full after a loss.
+	readNotBefore time.Duration
+	// era is the latest era that was noticed; the state is of this era unless it must be read in full.
+	era directory.Era
+	// ignoredEra is an era that another entry has claimed and the store does not confirm.
+	ignoredEra directory.Era
+	// reading is the key of an item that is being read, as its value was omitted; readingFrom is
+	// its earliest position. itemsRead holds the positions up to which such items are known.
+	reading     string
+	readingFrom directory.Position
+	itemsRead   map[string]directory.Position
+	publishedAt time.Time
+	outageSince time.Time // when the store stopped answering; zero while it answers
+	backoff     time.Duration
 	// timeout bounds the next call, besides its wait for a change.
 	timeout time.Duration
-	// loggedInvalidItems holds the revision at which each item was last found undecodable, so
+	// loggedInvalidItems holds the position at which each item was last found undecodable, so
 	// that an item that stays is logged once and not with each full read.
-	loggedInvalidItems map[string]uint64
+	loggedInvalidItems map[string]directory.Position
 	evacuationReads    evacuationReads
 	// loggedUnknownRegions are the regions of the configuration in force that are logged as unknown.
 	loggedUnknownRegions map[string]bool
@@ -112,15 +118,17 @@
 	err     error
 	// evacuations is set in the result of a read of evacuations alone, nil in those of other calls.
 	evacuations *evacuationList
-	// began is when the call began, since boot: what it returned is at least as new.
+	// began is when the call began, since boot: what it returned is at least as new. after is the position
+	// up to which changes were known then.
 	began time.Duration
+	after directory.Position
 }
 
 // newStoreWatcher returns a watcher that has no state yet.
 func (g *Gateway) newStoreWatcher() *storeWatcher {
 	return &storeWatcher{
 		gateway: g, replica: g.replica, needsFullRead: true, backoff: minBackoff, timeout: g.settings.StoreTimeout.D(),
-		addrs: map[string]string{}, itemsRead: map[string]uint64{}, loggedInvalidItems: map[string]uint64{},
+		addrs: map[string]string{}, itemsRead: map[string]directory.Position{}, loggedInvalidItems: map[string]directory.Position{},
 		follower: changefeed.NewFollower(changefeed.Config{
 			Name: g.settings.Name, DataCentre: g.settings.DataCentre, Bound: g.maxChangeDelay(), SoloWait: g.longPollWait(),
 			CheckpointInterval: g.settings.StoreHistory.D() / checkpointsPerHistory,
@@ -138,6 +146,7 @@
 	results := make(chan storeResult, 2) // of a call and a read of evacuations
 	reads := make(chan itemRead, 1)
 	for {
+		w.noticeEra()
 		w.askEntries()
 		w.call(ctx, results)
 		w.writeCheckpoint(ctx)
@@ -146,8 +155,10 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+		case <-g.source.EraChanged():
 		case now := <-ticker.C:
 			g.refreshScarce(now)
+			g.announceEvacuations(w.replica.Evacuations().EndUnconfirmed(now))
 			if w.replica.ExpireMissing(now) || now.Sub(w.publishedAt) > g.longPollWait() {
 				w.publish()
 			}
@@ -176,12 +187,20 @@
 	next := w.follower.Next(now)
 	if !w.calling {
 		if reason, _ := w.callDue(now); reason != changefeed.CallNone {
-			next = min(next, w.callNotBefore)
+			next = min(next, w.nextCallAt())
 		}
 	}
 	return max(next-now, minIdle)
 }
 
+// nextCallAt returns from when on the next call may begin.
+func (w *storeWatcher) nextCallAt() time.Duration {
+	if w.needsFullRead {
+		return max(w.callNotBefore, w.readNotBefore)
+	}
+	return w.callNotBefore
+}
+
 // minIdle is the shortest time between two looks for something to do.
 const minIdle = time.Millisecond
 
@@ -206,21 +225,21 @@
 func (w *storeWatcher) call(ctx context.Context, results chan<- storeResult) {
 	now := bootTime()
 	reason, wait := w.callDue(now)
-	if w.calling || reason == changefeed.CallNone || now < w.callNotBefore {
+	if w.calling || reason == changefeed.CallNone || now < w.nextCallAt() {
 		return
 	}
 	if w.needsFullRead || !w.outageSince.IsZero() {
 		w.readEvacuations(ctx, results)
 	}
 	w.calling = true
-	fullRead, revision, timeout, gateway := w.needsFullRead, w.replica.Revision(), w.timeout, w.gateway
+	fullRead, after, timeout, gateway := w.needsFullRead, w.replica.At(), w.timeout, w.gateway
 	go func() {
 		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, string(reason)), wait+timeout)
 		defer cancel()
 		start := time.Now()
-		result := storeResult{began: bootTime()}
+		result := storeResult{began: bootTime(), after: after}
 		switch {
-		case fullRead && revision == 0:
+		case fullRead && (after.IsZero() || gateway.source.Era().Stated() > after.Era().Stated()):
 			var read startState
 			if read, result.err = gateway.readAtStart(ctx); result.err == nil {
 				result.state, result.changes = read.state, read.changes
@@ -229,7 +248,7 @@
 		case fullRead:
 			result.state, result.err = gateway.source.Read(ctx, false)
 		default:
-			result.changes, result.err = gateway.source.Watch(ctx, revision, wait)
+			result.changes, result.err = gateway.source.Watch(ctx, after, wait)
 		}
 		gateway.observeStoreCall(fullRead, time.Since(start), result.err)
 		results <- result
@@ -242,38 +261,37 @@
 	switch {
 	case errors.Is(result.err, directory.ErrHistoryGone):
 		w.needsFullRead = true
-		log.Info("store_history_gone", zap.Uint64("at", w.replica.Revision()), zap.Uint64("era", w.gateway.source.Era()))
+		log.Info("store_history_gone", zap.Uint64("at", w.replica.At().Revision()), zap.Stringer("era", w.gateway.source.Era()))
 		return 0
+	case errors.Is(result.err, directory.ErrEraChanged):
+		return 0 // noticeEra sees to it
 	case result.err != nil:
 		if w.outageSince.IsZero() {
 			w.outageSince = now
-			log.Warn("store_lost", eventlog.Error(result.err), zap.Uint64("at", w.replica.Revision()))
+			log.Warn("store_lost", eventlog.Error(result.err), zap.Uint64("at", w.replica.At().Revision()))
 		}
 		// Pooled connections that went silent would fail every call made on them.
 		w.gateway.source.CloseIdleConnections()
 		w.timeout = min(2*w.timeout, maxTimeoutFactor*w.gateway.settings.StoreTimeout.D())
-		pause := w.backoff/2 + time.Duration(rand.Int64N(int64(w.backoff)))
-		w.backoff = min(2*w.backoff, w.maxBackoff())
-		return pause
+		return w.backOff()
 	}
 	if !w.outageSince.IsZero() {
 		w.endOutage(fromStore)
-		w.replica.SetOutageEnd(now)
-		w.gateway.feed.log.SetOutageEnd(bootTime())
+		w.setOutageEnd(now)
+	}
+	if result.state != nil && result.after.After(result.state.At) {
+		return w.assumeRestored(result)
 	}
 	w.backoff, w.timeout = minBackoff, w.gateway.settings.StoreTimeout.D()
 	w.follower.Prove(result.began)
 	if result.state != nil {
 		w.needsFullRead = false
-		if known := w.replica.Revision(); result.state.Revision < known {
-			log.Warn("state_outdated", zap.Uint64("at", result.state.Revision), zap.Uint64("known", known), zap.Uint64("era", w.gateway.source.Era()))
-		}
-		w.gateway.feed.log.Reset(result.state.Revision)
+		w.gateway.feed.log.Reset(result.state.At)
 		w.applyState(result.state, result.changes)
 		w.prove(result.began)
 		return 0
 	}
-	w.gateway.feed.log.Append(result.changes.Items, result.changes.Revision)
+	w.gateway.feed.log.Append(result.changes.Items, result.changes.At)
 	w.applyChanges(result.changes)
 	w.prove(result.began)
 	if len(result.changes.Changes) == 0 {
@@ -282,6 +300,19 @@
 	return w.follower.BatchPause()
 }
 
+// backOff returns the pause after a failed call. The next one is twice as long.
+func (w *storeWatcher) backOff() time.Duration {
+	pause := w.backoff/2 + time.Duration(rand.Int64N(int64(w.backoff)))
+	w.backoff = min(2*w.backoff, w.maxBackoff())
+	return pause
+}
+
+// setOutageEnd records that the store answered again after an outage or a loss.
+func (w *storeWatcher) setOutageEnd(now time.Time) {
+	w.replica.SetOutageEnd(now)
+	w.gateway.feed.log.SetOutageEnd(bootTime() - time.Since(now))
+}
+
 // endOutage notes that the state is current again: by the store itself or by what an entry passes on.
 func (w *storeWatcher) endOutage(from string) {
 	if w.outageSince.IsZero() {
@@ -308,9 +339,13 @@
 		w.stateRead = true
 		close(w.gateway.stateRead)
 	}
+	before := w.replica.At()
 	evacuations := w.replica.ApplyState(now, state)
+	if !before.IsZero() && !w.replica.At().SameEra(before) {
+		w.handleRestored(before, state.At)
+	}
 	if changes != nil {
-		w.gateway.feed.log.Append(changes.Items, changes.Revision)
+		w.gateway.feed.log.Append(changes.Items, changes.At)
 		evacuations = append(evacuations, w.replica.ApplyChanges(now, changes)...)
 		w.logInvalidItems(changes.InvalidItems)
 		w.handleChanges(now, changes)
@@ -325,8 +360,11 @@
 // applyChanges applies changes, from the store or from another entry. What is known already is left out: a
 // call to the store may be answered after another entry has passed on later changes.
 func (w *storeWatcher) applyChanges(changes *directory.Changes) {
-	now, known := time.Now(), w.replica.Revision()
-	changes.Changes = slices.DeleteFunc(changes.Changes, func(c directory.Change) bool { return c.Revision <= known })
+	now, known := time.Now(), w.replica.At()
+	if !changes.At.SameEra(known) {
+		return
+	}
+	changes.Changes = slices.DeleteFunc(changes.Changes, func(c directory.Change) bool { return known.AtLeast(c.At) })
 	evacuations := w.replica.ApplyChanges(now, changes)
 	w.logInvalidItems(changes.InvalidItems)
 	w.handleChanges(now, changes)
@@ -348,7 +386,7 @@
 	if before == nil {
 		close(w.gateway.configured)
 	}
-	w.gateway.log.Info("config_in_force", zap.Uint64("version", config.Version), zap.Int("routes", config.RouteCount()), zap.Uint64("at", w.replica.Revision()))
+	w.gateway.log.Info("config_in_force", zap.Uint64("version", config.Version), zap.Int("routes", config.RouteCount()), zap.Uint64("at", w.replica.At().Revision()), zap.Stringer("era", w.replica.At().Era()))
 	w.logUnknownRegions(config)
 }
 
@@ -359,14 +397,14 @@
 // logInvalidItems logs the items of the store that could not be decoded, each revision once.
 func (w *storeWatcher) logInvalidItems(items []directory.InvalidItem) {
 	for _, item := range items {
-		if w.loggedInvalidItems[item.Key] == item.Revision {
+		if w.loggedInvalidItems[item.Key] == item.At {
 			continue
 		}
 		if len(w.loggedInvalidItems) >= maxLoggedInvalidItems {
 			clear(w.loggedInvalidItems)
 		}
-		w.loggedInvalidItems[item.Key] = item.Revision
-		w.gateway.log.Error("store_item_refused", zap.String("key", item.Key), zap.Uint64("revision", item.Revision), eventlog.Error(item.Err))
+		w.loggedInvalidItems[item.Key] = item.At
+		w.gateway.log.Error("store_item_refused", zap.String("key", item.Key), zap.Uint64("revision", item.At.Revision()), eventlog.Error(item.Err))
 	}
 }
 
@@ -377,12 +415,12 @@
 		case change.Record != nil:
 			w.gateway.applyQuarantineRecord(now, change.Record)
 		case change.EndpointGone != "":
-			w.gateway.log.Info("endpoint_gone", zap.String("endpoint", change.EndpointGone), zap.Uint64("revision", change.Revision))
+			w.gateway.log.Info("endpoint_gone", zap.String("endpoint", change.EndpointGone), zap.Uint64("revision", change.At.Revision()))
 		case change.Endpoint != nil && change.Endpoint.Leaving:
-			w.gateway.log.Info("endpoint_leaving", zap.String("endpoint", change.Endpoint.ID), zap.Uint64("revision", change.Revision))
+			w.gateway.log.Info("endpoint_leaving", zap.String("endpoint", change.Endpoint.ID), zap.Uint64("revision", change.At.Revision()))
 		case change.Endpoint != nil:
 			w.gateway.logLongCold(change.Endpoint.ID, change.Endpoint.ColdLeft)
-			w.gateway.log.Info("endpoint_listed", zap.String("endpoint", change.Endpoint.ID), zap.Int64("born", change.Endpoint.StartUnixMilli), zap.String("service", change.Endpoint.Service), zap.Uint64("revision", change.Revision))
+			w.gateway.log.Info("endpoint_listed", zap.String("endpoint", change.Endpoint.ID), zap.Int64("born", change.Endpoint.StartUnixMilli), zap.String("service", change.Endpoint.Service), zap.Uint64("revision", change.At.Revision()))
 		}
 	}
 }
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -48,30 +48,34 @@
 	if err := r.record(ctx, recordedCall{fullRead: true}); err != nil {
 		return nil, err
 	}
-	return &directory.StoreState{Revision: 1, Config: directory.NewConfig(1, directory.Limits{}, nil, nil, nil), ConfigRevision: 1}, nil
+	return &directory.StoreState{At: directory.At(0, 1), Config: directory.NewConfig(1, directory.Limits{}, nil, nil, nil)}, nil
 }
 
-func (r *recordingSource) Watch(ctx context.Context, after uint64, wait time.Duration) (*directory.Changes, error) {
+func (r *recordingSource) Watch(ctx context.Context, after directory.Position, wait time.Duration) (*directory.Changes, error) {
 	if err := r.record(ctx, recordedCall{wait: wait}); err != nil {
 		return nil, err
 	}
 	time.Sleep(time.Millisecond)
-	return &directory.Changes{Revision: after}, nil
+	return &directory.Changes{At: after}, nil
 }
 
-func (r *recordingSource) ReadEvacuations(context.Context) ([]directory.Evacuation, uint64, error) {
-	return nil, 0, directory.ErrUnavailable // leaves the evacuations to the other calls
+func (r *recordingSource) ReadEvacuations(context.Context) ([]directory.Evacuation, directory.Position, error) {
+	return nil, directory.Position{}, directory.ErrUnavailable // leaves the evacuations to the other calls
 }
 
 func (r *recordingSource) ReadItem(context.Context, string, bool) (directory.Item, error) {
 	return directory.Item{}, directory.ErrUnavailable
 }
 
-func (r *recordingSource) Decode(revision uint64, _ []directory.Item) *directory.Changes {
-	return &directory.Changes{Revision: revision}
+func (r *recordingSource) Decode(at directory.Position, _ []directory.Item) *directory.Changes {
+	return &directory.Changes{At: at}
 }
 
-func (r *recordingSource) Era() uint64 { return 0 }
+func (r *recordingSource) Era() directory.Era { return 0 }
+
+func (r *recordingSource) AssumeEra(directory.Era) {}
+
+func (r *recordingSource) EraChanged() <-chan struct{} { return nil }
 
 func (r *recordingSource) CloseIdleConnections() {}
 
@@ -133,10 +137,10 @@
 	s := settings.Gateway{Name: "g", DataCentre: "d"}
 	s.SetDefaults()
 	w := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()}).newStoreWatcher()
-	w.applyState(&directory.StoreState{Revision: 3, Nodes: []directory.Node{{Name: "other"}}}, nil)
-	ended := directory.Change{Revision: 5, NodeGone: "other"}
-	w.applyChanges(&directory.Changes{Revision: 7, Changes: []directory.Change{ended, {Revision: 7, Node: &directory.Node{Name: "other"}}}})
-	w.applyChanges(&directory.Changes{Revision: 6, Changes: []directory.Change{ended}})
+	w.applyState(&directory.StoreState{At: directory.At(0, 3), Nodes: []directory.Node{{Name: "other"}}}, nil)
+	ended := directory.Change{At: directory.At(0, 5), NodeGone: "other"}
+	w.applyChanges(&directory.Changes{At: directory.At(0, 7), Changes: []directory.Change{ended, {At: directory.At(0, 7), Node: &directory.Node{Name: "other"}}}})
+	w.applyChanges(&directory.Changes{At: directory.At(0, 6), Changes: []directory.Change{ended}})
 	is.Equal(len(w.gateway.snapshot.Load().Nodes), 1)
 }
 
@@ -148,7 +152,7 @@
 	s := settings.Gateway{Name: "g", DataCentre: "d", RetryAllowance: allowance}
 	s.SetDefaults()
 	w := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()}).newStoreWatcher()
-	state := &directory.StoreState{Revision: 1}
+	state := &directory.StoreState{At: directory.At(0, 1)}
 	for i := range entries {
 		state.Nodes = append(state.Nodes, directory.Node{Name: fmt.Sprint("g", i)})
 	}
@@ -167,11 +171,11 @@
 	s := settings.Gateway{Name: "g", DataCentre: "d"}
 	s.SetDefaults()
 	w := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()}).newStoreWatcher()
-	w.applyState(&directory.StoreState{Revision: 3}, nil)
+	w.applyState(&directory.StoreState{At: directory.At(0, 3)}, nil)
 	w.needsFullRead = false
 	w.follower.SetMembers([]changefeed.Member{{Name: "g"}, {Name: "other"}})
-	w.handleResponse(context.Background(), &feedResponse{"other", 7, changefeed.Chunk{From: 3, To: 9, Last: true, Complete: true}}, nil)
-	is.Equal(w.replica.Revision(), uint64(3))
+	w.handleResponse(context.Background(), &feedResponse{"other", 7, changefeed.Chunk{From: directory.At(0, 3), To: directory.At(0, 9), Last: true, Complete: true}}, nil)
+	is.Equal(w.replica.At(), directory.At(0, 3))
 	peer, nonce, ok := w.follower.Ask(bootTime())
 	is.True(ok)
 	for _, impossible := range []*wire.FeedResponse{
@@ -179,7 +183,7 @@
 		{From: 3, To: 9, Last: true, Complete: true, Items: []*wire.FeedItem{{Revision: 12}}},
 	} {
 		w.handleResponse(context.Background(), &feedResponse{peer, nonce, decodeChunk(impossible)}, nil)
-		is.Equal(w.replica.Revision(), uint64(3))
+		is.Equal(w.replica.At(), directory.At(0, 3))
 		is.Equal(w.gateway.currentAt.Load(), int64(0))
 	}
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -161,7 +161,7 @@
 		return plan
 	}
 	c.lastEndpoint = plan.Endpoint.ID
-	c.log.Add("placed", zap.String("endpoint", plan.Endpoint.ID), zap.String("service", c.service.Name), zap.Uint64("at", snapshot.Revision),
+	c.log.Add("placed", zap.String("endpoint", plan.Endpoint.ID), zap.String("service", c.service.Name), zap.Uint64("at", snapshot.At.Revision()), zap.Stringer("era", snapshot.At.Era()),
 		zap.Int("candidates", plan.Candidates), zap.Duration("cost_ms", plan.Cost), zap.Duration("prefill_ms", plan.PartPrefill), zap.Strings("helpers", plan.HelperIDs()))
 	return plan
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 	retries         *admission.RetryWindow
 	admission       *admissionControl
 	quarantine      *attempt.Quarantine
+	written         writtenRecords
 	crashCauses     *crashcause.Tracker
 	shedding        *admission.ConnectionShedding
 	returns         *admission.Returns
@@ -167,7 +168,7 @@
 	g.prober = newProber(g)
 	g.slowdownReader, g.slowdownMonitor = c.SlowdownReader, newSlowdownMonitor(g)
 	g.divisions = &divisions{gateway: g, logged: map[string]loggedDivision{}}
-	g.peers = &peers{gateway: g, lastSent: map[direct.EndpointHash]direct.EndpointLoad{}, delays: newPeerDelays(g.started), incarnations: map[string]uint64{}}
+	g.peers = &peers{gateway: g, eraNoticed: make(chan struct{}, 1), lastSent: map[direct.EndpointHash]direct.EndpointLoad{}, delays: newPeerDelays(g.started), incarnations: map[string]uint64{}}
 	g.feed, g.checkpoints = newFeed(g), c.Checkpoints
 	g.longQueue = admission.NewSemaphore(1)
 	g.configureCold()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -47,8 +47,8 @@
 		}
 		return 0
 	})
-	g.metrics.NewGauge("aspenyard_gateway_revision", func() float64 { return float64(g.snapshot.Load().Revision) })
-	g.metrics.NewGauge("aspenyard_gateway_store_era", func() float64 { return float64(g.source.Era()) })
+	g.metrics.NewGauge("aspenyard_gateway_revision", func() float64 { return float64(g.snapshot.Load().At.Revision()) })
+	g.metrics.NewGauge("aspenyard_gateway_store_era", func() float64 { return float64(g.snapshot.Load().At.Era().Stated()) })
 	g.metrics.NewGauge("aspenyard_gateway_suspect_requests", func() float64 {
 		suspects, _ := g.quarantine.Counts(time.Now())
 		return float64(suspects)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -61,8 +62,10 @@
 // small share of the traffic would each divide the engines differently; nothing else is lost.
 type peers struct {
 	gateway *Gateway
-	// lease is the registration's lease; 0 while not registered.
-	lease atomic.Uint64
+	// lease is the registration's lease; nil while not registered.
+	lease atomic.Pointer[directory.Lease]
+	// eraNoticed receives a value after the store has begun a new era, in which this entry must register anew.
+	eraNoticed chan struct{}
 	// lastSent is what was last reported of each endpoint since fullSentAt, when the last
 	// full heartbeat was sent. Only the membership loop's control thread uses these two fields.
 	lastSent   map[direct.EndpointHash]direct.EndpointLoad
@@ -87,16 +90,18 @@
 	node := directory.Node{Name: g.settings.Name, Addr: g.settings.PeersListen, DataCentre: g.settings.DataCentre}
 	var registration directory.Registration
 	var registeredAt time.Time
+	registered := false
 	for ctx.Err() == nil {
 		calledAt := time.Now()
 		callCtx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "registration"), registryTimeout)
 		var err error
-		if registration.Lease == 0 {
+		if !registered {
 			if registration, err = g.registry.Register(callCtx, node, registrationTTL); err == nil {
-				p.lease.Store(registration.Lease)
+				registered = true
+				p.lease.Store(&registration.Lease)
 				registeredAt = time.Now()
-				g.log.Info("registered", zap.Uint64("lease", registration.Lease), zap.Uint64("revision", registration.Revision))
-				p.startHeartbeats(ctx, registration.Revision)
+				g.log.Info("registered", zap.Uint64("lease", registration.Lease.ID), zap.Uint64("revision", registration.At.Revision()), zap.Stringer("era", registration.At.Era()))
+				p.startHeartbeats(ctx, registration.At.IncarnationNumber())
 			}
 		} else {
 			err = g.registry.Renew(callCtx, registration.Lease)
@@ -106,14 +111,33 @@
 			g.cold().SetRegistered(registeredAt, calledAt.Add(registrationTTL))
 		}
 		if errors.Is(err, directory.ErrLeaseExpired) {
-			registration = directory.Registration{}
+			registered = false
 			continue
 		}
+		pause := renewalInterval
 		if err != nil {
 			g.log.Warn("not_registered", eventlog.Error(err))
+			if !registered && registeredAt != (time.Time{}) {
+				pause = reregisterRetry/2 + time.Duration(rand.Int64N(int64(reregisterRetry)))
+			}
 		}
-		membership.Sleep(ctx, renewalInterval)
+		registered = p.awaitRenewal(ctx, pause) && registered
+	}
+}
+
+// awaitRenewal waits for the next renewal of the registration. It reports false if the store has begun a new
+// era meanwhile: the lease of an earlier one may be another's now.
+func (p *peers) awaitRenewal(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-p.eraNoticed:
+		membership.Sleep(ctx, p.gateway.reregisterDelay())
+		return false
 	}
+	return true
 }
 
 // announceLeaving tells the other entries that this one is draining.
@@ -127,12 +151,12 @@
 // ends. A failure is only logged, as the lease ends by itself.
 func (p *peers) deregister() {
 	lease := p.lease.Load()
-	if lease == 0 {
+	if lease == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
-	if err := p.gateway.registry.Deregister(ctx, lease); err != nil {
+	if err := p.gateway.registry.Deregister(ctx, *lease); err != nil {
 		p.gateway.log.Warn("not_deregistered", eventlog.Error(err))
 	}
 }
@@ -147,7 +171,7 @@
 }
 
 // startHeartbeats starts the heartbeats after the first registration. The registration's
-// revision is the node's incarnation number, as it increases with every start whatever the wall
+// position gives the node's incarnation number, as it comes later with every start whatever the wall
 // clock does.
 func (p *peers) startHeartbeats(ctx context.Context, incarnation uint64) {
 	g := p.gateway
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,6 +54,7 @@
 		err := g.writeRecord(r)
 		switch {
 		case err == nil:
+			g.written.add(time.Now(), r)
 			return
 		case tries == maxRecordWrites:
 			g.log.Warn("quarantine_not_kept", zap.String("fingerprint", r.Name), eventlog.Error(err))
@@ -61,6 +64,47 @@
 	}
 }
 
+// maxWrittenRecords bounds how many records an entry remembers that it wrote.
+const maxWrittenRecords = 1024
+
+// writtenRecords are the records that this entry has written and that the store should still have. It is
+// safe for concurrent use.
+type writtenRecords struct {
+	mu      sync.Mutex
+	records map[string]writtenRecord
+}
+
+type writtenRecord struct {
+	directory.Record
+	writtenAt time.Time
+}
+
+// add remembers a record. While there are too many, more are not written again after a loss.
+func (w *writtenRecords) add(now time.Time, r directory.Record) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.records == nil {
+		w.records = map[string]writtenRecord{}
+	}
+	maps.DeleteFunc(w.records, func(_ string, known writtenRecord) bool { return now.Sub(known.writtenAt) > recordTTL })
+	if _, known := w.records[r.Name]; !known && len(w.records) < maxWrittenRecords {
+		w.records[r.Name] = writtenRecord{r, now}
+	}
+}
+
+// list returns the records that the store should still have.
+func (w *writtenRecords) list(now time.Time) []directory.Record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var records []directory.Record
+	for _, r := range w.records {
+		if now.Sub(r.writtenAt) <= recordTTL {
+			records = append(records, r.Record)
+		}
+	}
+	return records
+}
+
 // writeRecord tries once to write a record.
 func (g *Gateway) writeRecord(r directory.Record) error {
 	ctx, cancel := context.WithTimeout(context.Background(), registryTimeout)
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -70,3 +71,74 @@
 		})
 	}
 }
+
+// Guards against entries whose registrations a copy lacks, and that go on renewing leases which the store has
+// lost and given to others.
+func TestEntriesRegisterAnewAfterALoss(t *testing.T) {
+	is := is.New(t)
+	var saved *standin.StoreCopy
+	gateways := startGatewaysOn(t, 4, func(s *standin.Store) { saved = s.Copy() }, plainWorker())
+	first := gateways[0]
+	restoreStore(first.store, saved)
+	foreign := first.store.GrantLease(time.Minute) // it has the ID of an entry's former lease
+	first.store.Put("op/config", first.config())
+	for _, s := range gateways {
+		s.waitFor("all are registered", func() bool { return len(first.store.Keys("nodes/")) == len(gateways) })
+		s.waitFor("all others are known", func() bool { return s.sumMetric("aspenyard_gateway_peers_heard ") == float64(len(gateways)-1) })
+		s.waitFor("the state is of the new era", func() bool { return s.sumMetric("aspenyard_gateway_store_era ") == 2 })
+		is.Equal(s.post("/again/a", "after").status, http.StatusOK)
+		s.sendSIGTERM()
+	}
+	for _, s := range gateways {
+		is.NoErr(<-s.serveErr)
+	}
+	is.True(first.store.HasLease(foreign))
+}
+
+// Guards against an evacuation that ends because the store has lost it.
+func TestAnEvacuationOutlastsALoss(t *testing.T) {
+	is := is.New(t)
+	inside, outside := plainWorker(), plainWorker()
+	outside.DataCentre = "dc2"
+	s := newFixture(t, inside, outside).start()
+	saved := s.store.Copy()
+	s.store.Put("op/evacuate/dc1", []byte("{}"))
+	s.waitFor("the data centre is evacuated", func() bool { return s.sumMetric("aspenyard_gateway_evacuated_data_centres ") == 1 })
+	restoreStore(s.store, saved)
+	s.waitFor("the state is of the new era", func() bool { return s.sumMetric("aspenyard_gateway_store_era ") == 2 })
+	expectNone(s, inside, "lost")
+	s.store.Put("op/evacuate/dc1", []byte("{}"))
+	s.store.Delete("op/evacuate/dc1")
+	s.waitFor("the evacuation has ended", func() bool { return s.sumMetric("aspenyard_gateway_evacuated_data_centres ") == 0 })
+	is.True(s.sumMetric("aspenyard_gateway_store_restorations_total ") == 1)
+}
+
+// Guards against an entry that misses a loss while it handles the one before.
+func TestSeveralLossesAtOnce(t *testing.T) {
+	is := is.New(t)
+	leaving := plainWorker()
+	gateways := startGateways(t, 4, leaving, plainWorker())
+	first := gateways[0]
+	saved := first.store.Copy()
+	for range 5 {
+		first.store.Put("other/a", []byte("lost"))
+		time.Sleep(30 * time.Millisecond)
+		first.store.Restore(saved)
+	}
+	first.store.Put("servers/"+leaving.ID, leaving.Registration("draining"))
+	for _, s := range gateways {
+		s.waitFor("the endpoint that leaves is left out", func() bool { return s.sumMetric("aspenyard_gateway_endpoints ") == 1 })
+		is.Equal(s.sumMetric("aspenyard_gateway_store_era "), 6.0)
+	}
+}
+
+// Guards against an entry that takes a checkpoint of an earlier era for the state.
+func TestACheckpointOfAnEarlierEraIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t, plainWorker()).start()
+	is.NoErr(s.gateway.MakeCheckpoint(context.Background()))
+	s.store.Restore(s.store.Copy())
+	s.waitFor("the state is of the new era", func() bool { return s.sumMetric("aspenyard_gateway_store_era ") == 2 })
+	is.Equal(s.sumMetric(`aspenyard_gateway_checkpoints_total{result="used"}`), 0.0)
+	is.Equal(s.sumMetric(`aspenyard_gateway_checkpoints_total{result="outdated"}`), 1.0)
+}
--- a/routing/direct/cold_model_test.go
+++ b/routing/direct/cold_model_test.go
@@ -106,12 +106,12 @@
 			names = append(names, other.name)
 		}
 	}
-	endpoint := directory.Endpoint{Incarnation: directory.Incarnation{ID: "e", StartUnixMilli: m.born}, Slots: 12, Revision: m.revision, ColdLeft: max(m.listedColdTo-m.now, 0)}
+	endpoint := directory.Endpoint{Incarnation: directory.Incarnation{ID: "e", StartUnixMilli: m.born}, Slots: 12, At: directory.At(0, m.revision), ColdLeft: max(m.listedColdTo-m.now, 0)}
 	m.after(m.draw(200*time.Millisecond), func() {
 		m.run(e, generation, func() {
 			e.cold.SetEntries(m.clock(), e.name, names)
 			e.cold.SetCurrent(began)
-			if e.seen == nil || e.seen.Revision < endpoint.Revision {
+			if e.seen == nil || endpoint.At.After(e.seen.At) {
 				e.seen = &directory.EndpointState{Endpoint: endpoint, ColdSeenAt: m.clock(), ColdUntil: m.clock().Add(endpoint.ColdLeft)}
 			}
 		})
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -75,6 +75,7 @@
 		{kindCrashingPart, 3, sendCrashingParts},
 		{"connections-skewed", 2, skewConnections},
 		{"endpoint-crashes-in-response", 2, crashInResponse},
+		{kindRestore, 3, restoreStore},
 	}
 }
 
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -119,6 +119,7 @@
 	workers      []*platform.Worker // of all incarnations
 	faultCounts  map[string]int
 	evacuating   map[string]bool // data centres that a fault is evacuating
+	configWrites sync.Mutex      // held while a configuration is written
 }
 
 // newHarness starts the stand-ins and the gateways.
@@ -252,6 +253,8 @@
 // previous one in the service of the moved route and in whether it has the optional route; every
 // third version lacks the guest key.
 func (h *harness) writeConfig() {
+	h.configWrites.Lock()
+	defer h.configWrites.Unlock()
 	h.record.mu.Lock()
 	n := len(h.record.Edits)
 	edit := ConfigEdit{WrittenAt: time.Now(), MovedService: serviceApp, HasExtraRoute: n%2 == 0, HasGuestKey: n%3 != 2}
--- a/standin/platform/restore.go
+++ b/standin/platform/restore.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 )
 
 // StoreCopy is a copy of a store's state, from which it can be restored.
@@ -67,3 +68,25 @@
 		header.Set("Store-Era", strconv.FormatUint(s.era, 10))
 	}
 }
+
+// GrantLease grants a lease, as the operators or a worker would get one, and returns its ID.
+func (s *Store) GrantLease(ttl time.Duration) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grantLease(ttl)
+}
+
+// HasLease reports whether a lease exists.
+func (s *Store) HasLease(id uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	return s.leases[id] != nil
+}
+
+// grantLease grants a lease. The caller holds the lock.
+func (s *Store) grantLease(ttl time.Duration) uint64 {
+	s.nextLease++
+	s.leases[s.nextLease] = &lease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
+	return s.nextLease
+}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -357,10 +357,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stateEra(w.Header())
-	s.nextLease++
-	ttl := time.Duration(request.TTLMS) * time.Millisecond
-	s.leases[s.nextLease] = &lease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
-	s.respondToWrite(w, map[string]any{"lease": s.nextLease, "ttl_ms": request.TTLMS})
+	id := s.grantLease(time.Duration(request.TTLMS) * time.Millisecond)
+	s.respondToWrite(w, map[string]any{"lease": id, "ttl_ms": request.TTLMS})
 }
 
 func (s *Store) serveRenewLease(w http.ResponseWriter, r *http.Request) {
