--- a/engine/engine.go
+++ b/engine/engine.go
@@ -93,11 +93,18 @@
 	http          *http.Client
 }
 
+const (
+	// maxResponseHeaderBytes bounds the head of a response, maxStatusBytes the body of a status or of a list
+	// of sequences.
+	maxResponseHeaderBytes = 32 << 10
+	maxStatusBytes         = 4 << 20
+)
+
 // New returns a client for the endpoint at addr, a host and port. It opens no connection yet.
 func New(addr string) *Client {
 	return &Client{
 		base: "http://" + addr,
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}},
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
 	}
 }
 
@@ -132,7 +139,7 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Errorf("%s: HTTP status %d", path, response.StatusCode)
 	}
-	return errors.Wrap(json.NewDecoder(response.Body).Decode(into), path)
+	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(into), path)
 }
 
 // Cancel cancels a sequence and frees its memory. A sequence that the engine does not have is
@@ -194,8 +201,13 @@
 	reader   *bufio.Reader
 }
 
-// maxEventBytes bounds one line of a stream of server-sent events, and so one event's data.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one line of a stream of server-sent events, and so one event's data, and the lines
+	// in a row that have none.
+	maxEventBytes = 1 << 20
+	// readBufferSize has room for several events.
+	readBufferSize = 4 << 10
+)
 
 // Start starts a sequence and returns its output. The errors ErrNotSent and ErrRefused mean
 // that the sequence does not run. After any other error it may be running and must be
@@ -215,7 +227,7 @@
 		text, _ := io.ReadAll(io.LimitReader(response.Body, 256))
 		return nil, errors.Wrapf(ErrRefused, "HTTP status %d: %s", response.StatusCode, bytes.TrimSpace(text))
 	}
-	return &Stream{id: request.RequestID, response: response, reader: bufio.NewReaderSize(response.Body, 4096)}, nil
+	return &Stream{id: request.RequestID, response: response, reader: bufio.NewReaderSize(response.Body, readBufferSize)}, nil
 }
 
 // Resume returns the output of a started sequence from offset on, which is counted in output
@@ -234,7 +246,7 @@
 		_ = response.Body.Close()
 		return nil, errors.Errorf("resume %s: HTTP status %d", id, response.StatusCode)
 	}
-	return &Stream{id: id, response: response, reader: bufio.NewReaderSize(response.Body, 4096)}, nil
+	return &Stream{id: id, response: response, reader: bufio.NewReaderSize(response.Body, readBufferSize)}, nil
 }
 
 // Close closes the stream's connection. The sequence goes on at the engine until it has
@@ -258,14 +270,12 @@
 // ErrStreamBroken if the connection ended before the marker or an event is invalid or belongs
 // to another sequence.
 func (s *Stream) Next() (Token, error) {
-	for {
-		line, err := s.reader.ReadString('\n')
+	for read := 0; ; {
+		line, err := s.readLine(maxEventBytes - read)
 		if err != nil {
 			return Token{}, errors.Wrap(ErrStreamBroken, err.Error())
 		}
-		if len(line) > maxEventBytes {
-			return Token{}, errors.Wrap(ErrStreamBroken, "event exceeds the size limit")
-		}
+		read += len(line)
 		data, found := strings.CutPrefix(strings.TrimSpace(line), "data: ")
 		if !found {
 			continue
@@ -289,6 +299,20 @@
 	}
 }
 
+// readLine reads one line of at most limit bytes.
+func (s *Stream) readLine(limit int) (string, error) {
+	var line []byte
+	for {
+		part, err := s.reader.ReadSlice('\n')
+		if line = append(line, part...); len(line) > limit {
+			return "", errors.Errorf("over %d bytes without an event", maxEventBytes)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return string(line), err
+		}
+	}
+}
+
 // ServiceResponse is a plain service's response: its HTTP status and its body, cut off at
 // maxResponseBytes.
 type ServiceResponse struct {
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -113,3 +114,23 @@
 	is.NoErr(client.Cancel(context.Background(), "7-1"))
 	is.Equal(seen, "42")
 }
+
+// Guards against an engine that sends lines without an event, or a line without end.
+func TestAStreamWithoutEventsBreaks(t *testing.T) {
+	for _, repeated := range []string{": a comment\n", "x"} {
+		is := is.New(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			for block := []byte(strings.Repeat(repeated, 4096)); ; {
+				if _, err := w.Write(block); err != nil {
+					return
+				}
+			}
+		}))
+		stream, err := New(strings.TrimPrefix(server.URL, "http://")).Start(context.Background(), Request{RequestID: "s"})
+		is.NoErr(err)
+		_, err = stream.Next()
+		is.True(errors.Is(err, ErrStreamBroken))
+		stream.Close()
+		server.Close()
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -42,6 +43,7 @@
 
 	pool        *pool
 	conn        *endpointConn
+	ctx         context.Context // of the exchange
 	writeResult <-chan error
 	// keepAlive is how long the connection may be reused.
 	keepAlive time.Duration
@@ -58,12 +60,17 @@
 	}
 }
 
+// unreachable reports whether the watchdog has found that the endpoint is dead.
+func (r *endpointResponse) unreachable() bool {
+	return r.watchdog != nil && r.watchdog.unreachable.Load()
+}
+
 // stopWatching stops the watchdog and the cancellation by the context. It reports whether neither
 // has fired, so that the connection can be reused.
 func (r *endpointResponse) stopWatching() bool {
 	if r.watchdog != nil {
 		r.watchdog.stop()
-		if r.watchdog.unreachable.Load() {
+		if r.unreachable() {
 			r.stop()
 			return false
 		}
@@ -105,7 +112,7 @@
 		_ = conn.Close()
 		return nil, &sendError{attempt.NotSent, errConnectedLate}
 	}
-	r := &endpointResponse{endpoint: e, beganAt: g.uptimeNanos(), pool: g.pool, conn: conn}
+	r := &endpointResponse{ctx: ctx, endpoint: e, beganAt: g.uptimeNanos(), pool: g.pool, conn: conn}
 	r.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if silence > 0 {
 		r.watchdog = g.startWatchdog(ctx, r, silence)
@@ -113,6 +120,7 @@
 	r.writeResult = out.write(conn)
 	if err := r.readHead(g.headerCodec, out); err != nil {
 		r.abandon()
+		g.handleEndless(e, err)
 		return nil, &sendError{attempt.Broken, err}
 	}
 	return r, nil
@@ -121,13 +129,19 @@
 // readHead reads responses until one belongs to the request. A late second response to an earlier
 // request may precede it; the request ID distinguishes them.
 func (r *endpointResponse) readHead(codec HeaderCodec, out *outgoingRequest) error {
+	r.conn.limitHeads()
+	defer r.conn.unlimit()
+	interim := 0
 	for strays := 0; strays < maxStrayResponses; {
-		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: out.method})
+		response, err := r.readResponse(out.method)
 		if err != nil {
-			return errors.Wrap(err, "read response head")
+			return err
 		}
 		r.noteActivity()
 		if response.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimResponses {
+				return &endlessError{"interim", strconv.Itoa(maxInterimResponses) + " responses"}
+			}
 			continue
 		}
 		r.parsed = codec.ReadResponse(response.StatusCode, response.Header)
@@ -137,8 +151,8 @@
 			if closeDelimited || response.Close {
 				return errStrayResponse
 			}
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
-				return errors.Wrap(err, "discard response to another request")
+			if err := r.discardStray(response.Body); err != nil {
+				return err
 			}
 			continue
 		}
@@ -152,6 +166,33 @@
 	return errStrayResponse
 }
 
+// readResponse reads the head of one response, however long it takes to begin.
+func (r *endpointResponse) readResponse(method string) (*http.Response, error) {
+	_, err := r.conn.reader.Peek(1)
+	if err == nil && !r.conn.headArrived() {
+		r.limitTime(headTimeout)
+		defer r.unlimitTime()
+	}
+	var response *http.Response
+	if err == nil {
+		response, err = http.ReadResponse(r.conn.reader, &http.Request{Method: method})
+	}
+	return response, errors.Wrap(r.readError(err, "head", headTimeout), "read response head")
+}
+
+// discardStray reads the body of a response to another request.
+func (r *endpointResponse) discardStray(body io.Reader) error {
+	r.conn.unlimit()
+	defer r.conn.limitHeads()
+	r.limitTime(headTimeout)
+	defer r.unlimitTime()
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxBufferedBytes+1))
+	if n > maxBufferedBytes {
+		return &endlessError{"stray", fmt.Sprintf("%d bytes", maxBufferedBytes)}
+	}
+	return errors.Wrap(r.readError(err, "stray", headTimeout), "discard response to another request")
+}
+
 // keepAliveTimeout returns how long the connection may be reused; 0 if the endpoint closes it.
 func keepAliveTimeout(response *http.Response) time.Duration {
 	if response.Close {
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -134,3 +134,6 @@
 
 // Listed reports whether the directory lists an endpoint.
 func (g *Gateway) Listed(endpoint string) bool { return g.snapshot.Load().Present(endpoint) != nil }
+
+// ReceivedBytes returns how many bytes the gateway has received of endpoints and callers.
+func (g *Gateway) ReceivedBytes() int64 { return g.traffic.received.Load() }
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -206,7 +207,7 @@
 		segments, total = append(segments, segment[:n]), total+int64(n)
 		switch {
 		case total > maxBufferedBytes:
-			return nil, errResponseTooLong
+			return nil, &endlessError{"body", fmt.Sprintf("%d bytes", maxBufferedBytes)}
 		case err == io.EOF && length < 0:
 			c.dropExpected()
 			c.gateway.responseSizes.Observe(c.route.Name, total)
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -42,12 +42,30 @@
 	// reused is set once the connection has been idle in the pool.
 	reused  bool
 	traffic *traffic
+	// headLimited is set while heads are read, of which headBytesLeft more bytes may be read.
+	headLimited   bool
+	headBytesLeft int
+	// readErr is the last error of a read, which parsers of heads and bodies may replace by their own.
+	readErr error
 }
 
 // Read implements net.Conn.
 func (c *endpointConn) Read(p []byte) (int, error) {
+	if c.headLimited {
+		if c.headBytesLeft == 0 {
+			c.readErr = errHeadBytes
+			return 0, errHeadBytes
+		}
+		p = p[:min(len(p), c.headBytesLeft)]
+	}
 	n, err := c.Conn.Read(p)
+	if c.headLimited {
+		c.headBytesLeft -= n
+	}
 	c.traffic.addReceived(n)
+	if err != nil {
+		c.readErr = err
+	}
 	return n, err
 }
 
@@ -141,8 +159,12 @@
 }
 
 // put makes a connection available to other requests, for at most the time keep, unless idleLimit
-// idle ones are kept already.
+// idle ones are kept already, or the endpoint has sent something that belongs to no request.
 func (p *pool) put(e *directory.EndpointState, conn *endpointConn, keep time.Duration) {
+	if conn.reader.Buffered() > 0 {
+		_ = conn.Close()
+		return
+	}
 	conn.idleSince, conn.reused = time.Now(), true
 	conn.expiresAt = conn.idleSince.Add(min(keep, maxIdleTime))
 	limit := p.idleLimit(e)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -34,11 +35,13 @@
 // status 500 or above is not written but kept in failedResponse.
 func (f *forwarding) relayBuffered(ctx context.Context, r *endpointResponse) (attempt.SendOutcome, error) {
 	body, err := f.readResponse(r.body, r.length)
+	err = bodyError(err)
 	if err == nil && f.gateway.endedByCrash(ctx, r) {
 		err = errEndedByCrash
 	}
 	if err != nil {
 		r.abandon()
+		f.gateway.handleEndless(r.endpoint, err)
 		return attempt.Broken, errors.Wrap(err, "read response body")
 	}
 	r.finish()
@@ -92,9 +95,12 @@
 }
 
 // discard ends an exchange whose response is not relayed. The connection is kept only if the rest
-// of the body is short and complete.
+// of the body is short, complete and arrives at once.
 func (r *endpointResponse) discard() {
-	if n, err := io.Copy(io.Discard, io.LimitReader(r.body, maxDiscard)); err != nil || n == maxDiscard {
+	r.limitTime(discardTimeout)
+	n, err := io.Copy(io.Discard, io.LimitReader(r.body, maxDiscard))
+	r.unlimitTime()
+	if err != nil || n == maxDiscard {
 		r.abandon()
 		return
 	}
@@ -126,8 +132,14 @@
 func (s *streamRelay) run(ctx context.Context, r *endpointResponse, onFirstEvent func(), onPause func(pause time.Duration)) (attempt.SendOutcome, error) {
 	var previous time.Time
 	reader := bufio.NewReaderSize(r.body, readBufferSize)
+	emptyBytes := 0
 	for {
-		event, id, err := readEvent(reader)
+		event, id, hasData, err := readEvent(reader)
+		if emptyBytes += len(event); hasData || id != "" {
+			emptyBytes = 0
+		} else if err == nil && emptyBytes > maxEventBytes {
+			err = &endlessError{"comments", fmt.Sprintf("%d bytes", maxEventBytes)}
+		}
 		if err == io.EOF && s.gateway.endedByCrash(ctx, r) {
 			err = errEndedByCrash
 		}
@@ -138,8 +150,9 @@
 			}
 			return 0, nil
 		}
-		if err != nil {
+		if err = bodyError(err); err != nil {
 			r.abandon()
+			s.gateway.handleEndless(r.endpoint, err)
 			return attempt.Broken, errors.Wrapf(err, "after event %q", s.lastEventID)
 		}
 		r.noteActivity()
@@ -214,29 +227,34 @@
 	return nil
 }
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
-
-// readEvent reads one event, including the blank line that ends it, and returns its ID. io.EOF
-// means that the stream ended between events.
-func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
+// readEvent reads one event, including the blank line that ends it, and returns its ID and whether it has data.
+// io.EOF means that the stream ended between events.
+func readEvent(r *bufio.Reader) (event []byte, id string, hasData bool, err error) {
+	startsLine := true
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
+		partial := errors.Is(err, bufio.ErrBufferFull)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes:
-			continue
+		case len(event) > maxEventBytes:
+			return nil, "", false, &endlessError{"event", fmt.Sprintf("%d bytes", maxEventBytes)}
 		case err == io.EOF && len(event) == 0:
-			return nil, "", io.EOF
+			return nil, "", false, io.EOF
 		case err == io.EOF:
-			return nil, "", errTruncatedEvent
-		case err != nil:
-			return nil, "", err
+			return nil, "", false, errTruncatedEvent
+		case err != nil && !partial:
+			return nil, "", false, err
 		}
-		if text := bytes.TrimRight(line, "\r\n"); len(text) == 0 {
-			return event, id, nil
-		} else if value, found := bytes.CutPrefix(text, []byte("id:")); found {
-			id = strings.TrimSpace(string(value))
+		text := bytes.TrimRight(line, "\r\n")
+		switch {
+		case !startsLine: // the rest of a long line
+		case len(text) == 0:
+			return event, id, hasData, nil
+		case bytes.HasPrefix(text, []byte("id:")):
+			id = strings.TrimSpace(string(text[len("id:"):]))
+		case text[0] != ':':
+			hasData = true
 		}
+		startsLine = !partial
 	}
 }
--- a/infra/consul/client.go
+++ b/infra/consul/client.go
@@ -33,13 +33,17 @@
 	return &Client{
 		base:    "http://" + addr,
 		timeout: timeout,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}},
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
 	}
 }
 
-// maxValueBytes bounds the body of a response: the largest value that the store holds,
-// with room for its base64 encoding.
-const maxValueBytes = 2 << 20
+const (
+	// maxValueBytes bounds the body of a response: the largest value that the store holds,
+	// with room for its base64 encoding.
+	maxValueBytes = 2 << 20
+	// maxResponseHeaderBytes bounds the head of a response.
+	maxResponseHeaderBytes = 32 << 10
+)
 
 // kvPair is a key in a response of the key-value interface. encoding/json decodes the
 // base64 of Value.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -76,6 +77,7 @@
 		{"connections-skewed", 2, skewConnections},
 		{"endpoint-crashes-in-response", 2, crashInResponse},
 		{kindRestore, 3, restoreStore},
+		{"endpoint-endless", 2, sendWithoutEnd},
 	}
 }
 
@@ -256,3 +258,20 @@
 	time.Sleep(f.Duration)
 	worker.SetDefaultFault("")
 }
+
+// sendWithoutEnd makes an endpoint send bytes without end, in a way that the fault's second port chooses, for
+// the fault's duration.
+func sendWithoutEnd(h *harness, f *Fault) {
+	p := h.ports[f.Port]
+	worker := p.currentWorker()
+	if worker == nil {
+		return
+	}
+	kinds := slices.Concat(platform.EndlessHeads, platform.EndlessBodies)
+	if p.currentService() == serviceModel {
+		kinds = slices.Concat(platform.EndlessHeads, platform.EndlessStreams)
+	}
+	worker.SetDefaultFault(kinds[f.SecondPort%len(kinds)])
+	time.Sleep(f.Duration)
+	worker.SetDefaultFault("")
+}
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -110,6 +110,8 @@
 	// EventInterval is the time between events; WorkTime is how long a plain response
 	// takes.
 	EventInterval, WorkTime time.Duration
+	// EndlessPause is the pause after each byte of the faults that send without end; 0 for full speed.
+	EndlessPause time.Duration
 	// Slots is the largest number of requests in flight; further ones are refused as not
 	// executed. 0 means no limit.
 	Slots int
@@ -367,6 +369,12 @@
 		fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%s%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), headers, refusalHeaders)
 		return true
 	}
+	if fault == FaultEndlessRefusal {
+		w.addRun(run)
+		first, repeated, _ := endless(fault, headers)
+		w.sendEndless(conn, first, repeated, watchCaller(reader))
+		return false
+	}
 	run.Ran, run.Status = true, http.StatusOK
 	w.addRun(run)
 	if w.CrashBody != "" && run.Body == w.CrashBody {
@@ -444,6 +452,10 @@
 func (w *Worker) process(conn net.Conn, headers string, run *Run, fault Fault, callerGone <-chan struct{}) bool {
 	w.addInFlight(1)
 	defer w.addInFlight(-1)
+	if first, repeated, ok := endless(fault, headers); ok {
+		w.sendEndless(conn, first, repeated, callerGone)
+		return false
+	}
 	if w.EventCount > 0 {
 		return w.sendStream(conn, headers, run, fault, callerGone)
 	}
