--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -142,3 +142,43 @@
 	is.Equal(s.sumMetric(`aspenyard_gateway_checkpoints_total{result="used"}`), 0.0)
 	is.Equal(s.sumMetric(`aspenyard_gateway_checkpoints_total{result="outdated"}`), 1.0)
 }
+
+// Guards against an entry that starts with the state of an era which ends meanwhile.
+func TestALossWhileAnEntryStarts(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t, plainWorker())
+	s.configure()
+	saved := s.store.Copy()
+	s.store.SetFaults(standin.StoreFaults{Delay: 20 * time.Millisecond})
+	restored := make(chan struct{})
+	go func() {
+		defer close(restored)
+		for i := range 5 {
+			s.store.Put("other/a", []byte{byte(i)})
+			time.Sleep(15 * time.Millisecond)
+			s.store.Restore(saved)
+		}
+	}()
+	s.launch()
+	<-restored
+	s.store.SetFaults(standin.StoreFaults{})
+	s.waitFor("the state is of the last era", func() bool { return s.sumMetric("aspenyard_gateway_store_era ") == 6 })
+	is.Equal(s.post("/again/a", "r").status, http.StatusOK)
+	s.configure()
+	s.waitFor("the new configuration is in force", func() bool { return s.sumMetric("aspenyard_gateway_config_version ") == float64(s.version) })
+}
+
+// Guards against an entry that does not end its drain, or registers for good, because of a loss meanwhile.
+func TestALossWhileAnEntryDrains(t *testing.T) {
+	is := is.New(t)
+	saved := (*standin.StoreCopy)(nil)
+	gateways := startGatewaysOn(t, 2, func(s *standin.Store) { saved = s.Copy() }, plainWorker())
+	first := gateways[0]
+	first.sendSIGTERM()
+	first.store.Restore(saved)
+	first.store.Put("op/config", first.config())
+	is.NoErr(<-first.serveErr)
+	other := gateways[1]
+	other.waitFor("only the other entry is registered", func() bool { return len(first.store.Keys("nodes/")) == 1 })
+	is.Equal(other.post("/again/a", "r").status, http.StatusOK)
+}
