What follows the store is a package of its own: gateway/storewatch

Cause: following the store, exchanging with entries and serving callers stood in one package; the era had to be known in all of it. Change: the watcher moves from gateway with its checkpoint and its reads of evacuations, and tells the gateway by a listener; the gateway hands it settings, the source and a way to ask other entries.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -24,7 +24,7 @@
 func (g *Gateway) configureCold() {
 	g.cold().SetBound(g.settings.ColdOvershoot, g.settings.ColdTolerance)
 	g.cold().SetStarted(g.started)
-	g.cold().SetTTLs(g.listTTL(), 2*g.longPollWait()+g.settings.StoreTimeout.D())
+	g.cold().SetTTLs(g.listTTL(), 2*g.maxChangeDelay()-g.settings.StoreTimeout.D())
 	if g.settings.PeersListen == "" {
 		g.cold().SetAlone()
 	}
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -36,7 +36,7 @@
 }
 
 // evacuations returns the evacuations of data centres.
-func (g *Gateway) evacuations() *directory.Evacuations { return g.replica.Evacuations() }
+func (g *Gateway) evacuations() *directory.Evacuations { return g.watcher.Evacuations() }
 
 // evacuated reports whether an endpoint's data centre is evacuated.
 func (g *Gateway) evacuated(e *directory.EndpointState) bool {
@@ -103,16 +103,7 @@
 		return
 	}
 	g.logEvacuations(changed, h.Node)
-	g.requestPublish()
-	g.peers.sendHeartbeat()
-}
-
-// announceEvacuations logs evacuations that the store reports and tells the other entries of them.
-func (g *Gateway) announceEvacuations(changed []directory.Evacuation) {
-	if len(changed) == 0 {
-		return
-	}
-	g.logEvacuations(changed, fromStore)
+	g.watcher.RequestPublish()
 	g.peers.sendHeartbeat()
 }
 
--- a/gateway/evacuation_checks_test.go
+++ b/gateway/evacuation_checks_test.go
@@ -121,12 +121,23 @@
 	is.Equal(f.bytes, int64(0))
 }
 
+// snapshotOf returns the snapshot of a replica that lists endpoints of dc1, which may be evacuated.
+func snapshotOf(evacuated bool, endpoints ...*directory.EndpointState) *directory.Snapshot {
+	replica := directory.NewReplica()
+	for _, e := range endpoints {
+		replica.ApplyChanges(time.Now(), &directory.Changes{Changes: []directory.Change{{Endpoint: &e.Endpoint}}})
+	}
+	if evacuated {
+		replica.Evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: "dc1", At: directory.At(0, 1), Evacuated: true})
+	}
+	return replica.Snapshot()
+}
+
 // Guards against plans for evacuated endpoints before the snapshot leaves them out.
 func TestAnEvacuationCountsBeforeASnapshotReflectsIt(t *testing.T) {
 	is := is.New(t)
 	f := newEvacuationFixture(is, &recordingSource{}, nothing, nothing)
-	f.replica.ApplyChanges(time.Now(), &directory.Changes{Changes: []directory.Change{{Endpoint: &f.plan.Endpoint.Endpoint}, {Endpoint: &f.plan.Helpers[0].Endpoint}}})
-	before := f.replica.Snapshot()
+	before := snapshotOf(false, f.plan.Endpoint, f.plan.Helpers[0])
 	is.Equal(len(f.endpoints(before, "s")), 2)
 	evacuateDC1(f.Gateway)
 	is.Equal(len(f.endpoints(before, "s")), 0)
@@ -139,10 +150,9 @@
 	is := is.New(t)
 	f := newEvacuationFixture(is, &recordingSource{}, nothing, nothing)
 	e := f.plan.Endpoint
-	f.replica.ApplyChanges(time.Now(), &directory.Changes{Changes: []directory.Change{{Endpoint: &e.Endpoint}}})
 	is.True(f.slowdownMonitor.mayQuery(time.Now(), e))
 	evacuateDC1(f.Gateway)
-	f.snapshot.Store(f.replica.Snapshot())
+	f.snapshot.Store(snapshotOf(true, e))
 	is.True(!f.slowdownMonitor.mayQuery(time.Now(), e))
 	is.True(!f.hasCrashed(context.Background(), e))
 	w := &watchdog{gateway: f.Gateway, response: &endpointResponse{endpoint: e}, ctx: context.Background()}
@@ -160,13 +170,12 @@
 	probedWhileEvacuated := false
 	f := newEvacuationFixture(is, &recordingSource{}, nothing, func(g *Gateway) { probedWhileEvacuated = g.evacuations().Contains("dc1") })
 	e := f.plan.Endpoint
-	f.replica.ApplyChanges(time.Now(), &directory.Changes{Changes: []directory.Change{{Endpoint: &e.Endpoint}}})
 	evacuateDC1(f.Gateway)
-	f.snapshot.Store(f.replica.Snapshot())
+	f.snapshot.Store(snapshotOf(true, e))
 	f.markUnreachable(e, "a test")
 	time.Sleep(2 * unreachableProbeInterval) // in which a probe would come
 	f.evacuations().ApplyChange(time.Now(), directory.Evacuation{DataCentre: "dc1", At: directory.At(0, 2)})
-	f.snapshot.Store(f.replica.Snapshot())
+	f.snapshot.Store(snapshotOf(false, e))
 	for deadline := time.Now().Add(30 * time.Second); f.dials.Load() == 0 && time.Now().Before(deadline); {
 		time.Sleep(time.Millisecond)
 	}
@@ -210,7 +219,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
-		f.watchStore(ctx)
+		f.watcher.Run(ctx)
 		close(ended)
 	}()
 	for deadline := time.Now().Add(30 * time.Second); !f.evacuations().Contains("dc1") && time.Now().Before(deadline); {
@@ -230,7 +239,7 @@
 		s := settings.Gateway{EvacuateWithin: settings.Duration(within), ConfigWithin: settings.Duration(time.Hour), LeavingWithin: settings.Duration(time.Hour)}
 		s.SetDefaults()
 		g := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()})
-		is.True(g.longPollWait() >= s.StoreTimeout.D())
+		is.True(g.maxChangeDelay() >= 2*s.StoreTimeout.D()) // so that a watch waits for as long as a call may take
 		// A tenth of the bound is left after an unanswered watch and a read of the evacuations.
 		is.True(g.maxChangeDelay()+g.evacuationReadTimeout() <= max(within*9/10, 3*s.StoreTimeout.D()))
 	}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 )
 
-// emittedEvents parses the package's code for calls of a logger. It returns the level of each event
+// emittedEvents parses the code of the package, and of the one that follows the store for it, for calls of a logger. It returns the level of each event
 // and the names of all fields.
 func emittedEvents(t *testing.T) (levels map[string]string, fields map[string]bool) {
 	t.Helper()
@@ -22,7 +22,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, path := range files {
+	moved, err := filepath.Glob("storewatch/*.go")
+	if err != nil || len(moved) == 0 {
+		t.Fatal("no code of storewatch: ", err)
+	}
+	for _, path := range append(files, moved...) {
 		if strings.HasSuffix(path, "_test.go") || path == "events.go" {
 			continue
 		}
@@ -63,11 +67,11 @@
 	return levels, fields
 }
 
-// isLogger reports whether an expression is a logger: a variable or field named log.
+// isLogger reports whether an expression is a logger: a variable or field named log, or Logger.
 func isLogger(x ast.Expr) bool {
 	switch x := x.(type) {
 	case *ast.SelectorExpr:
-		return x.Sel.Name == "log"
+		return x.Sel.Name == "log" || x.Sel.Name == "Logger"
 	case *ast.Ident:
 		return x.Name == "log"
 	}
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -6,6 +6,7 @@
 
 	"aspenyard.example/attempt/crashcause"
 	"aspenyard.example/directory"
+	"aspenyard.example/gateway/storewatch"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/wire"
 )
@@ -98,18 +99,18 @@
 
 // MakeCheckpoint writes a checkpoint of the state to the store.
 func (g *Gateway) MakeCheckpoint(ctx context.Context) error {
-	_, err := g.makeCheckpoint(ctx)
+	_, err := g.watcher.MakeCheckpoint(ctx)
 	return err
 }
 
 // EncodeCheckpoint encodes a checkpoint.
 func EncodeCheckpoint(at directory.Position, items []directory.Item) ([]byte, error) {
-	return encodeCheckpoint(at, items)
+	return storewatch.EncodeCheckpoint(at, items)
 }
 
 // DecodeCheckpoint returns the number of items in a checkpoint.
 func DecodeCheckpoint(data []byte) (int, error) {
-	_, items, err := decodeCheckpoint(data)
+	_, items, err := storewatch.DecodeCheckpoint(data)
 	return len(items), err
 }
 
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -10,10 +10,8 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
-	"aspenyard.example/changefeed"
 	"aspenyard.example/directory"
 	"aspenyard.example/settings"
-	"aspenyard.example/wire"
 )
 
 // recordingSource is a directory.Source that records how long its calls may take.
@@ -92,7 +90,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
-		g.watchStore(ctx)
+		g.watcher.Run(ctx)
 		close(ended)
 	}()
 	awaitCalls := func(n int) {
@@ -130,20 +128,6 @@
 	}
 }
 
-// Guards against a call to the store that is answered after another entry has passed on later changes: the
-// end of a registration must not undo the next one.
-func TestALateAnswerOfTheStoreUndoesNothing(t *testing.T) {
-	is := is.New(t)
-	s := settings.Gateway{Name: "g", DataCentre: "d"}
-	s.SetDefaults()
-	w := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()}).newStoreWatcher()
-	w.applyState(&directory.StoreState{At: directory.At(0, 3), Nodes: []directory.Node{{Name: "other"}}}, nil)
-	ended := directory.Change{At: directory.At(0, 5), NodeGone: "other"}
-	w.applyChanges(&directory.Changes{At: directory.At(0, 7), Changes: []directory.Change{ended, {At: directory.At(0, 7), Node: &directory.Node{Name: "other"}}}})
-	w.applyChanges(&directory.Changes{At: directory.At(0, 6), Changes: []directory.Change{ended}})
-	is.Equal(len(w.gateway.snapshot.Load().Nodes), 1)
-}
-
 // Guards against a fleet that exceeds its retry limits when all entries start at once and do not know how
 // many they are: each then took its share among 32.
 func TestAStartingEntryKnowsItsShareOfTheRetryLimits(t *testing.T) {
@@ -151,39 +135,17 @@
 	const entries, allowance = 341, 1040
 	s := settings.Gateway{Name: "g", DataCentre: "d", RetryAllowance: allowance}
 	s.SetDefaults()
-	w := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()}).newStoreWatcher()
+	g := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()})
 	state := &directory.StoreState{At: directory.At(0, 1)}
 	for i := range entries {
 		state.Nodes = append(state.Nodes, directory.Node{Name: fmt.Sprint("g", i)})
 	}
-	w.applyState(state, nil)
+	replica := directory.NewReplica()
+	replica.ApplyState(time.Now(), state)
+	g.Publish(g.snapshot.Load(), replica.Snapshot())
 	taken := 0
-	for w.gateway.retries.Take(time.Now(), "service") {
+	for g.retries.Take(time.Now(), "service") {
 		taken++
 	}
 	is.True(entries*taken <= allowance)
 }
-
-// Guards against a response that nobody asked for, or with an age that overflows, which would make an entry
-// count as current in the future or skip changes.
-func TestImpossibleResponsesAreRefused(t *testing.T) {
-	is := is.New(t)
-	s := settings.Gateway{Name: "g", DataCentre: "d"}
-	s.SetDefaults()
-	w := New(Config{Settings: s, Source: &recordingSource{}, Log: zap.NewNop()}).newStoreWatcher()
-	w.applyState(&directory.StoreState{At: directory.At(0, 3)}, nil)
-	w.needsFullRead = false
-	w.follower.SetMembers([]changefeed.Member{{Name: "g"}, {Name: "other"}})
-	w.handleResponse(context.Background(), &feedResponse{"other", 7, changefeed.Chunk{From: directory.At(0, 3), To: directory.At(0, 9), Last: true, Complete: true}}, nil)
-	is.Equal(w.replica.At(), directory.At(0, 3))
-	peer, nonce, ok := w.follower.Ask(bootTime())
-	is.True(ok)
-	for _, impossible := range []*wire.FeedResponse{
-		{From: 3, To: 9, Last: true, Complete: true, AgeMs: 1 << 63},
-		{From: 3, To: 9, Last: true, Complete: true, Items: []*wire.FeedItem{{Revision: 12}}},
-	} {
-		w.handleResponse(context.Background(), &feedResponse{peer, nonce, decodeChunk(impossible)}, nil)
-		is.Equal(w.replica.At(), directory.At(0, 3))
-		is.Equal(w.gateway.currentAt.Load(), int64(0))
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -28,6 +29,7 @@
 	"aspenyard.example/burn/window"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/gateway/storewatch"
 	"aspenyard.example/membership"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/settings"
@@ -64,9 +66,6 @@
 	divisions       *divisions
 	peers           *peers
 	feed            *feed
-	watching        atomic.Bool                     // this entry watches the store for others, or knows no other
-	checkpoints     directory.CheckpointStore       // nil if none are kept
-	checkpointBytes atomic.Int64                    // size of the last checkpoint that this entry made
 	peerLoop        atomic.Pointer[membership.Loop] // nil until the first registration
 	bytes           *admission.ByteAccount          // what is held for callers
 	slowCallers     slowCallers
@@ -77,10 +76,10 @@
 	active          atomic.Int64 // callers' requests in flight
 	releasing       atomic.Int64 // requests whose reservations are being released
 	objectives      *window.Counter
-	// replica is used by watchStore's goroutine only, apart from its StatedLeaving. After a change
-	// there, publishRequested makes that goroutine publish a new snapshot.
-	replica          *directory.Replica
-	publishRequested chan struct{}
+	// watcher keeps snapshot up to date. Its goroutine alone uses loggedUnknownRegions, the regions of the
+	// configuration in force that are logged as unknown.
+	watcher              *storewatch.Watcher
+	loggedUnknownRegions map[string]bool
 	// configAppliedAt is when the current configuration came into force, in nanoseconds since started.
 	configAppliedAt atomic.Int64
 	// currentAt is when the state was last known to be current, in nanoseconds since boot; 0 if it never
@@ -88,9 +87,7 @@
 	currentAt      atomic.Int64
 	drainStartedAt atomic.Int64 // start of the drain, in nanoseconds since started; 0 while serving
 	started        time.Time
-	// stateRead is closed when the state has been read for the first time, configured when the first
-	// configuration comes into force.
-	stateRead       chan struct{}
+	// configured is closed when the first configuration comes into force.
 	configured      chan struct{}
 	firstConfigWait time.Duration
 
@@ -151,14 +148,13 @@
 	g := &Gateway{
 		settings: c.Settings, headerCodec: c.HeaderCodec, source: c.Source, reserver: c.Reserver, registry: c.Registry, log: c.Log, requestLogs: eventlog.NewRequestLogs(c.Log),
 		metrics: metrics.NewSet(), loadTracker: loadTracker, policy: direct.NewPolicy(loadTracker, globalRand{}), pool: newPool(), objectives: window.New(), started: time.Now(),
-		stateRead: make(chan struct{}), configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
+		configured: make(chan struct{}), firstConfigWait: cmp.Or(c.FirstConfigWait, defaultFirstConfigWait),
 	}
 	g.crashCauses, g.shedding = crashcause.NewTracker(), admission.NewConnectionShedding()
 	g.quarantine = attempt.NewQuarantine(g.crashCauses.Explained)
 	g.admission = newAdmissionControl(&c.Settings)
 	g.returns = admission.NewReturns(g.started, c.Settings.Name)
 	g.bytes = admission.NewByteAccount(heldBound(c.Settings.MemoryLimit))
-	g.replica, g.publishRequested = directory.NewReplica(), make(chan struct{}, 1)
 	g.retries = admission.NewRetryWindow(time.Now(), retryLimits(c.Settings))
 	g.snapshot.Store(directory.EmptySnapshot())
 	g.pool.idleLimit, g.pool.traffic = g.idleConnsFor, &g.traffic
@@ -169,7 +165,8 @@
 	g.slowdownReader, g.slowdownMonitor = c.SlowdownReader, newSlowdownMonitor(g)
 	g.divisions = &divisions{gateway: g, logged: map[string]loggedDivision{}}
 	g.peers = &peers{gateway: g, eraNoticed: make(chan struct{}, 1), lastSent: map[direct.EndpointHash]direct.EndpointLoad{}, delays: newPeerDelays(g.started), incarnations: map[string]uint64{}}
-	g.feed, g.checkpoints = newFeed(g), c.Checkpoints
+	g.feed = &feed{gateway: g}
+	g.watcher = g.newWatcher(&c)
 	g.longQueue = admission.NewSemaphore(1)
 	g.configureCold()
 	g.registerMetrics(c.LogWriter)
@@ -199,7 +196,7 @@
 	if err := g.listen(ctx, failures); err != nil {
 		return err
 	}
-	go g.watchStore(ctx)
+	go g.watcher.Run(ctx)
 	go g.pressure.run(ctx)
 	if g.settings.PeersListen != "" {
 		go g.peers.keepRegistered(ctx)
@@ -303,3 +300,10 @@
 		}
 	})
 }
+
+// globalRand is the process-wide random number generator, safe for concurrent use.
+type globalRand struct{}
+
+func (globalRand) IntN(n int) int { return rand.IntN(n) }
+
+func (globalRand) Float64() float64 { return rand.Float64() }
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -18,20 +18,12 @@
 		return
 	}
 	g.log.Info("endpoint_states_leaving", zap.String("endpoint", e.ID), zap.String("header", header), zap.String("heard_from", ""))
-	g.requestPublish()
+	g.watcher.RequestPublish()
 	g.peers.sendHeartbeat()
 }
 
 // statedLeaving returns the endpoints that have stated that they leave.
-func (g *Gateway) statedLeaving() *directory.StatedLeaving { return g.replica.StatedLeaving() }
-
-// requestPublish makes the goroutine of watchStore publish a new snapshot soon.
-func (g *Gateway) requestPublish() {
-	select {
-	case g.publishRequested <- struct{}{}:
-	default: // one is due already
-	}
-}
+func (g *Gateway) statedLeaving() *directory.StatedLeaving { return g.watcher.StatedLeaving() }
 
 // appendLeaving adds the endpoints that have stated that they leave to a heartbeat.
 func (g *Gateway) appendLeaving(now time.Time, h *wire.Heartbeat) {
@@ -56,7 +48,7 @@
 			g.log.Info("endpoint_states_leaving", zap.String("endpoint", e.ID), zap.String("header", ""), zap.String("heard_from", h.Node))
 		}
 	}
-	g.requestPublish()
+	g.watcher.RequestPublish()
 }
 
 // registerLeavingMetrics registers the gauges of endpoints that state that they leave while the
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -83,7 +83,7 @@
 func (p *peers) keepRegistered(ctx context.Context) {
 	g := p.gateway
 	select {
-	case <-g.stateRead:
+	case <-g.watcher.StateRead():
 	case <-ctx.Done():
 		return
 	}
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -46,13 +46,13 @@
 
 // logUnknownRegions logs the regions that a configuration allows and no data centre is in, each once while
 // configurations name it.
-func (w *storeWatcher) logUnknownRegions(config *directory.Config) {
-	logged := w.loggedUnknownRegions
-	w.loggedUnknownRegions = map[string]bool{}
-	for _, unknown := range directory.Regions(w.gateway.settings.Regions).UnknownRegions(config) {
-		w.loggedUnknownRegions[unknown.Region] = true
+func (g *Gateway) logUnknownRegions(config *directory.Config) {
+	logged := g.loggedUnknownRegions
+	g.loggedUnknownRegions = map[string]bool{}
+	for _, unknown := range directory.Regions(g.settings.Regions).UnknownRegions(config) {
+		g.loggedUnknownRegions[unknown.Region] = true
 		if !logged[unknown.Region] {
-			w.gateway.log.Warn("unknown_region", zap.String("region", unknown.Region), zap.String("allowed_by", unknown.AllowedBy), zap.Uint64("version", config.Version))
+			g.log.Warn("unknown_region", zap.String("region", unknown.Region), zap.String("allowed_by", unknown.AllowedBy), zap.Uint64("version", config.Version))
 		}
 	}
 }
--- a/gateway/checkpoint.go
+++ b/gateway/storewatch/checkpoint.go
@@ -1,4 +1,4 @@
-package gateway
+package storewatch
 
 import (
 	"bytes"
@@ -40,75 +40,74 @@
 	checkpointOutdated checkpointResult = "outdated"
 )
 
-func (g *Gateway) countCheckpoint(result checkpointResult) {
-	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_checkpoints_total{result=%q}`, result)).Inc()
+func (w *Watcher) countCheckpoint(result checkpointResult) {
+	w.config.Metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_checkpoints_total{result=%q}`, result)).Inc()
 }
 
 // writeCheckpoint writes a checkpoint of the state, if that is due, in a goroutine of its own.
-func (w *storeWatcher) writeCheckpoint(ctx context.Context) {
-	g := w.gateway
-	if g.checkpoints == nil || w.needsFullRead || g.drainStartedAt.Load() != 0 || !w.follower.Checkpoint(bootTime()) {
+func (w *Watcher) writeCheckpoint(ctx context.Context) {
+	if w.config.Checkpoints == nil || w.needsFullRead || w.config.Draining() || !w.follower.Checkpoint(w.config.SinceBoot()) {
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "checkpoint"), 2*g.settings.StoreTimeout.D())
+		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "checkpoint"), 2*w.config.StoreTimeout)
 		defer cancel()
-		result, err := g.makeCheckpoint(ctx)
-		g.countCheckpoint(result)
+		result, err := w.MakeCheckpoint(ctx)
+		w.countCheckpoint(result)
 		if err != nil {
-			g.log.Warn("checkpoint_not_written", zap.String("result", string(result)), eventlog.Error(err))
+			w.config.Logger.Warn("checkpoint_not_written", zap.String("result", string(result)), eventlog.Error(err))
 		}
 	}()
 }
 
-// makeCheckpoint reads the state and writes it to the store as a checkpoint.
-func (g *Gateway) makeCheckpoint(ctx context.Context) (checkpointResult, error) {
-	items, at, err := g.checkpoints.ReadItems(ctx)
+// MakeCheckpoint reads the state and writes it to the store as a checkpoint.
+func (w *Watcher) MakeCheckpoint(ctx context.Context) (checkpointResult, error) {
+	items, at, err := w.config.Checkpoints.ReadItems(ctx)
 	if err != nil {
 		return checkpointFailed, err
 	}
-	data, err := encodeCheckpoint(at, items)
+	data, err := EncodeCheckpoint(at, items)
 	if err != nil {
 		return checkpointFailed, err
 	}
 	if len(data) > maxCheckpointBytes {
 		return checkpointTooLarge, errors.Errorf("the checkpoint has %d bytes, of at most %d", len(data), maxCheckpointBytes)
 	}
-	g.checkpointBytes.Store(int64(len(data)))
-	if err := g.checkpoints.WriteCheckpoint(ctx, data); err != nil {
+	w.checkpointBytes.Store(int64(len(data)))
+	if err := w.config.Checkpoints.WriteCheckpoint(ctx, data); err != nil {
 		return checkpointFailed, err
 	}
 	return checkpointWritten, nil
 }
 
 // readCheckpoint returns the state of the checkpoint in the store; nil if there is none that can be used.
-func (g *Gateway) readCheckpoint(ctx context.Context) *directory.StoreState {
-	if g.checkpoints == nil {
+func (w *Watcher) readCheckpoint(ctx context.Context) *directory.StoreState {
+	if w.config.Checkpoints == nil {
 		return nil
 	}
-	data, err := g.checkpoints.ReadCheckpoint(ctx)
+	data, err := w.config.Checkpoints.ReadCheckpoint(ctx)
 	if err != nil || len(data) == 0 { // the calls that follow tell of a store that does not answer
-		g.countCheckpoint(checkpointAbsent)
+		w.countCheckpoint(checkpointAbsent)
 		return nil
 	}
-	at, items, err := decodeCheckpoint(data)
+	at, items, err := DecodeCheckpoint(data)
 	if err != nil {
-		g.countCheckpoint(checkpointInvalid)
-		g.log.Warn("checkpoint_refused", zap.Int("bytes", len(data)), eventlog.Error(err))
+		w.countCheckpoint(checkpointInvalid)
+		w.config.Logger.Warn("checkpoint_refused", zap.Int("bytes", len(data)), eventlog.Error(err))
 		return nil
 	}
-	if at.Era() != g.source.Era() {
-		g.countCheckpoint(checkpointOutdated)
+	if at.Era() != w.config.Source.Era() {
+		w.countCheckpoint(checkpointOutdated)
 		return nil
 	}
-	return g.checkpoints.DecodeState(at, items)
+	return w.config.Checkpoints.DecodeState(at, items)
 }
 
-// encodeCheckpoint returns the state of the store, compressed.
-func encodeCheckpoint(at directory.Position, items []directory.Item) ([]byte, error) {
+// EncodeCheckpoint returns the state of the store, compressed.
+func EncodeCheckpoint(at directory.Position, items []directory.Item) ([]byte, error) {
 	checkpoint := &wire.Checkpoint{Era: uint64(at.Era()), Revision: at.Revision()}
 	for _, i := range items {
-		checkpoint.Items = append(checkpoint.Items, encodeItem(i))
+		checkpoint.Items = append(checkpoint.Items, EncodeItem(i))
 	}
 	data, err := proto.Marshal(checkpoint)
 	if err != nil {
@@ -125,8 +124,8 @@
 	return compressed.Bytes(), nil
 }
 
-// decodeCheckpoint returns the state of the store from a checkpoint.
-func decodeCheckpoint(compressed []byte) (at directory.Position, items []directory.Item, err error) {
+// DecodeCheckpoint returns the state of the store from a checkpoint.
+func DecodeCheckpoint(compressed []byte) (at directory.Position, items []directory.Item, err error) {
 	reader, err := gzip.NewReader(bytes.NewReader(compressed))
 	if err != nil {
 		return at, nil, errors.WithStack(err)
@@ -146,7 +145,7 @@
 		return at, nil, errors.New("the checkpoint has no revision")
 	}
 	for _, i := range checkpoint.Items {
-		items = append(items, decodeItem(directory.Era(checkpoint.Era), i))
+		items = append(items, DecodeItem(directory.Era(checkpoint.Era), i))
 	}
 	return directory.At(directory.Era(checkpoint.Era), checkpoint.Revision), items, nil
 }
@@ -170,35 +169,35 @@
 // readAtStart returns the state for an entry that has none of the store's present era: the checkpoint or else lists that may be
 // stale, and the changes since then, which bring it up to date. Entries that start at the same moment thus
 // cost the store little. If the store does not have these changes any more, the lists are read once more.
-func (g *Gateway) readAtStart(ctx context.Context) (startState, error) {
-	if state := g.readCheckpoint(ctx); state != nil {
-		changes, err := g.source.Watch(ctx, state.At, 0)
+func (w *Watcher) readAtStart(ctx context.Context) (startState, error) {
+	if state := w.readCheckpoint(ctx); state != nil {
+		changes, err := w.config.Source.Watch(ctx, state.At, 0)
 		if err == nil {
-			g.countCheckpoint(checkpointUsed)
+			w.countCheckpoint(checkpointUsed)
 			return startState{state, changes, fromCheckpoint}, nil
 		}
 		if !errors.Is(err, directory.ErrHistoryGone) {
 			return startState{}, err
 		}
-		g.countCheckpoint(checkpointOutdated)
+		w.countCheckpoint(checkpointOutdated)
 	}
-	state, err := g.source.Read(ctx, true)
+	state, err := w.config.Source.Read(ctx, true)
 	if errors.Is(err, directory.ErrEarlierEra) {
-		state, err = g.source.Read(ctx, false)
+		state, err = w.config.Source.Read(ctx, false)
 		return startState{state, nil, fromCurrentLists}, err
 	}
 	if err != nil {
 		return startState{}, err
 	}
-	changes, err := g.source.Watch(ctx, state.At, 0)
+	changes, err := w.config.Source.Watch(ctx, state.At, 0)
 	if errors.Is(err, directory.ErrHistoryGone) {
-		state, err = g.source.Read(ctx, false)
+		state, err = w.config.Source.Read(ctx, false)
 		return startState{state, nil, fromCurrentLists}, err
 	}
 	return startState{state, changes, fromStaleLists}, err
 }
 
 // logStart logs the state that an entry starts with.
-func (g *Gateway) logStart(start startState, took time.Duration) {
-	g.log.Info("state_read", zap.String("from", start.from), zap.Uint64("at", start.state.At.Revision()), zap.Stringer("era", start.state.At.Era()), zap.Int("endpoints", len(start.state.Endpoints)), zap.Duration("took_ms", took))
+func (w *Watcher) logStart(start startState, took time.Duration) {
+	w.config.Logger.Info("state_read", zap.String("from", start.from), zap.Uint64("at", start.state.At.Revision()), zap.Stringer("era", start.state.At.Era()), zap.Int("endpoints", len(start.state.Endpoints)), zap.Duration("took_ms", took))
 }
--- a/gateway/evacuation_reads.go
+++ b/gateway/storewatch/evacuations.go
@@ -1,4 +1,4 @@
-package gateway
+package storewatch
 
 import (
 	"context"
@@ -7,11 +7,6 @@
 	"aspenyard.example/directory"
 )
 
-// evacuationReadShare is the timeout of a read of evacuations, as a share of the setting EvacuateWithin. A
-// store that is slow may take longer for it than the timeout of other calls allows, and the watch that
-// failed before has used evacuationDelayShare.
-const evacuationReadShare = 0.4
-
 // evacuationReads are the reads of evacuations beside the calls that follow the store. One is under way
 // at a time.
 type evacuationReads struct {
@@ -28,35 +23,30 @@
 
 // readEvacuations reads the evacuations beside the next call, while the state must be read in full or the
 // store does not answer. A full read takes many times as long, and calls that time out learn nothing from
-// a store that is merely slow. The reads begin at least StoreTimeout apart, because a store that refuses
+// a store that is merely slow. The reads begin at least Config.StoreTimeout apart, because a store that refuses
 // calls may be over its rate. Before the first state is known nothing is served, and none is needed.
-func (w *storeWatcher) readEvacuations(ctx context.Context, results chan<- storeResult) {
-	g, now := w.gateway, time.Now()
-	if w.evacuationReads.underWay || w.replica.At().IsZero() || now.Sub(w.evacuationReads.startedAt) < g.settings.StoreTimeout.D() {
+func (w *Watcher) readEvacuations(ctx context.Context, results chan<- storeResult) {
+	now := time.Now()
+	if w.evacuationReads.underWay || w.replica.At().IsZero() || now.Sub(w.evacuationReads.startedAt) < w.config.StoreTimeout {
 		return
 	}
 	w.evacuationReads = evacuationReads{underWay: true, startedAt: now}
 	go func() {
-		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "evacuations"), g.evacuationReadTimeout())
+		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "evacuations"), w.config.EvacuationReadTimeout)
 		defer cancel()
-		list, at, err := g.source.ReadEvacuations(ctx)
+		list, at, err := w.config.Source.ReadEvacuations(ctx)
 		results <- storeResult{evacuations: &evacuationList{list, at, err}}
 	}()
 }
 
-// evacuationReadTimeout bounds one read of evacuations.
-func (g *Gateway) evacuationReadTimeout() time.Duration {
-	return max(scaleDuration(g.settings.EvacuateWithin.D(), evacuationReadShare), g.settings.StoreTimeout.D())
-}
-
 // handleEvacuations applies the result of a read of evacuations. A failed one is left to the other calls,
 // which say so.
-func (w *storeWatcher) handleEvacuations(read *evacuationList) {
+func (w *Watcher) handleEvacuations(read *evacuationList) {
 	w.evacuationReads.underWay = false
 	if read.err != nil {
 		return
 	}
 	changed := w.replica.Evacuations().ApplyList(time.Now(), read.at, read.list)
 	w.publish()
-	w.gateway.announceEvacuations(changed)
+	w.announceEvacuations(changed)
 }
--- /dev/null
+++ b/gateway/storewatch/watcher_test.go
@@ -0,0 +1,124 @@
+package storewatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"aspenyard.example/changefeed"
+	"aspenyard.example/directory"
+	"aspenyard.example/wire"
+)
+
+// silentSource is a directory.Source of which only the era is used.
+type silentSource struct{ directory.Source }
+
+func (silentSource) Decode(at directory.Position, items []directory.Item) *directory.Changes {
+	return &directory.Changes{At: at, Items: items}
+}
+
+func (silentSource) Era() directory.Era { return 0 }
+
+func (silentSource) AssumeEra(directory.Era) {}
+
+// recordingListener is a Listener that records what it is told.
+type recordingListener struct {
+	provedAt time.Duration
+	restored int
+}
+
+func (l *recordingListener) Publish(_, _ *directory.Snapshot)          {}
+func (l *recordingListener) ConfigInForce(*directory.Config)           {}
+func (l *recordingListener) EvacuationsChanged([]directory.Evacuation) {}
+func (l *recordingListener) EndpointListed(*directory.Endpoint)        {}
+func (l *recordingListener) ApplyRecord(time.Time, *directory.Record)  {}
+func (l *recordingListener) Proved(at time.Duration)                   { l.provedAt = at }
+func (l *recordingListener) EraNoticed()                               {}
+func (l *recordingListener) Restored()                                 { l.restored++ }
+func (l *recordingListener) CallEnded(bool, time.Duration, error)      {}
+func (l *recordingListener) Tick(time.Time)                            {}
+
+// fixedRandom draws the lowest numbers.
+type fixedRandom struct{}
+
+func (fixedRandom) IntN(int) int { return 0 }
+
+func (fixedRandom) Float64() float64 { return 0 }
+
+// newTestWatcher returns a watcher that does not run, at an hour after boot.
+func newTestWatcher() (*Watcher, *recordingListener) {
+	listener := &recordingListener{}
+	return New(Config{
+		Name: "g", DataCentre: "d", ChangeWithin: 5 * time.Second, StoreTimeout: time.Second, Source: silentSource{}, Changes: &changefeed.Log{},
+		Listener: listener, SinceBoot: func() time.Duration { return time.Hour }, Random: fixedRandom{}, Logger: zap.NewNop(), Metrics: metrics.NewSet(),
+	}), listener
+}
+
+// Guards against a call to the store that is answered after another entry has passed on later changes: the
+// end of a registration must not undo the next one.
+func TestALateAnswerOfTheStoreUndoesNothing(t *testing.T) {
+	is := is.New(t)
+	w, _ := newTestWatcher()
+	w.applyState(&directory.StoreState{At: directory.At(0, 3), Nodes: []directory.Node{{Name: "other"}}}, nil)
+	ended := directory.Change{At: directory.At(0, 5), NodeGone: "other"}
+	w.applyChanges(&directory.Changes{At: directory.At(0, 7), Changes: []directory.Change{ended, {At: directory.At(0, 7), Node: &directory.Node{Name: "other"}}}})
+	w.applyChanges(&directory.Changes{At: directory.At(0, 6), Changes: []directory.Change{ended}})
+	is.Equal(len(w.snapshot.Nodes), 1)
+}
+
+// Guards against a response that nobody asked for, or with an age that overflows, which would make an entry
+// count as current in the future or skip changes.
+func TestImpossibleResponsesAreRefused(t *testing.T) {
+	is := is.New(t)
+	w, listener := newTestWatcher()
+	w.applyState(&directory.StoreState{At: directory.At(0, 3)}, nil)
+	w.needsFullRead = false
+	w.follower.SetMembers([]changefeed.Member{{Name: "g"}, {Name: "other"}})
+	w.handleResponse(context.Background(), &Response{"other", 7, changefeed.Chunk{From: directory.At(0, 3), To: directory.At(0, 9), Last: true, Complete: true}}, nil)
+	is.Equal(w.replica.At(), directory.At(0, 3))
+	peer, nonce, ok := w.follower.Ask(w.config.SinceBoot())
+	is.True(ok)
+	for _, impossible := range []*wire.FeedResponse{
+		{From: 3, To: 9, Last: true, Complete: true, AgeMs: 1 << 63},
+		{From: 3, To: 9, Last: true, Complete: true, Items: []*wire.FeedItem{{Revision: 12}}},
+	} {
+		w.handleResponse(context.Background(), &Response{peer, nonce, DecodeChunk(impossible)}, nil)
+		is.Equal(w.replica.At(), directory.At(0, 3))
+		is.Equal(listener.provedAt, time.Duration(0))
+	}
+}
+
+// Guards against an entry that has read a state of an earlier era and takes it for the present one, as the era
+// rose while it was being read.
+func TestAStateOfAnEarlierEraIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	w, listener := newTestWatcher()
+	source := &eraSource{era: directory.StatedEra(1)}
+	w.config.Source = source
+	w.noticeEra()
+	w.handleResult(storeResult{state: &directory.StoreState{At: directory.At(source.era, 5)}})
+	source.era = directory.StatedEra(2)
+	w.noticeEra()
+	is.True(w.needsFullRead)
+	source.era = directory.StatedEra(3)
+	w.handleResult(storeResult{state: &directory.StoreState{At: directory.At(directory.StatedEra(2), 3)}})
+	is.True(!w.needsFullRead)
+	w.noticeEra()
+	is.True(w.needsFullRead)
+	w.handleResult(storeResult{state: &directory.StoreState{At: directory.At(source.era, 4)}})
+	w.noticeEra()
+	is.True(!w.needsFullRead)
+	is.Equal(listener.restored, 2)
+}
+
+// eraSource is a silentSource with an era.
+type eraSource struct {
+	silentSource
+	era directory.Era
+}
+
+func (s *eraSource) Era() directory.Era { return s.era }
