Reads of the whole state that do not help are spaced out

A registration that fails after a loss was tried again twice a second for as long as the store refuses. A value whose stale read failed in another era was not read again. Change: only a watch that succeeds resets the pause; retries of registrations double their wait; an entry that is registered in the new era already does not register twice. Measured: 20 refusals in a row take over 10 s (the test fails without the pause); tests of losses, registrations and the store pass.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -90,14 +90,14 @@
 	node := directory.Node{Name: g.settings.Name, Addr: g.settings.PeersListen, DataCentre: g.settings.DataCentre}
 	var registration directory.Registration
 	var registeredAt time.Time
-	registered := false
+	registered, retry := false, reregisterRetry
 	for ctx.Err() == nil {
 		calledAt := time.Now()
 		callCtx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "registration"), registryTimeout)
 		var err error
 		if !registered {
 			if registration, err = g.registry.Register(callCtx, node, registrationTTL); err == nil {
-				registered = true
+				registered, retry = true, reregisterRetry
 				p.lease.Store(&registration.Lease)
 				registeredAt = time.Now()
 				g.log.Info("registered", zap.Uint64("lease", registration.Lease.ID), zap.Uint64("revision", registration.At.Revision()), zap.Stringer("era", registration.At.Era()))
@@ -118,7 +118,8 @@
 		if err != nil {
 			g.log.Warn("not_registered", eventlog.Error(err))
 			if !registered && registeredAt != (time.Time{}) {
-				pause = reregisterRetry/2 + time.Duration(rand.Int64N(int64(reregisterRetry)))
+				pause = retry/2 + time.Duration(rand.Int64N(int64(retry)))
+				retry = min(2*retry, renewalInterval)
 			}
 		}
 		registered = p.awaitRenewal(ctx, pause) && registered
@@ -134,6 +135,9 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-p.eraNoticed:
+		if lease := p.lease.Load(); lease != nil && lease.Era == p.gateway.source.Era() {
+			return true // the registration was of the new era already
+		}
 		membership.Sleep(ctx, p.gateway.reregisterDelay())
 		return false
 	}
--- a/gateway/restored.go
+++ b/gateway/restored.go
@@ -12,7 +12,8 @@
 	// maxReregisterSpread bounds the time over which they are spread: others count an entry as gone when its
 	// registration has been missing for two seconds.
 	maxReregisterSpread = 1500 * time.Millisecond
-	// reregisterRetry is the mean wait after a registration that failed after a loss.
+	// reregisterRetry is the mean wait after a registration that failed after a loss. It doubles each time, up
+	// to renewalInterval.
 	reregisterRetry = 400 * time.Millisecond
 	// rewriteSpread is the time over which entries spread the writing of records that the store may have lost.
 	// They are read only by entries that start while no other runs.
--- a/gateway/storewatch/entries.go
+++ b/gateway/storewatch/entries.go
@@ -133,7 +133,7 @@
 			w.applyChanges(w.config.Source.Decode(w.replica.At(), []directory.Item{read.item}))
 		}
 		w.follower.AskAgain(w.config.SinceBoot())
-	case read.stale && sameEra:
+	case read.stale && w.readingFrom.SameEra(w.replica.At()):
 		w.readItem(ctx, key, w.readingFrom, false, reads)
 	default:
 		w.reading = ""
--- a/gateway/storewatch/watcher.go
+++ b/gateway/storewatch/watcher.go
@@ -94,6 +94,8 @@
 	publishedAt time.Time
 	outageSince time.Time // when the store stopped answering; zero while it answers
 	backoff     time.Duration
+	// historyGone counts the watches in a row for which the store had no history.
+	historyGone int
 	// timeout bounds the next call, besides its wait for a change.
 	timeout time.Duration
 	// loggedInvalidItems holds the position at which each item was last found undecodable, so
@@ -278,7 +280,11 @@
 	switch {
 	case errors.Is(result.err, directory.ErrHistoryGone):
 		w.needsFullRead = true
+		w.historyGone++
 		log.Info("store_history_gone", zap.Uint64("at", w.replica.At().Revision()), zap.Stringer("era", w.config.Source.Era()))
+		if w.historyGone > 1 {
+			return w.backOff() // although the state has just been read
+		}
 		return 0
 	case errors.Is(result.err, directory.ErrEraChanged):
 		return 0 // noticeEra sees to it
@@ -299,7 +305,7 @@
 	if result.state != nil && result.after.After(result.state.At) {
 		return w.assumeRestored(result)
 	}
-	w.backoff, w.timeout = minBackoff, w.config.StoreTimeout
+	w.timeout = w.config.StoreTimeout
 	w.follower.Prove(result.began)
 	if result.state != nil {
 		w.needsFullRead = false
@@ -308,6 +314,7 @@
 		w.prove(result.began)
 		return 0
 	}
+	w.historyGone, w.backoff = 0, minBackoff
 	w.config.Changes.Append(result.changes.Items, result.changes.At)
 	w.applyChanges(result.changes)
 	w.prove(result.began)
--- a/gateway/storewatch/watcher_test.go
+++ b/gateway/storewatch/watcher_test.go
@@ -122,3 +122,55 @@
 }
 
 func (s *eraSource) Era() directory.Era { return s.era }
+
+// Guards against reads of the whole state in a loop without a pause, where a store refuses each watch for lack of
+// history or, without stating an era, has gone back.
+func TestReadsThatDoNotHelpAreSpacedOut(t *testing.T) {
+	is := is.New(t)
+	w, _ := newTestWatcher()
+	w.config.Source = &eraSource{era: directory.StatedEra(1)}
+	at := directory.At(directory.StatedEra(1), 9)
+	read := storeResult{state: &directory.StoreState{At: at}}
+	w.handleResult(read)
+	var pauses time.Duration
+	for range 20 {
+		pauses += w.handleResult(storeResult{err: directory.ErrHistoryGone})
+		is.Equal(w.handleResult(read), time.Duration(0))
+	}
+	is.True(pauses > 10*time.Second)
+	w.handleResult(storeResult{changes: &directory.Changes{At: at}})
+	is.Equal(w.handleResult(storeResult{err: directory.ErrHistoryGone}), time.Duration(0))
+	w.handleResult(storeResult{changes: &directory.Changes{At: at}})
+	pauses = 0
+	for range 20 { // the store has gone back and states the same era
+		pauses += w.handleResult(storeResult{after: at, state: &directory.StoreState{At: directory.At(at.Era(), 5)}})
+	}
+	is.True(pauses > 10*time.Second)
+	is.Equal(w.replica.At(), at)
+}
+
+// Guards against a value that a stale read shows in an earlier era, or cannot read, and that is then not read
+// from the store.
+func TestAnOmittedValueIsReadOnceMoreAfterAStaleRead(t *testing.T) {
+	is := is.New(t)
+	w, _ := newTestWatcher()
+	source := &itemSource{reads: make(chan bool, 1)}
+	source.era = directory.StatedEra(1)
+	w.config.Source = source
+	at := directory.At(source.era, 9)
+	w.handleResult(storeResult{state: &directory.StoreState{At: at}})
+	w.reading, w.readingFrom = "k", at
+	w.handleItemRead(context.Background(), &itemRead{stale: true, err: directory.ErrEarlierEra}, make(chan itemRead, 1))
+	is.True(!<-source.reads) // not stale
+}
+
+// itemSource is an eraSource that records whether an item is read stale.
+type itemSource struct {
+	eraSource
+	reads chan bool
+}
+
+func (s *itemSource) ReadItem(_ context.Context, key string, stale bool) (directory.Item, error) {
+	s.reads <- stale
+	return directory.Item{Key: key}, directory.ErrUnavailable
+}
