Entries tell each other which endpoints leave though a copy lists them as ready

Cause: an entry that starts after a loss knows only the store, whose copy may list an endpoint that leaves as one that takes requests. Change: what an entry knew from the store before counts like the endpoint's own statement, which heartbeats carry. Measured: the new test fails without it; tests of directory, platform, changefeed and storewatch pass.

--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -87,6 +87,16 @@
 	is.True(f.usable("ended")) // it has registered after the loss, and so runs
 }
 
+// Guards against nodes that start after a loss and take an endpoint that leaves for one that takes requests.
+func TestOtherNodesLearnWhoLeavesAfterALoss(t *testing.T) {
+	is := is.New(t)
+	f := newEraFixture(registered("a", At(era1, 3), true))
+	is.Equal(len(f.StatedLeaving().Reports(f.now, true, 10)), 0)
+	f.ApplyState(f.now, &StoreState{At: At(era2, 9), Endpoints: []Endpoint{registered("a", At(era2, 2), false)}})
+	f.ExpireMissing(f.now)
+	is.Equal(f.StatedLeaving().Reports(f.now, true, 10), []IncarnationHash{Incarnation{ID: "a"}.Hash()})
+}
+
 // Guards against an endpoint that is never used again because the copy's registration was withheld.
 func TestAWithheldRegistrationIsUsedLater(t *testing.T) {
 	is := is.New(t)
--- a/directory/position.go
+++ b/directory/position.go
@@ -70,12 +70,12 @@
 	return p
 }
 
-// revisionBits is the number of bits of an incarnation number that are the revision.
-const revisionBits = 40
-
 // Previous returns the position before p in its era.
 func (p Position) Previous() Position { return Position{p.era, max(p.revision, 1) - 1} }
 
+// revisionBits is the number of bits of an incarnation number that are the revision.
+const revisionBits = 40
+
 // IncarnationNumber returns a number that rises with each registration of a process, also from one era to
 // the next.
 func (p Position) IncarnationNumber() uint64 {
--- a/directory/replica.go
+++ b/directory/replica.go
@@ -315,6 +315,9 @@
 		known.setCold(now, e.ColdLeft) // a copy may hold a registration from when less warm-up had passed
 	}
 	leaving := known.Leaving
+	if leaving && !e.Leaving && !e.At.SameEra(known.At) {
+		r.stated.Add(now, e.Hash()) // nodes that start know only the copy, and learn it from this one
+	}
 	known.Endpoint = *e
 	known.Leaving = known.Leaving || leaving
 	known.MissingSince = time.Time{}
