The lease that an entry ends when it stops is a copy of its own

Cause: read once more; the registration that a failed attempt overwrites was shared with the goroutine that drains. Measured: tests of losses, drains and registrations pass with the race detector.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -98,7 +98,8 @@
 		if !registered {
 			if registration, err = g.registry.Register(callCtx, node, registrationTTL); err == nil {
 				registered, retry = true, reregisterRetry
-				p.lease.Store(&registration.Lease)
+				lease := registration.Lease
+				p.lease.Store(&lease)
 				registeredAt = time.Now()
 				g.log.Info("registered", zap.Uint64("lease", registration.Lease.ID), zap.Uint64("revision", registration.At.Revision()), zap.Stringer("era", registration.At.Era()))
 				p.startHeartbeats(ctx, registration.At.IncarnationNumber())
