Read once more: evacuations of an unread era, two losses in a row, wording

Cause: an evacuation reported from an era that a node cannot read ended after 30 s although it was still reported, and then began again; such a report also made one that the store lists depend on reports. What a first loss left missing was dropped, or withheld, at a second one. The count of unstated eras, which a peer's message can set, could run over into a stated era. Change: reports extend such evacuations and do not touch listed ones; missing by a loss is told from ended; the count stays at its highest value. Bytes of heads are counted over a whole exchange, as the comment says.

--- a/directory/era.go
+++ b/directory/era.go
@@ -31,17 +31,15 @@
 		since = r.outageEnd // when the new era was noticed; reading its state took a while
 	}
 	for id, e := range r.endpoints {
-		if !e.MissingSince.IsZero() {
+		if !e.MissingSince.IsZero() && !e.lost {
 			delete(r.endpoints, id) // its registration ended before the loss, so that it is withheld if listed
 			continue
 		}
-		e.MissingSince = since
+		e.MissingSince, e.lost = since, true
 	}
 	for name, n := range r.nodes {
-		if n.missingSince.IsZero() {
-			n.missingSince = since
-			r.nodes[name] = n
-		}
+		n.missingSince = since
+		r.nodes[name] = n
 	}
 }
 
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -36,6 +36,8 @@
 	is.Equal(Era(0).Next().String(), "0.1")
 	is.Equal(StatedEra(3).Stated(), uint64(3))
 	is.True(Era(0).Next() < StatedEra(1))
+	last := StatedEra(1) - 1
+	is.Equal(last.Next(), last) // and not an era that the store has stated
 }
 
 // registered returns the registration of an endpoint without a start time.
@@ -183,3 +185,32 @@
 	evacuations.ApplyList(f.now, At(era2, 40), nil)
 	is.Equal(len(evacuations.Merge(f.now, []Evacuation{{"dc3", At(era1, 99), true}})), 0)
 }
+
+// Guards against an evacuation that ends while other nodes still report it, at a node that cannot read the new
+// era, and against one that the store lists and a report makes depend on reports.
+func TestAnEvacuationOfAnUnreadEraLastsAsLongAsItIsReported(t *testing.T) {
+	is := is.New(t)
+	f := newEraFixture()
+	evacuations := f.Evacuations()
+	is.True(evacuations.ApplyChange(f.now, Evacuation{"listed", At(era1, 21), true}))
+	now := f.now
+	for range 10 {
+		evacuations.Merge(now, []Evacuation{{"listed", At(era2, 30), true}, {"reported", At(era2, 30), true}})
+		now = now.Add(unconfirmedEvacuationTTL / 2)
+		is.Equal(len(evacuations.EndUnconfirmed(now)), 0)
+	}
+	is.Equal(len(evacuations.EndUnconfirmed(now.Add(unconfirmedEvacuationTTL))), 1)
+	is.Equal(evacuations.DataCentres(), []string{"listed"})
+}
+
+// Guards against a second loss that takes what the first one left missing for what has ended.
+func TestWhatACopyLacksOutlastsTwoLosses(t *testing.T) {
+	is := is.New(t)
+	f := newEraFixture(registered("a", At(era1, 18), false))
+	f.ApplyState(f.now, &StoreState{At: At(era2, 9)})
+	f.ApplyState(f.now, &StoreState{At: At(StatedEra(3), 9)})
+	is.True(f.usable("a"))
+	f.ApplyState(f.now, &StoreState{At: At(StatedEra(4), 9), Endpoints: []Endpoint{registered("a", At(StatedEra(4), 3), false)}})
+	is.True(f.usable("a"))
+	is.Equal(f.Withheld(), 0)
+}
--- a/directory/evacuations.go
+++ b/directory/evacuations.go
@@ -189,8 +189,8 @@
 
 // Merge applies the reports of another node and returns the evacuations that have begun or ended by
 // them. Reports up to the store's position that this node knows add nothing, nor do those of an earlier era.
-// If they contradict what it knows, the other node has missed a change, and this node reports it once more. From an era
-// that this node has not read yet, it takes the beginning of evacuations, for a while, but not their end.
+// If they contradict what it knows, the other node has missed a change, and this node reports it once more.
+// From an era that it has not read yet, it takes the beginning of evacuations, but not their end.
 func (s *Evacuations) Merge(now time.Time, reports []Evacuation) []Evacuation {
 	if len(reports) == 0 {
 		return nil
@@ -199,14 +199,14 @@
 	defer s.mu.Unlock()
 	var changed []Evacuation
 	for _, e := range reports {
-		laterEra := e.At.Era() > s.storePosition.Era()
 		switch {
-		case laterEra && e.Evacuated || e.At.After(s.storePosition) && !s.endsUnconfirmed(&e):
-			if s.apply(now, e) {
+		case e.Evacuated && e.At.Era() > s.storePosition.Era():
+			if s.applyUnread(now, e) {
 				changed = append(changed, e)
 			}
-			if known := s.known[e.DataCentre]; laterEra && known.unconfirmedUntil.IsZero() {
-				known.unconfirmedUntil = now.Add(unconfirmedEvacuationTTL)
+		case e.At.After(s.storePosition) && !s.endsUnconfirmed(&e):
+			if s.apply(now, e) {
+				changed = append(changed, e)
 			}
 		case e.Evacuated:
 			s.repeatEnd(now, e.DataCentre)
@@ -215,6 +215,18 @@
 	return changed
 }
 
+// applyUnread applies an evacuation of an era that this node has not read: it is in force for as long as it is
+// reported and unconfirmedEvacuationTTL after that. One that the store lists in the present era does not depend on
+// reports. It reports whether an evacuation has begun by it.
+func (s *Evacuations) applyUnread(now time.Time, e Evacuation) bool {
+	if known := s.known[e.DataCentre]; known != nil && known.Evacuated && known.unconfirmedUntil.IsZero() {
+		return false
+	}
+	began := s.apply(now, e)
+	s.known[e.DataCentre].unconfirmedUntil = now.Add(unconfirmedEvacuationTTL)
+	return began
+}
+
 // endsUnconfirmed reports whether a report would end an evacuation that the store has lost. The node that
 // reports it may have started after the loss.
 func (s *Evacuations) endsUnconfirmed(e *Evacuation) bool {
--- a/directory/position.go
+++ b/directory/position.go
@@ -18,8 +18,11 @@
 // StatedEra returns the era that the store states as n.
 func StatedEra(n uint64) Era { return Era(min(n, math.MaxUint64>>unstatedBits) << unstatedBits) }
 
-// Next returns the era after one that the store has not stated.
-func (e Era) Next() Era { return e + 1 }
+// maxUnstated is the highest count of eras that the store has not stated.
+const maxUnstated = 1<<unstatedBits - 1
+
+// Next returns the era after one that the store has not stated; the same one at the highest count.
+func (e Era) Next() Era { return e + Era(min(maxUnstated-e&maxUnstated, 1)) }
 
 // Stated returns the number that the store states for the era; 0 if it states none.
 func (e Era) Stated() uint64 { return uint64(e >> unstatedBits) }
@@ -28,7 +31,7 @@
 // number of times that it went back without stating it.
 func (e Era) String() string {
 	text := strconv.FormatUint(e.Stated(), 10)
-	if unstated := e & (1<<unstatedBits - 1); unstated != 0 {
+	if unstated := e & maxUnstated; unstated != 0 {
 		text += "." + strconv.FormatUint(uint64(unstated), 10)
 	}
 	return text
@@ -79,7 +82,7 @@
 // IncarnationNumber returns a number that rises with each registration of a process, also from one era to
 // the next.
 func (p Position) IncarnationNumber() uint64 {
-	unstated := uint64(p.era & (1<<unstatedBits - 1))
+	unstated := uint64(p.era & maxUnstated)
 	return (p.era.Stated()+unstated)<<revisionBits | p.revision&(1<<revisionBits-1)
 }
 
--- a/directory/replica.go
+++ b/directory/replica.go
@@ -106,6 +106,8 @@
 	// MissingSince is when the registration was first seen to have ended; zero while it
 	// exists.
 	MissingSince time.Time
+	// lost is set while the registration is missing because the store was restored, and has not ended.
+	lost bool
 	// Position is the index among the endpoints of its service in a snapshot.
 	Position int
 	// ColdSeenAt is when this registration was first seen. By it the endpoint is
@@ -320,7 +322,7 @@
 	}
 	known.Endpoint = *e
 	known.Leaving = known.Leaving || leaving
-	known.MissingSince = time.Time{}
+	known.MissingSince, known.lost = time.Time{}, false
 	return true
 }
 
--- a/directory/source.go
+++ b/directory/source.go
@@ -8,7 +8,7 @@
 )
 
 // ErrHistoryGone is returned by Source.Watch if the store has dropped the changes after the
-// given revision. The full state must then be read again.
+// given position. The full state must then be read again.
 var ErrHistoryGone = errors.New("directory: the store no longer has the changes after this revision")
 
 // ErrEraChanged is returned by a call that was answered in a later era than the one it refers to. The full
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -182,8 +182,8 @@
 
 // discardStray reads the body of a response to another request.
 func (r *endpointResponse) discardStray(body io.Reader) error {
-	r.conn.unlimit()
-	defer r.conn.limitHeads()
+	r.conn.headLimited = false
+	defer func() { r.conn.headLimited = true }()
 	r.limitTime(headTimeout)
 	defer r.unlimitTime()
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxBufferedBytes+1))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -118,7 +118,7 @@
 		pause := renewalInterval
 		if err != nil {
 			g.log.Warn("not_registered", eventlog.Error(err))
-			if !registered && registeredAt != (time.Time{}) {
+			if !registered && !registeredAt.IsZero() {
 				pause = retry/2 + time.Duration(rand.Int64N(int64(retry)))
 				retry = min(2*retry, renewalInterval)
 			}
--- a/gateway/storewatch/config.go
+++ b/gateway/storewatch/config.go
@@ -57,7 +57,7 @@
 type Listener interface {
 	// Publish replaces the snapshot by which callers are served.
 	Publish(before, after *directory.Snapshot)
-	// ConfigInForce follows the Publish of the first snapshot with a configuration.
+	// ConfigInForce follows the Publish of the first snapshot with this configuration.
 	ConfigInForce(config *directory.Config)
 	// EvacuationsChanged is told of evacuations that have begun or ended by the store's word.
 	EvacuationsChanged(changed []directory.Evacuation)
