--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" || exit 2
+exec ../run-case.sh reserving "$PWD"
