--- a/review/driver/case_ghost_test.go
+++ b/review/driver/case_ghost_test.go
@@ -21,8 +21,9 @@
 	// drainBound and contactBound are the bounds drain_ms and contact_ms.
 	drainBound   = 2 * time.Second
 	contactBound = 3 * time.Second
-	// servesOn is how long a worker serves after its entry was removed.
-	servesOn = 12 * time.Second
+	// servesOn is how long a worker serves after its entry was removed, ghostWork how long a request takes.
+	servesOn  = 12 * time.Second
+	ghostWork = 400 * time.Millisecond
 )
 
 // laggingReplica answers the stale reads of all pages of a list but the first. It is staleAge behind.
@@ -124,7 +125,11 @@
 	h.server.Handler = replica
 	var mu sync.Mutex
 	arrivals := map[string]time.Time{} // at the worker that leaves
-	other := func(x *exchange) bool { x.begin(); return x.plain(200, "answer to "+x.id) }
+	other := func(x *exchange) bool {
+		x.begin()
+		time.Sleep(ghostWork)
+		return x.plain(200, "answer to "+x.id)
+	}
 	for i := range otherWorkers {
 		h.register(newWorker(fmt.Sprintf("i-a%02d", i), "huvo11a", other))
 	}
@@ -158,20 +163,38 @@
 		h.logf("gateway %s: started again", restarted.name)
 	}
 	sentBy := map[string]string{}
-	for time.Since(removedAt) < servesOn {
+	var clients sync.WaitGroup
+	failed := 0
+	for exited := false; time.Since(removedAt) < servesOn+time.Second; time.Sleep(50 * time.Millisecond) {
+		if !exited && time.Since(removedAt) > servesOn {
+			exited = true
+			h.logf("worker %s: exits", leaving.id)
+			leaving.crash()
+		}
 		for _, g := range h.gateways {
 			c := call{id: h.newID(0x44), path: "/once/1", deadline: 3 * time.Second}
+			mu.Lock()
 			sentBy[c.id] = g.name
-			if a := h.send(g.callers, c); a.status != 200 {
-				h.logf("client: request %s to %s: %s", c.id, g.name, a)
-			}
+			mu.Unlock()
+			clients.Go(func() {
+				a := h.send(g.callers, c)
+				if a.status == 200 {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				_, ran := arrivals[c.id]
+				h.logf("client: request %s to %s, which worker %s had begun: %t: %s", c.id, g.name, leaving.id, ran, a)
+				if ran {
+					failed++
+				}
+			})
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
-	h.logf("worker %s: exits", leaving.id)
-	leaving.crash()
+	clients.Wait()
 	mu.Lock()
 	defer mu.Unlock()
+	h.logf("%d requests were lost that the worker had begun", failed)
 	late := 0
 	for id, at := range arrivals {
 		inTouch := at.Sub(startedAt) > contactBound
