--- a/review/driver/case_reserving_test.go
+++ b/review/driver/case_reserving_test.go
@@ -87,7 +87,7 @@
 		}
 		mu.Unlock()
 		x.begin()
-		return x.stream(10, 50*time.Millisecond, true)
+		return x.stream(20, 100*time.Millisecond, true)
 	}
 	var pool []*worker
 	add := func() {
@@ -125,7 +125,7 @@
 			add()
 		}
 		client.Wait()
-		time.Sleep(4 * time.Second)
+		time.Sleep(3500 * time.Millisecond)
 	}
 	h.logf("%d of %d requests reached an engine later than %v after its report; %d of %d orders got no answer", late, sent, drainBound, book.lost, book.orders)
 	return late > 0
