--- a/gateway/backoffs.go
+++ b/gateway/backoffs.go
@@ -38,11 +38,8 @@
 func (f *forwarding) refuseInBackoff(plan *direct.Plan) *result.Error {
 	f.log.Add("backoff_refused", zap.String("service", f.service.Name), zap.Int("endpoints", plan.Candidates), zap.Int("priority", f.placementRequest.Priority), zap.Duration("retry_after_ms", plan.RetryAfter))
 	f.gateway.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_backoff_refused_total{service=%q}`, f.service.Name)).Inc()
-	if f.failedResponse != nil {
-		return f.failedResponse.writeTo(f.call)
-	}
-	if f.retrier.MayHaveRun() {
-		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and the others want no requests")
+	if failure, ended := f.endAttempted("endpoint failed and the others want no requests"); ended {
+		return failure
 	}
 	return result.Refuse(result.EndpointsInBackoff, plan.RetryAfter, "%d endpoints want no requests", plan.Candidates)
 }
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -184,11 +184,8 @@
 func (f *forwarding) refuseCold(plan *direct.Plan) *result.Error {
 	f.log.Add("cold_refused", zap.String("service", f.service.Name), zap.Int("endpoints", plan.Candidates), zap.Int("priority", f.placementRequest.Priority), zap.Duration("retry_after_ms", plan.RetryAfter))
 	f.gateway.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_cold_refused_total{service=%q}`, f.service.Name)).Inc()
-	if f.failedResponse != nil {
-		return f.failedResponse.writeTo(f.call)
-	}
-	if f.retrier.MayHaveRun() {
-		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and the others warm up")
+	if failure, ended := f.endAttempted("endpoint failed and the others warm up"); ended {
+		return failure
 	}
 	return result.Refuse(result.EndpointsCold, plan.RetryAfter, "%d endpoints warm up and tolerate no more requests now", plan.Candidates)
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -57,8 +57,8 @@
 		return nil
 	}
 	f.log.Add("quarantine_refused", zap.Stringer("fingerprint", f.fingerprint()), zap.Duration("left_ms", remaining))
-	if f.retrier.MayHaveRun() {
-		return result.Fail(result.EndpointFailed, result.RanUnknown, "this request crashes endpoints")
+	if failure, ended := f.endAttempted("this request crashes endpoints"); ended {
+		return failure
 	}
 	return result.Refuse(result.Quarantined, remaining, "earlier copies of this request crashed endpoints")
 }
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"aspenyard.example/attempt"
 	"aspenyard.example/attempt/crashcause"
 	"aspenyard.example/directory"
 	"aspenyard.example/gateway/storewatch"
@@ -138,3 +139,23 @@
 
 // ReceivedBytes returns how many bytes the gateway has received of endpoints and callers.
 func (g *Gateway) ReceivedBytes() int64 { return g.traffic.received.Load() }
+
+// QuarantineRequest records three crashes of endpoints under a request.
+func (g *Gateway) QuarantineRequest(account, method, host, target, body string) {
+	fingerprint := attempt.Fingerprint{Scope: attempt.FingerprintScope(account, method, host, target, len(body)), Body: attempt.FingerprintBody([]byte(body))}
+	for endpoint := range uint32(3) {
+		g.quarantine.RecordCrash(time.Now(), fingerprint, endpoint)
+	}
+}
+
+// UseUpCold takes all that an endpoint which warms up tolerates now.
+func (g *Gateway) UseUpCold(endpoint string) {
+	e := g.snapshot.Load().Present(endpoint)
+	for {
+		ticket, allowed := g.cold().Take(time.Now(), g.snapshot.Load().Config.Service(e.Service), e)
+		if !allowed {
+			return
+		}
+		ticket.Sent(time.Now())
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -13,6 +13,7 @@
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/gateway/response"
 	"aspenyard.example/result"
 	"aspenyard.example/routing/direct"
 )
@@ -136,22 +137,6 @@
 	}
 }
 
-// refuse ends a request that must not be sent, for the reason in the plan; plan is nil if there is
-// no endpoint for it.
-func (f *forwarding) refuse(plan *direct.Plan) *result.Error {
-	switch {
-	case plan == nil:
-		return f.noEndpointError()
-	case plan.RateLimited:
-		return f.refuseLimited(plan)
-	case plan.InBackoff:
-		return f.refuseInBackoff(plan)
-	case plan.WarmingUp:
-		return f.refuseCold(plan)
-	}
-	return f.refuseCapacity(plan)
-}
-
 // place selects an endpoint, and helpers, from the newest snapshot. It returns nil when no
 // endpoint is eligible.
 func (c *call) place(r *direct.Request) *direct.Plan {
@@ -282,8 +267,8 @@
 	return f.planEvacuated(plan) || f.hasBlamedPart() || withdrawn(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, withdrawn)
 }
 
-// streamStarted reports whether the head of a stream's response has been sent to the caller.
-func (f *forwarding) streamStarted() bool { return f.relay != nil && f.relay.headSent }
+// streamStarted reports whether the head of a response, which is that of a stream, has been sent to the caller.
+func (f *forwarding) streamStarted() bool { return f.response.State() != response.Unsent }
 
 // Bounds of the time without a byte from an endpoint after which it is probed.
 const (
@@ -335,73 +320,3 @@
 	}
 	return c.route.Priority
 }
-
-// contextError returns the error of a request whose context has ended.
-func (f *forwarding) contextError(ctx context.Context) *result.Error {
-	ran := result.RanNo
-	if f.retrier.MayHaveRun() {
-		ran = result.RanUnknown
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return result.Fail(result.DeadlineExceeded, ran, "deadline passed before the request ended")
-	}
-	return result.Fail(result.Cancelled, ran, "caller disconnected")
-}
-
-// noEndpointError ends a request for which no eligible endpoint is left. If an endpoint returned
-// a complete failure response, that response is relayed.
-func (f *forwarding) noEndpointError() *result.Error {
-	switch {
-	case f.failedResponse != nil:
-		return f.failedResponse.writeTo(f.call)
-	case f.retrier.MayHaveRun():
-		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and no other is available")
-	}
-	if failure := f.refuseIfAllEvacuated(); failure != nil {
-		return failure
-	}
-	if failure := f.refuseOutsideRegions(); failure != nil {
-		return failure
-	}
-	if failure := f.refuseIfAllInBackoff(); failure != nil {
-		return failure
-	}
-	leaving := f.gateway.snapshot.Load().LeavingCount(f.service.Name)
-	f.log.Add("no_endpoint", zap.String("service", f.service.Name), zap.Int("leaving", leaving))
-	return result.Refuse(result.NoEndpoint, noEndpointRetryAfter, "no endpoint available for service %q; %d are leaving", f.service.Name, leaving)
-}
-
-// refuseCapacity ends a request whose prefill would delay too many other requests.
-func (f *forwarding) refuseCapacity(plan *direct.Plan) *result.Error {
-	f.log.Add("capacity_refused", zap.Duration("prefill_ms", plan.PartPrefill), zap.Int("engines", 1+len(plan.Helpers)), zap.Int("open", plan.InFlight), zap.Int("harmed", plan.Delayed))
-	if f.retrier.MayHaveRun() {
-		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and no other has capacity")
-	}
-	return result.Refuse(result.Overloaded, capacityRetryAfter, "engines have no capacity for a prompt of %d tokens", f.PromptTokens)
-}
-
-// finalError ends a request that is not retried.
-func (f *forwarding) finalError(next attempt.RetryAction, err error) *result.Error {
-	switch next {
-	case attempt.PassOn:
-		return f.failedResponse.writeTo(f.call)
-	case attempt.Fail:
-		return result.Fail(result.EndpointFailed, result.RanUnknown, "%v", err)
-	}
-	if failure := f.refuseIfAllInBackoff(); failure != nil {
-		return failure
-	}
-	if failure := f.refuseIfAllEvacuated(); failure != nil {
-		return failure
-	}
-	f.attemptsRefused = true
-	return result.Refuse(result.Overloaded, overloadedRetryAfter, "%v", err)
-}
-
-// capacityRetryAfter is the Retry-After value for prompts that the engines in use have no
-// capacity for: the mix of requests changes within seconds.
-const capacityRetryAfter = 3 * time.Second
-
-// overloadedRetryAfter is the Retry-After value when endpoints were too busy: by then a batch of
-// short requests has ended.
-const overloadedRetryAfter = 300 * time.Millisecond
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -18,6 +18,7 @@
 	"aspenyard.example/attempt/crashcause"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/gateway/response"
 	"aspenyard.example/result"
 )
 
@@ -41,7 +42,7 @@
 	rank               float64
 	// expected is the part of held that is kept for the response.
 	expected    int64
-	writer      http.ResponseWriter
+	response    *response.Writer
 	httpRequest *http.Request
 	log         *eventlog.RequestLog
 	// firstByteAt is when the response's head or first event was written to the caller.
@@ -70,7 +71,7 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	c := &call{gateway: g, started: time.Now(), Request: g.headerCodec.ReadRequest(r.Header), writer: w, httpRequest: r}
+	c := &call{gateway: g, started: time.Now(), Request: g.headerCodec.ReadRequest(r.Header), response: response.New(w), httpRequest: r}
 	c.log = g.requestLogs.Begin(c.ID)
 	defer c.releaseHolding()
 	c.closeOverLimit()
@@ -245,9 +246,9 @@
 	if failure := c.refuseLateBody(c.httpRequest.ContentLength); failure != nil {
 		return failure
 	}
-	control := http.NewResponseController(c.writer)
+	control := c.response.Controller()
 	_ = control.SetReadDeadline(c.deadline)
-	reader := http.MaxBytesReader(c.writer, c.httpRequest.Body, limit)
+	reader := http.MaxBytesReader(nil, c.httpRequest.Body, limit)
 	body, err := c.readBodyWithin(reader, c.httpRequest.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
@@ -275,17 +276,18 @@
 // from an endpoint.
 func (c *call) writeError(failure *result.Error) {
 	status := result.Lookup(failure.Code).HTTPStatus
-	h := c.writer.Header()
+	h := http.Header{}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if failure.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	switch failure.Code { // the rest of the body is on the connection, or the process ends
 	case result.SlowCaller, result.BodyTooLarge, result.BadRequest, result.Leaving, result.EntryFull:
-		h.Set("Connection", "close")
+		c.response.CloseConnection()
+	}
+	if err := c.response.WriteWhole(status, h, failure.Error()+"\n"); err != nil {
+		c.log.Add("caller_lost", eventlog.Error(err))
 	}
-	c.writer.WriteHeader(status)
-	_, _ = io.WriteString(c.writer, failure.Error()+"\n")
 }
 
 // finish counts and logs the request and, if it failed, writes the error response or aborts the
@@ -311,11 +313,10 @@
 	}
 	c.log.Add("request_ended", fields...)
 	c.log.End(failure != nil || late != onTime)
-	switch {
-	case failure == nil:
-	case responseStarted || failure.Code == result.Cancelled:
-		// The response has begun or the caller is gone. Aborting the connection keeps a partial
-		// response from looking complete.
+	switch state := c.response.State(); {
+	case failure == nil && state == response.Complete:
+	case failure == nil || state != response.Unsent || failure.Code == result.Cancelled:
+		// Aborting the connection keeps a partial response from looking complete.
 		panic(http.ErrAbortHandler)
 	default:
 		c.writeError(failure)
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -157,7 +156,7 @@
 
 // endBodyRead makes the read of the body that is under way fail with a timeout.
 func (c *call) endBodyRead() {
-	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Unix(1, 0))
+	_ = c.response.Controller().SetReadDeadline(time.Unix(1, 0))
 }
 
 // holdResponse holds the bytes that a response of the route is expected to have. Streams are expected to be
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -161,11 +161,8 @@
 func (f *forwarding) refuseLimited(plan *direct.Plan) *result.Error {
 	f.log.Add("limit_refused", zap.String("service", f.service.Name), zap.Int("endpoints", plan.Candidates), zap.Int("priority", f.placementRequest.Priority))
 	f.gateway.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_limit_refused_total{service=%q}`, f.service.Name)).Inc()
-	if f.failedResponse != nil {
-		return f.failedResponse.writeTo(f.call)
-	}
-	if f.retrier.MayHaveRun() {
-		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoint failed and the others' request limits are used up")
+	if failure, ended := f.endAttempted("endpoint failed and the others' request limits are used up"); ended {
+		return failure
 	}
 	return result.Refuse(result.EndpointsLimited, plan.RetryAfter, "the request limits of %d endpoints are used up", plan.Candidates)
 }
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -264,7 +264,7 @@
 		return
 	}
 	if conn.overLimit = c.gateway.pressure.callersOverLimit(); conn.overLimit {
-		c.writer.Header().Set("Connection", "close")
+		c.response.CloseConnection()
 	}
 }
 
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -56,8 +56,8 @@
 	}
 	name := string(f.SharedParts[slices.Index(f.sharedParts(), part)])
 	f.log.Add("part_refused", zap.String("part", formatPart(part)), zap.String("name", name), zap.Duration("left_ms", remaining))
-	if f.retrier.MayHaveRun() {
-		return result.Fail(result.EndpointFailed, result.RanUnknown, "endpoints crash under part %s of this prompt", name)
+	if failure, ended := f.endAttempted(fmt.Sprintf("endpoints crash under part %s of this prompt", name)); ended {
+		return failure
 	}
 	return result.Refuse(result.PartQuarantined, remaining, "endpoints crashed under part %s of this prompt", name)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -14,6 +14,7 @@
 
 	"aspenyard.example/attempt"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/gateway/response"
 	"aspenyard.example/result"
 )
 
@@ -53,26 +54,28 @@
 		f.failedResponse = response
 		return attempt.Failed, errors.Errorf("endpoint answered with status %d", r.status)
 	}
-	response.writeTo(f.call)
+	if failure := response.writeTo(f.call); failure != nil {
+		return attempt.Broken, failure
+	}
 	return 0, nil
 }
 
-// writeTo writes the response to the caller. It always returns nil: a request that ends with an
-// endpoint's own failure response has been answered, and finish must not write another response.
+// writeTo writes the response to the caller. It returns nil unless another response has begun: a request that
+// ends with an endpoint's own failure response has been answered, and finish must not write another one.
 func (b *bufferedResponse) writeTo(c *call) *result.Error {
-	if c.firstByteAt.IsZero() {
-		c.firstByteAt = time.Now()
+	if err := c.response.Begin(b.status, endToEndHeaders(b.header)); err != nil {
+		return result.Fail(result.EndpointFailed, result.RanUnknown, "%v", err)
 	}
-	copyHeaders(c.writer.Header(), b.header)
-	c.writer.WriteHeader(b.status)
+	c.firstByteAt = time.Now()
 	for i, segment := range b.body {
-		if _, err := c.writer.Write(segment); err != nil {
+		if _, err := c.response.Write(segment); err != nil {
 			c.log.Add("caller_lost", eventlog.Error(err))
-			break
+			return nil
 		}
 		b.body[i] = nil
 		c.responseHeld.Shrink(int64(cap(segment)))
 	}
+	_ = c.response.Complete()
 	return nil
 }
 
@@ -84,14 +87,13 @@
 	b.body = nil
 }
 
-// copyHeaders copies the end-to-end headers of an endpoint's response.
-func copyHeaders(to, from http.Header) {
-	for name, values := range forwardableHeaders(from) {
-		to[name] = values
-	}
+// endToEndHeaders returns the end-to-end headers of an endpoint's response.
+func endToEndHeaders(from http.Header) http.Header {
+	header := forwardableHeaders(from)
 	if from.Get("Content-Type") == "" {
-		to["Content-Type"] = nil // keeps the server from sniffing a type
+		header["Content-Type"] = nil // keeps the server from sniffing a type
 	}
+	return header
 }
 
 // discard ends an exchange whose response is not relayed. The connection is kept only if the rest
@@ -116,7 +118,6 @@
 	*call
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
-	headSent    bool
 	lastEventAt time.Time
 	controller  *http.ResponseController
 }
@@ -145,10 +146,7 @@
 		}
 		if err == io.EOF {
 			r.finish()
-			if !s.headSent {
-				s.writeHead(r)
-			}
-			return 0, nil
+			return 0, s.end(r)
 		}
 		if err = bodyError(err); err != nil {
 			r.abandon()
@@ -163,7 +161,7 @@
 			onPause(now.Sub(previous))
 		}
 		previous = now
-		if s.headSent && !s.isNew(id) {
+		if s.begun() && !s.isNew(id) {
 			continue
 		}
 		if err := s.writeEvent(r, event, id, now, reader.Buffered() > 0); err != nil {
@@ -188,29 +186,42 @@
 	return id > last
 }
 
+// begun reports whether the caller has been sent the response's head.
+func (s *streamRelay) begun() bool { return s.response.State() != response.Unsent }
+
 // writeHead sends the response's head. A stream that is resumed at another endpoint keeps it.
-func (s *streamRelay) writeHead(r *endpointResponse) {
-	s.headSent = true
-	s.controller = http.NewResponseController(s.writer)
+func (s *streamRelay) writeHead(r *endpointResponse) error {
+	s.controller = s.response.Controller()
 	if conn := s.backlog(); conn != nil {
 		conn.beginStream()
 	}
-	copyHeaders(s.writer.Header(), r.header)
-	s.writer.WriteHeader(r.status)
+	return s.response.Begin(r.status, endToEndHeaders(r.header))
+}
+
+// end completes the response; that of a stream without events has only a head.
+func (s *streamRelay) end(r *endpointResponse) error {
+	if !s.begun() {
+		if err := s.writeHead(r); err != nil {
+			return err
+		}
+	}
+	return s.response.Complete()
 }
 
 // writeEvent sends an event that arrived at now to the caller. It flushes unless more says that
 // further events are buffered.
 func (s *streamRelay) writeEvent(r *endpointResponse, event []byte, id string, now time.Time, more bool) error {
-	if !s.headSent {
-		s.writeHead(r)
+	if !s.begun() {
+		if err := s.writeHead(r); err != nil {
+			return err
+		}
 		s.firstByteAt = now
 	} else if s.eventsSent > 0 {
 		if pause := now.Sub(s.lastEventAt); pause > s.longestPause {
 			s.longestPause, s.longestPauseEnd = pause, now
 		}
 	}
-	if _, err := s.writer.Write(event); err != nil {
+	if _, err := s.response.Write(event); err != nil {
 		return errors.Wrap(errCallerWrite, err.Error())
 	}
 	s.lastEventAt = now
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -33,6 +33,9 @@
 	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%sContent-Length: %d\r\n\r\n%s", headers, serverStamp, len(body), body)
 	switch fault {
 	case FaultError:
+		if w.HoldError != nil {
+			<-w.HoldError
+		}
 		w.setStatus(run, http.StatusInternalServerError)
 		fmt.Fprintf(conn, "HTTP/1.1 500 Internal Server Error\r\n%s%sContent-Length: 4\r\n\r\nfail", headers, serverStamp)
 	case FaultUnmarkedRefusal:
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -121,6 +121,8 @@
 	// CrashPart begins the names of the parts of prompts, other than the last one, that crash the worker when
 	// it begins to write a response; "" means none.
 	CrashPart string
+	// HoldError, unless nil, delays the responses of FaultError until it is closed.
+	HoldError <-chan struct{}
 	// OnCrash is called, unless nil, when a request crashes the worker.
 	OnCrash func()
 	// MemoryTokens is the size of the KV cache for reservations, in tokens; 0 means no
