--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -96,7 +96,7 @@
 // after which the endpoint is probed; 0 disables probing, for requests that could not be retried
 // at another endpoint.
 func (g *Gateway) exchange(ctx context.Context, e *directory.EndpointState, out *outgoingRequest, nonRepeatable bool, silence time.Duration) (*endpointResponse, *sendError) {
-	conn, err := g.pool.get(ctx, e, nonRepeatable)
+	conn, err := g.pool.get(ctx, e, out.used, nonRepeatable)
 	if err != nil {
 		if ctx.Err() == nil {
 			g.markUnreachable(e, err.Error())
@@ -117,6 +117,7 @@
 	if silence > 0 {
 		r.watchdog = g.startWatchdog(ctx, r, silence)
 	}
+	out.used.add(conn)
 	r.writeResult = out.write(conn)
 	if err := r.readHead(g.headerCodec, out); err != nil {
 		r.abandon()
@@ -148,6 +149,7 @@
 		closeDelimited := response.ContentLength < 0 && len(response.TransferEncoding) == 0
 		if r.parsed.ID != out.id {
 			strays++
+			r.pool.strays.Inc()
 			if closeDelimited || response.Close {
 				return errStrayResponse
 			}
@@ -235,6 +237,8 @@
 	id, method, target, host string
 	header                   http.Header
 	body                     []byte
+	// used are the connections on which the request was sent before; exchange adds its own.
+	used *usedConns
 	// connected is called, unless nil, before the request is written; if it returns false, the request
 	// must not be sent.
 	connected func() bool
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -27,6 +27,8 @@
 	relay *streamRelay
 	// reserveAttempts counts the attempts to reserve KV cache; each uses reservation IDs of its own.
 	reserveAttempts int
+	// usedConns are the connections on which the request was sent.
+	usedConns usedConns
 	// lastEndpoint is the endpoint of the last attempt.
 	lastEndpoint directory.Incarnation
 	// allowanceTaken is set if the last attempt used the allowance of an endpoint's limit.
@@ -310,7 +312,7 @@
 	}
 	header := forwardableHeaders(f.httpRequest.Header)
 	f.gateway.headerCodec.Forward(header, d)
-	return &outgoingRequest{id: f.ID, method: f.httpRequest.Method, target: f.httpRequest.RequestURI, host: f.httpRequest.Host, header: header, body: f.body, connected: f.recordColdSent}
+	return &outgoingRequest{id: f.ID, method: f.httpRequest.Method, target: f.httpRequest.RequestURI, host: f.httpRequest.Host, header: header, body: f.body, used: &f.usedConns, connected: f.recordColdSent}
 }
 
 // priority returns the client account's priority, or the route's if the account has none.
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"aspenyard.example/directory"
 )
 
@@ -82,20 +85,38 @@
 	// idleLimit is how many idle connections are kept to an endpoint.
 	idleLimit func(e *directory.EndpointState) int
 	traffic   *traffic // of all connections; may be nil
-	mu        sync.Mutex
-	idle      map[directory.Incarnation][]*endpointConn
+	// strays counts the responses that belong to no request in flight on their connection, withheld how often a
+	// connection was not used because the request had been sent on it.
+	strays, withheld *metrics.Counter
+	mu               sync.Mutex
+	idle             map[directory.Incarnation][]*endpointConn
 }
 
 func newPool() *pool {
 	defaultLimit := func(*directory.EndpointState) int { return maxIdleConns }
-	return &pool{dial: Dialer(dialTimeout), idleLimit: defaultLimit, idle: map[directory.Incarnation][]*endpointConn{}}
+	return &pool{dial: Dialer(dialTimeout), idleLimit: defaultLimit, idle: map[directory.Incarnation][]*endpointConn{}, strays: new(metrics.Counter), withheld: new(metrics.Counter)}
 }
 
-// get returns a connection to the endpoint: the most recently used idle one, or else a new one.
-// nonRepeatable is set for requests that must not run twice.
-func (p *pool) get(ctx context.Context, e *directory.EndpointState, nonRepeatable bool) (*endpointConn, error) {
+// usedConns are the connections on which a request has been sent; nil stands for none. A late copy of an endpoint's
+// response has the request's ID, so that on such a connection it could not be told from the response to the next
+// sending.
+type usedConns struct{ conns []*endpointConn }
+
+func (u *usedConns) contains(conn *endpointConn) bool {
+	return u != nil && slices.Contains(u.conns, conn)
+}
+
+func (u *usedConns) add(conn *endpointConn) {
+	if u != nil {
+		u.conns = append(u.conns, conn)
+	}
+}
+
+// get returns a connection to the endpoint on which the request has not been sent: the most recently used idle one,
+// or else a new one. nonRepeatable is set for requests that must not run twice.
+func (p *pool) get(ctx context.Context, e *directory.EndpointState, used *usedConns, nonRepeatable bool) (*endpointConn, error) {
 	for {
-		conn := p.popIdle(e.Incarnation, nonRepeatable)
+		conn := p.popIdle(e.Incarnation, used, nonRepeatable)
 		if conn == nil {
 			break
 		}
@@ -118,20 +139,22 @@
 	return endpoint, nil
 }
 
-// popIdle removes and returns the most recently used idle connection; nil if there is none that
+// popIdle removes and returns the most recently used idle connection that is not in used; nil if there is none that
 // may be used.
-func (p *pool) popIdle(incarnation directory.Incarnation, nonRepeatable bool) *endpointConn {
+func (p *pool) popIdle(incarnation directory.Incarnation, used *usedConns, nonRepeatable bool) *endpointConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[incarnation]
 	now := time.Now()
-	for len(list) > 0 {
-		conn := list[len(list)-1]
+	for i := len(p.idle[incarnation]) - 1; i >= 0; i-- {
+		conn := p.idle[incarnation][i]
 		if nonRepeatable && now.Sub(conn.idleSince) > nonRepeatableMaxIdle {
 			return nil
 		}
-		list = list[:len(list)-1]
-		p.idle[incarnation] = list
+		if used.contains(conn) {
+			p.withheld.Inc()
+			continue
+		}
+		p.idle[incarnation] = slices.Delete(p.idle[incarnation], i, i+1)
 		if now.Before(conn.expiresAt) {
 			return conn
 		}
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -55,6 +55,8 @@
 	FaultSlow Fault = "slow"
 	// FaultHelperFailed refuses the request because of a helper, whose address it names.
 	FaultHelperFailed Fault = "helper"
+	// FaultHelperBusy refuses a request that lists helpers because of the first one.
+	FaultHelperBusy Fault = "helper-busy"
 	// FaultLateOrder leaves an order unanswered and applies it after lateOrderDelay.
 	FaultLateOrder Fault = "late"
 )
@@ -145,6 +147,11 @@
 	statedLimit, statedLeaving, statedBackoff string
 	cold                                      coldState
 
+	// lateCopies is how often a response is sent again where the next one is expected on its connection, due the
+	// text of what is to be sent so.
+	lateCopies int
+	due        map[net.Conn]string
+
 	slowdown        float64
 	reportCount     int
 	listener        net.Listener
@@ -164,7 +171,7 @@
 		return err
 	}
 	w.mu.Lock()
-	w.listener, w.conns, w.reservations = listener, map[net.Conn]bool{}, map[string]reservation{}
+	w.listener, w.conns, w.due, w.reservations = listener, map[net.Conn]bool{}, map[net.Conn]string{}, map[string]reservation{}
 	if w.slowdown == 0 {
 		w.slowdown = 1
 	}
@@ -327,6 +334,7 @@
 		_ = conn.Close()
 		w.mu.Lock()
 		delete(w.conns, conn)
+		delete(w.due, conn)
 		w.mu.Unlock()
 	}()
 	reader := bufio.NewReader(conn)
@@ -335,7 +343,7 @@
 		if err != nil {
 			return
 		}
-		if !w.handle(conn, reader, request) {
+		if !w.handleCopied(conn, reader, request) {
 			return
 		}
 	}
@@ -417,7 +425,7 @@
 	deadline, _ := strconv.Atoi(r.Header.Get("X-Aspenyard-Deadline-Ms"))
 	return &Run{
 		ID: r.Header.Get("X-Aspenyard-Attempt-Id"), Method: r.Method, RequestURI: r.RequestURI, Account: r.Header.Get("X-Aspenyard-Tenant"),
-		LastEventID: r.Header.Get("Last-Event-Id"), Helpers: r.Header.Get("X-Aspenyard-Helpers"), Priority: r.Header.Get("X-Aspenyard-Request-Priority"), Parts: r.Header.Get(headerParts),
+		LastEventID: r.Header.Get("Last-Event-Id"), Helpers: r.Header.Get(headerHelpers), Priority: r.Header.Get("X-Aspenyard-Request-Priority"), Parts: r.Header.Get(headerParts),
 		DeadlineMS: deadline, Authorization: r.Header.Get("Authorization"), Statements: r.Header.Get(headerLimit) + r.Header.Get(headerLeaving), Fault: fault,
 	}
 }
@@ -433,6 +441,10 @@
 		return http.StatusServiceUnavailable, notExecuted
 	case w.atCapacity():
 		return http.StatusServiceUnavailable, notExecuted + "At-Server: " + w.Addr() + "\r\n"
+	case fault == FaultHelperBusy && r.Header.Get(headerHelpers) != "":
+		busy, _, _ := strings.Cut(r.Header.Get(headerHelpers), ",")
+		addr, _, _ := strings.Cut(busy, "/")
+		return http.StatusServiceUnavailable, notExecuted + "At-Server: " + addr + "\r\n"
 	case fault == FaultHelperFailed:
 		return http.StatusServiceUnavailable, notExecuted + "At-Server: " + w.failedHelper + "\r\n"
 	}
