--- a/gateway/evacuation_checks_test.go
+++ b/gateway/evacuation_checks_test.go
@@ -27,6 +27,8 @@
 
 func (f reserverFunc) Reserve(context.Context, Reservation, time.Duration) error { f(); return nil }
 
+func (f reserverFunc) Renew(context.Context, Reservation, time.Duration) error { return nil }
+
 func (f reserverFunc) Release(context.Context, Reservation) error { return nil }
 
 // evacuationFixture is a gateway that does not run, with a plan for two endpoints in dc1.
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -32,9 +32,12 @@
 // Reserver creates and releases KV cache reservations at engines.
 type Reserver interface {
 	// Reserve creates a reservation that expires after ttl, counted from when the engine receives
-	// it. Repeating the call renews the reservation. It returns ErrNoMemory if the engine has too
-	// little memory; after any other error the reservation may exist.
+	// it. It returns ErrNoMemory if the engine has too little memory; after any other error the reservation
+	// may exist. The response is certainly that of this call.
 	Reserve(ctx context.Context, r Reservation, ttl time.Duration) error
+	// Renew extends a reservation to ttl from when the engine receives the call. Its result, and that of Release,
+	// may be the one of an earlier call to the engine.
+	Renew(ctx context.Context, r Reservation, ttl time.Duration) error
 	// Release ends a reservation.
 	Release(ctx context.Context, r Reservation) error
 }
@@ -210,7 +213,7 @@
 func (r *reservationSet) renewReservation(h *heldReservation) {
 	bounded, cancel := context.WithTimeout(context.Background(), reserveTimeout)
 	defer cancel()
-	err := r.gateway.reserver.Reserve(bounded, h.Reservation, r.gateway.reservationTTL())
+	err := r.gateway.reserver.Renew(bounded, h.Reservation, r.gateway.reservationTTL())
 	if err == nil {
 		return
 	}
--- a/standin/platform/reservations.go
+++ b/standin/platform/reservations.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -58,6 +59,26 @@
 	return w.freedCount
 }
 
+// Granted reports whether a reservation was ever made.
+func (w *Worker) Granted(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.granted[id]
+}
+
+// Unreleased returns the number of reservations for which no release order has come.
+func (w *Worker) Unreleased() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := len(w.granted)
+	for id := range w.granted {
+		if slices.Contains(w.releasedIDs, id) {
+			n--
+		}
+	}
+	return n
+}
+
 // expireReservations deletes the reservations whose time has passed.
 func (w *Worker) expireReservations(now time.Time) {
 	for id, r := range w.reservations {
@@ -113,6 +134,7 @@
 		if !w.fitsMemory(order.ID, order.Tokens) {
 			return false
 		}
+		w.granted[order.ID] = true
 		w.reservations[order.ID] = reservation{order.Tokens, now.Add(time.Duration(order.HoldMS) * time.Millisecond)}
 	case "release":
 		if _, held := w.reservations[order.ID]; held {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -138,10 +138,12 @@
 	orderFaultQueue []Fault
 	defaultFault    Fault
 	reservations    map[string]reservation
-	releasedIDs     []string
-	orderCount      int
-	freedCount      int
-	failedHelper    string
+	// granted holds the IDs of all reservations that were ever made.
+	granted      map[string]bool
+	releasedIDs  []string
+	orderCount   int
+	freedCount   int
+	failedHelper string
 	// statedLimit and statedLeaving are the texts of headers in responses, statedBackoff that of
 	// Retry-After in refusals; "" states nothing.
 	statedLimit, statedLeaving, statedBackoff string
@@ -172,6 +174,7 @@
 	}
 	w.mu.Lock()
 	w.listener, w.conns, w.due, w.reservations = listener, map[net.Conn]bool{}, map[net.Conn]string{}, map[string]reservation{}
+	w.granted = map[string]bool{}
 	if w.slowdown == 0 {
 		w.slowdown = 1
 	}
