--- a/cli/explain.go
+++ b/cli/explain.go
@@ -197,6 +197,8 @@
 		return fmt.Sprintf("KV cache reserved at %s helpers (%s refused): %s of %s tokens", l.text("helpers"), l.text("refused"), l.text("tokens"), l.text("needed"))
 	case "attempt_failed":
 		return fmt.Sprintf("attempt at %s failed: %s (%s); next: %s, endpoints reached so far: %s", l.text("endpoint"), l.text("outcome"), l.text("error"), l.text("next"), l.text("arrivals"))
+	case "send_withheld":
+		return fmt.Sprintf("not sent by that plan, %s after it was made: %s (endpoint %s, by the list at revision %s%s)", l.milliseconds("placed_ms"), l.text("reason"), cmp.Or(l.text("endpoint"), "any"), l.text("at"), l.eraText())
 	case "sent_to_limited":
 		return fmt.Sprintf("%s states a limit of requests per second; the request uses this node's share of it", l.text("endpoint"))
 	case "limit_refused":
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -9,7 +9,6 @@
 
 	"aspenyard.example/directory"
 	"aspenyard.example/result"
-	"aspenyard.example/routing/direct"
 	"aspenyard.example/wire"
 )
 
@@ -107,11 +106,6 @@
 	g.peers.sendHeartbeat()
 }
 
-// planEvacuated reports whether one of the plan's endpoints is in a data centre that is evacuated.
-func (f *forwarding) planEvacuated(plan *direct.Plan) bool {
-	return f.gateway.evacuated(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, f.gateway.evacuated)
-}
-
 // refuseIfAllEvacuated returns the error for a request that has certainly not run if all endpoints that it
 // may use are left out because of evacuations; nil if one of them is not, or there is none.
 func (f *forwarding) refuseIfAllEvacuated() *result.Error {
--- a/gateway/evacuation_checks_test.go
+++ b/gateway/evacuation_checks_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +19,7 @@
 
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
+	"aspenyard.example/gateway/response"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/settings"
 	"aspenyard.example/wire"
@@ -48,7 +51,7 @@
 	s := settings.Gateway{Name: "g", DataCentre: "d", CallersListen: "127.0.0.1:0", ReadinessListen: "127.0.0.1:0", Store: "127.0.0.1:1"}
 	is.NoErr(s.Check().Err())
 	f := &evacuationFixture{received: make(chan struct{}), dialed: make(chan struct{})}
-	f.Gateway = New(Config{Settings: s, Source: source, Reserver: reserverFunc(func() { reserve(f.Gateway) }), Log: zap.NewNop()})
+	f.Gateway = New(Config{Settings: s, Source: source, HeaderCodec: stubCodec{}, Reserver: reserverFunc(func() { reserve(f.Gateway) }), Log: zap.NewNop()})
 	f.pool.dial = func(context.Context, string, string) (net.Conn, error) {
 		f.dials.Add(1)
 		ours, theirs := net.Pipe()
@@ -64,6 +67,7 @@
 		return &directory.EndpointState{Endpoint: directory.Endpoint{Incarnation: directory.Incarnation{ID: id}, Service: "s", DataCentre: "dc1", Slots: 16}}
 	}
 	f.plan = &direct.Plan{Endpoint: endpoint("a"), Helpers: []*directory.EndpointState{endpoint("b")}}
+	f.snapshot.Store(snapshotOf(false, f.plan.Endpoint, f.plan.Helpers[0]))
 	return f
 }
 
@@ -74,11 +78,25 @@
 
 // send sends a request to the plan's endpoint.
 func (f *evacuationFixture) send() (attempt.SendOutcome, error) {
-	c := &call{gateway: f.Gateway, service: &directory.Service{Name: "s"}, route: &directory.Route{}, started: time.Now()}
+	return f.forwarding().sendTo(context.Background(), f.plan)
+}
+
+// forwarding returns the state of a request before its first attempt.
+func (f *evacuationFixture) forwarding() *forwarding {
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	c := &call{gateway: f.Gateway, Request: Request{ID: "q", SharedParts: []PromptPart{"a1"}}, service: &directory.Service{Name: "s"}, route: &directory.Route{}, started: time.Now(), httpRequest: r, response: response.New(httptest.NewRecorder())}
 	c.log = f.requestLogs.Begin("q")
 	sending := &forwarding{call: c}
 	sending.placementRequest.Tried = map[directory.Incarnation]bool{}
-	return sending.sendTo(context.Background(), f.plan)
+	return sending
+}
+
+// isWithheld checks that a request was withheld for a reason.
+func isWithheld(is *is.I, err error, reason withholdReason) {
+	is.Helper()
+	var withheld *withheldError
+	is.True(errors.As(err, &withheld))
+	is.Equal(withheld.reason, reason)
 }
 
 func nothing(*Gateway) {}
@@ -94,7 +112,7 @@
 	evacuateDC1(f.Gateway)
 	outcome, err := f.send()
 	is.Equal(outcome, attempt.NotSent)
-	is.True(errors.Is(err, errEndpointWithdrawn))
+	isWithheld(is, err, withholdEvacuated)
 	is.True(!reserved)
 	is.Equal(f.dials.Load(), int64(0))
 }
@@ -107,7 +125,7 @@
 	f.plan.ReservingHelpers, f.plan.HelperMemoryTokens, f.plan.MemoryTokens = 1, 10, 10
 	outcome, err := f.send()
 	is.Equal(outcome, attempt.NotSent)
-	is.True(errors.Is(err, errEndpointWithdrawn))
+	isWithheld(is, err, withholdEvacuated)
 	is.Equal(f.dials.Load(), int64(0))
 }
 
@@ -116,9 +134,9 @@
 func TestARequestIsNotSentWhenItIsEvacuatedWhileConnecting(t *testing.T) {
 	is := is.New(t)
 	f := newEvacuationFixture(is, &recordingSource{}, nothing, evacuateDC1)
-	_, err := f.exchange(context.Background(), f.plan.Endpoint, &outgoingRequest{id: "q", method: "GET", target: "/", host: "h"}, false, 0)
-	is.True(err != nil)
-	is.Equal(err.outcome, attempt.NotSent)
+	outcome, err := f.send()
+	isWithheld(is, err, withholdEvacuated)
+	is.Equal(outcome, attempt.NotSent)
 	<-f.received
 	is.Equal(f.bytes, int64(0))
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -103,16 +103,12 @@
 		}
 		return nil, &sendError{attempt.NotSent, err}
 	}
-	if g.evacuated(e) { // connecting takes up to dialTimeout
-		_ = conn.Close()
-		return nil, &sendError{attempt.NotSent, errEndpointWithdrawn}
-	}
 	g.countConnection(conn.reused)
-	if out.connected != nil && !out.connected() {
+	r := &endpointResponse{ctx: ctx, endpoint: e, beganAt: g.uptimeNanos(), pool: g.pool, conn: conn}
+	if err := out.beforeWrite(); err != nil { // connecting takes up to dialTimeout
 		_ = conn.Close()
-		return nil, &sendError{attempt.NotSent, errConnectedLate}
+		return nil, &sendError{attempt.NotSent, err}
 	}
-	r := &endpointResponse{ctx: ctx, endpoint: e, beganAt: g.uptimeNanos(), pool: g.pool, conn: conn}
 	r.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if silence > 0 {
 		r.watchdog = g.startWatchdog(ctx, r, silence)
@@ -239,9 +235,8 @@
 	body                     []byte
 	// used are the connections on which the request was sent before; exchange adds its own.
 	used *usedConns
-	// connected is called, unless nil, before the request is written; if it returns false, the request
-	// must not be sent.
-	connected func() bool
+	// beforeWrite is called right before the request is written, which it is not if there is an error.
+	beforeWrite func() error
 }
 
 // maxInlineWrite is the size in bytes up to which a request is written before the response is
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -147,7 +146,7 @@
 	if plan == nil || plan.Refused() {
 		return plan
 	}
-	c.lastEndpoint = plan.Endpoint.ID
+	c.lastEndpoint, c.placedAt = plan.Endpoint.ID, time.Now()
 	c.log.Add("placed", zap.String("endpoint", plan.Endpoint.ID), zap.String("service", c.service.Name), zap.Uint64("at", snapshot.At.Revision()), zap.Stringer("era", snapshot.At.Era()),
 		zap.Int("candidates", plan.Candidates), zap.Duration("cost_ms", plan.Cost), zap.Duration("prefill_ms", plan.PartPrefill), zap.Strings("helpers", plan.HelperIDs()))
 	return plan
@@ -156,9 +155,6 @@
 // sendTo makes one attempt at the plan's endpoint and relays its response. After an error the
 // outcome says whether the request may have run.
 func (f *forwarding) sendTo(ctx context.Context, plan *direct.Plan) (attempt.SendOutcome, error) {
-	if f.planEvacuated(plan) { // before anything is reserved or sent
-		return attempt.NotSent, errEndpointWithdrawn
-	}
 	f.placementRequest.Tried[plan.Endpoint.Incarnation] = true
 	f.lastEndpoint = plan.Endpoint.Incarnation
 	load := f.gateway.loadTracker.Begin(time.Now(), plan)
@@ -178,9 +174,9 @@
 	}
 	if plan.HelperMemoryTokens > 0 {
 		f.reserveAttempts++
-		reservations, err := f.gateway.reserve(ctx, f.call, plan, f.reserveAttempts)
+		reservations, err := f.gateway.reserve(ctx, f.call, plan, f.reserveAttempts, func() error { return f.checkSend(plan) })
 		if err != nil {
-			return attempt.NotSent, err
+			return f.notSent(plan, err)
 		}
 		defer reservations.release()
 		load.MoveHelperMemory(reservations.holders, plan.HelperMemoryTokens)
@@ -195,12 +191,11 @@
 			endPrefill()
 		}
 	}
-	if f.withdrawn(plan) {
-		delete(f.placementRequest.Tried, plan.Endpoint.Incarnation) // the next plan may use it without the helper
-		return attempt.NotSent, errEndpointWithdrawn
-	}
 	sentAt := time.Now()
 	response, sendErr := f.gateway.exchange(ctx, plan.Endpoint, f.buildRequest(plan, helpers), !f.route.Repeatable(), f.silenceTimeout())
+	if sendErr != nil && sendErr.outcome == attempt.NotSent {
+		return f.notSent(plan, sendErr)
+	}
 	if sendErr != nil {
 		return sendErr.outcome, sendErr
 	}
@@ -254,19 +249,25 @@
 	return attempt.NotExecuted
 }
 
-// errEndpointWithdrawn is returned when an endpoint of a plan has stated that it takes no requests, or is
-// evacuated.
-var errEndpointWithdrawn = errors.New("an endpoint of the plan takes no requests")
+// beforeWrite decides, once there is a connection, whether the request is written to it.
+func (f *forwarding) beforeWrite(plan *direct.Plan) error {
+	if err := f.checkSend(plan); err != nil {
+		return err
+	}
+	if !f.recordColdSent() {
+		return errConnectedLate
+	}
+	return nil
+}
 
-// withdrawn reports whether one of the plan's endpoints has stated that it leaves or requests backoff, as
-// it may do in its response to a reservation, or has been evacuated meanwhile, or if the request must not be sent
-// because of a part of its prompt.
-func (f *forwarding) withdrawn(plan *direct.Plan) bool {
-	now := time.Now()
-	withdrawn := func(e *directory.EndpointState) bool {
-		return f.gateway.statedLeaving().Contains(e.Incarnation) || f.gateway.loadTracker.Backoffs().InBackoff(now, e.Incarnation)
+// notSent ends an attempt of which nothing was sent. The next plan may use an endpoint from which the request was only
+// withheld, without the helper that was the reason.
+func (f *forwarding) notSent(plan *direct.Plan, err error) (attempt.SendOutcome, error) {
+	var withheld *withheldError
+	if errors.As(err, &withheld) {
+		delete(f.placementRequest.Tried, plan.Endpoint.Incarnation)
 	}
-	return f.planEvacuated(plan) || f.hasBlamedPart() || withdrawn(plan.Endpoint) || slices.ContainsFunc(plan.Helpers, withdrawn)
+	return attempt.NotSent, err
 }
 
 // streamStarted reports whether the head of a response, which is that of a stream, has been sent to the caller.
@@ -312,7 +313,7 @@
 	}
 	header := forwardableHeaders(f.httpRequest.Header)
 	f.gateway.headerCodec.Forward(header, d)
-	return &outgoingRequest{id: f.ID, method: f.httpRequest.Method, target: f.httpRequest.RequestURI, host: f.httpRequest.Host, header: header, body: f.body, used: &f.usedConns, connected: f.recordColdSent}
+	return &outgoingRequest{id: f.ID, method: f.httpRequest.Method, target: f.httpRequest.RequestURI, host: f.httpRequest.Host, header: header, body: f.body, used: &f.usedConns, beforeWrite: func() error { return f.beforeWrite(plan) }}
 }
 
 // priority returns the client account's priority, or the route's if the account has none.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -53,6 +53,7 @@
 	eventsSent      int
 	// lastEndpoint is the ID of the endpoint that was selected last.
 	lastEndpoint string
+	placedAt     time.Time // when the last plan was made
 	// cachedFingerprint is the request's fingerprint. Each half is computed on first use and is 0
 	// until then.
 	cachedFingerprint attempt.Fingerprint
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -99,11 +99,16 @@
 // reserve reserves KV cache at the plan's first helpers, and in place of those that have too little at
 // further ones. Helpers without a reservation still prefill their parts. It fails, and releases
 // everything, unless the reservations hold the part of the request's KV cache that does not fit at the
-// endpoint.
-func (g *Gateway) reserve(ctx context.Context, c *call, plan *direct.Plan, attemptNumber int) (*reservationSet, error) {
+// endpoint. check is called before each round of calls, which
+// may take reserveTimeout each, and after the last one; its error ends them.
+func (g *Gateway) reserve(ctx context.Context, c *call, plan *direct.Plan, attemptNumber int, check func() error) (*reservationSet, error) {
 	r := &reservationSet{gateway: g}
 	needed, tokens, held, asked := plan.MemoryTokens-plan.EndpointMemoryTokens, 0, 0, 0
 	for count := plan.ReservingHelpers; count > 0 && asked+count <= len(plan.Helpers); count = missingHelpers(plan, needed-tokens) {
+		if err := check(); err != nil {
+			r.release()
+			return nil, err
+		}
 		helpers := plan.Helpers[asked : asked+count]
 		asked += count
 		for i, err := range r.request(ctx, c, helpers, plan.HelperMemoryTokens, attemptNumber) {
@@ -119,6 +124,10 @@
 		r.helperRefs = append(r.helperRefs, helper.Addr)
 	}
 	c.log.Add("memory_reserved", zap.Int("helpers", held), zap.Int("refused", asked-held), zap.Int("tokens", tokens), zap.Int("needed", needed))
+	if err := check(); err != nil {
+		r.release()
+		return nil, err
+	}
 	if tokens < needed {
 		r.release()
 		return nil, errors.Wrapf(ErrNoMemory, "%d of %d helpers", held, asked)
--- a/standin/platform/reservations.go
+++ b/standin/platform/reservations.go
@@ -107,10 +107,16 @@
 	w.mu.Lock()
 	w.orderCount++
 	w.mu.Unlock()
-	if fault == FaultLateOrder {
+	if fault == FaultLateOrder || fault == FaultSilentOrder {
 		time.AfterFunc(lateOrderDelay, func() { w.applyOrder(&order) })
+		if fault == FaultSilentOrder {
+			_, _ = io.Copy(io.Discard, conn) // until the caller closes the connection
+		}
 		return false
 	}
+	if w.OnOrder != nil {
+		w.OnOrder()
+	}
 	status := "409 Conflict"
 	if fault != FaultShed && w.applyOrder(&order) {
 		status = "200 OK"
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -59,6 +59,8 @@
 	FaultHelperBusy Fault = "helper-busy"
 	// FaultLateOrder leaves an order unanswered and applies it after lateOrderDelay.
 	FaultLateOrder Fault = "late"
+	// FaultSilentOrder is FaultLateOrder on a connection that stays open.
+	FaultSilentOrder Fault = "silent"
 )
 
 // Run is one request that a worker executed or refused.
@@ -127,6 +129,8 @@
 	HoldError <-chan struct{}
 	// OnCrash is called, unless nil, when a request crashes the worker.
 	OnCrash func()
+	// OnOrder is called, unless nil, before an order is carried out and answered.
+	OnOrder func()
 	// MemoryTokens is the size of the KV cache for reservations, in tokens; 0 means no
 	// limit.
 	MemoryTokens int
