--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -62,6 +62,8 @@
 	net.Conn
 	gateway *Gateway
 	raw     syscall.RawConn // nil if the connection is not a TCP connection
+	// userTimeout is how long the caller's host may leave data unacknowledged.
+	userTimeout time.Duration
 
 	// attempt, attemptSize and attemptErr are the arguments and results of attemptWrite.
 	attempt      []byte
@@ -98,7 +100,7 @@
 }
 
 func newBacklogConn(g *Gateway, conn net.Conn) *backlogConn {
-	c := &backlogConn{Conn: conn, gateway: g, held: g.bytes.Open(admission.BacklogBytes, 0), response: responseTerms{stall: minStallTimeout}}
+	c := &backlogConn{Conn: conn, gateway: g, held: g.bytes.Open(admission.BacklogBytes, 0), response: responseTerms{stall: minStallTimeout}, userTimeout: tcpUserTimeout}
 	c.idle.L = &c.mu
 	c.attemptWrite = c.tryWrite
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -114,6 +116,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.response = terms
+	c.raiseUserTimeout(2*terms.stall + tcpUserTimeout)
 }
 
 // beginStream makes writes return although the caller does not take the data, until endResponse.
@@ -286,9 +289,12 @@
 	return !r.deadline.IsZero() && now.After(r.deadline.Add(r.stall))
 }
 
-// setUserTimeout sets how long the caller's host may leave data unacknowledged.
-func (c *backlogConn) setUserTimeout(d time.Duration) {
-	if c.raw != nil {
+// raiseUserTimeout lets the caller's host leave data unacknowledged for d, or longer if an earlier response allowed
+// that. The kernel ends a connection whose caller acknowledges nothing for this time, which is true of one that reads
+// nothing as well as of one that is gone; what it holds of a response stays there after the response has ended here.
+func (c *backlogConn) raiseUserTimeout(d time.Duration) {
+	if c.raw != nil && d > c.userTimeout {
+		c.userTimeout = d
 		_ = c.raw.Control(func(fd uintptr) {
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 		})
@@ -343,9 +349,6 @@
 // beginWait records that the entry waits for the caller to read. The caller holds mu.
 func (c *backlogConn) beginWait() {
 	if !c.waiting {
-		// The kernel ends a connection whose caller acknowledges nothing for tcpUserTimeout, which is true of
-		// one that reads nothing as well as of one that is gone.
-		c.setUserTimeout(2*c.response.stall + tcpUserTimeout)
 		c.waiting, c.waitingSince = true, time.Now()
 		c.gateway.slowCallers.add(c)
 	}
@@ -354,7 +357,6 @@
 // endWait ends what beginWait recorded. The caller holds mu.
 func (c *backlogConn) endWait() {
 	if c.waiting {
-		c.setUserTimeout(tcpUserTimeout)
 		c.waiting = false
 		c.gateway.slowCallers.remove(c)
 	}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -21,8 +21,8 @@
 	initialIdleTimeout   = 30 * time.Second
 	// maxHeaderBytes is the most that the server reads of a request's head.
 	maxHeaderBytes = 256 << 10
-	// tcpUserTimeout is how long sent data may stay unacknowledged. With tcpKeepAlive it also bounds
-	// how long a silent TCP peer goes unnoticed.
+	// tcpUserTimeout is how long sent data may stay unacknowledged; a response to a caller may for longer. With
+	// tcpKeepAlive it also bounds how long a silent TCP peer goes unnoticed.
 	tcpUserTimeout = 3 * time.Second
 )
 
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -274,3 +274,35 @@
 	is.NoErr(got.err)
 	is.Equal(got.status, http.StatusOK)
 }
+
+// Guards against a reset of callers that read nothing for some seconds, within their time limit, while the rest of their
+// response waits in the kernel.
+func TestACallerMayPauseWhileItsResponseIsInTheKernel(t *testing.T) {
+	targets := map[string]int{ // the bytes of the response
+		"/once/a?size=1000&chunks=200":           200_000, // fits the kernel's buffer
+		"/once/a?size=100000&chunks=10":          1_000_000,
+		"/stream/a?stream=1&size=8000&chunks=25": 200_000,
+	}
+	for target, size := range targets {
+		t.Run(target, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s, endpoint := newBulkFixture(t)
+			endpoint.UnreadTimeout = waitTimeout
+			s.extraSettings = `,"memory_limit":"256MB"`
+			for _, r := range s.routes {
+				r["timeout_ms"] = 15_000
+			}
+			s.start()
+			c := s.dialSlow(head("GET", target, "q1") + "\r\n")
+			response := c.response()
+			time.Sleep(tcpUserTimeout + 2*time.Second)
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(len(body), size)
+		})
+	}
+}
+
+// tcpUserTimeout is how long a caller's host may leave data unacknowledged on a connection without a response.
+const tcpUserTimeout = 3 * time.Second
