--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -105,40 +105,42 @@
 }
 
 // hasCrashed reports whether an endpoint's process has ended without notice: its address refuses
-// connections, or the endpoint is listed with a later incarnation.
+// connections, or the endpoint is listed with a later incarnation. An endpoint that is leaving ends as planned, and a
+// silent one may only be cut off from the network. An endpoint that is evacuated is not probed.
 func (g *Gateway) hasCrashed(ctx context.Context, e *directory.EndpointState) bool {
-	return g.hasEnded(ctx, e, g.prober.connectionRefused)
-}
-
-// hasEnded reports whether an endpoint's process has ended without notice, by the directory or by the probe. An
-// endpoint that is leaving ends as planned, and a silent one may only be cut off from the network. An endpoint that
-// is evacuated is not probed.
-func (g *Gateway) hasEnded(ctx context.Context, e *directory.EndpointState, probe func(context.Context, *directory.EndpointState) bool) bool {
 	current := g.snapshot.Load().Present(e.ID)
-	if current == nil {
+	switch {
+	case current == nil:
 		return false
-	}
-	if current.Incarnation != e.Incarnation {
+	case current.Incarnation != e.Incarnation:
 		return current.StartUnixMilli > e.StartUnixMilli
-	}
-	if g.evacuated(e) {
+	case g.evacuated(e):
 		return false
 	}
-	return probe(ctx, e)
+	return g.prober.connectionRefused(ctx, e)
 }
 
-// endedByCrash reports whether the end of a response that ends with its connection may be the end of the endpoint's
-// process, so that the response may be incomplete. Unlike hasCrashed, which is evidence against the request, it takes a
-// reset connection for a sign of that, although an endpoint with too many connections resets more. It does not rely
-// on the probe if this process was suspended, as another process may have replaced the endpoint meanwhile.
-func (g *Gateway) endedByCrash(ctx context.Context, r *endpointResponse) bool {
+// mayBeIncomplete reports whether a response that has ended with its connection may have ended early, with its endpoint's
+// process: it has been replaced, or its address refuses or resets connections, although an endpoint with too many
+// connections resets more. That an endpoint leaves, or is no longer registered, does not show that it has finished its
+// responses. The probe is not relied on if this process was suspended, as another process may have replaced the endpoint
+// meanwhile. An endpoint that is evacuated is not probed; its response counts as incomplete if it can be repeated.
+func (g *Gateway) mayBeIncomplete(ctx context.Context, r *endpointResponse, repeatable bool) bool {
 	if !r.closeDelimited {
 		return false
 	}
 	if _, ended, ok := g.suspensions.recent(); ok && r.beganAt < ended {
 		return true
 	}
-	return g.hasEnded(ctx, r.endpoint, g.prober.connectionRefusedOrReset)
+	e := r.endpoint
+	current := g.snapshot.Load().Present(e.ID)
+	switch {
+	case current != nil && current.StartUnixMilli > e.StartUnixMilli:
+		return true
+	case g.evacuated(e):
+		return repeatable
+	}
+	return g.prober.connectionRefusedOrReset(ctx, e)
 }
 
 // isConnectionReset reports whether the other end reset a connection.
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -32,7 +32,7 @@
 	t.Helper()
 	fail := make(chan struct{})
 	failing, broken, left := plainWorker(), streamingWorker(12), streamingWorker(12)
-	failing.HoldError = fail
+	failing.Hold = fail
 	s := newFixture(t, failing, broken, left)
 	s.store.Delete("servers/" + broken.ID)
 	s.store.Delete("servers/" + left.ID)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -37,7 +37,7 @@
 func (f *forwarding) relayBuffered(ctx context.Context, r *endpointResponse) (attempt.SendOutcome, error) {
 	body, err := f.readResponse(r.body, r.length)
 	err = bodyError(err)
-	if err == nil && f.gateway.endedByCrash(ctx, r) {
+	if err == nil && f.gateway.mayBeIncomplete(ctx, r, f.route.Repeatable()) {
 		err = errEndedByCrash
 	}
 	if err != nil {
@@ -141,7 +141,7 @@
 		} else if err == nil && emptyBytes > maxEventBytes {
 			err = &endlessError{"comments", fmt.Sprintf("%d bytes", maxEventBytes)}
 		}
-		if err == io.EOF && s.gateway.endedByCrash(ctx, r) {
+		if err == io.EOF && s.gateway.mayBeIncomplete(ctx, r, s.route.Repeatable()) {
 			err = errEndedByCrash
 		}
 		if err == io.EOF {
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -33,9 +33,7 @@
 	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%sContent-Length: %d\r\n\r\n%s", headers, serverStamp, len(body), body)
 	switch fault {
 	case FaultError:
-		if w.HoldError != nil {
-			<-w.HoldError
-		}
+		w.awaitHold()
 		w.setStatus(run, http.StatusInternalServerError)
 		fmt.Fprintf(conn, "HTTP/1.1 500 Internal Server Error\r\n%s%sContent-Length: 4\r\n\r\nfail", headers, serverStamp)
 	case FaultUnmarkedRefusal:
@@ -52,9 +50,11 @@
 		_, _ = io.WriteString(conn, response)
 	case FaultUnframed:
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+headers+serverStamp+"Connection: close\r\n\r\n"+body)
+		w.awaitHold()
 		return false
 	case FaultUnframedCrash:
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+headers+serverStamp+"Connection: close\r\n\r\n"+body[:len(body)/2])
+		w.awaitHold()
 		return w.crash()
 	case FaultNoServerStamp:
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", headers, len(body), body)
@@ -98,6 +98,7 @@
 			return false
 		}
 		if fault == FaultUnframedCrash && n == lastEventID+2 {
+			w.awaitHold()
 			return w.crash()
 		}
 		interval := w.EventInterval
@@ -111,9 +112,19 @@
 	if chunked {
 		_, _ = io.WriteString(conn, "0\r\n\r\n")
 	}
+	if fault == FaultUnframed {
+		w.awaitHold()
+	}
 	return chunked
 }
 
+// awaitHold waits until Hold is closed.
+func (w *Worker) awaitHold() {
+	if w.Hold != nil {
+		<-w.Hold
+	}
+}
+
 func (w *Worker) setStatus(run *Run, status int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -125,8 +125,9 @@
 	// CrashPart begins the names of the parts of prompts, other than the last one, that crash the worker when
 	// it begins to write a response; "" means none.
 	CrashPart string
-	// HoldError, unless nil, delays the responses of FaultError until it is closed.
-	HoldError <-chan struct{}
+	// Hold, unless nil, delays the responses of FaultError, the crashes of FaultUnframedCrash and the ends of
+	// FaultUnframed until it is closed.
+	Hold <-chan struct{}
 	// OnCrash is called, unless nil, when a request crashes the worker.
 	OnCrash func()
 	// OnOrder is called, unless nil, before an order is carried out and answered.
