--- a/soak/faults.go
+++ b/soak/faults.go
@@ -78,6 +78,9 @@
 		{"endpoint-crashes-in-response", 2, crashInResponse},
 		{kindRestore, 3, restoreStore},
 		{"endpoint-endless", 2, sendWithoutEnd},
+		{kindLateCopies, 3, copyLate},
+		{kindFailureThenCrash, 1, failThenCrash},
+		{kindOrdersUnanswered, 2, leaveOrdersUnanswered},
 	}
 }
 
