Soak: comments of an endpoint that sends them without end are no events

No event is missing, doubled or joined, and the response does not end as complete, which is what the rule asks for.

The check compares the events, and leaves out that endpoint's comments, by their exact text and only for a request that such an endpoint ran. It still finds a missing event after comments, comments that no endpoint sent, and a whole stream that lacks an event after comments (three new cases of TestEachCheckDetectsItsViolation); a correct record has both allowed cases.

--- a/soak/check.go
+++ b/soak/check.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"aspenyard.example/standin/platform"
 )
 
 // rule is one rule and the check that finds its violations.
@@ -148,7 +150,7 @@
 			return "successful response without the endpoint's server stamp"
 		case req.EchoedID != req.ID:
 			return fmt.Sprintf("response belongs to request %q", req.EchoedID)
-		case req.ResponseBody != req.expectedBody():
+		case ix.events(req) != req.expectedBody():
 			return fmt.Sprintf("body of %d bytes presented as complete, the endpoint's has %d", len(req.ResponseBody), len(req.expectedBody()))
 		}
 		return ""
@@ -174,13 +176,28 @@
 // endpoint's stream.
 func checkEventOrder(ix *indexedRecord) []string {
 	return ix.findRequests(func(req *Request) string {
-		if req.Status != http.StatusOK || strings.HasPrefix(req.expectedBody(), req.ResponseBody) {
+		if req.Status != http.StatusOK || strings.HasPrefix(req.expectedBody(), ix.events(req)) {
 			return ""
 		}
 		return "events are missing, duplicated or out of order"
 	})
 }
 
+// events returns the body that a caller received. If an endpoint answered with comments without end, its comments are left
+// out: they are relayed as they come, like all that an endpoint sends, and are no events.
+func (ix *indexedRecord) events(req *Request) string {
+	if !slices.ContainsFunc(ix.arrivalsByID[req.ID], func(a *Arrival) bool { return a.Ran && a.Fault == platform.FaultEndlessComments }) {
+		return req.ResponseBody
+	}
+	body := strings.ReplaceAll(req.ResponseBody, platform.EndlessComment, "")
+	for n := len(platform.EndlessComment) - 1; n > 0; n-- {
+		if rest, cut := strings.CutSuffix(body, platform.EndlessComment[:n]); cut && !req.Complete {
+			return rest // the response was broken off within a comment
+		}
+	}
+	return body
+}
+
 // checkRunsMatchRequests finds runs of requests that no caller sent, that had to be refused, or
 // whose content or account was changed.
 func checkRunsMatchRequests(ix *indexedRecord) []string {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,6 +68,20 @@
 		req.ResponseBody = req.ResponseBody[:30]
 	}},
 	"stamped failure that no endpoint returned": {"MIXED", func(r *Record) { req, _ := r.addServed("q", onceRoute, 50); req.Status = 500 }},
+	"missing event after comments": {"ORDER", func(r *Record) {
+		req, run := r.addServed("q", resumableRoute, 50)
+		run.Fault = platform.FaultEndlessComments
+		req.Complete, req.Cancelled, req.ResponseBody = false, true, platform.EndlessComment+platform.EventText("q", 1)+platform.EventText("q", 3)
+	}},
+	"whole stream without an event after comments": {"MIXED", func(r *Record) {
+		req, run := r.addServed("q", resumableRoute, 50)
+		run.Fault = platform.FaultEndlessComments
+		req.ResponseBody = platform.EndlessComment + strings.TrimSuffix(req.ResponseBody, platform.EventText("q", 8))
+	}},
+	"comments that no endpoint sent": {"ORDER", func(r *Record) {
+		req, _ := r.addServed("q", resumableRoute, 50)
+		req.Complete, req.Cancelled, req.ResponseBody = false, true, platform.EndlessComment
+	}},
 	"missing event": {"ORDER", func(r *Record) {
 		req, _ := r.addServed("q", resumableRoute, 50)
 		req.Complete, req.Cancelled, req.ResponseBody = false, true, platform.EventText("q", 1)+platform.EventText("q", 3)
@@ -255,6 +270,12 @@
 	r.addServed("first", onceRoute, 30)
 	req, run := r.addServed("second", resumableRoute, 45)
 	setHandlingEdit(req, run, 2)
+	resumed, commented := r.addServed("resumed after comments", resumableRoute, 46)
+	commented.Fault = platform.FaultEndlessComments
+	resumed.ResponseBody = platform.EndlessComment + resumed.ResponseBody
+	brokenOff, commented := r.addServed("broken off in a comment", resumableRoute, 47)
+	commented.Fault = platform.FaultEndlessComments
+	brokenOff.Complete, brokenOff.Cancelled, brokenOff.ResponseBody = false, true, platform.EndlessComment+platform.EndlessComment[:9]
 	return r
 }
 
--- a/standin/platform/endless.go
+++ b/standin/platform/endless.go
@@ -33,10 +33,16 @@
 	EndlessStreams = []Fault{FaultEndlessEventLine, FaultEndlessEvent, FaultEndlessComments}
 )
 
+// endlessFiller is what lines without end repeat, EndlessComment what FaultEndlessComments repeats.
+const (
+	endlessFiller  = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
+	EndlessComment = ": " + endlessFiller + "\n\n"
+)
+
 // endless returns what such a fault sends first and then again and again; ok is false for other faults.
 func endless(fault Fault, headers string) (first, repeated string, ok bool) {
 	const ok200 = "HTTP/1.1 200 OK\r\n"
-	filler := strings.Repeat("x", 64)
+	const filler = endlessFiller
 	chunked := ok200 + headers + serverStamp + "Transfer-Encoding: chunked\r\n\r\n"
 	stream := ok200 + "Content-Type: text/event-stream\r\n" + headers + serverStamp + "Connection: close\r\n\r\n"
 	switch fault {
@@ -65,7 +71,7 @@
 	case FaultEndlessEvent:
 		return stream, "data: " + filler + "\n", true
 	case FaultEndlessComments:
-		return stream, ": " + filler + "\n\n", true
+		return stream, EndlessComment, true
 	}
 	return "", "", false
 }
