--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -287,7 +287,7 @@
 		c.response.CloseConnection()
 	}
 	if err := c.response.WriteWhole(status, h, failure.Error()+"\n"); err != nil {
-		c.log.Add("caller_lost", eventlog.Error(err))
+		c.gateway.log.Info("caller_lost", zap.String("request", c.ID), eventlog.Error(err)) // the request's lines are written already
 	}
 }
 
