Scenarios say which processes have ended by themselves, with exit status or signal and the end of their logs

A run of all tests in a fresh clone was red in config (line 27) and retry-budget (line 24): a process that was frozen and thawed refused connections for good, and nothing told whether it had ended. The harness now logs each process that ended without a signal of the script.

--- a/scenarios/harness_test.go
+++ b/scenarios/harness_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,7 +49,9 @@
 	addrs      map[string]string
 	cmd        *exec.Cmd
 	ended      chan struct{}
-	link       *link.Link
+	// endRequested is set once the script has sent a signal that ends the process.
+	endRequested atomic.Bool
+	link         *link.Link
 }
 
 // vm is an entry in the platform's list of VMs.
@@ -75,6 +78,11 @@
 	}
 	env.Values[harnessKey{}] = h
 	env.Defer(h.stop)
+	env.Defer(func() { // before stop: deferred calls run in reverse order
+		if ends := h.unrequestedEnds(); ends != "" {
+			env.T().Log(ends)
+		}
+	})
 	return nil
 }
 
@@ -94,6 +102,9 @@
 }
 
 func (p *process) signal(s syscall.Signal) {
+	if s != syscall.SIGSTOP && s != syscall.SIGCONT {
+		p.endRequested.Store(true)
+	}
 	select {
 	case <-p.ended:
 	default:
@@ -101,6 +112,31 @@
 	}
 }
 
+// lastLogBytes is how much of the log of a process is shown that has ended by itself.
+const lastLogBytes = 2000
+
+// unrequestedEnds describes the processes that have ended although the script sent no signal for it; "" if there are
+// none.
+func (h *harness) unrequestedEnds() string {
+	text := ""
+	for _, p := range h.processes {
+		select {
+		case <-p.ended:
+		default:
+			continue
+		}
+		if p.endRequested.Load() {
+			continue
+		}
+		log, err := os.ReadFile(filepath.Join(h.dir, p.name+".log"))
+		if err != nil {
+			log = []byte(err.Error())
+		}
+		text += fmt.Sprintf("\nprocess %s has ended by itself: %v; its log ends:\n%s", p.name, p.cmd.ProcessState, log[max(len(log)-lastLogBytes, 0):])
+	}
+	return text
+}
+
 // launch starts or restarts a process; its output is appended to NAME.log.
 func (h *harness) launch(p *process) error {
 	log, err := os.OpenFile(filepath.Join(h.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -114,6 +150,7 @@
 		return err
 	}
 	p.ended = make(chan struct{})
+	p.endRequested.Store(false)
 	go func(cmd *exec.Cmd, ended chan struct{}) {
 		_ = cmd.Wait()
 		close(ended)
