--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -159,3 +159,13 @@
 		ticket.Sent(time.Now())
 	}
 }
+
+// QueuedPrefill returns how much prefill of a service's long prompts is queued here.
+func (g *Gateway) QueuedPrefill(service string) time.Duration {
+	for _, d := range g.loadTracker.Demands(time.Now()) {
+		if d.Service == service {
+			return d.QueuedPrefill
+		}
+	}
+	return 0
+}
