Read once more: a response whose end fails is not "not sent"; names, comments, one copy of the quarantine's question

streamRelay.run returned outcome 0, which is NotSent, with the error of an end that fails: such a request would have counted as never sent. It is Broken now, and the error of a buffered response's end is no longer dropped.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -43,16 +43,21 @@
 	return !q.Empty() && q.HasSuspect(c.fingerprintScope())
 }
 
+// quarantineRemaining returns for how long the request stays in quarantine; 0 if it may be sent.
+func (c *call) quarantineRemaining(now time.Time) time.Duration {
+	if !c.isSuspect() {
+		return 0
+	}
+	return c.gateway.quarantine.Remaining(now, c.fingerprint())
+}
+
 // refuseQuarantined returns the error for a request in quarantine, which must not be sent to an
 // endpoint; nil if it may be sent.
 func (f *forwarding) refuseQuarantined() *result.Error {
 	if failure := f.refuseBlamedPart(); failure != nil {
 		return failure
 	}
-	if !f.isSuspect() {
-		return nil
-	}
-	remaining := f.gateway.quarantine.Remaining(time.Now(), f.fingerprint())
+	remaining := f.quarantineRemaining(time.Now())
 	if remaining == 0 {
 		return nil
 	}
--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -39,9 +39,8 @@
 	return fmt.Sprintf("endpoint %s of the plan takes no requests: %s", e.endpoint, e.reason)
 }
 
-// checkSend decides whether the request may be sent by its plan now. A plan is made from a snapshot that is out of
-// date by the time at which memory is reserved and a connection is made, so that checkSend is called right before
-// anything is written for the plan.
+// checkSend returns an error if the plan must no longer be used. It is called right before anything is written to an
+// endpoint of the plan: while memory is reserved and a connection is made, the plan's snapshot becomes out of date.
 func (f *forwarding) checkSend(plan *direct.Plan) error {
 	now, snapshot := time.Now(), f.gateway.snapshot.Load()
 	withheld := f.withheldRequest(now)
@@ -67,7 +66,7 @@
 	switch {
 	case f.hasBlamedPart():
 		return &withheldError{reason: withholdBlamedPart}
-	case f.isSuspect() && f.gateway.quarantine.Remaining(now, f.fingerprint()) > 0:
+	case f.quarantineRemaining(now) > 0:
 		return &withheldError{reason: withholdQuarantined}
 	}
 	return nil
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -249,7 +249,7 @@
 	}
 	control := c.response.Controller()
 	_ = control.SetReadDeadline(c.deadline)
-	reader := http.MaxBytesReader(nil, c.httpRequest.Body, limit)
+	reader := http.MaxBytesReader(nil, c.httpRequest.Body, limit) // writeError closes the connection
 	body, err := c.readBodyWithin(reader, c.httpRequest.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,7 +29,7 @@
 func (g *Gateway) registerMetrics(writer *eventlog.Writer) {
 	g.metrics.NewGauge("aspenyard_gateway_active_requests", func() float64 { return float64(g.active.Load()) })
 	g.pool.strays = g.metrics.NewCounter("aspenyard_gateway_stray_responses_total")
-	g.pool.withheld = g.metrics.NewCounter("aspenyard_gateway_withheld_connections_total")
+	g.pool.skipped = g.metrics.NewCounter("aspenyard_gateway_skipped_connections_total")
 	g.metrics.NewGauge("aspenyard_gateway_endpoints", func() float64 { return float64(g.snapshot.Load().Len()) })
 	g.metrics.NewGauge("aspenyard_gateway_slow_endpoints", func() float64 { return float64(len(g.loadTracker.SlowEndpoints(time.Now()))) })
 	g.metrics.NewGauge("aspenyard_gateway_config_version", func() float64 {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -85,16 +85,16 @@
 	// idleLimit is how many idle connections are kept to an endpoint.
 	idleLimit func(e *directory.EndpointState) int
 	traffic   *traffic // of all connections; may be nil
-	// strays counts the responses that belong to no request in flight on their connection, withheld how often a
+	// strays counts the responses that belong to no request in flight on their connection, skipped how often a
 	// connection was not used because the request had been sent on it.
-	strays, withheld *metrics.Counter
-	mu               sync.Mutex
-	idle             map[directory.Incarnation][]*endpointConn
+	strays, skipped *metrics.Counter
+	mu              sync.Mutex
+	idle            map[directory.Incarnation][]*endpointConn
 }
 
 func newPool() *pool {
 	defaultLimit := func(*directory.EndpointState) int { return maxIdleConns }
-	return &pool{dial: Dialer(dialTimeout), idleLimit: defaultLimit, idle: map[directory.Incarnation][]*endpointConn{}, strays: new(metrics.Counter), withheld: new(metrics.Counter)}
+	return &pool{dial: Dialer(dialTimeout), idleLimit: defaultLimit, idle: map[directory.Incarnation][]*endpointConn{}, strays: new(metrics.Counter), skipped: new(metrics.Counter)}
 }
 
 // usedConns are the connections on which a request has been sent; nil stands for none. A late copy of an endpoint's
@@ -151,7 +151,7 @@
 			return nil
 		}
 		if used.contains(conn) {
-			p.withheld.Inc()
+			p.skipped.Inc()
 			continue
 		}
 		p.idle[incarnation] = slices.Delete(p.idle[incarnation], i, i+1)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -75,7 +75,9 @@
 		b.body[i] = nil
 		c.responseHeld.Shrink(int64(cap(segment)))
 	}
-	_ = c.response.Complete()
+	if err := c.response.Complete(); err != nil {
+		return result.Fail(result.EndpointFailed, result.RanUnknown, "%v", err)
+	}
 	return nil
 }
 
@@ -146,7 +148,10 @@
 		}
 		if err == io.EOF {
 			r.finish()
-			return 0, s.end(r)
+			if err := s.end(r); err != nil {
+				return attempt.Broken, err
+			}
+			return 0, nil
 		}
 		if err = bodyError(err); err != nil {
 			r.abandon()
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -99,8 +99,8 @@
 // reserve reserves KV cache at the plan's first helpers, and in place of those that have too little at
 // further ones. Helpers without a reservation still prefill their parts. It fails, and releases
 // everything, unless the reservations hold the part of the request's KV cache that does not fit at the
-// endpoint. check is called before each round of calls, which
-// may take reserveTimeout each, and after the last one; its error ends them.
+// endpoint. A round of calls takes up to reserveTimeout; check is called before each round and after the last one,
+// and its error ends them.
 func (g *Gateway) reserve(ctx context.Context, c *call, plan *direct.Plan, attemptNumber int, check func() error) (*reservationSet, error) {
 	r := &reservationSet{gateway: g}
 	needed, tokens, held, asked := plan.MemoryTokens-plan.EndpointMemoryTokens, 0, 0, 0
