Shares of capacity are the same on arm64 and x86-64

Ruled out: a tolerance in the test, as entries of both architectures must grant the same shares. The products are converted explicitly, which the language says keeps them from being fused. go test ./admission: red before on arm64, green with it; the values on x86-64 are those of before.

--- a/admission/shares.go
+++ b/admission/shares.go
@@ -11,7 +11,11 @@
 	Time, Memory float64
 }
 
-func (l Load) times(factor float64) Load { return Load{factor * l.Time, factor * l.Memory} }
+// times returns the load multiplied by factor. The conversions keep the compiler from fusing the products with a later
+// addition, which would make shares differ between architectures.
+func (l Load) times(factor float64) Load {
+	return Load{float64(factor * l.Time), float64(factor * l.Memory)}
+}
 
 func (l Load) plus(other Load) Load { return Load{l.Time + other.Time, l.Memory + other.Memory} }
 
