Logs tell what ended a request around a stop

The record's lines cannot tell its hypotheses apart: a stop that ends requests is logged as the caller's leaving, bytes that are still in the kernel and connections that carry a request without a handler are in no line, and the HTTP server's own answers leave none at all. stop has open, carrying and unsent_bytes; attempt_failed has ended_by; request_not_parsed and requests_not_parsed_total{status} are new.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"aspenyard.example/graceful"
 )
@@ -74,6 +76,7 @@
 	}
 	if state == http.StateIdle {
 		caller.head = caller.head[:0]
+		caller.handled.Store(false)
 	}
 	caller.SetState(state)
 }
@@ -126,6 +129,8 @@
 	// head is what was read of the current request's head, and any bytes after it. Only the
 	// server's goroutine for this connection uses it.
 	head []byte
+	// handled is set from when a request is passed to the handler until its response has ended.
+	handled atomic.Bool
 }
 
 // hasContentLength reports whether the current request's head, as received, has a Content-Length.
@@ -170,6 +175,22 @@
 	return n, err
 }
 
+// Write implements net.Conn. What is written without a handler is the server's own response to what it could not parse as
+// a request.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if !c.handled.Load() {
+		c.gateway.logUnparsed(p, len(c.head))
+	}
+	return c.Conn.Write(p)
+}
+
+// logUnparsed logs and counts a response of the HTTP server itself to a head of which received bytes were read.
+func (g *Gateway) logUnparsed(response []byte, received int) {
+	status, _, _ := bytes.Cut(bytes.TrimPrefix(response, []byte("HTTP/1.1 ")), []byte(" "))
+	g.log.Info("request_not_parsed", zap.ByteString("status", status), zap.Int("received_bytes", received), zap.Bool("draining", g.drainStartedAt.Load() != 0))
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_requests_not_parsed_total{status=%q}`, status)).Inc()
+}
+
 // headTimeoutResponse is sent when a request's head was not received in time.
 const headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"aspenyard.example/graceful"
 	"aspenyard.example/routing/direct"
 )
 
@@ -55,13 +56,29 @@
 		g.callers.conns.CloseIdle()
 		active := g.active.Load()
 		if active+g.releasing.Load() == 0 && g.callers.conns.StopReading() || elapsed > limit-stopMargin {
-			g.log.Info("stop", zap.String("reason", "drained"), zap.Int64("active", active), zap.Duration("took_ms", elapsed))
+			g.logStop(active, elapsed)
+			g.stopped.Store(true)
 			g.callers.close()
 			return
 		}
 	}
 }
 
+// logStop logs what the process leaves behind.
+func (g *Gateway) logStop(active int64, elapsed time.Duration) {
+	carrying, unsent := 0, 0
+	g.callers.conns.Each(func(conn *graceful.Conn) {
+		if conn.InRequest() {
+			carrying++
+		}
+		if backlog, ok := conn.Conn.(*backlogConn); ok {
+			unsent += backlog.unsent()
+		}
+	})
+	g.log.Info("stop", zap.String("reason", "drained"), zap.Int64("active", active), zap.Duration("took_ms", elapsed),
+		zap.Int("open", g.callers.conns.Len()), zap.Int("carrying", carrying), zap.Int("unsent_bytes", unsent))
+}
+
 // signalledAt returns the earliest time at which a signal that is noticed now may have been sent, in nanoseconds since
 // the gateway's start. The supervisor counts the drain timeout from there, also while this process is suspended.
 func (g *Gateway) signalledAt(noticed time.Time) int64 {
--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -28,6 +28,19 @@
 	return f.refuseCapacity(plan)
 }
 
+// endedBy says who ended an attempt; it is written to logs.
+func (f *forwarding) endedBy(ctx context.Context) string {
+	switch {
+	case ctx.Err() == nil:
+		return "endpoint"
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "deadline"
+	case f.gateway.stopped.Load():
+		return "stop"
+	}
+	return "caller"
+}
+
 // contextError returns the error of a request whose context has ended.
 func (f *forwarding) contextError(ctx context.Context) *result.Error {
 	ran := result.RanNo
@@ -37,6 +50,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return result.Fail(result.DeadlineExceeded, ran, "deadline passed before the request ended")
 	}
+	if f.gateway.stopped.Load() {
+		return result.Fail(result.Cancelled, ran, "the process ended before the request")
+	}
 	return result.Fail(result.Cancelled, ran, "caller disconnected")
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -113,7 +113,7 @@
 		}
 		next := f.retrier.Decide(outcome, f.takeBudget)
 		c.log.Add("attempt_failed", zap.String("endpoint", plan.Endpoint.ID), zap.String("outcome", outcome.String()),
-			zap.Int("arrivals", f.retrier.Arrivals()), zap.String("next", next.String()), eventlog.Error(err))
+			zap.Int("arrivals", f.retrier.Arrivals()), zap.String("next", next.String()), zap.String("ended_by", f.endedBy(ctx)), eventlog.Error(err))
 		c.gateway.countFailedAttempt(c.service.Name, outcome)
 		if ctx.Err() != nil {
 			return f.contextError(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,7 @@
 	// was.
 	currentAt      atomic.Int64
 	drainStartedAt atomic.Int64 // start of the drain, in nanoseconds since started; 0 while serving
+	stopped        atomic.Bool  // the callers' server is being closed
 	started        time.Time
 	// configured is closed when the first configuration comes into force.
 	configured      chan struct{}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -74,6 +74,9 @@
 	defer g.active.Add(-1)
 	c := &call{gateway: g, started: time.Now(), Request: g.headerCodec.ReadRequest(r.Header), response: response.New(w), httpRequest: r}
 	c.log = g.requestLogs.Begin(c.ID)
+	if conn := c.callerConn(); conn != nil {
+		conn.handled.Store(true)
+	}
 	defer c.releaseHolding()
 	c.closeOverLimit()
 	failure := c.prepare()
--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -105,6 +105,15 @@
 	return len(c.open)
 }
 
+// Each calls f for each open connection. f must not change a connection's state.
+func (c *Conns) Each(f func(conn *Conn)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		f(conn)
+	}
+}
+
 // CloseLongestIdle closes the connection that has been idle for the longest time after a response; it returns
 // false if none is idle. A connection on which a request is being read is not.
 func (c *Conns) CloseLongestIdle() bool {
