--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -8,6 +8,7 @@
 	"aspenyard.example/attempt/crashcause"
 	"aspenyard.example/directory"
 	"aspenyard.example/gateway/storewatch"
+	"aspenyard.example/graceful"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/wire"
 )
@@ -169,3 +170,18 @@
 	}
 	return 0
 }
+
+// ConnectionsInRequest returns the number of callers' connections on which a request is being read or answered.
+func (g *Gateway) ConnectionsInRequest() (n int) {
+	g.callers.conns.Each(func(conn *graceful.Conn) {
+		if conn.InRequest() {
+			n++
+		}
+	})
+	return n
+}
+
+// DrainAcceptsOnlyShort reports whether a drain has gone on for so long that only requests are accepted that can end in time.
+func (g *Gateway) DrainAcceptsOnlyShort() bool {
+	return g.drainStartedAt.Load() != 0 && !g.canAccept(time.Hour)
+}
