A stop reads nothing that it does not answer

Callers of a draining entry got "400 Bad Request" without a length, or nothing, for proper requests, and the log had no line of them (20 of 20 requests in the test, while another caller sends a head slowly; a slow reader does the same). Cause: each 20 ms from the last handler's end on, StopReading marked every connection that carried nothing as no longer read, new ones too, and returned false because one was in use. The process lived on; what was read on a marked connection was dropped, and the HTTP server answered the error with its own 400. Now StopReading is one decision under one lock: it changes nothing unless no request is in flight anywhere. The first bytes of a request are read under that lock, so that they are either served or still in the kernel, where the caller's host learns that nobody read them; the error that follows is one to which the server writes nothing. A byte of the next request that the server reads ahead during a response keeps the connection in use. Ruled out: a second answer path that refuses on marked connections; the requests can be served or refused as usual.

--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -134,11 +134,12 @@
 	c.streaming, c.response.held = false, nil
 }
 
-// Read implements net.Conn.
-func (c *backlogConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.gateway.traffic.addReceived(n)
-	return n, err
+// SyscallConn implements syscall.Conn.
+func (c *backlogConn) SyscallConn() (syscall.RawConn, error) {
+	if c.raw == nil {
+		return nil, errors.New("not a TCP connection")
+	}
+	return c.raw, nil
 }
 
 // Write implements net.Conn.
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -163,6 +163,7 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.gateway.traffic.addReceived(n)
 	if c.State() == http.StateActive {
 		return n, err
 	}
--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -9,16 +9,22 @@
 import (
 	"container/list"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conns tracks the connections of one server, which must use its Listener, Handler and ConnState.
 // The zero value is ready for use. Safe for concurrent use.
 type Conns struct {
+	// mu also guards what the connections are in use for, so that all of them can be decided on at once.
 	mu   sync.Mutex
 	open map[*Conn]struct{}
 	// idle lists the idle connections, the longest idle first.
@@ -50,6 +56,9 @@
 // wraps the result, the server's states must be passed to SetState.
 func (c *Conns) Track(conn net.Conn) *Conn {
 	tracked := &Conn{Conn: conn, conns: c}
+	if s, ok := conn.(syscall.Conn); ok {
+		tracked.raw, _ = s.SyscallConn()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
@@ -139,26 +148,30 @@
 	return nil
 }
 
-// StopReading prevents further requests from being read on the connections that carry none, and
-// reports whether that is so on every connection, so that no request is in flight. Without it, a
-// request that is read as the process ends is handled and its caller gets no response.
+// StopReading prevents any further request from being read and returns true, unless a request is in flight on some
+// connection: then it changes nothing, and requests are served as before. Without it, a request that is read as the
+// process ends is handled and its caller gets no response.
 func (c *Conns) StopReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for conn := range c.open {
+		if conn.InRequest() {
+			return false
+		}
+	}
 	c.readingStopped = true
-	allStopped := true
 	for conn := range c.open {
-		allStopped = conn.stopReading() && allStopped
+		conn.use.Store(useStopped)
 	}
-	return allStopped
+	return true
 }
 
 // drainPollInterval is the time between two checks for requests in flight.
 const drainPollInterval = 20 * time.Millisecond
 
 // Drain closes connections as they become idle and returns nil when no request is in flight on
-// any; active returns the number of requests that are being handled. If ctx ends first, Drain
-// returns the error of ctx.
+// any; active returns the number of requests that are being handled. If ctx ends
+// first, Drain returns the error of ctx.
 func (c *Conns) Drain(ctx context.Context, active func() int64) error {
 	c.DisableKeepAlives()
 	ticker := time.NewTicker(drainPollInterval)
@@ -180,10 +193,12 @@
 type Conn struct {
 	net.Conn
 	conns *Conns
+	raw   syscall.RawConn // nil if the connection has no descriptor
 	state atomic.Int32
-	// use changes atomically, so that an idle connection is not closed while a request that
-	// arrives at that moment is taken from it.
+	// use is written with Conns.mu held.
 	use atomic.Int32
+	// readAhead is set when the server has read a byte of the next request while it handles one. Conns.mu guards it.
+	readAhead bool
 	// idleElement is the connection's element of Conns.idle, nil while it is not idle. Conns.mu guards it.
 	idleElement *list.Element
 }
@@ -211,6 +226,10 @@
 		c.use.CompareAndSwap(useIdle, useRequest)
 		c.leaveIdle()
 	case http.StateIdle:
+		if c.readAhead {
+			c.readAhead = false
+			return
+		}
 		c.use.CompareAndSwap(useRequest, useIdle)
 		if _, open := c.conns.open[c]; open && c.idleElement == nil {
 			c.idleElement = c.conns.idle.PushBack(c)
@@ -229,17 +248,75 @@
 	}
 }
 
-// Read implements net.Conn. Data that arrives once reading has stopped is discarded, so that the
-// request in it does not run; the error is then net.ErrClosed.
+// errStopped is returned by reads once no further request is read. The server writes no response after it.
+var errStopped = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
+// Read implements net.Conn. Once reading has stopped, data that arrives is not read, so that the request in it does not
+// run; without a descriptor it is read and discarded.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.InRequest() {
+		n, err := c.Conn.Read(p)
+		if n > 0 && len(p) == 1 && c.State() == http.StateActive {
+			c.noteReadAhead()
+		}
+		return n, err
+	}
+	if c.raw != nil {
+		return c.readFirst(p)
+	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.State() != http.StateActive && !c.beginRequest() {
-		return 0, net.ErrClosed
+	if n > 0 && !c.beginRequest() {
+		return 0, errStopped
 	}
 	return n, err
 }
 
-// stopReading prevents further requests from being read; it returns false while one is in flight.
+// noteReadAhead records that a byte of the next request has been read: the server reads one at a time, to notice that
+// the peer disconnects, only while it handles a request.
+func (c *Conn) noteReadAhead() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	c.readAhead = true
+}
+
+// readFirst reads the first bytes of a request, unless reading has stopped.
+func (c *Conn) readFirst(p []byte) (n int, err error) {
+	waitErr := c.raw.Read(func(fd uintptr) bool {
+		n, err = c.readUnlessStopped(int(fd), p)
+		return err != unix.EAGAIN
+	})
+	switch {
+	case err == errStopped:
+		return 0, err
+	case waitErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: waitErr}
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", err)}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readUnlessStopped reads what has arrived. The lock is held meanwhile, so that StopReading finds either the connection
+// in use or its data unread.
+func (c *Conn) readUnlessStopped(fd int, p []byte) (n int, err error) {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.use.Load() == useStopped {
+		return 0, errStopped
+	}
+	for n, err = unix.Read(fd, p); err == unix.EINTR; {
+		n, err = unix.Read(fd, p)
+	}
+	if n > 0 {
+		c.use.Store(useRequest)
+	}
+	return max(n, 0), err
+}
+
+// stopReading prevents further requests from being read; it returns false while one is in flight. The caller holds
+// Conns.mu.
 func (c *Conn) stopReading() bool {
 	return c.use.CompareAndSwap(useIdle, useStopped) || c.use.Load() == useStopped
 }
@@ -247,5 +324,7 @@
 // beginRequest marks the connection as in use by a request whose data was read; it returns false
 // if reading has stopped.
 func (c *Conn) beginRequest() bool {
-	return c.use.CompareAndSwap(useIdle, useRequest) || c.use.Load() == useRequest
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	return c.use.CompareAndSwap(useIdle, useRequest) || c.InRequest()
 }
