A process ends when callers' hosts have taken what was written

Bytes in the kernel are lost if the machine goes with the process, or if data of the caller's is unread at the close, which resets the connection. Now a connection that the server closes lingers until the peer's host has acknowledged everything: the stream is ended, and the descriptor is closed when the send buffer is empty, the connection is reset or the kernel gives the peer up. A drain waits for these connections too, within its limit, and goes on serving meanwhile.

--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -78,8 +78,10 @@
 	streaming bool
 	// chunks are the backlog; the goroutine that writes it has taken one more.
 	chunks [][]byte
-	held   admission.Holding
-	// writing is set while the backlog's goroutine runs, closing if it has to close the connection.
+	// unwritten is how many bytes of that one are left.
+	unwritten int
+	held      admission.Holding
+	// writing is set while the backlog's goroutine runs, closing if it has to end the stream to the caller.
 	writing, closing bool
 	// waiting is set while a write waits for the caller or the backlog is written, since waitingSince.
 	waiting      bool
@@ -142,6 +144,20 @@
 	return c.raw, nil
 }
 
+// Buffered returns the size in bytes of the backlog; 0 once the caller is cut off.
+func (c *backlogConn) Buffered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writing || c.failed != nil {
+		return 0
+	}
+	n := c.unwritten
+	for _, chunk := range c.chunks {
+		n += len(chunk)
+	}
+	return n
+}
+
 // Write implements net.Conn.
 func (c *backlogConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -248,7 +264,7 @@
 	c.endWait()
 	c.writing = false
 	if c.closing {
-		_ = c.Conn.Close()
+		_ = c.closeWrite()
 	}
 	c.idle.Broadcast()
 }
@@ -258,6 +274,7 @@
 func (c *backlogConn) writeAll(p []byte, written int) (int, error) {
 	progressAt, lowest := time.Now(), c.unsent()
 	for written < len(p) {
+		c.unwritten = len(p) - written
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.response.stall / stallChecks))
 		c.mu.Unlock()
 		n, err := c.Conn.Write(p[written:])
@@ -281,6 +298,7 @@
 			return written, c.failed
 		}
 	}
+	c.unwritten = 0
 	_ = c.Conn.SetWriteDeadline(time.Time{})
 	return written, nil
 }
@@ -313,15 +331,23 @@
 	return n
 }
 
-// Close implements net.Conn. A backlog is written before the connection is closed.
-func (c *backlogConn) Close() error {
+// CloseWrite ends the stream to the caller, after the backlog.
+func (c *backlogConn) CloseWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.writing && c.failed == nil {
 		c.closing = true
 		return nil
 	}
-	return c.Conn.Close()
+	return c.closeWrite()
+}
+
+// closeWrite is CloseWrite without a backlog.
+func (c *backlogConn) closeWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
 }
 
 // cut ends the connection if it still waits for the caller.
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -55,7 +55,7 @@
 		elapsed := time.Since(start)
 		g.callers.conns.CloseIdle()
 		active := g.active.Load()
-		if active+g.releasing.Load() == 0 && g.callers.conns.StopReading() || elapsed > limit-stopMargin {
+		if active+g.releasing.Load() == 0 && g.callers.conns.Drained() || elapsed > limit-stopMargin {
 			g.logStop(active, elapsed)
 			g.stopped.Store(true)
 			g.callers.close()
@@ -71,9 +71,7 @@
 		if conn.InRequest() {
 			carrying++
 		}
-		if backlog, ok := conn.Conn.(*backlogConn); ok {
-			unsent += backlog.unsent()
-		}
+		unsent += conn.Unsent()
 	})
 	g.log.Info("stop", zap.String("reason", "drained"), zap.Int64("active", active), zap.Duration("took_ms", elapsed),
 		zap.Int("open", g.callers.conns.Len()), zap.Int("carrying", carrying), zap.Int("unsent_bytes", unsent))
--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -27,6 +27,8 @@
 	// mu also guards what the connections are in use for, so that all of them can be decided on at once.
 	mu   sync.Mutex
 	open map[*Conn]struct{}
+	// lingering are the connections that the server has closed and whose peers have not taken everything.
+	lingering map[*Conn]struct{}
 	// idle lists the idle connections, the longest idle first.
 	idle list.List
 	// readingStopped is set when connections that are opened from now on are not read.
@@ -111,7 +113,7 @@
 func (c *Conns) Len() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open)
+	return len(c.open) + len(c.lingering)
 }
 
 // Each calls f for each open connection. f must not change a connection's state.
@@ -121,6 +123,9 @@
 	for conn := range c.open {
 		f(conn)
 	}
+	for conn := range c.lingering {
+		f(conn)
+	}
 }
 
 // CloseLongestIdle closes the connection that has been idle for the longest time after a response; it returns
@@ -166,11 +171,20 @@
 	return true
 }
 
+// Drained reports whether the process can end without a loss: no request is in flight and the peers' hosts have taken
+// all that was written to connections which are closed. No request is read from then on.
+func (c *Conns) Drained() bool {
+	c.mu.Lock()
+	lingering := len(c.lingering)
+	c.mu.Unlock()
+	return lingering == 0 && c.StopReading()
+}
+
 // drainPollInterval is the time between two checks for requests in flight.
 const drainPollInterval = 20 * time.Millisecond
 
 // Drain closes connections as they become idle and returns nil when no request is in flight on
-// any; active returns the number of requests that are being handled. If ctx ends
+// any, as Drained says; active returns the number of requests that are being handled. If ctx ends
 // first, Drain returns the error of ctx.
 func (c *Conns) Drain(ctx context.Context, active func() int64) error {
 	c.DisableKeepAlives()
@@ -178,7 +192,7 @@
 	defer ticker.Stop()
 	for {
 		c.CloseIdle()
-		if active() == 0 && c.StopReading() {
+		if active() == 0 && c.Drained() {
 			return nil
 		}
 		select {
@@ -199,6 +213,7 @@
 	use atomic.Int32
 	// readAhead is set when the server has read a byte of the next request while it handles one. Conns.mu guards it.
 	readAhead bool
+	closed    sync.Once
 	// idleElement is the connection's element of Conns.idle, nil while it is not idle. Conns.mu guards it.
 	idleElement *list.Element
 }
