A caller that is slow with its request line gets 408, not 400

A caller whose request line did not arrive in time got the HTTP server's own "400 Bad Request" without a length, with the text of our 408 behind it as the body's end: the server parses what it has of the line. 400 tells a caller never to send the request again; 408 that it has not run. Now the server's response is dropped where the wait for the head has timed out, and only ours is written. Found by a test of half-sent heads at a stop, which saw the 400. TestSlowCallersGetATimeoutResponse has the case of the line too.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -177,11 +177,15 @@
 }
 
 // Write implements net.Conn. What is written without a handler is the server's own response to what it could not parse as
-// a request.
+// a request. It takes a request line that has arrived in part for a malformed one; Close responds to that.
 func (c *callerConn) Write(p []byte) (int, error) {
-	if !c.handled.Load() {
-		c.gateway.logUnparsed(p, len(c.head))
+	if c.handled.Load() {
+		return c.Conn.Write(p)
 	}
+	if c.headTimedOut.Load() {
+		return len(p), nil
+	}
+	c.gateway.logUnparsed(p, len(c.head))
 	return c.Conn.Write(p)
 }
 
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -107,6 +107,7 @@
 		r["timeout_ms"] = 150
 	}
 	s.start()
+	is.Equal(s.sendRaw("POST /once/a HTT"), http.StatusRequestTimeout)                                             // incomplete request line
 	is.Equal(s.sendRaw(head("POST", "/once/a", "q1")), http.StatusRequestTimeout)                                  // incomplete head
 	is.Equal(s.sendRaw(head("POST", "/once/a", "q2")+"Content-Length: 10\r\n\r\nhell"), http.StatusRequestTimeout) // incomplete body
 	is.Equal(s.sendRaw(head("GET", "/again/a", "q3")+"\r\n"+head("GET", "/again/b", "q4")+"\r\n"), http.StatusOK)  // pipelined
