A stop is a deadline that every request shares with its own

Class: a wait whose end follows from less than all that can end it. Requests knew their caller's deadline and not the process's. Now graceful.Shutdown tells them, on a clock that goes on while the process or its machine is suspended: - A silent attempt that may be repeated is given up at the last moment at which another endpoint can still respond, if one can take it and the retry budget allows it; a begun stream that may be resumed goes on there. Before that moment, or where nothing else can serve it, the silent endpoint is waited for. - A queued prompt that can no longer be served here is refused as not run (3007, Retry-After) when that is known, as is one that an endpoint has refused meanwhile. - 0.6 s before the process would be killed, every request of which the caller has nothing is answered: not run (3007), the endpoint's own failure, or 4007 (502, new) with what is known, and Retry-After where it may be repeated. Requests of which only a part has arrived get 503 too. Responses that have begun may go on for 0.2 s longer. - stop says whether the process has drained or has reached its limit. Weighed: a hedge, two attempts at once, which prefills every such prompt twice; giving up at once at the signal, which ends attempts that mostly respond; one clock for both ends (a signal may have been sent at the start of a suspension: TestADrainCountsFromTheStartOfASuspension saw a stream broken off too early).

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -192,18 +192,36 @@
 // logUnparsed logs and counts a response of the HTTP server itself to a head of which received bytes were read.
 func (g *Gateway) logUnparsed(response []byte, received int) {
 	status, _, _ := bytes.Cut(bytes.TrimPrefix(response, []byte("HTTP/1.1 ")), []byte(" "))
-	g.log.Info("request_not_parsed", zap.ByteString("status", status), zap.Int("received_bytes", received), zap.Bool("draining", g.drainStartedAt.Load() != 0))
+	g.log.Info("request_not_parsed", zap.ByteString("status", status), zap.Int("received_bytes", received), zap.Bool("draining", g.draining()))
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_requests_not_parsed_total{status=%q}`, status)).Inc()
 }
 
-// headTimeoutResponse is sent when a request's head was not received in time.
-const headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// expireHeads ends the wait for the rest of heads that have been received in part.
+func (c *callerServer) expireHeads() {
+	c.conns.Each(func(conn *graceful.Conn) {
+		if conn.InRequest() && conn.State() != http.StateActive {
+			_ = conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	})
+}
+
+// headTimeoutResponse is sent when a request's head was not received in time, headStopResponse if the reason is that the
+// process ends.
+const (
+	headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	headStopResponse    = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n"
+)
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	if c.headTimedOut.CompareAndSwap(true, false) {
+		response := headTimeoutResponse
+		if remaining, draining := c.gateway.shutdown.Remaining(); draining && remaining <= 0 {
+			response = fmt.Sprintf(headStopResponse, drainingRetryAfter.Seconds())
+		}
+		c.gateway.log.Info("head_not_received", zap.Int("received_bytes", len(c.head)), zap.Bool("draining", c.gateway.draining()))
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Second))
-		_, _ = c.Conn.Write([]byte(headTimeoutResponse))
+		_, _ = c.Conn.Write([]byte(response))
 	}
 	return c.Conn.Close()
 }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"os"
 	"time"
 
@@ -18,26 +17,40 @@
 	// might not end before the process is killed.
 	acceptShare = 0.36
 	// stopMargin is the time left for closing connections before the process is killed.
-	stopMargin        = 300 * time.Millisecond
+	stopMargin = 300 * time.Millisecond
+	// answerMargin is the time before that in which final responses are written and reach callers' hosts.
+	answerMargin = 300 * time.Millisecond
+	// minAnswerShare is the least part of the drain timeout after which final responses are due.
+	minAnswerShare = 0.5
+	// closeMargin is the time before stopMargin in which responses that have begun are broken off.
+	closeMargin       = 100 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 )
 
+// answersDue returns how long after the signal every request must have its final response.
+func (g *Gateway) answersDue() time.Duration {
+	limit := g.settings.DrainTimeout.D()
+	return max(limit-stopMargin-answerMargin, scaleDuration(limit, minAnswerShare))
+}
+
 // drain shuts the gateway down gracefully. Readiness is withdrawn at once, and responses tell
 // callers to close their connections. Requests are accepted for a while and then refused as not
-// run. drain returns when no request is in flight, or just before the process would be killed.
-// An interrupt from a terminal ends it at once. Other signals are ignored during the drain: a
+// run. Requests learn from the shutdown when they must have ended. drain returns when no request
+// is in flight and callers' hosts have taken what was written, or just before the process would be
+// killed. An interrupt from a terminal ends it at once. Other signals are ignored during the drain: a
 // supervisor that signals twice, or a change of the settings file, would otherwise cut off every
 // request in flight.
 func (g *Gateway) drain(signals <-chan os.Signal) {
-	limit := g.settings.DrainTimeout.D()
-	start := time.Now()
-	g.drainStartedAt.Store(g.signalledAt(start))
+	limit, noticed := g.settings.DrainTimeout.D(), bootTime()
+	elapsed, sinceSignal := func() time.Duration { return bootTime() - noticed }, g.sinceSignal(noticed)
+	g.shutdown.Begin(g.answersDue(), sinceSignal)
+	g.closing.Begin(limit-stopMargin-closeMargin, elapsed)
 	g.callers.conns.DisableKeepAlives()
 	g.peers.announceLeaving()
 	g.log.Info("drain", zap.Int64("active", g.active.Load()), zap.Duration("limit_ms", limit))
+	g.shutdown.Before(0, g.callers.expireHeads)
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	acceptTime := time.Duration(float64(limit) * acceptShare)
 	for {
 		select {
 		case signal := <-signals:
@@ -49,23 +62,44 @@
 			continue
 		case <-ticker.C:
 		}
-		if g.elapsedSince(&g.drainStartedAt) < acceptTime {
+		g.shutdown.Poll()
+		g.closing.Poll()
+		if sinceSignal() < scaleDuration(limit, acceptShare) {
 			continue
 		}
-		elapsed := time.Since(start)
 		g.callers.conns.CloseIdle()
 		active := g.active.Load()
-		if active+g.releasing.Load() == 0 && g.callers.conns.Drained() || elapsed > limit-stopMargin {
-			g.logStop(active, elapsed)
-			g.stopped.Store(true)
-			g.callers.close()
-			return
+		switch {
+		case active+g.releasing.Load() == 0 && g.callers.conns.Drained():
+			g.logStop("drained", active, elapsed())
+		case elapsed() > limit-stopMargin:
+			g.logStop("limit", active, elapsed())
+		default:
+			continue
 		}
+		g.callers.close()
+		return
+	}
+}
+
+// sinceSignal returns a clock of the time since the earliest moment at which a signal that was noticed at a time since
+// boot may have been sent. The supervisor counts the drain timeout from there, also while this process or its machine is
+// suspended.
+func (g *Gateway) sinceSignal(noticed time.Duration) func() time.Duration {
+	if began, _, ok := g.suspensions.recent(); ok {
+		noticed -= time.Duration(g.uptimeNanos() - began)
 	}
+	return func() time.Duration { return bootTime() - noticed }
+}
+
+// draining reports whether the process is shutting down.
+func (g *Gateway) draining() bool {
+	_, draining := g.shutdown.Remaining()
+	return draining
 }
 
 // logStop logs what the process leaves behind.
-func (g *Gateway) logStop(active int64, elapsed time.Duration) {
+func (g *Gateway) logStop(reason string, active int64, elapsed time.Duration) {
 	carrying, unsent := 0, 0
 	g.callers.conns.Each(func(conn *graceful.Conn) {
 		if conn.InRequest() {
@@ -73,29 +107,19 @@
 		}
 		unsent += conn.Unsent()
 	})
-	g.log.Info("stop", zap.String("reason", "drained"), zap.Int64("active", active), zap.Duration("took_ms", elapsed),
+	g.log.Info("stop", zap.String("reason", reason), zap.Int64("active", active), zap.Duration("took_ms", elapsed),
 		zap.Int("open", g.callers.conns.Len()), zap.Int("carrying", carrying), zap.Int("unsent_bytes", unsent))
 }
 
-// signalledAt returns the earliest time at which a signal that is noticed now may have been sent, in nanoseconds since
-// the gateway's start. The supervisor counts the drain timeout from there, also while this process is suspended.
-func (g *Gateway) signalledAt(noticed time.Time) int64 {
-	if began, _, ok := g.suspensions.recent(); ok {
-		return cmp.Or(began, 1) // 0 means that no drain has begun
-	}
-	return int64(noticed.Sub(g.started))
-}
-
 // canAccept reports whether a new request that takes the time need can still end before the
 // process stops. When all nodes of a data centre are stopped in turn, the load balancer goes on
 // sending requests to draining nodes; short ones are still served then.
 func (g *Gateway) canAccept(need time.Duration) bool {
-	if g.drainStartedAt.Load() == 0 {
+	remaining, draining := g.shutdown.Remaining()
+	if !draining || need < remaining {
 		return true
 	}
-	limit := g.settings.DrainTimeout.D()
-	elapsed := g.elapsedSince(&g.drainStartedAt)
-	return elapsed < time.Duration(float64(limit)*acceptShare) || elapsed+need < limit-stopMargin
+	return g.answersDue()-remaining < scaleDuration(g.settings.DrainTimeout.D(), acceptShare)
 }
 
 const (
--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/attempt"
+	"aspenyard.example/graceful"
 	"aspenyard.example/result"
 	"aspenyard.example/routing/direct"
 )
@@ -31,12 +32,12 @@
 // endedBy says who ended an attempt; it is written to logs.
 func (f *forwarding) endedBy(ctx context.Context) string {
 	switch {
+	case f.handedOver.Load() || errors.Is(context.Cause(ctx), graceful.ErrShutdown):
+		return "stop"
 	case ctx.Err() == nil:
 		return "endpoint"
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return "deadline"
-	case f.gateway.stopped.Load():
-		return "stop"
 	}
 	return "caller"
 }
@@ -47,15 +48,36 @@
 	if f.retrier.MayHaveRun() {
 		ran = result.RanUnknown
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(context.Cause(ctx), graceful.ErrShutdown):
+		return f.shutdownError()
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return result.Fail(result.DeadlineExceeded, ran, "deadline passed before the request ended")
 	}
-	if f.gateway.stopped.Load() {
-		return result.Fail(result.Cancelled, ran, "the process ended before the request")
-	}
 	return result.Fail(result.Cancelled, ran, "caller disconnected")
 }
 
+// shutdownError ends a request that this process cannot serve before it stops. Callers that may send it again should do
+// so at once, through another entry.
+func (f *forwarding) shutdownError() *result.Error {
+	failure, ended := f.endAttempted("process is shutting down")
+	switch {
+	case !ended:
+		return f.refuseLeaving()
+	case failure != nil:
+		failure.Code = result.Interrupted
+		if f.route.Repeatable() {
+			failure.RetryAfter = drainingRetryAfter
+		}
+	}
+	return failure
+}
+
+// refuseLeaving refuses a request that has not run and that this process cannot serve before it stops.
+func (c *call) refuseLeaving() *result.Error {
+	return result.Refuse(result.Leaving, drainingRetryAfter, "process is shutting down")
+}
+
 // endAttempted ends a request that may have run, or whose response has begun, and that is not sent again. A complete
 // response in which an endpoint reported a failure is relayed, unless events of another endpoint's stream precede it:
 // the response is then broken off. ended is false for a request that has certainly not run.
--- a/gateway/endless.go
+++ b/gateway/endless.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// aborted reports whether the exchange was ended by the context or because the endpoint is dead.
-func (r *endpointResponse) aborted() bool { return r.ctx.Err() != nil || r.unreachable() }
+// aborted reports whether the exchange was ended by the context or the watchdog.
+func (r *endpointResponse) aborted() bool { return r.ctx.Err() != nil || r.givenUp() }
 
 // readError returns the error of reading part of a response: an endlessError if a bound was exceeded.
 func (r *endpointResponse) readError(err error, part string, timeout time.Duration) error {
--- a/gateway/evacuation_checks_test.go
+++ b/gateway/evacuation_checks_test.go
@@ -179,7 +179,7 @@
 	w.timer = time.AfterFunc(time.Hour, func() {})
 	w.silence = time.Nanosecond
 	w.check()
-	is.True(!w.unreachable.Load())
+	is.True(!w.givenUp.Load())
 	is.Equal(f.dials.Load(), int64(0))
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -60,9 +60,9 @@
 	}
 }
 
-// unreachable reports whether the watchdog has found that the endpoint is dead.
-func (r *endpointResponse) unreachable() bool {
-	return r.watchdog != nil && r.watchdog.unreachable.Load()
+// givenUp reports whether the watchdog has ended the exchange.
+func (r *endpointResponse) givenUp() bool {
+	return r.watchdog != nil && r.watchdog.givenUp.Load()
 }
 
 // stopWatching stops the watchdog and the cancellation by the context. It reports whether neither
@@ -70,7 +70,7 @@
 func (r *endpointResponse) stopWatching() bool {
 	if r.watchdog != nil {
 		r.watchdog.stop()
-		if r.unreachable() {
+		if r.givenUp() {
 			r.stop()
 			return false
 		}
@@ -94,8 +94,8 @@
 //
 // nonRepeatable is set for requests that must not run twice. silence is the time without a byte
 // after which the endpoint is probed; 0 disables probing, for requests that could not be retried
-// at another endpoint.
-func (g *Gateway) exchange(ctx context.Context, e *directory.EndpointState, out *outgoingRequest, nonRepeatable bool, silence time.Duration) (*endpointResponse, *sendError) {
+// at another endpoint. handOver says when the exchange is given up for another one as the process stops.
+func (g *Gateway) exchange(ctx context.Context, e *directory.EndpointState, out *outgoingRequest, nonRepeatable bool, silence time.Duration, handOver *handOver) (*endpointResponse, *sendError) {
 	conn, err := g.pool.get(ctx, e, out.used, nonRepeatable)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -111,7 +111,7 @@
 	}
 	r.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if silence > 0 {
-		r.watchdog = g.startWatchdog(ctx, r, silence)
+		r.watchdog = g.startWatchdog(ctx, r, silence, handOver)
 	}
 	out.used.add(conn)
 	r.writeResult = out.write(conn)
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -183,5 +183,5 @@
 
 // DrainAcceptsOnlyShort reports whether a drain has gone on for so long that only requests are accepted that can end in time.
 func (g *Gateway) DrainAcceptsOnlyShort() bool {
-	return g.drainStartedAt.Load() != 0 && !g.canAccept(time.Hour)
+	return !g.canAccept(time.Hour)
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -18,7 +18,7 @@
 		Name: g.settings.Name, DataCentre: g.settings.DataCentre, ChangeWithin: g.maxChangeDelay(), StoreTimeout: g.settings.StoreTimeout.D(),
 		EvacuationReadTimeout: g.evacuationReadTimeout(), StoreHistory: g.settings.StoreHistory.D(),
 		Source: c.Source, Checkpoints: c.Checkpoints, Changes: &g.feed.log, Peers: g.feed, Listener: g,
-		SinceBoot: bootTime, Random: globalRand{}, Draining: func() bool { return g.drainStartedAt.Load() != 0 }, Logger: g.log, Metrics: g.metrics,
+		SinceBoot: bootTime, Random: globalRand{}, Draining: g.draining, Logger: g.log, Metrics: g.metrics,
 	})
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,6 +39,9 @@
 	countedAfterBackoff bool
 	// budgetTaken is set if the next attempt has used the retry budget.
 	budgetTaken bool
+	// handedOver is set if the attempt under way was given up for another one, for which the retry budget has been
+	// used, as this process stops.
+	handedOver atomic.Bool
 	// lengthRecorded is set once the outcome of a long prompt is recorded.
 	lengthRecorded bool
 	// onTrial is set if the request is sent once although a part of its prompt is blamed for crashes.
@@ -55,7 +59,7 @@
 
 // forward sends the request to endpoints until one has answered it or no retry is allowed.
 func (c *call) forward() *result.Error {
-	ctx, cancel := c.withDeadline()
+	ctx, cancel := c.context()
 	defer cancel()
 	c.restrictRegions()
 	f := &forwarding{call: c}
@@ -98,6 +102,9 @@
 		outcome, err := f.sendTo(ctx, plan)
 		f.endBackoffCount(plan.Endpoint, false)
 		if err == nil {
+			if f.handedOver.Swap(false) {
+				f.gateway.retries.GiveBack(time.Now(), f.service.Name) // it responded at the same moment
+			}
 			f.recordResponse()
 			return nil
 		}
@@ -108,12 +115,13 @@
 		if outcome == attempt.NotSent {
 			f.giveBackLimit(plan.Endpoint)
 		}
-		if outcome == attempt.Broken && ctx.Err() == nil {
+		if outcome == attempt.Broken && ctx.Err() == nil && !f.handedOver.Load() {
 			f.checkForCrash(ctx, plan.Endpoint)
 		}
+		endedBy := f.endedBy(ctx)
 		next := f.retrier.Decide(outcome, f.takeBudget)
 		c.log.Add("attempt_failed", zap.String("endpoint", plan.Endpoint.ID), zap.String("outcome", outcome.String()),
-			zap.Int("arrivals", f.retrier.Arrivals()), zap.String("next", next.String()), zap.String("ended_by", f.endedBy(ctx)), eventlog.Error(err))
+			zap.Int("arrivals", f.retrier.Arrivals()), zap.String("next", next.String()), zap.String("ended_by", endedBy), eventlog.Error(err))
 		c.gateway.countFailedAttempt(c.service.Name, outcome)
 		if ctx.Err() != nil {
 			return f.contextError(ctx)
@@ -121,12 +129,16 @@
 		if next != attempt.Retry {
 			return f.finalError(next, err)
 		}
+		if !f.retrier.MayHaveRun() && !f.gateway.canAccept(f.estimatedDuration()) {
+			f.returnBudget()
+			return f.refuseLeaving()
+		}
 	}
 }
 
 // takeBudget takes a retry from the retry budget.
 func (f *forwarding) takeBudget() bool {
-	f.budgetTaken = f.gateway.retries.Take(time.Now(), f.service.Name)
+	f.budgetTaken = f.handedOver.Swap(false) || f.gateway.retries.Take(time.Now(), f.service.Name)
 	return f.budgetTaken
 }
 
@@ -192,7 +204,7 @@
 		}
 	}
 	sentAt := time.Now()
-	response, sendErr := f.gateway.exchange(ctx, plan.Endpoint, f.buildRequest(plan, helpers), !f.route.Repeatable(), f.silenceTimeout())
+	response, sendErr := f.gateway.exchange(ctx, plan.Endpoint, f.buildRequest(plan, helpers), !f.route.Repeatable(), f.silenceTimeout(), f.handOver(plan))
 	if sendErr != nil && sendErr.outcome == attempt.NotSent {
 		return f.notSent(plan, sendErr)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
 	"aspenyard.example/gateway/storewatch"
+	"aspenyard.example/graceful"
 	"aspenyard.example/membership"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/settings"
@@ -84,10 +85,11 @@
 	configAppliedAt atomic.Int64
 	// currentAt is when the state was last known to be current, in nanoseconds since boot; 0 if it never
 	// was.
-	currentAt      atomic.Int64
-	drainStartedAt atomic.Int64 // start of the drain, in nanoseconds since started; 0 while serving
-	stopped        atomic.Bool  // the callers' server is being closed
-	started        time.Time
+	currentAt atomic.Int64
+	// A drain begins both: by shutdown final responses are due, by closing those that have begun are broken off. The
+	// first counts from the earliest moment at which the signal may have been sent, the second from when it was noticed.
+	shutdown, closing graceful.Shutdown
+	started           time.Time
 	// configured is closed when the first configuration comes into force.
 	configured      chan struct{}
 	firstConfigWait time.Duration
@@ -283,7 +285,7 @@
 // error that says why not.
 func (g *Gateway) checkReady() error {
 	switch {
-	case g.drainStartedAt.Load() != 0:
+	case g.draining():
 		return errors.New("draining")
 	case g.snapshot.Load().Config == nil:
 		return errors.New("no configuration yet")
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -19,6 +19,7 @@
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
 	"aspenyard.example/gateway/response"
+	"aspenyard.example/graceful"
 	"aspenyard.example/result"
 )
 
@@ -120,7 +121,7 @@
 	}
 	c.service = c.config.Service(name)
 	if !c.gateway.canAccept(c.estimatedDuration()) {
-		return result.Refuse(result.Leaving, drainingRetryAfter, "process is shutting down")
+		return c.refuseLeaving()
 	}
 	c.recogniseReturn()
 	c.gateway.retries.RecordRequest(c.started, c.service.Name)
@@ -252,6 +253,7 @@
 	}
 	control := c.response.Controller()
 	_ = control.SetReadDeadline(c.deadline)
+	defer c.gateway.shutdown.Before(0, c.endBodyRead)()
 	reader := http.MaxBytesReader(nil, c.httpRequest.Body, limit) // writeError closes the connection
 	body, err := c.readBodyWithin(reader, c.httpRequest.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
@@ -261,6 +263,8 @@
 	case err == nil:
 		c.body = body
 		return nil
+	case c.shutdownDue():
+		return c.refuseLeaving()
 	case errors.Is(err, errBodyRefused):
 		return c.refuseFull(max(c.httpRequest.ContentLength, c.held.Bytes()))
 	case errors.As(err, &tooLarge):
@@ -273,6 +277,12 @@
 	return result.Refuse(result.BadRequest, 0, "reading the request body failed: %v", err)
 }
 
+// shutdownDue reports whether this process must have responded to the request by now, as it stops.
+func (c *call) shutdownDue() bool {
+	remaining, draining := c.gateway.shutdown.Remaining()
+	return draining && remaining <= 0
+}
+
 // defaultBodyBytes bounds the body when the configuration sets no limit.
 const defaultBodyBytes = 16 << 20
 
@@ -387,8 +397,22 @@
 	return c.route.Name
 }
 
-// withDeadline returns a context that ends at the request's deadline or when the caller
-// disconnects.
-func (c *call) withDeadline() (context.Context, context.CancelFunc) {
-	return context.WithDeadline(c.httpRequest.Context(), c.deadline)
+// context returns a context that ends at the request's deadline, when the caller disconnects, or when this process must
+// have responded before it stops. A response that has begun may go on for longer, as nothing else can be written then.
+func (c *call) context() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(c.httpRequest.Context())
+	stop := func() { cancel(graceful.ErrShutdown) }
+	cancelShutdown := c.gateway.shutdown.Before(0, func() {
+		if !c.response.Begun() {
+			stop()
+		}
+	})
+	cancelClosing := c.gateway.closing.Before(0, stop)
+	ctx, cancelDeadline := context.WithDeadline(ctx, c.deadline)
+	return ctx, func() {
+		cancelShutdown()
+		cancelClosing()
+		cancelDeadline()
+		cancel(nil)
+	}
 }
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -185,28 +185,34 @@
 
 // watchdog monitors one exchange. When the endpoint has been silent for a while it is probed, and
 // if it is dead the exchange is aborted, so that the request can be sent elsewhere while its
-// caller still waits.
+// caller still waits. While this process stops, the exchange is also aborted for another one that can
+// still end in time.
 type watchdog struct {
 	gateway      *Gateway
 	response     *endpointResponse
 	ctx          context.Context
 	silence      time.Duration
+	handOver     *handOver
 	lastActivity atomic.Int64 // nanoseconds since the gateway's start
-	unreachable  atomic.Bool
+	received     atomic.Int64 // heads and events
+	givenUp      atomic.Bool
 	timer        *time.Timer
 }
 
 // startWatchdog starts to monitor an exchange; the endpoint is probed after silence without a
 // byte from it.
-func (g *Gateway) startWatchdog(ctx context.Context, r *endpointResponse, silence time.Duration) *watchdog {
-	w := &watchdog{gateway: g, response: r, ctx: ctx, silence: silence}
-	w.noteActivity()
+func (g *Gateway) startWatchdog(ctx context.Context, r *endpointResponse, silence time.Duration, handOver *handOver) *watchdog {
+	w := &watchdog{gateway: g, response: r, ctx: ctx, silence: silence, handOver: handOver}
+	w.lastActivity.Store(g.uptimeNanos())
 	w.timer = time.AfterFunc(silence, w.check)
 	return w
 }
 
 // noteActivity records that the endpoint has sent something.
-func (w *watchdog) noteActivity() { w.lastActivity.Store(w.gateway.uptimeNanos()) }
+func (w *watchdog) noteActivity() {
+	w.received.Add(1)
+	w.lastActivity.Store(w.gateway.uptimeNanos())
+}
 
 // stop ends the monitoring.
 func (w *watchdog) stop() { w.timer.Stop() }
@@ -222,10 +228,11 @@
 		w.timer.Reset(w.silence - silent)
 		return
 	}
-	if w.gateway.evacuated(w.response.endpoint) || w.gateway.prober.alive(w.ctx, w.response.endpoint) {
+	alive := w.gateway.evacuated(w.response.endpoint) || w.gateway.prober.alive(w.ctx, w.response.endpoint)
+	if alive && !w.handOver.isDue(&w.gateway.shutdown, silent, w.silence, w.received.Load()) {
 		w.timer.Reset(w.silence)
 		return
 	}
-	w.unreachable.Store(true)
+	w.givenUp.Store(true)
 	_ = w.response.conn.SetDeadline(time.Unix(1, 0))
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -45,6 +45,8 @@
 	if estimate.TooLate(f.route.Target) && !f.placementRequest.PassedOver {
 		return f.refuseLateFirstToken(estimate, backlogDrainFactor*(estimate.FirstToken()-f.route.Target))
 	}
+	ctx, cancel := g.shutdown.Context(ctx, f.stopLead(estimate.Prefill))
+	defer cancel()
 	plan := g.policy.Place(f.started, &f.placementRequest, endpoints)
 	switch {
 	case f.placementRequest.PassedOver, plan != nil && plan.Overloaded && f.route.Target > 0:
--- a/gateway/response/response.go
+++ b/gateway/response/response.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -29,10 +30,11 @@
 // ErrOrder is returned for a write that the state does not allow. Nothing has been written then.
 var ErrOrder = errors.New("response: not allowed in this state")
 
-// Writer writes one response. It is not safe for concurrent use.
+// Writer writes one response. Only Begun is safe for concurrent use.
 type Writer struct {
 	writer http.ResponseWriter
 	state  State
+	begun  atomic.Bool
 }
 
 // New returns a Writer of a response of which nothing has been sent.
@@ -41,6 +43,9 @@
 // State returns the response's state.
 func (w *Writer) State() State { return w.state }
 
+// Begun reports whether the head has been sent.
+func (w *Writer) Begun() bool { return w.begun.Load() }
+
 // CloseConnection lets the caller's connection end with the response.
 func (w *Writer) CloseConnection() { w.writer.Header().Set("Connection", "close") }
 
@@ -53,6 +58,7 @@
 		return errors.Wrapf(ErrOrder, "head with status %d while %s", status, w.state)
 	}
 	w.state = Begun
+	w.begun.Store(true)
 	maps.Copy(w.writer.Header(), header)
 	w.writer.WriteHeader(status)
 	return nil
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -55,12 +55,12 @@
 		got := <-response
 		is.NoErr(got.err) // a complete response
 		is.Equal(got.status, http.StatusBadGateway)
-		is.True(strings.Contains(got.body, "unknown")) // whether it ran
+		is.True(strings.Contains(got.body, "4007"))
 		repeatable := target == "/again/a" || target == "/stream/a"
 		is.Equal(got.header.Get("Retry-After") != "", repeatable)
 	}
 	is.NoErr(<-s.serveErr)
-	s.waitFor("it is logged", func() bool { return s.logged(`"ended_by":"stop"`) })
+	s.waitFor("it is logged", func() bool { return s.logged(`"ended_by":"stop"`) && s.logged(`"ran":"unknown"`) })
 	is.True(!s.logged("caller disconnected"))
 }
 
@@ -248,5 +248,44 @@
 	is.NoErr(<-s.serveErr)
 }
 
+// Guards against requests that are being received when the process ends and whose callers are not told that they have not run.
+func TestAStopRefusesRequestsThatAreBeingReceived(t *testing.T) {
+	whole := head("POST", "/once/a", "q1") + "Content-Length: 5\r\n\r\nhe"
+	for name, sent := range map[string]string{"head": "POST /once/a HTTP", "body": whole} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newFixture(t, plainWorker()).start()
+			c := s.dialSlow(sent)
+			s.waitFor("a part is read", func() bool { return s.gateway.ConnectionsInRequest() == 1 })
+			s.sendSIGTERM()
+			response := c.response()
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.True(response.Header.Get("Retry-After") != "")
+			is.True(name == "head" || strings.Contains(string(body), "3007"))
+			is.NoErr(<-s.serveErr)
+			is.Equal(s.runCount("q1"), 0)
+		})
+	}
+}
+
+// Guards against a stream whose endpoint falls silent and that a stop ends as if it were whole, or before it must.
+func TestAStopBreaksOffWhatNoOtherEndpointCanResume(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s, responses := startSilent(t, true, "/tail/a", "/stream/a")
+	s.sendSIGTERM()
+	for target, response := range responses {
+		got := <-response
+		is.True(got.err != nil) // broken off
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(got.body, standin.StreamText("q"+target, 1))
+	}
+	is.NoErr(<-s.serveErr)
+	s.waitFor("it is logged", func() bool { return s.logged(`"code":4007`) })
+}
+
 // drainPoll is the time between two checks of a drain.
 const drainPoll = 20 * time.Millisecond
--- a/result/result.go
+++ b/result/result.go
@@ -72,6 +72,7 @@
 	Cancelled        Code = 4004
 	ServiceFailed    Code = 4005
 	RetryBudget      Code = 4006
+	Interrupted      Code = 4007
 
 	Internal Code = 5001
 )
--- a/result/table.go
+++ b/result/table.go
@@ -61,6 +61,7 @@
 	{Cancelled, "cancelled", 499, "The caller cancelled the request or closed its connection.", "None."},
 	{ServiceFailed, "service_failed", http.StatusBadGateway, "The plain service answered with an error.", "See the detail; the service ran the call."},
 	{RetryBudget, "retry_budget", http.StatusServiceUnavailable, "The work failed after it had started, and the retry budget of its class is used up.", "Send the request again after Retry-After."},
+	{Interrupted, "interrupted", http.StatusBadGateway, "The entry shut down before the endpoint had responded.", "See ran; send the request again at once if it may be repeated."},
 
 	{Internal, "internal", http.StatusInternalServerError, "An internal error in aspenyard.", "Report the error with the request id."},
 }
