Planned work is played against requests in every state; explain says what ended an attempt

The test of queued prompts now also sees that they are refused when it is known, not when responses are due.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -182,6 +182,11 @@
 	return fmt.Sprintf("%10.1f ms  %s  %s", float64(l.Time.Sub(start).Microseconds())/1000, l.Node, l.describe())
 }
 
+// attemptEnds are the texts for what ended an attempt, if it was not the endpoint.
+var attemptEnds = map[string]string{
+	"deadline": ", ended by the request's deadline", "caller": ", as the caller disconnected", "stop": ", given up as this node shuts down",
+}
+
 // describe returns a sentence about the event.
 func (l *logLine) describe() string {
 	switch l.Event {
@@ -196,7 +201,7 @@
 	case "memory_reserved":
 		return fmt.Sprintf("KV cache reserved at %s helpers (%s refused): %s of %s tokens", l.text("helpers"), l.text("refused"), l.text("tokens"), l.text("needed"))
 	case "attempt_failed":
-		return fmt.Sprintf("attempt at %s failed: %s (%s); next: %s, endpoints reached so far: %s", l.text("endpoint"), l.text("outcome"), l.text("error"), l.text("next"), l.text("arrivals"))
+		return fmt.Sprintf("attempt at %s failed: %s (%s)%s; next: %s, endpoints reached so far: %s", l.text("endpoint"), l.text("outcome"), l.text("error"), attemptEnds[l.text("ended_by")], l.text("next"), l.text("arrivals"))
 	case "send_withheld":
 		return fmt.Sprintf("not sent by that plan, %s after it was made: %s (endpoint %s, by the list at revision %s%s)", l.milliseconds("placed_ms"), l.text("reason"), cmp.Or(l.text("endpoint"), "any"), l.text("at"), l.eraText())
 	case "sent_to_limited":
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -185,3 +185,9 @@
 func (g *Gateway) DrainAcceptsOnlyShort() bool {
 	return !g.canAccept(time.Hour)
 }
+
+// ResponsesDue reports whether the gateway is about to stop, so that every request must have its response.
+func (g *Gateway) ResponsesDue() bool {
+	remaining, draining := g.shutdown.Remaining()
+	return draining && remaining <= 0
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -102,9 +102,8 @@
 		outcome, err := f.sendTo(ctx, plan)
 		f.endBackoffCount(plan.Endpoint, false)
 		if err == nil {
-			if f.handedOver.Swap(false) {
-				f.gateway.retries.GiveBack(time.Now(), f.service.Name) // it responded at the same moment
-			}
+			f.budgetTaken = f.handedOver.Swap(false)
+			f.returnBudget() // of another attempt, if the endpoint responded just as it was given up
 			f.recordResponse()
 			return nil
 		}
