A response to an HTTP/1.0 caller that is not whole ends with a reset

To an HTTP/1.0 caller a response without a length ends with its connection. Now what is not whole is reset for these callers, at the limit of a drain and where a response is aborted. Others keep the normal end: their framing says that a part is missing, and a reset would drop what is on its way. At the limit each cut response has a line: caller_cut with the reason stop.

--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -41,12 +41,13 @@
 
 // The reasons. cutBound: no more bytes may be held. cutStalled: the caller took nothing for stallTimeout.
 // cutLate: the caller has not taken everything by stallTimeout after its deadline. cutForOthers: its bytes
-// are needed for the response of another request.
+// are needed for the response of another request. cutStopped: the process ends.
 const (
 	cutBound     cutReason = "bound"
 	cutStalled   cutReason = "stalled"
 	cutLate      cutReason = "late"
 	cutForOthers cutReason = "others"
+	cutStopped   cutReason = "stop"
 )
 
 // errCallerCut is returned by writes to a caller that was cut off.
@@ -97,6 +98,8 @@
 	stall    time.Duration
 	deadline time.Time
 	rank     float64
+	// unframed is set for callers to which the end of the connection may be the end of a response.
+	unframed bool
 	// held is what the request holds besides the backlog; nil if unknown.
 	held *admission.Holding
 }
@@ -359,11 +362,37 @@
 	}
 }
 
-// cutLocked ends the connection by a reset: where the end of the connection ends a response, a normal
-// close would make a part of it look complete.
+// cutOff ends the connection as the process ends, if its response has not been written completely. unsent is how many of the
+// written bytes the caller's host has not taken.
+func (c *backlogConn) cutOff(unsent int, incomplete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failed != nil || unsent == 0 && !incomplete {
+		return
+	}
+	c.gateway.logCut(c.response.request, cutStopped, int64(unsent))
+	if c.response.unframed && (incomplete || c.writing) {
+		c.resetLocked()
+	}
+}
+
+// cutLocked ends the connection by a reset. The caller holds mu.
 func (c *backlogConn) cutLocked(reason cutReason) {
-	c.failed = errCallerCut
 	c.gateway.logCut(c.response.request, reason, c.held.Bytes())
+	c.resetLocked()
+}
+
+// reset ends the connection by a reset.
+func (c *backlogConn) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resetLocked()
+}
+
+// resetLocked is reset with mu held: where the end of the connection ends a response, a normal close would make a part
+// of it look complete.
+func (c *backlogConn) resetLocked() {
+	c.failed = errCallerCut
 	c.chunks = nil
 	c.held.Release()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -196,6 +196,16 @@
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_requests_not_parsed_total{status=%q}`, status)).Inc()
 }
 
+// cutOff logs the requests whose responses callers do not have when the process ends, and resets their connections where
+// a normal close would make a part of a response look complete.
+func (c *callerServer) cutOff() {
+	c.conns.Each(func(conn *graceful.Conn) {
+		if backlog, ok := conn.Conn.(*backlogConn); ok {
+			backlog.cutOff(conn.Unsent(), conn.InRequest() && !conn.Lingering())
+		}
+	})
+}
+
 // expireHeads ends the wait for the rest of heads that have been received in part.
 func (c *callerServer) expireHeads() {
 	c.conns.Each(func(conn *graceful.Conn) {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -74,6 +74,7 @@
 			g.logStop("drained", active, elapsed())
 		case elapsed() > limit-stopMargin:
 			g.logStop("limit", active, elapsed())
+			g.callers.cutOff()
 		default:
 			continue
 		}
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -191,3 +191,9 @@
 	remaining, draining := g.shutdown.Remaining()
 	return draining && remaining <= 0
 }
+
+// Closing reports whether the gateway breaks off the responses that have begun.
+func (g *Gateway) Closing() bool {
+	remaining, draining := g.closing.Remaining()
+	return draining && remaining <= 0
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -330,13 +330,20 @@
 	switch state := c.response.State(); {
 	case failure == nil && state == response.Complete:
 	case failure == nil || state != response.Unsent || failure.Code == result.Cancelled:
-		// Aborting the connection keeps a partial response from looking complete.
-		panic(http.ErrAbortHandler)
+		c.abort()
 	default:
 		c.writeError(failure)
 	}
 }
 
+// abort ends the caller's connection, so that a partial response does not look complete.
+func (c *call) abort() {
+	if conn := c.backlog(); conn != nil && !c.httpRequest.ProtoAtLeast(1, 1) {
+		conn.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // lateness says which of its route's targets a response missed; it is written to logs.
 type lateness string
 
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -56,7 +56,7 @@
 	c.held = c.gateway.bytes.Open(admission.BodyBytes, c.rank)
 	c.responseHeld = c.gateway.bytes.Open(admission.ResponseBytes, c.rank)
 	if conn := c.backlog(); conn != nil {
-		conn.beginResponse(responseTerms{request: c.ID, stall: stallTimeout(c.deadline.Sub(c.started)), deadline: c.deadline, rank: c.rank, held: &c.responseHeld})
+		conn.beginResponse(responseTerms{request: c.ID, stall: stallTimeout(c.deadline.Sub(c.started)), deadline: c.deadline, rank: c.rank, unframed: !c.httpRequest.ProtoAtLeast(1, 1), held: &c.responseHeld})
 	}
 }
 
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -284,5 +286,43 @@
 	s.waitFor("it is logged", func() bool { return s.logged(`"code":4007`) })
 }
 
+// Guards against a stop that ends a response to an HTTP/1.0 caller, which has no other end than its connection, as if it
+// were whole.
+func TestAStopResetsUnframedResponsesThatAreNotWhole(t *testing.T) {
+	for name, target := range map[string]string{"stream": "/stream/a?stream=1&size=8000&chunks=200", "plain": "/once/a?size=100000&chunks=16"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s, endpoint := newBulkFixture(t)
+			endpoint.UnreadTimeout = waitTimeout
+			s.extraSettings = `,"memory_limit":"256MB","drain_timeout":"2s"`
+			for _, r := range s.routes {
+				r["timeout_ms"] = 15_000
+			}
+			s.start()
+			caller := s.dialSlow(strings.Replace(head("GET", target, "q1"), "HTTP/1.1", "HTTP/1.0", 1) + "\r\n")
+			s.waitFor("the endpoint has sent everything", func() bool { return endpoint.Complete.Load() == 1 })
+			s.sendSIGTERM()
+			is.NoErr(<-s.serveErr)
+			_, err := io.ReadAll(caller.conn)
+			is.True(errors.Is(err, syscall.ECONNRESET))
+			s.waitFor("it is logged", func() bool { return s.logged(`"event":"caller_cut"`) && s.logged(`"reason":"stop"`) })
+		})
+	}
+}
+
+// Guards against a broken stream that looks whole to an HTTP/1.0 caller, as its connection ends like that of a whole one.
+func TestABrokenStreamIsResetForCallersWithoutFraming(t *testing.T) {
+	is := is.New(t)
+	worker := streamingWorker(6)
+	worker.SetDefaultFault(standin.FaultTruncated)
+	s := newFixture(t, worker)
+	s.routes[2]["resumable"] = false
+	s.start()
+	caller := s.dialSlow(strings.Replace(head("GET", "/stream/a", "q1"), "HTTP/1.1", "HTTP/1.0", 1) + "\r\n")
+	_, err := io.ReadAll(caller.conn)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
 // drainPoll is the time between two checks of a drain.
 const drainPoll = 20 * time.Millisecond
--- a/gateway/suspension_test.go
+++ b/gateway/suspension_test.go
@@ -52,3 +52,22 @@
 	is.NoErr(response.err)
 	is.Equal(response.body, standin.StreamText("q1", 30))
 }
+
+// Guards against a request whose endpoint is silent and that is answered only after the supervisor may have killed the
+// entry, which was suspended when SIGTERM came.
+func TestASilentRequestIsAnsweredBeforeAKillThatCountsFromASuspension(t *testing.T) {
+	is := is.New(t)
+	silent := silentWorker(false)
+	s := newFixture(t, silent)
+	s.extraSettings = `,"drain_timeout":"30s"`
+	s.start()
+	got := make(chan callerResponse, 1)
+	go func() { got <- s.post("/once/a", "q1") }()
+	s.waitFor("the request runs", func() bool { return silent.InFlight() == 1 })
+	s.gateway.SimulateSuspension(29500 * time.Millisecond)
+	s.sendSIGTERM()
+	response := <-got
+	is.NoErr(response.err)
+	is.Equal(response.status, http.StatusBadGateway)
+	is.True(!s.gateway.Closing())
+}
--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -214,6 +214,7 @@
 	// readAhead is set when the server has read a byte of the next request while it handles one. Conns.mu guards it.
 	readAhead bool
 	closed    sync.Once
+	lingers   atomic.Bool
 	// idleElement is the connection's element of Conns.idle, nil while it is not idle. Conns.mu guards it.
 	idleElement *list.Element
 }
--- a/graceful/linger.go
+++ b/graceful/linger.go
@@ -50,6 +50,9 @@
 	return n
 }
 
+// Lingering reports whether the server has closed the connection and its peer has not taken everything.
+func (c *Conn) Lingering() bool { return c.lingers.Load() }
+
 // Close implements net.Conn. What was written is left to the kernel only once the peer's host has taken all of it: a
 // close with unread data resets the connection and drops the rest, and nothing sends the rest if the machine goes with
 // the process. Until then the connection lingers in the background.
@@ -75,6 +78,7 @@
 		c.lingering = map[*Conn]struct{}{}
 	}
 	c.lingering[conn] = struct{}{}
+	conn.lingers.Store(true)
 }
 
 // linger ends the stream to the peer and closes the connection once the peer's host has taken everything.
--- a/graceful/stop_test.go
+++ b/graceful/stop_test.go
@@ -107,7 +107,7 @@
 	conn := dial(t, addr)
 	_, _ = io.WriteString(conn, head+rest)
 	<-reached
-	_, _ = io.WriteString(conn, head)
+	_, _ = io.WriteString(conn, head[:1])
 	waitFor(t, "the server has read ahead", func() (ahead bool) {
 		conns.Each(func(c *Conn) { ahead = c.readAhead })
 		return ahead
@@ -121,7 +121,7 @@
 		return idle
 	})
 	is.True(!conns.StopReading())
-	_, _ = io.WriteString(conn, rest)
+	_, _ = io.WriteString(conn, head[1:]+rest)
 	_, err = http.ReadResponse(reader, nil)
 	is.NoErr(err)
 }
