The log says whose limit ended a request

The record has plain requests that end with 4001 after 1,100 to 1,101 ms at several entries. Nothing in the lines told which of the two it was; the detail of 4001 does now. No logic is changed.

--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -52,7 +52,7 @@
 	case errors.Is(context.Cause(ctx), graceful.ErrShutdown):
 		return f.shutdownError()
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return result.Fail(result.DeadlineExceeded, ran, "deadline passed before the request ended")
+		return result.Fail(result.DeadlineExceeded, ran, "%s of %v passed before the request ended", f.limitedBy, f.deadline.Sub(f.started))
 	}
 	return result.Fail(result.Cancelled, ran, "caller disconnected")
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -29,11 +29,13 @@
 	gateway  *Gateway
 	started  time.Time
 	deadline time.Time
-	snapshot *directory.Snapshot
-	config   *directory.Config
-	route    *directory.Route
-	service  *directory.Service
-	account  *directory.Account
+	// limitedBy names what the deadline follows from; it is written to logs.
+	limitedBy string
+	snapshot  *directory.Snapshot
+	config    *directory.Config
+	route     *directory.Route
+	service   *directory.Service
+	account   *directory.Account
 	// restriction limits the request to endpoints in some regions; nil without a limit.
 	restriction *directory.Restriction
 	body        []byte
@@ -218,8 +220,12 @@
 	if c.Deadline > 0 && (limit == 0 || c.Deadline < limit) {
 		limit = c.Deadline
 	}
+	c.limitedBy = "the route's timeout"
+	if limit == c.Deadline {
+		c.limitedBy = "the caller's deadline"
+	}
 	if limit <= 0 {
-		limit = defaultDeadline
+		limit, c.limitedBy = defaultDeadline, "the default deadline"
 	}
 	c.deadline = c.started.Add(limit)
 	return nil
