--- a/standin/platform/reservations.go
+++ b/standin/platform/reservations.go
@@ -124,6 +124,9 @@
 	if fault == FaultReset {
 		return false
 	}
+	if cut, ok := cutOf(fault); ok {
+		return w.writeCut(conn, cut, cut.Form.render(r.Method, w.statements(), []string{"{}"}), nil)
+	}
 	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/json\r\n%sContent-Length: 2\r\n\r\n{}", status, w.statements())
 	return true
 }
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -31,11 +31,18 @@
 func (w *Worker) sendPlain(conn net.Conn, headers string, run *Run, fault Fault, callerGone <-chan struct{}) bool {
 	body := PlainResponse(run.ID)
 	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%sContent-Length: %d\r\n\r\n%s", headers, serverStamp, len(body), body)
+	if run.Method == http.MethodHead {
+		response = strings.TrimSuffix(response, body)
+	}
 	switch fault {
 	case FaultError:
 		w.awaitHold()
 		w.setStatus(run, http.StatusInternalServerError)
-		fmt.Fprintf(conn, "HTTP/1.1 500 Internal Server Error\r\n%s%sContent-Length: 4\r\n\r\nfail", headers, serverStamp)
+		body := "fail"
+		if run.Method == http.MethodHead {
+			body = ""
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 500 Internal Server Error\r\n%s%sContent-Length: 4\r\n\r\n%s", headers, serverStamp, body)
 	case FaultUnmarkedRefusal:
 		w.setStatus(run, http.StatusServiceUnavailable)
 		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s%s%sContent-Length: 0\r\n\r\n", headers, serverStamp, w.backoffHeader())
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -114,6 +114,13 @@
 	// EventInterval is the time between events; WorkTime is how long a plain response
 	// takes.
 	EventInterval, WorkTime time.Duration
+	// CutWait is how long the faults of a Cut wait.
+	CutWait time.Duration
+	// SingleUse ends each connection with its first response.
+	SingleUse bool
+	// FaultFor returns the fault for a request that arrives on the connection from an address; nil, or "" from it,
+	// leaves the choice to the other fields.
+	FaultFor func(id, from string) Fault
 	// EndlessPause is the pause after each byte of the faults that send without end; 0 for full speed.
 	EndlessPause time.Duration
 	// Slots is the largest number of requests in flight; further ones are refused as not
@@ -351,6 +358,7 @@
 		if err != nil {
 			return
 		}
+		request.RemoteAddr = conn.RemoteAddr().String()
 		if !w.handleCopied(conn, reader, request) {
 			return
 		}
@@ -365,7 +373,7 @@
 	case "/-/report":
 		return w.serveReport(conn)
 	}
-	fault := w.nextFault()
+	fault := w.faultFor(r)
 	run := newRun(r, fault)
 	if fault == FaultEarlyResponse {
 		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Not-Executed: 1\r\n%s%sContent-Length: 0\r\n\r\n", run.ID, w.statements(), w.backoffHeader())
@@ -378,6 +386,9 @@
 	}
 	run.Body, run.ArrivedAt = string(body), time.Now()
 	headers := fmt.Sprintf("X-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Instance-Load: 1,0,16\r\n%s", run.ID, w.statements())
+	if w.SingleUse {
+		headers += connCloseHeader
+	}
 	if status, refusalHeaders := w.refusal(r, fault); status != 0 {
 		run.Status = status
 		if status == http.StatusServiceUnavailable {
@@ -403,7 +414,7 @@
 		sleepUnlessGone(w.WorkTime, callerGone)
 		return w.crash()
 	}
-	keepAlive := w.process(conn, headers, run, fault, callerGone)
+	keepAlive := w.process(conn, headers, run, fault, callerGone) && !w.SingleUse
 	w.finishRun(run, callerGone)
 	if !keepAlive {
 		_ = conn.Close()
@@ -412,6 +423,16 @@
 	return keepAlive
 }
 
+// faultFor returns the fault for a request.
+func (w *Worker) faultFor(r *http.Request) Fault {
+	if w.FaultFor != nil {
+		if fault := w.FaultFor(r.Header.Get("X-Aspenyard-Attempt-Id"), r.RemoteAddr); fault != "" {
+			return fault
+		}
+	}
+	return w.nextFault()
+}
+
 // crash ends the worker as a request does that crashes it. It always returns false: no connection stays
 // open.
 func (w *Worker) crash() bool {
@@ -478,6 +499,9 @@
 		w.sendEndless(conn, first, repeated, callerGone)
 		return false
 	}
+	if cut, ok := cutOf(fault); ok {
+		return w.sendCut(conn, headers, run, cut, callerGone)
+	}
 	if w.EventCount > 0 {
 		return w.sendStream(conn, headers, run, fault, callerGone)
 	}
