A trailer that is cut is no framing without end

An endpoint that broke off in the trailer of a chunked response was avoided for 5 s and counted in endless_responses_total{part="framing"}, and the log said that it exceeded the bound of 4096 bytes. Callers got the right answer: the request failed or was answered elsewhere. Cause: net/http has one error for a trailer that exceeds its buffer and for one whose connection ends; the gateway tells the two apart by the error of the connection now. Evidence: TestACutResponseIsNotPassedOnAsWhole with the counter checked: 28 of its subtests red before, green after; the tests of responses without end as before. Ruled out: a response of another form that counts so (all cuts are in the table).

--- a/gateway/cut_responses_test.go
+++ b/gateway/cut_responses_test.go
@@ -226,6 +226,9 @@
 		})
 		pending = next
 	}
+	if n := s.sumMetric("aspenyard_gateway_endless_responses_total"); n > 0 {
+		t.Errorf("%v responses that were cut count as responses without end", n)
+	}
 }
 
 // Guards against a place in a response, of any framing, at which a cut makes it look whole.
--- a/gateway/endless.go
+++ b/gateway/endless.go
@@ -49,9 +49,10 @@
 // longTrailerText is part of the error of net/http for trailers that exceed its buffer; no value is exported for it.
 const longTrailerText = "suspiciously long trailer"
 
-// bodyError returns the error of reading a body. Framing that net/http finds too long counts as endless.
-func bodyError(err error) error {
-	if errors.Is(err, http.ErrLineTooLong) || err != nil && strings.Contains(err.Error(), longTrailerText) {
+// bodyError returns the error of reading a body. Framing that net/http finds too long counts as endless. It says the same
+// of a trailer that is cut.
+func (r *endpointResponse) bodyError(err error) error {
+	if errors.Is(err, http.ErrLineTooLong) || err != nil && r.conn.readErr == nil && strings.Contains(err.Error(), longTrailerText) {
 		return &endlessError{"framing", fmt.Sprintf("%d bytes", readBufferSize)}
 	}
 	return err
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,7 +36,7 @@
 // status 500 or above is not written but kept in failedResponse.
 func (f *forwarding) relayBuffered(ctx context.Context, r *endpointResponse) (attempt.SendOutcome, error) {
 	body, err := f.readResponse(r.body, r.length)
-	err = bodyError(err)
+	err = r.bodyError(err)
 	if err == nil && f.gateway.mayBeIncomplete(ctx, r, f.route.Repeatable()) {
 		err = errEndedByCrash
 	}
@@ -153,7 +153,7 @@
 			}
 			return 0, nil
 		}
-		if err = bodyError(err); err != nil {
+		if err = r.bodyError(err); err != nil {
 			r.abandon()
 			s.gateway.handleEndless(r.endpoint, err)
 			return attempt.Broken, errors.Wrapf(err, "after event %q", s.lastEventID)
