An order whose response is cut grants nothing

Cause: of the response to an order only the head was read for its result; an error of reading its body was dropped. Ruled out: heads that are cut, lists, items and reports.

--- a/gateway/cut_responses_test.go
+++ b/gateway/cut_responses_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	standin "aspenyard.example/standin/platform"
 )
 
@@ -273,3 +275,39 @@
 		t.Errorf("%s %s: status %d, body %q, error %v", id, c, got.status, got.body, got.err)
 	}
 }
+
+// Guards against a prompt that is sent with memory of a helper whose response to the order was cut: it may not have set
+// the memory aside, or have ended.
+func TestAnOrderWhoseResponseIsCutGrantsNothing(t *testing.T) {
+	for _, c := range slices.Concat(standin.CutHeads, standin.CutBodies) {
+		for _, reset := range []bool{false, true} {
+			c.Reset = reset
+			t.Run(c.String(), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s := newEngineFixture(t, 17)
+				s.extraSettings = `,"memory_free_within":"60s"` // reservations do not expire meanwhile
+				s.routes[len(s.routes)-1]["target_latency_ms"] = 20_000
+				cutting := s.workers[:4]
+				for _, w := range cutting {
+					w.OrderFault = c.Fault()
+				}
+				s.start()
+				orders, granted := 0, ""
+				for i := 0; orders == 0; i++ {
+					id := fmt.Sprint("q", i)
+					is.Equal(s.sendPrompt(id, 500_000).body, standin.StreamText(id, 5))
+					granted += fmt.Sprint(s.findRun(id).ReservationIDs())
+					for _, w := range cutting {
+						_, _, n := w.Reservations()
+						orders += n
+					}
+				}
+				for _, w := range cutting {
+					is.True(!strings.Contains(granted, "-"+w.ID))
+				}
+				s.waitFor("all reservations are released by orders", func() bool { return s.unreleasedCount() == 0 })
+			})
+		}
+	}
+}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -37,6 +37,7 @@
 	passable  map[Direction]chan struct{} // a closed channel: the direction is not blocked
 	delay     time.Duration
 	connPairs map[*connPair]bool
+	cut       cut
 }
 
 // connPair is a client's connection and the connection that continues it to the target.
@@ -223,11 +224,22 @@
 	for {
 		n, err := from.Read(buffer)
 		l.awaitPassable(direction)
-		if n > 0 && !p.discarding.Load() {
-			if _, err := to.Write(buffer[:n]); err != nil {
+		passed, reset := n, false
+		if direction == FromTarget {
+			passed, reset = l.passBytes(n)
+		}
+		if passed > 0 && !p.discarding.Load() {
+			if _, err := to.Write(buffer[:passed]); err != nil {
 				return
 			}
 		}
+		if passed < n {
+			if reset {
+				time.Sleep(resetDelay)
+				_ = to.(*net.TCPConn).SetLinger(0)
+			}
+			return
+		}
 		if err != nil {
 			return
 		}
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -121,6 +121,8 @@
 	// FaultFor returns the fault for a request that arrives on the connection from an address; nil, or "" from it,
 	// leaves the choice to the other fields.
 	FaultFor func(id, from string) Fault
+	// OrderFault is the fault for orders that have none queued; "" leaves the choice to those for requests.
+	OrderFault Fault
 	// EndlessPause is the pause after each byte of the faults that send without end; 0 for full speed.
 	EndlessPause time.Duration
 	// Slots is the largest number of requests in flight; further ones are refused as not
@@ -560,7 +562,7 @@
 		return fault
 	}
 	w.mu.Unlock()
-	return w.nextFault()
+	return cmp.Or(w.OrderFault, w.nextFault())
 }
 
 func (w *Worker) addRun(run *Run) {
