An answer to a write that is cut is no conflict

The platform's client took every body of an answer to a write other than "true" for the statement that the write was not made. An answer without a length that ends in "tru", or empty, said so of a write that may have been made. No caller saw it: records are read back after a conflict as after an unknown outcome, and the power ledger is read anew. Cause: the client looked for one of the two possible bodies only. Anything else is an unknown outcome now.

--- a/infra/consul/client.go
+++ b/infra/consul/client.go
@@ -87,7 +87,7 @@
 // CompareAndSwap implements infra.Store. Once there is a connection, part of the
 // request may have been sent, and a failure is reported as infra.ErrOutcomeUnknown:
 // the store may have applied the change before its response was lost.
-// The statuses 429 and 503 mean that the store did not apply it.
+// The statuses 429 and 503, and the body "false", mean that the store did not apply it.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, data []byte, revision uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -104,10 +104,14 @@
 		return errors.Wrapf(infra.ErrUnavailable, "put %s: HTTP status %d", key, status)
 	case status != http.StatusOK:
 		return errors.Wrapf(infra.ErrOutcomeUnknown, "put %s: HTTP status %d", key, status)
-	case strings.TrimSpace(string(body)) != "true":
+	}
+	switch strings.TrimSpace(string(body)) {
+	case "true":
+		return nil
+	case "false":
 		return errors.Wrapf(infra.ErrConflict, "put %s at revision %d", key, revision)
 	}
-	return nil
+	return errors.Wrapf(infra.ErrOutcomeUnknown, "put %s: unexpected body", key)
 }
 
 // catalogNode is one item of the catalog's list of nodes.
