A service's response that ends with the service is not whole

Own interface: a plain service that answers without a length and exits in the middle of its body was taken to have sent all of it. Callers got a 200 with a short body, framed as whole, and for a call with a key the short body was recorded as its outcome and replayed. Cause: such a body ends with its connection, and the kernel closes that of a process that ends in the same way. Evidence: TestAResponseOfAServiceThatExitsIsNotComplete red before, green after; a whole response without a length of a service that lives is passed on. Ruled out: engines' streams (end marker), JSON lists (a cut one cannot be decoded), bodies with a length or in chunks. A service that lives and closes early without a length cannot be told from one that has finished.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -88,7 +89,7 @@
 // Client sends requests to one endpoint. Requests that start or cancel something carry the
 // fencing number, so that the endpoint can refuse those of a superseded agent.
 type Client struct {
-	base          string
+	base, addr    string
 	fencingNumber uint64
 	http          *http.Client
 }
@@ -103,7 +104,7 @@
 // New returns a client for the endpoint at addr, a host and port. It opens no connection yet.
 func New(addr string) *Client {
 	return &Client{
-		base: "http://" + addr,
+		base: "http://" + addr, addr: addr,
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
 	}
 }
@@ -344,5 +345,26 @@
 	if err != nil {
 		return ServiceResponse{}, errors.Wrap(err, "read the service's response")
 	}
+	if endsWithConnection(response) && !c.accepts(ctx) {
+		return ServiceResponse{}, errors.New("the service has ended with its response, which may be incomplete")
+	}
 	return ServiceResponse{Status: response.StatusCode, Body: data}, nil
 }
+
+// endsWithConnection reports whether the end of a response is only the end of its connection.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed
+}
+
+// accepts reports whether the endpoint accepts a connection, and so has not ended.
+func (c *Client) accepts(ctx context.Context) bool {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// dialTimeout bounds connecting to an endpoint whose response has ended with its connection.
+const dialTimeout = time.Second
--- /dev/null
+++ b/engine/unframed_test.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// answerOnce starts an endpoint that answers one call without a length. If crash is set, it ends in the middle of the
+// body, and its port is closed.
+func answerOnce(t *testing.T, body string, crash bool) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		if crash {
+			body = body[:len(body)/2]
+			_ = listener.Close()
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body)
+		_ = conn.Close()
+	}()
+	return New(listener.Addr().String())
+}
+
+// Guards against passing on as complete a response that ends with its connection, from a plain service that exits in the
+// middle of it.
+func TestAResponseOfAServiceThatExitsIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	_, err := answerOnce(t, `{"run":1}`, true).Call(context.Background(), "filing", "k", nil)
+	is.True(err != nil)
+	is.True(!errors.Is(err, ErrNotSent) && !errors.Is(err, ErrRefused)) // it may have run
+	response, err := answerOnce(t, `{"run":1}`, false).Call(context.Background(), "filing", "k", nil)
+	is.NoErr(err)
+	is.Equal(string(response.Body), `{"run":1}`)
+}
