A service's response that is too long is a failure, not a short success

Own interface: of a plain service's response only the first 256 KiB were passed on, as a 200 framed as whole, and recorded as the outcome of a call with a key. Found by reading for the users' symptom of short bodies; no caller's case is known. Cause: the bound of a response was applied by cutting it off. The call fails now with 4005 (it ran), and so does its replay; a call that may be repeated is not, as another endpoint would answer the same. Ruled out: statuses and lists of engines, which cannot be decoded when they are cut.

--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -201,6 +201,8 @@
 		return errorEnd(result.Refuse(result.NoEndpoint, time.Second, "cannot connect to the service"))
 	case errors.Is(err, engine.ErrRefused):
 		return errorEnd(result.Refuse(result.NoEndpoint, time.Second, "the service refused the call: %v", err))
+	case errors.Is(err, engine.ErrTooLong):
+		return errorEnd(result.Fail(result.ServiceFailed, result.RanYes, "%v", err))
 	case err != nil:
 		return errorEnd(result.Fail(result.OutcomeUnknown, result.RanUnknown, "the call was sent, but the service's response could not be read: %v", err))
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -34,6 +34,10 @@
 // anything other than the next token of its sequence.
 var ErrStreamBroken = errors.New("engine: stream broken")
 
+// ErrTooLong is returned when a plain service has answered with more than maxResponseBytes. The
+// call ran.
+var ErrTooLong = errors.Errorf("engine: the service's response is longer than %d bytes", maxResponseBytes)
+
 // Request starts a sequence at a model engine; it is the body of /v1/completions. Delivered is
 // the text of the first DeliveredTokens output tokens, which the caller already has. With Hold
 // set, the engine prefills the prompt and keeps its KV cache without decoding.
@@ -315,8 +319,7 @@
 	}
 }
 
-// ServiceResponse is a plain service's response: its HTTP status and its body, cut off at
-// maxResponseBytes.
+// ServiceResponse is a plain service's response: its HTTP status and its whole body.
 type ServiceResponse struct {
 	Status int
 	Body   []byte
@@ -328,7 +331,7 @@
 
 // Call calls a plain service. kind selects the service, and key identifies the caller's
 // request. The error ErrNotSent, and ErrRefused for an outdated fencing number, mean that the
-// call did not run. After any other error, it is unknown whether the call ran.
+// call did not run, and ErrTooLong that it ran. After any other error, it is unknown whether the call ran.
 func (c *Client) Call(ctx context.Context, kind, key string, body []byte) (ServiceResponse, error) {
 	response, err := c.post(ctx, "/call/"+kind, body, http.Header{requestKeyHeader: {key}})
 	if err != nil {
@@ -341,9 +344,12 @@
 	if echoed := response.Header.Get(requestKeyHeader); echoed != "" && echoed != key {
 		return ServiceResponse{}, errors.Errorf("the response carries the request key of another call, %q", echoed)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	if err != nil {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	switch {
+	case err != nil:
 		return ServiceResponse{}, errors.Wrap(err, "read the service's response")
+	case len(data) > maxResponseBytes:
+		return ServiceResponse{}, errors.WithStack(ErrTooLong)
 	}
 	if endsWithConnection(response) && !c.accepts(ctx) {
 		return ServiceResponse{}, errors.New("the service has ended with its response, which may be incomplete")
--- a/engine/unframed_test.go
+++ b/engine/unframed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -51,3 +52,16 @@
 	is.NoErr(err)
 	is.Equal(string(response.Body), `{"run":1}`)
 }
+
+// Guards against passing on the beginning of a response that is too long as if it were the whole one.
+func TestAResponseThatIsTooLongIsNotCutOff(t *testing.T) {
+	is := is.New(t)
+	respond := func(bytes int) *Client {
+		return newTestClient(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, strings.Repeat("x", bytes)) })
+	}
+	response, err := respond(maxResponseBytes).Call(context.Background(), "filing", "k", nil)
+	is.NoErr(err)
+	is.Equal(len(response.Body), maxResponseBytes)
+	_, err = respond(maxResponseBytes+1).Call(context.Background(), "filing", "k", nil)
+	is.True(errors.Is(err, ErrTooLong))
+}
--- a/result/table.go
+++ b/result/table.go
@@ -59,7 +59,7 @@
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The request was sent to an endpoint, and it cannot be determined whether it ran.", "Look up the status by idempotency key; do not assume either outcome."},
 	{EndpointFailed, "endpoint_failed", http.StatusBadGateway, "The endpoint failed after the work had started.", "See ran; send the request again if it may be repeated."},
 	{Cancelled, "cancelled", 499, "The caller cancelled the request or closed its connection.", "None."},
-	{ServiceFailed, "service_failed", http.StatusBadGateway, "The plain service answered with an error.", "See the detail; the service ran the call."},
+	{ServiceFailed, "service_failed", http.StatusBadGateway, "The plain service answered with an error, or with more than 256 KiB.", "See the detail; the service ran the call."},
 	{RetryBudget, "retry_budget", http.StatusServiceUnavailable, "The work failed after it had started, and the retry budget of its class is used up.", "Send the request again after Retry-After."},
 	{Interrupted, "interrupted", http.StatusBadGateway, "The entry shut down before the endpoint had responded.", "See ran; send the request again at once if it may be repeated."},
 
