A pause in a stream is not taken for a stalled endpoint as an entry stops

By reading the hand-over: a begun stream was given up for another attempt after a silence of 0.2 to 1.2 s, if that was seen at the last moment for it. It is 2 s now, after which callers count a stream as broken.

--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -8,6 +8,9 @@
 	"aspenyard.example/routing/direct"
 )
 
+// stalledAfter is the silence within a stream that is not a pause for other requests' prefill.
+const stalledAfter = 2 * time.Second
+
 // handOver says when, while this process stops, a silent attempt is given up for one at another endpoint: at the last
 // moment at which that one can still end before the stop. Until then the silent endpoint may respond.
 type handOver struct {
@@ -22,11 +25,15 @@
 // received is how many heads and events it has sent.
 func (h *handOver) isDue(shutdown *graceful.Shutdown, silent, interval time.Duration, received int64) bool {
 	remaining, draining := shutdown.Remaining()
-	if !draining || received == 0 && silent < h.patience {
+	if !draining {
 		return false
 	}
+	patience := h.patience
+	if received > 0 {
+		patience = stalledAfter
+	}
 	need := max(h.need-time.Duration(received)*h.eventTime, h.patience)
-	return remaining >= need && remaining < need+interval+probeTimeout && h.permit()
+	return silent >= patience && remaining >= need && remaining < need+interval+probeTimeout && h.permit()
 }
 
 // handOver returns when the attempt that the plan is for is given up for another one.
