Soak: three kinds of stops, beside callers that stay, silent endpoints, slow callers, reloads and suspensions

Its callers leave a gateway that is stopped with the first failure or refusal, no endpoint was silent across a stop, and nobody sent or read slowly then. Callers stay with their gateway now until its process is gone, on kept and on new connections, a part of them with requests that may wait for longer than the stop; beside that, by kind, endpoints are silent (some answer after 2 s: a new fault of the stand-in), callers send heads and read streams slowly, or stops overlap with reloads, edits and suspensions. The kinds are appended: recorded seeds keep their schedules.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -84,6 +84,9 @@
 		{kindLateCopies, 3, copyLate},
 		{kindFailureThenCrash, 1, failThenCrash},
 		{kindOrdersUnanswered, 2, leaveOrdersUnanswered},
+		{"stop-beside-silent-endpoints", 2, stopBesideSilence},
+		{"stop-beside-slow-callers", 2, stopBesideSlowCallers},
+		{kindStopsInSeries, 2, stopInSeries},
 	}
 }
 
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -300,7 +300,7 @@
 	if e.HasGuestKey {
 		c.Accounts = append(c.Accounts, platform.Account{Name: accountGuest, Keys: []string{keyGuest}})
 	}
-	for _, r := range slices.Concat(routes, bulkRoutes) {
+	for _, r := range slices.Concat(routes, bulkRoutes, stopRoutes) {
 		if r.Optional && !e.HasExtraRoute {
 			continue
 		}
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -49,6 +49,8 @@
 	FaultGarbage Fault = "garbage"
 	// FaultHang executes the request and never responds.
 	FaultHang Fault = "hang"
+	// FaultLateResponse executes the request and sends nothing for lateResponseDelay.
+	FaultLateResponse Fault = "late-response"
 	// FaultEarlyResponse responds before it has read the body, and then reads the rest.
 	FaultEarlyResponse Fault = "early"
 	// FaultSlow sends a correct stream with one second between events.
@@ -493,6 +495,9 @@
 	return done
 }
 
+// lateResponseDelay is how long the worker is silent with FaultLateResponse.
+const lateResponseDelay = 2 * time.Second
+
 // process executes a request and returns true if the connection stays open.
 func (w *Worker) process(conn net.Conn, headers string, run *Run, fault Fault, callerGone <-chan struct{}) bool {
 	w.addInFlight(1)
@@ -504,6 +509,9 @@
 	if cut, ok := cutOf(fault); ok {
 		return w.sendCut(conn, headers, run, cut, callerGone)
 	}
+	if fault == FaultLateResponse && !sleepUnlessGone(lateResponseDelay, callerGone) {
+		return false
+	}
 	if w.EventCount > 0 {
 		return w.sendStream(conn, headers, run, fault, callerGone)
 	}
