--- a/soak/process.go
+++ b/soak/process.go
@@ -45,6 +45,8 @@
 	// store.
 	callers, store *link.Link
 
+	settingsWrites sync.Mutex // held while the settings file is written
+
 	mu           sync.Mutex
 	cmd          *exec.Cmd
 	incarnation  int
@@ -90,6 +92,8 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	g.settingsWrites.Lock()
+	defer g.settingsWrites.Unlock()
 	// The file is renamed into place, as a process that starts meanwhile must not read half of it.
 	next := g.settingsPath + ".next"
 	if err := os.WriteFile(next, data, 0o644); err != nil {
