A process is drained by one decision, and not while an idle connection owes bytes

Callers: a response that has ended on a connection which stays open (its head was written before the SIGTERM) could be lost with the process, up to the whole backlog of a stream, if its handler ended between CloseIdle and Drained of the same tick. Cause: Drained looked at connections that linger and at open ones under two locks, so that one could pass from the second to the first in between; and of open connections it asked only whether they carry a request, not whether bytes are left. How often a real stop met it isn't known: it needs the last response to end within one tick's checks.

--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -159,6 +159,11 @@
 func (c *Conns) StopReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.stopReading()
+}
+
+// stopReading is StopReading with mu held.
+func (c *Conns) stopReading() bool {
 	for conn := range c.open {
 		if conn.InRequest() {
 			return false
@@ -172,12 +177,19 @@
 }
 
 // Drained reports whether the process can end without a loss: no request is in flight and the peers' hosts have taken
-// all that was written to connections which are closed. No request is read from then on.
+// all that was written, on connections that are closed and on those that are idle. No request is read from then on.
 func (c *Conns) Drained() bool {
 	c.mu.Lock()
-	lingering := len(c.lingering)
-	c.mu.Unlock()
-	return lingering == 0 && c.StopReading()
+	defer c.mu.Unlock()
+	if len(c.lingering) > 0 {
+		return false
+	}
+	for conn := range c.open {
+		if conn.InRequest() || conn.Unsent() > 0 {
+			return false
+		}
+	}
+	return c.stopReading()
 }
 
 // drainPollInterval is the time between two checks for requests in flight.
