An exchange that has ended is not given up, nor its connection with it

Callers: a request that may run once could get 502 at once, unknown whether it ran, though nothing was sent: its connection had a deadline in the past. Cause: the watchdog decides in steps (silence, probe of at least 10 ms, another endpoint, retry budget) and gives up what has meanwhile ended; the connection is in the pool by then, and a retry is taken from the budget for nothing. The race is old for dead endpoints, which hardly answer; a stop gives up sound ones, so that it matters now.

--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -197,6 +197,10 @@
 	received     atomic.Int64 // heads and events
 	givenUp      atomic.Bool
 	timer        *time.Timer
+	// ended is set when the monitoring ends. mu keeps an exchange from being given up from then on, as its connection
+	// may be another one's.
+	mu    sync.Mutex
+	ended bool
 }
 
 // startWatchdog starts to monitor an exchange; the endpoint is probed after silence without a
@@ -215,7 +219,12 @@
 }
 
 // stop ends the monitoring.
-func (w *watchdog) stop() { w.timer.Stop() }
+func (w *watchdog) stop() {
+	w.timer.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+}
 
 // check probes the endpoint if it has been silent for long enough, and aborts the exchange if it
 // is dead. An endpoint that is evacuated is not probed: its request goes on.
@@ -229,6 +238,11 @@
 		return
 	}
 	alive := w.gateway.evacuated(w.response.endpoint) || w.gateway.prober.alive(w.ctx, w.response.endpoint)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
+	}
 	if alive && !w.handOver.isDue(&w.gateway.shutdown, silent, w.silence, w.received.Load()) {
 		w.timer.Reset(w.silence)
 		return
