A response that begins in a drain closes its connection

Callers: a request that was read before the SIGTERM is answered during the drain without "Connection: close"; the caller keeps the channel, sends its next request on it, and the entry closes it unread. A head sent before the SIGTERM still can't say it.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -76,6 +76,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	c := &call{gateway: g, started: time.Now(), Request: g.headerCodec.ReadRequest(r.Header), response: response.New(w), httpRequest: r}
+	c.response.CloseConnectionIf(g.draining)
 	c.log = g.requestLogs.Begin(c.ID)
 	if conn := c.callerConn(); conn != nil {
 		conn.handled.Store(true)
--- a/gateway/response/response.go
+++ b/gateway/response/response.go
@@ -35,11 +35,16 @@
 	writer http.ResponseWriter
 	state  State
 	begun  atomic.Bool
+	// last reports whether the connection ends with the response; nil stands for no.
+	last func() bool
 }
 
 // New returns a Writer of a response of which nothing has been sent.
 func New(w http.ResponseWriter) *Writer { return &Writer{writer: w} }
 
+// CloseConnectionIf lets the caller's connection end with the response if last returns true when the head is sent.
+func (w *Writer) CloseConnectionIf(last func() bool) { w.last = last }
+
 // State returns the response's state.
 func (w *Writer) State() State { return w.state }
 
@@ -60,6 +65,9 @@
 	w.state = Begun
 	w.begun.Store(true)
 	maps.Copy(w.writer.Header(), header)
+	if w.last != nil && w.last() {
+		w.CloseConnection()
+	}
 	w.writer.WriteHeader(status)
 	return nil
 }
