--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -33,13 +34,28 @@
 	shortGateways = 4
 )
 
-// runSeed runs one soak with the first firstKinds kinds of faults; 0 means all kinds.
-func runSeed(t *testing.T, seed uint64, gateways int, length time.Duration, firstKinds int) *Report {
+// recordedKinds returns the kinds of faults of a line of seeds.txt: "28" means the first 28, "45-46" the 45th and the 46th.
+func recordedKinds(t *testing.T, text string) []string {
 	t.Helper()
 	is := is.New(t)
-	self, err := os.Executable()
+	first, last, isRange := strings.Cut(text, "-")
+	if !isRange {
+		first, last = "1", text
+	}
+	from, err := strconv.Atoi(first)
+	is.NoErr(err)
+	count, err := strconv.Atoi(last)
 	is.NoErr(err)
-	kinds, err := FirstFaultKinds(firstKinds)
+	kinds, err := FirstFaultKinds(count)
+	is.NoErr(err)
+	return kinds[from-1:]
+}
+
+// runSeed runs one soak with the given kinds of faults; nil means all kinds.
+func runSeed(t *testing.T, seed uint64, gateways int, length time.Duration, kinds []string) *Report {
+	t.Helper()
+	is := is.New(t)
+	self, err := os.Executable()
 	is.NoErr(err)
 	report, err := Run(context.Background(), Config{
 		Seed: seed, Duration: length, Gateways: gateways, FaultKinds: kinds, Dir: t.TempDir(), Command: []string{self, productArgument, "gateway", "--settings"},
@@ -53,7 +69,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			report := runSeed(t, seed, shortGateways, shortDuration, 0)
+			report := runSeed(t, seed, shortGateways, shortDuration, nil)
 			is.True(report.Succeeded > 0)
 			for _, v := range report.Violations {
 				t.Errorf("%s: %s", v.Rule, v.Detail)
@@ -77,8 +93,8 @@
 			continue
 		}
 		var seed uint64
-		var gateways, kinds int
-		var length string
+		var gateways int
+		var length, kinds string
 		if _, err := fmt.Sscan(line, &seed, &gateways, &length, &kinds); err != nil {
 			t.Fatalf("%q: %v", line, err)
 		}
@@ -86,9 +102,9 @@
 		if err != nil {
 			t.Fatalf("%q: %v", line, err)
 		}
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+		t.Run(fmt.Sprint(seed, " ", kinds), func(t *testing.T) {
 			t.Parallel()
-			for _, v := range runSeed(t, seed, gateways, duration, kinds).Violations {
+			for _, v := range runSeed(t, seed, gateways, duration, recordedKinds(t, kinds)).Violations {
 				t.Errorf("%s: %s", v.Rule, v.Detail)
 			}
 		})
