An entry that stops answers the requests that have not ended

Callers of an entry whose endpoints were silent until drain_timeout got a closed connection, without an answer and without a word whether their request had run; a begun stream broke off. Queued requests, which had not run, too. A second signal cut off everything at once. The log had no line of them, or called the stop the caller's leaving. Cause: drain closed the callers' server with requests in flight; nothing told the handlers before. Now a graceful.Shutdown is a further deadline of each request: shortly before drain_timeout (a quarter of it, at most 3 s), or at a second signal, its context ends. The entry then asks the agent what became of a run whose start is not confirmed, and answers: 3007, ran no and Retry-After for what has not run; 4007 for what has; 4002 for a call that may not be repeated, whose outcome the agent may still know. The time for the answers counts from the check that finds them due, so that a process which was suspended beyond its limit still gives them. Requests that can no longer end in time are refused when they arrive. The answer to a repeatable call whose caller has left says so; it said that the deadline had passed. Ruled out: an edit of the catalogue during the drain, which deletes the account and the kind of work of a request in flight: it was whole before (TestACatalogueEditDuringADrainLeavesRequestsAlone is a guard).

--- a/entry/api.go
+++ b/entry/api.go
@@ -34,12 +34,15 @@
 	return mux
 }
 
-// trackActive counts the requests in flight, for which a graceful shutdown waits.
+// trackActive counts the requests in flight, for which a graceful shutdown waits, and ends their contexts when final
+// answers are due.
 func (e *Entry) trackActive(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.activeRequests.Add(1)
 		defer e.activeRequests.Add(-1)
-		next(w, r)
+		ctx, cancel := e.shutdown.Context(r.Context(), 0)
+		defer cancel()
+		next(w, r.WithContext(ctx))
 	}
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -119,6 +119,9 @@
 // success, limiter.Done must be called when the call has ended.
 func (e *Entry) admit(c *call) *result.Error {
 	limits := c.account.Account.Limits
+	if !e.canServe(time.Duration(c.outputTokens) * shortTokenTime) {
+		return refuseLeaving()
+	}
 	return e.limiter.Admit(time.Now(), c.account.ID, admission.Limits{
 		RequestsPerSecond: limits.RequestsPerSecond, TokensPerSecond: limits.TokensPerSecond, Concurrent: limits.Concurrent,
 	}, e.lending.share(c.account.ID), c.promptTokens+c.outputTokens)
--- /dev/null
+++ b/entry/drain_test.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"aspenyard.example/catalogue"
+	"aspenyard.example/result"
+	"aspenyard.example/wire"
+)
+
+// testDrainTimeout is the drain_timeout of tests whose drain runs to its limit.
+const testDrainTimeout = 3 * time.Second
+
+// Guards against callers whose connections end without an answer because their endpoints are silent until the entry stops.
+func TestRequestsInFlightAtTheStopAreAnswered(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		path, key, body string
+		code            result.Code
+		ran             result.Ran
+	}{
+		"plain":          {draftPath, "", draftBody, result.Interrupted, result.RanYes},
+		"stream":         {draftPath, "", draftStreamBody, result.Interrupted, result.RanYes},
+		"repeatable":     {checkPath, "", `{}`, result.Interrupted, result.RanYes},
+		"not repeatable": {filingPath, "k1", `{}`, result.OutcomeUnknown, result.RanUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startEntry(t, testDrainTimeout)
+			a := f.startAgent("a1", silent)
+			answer := f.send(rawRequest(test.path, test.key, test.body))
+			a.awaitArrivals(t, 1)
+			f.stop()
+			got := f.await(answer)
+			is.NoErr(got.err)
+			is.True(got.complete)
+			failure := got.lastError(t)
+			is.Equal(failure.Code, test.code)
+			is.Equal(failure.Ran, test.ran)
+			is.True(got.header.Get("Retry-After") != "")
+			f.awaitEnd()
+			f.awaitLogged(test.code)
+		})
+	}
+}
+
+// Guards against a begun stream that ends at the stop without saying why.
+func TestABegunStreamAtTheStopEndsWithAnError(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startEntry(t, testDrainTimeout)
+	a := f.startAgent("a1", func(ctx context.Context, request *wire.RunRequest, send func(*wire.RunEvent)) error {
+		send(startedEvent(request))
+		sendTokens(request, 2, send)
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	answer := f.send(rawRequest(draftPath, "", draftStreamBody))
+	a.awaitArrivals(t, 1)
+	f.stop()
+	got := f.await(answer)
+	is.NoErr(got.err)
+	is.Equal(got.streamedText(), wholeText(2))
+	is.Equal(got.lastError(t).Code, result.Interrupted)
+	is.Equal(got.lastError(t).Ran, result.RanYes)
+	is.True(!strings.Contains(got.body, "[DONE]"))
+	f.awaitEnd()
+}
+
+// Guards against a queued request that is told at the stop that it may have run, or is told nothing.
+func TestAQueuedRequestAtTheStopIsRefusedAsNotRun(t *testing.T) {
+	t.Parallel()
+	for name, path := range map[string]string{"generation": draftPath, "repeatable": checkPath, "not repeatable": filingPath} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startEntry(t, testDrainTimeout)
+			a := f.startAgent("a1", func(ctx context.Context, _ *wire.RunRequest, _ func(*wire.RunEvent)) error {
+				<-ctx.Done()
+				return ctx.Err()
+			})
+			a.notRun.Store(uint64(1), true)
+			answer := f.send(rawRequest(path, "k1", draftBody))
+			a.awaitArrivals(t, 1)
+			f.stop()
+			got := f.await(answer)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			is.Equal(got.lastError(t).Code, result.Leaving)
+			is.Equal(got.lastError(t).Ran, result.RanNo)
+			is.True(got.header.Get("Retry-After") != "")
+			f.awaitEnd()
+		})
+	}
+}
+
+// Guards against requests without an answer when a second signal ends the drain at once.
+func TestASecondSignalAnswersWhatIsInFlight(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startEntry(t, time.Hour)
+	a := f.startAgent("a1", silent)
+	answer := f.send(rawRequest(draftPath, "", draftBody))
+	a.awaitArrivals(t, 1)
+	f.stop()
+	f.stop()
+	got := f.await(answer)
+	is.NoErr(got.err)
+	is.Equal(got.lastError(t).Code, result.Interrupted)
+	f.awaitEnd()
+}
+
+// Guards against requests in flight that an edit of the catalogue cuts off while the entry drains.
+func TestACatalogueEditDuringADrainLeavesRequestsAlone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startEntry(t, time.Minute)
+	release := make(chan struct{})
+	a := f.startAgent("a1", func(ctx context.Context, request *wire.RunRequest, send func(*wire.RunEvent)) error {
+		<-release
+		return answering(ctx, request, send)
+	})
+	answer := f.send(rawRequest(checkPath, "", `{}`))
+	a.awaitArrivals(t, 1)
+	f.stop()
+	for revision, record := range []*catalogue.Record{{Type: catalogue.TypeAccount, ID: "crew"}, {Type: catalogue.TypeWork, ID: "check"}} {
+		record.Revision, record.Deleted = uint64(2+revision), true
+		page := catalogue.Page{Revision: record.Revision, Records: map[string]*catalogue.Record{record.Key(): record}}
+		is.NoErr(f.entry.catalogue.ApplyPage(context.Background(), catalogue.PageOf(record.Key()), page))
+		is.True(f.entry.catalogue.View().Get(record.Type, record.ID) == nil)
+	}
+	close(release)
+	got := f.await(answer)
+	is.NoErr(got.err)
+	is.Equal(got.resultCode(), result.OK)
+	f.awaitEnd()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,7 @@
 	callerConns    graceful.Conns
 	activeRequests atomic.Int64
 	draining       atomic.Bool
+	shutdown       graceful.Shutdown
 }
 
 // New makes an entry from its settings without opening ports or starting goroutines;
@@ -104,7 +105,8 @@
 // Serve listens on the entry's three ports and serves until a signal arrives, ctx ends
 // or a server fails, and returns that failure. The first signal drains: the readiness
 // check fails, so that the load balancer sends no more requests, and requests in flight
-// get up to drain_timeout to end. A second signal, or the end of ctx, stops at once.
+// get up to drain_timeout to end or to be answered. After a second signal they are answered
+// at once. The end of ctx stops without answers.
 func (e *Entry) Serve(ctx context.Context, signals <-chan os.Signal) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -158,42 +160,6 @@
 	return mux
 }
 
-// listenerCloseDelay is how long a draining entry still accepts connections, so that
-// the load balancer sees the failed readiness check before the port closes.
-const listenerCloseDelay = time.Second
-
-// drain shuts the entry down gracefully within drain_timeout. Another signal ends it at
-// once.
-func (e *Entry) drain(callers net.Listener, signals <-chan os.Signal) {
-	e.log.Info("draining", zap.Int64("active", e.activeRequests.Load()), zap.Duration("at_most", e.settings.DrainTimeout.D()))
-	e.draining.Store(true)
-	e.loop.Leave()
-	e.callerConns.DisableKeepAlives()
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout.D())
-	defer cancel()
-	go func() {
-		select {
-		case <-signals:
-			e.log.Warn("second signal received: stopping with requests in flight")
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	select {
-	case <-time.After(listenerCloseDelay):
-	case <-ctx.Done():
-	}
-	// The drain would not end if callers could keep opening connections.
-	if err := callers.Close(); err != nil {
-		e.log.Warn("callers' listener could not be closed", zap.Error(err))
-	}
-	if err := e.callerConns.Drain(ctx, e.activeRequests.Load); err != nil {
-		e.log.Warn("stopped with requests in flight", zap.Int64("active", e.activeRequests.Load()), zap.Error(err))
-		return
-	}
-	e.log.Info("drained")
-}
-
 // checkReady returns nil when the load balancer may send requests to this entry, or
 // the reason why not. It answers the readiness checks.
 func (e *Entry) checkReady() error {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -66,7 +66,10 @@
 		}
 		g.ran = combineRan(g.ran, failure.Ran)
 		if ctx.Err() != nil {
-			return g.contextError(ctx)
+			return contextError(ctx, g.ran)
+		}
+		if !g.entry.canServe(0) || g.ran == result.RanNo && !g.entry.canServe(shortestTime(&g.routing, nil)) {
+			return stopError(g.ran)
 		}
 		if final := g.decideRetry(failure); final != nil {
 			return g.finalError(final)
@@ -155,14 +158,6 @@
 	return result.RanNo
 }
 
-// contextError returns the final error of a request whose context has ended.
-func (g *generation) contextError(ctx context.Context) *result.Error {
-	if ctx.Err() == context.Canceled {
-		return result.Fail(result.Cancelled, g.ran, "the caller disconnected")
-	}
-	return result.Fail(result.DeadlineExceeded, g.ran, "the deadline passed before the request ended")
-}
-
 // finalError returns the error for the caller after the last attempt failed. The code of
 // a refusal states that nothing ran; if an earlier attempt may have run, the code is
 // replaced by EndpointFailed.
@@ -210,13 +205,13 @@
 	defer g.entry.inFlight.add(endpoint.Name, -1)
 	run, err := g.entry.startRun(ctx, endpoint.Addr, request)
 	if err != nil {
-		return g.resolveBrokenStream(endpoint, request.Reservation, err)
+		return g.entry.resolveBrokenStream(g.call, endpoint, request.Reservation, err)
 	}
 	defer run.close()
 	for {
 		event, err := run.receive()
 		if err != nil {
-			return g.resolveBrokenStream(endpoint, request.Reservation, err)
+			return g.entry.resolveBrokenStream(g.call, endpoint, request.Reservation, err)
 		}
 		switch body := event.Event.(type) {
 		case *wire.RunEvent_Chunk:
@@ -245,15 +240,15 @@
 // resolveBrokenStream returns the error of a run whose stream broke. If it is unknown
 // whether the run started, it withdraws the reservation, with one call: a run that has
 // not started by then never will, and its place is free.
-func (g *generation) resolveBrokenStream(endpoint *routing.Endpoint, reservation *wire.Reservation, err error) *result.Error {
+func (e *Entry) resolveBrokenStream(c *call, endpoint *routing.Endpoint, reservation *wire.Reservation, err error) *result.Error {
 	failure := result.FromError(err)
 	if failure.Code == result.Internal {
 		failure = result.Fail(result.EndpointFailed, result.RanUnknown, "the run at %s failed: %v", endpoint.Name, err)
 	}
-	if failure.Ran != result.RanUnknown || g.call.remaining() <= 0 {
+	if failure.Ran != result.RanUnknown || c.remaining() <= 0 {
 		return failure
 	}
-	state, err := g.entry.withdraw(context.Background(), endpoint.Addr, reservation, false)
+	state, err := e.withdraw(context.Background(), endpoint.Addr, reservation, false)
 	if err == nil && state.State == wire.AttemptState_ATTEMPT_STATE_DID_NOT_RUN {
 		return result.Refuse(result.NoEndpoint, noEndpointRetryAfter, "%s lost the run request before it started", endpoint.Name)
 	}
--- a/entry/nonrepeatable.go
+++ b/entry/nonrepeatable.go
@@ -70,7 +70,9 @@
 // continues when the caller disconnects, because the call may have been sent and its
 // outcome must be on record when the caller retries.
 func (n *nonRepeatableCall) run(ctx context.Context) (serviceResponse, *result.Error) {
-	ctx, cancel := n.call.withDeadline(context.WithoutCancel(ctx))
+	ctx, stopped := n.entry.shutdown.Context(context.WithoutCancel(ctx), 0)
+	defer stopped()
+	ctx, cancel := n.call.withDeadline(ctx)
 	defer cancel()
 	var last *result.Error
 	for tries := 0; tries < routing.MaxAttempts; tries++ {
@@ -92,6 +94,9 @@
 			}
 		}
 		response, failure := n.attempt(ctx, claim)
+		if failure != nil && failure.Ran == result.RanNo && (endedByStop(ctx) || !n.entry.canServe(0)) {
+			return response, refuseLeaving()
+		}
 		if failure == nil || failure.Ran != result.RanNo || !n.mayRetry(failure) {
 			return response, failure
 		}
@@ -285,8 +290,12 @@
 // is known, ctx ends, or the agent does not answer and is suspect. In the last two cases
 // resolveLostRun returns OutcomeUnknown and keeps querying the agent in the background.
 func (n *nonRepeatableCall) resolveLostRun(ctx context.Context, claim *attempt.Claim, reservation *wire.Reservation) (serviceResponse, *result.Error) {
-	for ctx.Err() == nil {
-		response, err := n.entry.withdraw(ctx, claim.Addr, reservation, false)
+	for first := true; ctx.Err() == nil || first && endedByStop(ctx); first = false {
+		askCtx := ctx
+		if endedByStop(ctx) {
+			askCtx = context.WithoutCancel(ctx)
+		}
+		response, err := n.entry.withdraw(askCtx, claim.Addr, reservation, false)
 		if err != nil {
 			if n.agentIsSuspect(claim) {
 				break
--- a/entry/service.go
+++ b/entry/service.go
@@ -28,7 +28,9 @@
 		failures++
 		switch {
 		case ctx.Err() != nil:
-			return serviceResponse{}, result.Fail(result.DeadlineExceeded, ran, "the deadline passed before the request ended")
+			return serviceResponse{}, contextError(ctx, ran)
+		case !e.canServe(0):
+			return serviceResponse{}, stopError(ran)
 		case failure.Code == result.ServiceFailed, failures >= routing.MaxAttempts, len(request.Tried) == 0:
 			if ran != result.RanNo && failure.Code.Refusal() {
 				failure.Code = result.EndpointFailed
@@ -59,12 +61,12 @@
 		ServiceKind: c.kind.ID, ServiceBody: body,
 	})
 	if err != nil {
-		return serviceResponse{}, result.Fail(result.EndpointFailed, result.RanUnknown, "the run request to %s failed: %v", endpoint.Name, err)
+		return serviceResponse{}, e.resolveBrokenStream(c, endpoint, reservation, err)
 	}
 	defer run.close()
 	event, err := run.receive()
 	if err != nil {
-		return serviceResponse{}, result.FromError(err)
+		return serviceResponse{}, e.resolveBrokenStream(c, endpoint, reservation, err)
 	}
 	end := event.GetEnd()
 	if end == nil {
--- a/entry/split.go
+++ b/entry/split.go
@@ -144,12 +144,12 @@
 		RemainingMs: g.call.remaining().Milliseconds(), Prompt: part, Hold: true, Imports: imports,
 	})
 	if err != nil {
-		return nil, g.resolveBrokenStream(helper, reservation, err)
+		return nil, g.entry.resolveBrokenStream(g.call, helper, reservation, err)
 	}
 	event, err := run.receive()
 	if err != nil {
 		run.close()
-		return nil, g.resolveBrokenStream(helper, reservation, err)
+		return nil, g.entry.resolveBrokenStream(g.call, helper, reservation, err)
 	}
 	if held := event.GetHeld(); held != nil {
 		go watchHeldPart(run, cancel)
