An entry waits until callers' hosts have taken what was written

A stopping entry ended with 1 MB of a complete answer in the kernel that its caller had not taken; it is lost if the VM goes with the process. The lingering connections of package graceful did not help here. Cause: netutil.LimitListener wraps each connection in a type that hides the descriptor, so that graceful sees no unsent bytes. Now the limit has a listener of its own, whose connections are TCP connections with a slot.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,7 +20,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"aspenyard.example/admission"
 	"aspenyard.example/burn/window"
@@ -124,8 +123,9 @@
 	go func() { failures <- node.ServeRPC(ctx, listeners[0], e.peerHandler(), e.settings.PeerTimeout.D()) }()
 	go func() { failures <- node.ServeHTTP(ctx, listeners[1], e.operatorsHandler()) }()
 	callers := e.callersServer()
+	callersListener := newLimitListener(listeners[2].(*net.TCPListener), e.settings.ConnectionLimit)
 	go func() {
-		err := callers.Serve(e.callerConns.Listener(netutil.LimitListener(listeners[2], int(e.settings.ConnectionLimit))))
+		err := callers.Serve(e.callerConns.Listener(callersListener))
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			failures <- errors.Wrap(err, "serve callers")
 		}
@@ -142,7 +142,7 @@
 	case <-ctx.Done():
 		return nil
 	case <-signals:
-		e.drain(listeners[2], signals)
+		e.drain(callersListener, signals)
 		return nil
 	}
 }
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -351,6 +351,16 @@
 	return conn
 }
 
+// dialSmallWindow opens a caller's connection whose host takes few bytes that the caller has not read.
+func (f *servingEntry) dialSmallWindow() net.Conn {
+	f.t.Helper()
+	conn := f.dial()
+	if err := conn.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
+		f.t.Fatal(err)
+	}
+	return conn
+}
+
 // send sends a request on a new connection and reads the response in the background.
 func (f *servingEntry) send(request string) chan received {
 	f.t.Helper()
