A request of a silent endpoint goes to another one while the entry drains

A draining entry waited for a silent endpoint, or in the queue of a busy one, until its own end, although another endpoint could have served the request in the time that was left; a queued request that could no longer end in time waited as well. Cause: an attempt knew only the caller's deadline. Now each attempt is watched during a drain. A silent endpoint without another keeps its request. Ruled out: giving up an attempt at the signal; a long prefill sends no event either and usually ends in time.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -52,6 +52,7 @@
 	nextToken, firstToken uint64
 	digest                *xxhash.Digest
 	started               bool // the agent has confirmed that the run started
+	watch                 *attemptWatch
 }
 
 // startRun sends the run request for a reservation to the agent at addr and returns the
@@ -84,6 +85,7 @@
 // and their output never reaches the caller.
 func (r *runStream) receive() (*wire.RunEvent, error) {
 	for r.stream.Receive() {
+		r.watch.heard()
 		event := r.stream.Msg()
 		switch body := event.Event.(type) {
 		case *wire.RunEvent_Started:
@@ -123,10 +125,13 @@
 func (r *runStream) close() { _ = r.stream.Close() }
 
 // endError returns the error that an end event reports, or nil when the run succeeded.
-func endError(end *wire.End) *result.Error {
+func (e *Entry) endError(end *wire.End) *result.Error {
 	if end.Code == int32(result.OK) {
 		return nil
 	}
+	if end.Code == int32(result.Withdrawn) && e.draining.Load() {
+		return refuseLeaving() // withdrawn by attemptWatch
+	}
 	return &result.Error{
 		Code: result.Code(end.Code), Ran: result.Ran(end.Ran), Detail: end.Detail,
 		RetryAfter: time.Duration(end.RetryAfterMs) * time.Millisecond,
--- a/entry/call.go
+++ b/entry/call.go
@@ -43,6 +43,8 @@
 	promptTokens int
 	outputTokens int
 	attempts     uint32
+	// retryPaid is set when the retry budget has already paid for the next attempt.
+	retryPaid bool
 }
 
 func (c *call) class() admission.Class { return c.kind.Work.AdmissionClass() }
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -101,6 +101,84 @@
 	}
 }
 
+// Guards against a silent endpoint that keeps a request to the end of the drain although another could finish it.
+func TestASilentAttemptDuringADrainGoesToAnotherEndpoint(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		path, body string
+		delivered  uint64
+		whole      func(got received) bool
+	}{
+		"plain":        {draftPath, draftBody, 0, func(got received) bool { return strings.Contains(got.body, wholeText(4)) }},
+		"stream":       {draftPath, draftStreamBody, 0, func(got received) bool { return got.streamedText() == wholeText(4) }},
+		"begun stream": {draftPath, draftStreamBody, 2, func(got received) bool { return got.streamedText() == wholeText(4) }},
+		"repeatable":   {checkPath, `{}`, 0, func(got received) bool { return got.body == `{"done":true}` }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startEntry(t, testDrainTimeout)
+			first := f.startAgent("a1", func(ctx context.Context, request *wire.RunRequest, send func(*wire.RunEvent)) error {
+				send(startedEvent(request))
+				if test.delivered > 0 {
+					sendTokens(request, test.delivered, send)
+				}
+				<-ctx.Done()
+				return ctx.Err()
+			})
+			answer := f.send(rawRequest(test.path, "", test.body))
+			first.awaitArrivals(t, 1)
+			second := f.startAgent("a2", answering)
+			f.stop()
+			got := f.await(answer)
+			is.NoErr(got.err)
+			is.Equal(got.resultCode(), result.OK)
+			is.True(test.whole(got))
+			is.Equal(second.arrived.Load(), int64(1))
+			f.awaitEnd()
+		})
+	}
+}
+
+// Guards against a request that stays in the queue of one endpoint to the end of the drain although another could run it.
+func TestAQueuedRequestDuringADrainGoesToAnotherEndpoint(t *testing.T) {
+	t.Parallel()
+	for name, path := range map[string]string{"generation": draftPath, "repeatable": checkPath, "not repeatable": filingPath} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startEntry(t, testDrainTimeout)
+			first := f.startQueueingAgent("a1")
+			answer := f.send(rawRequest(path, "k1", draftBody))
+			first.awaitArrivals(t, 1)
+			second := f.startAgent("a2", answering)
+			f.stop()
+			got := f.await(answer)
+			is.NoErr(got.err)
+			is.Equal(got.resultCode(), result.OK)
+			is.Equal(second.arrived.Load(), int64(1))
+			f.awaitEnd()
+		})
+	}
+}
+
+// Guards against a queued request that waits for the end of the drain although it is known that it cannot end before.
+func TestAQueuedRequestThatCannotEndInTimeIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startEntry(t, 10*time.Minute)
+	a := f.startQueueingAgent("a1")
+	answer := f.send(rawRequest(draftPath, "", `{"model":"draft","prompt":"tie up","max_tokens":100000}`))
+	a.awaitArrivals(t, 1)
+	f.stop()
+	got := f.await(answer)
+	is.NoErr(got.err)
+	is.Equal(got.lastError(t).Code, result.Leaving)
+	is.Equal(got.lastError(t).Ran, result.RanNo)
+	is.True(got.header.Get("Retry-After") != "")
+	f.awaitEnd()
+}
+
 // Guards against requests without an answer when a second signal ends the drain at once.
 func TestASecondSignalAnswersWhatIsInFlight(t *testing.T) {
 	t.Parallel()
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -194,6 +194,9 @@
 	arrived atomic.Int64
 	// notRun holds the reservations whose withdrawal is confirmed.
 	notRun sync.Map
+	// withdrawn is closed by the first withdrawal.
+	withdrawn chan struct{}
+	once      sync.Once
 }
 
 // startAgent starts an agent and tells the entry of it. It serves the model m and the service s.
@@ -203,7 +206,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	a := &scriptedAgent{name: name, addr: listener.Addr().String(), run: run}
+	a := &scriptedAgent{name: name, addr: listener.Addr().String(), run: run, withdrawn: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewAgentHandler(a, node.HandlerOptions()))
 	var protocols http.Protocols
@@ -215,6 +218,25 @@
 	return a
 }
 
+// startQueueingAgent starts an agent that queues its first run request until that is withdrawn.
+func (f *servingEntry) startQueueingAgent(name string) *scriptedAgent {
+	var a *scriptedAgent
+	known := make(chan struct{})
+	a = f.startAgent(name, func(ctx context.Context, _ *wire.RunRequest, send func(*wire.RunEvent)) error {
+		<-known
+		select {
+		case <-a.withdrawn:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		send(&wire.RunEvent{Event: &wire.RunEvent_End{End: &wire.End{Code: int32(result.Withdrawn), Ran: string(result.RanNo)}}})
+		return nil
+	})
+	a.notRun.Store(uint64(1), true)
+	close(known)
+	return a
+}
+
 // announce gives the entry a heartbeat of an agent.
 func (f *servingEntry) announce(a *scriptedAgent) {
 	f.t.Helper()
@@ -258,6 +280,7 @@
 	state := wire.AttemptState_ATTEMPT_STATE_RUNNING
 	if _, found := a.notRun.Load(request.Msg.Reservation.Number); found {
 		state = wire.AttemptState_ATTEMPT_STATE_DID_NOT_RUN
+		a.once.Do(func() { close(a.withdrawn) })
 	}
 	return connect.NewResponse(&wire.WithdrawResponse{State: state}), nil
 }
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -115,13 +115,23 @@
 	if failure.Code == result.Cancelled || failure.Code == result.DeadlineExceeded {
 		return failure
 	}
-	if !g.entry.budgets[g.call.class()].Take() {
+	if !g.entry.payRetry(g.call) {
 		failure.Code, failure.RetryAfter = result.RetryBudget, noEndpointRetryAfter
 		return failure
 	}
 	return nil
 }
 
+// payRetry takes a retry of the call from the budget of its class, unless that is done already. It returns false if the
+// budget is spent.
+func (e *Entry) payRetry(c *call) bool {
+	if c.retryPaid {
+		c.retryPaid = false
+		return true
+	}
+	return e.budgets[c.class()].Take()
+}
+
 // handleRefusal decides whether a refused request tries another endpoint: it returns
 // nil if so, or the refusal to return to the caller.
 func (g *generation) handleRefusal(failure *result.Error) *result.Error {
@@ -178,7 +188,9 @@
 		g.routing.Tried[endpoint.Name] = true
 		return refusal
 	}
-	failure := g.relayRun(ctx, endpoint, g.runRequest(reservation))
+	ctx, watch := g.entry.watchAttempt(ctx, g.call, &g.routing, endpoint, reservation)
+	failure := g.relayRun(ctx, endpoint, g.runRequest(reservation), watch)
+	watch.end()
 	if failure != nil {
 		g.routing.Tried[endpoint.Name] = true
 	}
@@ -195,8 +207,9 @@
 	}
 }
 
-// relayRun sends a run request and relays its output to the caller until it ends.
-func (g *generation) relayRun(ctx context.Context, endpoint *routing.Endpoint, request *wire.RunRequest) *result.Error {
+// relayRun sends a run request and relays its output to the caller until it ends. watch is nil for an attempt that is not
+// watched.
+func (g *generation) relayRun(ctx context.Context, endpoint *routing.Endpoint, request *wire.RunRequest, watch *attemptWatch) *result.Error {
 	// Cancelling the context cancels the work at the agent, for whatever reason this
 	// attempt ends.
 	ctx, cancel := context.WithCancel(ctx)
@@ -207,6 +220,7 @@
 	if err != nil {
 		return g.entry.resolveBrokenStream(g.call, endpoint, request.Reservation, err)
 	}
+	run.watch = watch
 	defer run.close()
 	for {
 		event, err := run.receive()
@@ -219,7 +233,7 @@
 				return result.Fail(result.Cancelled, result.RanYes, "the caller disconnected")
 			}
 		case *wire.RunEvent_End:
-			return endError(body.End)
+			return g.entry.endError(body.End)
 		}
 	}
 }
--- a/entry/nonrepeatable.go
+++ b/entry/nonrepeatable.go
@@ -207,7 +207,7 @@
 		return serviceResponse{}, failure
 	}
 	n.ownClaim = claim
-	response, failure := n.sendRun(ctx, claim, reservation)
+	response, failure := n.sendRun(ctx, claim, endpoint, reservation)
 	if failure != nil && failure.Ran == result.RanNo {
 		n.routing.Tried[endpoint.Name] = true
 		return serviceResponse{}, n.markNotRun(ctx, failure)
@@ -269,12 +269,15 @@
 }
 
 // sendRun sends the run request and waits for its outcome.
-func (n *nonRepeatableCall) sendRun(ctx context.Context, claim *attempt.Claim, reservation *wire.Reservation) (serviceResponse, *result.Error) {
+func (n *nonRepeatableCall) sendRun(ctx context.Context, claim *attempt.Claim, endpoint *routing.Endpoint, reservation *wire.Reservation) (serviceResponse, *result.Error) {
+	ctx, watch := n.entry.watchAttempt(ctx, n.call, &n.routing, endpoint, reservation)
+	defer watch.end()
 	run, err := n.entry.startRun(ctx, claim.Addr, &wire.RunRequest{
 		Reservation: reservation, RequestId: n.call.account.ID + "/" + n.call.idempotencyKey, Attempt: n.call.attempts,
 		RemainingMs: n.call.remaining().Milliseconds(), ServiceKind: n.call.kind.ID, ServiceBody: n.body,
 	})
 	if err == nil {
+		run.watch = watch
 		defer run.close()
 		var event *wire.RunEvent
 		event, err = run.receive()
@@ -347,7 +350,7 @@
 // handleEnd records the end of a run in the claim and returns the response of the service
 // or the error.
 func (n *nonRepeatableCall) handleEnd(ctx context.Context, claim *attempt.Claim, end *wire.End) (serviceResponse, *result.Error) {
-	failure := endError(end)
+	failure := n.entry.endError(end)
 	if failure != nil && failure.Ran == result.RanNo {
 		return serviceResponse{}, n.markNotRun(ctx, failure)
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -36,7 +36,7 @@
 				failure.Code = result.EndpointFailed
 			}
 			return response, failure
-		case ran != result.RanNo && !e.budgets[c.class()].Take():
+		case ran != result.RanNo && !e.payRetry(c):
 			failure.Code, failure.RetryAfter = result.RetryBudget, noEndpointRetryAfter
 			return serviceResponse{}, failure
 		}
@@ -56,6 +56,8 @@
 	if refusal != nil {
 		return serviceResponse{}, refusal
 	}
+	ctx, watch := e.watchAttempt(ctx, c, request, endpoint, reservation)
+	defer watch.end()
 	run, err := e.startRun(ctx, endpoint.Addr, &wire.RunRequest{
 		Reservation: reservation, RequestId: c.id, Attempt: c.attempts, RemainingMs: c.remaining().Milliseconds(),
 		ServiceKind: c.kind.ID, ServiceBody: body,
@@ -63,6 +65,7 @@
 	if err != nil {
 		return serviceResponse{}, e.resolveBrokenStream(c, endpoint, reservation, err)
 	}
+	run.watch = watch
 	defer run.close()
 	event, err := run.receive()
 	if err != nil {
@@ -72,5 +75,5 @@
 	if end == nil {
 		return serviceResponse{}, result.Fail(result.EndpointFailed, result.RanUnknown, "the agent of %s sent no end event", endpoint.Name)
 	}
-	return serviceResponse{status: int(end.ServiceStatus), body: end.ServiceBody}, endError(end)
+	return serviceResponse{status: int(end.ServiceStatus), body: end.ServiceBody}, e.endError(end)
 }
--- a/entry/split.go
+++ b/entry/split.go
@@ -156,7 +156,7 @@
 		return held.Import, nil
 	}
 	run.close()
-	if failure := endError(event.GetEnd()); failure != nil {
+	if failure := g.entry.endError(event.GetEnd()); failure != nil {
 		return nil, failure
 	}
 	return nil, result.Fail(result.EndpointFailed, result.RanYes, "%s ended without holding its prefill part", helper.Name)
@@ -190,7 +190,7 @@
 	request := g.runRequest(reservation)
 	request.Imports = imports
 	request.RemainingMs = time.Until(g.call.deadline).Milliseconds()
-	failure := g.relayRun(ctx, endpoint, request)
+	failure := g.relayRun(ctx, endpoint, request, nil)
 	if failure != nil {
 		g.routing.Tried[endpoint.Name] = true
 	}
