A request that is still being received when its entry stops is refused

A caller that sent its body slowly, or had stopped sending, got no answer from an entry that stopped: the connection was closed. Cause: the read of the body waits for the caller alone. Now the read ends when final answers are due, and the caller gets 3007, ran no and Retry-After. TestARequestThatIsStillReceivedAtTheStopIsRefused fails on the commit before (the connection ends) and passes now.

--- a/entry/api.go
+++ b/entry/api.go
@@ -70,9 +70,14 @@
 	maxTokensLimit = 1_000_000
 )
 
-// readBody reads the body of a request, up to the body_limit of the settings.
+// readBody reads the body of a request, up to the body_limit of the settings, until its final answer is due.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *result.Error) {
+	stopReading := context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	defer stopReading()
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.BodyLimit)))
+	if err != nil && endedByStop(r.Context()) {
+		return nil, refuseLeaving()
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, result.Refuse(result.BodyTooLarge, 0, "the body is longer than %d bytes", tooLarge.Limit)
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -179,6 +179,22 @@
 	f.awaitEnd()
 }
 
+// Guards against a request whose body is still being received at the stop, and whose caller is told nothing.
+func TestARequestThatIsStillReceivedAtTheStopIsRefused(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startEntry(t, testDrainTimeout)
+	request := rawRequest(draftPath, "", draftBody)
+	answer := f.send(request[:len(request)-5])
+	awaitCondition(t, "the head is read", func() bool { return f.entry.activeRequests.Load() == 1 })
+	f.stop()
+	got := f.await(answer)
+	is.NoErr(got.err)
+	is.Equal(got.lastError(t).Code, result.Leaving)
+	is.Equal(got.lastError(t).Ran, result.RanNo)
+	f.awaitEnd()
+}
+
 // Guards against requests without an answer when a second signal ends the drain at once.
 func TestASecondSignalAnswersWhatIsInFlight(t *testing.T) {
 	t.Parallel()
