Requests beside a slow caller of a draining entry are answered: a test

The test now asks for more: such a request is served, and after final answers are due it gets 3007 with Retry-After; both are logged.

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -1,9 +1,13 @@
 package entry
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -195,6 +199,45 @@
 	f.awaitEnd()
 }
 
+// Guards against proper requests that get a bare 400 without a length, and no log line, while a drain waits for one slow caller.
+func TestRequestsBesideASlowCallerDuringADrainAreAnswered(t *testing.T) {
+	t.Parallel()
+	for name, slow := range map[string]string{"head": "POST /v1/completions HT", "body": rawRequest(draftPath, "", draftBody)[:120]} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startEntry(t, 12*time.Second)
+			f.startAgent("a1", answering)
+			slowCaller, early, late := f.dial(), f.dial(), f.dial()
+			_, err := io.WriteString(slowCaller, slow)
+			is.NoErr(err)
+			awaitCondition(t, "the connections are accepted", func() bool { return f.entry.callerConns.Len() == 3 })
+			f.stop()
+			awaitCondition(t, "the listener is closed", f.listenerClosed)
+			time.Sleep(10 * drainPollInterval) // the drain looks for connections to close
+			f.checkAnswered(early, result.OK)
+			f.signals <- syscall.SIGTERM
+			awaitCondition(t, "final answers are due", func() bool { return !f.entry.canServe(0) })
+			f.checkAnswered(late, result.Leaving)
+			_ = slowCaller.Close()
+			f.awaitEnd()
+		})
+	}
+}
+
+// checkAnswered sends a request on an open connection and checks that its answer has the code and is logged.
+func (f *servingEntry) checkAnswered(conn net.Conn, code result.Code) {
+	f.t.Helper()
+	is := is.New(f.t)
+	_, err := io.WriteString(conn, rawRequest(draftPath, "", draftBody))
+	is.NoErr(err)
+	got := readResponse(bufio.NewReader(conn))
+	is.NoErr(got.err)
+	is.Equal(got.resultCode(), code)
+	is.Equal(got.header.Get("Retry-After") != "", code != result.OK)
+	f.awaitLogged(code)
+}
+
 // Guards against requests without an answer when a second signal ends the drain at once.
 func TestASecondSignalAnswersWhatIsInFlight(t *testing.T) {
 	t.Parallel()
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -384,6 +384,15 @@
 	return conn
 }
 
+// listenerClosed reports whether callers can no longer connect.
+func (f *servingEntry) listenerClosed() bool {
+	conn, err := net.Dial("tcp", f.entry.settings.CallersListen)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return err != nil
+}
+
 // send sends a request on a new connection and reads the response in the background.
 func (f *servingEntry) send(request string) chan received {
 	f.t.Helper()
