A run request for which no connection was made has not run

A call that may not be repeated was answered 4002, outcome unknown, after the agent was suspect (3 s by default), and its claim stayed until a human looked, although it had run nowhere: its agent had ended between the reservation and the run request. A generation took a retry from the budget for the same reason. Cause: an entry took every failed run request for one that may have arrived, also when the connection was refused. Now a failure to dial, before the transport had any connection, is a refusal: the claim is marked as not run, and another agent is tried. With a connection the outcome is asked for as before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -53,25 +57,33 @@
 	digest                *xxhash.Digest
 	started               bool // the agent has confirmed that the run started
 	watch                 *attemptWatch
+	// connected is set once the transport has a connection for the run request.
+	connected *atomic.Bool
 }
 
 // startRun sends the run request for a reservation to the agent at addr and returns the
 // stream of its events.
 func (e *Entry) startRun(ctx context.Context, addr string, request *wire.RunRequest) (*runStream, error) {
-	stream, err := e.clients.Agent(addr).Run(ctx, connect.NewRequest(request))
-	if err != nil {
-		return nil, err
-	}
-	return &runStream{
-		stream: stream, reservation: request.Reservation, digest: xxhash.New(),
+	run := &runStream{
+		reservation: request.Reservation, digest: xxhash.New(), connected: &atomic.Bool{},
 		nextToken: request.DeliveredTokens, firstToken: request.DeliveredTokens,
-	}, nil
+	}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { run.connected.Store(true) }})
+	var err error
+	if run.stream, err = e.clients.Agent(addr).Run(ctx, connect.NewRequest(request)); err != nil {
+		return nil, run.streamError(err)
+	}
+	return run, nil
 }
 
-// streamError returns the error of a stream that broke before its end event. Work whose
-// start was confirmed did run; whether other work ran is unknown until the agent is
+// streamError returns the error of a stream that broke before its end event. Without a
+// connection the request was not sent. Work whose start was confirmed did run; whether other work ran is unknown until the agent is
 // queried.
 func (r *runStream) streamError(cause error) error {
+	var dialError *net.OpError
+	if errors.As(cause, &dialError) && dialError.Op == "dial" && !r.connected.Load() {
+		return result.Refuse(result.NoEndpoint, noEndpointRetryAfter, "the run request was not sent: %v", cause)
+	}
 	ran := result.RanUnknown
 	if r.started {
 		ran = result.RanYes
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -54,6 +54,7 @@
 type servingEntry struct {
 	t       *testing.T
 	entry   *Entry
+	store   *memoryStore
 	signals chan os.Signal
 	ended   chan struct{} // closed when Serve has returned
 	logs    *observer.ObservedLogs
@@ -85,7 +86,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.store = &memoryStore{values: map[string]infra.Value{}}
+	store := &memoryStore{values: map[string]infra.Value{}}
+	e.store = store
 	pages := make([]catalogue.Page, catalogue.PageCount)
 	for _, record := range []*catalogue.Record{
 		{Type: catalogue.TypeAccount, ID: "crew", Account: &catalogue.Account{KeySHA256: catalogue.HashKey(callerKey)}},
@@ -102,7 +104,7 @@
 	for number, page := range pages {
 		e.catalogue.ApplyStoredPage(number, page)
 	}
-	f := &servingEntry{t: t, entry: e, signals: make(chan os.Signal, 2), ended: make(chan struct{}), logs: logs}
+	f := &servingEntry{t: t, entry: e, store: store, signals: make(chan os.Signal, 2), ended: make(chan struct{}), logs: logs}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		defer close(f.ended)
@@ -156,6 +158,8 @@
 type memoryStore struct {
 	mu     sync.Mutex
 	values map[string]infra.Value
+	// beforeWrite is called before each write; nil does nothing.
+	beforeWrite func()
 }
 
 // Get implements infra.Store.
@@ -169,6 +173,9 @@
 
 // CompareAndSwap implements infra.Store.
 func (s *memoryStore) CompareAndSwap(_ context.Context, key string, data []byte, revision uint64) error {
+	if s.beforeWrite != nil {
+		s.beforeWrite()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.values[key].Revision != revision {
@@ -189,6 +196,7 @@
 	wireconnect.UnimplementedAgentHandler
 	name, addr string
 	run        func(ctx context.Context, request *wire.RunRequest, send func(*wire.RunEvent)) error
+	server     *http.Server
 	number     atomic.Uint64
 	// arrived counts run requests.
 	arrived atomic.Int64
@@ -211,9 +219,9 @@
 	mux.Handle(wireconnect.NewAgentHandler(a, node.HandlerOptions()))
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{Handler: mux, Protocols: &protocols}
-	go func() { _ = server.Serve(listener) }()
-	f.t.Cleanup(func() { _ = server.Close() })
+	a.server = &http.Server{Handler: mux, Protocols: &protocols}
+	go func() { _ = a.server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = a.server.Close() })
 	f.announce(a)
 	return a
 }
--- a/entry/nonrepeatable.go
+++ b/entry/nonrepeatable.go
@@ -285,6 +285,9 @@
 			return n.handleEnd(ctx, claim, event.GetEnd())
 		}
 	}
+	if failure := result.FromError(err); failure != nil && failure.Ran == result.RanNo {
+		return serviceResponse{}, failure
+	}
 	return n.resolveLostRun(ctx, claim, reservation)
 }
 
