An agent that stops ends the jobs that still run

When drain_timeout of an agent had passed, or a second signal came, the streams of the jobs that still ran broke. Entries asked an agent that was gone what had become of them, calls that may not be repeated until it was suspect; and the engine went on with the sequences, whose memory stayed taken until a new agent took over. Cause: the process ended without ending its jobs.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,7 +8,7 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/engine"
+	"aspenyard.example/graceful"
 	"aspenyard.example/infra/consul"
 	"aspenyard.example/membership"
 	"aspenyard.example/node"
@@ -37,7 +38,8 @@
 	control     *controlState
 	health      endpointHealth
 	// activeRuns counts the run requests in progress; a drain waits for them.
-	activeRuns sync.WaitGroup
+	activeRuns atomic.Int64
+	shutdown   graceful.Shutdown
 }
 
 // New returns the agent that s configures. It opens no connection before Serve.
@@ -54,8 +56,9 @@
 
 // Serve runs the agent until a signal arrives, ctx ends or one of its servers fails, whose
 // error it returns. The first signal drains the agent: new and queued jobs are refused, and
-// running jobs may finish within drain_timeout of the settings. A second signal, or the end of
-// ctx, stops the agent at once. So does a signal before the endpoint was taken over.
+// running jobs may finish within drain_timeout of the settings; what has not finished shortly
+// before is ended with an error. After a second signal that happens at once. The end of ctx, and
+// a signal before the endpoint was taken over, stop the agent without that.
 func (a *Agent) Serve(ctx context.Context, signals <-chan os.Signal) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -92,6 +95,9 @@
 		return nil
 	case <-signals:
 		a.drain(ctx, signals)
+		// The last responses may still be in the sockets' buffers. This wait lets the entries
+		// read them before the connections are closed.
+		time.Sleep(responseFlushDelay)
 		return nil
 	}
 }
@@ -197,31 +203,5 @@
 	return nil
 }
 
-// drain refuses new and queued jobs and waits until the running jobs have finished, a further
-// signal arrives or drain_timeout has passed.
-func (a *Agent) drain(ctx context.Context, signals <-chan os.Signal) {
-	a.log.Info("draining", zap.Duration("at_most", a.settings.DrainTimeout.D()))
-	a.loop.Leave()
-	if a.loop.Do(ctx, a.control.startDraining) != nil {
-		return
-	}
-	done := make(chan struct{})
-	go func() {
-		a.activeRuns.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		// The last responses may still be in the sockets' buffers. This wait lets the entries
-		// read them before the connections are closed.
-		time.Sleep(responseFlushDelay)
-		a.log.Info("drained")
-	case <-signals:
-		a.log.Warn("second signal received: stopping with requests in flight")
-	case <-time.After(a.settings.DrainTimeout.D()):
-		a.log.Warn("drain_timeout has passed: stopping with requests in flight")
-	}
-}
-
 // responseFlushDelay is the wait between the last response and the end of the process.
 const responseFlushDelay = 200 * time.Millisecond
--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -14,6 +14,7 @@
 	"aspenyard.example/admission"
 	"aspenyard.example/attempt"
 	"aspenyard.example/engine"
+	"aspenyard.example/graceful"
 	"aspenyard.example/result"
 	"aspenyard.example/wire"
 )
@@ -93,7 +94,7 @@
 // recorded as the attempt's outcome before it sends it.
 func (a *Agent) Run(ctx context.Context, request *connect.Request[wire.RunRequest], stream *connect.ServerStream[wire.RunEvent]) error {
 	a.activeRuns.Add(1)
-	defer a.activeRuns.Done()
+	defer a.activeRuns.Add(-1)
 	deadline := time.Now().Add(time.Duration(request.Msg.RemainingMs) * time.Millisecond)
 	ctx, cancel := context.WithDeadlineCause(ctx, deadline, result.Fail(result.DeadlineExceeded, result.RanYes, "the deadline passed before the request ended"))
 	defer cancel()
@@ -159,6 +160,8 @@
 	if request.ServiceKind != "" {
 		return a.callService(j, request)
 	}
+	ctx, stop := a.shutdown.Context(ctx, 0)
+	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	_ = a.loop.Do(context.Background(), func() { j.cancel = cancel })
@@ -188,12 +191,14 @@
 // The call has started, so it is better to wait for its outcome than to leave it unknown.
 const serviceGrace = time.Minute
 
-// callService calls the plain service and returns the outcome. The call goes on when the
+// callService calls the plain service and returns the outcome. Unless the agent stops, the call goes on when the
 // entry closes the stream: it is not repeatable, so entries that ask for its outcome later
 // must find it.
 func (a *Agent) callService(j *job, request *wire.RunRequest) *wire.End {
 	wait := time.Duration(request.RemainingMs)*time.Millisecond + serviceGrace
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	ctx, stop := a.shutdown.Context(context.Background(), 0)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	response, err := a.engine.Call(ctx, request.ServiceKind, request.RequestId, request.ServiceBody)
 	switch {
@@ -203,6 +208,8 @@
 		return errorEnd(result.Refuse(result.NoEndpoint, time.Second, "the service refused the call: %v", err))
 	case errors.Is(err, engine.ErrTooLong):
 		return errorEnd(result.Fail(result.ServiceFailed, result.RanYes, "%v", err))
+	case err != nil && errors.Is(context.Cause(ctx), graceful.ErrShutdown):
+		return errorEnd(result.Fail(result.OutcomeUnknown, result.RanUnknown, "the call was sent, and the agent stops before the service has responded"))
 	case err != nil:
 		return errorEnd(result.Fail(result.OutcomeUnknown, result.RanUnknown, "the call was sent, but the service's response could not be read: %v", err))
 	}
@@ -263,6 +270,8 @@
 func stopReason(ctx context.Context) *result.Error {
 	cause := context.Cause(ctx)
 	switch {
+	case errors.Is(cause, graceful.ErrShutdown):
+		return result.Fail(result.EndpointFailed, result.RanYes, "the endpoint's agent stops before the request has ended")
 	case errors.Is(cause, context.Canceled):
 		return result.Fail(result.Cancelled, result.RanYes, "the entry closed the stream")
 	case errors.Is(cause, context.DeadlineExceeded):
