An agent that stops waits for the run requests that it has refused

An entry reserves a place, writes its claim and then sends the run request. If the agent was told to stop in between and had nothing else to do, it was gone 0.2 s later; the entry could not learn that the request had not run, and a call that may not be repeated ended as unknown. Cause: a drain waited for runs in progress alone. The reservations that it withdraws are without one. TestAnAgentThatStopsRefusesLateRunRequests fails on the commit before (the stream broke) and passes now.

--- a/agent/control.go
+++ b/agent/control.go
@@ -27,6 +27,8 @@
 	repeatable  bool
 	// decision receives once: nil when the job may start, or the reason why it never will.
 	decision chan *result.Error
+	// accepted is set once the run request has come.
+	accepted bool
 	// cancel stops the running job with the reason as the context's cause. It is nil before
 	// the job runs, and for the jobs of a plain service.
 	cancel context.CancelCauseFunc
@@ -37,16 +39,20 @@
 // controlState is the part of the agent's state that belongs to the control thread. It
 // implements membership.Delegate.
 type controlState struct {
-	agent          *Agent
-	startedAt      time.Time
-	table          *attempt.Table
-	queue          *admission.Queue
-	limit          *power.Limit
-	jobs           map[uint64]*job
-	leaving        bool
-	endpointDown   bool
-	catalogueView  *catalogue.View
-	catalogueReady bool
+	agent     *Agent
+	startedAt time.Time
+	table     *attempt.Table
+	queue     *admission.Queue
+	limit     *power.Limit
+	jobs      map[uint64]*job
+	leaving   bool
+	// refused holds the reservations that were refused by startDraining before their run requests came;
+	// refusedReservations is their number, which any thread may read.
+	refused             map[uint64]struct{}
+	refusedReservations atomic.Int64
+	endpointDown        bool
+	catalogueView       *catalogue.View
+	catalogueReady      bool
 	// announce sends a heartbeat at once, as entries must learn without delay whether the agent serves its models
 	// and services: they would refuse callers until the next heartbeat.
 	announce func()
@@ -76,7 +82,7 @@
 		agent: a, startedAt: time.Now(), queue: queue,
 		table: attempt.NewTable(a.incarnation, a.settings.ReservationLease.D(), outcomeRetention),
 		limit: power.NewLimit(a.incarnation, a.status.FloorWatts, a.status.MaxWatts, slots),
-		jobs:  map[uint64]*job{}, announce: func() {},
+		jobs:  map[uint64]*job{}, refused: map[uint64]struct{}{}, announce: func() {},
 	}
 }
 
@@ -110,9 +116,11 @@
 // request must never start. The job may start from now on.
 func (c *controlState) accept(now time.Time, reservation attempt.Reservation) *job {
 	if !c.table.Accept(now, reservation) {
+		c.forgetRefused(reservation)
 		return nil
 	}
 	j := c.jobs[reservation.Number]
+	j.accepted = true
 	c.queue.MarkReady(reservation.Number)
 	c.startReady()
 	return j
@@ -158,6 +166,7 @@
 	}
 	state, outcome := c.table.Withdraw(reservation)
 	if state == attempt.DidNotRun {
+		c.forgetRefused(reservation)
 		if j := c.jobs[reservation.Number]; j != nil && reservation.Incarnation == c.agent.incarnation {
 			c.refuse(j, result.Refuse(result.Withdrawn, 0, "the reservation was withdrawn before it started"))
 		}
@@ -178,9 +187,23 @@
 func (c *controlState) startDraining() {
 	c.leaving = true
 	c.queue.SetClosed(true)
+	for _, id := range c.queue.Waiting() {
+		if j := c.jobs[id]; !j.accepted {
+			c.refused[id] = struct{}{}
+		}
+	}
+	c.refusedReservations.Store(int64(len(c.refused)))
 	c.refuseQueued(result.Refuse(result.Leaving, 0, "the endpoint's agent is draining"))
 }
 
+// forgetRefused records that the entry of a refused reservation knows of it.
+func (c *controlState) forgetRefused(reservation attempt.Reservation) {
+	if reservation.Incarnation == c.agent.incarnation {
+		delete(c.refused, reservation.Number)
+		c.refusedReservations.Store(int64(len(c.refused)))
+	}
+}
+
 // refuseQueued refuses all jobs that have not started, with reason.
 func (c *controlState) refuseQueued(reason *result.Error) {
 	for _, id := range c.queue.Waiting() {
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -17,8 +17,9 @@
 	maxAnswersTime = 3 * time.Second
 )
 
-// drain refuses new and queued jobs and waits until the running jobs have ended. What runs shortly before drain_timeout
-// has passed, or at a further signal, is ended with an error.
+// drain refuses new and queued jobs and waits until the running jobs have ended, and until the run requests of the
+// reservations that it has refused have come or their leases are over. What runs shortly before drain_timeout has passed,
+// or at a further signal, is ended with an error.
 func (a *Agent) drain(ctx context.Context, signals <-chan os.Signal) {
 	start, limit := time.Now(), a.settings.DrainTimeout.D()
 	answersTime := min(time.Duration(float64(limit)*answersShare), maxAnswersTime)
@@ -49,8 +50,9 @@
 		if remaining, _ := a.shutdown.Remaining(); remaining <= 0 && dueSince.IsZero() {
 			dueSince = time.Now()
 		}
+		lateRequests := a.control.refusedReservations.Load() > 0 && time.Since(start) < a.settings.ReservationLease.D()
 		switch {
-		case a.activeRuns.Load() == 0:
+		case a.activeRuns.Load() == 0 && (!lateRequests || !dueSince.IsZero()):
 			a.log.Info("drained")
 			return
 		case !dueSince.IsZero() && time.Since(dueSince) > answersTime:
--- a/agent/drain_test.go
+++ b/agent/drain_test.go
@@ -234,3 +234,19 @@
 	is.Equal(end.Ran, string(result.RanUnknown))
 	f.awaitStop()
 }
+
+// Guards against an agent that has ended when the run request of a reservation arrives, so that the entry cannot learn that
+// the request did not run.
+func TestAnAgentThatStopsRefusesLateRunRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f, _ := startEngineAgent(t, time.Hour)
+	reservation := f.reserve(true)
+	f.signals <- syscall.SIGTERM
+	awaitCondition(t, "the agent drains", f.agent.loop.Leaving)
+	time.Sleep(20 * drainPollInterval) // an agent that waits for runs in progress alone has ended
+	end := f.awaitEnd(f.run(&wire.RunRequest{Reservation: reservation, Model: "m", Prompt: "tie up", MaxTokens: 4}))
+	is.Equal(end.Code, int32(result.NoReservation))
+	is.Equal(end.Ran, string(result.RanNo))
+	f.awaitStop()
+}
