An agent ends when its entries' hosts have taken the last events

An agent ended 0.2 s after its last job, whatever its entries' hosts had still to take: a slow link lost the end of an answer. Requests that crossed the end found a closed connection and counted as possibly run. Cause: a fixed wait in place of a check, and connections closed without HTTP/2's GOAWAY. Now the RPC server ends its connections with GOAWAY once their calls have ended, and waits, at most 2 s in all, until the peers' hosts have acknowledged everything (the lingering connections of package graceful). An agent's stop takes about 1 s more than its last job: net/http waits for a second after GOAWAY (measured 1.06 to 1.09 s in the tests). TestTheEndOfAServerWaitsForWhatPeersHaveNotTaken fails on the commit before and passes now.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -82,7 +82,13 @@
 	a.initControl()
 	a.registerMetrics()
 	go func() { failures <- a.loop.Run(ctx) }()
-	go func() { failures <- node.ServeRPC(ctx, listener, a.handler(), a.settings.PeerTimeout.D()) }()
+	rpcs, stopRPCs := context.WithCancel(ctx)
+	defer stopRPCs()
+	rpcsEnded := make(chan struct{})
+	go func() {
+		failures <- node.ServeRPC(rpcs, listener, a.handler(), a.settings.PeerTimeout.D())
+		close(rpcsEnded)
+	}()
 	store := consul.NewClient(a.settings.Platform, a.settings.StoreTimeout.D())
 	go a.loop.PollList(ctx, store, a.settings.ListInterval.D())
 	go a.monitorHealth(ctx)
@@ -95,9 +101,8 @@
 		return nil
 	case <-signals:
 		a.drain(ctx, signals)
-		// The last responses may still be in the sockets' buffers. This wait lets the entries
-		// read them before the connections are closed.
-		time.Sleep(responseFlushDelay)
+		stopRPCs()
+		<-rpcsEnded // entries' hosts have taken the last events
 		return nil
 	}
 }
@@ -202,6 +207,3 @@
 	}
 	return nil
 }
-
-// responseFlushDelay is the wait between the last response and the end of the process.
-const responseFlushDelay = 200 * time.Millisecond
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"aspenyard.example/graceful"
 	"aspenyard.example/wire/wireconnect"
 )
 
@@ -25,6 +26,9 @@
 	// and the other fields of its request.
 	maxMessageBytes = 64 << 20
 	dialTimeout     = time.Second
+	// flushTimeout bounds the wait for RPCs and for peers' hosts when a server ends.
+	flushTimeout      = 2 * time.Second
+	flushPollInterval = 5 * time.Millisecond
 )
 
 // cleartextHTTP2 returns the protocols of RPC connections: HTTP/2 without TLS only.
@@ -34,9 +38,9 @@
 	return &p
 }
 
-// ServeRPC serves RPCs on listener until ctx ends, and then closes all connections, also those
-// with RPCs in progress. ctx must therefore not end before a drain is complete. ServeRPC
-// returns nil after that, and otherwise the error that ended it. A connection whose client does
+// ServeRPC serves RPCs on listener until ctx ends, and then closes all connections, at the latest after flushTimeout also
+// those with RPCs in progress. ctx must therefore not end before a drain is complete. ServeRPC returns nil once the
+// peers' hosts have taken what was written, within the same time, and otherwise the error that ended it. A connection whose client does
 // not answer a ping within pingTimeout is closed.
 func ServeRPC(ctx context.Context, listener net.Listener, handler http.Handler, pingTimeout time.Duration) error {
 	server := &http.Server{
@@ -44,14 +48,36 @@
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout, MaxConcurrentStreams: 10_000},
 		ReadHeaderTimeout: 10 * time.Second,
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	var conns graceful.Conns
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			conns.ConnState(conn, state)
+		}
+	}
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		flush(server, &conns)
+	})
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(conns.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve RPCs")
 	}
+	<-ended
 	return nil
 }
 
+// flush closes a server's connections once their RPCs have ended and the peers' hosts have taken the responses.
+func flush(server *http.Server, conns *graceful.Conns) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+	_ = server.Close()
+	for conns.Len() > 0 && ctx.Err() == nil {
+		time.Sleep(flushPollInterval)
+	}
+}
+
 // Clients caches RPC clients by the address of their server. It is safe for concurrent use.
 type Clients struct {
 	http   *http.Client
--- a/node/rpc_test.go
+++ b/node/rpc_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -69,3 +71,66 @@
 		})
 	}
 }
+
+// gatedConn is a connection whose reads wait until the gate is open.
+type gatedConn struct {
+	net.Conn
+	gate chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *gatedConn) Read(p []byte) (int, error) {
+	<-c.gate
+	return c.Conn.Read(p)
+}
+
+// Guards against a process that ends while its peer's host has not taken the last events of its calls.
+func TestTheEndOfAServerWaitsForWhatPeersHaveNotTaken(t *testing.T) {
+	is := is.New(t)
+	const size = 1_000_000
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	written, gate := make(chan struct{}), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+		_ = http.NewResponseController(w).Flush()
+		close(written)
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = ServeRPC(ctx, listener, handler, time.Minute)
+	}()
+	client := &http.Client{Transport: &http.Transport{
+		Protocols: cleartextHTTP2(), HTTP2: &http.HTTP2Config{MaxReceiveBufferPerConnection: 4 << 20, MaxReceiveBufferPerStream: 4 << 20},
+		DialContext: func(_ context.Context, network, addr string) (net.Conn, error) {
+			conn, err := net.Dial(network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &gatedConn{conn, gate}, conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+		},
+	}}
+	received := make(chan int, 1)
+	go func() {
+		response, err := client.Get("http://" + listener.Addr().String())
+		if err != nil {
+			received <- -1
+			return
+		}
+		data, _ := io.ReadAll(response.Body)
+		received <- len(data)
+	}()
+	<-written
+	stop()
+	time.Sleep(50 * flushPollInterval) // a correct end does nothing in this time
+	select {
+	case <-ended:
+		t.Fatal("the server has ended before its peer has taken the response")
+	default:
+	}
+	close(gate)
+	is.Equal(<-received, size)
+	<-ended
+}
