SIGHUP does not end an entry or an agent

SIGHUP, which makes a gateway reload its settings, ended entries and agents on the spot: all their requests were cut off, also in the middle of a drain. Cause: neither handled it, and its default action ends the process.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,6 +62,7 @@
 func (a *Agent) Serve(ctx context.Context, signals <-chan os.Signal) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	signals = node.StopSignals(ctx, signals, a.log)
 	// The listener is opened before the endpoint is used: the bound port excludes a second
 	// agent for the same endpoint, such as a predecessor that was suspended and resumed.
 	listener, err := net.Listen("tcp", a.settings.Listen)
--- a/cli/node.go
+++ b/cli/node.go
@@ -1,6 +1,9 @@
 package cli
 
 import (
+	"os/signal"
+	"syscall"
+
 	"aspenyard.example/agent"
 	"aspenyard.example/entry"
 	"aspenyard.example/membership"
@@ -21,6 +24,7 @@
 	}
 	ctx, ch, cancel := notifySignals()
 	defer cancel()
+	signal.Notify(ch, syscall.SIGHUP) // its default action would end the process and cut off its requests
 	if err := e.Serve(ctx, ch); err != nil {
 		return t.failf("%v", err)
 	}
@@ -35,6 +39,7 @@
 	}
 	ctx, ch, cancel := notifySignals()
 	defer cancel()
+	signal.Notify(ch, syscall.SIGHUP)
 	if err := agent.New(s, node.NewLogger(s.Name, membership.RoleAgent)).Serve(ctx, ch); err != nil {
 		return t.failf("%v", err)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,6 +109,7 @@
 func (e *Entry) Serve(ctx context.Context, signals <-chan os.Signal) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	signals = node.StopSignals(ctx, signals, e.log)
 	listeners := make([]net.Listener, 0, 3)
 	for _, addr := range []string{e.settings.Listen, e.settings.OperatorsListen, e.settings.CallersListen} {
 		listener, err := net.Listen("tcp", addr)
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -29,7 +29,7 @@
 func init() {
 	commands = map[string]command{
 		// Processes, and faults of processes, links and the platform.
-		"start": start, "restart": restart, "crash": crash, "freeze": freeze, "thaw": thaw, "term": term, "gone": gone,
+		"start": start, "restart": restart, "crash": crash, "freeze": freeze, "thaw": thaw, "term": term, "hup": hup, "gone": gone,
 		"cut": cut, "heal": heal, "delay": delay, "reset": reset,
 		"platform": platformFault, "fault": fault, "list": list, "outage": outage,
 		// Edits of the catalogue and commands of operators.
@@ -234,6 +234,9 @@
 // term NAME... asks processes to shut down gracefully, by SIGTERM.
 func term(ts *testscript.TestScript, _ bool, args []string) { signalAll(ts, args, syscall.SIGTERM) }
 
+// hup NAME... sends SIGHUP to processes.
+func hup(ts *testscript.TestScript, _ bool, args []string) { signalAll(ts, args, syscall.SIGHUP) }
+
 // gone NAME [exit=CODE] waits until a process has ended, with the given exit code.
 func gone(ts *testscript.TestScript, _ bool, args []string) {
 	plain, opts := options(args)
--- a/scenarios/harness_test.go
+++ b/scenarios/harness_test.go
@@ -102,7 +102,7 @@
 }
 
 func (p *process) signal(s syscall.Signal) {
-	if s != syscall.SIGSTOP && s != syscall.SIGCONT {
+	if s != syscall.SIGSTOP && s != syscall.SIGCONT && s != syscall.SIGHUP {
 		p.endRequested.Store(true)
 	}
 	select {
