The end of its context ends a drain of an entry or an agent

Serve promises to stop when its context ends, but a drain went on to drain_timeout after that (an agent's too, by reading). Cause: the drain's waits did not look at the context. Only programs that run several nodes in one process were concerned: the binary never ends the context of a node that drains. TestTheEndOfTheContextEndsADrain fails on the commit before (the entry has not ended) and passes now.

--- a/agent/drain.go
+++ b/agent/drain.go
@@ -44,6 +44,8 @@
 		case <-signals:
 			a.log.Warn("second signal received: ending the jobs that run", zap.Int64("active", a.activeRuns.Load()))
 			atOnce.Store(true)
+		case <-ctx.Done():
+			return
 		case <-ticker.C:
 		}
 		a.shutdown.Poll()
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -86,7 +86,7 @@
 
 // drain shuts the entry down gracefully within drain_timeout: requests in flight may end, and what has not ended shortly
 // before is answered as it stands. Another signal makes the answers due at once.
-func (e *Entry) drain(callers net.Listener, signals <-chan os.Signal) {
+func (e *Entry) drain(ctx context.Context, callers net.Listener, signals <-chan os.Signal) {
 	start := time.Now()
 	var atOnce atomic.Bool
 	e.log.Info("draining", zap.Int64("active", e.activeRequests.Load()), zap.Duration("at_most", e.settings.DrainTimeout.D()))
@@ -108,6 +108,9 @@
 		case <-signals:
 			e.log.Warn("second signal received: answering requests in flight", zap.Int64("active", e.activeRequests.Load()))
 			atOnce.Store(true)
+		case <-ctx.Done():
+			e.logCutOff()
+			return
 		case <-ticker.C:
 		}
 		e.shutdown.Poll()
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -279,3 +279,15 @@
 	is.Equal(got.resultCode(), result.OK)
 	f.awaitEnd()
 }
+
+// Guards against a drain that goes on after the context of Serve has ended.
+func TestTheEndOfTheContextEndsADrain(t *testing.T) {
+	t.Parallel()
+	f := startEntry(t, time.Hour)
+	a := f.startAgent("a1", silent)
+	f.send(rawRequest(draftPath, "", draftBody))
+	a.awaitArrivals(t, 1)
+	f.stop()
+	f.cancel()
+	f.awaitEnd()
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -143,7 +143,7 @@
 	case <-ctx.Done():
 		return nil
 	case <-signals:
-		e.drain(callersListener, signals)
+		e.drain(ctx, callersListener, signals)
 		return nil
 	}
 }
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -56,6 +56,7 @@
 	entry   *Entry
 	store   *memoryStore
 	signals chan os.Signal
+	cancel  context.CancelFunc
 	ended   chan struct{} // closed when Serve has returned
 	logs    *observer.ObservedLogs
 }
@@ -106,6 +107,7 @@
 	}
 	f := &servingEntry{t: t, entry: e, store: store, signals: make(chan os.Signal, 2), ended: make(chan struct{}), logs: logs}
 	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
 	go func() {
 		defer close(f.ended)
 		if err := e.Serve(ctx, f.signals); err != nil {
