--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -291,3 +291,21 @@
 	f.cancel()
 	f.awaitEnd()
 }
+
+// Guards against a request that is placed during a drain although it cannot end before the stop.
+func TestARequestThatCannotEndBeforeTheStopIsRefusedUnplaced(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startEntry(t, 10*time.Minute)
+	a := f.startAgent("a1", silent)
+	conn := f.dial()
+	awaitCondition(t, "the connection is accepted", func() bool { return f.entry.callerConns.Len() == 1 })
+	f.stop()
+	_, err := io.WriteString(conn, rawRequest(draftPath, "", `{"model":"draft","prompt":"tie up","max_tokens":100000}`))
+	is.NoErr(err)
+	got := readResponse(bufio.NewReader(conn))
+	is.NoErr(got.err)
+	is.Equal(got.lastError(t).Code, result.Leaving)
+	is.Equal(a.number.Load(), uint64(0))
+	f.awaitEnd()
+}
