A draining entry accepts only streams that it knows to end in time

Cause: a service without engine figures counts as a plain one of 1.5 s, also for streams, of whose length nothing is known. Such streams are now refused (3007, Retry-After) once only what can end is accepted; services with engine figures have estimates that already err on the long side. TestAStoppingEntryAcceptsOnlyWhatCanEnd: 200 before, 503 with it.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"aspenyard.example/directory"
 	"aspenyard.example/graceful"
 	"aspenyard.example/routing/direct"
 )
@@ -137,7 +138,10 @@
 // accepted request ends before the process does.
 func (c *call) estimatedDuration() time.Duration {
 	engine := c.service.Engine
-	if engine == nil || engine.Stride <= 0 {
+	switch known := engine != nil && engine.Stride > 0; {
+	case !known && c.route.Kind == directory.Streaming:
+		return c.route.Timeout
+	case !known:
 		return min(c.route.Timeout, plainServiceEstimate)
 	}
 	events := c.OutputTokens/engine.Stride + 1
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -173,6 +173,20 @@
 	is.NoErr(<-s.serveErr)
 }
 
+// Guards against accepting a stream that nobody knows to end before the stop, when a part of it is all that can be sent.
+func TestAStoppingEntryAcceptsOnlyWhatCanEnd(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := startStopping(t)
+	is.Equal(s.post("/again/a", "q1").status, http.StatusOK)
+	got := s.post("/stream/a", "q2")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(got.body, "3007"))
+	is.Equal(s.runCount("q2"), 0)
+	s.release()
+	is.NoErr(<-s.serveErr)
+}
+
 // Guards against a process that ends while callers' hosts have not yet taken responses that are complete here.
 func TestAStopWaitsForWhatCallersHaveNotTaken(t *testing.T) {
 	cases := map[string]struct {
