A mutation may name a subtest

Two mutations of the entry's stop are killed by scripts, which are subtests of TestScenarios; the check that a mutation's test exists took the whole name for that of a function. It looks the function up by the part before the slash now; that the subtest exists is seen when the mutation runs (it fails without the mutation otherwise).

--- a/mutation/mutation_test.go
+++ b/mutation/mutation_test.go
@@ -33,9 +33,10 @@
 	}
 }
 
-// hasTest reports whether a test file in dir declares the test function.
+// hasTest reports whether a test file in dir declares the test function; name may go on with a subtest's.
 func hasTest(t *testing.T, dir, name string) bool {
 	t.Helper()
+	name, _, _ = strings.Cut(name, "/")
 	files, err := filepath.Glob(filepath.Join(dir, "*_test.go"))
 	if err != nil {
 		t.Fatal(err)
