A stream that begins just as a stop gives it up is withdrawn whole

Now one atomic step decides between the two: a stream that is withdrawn does not begin, and its request gets the failure.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -417,7 +417,7 @@
 	ctx, cancel := context.WithCancelCause(c.httpRequest.Context())
 	stop := func() { cancel(graceful.ErrShutdown) }
 	cancelShutdown := c.gateway.shutdown.Before(0, func() {
-		if !c.response.Begun() {
+		if c.response.Withdraw() {
 			stop()
 		}
 	})
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -200,7 +200,7 @@
 	if conn := s.backlog(); conn != nil {
 		conn.beginStream()
 	}
-	return s.response.Begin(r.status, endToEndHeaders(r.header))
+	return s.response.BeginStream(r.status, endToEndHeaders(r.header))
 }
 
 // end completes the response; that of a stream without events has only a head.
--- a/gateway/response/response.go
+++ b/gateway/response/response.go
@@ -30,11 +30,22 @@
 // ErrOrder is returned for a write that the state does not allow. Nothing has been written then.
 var ErrOrder = errors.New("response: not allowed in this state")
 
-// Writer writes one response. Only Begun is safe for concurrent use.
+// ErrWithdrawn is returned for the head of a stream that has been withdrawn.
+var ErrWithdrawn = errors.New("response: the stream was withdrawn before it began")
+
+// Values of Writer.progress.
+const (
+	fresh     int32 = iota
+	withdrawn       // only a whole response may follow
+	begun
+)
+
+// Writer writes one response. Only Withdraw is safe for concurrent use.
 type Writer struct {
 	writer http.ResponseWriter
 	state  State
-	begun  atomic.Bool
+	// progress decides between a stream that begins and its withdrawal.
+	progress atomic.Int32
 	// last reports whether the connection ends with the response; nil stands for no.
 	last func() bool
 }
@@ -48,8 +59,19 @@
 // State returns the response's state.
 func (w *Writer) State() State { return w.state }
 
-// Begun reports whether the head has been sent.
-func (w *Writer) Begun() bool { return w.begun.Load() }
+// Withdraw keeps a stream from beginning, so that the caller can still be sent a whole response. It returns false if the
+// response has begun.
+func (w *Writer) Withdraw() bool {
+	return w.progress.CompareAndSwap(fresh, withdrawn) || w.progress.Load() == withdrawn
+}
+
+// BeginStream sends the head of a response whose body arrives bit by bit, unless it has been withdrawn.
+func (w *Writer) BeginStream(status int, header http.Header) error {
+	if w.state == Unsent && !w.progress.CompareAndSwap(fresh, begun) {
+		return ErrWithdrawn
+	}
+	return w.Begin(status, header)
+}
 
 // CloseConnection lets the caller's connection end with the response.
 func (w *Writer) CloseConnection() { w.writer.Header().Set("Connection", "close") }
@@ -63,7 +85,7 @@
 		return errors.Wrapf(ErrOrder, "head with status %d while %s", status, w.state)
 	}
 	w.state = Begun
-	w.begun.Store(true)
+	w.progress.Store(begun)
 	maps.Copy(w.writer.Header(), header)
 	if w.last != nil && w.last() {
 		w.CloseConnection()
--- a/gateway/response/response_test.go
+++ b/gateway/response/response_test.go
@@ -49,3 +49,18 @@
 		}
 	}
 }
+
+// Guards against a stream that begins just as a stop gives it up, so that its caller gets a part in place of a whole failure.
+func TestAWithdrawnStreamDoesNotBegin(t *testing.T) {
+	is := is.New(t)
+	recorder := httptest.NewRecorder()
+	w := response.New(recorder)
+	is.True(w.Withdraw())
+	is.True(errors.Is(w.BeginStream(http.StatusOK, nil), response.ErrWithdrawn))
+	is.NoErr(w.WriteWhole(http.StatusBadGateway, nil, "failed"))
+	is.Equal(recorder.Code, http.StatusBadGateway)
+	is.True(!w.Withdraw())
+	begun := response.New(httptest.NewRecorder())
+	is.NoErr(begun.BeginStream(http.StatusOK, nil))
+	is.True(!begun.Withdraw())
+}
