Soak: endpoints that stop in the middle of their responses

A fault of its own, endpoint-cuts-responses: in one place of the head or body after another, by a close or a reset, at once or behind a silence, also in responses to orders.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -87,6 +87,7 @@
 		{"stop-beside-silent-endpoints", 2, stopBesideSilence},
 		{"stop-beside-slow-callers", 2, stopBesideSlowCallers},
 		{kindStopsInSeries, 2, stopInSeries},
+		{kindCutResponses, 2, cutResponses},
 	}
 }
 
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -209,7 +209,7 @@
 	if id == "" {
 		id = fmt.Sprintf("i-%04d", h.incarnations)
 	}
-	worker := &platform.Worker{ID: id, StartUnixMilli: time.Now().UnixMilli(), Service: service, WorkTime: plainRunTime, CrashBody: crashBody, CrashPart: crashPart}
+	worker := &platform.Worker{ID: id, StartUnixMilli: time.Now().UnixMilli(), Service: service, WorkTime: plainRunTime, CrashBody: crashBody, CrashPart: crashPart, CutWait: cutWait}
 	worker.OnCrash = func() { h.handleCrash(worker) }
 	if service == serviceModel {
 		worker.EventCount, worker.EventInterval, worker.WorkTime, worker.Slots, worker.MemoryTokens = streamEvents, eventInterval, 0, 16, memoryTokens
--- a/soak/sequences.go
+++ b/soak/sequences.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"time"
 
 	"aspenyard.example/standin/platform"
@@ -11,6 +12,7 @@
 	kindLateCopies       = "endpoint-late-copies"
 	kindFailureThenCrash = "failure-then-crash"
 	kindOrdersUnanswered = "orders-unanswered"
+	kindCutResponses     = "endpoint-cuts-responses"
 )
 
 // copyLate makes an endpoint send all its responses again, once or twice, where the next one is expected.
@@ -85,3 +87,28 @@
 	time.Sleep(f.Delay)
 	h.replaceEndpoint(f, leaveAnnounced, h.ports[f.Port].currentService())
 }
+
+const (
+	// cutInterval is how long an endpoint cuts its responses in one place.
+	cutInterval = 50 * time.Millisecond
+	// cutWait is how long an endpoint is silent before its response, or within it, where a cut has a wait.
+	cutWait = 700 * time.Millisecond
+)
+
+// cutResponses makes an endpoint stop in the middle of its responses to requests and orders: in one place of their heads
+// or bodies after another.
+func cutResponses(h *harness, f *Fault) {
+	worker := h.ports[f.Port].currentWorker()
+	if worker == nil {
+		return
+	}
+	defer worker.SetDefaultFault("")
+	cuts := slices.Concat(platform.CutHeads, platform.CutBodies)
+	waits := []platform.CutWait{"", platform.WaitFirst, platform.WaitLast}
+	for n := range int(f.Duration / cutInterval) {
+		c := cuts[(f.SecondPort+n)%len(cuts)]
+		c.Reset, c.Wait = (f.Variant+n)%2 == 0, waits[(f.Variant+n)%len(waits)]
+		worker.SetDefaultFault(c.Fault())
+		time.Sleep(cutInterval)
+	}
+}
