Cut responses: refusals and long requests played as well

What remained of the users' issue of answers that are cut in their head: a refusal (503, not run) that is cut, and requests of 90 kB, which are written while the response is read, to endpoints that read them and to ones that do not. A refusal says that the request has not run only if its head is whole: then it goes elsewhere whatever its kind; else it counts as one that may have run. No change of the product.

--- a/gateway/cut_responses_test.go
+++ b/gateway/cut_responses_test.go
@@ -50,6 +50,8 @@
 	*fixture
 	route       *cutRoute
 	maxAttempts int
+	// bodyBytes is added to the length of requests' bodies.
+	bodyBytes int
 
 	mu       sync.Mutex
 	faults   map[string][]standin.Fault
@@ -98,7 +100,7 @@
 	id = fmt.Sprint("q", s.next)
 	s.faults[id] = faults
 	s.mu.Unlock()
-	body := "body of " + id
+	body := "body of " + id + strings.Repeat(".", s.bodyBytes)
 	if s.route.method == http.MethodHead {
 		body = ""
 	}
@@ -233,6 +235,58 @@
 	}
 }
 
+// Guards against a refusal that is cut: in the head it does not say that the request has not run; a whole head does, and
+// the request may run elsewhere, whatever its kind.
+func TestARefusalThatIsCutSaysWhatItsHeadSays(t *testing.T) {
+	heads := []standin.CutPlace{standin.CutAtStart, standin.CutInStatusCode, standin.CutAfterStatusLine, standin.CutInHeaderName, standin.CutInHeaderValue, standin.CutAfterHeaders, standin.CutAfterHeadersCR}
+	bodies := []standin.CutPlace{standin.CutAfterHead, standin.CutBeforeLastByte}
+	for _, route := range cutRoutes[:4] {
+		t.Run(route.name, func(t *testing.T) {
+			t.Parallel()
+			s := newCutFixture(t, &route, 2, false)
+			for _, place := range slices.Concat(heads, bodies) {
+				for _, reset := range []bool{false, true} {
+					c := standin.Cut{Form: standin.CutFormRefusal, Place: place, Reset: reset}
+					id, got, arrivals := s.send(c.Fault())
+					answered := got.err == nil && got.status == http.StatusOK && got.body == route.whole(id) && len(arrivals) == 2
+					failed := got.err == nil && got.status == http.StatusBadGateway && len(arrivals) == 1
+					said := slices.Contains(bodies, place)
+					lost := said && reset && failed // the reset has overtaken the head
+					if wanted := route.repeatable || said; wanted && !answered && !lost || !wanted && !failed {
+						t.Errorf("%s %s: status %d, body %q, error %v, arrivals %+v", id, c, got.status, got.body, got.err, arrivals)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against passing on a cut response as whole, or sending its request again, while a long request is still written,
+// also to an endpoint that does not read it.
+func TestACutResponseToALongRequestIsNotPassedOnAsWhole(t *testing.T) {
+	for _, route := range cutRoutes[:4] {
+		for _, left := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s/%d attempts left", route.name, left), func(t *testing.T) {
+				t.Parallel()
+				s := newCutFixture(t, &route, 1+left, false)
+				s.bodyBytes = 90_000
+				var cuts []standin.Cut
+				for _, early := range []bool{false, true} {
+					for _, c := range route.cuts() {
+						if c.Early = early; c.Wait == "" {
+							cuts = append(cuts, c)
+						}
+					}
+				}
+				each(cuts, func(c standin.Cut) {
+					id, got, arrivals := s.send(c.Fault())
+					s.check(t, id, got, arrivals, 1)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a place in a response, of any framing, at which a cut makes it look whole.
 func TestAResponseCutAtAnyByteIsNotWhole(t *testing.T) {
 	forms := []standin.CutForm{standin.CutFormLength, standin.CutFormChunks, standin.CutFormTrailer, standin.CutFormInterim, standin.CutFormNoContent, standin.CutFormNotModified}
--- a/standin/platform/cuts.go
+++ b/standin/platform/cuts.go
@@ -14,7 +14,7 @@
 // CutForm is the form of a response that is cut.
 type CutForm string
 
-// The forms. In all but the last two the response has status 200.
+// The forms. In all but the last three the response has status 200.
 const (
 	CutFormLength  CutForm = "length"
 	CutFormChunks  CutForm = "chunks"
@@ -25,6 +25,8 @@
 	CutFormInterim     CutForm = "interim"
 	CutFormNoContent   CutForm = "no-content"
 	CutFormNotModified CutForm = "not-modified"
+	// CutFormRefusal refuses the request, as not executed, and has a body.
+	CutFormRefusal CutForm = "refusal"
 )
 
 // CutPlace is where a response is cut.
@@ -77,6 +79,8 @@
 	// Place is where the response is cut; "" for after the first At bytes.
 	Place CutPlace
 	At    int
+	// Early sends the response before the request's body is read.
+	Early bool
 	// Reset ends the connection by a reset.
 	Reset bool
 	Wait  CutWait
@@ -111,6 +115,9 @@
 // String implements fmt.Stringer.
 func (c Cut) String() string {
 	place := string(c.Place)
+	if c.Early {
+		place += " early"
+	}
 	if place == "" {
 		place = strconv.Itoa(c.At)
 	}
@@ -137,6 +144,8 @@
 		return "HTTP/1.0 200 OK"
 	case CutFormNoContent:
 		return "HTTP/1.1 204 No Content"
+	case CutFormRefusal:
+		return "HTTP/1.1 503 Service Unavailable"
 	case CutFormNotModified:
 		return "HTTP/1.1 304 Not Modified"
 	}
@@ -204,6 +213,23 @@
 	return w.writeCut(conn, c, c.Form.render(run.Method, headers+serverStamp, parts), callerGone)
 }
 
+// sendCutBefore sends a cut response that precedes the end of the request, or its execution. done is false for other
+// faults, and until the body has been read for others than early ones.
+func (w *Worker) sendCutBefore(conn net.Conn, headers string, run *Run, bodyRead bool) (done bool) {
+	c, ok := cutOf(run.Fault)
+	switch {
+	case !ok || c.Early == bodyRead || !c.Early && c.Form != CutFormRefusal:
+		return false
+	case c.Form == CutFormRefusal:
+		headers += "X-Aspenyard-Not-Executed: 1\r\n"
+	default:
+		run.Ran, headers = true, headers+serverStamp
+	}
+	w.addRun(run)
+	w.writeCut(conn, c, c.Form.render(run.Method, headers, []string{PlainResponse(run.ID)}), nil)
+	return true
+}
+
 // writeCut sends a response up to its cut and ends the connection.
 func (w *Worker) writeCut(conn net.Conn, c Cut, r response, callerGone <-chan struct{}) bool {
 	if c.Wait == WaitFirst && !sleepUnlessGone(w.CutWait, callerGone) {
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -384,12 +384,18 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		return true
 	}
+	headers := fmt.Sprintf("X-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Instance-Load: 1,0,16\r\n%s", run.ID, w.statements())
+	if w.sendCutBefore(conn, headers, run, false) {
+		return false
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return false
 	}
 	run.Body, run.ArrivedAt = string(body), time.Now()
-	headers := fmt.Sprintf("X-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Instance-Load: 1,0,16\r\n%s", run.ID, w.statements())
+	if w.sendCutBefore(conn, headers, run, true) {
+		return false
+	}
 	if w.SingleUse {
 		headers += connCloseHeader
 	}
