--- a/soak/checkstops.go
+++ b/soak/checkstops.go
@@ -94,7 +94,7 @@
 	case platform.FaultReset, platform.FaultTruncated, platform.FaultTruncatedUnframed, platform.FaultUnframedCrash, platform.FaultGarbage:
 		return true
 	}
-	return strings.HasPrefix(string(fault), "endless-")
+	return strings.HasPrefix(string(fault), "endless-") || platform.IsCut(fault)
 }
 
 // checkValidNotBad finds valid requests that a gateway answered itself with status 400, or without a length, or, while it
--- a/standin/platform/cuts.go
+++ b/standin/platform/cuts.go
@@ -112,6 +112,9 @@
 	return Fault(cutFaultPrefix + string(data))
 }
 
+// IsCut reports whether a fault is a Cut.
+func IsCut(f Fault) bool { return strings.HasPrefix(string(f), cutFaultPrefix) }
+
 // String implements fmt.Stringer.
 func (c Cut) String() string {
 	place := string(c.Place)
