A draining entry accepts no streams once it need not

An estimate cannot be right for a slow or silent endpoint, and a stream that has begun can only be broken off, while a plain request gets a complete response either way. After the time for which everything is accepted, streams are refused (3007, back after 50 ms at another entry).

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -8,7 +8,6 @@
 
 	"aspenyard.example/directory"
 	"aspenyard.example/graceful"
-	"aspenyard.example/routing/direct"
 )
 
 const (
@@ -113,15 +112,23 @@
 		zap.Int("open", g.callers.conns.Len()), zap.Int("carrying", carrying), zap.Int("unsent_bytes", unsent))
 }
 
-// canAccept reports whether a new request that takes the time need can still end before the
-// process stops. When all nodes of a data centre are stopped in turn, the load balancer goes on
-// sending requests to draining nodes; short ones are still served then.
-func (g *Gateway) canAccept(need time.Duration) bool {
+// acceptsAll reports whether requests are accepted whatever they need: the process goes on, or the load balancer may not
+// have noticed yet that it does not.
+func (g *Gateway) acceptsAll() bool {
 	remaining, draining := g.shutdown.Remaining()
-	if !draining || need < remaining {
+	return !draining || g.answersDue()-remaining < scaleDuration(g.settings.DrainTimeout.D(), acceptShare)
+}
+
+// canAccept reports whether a request that has not been sent to an endpoint can still get a complete response before the
+// process stops. When all nodes of a data centre are stopped in turn, the load balancer goes on sending requests to
+// draining nodes; short ones are still served then. A stream is not among them: it may take longer than any estimate,
+// and once it has begun, the process can only break it off.
+func (c *call) canAccept() bool {
+	if c.gateway.acceptsAll() {
 		return true
 	}
-	return g.answersDue()-remaining < scaleDuration(g.settings.DrainTimeout.D(), acceptShare)
+	remaining, _ := c.gateway.shutdown.Remaining()
+	return c.route.Kind != directory.Streaming && min(c.route.Timeout, plainServiceEstimate) < remaining
 }
 
 const (
@@ -133,17 +140,3 @@
 	// plainServiceEstimate bounds the estimate for a plain service.
 	plainServiceEstimate = 1500 * time.Millisecond
 )
-
-// estimatedDuration estimates how long a call takes. The estimate errs on the long side, so that an
-// accepted request ends before the process does.
-func (c *call) estimatedDuration() time.Duration {
-	engine := c.service.Engine
-	switch known := engine != nil && engine.Stride > 0; {
-	case !known && c.route.Kind == directory.Streaming:
-		return c.route.Timeout
-	case !known:
-		return min(c.route.Timeout, plainServiceEstimate)
-	}
-	events := c.OutputTokens/engine.Stride + 1
-	return min(c.route.Timeout, firstEventEstimate+2*direct.PrefillTime(engine, c.PromptTokens)+time.Duration(events)*eventEstimate)
-}
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -183,7 +183,7 @@
 
 // DrainAcceptsOnlyShort reports whether a drain has gone on for so long that only requests are accepted that can end in time.
 func (g *Gateway) DrainAcceptsOnlyShort() bool {
-	return !g.canAccept(time.Hour)
+	return !g.acceptsAll()
 }
 
 // ResponsesDue reports whether the gateway is about to stop, so that every request must have its response.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -128,7 +128,7 @@
 		if next != attempt.Retry {
 			return f.finalError(next, err)
 		}
-		if !f.retrier.MayHaveRun() && !f.gateway.canAccept(f.estimatedDuration()) {
+		if !f.retrier.MayHaveRun() && !f.canAccept() {
 			f.returnBudget()
 			return f.refuseLeaving()
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -123,7 +123,7 @@
 		return result.Refuse(result.NoEndpoint, noEndpointRetryAfter, "route %q has no service", c.route.Name)
 	}
 	c.service = c.config.Service(name)
-	if !c.gateway.canAccept(c.estimatedDuration()) {
+	if !c.canAccept() {
 		return c.refuseLeaving()
 	}
 	c.recogniseReturn()
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -58,7 +58,6 @@
 }
 
 // stopLead returns how long before responses are due an attempt must begin, given the expected time to its first event.
-// It is shorter than estimatedDuration, which does not know how the prompt will be divided among engines.
 func (c *call) stopLead(firstEvent time.Duration) time.Duration {
 	engine := c.service.Engine
 	if engine == nil || engine.Stride <= 0 {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -173,7 +173,7 @@
 	is.NoErr(<-s.serveErr)
 }
 
-// Guards against accepting a stream that nobody knows to end before the stop, when a part of it is all that can be sent.
+// Guards against accepting a stream that may not end before the stop, when a part of it is all that its caller would get.
 func TestAStoppingEntryAcceptsOnlyWhatCanEnd(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
