What the review of the stop found

An independent review of the incident's fix, each point shown by its test unless it says by reading: - A silent plain request was handed over although all endpoints take as long (502 in place of 200 after 2.7 s): silence is usual at a plain service. Only the time of earlier responses tells stalled from slow; without any, nothing is handed over. - An idle connection whose caller has not taken its response was closed for another one and then lingered, so that it freed nothing.

--- a/admission/returns_service.go
+++ b/admission/returns_service.go
@@ -124,6 +124,16 @@
 	}
 }
 
+// ResponseTime returns the time that endpoints of a service usually take to respond; 0 if that is not known.
+func (r *Returns) ResponseTime(name string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.services[name]; s != nil {
+		return s.responseTime
+	}
+	return 0
+}
+
 // RecordOutput records how many tokens a stream had.
 func (r *Returns) RecordOutput(name string, tokens int) {
 	r.mu.Lock()
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -160,11 +160,15 @@
 	return exitOK
 }
 
+// signalBuffer is how many signals wait while a process is busy with one. Further ones are dropped, and one that ends the
+// process must not be.
+const signalBuffer = 64
+
 // notifySignals returns a channel that receives SIGINT and SIGTERM, and a context with
 // its cancel function. The caller decides whether a signal cancels the context.
 func notifySignals() (context.Context, chan os.Signal, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	ch := make(chan os.Signal, 2)
+	ch := make(chan os.Signal, signalBuffer)
 	signal.Notify(ch, os.Interrupt, syscall.SIGTERM)
 	return ctx, ch, cancel
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -35,6 +35,8 @@
 	gateway *Gateway
 	server  *http.Server
 	conns   graceful.Conns
+	// listener is set by serve.
+	listener atomic.Pointer[net.Listener]
 }
 
 func newCallerServer(g *Gateway) *callerServer {
@@ -56,15 +58,23 @@
 // connKey is the context key of a request's callerConn.
 type connKey struct{}
 
-// serve accepts connections until close is called.
+// serve accepts connections until close or stopAccepting is called.
 func (c *callerServer) serve(listener net.Listener) error {
+	c.listener.Store(&listener)
 	err := c.server.Serve(callerListener{Listener: listener, server: c})
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "serve callers")
 }
 
+// stopAccepting closes the listener.
+func (c *callerServer) stopAccepting() {
+	if listener := c.listener.Load(); listener != nil {
+		_ = (*listener).Close()
+	}
+}
+
 // close closes the listener and all connections.
 func (c *callerServer) close() { _ = c.server.Close() }
 
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -15,24 +15,40 @@
 	// load balancer needs two readiness checks, a second apart, to see that this node is not
 	// ready, and callers go on using open connections meanwhile. A request that arrives later
 	// might not end before the process is killed.
-	acceptShare = 0.36
-	// stopMargin is the time left for closing connections before the process is killed.
-	stopMargin = 300 * time.Millisecond
-	// answerMargin is the time before that in which final responses are written and reach callers' hosts.
-	answerMargin = 300 * time.Millisecond
-	// minAnswerShare is the least part of the drain timeout after which final responses are due.
-	minAnswerShare = 0.5
-	// closeMargin is the time before stopMargin in which responses that have begun are broken off.
-	closeMargin       = 100 * time.Millisecond
+	acceptShare       = 0.36
 	drainPollInterval = 20 * time.Millisecond
 )
 
-// answersDue returns how long after the signal every request must have its final response.
-func (g *Gateway) answersDue() time.Duration {
-	limit := g.settings.DrainTimeout.D()
-	return max(limit-stopMargin-answerMargin, scaleDuration(limit, minAnswerShare))
+// drainTimes are times after the signal, in this order.
+type drainTimes struct {
+	// accept is until when all requests are accepted, due when every request must have its final response, closing when
+	// responses that have begun are broken off, and stop when the process ends.
+	accept, due, closing, stop time.Duration
+}
+
+const (
+	// stopMargin is the time left before the process is killed, answerMargin the time before that in which final responses
+	// are written and reach callers' hosts, and closeMargin its last part, in which nothing more is relayed.
+	stopMargin   = 300 * time.Millisecond
+	answerMargin = 300 * time.Millisecond
+	closeMargin  = 100 * time.Millisecond
+	// Bounds of the margins as shares of a short drain timeout.
+	maxMarginShare      = 1.0 / 8
+	maxCloseMarginShare = 1.0 / 24
+)
+
+// drainTimesFor returns the times of a drain that may take as long as limit.
+func drainTimesFor(limit time.Duration) drainTimes {
+	margin := func(most time.Duration, share float64) time.Duration { return min(most, scaleDuration(limit, share)) }
+	stop := limit - margin(stopMargin, maxMarginShare)
+	return drainTimes{
+		accept: scaleDuration(limit, acceptShare), due: stop - margin(answerMargin, maxMarginShare), closing: stop - margin(closeMargin, maxCloseMarginShare), stop: stop,
+	}
 }
 
+// drainTimes returns the times of this process's drain.
+func (g *Gateway) drainTimes() drainTimes { return drainTimesFor(g.settings.DrainTimeout.D()) }
+
 // drain shuts the gateway down gracefully. Readiness is withdrawn at once, and responses tell
 // callers to close their connections. Requests are accepted for a while and then refused as not
 // run. Requests learn from the shutdown when they must have ended. drain returns when no request
@@ -41,14 +57,15 @@
 // supervisor that signals twice, or a change of the settings file, would otherwise cut off every
 // request in flight.
 func (g *Gateway) drain(signals <-chan os.Signal) {
-	limit, noticed := g.settings.DrainTimeout.D(), bootTime()
+	times, noticed := g.drainTimes(), bootTime()
 	elapsed, sinceSignal := func() time.Duration { return bootTime() - noticed }, g.sinceSignal(noticed)
-	g.shutdown.Begin(g.answersDue(), sinceSignal)
-	g.closing.Begin(limit-stopMargin-closeMargin, elapsed)
+	g.shutdown.Begin(times.due, sinceSignal)
+	g.closing.Begin(times.closing, elapsed)
 	g.callers.conns.DisableKeepAlives()
 	g.peers.announceLeaving()
-	g.log.Info("drain", zap.Int64("active", g.active.Load()), zap.Duration("limit_ms", limit))
+	g.log.Info("drain", zap.Int64("active", g.active.Load()), zap.Duration("limit_ms", g.settings.DrainTimeout.D()))
 	g.shutdown.Before(0, g.callers.expireHeads)
+	g.closing.Before(0, g.callers.stopAccepting)
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for {
@@ -64,15 +81,20 @@
 		}
 		g.shutdown.Poll()
 		g.closing.Poll()
-		if sinceSignal() < scaleDuration(limit, acceptShare) {
+		if sinceSignal() < times.accept {
 			continue
 		}
 		g.callers.conns.CloseIdle()
+		if remaining, _ := g.closing.Remaining(); remaining <= 0 {
+			// What arrives from now on is not read, so that its callers may send it elsewhere.
+			g.callers.conns.CloseUnused()
+			g.callers.expireHeads()
+		}
 		active := g.active.Load()
 		switch {
 		case active+g.releasing.Load() == 0 && g.callers.conns.Drained():
 			g.logStop("drained", active, elapsed())
-		case elapsed() > limit-stopMargin:
+		case elapsed() > times.stop:
 			g.logStop("limit", active, elapsed())
 			g.callers.cutOff()
 		default:
@@ -116,7 +138,8 @@
 // have noticed yet that it does not.
 func (g *Gateway) acceptsAll() bool {
 	remaining, draining := g.shutdown.Remaining()
-	return !draining || g.answersDue()-remaining < scaleDuration(g.settings.DrainTimeout.D(), acceptShare)
+	times := g.drainTimes()
+	return !draining || times.due-remaining < times.accept
 }
 
 // canAccept reports whether a request that has not been sent to an endpoint can still get a complete response before the
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -197,3 +197,8 @@
 	remaining, draining := g.closing.Remaining()
 	return draining && remaining <= 0
 }
+
+// ReportResponseTime simulates a response of a service's endpoint after a time.
+func (g *Gateway) ReportResponseTime(service string, took time.Duration) {
+	g.returns.RecordServed(time.Now(), service, took)
+}
--- a/gateway/giveup_test.go
+++ b/gateway/giveup_test.go
@@ -31,7 +31,9 @@
 			r := &endpointResponse{ctx: context.Background(), endpoint: e, pool: g.pool, conn: conn, writeResult: written, keepAlive: maxIdleTime, stop: func() bool { return true }}
 			g.shutdown.Begin(time.Second, func() time.Duration { return 0 })
 			permits := 0
-			r.watchdog = g.startWatchdog(r.ctx, r, time.Hour, &handOver{need: time.Second, permit: func() bool { permits++; return true }})
+			r.watchdog = g.startWatchdog(r.ctx, r, time.Hour, &handOver{
+				estimate: func(int64) (need, patience time.Duration) { return time.Second, 0 }, permit: func() bool { permits++; return true },
+			})
 			r.watchdog.silence = 0
 			result := &probe{began: time.Now(), done: make(chan struct{}), alive: alive}
 			g.prober.results[e.Incarnation] = result
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -8,15 +8,20 @@
 	"aspenyard.example/routing/direct"
 )
 
-// stalledAfter is the silence within a stream that is not a pause for other requests' prefill.
-const stalledAfter = 2 * time.Second
+const (
+	// stalledAfter is the silence within a stream that is not a pause for other requests' prefill.
+	stalledAfter = 2 * time.Second
+	// unusualFactor is how many times the usual response time of a plain service a silence is unusual, and how many times
+	// it another attempt may take.
+	unusualFactor = 4
+)
 
 // handOver says when, while this process stops, a silent attempt is given up for one at another endpoint: at the last
 // moment at which that one can still end before the stop. Until then the silent endpoint may respond.
 type handOver struct {
-	// need is the estimated duration of another attempt, eventTime the part of it for each event that the caller has
-	// already. patience is the silence at the beginning of an attempt that is not unusual.
-	need, eventTime, patience time.Duration
+	// estimate returns how long another attempt may take, given how many heads and events of this one have arrived, and
+	// how long a silence at the beginning of an attempt is not unusual; 0 if neither is known.
+	estimate func(received int64) (need, patience time.Duration)
 	// permit reports whether another endpoint can take the request, and takes a retry from the budget.
 	permit func() bool
 }
@@ -28,12 +33,11 @@
 	if !draining {
 		return false
 	}
-	patience := h.patience
+	need, patience := h.estimate(received)
 	if received > 0 {
 		patience = stalledAfter
 	}
-	need := max(h.need-time.Duration(received)*h.eventTime, h.patience)
-	return silent >= patience && remaining >= need && remaining < need+interval+probeTimeout && h.permit()
+	return need > 0 && silent >= patience && remaining >= need && remaining < need+interval+probeTimeout && h.permit()
 }
 
 // handOver returns when the attempt that the plan is for is given up for another one.
@@ -43,26 +47,39 @@
 	}
 	request := f.placementRequest
 	request.Tried = maps.Clone(request.Tried)
-	h := &handOver{need: f.stopLead(plan.ExpectedFirstToken), patience: f.stopLead(0), permit: func() bool {
-		other := f.gateway.policy.Place(time.Now(), &request, f.allowedEndpoints(f.gateway.snapshot.Load()))
-		if other == nil || other.Refused() || request.Tried[other.Endpoint.Incarnation] || !f.gateway.retries.Take(time.Now(), f.service.Name) {
-			return false
-		}
-		f.handedOver.Store(true)
-		return true
-	}}
-	if f.service.Engine != nil {
-		h.eventTime, h.patience = eventEstimate, firstEventEstimate+2*plan.ExpectedFirstToken
+	return &handOver{
+		estimate: func(received int64) (need, patience time.Duration) {
+			if f.service.Engine == nil {
+				return f.plainEstimate()
+			}
+			patience = firstEventEstimate + 2*plan.ExpectedFirstToken
+			return max(f.stopLead(plan.ExpectedFirstToken)-time.Duration(received)*eventEstimate, patience), patience
+		},
+		permit: func() bool {
+			other := f.gateway.policy.Place(time.Now(), &request, f.allowedEndpoints(f.gateway.snapshot.Load()))
+			if other == nil || other.Refused() || request.Tried[other.Endpoint.Incarnation] || !f.gateway.retries.Take(time.Now(), f.service.Name) {
+				return false
+			}
+			f.handedOver.Store(true)
+			return true
+		},
 	}
-	return h
 }
 
-// stopLead returns how long before responses are due an attempt must begin, given the expected time to its first event.
-func (c *call) stopLead(firstEvent time.Duration) time.Duration {
-	engine := c.service.Engine
-	if engine == nil || engine.Stride <= 0 {
-		return min(c.route.Timeout, plainServiceEstimate)
+// plainEstimate returns the figures of handOver for a plain service. Silence is usual there until the response, whose time
+// only earlier responses tell.
+func (c *call) plainEstimate() (need, patience time.Duration) {
+	usual := c.gateway.returns.ResponseTime(c.service.Name)
+	if usual == 0 {
+		return 0, 0
 	}
-	events := c.OutputTokens/engine.Stride + 1
+	need = max(plainServiceEstimate, unusualFactor*usual)
+	return need, need
+}
+
+// stopLead returns how long before responses are due an attempt at an engine must begin, given the expected time to its
+// first event.
+func (c *call) stopLead(firstEvent time.Duration) time.Duration {
+	events := c.OutputTokens/max(c.service.Engine.Stride, 1) + 1
 	return min(c.route.Timeout, firstEventEstimate+2*firstEvent+time.Duration(events)*eventEstimate)
 }
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -240,7 +240,7 @@
 
 // awaitRoom adds n bytes to what is held for the response, those first that were kept for it. While there is
 // no room for them, it cuts off callers that read too slowly; it returns false if there is none after
-// responseRoomTimeout.
+// responseRoomTimeout, or when the request must have its final response as the process stops.
 func (c *call) awaitRoom(n int64) bool {
 	if kept := min(n, c.expected); kept > 0 {
 		c.held.MoveTo(&c.responseHeld, kept)
@@ -250,7 +250,7 @@
 	if c.responseHeld.Grow(n) {
 		return true
 	}
-	for end := time.Now().Add(responseRoomTimeout); time.Now().Before(end); {
+	for end := time.Now().Add(responseRoomTimeout); time.Now().Before(end) && !c.shutdownDue(); {
 		c.gateway.slowCallers.cutOne(time.Now(), admission.ResponseBytes, c.gateway.bytes.Bound())
 		if c.responseHeld.Grow(n) {
 			return true
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -243,6 +243,7 @@
 	if w.ended {
 		return
 	}
+	silent = w.gateway.elapsedSince(&w.lastActivity) // it may have sent something while it was probed
 	if alive && !w.handOver.isDue(&w.gateway.shutdown, silent, w.silence, w.received.Load()) {
 		w.timer.Reset(w.silence)
 		return
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -83,6 +83,7 @@
 			t.Parallel()
 			is := is.New(t)
 			s, responses := startSilent(t, c.events, c.target)
+			s.gateway.ReportResponseTime("app", 10*time.Millisecond)
 			other := &standin.Worker{ID: "other", Service: "app"}
 			if c.target == "/stream/a" {
 				other.EventCount, other.EventInterval = 5, time.Millisecond
@@ -173,6 +174,53 @@
 	is.NoErr(<-s.serveErr)
 }
 
+// Guards against a stop that ends requests without an answer because further ones arrive all the time until its limit.
+func TestAStopUnderLoadCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newFixture(t, plainWorker())
+	s.extraSettings = `,"drain_timeout":"2s"`
+	s.start()
+	const callers = 3 * stoppingRequests
+	gone, lost := make(chan struct{}), make(chan error, callers)
+	for i := range callers {
+		go func() { lost <- s.sendUntil(gone, fmt.Sprint("q", i)) }()
+	}
+	s.sendSIGTERM()
+	is.NoErr(<-s.serveErr)
+	close(gone)
+	for range callers {
+		is.NoErr(<-lost)
+	}
+	s.waitFor("the stop is logged", func() bool { return s.logged(`"event":"stop"`) })
+	is.True(s.logged(`"reason":"drained"`))
+}
+
+// sendUntil sends one request after another on connections of their own until gone is closed or connections are refused. It
+// returns an error if the gateway has read a request and its response is not whole.
+func (s *fixture) sendUntil(gone <-chan struct{}, name string) error {
+	stopping := &stoppingEntry{fixture: s}
+	for n := 0; ; n++ {
+		select {
+		case <-gone:
+			return nil
+		default:
+		}
+		id := fmt.Sprint(name, "-", n)
+		err := stopping.requestWhileStopping(id)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return nil
+		case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.ErrUnexpectedEOF):
+			if s.runCount(id) > 0 {
+				return err
+			}
+		case err != nil:
+			return err
+		}
+	}
+}
+
 // Guards against accepting a stream that may not end before the stop, when a part of it is all that its caller would get.
 func TestAStoppingEntryAcceptsOnlyWhatCanEnd(t *testing.T) {
 	t.Parallel()
--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -96,15 +96,23 @@
 
 // CloseIdle closes the connections on which a request has been answered and none is in flight.
 func (c *Conns) CloseIdle() {
+	c.closeUnused(func(conn *Conn) bool { return conn.State() == http.StateIdle })
+}
+
+// CloseUnused closes all connections on which no request is in flight, also those on which there was none yet.
+func (c *Conns) CloseUnused() { c.closeUnused(func(*Conn) bool { return true }) }
+
+// closeUnused closes the connections that match and on which no request is in flight.
+func (c *Conns) closeUnused(match func(conn *Conn) bool) {
 	c.mu.Lock()
-	var idle []*Conn
+	var unused []*Conn
 	for conn := range c.open {
-		if conn.State() == http.StateIdle && conn.stopReading() {
-			idle = append(idle, conn)
+		if match(conn) && conn.stopReading() {
+			unused = append(unused, conn)
 		}
 	}
 	c.mu.Unlock()
-	for _, conn := range idle {
+	for _, conn := range unused {
 		_ = conn.Close()
 	}
 }
@@ -128,14 +136,19 @@
 	}
 }
 
-// CloseLongestIdle closes the connection that has been idle for the longest time after a response; it returns
-// false if none is idle. A connection on which a request is being read is not.
+// CloseLongestIdle makes room for another connection: it closes one that lingers, or else the one that has been idle for the
+// longest time after a response, whatever its peer has taken. It returns false if there is none. A connection on which a
+// request is being read is not idle.
 func (c *Conns) CloseLongestIdle() bool {
-	conn := c.takeLongestIdle()
+	conn := c.takeLingering()
+	if conn == nil {
+		conn = c.takeLongestIdle()
+	}
 	if conn == nil {
 		return false
 	}
-	_ = conn.Close()
+	conn.closed.Do(func() {})
+	_ = conn.Conn.Close()
 	return true
 }
 
@@ -185,7 +198,12 @@
 		return false
 	}
 	for conn := range c.open {
-		if conn.InRequest() || conn.Unsent() > 0 {
+		if conn.InRequest() {
+			return false
+		}
+	}
+	for conn := range c.open { // in a second pass, as it takes system calls
+		if conn.Unsent() > 0 {
 			return false
 		}
 	}
@@ -225,8 +243,10 @@
 	use atomic.Int32
 	// readAhead is set when the server has read a byte of the next request while it handles one. Conns.mu guards it.
 	readAhead bool
-	closed    sync.Once
-	lingers   atomic.Bool
+	// idleDeadline is set while the server waits for the next request with a deadline.
+	idleDeadline atomic.Bool
+	closed       sync.Once
+	lingers      atomic.Bool
 	// idleElement is the connection's element of Conns.idle, nil while it is not idle. Conns.mu guards it.
 	idleElement *list.Element
 }
@@ -299,6 +319,15 @@
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn. A server with an idle timeout lifts the deadline of an idle connection when it has
+// found the beginning of a request there, which it may have read together with the request before.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.State() == http.StateIdle && c.idleDeadline.Swap(!t.IsZero()) && t.IsZero() {
+		c.beginRequest()
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // noteReadAhead records that a byte of the next request has been read: the server reads one at a time, to notice that
 // the peer disconnects, only while it handles a request.
 func (c *Conn) noteReadAhead() {
--- a/graceful/linger.go
+++ b/graceful/linger.go
@@ -81,6 +81,20 @@
 	conn.lingers.Store(true)
 }
 
+// takeLingering removes and returns a connection that lingers and whose bytes are all in the kernel, which goes on sending them
+// unless data of the peer's is unread; nil if there is none.
+func (c *Conns) takeLingering() *Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.lingering {
+		if b, ok := conn.Conn.(bufferedConn); !ok || b.Buffered() == 0 {
+			delete(c.lingering, conn)
+			return conn
+		}
+	}
+	return nil
+}
+
 // linger ends the stream to the peer and closes the connection once the peer's host has taken everything.
 func (c *Conn) linger() {
 	if w, ok := c.Conn.(writeCloser); ok {
--- a/graceful/stop_test.go
+++ b/graceful/stop_test.go
@@ -31,7 +31,7 @@
 func startServer(t *testing.T, handler http.HandlerFunc) (*Conns, string) {
 	t.Helper()
 	conns := &Conns{}
-	server := &http.Server{Handler: conns.Handler(handler), ConnState: conns.ConnState}
+	server := &http.Server{Handler: conns.Handler(handler), ConnState: conns.ConnState, IdleTimeout: time.Minute}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -86,14 +86,48 @@
 // Guards against an answer of the server's own to a request that arrives as the process ends, and against taking it from the kernel.
 func TestNothingIsReadOrAnsweredAfterStopReading(t *testing.T) {
 	is := is.New(t)
-	conns, addr := startServer(t, func(http.ResponseWriter, *http.Request) {})
-	conn := dial(t, addr)
-	waitFor(t, "the connection is accepted", func() bool { return conns.Len() == 1 })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	peer := dial(t, listener.Addr().String())
+	accepted, err := listener.Accept()
+	is.NoErr(err)
+	defer func() { _ = accepted.Close() }()
+	conns := &Conns{}
+	conn := conns.Track(accepted)
 	is.True(conns.StopReading())
-	_, _ = io.WriteString(conn, head+rest)
-	data, err := io.ReadAll(conn)
-	is.Equal(string(data), "")
-	is.True(errors.Is(err, syscall.ECONNRESET)) // the kernel resets a connection that is closed with unread data
+	_, err = io.WriteString(peer, head+rest)
+	is.NoErr(err)
+	n, err := conn.Read(make([]byte, 4096))
+	is.Equal(n, 0)
+	var readError *net.OpError
+	is.True(errors.As(err, &readError))
+	is.Equal(readError.Op, "read") // to other errors the server writes a response
+	data := make([]byte, 4096)
+	n, err = io.ReadFull(accepted, data[:len(head+rest)]) // it is still there
+	is.NoErr(err)
+	is.Equal(string(data[:n]), head+rest)
+}
+
+// Guards against connections that stay open for requests which a process that is about to end would not answer.
+func TestAllConnectionsWithoutARequestAreClosed(t *testing.T) {
+	is := is.New(t)
+	conns, addr := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	unused, kept, slow := dial(t, addr), dial(t, addr), dial(t, addr)
+	_, _ = io.WriteString(kept, head+rest)
+	reader := bufio.NewReader(kept)
+	_, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	_, _ = io.WriteString(slow, head)
+	waitFor(t, "only the half head is in flight", func() bool { return conns.Len() == 3 && inRequest(conns) == 1 })
+	conns.CloseUnused()
+	for _, conn := range []io.Reader{unused, reader} {
+		_, err := conn.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+	}
+	_, _ = io.WriteString(slow, rest)
+	_, err = http.ReadResponse(bufio.NewReader(slow), nil)
+	is.NoErr(err)
 }
 
 // Guards against a stop that closes a connection whose next request has begun before the last response has ended.
