The scenario leaving waits until the agent itself knows that it leaves

Cause, in the script: agents read the platform's list by themselves, up to list_interval after the entries, and start what is queued until then: the four runs are one batch (running=4). No request reached the agent from an entry that knew. The new word "emptied AGENT ENGINE" waits until the agent has nothing queued and its engine has recorded each run that it started; from the mark on no run is allowed, as before, in both halves of the script.

--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -35,7 +35,7 @@
 		// Edits of the catalogue and commands of operators.
 		"seed": seed, "edit": edit, "race": race, "sees": sees, "keeps": keeps, "spread": spread, "cap": setCap, "limit": limit, "operate": operate,
 		// Conditions to wait for.
-		"ready": ready, "member": member, "metric": metric, "saturate": saturate, "claim": claim, "granted": granted, "started": started, "streaming": streaming,
+		"ready": ready, "member": member, "metric": metric, "saturate": saturate, "claim": claim, "writing": writing, "emptied": emptied, "granted": granted, "started": started, "streaming": streaming,
 		// Calls and their results.
 		"call": call, "again": again, "repeat": repeat, "finish": finish, "finish-all": finishAll, "expect": expect, "whole": whole,
 		"lookup": lookup, "client": client, "served": served,
--- a/scenarios/conditions_test.go
+++ b/scenarios/conditions_test.go
@@ -95,6 +95,43 @@
 	})
 }
 
+// writing KEY waits until the write of the claim of a key has arrived at the store, which delays it.
+func writing(ts *testscript.TestScript, _ bool, args []string) {
+	h := harnessOf(ts)
+	call := "PUT /v1/kv/" + attempt.ClaimKey("crew", args[0])
+	await(ts, "writing "+args[0], func() string {
+		var record struct{ Delayed []string }
+		if err := h.get("http://"+h.mustProcess(ts, "platform").addrs["listen"]+"/record", &record); err != nil {
+			return err.Error()
+		}
+		if !slices.Contains(record.Delayed, call) {
+			return fmt.Sprintf("delayed calls: %v", record.Delayed)
+		}
+		return ""
+	})
+}
+
+// emptied AGENT ENGINE waits until the agent has nothing queued and its engine has recorded each run that the agent has
+// started. Both must have been started once, and together.
+func emptied(ts *testscript.TestScript, _ bool, args []string) {
+	h := harnessOf(ts)
+	agent := h.mustProcess(ts, args[0])
+	await(ts, "emptied "+args[0], func() string {
+		queued, err := h.metric(agent, "aspenyard_agent_queued")
+		if err != nil {
+			return err.Error()
+		}
+		started, err := h.metric(agent, "aspenyard_agent_attempts")
+		if err != nil {
+			return err.Error()
+		}
+		if runs := h.engineRuns(ts, args[1]); queued > 0 || float64(runs) != started {
+			return fmt.Sprintf("%v queued, %v started, %d runs at the engine", queued, started, runs)
+		}
+		return ""
+	})
+}
+
 // metric NAME METRIC MIN [MAX] waits until a metric of a process is at least MIN and at most MAX.
 func metric(ts *testscript.TestScript, _ bool, args []string) {
 	h := harnessOf(ts)
