--- a/standin/consul/consul.go
+++ b/standin/consul/consul.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -68,6 +69,8 @@
 	PeakReads, PeakWrites int
 	// Calls is the number of calls in each second since the start.
 	Calls []int
+	// Delayed are the paths of the calls that have arrived and are delayed by a fault.
+	Delayed []string
 }
 
 // Server is the stand-in: an HTTP server without its listener. Safe for concurrent use.
@@ -144,7 +147,7 @@
 		allowed := s.countCall(r.Method == http.MethodGet)
 		s.mu.Unlock()
 		if faults.DelayMS > 0 {
-			time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+			s.delay(r.Method+" "+r.URL.Path, time.Duration(faults.DelayMS)*time.Millisecond)
 		}
 		if faults.Down {
 			http.Error(w, "outage simulated by a test", http.StatusServiceUnavailable)
@@ -158,6 +161,18 @@
 	}
 }
 
+// delay delays a call, which the record names meanwhile.
+func (s *Server) delay(call string, d time.Duration) {
+	s.mu.Lock()
+	s.record.Delayed = append(slices.Clip(s.record.Delayed), call)
+	s.mu.Unlock()
+	time.Sleep(d)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.Index(s.record.Delayed, call)
+	s.record.Delayed = slices.Concat(s.record.Delayed[:i], s.record.Delayed[i+1:])
+}
+
 func (s *Server) countCall(read bool) bool {
 	second := int64(time.Since(s.started) / time.Second)
 	for int64(len(s.record.Calls)) <= second {
