A request is handled by the configuration in force when all of it has arrived

A request counts as sent when its last byte is. The route and the account are resolved again after the body if another configuration is in force. TestABodyIsReceivedUnderTheConfigurationInForceAtItsEnd: 200 from a removed route before, 404 with it.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -118,6 +118,9 @@
 	if failure := c.readBody(); failure != nil {
 		return failure
 	}
+	if failure := c.followConfig(); failure != nil {
+		return failure
+	}
 	name := c.route.PickService(globalRand{}.Float64())
 	if name == "" {
 		return result.Refuse(result.NoEndpoint, noEndpointRetryAfter, "route %q has no service", c.route.Name)
@@ -131,6 +134,17 @@
 	return nil
 }
 
+// followConfig applies a configuration that came into force while the body was received: a request counts as sent when all of
+// it is.
+func (c *call) followConfig() *result.Error {
+	latest := c.gateway.snapshot.Load()
+	if latest.Config == c.config {
+		return nil
+	}
+	c.snapshot, c.config = latest, latest.Config
+	return c.resolveRoute()
+}
+
 // awaitConfig waits for the first configuration of a process that has just started. When all
 // nodes restart at once, requests arrive before the store has been read, and callers that are
 // refused then come back late.
--- a/gateway/planned_test.go
+++ b/gateway/planned_test.go
@@ -143,3 +143,16 @@
 		}
 	}
 }
+
+// Guards against a request that is handled by a configuration which was replaced before the last byte of its body was sent.
+func TestABodyIsReceivedUnderTheConfigurationInForceAtItsEnd(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t, plainWorker()).start()
+	c := s.dialSlow(head("POST", "/once/a", "q1") + "Content-Length: 5\r\n\r\nhe")
+	s.waitFor("a part is read", func() bool { return s.gateway.ConnectionsInRequest() == 1 })
+	plannedWork["route removed"](s)
+	_, err := io.WriteString(c.conn, "llo")
+	is.NoErr(err)
+	is.Equal(c.response().StatusCode, http.StatusNotFound)
+	is.Equal(s.runCount("q1"), 0)
+}
