--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -309,26 +309,31 @@
 	is.Equal(s.runCount("q1"), 0)
 }
 
-// Guards against requests that are being received when the process ends and whose callers are not told that they have not run.
+// Guards against requests that are being received when the process ends and whose callers are not told that they have not
+// run, also where the drain timeout is short.
 func TestAStopRefusesRequestsThatAreBeingReceived(t *testing.T) {
 	whole := head("POST", "/once/a", "q1") + "Content-Length: 5\r\n\r\nhe"
 	for name, sent := range map[string]string{"head": "POST /once/a HTTP", "body": whole} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			s := newFixture(t, plainWorker()).start()
-			c := s.dialSlow(sent)
-			s.waitFor("a part is read", func() bool { return s.gateway.ConnectionsInRequest() == 1 })
-			s.sendSIGTERM()
-			response := c.response()
-			body, err := io.ReadAll(response.Body)
-			is.NoErr(err)
-			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
-			is.True(response.Header.Get("Retry-After") != "")
-			is.True(name == "head" || strings.Contains(string(body), "3007"))
-			is.NoErr(<-s.serveErr)
-			is.Equal(s.runCount("q1"), 0)
-		})
+		for _, limit := range []string{"5s", "400ms"} {
+			t.Run(name+" "+limit, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s := newFixture(t, plainWorker())
+				s.extraSettings = fmt.Sprintf(`,"drain_timeout":%q`, limit)
+				s.start()
+				c := s.dialSlow(sent)
+				s.waitFor("a part is read", func() bool { return s.gateway.ConnectionsInRequest() == 1 })
+				s.sendSIGTERM()
+				response := c.response()
+				body, err := io.ReadAll(response.Body)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+				is.True(response.Header.Get("Retry-After") != "")
+				is.True(name == "head" || strings.Contains(string(body), "3007"))
+				is.NoErr(<-s.serveErr)
+				is.Equal(s.runCount("q1"), 0)
+			})
+		}
 	}
 }
 
