--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -40,6 +40,7 @@
 type event struct {
 	Item
 	Deleted bool `json:"deleted,omitempty"`
+	at      time.Time
 }
 
 type lease struct {
@@ -62,11 +63,14 @@
 	// era is stated in all responses, unless hidesEra is set.
 	era      uint64
 	hidesEra bool
+	// pageItems is the number of items in a page, staleAges the ages of the next pages that may be stale.
+	pageItems int
+	staleAges []time.Duration
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]Item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), callCounts: map[string]int{}, era: 1}
+	return &Store{items: map[string]Item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), callCounts: map[string]int{}, era: 1, pageItems: defaultPageItems}
 }
 
 // SetFaults replaces the faults and wakes the waiting watches.
@@ -134,7 +138,7 @@
 		item.Created = old.Created
 	}
 	s.items[key] = item
-	s.events = append(s.events, event{Item: item})
+	s.events = append(s.events, event{Item: item, at: time.Now()})
 	s.notifyWatches()
 	return s.revision
 }
@@ -145,7 +149,7 @@
 	}
 	delete(s.items, key)
 	s.revision++
-	s.events = append(s.events, event{Item: Item{Key: key, Revision: s.revision}, Deleted: true})
+	s.events = append(s.events, event{Item: Item{Key: key, Revision: s.revision}, Deleted: true, at: time.Now()})
 	s.notifyWatches()
 }
 
@@ -228,26 +232,28 @@
 	writeJSON(w, http.StatusOK, item)
 }
 
-// pageItems is the number of items in a page: few, so that tests see several pages.
-const pageItems = 50
-
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stateEra(w.Header())
 	entries := []Item{}
-	for key, item := range s.items {
+	var age time.Duration
+	if query.Get("stale_ok") != "" {
+		age = s.nextAge()
+	}
+	items, at := s.itemsAt(query.Get("prefix"), age)
+	for key, item := range items {
 		if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
 			entries = append(entries, item)
 		}
 	}
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
-	hasMore := len(entries) > pageItems
+	hasMore := len(entries) > s.pageItems
 	if hasMore {
-		entries = entries[:pageItems]
+		entries = entries[:s.pageItems]
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"entries": entries, "has_more": hasMore, "at": s.revision})
+	writeJSON(w, http.StatusOK, map[string]any{"entries": entries, "has_more": hasMore, "at": at})
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
