The explorer draws unframed responses, releases and a gateway that most events concern

Now most events of a case concern one gateway, several endpoints may leave at once, and a case may have endpoints whose responses end with their connection. Ruled out: a gateway's fault in these three.

--- a/explore/oracle/oracle_test.go
+++ b/explore/oracle/oracle_test.go
@@ -140,6 +140,11 @@
 			r.LeftAt["i-1"] = r.Arrivals[7].At.Add(-2500 * time.Millisecond)
 			r.StoreDisturbed = []Span{{r.LeftAt["i-1"].Add(-time.Second), r.LeftAt["i-1"].Add(-time.Millisecond)}}
 		},
+		"sent on a connection that has just been closed": func(r *Record) {
+			cut(r.Requests[1], time.Millisecond)
+			r.Gateways[0].StoppedAt, r.Requests[1].Large, r.Arrivals[1].ID = r.Requests[1].SentAt.Add(-time.Second), true, r.Requests[0].ID
+			r.Arrivals[1].Ran = false
+		},
 		"a busy machine":    func(r *Record) { r.LeftAt["i-1"], r.Late = r.Arrivals[7].At.Add(-2500*time.Millisecond), time.Second },
 		"another's address": func(r *Record) { r.Arrivals[1].Ran = false; r.Requests[1].Status, r.Requests[1].Stamped = 503, false },
 	} {
--- a/explore/plan/plan.go
+++ b/explore/plan/plan.go
@@ -137,7 +137,9 @@
 	IntervalMS   int `json:"interval_ms"`
 	WorkMS       int `json:"work_ms"`
 	MaxAttempts  int `json:"max_attempts"`
-	TimeoutMS    int `json:"timeout_ms"`
+	// Unframed is set where responses have no length and end with their connections.
+	Unframed  bool `json:"unframed,omitempty"`
+	TimeoutMS int  `json:"timeout_ms"`
 	// DrainMS is how long after a stop a gateway may live.
 	DrainMS int `json:"drain_ms"`
 	// PageItems is the number of items in a page of the store.
