--- a/explore/oracle/oracle_test.go
+++ b/explore/oracle/oracle_test.go
@@ -145,6 +145,11 @@
 			r.Gateways[0].StoppedAt, r.Requests[1].Large, r.Arrivals[1].ID = r.Requests[1].SentAt.Add(-time.Second), true, r.Requests[0].ID
 			r.Arrivals[1].Ran = false
 		},
+		"a caller that reads on after the drain": func(r *Record) {
+			cut(r.Requests[1], 5*time.Second)
+			r.Gateways[0].StoppedAt, r.Gateways[0].ReloadedAt = r.Requests[1].SentAt, []time.Time{r.Requests[1].SentAt}
+			r.Requests[1].ReadOnAt = r.Requests[1].EndedAt
+		},
 		"a busy machine":    func(r *Record) { r.LeftAt["i-1"], r.Late = r.Arrivals[7].At.Add(-2500*time.Millisecond), time.Second },
 		"another's address": func(r *Record) { r.Arrivals[1].Ran = false; r.Requests[1].Status, r.Requests[1].Stamped = 503, false },
 	} {
--- a/explore/oracle/rules.go
+++ b/explore/oracle/rules.go
@@ -201,8 +201,10 @@
 		}
 		stop := g.StoppedAt
 		// What a caller has not read when the process must end cannot reach it.
-		readOn := r.ReadOnAt.Before(stop.Add(time.Duration(lastPart * float64(ix.DrainLimit))))
-		stopped := readOn && !stop.IsZero() && r.EndedAt.After(stop) && r.EndedAt.Before(stop.Add(ix.DrainLimit+time.Second))
+		if !stop.IsZero() && r.ReadOnAt.After(stop.Add(time.Duration(lastPart*float64(ix.DrainLimit)))) {
+			continue
+		}
+		stopped := !stop.IsZero() && r.EndedAt.After(stop) && r.EndedAt.Before(stop.Add(ix.DrainLimit+time.Second))
 		lateWork := ix.anyArrival(r, func(a *Arrival) bool {
 			return a.endedBy(ix.Ended).After(stop.Add(time.Duration(lastPart*float64(ix.DrainLimit))-lossSlack)) && r.SentAt.Before(stop.Add(3*time.Second))
 		})
--- a/explore/plan/draw.go
+++ b/explore/plan/draw.go
@@ -171,6 +171,8 @@
 		e.Count = pick(d, []int{1, 10, 60})
 	case EndpointDrains, EndpointRemoved, EndpointReplaced:
 		e.ForMS = pick(d, []int{0, 300, 2000, 7000})
+	case EndpointRestarts:
+		e.ForMS = pick(d, []int{200, 500, 2000}) // a process needs some time to start
 	case StoreRestored:
 		e.ForMS = pick(d, []int{30, 300, 1500})
 	case StoreStale:
--- a/explore/plan/plan.go
+++ b/explore/plan/plan.go
@@ -21,6 +21,7 @@
 
 	// EndpointDrains, EndpointRemoved, EndpointExits and EndpointRestarts are the ends and starts of an endpoint's
 	// life. EndpointReplaced drains one and registers another beside it.
+	// EndpointRestarts ends one and starts another life of it at its address Event.ForMS later.
 	EndpointDrains   Kind = "endpoint-drains"
 	EndpointRemoved  Kind = "endpoint-removed"
 	EndpointExits    Kind = "endpoint-exits"
