--- a/soak/callers.go
+++ b/soak/callers.go
@@ -9,8 +9,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"aspenyard.example/standin/platform"
@@ -170,6 +172,8 @@
 		panic(err) // the URL consists of valid parts only
 	}
 	httpRequest.Host = host
+	req.writtenAt = &atomic.Pointer[time.Time]{}
+	httpRequest = httpRequest.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: req.recordWritten}))
 	c.setHeaders(httpRequest.Header, req)
 	req.SentAt = time.Now()
 	response, err := c.client.Do(httpRequest)
@@ -186,6 +190,14 @@
 	return retryAfter
 }
 
+// recordWritten records when the last byte of the request was written.
+func (req *Request) recordWritten(info httptrace.WroteRequestInfo) {
+	if info.Err == nil {
+		now := time.Now()
+		req.writtenAt.Store(&now)
+	}
+}
+
 // readHead records the head of the response.
 func (req *Request) readHead(response *http.Response) {
 	req.Status, req.Unframed = response.StatusCode, response.ContentLength < 0 && len(response.TransferEncoding) == 0
--- a/soak/checkstops.go
+++ b/soak/checkstops.go
@@ -31,7 +31,7 @@
 		if slow && req.Status != 0 && (took >= req.Route.Timeout || ix.excusedByStop(req)) {
 			return ""
 		}
-		return fmt.Sprintf("no complete response after %v, status %d, %d arrivals%s", took, req.Status, len(arrivals), ix.describeStop(req))
+		return fmt.Sprintf("no complete response after %v, status %d, %d arrivals%s%s", took, req.Status, len(arrivals), ix.describeStop(req), req.describeWritten())
 	})
 }
 
@@ -65,6 +65,15 @@
 	return fmt.Sprintf("; sent %.2f s, ended %.2f s after SIGTERM", req.SentAt.Sub(stop.From).Seconds(), req.EndedAt.Sub(stop.From).Seconds())
 }
 
+// describeWritten says how long before its end the request was written completely; its caller may have been held up.
+func (req *Request) describeWritten() string {
+	if req.writtenAt == nil || req.writtenAt.Load() == nil {
+		return ""
+	}
+	written := req.writtenAt.Load()
+	return fmt.Sprintf("; written %v before that", req.EndedAt.Sub(*written))
+}
+
 // Users' rule for requests that are cut: one that reached no endpoint counts if it was sent for longer than lossSlack, and one
 // that a shutdown cuts is excused if it was sent no later than excusedSending after the SIGTERM and its endpoint was at work for
 // longer than excusedWork after it.
--- a/soak/record.go
+++ b/soak/record.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"aspenyard.example/directory"
@@ -55,9 +56,11 @@
 	// Status is the status of the response, 0 without a response. Complete is set if the
 	// response was read to its end. HasServerStamp says whether the response headers contain the
 	// server stamp of an endpoint; EchoedID is the request ID in them.
-	Status         int
-	Complete       bool
-	ResponseBody   string
+	Status       int
+	Complete     bool
+	ResponseBody string
+	// writtenAt is when the last byte of the request was written; nil if that is not known.
+	writtenAt      *atomic.Pointer[time.Time]
 	HasServerStamp bool
 	EchoedID       string
 	// Unframed says whether the response has neither a length nor chunks.
