--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -105,9 +105,9 @@
 	}
 }
 
-// sinceSignal returns a clock of the time since the earliest moment at which a signal that was noticed at a time since
-// boot may have been sent. The supervisor counts the drain timeout from there, also while this process or its machine is
-// suspended.
+// sinceSignal returns a clock that counts from the earliest moment at which the signal may have been sent. noticed is when
+// it was noticed, as time since boot: if the process was suspended before, the signal may be as old as the suspension. The
+// supervisor counts the drain timeout from when it sent the signal, also during suspensions.
 func (g *Gateway) sinceSignal(noticed time.Duration) func() time.Duration {
 	if began, _, ok := g.suspensions.recent(); ok {
 		noticed -= time.Duration(g.uptimeNanos() - began)
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -11,8 +11,8 @@
 const (
 	// stalledAfter is the silence within a stream that is not a pause for other requests' prefill.
 	stalledAfter = 2 * time.Second
-	// unusualFactor is how many times the usual response time of a plain service a silence is unusual, and how many times
-	// it another attempt may take.
+	// unusualFactor times a plain service's usual response time is how long a silence must be to count as unusual, and how
+	// long another attempt may take.
 	unusualFactor = 4
 )
 
--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -147,7 +147,7 @@
 	if conn == nil {
 		return false
 	}
-	conn.closed.Do(func() {})
+	conn.closed.Do(func() {}) // keeps the server's own Close from lingering
 	_ = conn.Conn.Close()
 	return true
 }
