The test of requests beside a slow caller waits until that caller's part is read

The test waited until the connections were accepted, not until the slow caller's bytes were read; if the entry has not read them when its listener closes, nothing is in flight and the drain rightly ends.

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"aspenyard.example/catalogue"
+	"aspenyard.example/graceful"
 	"aspenyard.example/result"
 	"aspenyard.example/wire"
 )
@@ -211,7 +212,9 @@
 			slowCaller, early, late := f.dial(), f.dial(), f.dial()
 			_, err := io.WriteString(slowCaller, slow)
 			is.NoErr(err)
-			awaitCondition(t, "the connections are accepted", func() bool { return f.entry.callerConns.Len() == 3 })
+			awaitCondition(t, "the connections are accepted, and the slow caller's part is read", func() bool {
+				return f.entry.callerConns.Len() == 3 && f.connectionsInRequest() == 1
+			})
 			f.stop()
 			awaitCondition(t, "the listener is closed", f.listenerClosed)
 			time.Sleep(10 * drainPollInterval) // the drain looks for connections to close
@@ -225,6 +228,16 @@
 	}
 }
 
+// connectionsInRequest returns the number of callers' connections on which a request is being read or answered.
+func (f *servingEntry) connectionsInRequest() (n int) {
+	f.entry.callerConns.Each(func(conn *graceful.Conn) {
+		if conn.InRequest() {
+			n++
+		}
+	})
+	return n
+}
+
 // checkAnswered sends a request on an open connection and checks that its answer has the code and is logged.
 func (f *servingEntry) checkAnswered(conn net.Conn, code result.Code) {
 	f.t.Helper()
