--- a/directory/replica.go
+++ b/directory/replica.go
@@ -60,6 +60,8 @@
 	Records []Record
 	// InvalidItems are the items that could not be decoded.
 	InvalidItems []InvalidItem
+	// DecodeTime is how long decoding took.
+	DecodeTime time.Duration
 }
 
 // InvalidItem is an item of the store that could not be decoded.
@@ -98,6 +100,8 @@
 	InvalidItems []InvalidItem
 	// Items are the same changes as the store delivered them.
 	Items []Item
+	// DecodeTime is how long decoding took.
+	DecodeTime time.Duration
 }
 
 // EndpointState is an endpoint's registration with the replica's own state of it.
--- a/directory/source.go
+++ b/directory/source.go
@@ -51,6 +51,8 @@
 	ReadItem(ctx context.Context, key string, stale bool) (Item, error)
 	// Decode returns the changes that items stand for; the store's position after them is at.
 	Decode(at Position, items []Item) *Changes
+	// IsConfig reports whether a key is that of the configuration.
+	IsConfig(key string) bool
 	// Era returns the latest era that is known: the highest that the store has stated in any response, or
 	// one that was assumed by AssumeEra. Responses of an earlier era count as unavailable.
 	Era() Era
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -69,6 +69,8 @@
 	return &directory.Changes{At: at}
 }
 
+func (r *recordingSource) IsConfig(string) bool { return false }
+
 func (r *recordingSource) Era() directory.Era { return 0 }
 
 func (r *recordingSource) AssumeEra(directory.Era) {}
--- a/gateway/storewatch/entries.go
+++ b/gateway/storewatch/entries.go
@@ -97,6 +97,9 @@
 // readOmitted reads an item whose value was omitted. While the store does not answer, the calls that find
 // out when it does bring the item too.
 func (w *Watcher) readOmitted(ctx context.Context, item *directory.Item, reads chan<- itemRead) {
+	if w.config.Source.IsConfig(item.Key) && w.configAwaitedSince.IsZero() {
+		w.configAwaitedSince = time.Now()
+	}
 	switch {
 	case w.reading != "":
 	case !w.outageSince.IsZero():
--- a/gateway/storewatch/watcher.go
+++ b/gateway/storewatch/watcher.go
@@ -91,6 +91,9 @@
 	reading     string
 	readingFrom directory.Position
 	itemsRead   map[string]directory.Position
+	// configAwaitedSince is when this entry learned of a configuration that it has not read; zero if it has read
+	// the newest one that it knows of.
+	configAwaitedSince time.Time
 	publishedAt time.Time
 	outageSince time.Time // when the store stopped answering; zero while it answers
 	backoff     time.Duration
@@ -365,7 +368,9 @@
 	if !before.IsZero() && !w.replica.At().SameEra(before) {
 		w.handleRestored(before, state.At)
 	}
+	decodeTime := state.DecodeTime
 	if changes != nil {
+		decodeTime += changes.DecodeTime
 		w.config.Changes.Append(changes.Items, changes.At)
 		evacuations = append(evacuations, w.replica.ApplyChanges(now, changes)...)
 		w.logInvalidItems(changes.InvalidItems)
@@ -375,7 +380,7 @@
 	for i := range state.Records {
 		w.config.Listener.ApplyRecord(now, &state.Records[i])
 	}
-	w.publishChanges(evacuations)
+	w.publishChanges(evacuations, decodeTime)
 }
 
 // applyChanges applies changes, from the store or from another entry. What is known already is left out: a
@@ -390,12 +395,13 @@
 	w.logInvalidItems(changes.InvalidItems)
 	w.handleChanges(now, changes)
 	if len(changes.Changes) > 0 {
-		w.publishChanges(evacuations)
+		w.publishChanges(evacuations, changes.DecodeTime)
 	}
 }
 
-// publishChanges publishes a snapshot and tells others of the evacuations that have begun or ended.
-func (w *Watcher) publishChanges(evacuations []directory.Evacuation) {
+// publishChanges publishes a snapshot and tells others of the evacuations that have begun or ended. decodeTime is how
+// long decoding the changes took.
+func (w *Watcher) publishChanges(evacuations []directory.Evacuation, decodeTime time.Duration) {
 	before := w.snapshot.Config
 	w.publish()
 	w.announceEvacuations(evacuations)
@@ -403,7 +409,12 @@
 	if config == before {
 		return
 	}
-	w.config.Logger.Info("config_in_force", zap.Uint64("version", config.Version), zap.Int("routes", config.RouteCount()), zap.Uint64("at", w.replica.At().Revision()), zap.Stringer("era", w.replica.At().Era()))
+	awaited := time.Duration(0)
+	if !w.configAwaitedSince.IsZero() {
+		awaited, w.configAwaitedSince = time.Since(w.configAwaitedSince), time.Time{}
+	}
+	w.config.Logger.Info("config_in_force", zap.Uint64("version", config.Version), zap.Int("routes", config.RouteCount()), zap.Uint64("at", w.replica.At().Revision()), zap.Stringer("era", w.replica.At().Era()),
+		zap.Duration("awaited_ms", awaited), zap.Duration("decode_ms", decodeTime))
 	w.config.Listener.ConfigInForce(config)
 }
 
--- a/gateway/storewatch/watcher_test.go
+++ b/gateway/storewatch/watcher_test.go
@@ -21,6 +21,8 @@
 	return &directory.Changes{At: at, Items: items}
 }
 
+func (silentSource) IsConfig(string) bool { return false }
+
 func (silentSource) Era() directory.Era { return 0 }
 
 func (silentSource) AssumeEra(directory.Era) {}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -1,7 +1,7 @@
 // Package link is a loopback proxy between two parts of a system under test. It forwards
 // TCP and UDP to one target and injects network faults: it delays traffic, resets
 // connections, blocks one or both directions, discards data without closing connections,
-// and loses data in transit.
+// loses data in transit, and limits the bandwidth.
 package link
 
 import (
@@ -38,6 +38,7 @@
 	delay     time.Duration
 	connPairs map[*connPair]bool
 	cut       cut
+	bandwidth bandwidth
 }
 
 // connPair is a client's connection and the connection that continues it to the target.
@@ -224,6 +225,9 @@
 	for {
 		n, err := from.Read(buffer)
 		l.awaitPassable(direction)
+		if direction == FromTarget {
+			l.awaitBandwidth(n)
+		}
 		passed, reset := n, false
 		if direction == FromTarget {
 			passed, reset = l.passBytes(n)
