--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -20,6 +20,7 @@
 	"aspenyard.example/gateway"
 	"aspenyard.example/platform"
 	"aspenyard.example/settings"
+	"aspenyard.example/standin/link"
 	standin "aspenyard.example/standin/platform"
 )
 
@@ -46,6 +47,9 @@
 	firstConfigWait time.Duration
 	// usage replaces the measurements of the process; nil means those of the operating system.
 	usage gateway.UsageReader
+	// storeBytesPerSecond is the bandwidth of storeLink, the gateway's link to the store; 0 means no limit.
+	storeBytesPerSecond int
+	storeLink           *link.Link
 	// cutFromStore makes the store refuse the calls of this fixture's gateway only.
 	cutFromStore atomic.Bool
 	// coldPerSecond is what a cold worker of service "app" tolerates; 0 means that it is not known.
@@ -141,8 +145,15 @@
 func (s *fixture) launch() {
 	s.t.Helper()
 	server := httptest.NewServer(s.storeHandler())
+	storeLink, err := link.New(strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	storeLink.SetBandwidth(s.storeBytesPerSecond)
+	s.storeLink = storeLink
+	s.t.Cleanup(storeLink.Close)
 	var nodeSettings settings.Gateway
-	text := fmt.Sprintf(`{"name":"g1","data_centre":"dc1","callers_listen":"127.0.0.1:0","readiness_listen":"127.0.0.1:0","metrics_listen":"127.0.0.1:0","store":%q,"drain_timeout":"5s","retry_allowance":3200%s}`, strings.TrimPrefix(server.URL, "http://"), s.extraSettings)
+	text := fmt.Sprintf(`{"name":"g1","data_centre":"dc1","callers_listen":"127.0.0.1:0","readiness_listen":"127.0.0.1:0","metrics_listen":"127.0.0.1:0","store":%q,"drain_timeout":"5s","retry_allowance":3200%s}`, storeLink.Addr(), s.extraSettings)
 	if err := settings.Decode([]byte(text), &nodeSettings); err != nil {
 		s.t.Fatal(err)
 	}
--- a/gateway/storewatch/watcher.go
+++ b/gateway/storewatch/watcher.go
@@ -94,9 +94,9 @@
 	// configAwaitedSince is when this entry learned of a configuration that it has not read; zero if it has read
 	// the newest one that it knows of.
 	configAwaitedSince time.Time
-	publishedAt time.Time
-	outageSince time.Time // when the store stopped answering; zero while it answers
-	backoff     time.Duration
+	publishedAt        time.Time
+	outageSince        time.Time // when the store stopped answering; zero while it answers
+	backoff            time.Duration
 	// historyGone counts the watches in a row for which the store had no history.
 	historyGone int
 	// timeout bounds the next call, besides its wait for a change.
--- a/standin/link/bandwidth.go
+++ b/standin/link/bandwidth.go
@@ -17,11 +17,23 @@
 	l.bandwidth = bandwidth{perSecond: perSecond}
 }
 
-// awaitBandwidth waits until n bytes have passed.
-func (l *Link) awaitBandwidth(n int) {
+// pieceBytes is how many bytes of a direction are passed on at once. Connections take turns on a link with a bandwidth.
+func (l *Link) pieceBytes(direction Direction) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if direction == FromTarget && l.bandwidth.perSecond > 0 {
+		return packetBytes
+	}
+	return bufferBytes
+}
+
+const packetBytes = 4 << 10
+
+// awaitBandwidth waits until n bytes of a direction have passed.
+func (l *Link) awaitBandwidth(direction Direction, n int) {
 	l.mu.Lock()
 	b := &l.bandwidth
-	if b.perSecond == 0 {
+	if direction != FromTarget || b.perSecond == 0 {
 		l.mu.Unlock()
 		return
 	}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -225,15 +225,18 @@
 	for {
 		n, err := from.Read(buffer)
 		l.awaitPassable(direction)
-		if direction == FromTarget {
-			l.awaitBandwidth(n)
-		}
 		passed, reset := n, false
 		if direction == FromTarget {
 			passed, reset = l.passBytes(n)
 		}
-		if passed > 0 && !p.discarding.Load() {
-			if _, err := to.Write(buffer[:passed]); err != nil {
+		for rest := buffer[:passed]; len(rest) > 0; {
+			piece := rest[:min(len(rest), l.pieceBytes(direction))]
+			rest = rest[len(piece):]
+			l.awaitBandwidth(direction, len(piece))
+			if p.discarding.Load() {
+				continue
+			}
+			if _, err := to.Write(piece); err != nil {
 				return
 			}
 		}
