A transfer that makes progress goes on, and changes of endpoints do not wait for a configuration

Cause: a call to the store had one timeout for its whole transfer (0.7 s, up to 1.4 s). A watch from an old position brings every version in full; one that took longer was thrown away and began anew, with more to transfer. A follower that read the value alone had 0.7 s as well and fell back on that watch. And all changes are one sequence of positions, so that nothing written after a configuration was applied before it.

Change: CallLimits end a call by silence, not by its duration: no response, or none of 4 KiB in the time that a response may take to begin. A watch whose response exceeds 256 KiB or 0.18 of the bound is given up for a poll of each prefix, which says of a configuration only that it has changed. Changes whose values are omitted are applied like others; what they omit is read by key beside them: the last version only, one read at a time, which goes on while newer versions follow. A value that is awaited counts against how current the configuration is, not the endpoints.

--- a/changefeed/log.go
+++ b/changefeed/log.go
@@ -26,7 +26,7 @@
 	// further behind asks the store.
 	maxLogItems = 1024
 	// MaxValueBytes is the length of a value from which it is omitted: followers read it from the store
-	// themselves. A configuration does not fit into a datagram.
+	// themselves, beside the changes that follow it. A configuration does not fit into a datagram.
 	MaxValueBytes = 700
 	// maxChunkBytes bounds a chunk, so that it fits into one packet of an Ethernet with its headers.
 	maxChunkBytes = 1100
@@ -143,24 +143,18 @@
 }
 
 // After returns the chunk's changes for an entry that has all changes up to a position, and the position
-// that it has with them. They end before the first change whose value is omitted and not known by other
-// means, which is returned too. If ok is false, changes in between are missing, or the chunk is of another
-// era.
-func (c *Chunk) After(have directory.Position, known func(key string, at directory.Position) bool) (items []directory.Item, to directory.Position, omitted *directory.Item, ok bool) {
+// that it has with them. Those whose values are omitted are among them. If ok is false, changes in between are
+// missing, or the chunk is of another era.
+func (c *Chunk) After(have directory.Position) (items []directory.Item, to directory.Position, ok bool) {
 	if !have.AtLeast(c.From) {
-		return nil, have, nil, false
+		return nil, have, false
 	}
-	for i := range c.Items {
-		item := &c.Items[i]
-		switch {
-		case have.AtLeast(item.At):
-		case item.Omitted && !known(item.Key, item.At):
-			return items, have.Later(item.At.Previous()), item, true
-		default:
-			items = append(items, *item)
+	for _, item := range c.Items {
+		if !have.AtLeast(item.At) {
+			items = append(items, item)
 		}
 	}
-	return items, have.Later(c.To), nil, true
+	return items, have.Later(c.To), true
 }
 
 // Respond returns the changes after a position in chunks, oldest first. It returns none if the log has no
--- a/changefeed/world_test.go
+++ b/changefeed/world_test.go
@@ -63,8 +63,11 @@
 	calmSince time.Duration
 	provenAt  time.Duration
 	wakeID    int
-	// valuesRead is the revision up to which long values were read by themselves.
-	valuesRead directory.Position
+	// valueAwaited is the last long value that is known of and was not read, awaitedSince when the first of
+	// them became known. readingValue is set while one is being read.
+	valueAwaited directory.Position
+	awaitedSince time.Duration
+	readingValue bool
 }
 
 func newWorld(seed uint64, entries int) *world {
@@ -252,6 +255,7 @@
 // advance makes an entry know a position. In a later era the state was read in full.
 func (e *entry) advance(at directory.Position) {
 	if !e.at.IsZero() && !at.SameEra(e.at) {
+		e.valueAwaited = directory.Position{}
 		e.follower.BeginEra()
 		e.needsFullRead = false
 		e.at = at
@@ -315,7 +319,7 @@
 
 func (e *entry) hear(peer string, nonce uint64, c *Chunk) {
 	provenAt, proves := e.follower.Hear(e.clock(), peer, nonce, e.at.Era(), c)
-	items, to, omitted, ok := c.After(e.at, func(_ string, at directory.Position) bool { return e.valuesRead.AtLeast(at) })
+	items, to, ok := c.After(e.at)
 	switch {
 	case e.needsFullRead:
 	case c.Era() > e.at.Era():
@@ -330,14 +334,16 @@
 				e.world.violate("%s takes %v for %v", e.name, i.At, next)
 			}
 			e.at = i.At
+			if i.Omitted {
+				if e.valueAwaited.IsZero() {
+					e.awaitedSince = e.world.Now()
+				}
+				e.valueAwaited = i.At
+			}
 		}
 		e.advance(to)
-		switch {
-		case omitted != nil && e.outage:
-			e.follower.FallBehind()
-		case omitted != nil:
-			e.readValue()
-		case proves:
+		e.readValue()
+		if proves {
 			e.outage = false
 			e.follower.Prove(provenAt)
 			e.prove(provenAt)
@@ -348,16 +354,19 @@
 
 // readValue plays the read of a long value; the store refuses it to entries that are cut off.
 func (e *entry) readValue() {
+	if e.readingValue || e.valueAwaited.IsZero() {
+		return
+	}
+	e.readingValue = true
 	e.world.calls[callForValue]++
 	e.world.AfterFunc(2*storeDelay, func() {
 		e.do(func() {
-			if e.outage = e.cut; e.cut {
-				e.follower.FallBehind()
-			} else {
-				e.valuesRead = e.world.storeAt()
-				e.follower.AskAgain(e.clock())
+			e.readingValue = false
+			if e.cut {
+				e.world.AfterFunc(200*time.Millisecond, func() { e.do(e.readValue) })
+				return
 			}
-			e.wake()
+			e.valueAwaited = directory.Position{}
 		})
 	})
 }
@@ -379,6 +388,9 @@
 		if r := e.at.Revision(); r < w.storeAt().Revision() && w.Now()-w.changedAt[r] > bound {
 			w.violate("%s at %v does not know revision %d of %v", e.name, e.at, r+1, w.changedAt[r])
 		}
+		if !e.valueAwaited.IsZero() && w.Now()-e.awaitedSince > bound {
+			w.violate("%s at %v has not read the value of %v", e.name, e.at, e.valueAwaited)
+		}
 	}
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -36,10 +36,10 @@
 // was.
 func (g *Gateway) stateAge() time.Duration { return bootTime() - time.Duration(g.currentAt.Load()) }
 
-// configMayBeStale reports whether the state has not been known to be current for so long that a newer
-// configuration may be in force elsewhere.
+// configMayBeStale reports whether the configuration has not been known to be the newest for so long that a newer
+// one may be in force elsewhere.
 func (g *Gateway) configMayBeStale() bool {
-	return g.stateAge() > g.settings.ConfigWithin.D()+g.settings.StoreTimeout.D()
+	return bootTime()-time.Duration(g.configCurrentAt.Load()) > g.settings.ConfigWithin.D()+g.settings.StoreTimeout.D()
 }
 
 // Publish implements storewatch.Listener. It drops what is kept of endpoints that are not in the new snapshot.
@@ -86,6 +86,13 @@
 	g.cold().SetCurrent(time.Now().Add(at - bootTime()))
 }
 
+// ConfigProved implements storewatch.Listener.
+func (g *Gateway) ConfigProved(at time.Duration) {
+	if int64(at) > g.configCurrentAt.Load() {
+		g.configCurrentAt.Store(int64(at))
+	}
+}
+
 // CallEnded implements storewatch.Listener.
 func (g *Gateway) CallEnded(fullRead bool, took time.Duration, err error) {
 	g.observeStoreCall(fullRead, took, err)
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -23,15 +23,15 @@
 
 type recordedCall struct {
 	fullRead bool
-	// wait is how long the call asks the store to wait for a change, timeout the time until
-	// its context ends.
+	// wait is how long the call asks the store to wait for a change, timeout the time without progress
+	// until its context ends.
 	wait, timeout time.Duration
 	failed        bool
 }
 
 func (r *recordingSource) record(ctx context.Context, call recordedCall) error {
-	deadline, _ := ctx.Deadline()
-	call.timeout = time.Until(deadline)
+	limits := directory.LimitsOf(ctx)
+	call.timeout = max(limits.Answer, limits.Stall)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	call.failed = r.fail
@@ -69,6 +69,10 @@
 	return &directory.Changes{At: at}
 }
 
+func (r *recordingSource) ReadChanges(ctx context.Context, after directory.Position) (*directory.Changes, error) {
+	return r.Watch(ctx, after, 0)
+}
+
 func (r *recordingSource) IsConfig(string) bool { return false }
 
 func (r *recordingSource) Era() directory.Era { return 0 }
@@ -122,6 +126,7 @@
 	is.True(source.calls[0].fullRead) // no changes are followed before a full read
 	outage := false
 	for _, call := range source.calls {
+		is.True(call.timeout > 0)
 		is.True(call.timeout <= s.ConfigWithin.D())
 		if outage {
 			is.Equal(call.wait, time.Duration(0)) // so that the store's return is noticed at once
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,8 @@
 	// currentAt is when the state was last known to be current, in nanoseconds since boot; 0 if it never
 	// was.
 	currentAt atomic.Int64
+	// configCurrentAt is when the configuration was last known to be the newest, likewise.
+	configCurrentAt atomic.Int64
 	// A drain begins both: by shutdown final responses are due, by closing those that have begun are broken off. The
 	// first counts from the earliest moment at which the signal may have been sent, the second from when it was noticed.
 	shutdown, closing graceful.Shutdown
--- a/gateway/storewatch/config.go
+++ b/gateway/storewatch/config.go
@@ -65,8 +65,10 @@
 	EndpointListed(e *directory.Endpoint)
 	// ApplyRecord is given a record that an entry has written.
 	ApplyRecord(now time.Time, record *directory.Record)
-	// Proved is told that the snapshot holds all changes as of a time since boot.
+	// Proved is told that the snapshot holds all changes as of a time since boot, but for values that are being read.
+	// ConfigProved is told that its configuration is the newest as of a time since boot.
 	Proved(at time.Duration)
+	ConfigProved(at time.Duration)
 	// EraNoticed is told that the store has begun a new era, Restored that its state is in force.
 	EraNoticed()
 	Restored()
--- a/gateway/storewatch/restored.go
+++ b/gateway/storewatch/restored.go
@@ -53,7 +53,6 @@
 // handleRestored sees to what depends on positions of the era before.
 func (w *Watcher) handleRestored(before, at directory.Position) {
 	w.follower.BeginEra()
-	clear(w.itemsRead)
 	w.replica.ExpireMissing(time.Now())
 	lost := uint64(0)
 	if before.Revision() > at.Revision() {
--- a/gateway/storewatch/watcher.go
+++ b/gateway/storewatch/watcher.go
@@ -32,6 +32,11 @@
 	// expireInterval is the time between two checks for endpoints that have been missing
 	// for too long.
 	expireInterval = 500 * time.Millisecond
+	// maxWatchBytes and watchTransferShare, a share of the time within which changes must be known, bound the response
+	// of a watch. A longer one has several versions of a configuration or holds up the changes of endpoints behind
+	// one; the changes and the last version are then read side by side.
+	maxWatchBytes      = 256 << 10
+	watchTransferShare = 0.18
 	// fromStore stands for the store in log lines that name who passed on the state.
 	fromStore = "store"
 )
@@ -86,17 +91,13 @@
 	era directory.Era
 	// ignoredEra is an era that another entry has claimed and the store does not confirm.
 	ignoredEra directory.Era
-	// reading is the key of an item that is being read, as its value was omitted; readingFrom is
-	// its earliest position. itemsRead holds the positions up to which such items are known.
-	reading     string
-	readingFrom directory.Position
-	itemsRead   map[string]directory.Position
-	// configAwaitedSince is when this entry learned of a configuration that it has not read; zero if it has read
-	// the newest one that it knows of.
-	configAwaitedSince time.Time
-	publishedAt        time.Time
-	outageSince        time.Time // when the store stopped answering; zero while it answers
-	backoff            time.Duration
+	// values are those that are read by themselves.
+	values awaitedValues
+	// divided is set if the next call reads the changes without a configuration that may be long.
+	divided     bool
+	publishedAt time.Time
+	outageSince time.Time // when the store stopped answering; zero while it answers
+	backoff     time.Duration
 	// historyGone counts the watches in a row for which the store had no history.
 	historyGone int
 	// timeout bounds the next call, besides its wait for a change.
@@ -126,7 +127,7 @@
 	w := &Watcher{
 		config: config, replica: directory.NewReplica(), snapshot: directory.EmptySnapshot(), needsFullRead: true, backoff: minBackoff, timeout: config.StoreTimeout,
 		responses: make(chan Response, maxResponses), publishRequested: make(chan struct{}, 1), read: make(chan struct{}),
-		addrs: map[string]string{}, itemsRead: map[string]directory.Position{}, loggedInvalidItems: map[string]directory.Position{},
+		addrs: map[string]string{}, values: newAwaitedValues(), loggedInvalidItems: map[string]directory.Position{},
 	}
 	w.follower = changefeed.NewFollower(changefeed.Config{
 		Name: config.Name, DataCentre: config.DataCentre, Bound: config.ChangeWithin, SoloWait: w.longPollWait(),
@@ -167,11 +168,12 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	results := make(chan storeResult, 2) // of a call and a read of evacuations
-	reads := make(chan itemRead, 1)
+	reads := make(chan valueRead, 1)
 	for {
 		w.noticeEra()
 		w.askEntries()
 		w.call(ctx, results)
+		w.readValue(ctx, reads)
 		w.writeCheckpoint(ctx)
 		timer.Reset(w.untilNext())
 		select {
@@ -188,9 +190,9 @@
 		case <-w.publishRequested:
 			w.publish()
 		case response := <-w.responses:
-			w.handleResponse(ctx, &response, reads)
+			w.handleResponse(&response)
 		case read := <-reads:
-			w.handleItemRead(ctx, &read, reads)
+			w.handleValueRead(&read)
 		case result := <-results:
 			if result.evacuations != nil {
 				w.handleEvacuations(result.evacuations)
@@ -212,6 +214,9 @@
 			next = min(next, w.nextCallAt())
 		}
 	}
+	if w.values.reading == "" && len(w.values.byKey) > 0 && !w.needsFullRead {
+		next = min(next, w.values.notBefore)
+	}
 	return max(next-now, minIdle)
 }
 
@@ -254,9 +259,13 @@
 		w.readEvacuations(ctx, results)
 	}
 	w.calling = true
-	fullRead, after, timeout := w.needsFullRead, w.replica.At(), w.timeout
+	fullRead, divided, after := w.needsFullRead, w.divided, w.replica.At()
+	limits := directory.CallLimits{Answer: wait + w.timeout, Stall: w.timeout}
+	if !fullRead && !divided {
+		limits.Transfer, limits.TransferBytes = scale(w.config.ChangeWithin, watchTransferShare), maxWatchBytes
+	}
 	go func() {
-		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, string(reason)), wait+timeout)
+		ctx, cancel := directory.WithCallLimits(directory.WithCallReason(ctx, string(reason)), limits)
 		defer cancel()
 		start := time.Now()
 		result := storeResult{began: w.config.SinceBoot(), after: after}
@@ -269,6 +278,8 @@
 			}
 		case fullRead:
 			result.state, result.err = w.config.Source.Read(ctx, false)
+		case divided:
+			result.changes, result.err = w.config.Source.ReadChanges(ctx, after)
 		default:
 			result.changes, result.err = w.config.Source.Watch(ctx, after, wait)
 		}
@@ -291,6 +302,10 @@
 		return 0
 	case errors.Is(result.err, directory.ErrEraChanged):
 		return 0 // noticeEra sees to it
+	case errors.Is(result.err, directory.ErrLongResponse):
+		w.divided = true
+		w.config.Metrics.GetOrCreateCounter("aspenyard_gateway_long_watches_total").Inc()
+		return 0
 	case result.err != nil:
 		if w.outageSince.IsZero() {
 			w.outageSince = now
@@ -308,7 +323,7 @@
 	if result.state != nil && result.after.After(result.state.At) {
 		return w.assumeRestored(result)
 	}
-	w.timeout = w.config.StoreTimeout
+	w.timeout, w.divided = w.config.StoreTimeout, false
 	w.follower.Prove(result.began)
 	if result.state != nil {
 		w.needsFullRead = false
@@ -349,16 +364,20 @@
 	w.outageSince = time.Time{}
 }
 
-// prove records that the replica was current at a time since boot.
+// prove records that the replica was current at a time since boot, but for values that are awaited.
 func (w *Watcher) prove(at time.Duration) {
 	w.config.Changes.Prove(at)
 	w.config.Listener.Proved(at)
+	if w.awaitedConfig() == nil {
+		w.config.Listener.ConfigProved(at)
+	}
 }
 
 // applyState applies the result of a full read, and the changes since then if it was stale, before either
 // is used.
 func (w *Watcher) applyState(state *directory.StoreState, changes *directory.Changes) {
 	now := time.Now()
+	w.forgetValues()
 	if !w.stateRead {
 		w.stateRead = true
 		close(w.read)
@@ -372,6 +391,7 @@
 	if changes != nil {
 		decodeTime += changes.DecodeTime
 		w.config.Changes.Append(changes.Items, changes.At)
+		w.noteValues(changes.Items)
 		evacuations = append(evacuations, w.replica.ApplyChanges(now, changes)...)
 		w.logInvalidItems(changes.InvalidItems)
 		w.handleChanges(now, changes)
@@ -390,6 +410,8 @@
 	if !changes.At.SameEra(known) {
 		return
 	}
+	w.applyAwaited(changes.Items, known)
+	w.noteValues(slices.DeleteFunc(slices.Clone(changes.Items), func(i directory.Item) bool { return known.AtLeast(i.At) }))
 	changes.Changes = slices.DeleteFunc(changes.Changes, func(c directory.Change) bool { return known.AtLeast(c.At) })
 	evacuations := w.replica.ApplyChanges(now, changes)
 	w.logInvalidItems(changes.InvalidItems)
@@ -409,12 +431,8 @@
 	if config == before {
 		return
 	}
-	awaited := time.Duration(0)
-	if !w.configAwaitedSince.IsZero() {
-		awaited, w.configAwaitedSince = time.Since(w.configAwaitedSince), time.Time{}
-	}
 	w.config.Logger.Info("config_in_force", zap.Uint64("version", config.Version), zap.Int("routes", config.RouteCount()), zap.Uint64("at", w.replica.At().Revision()), zap.Stringer("era", w.replica.At().Era()),
-		zap.Duration("awaited_ms", awaited), zap.Duration("decode_ms", decodeTime))
+		zap.Duration("awaited_ms", w.values.configAwaited(w.config.SinceBoot())), zap.Duration("decode_ms", decodeTime))
 	w.config.Listener.ConfigInForce(config)
 }
 
--- a/gateway/storewatch/watcher_test.go
+++ b/gateway/storewatch/watcher_test.go
@@ -39,6 +39,7 @@
 func (l *recordingListener) EndpointListed(*directory.Endpoint)        {}
 func (l *recordingListener) ApplyRecord(time.Time, *directory.Record)  {}
 func (l *recordingListener) Proved(at time.Duration)                   { l.provedAt = at }
+func (l *recordingListener) ConfigProved(time.Duration)                {}
 func (l *recordingListener) EraNoticed()                               {}
 func (l *recordingListener) Restored()                                 { l.restored++ }
 func (l *recordingListener) CallEnded(bool, time.Duration, error)      {}
@@ -80,7 +81,7 @@
 	w.applyState(&directory.StoreState{At: directory.At(0, 3)}, nil)
 	w.needsFullRead = false
 	w.follower.SetMembers([]changefeed.Member{{Name: "g"}, {Name: "other"}})
-	w.handleResponse(context.Background(), &Response{"other", 7, changefeed.Chunk{From: directory.At(0, 3), To: directory.At(0, 9), Last: true, Complete: true}}, nil)
+	w.handleResponse(&Response{"other", 7, changefeed.Chunk{From: directory.At(0, 3), To: directory.At(0, 9), Last: true, Complete: true}})
 	is.Equal(w.replica.At(), directory.At(0, 3))
 	peer, nonce, ok := w.follower.Ask(w.config.SinceBoot())
 	is.True(ok)
@@ -88,7 +89,7 @@
 		{From: 3, To: 9, Last: true, Complete: true, AgeMs: 1 << 63},
 		{From: 3, To: 9, Last: true, Complete: true, Items: []*wire.FeedItem{{Revision: 12}}},
 	} {
-		w.handleResponse(context.Background(), &Response{peer, nonce, DecodeChunk(impossible)}, nil)
+		w.handleResponse(&Response{peer, nonce, DecodeChunk(impossible)})
 		is.Equal(w.replica.At(), directory.At(0, 3))
 		is.Equal(listener.provedAt, time.Duration(0))
 	}
@@ -161,8 +162,13 @@
 	w.config.Source = source
 	at := directory.At(source.era, 9)
 	w.handleResult(storeResult{state: &directory.StoreState{At: at}})
-	w.reading, w.readingFrom = "k", at
-	w.handleItemRead(context.Background(), &itemRead{stale: true, err: directory.ErrEarlierEra}, make(chan itemRead, 1))
+	w.noteValues([]directory.Item{{Key: "k", At: at, Omitted: true}})
+	reads := make(chan valueRead, 1)
+	w.readValue(context.Background(), reads)
+	is.True(<-source.reads) // stale
+	<-reads
+	w.handleValueRead(&valueRead{stale: true, err: directory.ErrEarlierEra})
+	w.readValue(context.Background(), reads)
 	is.True(!<-source.reads) // not stale
 }
 
--- a/gateway/transfer_test.go
+++ b/gateway/transfer_test.go
@@ -122,6 +122,7 @@
 
 // Guards against versions that follow each other faster than one is transferred, so that none comes into force.
 func TestAStormOfVersionsStarvesNoTransfer(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newFixture(t, plainWorker())
 	s.storeBytesPerSecond = slowLink
@@ -142,6 +143,7 @@
 
 // Guards against a transfer that waits for ever on a connection that went silent in the middle of it.
 func TestATransferThatStopsIsBegunAnew(t *testing.T) {
+	t.Parallel()
 	s := newFixture(t, plainWorker())
 	s.storeBytesPerSecond = slowLink
 	s.start()
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -222,11 +222,12 @@
 
 func (s *Store) serveKey(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.stateEra(w.Header())
 	item, found := s.items[r.URL.Query().Get("key")]
+	revision := s.revision
+	s.mu.Unlock() // writing may take long
 	if !found {
-		writeJSON(w, http.StatusNotFound, map[string]uint64{"at": s.revision})
+		writeJSON(w, http.StatusNotFound, map[string]uint64{"at": revision})
 		return
 	}
 	writeJSON(w, http.StatusOK, item)
@@ -235,7 +236,6 @@
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.stateEra(w.Header())
 	entries := []Item{}
 	var age time.Duration
@@ -253,6 +253,7 @@
 	if hasMore {
 		entries = entries[:s.pageItems]
 	}
+	s.mu.Unlock() // writing may take long
 	writeJSON(w, http.StatusOK, map[string]any{"entries": entries, "has_more": hasMore, "at": at})
 }
 
