Starts and full reads are not held up by a configuration either

What callers would have seen: an entry behind a slow link that does not become ready, or that learns of endpoints that leave, after the store has dropped its history, only once a configuration is transferred.

Change: a full read of an entry that has a state leaves out the configuration, which is read by key beside it; at a start the changes since a stale state are given up for current lists where they are long (several versions of a configuration).

--- a/directory/replica.go
+++ b/directory/replica.go
@@ -60,6 +60,8 @@
 	Records []Record
 	// InvalidItems are the items that could not be decoded.
 	InvalidItems []InvalidItem
+	// Omitted are the items that were not read; Source.ReadItem returns them.
+	Omitted []Item
 	// DecodeTime is how long decoding took.
 	DecodeTime time.Duration
 }
--- a/directory/source.go
+++ b/directory/source.go
@@ -40,6 +40,9 @@
 	// may then be seconds old, and the read costs the store a tenth. Watching from its revision brings it
 	// up to date.
 	Read(ctx context.Context, stale bool) (*StoreState, error)
+	// ReadWithoutConfig returns the full state, linearizable like Read, but for the configuration, whose item is
+	// among StoreState.Omitted.
+	ReadWithoutConfig(ctx context.Context) (*StoreState, error)
 	// ReadEvacuations returns all evacuations of data centres, and the store's position when the read
 	// began. It is linearizable and much faster than Read.
 	ReadEvacuations(ctx context.Context) (list []Evacuation, at Position, err error)
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -49,6 +49,10 @@
 	return &directory.StoreState{At: directory.At(0, 1), Config: directory.NewConfig(1, directory.Limits{}, nil, nil, nil)}, nil
 }
 
+func (r *recordingSource) ReadWithoutConfig(ctx context.Context) (*directory.StoreState, error) {
+	return r.Read(ctx, false)
+}
+
 func (r *recordingSource) Watch(ctx context.Context, after directory.Position, wait time.Duration) (*directory.Changes, error) {
 	if err := r.record(ctx, recordedCall{wait: wait}); err != nil {
 		return nil, err
--- a/gateway/storewatch/checkpoint.go
+++ b/gateway/storewatch/checkpoint.go
@@ -50,7 +50,8 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(directory.WithCallReason(ctx, "checkpoint"), 2*w.config.StoreTimeout)
+		timeout := 2 * w.config.StoreTimeout
+		ctx, cancel := directory.WithCallLimits(directory.WithCallReason(ctx, "checkpoint"), directory.CallLimits{Answer: timeout, Stall: timeout})
 		defer cancel()
 		result, err := w.MakeCheckpoint(ctx)
 		w.countCheckpoint(result)
@@ -168,15 +169,15 @@
 
 // readAtStart returns the state for an entry that has none of the store's present era: the checkpoint or else lists that may be
 // stale, and the changes since then, which bring it up to date. Entries that start at the same moment thus
-// cost the store little. If the store does not have these changes any more, the lists are read once more.
+// cost the store little. If the store does not have these changes any more, or they are long, the lists are read once more.
 func (w *Watcher) readAtStart(ctx context.Context) (startState, error) {
 	if state := w.readCheckpoint(ctx); state != nil {
-		changes, err := w.config.Source.Watch(ctx, state.At, 0)
+		changes, err := w.changesSince(ctx, state)
 		if err == nil {
 			w.countCheckpoint(checkpointUsed)
 			return startState{state, changes, fromCheckpoint}, nil
 		}
-		if !errors.Is(err, directory.ErrHistoryGone) {
+		if !errors.Is(err, directory.ErrHistoryGone) && !errors.Is(err, directory.ErrLongResponse) {
 			return startState{}, err
 		}
 		w.countCheckpoint(checkpointOutdated)
@@ -189,14 +190,24 @@
 	if err != nil {
 		return startState{}, err
 	}
-	changes, err := w.config.Source.Watch(ctx, state.At, 0)
-	if errors.Is(err, directory.ErrHistoryGone) {
+	changes, err := w.changesSince(ctx, state)
+	if errors.Is(err, directory.ErrHistoryGone) || errors.Is(err, directory.ErrLongResponse) {
 		state, err = w.config.Source.Read(ctx, false)
 		return startState{state, nil, fromCurrentLists}, err
 	}
 	return startState{state, changes, fromStaleLists}, err
 }
 
+// changesSince returns the changes since a state. Several versions of a configuration among them take longer than
+// reading the newest.
+func (w *Watcher) changesSince(ctx context.Context, state *directory.StoreState) (*directory.Changes, error) {
+	limits := directory.LimitsOf(ctx)
+	limits.TransferBytes = maxWatchBytes
+	ctx, cancel := directory.WithCallLimits(ctx, limits)
+	defer cancel()
+	return w.config.Source.Watch(ctx, state.At, 0)
+}
+
 // logStart logs the state that an entry starts with.
 func (w *Watcher) logStart(start startState, took time.Duration) {
 	w.config.Logger.Info("state_read", zap.String("from", start.from), zap.Uint64("at", start.state.At.Revision()), zap.Stringer("era", start.state.At.Era()), zap.Int("endpoints", len(start.state.Endpoints)), zap.Duration("took_ms", took))
--- a/gateway/storewatch/watcher.go
+++ b/gateway/storewatch/watcher.go
@@ -277,7 +277,7 @@
 				w.logStart(read, time.Since(start))
 			}
 		case fullRead:
-			result.state, result.err = w.config.Source.Read(ctx, false)
+			result.state, result.err = w.config.Source.ReadWithoutConfig(ctx)
 		case divided:
 			result.changes, result.err = w.config.Source.ReadChanges(ctx, after)
 		default:
@@ -388,6 +388,7 @@
 		w.handleRestored(before, state.At)
 	}
 	decodeTime := state.DecodeTime
+	w.noteValues(state.Omitted)
 	if changes != nil {
 		decodeTime += changes.DecodeTime
 		w.config.Changes.Append(changes.Items, changes.At)
--- a/gateway/transfer_test.go
+++ b/gateway/transfer_test.go
@@ -80,6 +80,13 @@
 		s.start()
 		overtake(t, s, s)
 	})
+	t.Run("watcher whose history was dropped", func(t *testing.T) {
+		t.Parallel()
+		s := newFixture(t, plainWorker(), plainWorker())
+		s.start()
+		s.dropHistory = true
+		overtake(t, s, s)
+	})
 	t.Run("follower", func(t *testing.T) {
 		t.Parallel()
 		first, second := twoGateways(t, plainWorker(), plainWorker())
@@ -102,7 +109,12 @@
 	s.waitFor("both endpoints are known", func() bool { return s.sumMetric("aspenyard_gateway_endpoints ") == 2 })
 	operator.addRoutes(largeVersion)
 	s.storeLink.SetBandwidth(len(operator.config()) * 4 / 3 / int(2*waitTimeout/time.Second))
+	s.cutFromStore.Store(s.dropHistory)
 	operator.configure()
+	if s.dropHistory {
+		operator.store.Compact()
+		s.cutFromStore.Store(false)
+	}
 	worker := operator.workers[0]
 	for _, step := range []struct {
 		state     string
@@ -120,6 +132,33 @@
 	s.awaitConfig(operator.version)
 }
 
+// Guards against an entry behind a slow link that cannot start: the lists, and the versions that follow a state that is
+// stale, take longer than one call.
+func TestAnEntryStartsBehindASlowLink(t *testing.T) {
+	t.Run("stale lists", func(t *testing.T) {
+		t.Parallel()
+		s := newFixture(t, plainWorker())
+		s.addRoutes(largeVersion)
+		s.configure()
+		s.configure()
+		s.store.SetStaleAges(time.Hour, time.Hour, time.Hour)
+		s.storeBytesPerSecond = slowLink
+		s.start()
+		s.awaitConfig(s.version)
+	})
+	t.Run("many registrations", func(t *testing.T) {
+		t.Parallel()
+		s := newFixture(t, plainWorker())
+		for i := range 3000 {
+			s.store.Put(fmt.Sprintf("servers/i-other-%d", i), s.workers[0].Registration("ready"))
+		}
+		s.addRoutes(mediumVersion)
+		s.storeBytesPerSecond = slowLink
+		s.start()
+		s.waitFor("all endpoints are known", func() bool { return s.sumMetric("aspenyard_gateway_endpoints ") == 3001 })
+	})
+}
+
 // Guards against versions that follow each other faster than one is transferred, so that none comes into force.
 func TestAStormOfVersionsStarvesNoTransfer(t *testing.T) {
 	t.Parallel()
