--- a/gateway/storewatch/values.go
+++ b/gateway/storewatch/values.go
@@ -15,6 +15,9 @@
 // too old takes longer than a call that may not be.
 const maxStaleValueBytes = maxWatchBytes
 
+// valueReadPause is the pause between reads of values other than the configuration. Another writer may leave thousands.
+const valueReadPause = 20 * time.Millisecond
+
 // awaitedValues are the values that have changed and are not known, by key. They are read by themselves, one at a
 // time and the last version only, while the changes that follow them are applied.
 type awaitedValues struct {
@@ -184,6 +187,8 @@
 		v.backoff = minBackoff
 		if w.config.Source.IsConfig(key) {
 			w.config.Listener.ConfigProved(read.began)
+		} else {
+			v.notBefore = w.config.SinceBoot() + valueReadPause
 		}
 	case read.stale:
 		awaited.current = true
