One odd entry of the list of VMs hides no others, and a long list is read whole

An entry with a port out of range counted as a VM. A list of over 2 MB, that of 13,800 VMs, could not be read at all.

Cause: the list was decoded as one value, of which one bad entry spoils all, with no check of what an entry says; and its length was bounded like that of a value of the key-value store.

Change: the list is split by its brackets and each entry decoded and checked alone; those that cannot be a VM's are left out, with a log line once. A list whose end is missing is refused as before (tested at each byte). Lists may have 32 MB. The VMs of TestACallWhoseResponseIsCutFails get a role and an address, without which they no longer count as VMs; what it checks is unchanged.

Measured: 16 of 16 odd entries and the long list were red, all pass; tests of entry, agent, node and membership pass.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -91,6 +91,7 @@
 		close(rpcsEnded)
 	}()
 	store := consul.NewClient(a.settings.Platform, a.settings.StoreTimeout.D())
+	store.ObserveRefused(node.LogRefusedVMs(a.log))
 	go a.loop.PollList(ctx, store, a.settings.ListInterval.D())
 	go a.monitorHealth(ctx)
 	go a.sweepSequences(ctx)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,6 +65,7 @@
 // Serve does both. It returns an error if the routing policy is unknown.
 func New(s settings.Entry, log *zap.Logger) (*Entry, error) {
 	client := consul.NewClient(s.Platform, s.StoreTimeout.D())
+	client.ObserveRefused(node.LogRefusedVMs(log))
 	clients := node.NewClients(s.PeerTimeout.D())
 	e := &Entry{
 		settings: s, log: log, metrics: metrics.NewSet(), store: client, vmList: client,
--- a/infra/consul/client.go
+++ b/infra/consul/client.go
@@ -25,8 +25,14 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	// observeRefused is told of entries of the list of VMs that are left out; it may be nil.
+	observeRefused func(entry string, err error)
 }
 
+// ObserveRefused makes f be called for each entry of the list of VMs that is left out, at each read. It must be called
+// before the first call.
+func (c *Client) ObserveRefused(f func(entry string, err error)) { c.observeRefused = f }
+
 // NewClient returns a client for the platform at addr, an IP address and port. timeout
 // bounds each call; a watch may take its wait in addition.
 func NewClient(addr string, timeout time.Duration) *Client {
@@ -41,6 +47,8 @@
 	// maxValueBytes bounds the body of a response: the largest value that the store holds,
 	// with room for its base64 encoding.
 	maxValueBytes = 2 << 20
+	// maxListBytes bounds the list of VMs, of some hundred bytes each.
+	maxListBytes = 32 << 20
 	// maxResponseHeaderBytes bounds the head of a response.
 	maxResponseHeaderBytes = 32 << 10
 )
@@ -67,7 +75,7 @@
 func (c *Client) read(ctx context.Context, key string, query url.Values, timeout time.Duration) (infra.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	status, body, err := c.send(ctx, http.MethodGet, "/v1/kv/"+key, query, nil)
+	status, body, err := c.send(ctx, http.MethodGet, "/v1/kv/"+key, query, nil, maxValueBytes)
 	if err != nil {
 		return infra.Value{}, errors.Wrapf(infra.ErrUnavailable, "get %s: %v", key, err)
 	}
@@ -94,7 +102,7 @@
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	query := url.Values{"cas": {strconv.FormatUint(revision, 10)}}
-	status, body, err := c.send(ctx, http.MethodPut, "/v1/kv/"+key, query, data)
+	status, body, err := c.send(ctx, http.MethodPut, "/v1/kv/"+key, query, data, maxValueBytes)
 	switch {
 	case err != nil && connected:
 		return errors.Wrapf(infra.ErrOutcomeUnknown, "put %s: %v", key, err)
@@ -114,41 +122,8 @@
 	return errors.Wrapf(infra.ErrOutcomeUnknown, "put %s: unexpected body", key)
 }
 
-// catalogNode is one item of the catalog's list of nodes.
-type catalogNode struct {
-	Node       string
-	Address    string
-	Datacenter string
-	Meta       map[string]string
-}
-
-// VMs implements infra.VMList.
-func (c *Client) VMs(ctx context.Context) ([]infra.VM, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	status, body, err := c.send(ctx, http.MethodGet, "/v1/catalog/nodes", nil, nil)
-	if err != nil {
-		return nil, errors.Wrapf(infra.ErrUnavailable, "list VMs: %v", err)
-	}
-	if status != http.StatusOK {
-		return nil, errors.Wrapf(infra.ErrUnavailable, "list VMs: HTTP status %d", status)
-	}
-	var nodes []catalogNode
-	if err := json.Unmarshal(body, &nodes); err != nil {
-		return nil, errors.Wrap(infra.ErrUnavailable, "list VMs: unexpected body")
-	}
-	vms := make([]infra.VM, 0, len(nodes))
-	for _, node := range nodes {
-		vms = append(vms, infra.VM{
-			Name: node.Node, Addr: node.Address, DataCentre: node.Datacenter,
-			Role: node.Meta["role"], Leaving: node.Meta["state"] == "leaving",
-		})
-	}
-	return vms, nil
-}
-
-// send sends a request and returns the status and body of the response.
-func (c *Client) send(ctx context.Context, method, path string, query url.Values, body []byte) (int, []byte, error) {
+// send sends a request and returns the status and body of the response, of which it reads limit bytes at most.
+func (c *Client) send(ctx context.Context, method, path string, query url.Values, body []byte, limit int64) (int, []byte, error) {
 	requestURL := c.base + path
 	if len(query) > 0 {
 		requestURL += "?" + query.Encode()
@@ -164,7 +139,7 @@
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxValueBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit))
 	if err != nil {
 		return 0, nil, fmt.Errorf("read response body: %w", err)
 	}
--- a/infra/infra.go
+++ b/infra/infra.go
@@ -46,9 +46,15 @@
 	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error)
 }
 
+// Roles of VMs.
+const (
+	RoleEntry = "entry"
+	RoleAgent = "agent"
+)
+
 // VM is one item of the platform's list of VMs.
 type VM struct {
-	// Name, Role ("entry" or "agent") and DataCentre identify the process on the VM.
+	// Name, Role (RoleEntry or RoleAgent) and DataCentre identify the process on the VM.
 	Name, Role, DataCentre string
 	// Addr is the IP address and port of the process.
 	Addr string
