An entry that has lacked a known configuration for longer than the bound is not ready

Cause: an entry whose transfer of a configuration takes longer than the bound, for whatever reason, went on to be sent new callers, who were served by the older one, and said nothing of it.

Change: such an entry withdraws its readiness, so that the load balancer prefers entries that have it; what arrives nevertheless is served. While the store does not answer the entry stays ready. Gauge config_awaited_seconds. Weighed: refusing all requests, by which a configuration that all entries get late would end all service.

Measured: TestAnEntryThatLacksAKnownConfigurationIsNotReady, both cases, 3 of 3 runs; the first is red without the check.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -291,6 +291,10 @@
 		return errors.New("draining")
 	case g.snapshot.Load().Config == nil:
 		return errors.New("no configuration yet")
+	case g.watcher.ConfigAwaited() > g.settings.ConfigWithin.D():
+		// Other nodes may have it. What arrives nevertheless is served: a configuration that all nodes get late must not
+		// end all service.
+		return errors.New("a newer configuration is known of and not in force")
 	}
 	return nil
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -41,6 +41,7 @@
 	g.metrics.NewGauge("aspenyard_gateway_request_logs_skipped_total", func() float64 { return float64(g.requestLogs.Skipped()) })
 	g.metrics.NewGauge("aspenyard_gateway_waiting_outside_queue", func() float64 { return float64(g.outsideQueue.Load()) })
 	g.metrics.NewGauge("aspenyard_gateway_config_age_seconds", func() float64 { return g.elapsedSince(&g.configAppliedAt).Seconds() })
+	g.metrics.NewGauge("aspenyard_gateway_config_awaited_seconds", func() float64 { return g.watcher.ConfigAwaited().Seconds() })
 	g.metrics.NewGauge("aspenyard_gateway_list_age_seconds", func() float64 { return g.stateAge().Seconds() })
 	g.metrics.NewGauge("aspenyard_gateway_checkpoint_bytes", func() float64 { return float64(g.watcher.CheckpointBytes()) })
 	g.metrics.NewGauge("aspenyard_gateway_watching", func() float64 {
--- a/gateway/storewatch/values.go
+++ b/gateway/storewatch/values.go
@@ -129,6 +129,15 @@
 	return nil
 }
 
+// noteAwaitedConfig sets what ConfigAwaited returns.
+func (w *Watcher) noteAwaitedConfig() {
+	since := time.Duration(0)
+	if awaited := w.awaitedConfig(); awaited != nil && w.outageSince.IsZero() {
+		since = awaited.since
+	}
+	w.configAwaitedSince.Store(int64(since))
+}
+
 // nextValue returns the key of the value to read next: the configuration, or else the one that is awaited longest.
 func (w *Watcher) nextValue() (next string, awaited *awaitedValue) {
 	for key, value := range w.values.byKey {
--- a/gateway/storewatch/watcher.go
+++ b/gateway/storewatch/watcher.go
@@ -74,6 +74,9 @@
 	read chan struct{}
 	// watching is set while this entry watches the store for others, or knows no other.
 	watching atomic.Bool
+	// configAwaitedSince is when a newer configuration became known that is not in force and that the store could
+	// have given since, in nanoseconds since boot; 0 if there is none.
+	configAwaitedSince atomic.Int64
 	// checkpointBytes is the size of the last checkpoint that this entry made.
 	checkpointBytes atomic.Int64
 	// membersOf is the snapshot whose entries the follower knows, addrs their addresses.
@@ -147,6 +150,15 @@
 // StateRead returns a channel that is closed when the state has been read for the first time.
 func (w *Watcher) StateRead() <-chan struct{} { return w.read }
 
+// ConfigAwaited returns for how long a newer configuration has been known of that is not in force; 0 if there is none, or
+// while the store does not answer.
+func (w *Watcher) ConfigAwaited() time.Duration {
+	if since := w.configAwaitedSince.Load(); since > 0 {
+		return w.config.SinceBoot() - time.Duration(since)
+	}
+	return 0
+}
+
 // Watching reports whether this entry watches the store for others, or knows no other.
 func (w *Watcher) Watching() bool { return w.watching.Load() }
 
@@ -174,6 +186,7 @@
 		w.askEntries()
 		w.call(ctx, results)
 		w.readValue(ctx, reads)
+		w.noteAwaitedConfig()
 		w.writeCheckpoint(ctx)
 		timer.Reset(w.untilNext())
 		select {
--- a/gateway/transfer_test.go
+++ b/gateway/transfer_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"aspenyard.example/standin/link"
 )
 
 const (
@@ -196,3 +199,41 @@
 	}
 	s.awaitConfig(s.version)
 }
+
+// Guards against an entry that is sent new callers although it has known for longer than the bound of a configuration that
+// it does not have; and against one that refuses them because the store is away.
+func TestAnEntryThatLacksAKnownConfigurationIsNotReady(t *testing.T) {
+	t.Run("transfer is slow", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		s := newFixture(t, plainWorker())
+		s.extraSettings = `,"config_within":"2s"`
+		s.start()
+		s.addRoutes(largeVersion)
+		s.storeLink.SetBandwidth(500_000)
+		s.configure()
+		s.waitFor("not ready", func() bool { return s.readyStatus() == http.StatusServiceUnavailable })
+		is.True(s.sumMetric("aspenyard_gateway_config_awaited_seconds ") > 2)
+		is.Equal(s.post("/again/", "served").status, http.StatusOK)
+		s.storeLink.SetBandwidth(0)
+		s.awaitConfig(s.version)
+		s.waitFor("ready", func() bool { return s.readyStatus() == http.StatusOK })
+	})
+	t.Run("store is away", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		s := newFixture(t, plainWorker())
+		s.extraSettings = `,"config_within":"2s"`
+		s.start()
+		s.addRoutes(largeVersion)
+		s.storeLink.SetBandwidth(500_000)
+		s.configure()
+		s.waitFor("the configuration is awaited", func() bool { return s.sumMetric("aspenyard_gateway_config_awaited_seconds ") > 0 })
+		s.storeLink.SetBlocked(link.Both)
+		s.waitFor("the outage is noticed", func() bool { return s.sumMetric("aspenyard_gateway_list_age_seconds ") > 4 })
+		is.Equal(s.readyStatus(), http.StatusOK)
+		s.storeLink.SetBlocked(0)
+		s.storeLink.SetBandwidth(0)
+		s.awaitConfig(s.version)
+	})
+}
