Odd entries of the test are as deep as they need be

Cause: the values of TestOddEntriesOfOtherWritersDisturbNobody came to some 25 MB in one response, which the stand-in store, in the same process, took longer to encode under the race detector beside load than a call waits for an answer.

Change: 20,000 levels in each field, twice what encoding/json decodes, and 200,000 once under each prefix, in place of 200,000 everywhere.

--- a/gateway/odd_entries_test.go
+++ b/gateway/odd_entries_test.go
@@ -18,11 +18,12 @@
 	sound := map[string]string{
 		"service": `"another"`, "address": `"127.0.0.1:9"`, "zone": `"dc1"`, "version": `"v1"`, "slots": "16", "state": `"ready"`, "cold_left_ms": "0", "seq_no": "1", "born": "1700000000000",
 	}
-	deep := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
+	// encoding/json decodes values of up to 10,000 levels.
+	deep, deepest := strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000), strings.Repeat("[", 200_000)+strings.Repeat("]", 200_000)
 	nested := strings.Repeat(`{"a":`, 9000) + "1" + strings.Repeat("}", 9000)
 	for field := range sound {
 		for _, odd := range []string{
-			deep, nested, "123456789012345678901234567890", "1e400", "-1", "9223372036854775807", "0.5", "null", `"` + strings.Repeat("x", 60_000) + `"`, "\"\xff\xfe\"",
+			deep, nested, "123456789012345678901234567890", "1e400", "-1", "9223372036854775807", "0.5", "null", `"` + strings.Repeat("x", 20_000) + `"`, "\"\xff\xfe\"",
 			`"127.0.0.1:0"`, `"127.0.0.1:70000"`, `"0.0.0.0:9"`, `"224.0.0.1:9"`, `"[::]:9"`, `"255.255.255.255:9"`, "{}", "[]", "true",
 		} {
 			entry := "{"
@@ -35,7 +36,7 @@
 			add(strings.TrimSuffix(entry, ",") + "}")
 		}
 	}
-	for _, odd := range []string{"", "null", "[]", deep, nested, "\xff", `{"addr":"0.0.0.0:9"}`, `{"addr":"127.0.0.1:70000","data_centre":"dc1"}`, `{"addr":` + deep + `}`, `{"addr":"127.0.0.1:9","data_centre":` + deep + `}`} {
+	for _, odd := range []string{"", "null", "[]", deep, deepest, nested, "\xff", `{"addr":"0.0.0.0:9"}`, `{"addr":"127.0.0.1:70000","data_centre":"dc1"}`, `{"addr":` + deep + `}`, `{"addr":"127.0.0.1:9","data_centre":` + deep + `}`} {
 		add(odd)
 	}
 	return values
