--- a/soak/faults.go
+++ b/soak/faults.go
@@ -88,6 +88,7 @@
 		{"stop-beside-slow-callers", 2, stopBesideSlowCallers},
 		{kindStopsInSeries, 2, stopInSeries},
 		{kindCutResponses, 2, cutResponses},
+		{kindSlowStoreLinks, 2, slowStoreLinks},
 	}
 }
 
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -120,6 +120,7 @@
 	faultCounts  map[string]int
 	evacuating   map[string]bool // data centres that a fault is evacuating
 	configWrites sync.Mutex      // held while a configuration is written
+	largeConfigs atomic.Int32    // faults under way that make configurations large
 }
 
 // newHarness starts the stand-ins and the gateways.
@@ -263,7 +264,7 @@
 	}
 	h.record.Edits = append(h.record.Edits, edit)
 	h.record.mu.Unlock()
-	h.store.Put("op/config", encodeConfig(n, &edit, h.bodyLimit))
+	h.store.Put("op/config", encodeConfig(n, &edit, h.bodyLimit, h.largeConfigs.Load() > 0))
 	h.record.mu.Lock()
 	h.record.Edits[n].AckedAt = time.Now()
 	h.record.mu.Unlock()
@@ -285,7 +286,7 @@
 
 // encodeConfig encodes edit n as the operator writes it. Version numbers increase by more than
 // one and by a different step each time.
-func encodeConfig(n int, e *ConfigEdit, bodyLimit int) []byte {
+func encodeConfig(n int, e *ConfigEdit, bodyLimit int, large bool) []byte {
 	c := platform.Config{
 		Version: 1 + n*(n+3),
 		Services: []platform.Service{
@@ -313,6 +314,9 @@
 			Timeout: r.Timeout, Target: routeTarget, TargetPause: routeTargetPause, MaxAttempts: r.MaxAttempts,
 		})
 	}
+	if large {
+		appendLargeConfigRoutes(&c)
+	}
 	return c.Encode()
 }
 
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -48,7 +48,7 @@
 	n := len(h.record.Edits) - 1
 	edit := h.record.Edits[n]
 	h.record.mu.Unlock()
-	h.store.Put("op/config", encodeConfig(n, &edit, h.bodyLimit))
+	h.store.Put("op/config", encodeConfig(n, &edit, h.bodyLimit, false))
 }
 
 // rewriteEvacuations writes the evacuations that are in force again, and ends those that only the copy has.
