Calls of the own interface are limited by progress too

What operators would have seen: an entry or agent behind a slow link that never becomes ready, or is never told of an edit, as each read of a page of the catalogue (store_timeout), and each pull of the whole catalogue from a peer (5 s), ended before its transfer did and began anew.

Change: the limits on progress are a module of their own (`progress`), used by the client of the platform's store, by the Consul-shaped client, and by pulls of the catalogue between nodes.

--- a/directory/source.go
+++ b/directory/source.go
@@ -47,7 +47,7 @@
 	// began. It is linearizable and much faster than Read.
 	ReadEvacuations(ctx context.Context) (list []Evacuation, at Position, err error)
 	// Watch returns the changes after a position as soon as there are any, or no changes
-	// after wait. Errors: ErrHistoryGone, ErrEraChanged, ErrUnavailable, ErrLongResponse.
+	// after wait. Errors: ErrHistoryGone, ErrEraChanged, ErrUnavailable, progress.ErrLongResponse.
 	Watch(ctx context.Context, after Position, wait time.Duration) (*Changes, error)
 	// ReadChanges returns the changes after a position without waiting for any. A configuration that may be long is
 	// omitted; its item then has the position of the last of the changes, or of an earlier one. Errors: those of Watch.
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"aspenyard.example/directory"
+	"aspenyard.example/progress"
 	"aspenyard.example/settings"
 )
 
@@ -30,7 +31,7 @@
 }
 
 func (r *recordingSource) record(ctx context.Context, call recordedCall) error {
-	limits := directory.LimitsOf(ctx)
+	limits := progress.LimitsOf(ctx)
 	call.timeout = max(limits.Answer, limits.Stall)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/storewatch/checkpoint.go
+++ b/gateway/storewatch/checkpoint.go
@@ -14,6 +14,7 @@
 
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/progress"
 	"aspenyard.example/wire"
 )
 
@@ -51,7 +52,7 @@
 	}
 	go func() {
 		timeout := 2 * w.config.StoreTimeout
-		ctx, cancel := directory.WithCallLimits(directory.WithCallReason(ctx, "checkpoint"), directory.CallLimits{Answer: timeout, Stall: timeout})
+		ctx, cancel := progress.WithLimits(directory.WithCallReason(ctx, "checkpoint"), progress.Limits{Answer: timeout, Stall: timeout})
 		defer cancel()
 		result, err := w.MakeCheckpoint(ctx)
 		w.countCheckpoint(result)
@@ -177,7 +178,7 @@
 			w.countCheckpoint(checkpointUsed)
 			return startState{state, changes, fromCheckpoint}, nil
 		}
-		if !errors.Is(err, directory.ErrHistoryGone) && !errors.Is(err, directory.ErrLongResponse) {
+		if !errors.Is(err, directory.ErrHistoryGone) && !errors.Is(err, progress.ErrLongResponse) {
 			return startState{}, err
 		}
 		w.countCheckpoint(checkpointOutdated)
@@ -191,7 +192,7 @@
 		return startState{}, err
 	}
 	changes, err := w.changesSince(ctx, state)
-	if errors.Is(err, directory.ErrHistoryGone) || errors.Is(err, directory.ErrLongResponse) {
+	if errors.Is(err, directory.ErrHistoryGone) || errors.Is(err, progress.ErrLongResponse) {
 		state, err = w.config.Source.Read(ctx, false)
 		return startState{state, nil, fromCurrentLists}, err
 	}
@@ -201,9 +202,9 @@
 // changesSince returns the changes since a state. Several versions of a configuration among them take longer than
 // reading the newest.
 func (w *Watcher) changesSince(ctx context.Context, state *directory.StoreState) (*directory.Changes, error) {
-	limits := directory.LimitsOf(ctx)
+	limits := progress.LimitsOf(ctx)
 	limits.TransferBytes = maxWatchBytes
-	ctx, cancel := directory.WithCallLimits(ctx, limits)
+	ctx, cancel := progress.WithLimits(ctx, limits)
 	defer cancel()
 	return w.config.Source.Watch(ctx, state.At, 0)
 }
--- a/gateway/storewatch/values.go
+++ b/gateway/storewatch/values.go
@@ -9,6 +9,7 @@
 
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/progress"
 )
 
 // maxStaleValueBytes is the length of a value from which it is not read stale: transferring one that turns out to be
@@ -161,7 +162,7 @@
 	key, awaited := w.nextValue()
 	stale := !awaited.current && v.bytes[key] <= maxStaleValueBytes
 	source, timeout := w.config.Source, w.config.StoreTimeout
-	ctx, v.cancel = directory.WithCallLimits(directory.WithCallReason(ctx, "omitted_value"), directory.CallLimits{Answer: timeout, Stall: timeout})
+	ctx, v.cancel = progress.WithLimits(directory.WithCallReason(ctx, "omitted_value"), progress.Limits{Answer: timeout, Stall: timeout})
 	v.reading, v.unwanted = key, false
 	go func() {
 		item, err := source.ReadItem(ctx, key, stale)
--- a/gateway/storewatch/watcher.go
+++ b/gateway/storewatch/watcher.go
@@ -13,6 +13,7 @@
 	"aspenyard.example/changefeed"
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/progress"
 )
 
 const (
@@ -273,12 +274,12 @@
 	}
 	w.calling = true
 	fullRead, divided, after := w.needsFullRead, w.divided, w.replica.At()
-	limits := directory.CallLimits{Answer: wait + w.timeout, Stall: w.timeout}
+	limits := progress.Limits{Answer: wait + w.timeout, Stall: w.timeout}
 	if !fullRead && !divided {
 		limits.Transfer, limits.TransferBytes = scale(w.config.ChangeWithin, watchTransferShare), maxWatchBytes
 	}
 	go func() {
-		ctx, cancel := directory.WithCallLimits(directory.WithCallReason(ctx, string(reason)), limits)
+		ctx, cancel := progress.WithLimits(directory.WithCallReason(ctx, string(reason)), limits)
 		defer cancel()
 		start := time.Now()
 		result := storeResult{began: w.config.SinceBoot(), after: after}
@@ -315,7 +316,7 @@
 		return 0
 	case errors.Is(result.err, directory.ErrEraChanged):
 		return 0 // noticeEra sees to it
-	case errors.Is(result.err, directory.ErrLongResponse):
+	case errors.Is(result.err, progress.ErrLongResponse):
 		w.divided = true
 		w.config.Metrics.GetOrCreateCounter("aspenyard_gateway_long_watches_total").Inc()
 		return 0
--- a/infra/consul/client.go
+++ b/infra/consul/client.go
@@ -3,6 +3,7 @@
 package consul
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -17,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"aspenyard.example/infra"
+	"aspenyard.example/progress"
 )
 
 // Client calls the key-value and catalog interfaces of the platform. It is safe for
@@ -34,12 +36,12 @@
 func (c *Client) ObserveRefused(f func(entry string, err error)) { c.observeRefused = f }
 
 // NewClient returns a client for the platform at addr, an IP address and port. timeout
-// bounds each call; a watch may take its wait in addition.
+// bounds the time until a call is answered, and a pause in its transfer; a watch may take its wait in addition.
 func NewClient(addr string, timeout time.Duration) *Client {
 	return &Client{
 		base:    "http://" + addr,
 		timeout: timeout,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
+		http:    &http.Client{Transport: &progress.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes}}},
 	}
 }
 
@@ -73,7 +75,7 @@
 }
 
 func (c *Client) read(ctx context.Context, key string, query url.Values, timeout time.Duration) (infra.Value, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{Answer: timeout, Stall: c.timeout})
 	defer cancel()
 	status, body, err := c.send(ctx, http.MethodGet, "/v1/kv/"+key, query, nil, maxValueBytes)
 	if err != nil {
@@ -97,7 +99,7 @@
 // the store may have applied the change before its response was lost.
 // The statuses 429 and 503, and the body "false", mean that the store did not apply it.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, data []byte, revision uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{Answer: c.timeout, Stall: c.timeout})
 	defer cancel()
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
@@ -128,12 +130,15 @@
 	if len(query) > 0 {
 		requestURL += "?" + query.Encode()
 	}
-	request, err := http.NewRequestWithContext(ctx, method, requestURL, strings.NewReader(string(body)))
+	request, err := http.NewRequestWithContext(ctx, method, requestURL, progress.NewReader(ctx, bytes.NewReader(body)))
 	if err != nil {
 		return 0, nil, err
 	}
 	// Without GetBody, the transport cannot retry a write on its own.
 	request.GetBody = nil
+	if request.ContentLength = int64(len(body)); len(body) == 0 {
+		request.Body = http.NoBody
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return 0, nil, err
--- a/infra/consul/vms.go
+++ b/infra/consul/vms.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"aspenyard.example/infra"
+	"aspenyard.example/progress"
 )
 
 // catalogNode is one item of the catalog's list of nodes.
@@ -25,7 +26,7 @@
 
 // VMs implements infra.VMList. Entries that cannot be those of a VM are left out.
 func (c *Client) VMs(ctx context.Context) ([]infra.VM, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{Answer: c.timeout, Stall: c.timeout})
 	defer cancel()
 	status, body, err := c.send(ctx, http.MethodGet, "/v1/catalog/nodes", nil, nil, maxListBytes)
 	if err != nil {
--- a/node/catalogue.go
+++ b/node/catalogue.go
@@ -13,6 +13,7 @@
 
 	"aspenyard.example/catalogue"
 	"aspenyard.example/membership"
+	"aspenyard.example/progress"
 	"aspenyard.example/wire"
 )
 
@@ -79,30 +80,36 @@
 	go c.pull(h.Addr, c.replica.View().Revisions())
 }
 
-// pullTimeout bounds the RPC of one pull.
+// pullTimeout bounds the time until a pull is answered, and a pause in its transfer.
 const pullTimeout = 5 * time.Second
 
 // pull reads the pages that are newer than revisions, by page number, from the peer at addr
 // and applies them on the control thread. After a failure, the next heartbeat whose digest
 // differs starts another pull.
 func (c *CatalogueSync) pull(addr string, revisions []uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
-	response, err := c.clients.Peer(addr).Pull(ctx, connect.NewRequest(&wire.PullRequest{Revisions: revisions}))
+	changes, err := c.fetch(addr, revisions)
 	if err != nil {
 		c.log.Debug("cannot pull the catalogue from a peer", zap.String("peer", addr), zap.Error(err))
 	}
 	c.loop.Post(func() {
 		c.pulling = false
-		if err != nil {
-			return
-		}
-		for _, change := range response.Msg.Changes {
+		for _, change := range changes {
 			c.applyChange(changeFromWire(change))
 		}
 	})
 }
 
+// fetch returns the pages of the peer at addr that are newer than revisions, by page number.
+func (c *CatalogueSync) fetch(addr string, revisions []uint64) ([]*wire.PageChange, error) {
+	ctx, cancel := progress.WithLimits(context.Background(), progress.Limits{Answer: pullTimeout, Stall: pullTimeout})
+	defer cancel()
+	response, err := c.clients.Peer(addr).Pull(ctx, connect.NewRequest(&wire.PullRequest{Revisions: revisions}))
+	if err != nil {
+		return nil, progress.Cause(ctx, err)
+	}
+	return response.Msg.Changes, nil
+}
+
 // changeFromWire decodes a change of a page. It leaves out records that cannot be decoded or
 // are invalid.
 func changeFromWire(change *wire.PageChange) catalogue.Change {
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"aspenyard.example/graceful"
+	"aspenyard.example/progress"
 	"aspenyard.example/wire/wireconnect"
 )
 
@@ -95,10 +96,10 @@
 func NewClients(pingTimeout time.Duration) *Clients {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Clients{
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: &progress.Transport{Base: &http.Transport{
 			Protocols: cleartextHTTP2(), DialContext: dialer.DialContext, IdleConnTimeout: time.Minute,
 			HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-		}},
+		}}},
 		agents: map[string]wireconnect.AgentClient{}, peers: map[string]wireconnect.PeerClient{},
 	}
 }
