--- a/gateway/storewatch/config.go
+++ b/gateway/storewatch/config.go
@@ -20,8 +20,8 @@
 	// ChangeWithin is how soon a change in the store must be in force here. A longer time costs the store
 	// fewer calls.
 	ChangeWithin time.Duration
-	// StoreTimeout bounds a call to the store, besides its wait for a change. It grows to twice that while
-	// calls fail.
+	// StoreTimeout bounds the time until a call to the store is answered, besides its wait for a change, and a pause in
+	// the transfer. It grows to twice that while calls fail.
 	StoreTimeout time.Duration
 	// EvacuationReadTimeout bounds a read of the evacuations alone. A store that is slow may take longer for
 	// it than StoreTimeout allows.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -22,7 +22,8 @@
 	PeersListen string `json:"peers_listen,omitempty"`
 	// Store is the address of the platform's metadata store.
 	Store string `json:"store"`
-	// StoreTimeout bounds one call to the store; default 700ms. A shorter one detects an
+	// StoreTimeout bounds the time until a call to the store is answered, and a pause in its
+	// transfer; default 700ms. A shorter one detects an
 	// unresponsive store or connection sooner. For a store that stays slower than that, the
 	// bound rises to up to twice this value.
 	StoreTimeout Duration `json:"store_timeout,omitempty"`
--- a/settings/node.go
+++ b/settings/node.go
@@ -35,7 +35,8 @@
 	// VM that has been off the list for longer is assumed to draw no power. If the value is
 	// too short, its power can be granted to others while the VM still draws it.
 	ListLag Duration `json:"list_lag,omitempty"`
-	// StoreTimeout bounds one call to the platform's store; default 1s.
+	// StoreTimeout bounds the time until a call to the platform's store is answered, and a pause in its
+	// transfer; default 1s.
 	StoreTimeout Duration `json:"store_timeout,omitempty"`
 	// PeerTimeout bounds a call with a short answer to another node, and the answer to a ping; default
 	// 1s. A shorter time frees the resources of a suspended node's requests sooner. On machines whose
