A stale read of a configuration is no proof that it is the newest; a response's head is no progress

Change: only a read that is not stale proves; items whose position is that of a later change say so (Approximate) and are read current at once; limits count from the first bytes of a body. Keys of long values are remembered in place of the lengths of all.

--- a/directory/source.go
+++ b/directory/source.go
@@ -30,8 +30,9 @@
 	At    Position
 	// Deleted is set if the change is the key's deletion.
 	Deleted bool
-	// Omitted is set if the value was left out because it is long; Source.ReadItem returns it.
-	Omitted bool
+	// Omitted is set if the value was left out because it is long; Source.ReadItem returns it. Approximate is set besides
+	// if At is not the position of the change itself, but of a later one.
+	Omitted, Approximate bool
 }
 
 // Source reads the state of the deployment from the store.
--- a/gateway/storewatch/values.go
+++ b/gateway/storewatch/values.go
@@ -23,10 +23,12 @@
 // time and the last version only, while the changes that follow them are applied.
 type awaitedValues struct {
 	byKey map[string]*awaitedValue
-	// known holds the positions up to which values that were read by themselves are known, bytes the lengths of
-	// values.
+	// known holds the positions up to which values that were read by themselves are known, long the keys whose last
+	// known value is too long to be read stale.
 	known map[string]directory.Position
-	bytes map[string]int
+	long  map[string]bool
+	// configKey is the key of the configuration once one was awaited.
+	configKey string
 	// reading is the key that is being read; "" if there is none. cancel ends the read.
 	reading string
 	cancel  context.CancelFunc
@@ -46,7 +48,7 @@
 	learnedAt time.Duration
 	// since is when the first change that is not in force became known.
 	since time.Duration
-	// current is set if a stale read was not new enough.
+	// current is set if a stale read was not new enough, or nothing would tell whether it is.
 	current bool
 }
 
@@ -59,7 +61,7 @@
 }
 
 func newAwaitedValues() awaitedValues {
-	return awaitedValues{byKey: map[string]*awaitedValue{}, known: map[string]directory.Position{}, bytes: map[string]int{}, backoff: minBackoff}
+	return awaitedValues{byKey: map[string]*awaitedValue{}, known: map[string]directory.Position{}, long: map[string]bool{}, backoff: minBackoff}
 }
 
 // noteValues notes which values among changes are to be read, and which need not be read any more.
@@ -70,22 +72,29 @@
 		awaited := v.byKey[item.Key]
 		switch {
 		case !item.Omitted:
-			v.bytes[item.Key] = len(item.Value)
+			v.noteLength(item)
 			if awaited != nil && item.At.AtLeast(awaited.at) {
 				w.forgetValue(item.Key)
 			}
 		case v.known[item.Key].AtLeast(item.At):
 		case awaited == nil:
-			v.byKey[item.Key] = &awaitedValue{at: item.At, learnedAt: now, since: now}
+			v.byKey[item.Key] = &awaitedValue{at: item.At, learnedAt: now, since: now, current: item.Approximate}
+			if w.config.Source.IsConfig(item.Key) {
+				v.configKey, v.configSince = item.Key, now
+			}
 		case item.At.After(awaited.at):
 			awaited.at, awaited.learnedAt = item.At, now
+			awaited.current = awaited.current || item.Approximate
 		}
 	}
-	if awaited := w.awaitedConfig(); awaited != nil && v.configSince == 0 {
-		v.configSince = awaited.since
-	}
-	if len(v.bytes) > maxKnownLengths {
-		clear(v.bytes)
+}
+
+// noteLength notes whether a value may be read stale next time.
+func (v *awaitedValues) noteLength(item *directory.Item) {
+	if len(item.Value) > maxStaleValueBytes {
+		v.long[item.Key] = true
+	} else {
+		delete(v.long, item.Key)
 	}
 }
 
@@ -100,9 +109,6 @@
 	return now - since
 }
 
-// maxKnownLengths bounds awaitedValues.bytes.
-const maxKnownLengths = 20_000
-
 // forgetValue records that a value is not awaited any more. A read that is under way is not wanted.
 func (w *Watcher) forgetValue(key string) {
 	delete(w.values.byKey, key)
@@ -121,14 +127,7 @@
 }
 
 // awaitedConfig returns the configuration that is known of and not in force; nil if there is none.
-func (w *Watcher) awaitedConfig() *awaitedValue {
-	for key, awaited := range w.values.byKey {
-		if w.config.Source.IsConfig(key) {
-			return awaited
-		}
-	}
-	return nil
-}
+func (w *Watcher) awaitedConfig() *awaitedValue { return w.values.byKey[w.values.configKey] }
 
 // noteAwaitedConfig sets what ConfigAwaited returns.
 func (w *Watcher) noteAwaitedConfig() {
@@ -141,10 +140,10 @@
 
 // nextValue returns the key of the value to read next: the configuration, or else the one that is awaited longest.
 func (w *Watcher) nextValue() (next string, awaited *awaitedValue) {
+	if config := w.awaitedConfig(); config != nil {
+		return w.values.configKey, config
+	}
 	for key, value := range w.values.byKey {
-		if w.config.Source.IsConfig(key) {
-			return key, value
-		}
 		if awaited == nil || value.since < awaited.since {
 			next, awaited = key, value
 		}
@@ -160,7 +159,7 @@
 		return
 	}
 	key, awaited := w.nextValue()
-	stale := !awaited.current && v.bytes[key] <= maxStaleValueBytes
+	stale := !awaited.current && !v.long[key]
 	source, timeout := w.config.Source, w.config.StoreTimeout
 	ctx, v.cancel = progress.WithLimits(directory.WithCallReason(ctx, "omitted_value"), progress.Limits{Answer: timeout, Stall: timeout})
 	v.reading, v.unwanted = key, false
@@ -187,7 +186,7 @@
 		awaited.since = max(awaited.since, read.began) // what was learned before is in what was read
 	}
 	if sameEra && !read.item.Deleted {
-		v.bytes[key] = len(read.item.Value)
+		v.noteLength(&read.item)
 		w.applyValue(&read.item)
 	}
 	switch {
@@ -195,10 +194,11 @@
 		v.known[key] = awaited.at.Later(read.item.At)
 		delete(v.byKey, key)
 		v.backoff = minBackoff
-		if w.config.Source.IsConfig(key) {
-			w.config.Listener.ConfigProved(read.began)
-		} else {
+		switch {
+		case key != v.configKey:
 			v.notBefore = w.config.SinceBoot() + valueReadPause
+		case !read.stale:
+			w.config.Listener.ConfigProved(read.began)
 		}
 	case read.stale:
 		awaited.current = true
--- a/progress/progress.go
+++ b/progress/progress.go
@@ -18,9 +18,10 @@
 
 // Limits bound the calls that are made with a context.
 type Limits struct {
-	// Answer is the time until a response begins, Stall the time for which one may then make no progress.
+	// Answer is the time until the first bytes of a response's body, Stall the time for which it may then make no
+	// progress. A server may send a response's head before it waits for what the response is to say.
 	Answer, Stall time.Duration
-	// Transfer is the time that a response may take from its beginning, TransferBytes the length that it may have; 0
+	// Transfer is the time that a body may take from its first bytes on, TransferBytes the length that it may have; 0
 	// means no limit. They are for calls whose results can be had in another way.
 	Transfer      time.Duration
 	TransferBytes int
@@ -40,8 +41,10 @@
 	silence *time.Timer
 	// transfer ends them at the end of the time that a response may take; nil until one has begun.
 	transfer *time.Timer
-	// received is the length of what has arrived, counted what of it is counted as progress.
+	// received is the length of what has arrived, counted what of it is counted as progress. begins is set if the next
+	// bytes are the first of a body.
 	received, counted int
+	begins            bool
 }
 
 type contextKey struct{}
@@ -93,13 +96,9 @@
 func (p *state) begin(length int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.begins = true
 	if p.limits.TransferBytes > 0 && length > int64(p.limits.TransferBytes) {
 		p.cancel(ErrLongResponse)
-		return
-	}
-	p.silence.Reset(p.limits.Stall)
-	if p.limits.Transfer > 0 && p.transfer == nil {
-		p.transfer = time.AfterFunc(p.limits.Transfer, func() { p.cancel(ErrLongResponse) })
 	}
 }
 
@@ -111,8 +110,11 @@
 		p.cancel(ErrLongResponse)
 		return
 	}
-	if p.received-p.counted >= minBytes {
-		p.counted = p.received
+	if p.begins && n > 0 && p.limits.Transfer > 0 && p.transfer == nil {
+		p.transfer = time.AfterFunc(p.limits.Transfer, func() { p.cancel(ErrLongResponse) })
+	}
+	if p.begins && n > 0 || p.received-p.counted >= minBytes {
+		p.begins, p.counted = false, p.received
 		p.silence.Reset(p.limits.Stall)
 	}
 }
