--- a/directory/position.go
+++ b/directory/position.go
@@ -73,9 +73,6 @@
 	return p
 }
 
-// Previous returns the position before p in its era.
-func (p Position) Previous() Position { return Position{p.era, max(p.revision, 1) - 1} }
-
 // revisionBits is the number of bits of an incarnation number that are the revision.
 const revisionBits = 40
 
--- a/directory/source.go
+++ b/directory/source.go
@@ -51,7 +51,7 @@
 	// after wait. Errors: ErrHistoryGone, ErrEraChanged, ErrUnavailable, progress.ErrLongResponse.
 	Watch(ctx context.Context, after Position, wait time.Duration) (*Changes, error)
 	// ReadChanges returns the changes after a position without waiting for any. A configuration that may be long is
-	// omitted; its item then has the position of the last of the changes, or of an earlier one. Errors: those of Watch.
+	// omitted, and its item is Approximate. Errors: those of Watch.
 	ReadChanges(ctx context.Context, after Position) (*Changes, error)
 	// ReadItem returns the current item of a key, with Deleted set if there is none. If stale, the item
 	// may be seconds old, and the call costs the store a tenth.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -50,8 +50,6 @@
 	// storeBytesPerSecond is the bandwidth of storeLink, the gateway's link to the store; 0 means no limit.
 	storeBytesPerSecond int
 	storeLink           *link.Link
-	// dropHistory makes the store drop its history before the fixture's gateway has it.
-	dropHistory bool
 	// cutFromStore makes the store refuse the calls of this fixture's gateway only.
 	cutFromStore atomic.Bool
 	// coldPerSecond is what a cold worker of service "app" tolerates; 0 means that it is not known.
--- a/gateway/odd_entries_test.go
+++ b/gateway/odd_entries_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"aspenyard.example/changefeed"
 )
 
 // oddValues returns values that another writer may leave under a key.
@@ -43,15 +45,13 @@
 }
 
 // putOddEntries writes odd values under all prefixes at which entries read lists.
-func (s *fixture) putOddEntries() (total int) {
+func (s *fixture) putOddEntries() {
 	for i, value := range oddValues() {
 		for _, prefix := range []string{"servers/", "nodes/", "records/", "op/evacuate/"} {
 			s.store.Put(fmt.Sprintf("%sodd-%d", prefix, i), value)
-			total++
 		}
 	}
 	s.store.Put("servers/", []byte("{}"))
-	return total
 }
 
 // follows fails the test unless an entry knows the next configuration and endpoints that register, and serves.
@@ -104,24 +104,29 @@
 		second.waitFor("both know the same", func() bool {
 			return first.sumMetric("aspenyard_gateway_revision ") == second.sumMetric("aspenyard_gateway_revision ")
 		})
-		for _, cut := range []*fixture{first, second} {
+		for i, cut := range []*fixture{first, second} {
 			cut.cutFromStore.Store(true)
-			first.store.Put("servers/odd", bytes.Repeat([]byte("["), 600))
-			first.store.Put("servers/odd-port", []byte(`{"service":"app","address":"127.0.0.1:70000","zone":"dc1","version":"v1","slots":16,"state":"ready","cold_left_ms":0,"seq_no":1}`))
-			worker := first.workers[0]
+			for n, value := range oddValues() {
+				if len(value) > changefeed.MaxValueBytes {
+					continue // read from the store
+				}
+				for _, prefix := range []string{"servers/", "nodes/", "records/"} {
+					first.store.Put(fmt.Sprintf("%spassed-on-%d", prefix, n), value)
+				}
+			}
+			worker := first.workers[i]
 			first.store.Put("servers/"+worker.ID, worker.Registration("draining"))
-			cut.waitFor("the endpoint's leaving is known", func() bool { return cut.sumMetric("aspenyard_gateway_endpoints ") == 1 })
 			first.store.Delete("servers/" + worker.ID)
+			for _, event := range []string{"endpoint_leaving", "endpoint_gone"} {
+				line := fmt.Sprintf(`"event":%q,"node":%q,"role":"gateway","endpoint":%q`, event, []string{"g1", "g2"}[i], worker.ID)
+				cut.waitFor(event, func() bool { return strings.Contains(cut.log.String(), line) })
+			}
 			first.store.Put("servers/"+worker.ID, worker.Registration("ready"))
-			cut.waitFor("the endpoint is back", func() bool { return cut.sumMetric("aspenyard_gateway_endpoints ") == 2 })
 			cut.cutFromStore.Store(false)
 		}
 		first.putOddEntries()
-		for _, s := range []*fixture{first, second} {
-			s.waitFor("the changes are known", func() bool { return s.sumMetric("aspenyard_gateway_endpoints ") >= 2 })
-		}
-		second.version = first.version
 		first.follows(first)
+		second.awaitConfig(first.version)
 	})
 	t.Run("thousands", func(t *testing.T) {
 		t.Parallel()
--- a/gateway/transfer_test.go
+++ b/gateway/transfer_test.go
@@ -81,40 +81,40 @@
 		t.Parallel()
 		s := newFixture(t, plainWorker(), plainWorker())
 		s.start()
-		overtake(t, s, s)
+		overtake(t, s, s, false)
 	})
 	t.Run("watcher whose history was dropped", func(t *testing.T) {
 		t.Parallel()
 		s := newFixture(t, plainWorker(), plainWorker())
 		s.start()
-		s.dropHistory = true
-		overtake(t, s, s)
+		overtake(t, s, s, true)
 	})
 	t.Run("follower", func(t *testing.T) {
 		t.Parallel()
 		first, second := twoGateways(t, plainWorker(), plainWorker())
-		follower := first
+		var follower *fixture
 		first.waitFor("one of them follows the other", func() bool {
-			if second.sumMetric("aspenyard_gateway_watching ") == 0 {
+			firstWatches, secondWatches := first.sumMetric("aspenyard_gateway_watching ") == 1, second.sumMetric("aspenyard_gateway_watching ") == 1
+			if follower = first; firstWatches {
 				follower = second
 			}
-			return first.sumMetric("aspenyard_gateway_watching ")+second.sumMetric("aspenyard_gateway_watching ") == 1
+			return firstWatches != secondWatches
 		})
-		overtake(t, first, follower)
+		overtake(t, first, follower, false)
 	})
 }
 
-// overtake makes a long configuration be written, and while it is transferred to an entry an endpoint leave and another one
-// register. The entry is behind a link on which the transfer takes longer than the test may.
-func overtake(t *testing.T, operator, s *fixture) {
+// overtake checks that an entry learns that an endpoint leaves, and has left, while a long configuration is transferred to
+// it, over a link on which that takes longer than the test may. The store may drop its history before the entry has it.
+func overtake(t *testing.T, operator, s *fixture, dropHistory bool) {
 	is := is.New(t)
 	before := operator.version
 	s.waitFor("both endpoints are known", func() bool { return s.sumMetric("aspenyard_gateway_endpoints ") == 2 })
 	operator.addRoutes(largeVersion)
 	s.storeLink.SetBandwidth(len(operator.config()) * 4 / 3 / int(2*waitTimeout/time.Second))
-	s.cutFromStore.Store(s.dropHistory)
+	s.cutFromStore.Store(dropHistory)
 	operator.configure()
-	if s.dropHistory {
+	if dropHistory {
 		operator.store.Compact()
 		s.cutFromStore.Store(false)
 	}
@@ -206,12 +206,7 @@
 	t.Run("transfer is slow", func(t *testing.T) {
 		t.Parallel()
 		is := is.New(t)
-		s := newFixture(t, plainWorker())
-		s.extraSettings = `,"config_within":"2s"`
-		s.start()
-		s.addRoutes(largeVersion)
-		s.storeLink.SetBandwidth(500_000)
-		s.configure()
+		s := awaitingConfig(t)
 		s.waitFor("not ready", func() bool { return s.readyStatus() == http.StatusServiceUnavailable })
 		is.True(s.sumMetric("aspenyard_gateway_config_awaited_seconds ") > 2)
 		is.Equal(s.post("/again/", "served").status, http.StatusOK)
@@ -222,12 +217,7 @@
 	t.Run("store is away", func(t *testing.T) {
 		t.Parallel()
 		is := is.New(t)
-		s := newFixture(t, plainWorker())
-		s.extraSettings = `,"config_within":"2s"`
-		s.start()
-		s.addRoutes(largeVersion)
-		s.storeLink.SetBandwidth(500_000)
-		s.configure()
+		s := awaitingConfig(t)
 		s.waitFor("the configuration is awaited", func() bool { return s.sumMetric("aspenyard_gateway_config_awaited_seconds ") > 0 })
 		s.storeLink.SetBlocked(link.Both)
 		s.waitFor("the outage is noticed", func() bool { return s.sumMetric("aspenyard_gateway_list_age_seconds ") > 4 })
@@ -237,3 +227,15 @@
 		s.awaitConfig(s.version)
 	})
 }
+
+// awaitingConfig returns a started entry to which a configuration is being transferred, for longer than its bound.
+func awaitingConfig(t *testing.T) *fixture {
+	t.Helper()
+	s := newFixture(t, plainWorker())
+	s.extraSettings = `,"config_within":"2s"`
+	s.start()
+	s.addRoutes(largeVersion)
+	s.storeLink.SetBandwidth(500_000)
+	s.configure()
+	return s
+}
--- a/progress/progress.go
+++ b/progress/progress.go
@@ -30,10 +30,10 @@
 // minBytes is how much must arrive for a transfer to count as making progress.
 const minBytes = 4 << 10
 
-// state follows the progress of the calls that are made with a context.
-type state struct {
+// tracker follows the progress of the calls that are made with a context.
+type tracker struct {
 	limits Limits
-	parent *state // of the context that this one was derived from; may be nil
+	parent *tracker // of the context that this one was derived from; may be nil
 	cancel context.CancelCauseFunc
 
 	mu sync.Mutex
@@ -53,7 +53,7 @@
 // context.DeadlineExceeded or ErrLongResponse. The caller must cancel it.
 func WithLimits(ctx context.Context, limits Limits) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	p := &state{limits: limits, parent: progressOf(ctx), cancel: cancel}
+	p := &tracker{limits: limits, parent: trackerOf(ctx), cancel: cancel}
 	p.silence = time.AfterFunc(limits.Answer, func() { cancel(context.DeadlineExceeded) })
 	return context.WithValue(ctx, contextKey{}, p), func() {
 		p.mu.Lock()
@@ -66,14 +66,14 @@
 	}
 }
 
-func progressOf(ctx context.Context) *state {
-	p, _ := ctx.Value(contextKey{}).(*state)
+func trackerOf(ctx context.Context) *tracker {
+	p, _ := ctx.Value(contextKey{}).(*tracker)
 	return p
 }
 
 // LimitsOf returns the limits of the calls that are made with a context; none if it has none.
 func LimitsOf(ctx context.Context) Limits {
-	if p := progressOf(ctx); p != nil {
+	if p := trackerOf(ctx); p != nil {
 		return p.limits
 	}
 	return Limits{}
@@ -81,19 +81,19 @@
 
 // BeginResponse reports that a response has begun, and its length; negative if that is not known.
 func BeginResponse(ctx context.Context, length int64) {
-	for p := progressOf(ctx); p != nil; p = p.parent {
+	for p := trackerOf(ctx); p != nil; p = p.parent {
 		p.begin(length)
 	}
 }
 
 // Add reports that n bytes have been received or sent.
 func Add(ctx context.Context, n int) {
-	for p := progressOf(ctx); p != nil; p = p.parent {
+	for p := trackerOf(ctx); p != nil; p = p.parent {
 		p.add(n)
 	}
 }
 
-func (p *state) begin(length int64) {
+func (p *tracker) begin(length int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.begins = true
@@ -102,7 +102,7 @@
 	}
 }
 
-func (p *state) add(n int) {
+func (p *tracker) add(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.received += n
--- a/soak/slowlinks.go
+++ b/soak/slowlinks.go
@@ -9,11 +9,10 @@
 )
 
 const (
-	kindSlowStoreLinks = "slow-store-links"
-	// slowLinkBytesPerSecond is the bandwidth of a link of 14 Mbit/s. A configuration with largeConfigRoutes more routes takes
-	// about 0.4 s of it.
-	slowLinkBytesPerSecond = 1_750_000
-	largeConfigRoutes      = 2000
+	kindSlowStoreLinks     = "slow-store-links"
+	slowLinkBytesPerSecond = 1_750_000 // 14 Mbit/s
+	// largeConfigRoutes is how many routes more a large configuration has. Its transfer takes a fraction of the bound.
+	largeConfigRoutes = 2000
 )
 
 // slowStoreLinks puts every second gateway behind a slow link to the store, and writes large configurations in quick
--- a/standin/link/bandwidth.go
+++ b/standin/link/bandwidth.go
@@ -27,6 +27,7 @@
 	return bufferBytes
 }
 
+// packetBytes is the turn of one connection on a link with a bandwidth.
 const packetBytes = 4 << 10
 
 // awaitBandwidth waits until n bytes of a direction have passed.
