--- a/review/driver-2/harness_test.go
+++ b/review/driver-2/harness_test.go
@@ -80,9 +80,11 @@
 type store struct {
 	*platform.Store
 	t *testing.T
+	// prepare, unless nil, is called with the path of each gateway before the gateway starts.
+	prepare func(p *path, n int)
 }
 
-func newStore(t *testing.T) *store { return &store{platform.NewStore(), t} }
+func newStore(t *testing.T) *store { return &store{Store: platform.NewStore(), t: t} }
 
 // path is a gateway's path to the store.
 type path struct {
@@ -91,6 +93,8 @@
 	mu       sync.Mutex
 	server   *http.Server
 	watching int
+	// wrap, unless nil, may handle a call in the store's place; it then returns true.
+	wrap func(w http.ResponseWriter, r *http.Request) bool
 }
 
 // newPath opens a path to the store.
@@ -113,7 +117,9 @@
 			p.countWatch(1)
 			defer p.countWatch(-1)
 		}
-		handler.ServeHTTP(w, r)
+		if p.wrap == nil || !p.wrap(w, r) {
+			handler.ServeHTTP(w, r)
+		}
 	})}
 	p.mu.Lock()
 	p.server = server
@@ -162,6 +168,9 @@
 			cannotRun(err)
 			addrs[field] = addr
 		}
+		if s.prepare != nil {
+			s.prepare(g.store, i)
+		}
 		g.callers, g.readiness = addrs["callers_listen"], addrs["readiness_listen"]
 		settings := map[string]any{
 			"name": g.name, "data_centre": "zone-a", "store": g.store.addr, "store_history": "20s", "config_within": configMS.String(), "leaving_within": drainMS.String(),
--- a/review/driver-2/worker_test.go
+++ b/review/driver-2/worker_test.go
@@ -30,6 +30,8 @@
 	conns    map[net.Conn]bool
 	arrivals []arrival
 	ended    bool
+	// coldUntil is when the worker is warm.
+	coldUntil time.Time
 }
 
 func startWorker(t *testing.T, id, service, zone string, answer func(w *worker, conn net.Conn, a *arrival) bool) *worker {
@@ -77,11 +79,25 @@
 // registrationAt is the entry of a worker that is reached at another address.
 func (w *worker) registrationAt(addr, state string) []byte {
 	data, _ := json.Marshal(map[string]any{
-		"service": w.service, "address": addr, "zone": w.zone, "version": "v1", "slots": 16, "state": state, "cold_left_ms": 0, "seq_no": 1,
+		"service": w.service, "address": addr, "zone": w.zone, "version": "v1", "slots": 16, "state": state, "cold_left_ms": w.coldLeft().Milliseconds(), "seq_no": 1,
 	})
 	return data
 }
 
+// setCold makes the worker cold for a time.
+func (w *worker) setCold(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.coldUntil = time.Now().Add(d)
+}
+
+// coldLeft returns how long the worker is cold.
+func (w *worker) coldLeft() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(time.Until(w.coldUntil), 0)
+}
+
 // received returns the requests that have arrived so far.
 func (w *worker) received() []arrival {
 	w.mu.Lock()
