--- a/review/driver-2/client_test.go
+++ b/review/driver-2/client_test.go
@@ -38,6 +38,11 @@
 
 // send sends one request and reads its answer to the end.
 func (c *client) send(g *gateway, method, path, id, body string, deadline time.Duration) *answer {
+	return c.sendPrompt(g, method, path, id, body, deadline, "")
+}
+
+// sendPrompt is send for a prompt of a thousand tokens with parts; "" stands for a request without a prompt.
+func (c *client) sendPrompt(g *gateway, method, path, id, body string, deadline time.Duration, parts string) *answer {
 	request, err := http.NewRequest(method, "http://"+g.callers+path, strings.NewReader(body))
 	cannotRun(err)
 	request.Host = host
@@ -45,6 +50,11 @@
 	request.Header.Set("X-Aspenyard-Attempt-Id", id)
 	request.Header.Set("X-Aspenyard-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	request.Header.Set("Authorization", "Bearer "+key)
+	if parts != "" {
+		request.Header.Set("X-Aspenyard-Model", "m")
+		request.Header.Set("X-Aspenyard-Token-Usage", "1000,200")
+		request.Header.Set("X-Aspenyard-Prefix-Hash", parts)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return &answer{err: err}
--- a/review/driver-2/harness_test.go
+++ b/review/driver-2/harness_test.go
@@ -151,6 +151,7 @@
 type gateway struct {
 	name, callers, readiness string
 	store                    *path
+	settings, log            string // the paths of its files
 	process                  *os.Process
 	exited                   chan struct{}
 }
@@ -161,7 +162,7 @@
 	dir := t.TempDir()
 	var all []*gateway
 	for i := range n {
-		g := &gateway{name: fmt.Sprintf("edge-%d", i+1), exited: make(chan struct{}), store: s.newPath()}
+		g := &gateway{name: fmt.Sprintf("edge-%d", i+1), store: s.newPath()}
 		addrs := map[string]string{}
 		for _, field := range []string{"callers_listen", "readiness_listen", "metrics_listen", "peers_listen"} {
 			addr, err := link.FreeAddr()
@@ -185,9 +186,9 @@
 		}
 		data, err := json.Marshal(settings)
 		cannotRun(err)
-		path := filepath.Join(dir, g.name+".json")
-		cannotRun(os.WriteFile(path, data, 0o644))
-		g.start(t, path, filepath.Join(dir, g.name+".log"))
+		g.settings, g.log = filepath.Join(dir, g.name+".json"), filepath.Join(dir, g.name+".log")
+		cannotRun(os.WriteFile(g.settings, data, 0o644))
+		g.start(t)
 		all = append(all, g)
 	}
 	for _, g := range all {
@@ -197,31 +198,38 @@
 	return all
 }
 
-func (g *gateway) start(t *testing.T, settings, logPath string) {
-	log, err := os.Create(logPath)
+// start starts the process. Its log is appended to the one of the process before.
+func (g *gateway) start(t *testing.T) {
+	log, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	cannotRun(err)
-	cmd := exec.Command("target/aspenyard", "gateway", "--settings", settings)
+	cmd := exec.Command("target/aspenyard", "gateway", "--settings", g.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
 	startThread() <- func() { started <- cmd.Start() }
 	cannotRun(<-started)
-	g.process = cmd.Process
+	exited := make(chan struct{})
+	g.process, g.exited = cmd.Process, exited
 	go func() {
 		_ = cmd.Wait()
 		_ = log.Close()
-		close(g.exited)
+		close(exited)
 	}()
 	t.Cleanup(func() {
-		_ = g.process.Signal(syscall.SIGKILL)
-		<-g.exited
+		g.kill()
 		if keep := os.Getenv("LOGS"); keep != "" {
-			data, _ := os.ReadFile(logPath)
+			data, _ := os.ReadFile(g.log)
 			_ = os.WriteFile(filepath.Join(keep, g.name+".log"), data, 0o644)
 		}
 	})
 }
 
+// kill ends the process by SIGKILL.
+func (g *gateway) kill() {
+	_ = g.process.Signal(syscall.SIGKILL)
+	<-g.exited
+}
+
 func (g *gateway) awaitReady() {
 	for end := time.Now().Add(15 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		response, err := http.Get("http://" + g.readiness + "/-/readyz")
--- a/review/driver-2/worker_test.go
+++ b/review/driver-2/worker_test.go
@@ -30,6 +30,8 @@
 	conns    map[net.Conn]bool
 	arrivals []arrival
 	ended    bool
+	// running is the number of requests that have not been answered.
+	running int
 	// coldUntil is when the worker is warm.
 	coldUntil time.Time
 }
@@ -98,6 +100,16 @@
 	return max(time.Until(w.coldUntil), 0)
 }
 
+// load returns the number of requests that run; -1 once the worker has ended.
+func (w *worker) load() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return -1
+	}
+	return w.running
+}
+
 // received returns the requests that have arrived so far.
 func (w *worker) received() []arrival {
 	w.mu.Lock()
@@ -125,8 +137,13 @@
 		}
 		w.mu.Lock()
 		w.arrivals = append(w.arrivals, *a)
+		w.running++
+		w.mu.Unlock()
+		keep := w.answer(w, conn, a)
+		w.mu.Lock()
+		w.running--
 		w.mu.Unlock()
-		if !w.answer(w, conn, a) {
+		if !keep {
 			return
 		}
 	}
