Crowds of clients that don't behave: the tests, on the code as it stands

Callers are not in our control any more. The tests start a gateway with 64 MB and 512 descriptors, or an entry and an agent with 256 MB and 512, and let 300 clients misbehave in one of some 24 ways at a route, elsewhere on the callers' port, at the ports for readiness and metrics, at operators' ports and at those for RPCs. They check that the process lives, that resident memory and what the kernel holds of its connections, and descriptors, stay within the machine, and that ordinary requests are answered beside the crowd and after it. Neither a time nor a share is checked.

--- /dev/null
+++ b/crowds/forms_test.go
@@ -0,0 +1,267 @@
+//go:build crowds
+
+package crowds
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Limits of the installation that the clients know of.
+const (
+	maxHeaderBytes = 16 << 10
+	maxBodyBytes   = 4 << 20
+	headerTimeout  = 3 * time.Second
+	idleTimeout    = 15 * time.Second
+)
+
+// target is where clients send requests.
+type target struct {
+	// addrs are the ports' addresses, which clients use in turn, and host is the name that they use.
+	addrs []string
+	host  string
+	// paths are used in turn, and each with every one of headers: lines of the head, each with its line end.
+	paths   []string
+	headers []string
+}
+
+// addr returns the address for client number n.
+func (t *target) addr(n int) string { return t.addrs[n%len(t.addrs)] }
+
+// head returns the beginning of the head of request number n.
+func (t *target) head(method string, n int) string {
+	n /= len(t.addrs)
+	path := t.paths[n%len(t.paths)]
+	headers := t.headers[(n/len(t.paths))%len(t.headers)]
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Aspenyard-Attempt-Id: %s\r\nX-Aspenyard-Deadline-Ms: 30000\r\n%s", method, path, t.host, id, headers)
+}
+
+// form is a way of misbehaving.
+type form struct {
+	name string
+	// send returns when it has sent all that it sends; the connection stays open.
+	send func(ctx context.Context, c *client, n int) error
+}
+
+// client is a connection of a misbehaving client.
+type client struct {
+	net.Conn
+	target *target
+	// sent is called when a client that goes on slowly has begun to.
+	sent func()
+}
+
+const (
+	// smallPause is between two writes of a client that sends slowly.
+	smallPause = 50 * time.Millisecond
+	// writeTimeout ends a write to a process that does not read.
+	writeTimeout = time.Second
+)
+
+// write sends bytes in pieces of a size; 0 stands for one piece.
+func (c *client) write(text string, piece int) error {
+	if piece == 0 {
+		piece = len(text)
+	}
+	for len(text) > 0 {
+		n := min(piece, len(text))
+		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := io.WriteString(c, text[:n]); err != nil {
+			return err
+		}
+		text = text[n:]
+	}
+	return nil
+}
+
+// trickle sends a byte at a time, slowly.
+func (c *client) trickle(ctx context.Context, text string) error {
+	c.sent()
+	for i := range len(text) {
+		if err := c.write(text[i:i+1], 0); err != nil {
+			return err
+		}
+		sleep(ctx, smallPause)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// shortFields returns lines of a head, each of a few bytes with a name of its own, of size bytes together.
+func shortFields(size int) string {
+	var lines strings.Builder
+	for i := 0; lines.Len() < size-8; i++ {
+		fmt.Fprintf(&lines, "%x:\r\n", i)
+	}
+	return lines.String()
+}
+
+// chunked returns bytes in chunks of a size, without the last chunk.
+func chunked(body string, size int) string {
+	var encoded bytes.Buffer
+	for len(body) > 0 {
+		n := min(size, len(body))
+		fmt.Fprintf(&encoded, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	return encoded.String()
+}
+
+func zeros(n int) string { return strings.Repeat("0", n) }
+
+const (
+	largeBody = 1 << 20
+	smallBody = 60 << 10
+	// farTooLong is the length that bodies far over the limit announce.
+	farTooLong = 1 << 30
+	// endlessBytes is how much of a body without end is sent at most.
+	endlessBytes = 16 << 20
+	chunkedHead  = "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+func lengthHead(n int) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n", n) }
+
+// forms are the ways of misbehaving at a port that speaks HTTP/1.1.
+var forms = []form{
+	{"whole-bodies", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+lengthHead(largeBody)+zeros(largeBody), 0)
+	}},
+	{"largest-bodies-short-of-their-end", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+lengthHead(maxBodyBytes)+zeros(maxBodyBytes-1), 0)
+	}},
+	{"small-bodies-short-of-their-end", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+lengthHead(smallBody)+zeros(smallBody-1), 0)
+	}},
+	{"bodies-in-pieces-short-of-their-end", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+lengthHead(largeBody/4)+zeros(largeBody/4-1), 1000)
+	}},
+	{"chunks-short-of-their-end", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+chunkedHead+chunked(zeros(largeBody), 16<<10), 0)
+	}},
+	{"tiny-chunks-short-of-their-end", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+chunkedHead+chunked(zeros(smallBody), 1), 0)
+	}},
+	{"chunk-short-of-its-end", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+chunkedHead+fmt.Sprintf("%x\r\n", largeBody)+zeros(largeBody-1), 0)
+	}},
+	{"trailers-of-short-fields", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+chunkedHead+chunked(zeros(1000), 1000)+"0\r\n"+shortFields(3800), 0)
+	}},
+	{"whole-trailers-of-short-fields", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+chunkedHead+chunked(zeros(1000), 1000)+"0\r\n"+shortFields(3800)+"\r\n", 0)
+	}},
+	{"bodies-far-over-the-limit", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+lengthHead(farTooLong)+zeros(endlessBytes), 64<<10)
+	}},
+	{"chunks-without-end", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+chunkedHead+chunked(zeros(endlessBytes), 64<<10), 0)
+	}},
+	{"heads-of-short-fields", func(ctx context.Context, c *client, n int) error {
+		head := c.target.head("POST", n)
+		return c.write(head+shortFields(maxHeaderBytes-len(head)-64)+lengthHead(smallBody)+zeros(smallBody-1), 0)
+	}},
+	{"heads-of-short-fields-short-of-their-end", func(ctx context.Context, c *client, n int) error {
+		head := c.target.head("POST", n)
+		return c.write(head+shortFields(maxHeaderBytes-len(head)), 0)
+	}},
+	{"heads-far-over-the-limit", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+shortFields(4<<20), 0)
+	}},
+	{"sent-ahead", func(ctx context.Context, c *client, n int) error {
+		for i := range 20_000 {
+			if err := c.write(c.target.head("GET", n+i)+"\r\n", 0); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{"bodies-sent-ahead", func(ctx context.Context, c *client, n int) error {
+		for i := range 200 {
+			if err := c.write(c.target.head("POST", n+i)+lengthHead(smallBody)+zeros(smallBody), 0); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{"silent", func(ctx context.Context, c *client, n int) error { return nil }},
+	{"one-byte", func(ctx context.Context, c *client, n int) error { return c.write("G", 0) }},
+	{"slow-heads", func(ctx context.Context, c *client, n int) error {
+		return c.trickle(ctx, c.target.head("GET", n)+"X-Slow: "+zeros(8000))
+	}},
+	{"slow-bodies", func(ctx context.Context, c *client, n int) error {
+		if err := c.write(c.target.head("POST", n)+lengthHead(smallBody), 0); err != nil {
+			return err
+		}
+		return c.trickle(ctx, zeros(smallBody-1))
+	}},
+	{"slow-chunks", func(ctx context.Context, c *client, n int) error {
+		if err := c.write(c.target.head("POST", n)+chunkedHead, 0); err != nil {
+			return err
+		}
+		return c.trickle(ctx, chunked(zeros(smallBody), 1))
+	}},
+	{"slow-readers", func(ctx context.Context, c *client, n int) error {
+		if err := c.write(c.target.head("GET", n)+"Content-Length: 0\r\n\r\n", 0); err != nil {
+			return err
+		}
+		c.sent()
+		for one := make([]byte, 1); ctx.Err() == nil; sleep(ctx, smallPause) {
+			if _, err := c.Read(one); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{"ended-half-way", func(ctx context.Context, c *client, n int) error {
+		err := c.write(c.target.head("POST", n)+lengthHead(smallBody)+zeros(smallBody/2), 0)
+		if err == nil {
+			err = c.Conn.(*net.TCPConn).CloseWrite()
+		}
+		return err
+	}},
+	{"not-http", func(ctx context.Context, c *client, n int) error {
+		return c.write(strings.Repeat("\x16\x03\x01\x02\x00\x01", 1000), 0)
+	}},
+}
+
+// formsNamed returns the forms with these names.
+func formsNamed(names ...string) []form {
+	var chosen []form
+	for _, f := range forms {
+		if slices.Contains(names, f.name) {
+			chosen = append(chosen, f)
+		}
+	}
+	return chosen
+}
+
+// receiveBuffer is the size of the receive buffer of misbehaving clients, so that what they do not read stays at the process.
+const receiveBuffer = 4 << 10
+
+// dial opens a client's connection.
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: 5 * time.Second, Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+	}}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
