A gateway bears crowds of clients that don't behave

What callers saw: beside 300 clients that stop short of a body's end, every request was refused ("short of descriptors") until they left; beside heads of short fields the process took four times its memory, at the ports for readiness and metrics twenty times.

(1) The HTTP server reads up to 256 KB of a body that a handler left, without a deadline: each refused request kept its connection, and refused connections beyond the limit were themselves unbounded. (2) Nothing was accounted for a head until it was parsed: 16 KB of short fields take 1.6 MB. Heads were read to 256 KB, whatever the configuration says, and their fields counted with a blank that was not sent. (3) Only large bodies could be cut off for others, and only if their pace was hopeless: one that stops a byte short of its end never is. (4) The kernel held up to 350 KB unread and 256 KB unsent for each connection. (5) The ports for readiness and metrics had no bound but a header timeout.

Change: what is left of a body is read for 500 ms, and not at all while others wait for the connection; connections on which no request was sent, or that stopped, make room for others, and few beyond the limit are opened to be refused; heads are scanned as they arrive, bounded and accounted for; bodies of any size and form may be cut off once they have stopped for a second; the kernel's buffers are small until something is held for the caller; package intake bounds the monitoring ports.

Without the change of abort, the rest of a body is read for ever after http.ErrAbortHandler (seen in a dump of goroutines).

--- a/admission/bytes.go
+++ b/admission/bytes.go
@@ -14,6 +14,8 @@
 	ResponseBytes
 	// BacklogBytes are those of a stream that its caller reads too slowly.
 	BacklogBytes
+	// HeadBytes are those of the head of a request with very many fields.
+	HeadBytes
 )
 
 // SmallBody is the size in bytes up to which a body, a response or a backlog counts as small. Prompts up to 16,000 tokens have
@@ -27,6 +29,7 @@
 	largeBodyShare     = 0.6
 	largeResponseShare = 0.8
 	smallBodyShare     = 0.95
+	headShare          = 0.3
 	// largeRankShare and smallRankShare are by how much less the least urgent requests may fill with large
 	// and small bodies.
 	largeRankShare = 0.35
@@ -62,6 +65,8 @@
 		share = largeBodyShare - largeRankShare*rank
 	case purpose == BodyBytes:
 		share = smallBodyShare - smallRankShare*rank
+	case purpose == HeadBytes:
+		share = headShare
 	case purpose == BacklogBytes && large:
 		share = largeBodyShare
 	case purpose == BacklogBytes || large:
--- a/admission/bytes_test.go
+++ b/admission/bytes_test.go
@@ -138,9 +138,12 @@
 	reader := SlowCaller{Held: 100, Since: since, Deadline: deadline}
 	larger, lessUrgent, recent, empty := reader, reader, reader, reader
 	larger.Held, lessUrgent.Rank, recent.Since, empty.Held = 200, 1, now.Add(-minSlowTime/2), 0
-	inTime := SlowCaller{Held: 1000, Since: since, Deadline: deadline, Announced: 1000, Received: 201}
-	hopeless, new := inTime, inTime
+	inTime := SlowCaller{Held: 1000, Since: since, Deadline: deadline, Sends: true, Announced: 1000, Received: 201, Progress: now}
+	hopeless, new, stopped, unknown, slowUnknown := inTime, inTime, inTime, inTime, inTime
 	hopeless.Received, new.Received, new.Since = 199, 0, now
+	stopped.Received, stopped.Progress = 999, now.Add(-minSlowTime)
+	unknown.Announced, unknown.Received = -1, 2*minUnknownPace
+	slowUnknown.Announced, slowUnknown.Received = -1, minUnknownPace
 	for _, c := range []struct {
 		purpose BytePurpose
 		callers []SlowCaller
@@ -149,12 +152,37 @@
 		{ResponseBytes, []SlowCaller{recent, empty, inTime, new}, -1}, {ResponseBytes, []SlowCaller{reader, larger}, 1},
 		{ResponseBytes, []SlowCaller{larger, lessUrgent}, 1}, {ResponseBytes, []SlowCaller{lessUrgent, hopeless}, 1},
 		{BodyBytes, []SlowCaller{reader, larger, lessUrgent, inTime}, -1}, {BodyBytes, []SlowCaller{reader, inTime, hopeless}, 2}, {BodyBytes, nil, -1},
+		{BodyBytes, []SlowCaller{inTime, stopped}, 1}, {BodyBytes, []SlowCaller{unknown, slowUnknown}, 1}, {BodyBytes, []SlowCaller{unknown, inTime}, -1},
+		{HeadBytes, []SlowCaller{reader, larger, lessUrgent, inTime}, -1}, {HeadBytes, []SlowCaller{reader, stopped}, 1},
 		{BodyBytes, []SlowCaller{reader, larger, inTime, recent}, -1}, {BodyBytes, []SlowCaller{reader, larger, inTime, new}, -1}, {BodyBytes, []SlowCaller{reader, inTime, larger, larger, lessUrgent}, 4},
 	} {
 		is.Equal(PickSlowCaller(now, c.purpose, 2800, c.callers), c.want)
 	}
 }
 
+// Guards against connections that callers keep for good who send or read too slowly, and against closing those of callers that
+// have just begun, whose bodies arrive in time, or who are a few slow readers.
+func TestTheConnectionOfTheCallerThatWasWaitedForLongestIsCutOff(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	reader := SlowCaller{Since: now.Add(-2 * time.Second), Deadline: now.Add(8 * time.Second)}
+	older, recent := reader, reader
+	older.Since, recent.Since = now.Add(-3*time.Second), now.Add(-minSlowTime/2)
+	stopped := SlowCaller{Since: older.Since, Deadline: reader.Deadline, Sends: true, Announced: 10, Received: 9, Progress: now.Add(-minSlowTime)}
+	arriving, laterStopped := stopped, stopped
+	arriving.Progress, laterStopped.Since = now, reader.Since
+	for _, c := range []struct {
+		limit   int64
+		callers []SlowCaller
+		want    int
+	}{
+		{100, nil, -1}, {100, []SlowCaller{reader, older, arriving, recent}, -1}, {100, []SlowCaller{older, laterStopped, stopped}, 2},
+		{3, []SlowCaller{reader, older, recent}, 1}, {3, []SlowCaller{older, laterStopped}, 1}, {1, []SlowCaller{recent, arriving}, -1},
+	} {
+		is.Equal(PickForConnection(now, c.limit, c.callers), c.want)
+	}
+}
+
 // Guards against an expectation that does not follow the responses, and one that grows without bound in memory.
 func TestTheExpectedSizeFollowsTheResponses(t *testing.T) {
 	is := is.New(t)
--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -17,9 +17,12 @@
 
 const (
 	// callerSendBuffer is the size in bytes of the kernel's send buffer of a caller's connection. The kernel
-	// would let it grow to 4 MB, which a few dozen slow callers would fill outside of the account of bytes.
-	// With it a caller 100 ms away can still read 2.5 MB a second.
-	callerSendBuffer = 256 << 10
+	// would let it grow to 4 MB, which slow callers would fill outside of the account of bytes.
+	// A stream beyond it is kept as a backlog.
+	callerSendBuffer = 32 << 10
+	// largeSendBuffer is the size for responses of known length that are larger than admission.SmallBody. With it a caller
+	// 100 ms away can still read 2.5 MB a second.
+	largeSendBuffer = 256 << 10
 	// backlogChunk is the size in bytes of a chunk of a backlog, of several events of a stream.
 	backlogChunk = 8 << 10
 	// minStallTimeout and stallShare bound how long a caller may take nothing: the share of its route's
@@ -306,6 +309,13 @@
 	return written, nil
 }
 
+// setSendBuffer sets the size of the kernel's send buffer.
+func (c *backlogConn) setSendBuffer(bytes int) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(bytes)
+	}
+}
+
 // late reports whether the caller should have taken the whole response by now.
 func (r *responseTerms) late(now time.Time) bool {
 	return !r.deadline.IsZero() && now.After(r.deadline.Add(r.stall))
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -13,7 +13,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/graceful"
+	"aspenyard.example/intake"
 )
 
 // Timeouts of callers' connections until a configuration is known, which replaces them, and limits
@@ -35,10 +37,15 @@
 	gateway *Gateway
 	server  *http.Server
 	conns   graceful.Conns
+	// refused is how many open connections are beyond the limit.
+	refused atomic.Int64
 	// listener is set by serve.
 	listener atomic.Pointer[net.Listener]
 }
 
+// admitted returns how many connections callers have, without those that are open only to be refused.
+func (c *callerServer) admitted() int64 { return int64(c.conns.Len()) - c.refused.Load() }
+
 func newCallerServer(g *Gateway) *callerServer {
 	c := &callerServer{gateway: g}
 	c.server = &http.Server{
@@ -84,9 +91,14 @@
 	if !ok {
 		return
 	}
-	if state == http.StateIdle {
-		caller.head = caller.head[:0]
+	switch state {
+	case http.StateIdle:
+		caller.head.Reset()
+		caller.headHeld.Release()
 		caller.handled.Store(false)
+	case http.StateClosed, http.StateHijacked:
+		caller.headHeld.Release()
+		caller.setAdmitted()
 	}
 	caller.SetState(state)
 }
@@ -99,27 +111,71 @@
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
+	var room, bear bool
 	conn, err := l.Listener.Accept()
-	for err == nil && l.server.shedConnection() {
+	for ; err == nil; conn, err = l.Listener.Accept() {
+		if !l.server.shedConnection() {
+			if room, bear = l.server.makeRoom(); bear {
+				break
+			}
+		}
 		_ = conn.Close()
-		conn, err = l.Listener.Accept()
 	}
 	if err != nil {
 		return nil, err
 	}
 	setTCPTimeouts(conn)
+	setReceiveBuffer(conn, intake.UnreadReceiveBuffer)
 	g := l.server.gateway
 	backlog := newBacklogConn(g, conn)
-	caller := &callerConn{Conn: l.server.conns.Track(backlog), backlog: backlog, gateway: g}
+	caller := &callerConn{Conn: l.server.conns.Track(backlog), backlog: backlog, gateway: g, headHeld: g.bytes.Open(admission.HeadBytes, 0), receiveBuffer: intake.UnreadReceiveBuffer}
 	caller.admitted = g.shedding.OthersHaveRoom(time.Now())
-	if g.pressure.callersOverLimit() {
-		if caller.overLimit = !l.server.conns.CloseLongestIdle(); !caller.overLimit {
-			g.metrics.GetOrCreateCounter("aspenyard_gateway_idle_callers_closed_total").Inc()
-		}
+	if !room {
+		caller.overLimit = true
+		l.server.refused.Add(1)
 	}
 	return caller, nil
 }
 
+// minHeadWait is how long a caller that has sent no request, or a part of a head, has to send it before its connection may be
+// closed to make room for another one. It covers a packet's way around the globe.
+const minHeadWait = 500 * time.Millisecond
+
+// full reports whether callers have as many connections as they may.
+func (c *callerServer) full() bool {
+	return int64(c.conns.Len()) >= c.gateway.pressure.callerLimit.Load()
+}
+
+// makeRoom closes a connection if callers have as many as they may: one that is idle, or waits for a request, or whose caller
+// sends or reads too slowly. Without room, bear says whether the entry can take another one to refuse its request.
+func (c *callerServer) makeRoom() (room, bear bool) {
+	g := c.gateway
+	limit := g.pressure.callerLimit.Load()
+	if c.admitted() < limit {
+		return true, true
+	}
+	closed := ""
+	switch {
+	case c.conns.CloseLongestIdle():
+		closed = "idle"
+	case c.conns.CloseLongestWaiting(minHeadWait):
+		closed = "waiting"
+	case g.slowCallers.cutForConnection(time.Now(), limit):
+		closed = "slow"
+	default:
+		return false, c.refused.Load() < overLimitConnections(limit)
+	}
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_callers_closed_for_others_total{state=%q}`, closed)).Inc()
+	if closed == "idle" {
+		g.metrics.GetOrCreateCounter("aspenyard_gateway_idle_callers_closed_total").Inc()
+	}
+	return true, true
+}
+
+// overLimitConnections returns how many connections beyond a limit are accepted, so that their requests are refused with when to
+// come back. Further ones are closed unread.
+func overLimitConnections(limit int64) int64 { return limit/8 + 16 }
+
 // callerConn replaces the server's fixed timeouts by those of the current configuration: the
 // server reads its fields without a lock, so they cannot change while it runs. It also sends a
 // response when a request's head does not arrive in time, which the server itself does not do.
@@ -136,17 +192,68 @@
 	// headTimedOut is set when a part of a request's head was read and the rest did not arrive
 	// in time.
 	headTimedOut atomic.Bool
-	// head is what was read of the current request's head, and any bytes after it. Only the
-	// server's goroutine for this connection uses it.
-	head []byte
+	// head follows the current request's head, headHeld is what is held for it, and headRefusal the response to a head that is
+	// read no further; "" for none. Only the server's goroutine for this connection uses them.
+	head        intake.Head
+	headHeld    admission.Holding
+	headRefusal string
+	// receiveBuffer is the size that was set of the kernel's receive buffer.
+	receiveBuffer int
 	// handled is set from when a request is passed to the handler until its response has ended.
 	handled atomic.Bool
 }
 
+// setAdmitted makes the connection one that is not refused, or ends its count as one that is.
+func (c *callerConn) setAdmitted() {
+	if c.overLimit {
+		c.overLimit = false
+		c.gateway.callers.refused.Add(-1)
+	}
+}
+
 // hasContentLength reports whether the current request's head, as received, has a Content-Length.
-func (c *callerConn) hasContentLength() bool {
-	head, _, _ := bytes.Cut(c.head, []byte("\r\n\r\n"))
-	return bytes.Contains(bytes.ToLower(head), []byte("\ncontent-length:"))
+func (c *callerConn) hasContentLength() bool { return c.head.HasContentLength() }
+
+// setReceiveBuffer sets the size of the kernel's receive buffer.
+func (c *callerConn) setReceiveBuffer(bytes int) {
+	if c.receiveBuffer != bytes {
+		c.receiveBuffer = bytes
+		setReceiveBuffer(c.backlog.Conn, bytes)
+	}
+}
+
+// errHeadRefused ends the reading of a head. The server writes no response of its own after it.
+var errHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request head refused")}
+
+// followHead adds what was read of a head, and returns an error if the rest is not to be read.
+func (c *callerConn) followHead(p []byte) error {
+	if c.head.Ended() {
+		return nil
+	}
+	c.head.Scan(p)
+	limit := maxHeaderBytes
+	if config := c.gateway.snapshot.Load().Config; config != nil && config.Limits.HeaderBytes > 0 {
+		limit = config.Limits.HeaderBytes
+	}
+	switch {
+	case c.head.Bytes() > limit && !c.head.Ended():
+		c.headRefusal = headTooLargeResponse
+	case !c.holdHead(c.head.Memory()):
+		c.headRefusal = fmt.Sprintf(headStopResponse, entryFullRetryAfter.Seconds())
+	default:
+		return nil
+	}
+	return errHeadRefused
+}
+
+// holdHead accounts for the memory of the head; it returns false if there is no room.
+func (c *callerConn) holdHead(memory int64) bool {
+	n := memory - c.headHeld.Bytes()
+	if n <= 0 || c.headHeld.Grow(n) {
+		return true
+	}
+	c.gateway.slowCallers.cutOne(time.Now(), admission.HeadBytes, c.gateway.bytes.Bound())
+	return false
 }
 
 // SetReadDeadline implements net.Conn. The server sets deadlines in two cases: while it waits for
@@ -178,8 +285,10 @@
 		return n, err
 	}
 	switch {
-	case n > 0 && len(c.head) < maxHeaderBytes:
-		c.head = append(c.head, p[:n]...)
+	case n > 0:
+		if refused := c.followHead(p[:n]); refused != nil {
+			return 0, refused
+		}
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.InRequest():
 		c.headTimedOut.Store(true)
 	}
@@ -195,7 +304,7 @@
 	if c.headTimedOut.Load() {
 		return len(p), nil
 	}
-	c.gateway.logUnparsed(p, len(c.head))
+	c.gateway.logUnparsed(p, c.head.Bytes())
 	return c.Conn.Write(p)
 }
 
@@ -225,21 +334,29 @@
 	})
 }
 
-// headTimeoutResponse is sent when a request's head was not received in time, headStopResponse if the reason is that the
-// process ends.
+// headTimeoutResponse is sent when a request's head was not received in time, headTooLargeResponse when it exceeds the limit, and
+// headStopResponse when the process ends or has no room for it.
 const (
-	headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	headStopResponse    = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n"
+	headTimeoutResponse  = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	headTooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	headStopResponse     = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n"
 )
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	if refusal := c.headRefusal; refusal != "" {
+		c.headRefusal = ""
+		c.gateway.log.Info("head_refused", zap.Int("received_bytes", c.head.Bytes()), zap.Int64("held_bytes", c.gateway.bytes.Held()))
+		c.gateway.metrics.GetOrCreateCounter("aspenyard_gateway_heads_refused_total").Inc()
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = c.Conn.Write([]byte(refusal))
+	}
 	if c.headTimedOut.CompareAndSwap(true, false) {
 		response := headTimeoutResponse
 		if remaining, draining := c.gateway.shutdown.Remaining(); draining && remaining <= 0 {
 			response = fmt.Sprintf(headStopResponse, drainingRetryAfter.Seconds())
 		}
-		c.gateway.log.Info("head_not_received", zap.Int("received_bytes", len(c.head)), zap.Bool("draining", c.gateway.draining()))
+		c.gateway.log.Info("head_not_received", zap.Int("received_bytes", c.head.Bytes()), zap.Bool("draining", c.gateway.draining()))
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Second))
 		_, _ = c.Conn.Write([]byte(response))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -31,6 +30,7 @@
 	"aspenyard.example/eventlog"
 	"aspenyard.example/gateway/storewatch"
 	"aspenyard.example/graceful"
+	"aspenyard.example/intake"
 	"aspenyard.example/membership"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/settings"
@@ -187,7 +187,7 @@
 // goMemoryLimitShare is the part of the process's memory limit that is set as the Go runtime's
 // soft limit, near which garbage is collected more eagerly. The rest is for stacks, kernel
 // buffers and the binary.
-const goMemoryLimitShare = 0.6
+const goMemoryLimitShare = 0.55
 
 // Serve runs the gateway until ctx ends, a drain is complete or a server fails. SIGHUP reads the
 // settings again through reload; any other signal starts a drain, and an interrupt during the
@@ -239,15 +239,13 @@
 		ports = append(ports, port{g.settings.MetricsListen, g.metricsHandler(), &g.metricsAddr})
 	}
 	for _, p := range ports {
-		listener, err := net.Listen("tcp", p.addr)
+		listener, err := intake.Listen(ctx, p.addr)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
 		p.bound.Store(listener.Addr().String())
-		server := &http.Server{Handler: p.handler, ReadHeaderTimeout: monitoringHeaderTimeout}
-		context.AfterFunc(ctx, func() { _ = server.Close() })
 		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := (intake.Port{}).Serve(ctx, listener, p.handler); err != nil {
 				failures <- errors.Wrapf(err, "serve %s", p.addr)
 			}
 		}()
@@ -265,10 +263,6 @@
 	return nil
 }
 
-// monitoringHeaderTimeout bounds how long a load balancer or a metrics scraper may take to send
-// a request's header.
-const monitoringHeaderTimeout = 5 * time.Second
-
 func retryLimits(s settings.Gateway) admission.RetryLimits {
 	return admission.RetryLimits{Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindow.D()}
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -20,6 +20,7 @@
 	"aspenyard.example/eventlog"
 	"aspenyard.example/gateway/response"
 	"aspenyard.example/graceful"
+	"aspenyard.example/intake"
 	"aspenyard.example/result"
 )
 
@@ -39,6 +40,8 @@
 	// restriction limits the request to endpoints in some regions; nil without a limit.
 	restriction *directory.Restriction
 	body        []byte
+	// bodyRead is set once the whole body has been read.
+	bodyRead bool
 	// held is what is held of the request's body, responseHeld of responses. rank is 0 for the most
 	// urgent requests and 1 for the least urgent.
 	held, responseHeld admission.Holding
@@ -79,6 +82,9 @@
 	c.response.CloseConnectionIf(g.draining)
 	c.log = g.requestLogs.Begin(c.ID)
 	if conn := c.callerConn(); conn != nil {
+		if conn.Evicted() {
+			panic(http.ErrAbortHandler)
+		}
 		conn.handled.Store(true)
 	}
 	defer c.releaseHolding()
@@ -102,9 +108,12 @@
 	if c.config == nil {
 		return result.Refuse(result.NotReady, notReadyRetryAfter, "no configuration yet")
 	}
-	if limit := c.config.Limits.HeaderBytes; limit > 0 && headBytes(c.httpRequest) > limit {
+	if limit := c.config.Limits.HeaderBytes; limit > 0 && c.headBytes() > limit {
 		return result.Refuse(result.HeaderTooLarge, 0, "request head exceeds %d bytes", limit)
 	}
+	if conn := c.callerConn(); conn != nil && !conn.holdHead(intake.HeaderMemory(c.httpRequest.Header)) {
+		return c.refuseFull(intake.HeaderMemory(c.httpRequest.Header))
+	}
 	if failure := c.resolveRoute(); failure != nil {
 		return failure
 	}
@@ -195,13 +204,17 @@
 	return ok && conn.hasContentLength()
 }
 
-// headBytes returns the approximate size of the request's head as it was sent, accurate to a few
-// bytes.
-func headBytes(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\n ") + len("Host: \r\n") + len(r.Host)
+// headBytes returns the size of the request's head as it was sent. That of one that was read together with the request before is
+// estimated, without the blanks behind the names.
+func (c *call) headBytes() int {
+	if conn := c.callerConn(); conn != nil && conn.head.Ended() {
+		return conn.head.Bytes()
+	}
+	r := c.httpRequest
+	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\n ") + len("Host:\r\n") + len(r.Host)
 	for name, values := range r.Header {
 		for _, value := range values {
-			n += len(name) + len(value) + len(": \r\n")
+			n += len(name) + len(value) + len(":\r\n")
 		}
 	}
 	return n
@@ -276,13 +289,13 @@
 	_ = control.SetReadDeadline(c.deadline)
 	defer c.gateway.shutdown.Before(0, c.endBodyRead)()
 	reader := http.MaxBytesReader(nil, c.httpRequest.Body, limit) // writeError closes the connection
-	body, err := c.readBodyWithin(reader, c.httpRequest.ContentLength)
+	body, err := c.readBodyWithin(reader, c.httpRequest.ContentLength, int(limit))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
 	case err == nil:
-		c.body = body
+		c.body, c.bodyRead = body, true
 		return nil
 	case c.shutdownDue():
 		return c.refuseLeaving()
@@ -313,6 +326,8 @@
 	status := result.Lookup(failure.Code).HTTPStatus
 	h := http.Header{}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	text := failure.Error() + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
 	if failure.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -320,7 +335,7 @@
 	case result.SlowCaller, result.BodyTooLarge, result.BadRequest, result.Leaving, result.EntryFull:
 		c.response.CloseConnection()
 	}
-	if err := c.response.WriteWhole(status, h, failure.Error()+"\n"); err != nil {
+	if err := c.response.WriteWhole(status, h, text); err != nil {
 		c.gateway.log.Info("caller_lost", zap.String("request", c.ID), eventlog.Error(err)) // the request's lines are written already
 	}
 }
@@ -352,16 +367,48 @@
 	case failure == nil && state == response.Complete:
 	case failure == nil || state != response.Unsent || failure.Code == result.Cancelled:
 		c.abort()
+	case c.bodyUnread() && c.connectionWanted():
+		c.response.CloseConnection()
+		c.writeError(failure)
+		_ = c.response.Controller().Flush()
+		c.abort() // others wait for the connection that the rest of the body would keep
 	default:
+		c.limitUnreadBody()
 		c.writeError(failure)
 	}
 }
 
+// connectionWanted reports whether another caller waits for the connection.
+func (c *call) connectionWanted() bool {
+	conn := c.callerConn()
+	return conn != nil && (conn.overLimit || c.gateway.callers.full())
+}
+
+// bodyUnread reports whether the caller may still send a part of the body.
+func (c *call) bodyUnread() bool {
+	body := c.httpRequest.Body
+	return body != nil && body != http.NoBody && !c.bodyRead
+}
+
+// unreadBodyTimeout bounds how long the server waits for the rest of a body that is not used, which it reads so that the
+// connection can go on.
+const unreadBodyTimeout = 500 * time.Millisecond
+
+// limitUnreadBody bounds the time in which the server reads what is left of the body.
+func (c *call) limitUnreadBody() {
+	if c.bodyUnread() {
+		_ = c.response.Controller().SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
 // abort ends the caller's connection, so that a partial response does not look complete.
 func (c *call) abort() {
 	if conn := c.backlog(); conn != nil && !c.httpRequest.ProtoAtLeast(1, 1) {
 		conn.reset()
 	}
+	if c.bodyUnread() {
+		_ = c.response.Controller().SetReadDeadline(time.Unix(1, 0)) // the server would read the rest first
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -11,6 +11,7 @@
 
 	"aspenyard.example/admission"
 	"aspenyard.example/directory"
+	"aspenyard.example/intake"
 	"aspenyard.example/result"
 	"aspenyard.example/settings"
 )
@@ -55,6 +56,9 @@
 	c.rank = c.config.PriorityRank(c.route, c.account)
 	c.held = c.gateway.bytes.Open(admission.BodyBytes, c.rank)
 	c.responseHeld = c.gateway.bytes.Open(admission.ResponseBytes, c.rank)
+	if conn := c.callerConn(); conn != nil { // its head is part of what the request holds
+		conn.headHeld.MoveTo(&c.held, conn.headHeld.Bytes())
+	}
 	if conn := c.backlog(); conn != nil {
 		conn.beginResponse(responseTerms{request: c.ID, stall: stallTimeout(c.deadline.Sub(c.started)), deadline: c.deadline, rank: c.rank, unframed: !c.httpRequest.ProtoAtLeast(1, 1), held: &c.responseHeld})
 	}
@@ -96,29 +100,27 @@
 // errBodyRefused is returned while a body of unknown length is read that must not be held.
 var errBodyRefused = errors.New("body exceeds what the entry may hold")
 
-// readBodyWithin reads a body of the given length, negative if unknown, whose bytes are accounted for: all
+// readBodyWithin reads a body of the given length, negative if unknown, of at most limit bytes, whose bytes are accounted for: all
 // at once before it is read, or as it grows.
-func (c *call) readBodyWithin(r io.Reader, length int64) ([]byte, error) {
+func (c *call) readBodyWithin(r io.Reader, length int64, limit int) ([]byte, error) {
 	if length < 0 {
-		return c.readGrowing(r)
+		return c.readGrowing(r, limit)
 	}
 	if !c.held.Grow(length) {
 		return nil, errBodyRefused
 	}
+	sender, end := c.beginReceiving(length)
+	defer end()
+	c.setReceiveBuffer(length)
+	defer c.resetReceiveBuffer()
 	body := make([]byte, length)
-	if length <= admission.SmallBody {
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	sender := &sendingCaller{call: c, announced: length}
-	c.gateway.slowCallers.add(sender)
-	defer c.gateway.slowCallers.remove(sender)
-	defer sender.end()
 	for n := 0; n < len(body); {
 		m, err := r.Read(body[n:])
 		n += m
-		sender.received.Add(int64(m))
-		c.gateway.traffic.largeBodies.Add(int64(m))
+		sender.add(m)
+		if length > admission.SmallBody {
+			c.gateway.traffic.largeBodies.Add(int64(m))
+		}
 		if n < len(body) && err != nil {
 			if err == io.EOF {
 				err = io.ErrUnexpectedEOF
@@ -129,12 +131,33 @@
 	return body, nil
 }
 
-// readGrowing reads a body of unknown length.
-func (c *call) readGrowing(r io.Reader) ([]byte, error) {
+// minBodyReceiveBuffer is the least size in bytes of the kernel's receive buffer while a body is read.
+const minBodyReceiveBuffer = 32 << 10
+
+// setReceiveBuffer lets the kernel hold as much of what the caller sends as is held for it, within bounds.
+func (c *call) setReceiveBuffer(held int64) {
+	if conn := c.callerConn(); conn != nil {
+		conn.setReceiveBuffer(int(min(max(held, minBodyReceiveBuffer), intake.BodyReceiveBuffer)))
+	}
+}
+
+// resetReceiveBuffer ends what setReceiveBuffer set.
+func (c *call) resetReceiveBuffer() {
+	if conn := c.callerConn(); conn != nil {
+		conn.setReceiveBuffer(intake.UnreadReceiveBuffer)
+	}
+}
+
+// readGrowing reads a body of unknown length, of at most limit bytes.
+func (c *call) readGrowing(r io.Reader, limit int) ([]byte, error) {
+	sender, end := c.beginReceiving(-1)
+	defer end()
+	c.setReceiveBuffer(0)
+	defer c.resetReceiveBuffer()
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			next := max(2*cap(body), minBodyBuffer)
+			next := max(min(2*cap(body), limit), cap(body)+minBodyBuffer)
 			if !c.held.Grow(int64(next)) {
 				return nil, errBodyRefused
 			}
@@ -142,8 +165,10 @@
 			copy(grown, body)
 			c.held.Shrink(int64(cap(body)))
 			body = grown
+			c.setReceiveBuffer(2 * int64(next))
 		}
 		n, err := r.Read(body[len(body):cap(body)])
+		sender.add(n)
 		body = body[:len(body)+n]
 		if err == io.EOF {
 			return body, nil
--- a/gateway/net_linux.go
+++ b/gateway/net_linux.go
@@ -32,6 +32,13 @@
 	})
 }
 
+// setReceiveBuffer sets the size of the kernel's receive buffer of a connection.
+func setReceiveBuffer(conn net.Conn, bytes int) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(bytes)
+	}
+}
+
 // listenForCallers opens the callers' port. Its connections inherit the size of its send buffer.
 func listenForCallers(ctx context.Context, addr string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -160,9 +160,10 @@
 	}
 	if m.limits.LinkBytes > 0 {
 		for _, s := range m.gateway.slowCallers.states() {
-			if s.Announced > 0 {
+			switch {
+			case s.Announced > admission.SmallBody:
 				use.ReceiveWaiting += s.Announced - s.Received
-			} else {
+			case !s.Sends:
 				use.SendWaiting += s.Held
 			}
 		}
@@ -194,11 +195,6 @@
 	m.callerResource.Store(int64(resource))
 }
 
-// callersOverLimit reports whether callers have more connections than they may.
-func (m *pressureMonitor) callersOverLimit() bool {
-	return int64(m.gateway.callers.conns.Len()) > m.callerLimit.Load()
-}
-
 // refusePressed refuses a request that the entry has no capacity for, before its body is read. A resumed stream
 // has taken an endpoint's work already and is never refused.
 func (c *call) refusePressed() *result.Error {
@@ -263,9 +259,11 @@
 	if conn == nil || !conn.overLimit {
 		return
 	}
-	if conn.overLimit = c.gateway.pressure.callersOverLimit(); conn.overLimit {
+	if c.gateway.callers.full() {
 		c.response.CloseConnection()
+		return
 	}
+	conn.setAdmitted()
 }
 
 // registerPressureMetrics registers the gauges of the entry's own resources.
--- a/gateway/slowcallers.go
+++ b/gateway/slowcallers.go
@@ -76,7 +76,7 @@
 func (s *slowCallers) incomingBodies(now time.Time) []admission.IncomingBody {
 	var bodies []admission.IncomingBody
 	for _, state := range s.states() {
-		if state.Announced > 0 {
+		if state.Announced > admission.SmallBody {
 			bodies = append(bodies, admission.IncomingBody{Announced: state.Announced, Received: state.Received, Sending: now.Sub(state.Since)})
 		}
 	}
@@ -93,20 +93,65 @@
 	}
 }
 
+// cutForConnection cuts off a caller to make room for another connection, of which callers may have limit. It returns false if
+// none may be cut off.
+func (s *slowCallers) cutForConnection(now time.Time, limit int64) bool {
+	callers := s.list()
+	i := admission.PickForConnection(now, limit, slowStates(callers))
+	if i < 0 {
+		return false
+	}
+	callers[i].cut(cutForOthers)
+	return true
+}
+
 // logCut logs and counts a caller that was cut off with unwritten bytes of its backlog.
 func (g *Gateway) logCut(request string, reason cutReason, unwritten int64) {
 	g.log.Info("caller_cut", zap.String("request", request), zap.String("reason", string(reason)), zap.Int64("unwritten_bytes", unwritten), zap.Int64("held_bytes", g.bytes.Held()))
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`aspenyard_gateway_callers_cut_total{reason=%q}`, reason)).Inc()
 }
 
-// sendingCaller is a caller that sends a large body.
+// sendingCaller is a caller that sends a body.
 type sendingCaller struct {
 	call *call
-	// announced is the size of the body.
+	// announced is the size of the body, negative if it is not known.
 	announced int64
 	received  atomic.Int64
-	mu        sync.Mutex
-	ended     bool
+	// progress is when the last bytes were received, in nanoseconds since the call started.
+	progress atomic.Int64
+	mu       sync.Mutex
+	ended    bool
+}
+
+// beginReceiving returns the caller of a body of the announced size, negative if it is not known. Small bodies and those of
+// unknown size, most of which arrive at once, count as slow only after slowBodyTime.
+func (c *call) beginReceiving(announced int64) (s *sendingCaller, end func()) {
+	s = &sendingCaller{call: c, announced: announced}
+	s.progress.Store(int64(time.Since(c.started)))
+	known := &c.gateway.slowCallers
+	if announced > admission.SmallBody {
+		known.add(s)
+		return s, func() { s.end(); known.remove(s) }
+	}
+	timer := time.AfterFunc(slowBodyTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.ended {
+			known.add(s)
+		}
+	})
+	return s, func() { timer.Stop(); s.end(); known.remove(s) }
+}
+
+// slowBodyTime is after how long the sender of a small body is a slow caller.
+const slowBodyTime = 500 * time.Millisecond
+
+// add records that n bytes have been received.
+func (s *sendingCaller) add(n int) {
+	if n > 0 {
+		s.received.Add(int64(n))
+		s.progress.Store(int64(time.Since(s.call.started)))
+	}
 }
 
 // end is called when the body is no longer read; a cut has no effect afterwards.
@@ -119,7 +164,10 @@
 // slowState implements slowCaller.
 func (s *sendingCaller) slowState() admission.SlowCaller {
 	c := s.call
-	return admission.SlowCaller{Held: c.held.Bytes(), Since: c.started, Deadline: c.deadline, Announced: s.announced, Received: s.received.Load(), Rank: c.rank}
+	return admission.SlowCaller{
+		Held: c.held.Bytes(), Since: c.started, Deadline: c.deadline, Rank: c.rank,
+		Sends: true, Announced: s.announced, Received: s.received.Load(), Progress: c.started.Add(time.Duration(s.progress.Load())),
+	}
 }
 
 // cut implements slowCaller: it ends the read of the body.
--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -29,8 +29,9 @@
 	open map[*Conn]struct{}
 	// lingering are the connections that the server has closed and whose peers have not taken everything.
 	lingering map[*Conn]struct{}
-	// idle lists the idle connections, the longest idle first.
-	idle list.List
+	// idle lists the idle connections, the longest idle first, and fresh those of whose first request the head has not been
+	// read, the oldest first.
+	idle, fresh list.List
 	// readingStopped is set when connections that are opened from now on are not read.
 	readingStopped bool
 	// closeAfterResponse is set when every further response closes its connection.
@@ -57,7 +58,7 @@
 // Track starts tracking an accepted connection. If the server is given another connection that
 // wraps the result, the server's states must be passed to SetState.
 func (c *Conns) Track(conn net.Conn) *Conn {
-	tracked := &Conn{Conn: conn, conns: c}
+	tracked := &Conn{Conn: conn, conns: c, waitingSince: time.Now()}
 	if s, ok := conn.(syscall.Conn); ok {
 		tracked.raw, _ = s.SyscallConn()
 	}
@@ -67,6 +68,7 @@
 		c.open = map[*Conn]struct{}{}
 	}
 	c.open[tracked] = struct{}{}
+	tracked.freshElement = c.fresh.PushBack(tracked)
 	if c.readingStopped {
 		tracked.use.Store(useStopped)
 	}
@@ -152,13 +154,68 @@
 	return true
 }
 
+// CloseLongestWaiting makes room for another connection: it closes the one that the server has waited for the longest time for the
+// head of a request, if that is at least minWait. It returns false if there is none.
+func (c *Conns) CloseLongestWaiting(minWait time.Duration) bool {
+	conn := c.takeLongestWaiting(minWait)
+	if conn == nil {
+		return false
+	}
+	conn.closed.Do(func() {}) // keeps the server's own Close from lingering
+	_ = conn.Conn.Close()
+	return true
+}
+
+// takeLongestWaiting removes the connection that CloseLongestWaiting closes from the open ones.
+func (c *Conns) takeLongestWaiting(minWait time.Duration) *Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var longest *Conn
+	for _, l := range []*list.List{&c.fresh, &c.idle} {
+		if e := l.Front(); e != nil {
+			if conn := e.Value.(*Conn); longest == nil || conn.waitingSince.Before(longest.waitingSince) {
+				longest = conn
+			}
+		}
+	}
+	if longest == nil || time.Since(longest.waitingSince) < minWait {
+		return nil
+	}
+	longest.stopWaiting()
+	longest.evicted.Store(true)
+	delete(c.open, longest)
+	return longest
+}
+
+// CloseLongestReceiving makes room for another connection: it closes the one on which the server has waited for the longest time
+// for the rest of a request's body, if that is at least minWait. It returns false if there is none.
+func (c *Conns) CloseLongestReceiving(minWait time.Duration) bool {
+	c.mu.Lock()
+	var longest *Conn
+	for conn := range c.open {
+		if conn.receiving.Load() && conn.State() == http.StateActive && (longest == nil || conn.waitingSince.Before(longest.waitingSince)) {
+			longest = conn
+		}
+	}
+	if longest == nil || time.Since(longest.waitingSince) < minWait {
+		c.mu.Unlock()
+		return false
+	}
+	longest.evicted.Store(true)
+	delete(c.open, longest)
+	c.mu.Unlock()
+	longest.closed.Do(func() {})
+	_ = longest.Conn.Close()
+	return true
+}
+
 // takeLongestIdle stops the reading of the connection that CloseLongestIdle closes. It no longer counts as open.
 func (c *Conns) takeLongestIdle() *Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for e := c.idle.Front(); e != nil; e = e.Next() {
 		if conn := e.Value.(*Conn); conn.stopReading() {
-			conn.leaveIdle()
+			conn.stopWaiting()
 			delete(c.open, conn)
 			return conn
 		}
@@ -247,8 +304,13 @@
 	idleDeadline atomic.Bool
 	closed       sync.Once
 	lingers      atomic.Bool
-	// idleElement is the connection's element of Conns.idle, nil while it is not idle. Conns.mu guards it.
-	idleElement *list.Element
+	evicted      atomic.Bool
+	// idleElement is the connection's element of Conns.idle, nil while it is not idle, and freshElement that of Conns.fresh.
+	// waitingSince is when it was opened, became idle or was last found to have sent a request's head. Conns.mu guards them.
+	idleElement, freshElement *list.Element
+	waitingSince              time.Time
+	// receiving is set while the server reads from the connection, other than to notice that the peer disconnects.
+	receiving atomic.Bool
 }
 
 // Values of Conn.use.
@@ -264,6 +326,10 @@
 // InRequest reports whether a part of a request has been read and its response is not complete.
 func (c *Conn) InRequest() bool { return c.use.Load() == useRequest }
 
+// Evicted reports whether the connection was closed to make room. A request on it that has been read meanwhile must not run, as
+// its response would reach nobody.
+func (c *Conn) Evicted() bool { return c.evicted.Load() }
+
 // SetState records the server's state of the connection.
 func (c *Conn) SetState(state http.ConnState) {
 	c.state.Store(int32(state))
@@ -272,7 +338,8 @@
 	switch state {
 	case http.StateActive: // covers a pipelined request that was read together with the one before it
 		c.use.CompareAndSwap(useIdle, useRequest)
-		c.leaveIdle()
+		c.stopWaiting()
+		c.waitingSince = time.Now()
 	case http.StateIdle:
 		if c.readAhead {
 			c.readAhead = false
@@ -280,20 +347,24 @@
 		}
 		c.use.CompareAndSwap(useRequest, useIdle)
 		if _, open := c.conns.open[c]; open && c.idleElement == nil {
-			c.idleElement = c.conns.idle.PushBack(c)
+			c.idleElement, c.waitingSince = c.conns.idle.PushBack(c), time.Now()
 		}
 	case http.StateClosed, http.StateHijacked:
-		c.leaveIdle()
+		c.stopWaiting()
 		delete(c.conns.open, c)
 	}
 }
 
-// leaveIdle removes the connection from the idle ones. The caller holds Conns.mu.
-func (c *Conn) leaveIdle() {
+// stopWaiting removes the connection from the idle and the fresh ones. The caller holds Conns.mu.
+func (c *Conn) stopWaiting() {
 	if c.idleElement != nil {
 		c.conns.idle.Remove(c.idleElement)
 		c.idleElement = nil
 	}
+	if c.freshElement != nil {
+		c.conns.fresh.Remove(c.freshElement)
+		c.freshElement = nil
+	}
 }
 
 // errStopped is returned by reads once no further request is read. The server writes no response after it.
@@ -302,6 +373,10 @@
 // Read implements net.Conn. Once reading has stopped, data that arrives is not read, so that the request in it does not
 // run; without a descriptor it is read and discarded.
 func (c *Conn) Read(p []byte) (int, error) {
+	if len(p) > 1 {
+		c.receiving.Store(true)
+		defer c.receiving.Store(false)
+	}
 	if c.InRequest() {
 		n, err := c.Conn.Read(p)
 		if n > 0 && len(p) == 1 && c.State() == http.StateActive {
--- a/graceful/linger.go
+++ b/graceful/linger.go
@@ -72,7 +72,7 @@
 func (c *Conns) moveToLingering(conn *Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	conn.leaveIdle()
+	conn.stopWaiting()
 	delete(c.open, conn)
 	if c.lingering == nil {
 		c.lingering = map[*Conn]struct{}{}
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,89 @@
+package intake
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"aspenyard.example/graceful"
+)
+
+// Guards against a head that is counted wrongly: in pieces of any size, behind an empty line, and with a body behind it.
+func TestAHeadIsCountedToItsEnd(t *testing.T) {
+	is := is.New(t)
+	head := "POST / HTTP/1.1\r\nHost: a\r\ncontent-Length: 3\r\n" + strings.Repeat("a:\r\n", 3000) + "\r\n"
+	for piece := 1; piece < 100; piece += 7 {
+		var h Head
+		for text := head + "content-length: 9\r\nabc"; text != ""; text = text[min(piece, len(text)):] {
+			h.Scan([]byte(text[:min(piece, len(text))]))
+		}
+		is.True(h.Ended())
+		is.Equal(h.Bytes(), len(head))
+		is.True(h.HasContentLength())
+		is.True(h.Memory() > 3000*fieldMemory)
+	}
+	var h Head
+	h.Scan([]byte("\r\nGET / HTTP/1.1\r\nX-Content-Length: 3\r\n"))
+	is.True(!h.Ended() && !h.HasContentLength())
+	is.Equal(h.Memory(), int64(0)) // ordinary heads are not accounted for
+}
+
+// Guards against a body that takes memory beyond the bound, and against one that keeps out others although it has stopped
+// arriving.
+func TestABodyThatHasStoppedMakesRoom(t *testing.T) {
+	is := is.New(t)
+	bodies := NewBodies(100<<10, 1)
+	failures := make(chan error, 10)
+	server := httptest.NewServer(bodies.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		failures <- err
+	})))
+	t.Cleanup(server.Close)
+	stopped, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { _ = stopped.Close() })
+	_, err = fmt.Fprintf(stopped, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n%s", strings.Repeat("x", 59_999))
+	is.NoErr(err)
+	for bodies.Account().Held() < 59_999 {
+		time.Sleep(time.Millisecond)
+	}
+	send := func() error {
+		response, err := http.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("x", 60_000)))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return <-failures
+	}
+	if err := send(); !errors.Is(err, ErrFull) { // unless it has stopped for long enough by now
+		is.True(err != nil)
+	}
+	for send() != nil { // until it is cut off
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against a connection on which nothing is sent that keeps out others, and against closing one whose request is handled.
+func TestAConnectionThatWaitsMakesRoom(t *testing.T) {
+	is := is.New(t)
+	var conns graceful.Conns
+	client, server := net.Pipe()
+	t.Cleanup(func() { _ = client.Close() })
+	conn := conns.Track(server)
+	is.True(!makeRoom(&conns, 1, time.Hour, time.Hour))
+	conn.SetState(http.StateActive)
+	is.True(!makeRoom(&conns, 1, 0, 0))
+	conn.SetState(http.StateIdle)
+	is.True(makeRoom(&conns, 1, time.Hour, time.Hour))
+	is.Equal(conns.Len(), 0)
+	conn = conns.Track(server)
+	is.True(makeRoom(&conns, 1, 0, 0))
+	is.True(conn.Evicted())
+}
--- /dev/null
+++ b/intake/port.go
@@ -0,0 +1,228 @@
+package intake
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"aspenyard.example/graceful"
+)
+
+// Port bounds what the clients of a port can make a server hold. Fields that are 0 have defaults.
+type Port struct {
+	// Connections is how many connections there may be; default 32. For another one, the connection that has made the server
+	// wait for the longest time is closed. A higher number costs memory and descriptors.
+	Connections int
+	// HeadBytes bounds the head of a request, in bytes; default 1 KiB. The HTTP server reads 4 KiB more.
+	HeadBytes int
+	// RequestTimeout is the time for a whole request, ResponseTimeout that for the response, IdleTimeout the time between
+	// requests. Defaults: 5s, 10s and 2m.
+	RequestTimeout, ResponseTimeout, IdleTimeout time.Duration
+}
+
+const (
+	defaultConnections     = 32
+	defaultHeadBytes       = 1 << 10
+	defaultRequestTimeout  = 5 * time.Second
+	defaultResponseTimeout = 10 * time.Second
+	defaultIdleTimeout     = 2 * time.Minute
+	// unreadBodyTimeout bounds how long a server waits for the rest of a body that its handler has not read.
+	unreadBodyTimeout = 500 * time.Millisecond
+)
+
+// Sizes in bytes of the kernel's receive buffer of a connection: while nothing is held for what the client sends, as the kernel
+// would let it grow to 6 MB that nobody reads, and while a large body is read. With the latter a client 100 ms away can still
+// send 2 MB a second.
+const (
+	UnreadReceiveBuffer = 16 << 10
+	BodyReceiveBuffer   = 256 << 10
+)
+
+// SetReceiveBuffer sets the size of the kernel's receive buffer of the connection of a request to a server that uses ConnContext.
+func SetReceiveBuffer(ctx context.Context, bytes int) {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	for conn != nil {
+		switch c := conn.(type) {
+		case interface{ SetReadBuffer(bytes int) error }:
+			_ = c.SetReadBuffer(bytes)
+			return
+		case *Conn:
+			conn = c.Conn
+		case *graceful.Conn:
+			conn = c.Conn
+		default:
+			return
+		}
+	}
+}
+
+func orDefault[T int | time.Duration](value, standard T) T {
+	if value == 0 {
+		return standard
+	}
+	return value
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// ConnContext keeps a request's connection for FinishBodies; it must be set as the server's http.Server.ConnContext.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// Serve serves HTTP/1.1 without TLS on listener until ctx ends, and then closes all connections. It returns nil after that, and
+// otherwise the error that ended it.
+func (p Port) Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	var conns graceful.Conns
+	limit := orDefault(p.Connections, defaultConnections)
+	server := &http.Server{
+		Handler: FinishBodies(handler, func() bool { return conns.Len() >= limit }), ConnState: conns.ConnState,
+		MaxHeaderBytes: orDefault(p.HeadBytes, defaultHeadBytes),
+		ReadTimeout:    orDefault(p.RequestTimeout, defaultRequestTimeout), WriteTimeout: orDefault(p.ResponseTimeout, defaultResponseTimeout),
+		IdleTimeout: orDefault(p.IdleTimeout, defaultIdleTimeout),
+		ConnContext: ConnContext,
+		ErrorLog:    log.New(io.Discard, "", 0),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	limited := portListener{Listener: listener, conns: &conns, limit: limit}
+	if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve HTTP")
+	}
+	return nil
+}
+
+// FinishBodies wraps the handler of an HTTP/1.1 server. It bounds the time in which the server reads what the handler has left of
+// a body, closes such connections at once while full reports that others wait for them, and handles no request on a connection
+// that was closed for another one.
+func FinishBodies(next http.Handler, full func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(interface{ Evicted() bool }); ok && conn.Evicted() {
+			panic(http.ErrAbortHandler)
+		}
+		if r.Body == nil || r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := &readToEnd{ReadCloser: r.Body, full: full}
+		request := r.WithContext(r.Context())
+		request.Body = body
+		// The server reads the rest of a body before it writes the first bytes of a response.
+		next.ServeHTTP(&bodyLimiter{w, body}, request)
+		if body.limit(w); !body.ended && full() {
+			control := http.NewResponseController(w)
+			_ = control.Flush()
+			_ = control.SetReadDeadline(time.Unix(1, 0)) // the server would read the rest first
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
+// readToEnd notices whether a body has been read to its end.
+type readToEnd struct {
+	io.ReadCloser
+	ended bool
+	full  func() bool
+}
+
+// Read implements io.Reader.
+func (b *readToEnd) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || err == io.EOF
+	return n, err
+}
+
+// limit bounds the time in which the server reads the rest.
+func (b *readToEnd) limit(w http.ResponseWriter) {
+	if b.ended {
+		return
+	}
+	if b.full() {
+		w.Header().Set("Connection", "close") // the server then responds before it reads the rest
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
+// bodyLimiter bounds the time for the rest of a body when a response begins.
+type bodyLimiter struct {
+	http.ResponseWriter
+	body *readToEnd
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (l *bodyLimiter) WriteHeader(status int) {
+	l.body.limit(l.ResponseWriter)
+	l.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (l *bodyLimiter) Write(p []byte) (int, error) {
+	l.body.limit(l.ResponseWriter)
+	return l.ResponseWriter.Write(p)
+}
+
+// Unwrap makes http.ResponseController work.
+func (l *bodyLimiter) Unwrap() http.ResponseWriter { return l.ResponseWriter }
+
+// Listen listens on addr for a Port. What its clients send is held by the kernel until it is read, also before a connection is
+// accepted.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		return conn.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, UnreadReceiveBuffer)
+		})
+	}}
+	return config.Listen(ctx, "tcp", addr)
+}
+
+// portListener accepts connections, of which there are at most limit.
+type portListener struct {
+	net.Listener
+	conns *graceful.Conns
+	limit int
+}
+
+const (
+	// roomPoll is the time between two attempts to make room for a connection.
+	roomPoll = 5 * time.Millisecond
+	// minWait is the time that a client of a Port has, as long as there is room, to send a request before its connection may be
+	// closed for another one.
+	minWait = 30 * time.Millisecond
+)
+
+// Accept implements net.Listener.
+func (l portListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	for !makeRoom(l.conns, l.limit, minWait, minWait) {
+		time.Sleep(roomPoll)
+	}
+	return l.conns.Track(conn), nil
+}
+
+// Times that callers have, as long as there is room, before their connection may be closed for another one: to send a head, and
+// to send a body.
+const (
+	minHeadWait = 500 * time.Millisecond
+	minBodyWait = time.Second
+)
+
+// MakeRoom reports whether there are fewer connections than limit. Otherwise it closes one that is idle or has made the server
+// wait for too long, and returns false if there is none.
+func MakeRoom(conns *graceful.Conns, limit int) bool {
+	return makeRoom(conns, limit, minHeadWait, minBodyWait)
+}
+
+func makeRoom(conns *graceful.Conns, limit int, headWait, bodyWait time.Duration) bool {
+	return conns.Len() < limit || conns.CloseLongestIdle() || conns.CloseLongestWaiting(headWait) || conns.CloseLongestReceiving(bodyWait)
+}
