An entry and an agent bear crowds of clients that don't behave

What callers saw: an entry answered nobody beside 256 clients that were silent or stopped short of a body's end, also its own readiness; it took 8.1 GB of 256 MB for chat requests of many short messages, 1.5 GB for bodies; an agent took 766 MB for RPCs that stop short of their end.

Cause: bodies were read without a limit on time or on all of them together; a chat's messages were decoded into a list of forty bytes for each three of the body; connections beyond the limit waited for those on which nothing is sent; the operators' and the peers' ports had no bounds.

Change: `memory_limit` (default 256 MB) bounds bodies, heads and connections (package intake); a body has its caller's deadline; one that has stopped is cut off for others; a request without an account's key is refused before its body is read; messages are decoded one at a time; connections make room for others; peers' connections are a quarter of the descriptors. The default is that of a gateway, and the largest body of the default body_limit is served alone.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"aspenyard.example/engine"
 	"aspenyard.example/graceful"
 	"aspenyard.example/infra/consul"
+	"aspenyard.example/intake"
 	"aspenyard.example/membership"
 	"aspenyard.example/node"
 	"aspenyard.example/settings"
@@ -63,19 +64,20 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	signals = node.StopSignals(ctx, signals, a.log)
+	node.LimitMemory(a.settings.MemoryLimit)
 	// The listener is opened before the endpoint is used: the bound port excludes a second
 	// agent for the same endpoint, such as a predecessor that was suspended and resumed.
 	listener, err := net.Listen("tcp", a.settings.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for RPCs")
 	}
-	monitoring, err := net.Listen("tcp", a.settings.OperatorsListen)
+	monitoring, err := intake.Listen(ctx, a.settings.OperatorsListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for monitoring requests")
 	}
 	failures := make(chan error, 3)
 	go func() {
-		failures <- node.ServeHTTP(ctx, monitoring, node.MonitoringMux(a.metrics, a.checkReady))
+		failures <- intake.Port{}.Serve(ctx, monitoring, node.MonitoringMux(a.metrics, a.checkReady))
 	}()
 	if !a.awaitEndpoint(ctx, signals) {
 		return nil
@@ -184,7 +186,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewAgentHandler(a, node.HandlerOptions()))
 	mux.Handle(wireconnect.NewPeerHandler(node.PeerHandler{CatalogueSync: a.catalogue}, node.HandlerOptions()))
-	return mux
+	return node.BoundBodies(mux, a.settings.MemoryLimit)
 }
 
 func (a *Agent) registerMetrics() {
--- a/entry/api.go
+++ b/entry/api.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -13,6 +15,7 @@
 	"aspenyard.example/admission"
 	"aspenyard.example/attempt"
 	"aspenyard.example/catalogue"
+	"aspenyard.example/intake"
 	"aspenyard.example/result"
 )
 
@@ -52,7 +55,7 @@
 type completionRequest struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []chatMessage   `json:"messages"`
+	Messages            chatMessages    `json:"messages"`
 	MaxTokens           *int            `json:"max_tokens"`
 	MaxCompletionTokens *int            `json:"max_completion_tokens"`
 	Stream              bool            `json:"stream"`
@@ -63,6 +66,41 @@
 	Content json.RawMessage `json:"content"`
 }
 
+// chatMessages is the prompt that a chat's messages make. They are decoded one at a time, as very many short ones take far more
+// memory than their text.
+type chatMessages struct {
+	prompt  strings.Builder
+	count   int
+	invalid bool // a message's content is not a string
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *chatMessages) UnmarshalJSON(data []byte) error {
+	*m = chatMessages{}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	start, err := decoder.Token()
+	if err != nil || start == nil {
+		return err
+	}
+	if start != json.Delim('[') {
+		return errors.New("messages is not a list")
+	}
+	for decoder.More() && !m.invalid {
+		var message chatMessage
+		if err := decoder.Decode(&message); err != nil {
+			return err
+		}
+		var content string
+		m.count++
+		m.invalid = json.Unmarshal(message.Content, &content) != nil
+		m.prompt.WriteString(message.Role)
+		m.prompt.WriteString(": ")
+		m.prompt.WriteString(content)
+		m.prompt.WriteByte('\n')
+	}
+	return nil
+}
+
 const (
 	// defaultMaxTokens is the number of output tokens of a request that sets none.
 	defaultMaxTokens = 256
@@ -72,20 +110,41 @@
 
 // readBody reads the body of a request, up to the body_limit of the settings, until its final answer is due.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *result.Error) {
-	stopReading := context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	control := http.NewResponseController(w)
+	stopReading := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
 	defer stopReading()
+	_ = control.SetReadDeadline(time.Now().Add(e.bodyTimeout(r)))
+	intake.SetReceiveBuffer(r.Context(), intake.BodyReceiveBuffer)
+	defer intake.SetReceiveBuffer(r.Context(), intake.UnreadReceiveBuffer)
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.BodyLimit)))
-	if err != nil && endedByStop(r.Context()) {
-		return nil, refuseLeaving()
-	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		if r.Context().Err() == nil {
+			_ = control.SetReadDeadline(time.Time{})
+		}
+		return data, nil
+	case endedByStop(r.Context()):
+		return nil, refuseLeaving()
+	case errors.As(err, &tooLarge):
 		return nil, result.Refuse(result.BodyTooLarge, 0, "the body is longer than %d bytes", tooLarge.Limit)
+	case errors.Is(err, intake.ErrFull):
+		return nil, result.Refuse(result.EntryFull, fullRetryAfter, "the entry holds too many other requests")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, result.Refuse(result.SlowCaller, 0, "the body was not received in time")
 	}
-	if err != nil {
-		return nil, result.Refuse(result.BadBody, 0, "the body could not be read")
+	return nil, result.Refuse(result.BadBody, 0, "the body could not be read")
+}
+
+// fullRetryAfter is the Retry-After value of a request for which there is no room.
+const fullRetryAfter = time.Second
+
+// bodyTimeout returns how long a request's body may take: as long as its caller waits for the answer.
+func (e *Entry) bodyTimeout(r *http.Request) time.Duration {
+	if d, err := time.ParseDuration(r.Header.Get(headerDeadline)); err == nil && d > 0 {
+		return min(d, e.settings.DeadlineLimit.D())
 	}
-	return data, nil
+	return e.settings.DefaultDeadline.D()
 }
 
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
@@ -100,24 +159,23 @@
 
 func (e *Entry) chat(w http.ResponseWriter, r *http.Request) {
 	e.serveCompletion(w, r, chatFormat{}, func(body *completionRequest) (string, *result.Error) {
-		if len(body.Messages) == 0 {
+		switch {
+		case body.Messages.count == 0:
 			return "", result.Refuse(result.BadField, 0, "messages must contain at least one message")
+		case body.Messages.invalid:
+			return "", result.Refuse(result.BadField, 0, "the content of each message must be a string")
 		}
-		var prompt strings.Builder
-		for _, message := range body.Messages {
-			var content string
-			if json.Unmarshal(message.Content, &content) != nil {
-				return "", result.Refuse(result.BadField, 0, "the content of each message must be a string")
-			}
-			prompt.WriteString(message.Role + ": " + content + "\n")
-		}
-		return prompt.String(), nil
+		return body.Messages.prompt.String(), nil
 	})
 }
 
 // serveCompletion serves a text or a chat completion. promptOf extracts the prompt from
 // the body. A missing or wrong API key is reported before any fault of the body.
 func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request, format responseFormat, promptOf func(*completionRequest) (string, *result.Error)) {
+	if refusal := e.refuseStranger(r); refusal != nil {
+		e.finishRefused(w, &call{id: newID(), startedAt: time.Now()}, refusal)
+		return
+	}
 	data, refusal := e.readBody(w, r)
 	var body completionRequest
 	if refusal == nil && json.Unmarshal(data, &body) != nil {
@@ -152,6 +210,15 @@
 	out.finish(failure)
 }
 
+// refuseStranger refuses a request without the key of a client account, before its body is read.
+func (e *Entry) refuseStranger(r *http.Request) *result.Error {
+	if !e.catalogue.Ready() {
+		return nil // prepareCall refuses it
+	}
+	_, refusal := authenticate(r, e.catalogue.View())
+	return refusal
+}
+
 // checkTokenCounts checks the prompt's length and the requested output tokens against the
 // limits, sets both in the call and returns the number of output tokens.
 func checkTokenCounts(c *call, body *completionRequest, prompt string) (int, *result.Error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"aspenyard.example/graceful"
 	"aspenyard.example/infra"
 	"aspenyard.example/infra/consul"
+	"aspenyard.example/intake"
 	"aspenyard.example/membership"
 	"aspenyard.example/node"
 	"aspenyard.example/routing"
@@ -55,7 +56,10 @@
 	powerCoordinator *powerCoordinator
 	lending          *limitLending
 	// callerConns tracks the callers' connections for a graceful shutdown.
-	callerConns    graceful.Conns
+	callerConns graceful.Conns
+	// bodies bounds the memory for requests of callers and operators, and heads that for callers' heads.
+	bodies         *intake.Bodies
+	heads          intake.Heads
 	activeRequests atomic.Int64
 	draining       atomic.Bool
 	shutdown       graceful.Shutdown
@@ -75,6 +79,8 @@
 	for _, class := range []admission.Class{admission.Urgent, admission.Normal, admission.Bulk} {
 		e.budgets[class] = admission.NewRetryBudget()
 	}
+	e.bodies = intake.NewBodies(int64(bodyMemoryShare*float64(s.MemoryLimit)), bodyMemoryFactor)
+	e.heads = intake.Heads{Account: e.bodies.Account(), Limit: maxHeaderBytes}
 	policy, err := routing.New(s.Policy, globalRand{}, e.inFlight)
 	if err != nil {
 		return nil, err
@@ -111,6 +117,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	signals = node.StopSignals(ctx, signals, e.log)
+	node.LimitMemory(e.settings.MemoryLimit)
 	listeners := make([]net.Listener, 0, 3)
 	for _, addr := range []string{e.settings.Listen, e.settings.OperatorsListen, e.settings.CallersListen} {
 		listener, err := net.Listen("tcp", addr)
@@ -123,11 +130,13 @@
 	failures := make(chan error, 4)
 	go func() { failures <- e.loop.Run(ctx) }()
 	go func() { failures <- node.ServeRPC(ctx, listeners[0], e.peerHandler(), e.settings.PeerTimeout.D()) }()
-	go func() { failures <- node.ServeHTTP(ctx, listeners[1], e.operatorsHandler()) }()
+	go func() { failures <- operatorsPort.Serve(ctx, listeners[1], e.bodies.Handler(e.operatorsHandler())) }()
 	callers := e.callersServer()
-	callersListener := newLimitListener(listeners[2].(*net.TCPListener), e.settings.ConnectionLimit)
+	limit := e.connectionLimit()
+	callersListener := newLimitListener(listeners[2].(*net.TCPListener), limit)
+	callersListener.makeRoom = func() { intake.MakeRoom(&e.callerConns, int(limit)) }
 	go func() {
-		err := callers.Serve(e.callerConns.Listener(callersListener))
+		err := callers.Serve(e.heads.Listener(e.callerConns.Listener(callersListener)))
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			failures <- errors.Wrap(err, "serve callers")
 		}
@@ -149,17 +158,38 @@
 	}
 }
 
+// Bounds of what requests make this process hold.
+const (
+	// bodyMemoryShare is the part of the memory limit for requests, bodyMemoryFactor the memory that a byte of a body takes: the
+	// body while it grows, the prompt in it, and the message to the agent.
+	bodyMemoryShare  = 0.5
+	bodyMemoryFactor = 8
+	// maxHeaderBytes is the most that a head may have.
+	maxHeaderBytes = 64 << 10
+)
+
+// operatorsPort bounds what operators' clients may make this process hold.
+var operatorsPort = intake.Port{HeadBytes: 4 << 10, RequestTimeout: 30 * time.Second, ResponseTimeout: time.Minute}
+
+// connectionLimit returns how many connections callers may have.
+func (e *Entry) connectionLimit() int64 {
+	limit, _ := admission.CallerConnections(0, int64(e.settings.MemoryLimit), 0)
+	return min(e.settings.ConnectionLimit, int64(limit), int64(node.DescriptorLimit()/2))
+}
+
 func (e *Entry) callersServer() *http.Server {
+	limit := int(e.connectionLimit())
+	handler := intake.FinishBodies(e.bodies.Handler(e.callersHandler()), func() bool { return e.callerConns.Len() >= limit })
 	return &http.Server{
-		Handler: e.callerConns.Handler(e.callersHandler()), ConnState: e.callerConns.ConnState, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
-		MaxHeaderBytes: 64 << 10,
+		Handler: e.callerConns.Handler(handler), ConnState: intake.ConnState, ConnContext: intake.ConnContext,
+		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
 func (e *Entry) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewPeerHandler(node.PeerHandler{CatalogueSync: e.catalogue, Lend: e.lending.lend}, node.HandlerOptions()))
-	return mux
+	return node.BoundBodies(mux, e.settings.MemoryLimit)
 }
 
 // checkReady returns nil when the load balancer may send requests to this entry, or
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -3,15 +3,20 @@
 import (
 	"net"
 	"sync"
+	"time"
+
+	"aspenyard.example/intake"
 )
 
 // limitListener accepts at most a number of connections at a time. Unlike those of netutil.LimitListener, its connections
 // keep the methods of TCP connections, by which a shutdown sees what callers' hosts have not taken.
 type limitListener struct {
 	*net.TCPListener
-	slots  chan struct{}
-	closed chan struct{}
-	once   sync.Once
+	// makeRoom is called repeatedly while a connection waits for another one to end; nil for nothing.
+	makeRoom func()
+	slots    chan struct{}
+	closed   chan struct{}
+	once     sync.Once
 }
 
 func newLimitListener(l *net.TCPListener, limit int64) *limitListener {
@@ -20,19 +25,44 @@
 
 // Accept implements net.Listener. It waits until fewer connections than the limit are open.
 func (l *limitListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
 	conn, err := l.AcceptTCP()
 	if err != nil {
-		<-l.slots
 		return nil, err
 	}
+	if !l.takeSlot() {
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
+	_ = conn.SetReadBuffer(intake.UnreadReceiveBuffer)
 	return &limitedConn{TCPConn: conn, release: sync.OnceFunc(func() { <-l.slots })}, nil
 }
 
+// roomPollInterval is the time between two calls of makeRoom.
+const roomPollInterval = 20 * time.Millisecond
+
+// takeSlot waits for a slot. It returns false once the listener is closed.
+func (l *limitListener) takeSlot() bool {
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	default:
+	}
+	ticker := time.NewTicker(roomPollInterval)
+	defer ticker.Stop()
+	for {
+		if l.makeRoom != nil {
+			l.makeRoom()
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return true
+		case <-l.closed:
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
 // Close implements net.Listener.
 func (l *limitListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
--- a/node/monitoring.go
+++ b/node/monitoring.go
@@ -34,7 +34,7 @@
 	return log
 }
 
-// ServeHTTP serves HTTP without TLS on listener until ctx ends, and then closes all
+// ServeHTTP serves HTTP without TLS to trusted clients on listener until ctx ends, and then closes all
 // connections. It returns nil after that, and otherwise the error that ended it.
 func ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeaderBytes}
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -44,15 +44,16 @@
 // peers' hosts have taken what was written, within the same time, and otherwise the error that ended it. A connection whose client does
 // not answer a ping within pingTimeout is closed.
 func ServeRPC(ctx context.Context, listener net.Listener, handler http.Handler, pingTimeout time.Duration) error {
+	peers := &peerConns{limit: int(rpcDescriptorShare * float64(DescriptorLimit()))}
 	server := &http.Server{
-		Handler: handler, Protocols: cleartextHTTP2(),
+		Handler: peers.handler(handler), ConnContext: peers.connContext, Protocols: cleartextHTTP2(),
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout, MaxConcurrentStreams: 10_000},
 		ReadHeaderTimeout: 10 * time.Second,
 	}
 	var conns graceful.Conns
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
-		if state == http.StateClosed {
-			conns.ConnState(conn, state)
+		if peer, ok := conn.(*peerConn); ok && state == http.StateClosed {
+			conns.ConnState(peer.Conn, state)
 		}
 	}
 	ended := make(chan struct{})
@@ -61,7 +62,7 @@
 		flush(server, &conns)
 	})
 	defer stop()
-	if err := server.Serve(conns.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(peers.listener(conns.Listener(listener))); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve RPCs")
 	}
 	<-ended
--- a/settings/node.go
+++ b/settings/node.go
@@ -44,6 +44,10 @@
 	PeerTimeout Duration `json:"peer_timeout,omitempty"`
 	// DrainTimeout bounds how long a graceful shutdown waits for requests; default 60s.
 	DrainTimeout Duration `json:"drain_timeout,omitempty"`
+	// MemoryLimit is the memory that the process may use; default 256MB. What is held of requests that are being received takes
+	// at most half of it; further ones are refused with when to come back. With less than eight times body_limit, the largest
+	// requests are served one at a time.
+	MemoryLimit Size `json:"memory_limit,omitempty"`
 }
 
 // SetDefaults sets the optional fields that are zero to their defaults.
@@ -58,6 +62,9 @@
 	setDuration(&n.StoreTimeout, time.Second)
 	setDuration(&n.PeerTimeout, time.Second)
 	setDuration(&n.DrainTimeout, time.Minute)
+	if n.MemoryLimit == 0 {
+		n.MemoryLimit = DefaultMemoryLimit
+	}
 }
 
 // setDuration sets a duration that is 0 to its default.
@@ -87,6 +94,7 @@
 	errs.CheckRange("store_timeout", n.StoreTimeout.D(), 10*time.Millisecond, time.Minute)
 	errs.CheckRange("peer_timeout", n.PeerTimeout.D(), 50*time.Millisecond, time.Minute)
 	errs.CheckRange("drain_timeout", n.DrainTimeout.D(), 0, 24*time.Hour)
+	errs.CheckInt("memory_limit", int64(n.MemoryLimit), 32_000_000, 1<<40)
 	return errs
 }
 
@@ -98,7 +106,9 @@
 	CallersListen string `json:"callers_listen"`
 	// BodyLimit bounds the body of a caller's request; default 16MB.
 	BodyLimit Size `json:"body_limit,omitempty"`
-	// ConnectionLimit bounds the number of callers' open connections; default 4096.
+	// ConnectionLimit bounds the number of callers' open connections; default 4096, or fewer if a quarter of memory_limit or half
+	// of the process's descriptors is less. For another one, a connection is closed that is idle, or whose caller takes too
+	// long to send a request.
 	ConnectionLimit int64 `json:"connection_limit,omitempty"`
 	// DefaultDeadline is the deadline of a request whose caller sends none; default 60s.
 	DefaultDeadline Duration `json:"default_deadline,omitempty"`
