A part of a response is not whole, and what has no valid head is no response

A status 000 counted as an interim response.

Cause: the kernel gives the error of a reset once, to the write or to the read of a socket; where the write of the request took it, the read saw an ordinary end. net/http accepts any three digits as a status and blanks in names.

Peers speak HTTP/2, whose streams have an end.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"aspenyard.example/httpcheck"
 )
 
 // ErrNotSent is returned for a failure before any byte of the request was sent, so that the
@@ -109,7 +111,7 @@
 func New(addr string) *Client {
 	return &Client{
 		base: "http://" + addr, addr: addr,
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes}},
+		http: &http.Client{Transport: &httpcheck.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes}}},
 	}
 }
 
@@ -351,17 +353,12 @@
 	case len(data) > maxResponseBytes:
 		return ServiceResponse{}, errors.WithStack(ErrTooLong)
 	}
-	if endsWithConnection(response) && !c.accepts(ctx) {
+	if httpcheck.EndsWithConnection(response) && !c.accepts(ctx) {
 		return ServiceResponse{}, errors.New("the service has ended with its response, which may be incomplete")
 	}
 	return ServiceResponse{Status: response.StatusCode, Body: data}, nil
 }
 
-// endsWithConnection reports whether the end of a response is only the end of its connection.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed
-}
-
 // accepts reports whether the endpoint accepts a connection, and so has not ended.
 func (c *Client) accepts(ctx context.Context) bool {
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", c.addr)
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -125,15 +125,25 @@
 	return g.prober.connectionRefused(ctx, e)
 }
 
+// checkEnd returns an error if a response that has ended with its connection may not be whole.
+func (g *Gateway) checkEnd(ctx context.Context, r *endpointResponse, repeatable bool) error {
+	switch {
+	case !r.closeDelimited:
+		return nil
+	case !r.awaitUpload(ctx):
+		return errEndedInUpload
+	case g.mayBeIncomplete(ctx, r, repeatable):
+		return errEndedByCrash
+	}
+	return nil
+}
+
 // mayBeIncomplete reports whether a response that has ended with its connection may have ended early, with its endpoint's
 // process: it has been replaced, or its address refuses or resets connections, although an endpoint with too many
 // connections resets more. That an endpoint leaves, or is no longer registered, does not show that it has finished its
 // responses. The probe is not relied on if this process was suspended, as another process may have replaced the endpoint
 // meanwhile. An endpoint that is evacuated is not probed; its response counts as incomplete if it can be repeated.
 func (g *Gateway) mayBeIncomplete(ctx context.Context, r *endpointResponse, repeatable bool) bool {
-	if !r.closeDelimited {
-		return false
-	}
 	if _, ended, ok := g.suspensions.recent(); ok && r.beganAt < ended {
 		return true
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,6 +14,7 @@
 
 	"aspenyard.example/attempt"
 	"aspenyard.example/directory"
+	"aspenyard.example/httpcheck"
 )
 
 // sendError is a failure to obtain a response's head. outcome says whether the request may have
@@ -175,6 +176,9 @@
 	if err == nil {
 		response, err = http.ReadResponse(r.conn.reader, &http.Request{Method: method})
 	}
+	if err == nil {
+		err = httpcheck.CheckHead(response)
+	}
 	return response, errors.Wrap(r.readError(err, "head", headTimeout), "read response head")
 }
 
@@ -206,6 +210,17 @@
 	return maxIdleTime
 }
 
+// awaitUpload waits until the request has been written, or the exchange has ended, and reports whether all of it was. The error of
+// a reset goes to the write or to the read of a connection, whichever comes first; the other sees an ordinary end.
+func (r *endpointResponse) awaitUpload(ctx context.Context) bool {
+	select {
+	case err := <-r.writeResult:
+		return err == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // abandon closes the connection, on which the endpoint cancels the request.
 func (r *endpointResponse) abandon() {
 	r.stopWatching()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -38,8 +38,8 @@
 func (f *forwarding) relayBuffered(ctx context.Context, r *endpointResponse) (attempt.SendOutcome, error) {
 	body, err := f.readResponse(r.body, r.length)
 	err = r.bodyError(err)
-	if err == nil && f.gateway.mayBeIncomplete(ctx, r, f.route.Repeatable()) {
-		err = errEndedByCrash
+	if err == nil {
+		err = f.gateway.checkEnd(ctx, r, f.route.Repeatable())
 	}
 	if err != nil {
 		r.abandon()
@@ -132,6 +132,7 @@
 var (
 	errTruncatedEvent = errors.New("stream ended within an event")
 	errEndedByCrash   = errors.New("endpoint ended with the response's connection")
+	errEndedInUpload  = errors.New("response's connection broke while the request was written")
 	errCallerWrite    = errors.New("write to the caller failed")
 )
 
@@ -148,8 +149,10 @@
 		} else if err == nil && emptyBytes > maxEventBytes {
 			err = &endlessError{"comments", fmt.Sprintf("%d bytes", maxEventBytes)}
 		}
-		if err == io.EOF && s.gateway.mayBeIncomplete(ctx, r, s.route.Repeatable()) {
-			err = errEndedByCrash
+		if err == io.EOF {
+			if endErr := s.gateway.checkEnd(ctx, r, s.route.Repeatable()); endErr != nil {
+				err = endErr
+			}
 		}
 		if err == io.EOF {
 			r.finish()
--- a/infra/consul/client.go
+++ b/infra/consul/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"aspenyard.example/httpcheck"
 	"aspenyard.example/infra"
 	"aspenyard.example/progress"
 )
@@ -41,7 +42,7 @@
 	return &Client{
 		base:    "http://" + addr,
 		timeout: timeout,
-		http:    &http.Client{Transport: &progress.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes}}},
+		http:    &http.Client{Transport: &progress.Transport{Base: &httpcheck.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes}}}},
 	}
 }
 
--- a/standin/platform/cuts.go
+++ b/standin/platform/cuts.go
@@ -53,6 +53,8 @@
 	CutInTrailer       CutPlace = "trailer"
 	CutAfterTrailer    CutPlace = "after-trailer"
 	CutBeforeLastByte  CutPlace = "last-byte"
+	// CutAfterFirstEvent is between two events of a stream.
+	CutAfterFirstEvent CutPlace = "first-event"
 )
 
 const (
@@ -198,22 +200,35 @@
 		CutInInterim: head / 2, CutAfterInterim: head, CutAfterHead: body, CutInChunkSize: body + 1,
 		CutInChunk: body + strings.Index(r.body, "\r\n") + len("\r\nx"), CutBeforeLastChunk: len(all) - len(lastChunk+"\r\n"), CutInLastChunk: len(all) - len("\r\n\r\n"),
 		CutAfterLastChunk: len(all) - len("\r\n"), CutInTrailer: len(all) - len(": a\r\n\r\n"), CutAfterTrailer: len(all) - len("\r\n"),
-		CutBeforeLastByte: len(all) - 1,
+		CutBeforeLastByte: len(all) - 1, CutAfterFirstEvent: body + strings.Index(r.body, "\n\n") + len("\n\n"),
 	}
 	return all[:ends[c.Place]]
 }
 
 // sendCut sends the response to a request up to its cut. It returns false: the connection ends.
 func (w *Worker) sendCut(conn net.Conn, headers string, run *Run, c Cut, callerGone <-chan struct{}) bool {
-	parts := []string{PlainResponse(run.ID)}
+	return w.writeCut(conn, c, c.Form.render(run.Method, w.contentHeader()+headers+serverStamp, w.bodyParts(run)), callerGone)
+}
+
+// contentHeader returns the header that says that the body is a stream, if it is one.
+func (w *Worker) contentHeader() string {
 	if w.EventCount > 0 {
-		headers, parts = streamContentHeader+headers, nil
-		lastEventID, _ := strconv.Atoi(run.LastEventID)
-		for n := lastEventID + 1; n <= w.EventCount; n++ {
-			parts = append(parts, EventText(run.ID, n))
-		}
+		return streamContentHeader
+	}
+	return ""
+}
+
+// bodyParts returns the parts of the body of the response to a request: its events, or one part.
+func (w *Worker) bodyParts(run *Run) []string {
+	if w.EventCount == 0 {
+		return []string{PlainResponse(run.ID)}
+	}
+	var parts []string
+	lastEventID, _ := strconv.Atoi(run.LastEventID)
+	for n := lastEventID + 1; n <= w.EventCount; n++ {
+		parts = append(parts, EventText(run.ID, n))
 	}
-	return w.writeCut(conn, c, c.Form.render(run.Method, headers+serverStamp, parts), callerGone)
+	return parts
 }
 
 // sendCutBefore sends a cut response that precedes the end of the request, or its execution. done is false for other
@@ -229,7 +244,11 @@
 		run.Ran, headers = true, headers+serverStamp
 	}
 	w.addRun(run)
-	w.writeCut(conn, c, c.Form.render(run.Method, headers, []string{PlainResponse(run.ID)}), nil)
+	parts := []string{PlainResponse(run.ID)}
+	if c.Place == CutAfterFirstEvent {
+		headers, parts = w.contentHeader()+headers, w.bodyParts(run)
+	}
+	w.writeCut(conn, c, c.Form.render(run.Method, headers, parts), nil)
 	return true
 }
 
--- a/standin/platform/worker.go
+++ b/standin/platform/worker.go
@@ -515,6 +515,10 @@
 	if cut, ok := cutOf(fault); ok {
 		return w.sendCut(conn, headers, run, cut, callerGone)
 	}
+	if head, ok := invalidHeadOf(fault); ok {
+		head.send(conn, w.contentHeader()+headers+serverStamp, strings.Join(w.bodyParts(run), ""))
+		return false
+	}
 	if fault == FaultLateResponse && !sleepUnlessGone(lateResponseDelay, callerGone) {
 		return false
 	}
