--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,7 +79,8 @@
 	for _, class := range []admission.Class{admission.Urgent, admission.Normal, admission.Bulk} {
 		e.budgets[class] = admission.NewRetryBudget()
 	}
-	e.bodies = intake.NewBodies(int64(bodyMemoryShare*float64(s.MemoryLimit)), bodyMemoryFactor)
+	// A single body of the largest size must always be received.
+	e.bodies = intake.NewBodies(max(int64(bodyMemoryShare*float64(s.MemoryLimit)), bodyMemoryFactor*(int64(s.BodyLimit)+bodySlack)), bodyMemoryFactor)
 	e.heads = intake.Heads{Account: e.bodies.Account(), Limit: maxHeaderBytes}
 	policy, err := routing.New(s.Policy, globalRand{}, e.inFlight)
 	if err != nil {
@@ -164,6 +165,8 @@
 	// body while it grows, the prompt in it, and the message to the agent.
 	bodyMemoryShare  = 0.5
 	bodyMemoryFactor = 8
+	// bodySlack is how many bytes beyond body_limit are received until a body is refused.
+	bodySlack = 1 << 20
 	// maxHeaderBytes is the most that a head may have.
 	maxHeaderBytes = 64 << 10
 )
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -64,9 +64,11 @@
 // writeTo writes the response to the caller. It returns nil unless another response has begun: a request that
 // ends with an endpoint's own failure response has been answered, and finish must not write another one.
 func (b *bufferedResponse) writeTo(c *call) *result.Error {
-	if conn := c.backlog(); conn != nil && c.responseHeld.Bytes() > admission.SmallBody {
-		conn.setSendBuffer(largeSendBuffer)
-		defer conn.setSendBuffer(callerSendBuffer)
+	if c.responseHeld.Bytes() > admission.SmallBody {
+		if conn := c.backlog(); conn != nil {
+			conn.setSendBuffer(largeSendBuffer)
+			defer conn.setSendBuffer(callerSendBuffer)
+		}
 	}
 	if err := c.response.Begin(b.status, endToEndHeaders(b.header)); err != nil {
 		return result.Fail(result.EndpointFailed, result.RanUnknown, "%v", err)
--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -149,8 +149,7 @@
 	if conn == nil {
 		return false
 	}
-	conn.closed.Do(func() {}) // keeps the server's own Close from lingering
-	_ = conn.Conn.Close()
+	conn.closeForOthers()
 	return true
 }
 
@@ -161,8 +160,7 @@
 	if conn == nil {
 		return false
 	}
-	conn.closed.Do(func() {}) // keeps the server's own Close from lingering
-	_ = conn.Conn.Close()
+	conn.closeForOthers()
 	return true
 }
 
@@ -204,11 +202,16 @@
 	longest.evicted.Store(true)
 	delete(c.open, longest)
 	c.mu.Unlock()
-	longest.closed.Do(func() {})
-	_ = longest.Conn.Close()
+	longest.closeForOthers()
 	return true
 }
 
+// closeForOthers closes the connection at once.
+func (c *Conn) closeForOthers() {
+	c.closed.Do(func() {}) // keeps the server's own Close from lingering
+	_ = c.Conn.Close()
+}
+
 // takeLongestIdle stops the reading of the connection that CloseLongestIdle closes. It no longer counts as open.
 func (c *Conns) takeLongestIdle() *Conn {
 	c.mu.Lock()
--- a/settings/node.go
+++ b/settings/node.go
@@ -45,7 +45,7 @@
 	// DrainTimeout bounds how long a graceful shutdown waits for requests; default 60s.
 	DrainTimeout Duration `json:"drain_timeout,omitempty"`
 	// MemoryLimit is the memory that the process may use; default 256MB. What is held of requests that are being received takes
-	// at most half of it; further ones are refused with when to come back. With less than eight times body_limit, the largest
+	// at most half of it; further ones are refused with when to come back. With less than sixteen times body_limit, the largest
 	// requests are served one at a time.
 	MemoryLimit Size `json:"memory_limit,omitempty"`
 }
