--- a/entry/entry.go
+++ b/entry/entry.go
@@ -172,7 +172,7 @@
 )
 
 // operatorsPort bounds what operators' clients may make this process hold.
-var operatorsPort = intake.Port{HeadBytes: 4 << 10, RequestTimeout: 30 * time.Second, ResponseTimeout: time.Minute}
+var operatorsPort = intake.Port{HeadBytes: 8 << 10, RequestTimeout: 30 * time.Second, ResponseTimeout: time.Minute}
 
 // connectionLimit returns how many connections callers may have.
 func (e *Entry) connectionLimit() int64 {
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -143,7 +143,7 @@
 
 // full reports whether callers have as many connections as they may.
 func (c *callerServer) full() bool {
-	return int64(c.conns.Len()) >= c.gateway.pressure.callerLimit.Load()
+	return c.admitted() >= c.gateway.pressure.callerLimit.Load()
 }
 
 // makeRoom closes a connection if callers have as many as they may: one that is idle, or waits for a request, or whose caller
--- a/intake/port.go
+++ b/intake/port.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"aspenyard.example/admission"
 	"aspenyard.example/graceful"
 )
 
@@ -20,7 +21,7 @@
 	// Connections is how many connections there may be; default 32. For another one, the connection that has made the server
 	// wait for the longest time is closed. A higher number costs memory and descriptors.
 	Connections int
-	// HeadBytes bounds the head of a request, in bytes; default 1 KiB. The HTTP server reads 4 KiB more.
+	// HeadBytes bounds the head of a request, in bytes; default 4 KiB.
 	HeadBytes int
 	// RequestTimeout is the time for a whole request, ResponseTimeout that for the response, IdleTimeout the time between
 	// requests. Defaults: 5s, 10s and 2m.
@@ -28,8 +29,10 @@
 }
 
 const (
-	defaultConnections     = 32
-	defaultHeadBytes       = 1 << 10
+	defaultConnections = 32
+	defaultHeadBytes   = 4 << 10
+	// headMemory bounds the memory for all heads with very many fields.
+	headMemory             = 8 << 20
 	defaultRequestTimeout  = 5 * time.Second
 	defaultResponseTimeout = 10 * time.Second
 	defaultIdleTimeout     = 2 * time.Minute
@@ -83,9 +86,10 @@
 func (p Port) Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	var conns graceful.Conns
 	limit := orDefault(p.Connections, defaultConnections)
+	heads := Heads{Account: admission.NewByteAccount(headMemory), Limit: orDefault(p.HeadBytes, defaultHeadBytes)}
 	server := &http.Server{
-		Handler: FinishBodies(handler, func() bool { return conns.Len() >= limit }), ConnState: conns.ConnState,
-		MaxHeaderBytes: orDefault(p.HeadBytes, defaultHeadBytes),
+		Handler: FinishBodies(handler, func() bool { return conns.Len() >= limit }), ConnState: ConnState,
+		MaxHeaderBytes: heads.Limit, // the server reads 4 KiB more, which heads does not
 		ReadTimeout:    orDefault(p.RequestTimeout, defaultRequestTimeout), WriteTimeout: orDefault(p.ResponseTimeout, defaultResponseTimeout),
 		IdleTimeout: orDefault(p.IdleTimeout, defaultIdleTimeout),
 		ConnContext: ConnContext,
@@ -94,7 +98,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	limited := portListener{Listener: listener, conns: &conns, limit: limit}
-	if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(heads.Listener(limited)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve HTTP")
 	}
 	return nil
