--- a/node/bounds.go
+++ b/node/bounds.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"aspenyard.example/graceful"
 	"aspenyard.example/intake"
 	"aspenyard.example/settings"
 )
@@ -30,6 +31,9 @@
 	rpcDescriptorShare = 0.25
 	// minPeerWait is how long a connection that carries no RPC is kept at least while others wait for room.
 	minPeerWait = 500 * time.Millisecond
+	// peerReceiveBuffer is the size in bytes of the kernel's receive buffer of a connection, which the kernel would let grow to
+	// 6 MB while the server does not keep up.
+	peerReceiveBuffer = 128 << 10
 	// peerRoomPoll is the time between two attempts to make room for a connection.
 	peerRoomPoll = 20 * time.Millisecond
 )
@@ -95,6 +99,11 @@
 	for !l.conns.makeRoom(time.Now()) {
 		time.Sleep(peerRoomPoll)
 	}
+	if tracked, ok := conn.(*graceful.Conn); ok {
+		if tcp, ok := tracked.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(peerReceiveBuffer)
+		}
+	}
 	peer := &peerConn{Conn: conn, conns: l.conns, since: time.Now()}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
