--- a/intake/port.go
+++ b/intake/port.go
@@ -199,7 +199,7 @@
 	roomPoll = 5 * time.Millisecond
 	// minWait is the time that a client of a Port has, as long as there is room, to send a request before its connection may be
 	// closed for another one.
-	minWait = 30 * time.Millisecond
+	minWait = 250 * time.Millisecond
 )
 
 // Accept implements net.Listener.
