--- a/node/bounds.go
+++ b/node/bounds.go
@@ -31,9 +31,9 @@
 	rpcDescriptorShare = 0.25
 	// minPeerWait is how long a connection that carries no RPC is kept at least while others wait for room.
 	minPeerWait = 500 * time.Millisecond
-	// peerReceiveBuffer is the size in bytes of the kernel's receive buffer of a connection, which the kernel would let grow to
-	// 6 MB while the server does not keep up.
-	peerReceiveBuffer = 128 << 10
+	// peerBuffer is the size in bytes of the kernel's buffers of a connection, which the kernel would let grow to megabytes while
+	// the server does not keep up, or the peer does not read.
+	peerBuffer = 128 << 10
 	// peerRoomPoll is the time between two attempts to make room for a connection.
 	peerRoomPoll = 20 * time.Millisecond
 )
@@ -101,7 +101,8 @@
 	}
 	if tracked, ok := conn.(*graceful.Conn); ok {
 		if tcp, ok := tracked.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetReadBuffer(peerReceiveBuffer)
+			_ = tcp.SetReadBuffer(peerBuffer)
+			_ = tcp.SetWriteBuffer(peerBuffer)
 		}
 	}
 	peer := &peerConn{Conn: conn, conns: l.conns, since: time.Now()}
