--- a/graceful/stop_test.go
+++ b/graceful/stop_test.go
@@ -118,8 +118,9 @@
 	reader := bufio.NewReader(kept)
 	_, err := http.ReadResponse(reader, nil)
 	is.NoErr(err)
+	waitFor(t, "no request is in flight", func() bool { return conns.Len() == 3 && inRequest(conns) == 0 })
 	_, _ = io.WriteString(slow, head)
-	waitFor(t, "only the half head is in flight", func() bool { return conns.Len() == 3 && inRequest(conns) == 1 })
+	waitFor(t, "only the half head is in flight", func() bool { return inRequest(conns) == 1 })
 	conns.CloseUnused()
 	for _, conn := range []io.Reader{unused, reader} {
 		_, err := conn.Read(make([]byte, 1))
--- a/node/rpc_test.go
+++ b/node/rpc_test.go
@@ -87,7 +87,7 @@
 // Guards against a process that ends while its peer's host has not taken the last events of its calls.
 func TestTheEndOfAServerWaitsForWhatPeersHaveNotTaken(t *testing.T) {
 	is := is.New(t)
-	const size = 1_000_000
+	const size = 250_000 // more than the peer's kernel takes unread, and with it less than the server's holds
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	written, gate := make(chan struct{}), make(chan struct{})
