Kernel buffers are set once, by the listener; prompts go with their calls; monitoring ports close connections that are not read

Cause: receive buffers of callers' connections were made smaller after the connection was open, and larger for a body. The peer's kernel sends segments of up to half of the largest window it has seen; with one that exceeds the window it waits for its timer, from 200 ms on.

Crowds: clients made up to 16 MB of payload each, in the time in which the ordinary client had to send: its connection was closed after 250 ms without a byte (traced: 'EOF for 30 s' of operators/chunks-without-end). They now share it; what is sent is the same. Further forms: Expect, HTTP/1.0, datagrams.

Clients of the platform's lists, the store, orders, reports and services: an invalid head is played at each call (standin/link ChangeHeads).

--- a/crowds/crowd_test.go
+++ b/crowds/crowd_test.go
@@ -52,7 +52,7 @@
 
 // misbehave uses one connection until its other end closes it.
 func (c *crowd) misbehave(ctx context.Context, target *target, f form, n int, sent func()) {
-	conn, err := dial(ctx, target.addr(n))
+	conn, err := dial(ctx, target.network, target.addr(n))
 	if err != nil {
 		sent()
 		return
--- a/crowds/fleet_test.go
+++ b/crowds/fleet_test.go
@@ -140,11 +140,13 @@
 	return prefix + strings.Repeat(",{}", (size-len(prefix)-len(suffix))/3) + suffix
 }
 
+// shortMessages is the largest request with very many short messages.
+var shortMessages = bytesOnce(func() string { return manyMessages(maxBodyBytes) })
+
 // entryForms are further ways of misbehaving at an entry's callers' port.
 var entryForms = []form{
 	{"json-of-short-fields", func(ctx context.Context, c *client, n int) error {
-		body := manyMessages(maxBodyBytes)
-		return c.write(c.target.head("POST", n)+lengthHead(len(body))+body, 0)
+		return c.writeLarge(c.target.head("POST", n)+lengthHead(len(shortMessages())), shortMessages())
 	}},
 }
 
@@ -249,6 +251,7 @@
 	{"rpcs", func(f *fleet) *target {
 		return &target{addrs: []string{f.peers, f.agentPeers}, host: "node", paths: rpcPaths, headers: []string{""}}
 	}, slices.Concat(rpcForms, formsNamed("whole-bodies", "heads-far-over-the-limit", "silent", "one-byte", "not-http"))},
+	{"peers", func(f *fleet) *target { return &target{network: "udp", addrs: []string{f.peers, f.agentPeers}} }, datagramForms},
 }
 
 // Guards against an entry or an agent that ends, hangs, exceeds its machine's memory or descriptors, or serves nobody else,
--- a/crowds/forms_test.go
+++ b/crowds/forms_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -28,6 +30,8 @@
 	// addrs are the ports' addresses, which clients use in turn, and host is the name that they use.
 	addrs []string
 	host  string
+	// network is "udp" for ports for datagrams.
+	network string
 	// paths are used in turn, and each with every one of headers: lines of the head, each with its line end.
 	paths   []string
 	headers []string
@@ -83,6 +87,17 @@
 	return nil
 }
 
+// writeLarge sends a head, and what is the same for all clients: if each made it anew, that would take the time in which they and
+// the clients of ordinary requests send.
+func (c *client) writeLarge(head string, rest []byte) error {
+	if err := c.write(head, 0); err != nil {
+		return err
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.Write(rest)
+	return err
+}
+
 // trickle sends a byte at a time, slowly.
 func (c *client) trickle(ctx context.Context, text string) error {
 	c.sent()
@@ -139,13 +154,29 @@
 
 func lengthHead(n int) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n", n) }
 
+// What large requests send behind the beginnings of their heads. It is made when it is needed, as the product runs in this
+// binary too.
+var (
+	largeBytes    = bytesOnce(func() string { return zeros(largeBody) })
+	largestBytes  = bytesOnce(func() string { return zeros(maxBodyBytes) })
+	endless       = bytesOnce(func() string { return zeros(endlessBytes) })
+	largeChunks   = bytesOnce(func() string { return chunked(zeros(largeBody), 16<<10) })
+	tinyChunks    = bytesOnce(func() string { return chunked(zeros(smallBody), 1) })
+	endlessChunks = bytesOnce(func() string { return chunked(zeros(endlessBytes), 64<<10) })
+	endlessFields = bytesOnce(func() string { return shortFields(4 << 20) })
+)
+
+func bytesOnce(text func() string) func() []byte {
+	return sync.OnceValue(func() []byte { return []byte(text()) })
+}
+
 // forms are the ways of misbehaving at a port that speaks HTTP/1.1.
 var forms = []form{
 	{"whole-bodies", func(ctx context.Context, c *client, n int) error {
-		return c.write(c.target.head("POST", n)+lengthHead(largeBody)+zeros(largeBody), 0)
+		return c.writeLarge(c.target.head("POST", n)+lengthHead(largeBody), largeBytes())
 	}},
 	{"largest-bodies-short-of-their-end", func(ctx context.Context, c *client, n int) error {
-		return c.write(c.target.head("POST", n)+lengthHead(maxBodyBytes)+zeros(maxBodyBytes-1), 0)
+		return c.writeLarge(c.target.head("POST", n)+lengthHead(maxBodyBytes), largestBytes()[1:])
 	}},
 	{"small-bodies-short-of-their-end", func(ctx context.Context, c *client, n int) error {
 		return c.write(c.target.head("POST", n)+lengthHead(smallBody)+zeros(smallBody-1), 0)
@@ -154,13 +185,13 @@
 		return c.write(c.target.head("POST", n)+lengthHead(largeBody/4)+zeros(largeBody/4-1), 1000)
 	}},
 	{"chunks-short-of-their-end", func(ctx context.Context, c *client, n int) error {
-		return c.write(c.target.head("POST", n)+chunkedHead+chunked(zeros(largeBody), 16<<10), 0)
+		return c.writeLarge(c.target.head("POST", n)+chunkedHead, largeChunks())
 	}},
 	{"tiny-chunks-short-of-their-end", func(ctx context.Context, c *client, n int) error {
-		return c.write(c.target.head("POST", n)+chunkedHead+chunked(zeros(smallBody), 1), 0)
+		return c.writeLarge(c.target.head("POST", n)+chunkedHead, tinyChunks())
 	}},
 	{"chunk-short-of-its-end", func(ctx context.Context, c *client, n int) error {
-		return c.write(c.target.head("POST", n)+chunkedHead+fmt.Sprintf("%x\r\n", largeBody)+zeros(largeBody-1), 0)
+		return c.writeLarge(c.target.head("POST", n)+chunkedHead+fmt.Sprintf("%x\r\n", largeBody), largeBytes()[1:])
 	}},
 	{"trailers-of-short-fields", func(ctx context.Context, c *client, n int) error {
 		return c.write(c.target.head("POST", n)+chunkedHead+chunked(zeros(1000), 1000)+"0\r\n"+shortFields(3800), 0)
@@ -169,10 +200,18 @@
 		return c.write(c.target.head("POST", n)+chunkedHead+chunked(zeros(1000), 1000)+"0\r\n"+shortFields(3800)+"\r\n", 0)
 	}},
 	{"bodies-far-over-the-limit", func(ctx context.Context, c *client, n int) error {
-		return c.write(c.target.head("POST", n)+lengthHead(farTooLong)+zeros(endlessBytes), 64<<10)
+		if err := c.write(c.target.head("POST", n)+lengthHead(farTooLong), 0); err != nil {
+			return err
+		}
+		for rest := endless(); len(rest) > 0; rest = rest[min(64<<10, len(rest)):] {
+			if err := c.writeLarge("", rest[:min(64<<10, len(rest))]); err != nil {
+				return err
+			}
+		}
+		return nil
 	}},
 	{"chunks-without-end", func(ctx context.Context, c *client, n int) error {
-		return c.write(c.target.head("POST", n)+chunkedHead+chunked(zeros(endlessBytes), 64<<10), 0)
+		return c.writeLarge(c.target.head("POST", n)+chunkedHead, endlessChunks())
 	}},
 	{"heads-of-short-fields", func(ctx context.Context, c *client, n int) error {
 		head := c.target.head("POST", n)
@@ -183,7 +222,7 @@
 		return c.write(head+shortFields(maxHeaderBytes-len(head)), 0)
 	}},
 	{"heads-far-over-the-limit", func(ctx context.Context, c *client, n int) error {
-		return c.write(c.target.head("POST", n)+shortFields(4<<20), 0)
+		return c.writeLarge(c.target.head("POST", n), endlessFields())
 	}},
 	{"sent-ahead", func(ctx context.Context, c *client, n int) error {
 		for i := range 20_000 {
@@ -201,6 +240,13 @@
 		}
 		return nil
 	}},
+	{"expectations", func(ctx context.Context, c *client, n int) error {
+		return c.write(c.target.head("POST", n)+"Expect: 100-continue\r\n"+lengthHead(largeBody), 0)
+	}},
+	{"version-1.0-short-of-its-end", func(ctx context.Context, c *client, n int) error {
+		head := strings.Replace(c.target.head("POST", n), "HTTP/1.1", "HTTP/1.0", 1)
+		return c.writeLarge(head+lengthHead(largeBody), largeBytes()[1:])
+	}},
 	{"silent", func(ctx context.Context, c *client, n int) error { return nil }},
 	{"one-byte", func(ctx context.Context, c *client, n int) error { return c.write("G", 0) }},
 	{"slow-heads", func(ctx context.Context, c *client, n int) error {
@@ -242,6 +288,26 @@
 	}},
 }
 
+// datagramForms are the ways of misbehaving at a port for datagrams.
+var datagramForms = []form{
+	{"datagrams", func(ctx context.Context, c *client, n int) error {
+		for ; ctx.Err() == nil; sleep(ctx, smallPause) {
+			for range 10 {
+				datagram := make([]byte, rand.IntN(maxDatagram))
+				for i := range datagram {
+					datagram[i] = byte(rand.Uint32())
+				}
+				_, _ = c.Write(datagram) // fails while the port is closed
+			}
+			c.sent()
+		}
+		return ctx.Err()
+	}},
+}
+
+// maxDatagram is more than processes send in a datagram.
+const maxDatagram = 8 << 10
+
 // formsNamed returns the forms with these names.
 func formsNamed(names ...string) []form {
 	var chosen []form
@@ -257,11 +323,11 @@
 const receiveBuffer = 4 << 10
 
 // dial opens a client's connection.
-func dial(ctx context.Context, addr string) (net.Conn, error) {
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: 5 * time.Second, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
 		})
 	}}
-	return dialer.DialContext(ctx, "tcp", addr)
+	return dialer.DialContext(ctx, cmp.Or(network, "tcp"), addr)
 }
--- a/crowds/gateway_test.go
+++ b/crowds/gateway_test.go
@@ -163,6 +163,7 @@
 	{"monitoring", func(g *installation) *target {
 		return &target{addrs: []string{g.readiness, g.metrics}, host: "gateway", paths: []string{"/-/readyz", "/metrics", "/nowhere"}, headers: []string{"", keyLine}}
 	}, forms},
+	{"peers", func(g *installation) *target { return &target{network: "udp", addrs: []string{g.peers}} }, datagramForms},
 }
 
 // Guards against a gateway that ends, hangs, exceeds its machine's memory or descriptors, or serves nobody else, because of a
@@ -185,7 +186,7 @@
 	await(t, "an ordinary request", g.ordinary)
 	is.NoErr(g.post(maxBodyBytes))
 	for _, framing := range []string{"length", "chunks"} {
-		conn, err := dial(context.Background(), g.callers)
+		conn, err := dial(context.Background(), "", g.callers)
 		is.NoErr(err)
 		c := &client{Conn: conn, target: &target{addrs: []string{g.callers}, host: platform.Host, paths: []string{"/app/a"}, headers: []string{keyLine}}}
 		head := c.target.head("POST", 0)
--- a/engine/unframed_test.go
+++ b/engine/unframed_test.go
@@ -6,11 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	"aspenyard.example/standin/link"
 )
 
 // answerOnce starts an endpoint that answers one call without a length. If crash is set, it ends in the middle of the
@@ -53,6 +57,56 @@
 	is.Equal(string(response.Body), `{"run":1}`)
 }
 
+// Guards against passing on as a service's result a response whose head HTTP does not allow.
+func TestAnInvalidResponseOfAServiceIsNoResult(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, `{"run":1}`)
+	}))
+	t.Cleanup(server.Close)
+	l, err := link.New(server.Listener.Addr().String())
+	is.New(t).NoErr(err)
+	t.Cleanup(l.Close)
+	client := New(l.Addr())
+	for _, change := range link.InvalidHeads() {
+		is := is.New(t)
+		l.ChangeHeads(link.HeadChange{})
+		_, err := client.Call(context.Background(), "filing", "k", nil)
+		is.NoErr(err)
+		l.ChangeHeads(change)
+		_, err = client.Call(context.Background(), "filing", "k", nil)
+		is.True(err != nil)
+		is.True(!errors.Is(err, ErrNotSent) && !errors.Is(err, ErrRefused)) // it may have run
+	}
+}
+
+// Guards against passing on as a service's result a part of a response whose connection is reset while the call is sent.
+func TestAnEarlyResponseOfAServiceThatIsResetIsNoResult(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"run\":1}")
+			time.Sleep(5 * time.Millisecond) // the reset must not overtake the response
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	client := New(listener.Addr().String())
+	for range 20 {
+		_, err := client.Call(context.Background(), "filing", "k", make([]byte, 20<<20))
+		is.True(err != nil)
+		is.True(!errors.Is(err, ErrNotSent) && !errors.Is(err, ErrRefused)) // it may have run
+	}
+}
+
 // Guards against passing on the beginning of a response that is too long as if it were the whole one.
 func TestAResponseThatIsTooLongIsNotCutOff(t *testing.T) {
 	is := is.New(t)
--- a/entry/api.go
+++ b/entry/api.go
@@ -114,8 +114,6 @@
 	stopReading := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
 	defer stopReading()
 	_ = control.SetReadDeadline(time.Now().Add(e.bodyTimeout(r)))
-	intake.SetReceiveBuffer(r.Context(), intake.BodyReceiveBuffer)
-	defer intake.SetReceiveBuffer(r.Context(), intake.UnreadReceiveBuffer)
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.BodyLimit)))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -120,8 +120,12 @@
 	signals = node.StopSignals(ctx, signals, e.log)
 	node.LimitMemory(e.settings.MemoryLimit)
 	listeners := make([]net.Listener, 0, 3)
-	for _, addr := range []string{e.settings.Listen, e.settings.OperatorsListen, e.settings.CallersListen} {
-		listener, err := net.Listen("tcp", addr)
+	for _, open := range []func() (net.Listener, error){
+		func() (net.Listener, error) { return net.Listen("tcp", e.settings.Listen) },
+		func() (net.Listener, error) { return intake.Listen(ctx, e.settings.OperatorsListen) },
+		func() (net.Listener, error) { return intake.ListenWith(ctx, e.settings.CallersListen, 0) },
+	} {
+		listener, err := open()
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -4,8 +4,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"aspenyard.example/intake"
 )
 
 // limitListener accepts at most a number of connections at a time. Unlike those of netutil.LimitListener, its connections
@@ -33,7 +31,6 @@
 		_ = conn.Close()
 		return nil, net.ErrClosed
 	}
-	_ = conn.SetReadBuffer(intake.UnreadReceiveBuffer)
 	return &limitedConn{TCPConn: conn, release: sync.OnceFunc(func() { <-l.slots })}, nil
 }
 
--- a/gateway/backlog.go
+++ b/gateway/backlog.go
@@ -19,7 +19,7 @@
 	// callerSendBuffer is the size in bytes of the kernel's send buffer of a caller's connection. The kernel
 	// would let it grow to 4 MB, which slow callers would fill outside of the account of bytes.
 	// A stream beyond it is kept as a backlog.
-	callerSendBuffer = 32 << 10
+	callerSendBuffer = 16 << 10
 	// largeSendBuffer is the size for responses of known length that are larger than admission.SmallBody. With it a caller
 	// 100 ms away can still read 2.5 MB a second.
 	largeSendBuffer = 256 << 10
--- a/gateway/backlog_test.go
+++ b/gateway/backlog_test.go
@@ -3,9 +3,11 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
 	"go.uber.org/zap"
 
 	"aspenyard.example/admission"
@@ -48,3 +50,14 @@
 		})
 	}
 }
+
+// Guards against prompts that take memory outside of the account until slow callers have taken the responses to them.
+func TestACallThatHasEndedKeepsNoPrompt(t *testing.T) {
+	is := is.New(t)
+	g := &Gateway{bytes: admission.NewByteAccount(1 << 20)}
+	c := &call{gateway: g, httpRequest: &http.Request{}, body: make([]byte, 1000), held: g.bytes.Open(admission.BodyBytes, 0), responseHeld: g.bytes.Open(admission.ResponseBytes, 0)}
+	is.True(c.held.Grow(1000))
+	c.releaseHolding()
+	is.Equal(g.bytes.Held(), int64(0))
+	is.True(c.body == nil)
+}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -125,10 +125,9 @@
 		return nil, err
 	}
 	setTCPTimeouts(conn)
-	setReceiveBuffer(conn, intake.UnreadReceiveBuffer)
 	g := l.server.gateway
 	backlog := newBacklogConn(g, conn)
-	caller := &callerConn{Conn: l.server.conns.Track(backlog), backlog: backlog, gateway: g, headHeld: g.bytes.Open(admission.HeadBytes, 0), receiveBuffer: intake.UnreadReceiveBuffer}
+	caller := &callerConn{Conn: l.server.conns.Track(backlog), backlog: backlog, gateway: g, headHeld: g.bytes.Open(admission.HeadBytes, 0)}
 	caller.admitted = g.shedding.OthersHaveRoom(time.Now())
 	if !room {
 		caller.overLimit = true
@@ -197,8 +196,6 @@
 	head        intake.Head
 	headHeld    admission.Holding
 	headRefusal string
-	// receiveBuffer is the size that was set of the kernel's receive buffer.
-	receiveBuffer int
 	// handled is set from when a request is passed to the handler until its response has ended.
 	handled atomic.Bool
 }
@@ -214,14 +211,6 @@
 // hasContentLength reports whether the current request's head, as received, has a Content-Length.
 func (c *callerConn) hasContentLength() bool { return c.head.HasContentLength() }
 
-// setReceiveBuffer sets the size of the kernel's receive buffer.
-func (c *callerConn) setReceiveBuffer(bytes int) {
-	if c.receiveBuffer != bytes {
-		c.receiveBuffer = bytes
-		setReceiveBuffer(c.backlog.Conn, bytes)
-	}
-}
-
 // errHeadRefused ends the reading of a head. The server writes no response of its own after it.
 var errHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request head refused")}
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -187,7 +187,7 @@
 // goMemoryLimitShare is the part of the process's memory limit that is set as the Go runtime's
 // soft limit, near which garbage is collected more eagerly. The rest is for stacks, kernel
 // buffers and the binary.
-const goMemoryLimitShare = 0.55
+const goMemoryLimitShare = 0.45
 
 // Serve runs the gateway until ctx ends, a drain is complete or a server fails. SIGHUP reads the
 // settings again through reload; any other signal starts a drain, and an interrupt during the
@@ -250,7 +250,7 @@
 			}
 		}()
 	}
-	listener, err := listenForCallers(ctx, g.settings.CallersListen)
+	listener, err := intake.ListenWith(ctx, g.settings.CallersListen, callerSendBuffer)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -11,7 +11,6 @@
 
 	"aspenyard.example/admission"
 	"aspenyard.example/directory"
-	"aspenyard.example/intake"
 	"aspenyard.example/result"
 	"aspenyard.example/settings"
 )
@@ -66,6 +65,7 @@
 
 // releaseHolding ends the call's holdings, however the call ended.
 func (c *call) releaseHolding() {
+	c.body = nil // what is left of the response refers to the call until its caller has taken it
 	c.held.Release()
 	c.responseHeld.Release()
 	if conn := c.backlog(); conn != nil {
@@ -111,8 +111,6 @@
 	}
 	sender, end := c.beginReceiving(length)
 	defer end()
-	c.setReceiveBuffer(length)
-	defer c.resetReceiveBuffer()
 	body := make([]byte, length)
 	for n := 0; n < len(body); {
 		m, err := r.Read(body[n:])
@@ -131,29 +129,10 @@
 	return body, nil
 }
 
-// minBodyReceiveBuffer is the least size in bytes of the kernel's receive buffer while a body is read.
-const minBodyReceiveBuffer = 32 << 10
-
-// setReceiveBuffer lets the kernel hold as much of what the caller sends as is held for it, within bounds.
-func (c *call) setReceiveBuffer(held int64) {
-	if conn := c.callerConn(); conn != nil {
-		conn.setReceiveBuffer(int(min(max(held, minBodyReceiveBuffer), intake.BodyReceiveBuffer)))
-	}
-}
-
-// resetReceiveBuffer ends what setReceiveBuffer set.
-func (c *call) resetReceiveBuffer() {
-	if conn := c.callerConn(); conn != nil {
-		conn.setReceiveBuffer(intake.UnreadReceiveBuffer)
-	}
-}
-
 // readGrowing reads a body of unknown length, of at most limit bytes.
 func (c *call) readGrowing(r io.Reader, limit int) ([]byte, error) {
 	sender, end := c.beginReceiving(-1)
 	defer end()
-	c.setReceiveBuffer(0)
-	defer c.resetReceiveBuffer()
 	var body []byte
 	for {
 		if len(body) == cap(body) {
@@ -165,7 +144,6 @@
 			copy(grown, body)
 			c.held.Shrink(int64(cap(body)))
 			body = grown
-			c.setReceiveBuffer(2 * int64(next))
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		sender.add(n)
--- a/gateway/net_linux.go
+++ b/gateway/net_linux.go
@@ -32,21 +32,6 @@
 	})
 }
 
-// setReceiveBuffer sets the size of the kernel's receive buffer of a connection.
-func setReceiveBuffer(conn net.Conn, bytes int) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(bytes)
-	}
-}
-
-// listenForCallers opens the callers' port. Its connections inherit the size of its send buffer.
-func listenForCallers(ctx context.Context, addr string) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
-		return conn.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, callerSendBuffer) })
-	}}
-	return config.Listen(ctx, "tcp", addr)
-}
-
 // Dialer returns a dial function whose connections fail within seconds when the remote host is
 // gone. timeout bounds the dial.
 func Dialer(timeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/graceful/graceful.go
+++ b/graceful/graceful.go
@@ -206,6 +206,28 @@
 	return true
 }
 
+// CloseLongestWriting makes room for another connection: it closes the one whose peer has taken nothing of what the server writes
+// for the longest time, if that is at least minWait. It returns false if there is none.
+func (c *Conns) CloseLongestWriting(minWait time.Duration) bool {
+	c.mu.Lock()
+	var longest *Conn
+	oldest := time.Now().Add(-minWait).UnixNano()
+	for conn := range c.open {
+		if since := conn.writingSince.Load(); since != 0 && since <= oldest {
+			longest, oldest = conn, since
+		}
+	}
+	if longest == nil {
+		c.mu.Unlock()
+		return false
+	}
+	longest.evicted.Store(true)
+	delete(c.open, longest)
+	c.mu.Unlock()
+	longest.closeForOthers()
+	return true
+}
+
 // closeForOthers closes the connection at once.
 func (c *Conn) closeForOthers() {
 	c.closed.Do(func() {}) // keeps the server's own Close from lingering
@@ -314,6 +336,8 @@
 	waitingSince              time.Time
 	// receiving is set while the server reads from the connection, other than to notice that the peer disconnects.
 	receiving atomic.Bool
+	// writingSince is when the write under way began, in nanoseconds since 1970; 0 for none.
+	writingSince atomic.Int64
 }
 
 // Values of Conn.use.
@@ -397,6 +421,13 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writingSince.Store(time.Now().UnixNano())
+	defer c.writingSince.Store(0)
+	return c.Conn.Write(p)
+}
+
 // SetReadDeadline implements net.Conn. A server with an idle timeout lifts the deadline of an idle connection when it has
 // found the beginning of a request there, which it may have read together with the request before.
 func (c *Conn) SetReadDeadline(t time.Time) error {
--- a/infra/consul/cut_test.go
+++ b/infra/consul/cut_test.go
@@ -94,6 +94,34 @@
 	}
 }
 
+// Guards against a list, a value or a write that counts as read, missing or made after a response whose head HTTP does not allow.
+func TestACallWhoseResponseHasAnInvalidHeadFails(t *testing.T) {
+	is := is.New(t)
+	platform := standin.New(standin.Settings{})
+	platform.SetVMs([]standin.VM{{Name: "a", Role: infra.RoleEntry, Addr: "10.0.0.1:7000"}, {Name: "b", Role: infra.RoleAgent, Addr: "10.0.0.2:7000"}})
+	server := httptest.NewServer(platform.Handler())
+	t.Cleanup(server.Close)
+	l, err := link.New(server.Listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(l.Close)
+	client := NewClient(l.Addr(), time.Second)
+	is.NoErr(client.CompareAndSwap(context.Background(), "k", []byte("v"), 0))
+	for vms := []infra.VM(nil); len(vms) != 2; {
+		vms, err = client.VMs(context.Background())
+		is.NoErr(err)
+	}
+	for name, call := range cutCalls {
+		for _, change := range link.InvalidHeads() {
+			l.ChangeHeads(link.HeadChange{})
+			is.NoErr(call(client))
+			l.ChangeHeads(change)
+			if call(client) == nil {
+				t.Errorf("%s: no error after the head %q", name, change)
+			}
+		}
+	}
+}
+
 // Guards against a write that counts as not made: the response to it has no length and is cut.
 func TestAnAnswerWithoutLengthThatIsCutIsNoConflict(t *testing.T) {
 	for _, body := range []string{"", "t", "tru", "f", "fals"} {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -87,3 +87,26 @@
 	is.True(makeRoom(&conns, 1, 0, 0))
 	is.True(conn.Evicted())
 }
+
+// Guards against clients of a port for operators that read no responses and keep out others until their time is over.
+func TestAConnectionThatIsNotReadMakesRoom(t *testing.T) {
+	is := is.New(t)
+	var conns graceful.Conns
+	client, server := net.Pipe()
+	t.Cleanup(func() { _ = client.Close() })
+	conn := conns.Track(server)
+	conn.SetState(http.StateActive)
+	is.True(!conns.CloseLongestWriting(0)) // nothing is written
+	failure := make(chan error)
+	go func() {
+		_, err := conn.Write([]byte("response"))
+		failure <- err
+	}()
+	for !conns.CloseLongestWriting(0) {
+		is.True(!conns.CloseLongestWriting(time.Hour))
+		time.Sleep(time.Millisecond)
+	}
+	is.True(<-failure != nil)
+	is.True(conn.Evicted())
+	is.Equal(conns.Len(), 0)
+}
--- a/intake/port.go
+++ b/intake/port.go
@@ -40,31 +40,13 @@
 	unreadBodyTimeout = 500 * time.Millisecond
 )
 
-// Sizes in bytes of the kernel's receive buffer of a connection: while nothing is held for what the client sends, as the kernel
-// would let it grow to 6 MB that nobody reads, and while a large body is read. With the latter a client 100 ms away can still
-// send 2 MB a second.
-const (
-	UnreadReceiveBuffer = 16 << 10
-	BodyReceiveBuffer   = 256 << 10
-)
+// ReceiveBuffer is the size in bytes of the kernel's receive buffer of a client's connection, which the kernel would let grow to
+// 6 MB that nobody reads. A client 100 ms away can send at least 300 KB a second with it.
+const ReceiveBuffer = 32 << 10
 
-// SetReceiveBuffer sets the size of the kernel's receive buffer of the connection of a request to a server that uses ConnContext.
-func SetReceiveBuffer(ctx context.Context, bytes int) {
-	conn, _ := ctx.Value(connKey{}).(net.Conn)
-	for conn != nil {
-		switch c := conn.(type) {
-		case interface{ SetReadBuffer(bytes int) error }:
-			_ = c.SetReadBuffer(bytes)
-			return
-		case *Conn:
-			conn = c.Conn
-		case *graceful.Conn:
-			conn = c.Conn
-		default:
-			return
-		}
-	}
-}
+// portSendBuffer is the size in bytes of the kernel's send buffer of a Port's connection, which the kernel would let grow to 4 MB
+// that a client does not read.
+const portSendBuffer = 32 << 10
 
 func orDefault[T int | time.Duration](value, standard T) T {
 	if value == 0 {
@@ -87,8 +69,9 @@
 	var conns graceful.Conns
 	limit := orDefault(p.Connections, defaultConnections)
 	heads := Heads{Account: admission.NewByteAccount(headMemory), Limit: orDefault(p.HeadBytes, defaultHeadBytes)}
+	full := func() bool { return conns.Len() >= limit }
 	server := &http.Server{
-		Handler: FinishBodies(handler, func() bool { return conns.Len() >= limit }), ConnState: ConnState,
+		Handler: FinishBodies(closeWhileFull(handler, full), full), ConnState: ConnState,
 		MaxHeaderBytes: heads.Limit, // the server reads 4 KiB more, which heads does not
 		ReadTimeout:    orDefault(p.RequestTimeout, defaultRequestTimeout), WriteTimeout: orDefault(p.ResponseTimeout, defaultResponseTimeout),
 		IdleTimeout: orDefault(p.IdleTimeout, defaultIdleTimeout),
@@ -104,6 +87,17 @@
 	return nil
 }
 
+// closeWhileFull wraps a handler. While others wait for connections, each carries one more request, also if its client has sent
+// many ahead.
+func closeWhileFull(next http.Handler, full func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if full() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // FinishBodies wraps the handler of an HTTP/1.1 server. It bounds the time in which the server reads what the handler has left of
 // a body, closes such connections at once while full reports that others wait for them, and handles no request on a connection
 // that was closed for another one.
@@ -176,12 +170,21 @@
 // Unwrap makes http.ResponseController work.
 func (l *bodyLimiter) Unwrap() http.ResponseWriter { return l.ResponseWriter }
 
-// Listen listens on addr for a Port. What its clients send is held by the kernel until it is read, also before a connection is
-// accepted.
+// Listen listens on addr for a Port.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	return ListenWith(ctx, addr, portSendBuffer)
+}
+
+// ListenWith listens on addr. Connections have a receive buffer of ReceiveBuffer bytes and a send buffer of the given size, 0 for
+// one that the kernel sets. The receive buffer must not be made smaller later: the peer's segments would exceed the window, and
+// peers send those only when a timer ends, after 200 ms and more.
+func ListenWith(ctx context.Context, addr string, sendBuffer int) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
 		return conn.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, UnreadReceiveBuffer)
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, ReceiveBuffer)
+			if sendBuffer > 0 {
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+			}
 		})
 	}}
 	return config.Listen(ctx, "tcp", addr)
@@ -200,6 +203,8 @@
 	// minWait is the time that a client of a Port has, as long as there is room, to send a request before its connection may be
 	// closed for another one.
 	minWait = 250 * time.Millisecond
+	// minWriteWait is the same for a client of a Port to take some of a response.
+	minWriteWait = time.Second
 )
 
 // Accept implements net.Listener.
@@ -208,7 +213,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for !makeRoom(l.conns, l.limit, minWait, minWait) {
+	for !makeRoom(l.conns, l.limit, minWait, minWait) && !l.conns.CloseLongestWriting(minWriteWait) {
 		time.Sleep(roomPoll)
 	}
 	return l.conns.Track(conn), nil
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -38,7 +38,9 @@
 	delay     time.Duration
 	connPairs map[*connPair]bool
 	cut       cut
-	bandwidth bandwidth
+	// headChange is made to heads from the target.
+	headChange HeadChange
+	bandwidth  bandwidth
 }
 
 // connPair is a client's connection and the connection that continues it to the target.
@@ -225,11 +227,16 @@
 	for {
 		n, err := from.Read(buffer)
 		l.awaitPassable(direction)
+		data := buffer[:n]
+		if direction == FromTarget {
+			data = l.changeHead(data)
+			n = len(data)
+		}
 		passed, reset := n, false
 		if direction == FromTarget {
 			passed, reset = l.passBytes(n)
 		}
-		for rest := buffer[:passed]; len(rest) > 0; {
+		for rest := data[:passed]; len(rest) > 0; {
 			piece := rest[:min(len(rest), l.pieceBytes(direction))]
 			rest = rest[len(piece):]
 			l.awaitBandwidth(direction, len(piece))
