The gateway uses intake's bounds of heads and of unread bodies

The time for a head, that for an unread body, the response 431 and the error that ends a head were defined twice, with equal values. No behaviour changes.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -136,10 +136,6 @@
 	return caller, nil
 }
 
-// minHeadWait is how long a caller that has sent no request, or a part of a head, has to send it before its connection may be
-// closed to make room for another one. It covers a packet's way around the globe.
-const minHeadWait = 500 * time.Millisecond
-
 // full reports whether callers have as many connections as they may.
 func (c *callerServer) full() bool {
 	return c.admitted() >= c.gateway.pressure.callerLimit.Load()
@@ -157,7 +153,7 @@
 	switch {
 	case c.conns.CloseLongestIdle():
 		closed = "idle"
-	case c.conns.CloseLongestWaiting(minHeadWait):
+	case c.conns.CloseLongestWaiting(intake.MinHeadWait):
 		closed = "waiting"
 	case g.slowCallers.cutForConnection(time.Now(), limit):
 		closed = "slow"
@@ -211,9 +207,6 @@
 // hasContentLength reports whether the current request's head, as received, has a Content-Length.
 func (c *callerConn) hasContentLength() bool { return c.head.HasContentLength() }
 
-// errHeadRefused ends the reading of a head. The server writes no response of its own after it.
-var errHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request head refused")}
-
 // followHead adds what was read of a head, and returns an error if the rest is not to be read.
 func (c *callerConn) followHead(p []byte) error {
 	if c.head.Ended() {
@@ -226,13 +219,13 @@
 	}
 	switch {
 	case c.head.Bytes() > limit && !c.head.Ended():
-		c.headRefusal = headTooLargeResponse
+		c.headRefusal = intake.HeadTooLarge
 	case !c.holdHead(c.head.Memory()):
 		c.headRefusal = fmt.Sprintf(headStopResponse, entryFullRetryAfter.Seconds())
 	default:
 		return nil
 	}
-	return errHeadRefused
+	return intake.ErrHeadRefused
 }
 
 // holdHead accounts for the memory of the head; it returns false if there is no room.
@@ -323,12 +316,11 @@
 	})
 }
 
-// headTimeoutResponse is sent when a request's head was not received in time, headTooLargeResponse when it exceeds the limit, and
+// headTimeoutResponse is sent when a request's head was not received in time, and
 // headStopResponse when the process ends or has no room for it.
 const (
-	headTimeoutResponse  = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	headTooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	headStopResponse     = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n"
+	headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	headStopResponse    = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n"
 )
 
 // Close implements net.Conn.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -390,14 +390,10 @@
 	return body != nil && body != http.NoBody && !c.bodyRead
 }
 
-// unreadBodyTimeout bounds how long the server waits for the rest of a body that is not used, which it reads so that the
-// connection can go on.
-const unreadBodyTimeout = 500 * time.Millisecond
-
 // limitUnreadBody bounds the time in which the server reads what is left of the body.
 func (c *call) limitUnreadBody() {
 	if c.bodyUnread() {
-		_ = c.response.Controller().SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		_ = c.response.Controller().SetReadDeadline(time.Now().Add(intake.UnreadBodyTimeout))
 	}
 }
 
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -48,16 +48,16 @@
 	refusal string
 }
 
-// Responses to heads that are read no further. The request has not run.
+// HeadTooLarge and headNoRoom are responses to heads that are read no further. The request has not run.
 const (
-	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	HeadTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	headNoRoom   = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
 )
 
 const refusalTimeout = time.Second
 
-// errHeadRefused ends the reading of a head. The server writes no response of its own after it.
-var errHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request head refused")}
+// ErrHeadRefused ends the reading of a head. The server writes no response of its own after it.
+var ErrHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("request head refused")}
 
 // ConnState records a connection's state; it must be set as the server's http.Server.ConnState.
 func ConnState(conn net.Conn, state http.ConnState) {
@@ -84,13 +84,13 @@
 	grow := c.head.Memory() - c.held.Bytes()
 	switch {
 	case c.head.Bytes() > c.heads.Limit && !c.head.Ended():
-		c.refusal = headTooLarge
+		c.refusal = HeadTooLarge
 	case grow > 0 && !c.held.Grow(grow):
 		c.refusal = headNoRoom
 	default:
 		return n, err
 	}
-	return 0, errHeadRefused
+	return 0, ErrHeadRefused
 }
 
 // Close implements net.Conn.
--- a/intake/port.go
+++ b/intake/port.go
@@ -36,12 +36,12 @@
 	defaultRequestTimeout  = 5 * time.Second
 	defaultResponseTimeout = 10 * time.Second
 	defaultIdleTimeout     = 2 * time.Minute
-	// unreadBodyTimeout bounds how long a server waits for the rest of a body that its handler has not read.
-	unreadBodyTimeout = 500 * time.Millisecond
+	// UnreadBodyTimeout bounds how long a server waits for the rest of a body that its handler has not read.
+	UnreadBodyTimeout = 500 * time.Millisecond
 )
 
 // ReceiveBuffer is the size in bytes of the kernel's receive buffer of a client's connection, which the kernel would let grow to
-// 6 MB that nobody reads. A client 100 ms away can send at least 300 KB a second with it.
+// 6 MB that nobody reads. A smaller one limits what far clients can send in the time of a round trip.
 const ReceiveBuffer = 32 << 10
 
 // portSendBuffer is the size in bytes of the kernel's send buffer of a Port's connection, which the kernel would let grow to 4 MB
@@ -146,7 +146,7 @@
 	if b.full() {
 		w.Header().Set("Connection", "close") // the server then responds before it reads the rest
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(UnreadBodyTimeout))
 }
 
 // bodyLimiter bounds the time for the rest of a body when a response begins.
@@ -219,17 +219,17 @@
 	return l.conns.Track(conn), nil
 }
 
-// Times that callers have, as long as there is room, before their connection may be closed for another one: to send a head, and
-// to send a body.
+// MinHeadWait and minBodyWait are the times that callers have, as long as there is room, before their connection may be closed for
+// another one: to send a head, and to send a body.
 const (
-	minHeadWait = 500 * time.Millisecond
+	MinHeadWait = 500 * time.Millisecond
 	minBodyWait = time.Second
 )
 
 // MakeRoom reports whether there are fewer connections than limit. Otherwise it closes one that is idle or has made the server
 // wait for too long, and returns false if there is none.
 func MakeRoom(conns *graceful.Conns, limit int) bool {
-	return makeRoom(conns, limit, minHeadWait, minBodyWait)
+	return makeRoom(conns, limit, MinHeadWait, minBodyWait)
 }
 
 func makeRoom(conns *graceful.Conns, limit int, headWait, bodyWait time.Duration) bool {
