--- a/cli/operators.go
+++ b/cli/operators.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"aspenyard.example/catalogue"
+	"aspenyard.example/httpcheck"
 	"aspenyard.example/result"
 )
 
@@ -92,16 +93,30 @@
 	}
 	request.Header.Set("Authorization", "Bearer "+a.Key)
 	request.Header.Set("If-Match", strconv.FormatUint(expect, 10))
-	client := &http.Client{Timeout: time.Minute}
-	response, err := client.Do(request)
+	response, err := askNode(request, time.Minute)
 	if err != nil {
-		return 0, nil, errors.WithStack(err)
+		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	return response.StatusCode, data, errors.WithStack(err)
 }
 
+// askNode sends a request to a node's operators' port. Nodes state where their responses end, so one that ends with its connection
+// may be a part of a response.
+func askNode(request *http.Request, timeout time.Duration) (*http.Response, error) {
+	client := &http.Client{Timeout: timeout, Transport: &httpcheck.Transport{Base: http.DefaultTransport}}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if httpcheck.EndsWithConnection(response) {
+		_ = response.Body.Close()
+		return nil, errors.Errorf("%s: the response does not state its length and may be incomplete", request.URL)
+	}
+	return response, nil
+}
+
 // show prints the response to a GET request as indented JSON.
 func (a *operatorAccess) show(t terminal, path string) int {
 	status, data, err := a.call(http.MethodGet, path, nil, 0)
--- a/cli/report.go
+++ b/cli/report.go
@@ -163,8 +163,12 @@
 // scrape adds the metrics of a node to the collector, or records the node as unreachable if
 // they cannot be read.
 func scrape(collector *burn.Collector, name, addr string) {
-	client := &http.Client{Timeout: scrapeTimeout}
-	response, err := client.Get("http://" + addr + "/metrics")
+	request, err := http.NewRequest(http.MethodGet, "http://"+addr+"/metrics", nil)
+	if err != nil {
+		collector.AddUnreachable(name)
+		return
+	}
+	response, err := askNode(request, scrapeTimeout)
 	if err != nil {
 		collector.AddUnreachable(name)
 		return
--- a/engine/unframed_test.go
+++ b/engine/unframed_test.go
@@ -9,7 +9,6 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -83,23 +82,10 @@
 // Guards against passing on as a service's result a part of a response whose connection is reset while the call is sent.
 func TestAnEarlyResponseOfAServiceThatIsResetIsNoResult(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, stop, err := link.ServeEarlyResets("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"run\":1}")
 	is.NoErr(err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(conn))
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"run\":1}")
-			time.Sleep(5 * time.Millisecond) // the reset must not overtake the response
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
-		}
-	}()
-	client := New(listener.Addr().String())
+	t.Cleanup(stop)
+	client := New(addr)
 	for range 20 {
 		_, err := client.Call(context.Background(), "filing", "k", make([]byte, 20<<20))
 		is.True(err != nil)
--- a/infra/consul/cut_test.go
+++ b/infra/consul/cut_test.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// Guards against a write that counts as made, or as not made, after a part of a response without a length whose connection is reset
+// while the value is sent.
+func TestAWriteWhoseEarlyResponseIsResetIsOfUnknownOutcome(t *testing.T) {
+	for _, body := range []string{"true", "false", ""} {
+		is := is.New(t)
+		addr, stop, err := link.ServeEarlyResets("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body)
+		is.NoErr(err)
+		t.Cleanup(stop)
+		for range 20 {
+			err = NewClient(addr, time.Second).CompareAndSwap(context.Background(), "k", make([]byte, 20<<20), 1)
+			is.True(errors.Is(err, infra.ErrOutcomeUnknown))
+		}
+	}
+}
+
 // Guards against a write that counts as not made: the response to it has no length and is cut.
 func TestAnAnswerWithoutLengthThatIsCutIsNoConflict(t *testing.T) {
 	for _, body := range []string{"", "t", "tru", "f", "fals"} {
