An entry bears clients that read nothing of their streams

Callers saw: beside 300 clients that send completions ahead and read nothing, an entry answered nobody, also not its own readiness, for as long as they stayed; the kernel held 54 MB of what was not read. Cause: a connection beyond connection_limit waits for one that is idle or has stopped sending; one whose client takes nothing of a response was neither, and one whose client sends ahead is never idle. The send buffers were the kernel's own, up to 4 MB each. Ruled out: lack of memory (114 MB of 256) and of descriptors (313 of 512).

Change: a connection that has taken nothing of a response for a second makes room as well; while others wait, each connection of an entry carries one more request, as at the ports for operators (intake.ShareConnections); send buffers of 64 KiB.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,7 +123,9 @@
 	for _, open := range []func() (net.Listener, error){
 		func() (net.Listener, error) { return net.Listen("tcp", e.settings.Listen) },
 		func() (net.Listener, error) { return intake.Listen(ctx, e.settings.OperatorsListen) },
-		func() (net.Listener, error) { return intake.ListenWith(ctx, e.settings.CallersListen, 0) },
+		func() (net.Listener, error) {
+			return intake.ListenWith(ctx, e.settings.CallersListen, callerSendBuffer)
+		},
 	} {
 		listener, err := open()
 		if err != nil {
@@ -173,6 +175,9 @@
 	bodySlack = 1 << 20
 	// maxHeaderBytes is the most that a head may have.
 	maxHeaderBytes = 64 << 10
+	// callerSendBuffer is the size in bytes of the kernel's send buffer of a caller's connection, which the kernel would let grow to
+	// 4 MB that the caller does not read. A caller 100 ms away can still read 640 KB a second.
+	callerSendBuffer = 64 << 10
 )
 
 // operatorsPort bounds what operators' clients may make this process hold.
@@ -186,7 +191,7 @@
 
 func (e *Entry) callersServer() *http.Server {
 	limit := int(e.connectionLimit())
-	handler := intake.FinishBodies(e.bodies.Handler(e.callersHandler()), func() bool { return e.callerConns.Len() >= limit })
+	handler := intake.ShareConnections(e.bodies.Handler(e.callersHandler()), func() bool { return e.callerConns.Len() >= limit })
 	return &http.Server{
 		Handler: e.callerConns.Handler(handler), ConnState: intake.ConnState, ConnContext: intake.ConnContext,
 		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: maxHeaderBytes,
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -110,3 +110,41 @@
 	is.True(conn.Evicted())
 	is.Equal(conns.Len(), 0)
 }
+
+// Guards against clients that read none of their responses and keep out others for as long as these take.
+func TestAStreamThatIsNotReadMakesRoom(t *testing.T) {
+	is := is.New(t)
+	var conns graceful.Conns
+	client, server := net.Pipe()
+	t.Cleanup(func() { _ = client.Close() })
+	conn := conns.Track(server)
+	conn.SetState(http.StateActive)
+	failure := make(chan error)
+	go func() {
+		_, err := conn.Write([]byte("event"))
+		failure <- err
+	}()
+	for began := time.Now(); !MakeRoom(&conns, 1); time.Sleep(10 * time.Millisecond) {
+		is.True(time.Since(began) < 30*time.Second)
+	}
+	is.True(<-failure != nil)
+	is.Equal(conns.Len(), 0)
+}
+
+// Guards against clients that send many requests ahead and keep out others until all are answered.
+func TestAFullServerServesEachConnectionOnce(t *testing.T) {
+	is := is.New(t)
+	full := false
+	server := httptest.NewServer(ShareConnections(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}), func() bool { return full }))
+	t.Cleanup(server.Close)
+	for _, full = range []bool{false, true, false} {
+		for _, body := range []string{"", "body"} {
+			response, err := http.Post(server.URL, "text/plain", strings.NewReader(body))
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			is.Equal(response.Close, full)
+		}
+	}
+}
--- a/intake/port.go
+++ b/intake/port.go
@@ -58,7 +58,7 @@
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
-// ConnContext keeps a request's connection for FinishBodies; it must be set as the server's http.Server.ConnContext.
+// ConnContext keeps a request's connection for ShareConnections; it must be set as the server's http.Server.ConnContext.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, conn)
 }
@@ -71,7 +71,7 @@
 	heads := Heads{Account: admission.NewByteAccount(headMemory), Limit: orDefault(p.HeadBytes, defaultHeadBytes)}
 	full := func() bool { return conns.Len() >= limit }
 	server := &http.Server{
-		Handler: FinishBodies(closeWhileFull(handler, full), full), ConnState: ConnState,
+		Handler: ShareConnections(handler, full), ConnState: ConnState,
 		MaxHeaderBytes: heads.Limit, // the server reads 4 KiB more, which heads does not
 		ReadTimeout:    orDefault(p.RequestTimeout, defaultRequestTimeout), WriteTimeout: orDefault(p.ResponseTimeout, defaultResponseTimeout),
 		IdleTimeout: orDefault(p.IdleTimeout, defaultIdleTimeout),
@@ -87,22 +87,14 @@
 	return nil
 }
 
-// closeWhileFull wraps a handler. While others wait for connections, each carries one more request, also if its client has sent
-// many ahead.
-func closeWhileFull(next http.Handler, full func() bool) http.Handler {
+// ShareConnections wraps the handler of an HTTP/1.1 server. While full reports that others wait for connections, each carries one
+// more request, also if its client has sent many ahead, and the rest of a body that the handler has left is not read. Otherwise
+// the time for that is bounded. No request is handled on a connection that was closed for another one.
+func ShareConnections(next http.Handler, full func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if full() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// FinishBodies wraps the handler of an HTTP/1.1 server. It bounds the time in which the server reads what the handler has left of
-// a body, closes such connections at once while full reports that others wait for them, and handles no request on a connection
-// that was closed for another one.
-func FinishBodies(next http.Handler, full func() bool) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := r.Context().Value(connKey{}).(interface{ Evicted() bool }); ok && conn.Evicted() {
 			panic(http.ErrAbortHandler)
 		}
@@ -203,7 +195,7 @@
 	// minWait is the time that a client of a Port has, as long as there is room, to send a request before its connection may be
 	// closed for another one.
 	minWait = 250 * time.Millisecond
-	// minWriteWait is the same for a client of a Port to take some of a response.
+	// minWriteWait is the time that a client has, as long as there is room, to take some of a response.
 	minWriteWait = time.Second
 )
 
@@ -227,9 +219,9 @@
 )
 
 // MakeRoom reports whether there are fewer connections than limit. Otherwise it closes one that is idle or has made the server
-// wait for too long, and returns false if there is none.
+// wait for too long, for a request or for its client to read, and returns false if there is none.
 func MakeRoom(conns *graceful.Conns, limit int) bool {
-	return makeRoom(conns, limit, MinHeadWait, minBodyWait)
+	return makeRoom(conns, limit, MinHeadWait, minBodyWait) || conns.CloseLongestWriting(minWriteWait)
 }
 
 func makeRoom(conns *graceful.Conns, limit int, headWait, bodyWait time.Duration) bool {
--- a/crowds/sockets_test.go
+++ b/standin/link/open.go
@@ -1,6 +1,4 @@
-//go:build crowds
-
-package crowds
+package link
 
 import (
 	"net"
@@ -15,10 +13,14 @@
 	stateFinWait2    = 5
 )
 
-// open reports whether a connection's other end has not closed it, without reading anything. Once both directions are
+// Open reports whether a TCP connection's other end has not closed it, without reading anything. Once both directions are
 // closed, or one was reset, it is not.
-func open(conn net.Conn) bool {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+func Open(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
