A gateway closes connections with requests sent ahead while callers have more than half of them

Callers saw: the process took more than its machine has. Cause: the kernel holds up to 64 KB of requests sent ahead for each of 266 connections, and the garbage of handling them fills the Go runtime's limit beside it. Ruled out: smaller receive buffers (callers far away would send prompts at half the pace); fewer connections (each is cheap while it is idle); closing by the pressure of memory (it is measured every 100 ms, the kernel is filled within some).

Change: while callers have more than half of their connections, a response to a caller that has sent more already closes its connection (graceful.Conn.SentAhead). A caller that waits for its response, and every caller in calm, keeps its own.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -141,6 +141,11 @@
 	return c.admitted() >= c.gateway.pressure.callerLimit.Load()
 }
 
+// crowded reports whether callers have more than half of the connections that they may have.
+func (c *callerServer) crowded() bool {
+	return 2*c.admitted() > c.gateway.pressure.callerLimit.Load()
+}
+
 // makeRoom closes a connection if callers have as many as they may: one that is idle, or waits for a request, or whose caller
 // sends or reads too slowly. Without room, bear says whether the entry can take another one to refuse its request.
 func (c *callerServer) makeRoom() (room, bear bool) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -79,7 +79,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	c := &call{gateway: g, started: time.Now(), Request: g.headerCodec.ReadRequest(r.Header), response: response.New(w), httpRequest: r}
-	c.response.CloseConnectionIf(g.draining)
+	c.response.CloseConnectionIf(func() bool { return g.draining() || c.sentAheadWhileCrowded() })
 	c.log = g.requestLogs.Begin(c.ID)
 	if conn := c.callerConn(); conn != nil {
 		if conn.Evicted() {
@@ -384,6 +384,13 @@
 	return conn != nil && (conn.overLimit || c.gateway.callers.full())
 }
 
+// sentAheadWhileCrowded reports whether the caller has sent further requests already, which the kernel holds, and callers have more
+// than half of the connections that they may have. Its connection then ends with the response.
+func (c *call) sentAheadWhileCrowded() bool {
+	conn := c.callerConn()
+	return conn != nil && c.gateway.callers.crowded() && !c.bodyUnread() && conn.SentAhead()
+}
+
 // bodyUnread reports whether the caller may still send a part of the body.
 func (c *call) bodyUnread() bool {
 	body := c.httpRequest.Body
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -256,3 +256,44 @@
 	s.waitFor("connections have ended", func() bool { return s.sumMetric("aspenyard_gateway_caller_connections ") == 20 })
 	serve(connect("room again"))
 }
+
+// Guards against callers that send requests ahead, which the kernel holds for as long as the gateway answers those before, while
+// others need the memory; and against closing a caller's connection for that in calm, or without a response.
+func TestACallerThatSendsAheadLosesItsConnectionInACrowd(t *testing.T) {
+	is := is.New(t)
+	s := newPressedFixture(t, newFakeUsage(0), `,"descriptor_limit":260`, plainWorker()).start() // 40 callers
+	s.waitFor("the bound is known", func() bool { return s.sumMetric("aspenyard_gateway_caller_connections_bound") == 40 })
+	var others []*slowCaller
+	connect := func(id string, requests int) *slowCaller {
+		text := ""
+		for i := range requests {
+			text += head("GET", "/again/a", fmt.Sprint(id, i)) + "\r\n"
+		}
+		return s.dialSlow(text)
+	}
+	serve := func(c *slowCaller) bool {
+		response := c.response()
+		is.Equal(response.StatusCode, http.StatusOK)
+		_, err := io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		return response.Close
+	}
+	calm := connect("calm", 40)
+	for range 40 {
+		is.True(!serve(calm))
+	}
+	_ = calm.conn.Close()
+	s.waitFor("the connection has ended", func() bool { return s.sumMetric("aspenyard_gateway_caller_connections ") == 0 })
+	for i := range 20 {
+		c := connect(fmt.Sprint("other", i), 1)
+		is.True(!serve(c))
+		others = append(others, c)
+	}
+	crowded := connect("ahead", 40)
+	is.True(serve(crowded))
+	for i, c := range others {
+		_, err := io.WriteString(c.conn, head("GET", "/again/a", fmt.Sprint("again", i))+"\r\n")
+		is.NoErr(err)
+		is.True(!serve(c)) // it has sent nothing ahead
+	}
+}
--- a/graceful/linger.go
+++ b/graceful/linger.go
@@ -37,6 +37,20 @@
 	return n
 }
 
+// SentAhead reports whether the peer has sent anything behind the request that is being handled, whose body has been read.
+func (c *Conn) SentAhead() bool {
+	c.conns.mu.Lock()
+	ahead := c.readAhead
+	c.conns.mu.Unlock()
+	if !ahead && c.raw != nil {
+		_ = c.raw.Control(func(fd uintptr) {
+			n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+			ahead = err == nil && n > 0
+		})
+	}
+	return ahead
+}
+
 // unacknowledged returns how many bytes of a socket's send buffer the peer's host has not acknowledged; 0 if the
 // connection has failed.
 func unacknowledged(fd int) int {
