What requests in flight take is not held for callers besides; streams share their event buffers

Traced there: the live heap is 21 to 23 MB, the goal of the collector is the live heap itself, and the collector's share of the processor is at its limit, so that the heap grows past the memory limit. 9.5 MB are backlogs; the bound of held bytes does not know of the stacks and buffers of requests, 6 MB of stacks among them, and each event of a stream was read into a buffer of its own. Ruled out: descriptors, kernel buffers (7 to 10 MB), responses (none is buffered).

Change: each request in flight takes 32 KiB of the bound (aspenyard_gateway_reserved_bytes); it is never refused and leaves a quarter to the others. Streams share the buffers of their events and hold none while they wait (eventReader).

--- a/admission/bytes.go
+++ b/admission/bytes.go
@@ -34,6 +34,8 @@
 	// and small bodies.
 	largeRankShare = 0.35
 	smallRankShare = 0.1
+	// minRoomShare is the part of the bound that requests leave at least for bytes that are held.
+	minRoomShare = 0.25
 	// backlogShare is the part of the bound that the backlog of a single stream may have.
 	backlogShare = 0.125
 )
@@ -43,6 +45,8 @@
 type ByteAccount struct {
 	bound int64
 	held  atomic.Int64
+	// reserved is what Reserve has taken.
+	reserved atomic.Int64
 }
 
 // NewByteAccount returns an empty account with a bound in bytes.
@@ -51,6 +55,18 @@
 // Bound returns the largest number of bytes that are held at once.
 func (a *ByteAccount) Bound() int64 { return a.bound }
 
+// Reserve takes n bytes of the bound for what each request needs, however little of it is held; they are given back by a negative
+// n. It is never refused, but leaves less for bytes that are held.
+func (a *ByteAccount) Reserve(n int64) { a.reserved.Add(n) }
+
+// Reserved returns the number of bytes that Reserve has taken.
+func (a *ByteAccount) Reserved() int64 { return a.reserved.Load() }
+
+// room returns how many bytes may be held.
+func (a *ByteAccount) room() float64 {
+	return max(float64(a.bound-a.reserved.Load()), minRoomShare*float64(a.bound))
+}
+
 // Held returns the number of bytes that are held now.
 func (a *ByteAccount) Held() int64 { return a.held.Load() }
 
@@ -72,7 +88,7 @@
 	case purpose == BacklogBytes || large:
 		share = largeResponseShare
 	}
-	return int64(share * float64(a.bound))
+	return int64(share * a.room())
 }
 
 // Open returns a holding for bytes of one purpose. Release must be called at its end.
--- a/admission/bytes_test.go
+++ b/admission/bytes_test.go
@@ -213,3 +213,32 @@
 		response.Release()
 	}
 }
+
+// Guards against bytes that are held beside very many requests, which take memory themselves.
+func TestReservedBytesLeaveLessRoom(t *testing.T) {
+	is := is.New(t)
+	a := NewByteAccount(1 << 20)
+	small := func() int {
+		n := 0
+		for {
+			h := a.Open(BacklogBytes, 0)
+			if !h.Grow(1 << 10) {
+				break
+			}
+			n++
+		}
+		a.held.Store(0)
+		return n
+	}
+	all := small()
+	a.Reserve(1 << 19)
+	is.Equal(small(), all/2)
+	is.Equal(a.Reserved(), int64(1<<19))
+	a.Reserve(1 << 30)
+	is.Equal(small(), all/4) // requests leave a part at least
+	large := a.Open(BodyBytes, 1)
+	is.True(large.Grow(1 << 20)) // one is taken while nothing else is held
+	large.Release()
+	a.Reserve(-(1<<30 + 1<<19))
+	is.Equal(small(), all)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -78,6 +78,8 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	g.bytes.Reserve(callMemory)
+	defer g.bytes.Reserve(-callMemory)
 	c := &call{gateway: g, started: time.Now(), Request: g.headerCodec.ReadRequest(r.Header), response: response.New(w), httpRequest: r}
 	c.response.CloseConnectionIf(func() bool { return g.draining() || c.sentAheadWhileCrowded() })
 	c.log = g.requestLogs.Begin(c.ID)
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -19,6 +19,10 @@
 // process, for callers' connections and for the kernel's buffers (docs/CAPACITY.md).
 const heldShare = 0.25
 
+// callMemory is the memory in bytes of a request in flight, for its state, stacks and buffers, beside what an idle connection takes
+// and what is held of bodies and responses.
+const callMemory = 32 << 10
+
 const (
 	// entryFullRetryAfter is the Retry-After value of a request that is refused because of held bytes: another
 	// entry may have room at once, and here a response of ordinary size is written by then.
@@ -279,5 +283,6 @@
 func (g *Gateway) registerHeldMetrics() {
 	g.metrics.NewGauge("aspenyard_gateway_held_bytes", func() float64 { return float64(g.bytes.Held()) })
 	g.metrics.NewGauge("aspenyard_gateway_held_bytes_bound", func() float64 { return float64(g.bytes.Bound()) })
+	g.metrics.NewGauge("aspenyard_gateway_reserved_bytes", func() float64 { return float64(g.bytes.Reserved()) })
 	g.metrics.NewGauge("aspenyard_gateway_slow_callers", func() float64 { return float64(g.slowCallers.count()) })
 }
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -297,3 +297,23 @@
 		is.True(!serve(c)) // it has sent nothing ahead
 	}
 }
+
+// Guards against requests in flight, whose state takes memory, beside as many held bytes as without them.
+func TestRequestsInFlightLeaveLessRoomForBytes(t *testing.T) {
+	is := is.New(t)
+	w := plainWorker()
+	s := newFixture(t, w).start()
+	is.Equal(s.sumMetric("aspenyard_gateway_reserved_bytes "), 0.0)
+	w.SetDefaultFault(standin.FaultHang)
+	var callers []*slowCaller
+	for i := range 3 {
+		callers = append(callers, s.dialSlow(head("GET", "/again/a", fmt.Sprint("q", i))+"\r\n"))
+	}
+	s.waitFor("the requests are in flight", func() bool { return w.InFlight() == 3 })
+	reserved := s.sumMetric("aspenyard_gateway_reserved_bytes ")
+	is.True(reserved >= 3*16<<10)
+	for _, c := range callers {
+		_ = c.conn.Close()
+	}
+	s.waitFor("they have ended", func() bool { return s.sumMetric("aspenyard_gateway_reserved_bytes ") == 0 })
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,13 +1,10 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -142,10 +139,11 @@
 // that the prompt's prefill is complete, and onPause with the time between two events.
 func (s *streamRelay) run(ctx context.Context, r *endpointResponse, onFirstEvent func(), onPause func(pause time.Duration)) (attempt.SendOutcome, error) {
 	var previous time.Time
-	reader := bufio.NewReaderSize(r.body, readBufferSize)
+	events := newEventReader(r.body)
+	defer events.release()
 	emptyBytes := 0
 	for {
-		event, id, hasData, err := readEvent(reader)
+		event, id, hasData, err := events.next()
 		if emptyBytes += len(event); hasData || id != "" {
 			emptyBytes = 0
 		} else if err == nil && emptyBytes > maxEventBytes {
@@ -179,7 +177,7 @@
 		if s.begun() && !s.isNew(id) {
 			continue
 		}
-		if err := s.writeEvent(r, event, id, now, reader.Buffered() > 0); err != nil {
+		if err := s.writeEvent(r, event, id, now, events.buffered()); err != nil {
 			r.abandon()
 			return attempt.Broken, err
 		}
@@ -252,35 +250,3 @@
 	}
 	return nil
 }
-
-// readEvent reads one event, including the blank line that ends it, and returns its ID and whether it has data.
-// io.EOF means that the stream ended between events.
-func readEvent(r *bufio.Reader) (event []byte, id string, hasData bool, err error) {
-	startsLine := true
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		partial := errors.Is(err, bufio.ErrBufferFull)
-		switch {
-		case len(event) > maxEventBytes:
-			return nil, "", false, &endlessError{"event", fmt.Sprintf("%d bytes", maxEventBytes)}
-		case err == io.EOF && len(event) == 0:
-			return nil, "", false, io.EOF
-		case err == io.EOF:
-			return nil, "", false, errTruncatedEvent
-		case err != nil && !partial:
-			return nil, "", false, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		switch {
-		case !startsLine: // the rest of a long line
-		case len(text) == 0:
-			return event, id, hasData, nil
-		case bytes.HasPrefix(text, []byte("id:")):
-			id = strings.TrimSpace(string(text[len("id:"):]))
-		case text[0] != ':':
-			hasData = true
-		}
-		startsLine = !partial
-	}
-}
