--- a/crowds/forms_test.go
+++ b/crowds/forms_test.go
@@ -142,6 +142,16 @@
 	return lines.String()
 }
 
+// partsLine returns a line of a head that lists as many parts of a prompt as size bytes have room for.
+func partsLine(size int) string {
+	var line strings.Builder
+	line.WriteString("X-Aspenyard-Prefix-Hash: 1:1")
+	for i := 2; line.Len() < size-10; i++ {
+		fmt.Fprintf(&line, ",%x:1", i)
+	}
+	return line.String() + "\r\n"
+}
+
 // chunked returns bytes in chunks of a size, without the last chunk.
 func chunked(body string, size int) string {
 	var encoded bytes.Buffer
@@ -236,6 +246,10 @@
 		head := c.target.head("POST", n)
 		return c.write(head+shortFields(maxHeaderBytes-len(head)), 0)
 	}},
+	{name: "heads-of-short-parts", send: func(ctx context.Context, c *client, n int) error {
+		head := c.target.head("POST", n)
+		return c.write(head+partsLine(maxHeaderBytes-len(head)-64)+lengthHead(smallBody)+zeros(smallBody-1), 0)
+	}},
 	{name: "heads-of-long-values", send: func(ctx context.Context, c *client, n int) error {
 		head := strings.Replace(c.target.head("POST", n), "X-Aspenyard-Attempt-Id: ", "X-Aspenyard-Attempt-Id: "+zeros(longValue), 1)
 		for range 200 {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -89,6 +89,7 @@
 		{kindStopsInSeries, 2, stopInSeries},
 		{kindCutResponses, 2, cutResponses},
 		{kindSlowStoreLinks, 2, slowStoreLinks},
+		{kindMisbehavingClients, 1, addMisbehavingClients},
 	}
 }
 
