--- a/cli/answers_test.go
+++ b/cli/answers_test.go
@@ -18,12 +18,12 @@
 const nodeText = "{}\n"
 
 // askAll asks a node's operators' port in each way that commands use, and returns what failed of it.
-func askAll(addr string) (call error, unreachable []string) {
+func askAll(addr string) (unreachable []string, call error) {
 	access := &operatorAccess{Entry: addr, Key: "k"}
 	_, _, call = access.call(http.MethodPut, "/v1/catalogue/work/a", make([]byte, 20<<20), 0)
 	collector := burn.NewCollector(nil)
 	scrape(collector, "n1", addr)
-	return call, collector.Report().Unreachable
+	return collector.Report().Unreachable, call
 }
 
 // Guards against a command that takes for a node's response one whose head HTTP does not allow.
@@ -39,12 +39,12 @@
 	l, err := link.New(server.Listener.Addr().String())
 	is.NoErr(err)
 	t.Cleanup(l.Close)
-	failure, unreachable := askAll(l.Addr())
+	unreachable, failure := askAll(l.Addr())
 	is.NoErr(failure)
 	is.Equal(len(unreachable), 0)
 	for _, change := range link.InvalidHeads() {
 		l.ChangeHeads(change)
-		failure, unreachable = askAll(l.Addr())
+		unreachable, failure = askAll(l.Addr())
 		is.True(failure != nil)
 		is.Equal(len(unreachable), 1)
 	}
@@ -75,7 +75,7 @@
 		}
 	}()
 	for _, addr := range []string{reset, listener.Addr().String()} {
-		failure, unreachable := askAll(addr)
+		unreachable, failure := askAll(addr)
 		is.True(failure != nil)
 		is.Equal(len(unreachable), 1)
 	}
--- a/crowds/fleet_test.go
+++ b/crowds/fleet_test.go
@@ -46,9 +46,9 @@
 
 // fleet is an entry and an agent with stand-ins for what they depend on.
 type fleet struct {
-	entry, agent                            *process
-	callers, operators, peers               string
-	agentOperators, agentPeers, engineStore string
+	entry, agent               *process
+	callers, operators, peers  string
+	agentOperators, agentPeers string
 }
 
 // serveStandin serves a handler on a free port.
