--- a/entry/entry.go
+++ b/entry/entry.go
@@ -176,7 +176,7 @@
 	// maxHeaderBytes is the most that a head may have.
 	maxHeaderBytes = 64 << 10
 	// callerSendBuffer is the size in bytes of the kernel's send buffer of a caller's connection, which the kernel would let grow to
-	// 4 MB that the caller does not read. A caller 100 ms away can still read 640 KB a second.
+	// 4 MB that the caller does not read. A smaller one slows down callers far away.
 	callerSendBuffer = 64 << 10
 )
 
