Verdicts in the store can be withdrawn, and are tried by one entry after a start

Cause: the record of the blame stayed in the store as it had been written, for ten minutes. Nothing removed or replaced it, and a gateway that read it at its start made no trial for a minute, by when nobody was left who had tried the part. Ruled out: clocks (one host), endpoints that are not known to be back (the refusals name the part).

Change: what is stored of a request or a part merges (attempt/verdict). A crash is identified by the endpoint's incarnation; one that an answer has cancelled never counts again, and the record says so. Neither late writes, a restored copy of the store, a record that is read again nor clocks bring a verdict back. Each entry keeps the records in agreement with what it knows, both ways, for as long as they differ; a write replaces the record that its writer knows. Trials after the first two seconds are claimed in the record by a conditional write: three at most for a verdict, over all entries and starts, and none soon once one has ended in a crash. Lists of late trials of answered parts had four; the rule allows three.

--- a/attempt/crashcause/crashcause.go
+++ b/attempt/crashcause/crashcause.go
@@ -76,8 +76,15 @@
 	announceFor = 500 * time.Millisecond
 	// A part is tried by single requests while it is blamed, since one that is shared by all prompts looks like a
 	// cause while several other parts crash endpoints. Each entry may try it once between earlyTrialFrom and
-	// earlyTrialTo after the crash by which it was blamed, and one entry at each of lateTrials after it.
+	// earlyTrialTo after the crash by which it was blamed. Later trials are claimed in the store, by one entry each.
 	earlyTrialFrom, earlyTrialTo = 500 * time.Millisecond, 2 * time.Second
+	// maxClaims bounds the claimed trials of one verdict on all nodes together, restarts included.
+	maxClaims = 3
+	// claimWait is how long nodes wait for the result of a claimed trial while no trial has told anything. The node that
+	// claimed it may have ended.
+	claimWait = 5 * time.Second
+	// grantTTL is how long a claimed trial may be used; it ends before other nodes claim the next one.
+	grantTTL = 4 * time.Second
 	// requestsCompared is how many of a service's last requests are compared: an answered part that all of them
 	// have cannot be told from the service itself, and is not blamed.
 	requestsCompared = 20
@@ -85,9 +92,9 @@
 	expiryInterval = time.Second
 )
 
-// lateTrials are the times from the crash by which a part was blamed to its later trials, lateTrialsAnswered those of
-// a part that was answered before it was blamed.
+// lateTrials are the times from the crash by which a part was blamed, or from the last claimed trial, to the next one
+// once a trial has ended in a crash; lateTrialsAnswered those of a part that was answered before it was blamed.
 var (
 	lateTrials         = []time.Duration{time.Minute, 10 * time.Minute}
-	lateTrialsAnswered = []time.Duration{5 * time.Second, 20 * time.Second, time.Minute, 10 * time.Minute}
+	lateTrialsAnswered = []time.Duration{5 * time.Second, 15 * time.Second, 40 * time.Second}
 )
--- a/attempt/crashcause/report.go
+++ b/attempt/crashcause/report.go
@@ -46,14 +46,15 @@
 // crash: every crash makes suspects of all parts of the requests in flight there.
 func (s *suspect) shareable() bool { return len(s.crashes) > 1 }
 
-// findings returns the findings of a suspect that this node reports to others.
+// findings returns the findings of a suspect that this node reports to others. What only the store reports, they read
+// themselves; its times follow from clocks of other nodes.
 func (s *suspect) findings(now time.Time) []Finding {
 	var list []Finding
 	if !s.answered.IsZero() {
 		list = append(list, Finding{Part: s.part, Endpoint: Answered, Age: now.Sub(s.answered)})
 	}
 	for _, c := range s.crashes {
-		if c.local || s.shareable() {
+		if c.local || s.shareable() && !c.stored {
 			list = append(list, Finding{s.part, c.endpoint, c.request, s.position, now.Sub(c.at)})
 		}
 	}
--- a/attempt/crashcause/tracker.go
+++ b/attempt/crashcause/tracker.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"aspenyard.example/attempt/verdict"
 )
 
 // Tracker holds the findings of this node and of others, and what follows from them. It is safe for concurrent
@@ -24,8 +26,8 @@
 	expiredAt time.Time
 	// requests holds the parts of the last requests to each service.
 	requests map[string][][]Part
-	// rank is the index of this node among the nodes that exchange findings, nodes their number.
-	rank, nodes int
+	// nodes is the number of nodes that exchange findings.
+	nodes int
 	// nextReport is the index at which the next report begins if not all findings fit into one.
 	nextReport int
 }
@@ -42,11 +44,21 @@
 	// position is the smallest index that the part has had in a prompt. A part further back is shared by fewer
 	// requests.
 	position uint8
+	// cancelled identifies the crashes that an answer, here or elsewhere, has cancelled, the last of them at cancelledAt.
+	cancelled   []uint32
+	cancelledAt time.Time
 	// blamedSince is the time of the crash by which the part was blamed; earlyTried is set once this node has tried
-	// it since, and lateTried is the number of later trials.
+	// it since.
 	blamedSince time.Time
 	earlyTried  bool
-	lateTried   int
+	// confirmed is set once a trial has ended in a crash. claims is the number of claimed trials on all nodes, the last
+	// of which this node learned of at claimedAt.
+	confirmed bool
+	claims    int
+	claimedAt time.Time
+	// grantedUntil is until when this node may send the trial that it has claimed; grant is that time also while the
+	// trial is under way.
+	grantedUntil, grant time.Time
 	// announceUntil is until when all reports have what is known of the part.
 	announceUntil time.Time
 }
@@ -57,8 +69,8 @@
 	// request is a hash of a request with the part that was in flight there.
 	request uint32
 	at      time.Time
-	// local is set if this node observed the crash itself.
-	local bool
+	// local is set if this node observed the crash itself, stored if only the store reports it.
+	local, stored bool
 }
 
 // Changes are the parts that are blamed, or no longer blamed, since the last call.
@@ -122,7 +134,7 @@
 	defer t.mu.Unlock()
 	changed := false
 	for _, part := range parts {
-		changed = t.addAnswer(now, part, now) || changed
+		changed = t.addAnswer(now, part, now, true) || changed
 	}
 	if !changed {
 		return Changes{}
@@ -156,18 +168,6 @@
 	return t.merge(now, findings)
 }
 
-// MergeStored adds findings that were stored before this node started. Others may have tried the part by then, so
-// this node does not do so at once.
-func (t *Tracker) MergeStored(now time.Time, findings []Finding) Changes {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	changes := t.merge(now, findings)
-	for _, part := range changes.Blamed {
-		t.suspects[part].earlyTried = true
-	}
-	return changes
-}
-
 func (t *Tracker) merge(now time.Time, findings []Finding) Changes {
 	changed := false
 	for _, f := range findings {
@@ -175,7 +175,7 @@
 		switch {
 		case f.Age < 0 || f.Age >= findingTTL || f.Position >= maxPartsOfARequest:
 		case f.Endpoint == Answered:
-			changed = t.addAnswer(now, f.Part, at) || changed
+			changed = t.addAnswer(now, f.Part, at, false) || changed
 		default:
 			changed = t.addCrash(now, f.Part, f.Position, crash{endpoint: f.Endpoint, request: f.Request, at: at}) || changed
 		}
@@ -198,13 +198,14 @@
 	if known >= 0 { // nodes that observed it with different requests agree on one
 		k := &s.crashes[known]
 		k.local = k.local || c.local
+		k.stored = k.stored && c.stored
 		if c.request >= k.request {
 			return false
 		}
 		k.request = c.request
 		return s.mayBeBlamed()
 	}
-	if !c.at.After(s.answered) {
+	if !c.at.After(s.answered) || slices.Contains(s.cancelled, c.endpoint) {
 		return false
 	}
 	if len(s.crashes) == 0 || c.at.Before(s.firstCrash) {
@@ -219,8 +220,9 @@
 // mayBeBlamed returns whether a suspect has enough crashes to be blamed if nothing else explains them.
 func (s *suspect) mayBeBlamed() bool { return len(s.crashes) >= crashesToBlame }
 
-// addAnswer adds an answer and returns whether that may change which parts are blamed.
-func (t *Tracker) addAnswer(now time.Time, part Part, at time.Time) bool {
+// addAnswer adds an answer and returns whether that may change which parts are blamed. local is set if this node observed
+// it itself.
+func (t *Tracker) addAnswer(now time.Time, part Part, at time.Time, local bool) bool {
 	s := t.suspects[part]
 	if s == nil {
 		if last, known := t.answered.Get(part); !known || at.After(last) {
@@ -236,11 +238,26 @@
 		s.announceUntil = now.Add(announceFor)
 	}
 	s.answered = at
-	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return !c.at.After(at) })
+	s.cancel(now, local, func(c crash) bool { return !c.at.After(at) })
+	return mayChange
+}
+
+// cancel removes crashes that count no longer. They are withdrawn at all nodes if that is certain: the times of stored
+// crashes follow from clocks of other nodes, so that only an answer which this node itself observed later withdraws them.
+func (s *suspect) cancel(now time.Time, local bool, obsolete func(c crash) bool) {
+	var cancelled []uint32
+	for _, c := range s.crashes {
+		if obsolete(c) && (local || !c.stored) {
+			cancelled = append(cancelled, c.endpoint)
+		}
+	}
+	s.crashes = slices.DeleteFunc(s.crashes, obsolete)
+	if len(cancelled) > 0 {
+		s.cancelled, s.cancelledAt = verdict.MergeCancelled(s.cancelled, cancelled), now
+	}
 	if len(s.crashes) > 0 {
 		s.firstCrash = s.crashes[0].at
 	}
-	return mayChange
 }
 
 // addSuspect adds a suspect, and evicts others if there are too many.
@@ -288,7 +305,7 @@
 		before := len(s.crashes)
 		s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return old(c.at) })
 		removed = removed || len(s.crashes) < before
-		if len(s.crashes) == 0 && old(s.answered) {
+		if len(s.crashes) == 0 && old(s.answered) && old(s.cancelledAt) {
 			delete(t.suspects, part)
 		}
 	}
@@ -324,7 +341,13 @@
 	slices.Sort(changes.Cleared)
 	for _, part := range changes.Blamed {
 		s := t.suspects[part]
-		s.blamedSince, s.earlyTried, s.lateTried = s.lastFindingAt(), false, 0
+		s.blamedSince = s.lastFindingAt()
+		s.earlyTried = s.isStored() // others may have tried the part by now
+	}
+	for _, part := range changes.Cleared {
+		if s := t.suspects[part]; s != nil {
+			s.confirmed, s.claims, s.grant, s.grantedUntil = false, 0, time.Time{}, time.Time{}
+		}
 	}
 	for _, part := range slices.Concat(changes.Blamed, changes.Cleared) {
 		if s := t.suspects[part]; s != nil {
@@ -334,29 +357,6 @@
 	return changes
 }
 
-// CrashedEndpoint is an endpoint's incarnation that crashed under a part, and a request with the part that was
-// in flight there, both given by their hashes.
-type CrashedEndpoint struct {
-	Endpoint, Request uint32
-	Age               time.Duration
-}
-
-// Crashes returns the crashes that count against a part, its position, and whether this node observed one of
-// them itself.
-func (t *Tracker) Crashes(now time.Time, part Part) (crashes []CrashedEndpoint, position uint8, local bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.suspects[part]
-	if s == nil {
-		return nil, 0, false
-	}
-	for _, c := range s.crashes {
-		crashes = append(crashes, CrashedEndpoint{c.endpoint, c.request, now.Sub(c.at)})
-		local = local || c.local
-	}
-	return crashes, s.position, local
-}
-
 // Counts returns the number of suspects, and how many parts are blamed.
 func (t *Tracker) Counts(now time.Time) (suspects, blamed int) {
 	t.mu.Lock()
--- a/attempt/quarantine.go
+++ b/attempt/quarantine.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"aspenyard.example/attempt/verdict"
 )
 
 // Finding is the result of one run of a request, as far as the quarantine is concerned: the
@@ -62,14 +64,17 @@
 	// answered is when the request was last answered completely, or zero. Crashes before it do
 	// not count.
 	answered time.Time
+	// cancelled identifies the crashes that an answer, here or elsewhere, has cancelled, the last of them at cancelledAt.
+	cancelled   []uint32
+	cancelledAt time.Time
 }
 
 // crash is a crash of one incarnation of an endpoint, given by its hash.
 type crash struct {
 	endpoint uint32
 	at       time.Time
-	// local is set if this node observed the crash itself.
-	local bool
+	// local is set if this node observed the crash itself, stored if only the store reports it.
+	local, stored bool
 }
 
 // NewQuarantine returns a quarantine without suspects. explained reports whether a crash of an endpoint's
@@ -134,28 +139,15 @@
 	return crashes, quarantined
 }
 
-// CrashedEndpoints returns the hashes of the endpoint incarnations that crashed during a request,
-// and whether this node observed one of the crashes itself.
-func (q *Quarantine) CrashedEndpoints(request Fingerprint) (endpoints []uint32, local bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	s := q.suspects[request]
-	if s == nil {
-		return nil, false
-	}
-	for _, c := range s.crashes {
-		endpoints = append(endpoints, c.endpoint)
-		local = local || c.local
-	}
-	return endpoints, local
-}
-
 // RecordResponse records that a request was answered completely. The crashes before do not count
-// any more, since the request does not crash every endpoint.
-func (q *Quarantine) RecordResponse(now time.Time, request Fingerprint) {
+// any more, since the request does not crash every endpoint. It returns whether that ended a quarantine.
+func (q *Quarantine) RecordResponse(now time.Time, request Fingerprint) (released bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.applyResponse(request, now)
+	s := q.suspects[request]
+	before := s != nil && s.quarantined()
+	q.applyResponse(now, request, now, true)
+	return before && !s.quarantined()
 }
 
 // Merge adds the findings of another node. It returns the requests that they put into quarantine.
@@ -169,7 +161,7 @@
 			continue
 		}
 		if f.Endpoint == Answered {
-			q.applyResponse(f.Request, at)
+			q.applyResponse(now, f.Request, at, false)
 		} else if q.addCrash(now, f.Request, crash{endpoint: f.Endpoint, at: at}) {
 			quarantined = append(quarantined, f.Request)
 		}
@@ -184,8 +176,11 @@
 	if s == nil {
 		s = q.addSuspect(now, request)
 	}
-	known := slices.ContainsFunc(s.crashes, func(k crash) bool { return k.endpoint == c.endpoint })
-	if known || !c.at.After(s.answered) {
+	if known := slices.IndexFunc(s.crashes, func(k crash) bool { return k.endpoint == c.endpoint }); known >= 0 {
+		s.crashes[known].local, s.crashes[known].stored = s.crashes[known].local || c.local, s.crashes[known].stored && c.stored
+		return false
+	}
+	if !c.at.After(s.answered) || slices.Contains(s.cancelled, c.endpoint) {
 		return false
 	}
 	before := s.quarantined()
@@ -195,15 +190,30 @@
 	return !before && s.quarantined()
 }
 
-// applyResponse removes the crashes before a complete response. A response to a request that is
-// not a suspect is ignored.
-func (q *Quarantine) applyResponse(request Fingerprint, at time.Time) {
+// applyResponse removes the crashes before a complete response, which this node observed itself if local is set. A
+// response to a request that is not a suspect is ignored.
+func (q *Quarantine) applyResponse(now time.Time, request Fingerprint, at time.Time, local bool) {
 	s := q.suspects[request]
 	if s == nil || !at.After(s.answered) {
 		return
 	}
 	s.answered = at
-	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return !c.at.After(at) })
+	s.cancel(now, local, func(c crash) bool { return !c.at.After(at) })
+}
+
+// cancel removes crashes that count no longer. They are withdrawn at all nodes if that is certain: the times of stored
+// crashes follow from clocks of other nodes, so that only a response which this node itself observed later withdraws them.
+func (s *suspect) cancel(now time.Time, local bool, obsolete func(c crash) bool) {
+	var cancelled []uint32
+	for _, c := range s.crashes {
+		if obsolete(c) && (local || !c.stored) {
+			cancelled = append(cancelled, c.endpoint)
+		}
+	}
+	s.crashes = slices.DeleteFunc(s.crashes, obsolete)
+	if len(cancelled) > 0 {
+		s.cancelled, s.cancelledAt = verdict.MergeCancelled(s.cancelled, cancelled), now
+	}
 }
 
 // addSuspect adds a suspect, and evicts another if there are too many.
@@ -238,7 +248,7 @@
 	old := func(at time.Time) bool { return now.Sub(at) >= findingTTL }
 	for request, s := range q.suspects {
 		s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return old(c.at) })
-		if len(s.crashes) == 0 && old(s.answered) {
+		if len(s.crashes) == 0 && old(s.answered) && old(s.cancelledAt) {
 			q.removeSuspect(request)
 		}
 	}
@@ -304,7 +314,7 @@
 		list = append(list, Finding{request, Answered, now.Sub(s.answered)})
 	}
 	for _, c := range s.crashes {
-		if c.local || s.shareable() {
+		if c.local || s.shareable() && !c.stored { // all nodes read the store
 			list = append(list, Finding{request, c.endpoint, now.Sub(c.at)})
 		}
 	}
--- a/directory/registry.go
+++ b/directory/registry.go
@@ -31,11 +31,16 @@
 	At Position
 }
 
+// ErrRecordChanged is returned by Registry.PutRecord if the stored record is another one than expected.
+var ErrRecordChanged = errors.New("directory: record changed")
+
 // Record is data that nodes write to the store for nodes that start later.
 type Record struct {
 	// Name is unique; the format of Value is up to the writer.
 	Name  string
 	Value []byte
+	// At is the position of its write; zero if there is no record of that name.
+	At Position
 }
 
 // Registry is the part of the store that nodes write: their registrations, by which they
@@ -48,7 +53,8 @@
 	Renew(ctx context.Context, lease Lease) error
 	// Deregister ends the lease, which removes the registration.
 	Deregister(ctx context.Context, lease Lease) error
-	// CreateRecord writes a record that the store keeps for ttl. An existing record of the
-	// same name is left as it is, without an error. After an error the record may exist.
-	CreateRecord(ctx context.Context, r Record, ttl time.Duration) error
+	// PutRecord writes a record that the store keeps for ttl, in place of the one at r.At, and returns it with the
+	// position of the write. If the store has another one, or none in place of one, it returns that and ErrRecordChanged.
+	// After another error the record may have been written, or be written later if the condition still holds.
+	PutRecord(ctx context.Context, r Record, ttl time.Duration) (Record, error)
 }
--- a/directory/replica.go
+++ b/directory/replica.go
@@ -88,8 +88,9 @@
 	// ended.
 	Node     *Node
 	NodeGone string
-	// Record is a record that a node wrote.
-	Record *Record
+	// Record is a record that a node wrote, RecordGone the name of one that the store no longer has.
+	Record     *Record
+	RecordGone string
 	// Evacuation is the start or the end of the evacuation of a data centre.
 	Evacuation *Evacuation
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -91,8 +91,9 @@
 // longer count against the request.
 func (f *forwarding) recordResponse() {
 	f.recordPartAnswer()
-	if f.isSuspect() {
-		f.gateway.quarantine.RecordResponse(time.Now(), f.fingerprint())
+	if f.isSuspect() && f.gateway.quarantine.RecordResponse(time.Now(), f.fingerprint()) {
+		f.gateway.log.Info("quarantine_ended", zap.Stringer("fingerprint", f.fingerprint()))
+		f.gateway.verdicts.write(requestVerdict(f.fingerprint()).name())
 	}
 }
 
@@ -104,8 +105,8 @@
 		return // all of its crashes have another cause
 	}
 	g.log.Warn("quarantined", zap.Stringer("fingerprint", request), zap.String("heard_from", from))
-	if endpoints, own := g.quarantine.CrashedEndpoints(request); own {
-		go g.persist(quarantineRecord{Scope: request.Scope, Body: request.Body, Endpoints: endpoints}.encode())
+	if _, _, local := g.quarantine.Known(time.Now(), request); local {
+		g.verdicts.write(requestVerdict(request).name())
 	}
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -75,7 +75,15 @@
 
 // ApplyRecord implements storewatch.Listener.
 func (g *Gateway) ApplyRecord(now time.Time, record *directory.Record) {
-	g.applyQuarantineRecord(now, record)
+	g.verdicts.apply(now, *record)
+}
+
+// RecordGone implements storewatch.Listener.
+func (g *Gateway) RecordGone(name string) { g.verdicts.forget(name) }
+
+// RecordsRead implements storewatch.Listener.
+func (g *Gateway) RecordsRead(now time.Time, records []directory.Record) {
+	g.verdicts.replace(now, records)
 }
 
 // Proved implements storewatch.Listener.
@@ -101,5 +109,6 @@
 // Tick implements storewatch.Listener.
 func (g *Gateway) Tick(now time.Time) {
 	g.refreshScarce(now)
+	g.verdicts.reconcile(now)
 	g.logColdTransitions("")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,7 +51,7 @@
 	retries         *admission.RetryWindow
 	admission       *admissionControl
 	quarantine      *attempt.Quarantine
-	written         writtenRecords
+	verdicts        *verdicts
 	crashCauses     *crashcause.Tracker
 	shedding        *admission.ConnectionShedding
 	returns         *admission.Returns
@@ -157,6 +157,7 @@
 	}
 	g.crashCauses, g.shedding = crashcause.NewTracker(), admission.NewConnectionShedding()
 	g.quarantine = attempt.NewQuarantine(g.crashCauses.Explained)
+	g.verdicts = newVerdicts(g)
 	g.admission = newAdmissionControl(&c.Settings)
 	g.returns = admission.NewReturns(g.started, c.Settings.Name)
 	g.bytes = admission.NewByteAccount(heldBound(c.Settings.MemoryLimit))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -395,7 +395,7 @@
 	others := p.rankedEntries(now, members)
 	rank := sort.SearchStrings(others, p.gateway.settings.Name)
 	p.gateway.loadTracker.SetRank(rank, len(others)+1)
-	p.gateway.crashCauses.SetNodes(rank, len(others)+1)
+	p.gateway.crashCauses.SetNodes(len(others) + 1)
 	p.gateway.divisions.observe(now)
 }
 
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -1,19 +1,16 @@
 package gateway
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"aspenyard.example/attempt/crashcause"
 	"aspenyard.example/directory"
-	"aspenyard.example/eventlog"
 	"aspenyard.example/result"
 	"aspenyard.example/routing/direct"
 	"aspenyard.example/wire"
@@ -59,13 +56,20 @@
 	if failure, ended := f.endAttempted(fmt.Sprintf("endpoints crash under part %s of this prompt", name)); ended {
 		return failure
 	}
+	f.gateway.verdicts.claimTrial(f.sharedParts())
+	if f.gateway.crashCauses.AwaitsTrial(f.sharedParts()) {
+		remaining = min(remaining, trialRetryAfter)
+	}
 	return result.Refuse(result.PartQuarantined, remaining, "endpoints crashed under part %s of this prompt", name)
 }
 
+// trialRetryAfter is the Retry-After of prompts with a part that is about to be tried.
+const trialRetryAfter = time.Second
+
 // endTrial returns a trial that has told nothing.
 func (f *forwarding) endTrial() {
 	if f.onTrial && !f.trialDecided {
-		f.gateway.crashCauses.ReturnTrial(time.Now(), f.sharedParts())
+		f.gateway.crashCauses.ReturnTrial(time.Now(), f.sharedParts(), f.retrier.MayHaveRun())
 	}
 }
 
@@ -79,6 +83,11 @@
 	request := uint32(fingerprint.Scope ^ fingerprint.Body)
 	changes := f.gateway.crashCauses.RecordCrash(time.Now(), f.sharedParts(), uint32(direct.HashEndpoint(e.Incarnation)), request)
 	f.gateway.reportParts(changes, "")
+	if f.onTrial {
+		for _, part := range f.gateway.crashCauses.ConfirmBlame(f.sharedParts()) {
+			f.gateway.verdicts.write(partVerdict(part).name())
+		}
+	}
 }
 
 // recordPartAnswer records that the call has been answered with success and completely.
@@ -92,17 +101,20 @@
 
 // reportParts logs and announces the parts that are refused from now on, or no longer. from names the entry whose
 // heartbeat was decisive, or the store; it is empty if this entry observed it itself. Entries that observed one
-// of the crashes also write a record to the store.
+// of the crashes, or the answer, also write it to the store at once.
 func (g *Gateway) reportParts(changes crashcause.Changes, from string) {
 	for _, part := range changes.Blamed {
-		crashes, _, local := g.crashCauses.Crashes(time.Now(), part)
-		g.log.Warn("part_quarantined", zap.String("part", formatPart(part)), zap.Int("crashes", len(crashes)), zap.String("heard_from", from))
-		if local {
-			go g.persist(g.encodePartRecord(part))
+		known := g.crashCauses.Known(time.Now(), part)
+		g.log.Warn("part_quarantined", zap.String("part", formatPart(part)), zap.Int("crashes", len(known.Crashes)), zap.String("heard_from", from))
+		if known.Local {
+			g.verdicts.write(partVerdict(part).name())
 		}
 	}
 	for _, part := range changes.Cleared {
 		g.log.Info("part_cleared", zap.String("part", formatPart(part)), zap.String("heard_from", from))
+		if from == "" {
+			g.verdicts.write(partVerdict(part).name())
+		}
 	}
 	if len(changes.Blamed) > 0 {
 		g.peers.sendHeartbeat()
@@ -112,62 +124,6 @@
 // formatPart returns a part's identifier as it appears in logs and in names of records.
 func formatPart(part crashcause.Part) string { return fmt.Sprintf("%016x", uint64(part)) }
 
-// partRecordPrefix begins the names of the records of parts of prompts.
-const partRecordPrefix = "part-"
-
-// partRecord is the record in the store of a part of prompts under which endpoints crashed.
-type partRecord struct {
-	Part     uint64      `json:"part"`
-	Position uint8       `json:"position"`
-	Crashes  []partCrash `json:"crashes"`
-}
-
-// partCrash is a crash of an endpoint, given by the hashes of its incarnation and of a request in flight there.
-type partCrash struct {
-	Endpoint uint32 `json:"endpoint"`
-	Request  uint32 `json:"request"`
-	// AtUnixMilli is the time of the crash by the clock of the entry that wrote the record, in milliseconds.
-	AtUnixMilli int64 `json:"at_unix_ms"`
-}
-
-// encodePartRecord returns the record of a part in its present state, as the store keeps it.
-func (g *Gateway) encodePartRecord(part crashcause.Part) directory.Record {
-	now := time.Now()
-	crashes, position, _ := g.crashCauses.Crashes(now, part)
-	r := partRecord{Part: uint64(part), Position: position}
-	for _, c := range crashes[max(len(crashes)-maxRecordEndpoints, 0):] {
-		r.Crashes = append(r.Crashes, partCrash{c.Endpoint, c.Request, now.Add(-c.Age).UnixMilli()})
-	}
-	value, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // cannot happen for these types
-	}
-	return directory.Record{Name: partRecordPrefix + formatPart(part), Value: value}
-}
-
-// applyPartRecord merges a part's record from the store.
-func (g *Gateway) applyPartRecord(now time.Time, record *directory.Record) {
-	var r partRecord
-	if err := json.Unmarshal(record.Value, &r); err != nil {
-		g.log.Error("quarantine_record_refused", zap.String("name", record.Name), eventlog.Error(err))
-		return
-	}
-	var findings []crashcause.Finding
-	for _, c := range r.Crashes[:min(len(r.Crashes), maxRecordEndpoints)] {
-		if c.Endpoint == crashcause.Answered {
-			continue
-		}
-		age := max(now.Sub(time.UnixMilli(c.AtUnixMilli)), 0) // the clocks of VMs differ
-		findings = append(findings, crashcause.Finding{Part: crashcause.Part(r.Part), Endpoint: c.Endpoint, Request: c.Request, Position: r.Position, Age: age})
-	}
-	g.reportParts(g.crashCauses.MergeStored(now, findings), heardFromStore)
-}
-
-// isPartRecord reports whether a record is that of a part of prompts.
-func isPartRecord(record *directory.Record) bool {
-	return strings.HasPrefix(record.Name, partRecordPrefix)
-}
-
 // appendPartFindings adds findings about parts of prompts under which endpoints crashed.
 func appendPartFindings(h *wire.Heartbeat, findings []crashcause.Finding) {
 	for _, f := range findings {
--- a/gateway/restored.go
+++ b/gateway/restored.go
@@ -15,9 +15,6 @@
 	// reregisterRetry is the mean wait after a registration that failed after a loss. It doubles each time, up
 	// to renewalInterval.
 	reregisterRetry = 400 * time.Millisecond
-	// rewriteSpread is the time over which entries spread the writing of records that the store may have lost.
-	// They are read only by entries that start while no other runs.
-	rewriteSpread = 5 * time.Second
 )
 
 // reregisterDelay returns a random wait before this entry registers anew after a loss.
@@ -26,15 +23,6 @@
 	return time.Duration(rand.Float64() * float64(spread))
 }
 
-// rewriteRecords writes the records of this entry's own observations again, some of which the store may
-// have lost. Those that it still has are left as they are.
-func (g *Gateway) rewriteRecords() {
-	time.Sleep(time.Duration(rand.Float64() * float64(rewriteSpread)))
-	for _, record := range g.written.list(time.Now()) {
-		g.persist(record)
-	}
-}
-
 // EraNoticed implements storewatch.Listener: this entry must register anew.
 func (g *Gateway) EraNoticed() {
 	select {
@@ -43,5 +31,5 @@
 	}
 }
 
-// Restored implements storewatch.Listener.
-func (g *Gateway) Restored() { go g.rewriteRecords() }
+// Restored implements storewatch.Listener. The store may have lost verdicts, or hold again what was withdrawn.
+func (g *Gateway) Restored() { g.verdicts.reconcile(time.Now()) }
--- a/gateway/storewatch/config.go
+++ b/gateway/storewatch/config.go
@@ -63,8 +63,11 @@
 	EvacuationsChanged(changed []directory.Evacuation)
 	// EndpointListed is told of a registration among the changes.
 	EndpointListed(e *directory.Endpoint)
-	// ApplyRecord is given a record that an entry has written.
+	// ApplyRecord is given a record that an entry has written, RecordGone the name of one that the store no longer has.
+	// RecordsRead is given all records of the store.
 	ApplyRecord(now time.Time, record *directory.Record)
+	RecordGone(name string)
+	RecordsRead(now time.Time, records []directory.Record)
 	// Proved is told that the snapshot holds all changes as of a time since boot, but for values that are being read.
 	// ConfigProved is told that its configuration is the newest as of a time since boot.
 	Proved(at time.Duration)
--- a/gateway/storewatch/watcher.go
+++ b/gateway/storewatch/watcher.go
@@ -403,6 +403,7 @@
 	}
 	decodeTime := state.DecodeTime
 	w.noteValues(state.Omitted)
+	w.config.Listener.RecordsRead(now, state.Records)
 	if changes != nil {
 		decodeTime += changes.DecodeTime
 		w.config.Changes.Append(changes.Items, changes.At)
@@ -412,9 +413,6 @@
 		w.handleChanges(now, changes)
 	}
 	w.logInvalidItems(state.InvalidItems)
-	for i := range state.Records {
-		w.config.Listener.ApplyRecord(now, &state.Records[i])
-	}
 	w.publishChanges(evacuations, decodeTime)
 }
 
@@ -482,6 +480,8 @@
 		switch change := &changes.Changes[i]; {
 		case change.Record != nil:
 			w.config.Listener.ApplyRecord(now, change.Record)
+		case change.RecordGone != "":
+			w.config.Listener.RecordGone(change.RecordGone)
 		case change.EndpointGone != "":
 			w.config.Logger.Info("endpoint_gone", zap.String("endpoint", change.EndpointGone), zap.Uint64("revision", change.At.Revision()))
 		case change.Endpoint != nil && change.Endpoint.Leaving:
--- a/gateway/storewatch/watcher_test.go
+++ b/gateway/storewatch/watcher_test.go
@@ -38,6 +38,8 @@
 func (l *recordingListener) EvacuationsChanged([]directory.Evacuation) {}
 func (l *recordingListener) EndpointListed(*directory.Endpoint)        {}
 func (l *recordingListener) ApplyRecord(time.Time, *directory.Record)  {}
+func (l *recordingListener) RecordGone(string)                         {}
+func (l *recordingListener) RecordsRead(time.Time, []directory.Record) {}
 func (l *recordingListener) Proved(at time.Duration)                   { l.provedAt = at }
 func (l *recordingListener) ConfigProved(at time.Duration)             { l.configProvedAt = at }
 func (l *recordingListener) EraNoticed()                               {}
