A start reads the records up to the position from which it follows changes

What could happen: entries that all start within seconds of a verdict do not know of it and end four more endpoints.

Cause: the list of records could be seconds older than the other lists of a full read, while changes were followed from the oldest position of those others. A record written in between came in neither the list nor the changes.

Change: the records are read as consistently as the other lists, and their position counts. Starts from a checkpoint were complete before: their changes begin at the checkpoint's position.

--- a/directory/replica.go
+++ b/directory/replica.go
@@ -42,8 +42,7 @@
 	At Position
 }
 
-// StoreState is the full state of the deployment as read from the store. The read is
-// linearizable, except for Records.
+// StoreState is the full state of the deployment as read from the store.
 type StoreState struct {
 	// At is the store's position when the read began, from which Source.Watch continues.
 	At Position
@@ -56,7 +55,7 @@
 	Nodes []Node
 	// Evacuations are the data centres that are evacuated.
 	Evacuations []Evacuation
-	// Records are the nodes' records; records of the last seconds may be missing.
+	// Records are the nodes' records.
 	Records []Record
 	// InvalidItems are the items that could not be decoded.
 	InvalidItems []InvalidItem
--- a/directory/source.go
+++ b/directory/source.go
@@ -37,9 +37,8 @@
 
 // Source reads the state of the deployment from the store.
 type Source interface {
-	// Read returns the full state. It is linearizable, except for Records, unless stale is set: the state
-	// may then be seconds old, and the read costs the store a tenth. Watching from its revision brings it
-	// up to date.
+	// Read returns the full state. It is linearizable unless stale is set: the state may then be seconds old, and the read
+	// costs the store a tenth. Watching from its revision brings it up to date.
 	Read(ctx context.Context, stale bool) (*StoreState, error)
 	// ReadWithoutConfig returns the full state, linearizable like Read, but for the configuration, whose item is
 	// among StoreState.Omitted.
