A stopping entry refuses requests that may run once and would be answered too late

What callers saw: a request to a route that may run once, on a new connection early in the grace of a stop, was begun and ended with a complete 502 when the entry stopped. Whoever sent it does not know whether it ran.

Change: from the signal on such a request is refused as not run (3007, Retry-After 50 ms) if responses of its route take longer than is left, by an average and twice the average deviation for each route. Weighed: refusing all of them from the signal on; an estimate for each service, whose routes differ.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -90,6 +90,7 @@
 // recordResponse records that an endpoint has answered the call completely: crashes before that no
 // longer count against the request.
 func (f *forwarding) recordResponse() {
+	f.gateway.responseTimes.Record(f.route.Name, time.Since(f.placedAt))
 	f.recordPartAnswer()
 	if f.isSuspect() && f.gateway.quarantine.RecordResponse(time.Now(), f.fingerprint()) {
 		f.gateway.log.Info("quarantine_ended", zap.Stringer("fingerprint", f.fingerprint()))
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -145,12 +145,16 @@
 // canAccept reports whether a request that has not been sent to an endpoint can still get a complete response before the
 // process stops. When all nodes of a data centre are stopped in turn, the load balancer goes on sending requests to
 // draining nodes; short ones are still served then. A stream is not among them: it may take longer than any estimate,
-// and once it has begun, the process can only break it off.
+// and once it has begun, the process can only break it off. A request that may run once is refused as soon as responses of
+// its route take longer than is left: its caller may send it elsewhere, but not once it may have run.
 func (c *call) canAccept() bool {
-	if c.gateway.acceptsAll() {
+	remaining, draining := c.gateway.shutdown.Remaining()
+	switch {
+	case draining && !c.route.Repeatable() && min(c.route.Timeout, c.gateway.responseTimes.Expected(c.route.Name)) > remaining:
+		return false
+	case c.gateway.acceptsAll():
 		return true
 	}
-	remaining, _ := c.gateway.shutdown.Remaining()
 	return c.route.Kind != directory.Streaming && min(c.route.Timeout, plainServiceEstimate) < remaining
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 	pressure        *pressureMonitor
 	suspensions     suspensions
 	responseSizes   admission.ResponseSizes
+	responseTimes   admission.ResponseTimes
 	active          atomic.Int64 // callers' requests in flight
 	releasing       atomic.Int64 // requests whose reservations are being released
 	objectives      *window.Counter
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -393,3 +393,25 @@
 
 // drainPoll is the time between two checks of a drain.
 const drainPoll = 20 * time.Millisecond
+
+// Guards against requests that may run once, arrive while a stopping entry still accepts all, run, and cannot be answered
+// before it ends: their callers do not know whether they ran.
+func TestAStopRefusesWhatMayRunOnceAndCannotEnd(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newFixture(t, &standin.Worker{WorkTime: 3500 * time.Millisecond}).start()
+	is.Equal(s.post("/once/a", "before").status, http.StatusOK)
+	s.sendSIGTERM()
+	s.waitFor("the entry drains", func() bool { return s.readyStatus() != http.StatusOK })
+	time.Sleep(time.Second) // of the 4.4 s after which responses are due
+	for name, client := range map[string]*http.Client{"kept": s.client, "new": {Transport: &http.Transport{DisableKeepAlives: true}}} {
+		s.client = client
+		got := s.post("/once/a", name)
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(got.body, "3007"))
+		is.True(got.header.Get("Retry-After") != "")
+		is.Equal(s.runCount(name), 0)
+	}
+	is.NoErr(<-s.serveErr)
+}
