Operators' commands and RPC clients bound what they read of a node

What could happen: a faulty node sends without end, in a head or in a body; an operator's command keeps it all, for up to a minute, until its machine is out of memory. Connections between our processes took heads of up to 10 MB.

Cause: the body of a node's response was read whole, with no bound, and net/http's default bounds heads at 10 MB.

Change: 64 MB of a body (a catalogue of the size to design for takes 20 MB), 32 KiB of a head; RPC clients 32 KiB of a head (their messages were bounded before).

--- a/cli/answers_test.go
+++ b/cli/answers_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -80,3 +81,31 @@
 		is.Equal(len(unreachable), 1)
 	}
 }
+
+// Guards against a command that keeps what a faulty node sends without end, in a head or in a body, until memory runs out.
+func TestAResponseWithoutEndOfANodeIsAnError(t *testing.T) {
+	const block = 64 << 10
+	for name, write := range map[string]func(w http.ResponseWriter){
+		"head": func(w http.ResponseWriter) { w.Header().Set("A", strings.Repeat("x", 1<<20)) },
+		"body": func(w http.ResponseWriter) {
+			text := []byte("# " + strings.Repeat("x", block) + "\n")
+			for sent := 0; sent < 3*maxNodeResponseBytes/2; sent += block {
+				if _, err := w.Write(text); err != nil {
+					return
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				write(w)
+			}))
+			t.Cleanup(server.Close)
+			unreachable, failure := askAll(server.Listener.Addr().String())
+			is.True(failure != nil)
+			is.Equal(len(unreachable), 1)
+		})
+	}
+}
--- a/cli/operators.go
+++ b/cli/operators.go
@@ -102,10 +102,19 @@
 	return response.StatusCode, data, errors.WithStack(err)
 }
 
-// askNode sends a request to a node's operators' port. Nodes state where their responses end, so one that ends with its connection
+// Bounds of a node's response. A catalogue of the size to design for takes 20 MB.
+const (
+	maxNodeHeadBytes     = 32 << 10
+	maxNodeResponseBytes = 64 << 20
+)
+
+// nodeTransport bounds the heads of nodes' responses.
+var nodeTransport = &httpcheck.Transport{Base: &http.Transport{MaxResponseHeaderBytes: maxNodeHeadBytes}}
+
+// askNode sends a request to a node's operators' port. Reading more of the response than maxNodeResponseBytes fails. Nodes state where their responses end, so one that ends with its connection
 // may be a part of a response.
 func askNode(request *http.Request, timeout time.Duration) (*http.Response, error) {
-	client := &http.Client{Timeout: timeout, Transport: &httpcheck.Transport{Base: http.DefaultTransport}}
+	client := &http.Client{Timeout: timeout, Transport: nodeTransport}
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -114,6 +123,7 @@
 		_ = response.Body.Close()
 		return nil, errors.Errorf("%s: the response does not state its length and may be incomplete", request.URL)
 	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxNodeResponseBytes)
 	return response, nil
 }
 
--- a/node/rpc.go
+++ b/node/rpc.go
@@ -88,6 +88,9 @@
 	peers  map[string]wireconnect.PeerClient
 }
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 32 << 10
+
 // maxClients bounds the cached clients of each kind. VMs are replaced often and get new
 // addresses, so a full cache is cleared.
 const maxClients = 20_000
@@ -98,7 +101,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Clients{
 		http: &http.Client{Transport: &progress.Transport{Base: &http.Transport{
-			Protocols: cleartextHTTP2(), DialContext: dialer.DialContext, IdleConnTimeout: time.Minute,
+			Protocols: cleartextHTTP2(), DialContext: dialer.DialContext, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes,
 			HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		}}},
 		agents: map[string]wireconnect.AgentClient{}, peers: map[string]wireconnect.PeerClient{},
