Bodies without end from several endpoints leave room for other requests

What callers saw: two of six endpoints send bodies without end, 100 callers, a machine of 64 MB: 30 of 100 requests to sound endpoints were refused with 3022 (12,887 of 41,904 in 10 s; chunks: 13,042 of 42,187). The process stayed below 50 MB.

Cause: each such body may take 8 MB before it counts as without end. A few fill what large responses may hold; the next ones waited a second for room and failed for lack of it, so that their endpoint was not avoided and got more requests.

Change: a response of unknown length is read no further once it is larger than 512 KiB and 8 times the usual size of its route's, while more than 0.3 of what may be held is held. It counts as without end; its endpoint is avoided for 5 s.

--- a/crowds/gateway_test.go
+++ b/crowds/gateway_test.go
@@ -46,6 +46,12 @@
 
 // startGateway starts a gateway and what it depends on.
 func startGateway(t *testing.T) *installation {
+	t.Helper()
+	return startGatewayWith(t, &platform.Worker{ID: "i-app", Service: serviceApp, StartUnixMilli: time.Now().UnixMilli()})
+}
+
+// startGatewayWith starts a gateway with the given workers of serviceApp.
+func startGatewayWith(t *testing.T, workers ...*platform.Worker) *installation {
 	t.Helper()
 	is := is.New(t)
 	store := platform.NewStore()
@@ -54,13 +60,14 @@
 	server := &http.Server{Handler: store.Handler()}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	worker := &platform.Worker{ID: "i-app", Service: serviceApp, StartUnixMilli: time.Now().UnixMilli()}
-	is.NoErr(worker.Start())
-	t.Cleanup(worker.Stop)
+	for _, worker := range workers {
+		is.NoErr(worker.Start())
+		t.Cleanup(worker.Stop)
+		store.Put("servers/"+worker.ID, worker.Registration("ready"))
+	}
 	bulk := &platform.Bulk{}
 	is.NoErr(bulk.Start())
 	t.Cleanup(bulk.Stop)
-	store.Put("servers/i-app", worker.Registration("ready"))
 	store.Put("servers/i-bulk", bulk.Registration("i-bulk", serviceBulk))
 	store.Put("op/config", installationConfig())
 	g := &installation{}
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -122,3 +122,22 @@
 	}
 	is.True(s.gateway.ReceivedBytes() < int64(len(faults))*maxReceivedPerAttempt)
 }
+
+// Guards against bodies without end that wait for room beside each other: they hold what others need, and their endpoint is not
+// known as one that sends without end.
+func TestBodiesWithoutEndDoNotWaitForRoom(t *testing.T) {
+	is := is.New(t)
+	const requests = 12
+	w := plainWorker()
+	s := newFixture(t, w)
+	s.extraSettings += `,"memory_limit":"64MB"`
+	s.start()
+	is.Equal(s.post("/once/a", "usual").status, http.StatusOK)
+	w.SetDefaultFault(standin.FaultEndlessBody)
+	var callers sync.WaitGroup
+	for i := range requests {
+		callers.Go(func() { s.post("/once/a", fmt.Sprint("r", i)) })
+	}
+	callers.Wait()
+	is.Equal(int(s.sumMetric("aspenyard_gateway_endless_responses_total")), requests)
+}
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -36,6 +36,11 @@
 	// and of the largest.
 	minSegment = 4 << 10
 	maxSegment = 256 << 10
+	// A response is unusual that is larger than minUnusualSize, in bytes, and unusualFactorOfSize times the usual size. While more
+	// than unusualShare of the bound is held, it is not read further.
+	minUnusualSize      = 512 << 10
+	unusualFactorOfSize = 8
+	unusualShare        = 0.3
 	// minBodyBuffer is the size in bytes of the first buffer for a body of unknown length.
 	minBodyBuffer = 4 << 10
 )
@@ -205,6 +210,8 @@
 		switch {
 		case length >= 0:
 			size = min(length-total, maxSegment)
+		case c.isUnusual(total):
+			return nil, &endlessError{"body", fmt.Sprintf("%d times the usual size", unusualFactorOfSize)}
 		case !c.awaitRoom(size):
 			return nil, errNoRoom
 		}
@@ -227,6 +234,13 @@
 	return segments, nil
 }
 
+// isUnusual reports whether a response whose length is not known has become much larger than those of its route while large
+// responses take much of what may be held. Those of a faulty endpoint, which do not end, would keep out other requests.
+func (c *call) isUnusual(total int64) bool {
+	usual := c.gateway.responseSizes.Expect(c.route.Name)
+	return usual > 0 && total > max(unusualFactorOfSize*usual, minUnusualSize) && float64(c.gateway.bytes.Held()) > unusualShare*float64(c.gateway.bytes.Bound())
+}
+
 // fill reads until the buffer is full or the reader returns an error. Unlike io.ReadFull it returns io.EOF only
 // where the reader does: a chunked body that breaks off ends with io.ErrUnexpectedEOF and must not count as
 // complete.
