--- a/attempt/crashcause/fleet_test.go
+++ b/attempt/crashcause/fleet_test.go
@@ -270,7 +270,7 @@
 			}
 			writtenAt := f.now
 			for _, other := range f.entries {
-				f.after(time.Duration(f.random.Float64()*float64(watchDelay)), func() { other.MergeStored(f.now, part, aged(next, f.now.Sub(writtenAt))) })
+				f.after(time.Duration(f.random.Float64()*float64(watchDelay)), func() { other.MergeStored(f.now, part, next.Later(f.now.Sub(writtenAt))) })
 			}
 		}
 	})
@@ -278,16 +278,7 @@
 
 // stored returns what the store has of a part.
 func (f *fleet) stored(part Part) verdict.Verdict {
-	return aged(f.store.verdicts[part], f.now.Sub(f.store.writtenAt[part]))
-}
-
-// aged returns a verdict as it is some time later.
-func aged(v verdict.Verdict, later time.Duration) verdict.Verdict {
-	v.Crashes = slices.Clone(v.Crashes)
-	for i := range v.Crashes {
-		v.Crashes[i].Age += later
-	}
-	return v
+	return f.store.verdicts[part].Later(f.now.Sub(f.store.writtenAt[part]))
 }
 
 // report writes what has changed to the store.
--- a/attempt/crashcause/trial.go
+++ b/attempt/crashcause/trial.go
@@ -12,9 +12,9 @@
 	t.nodes = max(nodes, 1)
 }
 
-// tried returns the blamed part that a request would tell about; nil for a request with several blamed parts, or with
+// partToTry returns the blamed part that a request would tell about; nil for a request with several blamed parts, or with
 // a part further back under which endpoints crashed.
-func (t *Tracker) tried(parts []Part) *suspect {
+func (t *Tracker) partToTry(parts []Part) *suspect {
 	at := slices.IndexFunc(parts, func(part Part) bool { return t.blamed[part] })
 	if at < 0 || slices.ContainsFunc(parts[at+1:], func(part Part) bool { s := t.suspects[part]; return s != nil && len(s.crashes) > 0 }) {
 		return nil
@@ -28,7 +28,7 @@
 func (t *Tracker) TakeTrial(now time.Time, parts []Part, random float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.tried(parts)
+	s := t.partToTry(parts)
 	if s == nil {
 		return false
 	}
@@ -81,7 +81,7 @@
 func (t *Tracker) ClaimDue(now time.Time, parts []Part) (Part, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.tried(parts)
+	s := t.partToTry(parts)
 	if s == nil || s.claims >= maxClaims || now.Before(s.grant) {
 		return 0, false
 	}
@@ -116,6 +116,6 @@
 func (t *Tracker) AwaitsTrial(parts []Part) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.tried(parts)
+	s := t.partToTry(parts)
 	return s != nil && !s.confirmed && s.claims < maxClaims
 }
--- a/attempt/verdict/verdict.go
+++ b/attempt/verdict/verdict.go
@@ -41,6 +41,15 @@
 	Confirmed bool
 }
 
+// Later returns the verdict as it is some time later.
+func (v Verdict) Later(by time.Duration) Verdict {
+	v.Crashes = slices.Clone(v.Crashes)
+	for i := range v.Crashes {
+		v.Crashes[i].Age += by
+	}
+	return v
+}
+
 // Merge returns what both verdicts together say. stands returns whether a verdict's crashes suffice; trials of a
 // verdict that does not stand any more do not count for a later one.
 func Merge(a, b Verdict, stands func(crashes []Crash) bool) Verdict {
--- a/gateway/verdicts.go
+++ b/gateway/verdicts.go
@@ -53,9 +53,11 @@
 	claiming map[crashcause.Part]bool
 }
 
+// storedVerdict is a record's verdict as it was when this entry learned of it.
 type storedVerdict struct {
 	verdict.Verdict
-	at directory.Position
+	at        directory.Position
+	learnedAt time.Time
 }
 
 // verdictWrite is a record that differs from what this entry knows.
@@ -86,7 +88,7 @@
 		v.mu.Unlock()
 		return
 	}
-	v.stored[record.Name] = storedVerdict{decoded, record.At}
+	v.stored[record.Name] = storedVerdict{decoded, record.At, now}
 	v.mu.Unlock()
 	s.merge(v.gateway, now, decoded)
 }
@@ -168,7 +170,7 @@
 	}
 	stored, found := v.stored[name]
 	known, refused := s.known(v.gateway, now)
-	next := verdict.Merge(stored.Verdict, known, s.stands)
+	next := verdict.Merge(stored.Later(now.Sub(stored.learnedAt)), known, s.stands)
 	switch {
 	case s.stands(stored.Crashes) != s.stands(next.Crashes):
 		return next, refused || s.stands(stored.Crashes)
