Operators' commands go through a proxy of the environment as before

Cause: the bounded transport of commands was built anew and left out what net/http's default transport has, a proxy named by the environment and its timeouts. Seen while the change was read once more; no test or run showed it.

Change: it is the default transport with the bound.

--- a/cli/operators.go
+++ b/cli/operators.go
@@ -109,7 +109,13 @@
 )
 
 // nodeTransport bounds the heads of nodes' responses.
-var nodeTransport = &httpcheck.Transport{Base: &http.Transport{MaxResponseHeaderBytes: maxNodeHeadBytes}}
+var nodeTransport = &httpcheck.Transport{Base: boundedTransport()}
+
+func boundedTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone() // with a proxy from the environment
+	transport.MaxResponseHeaderBytes = maxNodeHeadBytes
+	return transport
+}
 
 // askNode sends a request to a node's operators' port. Reading more of the response than maxNodeResponseBytes fails. Nodes state where their responses end, so one that ends with its connection
 // may be a part of a response.
