A trial's grant is named by its end; a comment says who makes claimed trials

Cause: a reader of the change would take the field grant for a flag, and a comment left open what follows what.

Change: grant is grantEnds, ClaimDue's comment is written anew. No behaviour changes.

--- a/attempt/crashcause/tracker.go
+++ b/attempt/crashcause/tracker.go
@@ -56,9 +56,9 @@
 	confirmed bool
 	claims    int
 	claimedAt time.Time
-	// grantedUntil is until when this node may send the trial that it has claimed; grant is that time also while the
+	// grantedUntil is until when this node may send the trial that it has claimed; grantEnds is that time also while the
 	// trial is under way.
-	grantedUntil, grant time.Time
+	grantedUntil, grantEnds time.Time
 	// announceUntil is until when all reports have what is known of the part.
 	announceUntil time.Time
 }
@@ -346,7 +346,7 @@
 	}
 	for _, part := range changes.Cleared {
 		if s := t.suspects[part]; s != nil {
-			s.confirmed, s.claims, s.grant, s.grantedUntil = false, 0, time.Time{}, time.Time{}
+			s.confirmed, s.claims, s.grantEnds, s.grantedUntil = false, 0, time.Time{}, time.Time{}
 		}
 	}
 	for _, part := range slices.Concat(changes.Blamed, changes.Cleared) {
--- a/attempt/crashcause/trial.go
+++ b/attempt/crashcause/trial.go
@@ -51,9 +51,9 @@
 	for _, part := range parts {
 		switch s := t.suspects[part]; {
 		case !t.blamed[part]:
-		case now.Before(s.grant):
+		case now.Before(s.grantEnds):
 			if !mayHaveRun && !s.confirmed {
-				s.grantedUntil = s.grant
+				s.grantedUntil = s.grantEnds
 			}
 		case now.Sub(s.blamedSince) < earlyTrialTo:
 			s.earlyTried = false
@@ -75,14 +75,14 @@
 	return confirmed
 }
 
-// ClaimDue returns the part that a refused request would tell about if this node should claim a trial of it. While no trial
-// has ended in a crash, they follow the early ones soon: the verdict may have been read from the store by nodes that all
-// started since, so that none of them made an early trial.
+// ClaimDue returns the part that a refused request would tell about, and whether this node should claim a trial of it. While
+// no trial has ended in a crash, claimed trials follow soon after the time for early ones: nodes that have all started since
+// the part was blamed made none.
 func (t *Tracker) ClaimDue(now time.Time, parts []Part) (Part, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.partToTry(parts)
-	if s == nil || s.claims >= maxClaims || now.Before(s.grant) {
+	if s == nil || s.claims >= maxClaims || now.Before(s.grantEnds) {
 		return 0, false
 	}
 	if !s.confirmed {
@@ -106,8 +106,8 @@
 	defer t.mu.Unlock()
 	if s := t.suspects[part]; s != nil && t.blamed[part] {
 		s.noteClaims(now, claims)
-		s.grant = now.Add(grantTTL)
-		s.grantedUntil = s.grant
+		s.grantEnds = now.Add(grantTTL)
+		s.grantedUntil = s.grantEnds
 	}
 }
 
