A process that was held up does not blame other processes

Cause: limits of 0.25 to 0.5 s for connects, probes and queries counted time in which the gateway's own goroutines had no processor. The log of a failed run has endpoint_unreachable with "dial tcp 127.0.0.1: i/o timeout": the third endpoint counted as tried.

Change: progress.AfterRunning and progress.WithRunningTimeout count the time in 16 steps, and a late step once. Connects, probes, reservations, queries of the pace, an agent's probes of its engine and the limits on silence use them. A watchdog looks for unread data before it gives up an exchange, and a probe for a reset looks at the socket after its deadline.

--- a/agent/health.go
+++ b/agent/health.go
@@ -11,6 +11,7 @@
 
 	"aspenyard.example/attempt"
 	"aspenyard.example/membership"
+	"aspenyard.example/progress"
 )
 
 const (
@@ -37,7 +38,7 @@
 func (a *Agent) monitorHealth(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		probeCtx, cancel := progress.WithRunningTimeout(ctx, probeTimeout)
 		_, err := a.engine.Status(probeCtx)
 		cancel()
 		if err == nil {
--- a/gateway/cut_responses_test.go
+++ b/gateway/cut_responses_test.go
@@ -116,7 +116,7 @@
 	success := got.err == nil && got.status >= 200 && got.status < 300
 	whole := s.route.whole(id)
 	fail := func(why string) {
-		t.Errorf("%s: %s: status %d, body %q, error %v, arrivals %+v", id, why, got.status, got.body, got.err, arrivals)
+		t.Errorf("%s: %s: status %d, body %q, error %v, arrivals %+v\n%s", id, why, got.status, got.body, got.err, arrivals, s.logOf(id))
 	}
 	switch {
 	case success && got.body != whole:
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"aspenyard.example/attempt"
@@ -203,3 +204,12 @@
 func (g *Gateway) ReportResponseTime(service string, took time.Duration) {
 	g.returns.RecordServed(time.Now(), service, took)
 }
+
+// WatchSilent monitors an exchange on a connection, with an endpoint that has sent nothing for a while and does not accept connections.
+// The returned function reports whether it was given up.
+func (g *Gateway) WatchSilent(conn net.Conn, closedAddr string) func() bool {
+	e := &directory.EndpointState{}
+	e.ID, e.Addr = "silent", closedAddr
+	r := &endpointResponse{endpoint: e, conn: &endpointConn{Conn: conn}}
+	return g.startWatchdog(context.Background(), r, 10*time.Millisecond, nil).givenUp.Load
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -193,6 +193,17 @@
 	})
 }
 
+// logOf returns the log's lines about a request, and those about endpoints that are not reached, for failure messages.
+func (s *fixture) logOf(id string) string {
+	var lines []string
+	for line := range strings.Lines(s.log.String()) {
+		if strings.Contains(line, `"request":"`+id+`"`) || strings.Contains(line, `"event":"endpoint_unreachable"`) || strings.Contains(line, `"event":"endpoint_reachable"`) {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "")
+}
+
 // logTail returns the last lines of the log, for failure messages.
 func (s *fixture) logTail() string {
 	lines := strings.Split(s.log.String(), "\n")
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"maps"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"aspenyard.example/directory"
+	"aspenyard.example/progress"
 )
 
 const (
@@ -130,7 +133,7 @@
 
 // connect opens a connection to the endpoint.
 func (p *prober) connect(e *directory.EndpointState) (*endpointConn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := progress.WithRunningTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	return p.gateway.pool.open(ctx, e)
 }
@@ -150,6 +153,9 @@
 	_ = conn.SetReadDeadline(time.Now().Add(resetTime))
 	_, err := conn.reader.Peek(1)
 	_ = conn.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) { // possibly before this process could read the reset
+		_, err = peek(conn.Conn)
+	}
 	return isConnectionReset(err)
 }
 
@@ -227,7 +233,7 @@
 }
 
 // check probes the endpoint if it has been silent for long enough, and aborts the exchange if it
-// is dead. An endpoint that is evacuated is not probed: its request goes on.
+// is dead. One that has sent something since is not. An endpoint that is evacuated is not probed: its request goes on.
 func (w *watchdog) check() {
 	if w.ctx.Err() != nil {
 		return
@@ -243,7 +249,8 @@
 	if w.ended {
 		return
 	}
-	silent = w.gateway.elapsedSince(&w.lastActivity) // it may have sent something while it was probed
+	silent = w.gateway.elapsedSince(&w.lastActivity)
+	alive = alive || silent < w.silence || hasUnread(w.response.conn.Conn) // it has sent something meanwhile
 	if alive && !w.handOver.isDue(&w.gateway.shutdown, silent, w.silence, w.received.Load()) {
 		w.timer.Reset(w.silence)
 		return
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -11,6 +11,7 @@
 
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/progress"
 	"aspenyard.example/routing/direct"
 )
 
@@ -154,7 +155,7 @@
 	for i, helper := range helpers {
 		requested[i] = &heldReservation{Reservation: r.gateway.newReservation(c, helper, tokens, attemptNumber)}
 		wait.Go(func() {
-			bounded, cancel := context.WithTimeout(ctx, reserveTimeout)
+			bounded, cancel := progress.WithRunningTimeout(ctx, reserveTimeout)
 			defer cancel()
 			results[i] = r.gateway.reserver.Reserve(bounded, requested[i].Reservation, r.gateway.reservationTTL())
 		})
--- a/gateway/slowdown.go
+++ b/gateway/slowdown.go
@@ -10,6 +10,7 @@
 
 	"aspenyard.example/directory"
 	"aspenyard.example/eventlog"
+	"aspenyard.example/progress"
 	"aspenyard.example/routing/direct"
 )
 
@@ -85,7 +86,7 @@
 func (m *slowdownMonitor) poll(e *directory.EndpointState) {
 	g := m.gateway
 	for g.snapshot.Load().Endpoint(e.Incarnation) != nil && m.mayQuery(time.Now(), e) {
-		ctx, cancel := context.WithTimeout(context.Background(), slowdownTimeout)
+		ctx, cancel := progress.WithRunningTimeout(context.Background(), slowdownTimeout)
 		slowdown, err := g.slowdownReader.Slowdown(ctx, e)
 		cancel()
 		if err != nil {
--- a/progress/progress.go
+++ b/progress/progress.go
@@ -38,7 +38,7 @@
 
 	mu sync.Mutex
 	// silence ends the calls, unless it is reset.
-	silence *time.Timer
+	silence *RunningTimer
 	// transfer ends them at the end of the time that a response may take; nil until one has begun.
 	transfer *time.Timer
 	// received is the length of what has arrived, counted what of it is counted as progress. begins is set if the next
@@ -54,7 +54,7 @@
 func WithLimits(ctx context.Context, limits Limits) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	p := &tracker{limits: limits, parent: trackerOf(ctx), cancel: cancel}
-	p.silence = time.AfterFunc(limits.Answer, func() { cancel(context.DeadlineExceeded) })
+	p.silence = AfterRunning(limits.Answer, func() { cancel(context.DeadlineExceeded) })
 	return context.WithValue(ctx, contextKey{}, p), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
