A record with an impossible time does not make a crash a new one

Cause, found by reading the change once more: the age of a recorded crash was the difference of two times of the record, multiplied into nanoseconds. A time far off wrapped around, and the crash counted as one of this moment. No run of processes showed it.

For readers: the counter of a timer's resets is called generation, the watchdog's comment says when an exchange is given up, one comment loses a figure.

--- a/cli/operators.go
+++ b/cli/operators.go
@@ -102,7 +102,7 @@
 	return response.StatusCode, data, errors.WithStack(err)
 }
 
-// Bounds of a node's response. A catalogue of the size to design for takes 20 MB.
+// Bounds of a node's response. The largest response is a catalogue.
 const (
 	maxNodeHeadBytes     = 32 << 10
 	maxNodeResponseBytes = 64 << 20
@@ -117,8 +117,8 @@
 	return transport
 }
 
-// askNode sends a request to a node's operators' port. Reading more of the response than maxNodeResponseBytes fails. Nodes state where their responses end, so one that ends with its connection
-// may be a part of a response.
+// askNode sends a request to a node's operators' port. Reading more of the response than maxNodeResponseBytes fails. Nodes state
+// where their responses end, so one that ends with its connection may be a part of a response.
 func askNode(request *http.Request, timeout time.Duration) (*http.Response, error) {
 	client := &http.Client{Timeout: timeout, Transport: nodeTransport}
 	response, err := client.Do(request)
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -213,3 +213,8 @@
 	r := &endpointResponse{endpoint: e, conn: &endpointConn{Conn: conn}}
 	return g.startWatchdog(context.Background(), r, 10*time.Millisecond, nil).givenUp.Load
 }
+
+// RecordedCrashAge returns the age of a crash in a record of a verdict, whose times are in milliseconds.
+func RecordedCrashAge(now time.Time, writtenUnixMilli, atUnixMilli int64) time.Duration {
+	return (&verdictRecord{WrittenUnixMilli: writtenUnixMilli}).age(now, atUnixMilli)
+}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -233,7 +233,7 @@
 }
 
 // check probes the endpoint if it has been silent for long enough, and aborts the exchange if it
-// is dead. One that has sent something since is not. An endpoint that is evacuated is not probed: its request goes on.
+// is dead and nothing has arrived from it meanwhile. An endpoint that is evacuated is not probed: its request goes on.
 func (w *watchdog) check() {
 	if w.ctx.Err() != nil {
 		return
@@ -250,7 +250,7 @@
 		return
 	}
 	silent = w.gateway.elapsedSince(&w.lastActivity)
-	alive = alive || silent < w.silence || hasUnread(w.response.conn.Conn) // it has sent something meanwhile
+	alive = alive || silent < w.silence || hasUnread(w.response.conn.Conn)
 	if alive && !w.handOver.isDue(&w.gateway.shutdown, silent, w.silence, w.received.Load()) {
 		w.timer.Reset(w.silence)
 		return
--- a/gateway/verdict_record.go
+++ b/gateway/verdict_record.go
@@ -115,8 +115,12 @@
 	AtUnixMilli int64  `json:"at_unix_ms"`
 }
 
-// maxRecordedCrashes bounds what is used of a record.
-const maxRecordedCrashes = 64
+const (
+	// maxRecordedCrashes bounds what is used of a record.
+	maxRecordedCrashes = 64
+	// maxRecordedAge bounds the ages of recorded crashes. Crashes that old do not count.
+	maxRecordedAge = 24 * time.Hour
+)
 
 // encodeVerdict returns the record of a verdict.
 func encodeVerdict(now time.Time, name string, v *verdict.Verdict) (directory.Record, error) {
@@ -169,6 +173,6 @@
 	if r.WrittenUnixMilli == 0 {
 		return max(now.Sub(time.UnixMilli(atUnixMilli)), 0)
 	}
-	atWrite := max(time.Duration(r.WrittenUnixMilli-atUnixMilli)*time.Millisecond, 0)
+	atWrite := min(max(time.UnixMilli(r.WrittenUnixMilli).Sub(time.UnixMilli(atUnixMilli)), 0), maxRecordedAge)
 	return atWrite + min(max(now.Sub(time.UnixMilli(r.WrittenUnixMilli)), 0), recordTTL)
 }
--- a/progress/running.go
+++ b/progress/running.go
@@ -20,8 +20,8 @@
 	timer *time.Timer
 	step  time.Duration
 	left  int
-	// set counts the calls of Reset and Stop, so that a step that began before has no effect.
-	set int
+	// generation counts the calls of Reset and Stop, so that a step that began before has no effect.
+	generation int
 }
 
 // AfterRunning calls f in a goroutine of its own once this process has run for d.
@@ -48,7 +48,7 @@
 }
 
 func (t *RunningTimer) stop() {
-	t.set++
+	t.generation++
 	if t.timer != nil {
 		t.timer.Stop()
 	}
@@ -56,12 +56,12 @@
 
 // await starts the next step. A step that ends late counts as one, however long the process was held up.
 func (t *RunningTimer) await() {
-	set := t.set
+	generation := t.generation
 	t.timer = time.AfterFunc(t.step, func() {
 		runtime.Gosched() // behind the goroutines that are ready to read what has arrived
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		if t.set != set {
+		if t.generation != generation {
 			return
 		}
 		if t.left--; t.left > 0 {
